--- /dev/null
+++ b/packages/core/src/shared/ids.ts
@@ -0,0 +1,229 @@
+import type { Brand } from "./brand.ts";
+
+/** Identifies a node (one daemon on one entry VM) across its restarts. */
+export type NodeId = Brand<string, "NodeId">;
+
+/**
+ * Brands a checked string as a NodeId.
+ * @param value The raw value.
+ * @returns The branded value.
+ */
+export function nodeId(value: string): NodeId {
+  return value as NodeId;
+}
+
+/** Identifies one run of a node's process; a restart makes a new one. */
+export type IncarnationId = Brand<string, "IncarnationId">;
+
+/**
+ * Brands a checked string as an IncarnationId.
+ * @param value The raw value.
+ * @returns The branded value.
+ */
+export function incarnationId(value: string): IncarnationId {
+  return value as IncarnationId;
+}
+
+/** Identifies a model engine on a backend server VM. */
+export type EngineId = Brand<string, "EngineId">;
+
+/**
+ * Brands a checked string as an EngineId.
+ * @param value The raw value.
+ * @returns The branded value.
+ */
+export function engineId(value: string): EngineId {
+  return value as EngineId;
+}
+
+/** Identifies a base model. */
+export type ModelId = Brand<string, "ModelId">;
+
+/**
+ * Brands a checked string as a ModelId.
+ * @param value The raw value.
+ * @returns The branded value.
+ */
+export function modelId(value: string): ModelId {
+  return value as ModelId;
+}
+
+/** Identifies a LoRA adapter. */
+export type AdapterId = Brand<string, "AdapterId">;
+
+/**
+ * Brands a checked string as an AdapterId.
+ * @param value The raw value.
+ * @returns The branded value.
+ */
+export function adapterId(value: string): AdapterId {
+  return value as AdapterId;
+}
+
+/** Identifies one immutable version of an adapter. */
+export type AdapterVersion = Brand<string, "AdapterVersion">;
+
+/**
+ * Brands a checked string as an AdapterVersion.
+ * @param value The raw value.
+ * @returns The branded value.
+ */
+export function adapterVersion(value: string): AdapterVersion {
+  return value as AdapterVersion;
+}
+
+/** Identifies a class of work, which carries a target. */
+export type ClassId = Brand<string, "ClassId">;
+
+/**
+ * Brands a checked string as a ClassId.
+ * @param value The raw value.
+ * @returns The branded value.
+ */
+export function classId(value: string): ClassId {
+  return value as ClassId;
+}
+
+/** Identifies a tenant, whose requests share fairly inside a class. */
+export type TenantId = Brand<string, "TenantId">;
+
+/**
+ * Brands a checked string as a TenantId.
+ * @param value The raw value.
+ * @returns The branded value.
+ */
+export function tenantId(value: string): TenantId {
+  return value as TenantId;
+}
+
+/** Identifies a plain service that stands beside the engines. */
+export type ServiceId = Brand<string, "ServiceId">;
+
+/**
+ * Brands a checked string as a ServiceId.
+ * @param value The raw value.
+ * @returns The branded value.
+ */
+export function serviceId(value: string): ServiceId {
+  return value as ServiceId;
+}
+
+/** Identifies one server of a plain service. */
+export type BackendServerId = Brand<string, "BackendServerId">;
+
+/**
+ * Brands a checked string as a BackendServerId.
+ * @param value The raw value.
+ * @returns The branded value.
+ */
+export function backendServerId(value: string): BackendServerId {
+  return value as BackendServerId;
+}
+
+/** Identifies a weight store, the unit of load permits. */
+export type WeightStoreId = Brand<string, "WeightStoreId">;
+
+/**
+ * Brands a checked string as a WeightStoreId.
+ * @param value The raw value.
+ * @returns The branded value.
+ */
+export function weightStoreId(value: string): WeightStoreId {
+  return value as WeightStoreId;
+}
+
+/** Identifies a region. */
+export type RegionId = Brand<string, "RegionId">;
+
+/**
+ * Brands a checked string as a RegionId.
+ * @param value The raw value.
+ * @returns The branded value.
+ */
+export function regionId(value: string): RegionId {
+  return value as RegionId;
+}
+
+/** Identifies a failure domain of a region. */
+export type FailureDomainId = Brand<string, "FailureDomainId">;
+
+/**
+ * Brands a checked string as a FailureDomainId.
+ * @param value The raw value.
+ * @returns The branded value.
+ */
+export function failureDomainId(value: string): FailureDomainId {
+  return value as FailureDomainId;
+}
+
+/** Identifies one request of a caller, unique across nodes. */
+export type RequestId = Brand<string, "RequestId">;
+
+/**
+ * Brands a checked string as a RequestId.
+ * @param value The raw value.
+ * @returns The branded value.
+ */
+export function requestId(value: string): RequestId {
+  return value as RequestId;
+}
+
+/** Identifies the caller's key of a request that must not run twice. */
+export type IdempotencyKey = Brand<string, "IdempotencyKey">;
+
+/**
+ * Brands a checked string as an IdempotencyKey.
+ * @param value The raw value.
+ * @returns The branded value.
+ */
+export function idempotencyKey(value: string): IdempotencyKey {
+  return value as IdempotencyKey;
+}
+
+/** Identifies an operator's change of configuration, for idempotent appends. */
+export type ChangeId = Brand<string, "ChangeId">;
+
+/**
+ * Brands a checked string as a ChangeId.
+ * @param value The raw value.
+ * @returns The branded value.
+ */
+export function changeId(value: string): ChangeId {
+  return value as ChangeId;
+}
+
+/** The position of a record in one stream of the platform's log. */
+export type LogOffset = Brand<number, "LogOffset">;
+
+/**
+ * Brands a checked number as a LogOffset.
+ * @param value The raw value.
+ * @returns The branded value.
+ */
+export function logOffset(value: number): LogOffset {
+  return value as LogOffset;
+}
+
+/** The number that fences orders to an engine: the offset of the view that gave the right. */
+export type FencingNumber = Brand<number, "FencingNumber">;
+
+/**
+ * Brands a checked number as a FencingNumber.
+ * @param value The raw value.
+ * @returns The branded value.
+ */
+export function fencingNumber(value: number): FencingNumber {
+  return value as FencingNumber;
+}
+
+/** An attempt at a request, counted from 1. */
+export type AttemptNumber = Brand<number, "AttemptNumber">;
+
+/**
+ * Brands a checked number as an AttemptNumber.
+ * @param value The raw value.
+ * @returns The branded value.
+ */
+export function attemptNumber(value: number): AttemptNumber {
+  return value as AttemptNumber;
+}
--- /dev/null
+++ b/packages/edges/src/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * The edges to the outside: abstract classes, and their HTTP forms.
+ * @module
+ */
+export * from "./engine_client.ts";
+export * from "./log_client.ts";
+export * from "./service_client.ts";
+export * from "./vm_list_client.ts";
+export * from "./weight_store_client.ts";
