--- /dev/null
+++ b/packages/core/src/configuration/change.ts
@@ -0,0 +1,76 @@
+import { z } from "zod";
+import type {
+  AdapterId,
+  AdapterVersion,
+  ChangeId,
+  ClassId,
+  LogOffset,
+  ModelId,
+  ServiceId,
+  TenantId,
+} from "../shared/mod.ts";
+
+function branded<Id extends string>() {
+  return z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$/)
+    .transform((value) => value as Id);
+}
+
+const MAXIMUM_TARGET_MILLISECONDS = 86_400_000;
+
+const targetSchema = z.object({
+  firstTokenMilliseconds: z.number().int().positive()
+    .max(MAXIMUM_TARGET_MILLISECONDS),
+  betweenTokensMilliseconds: z.number().positive()
+    .max(MAXIMUM_TARGET_MILLISECONDS).optional(),
+  wholeAnswerMilliseconds: z.number().int().positive()
+    .max(MAXIMUM_TARGET_MILLISECONDS).optional(),
+});
+
+const changeSchema = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal("set_class"),
+    class: branded<ClassId>(),
+    target: targetSchema,
+  }),
+  z.object({ kind: z.literal("remove_class"), class: branded<ClassId>() }),
+  z.object({ kind: z.literal("set_tenant"), tenant: branded<TenantId>() }),
+  z.object({ kind: z.literal("remove_tenant"), tenant: branded<TenantId>() }),
+  z.object({
+    kind: z.literal("set_adapter"),
+    adapter: branded<AdapterId>(),
+    model: branded<ModelId>(),
+    versions: z.array(branded<AdapterVersion>()).min(1),
+    current: branded<AdapterVersion>(),
+  }),
+  z.object({
+    kind: z.literal("remove_adapter"),
+    adapter: branded<AdapterId>(),
+  }),
+  z.object({
+    kind: z.literal("set_service"),
+    service: branded<ServiceId>(),
+    target: targetSchema,
+  }),
+  z.object({
+    kind: z.literal("remove_service"),
+    service: branded<ServiceId>(),
+  }),
+]);
+
+/** The form of a configuration record in the log. */
+export const configurationRecordSchema = z.object({
+  id: z.string().min(1).transform((value) => value as ChangeId),
+  author: z.string(),
+  /** The offset of the item's version that this changes; -1 for none. */
+  base: z.number().int().min(-1).transform((value) => value as LogOffset),
+  changes: z.array(changeSchema).min(1),
+});
+
+/** How quickly the requests of a class must be answered. */
+export type Target = z.output<typeof targetSchema>;
+
+/** One change of one item of the configuration. */
+export type ConfigurationChange = z.output<typeof changeSchema>;
+
+/** A record of changes that are accepted or refused together. */
+export type ConfigurationRecord = z.output<typeof configurationRecordSchema>;
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -3,3 +3,6 @@
  * @module
  */
 export * from "./shared/mod.ts";
+export * from "./configuration/mod.ts";
+export * from "./ownership/mod.ts";
+export * from "./serving/mod.ts";
--- /dev/null
+++ b/packages/core/src/ownership/mod.ts
@@ -0,0 +1,1 @@
+export * from "./rendezvous.ts";
--- /dev/null
+++ b/packages/core/src/serving/engine_event.ts
@@ -0,0 +1,45 @@
+import type {
+  AdapterReference,
+  ClassId,
+  Duration,
+  RequestId,
+  TenantId,
+} from "../shared/mod.ts";
+
+/** A request as the engine's controller queues it. */
+export interface QueuedRequest {
+  readonly request: RequestId;
+  readonly adapter: AdapterReference;
+  readonly class: ClassId;
+  readonly tenant: TenantId;
+  /** The class's target for the first token, counted from arrival. */
+  readonly firstTokenTarget: Duration;
+  /** How long the request had waited elsewhere before it came here. */
+  readonly waitedBefore: Duration;
+  /** Estimates, for expected waits. */
+  readonly promptTokens: number;
+  readonly maximumTokens: number;
+  /** Names the prompt's prefix, for affinity to cached prefixes. */
+  readonly prefixHash?: string;
+}
+
+/** What a controller wants done; the shell carries it out. */
+export type EngineDecision =
+  | {
+    readonly kind: "dispatch";
+    readonly request: RequestId;
+    readonly priority: number;
+  }
+  | { readonly kind: "load"; readonly adapter: AdapterReference }
+  | { readonly kind: "evict"; readonly adapter: AdapterReference }
+  | {
+    readonly kind: "refuse";
+    readonly request: RequestId;
+    readonly retryAfter: Duration;
+  };
+
+/** What is known of an engine's capacity. */
+export interface EngineCapacity {
+  readonly adapterSlots: number;
+  readonly batchCapacity: number;
+}
--- a/packages/core/src/shared/mod.ts
+++ b/packages/core/src/shared/mod.ts
@@ -1,3 +1,4 @@
+export * from "./adapter_reference.ts";
 export * from "./brand.ts";
 export * from "./failure.ts";
 export * from "./ids.ts";
--- a/packages/edges/src/engine_client.ts
+++ b/packages/edges/src/engine_client.ts
@@ -1,6 +1,5 @@
 import type {
-  AdapterId,
-  AdapterVersion,
+  AdapterReference,
   AttemptNumber,
   EngineId,
   Failure,
@@ -8,14 +7,9 @@
   ModelId,
   RequestId,
 } from "@foxtailwind/core";
+export type { AdapterReference };
 import type { Result } from "neverthrow";
 
-/** An adapter at one version: what an engine loads and a request names. */
-export interface AdapterReference {
-  readonly adapter: AdapterId;
-  readonly version: AdapterVersion;
-}
-
 /** One message of a conversation that is to be continued. */
 export interface PromptMessage {
   readonly role: "system" | "user" | "assistant";
--- a/packages/edges/src/weight_store_client.ts
+++ b/packages/edges/src/weight_store_client.ts
@@ -1,6 +1,5 @@
-import type { Failure } from "@foxtailwind/core";
+import type { AdapterReference, Failure } from "@foxtailwind/core";
 import type { Result } from "neverthrow";
-import type { AdapterReference } from "./engine_client.ts";
 
 /** What the weight store knows of an adapter version. */
 export interface AdapterWeights {
--- /dev/null
+++ b/packages/node/src/callers/health_controller.ts
@@ -0,0 +1,30 @@
+import { Controller, Get, Inject, Res } from "@nestjs/common";
+import type { FastifyReply } from "fastify";
+import { DaemonParts } from "../daemon_parts.ts";
+
+const SERVICE_UNAVAILABLE = 503;
+const OK = 200;
+
+/** Tells whether the daemon lives and takes new work. */
+@Controller()
+export class HealthController {
+  readonly #parts: DaemonParts;
+
+  constructor(@Inject(DaemonParts) parts: DaemonParts) {
+    this.#parts = parts;
+  }
+
+  /** Answers while the process lives. */
+  @Get("healthz")
+  health() {
+    return { status: "live" };
+  }
+
+  /** Answers whether new work is welcome. */
+  @Get("readyz")
+  async ready(@Res() reply: FastifyReply): Promise<void> {
+    const ready = this.#parts.directory.vms.length > 0;
+    await reply.status(ready ? OK : SERVICE_UNAVAILABLE)
+      .send({ status: ready ? "ready" : "starting" });
+  }
+}
--- /dev/null
+++ b/packages/node/src/http_application.ts
@@ -0,0 +1,34 @@
+import { type DynamicModule, Module } from "@nestjs/common";
+import { NestFactory } from "@nestjs/core";
+import {
+  FastifyAdapter,
+  type NestFastifyApplication,
+} from "@nestjs/platform-fastify";
+import { CALLER_CONTROLLERS } from "./callers/mod.ts";
+import { DaemonParts } from "./daemon_parts.ts";
+import { OPERATOR_CONTROLLERS } from "./operators/mod.ts";
+
+const BODY_LIMIT_BYTES = 4 * 1_024 * 1_024;
+
+@Module({})
+class HttpModule {}
+
+/**
+ * Makes the HTTP application of a daemon.
+ * @param parts The daemon's running parts.
+ * @returns The application, not yet listening.
+ */
+export async function createHttpApplication(
+  parts: DaemonParts,
+): Promise<NestFastifyApplication> {
+  const module: DynamicModule = {
+    module: HttpModule,
+    controllers: [...CALLER_CONTROLLERS, ...OPERATOR_CONTROLLERS],
+    providers: [{ provide: DaemonParts, useValue: parts }],
+  };
+  return await NestFactory.create<NestFastifyApplication>(
+    module,
+    new FastifyAdapter({ bodyLimit: BODY_LIMIT_BYTES }),
+    { logger: false },
+  );
+}
--- /dev/null
+++ b/packages/node/src/main.ts
@@ -0,0 +1,60 @@
+#!/usr/bin/env node
+import process from "node:process";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { Daemon } from "./daemon.ts";
+import { LoggerFactory } from "./logging/part_logger.ts";
+import {
+  formatSettingsProblem,
+  loadSettings,
+} from "./settings/load_settings.ts";
+
+const EXIT_BAD_SETTINGS = 78;
+const LEVELS = { error: 0, warn: 1, info: 3, debug: 4 } as const;
+
+const options = await yargs(hideBin(process.argv))
+  .scriptName("foxtailwind-node")
+  .option("settings", {
+    type: "string",
+    demandOption: true,
+    describe: "The INI file with this node's settings",
+  })
+  .option("check", {
+    type: "boolean",
+    default: false,
+    describe: "Check the settings and exit",
+  })
+  .strict()
+  .parse();
+
+const settings = loadSettings(options.settings);
+if (settings.isErr()) {
+  for (const problem of settings.error) {
+    process.stderr.write(`${formatSettingsProblem(problem)}\n`);
+  }
+  process.exit(EXIT_BAD_SETTINGS);
+}
+if (options.check) {
+  process.stdout.write("The settings are valid.\n");
+  process.exit(0);
+}
+
+const { format, level } = settings.value.logs;
+const loggers = new LoggerFactory(format, LEVELS[level]);
+const logger = loggers.forPart("daemon");
+const daemon = new Daemon(settings.value, loggers);
+const addresses = await daemon.start();
+process.stdout.write(`${JSON.stringify({ ready: addresses })}\n`);
+logger.info("Ready.", { ...addresses });
+
+let stopping = false;
+async function stop(): Promise<void> {
+  if (stopping) return;
+  stopping = true;
+  logger.info("Stopping.");
+  await daemon.stop();
+  logger.info("Stopped.");
+  process.exit(0);
+}
+process.on("SIGTERM", () => void stop());
+process.on("SIGINT", () => void stop());
--- /dev/null
+++ b/packages/node/src/peers/generate_message.ts
@@ -0,0 +1,82 @@
+import {
+  adapterId,
+  type AdapterReference,
+  adapterVersion,
+  classId,
+  type EngineId,
+  type Instant,
+  instant,
+  milliseconds,
+  modelId,
+  requestId,
+  tenantId,
+} from "@foxtailwind/core";
+import type { PromptMessage } from "@foxtailwind/edges";
+import type { Adapter, GenerateRequest } from "@foxtailwind/protocol";
+import type { GenerationRequest } from "../serving/generation_request.ts";
+
+/** A request on its way to an engine's controller. */
+export interface HandedOver {
+  readonly engine: EngineId;
+  readonly generation: GenerationRequest;
+  /** The sender's present time. */
+  readonly now: Instant;
+}
+
+/**
+ * Puts a request into a message; the time it waited goes as a duration.
+ * @param handedOver The request and its engine.
+ * @returns The message.
+ */
+export function toGenerateRequest(handedOver: HandedOver): GenerateRequest {
+  const { engine, generation, now } = handedOver;
+  return {
+    request: generation.request,
+    attempt: 1,
+    engine,
+    model: generation.model,
+    adapter: generation.adapter,
+    messages: [...generation.messages],
+    maximumTokens: generation.maximumTokens,
+    classId: generation.class,
+    tenant: generation.tenant,
+    firstTokenTargetMilliseconds: generation.firstTokenTarget,
+    waitedMilliseconds: now - generation.arrivedAt,
+    fromSequence: 0,
+  };
+}
+
+/**
+ * Reads a request from a message.
+ * @param message The message.
+ * @param now The receiver's present time.
+ * @returns The request, its arrival placed on the receiver's clock.
+ */
+export function fromGenerateRequest(
+  message: GenerateRequest,
+  now: Instant,
+): GenerationRequest {
+  return {
+    request: requestId(message.request),
+    model: modelId(message.model),
+    adapter: fromAdapter(message.adapter),
+    class: classId(message.classId),
+    tenant: tenantId(message.tenant),
+    firstTokenTarget: milliseconds(message.firstTokenTargetMilliseconds),
+    messages: message.messages as readonly PromptMessage[],
+    maximumTokens: message.maximumTokens,
+    arrivedAt: instant(now - message.waitedMilliseconds),
+  };
+}
+
+/**
+ * Reads an adapter reference from a message.
+ * @param message The message, or nothing.
+ * @returns The reference; empty ids where there is no message.
+ */
+export function fromAdapter(message: Adapter | undefined): AdapterReference {
+  return {
+    adapter: adapterId(message?.adapter ?? ""),
+    version: adapterVersion(message?.version ?? ""),
+  };
+}
--- /dev/null
+++ b/packages/node/src/peers/peer_channels.ts
@@ -0,0 +1,36 @@
+import { Channel, credentials } from "@grpc/grpc-js";
+
+/** Keeps one gRPC connection to each peer, which all services share. */
+export class PeerChannels {
+  readonly #channels = new Map<string, Channel>();
+
+  /**
+   * Gives the connection to a peer.
+   * @param address IP literal and port.
+   * @returns The channel; made where there is none yet.
+   */
+  channel(address: string): Channel {
+    const known = this.#channels.get(address);
+    if (known !== undefined) return known;
+    const channel = new Channel(address, credentials.createInsecure(), {});
+    this.#channels.set(address, channel);
+    return channel;
+  }
+
+  /**
+   * Closes the connections to peers that are gone.
+   * @param kept The addresses of the peers that remain.
+   */
+  retain(kept: ReadonlySet<string>): void {
+    for (const [address, channel] of this.#channels) {
+      if (kept.has(address)) continue;
+      channel.close();
+      this.#channels.delete(address);
+    }
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.retain(new Set());
+  }
+}
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -1,1 +1,5 @@
-export {};
+/**
+ * What the nodes say to each other, over gRPC. Generated code; see buf.gen.yaml.
+ * @module
+ */
+export * from "./generated/peer.ts";
