--- /dev/null
+++ b/packages/bench/src/demo/demo_report.ts
@@ -0,0 +1,51 @@
+import Table from "cli-table3";
+import type { CompletionOutcome } from "../load/completion_call.ts";
+import { DEMO_CLASSES } from "./demo_configuration.ts";
+
+const OK = 200;
+
+/**
+ * Puts the outcomes of a load into a table, a row a class.
+ * @param outcomes The outcomes.
+ * @returns The table's text.
+ */
+export function formatDemoReport(
+  outcomes: readonly CompletionOutcome[],
+): string {
+  const table = new Table({
+    head: [
+      "class",
+      "requests",
+      "whole",
+      "refused",
+      "first token p50 ms",
+      "p95 ms",
+      "within target",
+    ],
+    style: { head: [], border: [] },
+  });
+  for (const entry of DEMO_CLASSES) {
+    const own = outcomes.filter((outcome) => outcome.className === entry.name);
+    const times = own.flatMap((outcome) => outcome.firstTokenMilliseconds ?? [])
+      .sort((left, right) => left - right);
+    const within = times.filter((time) => time <= entry.firstTokenMilliseconds);
+    table.push([
+      entry.name,
+      own.length,
+      own.filter((outcome) => outcome.whole).length,
+      own.filter((outcome) => outcome.status !== OK).length,
+      quantile(times, 0.5).toFixed(0),
+      quantile(times, 0.95).toFixed(0),
+      `${(100 * within.length / Math.max(1, own.length)).toFixed(1)}%`,
+    ]);
+  }
+  return table.toString();
+}
+
+function quantile(sorted: readonly number[], share: number): number {
+  const index = Math.min(
+    sorted.length - 1,
+    Math.floor(share * sorted.length),
+  );
+  return sorted[index] ?? 0;
+}
--- /dev/null
+++ b/packages/bench/src/demo/main.ts
@@ -0,0 +1,48 @@
+/**
+ * The demonstration: three nodes, engines, a plain service and the platform's
+ * stand-ins on loopback, under a skewed load over 3,000 adapters.
+ * @module
+ */
+import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
+import { DemoCluster } from "./demo_cluster.ts";
+import { publishDemoConfiguration } from "./demo_configuration.ts";
+import { sendDemoLoad } from "./demo_load.ts";
+import { formatDemoReport } from "./demo_report.ts";
+
+const ADAPTERS = 3_000;
+const LOAD_MILLISECONDS = 15_000;
+const REQUESTS_PER_SECOND = 20;
+const SETTLE_MILLISECONDS = 2_000;
+
+const cluster = await DemoCluster.start({
+  nodes: 3,
+  engines: 8,
+  domains: 3,
+  services: ["booking"],
+  standInFlags: [],
+});
+const addresses = cluster.nodes.map((node) => `http://${node.http}`);
+process.stdout.write(`Nodes: ${addresses.join(", ")}\n`);
+await publishDemoConfiguration(addresses[0] ?? "", ADAPTERS);
+await sleep(SETTLE_MILLISECONDS);
+const outcomes = await sendDemoLoad({
+  addresses,
+  adapters: ADAPTERS,
+  exponent: 1,
+  requestsPerSecond: REQUESTS_PER_SECOND,
+  durationMilliseconds: LOAD_MILLISECONDS,
+  seed: 1,
+  onProgress(sent, ended) {
+    process.stdout.write(`\rsent ${sent}, answered ${ended}   `);
+  },
+});
+process.stdout.write(`\n${formatDemoReport(outcomes)}\n`);
+const slot = await fetch(`${addresses[0]}/v1/services/booking/slots`);
+process.stdout.write(`A call to the service: status ${slot.status}.\n`);
+const wrong = outcomes.filter((outcome) => !outcome.rightAdapter).length;
+const cut =
+  outcomes.filter((outcome) => outcome.status === 200 && !outcome.whole).length;
+process.stdout.write(`Wrong adapter: ${wrong}. Cut off: ${cut}.\n`);
+await cluster.stop();
+process.exitCode = wrong + cut > 0 ? 1 : 0;
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -46,14 +46,14 @@
     this.settings = settings;
     const dispatcher = this.#dispatcher;
     this.log = new HttpLogClient({
-      baseUrl: settings.platform.log,
+      baseAddress: settings.platform.log,
       dispatcher,
       peer: "log",
     });
     this.services = new HttpServiceClient({ dispatcher });
     this.directory = new VmDirectory(
       new HttpVmListClient({
-        baseUrl: settings.platform.vm_list,
+        baseAddress: settings.platform.vm_list,
         dispatcher,
         peer: "vm_list",
       }),
@@ -108,8 +108,8 @@
 
   #engineClient(engine: EngineId, address: string): HttpEngineClient {
     return new HttpEngineClient({
-      engine,
-      baseUrl: `http://${address}`,
+      peer: engine,
+      baseAddress: `http://${address}`,
       dispatcher: this.#dispatcher,
     });
   }
--- a/packages/node/src/http_application.ts
+++ b/packages/node/src/http_application.ts
@@ -29,6 +29,6 @@
   return await NestFactory.create<NestFastifyApplication>(
     module,
     new FastifyAdapter({ bodyLimit: BODY_LIMIT_BYTES }),
-    { logger: false },
+    { logger: false as const },
   );
 }
--- a/packages/node/src/settings/load_settings.ts
+++ b/packages/node/src/settings/load_settings.ts
@@ -48,18 +48,18 @@
   if (parsed.success) return ok(parsed.data);
   return err(parsed.error.issues.map((issue) => {
     const [section = "", key = ""] = issue.path.map(String);
-    const sectionValue = (raw as Record<string, unknown>)[section];
-    const seen = (sectionValue as Record<string, unknown> | undefined)?.[key];
-    return {
-      file,
-      section,
-      key,
-      seen: String(seen ?? "nothing"),
-      allowed: issue.message,
-    };
+    const seen = valueAt(raw, section, key);
+    return { file, section, key, seen, allowed: issue.message };
   }));
 }
 
+function valueAt(raw: object, section: string, key: string): string {
+  const values: unknown = Reflect.get(raw, section);
+  if (typeof values !== "object" || values === null) return "nothing";
+  const value: unknown = Reflect.get(values, key);
+  return typeof value === "string" ? value : "nothing";
+}
+
 /**
  * Says what is wrong in one line.
  * @param problem The problem.
