--- /dev/null
+++ b/packages/edges/src/http/dispatcher.ts
@@ -0,0 +1,29 @@
+import { Agent } from "undici";
+
+/** Limits of a dispatcher. */
+export interface DispatcherOptions {
+  readonly connectTimeoutMilliseconds?: number;
+  readonly keepAliveMilliseconds?: number;
+}
+
+const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
+const KEEP_ALIVE_MILLISECONDS = 30_000;
+
+/**
+ * Makes a dispatcher that never queues a request behind another, so that a
+ * long stream holds nothing up and no failure touches a second request.
+ * @param options Limits that differ from the defaults.
+ * @returns The dispatcher, to be closed by its owner.
+ */
+export function createDispatcher(options: DispatcherOptions = {}): Agent {
+  return new Agent({
+    pipelining: 1,
+    connections: null,
+    connect: {
+      timeout: options.connectTimeoutMilliseconds ??
+        CONNECT_TIMEOUT_MILLISECONDS,
+      noDelay: true,
+    },
+    keepAliveTimeout: options.keepAliveMilliseconds ?? KEEP_ALIVE_MILLISECONDS,
+  });
+}
--- /dev/null
+++ b/packages/edges/src/http/engine_schemas.ts
@@ -0,0 +1,132 @@
+import {
+  adapterId,
+  adapterVersion,
+  attemptNumber,
+  engineId,
+  fencingNumber,
+  modelId,
+  requestId,
+} from "@foxtailwind/core";
+import { z } from "zod";
+
+const count = z.number().int().nonnegative();
+const attemptSchema = z.number().int().positive().transform(attemptNumber);
+const requestSchema = z.string().min(1).transform(requestId);
+const modelSchema = z.string().min(1).transform(modelId);
+
+/** An adapter at one version. */
+export const adapterReferenceSchema = z.object({
+  adapter: z.string().min(1).transform(adapterId),
+  version: z.string().min(1).transform(adapterVersion),
+});
+
+/** What an engine does of the two phases of generation. */
+export const engineRoleSchema = z.enum(["both", "prefill", "decode"]);
+
+/** The body of a generation request. */
+export const generateCallSchema = z.object({
+  request: requestSchema,
+  attempt: attemptSchema,
+  model: modelSchema,
+  adapter: adapterReferenceSchema,
+  messages: z.array(z.object({
+    role: z.enum(["system", "user", "assistant"]),
+    content: z.string(),
+  })),
+  maximumTokens: z.number().int().positive(),
+  priority: z.number(),
+  fromSequence: count,
+});
+
+/** The body of a cancellation. */
+export const cancelCallSchema = z.object({
+  request: requestSchema,
+  attempt: attemptSchema,
+});
+
+/** The answer to a cancellation. */
+export const cancelAnswerSchema = z.object({ cancelled: z.boolean() });
+
+/** The end of a generation. */
+export const generationEndSchema = z.object({
+  request: requestSchema,
+  attempt: attemptSchema,
+  finishReason: z.enum(["stop", "length", "cancelled"]),
+  promptTokens: count,
+  completionTokens: count,
+  cachedPromptTokens: count,
+});
+
+const orderBase = {
+  fencing: z.number().transform(fencingNumber),
+  expiresInMilliseconds: z.number().nonnegative(),
+};
+
+/** The body of an order. */
+export const engineOrderSchema = z.discriminatedUnion("kind", [
+  z.object({
+    ...orderBase,
+    kind: z.literal("load_adapter"),
+    adapter: adapterReferenceSchema,
+  }),
+  z.object({
+    ...orderBase,
+    kind: z.literal("evict_adapter"),
+    adapter: adapterReferenceSchema,
+  }),
+  z.object({ ...orderBase, kind: z.literal("load_model"), model: modelSchema }),
+  z.object({
+    ...orderBase,
+    kind: z.literal("change_role"),
+    role: engineRoleSchema,
+  }),
+]);
+
+/** An engine's state. */
+export const engineStateSchema = z.object({
+  engine: z.string().transform(engineId),
+  bootId: z.string(),
+  model: modelSchema,
+  role: engineRoleSchema,
+  adapterSlots: count,
+  batchCapacity: count,
+  resident: z.array(adapterReferenceSchema),
+  loading: z.array(adapterReferenceSchema),
+  running: z.array(z.object({
+    request: requestSchema,
+    attempt: attemptSchema,
+    adapter: adapterReferenceSchema,
+    generated: count,
+  })),
+  highestFencing: z.number().transform(fencingNumber).exactOptional(),
+  leaving: z.boolean(),
+});
+
+/** An engine's load report. */
+export const engineLoadReportSchema = z.object({
+  engine: z.string().transform(engineId),
+  bootId: z.string(),
+  running: count,
+  waiting: count,
+  stepMilliseconds: z.number().nonnegative(),
+  batchFill: z.number().min(0).max(1),
+  prefixCacheUsed: z.number().nonnegative(),
+  ageMilliseconds: z.number().nonnegative(),
+});
+
+/** A page of cache events. */
+export const cacheEventsSchema = z.object({
+  events: z.array(z.object({
+    sequence: count,
+    kind: z.enum(["stored", "evicted"]),
+    adapter: adapterReferenceSchema,
+    prefixHash: z.string(),
+  })),
+});
+
+/** An exported KV cache. */
+export const exportedKvCacheSchema = z.object({
+  request: requestSchema,
+  adapter: adapterReferenceSchema,
+  data: z.string(),
+});
--- /dev/null
+++ b/packages/edges/src/http/exchange.ts
@@ -0,0 +1,153 @@
+import type { Failure, FailureStep } from "@foxtailwind/core";
+import type { IncomingHttpHeaders } from "node:http";
+import { err, ok, type Result } from "neverthrow";
+import type { Dispatcher } from "undici";
+import { transportFailure } from "./transport_failure.ts";
+
+/** One HTTP request and what bounds it. */
+export interface ExchangeOptions {
+  readonly step: FailureStep;
+  readonly peer: string;
+  readonly origin: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string | string[]>>;
+  readonly body?: string | Uint8Array;
+  readonly timeoutMilliseconds: number;
+  readonly signal?: AbortSignal;
+}
+
+/** A whole HTTP answer, whatever its status. */
+export interface ExchangeAnswer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer;
+}
+
+const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
+
+/**
+ * Sends one request, without any retry, and gathers its whole answer.
+ * @param dispatcher Carries the connection.
+ * @param options The request.
+ * @returns The answer, or a failure whose outcome tells if it may have run.
+ */
+export function exchange(
+  dispatcher: Dispatcher,
+  options: ExchangeOptions,
+): Promise<Result<ExchangeAnswer, Failure>> {
+  return new Promise((resolve) => {
+    const handler = new ExchangeHandler(options, resolve);
+    handler.start(dispatcher);
+  });
+}
+
+class ExchangeHandler implements Dispatcher.DispatchHandler {
+  readonly #options: ExchangeOptions;
+  readonly #resolve: (result: Result<ExchangeAnswer, Failure>) => void;
+  readonly #chunks: Buffer[] = [];
+  readonly #onAbort = (): void => {
+    this.#giveUp(errorWithCode("The call was cancelled", "UND_ERR_ABORTED"));
+  };
+  #timer: NodeJS.Timeout | undefined;
+  #controller: Dispatcher.DispatchController | undefined;
+  #settled = false;
+  #bytes = 0;
+  #status = 0;
+  #headers: IncomingHttpHeaders = {};
+
+  constructor(
+    options: ExchangeOptions,
+    resolve: (result: Result<ExchangeAnswer, Failure>) => void,
+  ) {
+    this.#options = options;
+    this.#resolve = resolve;
+  }
+
+  start(dispatcher: Dispatcher): void {
+    const { origin, method, path, headers, body, signal } = this.#options;
+    if (signal?.aborted === true) {
+      this.#onAbort();
+      return;
+    }
+    signal?.addEventListener("abort", this.#onAbort, { once: true });
+    this.#timer = setTimeout(() => {
+      this.#giveUp(
+        errorWithCode("The answer took too long", "UND_ERR_HEADERS_TIMEOUT"),
+      );
+    }, this.#options.timeoutMilliseconds);
+    dispatcher.dispatch({
+      origin,
+      method,
+      path,
+      headers: headers ?? null,
+      body: body ?? null,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    }, this);
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.#settled) {
+      controller.abort(errorWithCode("The call was given up", "ABANDONED"));
+      return;
+    }
+    this.#controller = controller;
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
+    this.#status = status;
+    this.#headers = headers;
+  }
+
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    this.#bytes += chunk.length;
+    if (this.#bytes > MAXIMUM_ANSWER_BYTES) {
+      controller.abort(errorWithCode("The answer is too large", "TOO_LARGE"));
+      return;
+    }
+    this.#chunks.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    this.#settle(ok({
+      status: this.#status,
+      headers: this.#headers,
+      body: Buffer.concat(this.#chunks),
+    }));
+  }
+
+  onResponseError(_controller: unknown, error: Error): void {
+    this.#fail(error);
+  }
+
+  #giveUp(error: Error): void {
+    this.#fail(error);
+    this.#controller?.abort(error);
+  }
+
+  #fail(error: Error): void {
+    const { step, peer } = this.#options;
+    const started = this.#controller !== undefined;
+    this.#settle(err(transportFailure(error, { step, peer, started })));
+  }
+
+  #settle(result: Result<ExchangeAnswer, Failure>): void {
+    if (this.#settled) return;
+    this.#settled = true;
+    clearTimeout(this.#timer);
+    this.#options.signal?.removeEventListener("abort", this.#onAbort);
+    this.#resolve(result);
+  }
+}
+
+function errorWithCode(message: string, code: string): Error {
+  return Object.assign(new Error(message), { code });
+}
--- /dev/null
+++ b/packages/edges/src/http/generation_exchange.ts
@@ -0,0 +1,213 @@
+import {
+  type Failure,
+  type FailureReason,
+  type FailureStep,
+  InvariantViolation,
+  type RunOutcome,
+} from "@foxtailwind/core";
+import { err, ok, type Result } from "neverthrow";
+import type { Dispatcher } from "undici";
+import type {
+  GenerateCall,
+  GenerationEnd,
+  GenerationHandle,
+  GenerationSink,
+} from "../engine_client.ts";
+import type { HttpClientOptions } from "./client_options.ts";
+import { FrameReader } from "./frame_reader.ts";
+import { isGenerationFrame, parseEndLine } from "./generation_line.ts";
+import { LineSplitter, LineTooLongError } from "./line_splitter.ts";
+import { refusalFailure } from "./stated_failure.ts";
+import { transportFailure } from "./transport_failure.ts";
+
+/** What one generation over HTTP needs. */
+export interface GenerationExchangeOptions {
+  readonly client: HttpClientOptions;
+  /** Without any byte for so long, the stream counts as broken. */
+  readonly idleTimeoutMilliseconds: number;
+  /** Asks the engine to cancel; resolves once the engine has answered. */
+  readonly askToCancel: () => Promise<unknown>;
+  /** How long the stream may go on after the engine has answered that. */
+  readonly cancelGraceMilliseconds: number;
+}
+
+const MAXIMUM_LINE_BYTES = 4 * 1024 * 1024;
+const MAXIMUM_REFUSAL_BYTES = 64 * 1024;
+const SUCCESS_STATUS = 200;
+const JSON_HEADERS = { "content-type": "application/json" } as const;
+
+/** One generation: reads its lines as they come, without promises. */
+export class GenerationExchange
+  implements Dispatcher.DispatchHandler, GenerationHandle {
+  readonly #call: GenerateCall;
+  readonly #sink: GenerationSink;
+  readonly #options: GenerationExchangeOptions;
+  readonly #reader = new FrameReader();
+  readonly #lines = new LineSplitter((line) => {
+    this.#onLine(line);
+  }, MAXIMUM_LINE_BYTES);
+  #controller: Dispatcher.DispatchController | undefined;
+  #status = 0;
+  #refusal = "";
+  #paused = false;
+  #cancelled = false;
+  #ended = false;
+
+  /**
+   * @param call What to generate.
+   * @param sink Receives the frames and the end.
+   * @param options The engine and the limits.
+   */
+  constructor(
+    call: GenerateCall,
+    sink: GenerationSink,
+    options: GenerationExchangeOptions,
+  ) {
+    this.#call = call;
+    this.#sink = sink;
+    this.#options = options;
+  }
+
+  /** Sends the request. */
+  start(): void {
+    const { client, idleTimeoutMilliseconds } = this.#options;
+    client.dispatcher.dispatch({
+      origin: client.baseAddress,
+      method: "POST",
+      path: "/v1/generate",
+      headers: JSON_HEADERS,
+      body: JSON.stringify(this.#call),
+      headersTimeout: idleTimeoutMilliseconds,
+      bodyTimeout: idleTimeoutMilliseconds,
+    }, this);
+  }
+
+  pause(): void {
+    this.#paused = true;
+    this.#controller?.pause();
+  }
+
+  unpause(): void {
+    this.#paused = false;
+    this.#controller?.resume();
+  }
+
+  cancel(): void {
+    if (this.#ended || this.#cancelled) return;
+    this.#cancelled = true;
+    if (this.#controller === undefined) {
+      this.#fail("cancelled", "not_run", "The generation was never sent");
+      return;
+    }
+    this.unpause();
+    void this.#options.askToCancel().then(() => {
+      setTimeout(() => {
+        this.#endCancelled();
+      }, this.#options.cancelGraceMilliseconds).unref();
+    });
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.#ended) {
+      controller.abort(new Error("The generation was cancelled before"));
+      return;
+    }
+    this.#controller = controller;
+    if (this.#paused) controller.pause();
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+  ): void {
+    this.#status = status;
+  }
+
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    if (this.#status === SUCCESS_STATUS) {
+      this.#lines.push(chunk);
+      return;
+    }
+    this.#refusal += chunk.toString();
+    if (this.#refusal.length > MAXIMUM_REFUSAL_BYTES) {
+      controller.abort(new Error("The refusal is too large"));
+    }
+  }
+
+  onResponseEnd(): void {
+    if (this.#ended) return;
+    if (this.#status === SUCCESS_STATUS) {
+      this.#fail("unavailable", "unknown", "The stream stopped before its end");
+      return;
+    }
+    const answer = { status: this.#status, body: this.#refusal };
+    const { peer } = this.#options.client;
+    this.#end(err(refusalFailure(answer, { step: this.#step(), peer })));
+  }
+
+  onResponseError(_controller: unknown, error: Error): void {
+    if (error instanceof InvariantViolation) rethrowOnLoop(error);
+    if (this.#ended) return;
+    if (error instanceof LineTooLongError) {
+      this.#fail("corrupt", "unknown", error.message);
+      return;
+    }
+    const { peer } = this.#options.client;
+    const started = this.#controller !== undefined;
+    this.#end(
+      err(transportFailure(error, { step: this.#step(), peer, started })),
+    );
+  }
+
+  #onLine(line: string): void {
+    if (this.#ended) return;
+    const value = this.#reader.read(line);
+    if (isGenerationFrame(value)) {
+      this.#sink.onFrame(value);
+      return;
+    }
+    const ending = parseEndLine(value);
+    if (ending === undefined) {
+      this.#fail("corrupt", "unknown", "Cannot read a line of the stream");
+      this.#controller?.abort(new Error("The stream is corrupt"));
+      return;
+    }
+    if (ending.kind === "end") {
+      this.#end(ok(ending.end));
+      return;
+    }
+    const { peer } = this.#options.client;
+    this.#end(err({ ...ending.failure, step: this.#step(), peer }));
+  }
+
+  #endCancelled(): void {
+    if (this.#ended) return;
+    this.#fail("cancelled", "unknown", "The stream went on after its cancel");
+    this.#controller?.abort(new Error("The generation was cancelled"));
+  }
+
+  #fail(reason: FailureReason, outcome: RunOutcome, message: string): void {
+    const { peer } = this.#options.client;
+    this.#end(err({ reason, step: this.#step(), peer, message, outcome }));
+  }
+
+  #end(result: Result<GenerationEnd, Failure>): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    this.#sink.onEnd(result);
+  }
+
+  #step(): FailureStep {
+    return this.#call.fromSequence > 0 ? "resume_stream" : "generate";
+  }
+}
+
+/** The transport catches what a sink throws; a broken invariant must show. */
+function rethrowOnLoop(error: InvariantViolation): void {
+  queueMicrotask(() => {
+    throw error;
+  });
+}
--- /dev/null
+++ b/packages/edges/src/http/generation_line.ts
@@ -0,0 +1,59 @@
+import { z } from "zod";
+import type { GenerationEnd, GenerationFrame } from "../engine_client.ts";
+import { generationEndSchema } from "./engine_schemas.ts";
+import { type StatedFailure, statedFailureSchema } from "./stated_failure.ts";
+
+/** A line of a generation's stream that is not a frame: how it ended. */
+export type GenerationEndLine =
+  | { readonly kind: "end"; readonly end: GenerationEnd }
+  | { readonly kind: "failure"; readonly failure: StatedFailure };
+
+const endLineSchema = z.union([
+  z.object({ end: generationEndSchema }),
+  z.object({ failure: statedFailureSchema }),
+]);
+
+/**
+ * Tells whether a parsed line is a frame. Written by hand, because it runs
+ * for each frame of each stream.
+ * @param value The parsed line.
+ * @returns Whether every field of a frame is there with its type.
+ */
+export function isGenerationFrame(value: unknown): value is GenerationFrame {
+  if (typeof value !== "object" || value === null) return false;
+  const frame = value as Partial<GenerationFrame>;
+  return typeof frame.sequence === "number" &&
+    typeof frame.request === "string" &&
+    typeof frame.attempt === "number" &&
+    isStringArray(frame.tokens) &&
+    isAdapterReference(frame.adapter);
+}
+
+/**
+ * Reads the line that ends a generation's stream.
+ * @param value The parsed line.
+ * @returns The end, or `undefined` where the line is none.
+ */
+export function parseEndLine(value: unknown): GenerationEndLine | undefined {
+  const parsed = endLineSchema.safeParse(value);
+  if (!parsed.success) return undefined;
+  const line = parsed.data;
+  return "end" in line
+    ? { kind: "end", end: line.end }
+    : { kind: "failure", failure: line.failure };
+}
+
+function isStringArray(value: unknown): boolean {
+  if (!Array.isArray(value)) return false;
+  for (const item of value) {
+    if (typeof item !== "string") return false;
+  }
+  return true;
+}
+
+function isAdapterReference(value: unknown): boolean {
+  if (typeof value !== "object" || value === null) return false;
+  const reference = value as { adapter?: unknown; version?: unknown };
+  return typeof reference.adapter === "string" &&
+    typeof reference.version === "string";
+}
--- /dev/null
+++ b/packages/edges/src/http/http_engine_client.ts
@@ -0,0 +1,162 @@
+import type {
+  AttemptNumber,
+  Failure,
+  FailureStep,
+  RequestId,
+} from "@foxtailwind/core";
+import type { Result } from "neverthrow";
+import {
+  type CacheEvent,
+  EngineClient,
+  type EngineLoadReport,
+  type EngineOrder,
+  type EngineState,
+  type ExportedKvCache,
+  type GenerateCall,
+  type GenerationHandle,
+  type GenerationSink,
+} from "../engine_client.ts";
+import type { HttpClientOptions } from "./client_options.ts";
+import {
+  cacheEventsSchema,
+  cancelAnswerSchema,
+  engineLoadReportSchema,
+  engineStateSchema,
+  exportedKvCacheSchema,
+} from "./engine_schemas.ts";
+import { GenerationExchange } from "./generation_exchange.ts";
+import { callJson, emptyAnswerSchema } from "./json_call.ts";
+
+/** What the client of one engine needs. */
+export interface HttpEngineClientOptions extends HttpClientOptions {
+  /** Without any byte for so long, a stream counts as broken. */
+  readonly idleTimeoutMilliseconds?: number;
+  /** How long a stream may go on after its cancel was answered. */
+  readonly cancelGraceMilliseconds?: number;
+  /** How long an order may take, a load from the weight store included. */
+  readonly orderTimeoutMilliseconds?: number;
+}
+
+const IDLE_TIMEOUT_MILLISECONDS = 30_000;
+const CANCEL_GRACE_MILLISECONDS = 2_000;
+const ORDER_TIMEOUT_MILLISECONDS = 60_000;
+
+/** The edge to one model engine over HTTP. */
+export class HttpEngineClient extends EngineClient {
+  readonly #options: HttpEngineClientOptions;
+
+  /** @param options The engine's address, connections and limits. */
+  constructor(options: HttpEngineClientOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override generate(
+    call: GenerateCall,
+    sink: GenerationSink,
+  ): GenerationHandle {
+    const generation = new GenerationExchange(call, sink, {
+      client: this.#options,
+      idleTimeoutMilliseconds: this.#options.idleTimeoutMilliseconds ??
+        IDLE_TIMEOUT_MILLISECONDS,
+      cancelGraceMilliseconds: this.#options.cancelGraceMilliseconds ??
+        CANCEL_GRACE_MILLISECONDS,
+      askToCancel: () => this.cancel(call.request, call.attempt),
+    });
+    generation.start();
+    return generation;
+  }
+
+  override async cancel(
+    request: RequestId,
+    attempt: AttemptNumber,
+  ): Promise<Result<boolean, Failure>> {
+    const answer = await callJson(this.#options, {
+      step: "cancel",
+      method: "POST",
+      path: "/v1/cancel",
+      body: { request, attempt },
+      answer: cancelAnswerSchema,
+    });
+    return answer.map(({ cancelled }) => cancelled);
+  }
+
+  override order(order: EngineOrder): Promise<Result<void, Failure>> {
+    return callJson({
+      ...this.#options,
+      timeoutMilliseconds: this.#options.orderTimeoutMilliseconds ??
+        ORDER_TIMEOUT_MILLISECONDS,
+    }, {
+      step: stepOfOrder(order),
+      method: "POST",
+      path: "/v1/orders",
+      body: order,
+      answer: emptyAnswerSchema,
+    });
+  }
+
+  override readState(): Promise<Result<EngineState, Failure>> {
+    return callJson(this.#options, {
+      step: "read_engine",
+      method: "GET",
+      path: "/v1/state",
+      answer: engineStateSchema,
+    });
+  }
+
+  override readLoad(): Promise<Result<EngineLoadReport, Failure>> {
+    return callJson(this.#options, {
+      step: "read_engine",
+      method: "GET",
+      path: "/v1/load",
+      answer: engineLoadReportSchema,
+    });
+  }
+
+  override async readCacheEvents(
+    after: number,
+  ): Promise<Result<readonly CacheEvent[], Failure>> {
+    const answer = await callJson(this.#options, {
+      step: "read_engine",
+      method: "GET",
+      path: `/v1/cache-events?after=${after}`,
+      answer: cacheEventsSchema,
+    });
+    return answer.map(({ events }) => events);
+  }
+
+  override exportKvCache(
+    request: RequestId,
+  ): Promise<Result<ExportedKvCache, Failure>> {
+    return callJson(this.#options, {
+      step: "hand_over",
+      method: "GET",
+      path: `/v1/kv-cache?request=${encodeURIComponent(request)}`,
+      answer: exportedKvCacheSchema,
+    });
+  }
+
+  override importKvCache(
+    cache: ExportedKvCache,
+  ): Promise<Result<void, Failure>> {
+    return callJson(this.#options, {
+      step: "hand_over",
+      method: "POST",
+      path: "/v1/kv-cache",
+      body: cache,
+      answer: emptyAnswerSchema,
+    });
+  }
+}
+
+function stepOfOrder(order: EngineOrder): FailureStep {
+  switch (order.kind) {
+    case "load_adapter":
+      return "load_adapter";
+    case "evict_adapter":
+      return "evict_adapter";
+    case "load_model":
+    case "change_role":
+      return "dispatch";
+  }
+}
--- /dev/null
+++ b/packages/edges/src/http/http_log_client.ts
@@ -0,0 +1,62 @@
+import { type Failure, type LogOffset, logOffset } from "@foxtailwind/core";
+import type { Result } from "neverthrow";
+import { z } from "zod";
+import { LogClient, type LogPage } from "../log_client.ts";
+import type { HttpClientOptions } from "./client_options.ts";
+import { callJson } from "./json_call.ts";
+
+const offsetSchema = z.number().int().nonnegative().transform(logOffset);
+const appendAnswerSchema = z.object({ offset: offsetSchema });
+const pageSchema = z.object({
+  records: z.array(z.object({ offset: offsetSchema, data: z.string() })),
+  tail: offsetSchema,
+  firstKept: offsetSchema,
+});
+
+/** The edge to the platform's log service over HTTP. */
+export class HttpLogClient extends LogClient {
+  readonly #options: HttpClientOptions;
+
+  /** @param options The service's address, connections and limits. */
+  constructor(options: HttpClientOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override async append(
+    stream: string,
+    data: readonly string[],
+  ): Promise<Result<LogOffset, Failure>> {
+    const answer = await callJson(this.#options, {
+      step: "append_log",
+      method: "POST",
+      path: recordsPath(stream),
+      body: { records: data },
+      answer: appendAnswerSchema,
+    });
+    return answer.map(({ offset }) => offset);
+  }
+
+  override read(
+    stream: string,
+    options: {
+      readonly from: LogOffset;
+      readonly limit: number;
+      readonly waitMilliseconds: number;
+    },
+  ): Promise<Result<LogPage, Failure>> {
+    const { from, limit, waitMilliseconds } = options;
+    const query = `from=${from}&limit=${limit}&wait=${waitMilliseconds}`;
+    return callJson(this.#options, {
+      step: "read_log",
+      method: "GET",
+      path: `${recordsPath(stream)}?${query}`,
+      answer: pageSchema,
+      extraMilliseconds: waitMilliseconds,
+    });
+  }
+}
+
+function recordsPath(stream: string): string {
+  return `/v1/streams/${encodeURIComponent(stream)}/records`;
+}
--- /dev/null
+++ b/packages/edges/src/http/http_service_client.ts
@@ -0,0 +1,105 @@
+import type { Failure, RunOutcome } from "@foxtailwind/core";
+import type { IncomingHttpHeaders } from "node:http";
+import type { Result } from "neverthrow";
+import type { Dispatcher } from "undici";
+import {
+  type Header,
+  type ServiceAnswer,
+  type ServiceCall,
+  ServiceClient,
+} from "../service_client.ts";
+import { exchange, type ExchangeAnswer } from "./exchange.ts";
+
+/** What the client of the plain services needs. */
+export interface HttpServiceClientOptions {
+  /** Carries the connections to all servers. */
+  readonly dispatcher: Dispatcher;
+}
+
+/** A server answers with this header while it is leaving. */
+export const LEAVING_HEADER = "foxtailwind-leaving";
+
+/** A server may state by this header whether the call ran. */
+export const OUTCOME_HEADER = "foxtailwind-outcome";
+
+const HOP_HEADERS: ReadonlySet<string> = new Set([
+  "connection",
+  "content-length",
+  "expect",
+  "host",
+  "keep-alive",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+/** The edge to the plain services over HTTP. */
+export class HttpServiceClient extends ServiceClient {
+  readonly #options: HttpServiceClientOptions;
+
+  /** @param options The connections. */
+  constructor(options: HttpServiceClientOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override async call(
+    call: ServiceCall,
+    signal: AbortSignal,
+  ): Promise<Result<ServiceAnswer, Failure>> {
+    const answer = await exchange(this.#options.dispatcher, {
+      step: "call_service",
+      peer: call.server,
+      origin: `http://${call.address}`,
+      method: call.method,
+      path: call.path,
+      headers: toHeaderRecord(call.headers),
+      ...(call.body.length === 0 ? {} : { body: call.body }),
+      timeoutMilliseconds: call.timeoutMilliseconds,
+      signal,
+    });
+    return answer.map(toServiceAnswer);
+  }
+}
+
+function toServiceAnswer(answer: ExchangeAnswer): ServiceAnswer {
+  const statedOutcome = readOutcome(answer.headers[OUTCOME_HEADER]);
+  return {
+    status: answer.status,
+    headers: toHeaderList(answer.headers),
+    body: answer.body,
+    leaving: answer.headers[LEAVING_HEADER] !== undefined,
+    ...(statedOutcome === undefined ? {} : { statedOutcome }),
+  };
+}
+
+function readOutcome(
+  value: string | string[] | undefined,
+): RunOutcome | undefined {
+  return value === "not_run" || value === "unknown" || value === "ran"
+    ? value
+    : undefined;
+}
+
+/** Headers that concern one connection only do not pass on. */
+function toHeaderRecord(
+  headers: readonly Header[],
+): Record<string, string | string[]> {
+  const record: Record<string, string[]> = {};
+  for (const { name, value } of headers) {
+    const key = name.toLowerCase();
+    if (HOP_HEADERS.has(key)) continue;
+    (record[key] ??= []).push(value);
+  }
+  return record;
+}
+
+function toHeaderList(headers: IncomingHttpHeaders): readonly Header[] {
+  return Object.entries(headers).flatMap(([name, value]) => {
+    if (HOP_HEADERS.has(name) && name !== "content-length") return [];
+    const values = Array.isArray(value) ? value : [value ?? ""];
+    return values.map((one) => ({ name, value: one }));
+  });
+}
--- /dev/null
+++ b/packages/edges/src/http/http_vm_list_client.ts
@@ -0,0 +1,27 @@
+import type { Failure } from "@foxtailwind/core";
+import type { Result } from "neverthrow";
+import { type Vm, VmListClient } from "../vm_list_client.ts";
+import type { HttpClientOptions } from "./client_options.ts";
+import { callJson } from "./json_call.ts";
+import { vmListSchema } from "./vm_schema.ts";
+
+/** The edge to the platform's list of VMs over HTTP. */
+export class HttpVmListClient extends VmListClient {
+  readonly #options: HttpClientOptions;
+
+  /** @param options The list's address, connections and limits. */
+  constructor(options: HttpClientOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override async read(): Promise<Result<readonly Vm[], Failure>> {
+    const answer = await callJson(this.#options, {
+      step: "read_vm_list",
+      method: "GET",
+      path: "/v1/vms",
+      answer: vmListSchema,
+    });
+    return answer.map(({ vms }) => vms);
+  }
+}
--- /dev/null
+++ b/packages/edges/src/http/http_weight_store_client.ts
@@ -0,0 +1,63 @@
+import type { Failure } from "@foxtailwind/core";
+import type { Result } from "neverthrow";
+import { z } from "zod";
+import type { AdapterReference } from "../engine_client.ts";
+import {
+  type AdapterWeights,
+  WeightStoreClient,
+  type WeightStoreLimits,
+} from "../weight_store_client.ts";
+import type { HttpClientOptions } from "./client_options.ts";
+import { adapterReferenceSchema } from "./engine_schemas.ts";
+import { callJson } from "./json_call.ts";
+
+const weightsSchema = z.object({
+  adapter: adapterReferenceSchema,
+  bytes: z.number().nonnegative(),
+});
+const limitsSchema = z.object({
+  loadsPerSecond: z.number().positive(),
+  concurrentLoads: z.number().int().positive(),
+});
+
+/** The edge to one weight store over HTTP. */
+export class HttpWeightStoreClient extends WeightStoreClient {
+  readonly #options: HttpClientOptions;
+
+  /** @param options The store's address, connections and limits. */
+  constructor(options: HttpClientOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override describe(
+    adapter: AdapterReference,
+  ): Promise<Result<AdapterWeights, Failure>> {
+    return callJson(this.#options, {
+      step: "read_weight_store",
+      method: "GET",
+      path: adapterWeightsPath(adapter),
+      answer: weightsSchema,
+    });
+  }
+
+  override readLimits(): Promise<Result<WeightStoreLimits, Failure>> {
+    return callJson(this.#options, {
+      step: "read_weight_store",
+      method: "GET",
+      path: "/v1/limits",
+      answer: limitsSchema,
+    });
+  }
+}
+
+/**
+ * Names an adapter version at a weight store.
+ * @param reference The adapter and its version.
+ * @returns The path that describes it; its weights lie below `/weights`.
+ */
+export function adapterWeightsPath(reference: AdapterReference): string {
+  const adapter = encodeURIComponent(reference.adapter);
+  const version = encodeURIComponent(reference.version);
+  return `/v1/adapters/${adapter}/versions/${version}`;
+}
--- /dev/null
+++ b/packages/edges/src/http/line_splitter.ts
@@ -0,0 +1,78 @@
+const LINE_FEED = 10;
+
+/** A line grew past the limit; the stream cannot be read on. */
+export class LineTooLongError extends Error {
+  constructor(limit: number) {
+    super(`Cannot read the stream: a line is longer than ${limit} bytes`);
+    this.name = "LineTooLongError";
+  }
+}
+
+/**
+ * Splits a byte stream into lines. Only whole lines are decoded, so a
+ * character that is cut by a chunk border comes out whole.
+ */
+export class LineSplitter {
+  readonly #onLine: (line: string) => void;
+  readonly #maximumBytes: number;
+  #held: Buffer[] = [];
+  #heldBytes = 0;
+
+  /**
+   * @param onLine Receives each line that is not empty, without its end.
+   * @param maximumBytes The longest line that is accepted.
+   */
+  constructor(onLine: (line: string) => void, maximumBytes: number) {
+    this.#onLine = onLine;
+    this.#maximumBytes = maximumBytes;
+  }
+
+  /**
+   * Takes the next chunk and hands on each line that it completes.
+   * @param chunk The bytes; they are held on to, not copied.
+   */
+  push(chunk: Buffer): void {
+    const lastEnd = chunk.lastIndexOf(LINE_FEED);
+    if (lastEnd < 0) {
+      this.#hold(chunk);
+      return;
+    }
+    const text = this.#takeHeldWith(chunk, lastEnd);
+    if (lastEnd + 1 < chunk.length) this.#hold(chunk.subarray(lastEnd + 1));
+    this.#emitLines(text);
+  }
+
+  /** Bytes of the line that is not yet complete. */
+  get pendingBytes(): number {
+    return this.#heldBytes;
+  }
+
+  #hold(rest: Buffer): void {
+    this.#heldBytes += rest.length;
+    if (this.#heldBytes > this.#maximumBytes) {
+      throw new LineTooLongError(this.#maximumBytes);
+    }
+    this.#held.push(rest);
+  }
+
+  #takeHeldWith(chunk: Buffer, end: number): string {
+    if (this.#heldBytes === 0) return chunk.toString("utf8", 0, end);
+    const bytes = Buffer.concat([...this.#held, chunk.subarray(0, end)]);
+    this.#held = [];
+    this.#heldBytes = 0;
+    return bytes.toString("utf8");
+  }
+
+  #emitLines(text: string): void {
+    let start = 0;
+    let end = text.indexOf("\n");
+    while (end >= 0) {
+      if (end > start) this.#onLine(text.slice(start, end));
+      start = end + 1;
+      end = text.indexOf("\n", start);
+    }
+    if (start < text.length) {
+      this.#onLine(start === 0 ? text : text.slice(start));
+    }
+  }
+}
--- /dev/null
+++ b/packages/edges/src/http/mod.ts
@@ -0,0 +1,17 @@
+/**
+ * The HTTP forms of the edges, over undici.
+ * @module
+ */
+export * from "./client_options.ts";
+export * from "./dispatcher.ts";
+export * from "./engine_schemas.ts";
+export * from "./frame_reader.ts";
+export * from "./generation_line.ts";
+export * from "./http_engine_client.ts";
+export * from "./http_log_client.ts";
+export * from "./http_service_client.ts";
+export * from "./http_vm_list_client.ts";
+export * from "./http_weight_store_client.ts";
+export * from "./line_splitter.ts";
+export * from "./stated_failure.ts";
+export * from "./vm_schema.ts";
--- /dev/null
+++ b/packages/edges/src/http/stated_failure.ts
@@ -0,0 +1,81 @@
+import type { Failure, FailureReason, FailureStep } from "@foxtailwind/core";
+import { z } from "zod";
+
+/** The body of a refusal, as peers state it. */
+export const statedFailureSchema = z.object({
+  reason: z.enum([
+    "invalid",
+    "not_found",
+    "conflict",
+    "overloaded",
+    "unavailable",
+    "timeout",
+    "cancelled",
+    "fenced",
+    "expired",
+    "mismatch",
+    "corrupt",
+    "refused",
+  ]),
+  message: z.string(),
+  outcome: z.enum(["not_run", "unknown", "ran"]),
+  retryAfterMilliseconds: z.number().nonnegative().exactOptional(),
+});
+
+/** A refusal in the form in which it travels. */
+export type StatedFailure = Readonly<z.infer<typeof statedFailureSchema>>;
+
+/** The step and the peer of a refused call. */
+export interface RefusedCall {
+  readonly step: FailureStep;
+  readonly peer: string;
+}
+
+/**
+ * Reads the failure out of an answer whose status is not a success. An
+ * outcome counts only where the peer states it.
+ * @param answer The status and the body.
+ * @param call The step and the peer.
+ * @returns The failure.
+ */
+export function refusalFailure(
+  answer: { readonly status: number; readonly body: string },
+  call: RefusedCall,
+): Failure {
+  const stated = statedFailureSchema.safeParse(parseJson(answer.body));
+  if (stated.success) return { ...stated.data, ...call };
+  return {
+    ...call,
+    reason: reasonOfStatus(answer.status),
+    message: `Cannot use the answer with status ${answer.status}`,
+    outcome: "unknown",
+  };
+}
+
+/**
+ * Parses JSON without throwing.
+ * @param text The text.
+ * @returns The value, or `undefined` where the text is not JSON.
+ */
+export function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+function reasonOfStatus(status: number): FailureReason {
+  switch (status) {
+    case 400:
+      return "invalid";
+    case 404:
+      return "not_found";
+    case 409:
+      return "conflict";
+    case 429:
+      return "overloaded";
+    default:
+      return status >= 500 ? "unavailable" : "refused";
+  }
+}
--- /dev/null
+++ b/packages/edges/src/http/transport_failure.ts
@@ -0,0 +1,46 @@
+import type { Failure, FailureReason, FailureStep } from "@foxtailwind/core";
+
+/** Where an exchange stood when its transport failed. */
+export interface TransportFailureOptions {
+  readonly step: FailureStep;
+  readonly peer: string;
+  /** Whether any byte of the request may have been written. */
+  readonly started: boolean;
+}
+
+const REASON_BY_CODE: Readonly<Record<string, FailureReason>> = {
+  UND_ERR_CONNECT_TIMEOUT: "timeout",
+  UND_ERR_HEADERS_TIMEOUT: "timeout",
+  UND_ERR_BODY_TIMEOUT: "timeout",
+  UND_ERR_INVALID_ARG: "invalid",
+  UND_ERR_ABORTED: "cancelled",
+};
+
+/**
+ * Makes the failure of an exchange that got no whole answer. A request whose
+ * first byte was never handed to a connection has certainly not run; of any
+ * other nothing is known.
+ * @param error What the transport reported.
+ * @param options Where the exchange stood.
+ * @returns The failure.
+ */
+export function transportFailure(
+  error: Error,
+  options: TransportFailureOptions,
+): Failure {
+  return {
+    reason: reasonOf(error),
+    step: options.step,
+    peer: options.peer,
+    message: `Cannot complete the exchange: ${error.message}`,
+    outcome: options.started ? "unknown" : "not_run",
+  };
+}
+
+function reasonOf(error: Error): FailureReason {
+  if (error.name === "AbortError") return "cancelled";
+  if (!("code" in error) || typeof error.code !== "string") {
+    return "unavailable";
+  }
+  return REASON_BY_CODE[error.code] ?? "unavailable";
+}
--- /dev/null
+++ b/packages/edges/src/http/vm_schema.ts
@@ -0,0 +1,34 @@
+import {
+  failureDomainId,
+  modelId,
+  regionId,
+  serviceId,
+} from "@foxtailwind/core";
+import { z } from "zod";
+
+const vmRoleSchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("entry") }),
+  z.object({
+    kind: z.literal("engine"),
+    model: z.string().min(1).transform(modelId),
+    checksFencing: z.boolean(),
+  }),
+  z.object({
+    kind: z.literal("service"),
+    service: z.string().min(1).transform(serviceId),
+  }),
+]);
+
+/** One entry of the VM list. */
+export const vmSchema = z.object({
+  id: z.string().min(1),
+  address: z.string().min(1),
+  peerAddress: z.string().min(1).exactOptional(),
+  region: z.string().min(1).transform(regionId),
+  failureDomain: z.string().min(1).transform(failureDomainId),
+  role: vmRoleSchema,
+  state: z.enum(["live", "leaving"]),
+});
+
+/** The whole VM list. */
+export const vmListSchema = z.object({ vms: z.array(vmSchema) });
--- /dev/null
+++ b/packages/edges/src/prompt_prefix.ts
@@ -0,0 +1,32 @@
+import { createHash } from "node:crypto";
+import type { PromptMessage } from "./engine_client.ts";
+
+/** A prefix of a prompt that ends with one of its messages. */
+export interface PromptPrefix {
+  readonly hash: string;
+  /** An estimate, by the length of the text. */
+  readonly tokens: number;
+}
+
+const CHARACTERS_PER_TOKEN = 4;
+const HASH_LENGTH = 16;
+
+/**
+ * Names each prefix of a prompt as cache events do.
+ * @param messages The prompt's messages.
+ * @returns One prefix for each message, the shortest first.
+ */
+export function hashPromptPrefixes(
+  messages: readonly PromptMessage[],
+): readonly PromptPrefix[] {
+  const hash = createHash("sha1");
+  let characters = 0;
+  return messages.map(({ role, content }) => {
+    hash.update(`${role}:${content.length}:${content}`);
+    characters += content.length;
+    return {
+      hash: hash.copy().digest("hex").slice(0, HASH_LENGTH),
+      tokens: Math.ceil(characters / CHARACTERS_PER_TOKEN),
+    };
+  });
+}
--- a/packages/edges/src/service_client.ts
+++ b/packages/edges/src/service_client.ts
@@ -1,4 +1,4 @@
-import type { BackendServerId, Failure } from "@foxtailwind/core";
+import type { BackendServerId, Failure, RunOutcome } from "@foxtailwind/core";
 import type { Result } from "neverthrow";
 
 /** One HTTP header. */
@@ -27,6 +27,8 @@
   readonly body: Uint8Array;
   /** The server says that it is leaving and wants no new work. */
   readonly leaving: boolean;
+  /** What the server itself states of whether the call ran. */
+  readonly statedOutcome?: RunOutcome;
 }
 
 /** The edge to the plain services. */
--- /dev/null
+++ b/packages/edges/tests/helpers/collecting_sink.ts
@@ -0,0 +1,57 @@
+import type { Failure } from "@foxtailwind/core";
+import {
+  type GenerationEnd,
+  type GenerationFrame,
+  GenerationSink,
+} from "@foxtailwind/edges";
+import type { Result } from "neverthrow";
+
+/** Gathers a generation. */
+export class CollectingSink extends GenerationSink {
+  readonly frames: GenerationFrame[] = [];
+  readonly ended: Promise<Result<GenerationEnd, Failure>>;
+  ends = 0;
+  #resolveEnd: (result: Result<GenerationEnd, Failure>) => void = () =>
+    undefined;
+  #wanted: { readonly count: number; readonly reached: () => void } | undefined;
+
+  constructor() {
+    super();
+    this.ended = new Promise((resolve) => {
+      this.#resolveEnd = resolve;
+    });
+  }
+
+  override onFrame(frame: GenerationFrame): void {
+    this.frames.push(frame);
+    if (this.frames.length === this.#wanted?.count) this.#wanted.reached();
+  }
+
+  override onEnd(result: Result<GenerationEnd, Failure>): void {
+    this.ends += 1;
+    this.#resolveEnd(result);
+  }
+
+  /** All tokens in the order of their arrival. */
+  get text(): string {
+    return this.frames.flatMap(({ tokens }) => tokens).join("");
+  }
+
+  /** Waits until so many frames have come. */
+  async gather(count: number): Promise<void> {
+    if (this.frames.length >= count) return;
+    const reached = new Promise<boolean>((resolve) => {
+      this.#wanted = {
+        count,
+        reached: () => {
+          resolve(true);
+        },
+      };
+    });
+    const isReached = await Promise.race([
+      reached,
+      this.ended.then(() => false),
+    ]);
+    if (!isReached) throw new Error(`Cannot gather ${count} frames: it ended`);
+  }
+}
--- /dev/null
+++ b/packages/edges/tests/http/http_service_client_test.ts
@@ -0,0 +1,74 @@
+import { backendServerId } from "@foxtailwind/core";
+import {
+  createDispatcher,
+  HttpServiceClient,
+  type ServiceCall,
+} from "@foxtailwind/edges";
+import test, { type ExecutionContext } from "ava";
+import { findClosedAddress, startRawServer } from "../helpers/raw_server.ts";
+
+function clientOf(t: ExecutionContext): HttpServiceClient {
+  const dispatcher = createDispatcher();
+  t.teardown(() => dispatcher.destroy());
+  return new HttpServiceClient({ dispatcher });
+}
+
+function callTo(address: string): ServiceCall {
+  return {
+    server: backendServerId("server-1"),
+    address: new URL(address).host,
+    method: "POST",
+    path: "/bookings?day=1",
+    headers: [
+      { name: "Connection", value: "close" },
+      { name: "X-Many", value: "one" },
+      { name: "X-Many", value: "two" },
+    ],
+    body: Buffer.from("body"),
+    timeoutMilliseconds: 5_000,
+  };
+}
+
+test("an answer of any status is passed on with its headers", async (t) => {
+  const server = await startRawServer((request, response) => {
+    response.writeHead(418, { "foxtailwind-leaving": "true" });
+    response.end(`${request.url ?? ""} ${String(request.headers["x-many"])}`);
+  });
+  t.teardown(server.close);
+  const signal = new AbortController().signal;
+  const result = await clientOf(t).call(callTo(server.address), signal);
+  const answer = result._unsafeUnwrap();
+  t.like(answer, { status: 418, leaving: true });
+  t.is(Buffer.from(answer.body).toString(), "/bookings?day=1 one, two");
+});
+
+test("only a call whose connection failed has not run", async (t) => {
+  const signal = new AbortController().signal;
+  const closed = callTo(await findClosedAddress());
+  const refused = await clientOf(t).call(closed, signal);
+  t.is(refused._unsafeUnwrapErr().outcome, "not_run");
+  const server = await startRawServer((request) => request.socket.destroy());
+  t.teardown(server.close);
+  const dropped = await clientOf(t).call(callTo(server.address), signal);
+  t.is(dropped._unsafeUnwrapErr().outcome, "unknown");
+});
+
+test("a call given up is unknown once it was sent", async (t) => {
+  const abort = new AbortController();
+  const server = await startRawServer(() => {
+    abort.abort();
+  });
+  t.teardown(server.close);
+  const late = await clientOf(t).call(callTo(server.address), abort.signal);
+  t.like(late._unsafeUnwrapErr(), { reason: "cancelled", outcome: "unknown" });
+  const early = await clientOf(t).call(callTo(server.address), abort.signal);
+  t.like(early._unsafeUnwrapErr(), { reason: "cancelled", outcome: "not_run" });
+});
+
+test("an answer that takes too long is a timeout", async (t) => {
+  const server = await startRawServer(() => undefined);
+  t.teardown(server.close);
+  const call = { ...callTo(server.address), timeoutMilliseconds: 50 };
+  const result = await clientOf(t).call(call, new AbortController().signal);
+  t.like(result._unsafeUnwrapErr(), { reason: "timeout", outcome: "unknown" });
+});
--- /dev/null
+++ b/packages/standins/src/engine/weight_fetch.ts
@@ -0,0 +1,42 @@
+import {
+  type AdapterReference,
+  adapterWeightsPath,
+  parseJson,
+  type StatedFailure,
+  statedFailureSchema,
+} from "@foxtailwind/edges";
+import { err, ok, type Result } from "neverthrow";
+import { refusal } from "../shared/refusal.ts";
+
+/** From where weights are fetched, and what gives the fetch up. */
+export interface WeightFetchOptions {
+  readonly weightStoreAddress: string;
+  readonly signal: AbortSignal;
+}
+
+/**
+ * Fetches an adapter's weights, which holds one of the store's places until
+ * they are whole.
+ * @param adapter The adapter and its version.
+ * @param options The store.
+ * @returns Nothing, or why the fetch failed.
+ */
+export async function fetchWeights(
+  adapter: AdapterReference,
+  options: WeightFetchOptions,
+): Promise<Result<void, StatedFailure>> {
+  const path = `${adapterWeightsPath(adapter)}/weights`;
+  try {
+    const answer = await fetch(`${options.weightStoreAddress}${path}`, {
+      signal: options.signal,
+    });
+    const body = await answer.text();
+    if (answer.ok) return ok();
+    const stated = statedFailureSchema.safeParse(parseJson(body));
+    if (stated.success) return err(stated.data);
+    return err(refusal("unavailable", `The store said ${answer.status}`));
+  } catch (error) {
+    const detail = error instanceof Error ? error.message : String(error);
+    return err(refusal("unavailable", `Cannot reach the store: ${detail}`));
+  }
+}
--- /dev/null
+++ b/packages/standins/src/shared/parse_input.ts
@@ -0,0 +1,19 @@
+import { err, ok, type Result } from "neverthrow";
+import type { StatedFailure } from "@foxtailwind/edges";
+import { z } from "zod";
+import { refusal } from "./refusal.ts";
+
+/**
+ * Checks what a caller sent against a schema.
+ * @param schema The schema.
+ * @param value The body, the query or the path's parameters.
+ * @returns The checked value, or the refusal to answer with.
+ */
+export function parseInput<Value>(
+  schema: z.ZodType<Value>,
+  value: unknown,
+): Result<Value, StatedFailure> {
+  const parsed = schema.safeParse(value);
+  if (parsed.success) return ok(parsed.data);
+  return err(refusal("invalid", z.prettifyError(parsed.error)));
+}
--- /dev/null
+++ b/packages/standins/tests/engine/fake_engine_test.ts
@@ -0,0 +1,193 @@
+import {
+  adapterVersion,
+  attemptNumber,
+  engineId,
+  requestId,
+} from "@foxtailwind/core";
+import test from "ava";
+import { adapterOf, callOf } from "../../../edges/tests/helpers/calls.ts";
+import { CollectingSink } from "../../../edges/tests/helpers/collecting_sink.ts";
+import { startEngine } from "../helpers/started.ts";
+
+const FIVE_TOKENS = "a@1#0 a@1#1 a@1#2 a@1#3 a@1#4 ";
+const LONG = { maximumTokens: 100_000 } as const;
+
+test("a generation names adapter, version and place in each token", async (t) => {
+  const { engine, client } = await startEngine(t);
+  const sink = new CollectingSink();
+  client.generate(callOf("r"), sink);
+  const end = (await sink.ended)._unsafeUnwrap();
+  t.is(sink.text, FIVE_TOKENS);
+  t.like(end, { finishReason: "length", completionTokens: 5 });
+  t.is(engine.readCounters().generationsFinished, 1);
+});
+
+test("many generations share the batch", async (t) => {
+  const { engine, client } = await startEngine(t, { tokensPerFrame: 4 });
+  const sinks = Array.from({ length: 100 }, () => new CollectingSink());
+  sinks.forEach((sink, index) => {
+    client.generate(callOf(`r${index}`), sink);
+  });
+  await Promise.all(sinks.map(({ ended }) => ended));
+  t.true(sinks.every(({ text }) => text === FIVE_TOKENS));
+  const { steps, sequenceSteps } = engine.readCounters();
+  t.is(sequenceSteps, 500);
+  t.true(steps < sequenceSteps);
+});
+
+test("what the engine cannot run is refused as not run", async (t) => {
+  const { client } = await startEngine(t);
+  const sink = new CollectingSink();
+  client.generate(callOf("r", { adapter: adapterOf("b") }), sink);
+  const failure = (await sink.ended)._unsafeUnwrapErr();
+  t.like(failure, { reason: "not_found", outcome: "not_run" });
+});
+
+test("a dropped stream resumes at the next sequence", async (t) => {
+  const { engine, client } = await startEngine(t);
+  engine.setFaults({ dropNextStreams: 1, dropStreamAfterTokens: 2 });
+  const first = new CollectingSink();
+  client.generate(callOf("r"), first);
+  t.is((await first.ended)._unsafeUnwrapErr().outcome, "unknown");
+  const fromSequence = first.frames.length;
+  const second = new CollectingSink();
+  const attempt = attemptNumber(2);
+  client.generate(callOf("r", { fromSequence, attempt }), second);
+  t.true((await second.ended).isOk());
+  t.is(first.text + second.text, FIVE_TOKENS);
+  t.true(second.frames.every((frame) => frame.attempt === attempt));
+  t.is(engine.readCounters().repeatedRequests, 0);
+});
+
+test("the same request started twice is counted", async (t) => {
+  const { engine, client } = await startEngine(t);
+  for (const number of [1, 2]) {
+    const sink = new CollectingSink();
+    client.generate(callOf("r", { attempt: attemptNumber(number) }), sink);
+    await sink.ended;
+  }
+  t.is(engine.readCounters().repeatedRequests, 1);
+  t.is(engine.startsByRequest.get(requestId("r")), 2);
+});
+
+test("a cancel ends the stream, and stops an attempt yet to come", async (t) => {
+  const { client } = await startEngine(t);
+  const running = new CollectingSink();
+  const handle = client.generate(callOf("r", LONG), running);
+  await running.gather(2);
+  handle.cancel();
+  t.is((await running.ended)._unsafeUnwrap().finishReason, "cancelled");
+  const early = await client.cancel(requestId("s"), attemptNumber(1));
+  t.true(early._unsafeUnwrap());
+  const late = new CollectingSink();
+  client.generate(callOf("s"), late);
+  const failure = (await late.ended)._unsafeUnwrapErr();
+  t.like(failure, { reason: "cancelled", outcome: "not_run" });
+});
+
+test("a higher priority preempts, and the lower one goes on later", async (t) => {
+  const { engine, client } = await startEngine(t, { batchCapacity: 1 });
+  const low = new CollectingSink();
+  const high = new CollectingSink();
+  const handle = client.generate(callOf("low", LONG), low);
+  await low.gather(1);
+  client.generate(callOf("high", { priority: 1 }), high);
+  t.true((await high.ended).isOk());
+  t.is(low.ends, 0);
+  t.is(engine.readCounters().preemptions, 1);
+  await low.gather(low.frames.length + 2);
+  handle.cancel();
+  await low.ended;
+  const sequences = low.frames.map(({ sequence }) => sequence);
+  t.deepEqual(sequences, sequences.map((_, index) => index));
+});
+
+test("a prompt prefix is computed once, and its event is published", async (t) => {
+  const { client } = await startEngine(t, {
+    cacheEventLagMilliseconds: 0,
+    cacheEventGapProbability: 0,
+  });
+  const ends = [];
+  for (const request of ["r", "s"]) {
+    const sink = new CollectingSink();
+    client.generate(callOf(request), sink);
+    ends.push((await sink.ended)._unsafeUnwrap());
+  }
+  t.is(ends[0]?.cachedPromptTokens, 0);
+  t.is(ends[1]?.cachedPromptTokens, ends[1]?.promptTokens);
+  const events = (await client.readCacheEvents(0))._unsafeUnwrap();
+  t.deepEqual(events.map(({ kind, sequence }) => ({ kind, sequence })), [
+    { kind: "stored", sequence: 1 },
+  ]);
+});
+
+test("another engine goes on from an exported KV cache", async (t) => {
+  const source = await startEngine(t, { stepBaseMilliseconds: 20 });
+  const target = await startEngine(t);
+  const started = new CollectingSink();
+  const call = callOf("r", { maximumTokens: 1_000 });
+  source.client.generate(call, started);
+  await started.gather(2);
+  const exported = await source.client.exportKvCache(call.request);
+  await source.client.cancel(call.request, call.attempt);
+  await started.ended;
+  const cache = exported._unsafeUnwrap();
+  t.true((await target.client.importKvCache(cache)).isOk());
+  const resumed = new CollectingSink();
+  const fromSequence = started.frames.length;
+  target.client.generate({ ...call, fromSequence }, resumed);
+  await resumed.gather(2);
+  t.is(resumed.frames[0]?.sequence, fromSequence);
+  t.is(target.engine.readCounters().prefilledTokens, 0);
+  t.deepEqual([...target.engine.startsByRequest], []);
+});
+
+test("a wrong adapter is named in the frames", async (t) => {
+  const { engine, client } = await startEngine(t);
+  engine.setFaults({ wrongAdapterNextGenerations: 1 });
+  const sink = new CollectingSink();
+  client.generate(callOf("r"), sink);
+  await sink.ended;
+  t.is(sink.frames[0]?.adapter.version, adapterVersion("1-wrong"));
+  t.true(sink.text.startsWith("a@1-wrong#0 "));
+});
+
+test("frames can come twice and out of order, but the end comes last", async (t) => {
+  const { engine, client } = await startEngine(t);
+  engine.setFaults({
+    duplicateFrameProbability: 0.5,
+    misorderFrameProbability: 0.5,
+  });
+  const sink = new CollectingSink();
+  client.generate(callOf("r", { maximumTokens: 50 }), sink);
+  t.true((await sink.ended).isOk());
+  const sequences = sink.frames.map(({ sequence }) => sequence);
+  t.is(new Set(sequences).size, 50);
+  t.true(sequences.length > 50);
+  t.notDeepEqual(sequences, [...sequences].sort((a, b) => a - b));
+});
+
+test("a restart loses streams, adapters and the fencing number", async (t) => {
+  const { engine, client } = await startEngine(t);
+  const before = (await client.readState())._unsafeUnwrap();
+  const sink = new CollectingSink();
+  client.generate(callOf("r", LONG), sink);
+  await sink.gather(1);
+  engine.restart();
+  t.is((await sink.ended)._unsafeUnwrapErr().outcome, "unknown");
+  const after = (await client.readState())._unsafeUnwrap();
+  t.not(after.bootId, before.bootId);
+  t.deepEqual([before.resident.length, after.resident.length], [1, 0]);
+  t.deepEqual(after.running, []);
+});
+
+test("a frozen engine goes on once it is released", async (t) => {
+  const { engine, client } = await startEngine(t);
+  engine.setFaults({ outage: "hang" });
+  const sink = new CollectingSink();
+  client.generate(callOf("r"), sink);
+  const read = client.readLoad();
+  engine.setFaults({ outage: "none" });
+  t.true((await sink.ended).isOk());
+  t.is((await read)._unsafeUnwrap().engine, engineId("engine-1"));
+});
--- /dev/null
+++ b/packages/standins/tests/engine/orders_test.ts
@@ -0,0 +1,99 @@
+import { engineId, fencingNumber, modelId } from "@foxtailwind/core";
+import { FakeWeightStore } from "@foxtailwind/standins";
+import test from "ava";
+import { adapterOf, callOf } from "../../../edges/tests/helpers/calls.ts";
+import { CollectingSink } from "../../../edges/tests/helpers/collecting_sink.ts";
+import { orderOf, startEngine } from "../helpers/started.ts";
+
+const A = adapterOf("a");
+const B = adapterOf("b");
+
+test("a load makes an adapter resident", async (t) => {
+  const { client } = await startEngine(t);
+  t.true((await client.order(orderOf("load_adapter", B))).isOk());
+  const state = (await client.readState())._unsafeUnwrap();
+  t.deepEqual(state.resident, [A, B]);
+  t.is(state.engine, engineId("engine-1"));
+});
+
+test("an old fencing number is refused where the engine checks it", async (t) => {
+  const checking = await startEngine(t);
+  const newer = orderOf("load_adapter", B, { fencing: 7 });
+  t.true((await checking.client.order(newer)).isOk());
+  const old = orderOf("evict_adapter", B, { fencing: 6 });
+  const refused = (await checking.client.order(old))._unsafeUnwrapErr();
+  t.like(refused, {
+    reason: "fenced",
+    step: "evict_adapter",
+    outcome: "not_run",
+  });
+  const state = (await checking.client.readState())._unsafeUnwrap();
+  t.is(state.highestFencing, fencingNumber(7));
+  const ignoring = await startEngine(t, { checksFencing: false });
+  t.true((await ignoring.client.order(newer)).isOk());
+  t.true((await ignoring.client.order(old)).isOk());
+});
+
+test("an order that has expired has no effect", async (t) => {
+  const { engine, client } = await startEngine(t);
+  const expired = orderOf("evict_adapter", A, { expiresIn: 0 });
+  const evicted = (await client.order(expired))._unsafeUnwrapErr();
+  t.like(evicted, { reason: "expired", outcome: "not_run" });
+  engine.setFaults({ extraLoadMilliseconds: 100 });
+  const slow = orderOf("load_adapter", B, { expiresIn: 50 });
+  t.is((await client.order(slow))._unsafeUnwrapErr().reason, "expired");
+  const state = (await client.readState())._unsafeUnwrap();
+  t.deepEqual(state.resident, [A]);
+  t.is(engine.readCounters().ordersExpired, 2);
+});
+
+test("an eviction in use kills the generation and is counted", async (t) => {
+  const { engine, client } = await startEngine(t);
+  const sink = new CollectingSink();
+  client.generate(callOf("r", { maximumTokens: 100_000 }), sink);
+  await sink.gather(1);
+  t.true((await client.order(orderOf("evict_adapter", A))).isOk());
+  const failure = (await sink.ended)._unsafeUnwrapErr();
+  t.like(failure, { reason: "unavailable", outcome: "ran" });
+  t.is(engine.readCounters().evictedInUse, 1);
+});
+
+test("an order whose answer is lost has taken effect", async (t) => {
+  const { engine, client } = await startEngine(t);
+  engine.setFaults({ loseNextOrderAnswers: 1 });
+  const lost = await client.order(orderOf("evict_adapter", A));
+  t.is(lost._unsafeUnwrapErr().outcome, "unknown");
+  t.deepEqual((await client.readState())._unsafeUnwrap().resident, []);
+});
+
+test("loads need a free slot, and a failed one frees its slot", async (t) => {
+  const { engine, client } = await startEngine(t, { adapterSlots: 2 });
+  engine.setFaults({ failNextLoads: 1 });
+  const order = orderOf("load_adapter", B);
+  t.is((await client.order(order))._unsafeUnwrapErr().reason, "unavailable");
+  t.true((await client.order(order)).isOk());
+  const full = await client.order(orderOf("load_adapter", adapterOf("c")));
+  t.like(full._unsafeUnwrapErr(), { reason: "overloaded", outcome: "not_run" });
+});
+
+test("a load fetches from the weight store and passes its refusal on", async (t) => {
+  const store = new FakeWeightStore({ adapterBytes: 1 });
+  const weightStoreAddress = await store.listen();
+  t.teardown(() => store.close());
+  const { client } = await startEngine(t, { weightStoreAddress });
+  t.true((await client.order(orderOf("load_adapter", B))).isOk());
+  t.is(store.readCounters().loadsFinished, 1);
+  store.setFaults({ missingAdapters: ["c"] });
+  const order = orderOf("load_adapter", adapterOf("c"));
+  t.is((await client.order(order))._unsafeUnwrapErr().reason, "not_found");
+});
+
+test("model and role change by order", async (t) => {
+  const { client } = await startEngine(t);
+  const base = { fencing: fencingNumber(1), expiresInMilliseconds: 60_000 };
+  const other = modelId("other");
+  await client.order({ ...base, kind: "change_role", role: "decode" });
+  await client.order({ ...base, kind: "load_model", model: other });
+  const state = (await client.readState())._unsafeUnwrap();
+  t.like(state, { model: other, role: "decode", resident: [] });
+});
--- /dev/null
+++ b/packages/standins/tests/plain_service/fake_plain_service_test.ts
@@ -0,0 +1,70 @@
+import { backendServerId } from "@foxtailwind/core";
+import {
+  createDispatcher,
+  HttpServiceClient,
+  type ServiceAnswer,
+} from "@foxtailwind/edges";
+import { FakePlainService } from "@foxtailwind/standins";
+import test, { type ExecutionContext } from "ava";
+
+async function start(t: ExecutionContext) {
+  const service = new FakePlainService({ id: "slots-1" });
+  await service.listen();
+  const dispatcher = createDispatcher();
+  t.teardown(async () => {
+    await dispatcher.destroy();
+    await service.close();
+  });
+  const client = new HttpServiceClient({ dispatcher });
+  const call = (key: string) =>
+    client.call({
+      server: backendServerId("slots-1"),
+      address: new URL(service.address).host,
+      method: "POST",
+      path: "/bookings/7",
+      headers: [
+        { name: "idempotency-key", value: key },
+        { name: "content-type", value: "application/json" },
+      ],
+      body: Buffer.from("not JSON"),
+      timeoutMilliseconds: 5_000,
+    }, new AbortController().signal);
+  return { service, call };
+}
+
+function readBody(answer: ServiceAnswer): unknown {
+  return JSON.parse(Buffer.from(answer.body).toString());
+}
+
+test("any path and body is answered, and runs are counted by key", async (t) => {
+  const { service, call } = await start(t);
+  t.deepEqual(readBody((await call("k"))._unsafeUnwrap()), {
+    server: "slots-1",
+    method: "POST",
+    path: "/bookings/7",
+    key: "k",
+    runsOfKey: 1,
+  });
+  await call("k");
+  t.like(service.readCounters(), { runs: 2, repeatedKeys: ["k"] });
+});
+
+test("a lost answer has run, a dropped and a refused call have not", async (t) => {
+  const { service, call } = await start(t);
+  service.setFaults({ loseNextAnswers: 1 });
+  t.is((await call("lost"))._unsafeUnwrapErr().outcome, "unknown");
+  service.setFaults({ dropNextCalls: 1 });
+  t.is((await call("dropped"))._unsafeUnwrapErr().outcome, "unknown");
+  service.setFaults({ refuseNextCalls: 1 });
+  const refused = (await call("refused"))._unsafeUnwrap();
+  t.like(refused, { status: 503, statedOutcome: "not_run" });
+  t.deepEqual(service.readCounters().runsByKey, { lost: 1 });
+});
+
+test("a leaving server says so in its answers", async (t) => {
+  const { service, call } = await start(t);
+  t.false((await call("a"))._unsafeUnwrap().leaving);
+  service.setFaults({ leaving: true });
+  t.true((await call("b"))._unsafeUnwrap().leaving);
+  t.is(service.readCounters().callsWhileLeaving, 1);
+});
