--- a/packages/bench/src/demo/child_program.ts
+++ b/packages/bench/src/demo/child_program.ts
@@ -21,6 +21,7 @@
       stdio: ["ignore", "pipe", "inherit"],
     });
     this.#child = child;
+    process.once("exit", () => child.kill("SIGKILL"));
     this.#lines = createInterface({ input: child.stdout })
       [Symbol.asyncIterator]();
   }
--- a/packages/node/src/callers/services_controller.ts
+++ b/packages/node/src/callers/services_controller.ts
@@ -20,7 +20,7 @@
   }
 
   /** Passes one call on. */
-  @All(":service/*path")
+  @All(":service/*")
   async call(
     @Req() request: FastifyRequest,
     @Res() reply: FastifyReply,
--- a/packages/node/src/http_application.ts
+++ b/packages/node/src/http_application.ts
@@ -29,6 +29,7 @@
   return await NestFactory.create<NestFastifyApplication>(
     module,
     new FastifyAdapter({ bodyLimit: BODY_LIMIT_BYTES }),
-    { logger: false as const },
+    // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment -- Nest's own options are a class.
+    { logger: false },
   );
 }
