--- a/ava.config.js
+++ b/ava.config.js
@@ -2,6 +2,7 @@
   files: ["packages/*/tests/**/*_test.ts"],
   extensions: { ts: "module" },
   nodeArguments: ["--import=tsx", "--conditions=foxtailwind-source"],
+  environmentVariables: { TSX_TSCONFIG_PATH: "tsconfig.base.json" },
   workerThreads: false,
   timeout: "60s",
 };
--- /dev/null
+++ b/packages/core/src/observation/mod.ts
@@ -0,0 +1,2 @@
+export * from "./request_event.ts";
+export * from "./request_observer.ts";
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -1,4 +1,10 @@
-import { type EngineId, engineId, fencingNumber } from "@foxtailwind/core";
+import {
+  type EngineId,
+  engineId,
+  fencingNumber,
+  type RequestObserver,
+  SilentObserver,
+} from "@foxtailwind/core";
 import {
   HttpEngineClient,
   HttpLogClient,
@@ -35,6 +41,7 @@
   override readonly services: HttpServiceClient;
   override readonly directory: VmDirectory;
   override readonly follower: ConfigurationFollower;
+  override readonly observer: RequestObserver = new SilentObserver();
   override readonly router: GenerationRouter;
   readonly #channels = new PeerChannels();
   readonly #peerServer: PeerServer;
--- a/packages/node/src/daemon_parts.ts
+++ b/packages/node/src/daemon_parts.ts
@@ -1,3 +1,4 @@
+import type { RequestObserver } from "@foxtailwind/core";
 import type { LogClient, ServiceClient } from "@foxtailwind/edges";
 import type { SteadyClock } from "./clock/steady_clock.ts";
 import type { ConfigurationFollower } from "./platform/configuration_follower.ts";
@@ -13,5 +14,6 @@
   abstract readonly services: ServiceClient;
   abstract readonly directory: VmDirectory;
   abstract readonly follower: ConfigurationFollower;
+  abstract readonly observer: RequestObserver;
   abstract readonly router: GenerationRouter;
 }
