--- a/packages/node/src/peers/generation_service.ts
+++ b/packages/node/src/peers/generation_service.ts
@@ -64,6 +64,7 @@
       (end) => ({ $case: "end", value: end }),
       (failure) => ({ $case: "failure", value: toFailureMessage(failure) }),
     );
-    this.#call.end({ part });
+    this.#call.write({ part });
+    this.#call.end();
   }
 }
