--- /dev/null
+++ b/packages/bench/src/demo/node_process.ts
@@ -0,0 +1,103 @@
+import { writeFileSync } from "node:fs";
+import path from "node:path";
+import { z } from "zod";
+import { ChildProgram } from "./child_program.ts";
+import { programPath } from "./program_path.ts";
+
+/** What a daemon is started with. */
+export interface NodePlan {
+  readonly id: string;
+  readonly failureDomain: string;
+  /** `http://` addresses of the platform's services. */
+  readonly log: string;
+  readonly vmList: string;
+  readonly weightStore: string;
+  /** Where its settings file goes. */
+  readonly folder: string;
+}
+
+const readyLine = z.object({
+  ready: z.object({ http: z.string(), grpc: z.string() }),
+});
+
+const ANY_PORT = "127.0.0.1:0";
+
+/** A daemon as a process of its own. */
+export class NodeProcess {
+  readonly id: string;
+  readonly failureDomain: string;
+  /** IP literal and port of its HTTP interface. */
+  readonly http: string;
+  /** IP literal and port of its interface for peers. */
+  readonly grpc: string;
+  readonly program: ChildProgram;
+  readonly #plan: NodePlan;
+
+  private constructor(
+    plan: NodePlan,
+    program: ChildProgram,
+    ready: { readonly http: string; readonly grpc: string },
+  ) {
+    this.id = plan.id;
+    this.failureDomain = plan.failureDomain;
+    this.http = ready.http;
+    this.grpc = ready.grpc;
+    this.program = program;
+    this.#plan = plan;
+  }
+
+  /**
+   * Starts a daemon and waits until it is ready.
+   * @param plan What to start it with.
+   * @param listen Its addresses; by default free ports.
+   * @returns The running daemon.
+   */
+  static async start(
+    plan: NodePlan,
+    listen = { http: ANY_PORT, grpc: ANY_PORT },
+  ): Promise<NodeProcess> {
+    const file = path.join(plan.folder, `${plan.id}.ini`);
+    writeFileSync(file, settingsText(plan, listen));
+    const program = new ChildProgram(
+      plan.id,
+      programPath("@foxtailwind/node"),
+      ["--settings", file],
+    );
+    const { ready } = readyLine.parse(await program.nextLine());
+    return new NodeProcess(plan, program, ready);
+  }
+
+  /**
+   * Starts the daemon anew at the same addresses, after it ended.
+   * @returns The running daemon.
+   */
+  async restart(): Promise<NodeProcess> {
+    return await NodeProcess.start(this.#plan, {
+      http: this.http,
+      grpc: this.grpc,
+    });
+  }
+}
+
+function settingsText(
+  plan: NodePlan,
+  listen: { readonly http: string; readonly grpc: string },
+): string {
+  return `[node]
+id = ${plan.id}
+region = region-1
+failure_domain = ${plan.failureDomain}
+
+[listen]
+http = ${listen.http}
+grpc = ${listen.grpc}
+
+[platform]
+log = ${plan.log}
+vm_list = ${plan.vmList}
+weight_store = ${plan.weightStore}
+
+[logs]
+level = warn
+`;
+}
