--- a/packages/bench/src/demo/child_program.ts
+++ b/packages/bench/src/demo/child_program.ts
@@ -3,6 +3,12 @@
 import process from "node:process";
 import { createInterface } from "node:readline";
 
+// None may outlive the measurement that started it, however that ends.
+const running = new Set<ChildProcess>();
+process.once("exit", () => {
+  for (const child of running) child.kill("SIGKILL");
+});
+
 /** A program that measurements start, and that speaks in JSON lines. */
 export class ChildProgram {
   readonly name: string;
@@ -21,7 +27,8 @@
       stdio: ["ignore", "pipe", "inherit"],
     });
     this.#child = child;
-    process.once("exit", () => child.kill("SIGKILL"));
+    running.add(child);
+    child.once("exit", () => running.delete(child));
     this.#lines = createInterface({ input: child.stdout })
       [Symbol.asyncIterator]();
   }
--- /dev/null
+++ b/packages/bench/src/faults/fault_cluster.ts
@@ -0,0 +1,167 @@
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { listNodes } from "../demo/demo_cluster.ts";
+import { NodeProcess } from "../demo/node_process.ts";
+import { postJson, StandInProcess } from "../demo/stand_in_process.ts";
+import {
+  type EnginePlan,
+  EngineProcess,
+  engineSettingsText,
+} from "./engine_process.ts";
+
+/** How large a cluster to start. */
+export interface FaultClusterSize {
+  readonly nodes: number;
+  readonly engines: number;
+  readonly domains: number;
+  readonly adapterSlots: number;
+}
+
+/**
+ * Daemons, engines and the platform, each in a process of its own, so that
+ * faults may strike them one by one.
+ */
+export class FaultCluster {
+  readonly platform: StandInProcess;
+  readonly #nodes: NodeProcess[];
+  readonly #engines: EngineProcess[];
+  readonly #folder: string;
+
+  private constructor(
+    platform: StandInProcess,
+    parts: {
+      readonly nodes: NodeProcess[];
+      readonly engines: EngineProcess[];
+      readonly folder: string;
+    },
+  ) {
+    this.platform = platform;
+    this.#nodes = parts.nodes;
+    this.#engines = parts.engines;
+    this.#folder = parts.folder;
+  }
+
+  /**
+   * Starts the platform, the engines and the daemons.
+   * @param size How large.
+   * @returns The running cluster.
+   */
+  static async start(size: FaultClusterSize): Promise<FaultCluster> {
+    const folder = mkdtempSync(path.join(tmpdir(), "foxtailwind-faults-"));
+    const platform = await StandInProcess.start([
+      "--engines=0",
+      `--domains=${size.domains}`,
+      "--services=booking",
+    ]);
+    const engines = await startEngines(size, platform, folder);
+    const nodes = await Promise.all(
+      Array.from({ length: size.nodes }, (_, index) =>
+        NodeProcess.start({
+          id: `node-${index + 1}`,
+          failureDomain: `domain-${index % size.domains + 1}`,
+          log: platform.addressOf("log_service"),
+          vmList: platform.addressOf("vm_list"),
+          weightStore: platform.addressOf("weight_store"),
+          folder,
+        })),
+    );
+    await listNodes(platform.addressOf("vm_list"), nodes);
+    return new FaultCluster(platform, { nodes, engines, folder });
+  }
+
+  /** The daemons, the restarted ones in their places. */
+  get nodes(): readonly NodeProcess[] {
+    return this.#nodes;
+  }
+
+  /** The engines, the restarted ones in their places. */
+  get engines(): readonly EngineProcess[] {
+    return this.#engines;
+  }
+
+  /**
+   * Starts a daemon anew that has ended.
+   * @param index Its place.
+   */
+  async restartNode(index: number): Promise<void> {
+    const node = at(this.#nodes, index);
+    await node.program.ended();
+    this.#nodes[index] = await node.restart();
+  }
+
+  /**
+   * Starts an engine anew, cold, at its old address.
+   * @param index Its place.
+   */
+  async restartEngine(index: number): Promise<void> {
+    const { plan, address, standIn } = at(this.#engines, index);
+    await standIn.program.ended();
+    const port = Number(new URL(address).port);
+    this.#engines[index] = await startEngine(plan, port);
+  }
+
+  /**
+   * Sets faults of the log service.
+   * @param faults The faults to change.
+   */
+  async setLogFaults(faults: object): Promise<void> {
+    const log = this.platform.addressOf("log_service");
+    await postJson(`${log}/standin/faults`, faults);
+  }
+
+  /**
+   * Stops everything.
+   * @returns The daemons' exit codes.
+   */
+  async stop(): Promise<readonly (number | null)[]> {
+    const codes = await Promise.all(
+      this.#nodes.map((node) => node.program.stop()),
+    );
+    await Promise.all(
+      this.#engines.map((engine) => engine.standIn.program.stop()),
+    );
+    await this.platform.program.stop();
+    rmSync(this.#folder, { recursive: true });
+    return codes;
+  }
+}
+
+async function startEngines(
+  size: FaultClusterSize,
+  platform: StandInProcess,
+  folder: string,
+): Promise<EngineProcess[]> {
+  return await Promise.all(
+    Array.from({ length: size.engines }, async (_, index) => {
+      const id = `engine-${index + 1}`;
+      const engine = await startEngine({
+        id,
+        failureDomain: `domain-${index % size.domains + 1}`,
+        weightStore: platform.addressOf("weight_store"),
+        vmList: platform.addressOf("vm_list"),
+        adapterSlots: size.adapterSlots,
+        // Every other engine ignores fencing numbers, as some deployments' do.
+        checksFencing: index % 2 === 0,
+        file: path.join(folder, `${id}.ini`),
+      }, 0);
+      await engine.list();
+      return engine;
+    }),
+  );
+}
+
+async function startEngine(
+  plan: EnginePlan,
+  port: number,
+): Promise<EngineProcess> {
+  writeFileSync(plan.file, engineSettingsText(plan, port));
+  const standIn = await StandInProcess.start([`--settings=${plan.file}`]);
+  return new EngineProcess(plan, standIn);
+}
+
+function at<Item>(items: readonly Item[], index: number): Item {
+  const item = items[index];
+  if (item === undefined) throw new Error(`There is no item ${index}`);
+  return item;
+}
--- /dev/null
+++ b/packages/bench/src/faults/process_usage.ts
@@ -0,0 +1,34 @@
+import { readFileSync } from "node:fs";
+
+/** What a process has used since it started. */
+export interface ProcessUsage {
+  readonly processorSeconds: number;
+  readonly residentBytes: number;
+}
+
+const TICKS_PER_SECOND = 100;
+const BYTES_PER_PAGE = 4_096;
+const USER_TICKS_FIELD = 11;
+const SYSTEM_TICKS_FIELD = 12;
+const RESIDENT_PAGES_FIELD = 21;
+
+/**
+ * Reads what a process has used, from the kernel's process table.
+ * @param processId The process.
+ * @returns Its usage; zero where it is gone.
+ */
+export function readProcessUsage(processId: number): ProcessUsage {
+  try {
+    const text = readFileSync(`/proc/${processId}/stat`, "utf8");
+    // The name, in brackets, may hold blanks: the fields count after it.
+    const fields = text.slice(text.lastIndexOf(")") + 2).split(" ");
+    const ticks = Number(fields[USER_TICKS_FIELD]) +
+      Number(fields[SYSTEM_TICKS_FIELD]);
+    return {
+      processorSeconds: ticks / TICKS_PER_SECOND,
+      residentBytes: Number(fields[RESIDENT_PAGES_FIELD]) * BYTES_PER_PAGE,
+    };
+  } catch {
+    return { processorSeconds: 0, residentBytes: 0 };
+  }
+}
