--- /dev/null
+++ b/packages/core/src/delivery/execution_key.ts
@@ -0,0 +1,125 @@
+import { err, ok, type Result } from "neverthrow";
+import {
+  type Failure,
+  type IdempotencyKey,
+  idempotencyKey,
+  type IncarnationId,
+  incarnationId,
+  type Instant,
+  instant,
+  type LogOffset,
+  logOffset,
+  type NodeId,
+  nodeId,
+} from "../shared/mod.ts";
+
+/** The node incarnation that alone may run a key, and until when. */
+export interface KeyScope {
+  readonly node: NodeId;
+  readonly incarnation: IncarnationId;
+  /** By the steady clock of that incarnation; opaque to all others. */
+  readonly expiresAt: Instant;
+}
+
+/** A key bound to one node incarnation. */
+export interface BoundKey {
+  readonly kind: "bound";
+  readonly scope: KeyScope;
+  readonly key: IdempotencyKey;
+}
+
+/** A key that any node may claim in the log. */
+export interface FreeKey {
+  readonly kind: "free";
+  readonly key: IdempotencyKey;
+  /** No claim of this key lies below this offset; absent on plain keys. */
+  readonly epoch?: LogOffset;
+}
+
+/** The key of a request that must not run twice. */
+export type ExecutionKey = BoundKey | FreeKey;
+
+const SEPARATOR = "~";
+const BOUND_PREFIX = "bound";
+const FREE_PREFIX = "free";
+const BOUND_PARTS = 5;
+const FREE_PARTS = 3;
+const MAXIMUM_KEY_LENGTH = 512;
+
+/**
+ * Gives a scope as the text that callers put before their own key.
+ * @param scope The scope.
+ * @returns The prefix, its last separator included.
+ */
+export function scopePrefix(scope: KeyScope): string {
+  const parts = [
+    BOUND_PREFIX,
+    scope.node,
+    scope.incarnation,
+    String(Math.floor(scope.expiresAt)),
+    "",
+  ];
+  return parts.join(SEPARATOR);
+}
+
+/**
+ * Gives the prefix of free keys whose first use follows a claim offset.
+ * @param epoch The tail of the claims stream, or an offset below it.
+ * @returns The prefix, its last separator included.
+ */
+export function epochPrefix(epoch: LogOffset): string {
+  return [FREE_PREFIX, String(epoch), ""].join(SEPARATOR);
+}
+
+/**
+ * Reads a key as a caller sent it. The whole text is the key's identity, so
+ * that one own key under two scopes counts as two keys.
+ * @param text The text of the header.
+ * @returns The key, or why it cannot be used.
+ */
+export function parseExecutionKey(text: string): Result<ExecutionKey, Failure> {
+  if (text.length === 0 || text.length > MAXIMUM_KEY_LENGTH) {
+    return err(badKey(`its length is not 1 to ${MAXIMUM_KEY_LENGTH}`));
+  }
+  const key = idempotencyKey(text);
+  const parts = text.split(SEPARATOR);
+  if (parts[0] === BOUND_PREFIX && parts.length >= BOUND_PARTS) {
+    return parseScope(parts).map((scope) => ({ kind: "bound", scope, key }));
+  }
+  if (parts[0] === FREE_PREFIX && parts.length >= FREE_PARTS) {
+    return parseCount(parts[1] ?? "").map((epoch) => ({
+      kind: "free",
+      key,
+      epoch: logOffset(epoch),
+    }));
+  }
+  return ok({ kind: "free", key });
+}
+
+function parseScope(parts: readonly string[]): Result<KeyScope, Failure> {
+  const [, node = "", incarnation = "", expiry = ""] = parts;
+  if (node === "" || incarnation === "") {
+    return err(badKey("its scope names no node"));
+  }
+  return parseCount(expiry).map((expiresAt) => ({
+    node: nodeId(node),
+    incarnation: incarnationId(incarnation),
+    expiresAt: instant(expiresAt),
+  }));
+}
+
+function parseCount(text: string): Result<number, Failure> {
+  const value = Number(text);
+  const isCount = /^\d+$/.test(text) && Number.isSafeInteger(value);
+  return isCount ? ok(value) : err(badKey(`"${text}" is not a number`));
+}
+
+function badKey(why: string): Failure {
+  return {
+    reason: "invalid",
+    step: "claim_key",
+    peer: "caller",
+    message: `Idempotency key cannot be used: ${why}.`,
+    outcome: "not_run",
+  };
+}
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -4,6 +4,7 @@
  */
 export * from "./shared/mod.ts";
 export * from "./configuration/mod.ts";
+export * from "./delivery/mod.ts";
 export * from "./observation/mod.ts";
 export * from "./ownership/mod.ts";
 export * from "./serving/mod.ts";
--- /dev/null
+++ b/packages/node/src/delivery/keyed_execution.ts
@@ -0,0 +1,50 @@
+import type { Failure } from "@foxtailwind/core";
+import type { Result } from "neverthrow";
+
+/** The outcome of keyed work: its answer in the work's own form. */
+export type KeyedResult = Result<Uint8Array, Failure>;
+
+/**
+ * Work that runs where its key may run. It must send what it does at most
+ * once: no retry, unless a first try is proven not to have run.
+ * @param payload The request, in the work's own form.
+ * @returns The answer, or a failure that tells truthfully whether it ran.
+ */
+export type KeyedWork = (payload: Uint8Array) => Promise<KeyedResult>;
+
+/** A request that must not run twice. */
+export interface KeyedRequest {
+  /** Names the registered work that runs it, on whichever node that is. */
+  readonly work: string;
+  /** The `Idempotency-Key` as the caller sent it. */
+  readonly key: string;
+  /** What the work gets; the same request always gives the same bytes. */
+  readonly payload: Uint8Array;
+}
+
+/** Runs work at most once for each key, over all nodes and caller retries. */
+export abstract class KeyedExecution {
+  /**
+   * Registers work, before the daemon serves callers or peers.
+   * @param name Names the work, alike on all nodes.
+   * @param work Runs one request.
+   */
+  abstract register(name: string, work: KeyedWork): void;
+
+  /**
+   * Runs a request where its key may run, or gives the outcome of its first
+   * run. One key stands for one payload: another payload is refused.
+   * @param request The request.
+   * @returns The outcome of the key's only run; or why it did not run, or
+   * that nothing is known of it and it will not be run.
+   */
+  abstract execute(request: KeyedRequest): Promise<KeyedResult>;
+
+  /**
+   * Gives the text that callers put before their own keys, so that only this
+   * node runs them; `GET /v1/addresses` passes it on.
+   * @param lifetimeMilliseconds How long callers may use it.
+   * @returns The prefix.
+   */
+  abstract scopeText(lifetimeMilliseconds: number): string;
+}
--- /dev/null
+++ b/packages/node/src/delivery/mod.ts
@@ -0,0 +1,2 @@
+export * from "./keyed_execution.ts";
+export * from "./service_delivery.ts";
--- /dev/null
+++ b/packages/node/src/delivery/service_delivery.ts
@@ -0,0 +1,143 @@
+import type { Failure } from "@foxtailwind/core";
+import type { Header, ServiceAnswer } from "@foxtailwind/edges";
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import type { KeyedExecution } from "./keyed_execution.ts";
+
+/** A caller's call to a plain service, before a server is chosen. */
+export interface ServiceRequest {
+  readonly service: string;
+  readonly method: string;
+  /** Path and query. */
+  readonly path: string;
+  readonly headers: readonly Header[];
+  readonly body: Uint8Array;
+}
+
+/** Sends a call to one server of its service, at most once. */
+export abstract class ServiceCallRunner {
+  /**
+   * Sends a call once. Another server may be tried only where the first is
+   * proven not to have run it.
+   * @param request The call.
+   * @returns The answer, or a failure that tells truthfully whether it ran.
+   */
+  abstract runOnce(
+    request: ServiceRequest,
+  ): Promise<Result<ServiceAnswer, Failure>>;
+}
+
+const WORK_NAME = "service_call";
+const KEY_HEADER = "idempotency-key";
+
+const requestSchema = z.object({
+  service: z.string(),
+  method: z.string(),
+  path: z.string(),
+  headers: z.array(z.object({ name: z.string(), value: z.string() })),
+  body: z.string(),
+});
+
+const answerSchema = z.object({
+  status: z.number().int(),
+  headers: z.array(z.object({ name: z.string(), value: z.string() })),
+  body: z.string(),
+  leaving: z.boolean(),
+});
+
+/** Brings calls that must not run twice to plain services. */
+export class ServiceDelivery {
+  readonly #execution: KeyedExecution;
+  readonly #runner: ServiceCallRunner;
+
+  /**
+   * @param execution Runs keyed calls at most once.
+   * @param runner Sends one call.
+   */
+  constructor(execution: KeyedExecution, runner: ServiceCallRunner) {
+    this.#execution = execution;
+    this.#runner = runner;
+    execution.register(WORK_NAME, async (payload) => {
+      const request = decodeRequest(payload);
+      if (request === undefined) return err(unreadable("not_run"));
+      return (await runner.runOnce(request)).map(encodeAnswer);
+    });
+  }
+
+  /**
+   * Runs a call that must not run twice.
+   * @param request The call.
+   * @param key The `Idempotency-Key`; without one it is sent once.
+   * @returns The answer of the only run, or what is known of it.
+   */
+  async deliver(
+    request: ServiceRequest,
+    key: string | undefined,
+  ): Promise<Result<ServiceAnswer, Failure>> {
+    if (key === undefined) return await this.#runner.runOnce(request);
+    const answer = await this.#execution.execute({
+      work: WORK_NAME,
+      key,
+      payload: encodeRequest(withKey(request, key)),
+    });
+    return answer.andThen(decodeAnswer);
+  }
+}
+
+/** The service sees the key too: its own check is a further safeguard. */
+function withKey(request: ServiceRequest, key: string): ServiceRequest {
+  const others = request.headers.filter((header) =>
+    header.name.toLowerCase() !== KEY_HEADER
+  );
+  return {
+    ...request,
+    headers: [...others, { name: KEY_HEADER, value: key }],
+  };
+}
+
+function encodeRequest(request: ServiceRequest): Uint8Array {
+  return encode({ ...request, body: toBase64(request.body) });
+}
+
+function decodeRequest(payload: Uint8Array): ServiceRequest | undefined {
+  const parsed = requestSchema.safeParse(decode(payload));
+  if (!parsed.success) return undefined;
+  return { ...parsed.data, body: Buffer.from(parsed.data.body, "base64") };
+}
+
+function encodeAnswer(answer: ServiceAnswer): Uint8Array {
+  const { status, headers, leaving } = answer;
+  return encode({ status, headers, leaving, body: toBase64(answer.body) });
+}
+
+function decodeAnswer(payload: Uint8Array): Result<ServiceAnswer, Failure> {
+  const parsed = answerSchema.safeParse(decode(payload));
+  if (!parsed.success) return err(unreadable("ran"));
+  return ok({ ...parsed.data, body: Buffer.from(parsed.data.body, "base64") });
+}
+
+function toBase64(bytes: Uint8Array): string {
+  return Buffer.from(bytes).toString("base64");
+}
+
+function encode(value: unknown): Uint8Array {
+  return Buffer.from(JSON.stringify(value));
+}
+
+function decode(payload: Uint8Array): unknown {
+  try {
+    return JSON.parse(Buffer.from(payload).toString());
+  } catch {
+    return undefined;
+  }
+}
+
+function unreadable(outcome: Failure["outcome"]): Failure {
+  return {
+    reason: "corrupt",
+    step: "call_service",
+    peer: "node",
+    message: "A message about a call cannot be read.",
+    outcome,
+  };
+}
