--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -6,4 +6,5 @@
 export * from "./configuration/mod.ts";
 export * from "./observation/mod.ts";
 export * from "./ownership/mod.ts";
+export * from "./service_routing/mod.ts";
 export * from "./serving/mod.ts";
