Choose addresses for callers and the course of a planned stop

Cause: every live node was named to every caller, and a stop closed at once. Change: core/addresses names a few nodes by locality and load within bounds; core/drain decides when a stopping node has left, finished and may exit. Not wired in yet.

--- /dev/null
+++ b/packages/core/src/addresses/mod.ts
@@ -0,0 +1,1 @@
+export * from "./address_choice.ts";
--- /dev/null
+++ b/packages/core/src/drain/mod.ts
@@ -0,0 +1,1 @@
+export * from "./planned_stop.ts";
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -3,8 +3,10 @@
  * @module
  */
 export * from "./shared/mod.ts";
+export * from "./addresses/mod.ts";
 export * from "./configuration/mod.ts";
 export * from "./delivery/mod.ts";
+export * from "./drain/mod.ts";
 export * from "./observation/mod.ts";
 export * from "./ownership/mod.ts";
 export * from "./service_routing/mod.ts";
--- a/packages/core/src/service_routing/retry_budget.ts
+++ b/packages/core/src/service_routing/attempt_budget.ts
@@ -2,7 +2,7 @@
  * Bounds extra attempts to a share of the calls, so that retries cannot
  * multiply the load of a service that is already failing.
  */
-export class RetryBudget {
+export class AttemptBudget {
   readonly #share: number;
   readonly #capacity: number;
   #tokens: number;
--- a/packages/core/src/service_routing/hedge_plan.ts
+++ b/packages/core/src/service_routing/hedge_plan.ts
@@ -5,7 +5,7 @@
   type RequestId,
 } from "../shared/mod.ts";
 import type { LatencyWindow } from "./latency_window.ts";
-import { RetryBudget } from "./retry_budget.ts";
+import { AttemptBudget } from "./attempt_budget.ts";
 
 const HEDGE_PERCENTILE = 95;
 const SHORTEST_DELAY_MILLISECONDS = 2;
@@ -18,7 +18,7 @@
  * within a budget and only while the servers have places to spare.
  */
 export class HedgePlan {
-  readonly #budget = new RetryBudget(HEDGE_SHARE, HEDGE_RESERVE);
+  readonly #budget = new AttemptBudget(HEDGE_SHARE, HEDGE_RESERVE);
   readonly #due = new Map<RequestId, Instant>();
 
   /** Earns for one call. */
--- a/packages/core/src/service_routing/mod.ts
+++ b/packages/core/src/service_routing/mod.ts
@@ -1,6 +1,6 @@
 export * from "./concurrency_limit.ts";
 export * from "./decayed_latency.ts";
-export * from "./retry_budget.ts";
+export * from "./attempt_budget.ts";
 export * from "./server_choice.ts";
 export * from "./service_call.ts";
 export * from "./service_policy.ts";
--- a/packages/core/src/service_routing/service_router.ts
+++ b/packages/core/src/service_routing/service_router.ts
@@ -6,7 +6,6 @@
   type Failure,
   type FailureDomainId,
   type Instant,
-  later,
   milliseconds,
   type RequestId,
   type ServiceId,
@@ -17,11 +16,12 @@
   overloadFailure,
 } from "./call_failures.ts";
 import { AttemptLedger } from "./attempt_ledger.ts";
+import { expectedWait, longestWait, waitsUntil } from "./call_waiting.ts";
 import { HedgePlan } from "./hedge_plan.ts";
 import { LatencyWindow } from "./latency_window.ts";
 import { ejectIfOutlier } from "./outlier_ejection.ts";
 import { PendingCall } from "./pending_call.ts";
-import { RetryBudget } from "./retry_budget.ts";
+import { AttemptBudget } from "./attempt_budget.ts";
 import type { ServerChooser } from "./server_choice.ts";
 import { ServerSet } from "./server_set.ts";
 import {
@@ -62,7 +62,7 @@
   readonly #chooser: ServerChooser;
   readonly #servers: ServerSet;
   readonly #calls = new Map<RequestId, PendingCall>();
-  readonly #retries = new RetryBudget(RETRY_SHARE, RETRY_RESERVE);
+  readonly #retries = new AttemptBudget(RETRY_SHARE, RETRY_RESERVE);
   readonly #hedges = new HedgePlan();
   readonly #latencies = new LatencyWindow();
   readonly #attempts = new AttemptLedger(this.#latencies);
@@ -115,8 +115,7 @@
     this.#retries.earn();
     this.#hedges.earn();
     const wait = this.#expectedWait(now);
-    const slack = this.#waitingTime(call);
-    if (wait > slack) {
+    if (wait > longestWait(call, this.#typicalLatency())) {
       this.#refuse(call, wait);
       return;
     }
@@ -179,8 +178,9 @@
    * @returns The time to decide again, or nothing.
    */
   nextWake(): Instant | undefined {
+    const typical = this.#typicalLatency();
     const times: number[] = [];
-    for (const call of this.#waiting) times.push(this.#waitsUntil(call));
+    for (const call of this.#waiting) times.push(waitsUntil(call, typical));
     const hedge = this.#hedges.nextDue();
     if (hedge !== undefined) times.push(hedge);
     const readmission = this.#servers.nextReadmission();
@@ -227,8 +227,9 @@
   }
 
   #expireWaiting(now: Instant): void {
+    const typical = this.#typicalLatency();
     for (const call of [...this.#waiting]) {
-      if (this.#waitsUntil(call) > now) continue;
+      if (waitsUntil(call, typical) > now) continue;
       if (call.attempts > 0) this.#finishWithoutGoodAnswer(call);
       else if (!this.#servers.hasPlace(now)) {
         this.#refuse(call, this.#expectedWait(now));
@@ -325,19 +326,10 @@
   }
 
   #expectedWait(now: Instant): Duration {
-    const { limit } = this.#servers.capacity(now);
-    const ahead = this.#waiting.size;
-    if (ahead === 0 || limit === 0) return milliseconds(0);
-    return milliseconds(ahead * this.#typicalLatency() / limit);
-  }
-
-  #waitingTime(call: PendingCall): Duration {
-    const slack = call.terms.answerWithin - this.#typicalLatency();
-    return milliseconds(Math.max(0, slack));
-  }
-
-  #waitsUntil(call: PendingCall): Instant {
-    if (call.attempts > 0) return call.deadline;
-    return later(call.arrivedAt, this.#waitingTime(call));
+    return expectedWait({
+      ahead: this.#waiting.size,
+      limit: this.#servers.capacity(now).limit,
+      typicalLatency: this.#typicalLatency(),
+    });
   }
 }
