Wire service routing, addresses and the planned stop into the daemon

Cause: calls went to servers in turn, bodies were parsed and written anew, all nodes were named to all callers, and a stop cut the address answers' holders off. Headers that an answer's Connection header names were passed on. Change: the services plugin passes bodies of any type byte for byte with headers but the hop-by-hop ones; ServiceDispatcher carries out the router's orders; AddressDirectory answers callers; Drain counts requests of callers and peers and ends only when none is left. Settings [addresses] lifetime_seconds and [stop] longest_wait_seconds.

--- a/packages/core/src/addresses/address_choice.ts
+++ b/packages/core/src/addresses/address_choice.ts
@@ -1,11 +1,11 @@
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
-import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import {
   assertInvariant,
   type Duration,
   type FailureDomainId,
   milliseconds,
   type NodeId,
+  type RandomSource,
   type RegionId,
 } from "../shared/mod.ts";
 
@@ -37,7 +37,7 @@
 export interface AddressChoiceOptions {
   /** The longest lifetime of an answer. */
   readonly longestLifetime: Duration;
-  readonly random: RandomGenerator;
+  readonly random: RandomSource;
 }
 
 interface Weighted {
@@ -119,7 +119,7 @@
 /** Weighted sampling without replacement (Efraimidis and Spirakis, 2006). */
 function weightedShuffle(
   weighted: readonly Weighted[],
-  random: RandomGenerator,
+  random: RandomSource,
 ): readonly Weighted[] {
   const keyed = weighted.map((one) => ({
     one,
--- a/packages/core/src/service_routing/server_choice.ts
+++ b/packages/core/src/service_routing/server_choice.ts
@@ -1,10 +1,10 @@
 import { uniformInt } from "pure-rand/distribution/uniformInt";
-import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import type {
   BackendServerId,
   Duration,
   FailureDomainId,
   Instant,
+  RandomSource,
 } from "../shared/mod.ts";
 import type { ServiceServer } from "./service_server.ts";
 
@@ -17,7 +17,7 @@
   readonly tried: ReadonlySet<BackendServerId>;
   /** Assumed of servers that have not answered yet. */
   readonly unknownLatency: Duration;
-  readonly random: RandomGenerator;
+  readonly random: RandomSource;
 }
 
 /** How much dearer the own failure domain may be and still be preferred. */
@@ -111,7 +111,7 @@
 
 function draw(
   candidates: readonly ServiceServer[],
-  random: RandomGenerator,
+  random: RandomSource,
 ): ServiceServer | undefined {
   if (candidates.length === 0) return undefined;
   return candidates[uniformInt(random, 0, candidates.length - 1)];
--- a/packages/core/src/service_routing/service_router.ts
+++ b/packages/core/src/service_routing/service_router.ts
@@ -1,4 +1,3 @@
-import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import type { Target } from "../configuration/mod.ts";
 import {
   type AttemptNumber,
@@ -7,6 +6,7 @@
   type FailureDomainId,
   type Instant,
   milliseconds,
+  type RandomSource,
   type RequestId,
   type ServiceId,
 } from "../shared/mod.ts";
@@ -44,7 +44,7 @@
   readonly service: ServiceId;
   /** The failure domain of this node. */
   readonly failureDomain: FailureDomainId;
-  readonly random: RandomGenerator;
+  readonly random: RandomSource;
   readonly policy: ServicePolicy;
 }
 
--- a/packages/edges/src/http/http_service_client.ts
+++ b/packages/edges/src/http/http_service_client.ts
@@ -97,9 +97,17 @@
 }
 
 function toHeaderList(headers: IncomingHttpHeaders): readonly Header[] {
+  const named = namedByConnection(headers.connection);
   return Object.entries(headers).flatMap(([name, value]) => {
     if (HOP_HEADERS.has(name) && name !== "content-length") return [];
+    if (named.has(name)) return [];
     const values = Array.isArray(value) ? value : [value ?? ""];
     return values.map((one) => ({ name, value: one }));
   });
 }
+
+/** `Connection` names further headers that concern one connection only. */
+function namedByConnection(value: string | undefined): ReadonlySet<string> {
+  const tokens = (value ?? "").split(",");
+  return new Set(tokens.map((token) => token.trim().toLowerCase()));
+}
--- a/packages/node/src/callers/addresses_controller.ts
+++ b/packages/node/src/callers/addresses_controller.ts
@@ -1,7 +1,14 @@
-import { Controller, Get, Inject } from "@nestjs/common";
+import { Controller, Get, Headers, Inject, Query } from "@nestjs/common";
 import { DaemonParts } from "../daemon_parts.ts";
 
-const ADDRESS_LIFETIME_SECONDS = 30;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** What a caller may say of itself in the query. */
+interface AddressesQuery {
+  readonly region?: string;
+  readonly failure_domain?: string;
+  readonly adapter?: string;
+}
 
 /** Tells callers which addresses to use. */
 @Controller("v1/addresses")
@@ -12,17 +19,30 @@
     this.#parts = parts;
   }
 
-  /** Lists the nodes that take new work. */
+  /** Names the nodes to use, best first, and for how long. */
   @Get()
-  addresses() {
+  addresses(
+    @Query() query: AddressesQuery,
+    @Headers("x-foxtailwind-failure-domain") domainHeader: string | undefined,
+  ) {
+    const { region, adapter } = query;
+    const failureDomain = query.failure_domain ?? domainHeader;
+    const answer = this.#parts.addresses.answer({
+      ...(region !== undefined && { region }),
+      ...(failureDomain !== undefined && { failureDomain }),
+      ...(adapter !== undefined && { adapter }),
+    });
     return {
-      addresses: this.#parts.directory.live("entry").map((vm) => ({
+      addresses: answer.vms.map((vm) => ({
         node: vm.id,
         url: `http://${vm.address}`,
         region: vm.region,
         failure_domain: vm.failureDomain,
       })),
-      expires_in_seconds: ADDRESS_LIFETIME_SECONDS,
+      expires_in_seconds: answer.lifetime / MILLISECONDS_PER_SECOND,
+      ...(!this.#parts.drain.isLeaving && {
+        key_scope: this.#parts.keyedExecution.scopeText(answer.lifetime),
+      }),
     };
   }
 }
--- a/packages/node/src/callers/health_controller.ts
+++ b/packages/node/src/callers/health_controller.ts
@@ -23,8 +23,13 @@
   /** Answers whether new work is welcome. */
   @Get("readyz")
   async ready(@Res() reply: FastifyReply): Promise<void> {
-    const ready = this.#parts.directory.vms.length > 0;
-    await reply.status(ready ? OK : SERVICE_UNAVAILABLE)
-      .send({ status: ready ? "ready" : "starting" });
+    const status = this.#status();
+    await reply.status(status === "ready" ? OK : SERVICE_UNAVAILABLE)
+      .send({ status });
+  }
+
+  #status(): "ready" | "starting" | "leaving" {
+    if (this.#parts.drain.isLeaving) return "leaving";
+    return this.#parts.directory.vms.length > 0 ? "ready" : "starting";
   }
 }
--- a/packages/node/src/callers/mod.ts
+++ b/packages/node/src/callers/mod.ts
@@ -2,12 +2,10 @@
 import { AddressesController } from "./addresses_controller.ts";
 import { CompletionsController } from "./completions_controller.ts";
 import { HealthController } from "./health_controller.ts";
-import { ServicesController } from "./services_controller.ts";
 
 /** What callers are served by. */
 export const CALLER_CONTROLLERS: readonly Type[] = [
   AddressesController,
   CompletionsController,
   HealthController,
-  ServicesController,
 ];
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -3,9 +3,11 @@
   engineId,
   fencingNumber,
   type RequestObserver,
+  seconds,
   SilentObserver,
 } from "@foxtailwind/core";
 import {
+  createDispatcher,
   HttpEngineClient,
   HttpLogClient,
   HttpServiceClient,
@@ -13,9 +15,16 @@
 } from "@foxtailwind/edges";
 import type { NestFastifyApplication } from "@nestjs/platform-fastify";
 import type { AddressInfo } from "node:net";
-import { Agent } from "undici";
+import { setTimeout as sleep } from "node:timers/promises";
 import { ProcessClock } from "./clock/steady_clock.ts";
 import { DaemonParts } from "./daemon_parts.ts";
+import { type KeyedExecution, ServiceDelivery } from "./delivery/mod.ts";
+import {
+  countCalls,
+  Drain,
+  NothingToHandOver,
+  WorkInProgress,
+} from "./drain/mod.ts";
 import { createHttpApplication } from "./http_application.ts";
 import type { LoggerFactory } from "./logging/part_logger.ts";
 import { generationService } from "./peers/generation_service.ts";
@@ -24,6 +33,13 @@
 import { PeerServer } from "./peers/peer_server.ts";
 import { ConfigurationFollower } from "./platform/configuration_follower.ts";
 import { VmDirectory } from "./platform/vm_directory.ts";
+import {
+  AddressDirectory,
+  HashedControllers,
+  OwnView,
+  RefusingKeyedExecution,
+  ServiceDispatcher,
+} from "./routing/mod.ts";
 import { GenerationRouter } from "./serving/generation_router.ts";
 import type { Settings } from "./settings/settings.ts";
 
@@ -33,20 +49,30 @@
   readonly grpc: string;
 }
 
+/** How long closing may take once an operator's bound has passed. */
+const OVERDUE_CLOSE = 500;
+
 /** One node: all its parts, started and stopped together. */
 export class Daemon extends DaemonParts {
   override readonly settings: Settings;
   override readonly clock = new ProcessClock();
   override readonly log: HttpLogClient;
   override readonly services: HttpServiceClient;
+  override readonly serviceDispatcher: ServiceDispatcher;
+  override readonly keyedExecution: KeyedExecution;
+  override readonly serviceDelivery: ServiceDelivery;
+  override readonly addresses: AddressDirectory;
+  override readonly work = new WorkInProgress();
+  override readonly drain: Drain;
   override readonly directory: VmDirectory;
   override readonly follower: ConfigurationFollower;
   override readonly observer: RequestObserver = new SilentObserver();
   override readonly router: GenerationRouter;
   readonly #channels = new PeerChannels();
   readonly #peerServer: PeerServer;
-  readonly #dispatcher = new Agent({ connections: null, pipelining: 1 });
+  readonly #dispatcher = createDispatcher();
   #application: NestFastifyApplication | undefined;
+  #stopped: Promise<void> | undefined;
 
   constructor(settings: Settings, loggers: LoggerFactory) {
     super();
@@ -80,8 +106,23 @@
       engineClient: (vm) => this.#engineClient(engineId(vm.id), vm.address),
     });
     this.#peerServer = new PeerServer([
-      generationService(this.router, this.clock),
+      countCalls(generationService(this.router, this.clock), this.work),
     ]);
+    this.drain = this.#makeDrain(loggers);
+    this.serviceDispatcher = new ServiceDispatcher({
+      failureDomain: settings.node.failure_domain,
+      client: this.services,
+      directory: this.directory,
+      configuration: this.follower.configuration,
+      clock: this.clock,
+      logger: loggers.forPart("services"),
+    });
+    this.keyedExecution = new RefusingKeyedExecution();
+    this.serviceDelivery = new ServiceDelivery(
+      this.keyedExecution,
+      this.serviceDispatcher,
+    );
+    this.addresses = this.#makeAddresses();
   }
 
   /**
@@ -102,10 +143,22 @@
     };
   }
 
-  /** Stops taking work, finishes what is in progress, and stops. */
-  async stop(): Promise<void> {
-    await this.#application?.close();
-    await this.#peerServer.close();
+  /**
+   * Carries out a planned stop: leaves the address answers, finishes what is
+   * in progress and what still arrives, and stops.
+   * @returns How many requests were cut off, which only a bound set by the
+   * operator can make other than 0.
+   */
+  async stop(): Promise<number> {
+    const cutOff = await this.drain.run();
+    this.#stopped ??= this.#close(cutOff > 0);
+    await this.#stopped;
+    return cutOff;
+  }
+
+  async #close(isOverdue: boolean): Promise<void> {
+    const closing = this.#closeServers();
+    await (isOverdue ? Promise.race([closing, sleep(OVERDUE_CLOSE)]) : closing);
     this.directory.stop();
     this.follower.stop();
     this.router.stop();
@@ -113,6 +166,40 @@
     await this.#dispatcher.destroy();
   }
 
+  async #closeServers(): Promise<void> {
+    await this.#application?.close();
+    await this.#peerServer.close();
+  }
+
+  #makeDrain(loggers: LoggerFactory): Drain {
+    const { addresses, stop } = this.settings;
+    const longestWait = stop.longest_wait_seconds;
+    return new Drain({
+      terms: {
+        addressLifetime: seconds(addresses.lifetime_seconds),
+        ...(longestWait !== undefined && { longestWait: seconds(longestWait) }),
+      },
+      work: this.work,
+      handOver: new NothingToHandOver(),
+      clock: this.clock,
+      logger: loggers.forPart("daemon"),
+    });
+  }
+
+  #makeAddresses(): AddressDirectory {
+    const { settings, directory, follower } = this;
+    return new AddressDirectory({
+      directory,
+      peers: new OwnView({
+        self: settings.node.id,
+        isLeaving: () => this.drain.isLeaving,
+        load: () => this.work.count,
+      }),
+      controllers: new HashedControllers(directory, follower.configuration),
+      longestLifetime: seconds(settings.addresses.lifetime_seconds),
+    });
+  }
+
   #engineClient(engine: EngineId, address: string): HttpEngineClient {
     return new HttpEngineClient({
       peer: engine,
--- a/packages/node/src/http_application.ts
+++ b/packages/node/src/http_application.ts
@@ -5,7 +5,9 @@
   type NestFastifyApplication,
 } from "@nestjs/platform-fastify";
 import { CALLER_CONTROLLERS } from "./callers/mod.ts";
+import { servicesPlugin } from "./callers/services_plugin.ts";
 import { DaemonParts } from "./daemon_parts.ts";
+import { countRequests } from "./drain/mod.ts";
 import { OPERATOR_CONTROLLERS } from "./operators/mod.ts";
 
 const BODY_LIMIT_BYTES = 4 * 1_024 * 1_024;
@@ -26,10 +28,14 @@
     controllers: [...CALLER_CONTROLLERS, ...OPERATOR_CONTROLLERS],
     providers: [{ provide: DaemonParts, useValue: parts }],
   };
-  return await NestFactory.create<NestFastifyApplication>(
+  const application = await NestFactory.create<NestFastifyApplication>(
     module,
     new FastifyAdapter({ bodyLimit: BODY_LIMIT_BYTES }),
     // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment -- Nest's own options are a class.
     { logger: false },
   );
+  const fastify = application.getHttpAdapter().getInstance();
+  countRequests(fastify, parts);
+  await fastify.register(servicesPlugin(parts));
+  return application;
 }
--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -10,6 +10,8 @@
 } from "./settings/load_settings.ts";
 
 const EXIT_BAD_SETTINGS = 78;
+/** Work was cut off because the operator's bound on the stop had passed. */
+const EXIT_CUT_OFF = 75;
 const LEVELS = { error: 0, warn: 1, info: 3, debug: 4 } as const;
 
 const options = await yargs(hideBin(process.argv))
@@ -49,12 +51,17 @@
 
 let stopping = false;
 async function stop(): Promise<void> {
-  if (stopping) return;
+  if (stopping) {
+    logger.info("Still stopping: work in progress is finished first.", {
+      requests: daemon.work.count,
+    });
+    return;
+  }
   stopping = true;
   logger.info("Stopping.");
-  await daemon.stop();
-  logger.info("Stopped.");
-  process.exit(0);
+  const cutOff = await daemon.stop();
+  logger.info("Stopped.", { cutOff });
+  process.exit(cutOff > 0 ? EXIT_CUT_OFF : 0);
 }
 process.on("SIGTERM", () => void stop());
 process.on("SIGINT", () => void stop());
--- /dev/null
+++ b/packages/node/src/routing/service_channel.ts
@@ -0,0 +1,225 @@
+import {
+  type AttemptReference,
+  type AttemptResult,
+  type BackendServerId,
+  type Failure,
+  type RequestId,
+  type ServiceOrder,
+  ServiceRouter,
+  type ServiceRouterParts,
+  type ServiceServerView,
+  type Target,
+} from "@foxtailwind/core";
+import type { ServiceAnswer, ServiceClient } from "@foxtailwind/edges";
+import { err, ok, type Result } from "neverthrow";
+import type { SteadyClock } from "../clock/steady_clock.ts";
+import type { ServiceRequest } from "../delivery/mod.ts";
+import type { PartLogger } from "../logging/part_logger.ts";
+
+/** What a caller's call to a service comes to. */
+export type ServiceResult = Result<ServiceAnswer, Failure>;
+
+/** A server, and where to reach it. */
+export interface AddressedServer extends ServiceServerView {
+  /** IP literal and port. */
+  readonly address: string;
+}
+
+/** What a channel works with. */
+export interface ServiceChannelParts {
+  readonly router: ServiceRouterParts;
+  readonly client: ServiceClient;
+  readonly clock: SteadyClock;
+  readonly logger: PartLogger;
+}
+
+interface HeldCall {
+  readonly request: ServiceRequest;
+  readonly settle: (result: ServiceResult) => void;
+  readonly answers: Map<number, ServiceAnswer>;
+  readonly aborts: Map<number, AbortController>;
+}
+
+/** Carries out the routing decisions for one service. */
+export class ServiceChannel {
+  readonly #parts: ServiceChannelParts;
+  readonly #router: ServiceRouter;
+  readonly #held = new Map<RequestId, HeldCall>();
+  #addresses: ReadonlyMap<BackendServerId, string> = new Map();
+  #timer: NodeJS.Timeout | undefined;
+
+  /** @param parts What the channel works with. */
+  constructor(parts: ServiceChannelParts) {
+    this.#parts = parts;
+    this.#router = new ServiceRouter(parts.router);
+  }
+
+  /** Whether nothing is in progress. */
+  get isIdle(): boolean {
+    return this.#held.size === 0;
+  }
+
+  /**
+   * Takes the list's latest word on the servers.
+   * @param servers The servers.
+   */
+  updateServers(servers: readonly AddressedServer[]): void {
+    this.#addresses = new Map(
+      servers.map(({ server, address }) => [server, address]),
+    );
+    this.#router.updateServers(this.#parts.clock.now(), servers);
+    this.#act();
+  }
+
+  /**
+   * Takes the service's target.
+   * @param target The target in force.
+   */
+  setTarget(target: Target | undefined): void {
+    this.#router.setTarget(target);
+  }
+
+  /**
+   * Makes a call.
+   * @param call Its id, and whether it may be repeated.
+   * @param request What to send.
+   * @returns The answer, or a failure that tells truthfully if it ran.
+   */
+  call(
+    call: { readonly id: RequestId; readonly repeatable: boolean },
+    request: ServiceRequest,
+  ): Promise<ServiceResult> {
+    return new Promise((resolve) => {
+      this.#held.set(call.id, {
+        request,
+        settle: resolve,
+        answers: new Map(),
+        aborts: new Map(),
+      });
+      this.#router.submit(this.#parts.clock.now(), {
+        call: call.id,
+        repeatable: call.repeatable,
+      });
+      this.#act();
+    });
+  }
+
+  /**
+   * Gives a call up whose caller has left.
+   * @param id The call.
+   */
+  cancel(id: RequestId): void {
+    const held = this.#held.get(id);
+    if (held === undefined) return;
+    this.#router.cancel(id);
+    this.#act();
+    this.#held.delete(id);
+    held.settle(err(callerLeft(held.request.service)));
+  }
+
+  #act(): void {
+    const now = this.#parts.clock.now();
+    for (const order of this.#router.decide(now)) this.#carryOut(order);
+    clearTimeout(this.#timer);
+    const wake = this.#router.nextWake();
+    if (wake === undefined) return;
+    const delay = Math.max(1, Math.ceil(wake - now));
+    this.#timer = setTimeout(() => {
+      this.#act();
+    }, delay);
+  }
+
+  #carryOut(order: ServiceOrder): void {
+    const held = this.#held.get(order.call);
+    if (held === undefined) return;
+    switch (order.kind) {
+      case "dispatch":
+        void this.#send(held, order);
+        break;
+      case "abandon":
+        held.aborts.get(order.attempt)?.abort();
+        break;
+      case "answer":
+        this.#finish(order.call, held, order.attempt);
+        break;
+      case "fail":
+        this.#held.delete(order.call);
+        held.settle(err(order.failure));
+        break;
+    }
+  }
+
+  #finish(id: RequestId, held: HeldCall, attempt: number): void {
+    this.#held.delete(id);
+    const answer = held.answers.get(attempt);
+    held.settle(
+      answer === undefined ? err(lostAnswer(held.request.service)) : ok(answer),
+    );
+  }
+
+  async #send(
+    held: HeldCall,
+    order: Extract<ServiceOrder, { readonly kind: "dispatch" }>,
+  ): Promise<void> {
+    const { request } = held;
+    const abort = new AbortController();
+    held.aborts.set(order.attempt, abort);
+    const answer = await this.#parts.client.call({
+      server: order.server,
+      address: this.#addresses.get(order.server) ?? "",
+      method: request.method,
+      path: request.path,
+      headers: request.headers,
+      body: request.body,
+      timeoutMilliseconds: Math.ceil(order.timeout),
+    }, abort.signal);
+    if (answer.isOk()) held.answers.set(order.attempt, answer.value);
+    this.#ended(order, toAttemptResult(answer));
+  }
+
+  #ended(attempt: AttemptReference, result: AttemptResult): void {
+    if (result.kind === "failed" && result.failure.reason !== "cancelled") {
+      this.#parts.logger.warn("An attempt failed.", {
+        request: attempt.call,
+        peer: result.failure.peer,
+        step: result.failure.step,
+        outcome: result.failure.outcome,
+      });
+    }
+    const now = this.#parts.clock.now();
+    this.#router.attemptEnded(now, attempt, result);
+    this.#act();
+  }
+}
+
+function toAttemptResult(answer: ServiceResult): AttemptResult {
+  return answer.match<AttemptResult>(
+    ({ status, leaving, statedOutcome }) => ({
+      kind: "answered",
+      status,
+      leaving,
+      ...(statedOutcome !== undefined && { statedOutcome }),
+    }),
+    (failure) => ({ kind: "failed", failure }),
+  );
+}
+
+function callerLeft(service: string): Failure {
+  return {
+    reason: "cancelled",
+    step: "call_service",
+    peer: service,
+    message: "The caller left before its answer.",
+    outcome: "unknown",
+  };
+}
+
+function lostAnswer(service: string): Failure {
+  return {
+    reason: "unavailable",
+    step: "call_service",
+    peer: service,
+    message: "The answer is not kept any more.",
+    outcome: "unknown",
+  };
+}
--- /dev/null
+++ b/packages/node/src/routing/service_dispatcher.ts
@@ -0,0 +1,152 @@
+import {
+  backendServerId,
+  type Configuration,
+  type Failure,
+  type FailureDomainId,
+  randomSource,
+  type RequestId,
+  requestId,
+  SERVICE_POLICY,
+  type ServiceId,
+  serviceId,
+} from "@foxtailwind/core";
+import type { ServiceAnswer, ServiceClient } from "@foxtailwind/edges";
+import { err, type Result } from "neverthrow";
+import { randomInt, randomUUID } from "node:crypto";
+import type { SteadyClock } from "../clock/steady_clock.ts";
+import { ServiceCallRunner, type ServiceRequest } from "../delivery/mod.ts";
+import type { PartLogger } from "../logging/part_logger.ts";
+import type { VmDirectory } from "../platform/vm_directory.ts";
+import {
+  type AddressedServer,
+  ServiceChannel,
+  type ServiceResult,
+} from "./service_channel.ts";
+
+/** What the dispatcher works with. */
+export interface ServiceDispatcherParts {
+  readonly failureDomain: FailureDomainId;
+  readonly client: ServiceClient;
+  readonly directory: VmDirectory;
+  readonly configuration: Configuration;
+  readonly clock: SteadyClock;
+  readonly logger: PartLogger;
+}
+
+/** What else is known of a call. */
+export interface ServiceCallOptions {
+  readonly id: RequestId;
+  readonly repeatable: boolean;
+  /** Gives the call up, as when its caller has left. */
+  readonly signal?: AbortSignal;
+}
+
+const HIGHEST_SEED = 2 ** 31;
+
+/** Brings calls to the plain services, over one channel for each service. */
+export class ServiceDispatcher extends ServiceCallRunner {
+  readonly #parts: ServiceDispatcherParts;
+  readonly #channels = new Map<ServiceId, ServiceChannel>();
+
+  /** @param parts What the dispatcher works with. */
+  constructor(parts: ServiceDispatcherParts) {
+    super();
+    this.#parts = parts;
+    parts.directory.onChange(() => {
+      this.#updateServers();
+    });
+  }
+
+  override async runOnce(
+    request: ServiceRequest,
+  ): Promise<Result<ServiceAnswer, Failure>> {
+    const id = requestId(randomUUID());
+    return await this.call(request, { id, repeatable: false });
+  }
+
+  /**
+   * Makes a call.
+   * @param request The call.
+   * @param options Whether it may be repeated, and what gives it up.
+   * @returns The answer, or a failure that tells truthfully if it ran.
+   */
+  async call(
+    request: ServiceRequest,
+    options: ServiceCallOptions,
+  ): Promise<ServiceResult> {
+    const service = serviceId(request.service);
+    const { services } = this.#parts.configuration;
+    const channel = this.#channels.get(service);
+    if (channel === undefined) {
+      return err(unreachable(service, services.has(service)));
+    }
+    channel.setTarget(services.get(service));
+    const { id, repeatable, signal } = options;
+    const onAbort = (): void => {
+      channel.cancel(id);
+    };
+    signal?.addEventListener("abort", onAbort, { once: true });
+    const result = await channel.call({ id, repeatable }, request);
+    signal?.removeEventListener("abort", onAbort);
+    return result;
+  }
+
+  #updateServers(): void {
+    const byService = new Map<ServiceId, AddressedServer[]>();
+    for (const vm of this.#parts.directory.vms) {
+      if (vm.role.kind !== "service") continue;
+      const servers = byService.get(vm.role.service) ?? [];
+      byService.set(vm.role.service, servers);
+      servers.push({
+        server: backendServerId(vm.id),
+        failureDomain: vm.failureDomain,
+        leaving: vm.state === "leaving",
+        address: vm.address,
+      });
+    }
+    this.#forgetIdle(byService);
+    for (const [service, servers] of byService) {
+      this.#channel(service).updateServers(servers);
+    }
+  }
+
+  #forgetIdle(shown: ReadonlyMap<ServiceId, unknown>): void {
+    for (const [service, channel] of this.#channels) {
+      if (shown.has(service)) continue;
+      if (channel.isIdle) this.#channels.delete(service);
+      else channel.updateServers([]);
+    }
+  }
+
+  #channel(service: ServiceId): ServiceChannel {
+    const known = this.#channels.get(service);
+    if (known !== undefined) return known;
+    const { client, clock, logger, failureDomain } = this.#parts;
+    const channel = new ServiceChannel({
+      router: {
+        service,
+        failureDomain,
+        random: randomSource(randomInt(HIGHEST_SEED)),
+        policy: SERVICE_POLICY,
+      },
+      client,
+      clock,
+      logger,
+    });
+    this.#channels.set(service, channel);
+    return channel;
+  }
+}
+
+const RETRY_AFTER_MILLISECONDS = 1_000;
+
+function unreachable(service: ServiceId, isConfigured: boolean): Failure {
+  return {
+    reason: isConfigured ? "unavailable" : "not_found",
+    step: "call_service",
+    peer: service,
+    message: `No server of service "${service}" is known.`,
+    outcome: "not_run",
+    ...(isConfigured && { retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS }),
+  };
+}
--- a/packages/node/src/settings/settings.ts
+++ b/packages/node/src/settings/settings.ts
@@ -40,6 +40,15 @@
     isIP(url.hostname.replace(/^\[|\]$/g, "")) !== 0;
 }, "an http address with an IP literal, as http://127.0.0.1:8080");
 
+const DEFAULT_LIFETIME_SECONDS = 10;
+const LONGEST_LIFETIME_SECONDS = 300;
+const LONGEST_STOP_SECONDS = 86_400;
+
+function decimal(largest: number) {
+  const allowed = `a number of seconds above 0, at most ${largest}`;
+  return z.coerce.number(allowed).positive(allowed).max(largest, allowed);
+}
+
 /** The form of the daemon's settings: sections, and keys in them. */
 export const settingsSchema = z.strictObject({
   node: z.strictObject({
@@ -59,6 +68,14 @@
       weightStoreId("default"),
     ),
   }),
+  addresses: z.strictObject({
+    lifetime_seconds: decimal(LONGEST_LIFETIME_SECONDS).default(
+      DEFAULT_LIFETIME_SECONDS,
+    ),
+  }).prefault({}),
+  stop: z.strictObject({
+    longest_wait_seconds: decimal(LONGEST_STOP_SECONDS).optional(),
+  }).prefault({}),
   logs: z.strictObject({
     format: z.enum(["human", "json"]).default("human"),
     level: z.enum(["error", "warn", "info", "debug"]).default("info"),
--- /dev/null
+++ b/packages/node/tests/helpers/echo_server.ts
@@ -0,0 +1,53 @@
+import { serviceId } from "@foxtailwind/core";
+import type { ExecutionContext } from "ava";
+import { once } from "node:events";
+import { createServer, type IncomingHttpHeaders } from "node:http";
+import type { AddressInfo } from "node:net";
+import { type Deployment, startDeployment, vmOf } from "./deployment.ts";
+
+/** A request as the server saw it. */
+export interface SeenRequest {
+  readonly method: string;
+  readonly url: string;
+  readonly headers: IncomingHttpHeaders;
+}
+
+/** A server that answers with the body it got. */
+export interface EchoServer {
+  readonly requests: readonly SeenRequest[];
+}
+
+/**
+ * Starts a daemon before a server of "booking" that echoes bodies.
+ * @param t The test, at whose end all stops.
+ * @returns What was started.
+ */
+export async function startEcho(
+  t: ExecutionContext,
+): Promise<Deployment & { readonly echo: EchoServer }> {
+  const requests: SeenRequest[] = [];
+  const server = createServer((request, response) => {
+    const { method = "", url = "", headers } = request;
+    requests.push({ method, url, headers });
+    response.writeHead(200, {
+      connection: "x-hop",
+      "x-hop": "dropped",
+      "x-answer": "kept",
+    });
+    request.pipe(response);
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  const { port } = server.address() as AddressInfo;
+  const deployment = await startDeployment(t, {});
+  const service = serviceId("booking");
+  deployment.vmList.setVm(
+    vmOf("echo", `127.0.0.1:${port}`, { kind: "service", service }),
+  );
+  await deployment.refresh();
+  return { ...deployment, echo: { requests } };
+}
