Operators' command line: registry, node client, output, configuration files

The registry packages/cli/src/commands/ mod.ts, defineCommand, NodeClient and formatTable come first, so that other commands can be added beside.

--- /dev/null
+++ b/packages/cli/src/client/node_client.ts
@@ -0,0 +1,106 @@
+import { err, ok, type Result } from "neverthrow";
+import { request } from "undici";
+import type { z } from "zod";
+import type { CommandFailure } from "../command_failure.ts";
+import { EXIT_CODE } from "../exit_code.ts";
+import { failureOfProblem } from "./problem.ts";
+
+const TIMEOUT_MILLISECONDS = 15_000;
+const CREATED_CLASS = 2;
+const STATUS_CLASS = 100;
+
+/** A call to a node's operators' interface. */
+export interface NodeCall<Answer> {
+  readonly method: "GET" | "POST" | "PUT" | "DELETE";
+  /** The path below `/v1/operators/`. */
+  readonly path: string;
+  readonly body?: unknown;
+  readonly answer: z.ZodType<Answer>;
+}
+
+/** Calls the operators' interface of one node. */
+export class NodeClient {
+  readonly #origin: string;
+
+  /** @param address IP literal and port, with or without `http://`. */
+  constructor(address: string) {
+    this.#origin = address.startsWith("http://")
+      ? address
+      : `http://${address}`;
+  }
+
+  /** The node's `http://` address. */
+  get origin(): string {
+    return this.#origin;
+  }
+
+  /**
+   * Reads something.
+   * @param path The path below `/v1/operators/`.
+   * @param answer The form of the answer.
+   * @returns The checked answer, or why there is none.
+   */
+  get<Answer>(
+    path: string,
+    answer: z.ZodType<Answer>,
+  ): Promise<Result<Answer, CommandFailure>> {
+    return this.call({ method: "GET", path, answer });
+  }
+
+  /**
+   * Calls the node once; changes go through `publishSettled` instead.
+   * @param call The call.
+   * @returns The checked answer, or why there is none.
+   */
+  async call<Answer>(
+    call: NodeCall<Answer>,
+  ): Promise<Result<Answer, CommandFailure>> {
+    try {
+      const response = await request(
+        `${this.#origin}/v1/operators/${call.path}`,
+        {
+          method: call.method,
+          headersTimeout: TIMEOUT_MILLISECONDS,
+          bodyTimeout: TIMEOUT_MILLISECONDS,
+          ...(call.body !== undefined && {
+            headers: { "content-type": "application/json" },
+            body: JSON.stringify(call.body),
+          }),
+        },
+      );
+      const body = parseBody(await response.body.text());
+      if (Math.floor(response.statusCode / STATUS_CLASS) !== CREATED_CLASS) {
+        return err(failureOfProblem(response.statusCode, body));
+      }
+      const answer = call.answer.safeParse(body);
+      if (answer.success) return ok(answer.data);
+      return err({
+        code: EXIT_CODE.failed,
+        message: `The answer of ${this.#origin} cannot be read.`,
+        remedy: "Use the foxtailwind command of the node's own release.",
+      });
+    } catch (error) {
+      return err(this.#unreachable(call.method, error));
+    }
+  }
+
+  #unreachable(method: string, error: unknown): CommandFailure {
+    const cause = error instanceof Error ? error.message : String(error);
+    const lost = method !== "GET" && !/ECONNREFUSED|EHOSTUNREACH/.test(cause);
+    return {
+      code: lost ? EXIT_CODE.unknown : EXIT_CODE.unreachable,
+      message: lost
+        ? `The answer of ${this.#origin} was lost (${cause}).`
+        : `No answer from ${this.#origin} (${cause}).`,
+      remedy: "Name another node with --node, or check that the node runs.",
+    };
+  }
+}
+
+function parseBody(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/configuration_status.ts
@@ -0,0 +1,48 @@
+import { z } from "zod";
+import { formatTable } from "../output/table.ts";
+import { type Command, defineCommand } from "./command.ts";
+
+const statusSchema = z.object({
+  offset: z.number(),
+  nodes: z.array(z.object({
+    node: z.string(),
+    state: z.string(),
+    offset: z.number().optional(),
+    behind: z.number().optional(),
+    source: z.string().optional(),
+    corrupt_records: z.number().optional(),
+    note: z.string().optional(),
+  })),
+});
+
+/** Shows the offset in force at each node. */
+export const CONFIGURATION_STATUS_COMMAND: Command = defineCommand({
+  command: "status",
+  describe: "Show the offset in force at each node",
+  options: (parser) => parser,
+  async run(_options, client) {
+    const answer = await client.get("configuration/status", statusSchema);
+    return answer.map((found) => {
+      const table = formatTable(
+        ["node", "state", "offset", "behind", "corrupt", "reads from", "note"],
+        found.nodes.map((row) => [
+          row.node,
+          row.state,
+          row.offset,
+          row.behind,
+          row.corrupt_records,
+          row.source,
+          row.note,
+        ]),
+      );
+      const unreachable = found.nodes
+        .filter((row) => row.state === "unreachable").map((row) => row.node);
+      return {
+        json: found,
+        text: unreachable.length === 0
+          ? table
+          : `${table}\nUnreachable: ${unreachable.join(", ")}.`,
+      };
+    });
+  },
+});
--- /dev/null
+++ b/packages/cli/src/commands/mod.ts
@@ -0,0 +1,21 @@
+import { ADAPTERS_COMMAND } from "./adapters.ts";
+import { CLASSES_COMMAND } from "./classes.ts";
+import type { Command } from "./command.ts";
+import { CONFIGURATION_COMMAND } from "./configuration.ts";
+import { DRAIN_COMMAND } from "./drain.ts";
+import { ENGINES_COMMAND } from "./engines.ts";
+import { NODES_COMMAND } from "./nodes.ts";
+import { SERVICES_COMMAND } from "./services.ts";
+import { TENANTS_COMMAND } from "./tenants.ts";
+
+/** The commands of `foxtailwind`, in the order in which help lists them. */
+export const COMMANDS: readonly Command[] = [
+  CLASSES_COMMAND,
+  TENANTS_COMMAND,
+  ADAPTERS_COMMAND,
+  SERVICES_COMMAND,
+  CONFIGURATION_COMMAND,
+  NODES_COMMAND,
+  ENGINES_COMMAND,
+  DRAIN_COMMAND,
+];
--- /dev/null
+++ b/packages/cli/src/commands/target_options.ts
@@ -0,0 +1,84 @@
+import type { ArgumentsCamelCase, Argv } from "yargs";
+import { z } from "zod";
+import { type WriteOptions, writeOptions } from "./write_options.ts";
+import type { GlobalOptions } from "./command.ts";
+
+/** The options that say a target. */
+export interface TargetOptions extends WriteOptions {
+  readonly "first-token": number;
+  readonly "between-tokens": number | undefined;
+  readonly "whole-answer": number | undefined;
+}
+
+/** A target, as a node answers it. */
+export const targetAnswerSchema = z.object({
+  firstTokenMilliseconds: z.number(),
+  betweenTokensMilliseconds: z.number().optional(),
+  wholeAnswerMilliseconds: z.number().optional(),
+});
+
+/** A target, as a node answers it. */
+export type TargetAnswer = z.output<typeof targetAnswerSchema>;
+
+/** The columns that show a target. */
+export const TARGET_COLUMNS = [
+  "first token ms",
+  "between tokens ms",
+  "whole answer ms",
+] as const;
+
+/**
+ * Adds the options that say a target.
+ * @param parser The parser.
+ * @returns The parser with them.
+ */
+export function targetOptions(
+  parser: Argv<GlobalOptions>,
+): Argv<TargetOptions> {
+  return writeOptions(parser)
+    .option("first-token", {
+      type: "number",
+      demandOption: true,
+      describe: "Milliseconds until the answer starts",
+    })
+    .option("between-tokens", {
+      type: "number",
+      describe: "Milliseconds between two tokens",
+    })
+    .option("whole-answer", {
+      type: "number",
+      describe: "Milliseconds until the answer is whole",
+    });
+}
+
+/**
+ * Makes a target from the options.
+ * @param options The options.
+ * @returns The target, as records carry it.
+ */
+export function targetOf(
+  options: ArgumentsCamelCase<TargetOptions>,
+): TargetAnswer {
+  return {
+    firstTokenMilliseconds: options.firstToken,
+    ...(options.betweenTokens !== undefined &&
+      { betweenTokensMilliseconds: options.betweenTokens }),
+    ...(options.wholeAnswer !== undefined &&
+      { wholeAnswerMilliseconds: options.wholeAnswer }),
+  };
+}
+
+/**
+ * Gives a target as cells of {@link TARGET_COLUMNS}.
+ * @param target The target.
+ * @returns The cells.
+ */
+export function targetCells(
+  target: TargetAnswer,
+): readonly (number | undefined)[] {
+  return [
+    target.firstTokenMilliseconds,
+    target.betweenTokensMilliseconds,
+    target.wholeAnswerMilliseconds,
+  ];
+}
--- /dev/null
+++ b/packages/cli/src/commands/tenants.ts
@@ -0,0 +1,64 @@
+import { z } from "zod";
+import { formatTable } from "../output/table.ts";
+import { type Command, defineCommand, defineGroup } from "./command.ts";
+import { publishChanges, writeOptions } from "./write_options.ts";
+
+const listSchema = z.object({
+  offset: z.number(),
+  tenants: z.array(z.object({
+    tenant: z.string(),
+    version: z.number(),
+    author: z.string(),
+  })),
+});
+
+const list = defineCommand({
+  command: "list",
+  describe: "List the tenants",
+  options: (parser) => parser,
+  async run(_options, client) {
+    const answer = await client.get("tenants", listSchema);
+    return answer.map((found) => ({
+      json: found,
+      text: formatTable(
+        ["tenant", "changed at", "by"],
+        found.tenants.map((row) => [row.tenant, row.version, row.author]),
+      ),
+    }));
+  },
+});
+
+const add = defineCommand({
+  command: "add <tenant>",
+  describe: "Add a tenant",
+  options: (parser) =>
+    writeOptions(parser).positional("tenant", {
+      type: "string",
+      demandOption: true,
+    }),
+  run: (options, client) =>
+    publishChanges(client, options, {
+      changes: [{ kind: "set_tenant", tenant: options.tenant }],
+    }),
+});
+
+const remove = defineCommand({
+  command: "remove <tenant>",
+  describe: "Remove a tenant",
+  options: (parser) =>
+    writeOptions(parser).positional("tenant", {
+      type: "string",
+      demandOption: true,
+    }),
+  run: (options, client) =>
+    publishChanges(client, options, {
+      changes: [{ kind: "remove_tenant", tenant: options.tenant }],
+    }),
+});
+
+/** Lists, adds and removes tenants. */
+export const TENANTS_COMMAND: Command = defineGroup({
+  command: "tenants",
+  describe: "Tenants, who share a class fairly",
+  commands: [list, add, remove],
+});
--- /dev/null
+++ b/packages/cli/src/commands/write_options.ts
@@ -0,0 +1,62 @@
+import process from "node:process";
+import type { Argv } from "yargs";
+import type { NodeClient } from "../client/node_client.ts";
+import { publishSettled } from "../client/publish.ts";
+import type { CommandResult, GlobalOptions } from "./command.ts";
+
+/** The options of commands that publish a change. */
+export interface WriteOptions extends GlobalOptions {
+  readonly author: string;
+  readonly id: string | undefined;
+  readonly base: number | undefined;
+}
+
+/**
+ * Adds the options of commands that publish a change.
+ * @param parser The parser.
+ * @returns The parser with them.
+ */
+export function writeOptions(
+  parser: Argv<GlobalOptions>,
+): Argv<WriteOptions> {
+  return parser
+    .option("author", {
+      type: "string",
+      default: process.env["USER"] ?? "operator",
+      defaultDescription: "your user name",
+      describe: "Who changes it; others see this in a conflict",
+    })
+    .option("id", {
+      type: "string",
+      describe: "The id of an earlier try, to learn what became of it",
+    })
+    .option("base", {
+      type: "number",
+      describe: "Refuse where the item changed after this offset",
+    });
+}
+
+/**
+ * Publishes changes as one record and says what became of them.
+ * @param client The node.
+ * @param options Who publishes, with which id and base.
+ * @param changes The changes.
+ * @returns The answer for the operator.
+ */
+export async function publishChanges(
+  client: NodeClient,
+  options: WriteOptions,
+  { changes }: { readonly changes: readonly object[] },
+): Promise<CommandResult> {
+  const { author, id, base } = options;
+  const answer = await publishSettled(client, {
+    changes,
+    author,
+    ...(id !== undefined && { id }),
+    ...(base !== undefined && { base }),
+  });
+  return answer.map((accepted) => ({
+    json: accepted,
+    text: `Accepted at offset ${accepted.offset} (change ${accepted.id}).`,
+  }));
+}
--- /dev/null
+++ b/packages/cli/src/exit_code.ts
@@ -0,0 +1,14 @@
+/** What the process tells its shell; docs/OPERATORS.md lists the same. */
+export const EXIT_CODE = {
+  ok: 0,
+  failed: 1,
+  usage: 2,
+  conflict: 3,
+  notFound: 4,
+  unreachable: 5,
+  unknown: 6,
+  unavailable: 7,
+} as const;
+
+/** One of the documented exit codes. */
+export type ExitCode = typeof EXIT_CODE[keyof typeof EXIT_CODE];
--- a/packages/cli/src/mod.ts
+++ b/packages/cli/src/mod.ts
@@ -1,1 +1,12 @@
-export {};
+/**
+ * The operators' command-line tool.
+ * @module
+ */
+export * from "./client/node_client.ts";
+export * from "./command_failure.ts";
+export * from "./command_line.ts";
+export * from "./commands/command.ts";
+export * from "./commands/mod.ts";
+export * from "./exit_code.ts";
+export * from "./output/command_output.ts";
+export * from "./output/table.ts";
--- /dev/null
+++ b/packages/cli/src/output/table.ts
@@ -0,0 +1,43 @@
+import Table from "cli-table3";
+
+const PLAIN_BORDERS = {
+  "top": "",
+  "top-mid": "",
+  "top-left": "",
+  "top-right": "",
+  "bottom": "",
+  "bottom-mid": "",
+  "bottom-left": "",
+  "bottom-right": "",
+  "left": "",
+  "left-mid": "",
+  "mid": "",
+  "mid-mid": "",
+  "right": "",
+  "right-mid": "",
+  "middle": "  ",
+} as const;
+
+/** What a cell of a table can hold. */
+export type Cell = string | number | boolean | undefined;
+
+/**
+ * Writes a table without borders, so that it also suits line-based tools.
+ * @param head The columns' names.
+ * @param rows The rows; an undefined cell shows as `-`.
+ * @returns The table's text.
+ */
+export function formatTable(
+  head: readonly string[],
+  rows: readonly (readonly Cell[])[],
+): string {
+  if (rows.length === 0) return `No ${head[0] ?? "rows"}.`;
+  const table = new Table({
+    head: [...head],
+    chars: PLAIN_BORDERS,
+    style: { "head": [], "border": [], "padding-left": 0, "padding-right": 0 },
+  });
+  for (const row of rows) table.push(row.map((cell) => String(cell ?? "-")));
+  return table.toString().split("\n").map((line) => line.trimEnd())
+    .join("\n");
+}
