--- /dev/null
+++ b/packages/core/src/observation/describe_event.ts
@@ -0,0 +1,69 @@
+import type { AdapterReference, Failure } from "../shared/mod.ts";
+import { adapterKey } from "../shared/mod.ts";
+import type { RequestEvent } from "./request_event.ts";
+
+/**
+ * Says in a sentence what happened to a request.
+ * @param event The event.
+ * @returns The sentence.
+ */
+export function describeEvent(event: RequestEvent): string {
+  switch (event.kind) {
+    case "arrived":
+      return `Arrived for ${
+        adapterKey(event.adapter)
+      }, class ${event.class}, ` +
+        `tenant ${event.tenant}.`;
+    case "routed":
+      return `Attempt ${event.attempt} routed to ${event.engine}, controlled ` +
+        `by ${event.node}: ${words(event.reason)}.`;
+    case "queued":
+      return `Queued at ${event.engine} behind ${event.ahead} others.`;
+    case "load_started":
+      return describeLoad(event.adapter, event.engine) +
+        describeEviction(event.evicted);
+    case "load_ended":
+      return `The load at ${event.engine} ${
+        event.loaded ? "succeeded" : "failed"
+      }.`;
+    case "dispatched":
+      return `Dispatched to ${event.engine} after ${
+        rounded(event.queueWait)
+      } ms in the queue, of which ${
+        rounded(event.loadStall)
+      } ms for its adapter to load.`;
+    case "frame":
+      return `Received ${event.tokens} tokens.`;
+    case "preempted":
+      return "Gave its place in the batch up to more urgent work.";
+    case "attempt_failed":
+      return `Attempt ${event.attempt} failed: ${
+        describeFailure(event.failure)
+      }`;
+    case "ended":
+      return event.failure === undefined
+        ? `Answered whole with ${event.completionTokens} tokens.`
+        : `Ended without an answer: ${describeFailure(event.failure)}`;
+  }
+}
+
+function describeLoad(adapter: AdapterReference, engine: string): string {
+  return `Load of ${adapterKey(adapter)} started at ${engine}.`;
+}
+
+function describeEviction(evicted: AdapterReference | undefined): string {
+  return evicted === undefined ? "" : ` Evicted ${adapterKey(evicted)} for it.`;
+}
+
+function describeFailure(failure: Failure): string {
+  return `${words(failure.reason)} at step ${words(failure.step)}, facing ` +
+    `${failure.peer} (${words(failure.outcome)}). ${failure.message}`;
+}
+
+function words(name: string): string {
+  return name.replaceAll("_", " ");
+}
+
+function rounded(time: number): string {
+  return time.toFixed(1);
+}
--- a/packages/core/src/observation/request_event.ts
+++ b/packages/core/src/observation/request_event.ts
@@ -33,6 +33,9 @@
     readonly request: RequestId;
     readonly engine: EngineId;
     readonly ahead: number;
+    /** Where the request came from another node, what it is counted under. */
+    readonly class?: ClassId;
+    readonly tenant?: TenantId;
   }
   | {
     readonly kind: "load_started";
--- /dev/null
+++ b/packages/core/src/observation/row_choice.ts
@@ -0,0 +1,59 @@
+import type { ClassId, TenantId } from "../shared/mod.ts";
+
+/** Most rows of histograms that a node keeps, "other" rows included. */
+export const ROW_LIMIT = 96;
+
+/** Most classes with rows of their own. */
+export const KEPT_CLASS_LIMIT = 11;
+
+/** Stands for all classes without rows of their own; no id looks like it. */
+export const OTHER_CLASS = "(other)" as ClassId;
+
+/** Stands for all tenants without rows of their own; no id looks like it. */
+export const OTHER_TENANT = "(other)" as TenantId;
+
+/** The classes and tenants with rows of their own. */
+export interface KeptRows {
+  readonly classes: ReadonlySet<ClassId>;
+  readonly tenants: ReadonlySet<TenantId>;
+}
+
+/** The classes and tenants that are configured. */
+export interface ConfiguredNames {
+  readonly classes: Iterable<ClassId>;
+  readonly tenants: Iterable<TenantId>;
+}
+
+/**
+ * Chooses the classes and tenants with rows of their own: the first ones in
+ * the order of their ids. Nodes with the same configuration choose the same,
+ * so that their rows can be merged.
+ * @param names What is configured.
+ * @returns The choice; with the "other" rows it stays within the limit.
+ */
+export function chooseRows(names: ConfiguredNames): KeptRows {
+  const classes = [...names.classes].sort().slice(0, KEPT_CLASS_LIMIT);
+  const tenantLimit = Math.floor(ROW_LIMIT / (classes.length + 1)) - 1;
+  const tenants = [...names.tenants].sort().slice(0, tenantLimit);
+  return { classes: new Set(classes), tenants: new Set(tenants) };
+}
+
+/**
+ * Compares two choices.
+ * @param left One choice.
+ * @param right The other.
+ * @returns Whether both keep the same classes and tenants.
+ */
+export function sameRows(left: KeptRows, right: KeptRows): boolean {
+  return sameSet(left.classes, right.classes) &&
+    sameSet(left.tenants, right.tenants);
+}
+
+function sameSet<Item>(
+  left: ReadonlySet<Item>,
+  right: ReadonlySet<Item>,
+): boolean {
+  if (left.size !== right.size) return false;
+  for (const item of left) if (!right.has(item)) return false;
+  return true;
+}
