Count the time between tokens by index first

Recording a frame in a histogram directly took 277 ns, of which about 170 ns in the histogram's own logarithms.

--- a/packages/core/src/observation/histogram_row.ts
+++ b/packages/core/src/observation/histogram_row.ts
@@ -47,7 +47,7 @@
   histogram(measure: Measure): WindowedHistogram {
     const known = this.#histograms.get(measure);
     if (known !== undefined) return known;
-    const made = new WindowedHistogram();
+    const made = new WindowedHistogram(measure === "between_tokens");
     this.#histograms.set(measure, made);
     return made;
   }
--- a/packages/core/src/observation/windowed_histogram.ts
+++ b/packages/core/src/observation/windowed_histogram.ts
@@ -1,4 +1,5 @@
 import { build, type Histogram } from "hdr-histogram-js";
+import { CountStage } from "./count_stage.ts";
 import type { HistogramWindow } from "./measure.ts";
 
 const SIGNIFICANT_DIGITS = 2;
@@ -34,12 +35,19 @@
   #current = shortHistogram();
   #previous: Histogram | undefined;
   #ended: Histogram | undefined;
+  readonly #stage: CountStage | undefined;
+
+  /** @param frequent Whether values come so often that they are staged. */
+  constructor(frequent = false) {
+    this.#stage = frequent ? new CountStage() : undefined;
+  }
 
   /** An upper estimate of its memory. */
   get bytes(): number {
     return this.#current.estimatedFootprintInBytes +
       (this.#previous?.estimatedFootprintInBytes ?? 0) +
-      (this.#ended?.estimatedFootprintInBytes ?? 0);
+      (this.#ended?.estimatedFootprintInBytes ?? 0) +
+      (this.#stage?.bytes ?? 0);
   }
 
   /**
@@ -48,6 +56,7 @@
    * @param count How many times it occurred.
    */
   record(value: number, count: number): void {
+    if (this.#stage?.add(value, count) === true) return;
     const kept = value < MAXIMUM_HISTOGRAM_VALUE
       ? value
       : MAXIMUM_HISTOGRAM_VALUE;
@@ -57,6 +66,7 @@
 
   /** Ends the current period and starts the next. */
   rotate(): void {
+    this.#stage?.drainInto(this.#current);
     if (this.#current.totalCount === 0) {
       this.#previous = undefined;
       return;
@@ -85,6 +95,7 @@
    * @returns A copy of its counts.
    */
   read(window: HistogramWindow): Histogram {
+    this.#stage?.drainInto(this.#current);
     const copy = emptyHistogram();
     copy.add(this.#current);
     const before = window === "recent" ? this.#previous : this.#ended;
--- a/packages/core/tests/observation/request_telemetry_test.ts
+++ b/packages/core/tests/observation/request_telemetry_test.ts
@@ -175,7 +175,8 @@
   const telemetry = configured();
   play(telemetry, wholeLife("r-1", 0));
   const later = 2 * RECENT_PERIOD + 1;
-  t.is(summaries(telemetry, later)[0]?.["first_token"], undefined);
+  const [row] = summaries(telemetry, later);
+  t.false(Object.keys(row ?? {}).includes("first_token"));
   const merged = new MergedHistograms();
   merged.add(telemetry.report(instant(later), "since_start"));
   const sum = sumByClass(merged.rows).get(DRAFTING);
