Adapter decisions as aggregates: residency, placement, permits, dispatch

Change: aggregates for residency with pins, demand and routing, load permits by urgency, and dispatch by least slack with fairness and displacement, composed by EngineController and, in one process, by AdapterServingPolicy. The daemon's runner uses the controller with its own cautious permits until the shared holder is wired.

--- /dev/null
+++ b/packages/core/src/dispatch/class_counts.ts
@@ -0,0 +1,74 @@
+import type { ClassId, Duration } from "../shared/mod.ts";
+import type { WaitingRequest } from "./waiting_request.ts";
+
+interface ClassCount {
+  target: Duration;
+  count: number;
+}
+
+/** Counts requests by class, to compare targets without visiting them. */
+export class ClassCounts {
+  readonly #classes = new Map<ClassId, ClassCount>();
+
+  /**
+   * Counts a request.
+   * @param request The request.
+   */
+  add(request: WaitingRequest): void {
+    const id = request.queued.class;
+    const known = this.#classes.get(id);
+    if (known === undefined) {
+      this.#classes.set(id, { target: request.target, count: 1 });
+      return;
+    }
+    known.target = request.target;
+    known.count += 1;
+  }
+
+  /**
+   * Counts a request no longer.
+   * @param request The request.
+   */
+  remove(request: WaitingRequest): void {
+    const known = this.#classes.get(request.queued.class);
+    if (known === undefined) return;
+    known.count -= 1;
+    if (known.count === 0) this.#classes.delete(request.queued.class);
+  }
+
+  /**
+   * Counts the requests of classes whose target is at most a given one.
+   * @param target The target.
+   * @returns How many.
+   */
+  atMost(target: Duration): number {
+    let total = 0;
+    for (const entry of this.#classes.values()) {
+      if (entry.target <= target) total += entry.count;
+    }
+    return total;
+  }
+
+  /**
+   * Counts the requests of classes whose target is at least a given one.
+   * @param target The target.
+   * @returns How many.
+   */
+  atLeast(target: number): number {
+    let total = 0;
+    for (const entry of this.#classes.values()) {
+      if (entry.target >= target) total += entry.count;
+    }
+    return total;
+  }
+
+  /**
+   * Changes the target of a class.
+   * @param id The class.
+   * @param target The new target.
+   */
+  retarget(id: ClassId, target: Duration): void {
+    const known = this.#classes.get(id);
+    if (known !== undefined) known.target = target;
+  }
+}
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -6,4 +6,8 @@
 export * from "./configuration/mod.ts";
 export * from "./observation/mod.ts";
 export * from "./ownership/mod.ts";
+export * from "./dispatch/mod.ts";
+export * from "./loads/mod.ts";
+export * from "./placement/mod.ts";
+export * from "./residency/mod.ts";
 export * from "./serving/mod.ts";
--- /dev/null
+++ b/packages/core/src/placement/weighted_rendezvous.ts
@@ -0,0 +1,42 @@
+import xxhash from "xxhash-wasm";
+
+const hasher = await xxhash();
+const SPREAD = 0x9e3779b1;
+const FIRST_MIX = 0x85ebca6b;
+const SECOND_MIX = 0xc2b2ae35;
+const HASH_RANGE = 2 ** 32;
+
+/**
+ * Hashes a text to 32 bits, for {@link weightedScore}.
+ * @param text An id or key.
+ * @returns The hash.
+ */
+export function textHash(text: string): number {
+  return hasher.h32(text);
+}
+
+/**
+ * Scores a candidate for a key by weighted rendezvous hashing, so that it
+ * wins a share of the keys in proportion to its weight (Schindelhauer and
+ * Schomaker 2005: `-weight / ln(u)`).
+ * @param keyHash The key's hash.
+ * @param candidateHash The candidate's hash.
+ * @param weight The candidate's weight, above 0.
+ * @returns The score; the highest wins.
+ */
+export function weightedScore(
+  keyHash: number,
+  candidateHash: number,
+  weight: number,
+): number {
+  const uniform = (mix(keyHash, candidateHash) + 0.5) / HASH_RANGE;
+  return -weight / Math.log(uniform);
+}
+
+/** The finalizer of MurmurHash3 over both hashes. */
+function mix(left: number, right: number): number {
+  let value = left ^ Math.imul(right, SPREAD);
+  value = Math.imul(value ^ (value >>> 16), FIRST_MIX);
+  value = Math.imul(value ^ (value >>> 13), SECOND_MIX);
+  return (value ^ (value >>> 16)) >>> 0;
+}
--- /dev/null
+++ b/packages/core/src/residency/engine_residency.ts
@@ -0,0 +1,215 @@
+import {
+  type AdapterKey,
+  adapterKey,
+  type AdapterReference,
+  assertInvariant,
+  type Instant,
+} from "../shared/mod.ts";
+import { isIdle, type Residence } from "./residence.ts";
+
+type MutableResidence = { -readonly [Key in keyof Residence]: Residence[Key] };
+
+/** What an engine says that it holds. */
+export interface FoundResidences {
+  readonly resident: readonly AdapterReference[];
+  readonly loading: readonly AdapterReference[];
+}
+
+/**
+ * The adapters of one engine. An adapter with a pin, that is with a request
+ * that runs or is on its way, is never evicted.
+ */
+export class EngineResidency {
+  readonly #slots: number;
+  readonly #residences = new Map<AdapterKey, MutableResidence>();
+
+  /** @param slots How many adapters the engine can hold. */
+  constructor(slots: number) {
+    this.#slots = slots;
+  }
+
+  /** How many slots are free. */
+  get freeSlots(): number {
+    return Math.max(0, this.#slots - this.#residences.size);
+  }
+
+  /** All adapters in slots, at most as many as there are slots. */
+  get all(): Iterable<Residence> {
+    return this.#residences.values();
+  }
+
+  /**
+   * Tells whether an adapter could be evicted.
+   * @returns Whether one is idle.
+   */
+  hasIdle(): boolean {
+    for (const residence of this.#residences.values()) {
+      if (isIdle(residence)) return true;
+    }
+    return false;
+  }
+
+  /**
+   * Finds an adapter's residence.
+   * @param key The adapter.
+   * @returns The residence, or nothing.
+   */
+  find(key: AdapterKey): Residence | undefined {
+    return this.#residences.get(key);
+  }
+
+  /**
+   * Tells whether an adapter can run now.
+   * @param key The adapter.
+   * @returns Whether it is resident and not being evicted.
+   */
+  isResident(key: AdapterKey): boolean {
+    return this.#residences.get(key)?.state === "resident";
+  }
+
+  /**
+   * Takes in what the engine says that it holds.
+   * @param now The present time.
+   * @param found The engine's own state.
+   */
+  takeIn(now: Instant, found: FoundResidences): void {
+    for (const adapter of found.resident) {
+      this.#put(now, adapter, { state: "resident", unproven: true });
+    }
+    for (const adapter of found.loading) {
+      this.#put(now, adapter, { state: "loading", unproven: true });
+    }
+  }
+
+  /**
+   * Takes note of which found adapters the engine still uses.
+   * @param inUse The adapters with requests at the engine.
+   */
+  showIdle(inUse: ReadonlySet<AdapterKey>): void {
+    for (const residence of this.#residences.values()) {
+      if (!inUse.has(residence.key)) residence.unproven = false;
+    }
+  }
+
+  /**
+   * Pins a resident adapter for a request that is being dispatched.
+   * @param now The present time.
+   * @param key The adapter.
+   */
+  pin(now: Instant, key: AdapterKey): void {
+    const residence = this.#residences.get(key);
+    assertInvariant(
+      residence?.state === "resident",
+      "dispatched_only_to_resident_adapter",
+      () => `${key} is ${residence?.state ?? "absent"}.`,
+    );
+    residence.pins += 1;
+    residence.lastUsed = now;
+  }
+
+  /**
+   * Takes back the pin of a request that has ended.
+   * @param now The present time.
+   * @param key The adapter.
+   */
+  unpin(now: Instant, key: AdapterKey): void {
+    const residence = this.#residences.get(key);
+    assertInvariant(
+      residence !== undefined && residence.pins > 0,
+      "pins_balance",
+      () => `${key} has ${residence?.pins ?? 0} pins.`,
+    );
+    residence.pins -= 1;
+    residence.lastUsed = now;
+  }
+
+  /**
+   * Takes a slot for a load.
+   * @param now The present time.
+   * @param adapter The adapter.
+   */
+  startLoad(now: Instant, adapter: AdapterReference): void {
+    const key = adapterKey(adapter);
+    assertInvariant(
+      this.freeSlots > 0 && !this.#residences.has(key),
+      "load_has_free_slot",
+      () => `${key}: ${this.freeSlots} slots are free.`,
+    );
+    this.#put(now, adapter, { state: "loading", unproven: false });
+  }
+
+  /**
+   * Ends a load.
+   * @param now The present time.
+   * @param load The adapter, and whether it is now resident.
+   * @returns Whether a load was in progress.
+   */
+  loadEnded(
+    now: Instant,
+    load: { readonly key: AdapterKey; readonly loaded: boolean },
+  ): boolean {
+    const residence = this.#residences.get(load.key);
+    if (residence?.state !== "loading") return false;
+    if (!load.loaded) {
+      this.#residences.delete(load.key);
+      return true;
+    }
+    residence.state = "resident";
+    residence.since = now;
+    residence.lastUsed = now;
+    return true;
+  }
+
+  /**
+   * Starts to evict an adapter that no request uses.
+   * @param now The present time.
+   * @param key The adapter.
+   */
+  startEviction(now: Instant, key: AdapterKey): void {
+    const residence = this.#residences.get(key);
+    assertInvariant(
+      residence !== undefined && isIdle(residence),
+      "serving_adapter_never_evicted",
+      () => `${key} has ${residence?.pins ?? 0} pins.`,
+    );
+    residence.state = "evicting";
+    residence.since = now;
+  }
+
+  /**
+   * Ends an eviction. A failed one leaves the adapter where it was.
+   * @param now The present time.
+   * @param eviction The adapter, and whether it has left.
+   * @returns Whether an eviction was in progress.
+   */
+  evictionEnded(
+    now: Instant,
+    eviction: { readonly key: AdapterKey; readonly evicted: boolean },
+  ): boolean {
+    const residence = this.#residences.get(eviction.key);
+    if (residence?.state !== "evicting") return false;
+    if (eviction.evicted) {
+      this.#residences.delete(eviction.key);
+      return true;
+    }
+    residence.state = "resident";
+    residence.since = now;
+    return true;
+  }
+
+  #put(
+    now: Instant,
+    adapter: AdapterReference,
+    how: Pick<Residence, "state" | "unproven">,
+  ): void {
+    const key = adapterKey(adapter);
+    this.#residences.set(key, {
+      key,
+      adapter,
+      ...how,
+      pins: 0,
+      since: now,
+      lastUsed: now,
+    });
+  }
+}
--- a/packages/core/src/serving/deployment_policy.ts
+++ b/packages/core/src/serving/deployment_policy.ts
@@ -14,7 +14,14 @@
     readonly kind: "request_arrived";
     readonly queued: QueuedRequest;
   }
-  | { readonly kind: "request_cancelled"; readonly request: RequestId }
+  | {
+    /**
+     * The caller has left. A request that waits is forgotten; one that was
+     * dispatched still ends by `request_ended`, once the engine let it go.
+     */
+    readonly kind: "request_cancelled";
+    readonly request: RequestId;
+  }
   | {
     readonly kind: "load_ended";
     readonly engine: EngineId;
@@ -25,6 +32,8 @@
     readonly kind: "eviction_ended";
     readonly engine: EngineId;
     readonly adapter: AdapterReference;
+    /** Whether the adapter has left; `true` where absent. */
+    readonly evicted?: boolean;
   }
   | {
     readonly kind: "first_token";
@@ -38,7 +47,11 @@
     readonly generatedTokens: number;
   }
   | {
-    /** The engine is new or restarted: nothing is loaded, nothing runs. */
+    /**
+     * The engine is new or restarted: nothing is loaded, nothing runs. What
+     * waited for it is placed again; a request that ran there is forgotten,
+     * and arrives anew where the shell may run it again.
+     */
     readonly kind: "engine_started";
     readonly engine: EngineId;
     readonly capacity: EngineCapacity;
@@ -84,7 +97,11 @@
     readonly adapter: AdapterReference;
   }
   | {
-    /** Gives a running request's place up; it is dispatched again later. */
+    /**
+     * Gives a running request's place up for a more urgent one; it is
+     * dispatched again later. An engine that honours priorities may hold it
+     * on and even finish it, which `request_ended` tells.
+     */
     readonly kind: "preempt";
     readonly engine: EngineId;
     readonly request: RequestId;
--- a/packages/core/src/serving/engine_controller.ts
+++ b/packages/core/src/serving/engine_controller.ts
@@ -1,69 +1,163 @@
+import {
+  chooseDisplaced,
+  EnginePace,
+  OwnHistory,
+  RequestBook,
+  TARGET_RATIO,
+  type WaitingRequest,
+} from "../dispatch/mod.ts";
+import type { LoadWish } from "../loads/mod.ts";
+import {
+  type AdapterStanding,
+  EngineView,
+  textHash,
+} from "../placement/mod.ts";
+import { EngineResidency, type FoundResidences } from "../residency/mod.ts";
 import {
   type AdapterKey,
   adapterKey,
   type AdapterReference,
-  assertInvariant,
+  type ClassId,
+  type Duration,
+  elapsed,
+  type EngineId,
   type Instant,
-  instant,
-  later,
+  milliseconds,
   type RequestId,
-  seconds,
 } from "../shared/mod.ts";
+import { AdapterValue, type AdapterValueParts } from "./adapter_value.ts";
 import type {
   EngineCapacity,
   EngineDecision,
+  EngineReport,
   QueuedRequest,
 } from "./engine_event.ts";
+import { GiveUpTimer } from "./give_up_timer.ts";
+import { LoadPlanner, type PrefetchCandidate } from "./load_planner.ts";
 
-interface Residence {
-  readonly adapter: AdapterReference;
-  state: "loading" | "resident" | "evicting";
-  pins: number;
-  lastUsed: Instant;
-}
-
-interface Waiting {
-  readonly queued: QueuedRequest;
-  readonly deadline: Instant;
+/** What a controller works with. */
+export interface EngineControllerParts extends AdapterValueParts {
+  readonly engine: EngineId;
+  readonly capacity: EngineCapacity;
 }
 
-const LOAD_RETRY = seconds(1);
+/** A pace that an engine of middling speed has, for weights of homes. */
+const COMMON_TOKEN_TIME = 20;
+/** Others' requests take at most this share of a batch away from us. */
+const OTHERS_SHARE = 0.5;
 
 /**
  * Decides for one engine: which adapters it holds and which requests run on
  * it. Only the engine's controlling node has one.
  */
-export class EngineController {
-  readonly #capacity: EngineCapacity;
-  readonly #residences = new Map<AdapterKey, Residence>();
-  readonly #running = new Map<RequestId, AdapterKey>();
-  readonly #retryAt = new Map<AdapterKey, Instant>();
-  #waiting: Waiting[] = [];
+export class EngineController extends EngineView {
+  override readonly engine: EngineId;
+  override readonly hash: number;
+  readonly #parts: EngineControllerParts;
+  readonly #residency: EngineResidency;
+  readonly #book = new RequestBook();
+  readonly #pace = new EnginePace();
+  readonly #history = new OwnHistory();
+  readonly #giveUp = new GiveUpTimer();
+  readonly #planner: LoadPlanner;
+  #others = 0;
 
-  /**
-   * @param capacity What the engine can hold.
-   * @param resident What the engine says that it holds already.
-   */
-  constructor(capacity: EngineCapacity, resident: readonly AdapterReference[]) {
-    this.#capacity = capacity;
-    for (const adapter of resident) {
-      this.#residences.set(adapterKey(adapter), {
-        adapter,
-        state: "resident",
-        pins: 0,
-        lastUsed: instant(0),
-      });
-    }
+  /** @param parts What the controller works with. */
+  constructor(parts: EngineControllerParts) {
+    super();
+    this.engine = parts.engine;
+    this.hash = textHash(parts.engine);
+    this.#parts = parts;
+    this.#residency = new EngineResidency(parts.capacity.adapterSlots);
+    this.#planner = new LoadPlanner({
+      engine: parts.engine,
+      residency: this.#residency,
+      book: this.#book,
+      value: new AdapterValue(parts),
+    });
   }
 
   /** How many requests wait. */
   get waiting(): number {
-    return this.#waiting.length;
+    return this.#book.waiting;
   }
 
-  /** How many requests run. */
+  /** How many requests have a place in the batch. */
   get running(): number {
-    return this.#running.size;
+    return this.#book.running.size;
+  }
+
+  /** How many adapters are waited for. */
+  get awaitedAdapters(): number {
+    return this.#book.blocked.adapters;
+  }
+
+  /** The adapters in slots. */
+  get residency(): EngineResidency {
+    return this.#residency;
+  }
+
+  override get weight(): number {
+    const pace = Math.sqrt(COMMON_TOKEN_TIME / Math.max(1, this.#pace.token));
+    return this.#parts.capacity.adapterSlots * pace;
+  }
+
+  override get batchCapacity(): number {
+    return this.#parts.capacity.batchCapacity;
+  }
+
+  override get firstTokenTime(): Duration {
+    return this.#pace.firstToken;
+  }
+
+  override get serviceTime(): Duration {
+    return this.#pace.service;
+  }
+
+  override standing(key: AdapterKey): AdapterStanding {
+    const residence = this.#residency.find(key);
+    if (residence?.state === "resident") return "resident";
+    if (residence?.state === "loading") return "loading";
+    if (this.#planner.isAwaiting(key)) return "loading";
+    return this.#book.blocked.has(key) ? "awaited" : "absent";
+  }
+
+  override placeWait(_now: Instant, target: Duration): Duration {
+    const yielding = this.#book.runningAtLeast(TARGET_RATIO * target);
+    const free = this.#places() - this.#book.running.size + yielding;
+    const ahead = this.#book.ready.countAhead(target);
+    if (ahead < free) return milliseconds(0);
+    const turns = (ahead - Math.max(0, free) + 1) / this.#places();
+    return milliseconds(turns * this.#pace.service);
+  }
+
+  override canMakeRoom(): boolean {
+    return this.#residency.freeSlots > 0 || this.#residency.hasIdle();
+  }
+
+  override loadsAhead(target: Duration): number {
+    return Math.min(
+      this.#book.blocked.adapters,
+      this.#book.blockedAhead(target),
+    );
+  }
+
+  /**
+   * Takes in what the engine says that it holds, after a restart or takeover.
+   * @param now The present time.
+   * @param found The engine's own state.
+   */
+  takeIn(now: Instant, found: FoundResidences): void {
+    this.#residency.takeIn(now, found);
+    for (const residence of this.#residency.all) this.#reindex(residence.key);
+  }
+
+  /**
+   * Takes note of which found adapters still have requests at the engine.
+   * @param inUse The adapters.
+   */
+  showIdle(inUse: ReadonlySet<AdapterKey>): void {
+    this.#residency.showIdle(inUse);
   }
 
   /**
@@ -72,10 +166,11 @@
    * @param queued The request.
    */
   submit(now: Instant, queued: QueuedRequest): void {
-    const deadline = instant(
-      now + queued.firstTokenTarget - queued.waitedBefore,
-    );
-    this.#waiting.push({ queued, deadline });
+    const key = adapterKey(queued.adapter);
+    const resident = this.#residency.isResident(key);
+    const request = this.#book.submit(now, queued, resident);
+    this.#giveUp.watch(request);
+    if (!resident) this.#reindex(key);
   }
 
   /**
@@ -84,11 +179,37 @@
    * @returns Whether it waited here, and so will not run.
    */
   withdraw(request: RequestId): boolean {
-    const before = this.#waiting.length;
-    this.#waiting = this.#waiting.filter(
-      (entry) => entry.queued.request !== request,
-    );
-    return this.#waiting.length < before;
+    const found = this.#book.find(request);
+    if (found === undefined || isAtEngine(found)) return false;
+    this.#forget(found);
+    return true;
+  }
+
+  /**
+   * Takes all waiting requests back, to be handed to another controller.
+   * @param now The present time.
+   * @returns The requests, with the time that they waited here.
+   */
+  handBack(now: Instant): readonly QueuedRequest[] {
+    const waiting = [...this.#book.all].filter((one) => !isAtEngine(one));
+    for (const request of waiting) this.#forget(request);
+    return waiting.map(({ queued, submittedAt }) => ({
+      ...queued,
+      waitedBefore: milliseconds(
+        queued.waitedBefore + elapsed(submittedAt, now),
+      ),
+    }));
+  }
+
+  /** Lists the requests that are here. */
+  requests(): readonly RequestId[] {
+    return [...this.#book.all].map((request) => request.queued.request);
+  }
+
+  /** Withdraws everything that this controller told the index. */
+  close(): void {
+    for (const { key } of this.#residency.all) this.#unindex(key);
+    for (const { key } of this.#book.blocked.lines) this.#unindex(key);
   }
 
   /**
@@ -101,39 +222,110 @@
     load: { readonly adapter: AdapterReference; readonly loaded: boolean },
   ): void {
     const key = adapterKey(load.adapter);
-    const residence = this.#residences.get(key);
-    if (residence === undefined) return;
-    if (load.loaded) {
-      residence.state = "resident";
-      residence.lastUsed = now;
-      this.#retryAt.delete(key);
-      return;
-    }
-    this.#residences.delete(key);
-    this.#retryAt.set(key, later(now, LOAD_RETRY));
+    const { loaded } = load;
+    if (!this.#residency.loadEnded(now, { key, loaded })) return;
+    this.#planner.loadEnded(now, key, loaded);
+    if (loaded) this.#book.unblock(now, key);
+    this.#reindex(key);
   }
 
   /**
    * Takes note that an eviction ended.
-   * @param adapter The adapter.
+   * @param now The present time.
+   * @param eviction The adapter, and whether it has left.
    */
-  evictionEnded(adapter: AdapterReference): void {
-    this.#residences.delete(adapterKey(adapter));
+  evictionEnded(
+    now: Instant,
+    eviction: {
+      readonly adapter: AdapterReference;
+      readonly evicted: boolean;
+    },
+  ): void {
+    const key = adapterKey(eviction.adapter);
+    const { evicted } = eviction;
+    if (!this.#residency.evictionEnded(now, { key, evicted })) return;
+    if (!evicted) this.#book.unblock(now, key);
+    this.#planner.afterEviction(now, key, { evicted, keyOf: adapterKey });
+    this.#reindex(key);
+  }
+
+  /**
+   * Takes note of a first token.
+   * @param now The present time.
+   * @param request The request.
+   */
+  firstToken(now: Instant, request: RequestId): void {
+    const found = this.#book.find(request);
+    if (found === undefined || found.firstTokenAt !== undefined) return;
+    found.firstTokenAt = now;
+    this.#pace.firstTokenCame(now, found);
   }
 
   /**
    * Takes note that a dispatched request ended, however it did.
    * @param now The present time.
    * @param request The request.
+   * @param generatedTokens How many tokens it generated here.
+   */
+  requestEnded(
+    now: Instant,
+    request: RequestId,
+    generatedTokens: number,
+  ): void {
+    const found = this.#book.find(request);
+    if (found === undefined || !isAtEngine(found)) return;
+    this.#pace.ended(now, found, generatedTokens);
+    this.#residency.unpin(now, found.key);
+    this.#book.remove(found);
+    this.#history.record(now, this.#book.atEngine);
+  }
+
+  /**
+   * Takes note of the engine's report of its load, which lags.
+   * @param now The present time.
+   * @param report The report.
    */
-  requestEnded(now: Instant, request: RequestId): void {
-    const key = this.#running.get(request);
-    if (key === undefined) return;
-    this.#running.delete(request);
-    const residence = this.#residences.get(key);
-    if (residence === undefined) return;
-    residence.pins -= 1;
-    residence.lastUsed = now;
+  reported(now: Instant, report: EngineReport): void {
+    this.#pace.stepReported(report.stepTime);
+    this.#others = this.#history.othersIn(now, {
+      held: report.running + report.waiting,
+      age: report.age,
+    });
+  }
+
+  /**
+   * Changes the target of a class, also for requests that wait.
+   * @param id The class.
+   * @param target The new target.
+   */
+  retarget(id: ClassId, target: Duration): void {
+    this.#book.retarget(id, target);
+  }
+
+  /**
+   * Lists the adapters that the engine wants most.
+   * @param now The present time.
+   * @param prefetch Adapters worth having before anyone waits for them.
+   * @returns A few wishes.
+   */
+  wishes(
+    now: Instant,
+    prefetch: readonly PrefetchCandidate[],
+  ): readonly LoadWish[] {
+    return this.#planner.wishes(now, prefetch);
+  }
+
+  /**
+   * Takes a permit to load an adapter.
+   * @param now The present time.
+   * @param adapter The adapter.
+   * @returns Whether it is used; otherwise it is to be given back.
+   */
+  usePermit(now: Instant, adapter: AdapterReference): boolean {
+    const key = adapterKey(adapter);
+    const used = this.#planner.usePermit(now, adapter, key);
+    if (used) this.#parts.index.add(key, this.engine);
+    return used;
   }
 
   /**
@@ -142,70 +334,98 @@
    * @returns The decisions, in the order in which to carry them out.
    */
   decide(now: Instant): readonly EngineDecision[] {
-    const decisions: EngineDecision[] = [];
-    this.#waiting.sort((left, right) => left.deadline - right.deadline);
-    this.#dispatchResident(now, decisions);
-    this.#loadMissing(now, decisions);
+    const decisions = [...this.#planner.takeOrders()];
+    this.#refuseHopeless(now, decisions);
+    this.#dispatch(now, decisions);
     return decisions;
   }
 
-  #dispatchResident(now: Instant, decisions: EngineDecision[]): void {
-    const kept: Waiting[] = [];
-    for (const entry of this.#waiting) {
-      const key = adapterKey(entry.queued.adapter);
-      const residence = this.#residences.get(key);
-      const free = this.#running.size < this.#capacity.batchCapacity;
-      if (residence?.state !== "resident" || !free) {
-        kept.push(entry);
-        continue;
+  /** When a waiting request may have to be given up. */
+  get nextGiveUp(): Instant | undefined {
+    return this.#giveUp.next;
+  }
+
+  #dispatch(now: Instant, decisions: EngineDecision[]): void {
+    for (;;) {
+      const request = this.#book.ready.peek(now);
+      if (request === undefined) return;
+      if (this.#book.running.size >= this.#places()) {
+        const displaced = this.#chooseDisplaced(now, request);
+        if (displaced === undefined) return;
+        this.#book.displace(displaced);
+        const id = displaced.queued.request;
+        decisions.push({ kind: "preempt", request: id });
       }
-      residence.pins += 1;
-      residence.lastUsed = now;
-      this.#running.set(entry.queued.request, key);
-      decisions.push({
-        kind: "dispatch",
-        request: entry.queued.request,
-        priority: -Math.round(entry.deadline),
-      });
+      decisions.push(this.#start(now, request));
     }
-    this.#waiting = kept;
   }
 
-  #loadMissing(now: Instant, decisions: EngineDecision[]): void {
-    for (const { queued } of this.#waiting) {
-      const key = adapterKey(queued.adapter);
-      if (this.#residences.has(key)) continue;
-      if ((this.#retryAt.get(key) ?? now) > now) continue;
-      if (this.#residences.size >= this.#capacity.adapterSlots) {
-        this.#evictOldest(decisions);
-        return;
+  #start(now: Instant, request: WaitingRequest): EngineDecision {
+    const queueWait = elapsed(request.submittedAt, now) - request.loadStall;
+    if (!request.displaced) this.#residency.pin(now, request.key);
+    this.#book.start(now, request);
+    this.#history.record(now, this.#book.atEngine);
+    return {
+      kind: "dispatch",
+      request: request.queued.request,
+      priority: -Math.round(request.deadline),
+      queueWait: milliseconds(queueWait),
+      loadStall: request.loadStall,
+    };
+  }
+
+  #chooseDisplaced(
+    now: Instant,
+    urgent: WaitingRequest,
+  ): WaitingRequest | undefined {
+    const longEnough = TARGET_RATIO * urgent.target;
+    if (this.#book.runningAtLeast(longEnough) === 0) return undefined;
+    return chooseDisplaced(now, this.#book.running, urgent);
+  }
+
+  #refuseHopeless(now: Instant, decisions: EngineDecision[]): void {
+    for (const request of this.#giveUp.due(now)) {
+      if (isAtEngine(request) || request.place === "over") continue;
+      if (!this.#harmsOthers(request)) {
+        this.#giveUp.watchAgain(now, request);
+        continue;
       }
-      this.#residences.set(key, {
-        adapter: queued.adapter,
-        state: "loading",
-        pins: 0,
-        lastUsed: now,
+      this.#forget(request);
+      decisions.push({
+        kind: "refuse",
+        request: request.queued.request,
+        retryAfter: request.target,
       });
-      decisions.push({ kind: "load", adapter: queued.adapter });
     }
   }
 
-  #evictOldest(decisions: EngineDecision[]): void {
-    let oldest: Residence | undefined;
-    for (const residence of this.#residences.values()) {
-      if (residence.state === "evicting") return;
-      if (residence.state !== "resident" || residence.pins > 0) continue;
-      const older = oldest === undefined ||
-        residence.lastUsed < oldest.lastUsed;
-      if (older) oldest = residence;
-    }
-    if (oldest === undefined) return;
-    assertInvariant(
-      oldest.pins === 0,
-      "serving_adapter_never_evicted",
-      () => `${oldest.adapter.adapter} has ${oldest.pins} pins.`,
-    );
-    oldest.state = "evicting";
-    decisions.push({ kind: "evict", adapter: oldest.adapter });
+  #harmsOthers(request: WaitingRequest): boolean {
+    return request.place === "ready"
+      ? this.#book.ready.size > 1
+      : this.#book.blocked.size > 1;
+  }
+
+  #places(): number {
+    const { batchCapacity } = this.#parts.capacity;
+    const others = Math.min(this.#others, OTHERS_SHARE * batchCapacity);
+    return Math.max(1, Math.floor(batchCapacity - others));
+  }
+
+  #forget(request: WaitingRequest): void {
+    this.#book.remove(request);
+    this.#reindex(request.key);
   }
+
+  #reindex(key: AdapterKey): void {
+    if (this.standing(key) === "absent") this.#unindex(key);
+    else this.#parts.index.add(key, this.engine);
+  }
+
+  #unindex(key: AdapterKey): void {
+    this.#parts.index.remove(key, this.engine);
+  }
+}
+
+function isAtEngine(request: WaitingRequest): boolean {
+  return request.place === "running" || request.displaced;
 }
--- a/packages/core/src/serving/engine_event.ts
+++ b/packages/core/src/serving/engine_event.ts
@@ -29,6 +29,23 @@
     readonly kind: "dispatch";
     readonly request: RequestId;
     readonly priority: number;
+    /** How long it waited for a place in the batch. */
+    readonly queueWait: Duration;
+    /** How long it waited for its adapter. */
+    readonly loadStall: Duration;
+  }
+  | {
+    /**
+     * Gives up a running request's place for a more urgent one. The engine
+     * may hold it on; it is dispatched again when there is a place.
+     */
+    readonly kind: "preempt";
+    readonly request: RequestId;
+  }
+  | {
+    /** The permit for this adapter's load will not be used. */
+    readonly kind: "return_permit";
+    readonly adapter: AdapterReference;
   }
   | { readonly kind: "load"; readonly adapter: AdapterReference }
   | { readonly kind: "evict"; readonly adapter: AdapterReference }
@@ -43,3 +60,13 @@
   readonly adapterSlots: number;
   readonly batchCapacity: number;
 }
+
+/** An engine's own report of its load, as of some time ago. */
+export interface EngineReport {
+  readonly running: number;
+  readonly waiting: number;
+  /** How long a step of its batch takes. */
+  readonly stepTime: Duration;
+  /** How old the figures are. */
+  readonly age: Duration;
+}
--- /dev/null
+++ b/packages/core/src/serving/prefetch_scout.ts
@@ -0,0 +1,121 @@
+import type {
+  AdapterDemand,
+  AdapterRouter,
+  DemandTracker,
+  EngineView,
+  ResidenceIndex,
+} from "../placement/mod.ts";
+import type { AdapterKey, EngineId, Instant } from "../shared/mod.ts";
+import type { AdapterValue } from "./adapter_value.ts";
+import type { PrefetchCandidate } from "./load_planner.ts";
+
+/** How many adapters are looked at in one round. */
+const VISITS = 16;
+/** How many candidates an engine keeps. */
+const KEPT = 8;
+/** An adapter needs another replica when it fills this share of a batch. */
+const GROWTH_SHARE = 0.5;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** What a scout works on. */
+export interface PrefetchScoutParts {
+  readonly demand: DemandTracker;
+  readonly index: ResidenceIndex;
+  readonly router: AdapterRouter;
+  readonly value: AdapterValue;
+}
+
+/**
+ * Looks for adapters that are worth a load before anyone waits for them:
+ * known ones that no engine holds, and hot ones that need more replicas. It
+ * visits a few at a time, so that its cost does not grow with their number.
+ */
+export class PrefetchScout {
+  readonly #parts: PrefetchScoutParts;
+  readonly #candidates = new Map<EngineId, PrefetchCandidate[]>();
+
+  /** @param parts What to work on. */
+  constructor(parts: PrefetchScoutParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * Looks at the next few adapters.
+   * @param now The present time.
+   * @param views The engines.
+   */
+  look(now: Instant, views: ReadonlyMap<EngineId, EngineView>): void {
+    this.#parts.demand.visitNext(VISITS, (key, demand) => {
+      this.#consider(now, { key, demand, views });
+    });
+  }
+
+  /**
+   * Lists the candidates for an engine, worked out anew.
+   * @param now The present time.
+   * @param engine The engine.
+   * @returns The candidates.
+   */
+  candidates(now: Instant, engine: EngineId): readonly PrefetchCandidate[] {
+    const known = this.#candidates.get(engine);
+    if (known === undefined) return [];
+    const current = known.flatMap((candidate) => {
+      const holders = this.#parts.index.enginesOf(candidate.key);
+      if (holders.includes(engine)) return [];
+      const worth = this.#parts.value.absenceCost(now, candidate.key);
+      return [{ ...candidate, worth }];
+    });
+    this.#candidates.set(engine, current);
+    return current;
+  }
+
+  #consider(
+    now: Instant,
+    { key, demand, views }: {
+      readonly key: AdapterKey;
+      readonly demand: AdapterDemand;
+      readonly views: ReadonlyMap<EngineId, EngineView>;
+    },
+  ): void {
+    const holders = this.#parts.index.enginesOf(key);
+    if (holders.length > 0 && !needsReplica(now, { demand, holders, views })) {
+      return;
+    }
+    const home = this.#parts.router.homes(key, views)
+      .find((view) => !holders.includes(view.engine));
+    if (home === undefined) return;
+    const worth = this.#parts.value.absenceCost(now, key);
+    this.#keep(home.engine, { key, adapter: demand.adapter, worth });
+  }
+
+  #keep(engine: EngineId, candidate: PrefetchCandidate): void {
+    const kept = this.#candidates.get(engine) ?? [];
+    if (kept.some((other) => other.key === candidate.key)) return;
+    kept.push(candidate);
+    kept.sort((left, right) => right.worth - left.worth);
+    if (kept.length > KEPT) kept.pop();
+    this.#candidates.set(engine, kept);
+  }
+}
+
+/** By Little's law: arrivals a second times seconds of service. */
+function needsReplica(
+  now: Instant,
+  { demand, holders, views }: {
+    readonly demand: AdapterDemand;
+    readonly holders: readonly EngineId[];
+    readonly views: ReadonlyMap<EngineId, EngineView>;
+  },
+): boolean {
+  const rate = demand.arrivalRate(now);
+  let room = 0;
+  let service = 0;
+  for (const holder of holders) {
+    const view = views.get(holder);
+    if (view === undefined) continue;
+    room += view.batchCapacity;
+    service = Math.max(service, view.serviceTime);
+  }
+  const concurrent = rate * service / MILLISECONDS_PER_SECOND;
+  return concurrent > GROWTH_SHARE * room;
+}
--- a/packages/node/src/serving/engine_runner.ts
+++ b/packages/node/src/serving/engine_runner.ts
@@ -1,16 +1,21 @@
 import {
+  adapterKey,
   type AdapterReference,
   attemptNumber,
+  DemandTracker,
   EngineController,
   type EngineDecision,
   type EngineId,
   type Failure,
   type FencingNumber,
+  LoadPermitLedger,
   milliseconds,
   type RequestId,
+  ResidenceIndex,
 } from "@foxtailwind/core";
 import {
   type EngineClient,
+  type EngineState,
   type GenerationEnd,
   type GenerationFrame,
   type GenerationHandle,
@@ -24,6 +29,7 @@
 const ORDER_EXPIRY_MILLISECONDS = 2_000;
 const TICK_MILLISECONDS = 50;
 const CHARACTERS_PER_TOKEN = 4;
+const CAUTIOUS_LIMITS = { loadsPerSecond: 0.5, concurrentLoads: 1 };
 
 interface Held {
   readonly generation: GenerationRequest;
@@ -36,6 +42,8 @@
   readonly #engine: EngineId;
   readonly #client: EngineClient;
   readonly #controller: EngineController;
+  readonly #demand: DemandTracker;
+  readonly #ledger: LoadPermitLedger;
   readonly #clock: SteadyClock;
   readonly #logger: PartLogger;
   readonly #fencing: () => FencingNumber;
@@ -44,14 +52,24 @@
 
   private constructor(
     parts: EngineRunnerParts,
-    controller: EngineController,
+    found: EngineState,
   ) {
+    this.#demand = new DemandTracker();
+    this.#ledger = new LoadPermitLedger(CAUTIOUS_LIMITS);
+    this.#controller = new EngineController({
+      engine: parts.engine,
+      capacity: found,
+      index: new ResidenceIndex(),
+      demand: this.#demand,
+      loads: this.#ledger,
+    });
+    this.#controller.takeIn(parts.clock.now(), found);
+    this.#controller.showIdle(new Set());
     this.#engine = parts.engine;
     this.#client = parts.client;
     this.#clock = parts.clock;
     this.#logger = parts.logger;
     this.#fencing = parts.fencing;
-    this.#controller = controller;
     this.#timer = setInterval(() => {
       this.#act();
     }, TICK_MILLISECONDS);
@@ -66,9 +84,7 @@
     parts: EngineRunnerParts,
   ): Promise<Result<EngineRunner, Failure>> {
     const state = await parts.client.readState();
-    return state.map((found) =>
-      new EngineRunner(parts, new EngineController(found, found.resident))
-    );
+    return state.map((found) => new EngineRunner(parts, found));
   }
 
   /**
@@ -83,6 +99,11 @@
       sink,
       handle: undefined,
     });
+    this.#demand.arrived(now, {
+      key: adapterKey(generation.adapter),
+      adapter: generation.adapter,
+      target: generation.firstTokenTarget,
+    });
     this.#controller.submit(now, {
       request: generation.request,
       adapter: generation.adapter,
@@ -118,16 +139,35 @@
   }
 
   #act(): void {
-    for (const decision of this.#controller.decide(this.#clock.now())) {
+    const now = this.#clock.now();
+    this.#takePermits();
+    for (const decision of this.#controller.decide(now)) {
       this.#carryOut(decision);
     }
   }
 
+  #takePermits(): void {
+    const now = this.#clock.now();
+    if (!this.#ledger.hasRoom(now)) return;
+    const wishes = this.#controller.wishes(now, []);
+    this.#ledger.offer(now, this.#engine, wishes);
+    const permit = this.#ledger.grant(now);
+    if (permit === undefined) return;
+    if (this.#controller.usePermit(now, permit.adapter)) return;
+    this.#ledger.finished(now, { ...permit, loaded: false });
+  }
+
   #carryOut(decision: EngineDecision): void {
     switch (decision.kind) {
       case "dispatch":
         this.#dispatch(decision.request, decision.priority);
         break;
+      case "preempt":
+        // The engine itself puts work of lower priority aside.
+        break;
+      case "return_permit":
+        this.#loadFinished(decision.adapter, false);
+        break;
       case "load":
         void this.#load(decision.adapter);
         break;
@@ -149,10 +189,13 @@
   #dispatch(request: RequestId, priority: number): void {
     const held = this.#held.get(request);
     if (held === undefined) return;
+    if (held.handle !== undefined) return;
     const { generation, sink } = held;
-    const runner = new RunningSink(sink, () => {
+    let tokens = 0;
+    const runner = new RunningSink(sink, (generated) => {
+      tokens = generated;
       this.#held.delete(request);
-      this.#controller.requestEnded(this.#clock.now(), request);
+      this.#controller.requestEnded(this.#clock.now(), request, tokens);
       this.#act();
     });
     held.handle = this.#client.generate({
@@ -181,6 +224,7 @@
         reason: result.error.reason,
       });
     }
+    this.#loadFinished(adapter, result.isOk());
     this.#controller.loadEnded(this.#clock.now(), {
       adapter,
       loaded: result.isOk(),
@@ -188,14 +232,23 @@
     this.#act();
   }
 
+  #loadFinished(adapter: AdapterReference, loaded: boolean): void {
+    const key = adapterKey(adapter);
+    const load = { engine: this.#engine, key, loaded };
+    this.#ledger.finished(this.#clock.now(), load);
+  }
+
   async #evict(adapter: AdapterReference): Promise<void> {
-    await this.#client.order({
+    const result = await this.#client.order({
       kind: "evict_adapter",
       adapter,
       fencing: this.#fencing(),
       expiresInMilliseconds: ORDER_EXPIRY_MILLISECONDS,
     });
-    this.#controller.evictionEnded(adapter);
+    this.#controller.evictionEnded(this.#clock.now(), {
+      adapter,
+      evicted: result.isOk(),
+    });
     this.#act();
   }
 
@@ -228,20 +281,22 @@
 
 class RunningSink extends GenerationSink {
   readonly #sink: GenerationSink;
-  readonly #ended: () => void;
+  readonly #ended: (generatedTokens: number) => void;
+  #tokens = 0;
 
-  constructor(sink: GenerationSink, ended: () => void) {
+  constructor(sink: GenerationSink, ended: (generated: number) => void) {
     super();
     this.#sink = sink;
     this.#ended = ended;
   }
 
   override onFrame(frame: GenerationFrame): void {
+    this.#tokens += frame.tokens.length;
     this.#sink.onFrame(frame);
   }
 
   override onEnd(result: Result<GenerationEnd, Failure>): void {
-    this.#ended();
+    this.#ended(this.#tokens);
     this.#sink.onEnd(result);
   }
 }
