--- a/packages/node/src/callers/completion_sinks.ts
+++ b/packages/node/src/callers/completion_sinks.ts
@@ -15,6 +15,7 @@
 import { sendProblem, toProblem } from "./problem.ts";
 
 const MILLISECONDS_PER_SECOND = 1_000;
+const OK = 200;
 
 /** Passes on only the frames of its own request, in order, and whole. */
 abstract class CompletionSink extends GenerationSink {
@@ -134,22 +135,23 @@
   }
 
   protected override writeEnd(end: GenerationEnd): void {
-    void this.reply.header("x-request-id", this.generation.request).send({
-      id: this.generation.request,
-      object: "chat.completion",
-      created: this.created,
-      model: nameOf(this.generation.adapter),
-      choices: [{
-        index: 0,
-        message: { role: "assistant", content: this.#parts.join("") },
-        finish_reason: end.finishReason,
-      }],
-      usage: {
-        prompt_tokens: end.promptTokens,
-        completion_tokens: end.completionTokens,
-        total_tokens: end.promptTokens + end.completionTokens,
-      },
-    });
+    void this.reply.status(OK).header("x-request-id", this.generation.request)
+      .send({
+        id: this.generation.request,
+        object: "chat.completion",
+        created: this.created,
+        model: nameOf(this.generation.adapter),
+        choices: [{
+          index: 0,
+          message: { role: "assistant", content: this.#parts.join("") },
+          finish_reason: end.finishReason,
+        }],
+        usage: {
+          prompt_tokens: end.promptTokens,
+          completion_tokens: end.completionTokens,
+          total_tokens: end.promptTokens + end.completionTokens,
+        },
+      });
   }
 
   protected override writeFailure(failure: Failure): void {
