--- /dev/null
+++ b/packages/bench/src/in_process/in_process_cluster.ts
@@ -0,0 +1,141 @@
+import { failureDomainId, regionId } from "@foxtailwind/core";
+import type { Vm } from "@foxtailwind/edges";
+import {
+  Daemon,
+  type DaemonAddresses,
+  LoggerFactory,
+  parseSettings,
+} from "@foxtailwind/node";
+import {
+  FakeLogService,
+  type FakeLogServiceSettings,
+  FakeVmList,
+} from "@foxtailwind/standins";
+
+const SILENT = -1;
+const REGION = "region-1";
+
+/** How large a cluster of daemons in this process is. */
+export interface InProcessClusterSize {
+  readonly nodes: number;
+  readonly domains: number;
+  readonly log?: Partial<FakeLogServiceSettings>;
+}
+
+/** A daemon that runs in this process. */
+export interface InProcessNode {
+  readonly id: string;
+  readonly failureDomain: string;
+  readonly daemon: Daemon;
+  readonly addresses: DaemonAddresses;
+}
+
+/** Daemons and the platform's stand-ins in one process, on loopback. */
+export class InProcessCluster {
+  readonly log: FakeLogService;
+  readonly vmList: FakeVmList;
+  readonly #platform: string;
+  readonly #nodes = new Map<string, InProcessNode>();
+
+  private constructor(parts: {
+    readonly log: FakeLogService;
+    readonly vmList: FakeVmList;
+    readonly platform: string;
+  }) {
+    this.log = parts.log;
+    this.vmList = parts.vmList;
+    this.#platform = parts.platform;
+  }
+
+  /** The daemons that run. */
+  get nodes(): readonly InProcessNode[] {
+    return [...this.#nodes.values()];
+  }
+
+  /**
+   * Starts the stand-ins and the daemons.
+   * @param size How large.
+   * @returns The running cluster.
+   */
+  static async start(size: InProcessClusterSize): Promise<InProcessCluster> {
+    const log = new FakeLogService(size.log);
+    const vmList = new FakeVmList({ lagMilliseconds: 0 });
+    const platform = `[platform]
+log = ${await log.listen()}
+vm_list = ${await vmList.listen()}
+weight_store = http://127.0.0.1:1
+`;
+    const cluster = new InProcessCluster({ log, vmList, platform });
+    for (let index = 0; index < size.nodes; index += 1) {
+      await cluster.startNode(
+        `node-${index + 1}`,
+        `domain-${index % size.domains + 1}`,
+      );
+    }
+    await Promise.all(
+      cluster.nodes.map((node) => node.daemon.directory.refresh()),
+    );
+    return cluster;
+  }
+
+  /**
+   * Starts one more daemon and lists it as a VM.
+   * @param id The node's id.
+   * @param failureDomain Its failure domain.
+   * @returns The running node.
+   */
+  async startNode(id: string, failureDomain: string): Promise<InProcessNode> {
+    const settings = parseSettings(
+      `[node]
+id = ${id}
+region = ${REGION}
+failure_domain = ${failureDomain}
+
+[listen]
+http = 127.0.0.1:0
+grpc = 127.0.0.1:0
+
+${this.#platform}`,
+      `${id}.ini`,
+    );
+    const daemon = new Daemon(
+      settings._unsafeUnwrap(),
+      new LoggerFactory("human", SILENT),
+    );
+    const addresses = await daemon.start();
+    const node: InProcessNode = { id, failureDomain, daemon, addresses };
+    this.#nodes.set(id, node);
+    this.vmList.setVm(vmOf(node));
+    return node;
+  }
+
+  /**
+   * Stops one daemon and takes it off the VM list.
+   * @param id The node's id.
+   */
+  async stopNode(id: string): Promise<void> {
+    const node = this.#nodes.get(id);
+    this.#nodes.delete(id);
+    this.vmList.removeVm(id);
+    await node?.daemon.stop();
+  }
+
+  /** Stops the daemons, then the stand-ins. */
+  async stop(): Promise<void> {
+    await Promise.all(this.nodes.map(({ daemon }) => daemon.stop()));
+    await this.log.close();
+    await this.vmList.close();
+  }
+}
+
+function vmOf(node: InProcessNode): Vm {
+  return {
+    id: node.id,
+    address: node.addresses.http,
+    peerAddress: node.addresses.grpc,
+    region: regionId(REGION),
+    failureDomain: failureDomainId(node.failureDomain),
+    role: { kind: "entry" },
+    state: "live",
+  };
+}
--- a/packages/core/src/configuration/item_key.ts
+++ b/packages/core/src/configuration/item_key.ts
@@ -1,15 +1,27 @@
 import type { Brand } from "../shared/mod.ts";
-import type { ConfigurationChange } from "./change.ts";
 
 /** Names one item of the configuration, as `class/drafting`. */
 export type ItemKey = Brand<string, "ItemKey">;
 
+/** What of a change says which item it is about. */
+export type ItemNaming =
+  | { readonly kind: "set_class" | "remove_class"; readonly class: string }
+  | { readonly kind: "set_tenant" | "remove_tenant"; readonly tenant: string }
+  | {
+    readonly kind: "set_adapter" | "remove_adapter";
+    readonly adapter: string;
+  }
+  | {
+    readonly kind: "set_service" | "remove_service";
+    readonly service: string;
+  };
+
 /**
  * Names the item that a change is about.
  * @param change The change.
  * @returns The item's key.
  */
-export function itemKeyOf(change: ConfigurationChange): ItemKey {
+export function itemKeyOf(change: ItemNaming): ItemKey {
   switch (change.kind) {
     case "set_class":
     case "remove_class":
--- /dev/null
+++ b/packages/core/tests/configuration/spread_and_schedule_test.ts
@@ -0,0 +1,73 @@
+import test from "ava";
+import {
+  CLOCK_START,
+  failureDomainId,
+  instant,
+  logOffset,
+  nodeId,
+  seconds,
+  SNAPSHOT_SCHEDULE,
+  snapshotDue,
+  type SnapshotView,
+  spreadPlace,
+} from "@foxtailwind/core";
+
+const NODES = Array.from({ length: 60 }, (_, index) => ({
+  id: nodeId(`node-${index}`),
+  failureDomain: failureDomainId(`domain-${index % 3}`),
+}));
+
+test("each failure domain has one reader, and every other node a way to it", (t) => {
+  const places = new Map(
+    NODES.map((node) => [node.id, spreadPlace(node, NODES, 4)]),
+  );
+  const readers = [...places.values()].filter((place) => place.readsLog);
+  t.is(readers.length, 3);
+  for (const place of places.values()) {
+    let hops = 0;
+    let at = place;
+    while (at.parent !== undefined) {
+      const above = places.get(at.parent);
+      if (above === undefined) break;
+      at = above;
+      hops += 1;
+    }
+    t.true(at.readsLog);
+    t.is(hops, place.depth);
+    t.true(hops <= 3);
+  }
+});
+
+test("no node serves more peers than the fanout", (t) => {
+  const children = new Map<string, number>();
+  for (const node of NODES) {
+    const { parent } = spreadPlace(node, NODES, 4);
+    if (parent === undefined) continue;
+    children.set(parent, (children.get(parent) ?? 0) + 1);
+  }
+  t.true(Math.max(...children.values()) <= 4);
+});
+
+const VIEW: SnapshotView = {
+  now: instant(SNAPSHOT_SCHEDULE.interval),
+  lastSeenAt: CLOCK_START,
+  recordsSince: 1,
+  covers: logOffset(10),
+  firstKept: logOffset(0),
+  rank: 0,
+};
+
+test("the first candidate writes a snapshot; the next ones wait for it", (t) => {
+  t.true(snapshotDue(VIEW));
+  t.false(snapshotDue({ ...VIEW, rank: 1 }));
+  const later = instant(SNAPSHOT_SCHEDULE.interval + SNAPSHOT_SCHEDULE.grace);
+  t.true(snapshotDue({ ...VIEW, rank: 1, now: later }));
+});
+
+test("many records, or retention past the last snapshot, make one due", (t) => {
+  const soon = { ...VIEW, now: instant(seconds(1)) };
+  t.false(snapshotDue(soon));
+  t.true(snapshotDue({ ...soon, recordsSince: SNAPSHOT_SCHEDULE.records }));
+  t.true(snapshotDue({ ...soon, firstKept: logOffset(12) }));
+  t.false(snapshotDue({ ...soon, firstKept: logOffset(11) }));
+});
--- /dev/null
+++ b/packages/node/src/configuration/configuration_publisher.ts
@@ -0,0 +1,174 @@
+import {
+  CONFIGURATION_STREAM,
+  type ConfigurationChange,
+  type ConfigurationRecord,
+  type Failure,
+  formatConfigurationRecord,
+  itemKeyOf,
+  later,
+  type LogOffset,
+  MAXIMUM_RECORD_BYTES,
+  milliseconds,
+  type RecentChange,
+} from "@foxtailwind/core";
+import type { LogClient } from "@foxtailwind/edges";
+import { err, ok, type Result } from "neverthrow";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { SteadyClock } from "../clock/steady_clock.ts";
+import type { ConfigurationFollower } from "./configuration_follower.ts";
+import {
+  type AcceptedChange,
+  type PublishFailure,
+  publishFailure,
+  refusedByReaders,
+} from "./publish_failure.ts";
+
+const DEADLINE = milliseconds(6_000);
+const RETRY_MILLISECONDS = 100;
+
+/** What a publisher works with. */
+export interface PublisherParts {
+  readonly log: LogClient;
+  readonly follower: ConfigurationFollower;
+  readonly clock: SteadyClock;
+}
+
+/** Appends operators' changes and reads back what became of them. */
+export class ConfigurationPublisher {
+  readonly #parts: PublisherParts;
+
+  /** @param parts What it works with. */
+  constructor(parts: PublisherParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * Publishes a record. The same id may be published again at any time: it
+   * gives what became of the first, and changes nothing more.
+   * @param record The record.
+   * @returns Where it was accepted, or why it was not, or that this is not
+   * known yet.
+   */
+  async publish(
+    record: ConfigurationRecord,
+  ): Promise<Result<AcceptedChange, PublishFailure>> {
+    const known = this.#find(record);
+    if (known !== undefined) return settle(known, true);
+    const refusal = this.#refuseBeforehand(record);
+    if (refusal !== undefined) return err(refusal);
+    const until = later(this.#parts.clock.now(), DEADLINE);
+    const appended = await this.#append(record, until);
+    if (appended.isErr()) return err(appended.error);
+    const settled = await this.#readBack(record, {
+      offset: appended.value,
+      until,
+    });
+    if (settled === undefined) return err(notReadBack(record.id));
+    return settle(settled, settled.offset !== appended.value);
+  }
+
+  #find(record: ConfigurationRecord): RecentChange | undefined {
+    return this.#parts.follower.configuration.recent.find(record.id);
+  }
+
+  #refuseBeforehand(record: ConfigurationRecord): PublishFailure | undefined {
+    const { reader } = this.#parts.follower.store;
+    if (reader.halt !== undefined) {
+      return publishFailure("unavailable", {
+        message: `This node reads no further than offset ${reader.next}: ` +
+          `${this.#parts.follower.status().halted}.`,
+        remedy: "Publish through a node of the newer release.",
+      });
+    }
+    const bytes = Buffer.byteLength(formatConfigurationRecord(record));
+    if (bytes > MAXIMUM_RECORD_BYTES) {
+      return publishFailure("invalid", {
+        message: `The record has ${bytes} bytes; ${MAXIMUM_RECORD_BYTES} are ` +
+          "allowed.",
+        remedy: "Publish the changes in several records.",
+      });
+    }
+    const missing = record.changes.find((change) => this.#isMissing(change));
+    return missing === undefined ? undefined : publishFailure("not_found", {
+      message: `${itemKeyOf(missing)} does not exist at offset ` +
+        `${reader.configuration.offset}.`,
+      remedy: "List the items, and name one of them.",
+    });
+  }
+
+  #isMissing(change: ConfigurationChange): boolean {
+    if (!change.kind.startsWith("remove_")) return false;
+    const { configuration } = this.#parts.follower;
+    const made = configuration.changeThatMakes(itemKeyOf(change));
+    return made.kind.startsWith("remove_");
+  }
+
+  /** Appending the same id again is safe, so a lost answer is asked again. */
+  async #append(
+    record: ConfigurationRecord,
+    until: number,
+  ): Promise<Result<LogOffset, PublishFailure>> {
+    const text = formatConfigurationRecord(record);
+    let mayHaveRun = false;
+    for (;;) {
+      const offset = await this.#parts.log.append(CONFIGURATION_STREAM, [text]);
+      if (offset.isOk()) return ok(offset.value);
+      mayHaveRun ||= offset.error.outcome !== "not_run";
+      const wait = offset.error.retryAfterMilliseconds ?? RETRY_MILLISECONDS;
+      if (this.#parts.clock.now() + wait >= until) {
+        return err(notAppended(record.id, { cause: offset.error, mayHaveRun }));
+      }
+      await sleep(wait);
+    }
+  }
+
+  async #readBack(
+    record: ConfigurationRecord,
+    { offset, until }: { readonly offset: LogOffset; readonly until: number },
+  ): Promise<RecentChange | undefined> {
+    const { follower, clock } = this.#parts;
+    while (follower.store.reader.next <= offset) {
+      if (clock.now() >= until) return undefined;
+      if (follower.store.reader.halt !== undefined) return undefined;
+      const answered = await follower.readOnce(0);
+      if (!answered) await sleep(RETRY_MILLISECONDS);
+    }
+    return this.#find(record);
+  }
+}
+
+function settle(
+  change: RecentChange,
+  repeated: boolean,
+): Result<AcceptedChange, PublishFailure> {
+  const { id, offset, verdict } = change;
+  if (verdict.kind === "accepted") return ok({ id, offset, repeated });
+  return err(refusedByReaders(verdict));
+}
+
+function notAppended(
+  id: string,
+  { cause, mayHaveRun }: {
+    readonly cause: Failure;
+    readonly mayHaveRun: boolean;
+  },
+): PublishFailure {
+  return {
+    ...cause,
+    outcome: mayHaveRun ? "unknown" : "not_run",
+    message: `The log did not take change ${id}: ${cause.message}`,
+    remedy: mayHaveRun
+      ? `Publish id ${id} again later: it tells what became of it.`
+      : "Nothing was changed. Try again later.",
+  };
+}
+
+function notReadBack(id: string): PublishFailure {
+  return {
+    ...publishFailure("timeout", {
+      message: `Change ${id} was appended, but could not be read back.`,
+      remedy: `Publish id ${id} again later: it tells what became of it.`,
+    }),
+    outcome: "unknown",
+  };
+}
--- /dev/null
+++ b/packages/node/src/configuration/configuration_store.ts
@@ -0,0 +1,148 @@
+import {
+  type Configuration,
+  ConfigurationReader,
+  type Duration,
+  elapsed,
+  type Instant,
+  instant,
+  type LogOffset,
+  milliseconds,
+  type RecordReading,
+  type StoredRecord,
+} from "@foxtailwind/core";
+import type { SteadyClock } from "../clock/steady_clock.ts";
+import type { PartLogger } from "../logging/part_logger.ts";
+import { RecordRing } from "./record_ring.ts";
+
+/** All records of the log from one offset to another. */
+export interface RecordRange {
+  readonly from: LogOffset;
+  readonly records: readonly StoredRecord[];
+  /** How long ago the range was known to reach the log's tail. */
+  readonly age: Duration | undefined;
+}
+
+/** The configuration of this node, and the latest records to pass on. */
+export class ConfigurationStore {
+  readonly reader = new ConfigurationReader();
+  readonly #ring = new RecordRing();
+  readonly #listeners = new Set<() => void>();
+  readonly #clock: SteadyClock;
+  readonly #logger: PartLogger;
+  #confirmedAt: Instant | undefined;
+
+  constructor(clock: SteadyClock, logger: PartLogger) {
+    this.#clock = clock;
+    this.#logger = logger;
+  }
+
+  /** Whether the log's tail was reached once, here or at a peer. */
+  get caughtUp(): boolean {
+    return this.#confirmedAt !== undefined;
+  }
+
+  /**
+   * Measures how long ago all accepted changes were known to be read.
+   * @returns The time, infinite where that was never so.
+   */
+  age(): Duration {
+    if (this.#confirmedAt === undefined) {
+      return milliseconds(Number.POSITIVE_INFINITY);
+    }
+    return elapsed(this.#confirmedAt, this.#clock.now());
+  }
+
+  /**
+   * Reads a range of records.
+   * @param range The range.
+   * @returns Whether it joins what was read before.
+   */
+  take(range: RecordRange): boolean {
+    if (!this.reader.joins(range.from)) return false;
+    const before = this.reader.next;
+    for (const record of range.records) this.#read(record);
+    this.confirm(range.age);
+    if (this.reader.next > before) this.#tell();
+    return true;
+  }
+
+  /**
+   * Takes over a configuration that covers more than is read here.
+   * @param configuration The configuration.
+   */
+  adopt(configuration: Configuration): void {
+    if (configuration.offset <= this.reader.configuration.offset) return;
+    this.reader.adopt(configuration);
+    this.#ring.restart(this.reader.next);
+    this.#logger.info("A snapshot was taken over.", {
+      offset: configuration.offset,
+    });
+    this.#tell();
+  }
+
+  /**
+   * Notes that what is read here reached the log's tail.
+   * @param age How long ago; nothing where it did not.
+   */
+  confirm(age: Duration | undefined): void {
+    if (age === undefined || this.reader.halt !== undefined) return;
+    if (!Number.isFinite(age)) return;
+    const at = instant(this.#clock.now() - age);
+    if (at > (this.#confirmedAt ?? Number.NEGATIVE_INFINITY)) {
+      this.#confirmedAt = at;
+    }
+  }
+
+  /**
+   * Reads records to pass on.
+   * @param from The lowest offset wanted.
+   * @returns The records, or nothing where only the whole state will do.
+   */
+  recordsFrom(from: LogOffset): readonly StoredRecord[] | undefined {
+    return this.#ring.from(from);
+  }
+
+  /**
+   * Calls back after each advance.
+   * @param listener What to call.
+   * @returns Ends the calls.
+   */
+  onAdvance(listener: () => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  #read(record: StoredRecord): void {
+    const wasHalted = this.reader.halt !== undefined;
+    const reading = this.reader.read(record);
+    if (reading.kind !== "already_read" && reading.kind !== "halted") {
+      this.#ring.push(record);
+    }
+    this.#report(record, reading, wasHalted);
+  }
+
+  #report(
+    { offset }: StoredRecord,
+    reading: RecordReading,
+    wasHalted: boolean,
+  ): void {
+    if (reading.kind === "corrupt") {
+      const reason = reading.message;
+      this.#logger.error("A record was passed over.", { offset, reason });
+    }
+    if (reading.kind === "manifest" && reading.matches === false) {
+      this.#logger.error("A snapshot differs from what was read here.", {
+        offset,
+      });
+    }
+    if (reading.kind === "halted" && !wasHalted) {
+      this.#logger.error("A record needs a newer release of the daemon.", {
+        offset,
+      });
+    }
+  }
+
+  #tell(): void {
+    for (const listener of this.#listeners) listener();
+  }
+}
--- /dev/null
+++ b/packages/node/src/configuration/log_source.ts
@@ -0,0 +1,133 @@
+import {
+  type Configuration,
+  CONFIGURATION_STREAM,
+  type LogOffset,
+  logOffset,
+  milliseconds,
+  parseConfigurationRecord,
+  restoreSnapshot,
+  SNAPSHOT_STREAM,
+  type SnapshotManifest,
+  type StoredRecord,
+} from "@foxtailwind/core";
+import type { LogClient, LogPage } from "@foxtailwind/edges";
+import type { PartLogger } from "../logging/part_logger.ts";
+import type { ConfigurationStore } from "./configuration_store.ts";
+
+const PAGE_RECORDS = 1_000;
+
+/** Reads the configuration from the platform's log. */
+export class LogSource {
+  readonly #log: LogClient;
+  readonly #store: ConfigurationStore;
+  readonly #logger: PartLogger;
+  #firstKept = logOffset(0);
+
+  constructor(log: LogClient, parts: {
+    readonly store: ConfigurationStore;
+    readonly logger: PartLogger;
+  }) {
+    this.#log = log;
+    this.#store = parts.store;
+    this.#logger = parts.logger;
+  }
+
+  /** The oldest record that the log keeps, as of the last read here. */
+  get firstKept(): LogOffset {
+    return this.#firstKept;
+  }
+
+  /**
+   * Reads one page, from a snapshot first where retention passed the records.
+   * @param waitMilliseconds How long to wait at the tail.
+   * @returns Whether the log answered and its answer could be used.
+   */
+  async readOnce(waitMilliseconds: number): Promise<boolean> {
+    const from = this.#store.reader.next;
+    const page = await this.#readPage(from, waitMilliseconds);
+    if (page === undefined) return false;
+    this.#firstKept = page.firstKept;
+    const joins = page.firstKept <= from;
+    const reachesTail = lastOffset(page, from) + 1 >= page.tail;
+    const taken = joins && this.#store.take({
+      from,
+      records: page.records,
+      age: reachesTail ? milliseconds(0) : undefined,
+    });
+    return taken || await this.#startFromSnapshot(page.firstKept);
+  }
+
+  async #startFromSnapshot(firstKept: LogOffset): Promise<boolean> {
+    const kept = await this.#readKept(firstKept);
+    for (const manifest of manifestsIn(kept).reverse()) {
+      if (manifest.covers + 1 < firstKept) continue;
+      const configuration = await this.#readSnapshot(manifest);
+      if (configuration === undefined) continue;
+      this.#store.adopt(configuration);
+      return true;
+    }
+    this.#logger.error("The log holds neither all records nor a snapshot.", {
+      peer: "log",
+      step: "read_log",
+      offset: firstKept,
+    });
+    return false;
+  }
+
+  async #readKept(firstKept: LogOffset): Promise<readonly StoredRecord[]> {
+    const records: StoredRecord[] = [];
+    let from = firstKept;
+    for (;;) {
+      const page = await this.#readPage(from, 0);
+      if (page === undefined || page.records.length === 0) return records;
+      records.push(...page.records);
+      from = logOffset(lastOffset(page, from) + 1);
+      if (from >= page.tail) return records;
+    }
+  }
+
+  async #readSnapshot(
+    manifest: SnapshotManifest,
+  ): Promise<Configuration | undefined> {
+    const chunks: string[] = [];
+    for (const from of manifest.chunks) {
+      const page = await this.#log.read(SNAPSHOT_STREAM, {
+        from,
+        limit: 1,
+        waitMilliseconds: 0,
+      });
+      const chunk = page.unwrapOr(undefined)?.records[0];
+      if (chunk?.offset !== from) return undefined;
+      chunks.push(chunk.data);
+    }
+    return restoreSnapshot(chunks).unwrapOr(undefined);
+  }
+
+  async #readPage(
+    from: LogOffset,
+    waitMilliseconds: number,
+  ): Promise<LogPage | undefined> {
+    const page = await this.#log.read(CONFIGURATION_STREAM, {
+      from,
+      limit: PAGE_RECORDS,
+      waitMilliseconds,
+    });
+    if (page.isOk()) return page.value;
+    this.#logger.warn("The log did not answer.", {
+      peer: page.error.peer,
+      step: page.error.step,
+    });
+    return undefined;
+  }
+}
+
+function lastOffset(page: LogPage, from: LogOffset): number {
+  return page.records.at(-1)?.offset ?? from - 1;
+}
+
+function manifestsIn(records: readonly StoredRecord[]): SnapshotManifest[] {
+  return records.flatMap(({ data }) => {
+    const text = parseConfigurationRecord(data);
+    return text.kind === "manifest" ? [text.manifest] : [];
+  });
+}
--- /dev/null
+++ b/packages/node/src/configuration/record_ring.ts
@@ -0,0 +1,54 @@
+import {
+  type LogOffset,
+  logOffset,
+  type StoredRecord,
+} from "@foxtailwind/core";
+
+const MAXIMUM_RECORDS = 4_096;
+const MAXIMUM_CHARACTERS = 2 * 1_024 * 1_024;
+
+/** The latest records as they lie in the log, to be passed on; bounded. */
+export class RecordRing {
+  #records: StoredRecord[] = [];
+  #start = logOffset(0);
+  #characters = 0;
+
+  /**
+   * Keeps a record, in the place of the oldest where there are too many.
+   * @param record The record; its offset is above all before.
+   */
+  push(record: StoredRecord): void {
+    this.#records.push(record);
+    this.#characters += record.data.length;
+    while (
+      this.#records.length > MAXIMUM_RECORDS ||
+      this.#characters > MAXIMUM_CHARACTERS
+    ) {
+      const oldest = this.#records.shift();
+      if (oldest === undefined) return;
+      this.#characters -= oldest.data.length;
+      this.#start = logOffset(oldest.offset + 1);
+    }
+  }
+
+  /**
+   * Forgets all records.
+   * @param start The lowest offset that may be asked for from now on.
+   */
+  restart(start: LogOffset): void {
+    this.#records = [];
+    this.#characters = 0;
+    this.#start = start;
+  }
+
+  /**
+   * Reads the records from an offset on.
+   * @param from The offset.
+   * @returns The records, or nothing where some are no longer kept.
+   */
+  from(from: LogOffset): readonly StoredRecord[] | undefined {
+    if (from < this.#start) return undefined;
+    const index = this.#records.findLastIndex(({ offset }) => offset < from);
+    return this.#records.slice(index + 1);
+  }
+}
--- /dev/null
+++ b/packages/node/src/configuration/snapshot_writer.ts
@@ -0,0 +1,132 @@
+import {
+  CONFIGURATION_STREAM,
+  formatSnapshotManifest,
+  type Instant,
+  type LogOffset,
+  nodeId,
+  rendezvousOrder,
+  SNAPSHOT_SCHEDULE,
+  SNAPSHOT_STREAM,
+  snapshotDue,
+  type SnapshotManifest,
+  takeSnapshot,
+} from "@foxtailwind/core";
+import type { LogClient } from "@foxtailwind/edges";
+import type { SteadyClock } from "../clock/steady_clock.ts";
+import type { PartLogger } from "../logging/part_logger.ts";
+import type { VmDirectory } from "../platform/vm_directory.ts";
+import type { ConfigurationFollower } from "./configuration_follower.ts";
+
+const TICK_MILLISECONDS = 1_000;
+
+/** What a snapshot writer works with. */
+export interface SnapshotWriterParts {
+  readonly self: string;
+  readonly log: LogClient;
+  readonly follower: ConfigurationFollower;
+  readonly directory: VmDirectory;
+  readonly clock: SteadyClock;
+  readonly logger: PartLogger;
+  readonly schedule?: {
+    readonly interval: number;
+    readonly records: number;
+    readonly grace: number;
+  };
+}
+
+/** Appends snapshots, where this node is the one to do so. */
+export class SnapshotWriter {
+  readonly #parts: SnapshotWriterParts;
+  #timer: NodeJS.Timeout | undefined;
+  #lastManifest: SnapshotManifest | undefined;
+  #lastSeenAt: Instant;
+  #writing = false;
+
+  /** @param parts What it works with. */
+  constructor(parts: SnapshotWriterParts) {
+    this.#parts = parts;
+    this.#lastSeenAt = parts.clock.now();
+  }
+
+  /** Looks now and then whether a snapshot is due. */
+  start(): void {
+    this.#timer = setInterval(() => void this.tick(), TICK_MILLISECONDS);
+  }
+
+  /** Stops looking. */
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  /**
+   * Writes a snapshot where one is due here.
+   * @returns Whether one was written.
+   */
+  async tick(): Promise<boolean> {
+    const { follower, clock } = this.#parts;
+    const { reader } = follower.store;
+    if (reader.lastManifest !== this.#lastManifest) {
+      this.#lastManifest = reader.lastManifest;
+      this.#lastSeenAt = clock.now();
+    }
+    if (this.#writing || reader.halt !== undefined) return false;
+    if (!follower.caughtUp || reader.configuration.offset < 0) return false;
+    if (!this.#isDue()) return false;
+    this.#writing = true;
+    const written = await this.#write();
+    this.#writing = false;
+    return written;
+  }
+
+  #isDue(): boolean {
+    const { follower, clock, schedule } = this.#parts;
+    const { reader } = follower.store;
+    return snapshotDue({
+      now: clock.now(),
+      lastSeenAt: this.#lastSeenAt,
+      recordsSince: reader.recordsSinceManifest,
+      covers: reader.lastManifest?.covers,
+      firstKept: follower.logSource.firstKept,
+      rank: this.#rank(),
+    }, schedule ?? SNAPSHOT_SCHEDULE);
+  }
+
+  #rank(): number {
+    const { directory, self, follower } = this.#parts;
+    const covers = follower.store.reader.lastManifest?.covers ?? -1;
+    const ids = directory.live("entry").map((vm) => nodeId(vm.id));
+    const order = rendezvousOrder(`configuration_snapshot/${covers}`, ids);
+    const rank = order.indexOf(nodeId(self));
+    return rank < 0 ? order.length : rank;
+  }
+
+  async #write(): Promise<boolean> {
+    const { follower, log, logger, clock } = this.#parts;
+    const { covers, digest, chunks } = takeSnapshot(follower.configuration);
+    const offsets: LogOffset[] = [];
+    for (const chunk of chunks) {
+      const offset = await log.append(SNAPSHOT_STREAM, [chunk]);
+      if (offset.isErr()) return this.#giveUp(offset.error.message);
+      offsets.push(offset.value);
+    }
+    const manifest = formatSnapshotManifest({
+      covers,
+      digest,
+      chunks: offsets,
+    });
+    const appended = await log.append(CONFIGURATION_STREAM, [manifest]);
+    if (appended.isErr()) return this.#giveUp(appended.error.message);
+    this.#lastSeenAt = clock.now();
+    logger.info("A snapshot was written.", { covers, chunks: chunks.length });
+    return true;
+  }
+
+  /** What was appended does no harm; the next tick begins again. */
+  #giveUp(reason: string): boolean {
+    this.#parts.logger.warn("A snapshot was not written.", {
+      peer: "log",
+      reason,
+    });
+    return false;
+  }
+}
--- /dev/null
+++ b/packages/node/src/configuration/spread_service.ts
@@ -0,0 +1,164 @@
+import {
+  type LogOffset,
+  logOffset,
+  type StoredRecord,
+  takeSnapshot,
+} from "@foxtailwind/core";
+import {
+  ConfigurationService,
+  type FollowAnswer,
+  type FollowRequest,
+  type StatusAnswer,
+  type StatusRequest,
+} from "@foxtailwind/protocol";
+import type {
+  sendUnaryData,
+  ServerUnaryCall,
+  ServerWritableStream,
+} from "@grpc/grpc-js";
+import type { PeerRegistration } from "../peers/peer_server.ts";
+import type { ConfigurationStore } from "./configuration_store.ts";
+
+const ALIVE_MILLISECONDS = 300;
+const MESSAGE_CHARACTERS = 262_144;
+
+type FollowCall = ServerWritableStream<FollowRequest, FollowAnswer>;
+
+/** Passes records on to the peers that follow this node. */
+export class SpreadService {
+  readonly #store: ConfigurationStore;
+  readonly #status: () => StatusAnswer;
+  readonly #streams = new Set<FollowerStream>();
+
+  /**
+   * @param store What is passed on.
+   * @param status Tells what is in force here.
+   */
+  constructor(store: ConfigurationStore, status: () => StatusAnswer) {
+    this.#store = store;
+    this.#status = status;
+  }
+
+  /** How many peers follow this node. */
+  get followers(): number {
+    return this.#streams.size;
+  }
+
+  /** The gRPC service, to register. */
+  get registration(): PeerRegistration {
+    return {
+      definition: ConfigurationService,
+      implementation: {
+        follow: (call: FollowCall) => {
+          this.#open(call);
+        },
+        status: (
+          _call: ServerUnaryCall<StatusRequest, StatusAnswer>,
+          answer: sendUnaryData<StatusAnswer>,
+        ) => {
+          answer(null, this.#status());
+        },
+      },
+    };
+  }
+
+  /** Ends the streams to all followers. */
+  close(): void {
+    for (const stream of this.#streams) stream.end();
+  }
+
+  #open(call: FollowCall): void {
+    const stream = new FollowerStream(call, this.#store);
+    this.#streams.add(stream);
+    const stopAdvances = this.#store.onAdvance(() => {
+      stream.send();
+    });
+    const alive = setInterval(() => {
+      stream.sendAlive();
+    }, ALIVE_MILLISECONDS);
+    call.on("close", () => {
+      clearInterval(alive);
+      stopAdvances();
+      this.#streams.delete(stream);
+    });
+    stream.sendAlive();
+  }
+}
+
+class FollowerStream {
+  readonly #call: FollowCall;
+  readonly #store: ConfigurationStore;
+  #next: LogOffset;
+
+  constructor(call: FollowCall, store: ConfigurationStore) {
+    this.#call = call;
+    this.#store = store;
+    this.#next = logOffset(call.request.from);
+  }
+
+  /** Sends what the follower does not have, unless it is slow to take it. */
+  send(): void {
+    const { next } = this.#store.reader;
+    if (this.#call.writableNeedDrain || this.#next >= next) return;
+    const records = this.#store.recordsFrom(this.#next);
+    if (records === undefined) this.#sendState();
+    else this.#sendRecords(records);
+    this.#next = next;
+  }
+
+  /** Sends a sign of life after all that is due. */
+  sendAlive(): void {
+    this.send();
+    const { next } = this.#store.reader;
+    this.#write({
+      $case: "alive",
+      value: { next, ageMilliseconds: this.#store.age() },
+    });
+  }
+
+  /** Ends the stream. */
+  end(): void {
+    this.#call.end();
+  }
+
+  #sendRecords(records: readonly StoredRecord[]): void {
+    const ageMilliseconds = this.#store.age();
+    let from = this.#next;
+    for (const batch of batchesOf(records)) {
+      const next = logOffset((batch.at(-1)?.offset ?? from) + 1);
+      this.#write({
+        $case: "records",
+        value: { from, records: [...batch], next, ageMilliseconds },
+      });
+      from = next;
+    }
+  }
+
+  #sendState(): void {
+    const { chunks } = takeSnapshot(this.#store.reader.configuration);
+    for (const [index, text] of chunks.entries()) {
+      const count = chunks.length;
+      this.#write({ $case: "state", value: { index, count, text } });
+    }
+  }
+
+  #write(part: NonNullable<FollowAnswer["part"]>): void {
+    if (!this.#call.writableEnded) this.#call.write({ part });
+  }
+}
+
+function batchesOf(
+  records: readonly StoredRecord[],
+): readonly (readonly StoredRecord[])[] {
+  const batches: StoredRecord[][] = [];
+  let characters = MESSAGE_CHARACTERS;
+  for (const record of records) {
+    if (characters + record.data.length > MESSAGE_CHARACTERS) {
+      batches.push([]);
+      characters = 0;
+    }
+    batches.at(-1)?.push(record);
+    characters += record.data.length;
+  }
+  return batches;
+}
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -10,19 +10,25 @@
   HttpLogClient,
   HttpServiceClient,
   HttpVmListClient,
+  type Vm,
 } from "@foxtailwind/edges";
 import type { NestFastifyApplication } from "@nestjs/platform-fastify";
 import type { AddressInfo } from "node:net";
 import { Agent } from "undici";
 import { ProcessClock } from "./clock/steady_clock.ts";
+import { readClusterStatus } from "./configuration/cluster_status.ts";
+import { ConfigurationFollower } from "./configuration/configuration_follower.ts";
+import { ConfigurationPublisher } from "./configuration/configuration_publisher.ts";
+import { SnapshotWriter } from "./configuration/snapshot_writer.ts";
+import { SpreadService } from "./configuration/spread_service.ts";
 import { DaemonParts } from "./daemon_parts.ts";
 import { createHttpApplication } from "./http_application.ts";
 import type { LoggerFactory } from "./logging/part_logger.ts";
+import type { DrainHook } from "./operators/drain_hook.ts";
 import { generationService } from "./peers/generation_service.ts";
 import { PeerChannels } from "./peers/peer_channels.ts";
 import { PeerClients } from "./peers/peer_clients.ts";
 import { PeerServer } from "./peers/peer_server.ts";
-import { ConfigurationFollower } from "./platform/configuration_follower.ts";
 import { VmDirectory } from "./platform/vm_directory.ts";
 import { GenerationRouter } from "./serving/generation_router.ts";
 import type { Settings } from "./settings/settings.ts";
@@ -41,9 +47,13 @@
   override readonly services: HttpServiceClient;
   override readonly directory: VmDirectory;
   override readonly follower: ConfigurationFollower;
+  override readonly publisher: ConfigurationPublisher;
+  override readonly drainHook: DrainHook | undefined = undefined;
   override readonly observer: RequestObserver = new SilentObserver();
   override readonly router: GenerationRouter;
   readonly #channels = new PeerChannels();
+  readonly #spread: SpreadService;
+  readonly #snapshots: SnapshotWriter;
   readonly #peerServer: PeerServer;
   readonly #dispatcher = new Agent({ connections: null, pipelining: 1 });
   #application: NestFastifyApplication | undefined;
@@ -66,9 +76,29 @@
       }),
       loggers.forPart("membership"),
     );
-    this.follower = new ConfigurationFollower(
-      this.log,
-      loggers.forPart("configuration"),
+    this.follower = new ConfigurationFollower({
+      self: {
+        id: settings.node.id,
+        failureDomain: settings.node.failure_domain,
+      },
+      log: this.log,
+      directory: this.directory,
+      channels: this.#channels,
+      clock: this.clock,
+      logger: loggers.forPart("configuration"),
+    });
+    this.publisher = new ConfigurationPublisher(this);
+    this.#snapshots = new SnapshotWriter({
+      self: settings.node.id,
+      log: this.log,
+      follower: this.follower,
+      directory: this.directory,
+      clock: this.clock,
+      logger: loggers.forPart("configuration"),
+    });
+    this.#spread = new SpreadService(
+      this.follower.store,
+      () => this.follower.status(),
     );
     this.router = new GenerationRouter({
       self: settings.node.id,
@@ -81,6 +111,7 @@
     });
     this.#peerServer = new PeerServer([
       generationService(this.router, this.clock),
+      this.#spread.registration,
     ]);
   }
 
@@ -95,6 +126,7 @@
     await this.#application.listen(http.port, http.host);
     await this.directory.start();
     void this.follower.run();
+    this.#snapshots.start();
     const address = this.#application.getHttpServer().address() as AddressInfo;
     return {
       http: `${http.host}:${address.port}`,
@@ -105,14 +137,19 @@
   /** Stops taking work, finishes what is in progress, and stops. */
   async stop(): Promise<void> {
     await this.#application?.close();
+    this.follower.stop();
+    this.#snapshots.stop();
+    this.#spread.close();
     await this.#peerServer.close();
     this.directory.stop();
-    this.follower.stop();
     this.router.stop();
     this.#channels.close();
     await this.#dispatcher.destroy();
   }
 
+  override readonly peerStatuses = (nodes: readonly Vm[]) =>
+    readClusterStatus(nodes, this.#channels);
+
   #engineClient(engine: EngineId, address: string): HttpEngineClient {
     return new HttpEngineClient({
       peer: engine,
--- a/packages/node/src/daemon_parts.ts
+++ b/packages/node/src/daemon_parts.ts
@@ -1,7 +1,10 @@
 import type { RequestObserver } from "@foxtailwind/core";
-import type { LogClient, ServiceClient } from "@foxtailwind/edges";
+import type { LogClient, ServiceClient, Vm } from "@foxtailwind/edges";
 import type { SteadyClock } from "./clock/steady_clock.ts";
-import type { ConfigurationFollower } from "./platform/configuration_follower.ts";
+import type { NodeStatus } from "./configuration/cluster_status.ts";
+import type { ConfigurationFollower } from "./configuration/configuration_follower.ts";
+import type { ConfigurationPublisher } from "./configuration/configuration_publisher.ts";
+import type { DrainHook } from "./operators/drain_hook.ts";
 import type { VmDirectory } from "./platform/vm_directory.ts";
 import type { GenerationRouter } from "./serving/generation_router.ts";
 import type { Settings } from "./settings/settings.ts";
@@ -14,6 +17,13 @@
   abstract readonly services: ServiceClient;
   abstract readonly directory: VmDirectory;
   abstract readonly follower: ConfigurationFollower;
+  abstract readonly publisher: ConfigurationPublisher;
+  /** Drains this node; nothing where the daemon cannot. */
+  abstract readonly drainHook: DrainHook | undefined;
+  /** Asks other nodes which configuration is in force there. */
+  abstract readonly peerStatuses: (
+    nodes: readonly Vm[],
+  ) => Promise<readonly NodeStatus[]>;
   abstract readonly observer: RequestObserver;
   abstract readonly router: GenerationRouter;
 }
--- /dev/null
+++ b/packages/node/src/operators/items_controller.ts
@@ -0,0 +1,110 @@
+import {
+  type AdapterId,
+  type Configuration,
+  type ConfiguredAdapter,
+  type ItemKey,
+  type Target,
+} from "@foxtailwind/core";
+import { Controller, Get, Inject, Query } from "@nestjs/common";
+import { DaemonParts } from "../daemon_parts.ts";
+import { wholeNumber } from "./query.ts";
+
+const DEFAULT_PAGE = 100;
+const MAXIMUM_PAGE = 10_000;
+
+/** Lists the items of the configuration in force here. */
+@Controller("v1/operators")
+export class ItemsController {
+  readonly #parts: DaemonParts;
+
+  constructor(@Inject(DaemonParts) parts: DaemonParts) {
+    this.#parts = parts;
+  }
+
+  /** Lists the classes and their targets. */
+  @Get("classes")
+  classes() {
+    const { configuration } = this.#parts.follower;
+    return {
+      offset: configuration.offset,
+      classes: targetRows(configuration, "class", configuration.classes),
+    };
+  }
+
+  /** Lists the services and their targets. */
+  @Get("services")
+  services() {
+    const { configuration } = this.#parts.follower;
+    return {
+      offset: configuration.offset,
+      services: targetRows(configuration, "service", configuration.services),
+    };
+  }
+
+  /** Lists the tenants. */
+  @Get("tenants")
+  tenants() {
+    const { configuration } = this.#parts.follower;
+    const tenants = [...configuration.tenants].sort().map((tenant) => ({
+      tenant,
+      ...originOf(configuration, `tenant/${tenant}`),
+    }));
+    return { offset: configuration.offset, tenants };
+  }
+
+  /** Lists the adapters and their versions, a page at a time. */
+  @Get("adapters")
+  adapters(
+    @Query("after") after: string | undefined,
+    @Query("limit") limit: string | undefined,
+    @Query("model") model: string | undefined,
+  ) {
+    const { configuration } = this.#parts.follower;
+    const count = wholeNumber(limit, {
+      otherwise: DEFAULT_PAGE,
+      maximum: MAXIMUM_PAGE,
+    });
+    const ids = adaptersOf(configuration, model);
+    const page = ids.filter((id) => id > (after ?? "")).slice(0, count);
+    return {
+      offset: configuration.offset,
+      total: ids.length,
+      adapters: page.flatMap((id) => adapterRows(configuration, id)),
+    };
+  }
+}
+
+function adaptersOf(
+  configuration: Configuration,
+  model: string | undefined,
+): readonly AdapterId[] {
+  const wanted = (adapter: ConfiguredAdapter) =>
+    model === undefined || adapter.model === model;
+  return [...configuration.adapters.values()].filter(wanted)
+    .map(({ adapter }) => adapter).sort();
+}
+
+function adapterRows(configuration: Configuration, id: AdapterId) {
+  const adapter = configuration.adapters.get(id);
+  if (adapter === undefined) return [];
+  return [{ ...adapter, ...originOf(configuration, `adapter/${id}`) }];
+}
+
+function targetRows<Id extends string>(
+  configuration: Configuration,
+  kind: "class" | "service",
+  targets: ReadonlyMap<Id, Target>,
+) {
+  return [...targets]
+    .sort(([left], [right]) => left < right ? -1 : 1)
+    .map(([id, target]) => ({
+      [kind]: id,
+      target,
+      ...originOf(configuration, `${kind}/${id}`),
+    }));
+}
+
+function originOf(configuration: Configuration, item: string) {
+  const origin = configuration.origins.get(item as ItemKey);
+  return { version: origin?.offset ?? -1, author: origin?.author ?? "" };
+}
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -3,3 +3,11 @@
  * @module
  */
 export * from "./generated/peer.ts";
+export {
+  ConfigurationClient,
+  ConfigurationService,
+  type FollowAnswer,
+  type FollowRequest,
+  type StatusAnswer,
+  type StatusRequest,
+} from "./generated/configuration.ts";
