--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -12,11 +12,17 @@
   HttpLogClient,
   HttpServiceClient,
   HttpVmListClient,
+  type Vm,
 } from "@foxtailwind/edges";
 import type { NestFastifyApplication } from "@nestjs/platform-fastify";
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { ProcessClock } from "./clock/steady_clock.ts";
+import { readClusterStatus } from "./configuration/cluster_status.ts";
+import { ConfigurationFollower } from "./configuration/configuration_follower.ts";
+import { ConfigurationPublisher } from "./configuration/configuration_publisher.ts";
+import { SnapshotWriter } from "./configuration/snapshot_writer.ts";
+import { SpreadService } from "./configuration/spread_service.ts";
 import { DaemonParts } from "./daemon_parts.ts";
 import { type KeyedExecution, ServiceDelivery } from "./delivery/mod.ts";
 import {
@@ -27,11 +33,11 @@
 } from "./drain/mod.ts";
 import { createHttpApplication } from "./http_application.ts";
 import type { LoggerFactory } from "./logging/part_logger.ts";
+import type { DrainHook } from "./operators/drain_hook.ts";
 import { generationService } from "./peers/generation_service.ts";
 import { PeerChannels } from "./peers/peer_channels.ts";
 import { PeerClients } from "./peers/peer_clients.ts";
 import { PeerServer } from "./peers/peer_server.ts";
-import { ConfigurationFollower } from "./platform/configuration_follower.ts";
 import { VmDirectory } from "./platform/vm_directory.ts";
 import {
   AddressDirectory,
@@ -66,9 +72,13 @@
   override readonly drain: Drain;
   override readonly directory: VmDirectory;
   override readonly follower: ConfigurationFollower;
+  override readonly publisher: ConfigurationPublisher;
+  override readonly drainHook: DrainHook | undefined = undefined;
   override readonly observer: RequestObserver = new SilentObserver();
   override readonly router: GenerationRouter;
   readonly #channels = new PeerChannels();
+  readonly #spread: SpreadService;
+  readonly #snapshots: SnapshotWriter;
   readonly #peerServer: PeerServer;
   readonly #dispatcher = createDispatcher();
   #application: NestFastifyApplication | undefined;
@@ -92,9 +102,29 @@
       }),
       loggers.forPart("membership"),
     );
-    this.follower = new ConfigurationFollower(
-      this.log,
-      loggers.forPart("configuration"),
+    this.follower = new ConfigurationFollower({
+      self: {
+        id: settings.node.id,
+        failureDomain: settings.node.failure_domain,
+      },
+      log: this.log,
+      directory: this.directory,
+      channels: this.#channels,
+      clock: this.clock,
+      logger: loggers.forPart("configuration"),
+    });
+    this.publisher = new ConfigurationPublisher(this);
+    this.#snapshots = new SnapshotWriter({
+      self: settings.node.id,
+      log: this.log,
+      follower: this.follower,
+      directory: this.directory,
+      clock: this.clock,
+      logger: loggers.forPart("configuration"),
+    });
+    this.#spread = new SpreadService(
+      this.follower.store,
+      () => this.follower.status(),
     );
     this.router = new GenerationRouter({
       self: settings.node.id,
@@ -107,6 +137,7 @@
     });
     this.#peerServer = new PeerServer([
       countCalls(generationService(this.router, this.clock), this.work),
+      this.#spread.registration,
     ]);
     this.drain = this.#makeDrain(loggers);
     this.serviceDispatcher = new ServiceDispatcher({
@@ -136,6 +167,7 @@
     await this.#application.listen(http.port, http.host);
     await this.directory.start();
     void this.follower.run();
+    this.#snapshots.start();
     const address = this.#application.getHttpServer().address() as AddressInfo;
     return {
       http: `${http.host}:${address.port}`,
@@ -159,15 +191,20 @@
   async #close(isOverdue: boolean): Promise<void> {
     const closing = this.#closeServers();
     await (isOverdue ? Promise.race([closing, sleep(OVERDUE_CLOSE)]) : closing);
-    this.directory.stop();
     this.follower.stop();
+    this.#snapshots.stop();
+    this.directory.stop();
     this.router.stop();
     this.#channels.close();
     await this.#dispatcher.destroy();
   }
 
+  override readonly peerStatuses = (nodes: readonly Vm[]) =>
+    readClusterStatus(nodes, this.#channels);
+
   async #closeServers(): Promise<void> {
     await this.#application?.close();
+    this.#spread.close();
     await this.#peerServer.close();
   }
 
