Deliver each request to its only outcome, over nodes, attempts and retries

Cause: a request was sent once, by one gRPC call each, and nothing kept a caller's retry from running it again. One HandOver call between two nodes carries all requests in batches, with back-pressure and a drain.

--- a/packages/core/src/delivery/delivery_rules.ts
+++ b/packages/core/src/delivery/delivery_rules.ts
@@ -5,8 +5,12 @@
   readonly failure: Failure;
   /** Whether the request may run more than once. */
   readonly repeatable: boolean;
+  /** Tokens received, over all attempts that were resumed. */
+  readonly received: number;
   /** Tokens already passed on to the caller. */
   readonly passed: number;
+  /** Whether the attempt went on with a generation that the engine held. */
+  readonly wasResume: boolean;
 }
 
 /** How to go on after an attempt failed. */
@@ -33,10 +37,14 @@
    * @returns The next step; the retry budget may still forbid it.
    */
   nextStep(attempt: FailedAttempt): NextStep {
-    const { failure, repeatable, passed } = attempt;
+    const { failure, repeatable, received, passed, wasResume } = attempt;
+    const mayRestart = repeatable && passed === 0;
+    if (wasResume && isNothingToResume(failure)) {
+      return mayRestart ? "restart" : "give_up";
+    }
     if (!isPassing(failure)) return "give_up";
-    if (passed > 0) return "resume";
-    return repeatable || failure.outcome === "not_run" ? "restart" : "give_up";
+    if (received > 0) return "resume";
+    return mayRestart || failure.outcome === "not_run" ? "restart" : "give_up";
   }
 
   /**
@@ -82,17 +90,18 @@
     return true;
   }
 
-  /** Decides whether a key's record outlives an outcome that is unknown. */
-  keepsUnknown(): boolean {
-    return true;
-  }
-
   /** Decides whether a stream may end though tokens are missing. */
   mayEndIncomplete(): boolean {
     return false;
   }
 }
 
+/** A resume never starts a generation anew: the engine has none, or refuses. */
+function isNothingToResume(failure: Failure): boolean {
+  return failure.reason === "not_found" || failure.reason === "refused" ||
+    failure.reason === "invalid";
+}
+
 function isPassing(failure: Failure): boolean {
   switch (failure.reason) {
     case "unavailable":
--- a/packages/core/src/delivery/key_ledger.ts
+++ b/packages/core/src/delivery/key_ledger.ts
@@ -125,8 +125,8 @@
   }
 
   /**
-   * Records how a key's run ended. A run that is proven not to have happened
-   * frees the key.
+   * Records how a request with a key ended. A key that did not run here, or is
+   * proven not to have run, is free again.
    * @param now The present time.
    * @param key The key.
    * @param result The outcome.
@@ -134,7 +134,8 @@
   finished(now: Instant, key: IdempotencyKey, result: RunResult): void {
     const entry = this.#entries.get(key);
     if (entry === undefined) return;
-    if (result.isErr() && result.error.outcome === "not_run") {
+    const notRun = result.isErr() && result.error.outcome === "not_run";
+    if (entry.runs === 0 || notRun) {
       this.#entries.delete(key);
       return;
     }
--- a/packages/node/src/callers/completions_controller.ts
+++ b/packages/node/src/callers/completions_controller.ts
@@ -3,6 +3,11 @@
 import type { FastifyReply } from "fastify";
 import { randomUUID } from "node:crypto";
 import { DaemonParts } from "../daemon_parts.ts";
+import {
+  IDEMPOTENCY_KEY_HEADER,
+  isNotRepeatable,
+  NOT_REPEATABLE_HEADER,
+} from "../delivery/mod.ts";
 import { completionRequestSchema } from "./completion_request.ts";
 import {
   StreamingCompletionSink,
@@ -26,6 +31,8 @@
     @Body() body: unknown,
     @Headers("x-foxtailwind-class") className: string | undefined,
     @Headers("x-foxtailwind-tenant") tenant: string | undefined,
+    @Headers(IDEMPOTENCY_KEY_HEADER) key: string | undefined,
+    @Headers(NOT_REPEATABLE_HEADER) notRepeatable: string | undefined,
     @Res() reply: FastifyReply,
   ): void {
     const request = requestId(randomUUID());
@@ -53,7 +60,12 @@
     const sink = parsed.data.stream
       ? new StreamingCompletionSink(generation.value, reply)
       : new WholeCompletionSink(generation.value, reply);
-    sink.attach(this.#parts.router.route(generation.value, sink));
+    sink.attach(this.#parts.delivery.generations.deliver({
+      generation: generation.value,
+      streamed: parsed.data.stream,
+      key,
+      notRepeatable: isNotRepeatable(notRepeatable),
+    }, sink));
   }
 }
 
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -16,6 +16,7 @@
 import { Agent } from "undici";
 import { ProcessClock } from "./clock/steady_clock.ts";
 import { DaemonParts } from "./daemon_parts.ts";
+import { DeliveryParts } from "./delivery/mod.ts";
 import { createHttpApplication } from "./http_application.ts";
 import type { LoggerFactory } from "./logging/part_logger.ts";
 import { generationService } from "./peers/generation_service.ts";
@@ -43,7 +44,9 @@
   override readonly follower: ConfigurationFollower;
   override readonly observer: RequestObserver = new SilentObserver();
   override readonly router: GenerationRouter;
+  override readonly delivery: DeliveryParts;
   readonly #channels = new PeerChannels();
+  readonly #peers = new PeerClients(this.#channels);
   readonly #peerServer: PeerServer;
   readonly #dispatcher = new Agent({ connections: null, pipelining: 1 });
   #application: NestFastifyApplication | undefined;
@@ -73,14 +76,25 @@
     this.router = new GenerationRouter({
       self: settings.node.id,
       directory: this.directory,
-      peers: new PeerClients(this.#channels),
+      peers: this.#peers,
       clock: this.clock,
       logger: loggers.forPart("serving"),
       fencing: () => fencingNumber(0),
       engineClient: (vm) => this.#engineClient(engineId(vm.id), vm.address),
     });
+    this.delivery = new DeliveryParts({
+      self: settings.node.id,
+      failureDomain: settings.node.failure_domain,
+      clock: this.clock,
+      log: this.log,
+      channels: this.#channels,
+      nodes: () => this.directory.vms.filter((vm) => vm.role.kind === "entry"),
+      router: this.router,
+      observer: this.observer,
+    });
     this.#peerServer = new PeerServer([
       generationService(this.router, this.clock),
+      this.delivery.registration,
     ]);
   }
 
@@ -105,10 +119,12 @@
   /** Stops taking work, finishes what is in progress, and stops. */
   async stop(): Promise<void> {
     await this.#application?.close();
+    this.#peers.close();
     await this.#peerServer.close();
     this.directory.stop();
     this.follower.stop();
     this.router.stop();
+    this.delivery.stop();
     this.#channels.close();
     await this.#dispatcher.destroy();
   }
--- a/packages/node/src/daemon_parts.ts
+++ b/packages/node/src/daemon_parts.ts
@@ -1,6 +1,7 @@
 import type { RequestObserver } from "@foxtailwind/core";
 import type { LogClient, ServiceClient } from "@foxtailwind/edges";
 import type { SteadyClock } from "./clock/steady_clock.ts";
+import type { DeliveryParts } from "./delivery/mod.ts";
 import type { ConfigurationFollower } from "./platform/configuration_follower.ts";
 import type { VmDirectory } from "./platform/vm_directory.ts";
 import type { GenerationRouter } from "./serving/generation_router.ts";
@@ -16,4 +17,5 @@
   abstract readonly follower: ConfigurationFollower;
   abstract readonly observer: RequestObserver;
   abstract readonly router: GenerationRouter;
+  abstract readonly delivery: DeliveryParts;
 }
--- /dev/null
+++ b/packages/node/src/delivery/claim_gatherer.ts
@@ -0,0 +1,140 @@
+import {
+  CLAIM_STREAM,
+  ClaimGathering,
+  type ClaimRecord,
+  type ClaimVerdict,
+  DeliveryRules,
+  formatClaimRecord,
+  type KeyClaim,
+  type LogOffset,
+  milliseconds,
+  parseClaimRecord,
+  seconds,
+} from "@foxtailwind/core";
+import type { LogClient } from "@foxtailwind/edges";
+import { randomUUID } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { SteadyClock } from "../clock/steady_clock.ts";
+import { FREE_KEY_WINDOW } from "./key_limits.ts";
+
+const BATCH_INTERVAL = milliseconds(50);
+const SETTLE_TIMEOUT = seconds(5);
+const MAXIMUM_BATCH = 2_000;
+const MAXIMUM_KEYS = 200_000;
+const PAGE_RECORDS = 1_000;
+const LONG_POLL_MILLISECONDS = 1_000;
+const RETRY_MILLISECONDS = 100;
+const TICK_MILLISECONDS = 10;
+
+/**
+ * Claims free keys in the log for the nodes of a failure domain. It reads the
+ * log only while claims are pending, so that it costs nothing when unused.
+ */
+export class ClaimGatherer {
+  readonly #log: LogClient;
+  readonly #clock: SteadyClock;
+  readonly #gathering: ClaimGathering;
+  readonly #waiting = new Map<string, (verdict: ClaimVerdict) => void>();
+  #following = false;
+  #ticker: NodeJS.Timeout | undefined;
+  #stopped = false;
+
+  /**
+   * @param log The log.
+   * @param clock This VM's clock.
+   */
+  constructor(log: LogClient, clock: SteadyClock) {
+    this.#log = log;
+    this.#clock = clock;
+    this.#gathering = new ClaimGathering({
+      batchInterval: BATCH_INTERVAL,
+      settleTimeout: SETTLE_TIMEOUT,
+      maximumBatch: MAXIMUM_BATCH,
+      maximumKeys: MAXIMUM_KEYS,
+      window: FREE_KEY_WINDOW,
+      rules: new DeliveryRules(),
+      recordId: () => randomUUID(),
+    });
+  }
+
+  /** The offset that later claims lie at or above, for prefixes of keys. */
+  get epoch(): LogOffset {
+    return this.#gathering.index.next;
+  }
+
+  /**
+   * Claims a key.
+   * @param claim The claim.
+   * @returns The key's winner, or why the claim was not settled.
+   */
+  claim(claim: KeyClaim): Promise<ClaimVerdict> {
+    return new Promise((resolve) => {
+      this.#waiting.set(claim.nonce, resolve);
+      this.#gathering.submit(this.#clock.now(), claim);
+      this.#wake();
+    });
+  }
+
+  /** Stops reading and appending. */
+  stop(): void {
+    this.#stopped = true;
+    clearInterval(this.#ticker);
+  }
+
+  #wake(): void {
+    if (this.#stopped) return;
+    this.#ticker ??= setInterval(() => {
+      this.#turn();
+    }, TICK_MILLISECONDS);
+    if (!this.#following) void this.#follow();
+    this.#turn();
+  }
+
+  #turn(): void {
+    const now = this.#clock.now();
+    const batch = this.#gathering.takeBatch(now);
+    if (batch !== undefined) void this.#append(batch);
+    for (const { nonce, verdict } of this.#gathering.takeSettled(now)) {
+      const resolve = this.#waiting.get(nonce);
+      this.#waiting.delete(nonce);
+      resolve?.(verdict);
+    }
+    if (this.#waiting.size > 0) return;
+    clearInterval(this.#ticker);
+    this.#ticker = undefined;
+  }
+
+  async #append(batch: ClaimRecord): Promise<void> {
+    const data = [formatClaimRecord(batch)];
+    const appended = await this.#log.append(CLAIM_STREAM, data);
+    const failure = appended.isErr() ? appended.error : undefined;
+    this.#gathering.appendEnded(batch.id, failure);
+    this.#turn();
+  }
+
+  async #follow(): Promise<void> {
+    this.#following = true;
+    while (!this.#stopped && this.#waiting.size > 0) {
+      const answered = await this.#readPage();
+      if (!answered) await sleep(RETRY_MILLISECONDS);
+    }
+    this.#following = false;
+  }
+
+  async #readPage(): Promise<boolean> {
+    const page = await this.#log.read(CLAIM_STREAM, {
+      from: this.#gathering.index.next,
+      limit: PAGE_RECORDS,
+      waitMilliseconds: LONG_POLL_MILLISECONDS,
+    });
+    if (page.isErr()) return false;
+    const now = this.#clock.now();
+    this.#gathering.index.readFrom(page.value.firstKept);
+    for (const { offset, data } of page.value.records) {
+      const record = parseClaimRecord(data);
+      this.#gathering.apply(now, offset, record.unwrapOr(undefined));
+    }
+    this.#turn();
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/node/src/delivery/claim_route.ts
@@ -0,0 +1,52 @@
+import {
+  type ClaimVerdict,
+  type KeyClaim,
+  type NodeId,
+  nodeId,
+  rendezvousChoice,
+} from "@foxtailwind/core";
+import type { Vm } from "@foxtailwind/edges";
+import type { ClaimGatherer } from "./claim_gatherer.ts";
+import type { OutcomePeers } from "./outcome_peers.ts";
+
+/** What brings claims to the node that gathers them. */
+export interface ClaimRouteParts {
+  readonly self: NodeId;
+  readonly failureDomain: string;
+  readonly nodes: () => readonly Vm[];
+  readonly gatherer: ClaimGatherer;
+  readonly peers: OutcomePeers;
+}
+
+/**
+ * Brings a claim to the node that gathers those of its failure domain. Nodes
+ * that differ about which one that is cost an append more and nothing else.
+ */
+export class ClaimRoute {
+  readonly #parts: ClaimRouteParts;
+
+  /** @param parts What the route works with. */
+  constructor(parts: ClaimRouteParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * Claims a key.
+   * @param claim The claim.
+   * @returns The key's winner, or why the claim was not settled.
+   */
+  claim(claim: KeyClaim): Promise<ClaimVerdict> {
+    const { self, gatherer, peers } = this.#parts;
+    const node = this.#gatheringNode();
+    if (node === undefined || node === self) return gatherer.claim(claim);
+    return peers.claim(node, claim);
+  }
+
+  #gatheringNode(): NodeId | undefined {
+    const { failureDomain, nodes } = this.#parts;
+    const near = nodes().filter((vm) =>
+      vm.failureDomain === failureDomain && vm.state === "live"
+    );
+    return rendezvousChoice(failureDomain, near.map((vm) => nodeId(vm.id)));
+  }
+}
--- /dev/null
+++ b/packages/node/src/delivery/generation_attempts.ts
@@ -0,0 +1,190 @@
+import {
+  type AttemptNumber,
+  type DeliveryAction,
+  type DeliveryEvent,
+  type DeliveryRules,
+  type Failure,
+  RequestDelivery,
+  type RequestObserver,
+  type RetryBudget,
+} from "@foxtailwind/core";
+import {
+  type GenerationEnd,
+  type GenerationFrame,
+  type GenerationHandle,
+  GenerationSink,
+} from "@foxtailwind/edges";
+import { err, ok, type Result } from "neverthrow";
+import type { SteadyClock } from "../clock/steady_clock.ts";
+import type { GenerationRouter } from "../serving/generation_router.ts";
+import type { DeliveryCounters } from "./delivery_counters.ts";
+import type { GenerationOrder } from "./generation_delivery.ts";
+
+/** What the attempts at one request work with. */
+export interface GenerationAttemptsParts {
+  readonly order: Pick<
+    GenerationOrder,
+    "generation" | "streamed" | "notRepeatable"
+  >;
+  readonly sink: GenerationSink;
+  readonly router: Pick<GenerationRouter, "route">;
+  readonly clock: SteadyClock;
+  readonly observer: RequestObserver;
+  readonly counters: DeliveryCounters;
+  readonly budget: RetryBudget;
+  readonly rules: DeliveryRules;
+  readonly maximumAttempts: number;
+}
+
+/** Carries out what the delivery of one request decides. */
+export class GenerationAttempts implements GenerationHandle {
+  readonly #parts: GenerationAttemptsParts;
+  readonly #delivery: RequestDelivery;
+  #handle: GenerationHandle | undefined;
+  #paused = false;
+  #timer: NodeJS.Timeout | undefined;
+
+  /** @param parts What the attempts work with. */
+  constructor(parts: GenerationAttemptsParts) {
+    const { order, budget, rules, maximumAttempts } = parts;
+    const { request, adapter } = order.generation;
+    this.#parts = parts;
+    this.#delivery = new RequestDelivery({
+      request,
+      adapter,
+      repeatable: order.notRepeatable !== true,
+      streamed: order.streamed,
+      maximumAttempts,
+      budget,
+      rules,
+    });
+  }
+
+  /** Starts the first attempt. */
+  start(): void {
+    this.#carryOut(this.#delivery.start());
+  }
+
+  pause(): void {
+    this.#paused = true;
+    this.#handle?.pause();
+  }
+
+  unpause(): void {
+    this.#paused = false;
+    this.#handle?.unpause();
+  }
+
+  cancel(): void {
+    this.#handleEvent({ kind: "caller_left" });
+  }
+
+  #handleEvent(event: DeliveryEvent): void {
+    const now = this.#parts.clock.now();
+    if (event.kind === "failed" && !this.#delivery.ended) {
+      this.#parts.observer.record(now, {
+        kind: "attempt_failed",
+        request: this.#parts.order.generation.request,
+        attempt: event.attempt,
+        failure: event.failure,
+      });
+    }
+    this.#carryOut(this.#delivery.handle(now, event));
+    this.#scheduleWake();
+  }
+
+  #scheduleWake(): void {
+    clearTimeout(this.#timer);
+    const wake = this.#delivery.nextWake;
+    if (wake === undefined) return;
+    this.#timer = setTimeout(() => {
+      this.#handleEvent({ kind: "tick" });
+    }, Math.max(1, Math.ceil(wake - this.#parts.clock.now())));
+  }
+
+  #carryOut(actions: readonly DeliveryAction[]): void {
+    for (const action of actions) {
+      switch (action.kind) {
+        case "attempt":
+          this.#attempt(action.attempt, action.fromSequence);
+          break;
+        case "cancel":
+          if (action.atEngine) this.#handle?.cancel();
+          break;
+        case "pass":
+          this.#pass(action.sequence, action.tokens);
+          break;
+        case "complete":
+          this.#end(ok(this.#toEnd(action.totals)));
+          break;
+        case "fail":
+          this.#end(err(action.failure));
+          break;
+      }
+    }
+  }
+
+  #attempt(attempt: AttemptNumber, fromSequence: number): void {
+    const { router, order, counters } = this.#parts;
+    if (attempt > 1) counters.retried += 1;
+    if (fromSequence > 0) counters.resumed += 1;
+    const generation = { ...order.generation, attempt, fromSequence };
+    const sink = new AttemptSink(attempt, (event) => {
+      this.#handleEvent(event);
+    });
+    this.#handle = router.route(generation, sink);
+    if (this.#paused) this.#handle.pause();
+  }
+
+  #pass(sequence: number, tokens: readonly string[]): void {
+    const { request, adapter } = this.#parts.order.generation;
+    const { attempt } = this.#delivery;
+    this.#parts.sink.onFrame({ request, attempt, sequence, tokens, adapter });
+  }
+
+  #toEnd(
+    totals: Omit<GenerationEnd, "request" | "attempt">,
+  ): GenerationEnd {
+    const { request } = this.#parts.order.generation;
+    return { ...totals, request, attempt: this.#delivery.attempt };
+  }
+
+  #end(result: Result<GenerationEnd, Failure>): void {
+    const { sink, observer, clock, order, counters } = this.#parts;
+    counters.addDropped(this.#delivery.dropped);
+    observer.record(clock.now(), {
+      kind: "ended",
+      request: order.generation.request,
+      ...(result.isErr() && { failure: result.error }),
+      completionTokens: result.isOk() ? result.value.completionTokens : 0,
+    });
+    sink.onEnd(result);
+  }
+}
+
+/** Receives one attempt's answer. */
+class AttemptSink extends GenerationSink {
+  readonly #attempt: AttemptNumber;
+  readonly #handle: (event: DeliveryEvent) => void;
+
+  constructor(
+    attempt: AttemptNumber,
+    handle: (event: DeliveryEvent) => void,
+  ) {
+    super();
+    this.#attempt = attempt;
+    this.#handle = handle;
+  }
+
+  override onFrame(frame: GenerationFrame): void {
+    this.#handle({ kind: "frame", frame });
+  }
+
+  override onEnd(result: Result<GenerationEnd, Failure>): void {
+    const attempt = this.#attempt;
+    this.#handle(result.match<DeliveryEvent>(
+      (totals) => ({ kind: "completed", attempt, totals }),
+      (failure) => ({ kind: "failed", attempt, failure }),
+    ));
+  }
+}
--- /dev/null
+++ b/packages/node/src/delivery/key_limits.ts
@@ -0,0 +1,26 @@
+import {
+  type Duration,
+  type KeyTiming,
+  milliseconds,
+  seconds,
+} from "@foxtailwind/core";
+
+/**
+ * How long a free key's claim is kept; retries must come within it. The log
+ * must keep its records for longer.
+ */
+export const FREE_KEY_WINDOW: Duration = seconds(900);
+
+const MARGIN_MILLISECONDS = 60_000;
+
+/** How long keys may be used. */
+export const KEY_TIMING: KeyTiming = {
+  maximumScopeLifetime: seconds(3_600),
+};
+
+/** What one node remembers of keys. */
+export const KEY_LIMITS = {
+  maximumKeys: 100_000,
+  maximumAnswerBytes: 16 * 1_024 * 1_024,
+  retention: milliseconds(FREE_KEY_WINDOW + MARGIN_MILLISECONDS),
+} as const;
--- a/packages/node/src/delivery/keyed_execution.ts
+++ b/packages/node/src/delivery/keyed_execution.ts
@@ -8,9 +8,13 @@
  * Work that runs where its key may run. It must send what it does at most
  * once: no retry, unless a first try is proven not to have run.
  * @param payload The request, in the work's own form.
+ * @param key The key as the caller sent it.
  * @returns The answer, or a failure that tells truthfully whether it ran.
  */
-export type KeyedWork = (payload: Uint8Array) => Promise<KeyedResult>;
+export type KeyedWork = (
+  payload: Uint8Array,
+  key: string,
+) => Promise<KeyedResult>;
 
 /** A request that must not run twice. */
 export interface KeyedRequest {
--- /dev/null
+++ b/packages/node/src/delivery/live_reader.ts
@@ -0,0 +1,95 @@
+import {
+  assertInvariant,
+  attemptNumber,
+  type Failure,
+} from "@foxtailwind/core";
+import type {
+  GenerationFrame,
+  GenerationHandle,
+  GenerationSink,
+} from "@foxtailwind/edges";
+import { err, ok, type Result } from "neverthrow";
+import type { GenerationRequest } from "../serving/generation_request.ts";
+import type { GenerationAnswer } from "./keyed_generation_message.ts";
+
+const ATTEMPT = attemptNumber(1);
+
+/** A caller that reads the answer of a key's only run, from its start. */
+export class LiveReader implements GenerationHandle {
+  readonly #generation: GenerationRequest;
+  readonly #sink: GenerationSink;
+  #passed = 0;
+  #paused = false;
+  #ended = false;
+
+  /**
+   * @param generation The caller's request.
+   * @param sink The caller's sink.
+   */
+  constructor(generation: GenerationRequest, sink: GenerationSink) {
+    this.#generation = generation;
+    this.#sink = sink;
+  }
+
+  /** Shows no more tokens as they come; the end brings the rest. */
+  pause(): void {
+    this.#paused = true;
+  }
+
+  unpause(): void {
+    this.#paused = false;
+  }
+
+  /** The caller left: it gets its end at once, and the run goes on. */
+  cancel(): void {
+    this.end(err({
+      reason: "cancelled",
+      step: "cancel",
+      peer: "caller",
+      message: "The caller left; its request goes on.",
+      outcome: "unknown",
+    }));
+  }
+
+  /**
+   * Shows a frame, where it is the next one.
+   * @param frame The frame.
+   */
+  pass(frame: GenerationFrame): void {
+    if (this.#ended || this.#paused || frame.sequence !== this.#passed) return;
+    this.#show(frame.tokens);
+  }
+
+  /**
+   * Ends the answer, with the tokens that were not shown yet.
+   * @param result The answer.
+   */
+  end(result: Result<GenerationAnswer, Failure>): void {
+    if (this.#ended) return;
+    const rest = result.isOk() ? result.value.tokens.slice(this.#passed) : [];
+    if (rest.length > 0) this.#show(rest);
+    this.#ended = true;
+    const { request } = this.#generation;
+    this.#sink.onEnd(result.andThen(({ end }) => {
+      assertInvariant(
+        this.#passed === end.completionTokens,
+        "answer_is_whole",
+        () => `${this.#passed} of ${end.completionTokens} tokens are shown.`,
+      );
+      return ok({ ...end, request });
+    }));
+  }
+
+  #show(tokens: readonly string[]): void {
+    const { request, adapter } = this.#generation;
+    const sequence = this.#passed;
+    this.#passed += tokens.length;
+    this.#sink.onFrame({
+      request,
+      attempt: ATTEMPT,
+      sequence,
+      tokens,
+      adapter,
+    });
+  }
+}
--- /dev/null
+++ b/packages/node/src/delivery/outcome_messages.ts
@@ -0,0 +1,145 @@
+import {
+  type ClaimVerdict,
+  idempotencyKey,
+  incarnationId,
+  type KeyClaim,
+  logOffset,
+  nodeId,
+} from "@foxtailwind/core";
+import type {
+  ClaimVerdict as ClaimVerdictMessage,
+  KeyClaim as KeyClaimMessage,
+  KeyedOutcome,
+} from "@foxtailwind/protocol";
+import { err, ok } from "neverthrow";
+import {
+  fromFailureMessage,
+  toFailureMessage,
+} from "../peers/failure_message.ts";
+import type { KeyedResult } from "./keyed_execution.ts";
+
+/**
+ * Puts the outcome of a key into a message.
+ * @param result The outcome.
+ * @returns The message.
+ */
+export function toKeyedOutcome(result: KeyedResult): KeyedOutcome {
+  const part: KeyedOutcome["result"] = result.match(
+    (answer) => ({ $case: "answer", value: Buffer.from(answer) }),
+    (failure) => ({ $case: "failure", value: toFailureMessage(failure) }),
+  );
+  return { result: part };
+}
+
+/**
+ * Reads the outcome of a key from a message.
+ * @param message The message.
+ * @param peer Who sent it.
+ * @returns The outcome; unknown where the message holds none.
+ */
+export function fromKeyedOutcome(
+  message: KeyedOutcome,
+  peer: string,
+): KeyedResult {
+  switch (message.result?.$case) {
+    case "answer":
+      return ok(message.result.value);
+    case "failure":
+      return err(fromFailureMessage(message.result.value));
+    case undefined:
+      return err({
+        reason: "corrupt",
+        step: "forward",
+        peer,
+        message: "The answer holds no outcome.",
+        outcome: "unknown",
+      });
+  }
+}
+
+/**
+ * Puts a claim into a message.
+ * @param claim The claim.
+ * @returns The message.
+ */
+export function toClaimMessage(claim: KeyClaim): KeyClaimMessage {
+  return { ...claim, epoch: claim.epoch };
+}
+
+/**
+ * Reads a claim from a message.
+ * @param message The message.
+ * @returns The claim.
+ */
+export function fromClaimMessage(message: KeyClaimMessage): KeyClaim {
+  const { epoch } = message;
+  return {
+    key: idempotencyKey(message.key),
+    nonce: message.nonce,
+    digest: message.digest,
+    node: nodeId(message.node),
+    incarnation: incarnationId(message.incarnation),
+    ...(epoch !== undefined && { epoch: logOffset(epoch) }),
+  };
+}
+
+/**
+ * Puts a verdict into a message.
+ * @param verdict The verdict.
+ * @returns The message.
+ */
+export function toVerdictMessage(verdict: ClaimVerdict): ClaimVerdictMessage {
+  switch (verdict.kind) {
+    case "winner":
+      return {
+        result: { $case: "winner", value: toClaimMessage(verdict.claim) },
+      };
+    case "refused":
+      return {
+        result: { $case: "failure", value: toFailureMessage(verdict.failure) },
+      };
+  }
+}
+
+/**
+ * Reads a verdict from a message.
+ * @param message The message, or nothing.
+ * @param peer Who sent it.
+ * @returns The verdict; refused where the message holds none.
+ */
+export function fromVerdictMessage(
+  message: ClaimVerdictMessage | undefined,
+  peer: string,
+): ClaimVerdict {
+  switch (message?.result?.$case) {
+    case "winner":
+      return { kind: "winner", claim: fromClaimMessage(message.result.value) };
+    case "failure":
+      return {
+        kind: "refused",
+        failure: fromFailureMessage(message.result.value),
+      };
+    case undefined:
+      return unsettled(peer, "The answer holds no verdict.");
+  }
+}
+
+/**
+ * Makes the verdict of a claim that the gathering node did not settle. The
+ * claimant has not run the key, so "not run" is true of it.
+ * @param peer The gathering node.
+ * @param message What went wrong.
+ * @returns The verdict.
+ */
+export function unsettled(peer: string, message: string): ClaimVerdict {
+  return {
+    kind: "refused",
+    failure: {
+      reason: "unavailable",
+      step: "claim_key",
+      peer,
+      message,
+      outcome: "not_run",
+    },
+  };
+}
--- /dev/null
+++ b/packages/node/src/delivery/outcome_peers.ts
@@ -0,0 +1,107 @@
+import type {
+  ClaimVerdict,
+  Failure,
+  KeyClaim,
+  NodeId,
+} from "@foxtailwind/core";
+import type { Vm } from "@foxtailwind/edges";
+import { type KeyedRun, OutcomesClient } from "@foxtailwind/protocol";
+import { credentials, Metadata, type ServiceError } from "@grpc/grpc-js";
+import { err } from "neverthrow";
+import type { PeerChannels } from "../peers/peer_channels.ts";
+import type { KeyedResult } from "./keyed_execution.ts";
+import {
+  fromKeyedOutcome,
+  fromVerdictMessage,
+  toClaimMessage,
+  unsettled,
+} from "./outcome_messages.ts";
+
+const CLAIM_TIMEOUT_MILLISECONDS = 8_000;
+const RUN_TIMEOUT_MILLISECONDS = 600_000;
+
+/** Asks other nodes about keys. */
+export class OutcomePeers {
+  readonly #channels: PeerChannels;
+  readonly #nodes: () => readonly Vm[];
+
+  /**
+   * @param channels The connections to the peers.
+   * @param nodes Lists the nodes as known at present, the leaving included.
+   */
+  constructor(channels: PeerChannels, nodes: () => readonly Vm[]) {
+    this.#channels = channels;
+    this.#nodes = nodes;
+  }
+
+  /**
+   * Has a request run by the node that alone may run its key.
+   * @param node The node.
+   * @param run The request, and the incarnation that may run it.
+   * @returns The outcome; unknown where the node is gone or silent.
+   */
+  run(node: NodeId, run: KeyedRun): Promise<KeyedResult> {
+    const client = this.#client(node);
+    if (client === undefined) {
+      return Promise.resolve(err(gone(node, "The node is gone.")));
+    }
+    const deadline = Date.now() + RUN_TIMEOUT_MILLISECONDS;
+    return new Promise((resolve) => {
+      client.runKeyed(run, new Metadata(), { deadline }, (error, answer) => {
+        resolve(
+          error === null
+            ? fromKeyedOutcome(answer, node)
+            : err(gone(node, messageOf(error))),
+        );
+      });
+    });
+  }
+
+  /**
+   * Claims a key through a gathering node.
+   * @param node The gathering node.
+   * @param claim The claim.
+   * @returns The verdict; refused where the node is gone or silent.
+   */
+  claim(node: NodeId, claim: KeyClaim): Promise<ClaimVerdict> {
+    const client = this.#client(node);
+    if (client === undefined) {
+      return Promise.resolve(unsettled(node, "The gathering node is gone."));
+    }
+    const deadline = Date.now() + CLAIM_TIMEOUT_MILLISECONDS;
+    const batch = { claims: [toClaimMessage(claim)] };
+    return new Promise((resolve) => {
+      client.claim(batch, new Metadata(), { deadline }, (error, answer) => {
+        resolve(
+          error === null
+            ? fromVerdictMessage(answer.verdicts[0], node)
+            : unsettled(node, messageOf(error)),
+        );
+      });
+    });
+  }
+
+  #client(node: NodeId): OutcomesClient | undefined {
+    const vm = this.#nodes().find((one) => one.id === node);
+    if (vm === undefined) return undefined;
+    const address = vm.peerAddress ?? vm.address;
+    return new OutcomesClient(address, credentials.createInsecure(), {
+      channelOverride: this.#channels.channel(address),
+    });
+  }
+}
+
+function messageOf(error: ServiceError): string {
+  return `The node did not answer: ${error.details}.`;
+}
+
+/** Nothing is known of the key, and no other node will ever run it. */
+function gone(node: NodeId, message: string): Failure {
+  return {
+    reason: "unavailable",
+    step: "forward",
+    peer: node,
+    message: `${message} Whether the request ran is unknown; it will not run.`,
+    outcome: "unknown",
+  };
+}
--- a/packages/node/src/peers/generate_message.ts
+++ b/packages/node/src/peers/generate_message.ts
@@ -2,6 +2,7 @@
   adapterId,
   type AdapterReference,
   adapterVersion,
+  attemptNumber,
   classId,
   type EngineId,
   type Instant,
@@ -15,6 +16,8 @@
 import type { Adapter, GenerateRequest } from "@foxtailwind/protocol";
 import type { GenerationRequest } from "../serving/generation_request.ts";
 
+const FIRST_ATTEMPT = 1;
+
 /** A request on its way to an engine's controller. */
 export interface HandedOver {
   readonly engine: EngineId;
@@ -32,7 +35,7 @@
   const { engine, generation, now } = handedOver;
   return {
     request: generation.request,
-    attempt: 1,
+    attempt: generation.attempt ?? FIRST_ATTEMPT,
     engine,
     model: generation.model,
     adapter: generation.adapter,
@@ -42,7 +45,7 @@
     tenant: generation.tenant,
     firstTokenTargetMilliseconds: generation.firstTokenTarget,
     waitedMilliseconds: now - generation.arrivedAt,
-    fromSequence: 0,
+    fromSequence: generation.fromSequence ?? 0,
   };
 }
 
@@ -65,6 +68,8 @@
     firstTokenTarget: milliseconds(message.firstTokenTargetMilliseconds),
     messages: message.messages as readonly PromptMessage[],
     maximumTokens: message.maximumTokens,
+    attempt: attemptNumber(message.attempt),
+    fromSequence: message.fromSequence,
     arrivedAt: instant(now - message.waitedMilliseconds),
   };
 }
--- a/packages/node/src/peers/generation_service.ts
+++ b/packages/node/src/peers/generation_service.ts
@@ -1,22 +1,39 @@
-import { engineId, type Failure } from "@foxtailwind/core";
+import { engineId, type Failure, type RequestId } from "@foxtailwind/core";
 import {
+  type AdapterReference,
   type GenerationEnd,
   type GenerationFrame,
+  type GenerationHandle,
   GenerationSink,
 } from "@foxtailwind/edges";
 import {
-  type GenerateAnswer,
+  type Answer,
+  type Command,
   type GenerateRequest,
   PeerService,
+  type ToController,
+  type ToEntry,
 } from "@foxtailwind/protocol";
-import type { ServerWritableStream } from "@grpc/grpc-js";
+import type { ServerDuplexStream } from "@grpc/grpc-js";
 import type { Result } from "neverthrow";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { GenerationRouter } from "../serving/generation_router.ts";
 import { toFailureMessage } from "./failure_message.ts";
 import { fromGenerateRequest } from "./generate_message.ts";
+import { HandOverOutbox } from "./hand_over_outbox.ts";
 import type { PeerRegistration } from "./peer_server.ts";
 
+/** How long a request runs on for an entry node that may come back. */
+const RESUME_GRACE_MILLISECONDS = 3_000;
+
+/** How long a peer has to end a call itself that is to close. */
+const DRAIN_GRACE_MILLISECONDS = 1_000;
+
+type HandOverCall = ServerDuplexStream<ToController, ToEntry>;
+
+/** What requests that are handed over run on. */
+export type HandOverRunner = Pick<GenerationRouter, "runHere">;
+
 /**
  * Answers peers that hand requests over to engines controlled here.
  * @param router Runs the requests.
@@ -24,47 +41,189 @@
  * @returns The service, to register.
  */
 export function generationService(
-  router: GenerationRouter,
+  router: HandOverRunner,
   clock: SteadyClock,
 ): PeerRegistration {
+  const sessions = new Set<HandOverSession>();
   return {
     definition: PeerService,
     implementation: {
-      generate(call: ServerWritableStream<GenerateRequest, GenerateAnswer>) {
-        const generation = fromGenerateRequest(call.request, clock.now());
-        const handle = router.runHere(
-          engineId(call.request.engine),
-          generation,
-          new PeerSink(call),
-        );
-        call.on("cancelled", () => {
-          handle.cancel();
-        });
+      handOver(call: HandOverCall) {
+        const session = new HandOverSession(call, { router, clock });
+        sessions.add(session);
+        call.on("close", () => sessions.delete(session));
+        session.start();
       },
     },
+    drain() {
+      for (const session of sessions) session.drain();
+    },
   };
 }
 
-class PeerSink extends GenerationSink {
-  readonly #call: ServerWritableStream<GenerateRequest, GenerateAnswer>;
+interface SessionParts {
+  readonly router: HandOverRunner;
+  readonly clock: SteadyClock;
+}
+
+/** All requests that one peer handed over by one call. */
+class HandOverSession {
+  readonly #call: HandOverCall;
+  readonly #parts: SessionParts;
+  readonly #lanes = new Map<number, Lane>();
+  readonly #outbox: HandOverOutbox;
+  #over = false;
+  #draining = false;
 
-  constructor(call: ServerWritableStream<GenerateRequest, GenerateAnswer>) {
-    super();
+  constructor(call: HandOverCall, parts: SessionParts) {
     this.#call = call;
+    this.#parts = parts;
+    this.#outbox = new HandOverOutbox(
+      { write: (batch) => this.#over || call.write(batch) },
+      (blocked) => {
+        for (const lane of this.#lanes.values()) lane.holdBack(blocked);
+      },
+    );
   }
 
-  override onFrame(frame: GenerationFrame): void {
-    this.#call.write({
-      part: { $case: "frame", value: { ...frame, tokens: [...frame.tokens] } },
+  start(): void {
+    const call = this.#call;
+    call.on("data", (batch: ToController) => {
+      for (const command of batch.commands) this.#carryOut(command);
+    });
+    call.on("drain", () => {
+      this.#outbox.drained();
     });
+    call.on("cancelled", () => {
+      this.#lose();
+    });
+    call.on("error", () => {
+      this.#lose();
+    });
+    call.on("end", () => {
+      this.#lose();
+      call.end();
+    });
+    call.write({ ready: true, closing: false, answers: [] });
+  }
+
+  /** Asks the peer to end the call; ends it where the peer does not. */
+  drain(): void {
+    this.#draining = true;
+    this.#call.write({ ready: false, closing: true, answers: [] });
+    this.#endIfDrained();
+  }
+
+  #endIfDrained(): void {
+    if (!this.#draining || this.#lanes.size > 0) return;
+    setTimeout(() => {
+      if (this.#lanes.size === 0) this.#call.end();
+    }, DRAIN_GRACE_MILLISECONDS).unref();
+  }
+
+  #carryOut({ lane: number, part }: Command): void {
+    switch (part?.$case) {
+      case "generate":
+        this.#generate(number, part.value);
+        break;
+      case "paused":
+        this.#lanes.get(number)?.pauseForCaller(part.value);
+        break;
+      case "cancel":
+        this.#lanes.get(number)?.cancel();
+        break;
+      case undefined:
+        break;
+    }
+  }
+
+  #generate(number: number, message: GenerateRequest): void {
+    const { router, clock } = this.#parts;
+    const generation = fromGenerateRequest(message, clock.now());
+    const lane = new Lane({
+      number,
+      request: generation.request,
+      outbox: this.#outbox,
+      onOver: () => {
+        this.#lanes.delete(number);
+        this.#endIfDrained();
+      },
+    });
+    this.#lanes.set(number, lane);
+    lane.attach(router.runHere(engineId(message.engine), generation, lane));
+    if (this.#outbox.blocked) lane.holdBack(true);
+  }
+
+  /** The entry node may come back and resume; else its work is cancelled. */
+  #lose(): void {
+    if (this.#over) return;
+    this.#over = true;
+    for (const lane of this.#lanes.values()) {
+      lane.holdBack(false);
+      lane.pauseForCaller(false);
+    }
+    setTimeout(() => {
+      for (const lane of this.#lanes.values()) lane.cancel();
+    }, RESUME_GRACE_MILLISECONDS).unref();
+  }
+}
+
+interface LaneParts {
+  readonly number: number;
+  readonly request: RequestId;
+  readonly outbox: HandOverOutbox;
+  readonly onOver: () => void;
+}
+
+/** One request of a session: its answer goes to the session's outbox. */
+class Lane extends GenerationSink {
+  readonly #parts: LaneParts;
+  #handle: GenerationHandle | undefined;
+  #adapter: AdapterReference | undefined;
+  #heldBack = false;
+  #pausedByCaller = false;
+
+  constructor(parts: LaneParts) {
+    super();
+    this.#parts = parts;
+  }
+
+  attach(handle: GenerationHandle): void {
+    this.#handle = handle;
+  }
+
+  holdBack(blocked: boolean): void {
+    this.#heldBack = blocked;
+    this.#applyPause();
+  }
+
+  pauseForCaller(paused: boolean): void {
+    this.#pausedByCaller = paused;
+    this.#applyPause();
+  }
+
+  cancel(): void {
+    this.#handle?.cancel();
+  }
+
+  override onFrame(frame: GenerationFrame): void {
+    const { outbox, number, request } = this.#parts;
+    outbox.pushFrame(number, frame, { request, adapter: this.#adapter });
+    this.#adapter = frame.adapter;
   }
 
   override onEnd(result: Result<GenerationEnd, Failure>): void {
-    const part: GenerateAnswer["part"] = result.match(
+    const part: Answer["part"] = result.match(
       (end) => ({ $case: "end", value: end }),
       (failure) => ({ $case: "failure", value: toFailureMessage(failure) }),
     );
-    this.#call.write({ part });
-    this.#call.end();
+    const { outbox, number, onOver } = this.#parts;
+    outbox.push({ lane: number, part });
+    onOver();
+  }
+
+  #applyPause(): void {
+    if (this.#heldBack || this.#pausedByCaller) this.#handle?.pause();
+    else this.#handle?.unpause();
   }
 }
--- a/packages/node/src/peers/peer_clients.ts
+++ b/packages/node/src/peers/peer_clients.ts
@@ -1,26 +1,16 @@
-import { attemptNumber, type Failure, requestId } from "@foxtailwind/core";
-import type {
-  GenerationEnd,
-  GenerationHandle,
-  GenerationSink,
-  Vm,
-} from "@foxtailwind/edges";
-import { type GenerateAnswer, PeerClient } from "@foxtailwind/protocol";
-import { type ClientReadableStream, credentials } from "@grpc/grpc-js";
-import { err, ok } from "neverthrow";
+import type { GenerationHandle, GenerationSink, Vm } from "@foxtailwind/edges";
+import { PeerClient } from "@foxtailwind/protocol";
+import { credentials } from "@grpc/grpc-js";
+import { type HandedOver, toGenerateRequest } from "./generate_message.ts";
+import { HandOverLink } from "./hand_over_link.ts";
 import type { PeerChannels } from "./peer_channels.ts";
-import { fromFailureMessage } from "./failure_message.ts";
-import {
-  fromAdapter,
-  type HandedOver,
-  toGenerateRequest,
-} from "./generate_message.ts";
 
 /** Hands requests over to the other nodes. */
 export class PeerClients {
   readonly #channels: PeerChannels;
-  readonly #clients = new Map<string, PeerClient>();
+  readonly #links = new Map<string, HandOverLink>();
 
+  /** @param channels The connections to the peers. */
   constructor(channels: PeerChannels) {
     this.#channels = channels;
   }
@@ -37,92 +27,25 @@
     handedOver: HandedOver,
     sink: GenerationSink,
   ): GenerationHandle {
-    const call = this.#client(peer.peerAddress ?? peer.address).generate(
-      toGenerateRequest(handedOver),
-    );
-    receive(call, { peer: peer.id, handedOver, sink });
-    return {
-      pause: () => void call.pause(),
-      unpause: () => void call.resume(),
-      cancel: () => {
-        call.cancel();
-      },
-    };
+    const link = this.#link(peer);
+    return link.generate(toGenerateRequest(handedOver), sink);
   }
 
-  #client(address: string): PeerClient {
-    const known = this.#clients.get(address);
-    if (known !== undefined) return known;
+  /** Ends all links; requests in progress on them fail. */
+  close(): void {
+    for (const link of this.#links.values()) link.close();
+    this.#links.clear();
+  }
+
+  #link(peer: Vm): HandOverLink {
+    const address = peer.peerAddress ?? peer.address;
+    const known = this.#links.get(address);
+    if (known?.usable === true) return known;
     const client = new PeerClient(address, credentials.createInsecure(), {
       channelOverride: this.#channels.channel(address),
     });
-    this.#clients.set(address, client);
-    return client;
+    const link = new HandOverLink(client, peer.id);
+    this.#links.set(address, link);
+    return link;
   }
 }
-
-interface Receiver {
-  readonly peer: string;
-  readonly handedOver: HandedOver;
-  readonly sink: GenerationSink;
-}
-
-function receive(
-  call: ClientReadableStream<GenerateAnswer>,
-  receiver: Receiver,
-): void {
-  const { sink, peer, handedOver } = receiver;
-  const request = handedOver.generation.request;
-  let ended = false;
-  function end(result: Parameters<GenerationSink["onEnd"]>[0]): void {
-    if (ended) return;
-    ended = true;
-    sink.onEnd(result);
-  }
-  call.on("data", (answer: GenerateAnswer) => {
-    const part = answer.part;
-    switch (part?.$case) {
-      case "frame":
-        sink.onFrame({
-          request: requestId(part.value.request),
-          attempt: attemptNumber(part.value.attempt),
-          sequence: part.value.sequence,
-          tokens: part.value.tokens,
-          adapter: fromAdapter(part.value.adapter),
-        });
-        break;
-      case "end":
-        end(ok({
-          request,
-          attempt: attemptNumber(1),
-          finishReason: part.value
-            .finishReason as GenerationEnd["finishReason"],
-          promptTokens: part.value.promptTokens,
-          completionTokens: part.value.completionTokens,
-          cachedPromptTokens: part.value.cachedPromptTokens,
-        }));
-        break;
-      case "failure":
-        end(err(fromFailureMessage(part.value)));
-        break;
-      case undefined:
-        break;
-    }
-  });
-  call.on("error", (error) => {
-    end(err(lost(peer, error.message)));
-  });
-  call.on("end", () => {
-    end(err(lost(peer, "The answer stopped early.")));
-  });
-}
-
-function lost(peer: string, message: string): Failure {
-  return {
-    reason: "unavailable",
-    step: "forward",
-    peer,
-    message,
-    outcome: "unknown",
-  };
-}
--- a/packages/node/src/peers/peer_server.ts
+++ b/packages/node/src/peers/peer_server.ts
@@ -10,13 +10,17 @@
 export interface PeerRegistration {
   readonly definition: ServiceDefinition;
   readonly implementation: UntypedServiceImplementation;
+  /** Ends calls that would stay open, once nothing is in progress on them. */
+  readonly drain?: () => void;
 }
 
 /** Answers the other nodes. */
 export class PeerServer {
   readonly #server = new Server();
+  readonly #registrations: readonly PeerRegistration[];
 
   constructor(registrations: readonly PeerRegistration[]) {
+    this.#registrations = registrations;
     for (const { definition, implementation } of registrations) {
       this.#server.addService(definition, implementation);
     }
@@ -42,6 +46,7 @@
 
   /** Stops listening once the calls in progress have ended. */
   close(): Promise<void> {
+    for (const registration of this.#registrations) registration.drain?.();
     return new Promise((resolve) => {
       this.#server.tryShutdown(() => {
         resolve();
--- a/packages/node/src/serving/engine_runner.ts
+++ b/packages/node/src/serving/engine_runner.ts
@@ -77,6 +77,7 @@
    * @param sink Receives the answer.
    */
   submit(generation: GenerationRequest, sink: GenerationSink): void {
+    if (this.#resumeRunning(generation, sink)) return;
     const now = this.#clock.now();
     this.#held.set(generation.request, {
       generation,
@@ -112,6 +113,22 @@
     }
   }
 
+  /**
+   * Stops reading a request's stream from the engine, where it runs.
+   * @param request The request.
+   */
+  pause(request: RequestId): void {
+    this.#held.get(request)?.handle?.pause();
+  }
+
+  /**
+   * Reads a request's stream on.
+   * @param request The request.
+   */
+  unpause(request: RequestId): void {
+    this.#held.get(request)?.handle?.unpause();
+  }
+
   /** Stops deciding; requests in progress go on. */
   stop(): void {
     clearInterval(this.#timer);
@@ -151,22 +168,33 @@
     if (held === undefined) return;
     const { generation, sink } = held;
     const runner = new RunningSink(sink, () => {
+      if (this.#held.get(request) !== held) return;
       this.#held.delete(request);
       this.#controller.requestEnded(this.#clock.now(), request);
       this.#act();
     });
     held.handle = this.#client.generate({
       request,
-      attempt: attemptNumber(1),
+      attempt: generation.attempt ?? attemptNumber(1),
       model: generation.model,
       adapter: generation.adapter,
       messages: generation.messages,
       maximumTokens: generation.maximumTokens,
       priority,
-      fromSequence: 0,
+      fromSequence: generation.fromSequence ?? 0,
     }, runner);
   }
 
+  /** A resumed stream keeps the place and the pin of the one before. */
+  #resumeRunning(generation: GenerationRequest, sink: GenerationSink): boolean {
+    const { request, fromSequence = 0 } = generation;
+    const running = this.#held.get(request);
+    if (fromSequence === 0 || running?.handle === undefined) return false;
+    this.#held.set(request, { generation, sink, handle: undefined });
+    this.#dispatch(request, 0);
+    return true;
+  }
+
   async #load(adapter: AdapterReference): Promise<void> {
     const result = await this.#client.order({
       kind: "load_adapter",
--- a/packages/node/src/serving/generation_request.ts
+++ b/packages/node/src/serving/generation_request.ts
@@ -1,5 +1,6 @@
 import type {
   AdapterReference,
+  AttemptNumber,
   ClassId,
   Duration,
   Instant,
@@ -19,6 +20,10 @@
   readonly firstTokenTarget: Duration;
   readonly messages: readonly PromptMessage[];
   readonly maximumTokens: number;
+  /** Which attempt this is; the first where it is absent. */
+  readonly attempt?: AttemptNumber;
+  /** The next token wanted where a broken stream resumes; 0 starts anew. */
+  readonly fromSequence?: number;
   /** When it arrived, by this VM's clock. */
   readonly arrivedAt: Instant;
 }
--- a/packages/node/src/serving/generation_router.ts
+++ b/packages/node/src/serving/generation_router.ts
@@ -89,11 +89,16 @@
       return FINISHED;
     }
     runner.submit(generation, sink);
+    const { request } = generation;
     return {
-      pause() {},
-      unpause() {},
+      pause() {
+        runner.pause(request);
+      },
+      unpause() {
+        runner.unpause(request);
+      },
       cancel() {
-        runner.cancel(generation.request);
+        runner.cancel(request);
       },
     };
   }
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -2,4 +2,14 @@
  * What the nodes say to each other, over gRPC. Generated code; see buf.gen.yaml.
  * @module
  */
+export {
+  ClaimBatch,
+  ClaimVerdict,
+  ClaimVerdicts,
+  KeyClaim,
+  KeyedOutcome,
+  KeyedRun,
+  OutcomesClient,
+  OutcomesService,
+} from "./generated/outcomes.ts";
 export * from "./generated/peer.ts";
