--- a/packages/node/src/delivery/delivery_parts.ts
+++ b/packages/node/src/delivery/delivery_parts.ts
@@ -8,6 +8,7 @@
 import type { LogClient, Vm } from "@foxtailwind/edges";
 import { randomUUID } from "node:crypto";
 import type { SteadyClock } from "../clock/steady_clock.ts";
+import type { WorkInProgress } from "../drain/mod.ts";
 import type { PeerChannels } from "../peers/peer_channels.ts";
 import type { PeerRegistration } from "../peers/peer_server.ts";
 import type { GenerationRouter } from "../serving/generation_router.ts";
@@ -31,6 +32,8 @@
   readonly nodes: () => readonly Vm[];
   readonly router: Pick<GenerationRouter, "route">;
   readonly observer: RequestObserver;
+  /** Counts what peers have in progress here. */
+  readonly work: WorkInProgress;
 }
 
 /** The parts of a node that bring requests to their only outcome. */
@@ -66,7 +69,11 @@
       observer,
       execution: this.execution,
     });
-    this.registration = outcomeService(this.execution, this.gatherer);
+    this.registration = outcomeService({
+      execution: this.execution,
+      gatherer: this.gatherer,
+      work: sources.work,
+    });
   }
 
   /** Stops claiming keys. */
--- a/packages/node/src/delivery/node_keyed_execution.ts
+++ b/packages/node/src/delivery/node_keyed_execution.ts
@@ -1,6 +1,5 @@
 import {
   type DeliveryRules,
-  type ExecutionKey,
   type Failure,
   type IdempotencyKey,
   type IncarnationId,
@@ -39,8 +38,15 @@
   readonly rules: DeliveryRules;
 }
 
+interface TakenRequest {
+  readonly work: string;
+  readonly key: string;
+  readonly payload: Uint8Array;
+  readonly digest: string;
+}
+
 interface Waiting {
-  readonly request: KeyedRequest;
+  readonly request: TakenRequest;
   readonly resolve: (result: KeyedResult) => void;
 }
 
@@ -78,7 +84,7 @@
   }
 
   override execute(request: KeyedRequest): Promise<KeyedResult> {
-    return this.#take(request);
+    return this.#take({ ...request, digest: digestOf(request) });
   }
 
   /**
@@ -93,7 +99,7 @@
   }
 
   #take(
-    request: KeyedRequest,
+    request: TakenRequest,
     forPeer?: KeyedCall["forPeer"],
   ): Promise<KeyedResult> {
     const key = parseExecutionKey(request.key);
@@ -102,11 +108,13 @@
       this.#lastTicket += 1;
       const ticket = this.#lastTicket;
       this.#waiting.set(ticket, { request, resolve });
-      const call = callOf(ticket, key.value, request);
+      const { digest } = request;
       const now = this.#parts.clock.now();
       this.#carryOut(
         this.#coordinator.request(now, {
-          ...call,
+          ticket,
+          key: key.value,
+          digest,
           ...(forPeer !== undefined && { forPeer }),
         }),
       );
@@ -148,7 +156,7 @@
     this.#carryOut(this.#coordinator.runEnded(now, key, result));
   }
 
-  #work(request: KeyedRequest): Promise<KeyedResult> {
+  #work(request: TakenRequest): Promise<KeyedResult> {
     const work = this.#works.get(request.work);
     if (work === undefined) {
       return Promise.resolve(err(unknownWork(request.work)));
@@ -162,13 +170,14 @@
     const { ticket, node, incarnation, nonce } = action;
     const request = this.#waiting.get(ticket)?.request;
     if (request === undefined) return;
-    const { work, key, payload } = request;
+    const { work, key, payload, digest } = request;
     const result = await this.#parts.peers.run(node, {
       work,
       key,
       payload: Buffer.from(payload),
       incarnation,
       nonce,
+      digest,
     });
     const now = this.#parts.clock.now();
     this.#carryOut(this.#coordinator.forwardEnded(now, ticket, result));
@@ -181,16 +190,11 @@
   }
 }
 
-function callOf(
-  ticket: number,
-  key: ExecutionKey,
-  request: KeyedRequest,
-): KeyedCall {
-  const digest = createHash("sha256")
+function digestOf(request: KeyedRequest): string {
+  return createHash("sha256")
     .update(`${request.work}\n`)
-    .update(request.payload)
+    .update(request.identity ?? request.payload)
     .digest("base64url");
-  return { ticket, key, digest };
 }
 
 function unknownWork(work: string): Failure {
--- a/packages/node/src/delivery/outcome_service.ts
+++ b/packages/node/src/delivery/outcome_service.ts
@@ -7,6 +7,7 @@
   OutcomesService,
 } from "@foxtailwind/protocol";
 import type { sendUnaryData, ServerUnaryCall } from "@grpc/grpc-js";
+import type { WorkInProgress } from "../drain/mod.ts";
 import type { PeerRegistration } from "../peers/peer_server.ts";
 import type { ClaimGatherer } from "./claim_gatherer.ts";
 import type { NodeKeyedExecution } from "./node_keyed_execution.ts";
@@ -16,16 +17,22 @@
   toVerdictMessage,
 } from "./outcome_messages.ts";
 
+/** What answers peers about keys. */
+export interface OutcomeServiceParts {
+  /** Runs the keys of this incarnation. */
+  readonly execution: NodeKeyedExecution;
+  /** Claims keys for the nodes of this failure domain. */
+  readonly gatherer: ClaimGatherer;
+  readonly work: WorkInProgress;
+}
+
 /**
  * Answers peers about keys.
- * @param execution Runs the keys of this incarnation.
- * @param gatherer Claims keys for the nodes of this failure domain.
+ * @param parts What answers.
  * @returns The service, to register.
  */
-export function outcomeService(
-  execution: NodeKeyedExecution,
-  gatherer: ClaimGatherer,
-): PeerRegistration {
+export function outcomeService(parts: OutcomeServiceParts): PeerRegistration {
+  const { execution, gatherer, work } = parts;
   return {
     definition: OutcomesService,
     implementation: {
@@ -33,7 +40,9 @@
         call: ServerUnaryCall<KeyedRun, KeyedOutcome>,
         done: sendUnaryData<KeyedOutcome>,
       ) {
+        const end = work.begin();
         void execution.runForPeer(call.request).then((result) => {
+          end();
           done(null, toKeyedOutcome(result));
         });
       },
@@ -41,7 +50,9 @@
         call: ServerUnaryCall<ClaimBatch, ClaimVerdicts>,
         done: sendUnaryData<ClaimVerdicts>,
       ) {
+        const end = work.begin();
         void claimAll(gatherer, call.request).then((verdicts) => {
+          end();
           done(null, { verdicts: verdicts.map(toVerdictMessage) });
         });
       },
--- a/packages/node/src/peers/generation_service.ts
+++ b/packages/node/src/peers/generation_service.ts
@@ -17,6 +17,7 @@
 import type { ServerDuplexStream } from "@grpc/grpc-js";
 import type { Result } from "neverthrow";
 import type { SteadyClock } from "../clock/steady_clock.ts";
+import type { WorkInProgress } from "../drain/mod.ts";
 import type { GenerationRouter } from "../serving/generation_router.ts";
 import { toFailureMessage } from "./failure_message.ts";
 import { fromGenerateRequest } from "./generate_message.ts";
@@ -34,22 +35,25 @@
 /** What requests that are handed over run on. */
 export type HandOverRunner = Pick<GenerationRouter, "runHere">;
 
+/** What runs and counts the requests of peers. */
+export interface SessionParts {
+  readonly router: HandOverRunner;
+  readonly clock: SteadyClock;
+  readonly work: WorkInProgress;
+}
+
 /**
  * Answers peers that hand requests over to engines controlled here.
- * @param router Runs the requests.
- * @param clock This VM's clock.
+ * @param parts What runs and counts the requests.
  * @returns The service, to register.
  */
-export function generationService(
-  router: HandOverRunner,
-  clock: SteadyClock,
-): PeerRegistration {
+export function generationService(parts: SessionParts): PeerRegistration {
   const sessions = new Set<HandOverSession>();
   return {
     definition: PeerService,
     implementation: {
       handOver(call: HandOverCall) {
-        const session = new HandOverSession(call, { router, clock });
+        const session = new HandOverSession(call, parts);
         sessions.add(session);
         call.on("close", () => sessions.delete(session));
         session.start();
@@ -61,11 +65,6 @@
   };
 }
 
-interface SessionParts {
-  readonly router: HandOverRunner;
-  readonly clock: SteadyClock;
-}
-
 /** All requests that one peer handed over by one call. */
 class HandOverSession {
   readonly #call: HandOverCall;
@@ -138,7 +137,8 @@
   }
 
   #generate(number: number, message: GenerateRequest): void {
-    const { router, clock } = this.#parts;
+    const { router, clock, work } = this.#parts;
+    const end = work.begin();
     const generation = fromGenerateRequest(message, clock.now());
     const lane = new Lane({
       number,
@@ -146,6 +146,7 @@
       outbox: this.#outbox,
       onOver: () => {
         this.#lanes.delete(number);
+        end();
         this.#endIfDrained();
       },
     });
