--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -24,13 +24,12 @@
 import { SnapshotWriter } from "./configuration/snapshot_writer.ts";
 import { SpreadService } from "./configuration/spread_service.ts";
 import { DaemonParts } from "./daemon_parts.ts";
-import { type KeyedExecution, ServiceDelivery } from "./delivery/mod.ts";
 import {
-  countCalls,
-  Drain,
-  NothingToHandOver,
-  WorkInProgress,
-} from "./drain/mod.ts";
+  DeliveryParts,
+  type KeyedExecution,
+  ServiceDelivery,
+} from "./delivery/mod.ts";
+import { Drain, NothingToHandOver, WorkInProgress } from "./drain/mod.ts";
 import { createHttpApplication } from "./http_application.ts";
 import type { LoggerFactory } from "./logging/part_logger.ts";
 import type { DrainHook } from "./operators/drain_hook.ts";
@@ -43,7 +42,6 @@
   AddressDirectory,
   HashedControllers,
   OwnView,
-  RefusingKeyedExecution,
   ServiceDispatcher,
 } from "./routing/mod.ts";
 import { GenerationRouter } from "./serving/generation_router.ts";
@@ -76,9 +74,11 @@
   override readonly drainHook: DrainHook | undefined = undefined;
   override readonly observer: RequestObserver = new SilentObserver();
   override readonly router: GenerationRouter;
+  override readonly delivery: DeliveryParts;
   readonly #channels = new PeerChannels();
   readonly #spread: SpreadService;
   readonly #snapshots: SnapshotWriter;
+  readonly #peers = new PeerClients(this.#channels);
   readonly #peerServer: PeerServer;
   readonly #dispatcher = createDispatcher();
   #application: NestFastifyApplication | undefined;
@@ -88,6 +88,7 @@
     super();
     this.settings = settings;
     const dispatcher = this.#dispatcher;
+    const { clock } = this;
     this.log = new HttpLogClient({
       baseAddress: settings.platform.log,
       dispatcher,
@@ -129,14 +130,26 @@
     this.router = new GenerationRouter({
       self: settings.node.id,
       directory: this.directory,
-      peers: new PeerClients(this.#channels),
+      peers: this.#peers,
       clock: this.clock,
       logger: loggers.forPart("serving"),
       fencing: () => fencingNumber(0),
       engineClient: (vm) => this.#engineClient(engineId(vm.id), vm.address),
     });
+    this.delivery = new DeliveryParts({
+      self: settings.node.id,
+      failureDomain: settings.node.failure_domain,
+      clock: this.clock,
+      log: this.log,
+      channels: this.#channels,
+      nodes: () => this.directory.vms.filter((vm) => vm.role.kind === "entry"),
+      router: this.router,
+      observer: this.observer,
+      work: this.work,
+    });
     this.#peerServer = new PeerServer([
-      countCalls(generationService(this.router, this.clock), this.work),
+      generationService({ router: this.router, clock, work: this.work }),
+      this.delivery.registration,
       this.#spread.registration,
     ]);
     this.drain = this.#makeDrain(loggers);
@@ -148,7 +161,7 @@
       clock: this.clock,
       logger: loggers.forPart("services"),
     });
-    this.keyedExecution = new RefusingKeyedExecution();
+    this.keyedExecution = this.delivery.execution;
     this.serviceDelivery = new ServiceDelivery(
       this.keyedExecution,
       this.serviceDispatcher,
@@ -195,6 +208,7 @@
     this.#snapshots.stop();
     this.directory.stop();
     this.router.stop();
+    this.delivery.stop();
     this.#channels.close();
     await this.#dispatcher.destroy();
   }
@@ -205,6 +219,7 @@
   async #closeServers(): Promise<void> {
     await this.#application?.close();
     this.#spread.close();
+    this.#peers.close();
     await this.#peerServer.close();
   }
 
--- a/packages/node/src/daemon_parts.ts
+++ b/packages/node/src/daemon_parts.ts
@@ -5,7 +5,11 @@
 import type { ConfigurationFollower } from "./configuration/configuration_follower.ts";
 import type { ConfigurationPublisher } from "./configuration/configuration_publisher.ts";
 import type { DrainHook } from "./operators/drain_hook.ts";
-import type { KeyedExecution, ServiceDelivery } from "./delivery/mod.ts";
+import type {
+  DeliveryParts,
+  KeyedExecution,
+  ServiceDelivery,
+} from "./delivery/mod.ts";
 import type { Drain, WorkInProgress } from "./drain/mod.ts";
 import type { VmDirectory } from "./platform/vm_directory.ts";
 import type { AddressDirectory, ServiceDispatcher } from "./routing/mod.ts";
@@ -35,4 +39,5 @@
   ) => Promise<readonly NodeStatus[]>;
   abstract readonly observer: RequestObserver;
   abstract readonly router: GenerationRouter;
+  abstract readonly delivery: DeliveryParts;
 }
