Membership views and ownership of engines by lease and promises

Cause: owners were computed from the platform's lagging list, so two nodes could order one engine. Change: views and tenures as records of the log stream "membership"; the right to order from a fresh log tail or the successors' promises; takeover by designated successors; a soak over 3 to 9 nodes and a table of mutants.

--- /dev/null
+++ b/packages/bench/src/soak/main.ts
@@ -0,0 +1,74 @@
+import Table from "cli-table3";
+import process from "node:process";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import type { SoakFinding } from "./ownership_soak.ts";
+import { type Soak, SOAKS } from "./registry.ts";
+
+const MILLISECONDS_PER_MINUTE = 60_000;
+const MOST_FINDINGS = 5;
+
+interface SoakReport {
+  readonly soak: string;
+  readonly runs: number;
+  readonly orders: number;
+  readonly lastSeed: number;
+  readonly findings: readonly SoakFinding[];
+}
+
+const options = await yargs(hideBin(process.argv))
+  .option("seed", { type: "number", default: 1, describe: "The first seed" })
+  .option("minutes", {
+    type: "number",
+    default: 1,
+    describe: "How long to run each soak",
+  })
+  .option("runs", {
+    type: "number",
+    default: Infinity,
+    describe: "How many seeds at most",
+  })
+  .option("only", { type: "string", describe: "The name of one soak" })
+  .strict()
+  .parse();
+
+const chosen = SOAKS.filter(({ name }) =>
+  options.only === undefined || options.only === name
+);
+const reports: SoakReport[] = [];
+for (const soak of chosen) reports.push(await repeat(soak));
+print(reports);
+if (reports.some(({ findings }) => findings.length > 0)) process.exitCode = 1;
+
+async function repeat(soak: Soak): Promise<SoakReport> {
+  const end = performance.now() + options.minutes * MILLISECONDS_PER_MINUTE;
+  const findings: SoakFinding[] = [];
+  let seed = options.seed;
+  let orders = 0;
+  let runs = 0;
+  while (performance.now() < end && runs < options.runs) {
+    const { finding, orders: given } = await soak.run(seed);
+    orders += given;
+    runs += 1;
+    seed += 1;
+    if (finding !== undefined) findings.push(finding);
+    if (findings.length >= MOST_FINDINGS) break;
+  }
+  return { soak: soak.name, runs, orders, lastSeed: seed - 1, findings };
+}
+
+function print(printed: readonly SoakReport[]): void {
+  const table = new Table({
+    head: ["soak", "seeds", "runs", "orders", "broken"],
+  });
+  for (const { soak, runs, orders, lastSeed, findings } of printed) {
+    const seeds = `${options.seed} to ${lastSeed}`;
+    table.push([soak, seeds, runs, orders, findings.length]);
+  }
+  process.stdout.write(`${table.toString()}\n`);
+  for (const { findings } of printed) {
+    for (const { seed, invariant, detail } of findings) {
+      process.stdout.write(`seed ${seed}: ${invariant}: ${detail}\n`);
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/membership/view_register.ts
@@ -0,0 +1,79 @@
+import { assertInvariant, type LogOffset, type NodeId } from "../shared/mod.ts";
+import type { Member } from "./member.ts";
+import { EMPTY_VIEW, type View, type ViewRecord } from "./view.ts";
+
+/** What a reader of the log knows about views; kept in snapshots. */
+export interface ViewRegisterState {
+  readonly view: View;
+  /** The newest run of every node that ever was a member. */
+  readonly newest: readonly Member[];
+}
+
+/** Decides which view records take effect; all readers decide alike. */
+export class ViewRegister {
+  #view: View = EMPTY_VIEW;
+  readonly #newest = new Map<NodeId, Member>();
+
+  /** The view in force. */
+  get view(): View {
+    return this.#view;
+  }
+
+  /** The state, for a snapshot. */
+  get state(): ViewRegisterState {
+    const newest = [...this.#newest.values()];
+    newest.sort((left, right) => left.node < right.node ? -1 : 1);
+    return { view: this.#view, newest };
+  }
+
+  /**
+   * Takes the state of a snapshot.
+   * @param state The state.
+   */
+  restore(state: ViewRegisterState): void {
+    this.#view = state.view;
+    this.#newest.clear();
+    for (const member of state.newest) this.#newest.set(member.node, member);
+  }
+
+  /**
+   * Gives the newest run known of a node.
+   * @param node The node.
+   * @returns The run, or nothing where the node never was a member.
+   */
+  newestRun(node: NodeId): Member | undefined {
+    return this.#newest.get(node);
+  }
+
+  /**
+   * Applies a record where its base is the view in force.
+   * @param offset The record's offset.
+   * @param record The record.
+   * @param baseAccepted Whether the base counts as current.
+   * @returns Whether the record took effect.
+   */
+  apply(
+    offset: LogOffset,
+    record: ViewRecord,
+    { baseAccepted }: { readonly baseAccepted: boolean },
+  ): boolean {
+    if (!baseAccepted) return false;
+    if (record.members.some((member) => this.#isOutdated(member))) return false;
+    assertInvariant(
+      record.base === this.#view.offset,
+      "view_replaces_its_base",
+      () => `view ${offset} is based on ${record.base}`,
+    );
+    this.#view = { offset, members: record.members };
+    for (const member of record.members) this.#newest.set(member.node, member);
+    return true;
+  }
+
+  #isOutdated(member: Member): boolean {
+    const newest = this.#newest.get(member.node);
+    if (newest === undefined) return false;
+    if (member.generation < newest.generation) return true;
+    return member.generation === newest.generation &&
+      member.incarnation !== newest.incarnation;
+  }
+}
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -5,5 +5,6 @@
 export * from "./shared/mod.ts";
 export * from "./configuration/mod.ts";
 export * from "./observation/mod.ts";
+export * from "./membership/mod.ts";
 export * from "./ownership/mod.ts";
 export * from "./serving/mod.ts";
--- a/packages/core/src/shared/mod.ts
+++ b/packages/core/src/shared/mod.ts
@@ -4,3 +4,4 @@
 export * from "./ids.ts";
 export * from "./invariant.ts";
 export * from "./time.ts";
+export * from "./rendezvous.ts";
