--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -8,6 +8,7 @@
 export * from "./delivery/mod.ts";
 export * from "./drain/mod.ts";
 export * from "./observation/mod.ts";
+export * from "./membership/mod.ts";
 export * from "./ownership/mod.ts";
 export * from "./service_routing/mod.ts";
 export * from "./dispatch/mod.ts";
