Serve histograms, explanations and a status page, merged over nodes

An operator could see nothing of a running deployment. The node that is asked collects from its peers over gRPC with a time limit for each, adds histograms up row by row so that other work runs in between, and says who did not answer. The commands histograms and explain and the page at /status read from it.

--- a/packages/cli/src/commands/mod.ts
+++ b/packages/cli/src/commands/mod.ts
@@ -4,6 +4,8 @@
 import { CONFIGURATION_COMMAND } from "./configuration.ts";
 import { DRAIN_COMMAND } from "./drain.ts";
 import { ENGINES_COMMAND } from "./engines.ts";
+import { EXPLAIN_COMMAND } from "./explain.ts";
+import { HISTOGRAMS_COMMAND } from "./histograms.ts";
 import { NODES_COMMAND } from "./nodes.ts";
 import { SERVICES_COMMAND } from "./services.ts";
 import { TENANTS_COMMAND } from "./tenants.ts";
@@ -17,5 +19,7 @@
   CONFIGURATION_COMMAND,
   NODES_COMMAND,
   ENGINES_COMMAND,
+  HISTOGRAMS_COMMAND,
+  EXPLAIN_COMMAND,
   DRAIN_COMMAND,
 ];
--- a/packages/core/src/observation/histogram_report.ts
+++ b/packages/core/src/observation/histogram_report.ts
@@ -37,32 +37,58 @@
   readonly engines: readonly ReportedEngine[];
 }
 
+/** A part of a report, small enough to be made or merged at one go. */
+export type ReportPart =
+  | { readonly kind: "row"; readonly row: ReportedRow }
+  | { readonly kind: "engine"; readonly engine: ReportedEngine };
+
 /**
- * Reports the histograms of a table.
+ * Reports the histograms of a table part by part, so that the caller can let
+ * other work run in between: encoding a whole table takes long.
  * @param table The table.
  * @param window Which window.
- * @returns The report; rows and histograms without values are left out.
+ * @returns The parts; rows and histograms without values are left out.
  */
-export function reportHistograms(
+export function* reportParts(
   table: HistogramTable,
   window: HistogramWindow,
-): HistogramReport {
-  const rows = [...table.rows()]
-    .map((row) => reportRow(row, window))
-    .filter((row) => row.histograms.length > 0 || hasEnds(row));
-  const engines = [...table.engines].map(([engine, histogram]) => ({
-    engine,
-    histogram: histogram.read(window),
-  }));
-  return {
-    rows,
-    engines: engines
-      .filter(({ histogram }) => histogram.totalCount > 0)
-      .map(({ engine, histogram }) => ({
-        engine,
-        encoded: encodeIntoCompressedBase64(histogram),
-      })),
-  };
+): Generator<ReportPart> {
+  for (const row of [...table.rows()]) {
+    const reported = reportRow(row, window);
+    const filled = reported.histograms.length > 0 || hasEnds(reported);
+    if (filled) yield { kind: "row", row: reported };
+  }
+  for (const [engine, windowed] of [...table.engines]) {
+    const histogram = windowed.read(window);
+    if (histogram.totalCount === 0) continue;
+    const encoded = encodeIntoCompressedBase64(histogram);
+    yield { kind: "engine", engine: { engine, encoded } };
+  }
+}
+
+/**
+ * Splits a report into its parts.
+ * @param report The report.
+ * @returns The parts.
+ */
+export function* partsOf(report: HistogramReport): Generator<ReportPart> {
+  for (const row of report.rows) yield { kind: "row", row };
+  for (const engine of report.engines) yield { kind: "engine", engine };
+}
+
+/**
+ * Puts parts together.
+ * @param parts The parts.
+ * @returns The report.
+ */
+export function joinParts(parts: Iterable<ReportPart>): HistogramReport {
+  const rows: ReportedRow[] = [];
+  const engines: ReportedEngine[] = [];
+  for (const part of parts) {
+    if (part.kind === "row") rows.push(part.row);
+    else engines.push(part.engine);
+  }
+  return { rows, engines };
 }
 
 /**
--- a/packages/core/src/observation/merged_histograms.ts
+++ b/packages/core/src/observation/merged_histograms.ts
@@ -4,7 +4,9 @@
   decodeHistogram,
   type EncodedHistogram,
   type HistogramReport,
+  partsOf,
   type ReportedRow,
+  type ReportPart,
 } from "./histogram_report.ts";
 import type { EndedCounts } from "./histogram_row.ts";
 import type { Measure } from "./measure.ts";
@@ -51,10 +53,20 @@
    * @param report The report.
    */
   add(report: HistogramReport): void {
-    for (const row of report.rows) this.#addRow(row);
-    for (const { engine, encoded } of report.engines) {
-      this.#addEncoded(this.#engines, engine, encoded);
+    for (const part of partsOf(report)) this.addPart(part);
+  }
+
+  /**
+   * Adds a part of a node's report.
+   * @param part The part.
+   */
+  addPart(part: ReportPart): void {
+    if (part.kind === "row") {
+      this.#addRow(part.row);
+      return;
     }
+    const { engine, encoded } = part.engine;
+    this.#addEncoded(this.#engines, engine, encoded);
   }
 
   #addRow(row: ReportedRow): void {
--- a/packages/core/src/observation/request_telemetry.ts
+++ b/packages/core/src/observation/request_telemetry.ts
@@ -5,7 +5,12 @@
   type Instant,
 } from "../shared/mod.ts";
 import { explainTrace, type Explanation } from "./explanation.ts";
-import { type HistogramReport, reportHistograms } from "./histogram_report.ts";
+import {
+  type HistogramReport,
+  joinParts,
+  type ReportPart,
+  reportParts,
+} from "./histogram_report.ts";
 import type { EndKind, HistogramRow } from "./histogram_row.ts";
 import { HistogramTable } from "./histogram_table.ts";
 import type { HistogramWindow, Measure } from "./measure.ts";
@@ -74,14 +79,24 @@
   }
 
   /**
-   * Reports all histograms of a window.
+   * Reports all histograms of a window, part by part.
    * @param now The present time.
    * @param window Which.
-   * @returns The report, to merge with those of other nodes.
+   * @returns The parts, to merge with those of other nodes.
    */
-  report(now: Instant, window: HistogramWindow): HistogramReport {
+  reportParts(now: Instant, window: HistogramWindow): Generator<ReportPart> {
     this.#table.advance(now);
-    return reportHistograms(this.#table, window);
+    return reportParts(this.#table, window);
+  }
+
+  /**
+   * Reports all histograms of a window at one go.
+   * @param now The present time.
+   * @param window Which.
+   * @returns The report.
+   */
+  report(now: Instant, window: HistogramWindow): HistogramReport {
+    return joinParts(this.reportParts(now, window));
   }
 
   /**
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -2,8 +2,7 @@
   type EngineId,
   engineId,
   fencingNumber,
-  type RequestObserver,
-  SilentObserver,
+  RequestTelemetry,
 } from "@foxtailwind/core";
 import {
   HttpEngineClient,
@@ -26,6 +25,11 @@
 import { VmDirectory } from "./platform/vm_directory.ts";
 import { GenerationRouter } from "./serving/generation_router.ts";
 import type { Settings } from "./settings/settings.ts";
+import { DeploymentTelemetry } from "./telemetry/deployment_telemetry.ts";
+import { NoEngineActivity } from "./telemetry/engine_activity.ts";
+import { LocalTelemetry } from "./telemetry/local_telemetry.ts";
+import { PeerCollector } from "./telemetry/peer_collector.ts";
+import { telemetryService } from "./telemetry/telemetry_service.ts";
 
 /** Where a daemon listens. */
 export interface DaemonAddresses {
@@ -41,10 +45,12 @@
   override readonly services: HttpServiceClient;
   override readonly directory: VmDirectory;
   override readonly follower: ConfigurationFollower;
-  override readonly observer: RequestObserver = new SilentObserver();
+  override readonly observer = new RequestTelemetry(this.clock.now());
+  override readonly telemetry: DeploymentTelemetry;
   override readonly router: GenerationRouter;
   readonly #channels = new PeerChannels();
   readonly #peerServer: PeerServer;
+  readonly #localTelemetry: LocalTelemetry;
   readonly #dispatcher = new Agent({ connections: null, pipelining: 1 });
   #application: NestFastifyApplication | undefined;
 
@@ -79,8 +85,22 @@
       fencing: () => fencingNumber(0),
       engineClient: (vm) => this.#engineClient(engineId(vm.id), vm.address),
     });
+    this.#localTelemetry = new LocalTelemetry(this, {
+      requests: this.observer,
+      activity: new NoEngineActivity(),
+    });
+    this.telemetry = new DeploymentTelemetry({
+      self: settings.node.id,
+      local: this.#localTelemetry,
+      peers: new PeerCollector({
+        self: settings.node.id,
+        directory: this.directory,
+        channels: this.#channels,
+      }),
+    });
     this.#peerServer = new PeerServer([
       generationService(this.router, this.clock),
+      telemetryService(this.#localTelemetry),
     ]);
   }
 
@@ -95,6 +115,7 @@
     await this.#application.listen(http.port, http.host);
     await this.directory.start();
     void this.follower.run();
+    this.#localTelemetry.start();
     const address = this.#application.getHttpServer().address() as AddressInfo;
     return {
       http: `${http.host}:${address.port}`,
@@ -108,6 +129,7 @@
     await this.#peerServer.close();
     this.directory.stop();
     this.follower.stop();
+    this.#localTelemetry.stop();
     this.router.stop();
     this.#channels.close();
     await this.#dispatcher.destroy();
--- a/packages/node/src/daemon_parts.ts
+++ b/packages/node/src/daemon_parts.ts
@@ -5,6 +5,7 @@
 import type { VmDirectory } from "./platform/vm_directory.ts";
 import type { GenerationRouter } from "./serving/generation_router.ts";
 import type { Settings } from "./settings/settings.ts";
+import type { DeploymentTelemetry } from "./telemetry/deployment_telemetry.ts";
 
 /** The running parts of a daemon, as the HTTP controllers use them. */
 export abstract class DaemonParts {
@@ -16,4 +17,5 @@
   abstract readonly follower: ConfigurationFollower;
   abstract readonly observer: RequestObserver;
   abstract readonly router: GenerationRouter;
+  abstract readonly telemetry: DeploymentTelemetry;
 }
--- a/packages/node/src/http_application.ts
+++ b/packages/node/src/http_application.ts
@@ -7,6 +7,7 @@
 import { CALLER_CONTROLLERS } from "./callers/mod.ts";
 import { DaemonParts } from "./daemon_parts.ts";
 import { OPERATOR_CONTROLLERS } from "./operators/mod.ts";
+import { TELEMETRY_CONTROLLERS } from "./telemetry/mod.ts";
 
 const BODY_LIMIT_BYTES = 4 * 1_024 * 1_024;
 
@@ -23,7 +24,11 @@
 ): Promise<NestFastifyApplication> {
   const module: DynamicModule = {
     module: HttpModule,
-    controllers: [...CALLER_CONTROLLERS, ...OPERATOR_CONTROLLERS],
+    controllers: [
+      ...CALLER_CONTROLLERS,
+      ...OPERATOR_CONTROLLERS,
+      ...TELEMETRY_CONTROLLERS,
+    ],
     providers: [{ provide: DaemonParts, useValue: parts }],
   };
   return await NestFactory.create<NestFastifyApplication>(
--- /dev/null
+++ b/packages/node/src/telemetry/explanation_messages.ts
@@ -0,0 +1,30 @@
+import type { Explanation } from "@foxtailwind/core";
+import type { telemetry } from "@foxtailwind/protocol";
+
+/**
+ * Puts an explanation into a message.
+ * @param explanation The explanation.
+ * @returns The message.
+ */
+export function toExplanationMessage(
+  explanation: Explanation,
+): telemetry.Explanation {
+  return {
+    request: explanation.request,
+    classId: explanation.class ?? "",
+    tenant: explanation.tenant ?? "",
+    adapter: explanation.adapter ?? "",
+    open: explanation.open,
+    ageMilliseconds: explanation.age,
+    steps: explanation.steps.map((step) => ({
+      afterMilliseconds: step.after,
+      kind: step.kind,
+      sentence: step.sentence,
+    })),
+    leftOut: explanation.leftOut,
+    frames: explanation.frames,
+    tokens: explanation.tokens,
+    firstFrameAfterMilliseconds: explanation.firstFrameAfter,
+    lastFrameAfterMilliseconds: explanation.lastFrameAfter,
+  };
+}
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -3,3 +3,4 @@
  * @module
  */
 export * from "./generated/peer.ts";
+export * as telemetry from "./generated/telemetry.ts";
