--- a/packages/node/src/telemetry/status_controller.ts
+++ b/packages/node/src/telemetry/status_controller.ts
@@ -24,8 +24,8 @@
   async status(): Promise<StatusView> {
     const { telemetry, follower, settings } = this.#parts;
     const [status, histograms] = await Promise.all([
-      telemetry.status(),
-      telemetry.histograms("recent"),
+      telemetry.deployment.status(),
+      telemetry.deployment.histograms("recent"),
     ]);
     return viewStatus({
       asked: settings.node.id,
--- a/packages/node/src/telemetry/telemetry_controller.ts
+++ b/packages/node/src/telemetry/telemetry_controller.ts
@@ -28,7 +28,7 @@
       sendProblem(reply, unknownWindow());
       return;
     }
-    const collected = await this.#parts.telemetry.histograms(window);
+    const collected = await this.#parts.telemetry.deployment.histograms(window);
     await reply.send(viewHistograms(collected, window));
   }
 
@@ -38,7 +38,7 @@
     @Param("request") request: string,
     @Res() reply: FastifyReply,
   ): Promise<void> {
-    const collected = await this.#parts.telemetry.explain(requestId(request));
+    const collected = await this.#parts.telemetry.deployment.explain(requestId(request));
     if (collected.found.length === 0) {
       const silent = collected.nodes.filter((node) => !node.answered)
         .map((node) => node.node);
