--- a/packages/node/src/telemetry/node_telemetry.ts
+++ b/packages/node/src/telemetry/node_telemetry.ts
@@ -39,6 +39,11 @@
     this.#local.start();
   }
 
+  /** Learns at once of the classes and tenants that are configured now. */
+  configure(): void {
+    this.#local.configure();
+  }
+
   /** Stops following. */
   stop(): void {
     this.#local.stop();
--- a/packages/node/src/telemetry/telemetry_controller.ts
+++ b/packages/node/src/telemetry/telemetry_controller.ts
@@ -38,7 +38,9 @@
     @Param("request") request: string,
     @Res() reply: FastifyReply,
   ): Promise<void> {
-    const collected = await this.#parts.telemetry.deployment.explain(requestId(request));
+    const collected = await this.#parts.telemetry.deployment.explain(
+      requestId(request),
+    );
     if (collected.found.length === 0) {
       const silent = collected.nodes.filter((node) => !node.answered)
         .map((node) => node.node);
--- /dev/null
+++ b/packages/node/tests/telemetry/collected_telemetry_test.ts
@@ -0,0 +1,174 @@
+import {
+  adapterId,
+  adapterVersion,
+  classId,
+  engineId,
+  instant,
+  milliseconds,
+  requestId,
+  tenantId,
+} from "@foxtailwind/core";
+import test from "ava";
+import {
+  startTestCluster,
+  type TestCluster,
+  type TestNode,
+} from "../helpers/test_cluster.ts";
+
+interface HistogramsBody {
+  readonly nodes: readonly {
+    readonly node: string;
+    readonly answered: boolean;
+    readonly reason?: string;
+  }[];
+  readonly rows: readonly {
+    readonly class: string;
+    readonly tenant: string;
+    readonly ended: { readonly answered: number };
+    readonly measures: Readonly<Record<string, { readonly count: number }>>;
+  }[];
+}
+
+const ADAPTER = {
+  adapter: adapterId("stain-notes"),
+  version: adapterVersion("v1"),
+};
+
+async function startCluster(nodes: number): Promise<TestCluster> {
+  const cluster = await startTestCluster({
+    nodes,
+    engines: 0,
+    settings: { addresses: { lifetime_seconds: "1" } },
+  });
+  await cluster.publish([
+    {
+      kind: "set_class",
+      class: "drafting",
+      target: { firstTokenMilliseconds: 1_000 },
+    },
+    { kind: "set_tenant", tenant: "acme" },
+  ]);
+  for (const { daemon } of cluster.nodes) daemon.telemetry.configure();
+  return cluster;
+}
+
+function observeArrival(node: TestNode, id: string): void {
+  const { observer, clock } = node.daemon;
+  const request = requestId(id);
+  const now = clock.now();
+  observer.record(now, {
+    kind: "arrived",
+    request,
+    class: classId("drafting"),
+    tenant: tenantId("acme"),
+    adapter: ADAPTER,
+  });
+  observer.record(instant(now + 40), { kind: "frame", request, tokens: 1 });
+  observer.record(instant(now + 50), {
+    kind: "ended",
+    request,
+    completionTokens: 1,
+  });
+}
+
+function observeDispatch(node: TestNode, id: string): void {
+  node.daemon.observer.record(node.daemon.clock.now(), {
+    kind: "dispatched",
+    request: requestId(id),
+    engine: engineId("engine-1"),
+    queueWait: milliseconds(12),
+    loadStall: milliseconds(7),
+  });
+}
+
+async function readHistograms(cluster: TestCluster): Promise<HistogramsBody> {
+  const answer = await fetch(`${cluster.url()}/v1/operators/histograms`);
+  return await answer.json() as HistogramsBody;
+}
+
+function nodeAt(cluster: TestCluster, index: number): TestNode {
+  const node = cluster.nodes[index];
+  if (node === undefined) throw new Error(`No node ${index} runs`);
+  return node;
+}
+
+test("histograms of all nodes are added up for whichever is asked", async (t) => {
+  const cluster = await startCluster(3);
+  t.teardown(() => cluster.close());
+  for (const node of cluster.nodes) observeArrival(node, `r-${node.id}`);
+  const { nodes, rows } = await readHistograms(cluster);
+  t.true(nodes.length === 3 && nodes.every((node) => node.answered));
+  const sum = rows.find((row) =>
+    row.class === "drafting" && row.tenant === "(all)"
+  );
+  t.is(sum?.measures["first_token"]?.count, 3);
+  t.is(sum?.ended.answered, 3);
+});
+
+test("a node that is gone is named and the others are still added up", async (t) => {
+  const cluster = await startCluster(2);
+  t.teardown(() => cluster.close());
+  observeArrival(nodeAt(cluster, 0), "r-1");
+  const gone = nodeAt(cluster, 1);
+  await gone.daemon.stop();
+  const { nodes, rows } = await readHistograms(cluster);
+  const silent = nodes.filter((node) => !node.answered);
+  t.deepEqual(silent.map((node) => node.node), [gone.id]);
+  t.truthy(silent[0]?.reason);
+  t.true(rows.some((row) => row.ended.answered === 1));
+});
+
+test("a request is explained from every node that it touched", async (t) => {
+  const cluster = await startCluster(3);
+  t.teardown(() => cluster.close());
+  observeArrival(nodeAt(cluster, 1), "r-1");
+  observeDispatch(nodeAt(cluster, 2), "r-1");
+  const answer = await fetch(
+    `${cluster.url()}/v1/operators/explanations/r-1`,
+  );
+  const body = await answer.json() as {
+    readonly found: readonly {
+      readonly node: string;
+      readonly explanation: {
+        readonly steps: readonly { readonly kind: string }[];
+      };
+    }[];
+  };
+  t.deepEqual(
+    body.found.map(({ node, explanation }) => [
+      node,
+      explanation.steps.map((step) => step.kind),
+    ]),
+    [
+      [nodeAt(cluster, 1).id, ["arrived", "ended"]],
+      [nodeAt(cluster, 2).id, ["dispatched"]],
+    ],
+  );
+});
+
+test("a request that no node knows is not found", async (t) => {
+  const cluster = await startCluster(1);
+  t.teardown(() => cluster.close());
+  const answer = await fetch(
+    `${cluster.url()}/v1/operators/explanations/unknown`,
+  );
+  t.is(answer.status, 404);
+});
+
+test("the status page is whole and its figures name every node", async (t) => {
+  const cluster = await startCluster(2);
+  t.teardown(() => cluster.close());
+  const page = await fetch(`${cluster.url()}/status`);
+  t.regex(page.headers.get("content-type") ?? "", /^text\/html/);
+  t.notRegex(await page.text(), /(?:src|href)=/);
+  const answer = await fetch(`${cluster.url()}/v1/operators/status`);
+  const body = await answer.json() as {
+    readonly nodes: readonly { readonly node: string }[];
+    readonly classes: readonly { readonly class: string }[];
+  };
+  t.deepEqual(
+    body.nodes.map(({ node }) => node).sort(),
+    cluster.nodes.map(({ id }) => id).sort(),
+  );
+  t.true(body.classes.some((row) => row.class === "drafting"));
+});
