--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -2,9 +2,8 @@
   type EngineId,
   engineId,
   fencingNumber,
-  type RequestObserver,
+  RequestTelemetry,
   seconds,
-  SilentObserver,
 } from "@foxtailwind/core";
 import {
   createDispatcher,
@@ -46,6 +45,8 @@
 } from "./routing/mod.ts";
 import { GenerationRouter } from "./serving/generation_router.ts";
 import type { Settings } from "./settings/settings.ts";
+import { NoEngineActivity } from "./telemetry/engine_activity.ts";
+import { NodeTelemetry } from "./telemetry/node_telemetry.ts";
 
 /** Where a daemon listens. */
 export interface DaemonAddresses {
@@ -70,9 +71,10 @@
   override readonly drain: Drain;
   override readonly directory: VmDirectory;
   override readonly follower: ConfigurationFollower;
+  override readonly observer = new RequestTelemetry(this.clock.now());
+  override readonly telemetry: NodeTelemetry;
   override readonly publisher: ConfigurationPublisher;
   override readonly drainHook: DrainHook | undefined = undefined;
-  override readonly observer: RequestObserver = new SilentObserver();
   override readonly router: GenerationRouter;
   override readonly delivery: DeliveryParts;
   readonly #channels = new PeerChannels();
@@ -147,9 +149,15 @@
       observer: this.observer,
       work: this.work,
     });
+    this.telemetry = new NodeTelemetry(this, {
+      requests: this.observer,
+      activity: new NoEngineActivity(),
+      channels: this.#channels,
+    });
     this.#peerServer = new PeerServer([
       generationService({ router: this.router, clock, work: this.work }),
       this.delivery.registration,
+      this.telemetry.registration,
       this.#spread.registration,
     ]);
     this.drain = this.#makeDrain(loggers);
@@ -180,6 +188,7 @@
     await this.#application.listen(http.port, http.host);
     await this.directory.start();
     void this.follower.run();
+    this.telemetry.start();
     this.#snapshots.start();
     const address = this.#application.getHttpServer().address() as AddressInfo;
     return {
@@ -205,6 +214,7 @@
     const closing = this.#closeServers();
     await (isOverdue ? Promise.race([closing, sleep(OVERDUE_CLOSE)]) : closing);
     this.follower.stop();
+    this.telemetry.stop();
     this.#snapshots.stop();
     this.directory.stop();
     this.router.stop();
--- a/packages/node/src/daemon_parts.ts
+++ b/packages/node/src/daemon_parts.ts
@@ -15,6 +15,7 @@
 import type { AddressDirectory, ServiceDispatcher } from "./routing/mod.ts";
 import type { GenerationRouter } from "./serving/generation_router.ts";
 import type { Settings } from "./settings/settings.ts";
+import type { NodeTelemetry } from "./telemetry/node_telemetry.ts";
 
 /** The running parts of a daemon, as the HTTP controllers use them. */
 export abstract class DaemonParts {
@@ -40,4 +41,5 @@
   abstract readonly observer: RequestObserver;
   abstract readonly router: GenerationRouter;
   abstract readonly delivery: DeliveryParts;
+  abstract readonly telemetry: NodeTelemetry;
 }
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -13,6 +13,7 @@
   OutcomesService,
 } from "./generated/outcomes.ts";
 export * from "./generated/peer.ts";
+export * as telemetry from "./generated/telemetry.ts";
 export {
   ConfigurationClient,
   ConfigurationService,
