--- a/packages/core/src/configuration/snapshot.ts
+++ b/packages/core/src/configuration/snapshot.ts
@@ -1,10 +1,12 @@
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
 import type { Failure, LogOffset } from "../shared/mod.ts";
-import { RECORD_FORMAT } from "./change.ts";
+import { type ConfigurationChange, RECORD_FORMAT } from "./change.ts";
 import { Configuration } from "./configuration.ts";
 import { ConfigurationRules } from "./configuration_rules.ts";
 import { changeLine, itemLine, snapshotLineSchema } from "./snapshot_line.ts";
+import type { ItemOrigin } from "./configuration_state.ts";
+import type { RecentChange } from "./recent_changes.ts";
 import { StateDigest } from "./state_digest.ts";
 
 /** The log's stream of snapshot chunks. */
@@ -13,27 +15,88 @@
 /** How large a chunk's lines are at most, in UTF-16 units. */
 export const CHUNK_CHARACTERS = 120_000;
 
+const offsetSchema = z.number().int().min(-1).transform((value) =>
+  value as LogOffset
+);
+
 const chunkSchema = z.object({
   format: z.literal(RECORD_FORMAT),
-  covers: z.number().int().min(-1).transform((value) => value as LogOffset),
+  covers: offsetSchema,
   digest: z.string(),
   index: z.number().int().nonnegative(),
-  count: z.number().int().positive(),
-  lines: z.array(z.string()),
+  last: z.boolean(),
+  lines: z.array(z.unknown()),
 });
 
 type Chunk = z.output<typeof chunkSchema>;
 
+/** A configuration at one offset, which later changes do not touch. */
+export interface SnapshotCopy {
+  /** The offset of the last record that it covers. */
+  readonly covers: LogOffset;
+  readonly digest: string;
+  readonly items: readonly (readonly [ConfigurationChange, ItemOrigin])[];
+  readonly recent: readonly RecentChange[];
+}
+
 /** A snapshot, ready to be appended or sent. */
 export interface Snapshot {
-  /** The offset of the last record that it covers. */
   readonly covers: LogOffset;
   readonly digest: string;
   readonly chunks: readonly string[];
 }
 
 /**
- * Takes a snapshot: equal configurations give equal texts.
+ * Copies what a snapshot holds. Only references are copied, so that the slow
+ * work of {@link snapshotChunks} can be done a chunk at a time.
+ * @param configuration The configuration.
+ * @param rules The decisions.
+ * @returns The copy.
+ */
+export function copyForSnapshot(
+  configuration: Configuration,
+  rules: ConfigurationRules = new ConfigurationRules(),
+): SnapshotCopy {
+  const origins = [...configuration.origins];
+  origins.sort(([left, leftOrigin], [right, rightOrigin]) =>
+    leftOrigin.offset - rightOrigin.offset || (left < right ? -1 : 1)
+  );
+  return {
+    covers: rules.snapshotCovers(configuration.offset),
+    digest: configuration.digest,
+    items: origins.map(([item, origin]) => [
+      configuration.changeThatMakes(item),
+      origin,
+    ]),
+    recent: [...configuration.recent.all],
+  };
+}
+
+/**
+ * Writes a snapshot chunk by chunk: equal copies give equal texts.
+ * @param copy The copy.
+ * @returns The chunks, in order.
+ */
+export function* snapshotChunks(copy: SnapshotCopy): Generator<string> {
+  const { covers, digest } = copy;
+  let lines: string[] = [];
+  let characters = 0;
+  let index = 0;
+  for (const line of snapshotLines(copy)) {
+    if (characters + line.length > CHUNK_CHARACTERS && characters > 0) {
+      yield formatChunk({ covers, digest, index, last: false }, lines);
+      index += 1;
+      lines = [];
+      characters = 0;
+    }
+    lines.push(line);
+    characters += line.length;
+  }
+  yield formatChunk({ covers, digest, index, last: true }, lines);
+}
+
+/**
+ * Takes a whole snapshot at once.
  * @param configuration The configuration.
  * @param rules The decisions.
  * @returns The snapshot in chunks.
@@ -42,25 +105,76 @@
   configuration: Configuration,
   rules: ConfigurationRules = new ConfigurationRules(),
 ): Snapshot {
-  const covers = rules.snapshotCovers(configuration.offset);
-  const { digest } = configuration;
-  const parts = chunkLines(snapshotLines(configuration));
-  const chunks = parts.map((lines, index): string =>
-    JSON.stringify({
-      format: RECORD_FORMAT,
-      covers,
-      digest,
-      index,
-      count: parts.length,
-      lines,
-    })
-  );
-  return { covers, digest, chunks };
+  const copy = copyForSnapshot(configuration, rules);
+  const { covers, digest } = copy;
+  return { covers, digest, chunks: [...snapshotChunks(copy)] };
+}
+
+/**
+ * Makes a configuration from a snapshot, a chunk at a time. It decides about
+ * every later record as one that read all records from the first.
+ */
+export class SnapshotRestorer {
+  readonly #configuration: Configuration;
+  readonly #digest = new StateDigest();
+  #previous: Chunk | undefined;
+
+  /** @param rules The decisions of the new configuration. */
+  constructor(rules: ConfigurationRules = new ConfigurationRules()) {
+    this.#configuration = new Configuration(rules);
+  }
+
+  /** Whether the last chunk was taken. */
+  get isWhole(): boolean {
+    return this.#previous?.last ?? false;
+  }
+
+  /**
+   * Takes the next chunk.
+   * @param text The chunk.
+   * @returns Why it cannot be used, where that is so.
+   */
+  push(text: string): Result<undefined, Failure> {
+    const chunk = chunkSchema.safeParse(parseJson(text));
+    if (!chunk.success) return err(unusable("has a broken chunk"));
+    if (!this.#follows(chunk.data)) {
+      return err(unusable(`has a foreign chunk at ${chunk.data.index}`));
+    }
+    this.#previous = chunk.data;
+    for (const line of chunk.data.lines) {
+      this.#digest.toggle(JSON.stringify(line));
+      if (!restoreLine(this.#configuration, line)) {
+        return err(unusable("has a line that cannot be read"));
+      }
+    }
+    return ok(undefined);
+  }
+
+  /**
+   * Gives the configuration once all chunks are taken.
+   * @returns The configuration, or why the snapshot cannot be used.
+   */
+  finish(): Result<Configuration, Failure> {
+    const last = this.#previous;
+    if (!last?.last) return err(unusable("is not whole"));
+    const configuration = this.#configuration;
+    const matches = this.#digest.text === last.digest &&
+      configuration.digest === last.digest;
+    if (!matches) return err(unusable("does not match its digest"));
+    if (last.covers > configuration.offset) configuration.skipTo(last.covers);
+    return ok(configuration);
+  }
+
+  #follows(chunk: Chunk): boolean {
+    const previous = this.#previous;
+    if (previous === undefined) return chunk.index === 0;
+    return !previous.last && chunk.index === previous.index + 1 &&
+      chunk.covers === previous.covers && chunk.digest === previous.digest;
+  }
 }
 
 /**
- * Makes a configuration from a snapshot. It decides about every later record
- * as one that read all records from the first.
+ * Makes a configuration from a whole snapshot.
  * @param chunks All chunks of one snapshot, in order.
  * @param rules The decisions of the new configuration.
  * @returns The configuration, or why the snapshot cannot be used.
@@ -69,69 +183,37 @@
   chunks: readonly string[],
   rules: ConfigurationRules = new ConfigurationRules(),
 ): Result<Configuration, Failure> {
-  const read = readChunks(chunks);
-  if (read.isErr()) return err(read.error);
-  const [first] = read.value;
-  if (first === undefined) return err(unusable("has no chunks"));
-  const configuration = new Configuration(rules);
-  const digest = new StateDigest();
-  for (const text of read.value.flatMap((chunk) => chunk.lines)) {
-    digest.toggle(text);
-    if (!restoreLine(configuration, text)) {
-      return err(unusable(`has a line that cannot be read: ${text}`));
-    }
+  const restorer = new SnapshotRestorer(rules);
+  for (const chunk of chunks) {
+    const taken = restorer.push(chunk);
+    if (taken.isErr()) return err(taken.error);
   }
-  if (digest.text !== first.digest || configuration.digest !== first.digest) {
-    return err(unusable("does not match its digest"));
-  }
-  if (first.covers > configuration.offset) configuration.skipTo(first.covers);
-  return ok(configuration);
-}
-
-function snapshotLines(configuration: Configuration): readonly string[] {
-  const origins = [...configuration.origins];
-  origins.sort(([left, leftOrigin], [right, rightOrigin]) =>
-    leftOrigin.offset - rightOrigin.offset || (left < right ? -1 : 1)
-  );
-  const items = origins.map(([item, origin]) =>
-    itemLine(configuration.changeThatMakes(item), origin)
-  );
-  return [...items, ...Array.from(configuration.recent.all, changeLine)];
+  return restorer.finish();
 }
 
-function chunkLines(lines: readonly string[]): readonly (readonly string[])[] {
-  const chunks: string[][] = [[]];
-  let characters = 0;
-  for (const line of lines) {
-    if (characters + line.length > CHUNK_CHARACTERS && characters > 0) {
-      chunks.push([]);
-      characters = 0;
-    }
-    chunks.at(-1)?.push(line);
-    characters += line.length;
-  }
-  return chunks;
+function* snapshotLines(copy: SnapshotCopy): Generator<string> {
+  for (const [change, origin] of copy.items) yield itemLine(change, origin);
+  for (const recent of copy.recent) yield changeLine(recent);
 }
 
-function readChunks(
-  texts: readonly string[],
-): Result<readonly Chunk[], Failure> {
-  const chunks: Chunk[] = [];
-  for (const [index, text] of texts.entries()) {
-    const chunk = chunkSchema.safeParse(parseJson(text));
-    if (!chunk.success) return err(unusable(`has a broken chunk ${index}`));
-    const { covers, digest, count } = chunk.data;
-    const first = chunks[0] ?? chunk.data;
-    const fits = chunk.data.index === index && count === texts.length &&
-      covers === first.covers && digest === first.digest;
-    if (!fits) return err(unusable(`has a foreign chunk at ${index}`));
-    chunks.push(chunk.data);
-  }
-  return ok(chunks);
+/** The lines are JSON already; written as they are, nothing is escaped twice. */
+function formatChunk(
+  head: Omit<Chunk, "format" | "lines">,
+  lines: readonly string[],
+): string {
+  const { covers, digest, index, last } = head;
+  const start = JSON.stringify({
+    format: RECORD_FORMAT,
+    covers,
+    digest,
+    index,
+    last,
+  });
+  return `${start.slice(0, -1)},"lines":[${lines.join(",")}]}`;
 }
 
-function restoreLine(configuration: Configuration, text: string): boolean {
-  const line = snapshotLineSchema.safeParse(parseJson(text));
+function restoreLine(configuration: Configuration, raw: unknown): boolean {
+  const line = snapshotLineSchema.safeParse(raw);
   if (!line.success) return false;
   switch (line.data.line) {
     case "item":
--- a/packages/node/src/configuration/configuration_publisher.ts
+++ b/packages/node/src/configuration/configuration_publisher.ts
@@ -23,7 +23,7 @@
   refusedByReaders,
 } from "./publish_failure.ts";
 
-const DEADLINE = milliseconds(6_000);
+const DEADLINE = milliseconds(4_000);
 const RETRY_MILLISECONDS = 100;
 
 /** What a publisher works with. */
--- a/packages/node/src/configuration/log_source.ts
+++ b/packages/node/src/configuration/log_source.ts
@@ -5,14 +5,15 @@
   logOffset,
   milliseconds,
   parseConfigurationRecord,
-  restoreSnapshot,
   SNAPSHOT_STREAM,
   type SnapshotManifest,
+  SnapshotRestorer,
   type StoredRecord,
 } from "@foxtailwind/core";
 import type { LogClient, LogPage } from "@foxtailwind/edges";
 import type { PartLogger } from "../logging/part_logger.ts";
 import type { ConfigurationStore } from "./configuration_store.ts";
+import { unpackChunk } from "./snapshot_packing.ts";
 
 const PAGE_RECORDS = 1_000;
 
@@ -89,18 +90,19 @@
   async #readSnapshot(
     manifest: SnapshotManifest,
   ): Promise<Configuration | undefined> {
-    const chunks: string[] = [];
+    const restorer = new SnapshotRestorer();
     for (const from of manifest.chunks) {
       const page = await this.#log.read(SNAPSHOT_STREAM, {
         from,
         limit: 1,
         waitMilliseconds: 0,
       });
-      const chunk = page.unwrapOr(undefined)?.records[0];
-      if (chunk?.offset !== from) return undefined;
-      chunks.push(chunk.data);
+      const stored = page.unwrapOr(undefined)?.records[0];
+      if (stored?.offset !== from) return undefined;
+      const chunk = unpackChunk(stored.data);
+      if (chunk === undefined || restorer.push(chunk).isErr()) return undefined;
     }
-    return restoreSnapshot(chunks).unwrapOr(undefined);
+    return restorer.finish().unwrapOr(undefined);
   }
 
   async #readPage(
--- a/packages/node/src/configuration/peer_source.ts
+++ b/packages/node/src/configuration/peer_source.ts
@@ -3,13 +3,14 @@
   type Instant,
   logOffset,
   milliseconds,
-  restoreSnapshot,
+  SnapshotRestorer,
 } from "@foxtailwind/core";
 import { ConfigurationClient, type FollowAnswer } from "@foxtailwind/protocol";
 import { type ClientReadableStream, credentials } from "@grpc/grpc-js";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { PeerChannels } from "../peers/peer_channels.ts";
 import type { ConfigurationStore } from "./configuration_store.ts";
+import { unpackChunk } from "./snapshot_packing.ts";
 
 const CHECK_MILLISECONDS = 250;
 const SILENCE_LIMIT = milliseconds(1_500);
@@ -80,7 +81,7 @@
 
 class AnswerReceiver {
   readonly #store: ConfigurationStore;
-  #chunks: string[] = [];
+  #restorer: SnapshotRestorer | undefined;
 
   constructor(store: ConfigurationStore) {
     this.#store = store;
@@ -99,7 +100,7 @@
           age: milliseconds(part.value.ageMilliseconds),
         });
       case "state":
-        return this.#receiveChunk(part.value);
+        return this.#receiveChunk(part.value.data);
       case "alive":
         if (part.value.next <= this.#store.reader.next) {
           this.#store.confirm(milliseconds(part.value.ageMilliseconds));
@@ -110,14 +111,14 @@
     }
   }
 
-  #receiveChunk(
-    chunk: { readonly index: number; readonly count: number; text: string },
-  ): boolean {
-    if (chunk.index !== this.#chunks.length) return false;
-    this.#chunks.push(chunk.text);
-    if (this.#chunks.length < chunk.count) return true;
-    const restored = restoreSnapshot(this.#chunks);
-    this.#chunks = [];
+  #receiveChunk(data: string): boolean {
+    const chunk = unpackChunk(data);
+    if (chunk === undefined) return false;
+    this.#restorer ??= new SnapshotRestorer();
+    if (this.#restorer.push(chunk).isErr()) return false;
+    if (!this.#restorer.isWhole) return true;
+    const restored = this.#restorer.finish();
+    this.#restorer = undefined;
     if (restored.isErr()) return false;
     this.#store.adopt(restored.value);
     return true;
--- a/packages/node/src/configuration/snapshot_writer.ts
+++ b/packages/node/src/configuration/snapshot_writer.ts
@@ -1,5 +1,6 @@
 import {
   CONFIGURATION_STREAM,
+  copyForSnapshot,
   formatSnapshotManifest,
   type Instant,
   type LogOffset,
@@ -7,15 +8,16 @@
   rendezvousOrder,
   SNAPSHOT_SCHEDULE,
   SNAPSHOT_STREAM,
+  snapshotChunks,
   snapshotDue,
   type SnapshotManifest,
-  takeSnapshot,
 } from "@foxtailwind/core";
 import type { LogClient } from "@foxtailwind/edges";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { PartLogger } from "../logging/part_logger.ts";
 import type { VmDirectory } from "../platform/vm_directory.ts";
 import type { ConfigurationFollower } from "./configuration_follower.ts";
+import { packChunk } from "./snapshot_packing.ts";
 
 const TICK_MILLISECONDS = 1_000;
 
@@ -102,10 +104,11 @@
 
   async #write(): Promise<boolean> {
     const { follower, log, logger, clock } = this.#parts;
-    const { covers, digest, chunks } = takeSnapshot(follower.configuration);
+    const copy = copyForSnapshot(follower.configuration);
+    const { covers, digest } = copy;
     const offsets: LogOffset[] = [];
-    for (const chunk of chunks) {
-      const offset = await log.append(SNAPSHOT_STREAM, [chunk]);
+    for (const chunk of snapshotChunks(copy)) {
+      const offset = await log.append(SNAPSHOT_STREAM, [packChunk(chunk)]);
       if (offset.isErr()) return this.#giveUp(offset.error.message);
       offsets.push(offset.value);
     }
@@ -117,7 +120,10 @@
     const appended = await log.append(CONFIGURATION_STREAM, [manifest]);
     if (appended.isErr()) return this.#giveUp(appended.error.message);
     this.#lastSeenAt = clock.now();
-    logger.info("A snapshot was written.", { covers, chunks: chunks.length });
+    logger.info("A snapshot was written.", {
+      covers,
+      chunks: offsets.length,
+    });
     return true;
   }
 
--- a/packages/node/src/configuration/spread_service.ts
+++ b/packages/node/src/configuration/spread_service.ts
@@ -1,8 +1,9 @@
 import {
+  copyForSnapshot,
   type LogOffset,
   logOffset,
+  snapshotChunks,
   type StoredRecord,
-  takeSnapshot,
 } from "@foxtailwind/core";
 import {
   ConfigurationService,
@@ -16,8 +17,10 @@
   ServerUnaryCall,
   ServerWritableStream,
 } from "@grpc/grpc-js";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import type { PeerRegistration } from "../peers/peer_server.ts";
 import type { ConfigurationStore } from "./configuration_store.ts";
+import { packChunk } from "./snapshot_packing.ts";
 
 const ALIVE_MILLISECONDS = 300;
 const MESSAGE_CHARACTERS = 262_144;
@@ -89,6 +92,7 @@
   readonly #call: FollowCall;
   readonly #store: ConfigurationStore;
   #next: LogOffset;
+  #sendingState = false;
 
   constructor(call: FollowCall, store: ConfigurationStore) {
     this.#call = call;
@@ -99,10 +103,14 @@
   /** Sends what the follower does not have, unless it is slow to take it. */
   send(): void {
     const { next } = this.#store.reader;
-    if (this.#call.writableNeedDrain || this.#next >= next) return;
+    if (this.#sendingState || this.#call.writableNeedDrain) return;
+    if (this.#next >= next) return;
     const records = this.#store.recordsFrom(this.#next);
-    if (records === undefined) this.#sendState();
-    else this.#sendRecords(records);
+    if (records === undefined) {
+      void this.#sendState();
+      return;
+    }
+    this.#sendRecords(records);
     this.#next = next;
   }
 
@@ -134,12 +142,18 @@
     }
   }
 
-  #sendState(): void {
-    const { chunks } = takeSnapshot(this.#store.reader.configuration);
-    for (const [index, text] of chunks.entries()) {
-      const count = chunks.length;
-      this.#write({ $case: "state", value: { index, count, text } });
+  /** Sends a chunk a turn of the loop, so that nothing else waits long. */
+  async #sendState(): Promise<void> {
+    this.#sendingState = true;
+    const copy = copyForSnapshot(this.#store.reader.configuration);
+    for (const chunk of snapshotChunks(copy)) {
+      if (this.#call.writableEnded || this.#call.destroyed) return;
+      this.#write({ $case: "state", value: { data: packChunk(chunk) } });
+      await nextTurn();
     }
+    this.#next = logOffset(copy.covers + 1);
+    this.#sendingState = false;
+    this.send();
   }
 
   #write(part: NonNullable<FollowAnswer["part"]>): void {
