--- a/packages/cli/src/client/publish.ts
+++ b/packages/cli/src/client/publish.ts
@@ -1,4 +1,4 @@
-import { ok, type Result } from "neverthrow";
+import type { Result } from "neverthrow";
 import { randomUUID } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
 import { z } from "zod";
@@ -15,6 +15,8 @@
   repeated: z.boolean(),
 });
 
+const inForceSchema = z.object({ offset: z.number() });
+
 /** An accepted change. */
 export type PublishAnswer = z.output<typeof publishAnswerSchema>;
 
@@ -25,7 +27,7 @@
   /** Chosen by the operator to settle an earlier try, or made here. */
   readonly id?: string;
   /** The offset of the configuration that the operator looked at. */
-  readonly base?: number;
+  readonly base: number;
 }
 
 /**
@@ -48,9 +50,21 @@
     await sleep(SETTLE_PAUSE_MILLISECONDS);
     answer = await postRecord(client, body);
   }
-  return answer.mapErr((failure) => ({ ...failure, change: id }))
-    .mapErr(withSettleRemedy)
-    .andThen((settled) => ok(settled));
+  return answer.mapErr((failure) =>
+    withSettleRemedy({ ...failure, change: id }, order.base)
+  );
+}
+
+/**
+ * Reads the offset that is in force at a node, to be a change's base.
+ * @param client The node.
+ * @returns The offset.
+ */
+export async function readBase(
+  client: NodeClient,
+): Promise<Result<number, CommandFailure>> {
+  const answer = await client.get("configuration", inForceSchema);
+  return answer.map(({ offset }) => offset);
 }
 
 function postRecord(
@@ -65,11 +79,15 @@
   });
 }
 
-function withSettleRemedy(failure: CommandFailure): CommandFailure {
+function withSettleRemedy(
+  failure: CommandFailure & { readonly change: string },
+  base: number,
+): CommandFailure {
   if (failure.code !== EXIT_CODE.unknown) return failure;
   return {
     ...failure,
-    remedy: `Run the same command with --id ${failure.change}, on any node: ` +
+    remedy: "Run the same command again, on any node, with " +
+      `--id ${failure.change} --base ${base}: ` +
       "it tells what became of the change and never publishes it twice.",
   };
 }
--- a/packages/cli/src/commands/write_options.ts
+++ b/packages/cli/src/commands/write_options.ts
@@ -1,7 +1,9 @@
 import process from "node:process";
+import { err, ok } from "neverthrow";
 import type { Argv } from "yargs";
 import type { NodeClient } from "../client/node_client.ts";
-import { publishSettled } from "../client/publish.ts";
+import { publishSettled, readBase } from "../client/publish.ts";
+import type { CommandFailure } from "../command_failure.ts";
 import type { CommandResult, GlobalOptions } from "./command.ts";
 
 /** The options of commands that publish a change. */
@@ -30,6 +32,7 @@
       type: "string",
       describe: "The id of an earlier try, to learn what became of it",
     })
+    .implies("id", "base")
     .option("base", {
       type: "number",
       describe: "Refuse where the item changed after this offset",
@@ -48,12 +51,16 @@
   options: WriteOptions,
   { changes }: { readonly changes: readonly object[] },
 ): Promise<CommandResult> {
-  const { author, id, base } = options;
+  const { author, id } = options;
+  const base = options.base === undefined
+    ? await readBase(client)
+    : ok<number, CommandFailure>(options.base);
+  if (base.isErr()) return err(base.error);
   const answer = await publishSettled(client, {
     changes,
     author,
+    base: base.value,
     ...(id !== undefined && { id }),
-    ...(base !== undefined && { base }),
   });
   return answer.map((accepted) => ({
     json: accepted,
--- /dev/null
+++ b/packages/cli/tests/operators_page_test.ts
@@ -0,0 +1,30 @@
+import test from "ava";
+import { InProcessCluster } from "@foxtailwind/bench";
+import { failureDomainId, modelId, regionId } from "@foxtailwind/core";
+import { FakeEngine } from "@foxtailwind/standins";
+import { readFileSync } from "node:fs";
+import { normalise, runPage } from "./shell_page.ts";
+
+const PAGE = new URL("../../../docs/OPERATORS.md", import.meta.url);
+
+test("the operators' page shows what its commands print", async (t) => {
+  const cluster = await InProcessCluster.start({ nodes: 3, domains: 3 });
+  const engine = new FakeEngine();
+  t.teardown(async () => {
+    await cluster.stop();
+    await engine.close();
+  });
+  cluster.vmList.setVm({
+    id: "engine-1",
+    address: new URL(await engine.listen()).host,
+    region: regionId("region-1"),
+    failureDomain: failureDomainId("domain-1"),
+    role: { kind: "engine", model: modelId("base"), checksFencing: true },
+    state: "live",
+  });
+  const [node] = cluster.nodes;
+  await node?.daemon.directory.refresh();
+  const page = readFileSync(PAGE, "utf8");
+  const ran = await runPage(page, { node: node?.addresses.http ?? "" });
+  t.is(normalise(ran), normalise(page));
+});
--- /dev/null
+++ b/packages/cli/tests/shell_page.ts
@@ -0,0 +1,99 @@
+import { COMMANDS, runCommandLine } from "@foxtailwind/cli";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import path from "node:path";
+
+const FILE_BLOCK = /<!-- file: (\S+) -->\s*```ini\n([\s\S]*?)```/g;
+const SESSION_BLOCK = /```console\n([\s\S]*?)```/g;
+const PROMPT = "$ ";
+
+/** What a run of a page needs. */
+export interface PageSurroundings {
+  /** The node that the commands ask. */
+  readonly node: string;
+}
+
+/**
+ * Runs every command of a page's `console` blocks and gives the page with the
+ * outputs that came.
+ * @param page The page's text.
+ * @param surroundings What the commands need.
+ * @returns The page, with the outputs of this run.
+ */
+export async function runPage(
+  page: string,
+  surroundings: PageSurroundings,
+): Promise<string> {
+  const folder = mkdtempSync(path.join(tmpdir(), "foxtailwind-page-"));
+  const files = new Map<string, string>();
+  for (const [, name = "", text = ""] of page.matchAll(FILE_BLOCK)) {
+    files.set(name, path.join(folder, name));
+    writeFileSync(path.join(folder, name), text);
+  }
+  const shell = new Shell(surroundings.node, files);
+  let filled = page;
+  for (const [block, session = ""] of page.matchAll(SESSION_BLOCK)) {
+    const ran = await shell.run(session);
+    filled = filled.replace(block, () => `\`\`\`console\n${ran}\`\`\``);
+  }
+  rmSync(folder, { recursive: true });
+  return filled;
+}
+
+/**
+ * Replaces what differs from run to run by texts of the same length.
+ * @param text An output, or a page with outputs.
+ * @returns The text without ids, ports and machine paths.
+ */
+export function normalise(text: string): string {
+  return text
+    .replace(
+      /[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}/g,
+      "00000000-0000-4000-8000-000000000000",
+    )
+    .replace(/127\.0\.0\.1:\d{5}/g, "127.0.0.1:40000");
+}
+
+class Shell {
+  readonly #node: string;
+  readonly #files: ReadonlyMap<string, string>;
+  #lastCode = 0;
+
+  constructor(node: string, files: ReadonlyMap<string, string>) {
+    this.#node = node;
+    this.#files = files;
+  }
+
+  async run(session: string): Promise<string> {
+    let text = "";
+    for (const line of session.split("\n")) {
+      if (!line.startsWith(PROMPT)) continue;
+      text += `${line}\n${await this.#command(line.slice(PROMPT.length))}`;
+    }
+    return text;
+  }
+
+  async #command(line: string): Promise<string> {
+    if (line === "echo $?") return `${this.#lastCode}\n`;
+    const [, ...words] = line.trim().split(/\s+/);
+    let written = "";
+    const write = (text: string) => {
+      written += text;
+    };
+    this.#lastCode = await runCommandLine(
+      words.map((word) => this.#files.get(word) ?? word),
+      {
+        commands: COMMANDS,
+        surroundings: {
+          environment: { FOXTAILWIND_NODE: this.#node },
+          writeOut: write,
+          writeError: write,
+        },
+      },
+    );
+    for (const [name, file] of this.#files) {
+      written = written.replaceAll(file, name);
+    }
+    return written;
+  }
+}
--- a/packages/node/src/configuration/configuration_publisher.ts
+++ b/packages/node/src/configuration/configuration_publisher.ts
@@ -143,6 +143,9 @@
 ): Result<AcceptedChange, PublishFailure> {
   const { id, offset, verdict } = change;
   if (verdict.kind === "accepted") return ok({ id, offset, repeated });
+  if (verdict.kind === "conflict" && verdict.change === id) {
+    return ok({ id, offset: verdict.winner, repeated: true });
+  }
   return err(refusedByReaders(verdict));
 }
 
--- a/packages/node/src/operators/publish_body.ts
+++ b/packages/node/src/operators/publish_body.ts
@@ -30,6 +30,7 @@
   defaults: RecordDefaults,
 ): Result<ConfigurationRecord, PublishFailure> {
   const given = typeof body === "object" && body !== null ? body : {};
+  if ("id" in given && !("base" in given)) return err(ID_WITHOUT_BASE);
   const record = publishSchema.safeParse({
     id: randomUUID(),
     author: DEFAULT_AUTHOR,
@@ -43,6 +44,12 @@
   }));
 }
 
+/** Else a repeat that comes long after would take a new base, and run again. */
+const ID_WITHOUT_BASE = publishFailure("invalid", {
+  message: "base: must be given together with an id.",
+  remedy: "Give the offset of the configuration that the change was made from.",
+});
+
 const publishSchema = z.strictObject(configurationRecordSchema.shape);
 
 function describeIssues(error: z.ZodError): string {
--- a/packages/node/tests/configuration/spread_test.ts
+++ b/packages/node/tests/configuration/spread_test.ts
@@ -70,10 +70,10 @@
 test("a change whose answer the log lost is accepted once", async (t) => {
   const cluster = await startCluster(t, { nodes: 1, domains: 1 });
   cluster.log.setFaults({ loseNextAppendAnswers: 2 });
-  const answer = await publish(first(cluster), 700, { id: "lost" });
+  const answer = await publish(first(cluster), 700, { id: "lost", base: -1 });
   t.like(answer, { status: 200, body: { id: "lost", offset: 0 } });
   t.is(cluster.log.readCounters().records, 3);
-  const again = await publish(first(cluster), 700, { id: "lost" });
+  const again = await publish(first(cluster), 700, { id: "lost", base: -1 });
   t.like(again.body, { id: "lost", offset: 0, repeated: true });
   const history = await call(first(cluster), "configuration/history");
   t.like(history.body, { changes: [{ id: "lost", verdict: "accepted" }] });
@@ -160,7 +160,7 @@
   });
   await node.daemon.directory.refresh();
   t.snapshot(await call(node, "configuration/status"));
-  t.snapshot(await publish(node, 900, { id: "halted" }));
+  t.snapshot(await publish(node, 900, { id: "halted", base: 0 }));
   t.is(targetAt(node), 700);
 });
 
@@ -173,6 +173,7 @@
     { changes: [{ kind: "set_weight", engine: "e", weight: 3 }] },
     { changes: [{ kind: "set_class", class: "a b", target: {} }], weight: 1 },
     { changes: [{ kind: "remove_class", class: "missing" }] },
+    { id: "a", changes: [{ kind: "set_tenant", tenant: "a" }] },
   ];
   for (const body of bodies) {
     t.snapshot(await call(node, "configuration", body));
