--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -3,9 +3,11 @@
   engineId,
   fencingNumber,
   type RequestObserver,
+  seconds,
   SilentObserver,
 } from "@foxtailwind/core";
 import {
+  createDispatcher,
   HttpEngineClient,
   HttpLogClient,
   HttpServiceClient,
@@ -14,7 +16,7 @@
 } from "@foxtailwind/edges";
 import type { NestFastifyApplication } from "@nestjs/platform-fastify";
 import type { AddressInfo } from "node:net";
-import { Agent } from "undici";
+import { setTimeout as sleep } from "node:timers/promises";
 import { ProcessClock } from "./clock/steady_clock.ts";
 import { readClusterStatus } from "./configuration/cluster_status.ts";
 import { ConfigurationFollower } from "./configuration/configuration_follower.ts";
@@ -22,6 +24,13 @@
 import { SnapshotWriter } from "./configuration/snapshot_writer.ts";
 import { SpreadService } from "./configuration/spread_service.ts";
 import { DaemonParts } from "./daemon_parts.ts";
+import { type KeyedExecution, ServiceDelivery } from "./delivery/mod.ts";
+import {
+  countCalls,
+  Drain,
+  NothingToHandOver,
+  WorkInProgress,
+} from "./drain/mod.ts";
 import { createHttpApplication } from "./http_application.ts";
 import type { LoggerFactory } from "./logging/part_logger.ts";
 import type { DrainHook } from "./operators/drain_hook.ts";
@@ -30,6 +39,13 @@
 import { PeerClients } from "./peers/peer_clients.ts";
 import { PeerServer } from "./peers/peer_server.ts";
 import { VmDirectory } from "./platform/vm_directory.ts";
+import {
+  AddressDirectory,
+  HashedControllers,
+  OwnView,
+  RefusingKeyedExecution,
+  ServiceDispatcher,
+} from "./routing/mod.ts";
 import { GenerationRouter } from "./serving/generation_router.ts";
 import type { Settings } from "./settings/settings.ts";
 
@@ -39,12 +55,21 @@
   readonly grpc: string;
 }
 
+/** How long closing may take once an operator's bound has passed. */
+const OVERDUE_CLOSE = 500;
+
 /** One node: all its parts, started and stopped together. */
 export class Daemon extends DaemonParts {
   override readonly settings: Settings;
   override readonly clock = new ProcessClock();
   override readonly log: HttpLogClient;
   override readonly services: HttpServiceClient;
+  override readonly serviceDispatcher: ServiceDispatcher;
+  override readonly keyedExecution: KeyedExecution;
+  override readonly serviceDelivery: ServiceDelivery;
+  override readonly addresses: AddressDirectory;
+  override readonly work = new WorkInProgress();
+  override readonly drain: Drain;
   override readonly directory: VmDirectory;
   override readonly follower: ConfigurationFollower;
   override readonly publisher: ConfigurationPublisher;
@@ -55,8 +80,9 @@
   readonly #spread: SpreadService;
   readonly #snapshots: SnapshotWriter;
   readonly #peerServer: PeerServer;
-  readonly #dispatcher = new Agent({ connections: null, pipelining: 1 });
+  readonly #dispatcher = createDispatcher();
   #application: NestFastifyApplication | undefined;
+  #stopped: Promise<void> | undefined;
 
   constructor(settings: Settings, loggers: LoggerFactory) {
     super();
@@ -110,9 +136,24 @@
       engineClient: (vm) => this.#engineClient(engineId(vm.id), vm.address),
     });
     this.#peerServer = new PeerServer([
-      generationService(this.router, this.clock),
+      countCalls(generationService(this.router, this.clock), this.work),
       this.#spread.registration,
     ]);
+    this.drain = this.#makeDrain(loggers);
+    this.serviceDispatcher = new ServiceDispatcher({
+      failureDomain: settings.node.failure_domain,
+      client: this.services,
+      directory: this.directory,
+      configuration: this.follower.configuration,
+      clock: this.clock,
+      logger: loggers.forPart("services"),
+    });
+    this.keyedExecution = new RefusingKeyedExecution();
+    this.serviceDelivery = new ServiceDelivery(
+      this.keyedExecution,
+      this.serviceDispatcher,
+    );
+    this.addresses = this.#makeAddresses();
   }
 
   /**
@@ -134,13 +175,24 @@
     };
   }
 
-  /** Stops taking work, finishes what is in progress, and stops. */
-  async stop(): Promise<void> {
-    await this.#application?.close();
+  /**
+   * Carries out a planned stop: leaves the address answers, finishes what is
+   * in progress and what still arrives, and stops.
+   * @returns How many requests were cut off, which only a bound set by the
+   * operator can make other than 0.
+   */
+  async stop(): Promise<number> {
+    const cutOff = await this.drain.run();
+    this.#stopped ??= this.#close(cutOff > 0);
+    await this.#stopped;
+    return cutOff;
+  }
+
+  async #close(isOverdue: boolean): Promise<void> {
+    const closing = this.#closeServers();
+    await (isOverdue ? Promise.race([closing, sleep(OVERDUE_CLOSE)]) : closing);
     this.follower.stop();
     this.#snapshots.stop();
-    this.#spread.close();
-    await this.#peerServer.close();
     this.directory.stop();
     this.router.stop();
     this.#channels.close();
@@ -150,6 +202,41 @@
   override readonly peerStatuses = (nodes: readonly Vm[]) =>
     readClusterStatus(nodes, this.#channels);
 
+  async #closeServers(): Promise<void> {
+    await this.#application?.close();
+    this.#spread.close();
+    await this.#peerServer.close();
+  }
+
+  #makeDrain(loggers: LoggerFactory): Drain {
+    const { addresses, stop } = this.settings;
+    const longestWait = stop.longest_wait_seconds;
+    return new Drain({
+      terms: {
+        addressLifetime: seconds(addresses.lifetime_seconds),
+        ...(longestWait !== undefined && { longestWait: seconds(longestWait) }),
+      },
+      work: this.work,
+      handOver: new NothingToHandOver(),
+      clock: this.clock,
+      logger: loggers.forPart("daemon"),
+    });
+  }
+
+  #makeAddresses(): AddressDirectory {
+    const { settings, directory, follower } = this;
+    return new AddressDirectory({
+      directory,
+      peers: new OwnView({
+        self: settings.node.id,
+        isLeaving: () => this.drain.isLeaving,
+        load: () => this.work.count,
+      }),
+      controllers: new HashedControllers(directory, follower.configuration),
+      longestLifetime: seconds(settings.addresses.lifetime_seconds),
+    });
+  }
+
   #engineClient(engine: EngineId, address: string): HttpEngineClient {
     return new HttpEngineClient({
       peer: engine,
--- a/packages/node/src/daemon_parts.ts
+++ b/packages/node/src/daemon_parts.ts
@@ -5,7 +5,10 @@
 import type { ConfigurationFollower } from "./configuration/configuration_follower.ts";
 import type { ConfigurationPublisher } from "./configuration/configuration_publisher.ts";
 import type { DrainHook } from "./operators/drain_hook.ts";
+import type { KeyedExecution, ServiceDelivery } from "./delivery/mod.ts";
+import type { Drain, WorkInProgress } from "./drain/mod.ts";
 import type { VmDirectory } from "./platform/vm_directory.ts";
+import type { AddressDirectory, ServiceDispatcher } from "./routing/mod.ts";
 import type { GenerationRouter } from "./serving/generation_router.ts";
 import type { Settings } from "./settings/settings.ts";
 
@@ -15,6 +18,12 @@
   abstract readonly clock: SteadyClock;
   abstract readonly log: LogClient;
   abstract readonly services: ServiceClient;
+  abstract readonly serviceDispatcher: ServiceDispatcher;
+  abstract readonly keyedExecution: KeyedExecution;
+  abstract readonly serviceDelivery: ServiceDelivery;
+  abstract readonly addresses: AddressDirectory;
+  abstract readonly work: WorkInProgress;
+  abstract readonly drain: Drain;
   abstract readonly directory: VmDirectory;
   abstract readonly follower: ConfigurationFollower;
   abstract readonly publisher: ConfigurationPublisher;
