--- a/packages/core/src/configuration/spread_tree.ts
+++ b/packages/core/src/configuration/spread_tree.ts
@@ -1,4 +1,4 @@
-import { rendezvousOrder } from "../ownership/mod.ts";
+import { rendezvousOrder } from "../shared/mod.ts";
 import type { FailureDomainId, NodeId } from "../shared/mod.ts";
 
 /** How many peers a node passes records on to. */
--- a/packages/node/tests/configuration/spread_test.ts
+++ b/packages/node/tests/configuration/spread_test.ts
@@ -150,7 +150,8 @@
   await node.daemon.log.append(CONFIGURATION_STREAM, [`{"format":2}`]);
   await until(() =>
     cluster.nodes.every(({ daemon }) =>
-      daemon.follower.store.reader.halt !== undefined
+      daemon.follower.store.reader.halt !== undefined &&
+      daemon.follower.source === "log"
     )
   );
   cluster.vmList.setVm({
