--- a/packages/core/src/configuration/spread_tree.ts
+++ b/packages/core/src/configuration/spread_tree.ts
@@ -1,5 +1,8 @@
-import { rendezvousOrder } from "../ownership/mod.ts";
-import type { FailureDomainId, NodeId } from "../shared/mod.ts";
+import {
+  type FailureDomainId,
+  type NodeId,
+  rendezvousOrder,
+} from "../shared/mod.ts";
 
 /** How many peers a node passes records on to. */
 export const SPREAD_FANOUT = 4;
