Tests of addresses, the planned stop and calls to services

A stop under streams, with peers' streams, asked for twice, of two nodes during a log outage: nothing cut off. Found on the way: a stop past the operator's bound waited for a caller's idle connection; it now cuts the connections (test: a bound set by the operator ends a stop).

--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -49,8 +49,8 @@
   readonly grpc: string;
 }
 
-/** How long closing may take once an operator's bound has passed. */
-const OVERDUE_CLOSE = 500;
+/** How long streams between nodes that carry no requests may take to end. */
+const CONTROL_CLOSE = 1_000;
 
 /** One node: all its parts, started and stopped together. */
 export class Daemon extends DaemonParts {
@@ -157,8 +157,10 @@
   }
 
   async #close(isOverdue: boolean): Promise<void> {
-    const closing = this.#closeServers();
-    await (isOverdue ? Promise.race([closing, sleep(OVERDUE_CLOSE)]) : closing);
+    if (isOverdue) this.#cutConnections();
+    await this.#application?.close();
+    await Promise.race([this.#peerServer.close(), sleep(CONTROL_CLOSE)]);
+    this.#peerServer.cutConnections();
     this.directory.stop();
     this.follower.stop();
     this.router.stop();
@@ -166,9 +168,10 @@
     await this.#dispatcher.destroy();
   }
 
-  async #closeServers(): Promise<void> {
-    await this.#application?.close();
-    await this.#peerServer.close();
+  /** Ends what is in progress, once an operator's bound has passed. */
+  #cutConnections(): void {
+    this.#application?.getHttpServer().closeAllConnections();
+    this.#peerServer.cutConnections();
   }
 
   #makeDrain(loggers: LoggerFactory): Drain {
--- a/packages/node/src/peers/peer_server.ts
+++ b/packages/node/src/peers/peer_server.ts
@@ -40,6 +40,11 @@
     });
   }
 
+  /** Stops at once and ends the calls in progress. */
+  cutConnections(): void {
+    this.#server.forceShutdown();
+  }
+
   /** Stops listening once the calls in progress have ended. */
   close(): Promise<void> {
     return new Promise((resolve) => {
--- a/packages/node/tests/callers/services_plugin_test.ts
+++ b/packages/node/tests/callers/services_plugin_test.ts
@@ -1,5 +1,4 @@
 import test from "ava";
-import { setTimeout as sleep } from "node:timers/promises";
 import { startDeployment, until } from "../helpers/deployment.ts";
 import { startEcho } from "../helpers/echo_server.ts";
 
@@ -126,13 +125,14 @@
 
 test("a caller that leaves ends a repeatable call", async (t) => {
   const { urls, servers, daemons } = await startDeployment(t, {
-    servers: [{ latencyMilliseconds: 60_000 }],
+    servers: [{}],
   });
+  servers[0]?.setFaults({ outage: "hang" });
   const abort = new AbortController();
   const call = fetch(`${urls[0]}/v1/services/booking/slots`, {
     signal: abort.signal,
   });
-  await until(() => servers[0]?.readCounters().calls === 1);
+  await until(() => daemons[0]?.work.count === 1);
   abort.abort();
   await t.throwsAsync(call, { any: true });
   await until(() => daemons[0]?.work.count === 0);
@@ -170,5 +170,4 @@
   t.is(answer.status, 504);
   t.like(await answer.json(), { outcome: "unknown" });
   servers[0]?.setFaults({ outage: "none" });
-  await sleep(0);
 });
--- /dev/null
+++ b/packages/node/tests/drain/planned_stop_test.ts
@@ -0,0 +1,123 @@
+import test from "ava";
+import { startDeployment, until } from "../helpers/deployment.ts";
+import {
+  publishAdapter,
+  readEvents,
+  streamCompletion,
+} from "../helpers/streams.ts";
+
+const STEP_MILLISECONDS = 5;
+const TOKENS = 40;
+
+const ENGINE = {
+  stepBaseMilliseconds: STEP_MILLISECONDS,
+  stepMillisecondsPerSequence: 0,
+  prefillMillisecondsPerToken: 0,
+};
+
+test("a planned stop under streams cuts off none of them", async (t) => {
+  const deployment = await startDeployment(t, { engine: ENGINE });
+  await publishAdapter(deployment);
+  const streams = Array.from(
+    { length: 4 },
+    () => streamCompletion(deployment.urls[0] ?? "", TOKENS),
+  );
+  await until(() => deployment.engine?.readCounters().generationsStarted === 4);
+  const stopped = deployment.daemons[0]?.stop();
+  for (const stream of streams) {
+    const events = await readEvents(await stream);
+    t.is(events.at(-1), "[DONE]");
+    t.is(events.filter((event) => event.includes('"content"')).length, TOKENS);
+  }
+  t.is(await stopped, 0);
+});
+
+test("a stop asked for twice still cuts off nothing", async (t) => {
+  const deployment = await startDeployment(t, { engine: ENGINE });
+  await publishAdapter(deployment);
+  const stream = streamCompletion(deployment.urls[0] ?? "", TOKENS);
+  await until(() => deployment.engine?.readCounters().generationsStarted === 1);
+  const [daemon] = deployment.daemons;
+  const stops = Promise.all([daemon?.stop(), daemon?.stop()]);
+  t.is((await readEvents(await stream)).at(-1), "[DONE]");
+  t.deepEqual(await stops, [0, 0]);
+});
+
+test("a leaving node says so at once and serves what still arrives", async (t) => {
+  const deployment = await startDeployment(t, {
+    servers: [{}],
+    nodes: 2,
+    addressLifetimeSeconds: 0.5,
+  });
+  const [url = ""] = deployment.urls;
+  const stopped = deployment.daemons[0]?.stop();
+  t.is((await fetch(`${url}/readyz`)).status, 503);
+  t.is((await fetch(`${url}/healthz`)).status, 200);
+  t.deepEqual(await namedNodes(url), ["node-2"]);
+  const answer = await fetch(`${url}/v1/services/booking/slots`);
+  t.is(answer.status, 200);
+  t.is(answer.headers.get("connection"), "close");
+  await answer.text();
+  t.is(await stopped, 0);
+  await t.throwsAsync(fetch(`${url}/healthz`));
+});
+
+test("a call in progress longer than the address lifetime is finished", async (t) => {
+  const { urls, daemons, servers } = await startDeployment(t, {
+    servers: [{ latencyMilliseconds: 300 }],
+  });
+  const call = fetch(`${urls[0]}/v1/services/booking/slots`);
+  await until(() => servers[0]?.readCounters().calls === 1);
+  const stopped = daemons[0]?.stop();
+  t.is((await call).status, 200);
+  t.is(await stopped, 0);
+});
+
+test("a bound set by the operator ends a stop with work in progress", async (t) => {
+  const { urls, daemons, servers } = await startDeployment(t, {
+    servers: [{}],
+    longestStopSeconds: 0.2,
+  });
+  servers[0]?.setFaults({ outage: "hang" });
+  const call = fetch(`${urls[0]}/v1/services/booking/slots`).catch(() => null);
+  await until(() => daemons[0]?.work.count === 1);
+  t.is(await daemons[0]?.stop(), 1);
+  await servers[0]?.close();
+  await call;
+});
+
+test("nodes that stop together during a log outage cut off nothing", async (t) => {
+  const deployment = await startDeployment(t, { engine: ENGINE, nodes: 3 });
+  await publishAdapter(deployment);
+  const streams = deployment.urls.map((url) => streamCompletion(url, TOKENS));
+  await until(() => deployment.engine?.readCounters().generationsStarted === 3);
+  deployment.log.setFaults({ outage: "drop" });
+  const stops = deployment.daemons.slice(0, 2).map((daemon) => daemon.stop());
+  for (const stream of streams) {
+    t.is((await readEvents(await stream)).at(-1), "[DONE]");
+  }
+  t.deepEqual(await Promise.all(stops), [0, 0]);
+});
+
+test("a node that stops finishes the streams of its peers", async (t) => {
+  const deployment = await startDeployment(t, { engine: ENGINE, nodes: 2 });
+  await publishAdapter(deployment);
+  const streams = deployment.urls.map((url) => streamCompletion(url, TOKENS));
+  await until(() => deployment.engine?.readCounters().generationsStarted === 2);
+  const counts = deployment.daemons.map((daemon) => daemon.work.count);
+  t.deepEqual([...counts].sort(), [1, 2], "one stream is handed over");
+  const controller = deployment.daemons[counts.indexOf(2)];
+  const stopped = controller?.stop();
+  for (const stream of streams) {
+    t.is((await readEvents(await stream)).at(-1), "[DONE]");
+  }
+  t.is(await stopped, 0);
+});
+
+async function namedNodes(url: string): Promise<readonly string[]> {
+  const answer = await fetch(`${url}/v1/addresses`);
+  const body = await answer.json() as {
+    readonly addresses: readonly { readonly node: string }[];
+  };
+  return body.addresses.map((address) => address.node);
+}
