--- a/packages/core/src/delivery/claim_gathering.ts
+++ b/packages/core/src/delivery/claim_gathering.ts
@@ -167,18 +167,13 @@
 
   #verdict(claim: KeyClaim, winner: KeyClaim | undefined): ClaimVerdict {
     if (winner === undefined) return refusedClaim(claim.key, TIMED_OUT);
-    const epoch = claim.epoch;
-    const judged = epoch === undefined
+    const judged = claim.epoch === undefined
       ? "covered"
-      : this.index.judgeEpoch(epoch);
-    switch (judged) {
-      case "covered":
-        return { kind: "winner", claim: winner };
-      case "too_old":
-        return refusedClaim(claim.key, TOO_OLD);
-      case "ahead":
-        return refusedClaim(claim.key, AHEAD);
+      : this.index.judgeEpoch(claim.epoch);
+    if (this.#options.rules.acceptsEpoch(judged)) {
+      return { kind: "winner", claim: winner };
     }
+    return refusedClaim(claim.key, judged === "ahead" ? AHEAD : TOO_OLD);
   }
 
   #refuse(claim: KeyClaim, cause: FailureCause): void {
--- a/packages/core/src/delivery/delivery_rules.ts
+++ b/packages/core/src/delivery/delivery_rules.ts
@@ -1,4 +1,5 @@
-import type { Failure } from "../shared/mod.ts";
+import type { Failure, Instant, RunOutcome } from "../shared/mod.ts";
+import type { EpochVerdict } from "./claim_index.ts";
 
 /** What is known when an attempt failed. */
 export interface FailedAttempt {
@@ -90,6 +91,31 @@
     return true;
   }
 
+  /**
+   * Decides whether a key may run again after its run ended.
+   * @param outcome What is known of the run.
+   */
+  freesKey(outcome: RunOutcome): boolean {
+    return outcome === "not_run";
+  }
+
+  /**
+   * Decides whether a key may be claimed, given what is known of its epoch.
+   * @param verdict Whether all its claims are known.
+   */
+  acceptsEpoch(verdict: EpochVerdict): boolean {
+    return verdict === "covered";
+  }
+
+  /**
+   * Decides whether a key of a scope may still be run.
+   * @param now The present time.
+   * @param expiresAt When the scope ends.
+   */
+  acceptsExpiry(now: Instant, expiresAt: Instant): boolean {
+    return now < expiresAt;
+  }
+
   /** Decides whether a stream may end though tokens are missing. */
   mayEndIncomplete(): boolean {
     return false;
--- a/packages/core/src/delivery/key_coordinator.ts
+++ b/packages/core/src/delivery/key_coordinator.ts
@@ -52,9 +52,9 @@
 
   /** @param options What the coordinator decides with. */
   constructor(options: KeyCoordinatorOptions) {
-    const { limits, self } = options;
+    const { limits, self, rules } = options;
     this.#options = options;
-    this.#ledger = new KeyLedger({ ...limits, peer: self });
+    this.#ledger = new KeyLedger({ ...limits, peer: self }, rules);
     this.#abandoned = new AbandonedClaims(limits);
   }
 
@@ -167,8 +167,10 @@
   }
 
   #checkScope(now: Instant, scope: KeyScope): Failure | undefined {
-    const { self, timing } = this.#options;
-    if (scope.expiresAt <= now) return badScope("expired", self);
+    const { self, timing, rules } = this.#options;
+    if (!rules.acceptsExpiry(now, scope.expiresAt)) {
+      return badScope("expired", self);
+    }
     const latest = later(now, timing.maximumScopeLifetime);
     if (scope.expiresAt > latest) return badScope("invalid", self);
     return undefined;
--- a/packages/core/src/delivery/key_ledger.ts
+++ b/packages/core/src/delivery/key_ledger.ts
@@ -6,7 +6,9 @@
   type IdempotencyKey,
   type Instant,
   later,
+  milliseconds,
 } from "../shared/mod.ts";
+import type { DeliveryRules } from "./delivery_rules.ts";
 
 /** What a run of a key came to. */
 export type RunResult = Result<Uint8Array, Failure>;
@@ -37,6 +39,8 @@
   readonly keepUntil?: Instant;
 }
 
+const PRUNES_PER_RETENTION = 10;
+
 interface Entry {
   readonly digest: string;
   keepUntil: Instant;
@@ -47,13 +51,19 @@
 /** Remembers which keys one node incarnation runs and has run. */
 export class KeyLedger {
   readonly #limits: KeyLedgerLimits;
+  readonly #rules: DeliveryRules;
   readonly #entries = new Map<IdempotencyKey, Entry>();
   readonly #answered = new Set<Entry>();
   #answerBytes = 0;
+  #pruneAt: Instant | undefined;
 
-  /** @param limits The limits. */
-  constructor(limits: KeyLedgerLimits) {
+  /**
+   * @param limits The limits.
+   * @param rules Which outcomes free a key.
+   */
+  constructor(limits: KeyLedgerLimits, rules: DeliveryRules) {
     this.#limits = limits;
+    this.#rules = rules;
   }
 
   /** How many keys are remembered. */
@@ -94,7 +104,7 @@
     const found = this.find(use);
     if (found.isErr()) return err(found.error);
     if (found.value !== undefined) return ok(found.value);
-    if (this.#entries.size >= this.#limits.maximumKeys) this.prune(now);
+    this.#pruneNowAndThen(now);
     if (this.#entries.size >= this.#limits.maximumKeys) {
       return err(this.#failure("overloaded", {
         message: "Too many keys are remembered here.",
@@ -134,8 +144,8 @@
   finished(now: Instant, key: IdempotencyKey, result: RunResult): void {
     const entry = this.#entries.get(key);
     if (entry === undefined) return;
-    const notRun = result.isErr() && result.error.outcome === "not_run";
-    if (entry.runs === 0 || notRun) {
+    const outcome = result.isErr() ? result.error.outcome : "ran";
+    if (entry.runs === 0 || this.#rules.freesKey(outcome)) {
       this.#entries.delete(key);
       return;
     }
@@ -160,6 +170,14 @@
     }
   }
 
+  #pruneNowAndThen(now: Instant): void {
+    const isFull = this.#entries.size >= this.#limits.maximumKeys;
+    if (!isFull && now < (this.#pruneAt ?? now)) return;
+    this.prune(now);
+    const wait = milliseconds(this.#limits.retention / PRUNES_PER_RETENTION);
+    this.#pruneAt = later(now, wait);
+  }
+
   #keepUntil(now: Instant, use: KeyUse): Instant {
     const least = later(now, this.#limits.retention);
     const stated = use.keepUntil ?? least;
--- a/packages/core/src/delivery/request_delivery.ts
+++ b/packages/core/src/delivery/request_delivery.ts
@@ -183,6 +183,7 @@
     const known = this.#known(failure);
     this.#progress.moveTo(known.outcome === "not_run" ? "not_run" : "unknown");
     this.#failures.push(known);
+    this.#gate.close();
     const { rules, repeatable } = this.#options;
     const step = rules.nextStep({
       failure: known,
