--- /dev/null
+++ b/packages/node/src/callers/completions/completion_sink.ts
@@ -0,0 +1,115 @@
+import { type Failure, sameAdapter } from "@foxtailwind/core";
+import {
+  type GenerationEnd,
+  type GenerationFrame,
+  type GenerationHandle,
+  GenerationSink,
+} from "@foxtailwind/edges";
+import type { FastifyReply } from "fastify";
+import { err, ok, type Result } from "neverthrow";
+import type { GenerationRequest } from "../../serving/generation_request.ts";
+import { CallerConnection, type CallerLimits } from "./caller_connection.ts";
+import { nameOf } from "./chunk_text.ts";
+
+/** What became of an answer, for counts. */
+export type AnswerOutcome = "whole" | "left" | "cut" | Failure["outcome"];
+
+/** What a completion's answer is written with. */
+export interface CompletionSinkOptions {
+  readonly generation: GenerationRequest;
+  readonly reply: FastifyReply;
+  readonly includeUsage: boolean;
+  readonly limits: CallerLimits;
+  /** The longest answer, in characters. */
+  readonly maximumCharacters: number;
+  /** Called for each part that goes to the caller. */
+  readonly onTokens: (tokens: number) => void;
+  /** Called once, when nothing more will be written. */
+  readonly onOutcome: (outcome: AnswerOutcome) => void;
+}
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Passes on only the frames of its own request, in order, and whole. */
+export abstract class CompletionSink extends GenerationSink {
+  protected readonly options: CompletionSinkOptions;
+  protected readonly connection: CallerConnection;
+  protected readonly created: number;
+  #sequence = 0;
+  #characters = 0;
+  #ended = false;
+
+  constructor(options: CompletionSinkOptions) {
+    super();
+    this.options = options;
+    this.created = Math.floor(Date.now() / MILLISECONDS_PER_SECOND);
+    this.connection = new CallerConnection(options.reply.raw, {
+      limits: options.limits,
+      onLost: (why) => {
+        this.#ended = true;
+        options.onOutcome(why);
+      },
+    });
+  }
+
+  /** Gives the sink the handle of its generation. */
+  attach(handle: GenerationHandle): void {
+    this.connection.attach(handle);
+  }
+
+  override onFrame(frame: GenerationFrame): void {
+    const { generation, maximumCharacters } = this.options;
+    if (this.#ended || frame.request !== generation.request) return;
+    if (frame.sequence !== this.#sequence) return;
+    if (!sameAdapter(frame.adapter, generation.adapter)) {
+      this.#giveUp("mismatch", `The engine ran ${nameOf(frame.adapter)}.`);
+      return;
+    }
+    const { tokens } = frame;
+    const text = tokens.length === 1 ? tokens[0] ?? "" : tokens.join("");
+    this.#sequence += tokens.length;
+    this.#characters += text.length;
+    if (this.#characters > maximumCharacters) {
+      this.#giveUp("refused", `The answer passes ${maximumCharacters} bytes.`);
+      return;
+    }
+    this.writeTokens(text, tokens.length);
+  }
+
+  override onEnd(result: Result<GenerationEnd, Failure>): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    this.connection.finish();
+    const whole = result.andThen((end) => this.#checkWhole(end));
+    this.options.onOutcome(
+      whole.match(() => "whole", (failure) => failure.outcome),
+    );
+    if (whole.isOk()) this.writeEnd(whole.value);
+    else this.writeFailure(whole.error);
+  }
+
+  protected abstract writeTokens(text: string, tokens: number): void;
+  protected abstract writeEnd(end: GenerationEnd): void;
+  protected abstract writeFailure(failure: Failure): void;
+
+  /** Answers at once, without waiting for the engine's own end. */
+  #giveUp(reason: Failure["reason"], message: string): void {
+    this.connection.cancel();
+    this.onEnd(err(failureOf(reason, message)));
+  }
+
+  #checkWhole(end: GenerationEnd): Result<GenerationEnd, Failure> {
+    if (end.finishReason === "cancelled") {
+      return err(failureOf("cancelled", "The generation was cancelled."));
+    }
+    if (end.completionTokens !== this.#sequence) {
+      const counts = `${this.#sequence} of ${end.completionTokens} tokens`;
+      return err(failureOf("corrupt", `Only ${counts} arrived in order.`));
+    }
+    return ok(end);
+  }
+}
+
+function failureOf(reason: Failure["reason"], message: string): Failure {
+  return { reason, step: "generate", peer: "engine", message, outcome: "ran" };
+}
--- a/packages/node/src/callers/resolve_generation.ts
+++ b/packages/node/src/callers/completions/resolve_generation.ts
@@ -13,7 +13,7 @@
   tenantId,
 } from "@foxtailwind/core";
 import { err, ok, type Result } from "neverthrow";
-import type { GenerationRequest } from "../serving/generation_request.ts";
+import type { GenerationRequest } from "../../serving/generation_request.ts";
 import {
   type CompletionRequest,
   maximumTokensOf,
--- /dev/null
+++ b/packages/node/src/callers/completions/streaming_sink.ts
@@ -0,0 +1,102 @@
+import type { Failure } from "@foxtailwind/core";
+import type { GenerationEnd } from "@foxtailwind/edges";
+import { chatError, sendChatProblem } from "../problem.ts";
+import { ChunkText } from "./chunk_text.ts";
+import {
+  CompletionSink,
+  type CompletionSinkOptions,
+} from "./completion_sink.ts";
+import {
+  type Flushable,
+  type StreamFlusher,
+  WRITE_INTERVAL_MILLISECONDS,
+} from "./stream_flusher.ts";
+
+const OK = 200;
+
+/** Writes an answer as server-sent events. */
+export class StreamingCompletionSink extends CompletionSink
+  implements Flushable {
+  readonly #flusher: StreamFlusher;
+  readonly #chunks: ChunkText;
+  #pending = "";
+  #pendingTokens = 0;
+  #started = false;
+  #gathering = false;
+  #wroteAt = Number.NEGATIVE_INFINITY;
+
+  constructor(options: CompletionSinkOptions, flusher: StreamFlusher) {
+    super(options);
+    this.#flusher = flusher;
+    this.#chunks = new ChunkText({
+      request: options.generation.request,
+      adapter: options.generation.adapter,
+      created: this.created,
+      includeUsage: options.includeUsage,
+    });
+  }
+
+  /** Writes the tokens gathered since the last write. */
+  flush(): void {
+    this.#gathering = false;
+    if (this.#pendingTokens === 0 || this.connection.closed) return;
+    this.#wroteAt = performance.now();
+    this.connection.write(this.#takePending());
+  }
+
+  protected override writeTokens(text: string, tokens: number): void {
+    this.#pending += text;
+    this.#pendingTokens += tokens;
+    if (this.#gathering) return;
+    const sinceWrite = performance.now() - this.#wroteAt;
+    if (sinceWrite >= WRITE_INTERVAL_MILLISECONDS) {
+      this.flush();
+      return;
+    }
+    this.#gathering = true;
+    this.#flusher.add(this);
+  }
+
+  protected override writeEnd(end: GenerationEnd): void {
+    const start = this.#start();
+    const rest = start + this.#takePending();
+    this.options.reply.raw.end(rest + this.#chunks.end(end));
+  }
+
+  protected override writeFailure(failure: Failure): void {
+    const { reply, generation } = this.options;
+    if (!this.#started) {
+      sendChatProblem(reply, failure, generation.request);
+      return;
+    }
+    const data = { error: chatError(failure, generation.request) };
+    const event = `event: error\ndata: ${JSON.stringify(data)}\n\n`;
+    reply.raw.end(this.#takePending() + event);
+  }
+
+  #takePending(): string {
+    if (this.#pendingTokens === 0) return "";
+    const start = this.#start();
+    const event = this.#chunks.content(this.#pending);
+    this.options.onTokens(this.#pendingTokens);
+    this.#pending = "";
+    this.#pendingTokens = 0;
+    return start + event;
+  }
+
+  /** Sends the header before the first event. */
+  #start(): string {
+    if (this.#started) return "";
+    this.#started = true;
+    const { reply, generation } = this.options;
+    reply.hijack();
+    const ignored = reply.getHeader("x-foxtailwind-ignored");
+    reply.raw.writeHead(OK, {
+      ...(ignored !== undefined && { "x-foxtailwind-ignored": ignored }),
+      "content-type": "text/event-stream",
+      "cache-control": "no-store",
+      "x-request-id": generation.request,
+    });
+    return this.#chunks.role();
+  }
+}
--- /dev/null
+++ b/packages/node/src/callers/completions/unsupported_fields.ts
@@ -0,0 +1,82 @@
+import { closest } from "fastest-levenshtein";
+import { err, ok, type Result } from "neverthrow";
+import { completionRequestSchema } from "./completion_request.ts";
+
+/** Fields that may be there and have no effect; the answer names them. */
+export const IGNORED_FIELDS: readonly string[] = [
+  "frequency_penalty",
+  "metadata",
+  "parallel_tool_calls",
+  "presence_penalty",
+  "prompt_cache_key",
+  "reasoning_effort",
+  "safety_identifier",
+  "seed",
+  "service_tier",
+  "temperature",
+  "top_p",
+  "user",
+  "verbosity",
+];
+
+/** Fields that would change what an answer is, each with its neutral values. */
+export const REFUSED_FIELDS: Readonly<Record<string, readonly string[]>> = {
+  audio: [],
+  function_call: ['"none"'],
+  functions: ["[]"],
+  logit_bias: ["{}"],
+  logprobs: ["false"],
+  modalities: ['["text"]'],
+  n: ["1"],
+  prediction: [],
+  response_format: ['{"type":"text"}'],
+  stop: ["[]"],
+  store: ["false"],
+  tool_choice: ['"none"'],
+  tools: ["[]"],
+  top_logprobs: ["0"],
+  web_search_options: [],
+};
+
+const USED_FIELDS: ReadonlySet<string> = new Set(
+  Object.keys(completionRequestSchema.shape),
+);
+const IGNORED: ReadonlySet<string> = new Set(IGNORED_FIELDS);
+const ALL_FIELDS = [
+  ...USED_FIELDS,
+  ...IGNORED_FIELDS,
+  ...Object.keys(REFUSED_FIELDS),
+];
+
+/**
+ * Sorts the fields of a request: those that sampling alone would use are
+ * ignored; those that ask for another kind of answer are refused unless they
+ * have their neutral value; unknown ones are refused.
+ * @param body The request's body.
+ * @returns The names of the ignored fields, or what is wrong.
+ */
+export function checkFields(body: object): Result<readonly string[], string> {
+  const ignored: string[] = [];
+  for (const [name, value] of Object.entries(body)) {
+    if (USED_FIELDS.has(name) || value === null) continue;
+    if (IGNORED.has(name)) {
+      ignored.push(name);
+      continue;
+    }
+    const problem = problemOfField(name, value);
+    if (problem !== undefined) return err(problem);
+  }
+  return ok(ignored);
+}
+
+function problemOfField(name: string, value: unknown): string | undefined {
+  if (!Object.hasOwn(REFUSED_FIELDS, name)) {
+    const nearest = closest(name, ALL_FIELDS);
+    return `Field "${name}" is unknown; the nearest known one is "${nearest}".`;
+  }
+  const neutral = REFUSED_FIELDS[name] ?? [];
+  if (neutral.includes(JSON.stringify(value))) return undefined;
+  return neutral.length === 0
+    ? `Field "${name}" is not supported: leave it out.`
+    : `Field "${name}" is not supported: leave it out or send ${neutral[0]}.`;
+}
--- a/packages/node/src/callers/mod.ts
+++ b/packages/node/src/callers/mod.ts
@@ -1,11 +1,15 @@
 import type { Type } from "@nestjs/common";
 import { AddressesController } from "./addresses_controller.ts";
-import { CompletionsController } from "./completions_controller.ts";
+import { CompletionsController } from "./completions/completions_controller.ts";
 import { HealthController } from "./health_controller.ts";
+import { ModelsController } from "./models_controller.ts";
+import { OpenapiController } from "./openapi/openapi_controller.ts";
 
 /** What callers are served by. */
 export const CALLER_CONTROLLERS: readonly Type[] = [
   AddressesController,
   CompletionsController,
   HealthController,
+  ModelsController,
+  OpenapiController,
 ];
--- /dev/null
+++ b/packages/node/src/callers/openapi/write_document.ts
@@ -0,0 +1,15 @@
+/**
+ * Writes the callers' interface to a file, to be committed.
+ * @module
+ */
+import { mkdirSync, writeFileSync } from "node:fs";
+import { OPENAPI_DOCUMENT } from "./openapi_document.ts";
+
+const FOLDER = "docs/openapi";
+const INDENT = 2;
+
+mkdirSync(FOLDER, { recursive: true });
+writeFileSync(
+  `${FOLDER}/callers.json`,
+  `${JSON.stringify(OPENAPI_DOCUMENT, null, INDENT)}\n`,
+);
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -27,6 +27,11 @@
 } from "./drain/mod.ts";
 import { createHttpApplication } from "./http_application.ts";
 import type { LoggerFactory } from "./logging/part_logger.ts";
+import {
+  type MetricsSink,
+  SilentMetrics,
+  StatsdMetrics,
+} from "./metrics/mod.ts";
 import { generationService } from "./peers/generation_service.ts";
 import { PeerChannels } from "./peers/peer_channels.ts";
 import { PeerClients } from "./peers/peer_clients.ts";
@@ -68,6 +73,8 @@
   override readonly follower: ConfigurationFollower;
   override readonly observer: RequestObserver = new SilentObserver();
   override readonly router: GenerationRouter;
+  override readonly metrics: MetricsSink;
+  readonly #loggers: LoggerFactory;
   readonly #channels = new PeerChannels();
   readonly #peerServer: PeerServer;
   readonly #dispatcher = createDispatcher();
@@ -77,6 +84,8 @@
   constructor(settings: Settings, loggers: LoggerFactory) {
     super();
     this.settings = settings;
+    this.#loggers = loggers;
+    this.metrics = makeMetrics(settings, loggers);
     const dispatcher = this.#dispatcher;
     this.log = new HttpLogClient({
       baseAddress: settings.platform.log,
@@ -132,7 +141,10 @@
   async start(): Promise<DaemonAddresses> {
     const { http, grpc } = this.settings.listen;
     const grpcPort = await this.#peerServer.listen(grpc);
-    this.#application = await createHttpApplication(this);
+    this.#application = await createHttpApplication(
+      this,
+      this.#loggers.forPart("callers"),
+    );
     await this.#application.listen(http.port, http.host);
     await this.directory.start();
     void this.follower.run();
@@ -164,6 +176,7 @@
     this.router.stop();
     this.#channels.close();
     await this.#dispatcher.destroy();
+    await this.metrics.close();
   }
 
   async #closeServers(): Promise<void> {
@@ -208,3 +221,13 @@
     });
   }
 }
+
+function makeMetrics(settings: Settings, loggers: LoggerFactory): MetricsSink {
+  const { metrics, node } = settings;
+  if (metrics.statsd === undefined) return new SilentMetrics();
+  return new StatsdMetrics({
+    address: metrics.statsd,
+    tags: { node: node.id, failure_domain: node.failure_domain },
+    logger: loggers.forPart("metrics"),
+  });
+}
--- a/packages/node/src/daemon_parts.ts
+++ b/packages/node/src/daemon_parts.ts
@@ -3,6 +3,7 @@
 import type { SteadyClock } from "./clock/steady_clock.ts";
 import type { KeyedExecution, ServiceDelivery } from "./delivery/mod.ts";
 import type { Drain, WorkInProgress } from "./drain/mod.ts";
+import type { MetricsSink } from "./metrics/mod.ts";
 import type { ConfigurationFollower } from "./platform/configuration_follower.ts";
 import type { VmDirectory } from "./platform/vm_directory.ts";
 import type { AddressDirectory, ServiceDispatcher } from "./routing/mod.ts";
@@ -23,6 +24,7 @@
   abstract readonly drain: Drain;
   abstract readonly directory: VmDirectory;
   abstract readonly follower: ConfigurationFollower;
+  abstract readonly metrics: MetricsSink;
   abstract readonly observer: RequestObserver;
   abstract readonly router: GenerationRouter;
 }
--- a/packages/node/src/http_application.ts
+++ b/packages/node/src/http_application.ts
@@ -4,13 +4,20 @@
   FastifyAdapter,
   type NestFastifyApplication,
 } from "@nestjs/platform-fastify";
+import { refuseRepeatedHeaders } from "./callers/header_rules.ts";
+import { HttpProblemFilter } from "./callers/http_problem_filter.ts";
 import { CALLER_CONTROLLERS } from "./callers/mod.ts";
 import { servicesPlugin } from "./callers/services_plugin.ts";
+import { answerUnreadable } from "./callers/unreadable_request.ts";
 import { DaemonParts } from "./daemon_parts.ts";
 import { countRequests } from "./drain/mod.ts";
+import type { PartLogger } from "./logging/part_logger.ts";
 import { OPERATOR_CONTROLLERS } from "./operators/mod.ts";
+import type { Settings } from "./settings/settings.ts";
 
-const BODY_LIMIT_BYTES = 4 * 1_024 * 1_024;
+/** How long a caller may take to send a whole request. */
+const REQUEST_MILLISECONDS = 30_000;
+const KEEP_ALIVE_MILLISECONDS = 75_000;
 
 @Module({})
 class HttpModule {}
@@ -18,10 +25,12 @@
 /**
  * Makes the HTTP application of a daemon.
  * @param parts The daemon's running parts.
+ * @param logger Logs what callers' requests run into.
  * @returns The application, not yet listening.
  */
 export async function createHttpApplication(
   parts: DaemonParts,
+  logger: PartLogger,
 ): Promise<NestFastifyApplication> {
   const module: DynamicModule = {
     module: HttpModule,
@@ -30,12 +39,27 @@
   };
   const application = await NestFactory.create<NestFastifyApplication>(
     module,
-    new FastifyAdapter({ bodyLimit: BODY_LIMIT_BYTES }),
+    new FastifyAdapter(fastifyOptions(parts.settings)),
     // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment -- Nest's own options are a class.
-    { logger: false },
+    { logger: false, bodyParser: false },
   );
+  application.useGlobalFilters(new HttpProblemFilter(logger));
   const fastify = application.getHttpAdapter().getInstance();
+  fastify.removeContentTypeParser("text/plain");
   countRequests(fastify, parts);
+  fastify.addHook("onRequest", refuseRepeatedHeaders);
   await fastify.register(servicesPlugin(parts));
   return application;
 }
+
+function fastifyOptions({ limits }: Settings) {
+  return {
+    bodyLimit: limits.body_bytes,
+    requestTimeout: REQUEST_MILLISECONDS,
+    keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+    http: { maxHeaderSize: limits.header_bytes },
+    clientErrorHandler: answerUnreadable,
+    // A request id is made where one is needed, not for each request.
+    genReqId: () => "",
+  };
+}
--- a/packages/node/src/logging/part_logger.ts
+++ b/packages/node/src/logging/part_logger.ts
@@ -1,5 +1,10 @@
 import { type ConsolaInstance, createConsola } from "consola";
 import process from "node:process";
+import {
+  humanReporter,
+  jsonReporter,
+  type WriteLine,
+} from "./log_reporters.ts";
 
 /** A part of the daemon, whose log lines carry its prefix. */
 export type LogPart =
@@ -12,6 +17,7 @@
   | "services"
   | "configuration"
   | "membership"
+  | "metrics"
   | "ownership";
 
 /** How log lines are written. */
@@ -36,6 +42,11 @@
     this.#part = part;
   }
 
+  /** Says what helps to find a fault, and is too much in normal running. */
+  debug(sentence: string, fields: LogFields = {}): void {
+    this.#consola.debug(`${this.#part}: ${sentence}`, fields);
+  }
+
   /** Says what an operator wants to know in normal running. */
   info(sentence: string, fields: LogFields = {}): void {
     this.#consola.info(`${this.#part}: ${sentence}`, fields);
@@ -56,10 +67,20 @@
 export class LoggerFactory {
   readonly #consola: ConsolaInstance;
 
-  constructor(format: LogFormat, level: number) {
-    this.#consola = format === "human"
-      ? createConsola({ level, stdout: process.stderr })
-      : createConsola({ level, reporters: [{ log: writeJsonLine }] });
+  /**
+   * @param format How lines are written.
+   * @param level The most talkative level of consola that is written.
+   * @param write Takes the lines; standard error where left out.
+   */
+  constructor(
+    format: LogFormat,
+    level: number,
+    write: WriteLine = writeToStandardError,
+  ) {
+    const reporter = format === "human"
+      ? humanReporter(write)
+      : jsonReporter(write);
+    this.#consola = createConsola({ level, reporters: [reporter] });
   }
 
   /**
@@ -72,19 +93,6 @@
   }
 }
 
-function writeJsonLine(
-  entry: {
-    readonly type: string;
-    readonly date: Date;
-    readonly args: unknown[];
-  },
-): void {
-  const [message, fields] = entry.args;
-  const line = {
-    time: entry.date.toISOString(),
-    level: entry.type,
-    message,
-    ...(fields as object),
-  };
-  process.stderr.write(`${JSON.stringify(line)}\n`);
+function writeToStandardError(line: string): void {
+  process.stderr.write(line);
 }
--- /dev/null
+++ b/packages/node/src/metrics/metrics_sink.ts
@@ -0,0 +1,26 @@
+/** What a count is of, besides its name: few values each, never an id. */
+export type MetricTags = Readonly<Record<string, string>>;
+
+/** Takes counts for the operators' dashboards. Never influences a request. */
+export abstract class MetricsSink {
+  /**
+   * Counts one occurrence.
+   * @param name What occurred.
+   * @param tags What kind of it.
+   */
+  abstract count(name: string, tags: MetricTags): void;
+
+  /** Sends what is held and stops. */
+  abstract close(): Promise<void>;
+}
+
+/** Counts nothing, where the settings name no statsd. */
+export class SilentMetrics extends MetricsSink {
+  override count(): void {
+    // Nobody asked.
+  }
+
+  override close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
--- /dev/null
+++ b/packages/node/src/metrics/mod.ts
@@ -0,0 +1,2 @@
+export * from "./metrics_sink.ts";
+export * from "./statsd_metrics.ts";
--- /dev/null
+++ b/packages/node/src/metrics/statsd_metrics.ts
@@ -0,0 +1,52 @@
+import { StatsD } from "hot-shots";
+import type { PartLogger } from "../logging/part_logger.ts";
+import type { SocketAddress } from "../settings/settings.ts";
+import { MetricsSink, type MetricTags } from "./metrics_sink.ts";
+
+/** What sending to statsd needs. */
+export interface StatsdMetricsOptions {
+  readonly address: SocketAddress;
+  /** Tags of every count, such as the node's id. */
+  readonly tags: MetricTags;
+  readonly logger: PartLogger;
+}
+
+const PREFIX = "foxtailwind.";
+/** Fits in one UDP packet on an Ethernet. */
+const MAXIMUM_PACKET_BYTES = 1_400;
+const FLUSH_MILLISECONDS = 1_000;
+
+/** Sends counts to statsd over UDP, many in one packet. */
+export class StatsdMetrics extends MetricsSink {
+  readonly #client: StatsD;
+
+  constructor(options: StatsdMetricsOptions) {
+    super();
+    this.#client = new StatsD({
+      host: options.address.host,
+      port: options.address.port,
+      prefix: PREFIX,
+      globalTags: { ...options.tags },
+      maxBufferSize: MAXIMUM_PACKET_BYTES,
+      bufferFlushInterval: FLUSH_MILLISECONDS,
+      errorHandler: (error) => {
+        options.logger.warn("Metrics were not sent.", {
+          peer: "statsd",
+          error: error.message,
+        });
+      },
+    });
+  }
+
+  override count(name: string, tags: MetricTags): void {
+    this.#client.increment(name, { ...tags });
+  }
+
+  override close(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#client.close(() => {
+        resolve();
+      });
+    });
+  }
+}
--- a/packages/node/src/mod.ts
+++ b/packages/node/src/mod.ts
@@ -2,8 +2,11 @@
  * The daemon of one node.
  * @module
  */
+export { CALLER_CONTROLLERS } from "./callers/mod.ts";
+export { OPENAPI_DOCUMENT } from "./callers/openapi/openapi_document.ts";
 export * from "./daemon.ts";
 export * from "./daemon_parts.ts";
 export * from "./logging/part_logger.ts";
+export * from "./metrics/mod.ts";
 export * from "./settings/load_settings.ts";
 export * from "./settings/settings.ts";
--- a/packages/node/src/settings/load_settings.ts
+++ b/packages/node/src/settings/load_settings.ts
@@ -1,16 +1,18 @@
 import { parse } from "ini";
 import { err, ok, type Result } from "neverthrow";
 import { readFileSync } from "node:fs";
+import { findRepeatedKeys } from "./repeated_keys.ts";
 import { type Settings, settingsSchema } from "./settings.ts";
+import {
+  problemOfRepeated,
+  problemsOfIssue,
+  type SettingsProblem,
+} from "./settings_problem.ts";
 
-/** One thing that is wrong with the settings. */
-export interface SettingsProblem {
-  readonly file: string;
-  readonly section: string;
-  readonly key: string;
-  readonly seen: string;
-  readonly allowed: string;
-}
+export {
+  formatSettingsProblem,
+  type SettingsProblem,
+} from "./settings_problem.ts";
 
 /**
  * Reads and checks a settings file.
@@ -20,17 +22,7 @@
 export function loadSettings(
   file: string,
 ): Result<Settings, readonly SettingsProblem[]> {
-  try {
-    return parseSettings(readFileSync(file, "utf8"), file);
-  } catch (error) {
-    return err([{
-      file,
-      section: "",
-      key: "",
-      seen: error instanceof Error ? error.message : String(error),
-      allowed: "a readable file",
-    }]);
-  }
+  return readText(file).andThen((text) => parseSettings(text, file));
 }
 
 /**
@@ -43,29 +35,30 @@
   text: string,
   file: string,
 ): Result<Settings, readonly SettingsProblem[]> {
-  const raw = parse(text);
-  const parsed = settingsSchema.safeParse(raw);
-  if (parsed.success) return ok(parsed.data);
-  return err(parsed.error.issues.map((issue) => {
-    const [section = "", key = ""] = issue.path.map(String);
-    const seen = valueAt(raw, section, key);
-    return { file, section, key, seen, allowed: issue.message };
-  }));
-}
-
-function valueAt(raw: object, section: string, key: string): string {
-  const values: unknown = Reflect.get(raw, section);
-  if (typeof values !== "object" || values === null) return "nothing";
-  const value: unknown = Reflect.get(values, key);
-  return typeof value === "string" ? value : "nothing";
+  const values = parse(text);
+  const parsed = settingsSchema.safeParse(values);
+  const problems = findRepeatedKeys(text).map((repeated) =>
+    problemOfRepeated(repeated, file)
+  );
+  for (const issue of parsed.error?.issues ?? []) {
+    problems.push(...problemsOfIssue(issue, { file, values }));
+  }
+  return parsed.success && problems.length === 0
+    ? ok(parsed.data)
+    : err(problems);
 }
 
-/**
- * Says what is wrong in one line.
- * @param problem The problem.
- * @returns The line.
- */
-export function formatSettingsProblem(problem: SettingsProblem): string {
-  const { file, section, key, seen, allowed } = problem;
-  return `${file}: [${section}] ${key}: seen "${seen}", allowed: ${allowed}.`;
+function readText(file: string): Result<string, readonly SettingsProblem[]> {
+  try {
+    return ok(readFileSync(file, "utf8"));
+  } catch (error) {
+    const seen = error instanceof Error ? error.message : String(error);
+    return err([{
+      file,
+      section: "",
+      key: "",
+      seen,
+      allowed: "a readable file",
+    }]);
+  }
 }
--- a/packages/node/src/settings/settings.ts
+++ b/packages/node/src/settings/settings.ts
@@ -4,66 +4,55 @@
   regionId,
   weightStoreId,
 } from "@foxtailwind/core";
-import { isIP } from "node:net";
 import { z } from "zod";
+import { httpUrlSchema, socketAddressSchema } from "./address_schemas.ts";
 
-const ID_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/;
-const id = z.string().regex(ID_PATTERN, "letters, digits, '.', '_' and '-'");
-
-/** An IP literal and a port. */
-export interface SocketAddress {
-  readonly host: string;
-  readonly port: number;
-}
-
-const MAXIMUM_PORT = 65_535;
-
-const socketAddress = z.string().transform((text, context): SocketAddress => {
-  const match = /^(?:\[(?<six>[^\]]+)\]|(?<four>[^:]+)):(?<port>\d{1,5})$/
-    .exec(text);
-  const host = match?.groups?.["six"] ?? match?.groups?.["four"] ?? "";
-  const port = Number(match?.groups?.["port"] ?? Number.NaN);
-  if (isIP(host) === 0 || !(port <= MAXIMUM_PORT)) {
-    context.addIssue({
-      code: "custom",
-      message: "an IP literal and a port, as 127.0.0.1:8080 or [::1]:8080",
-    });
-    return z.NEVER;
-  }
-  return { host, port };
-});
+export type { SocketAddress } from "./address_schemas.ts";
 
-const httpUrl = z.string().refine((text) => {
-  if (!URL.canParse(text)) return false;
-  const url = new URL(text);
-  return url.protocol === "http:" &&
-    isIP(url.hostname.replace(/^\[|\]$/g, "")) !== 0;
-}, "an http address with an IP literal, as http://127.0.0.1:8080");
+const ID_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/;
+const ID_ALLOWED = "1 to 64 letters, digits, '.', '_' and '-'";
+const id = z.string(ID_ALLOWED).regex(ID_PATTERN, ID_ALLOWED);
 
 const DEFAULT_LIFETIME_SECONDS = 10;
 const LONGEST_LIFETIME_SECONDS = 300;
 const LONGEST_STOP_SECONDS = 86_400;
 
+const KIBIBYTE = 1_024;
+const MEBIBYTE = 1_024 * KIBIBYTE;
+const LONGEST_UNREAD_MILLISECONDS = 600_000;
+
 function decimal(largest: number) {
   const allowed = `a number of seconds above 0, at most ${largest}`;
   return z.coerce.number(allowed).positive(allowed).max(largest, allowed);
 }
 
-/** The form of the daemon's settings: sections, and keys in them. */
-export const settingsSchema = z.strictObject({
+function whole(smallest: number, largest: number) {
+  const allowed = `a whole number from ${smallest} to ${largest}`;
+  return z.coerce.number(allowed).int(allowed).min(smallest, allowed)
+    .max(largest, allowed);
+}
+
+function choice<const Names extends readonly [string, ...string[]]>(
+  names: Names,
+) {
+  return z.enum(names, `one of ${names.join(", ")}`);
+}
+
+/** The sections of the daemon's settings, and the keys in them. */
+export const SETTINGS_SECTIONS = {
   node: z.strictObject({
     id: id.transform(nodeId),
     region: id.transform(regionId),
     failure_domain: id.transform(failureDomainId),
   }),
   listen: z.strictObject({
-    http: socketAddress,
-    grpc: socketAddress,
+    http: socketAddressSchema,
+    grpc: socketAddressSchema,
   }),
   platform: z.strictObject({
-    log: httpUrl,
-    vm_list: httpUrl,
-    weight_store: httpUrl,
+    log: httpUrlSchema,
+    vm_list: httpUrlSchema,
+    weight_store: httpUrlSchema,
     weight_store_id: id.transform(weightStoreId).default(
       weightStoreId("default"),
     ),
@@ -72,17 +61,40 @@
     lifetime_seconds: decimal(LONGEST_LIFETIME_SECONDS).default(
       DEFAULT_LIFETIME_SECONDS,
     ),
-  }).prefault({}),
+  }),
   stop: z.strictObject({
     longest_wait_seconds: decimal(LONGEST_STOP_SECONDS).optional(),
-  }).prefault({}),
+  }),
+  limits: z.strictObject({
+    header_bytes: whole(KIBIBYTE, MEBIBYTE).default(16 * KIBIBYTE),
+    body_bytes: whole(KIBIBYTE, 64 * MEBIBYTE).default(4 * MEBIBYTE),
+    answer_bytes: whole(KIBIBYTE, 64 * MEBIBYTE).default(8 * MEBIBYTE),
+    unread_bytes: whole(KIBIBYTE, 64 * MEBIBYTE).default(MEBIBYTE),
+    unread_milliseconds: whole(1, LONGEST_UNREAD_MILLISECONDS).default(30_000),
+  }),
   logs: z.strictObject({
-    format: z.enum(["human", "json"]).default("human"),
-    level: z.enum(["error", "warn", "info", "debug"]).default("info"),
-  }).prefault({}),
+    format: choice(["human", "json"]).default("human"),
+    level: choice(["error", "warn", "info", "debug"]).default("info"),
+  }),
   metrics: z.strictObject({
-    statsd: socketAddress.optional(),
-  }).prefault({}),
+    statsd: socketAddressSchema.optional(),
+  }),
+} as const;
+
+/**
+ * The form of the daemon's settings. Nothing in them says how well a class is
+ * to be served or what runs where: the former is a target, the latter is
+ * worked out.
+ */
+export const settingsSchema = z.strictObject({
+  node: SETTINGS_SECTIONS.node,
+  listen: SETTINGS_SECTIONS.listen,
+  platform: SETTINGS_SECTIONS.platform,
+  addresses: SETTINGS_SECTIONS.addresses.prefault({}),
+  stop: SETTINGS_SECTIONS.stop.prefault({}),
+  limits: SETTINGS_SECTIONS.limits.prefault({}),
+  logs: SETTINGS_SECTIONS.logs.prefault({}),
+  metrics: SETTINGS_SECTIONS.metrics.prefault({}),
 });
 
 /** The daemon's settings, checked. */
--- /dev/null
+++ b/packages/node/src/settings/settings_problem.ts
@@ -0,0 +1,122 @@
+import { closest } from "fastest-levenshtein";
+import type { z } from "zod";
+import type { RepeatedKey } from "./repeated_keys.ts";
+import { SETTINGS_SECTIONS } from "./settings.ts";
+
+/** One thing that is wrong with the settings. */
+export interface SettingsProblem {
+  readonly file: string;
+  readonly section: string;
+  /** Empty where the section as a whole is meant. */
+  readonly key: string;
+  readonly seen: string;
+  readonly allowed: string;
+}
+
+/** A settings file as it was read. */
+export interface RawSettings {
+  readonly file: string;
+  readonly values: Readonly<Record<string, unknown>>;
+}
+
+/**
+ * Says what is wrong in one line.
+ * @param problem The problem.
+ * @returns The line.
+ */
+export function formatSettingsProblem(problem: SettingsProblem): string {
+  const { file, section, key, seen, allowed } = problem;
+  const place = key === "" ? `[${section}]` : `[${section}] ${key}`;
+  return `${file}: ${place}: seen ${seen}, allowed: ${allowed}.`;
+}
+
+/**
+ * Gives what the schema found as problems that name the file's own places.
+ * @param issue The schema's finding.
+ * @param raw The file.
+ * @returns The problems.
+ */
+export function problemsOfIssue(
+  issue: z.core.$ZodIssue,
+  raw: RawSettings,
+): readonly SettingsProblem[] {
+  const [section = "", key = ""] = issue.path.map(String);
+  if (issue.code === "unrecognized_keys") {
+    return issue.keys.map((name) =>
+      section === ""
+        ? unknownSection(name, raw)
+        : unknownKey(name, { section, raw })
+    );
+  }
+  const seen = describeValue(valueAt(raw, section, key));
+  const allowed = key === ""
+    ? `a section with ${listKeys(section).join(", ")}`
+    : issue.message;
+  return [{ file: raw.file, section, key, seen, allowed }];
+}
+
+/**
+ * Gives a repeated key as a problem.
+ * @param repeated The key or section.
+ * @param file The file's name.
+ * @returns The problem.
+ */
+export function problemOfRepeated(
+  repeated: RepeatedKey,
+  file: string,
+): SettingsProblem {
+  return { file, ...repeated, seen: "it twice", allowed: "it once" };
+}
+
+function unknownSection(name: string, raw: RawSettings): SettingsProblem {
+  const known = Object.keys(SETTINGS_SECTIONS);
+  const isSection = typeof raw.values[name] === "object";
+  return {
+    file: raw.file,
+    section: isSection ? name : "",
+    key: isSection ? "" : name,
+    seen: isSection
+      ? "an unknown section"
+      : describeValue(valueAt(raw, "", name)),
+    allowed: isSection
+      ? `a known section; the nearest is [${closest(name, known)}]`
+      : "keys only inside a section",
+  };
+}
+
+function unknownKey(
+  key: string,
+  { section, raw }: { readonly section: string; readonly raw: RawSettings },
+): SettingsProblem {
+  const nearest = closest(key, listKeys(section));
+  return {
+    file: raw.file,
+    section,
+    key,
+    seen: `an unknown key with ${describeValue(valueAt(raw, section, key))}`,
+    allowed: `a known key; the nearest is ${nearest}`,
+  };
+}
+
+function listKeys(section: string): string[] {
+  return Object.hasOwn(SETTINGS_SECTIONS, section)
+    ? Object.keys(SETTINGS_SECTIONS[section as SettingsSection].shape)
+    : [];
+}
+
+type SettingsSection = keyof typeof SETTINGS_SECTIONS;
+
+function valueAt(raw: RawSettings, section: string, key: string): unknown {
+  if (section === "") return raw.values[key];
+  const values = raw.values[section];
+  if (key === "" || typeof values !== "object" || values === null) {
+    return values;
+  }
+  return Reflect.get(values, key);
+}
+
+function describeValue(value: unknown): string {
+  if (value === undefined) return "nothing";
+  if (typeof value === "object" && value !== null) return "a section";
+  return typeof value === "string" ? `"${value}"` : JSON.stringify(value);
+}
--- a/packages/node/tests/helpers/test_cluster.ts
+++ b/packages/node/tests/helpers/test_cluster.ts
@@ -55,6 +55,8 @@
 const LOG_LEVEL_SILENT = -999;
 const POLL_MILLISECONDS = 5;
 const MAXIMUM_POLLS = 2_000;
+/** A planned stop waits for so long. */
+const QUICK_LIFETIME_SECONDS = 0.01;
 const MAXIMUM_WARM_UPS = 60;
 const WARM_UP_CLASS = "warm-up";
 
@@ -234,6 +236,7 @@
       vm_list: only(standIns, FakeVmList).address,
       weight_store: only(standIns, FakeWeightStore).address,
     },
+    addresses: { lifetime_seconds: QUICK_LIFETIME_SECONDS },
     ...size.settings,
   });
   const loggers = new LoggerFactory("human", LOG_LEVEL_SILENT);
