--- a/packages/node/tests/helpers/test_cluster.ts
+++ b/packages/node/tests/helpers/test_cluster.ts
@@ -146,10 +146,11 @@
   async publish(changes: readonly object[]): Promise<void> {
     const [first] = this.nodes;
     if (first === undefined) throw new Error("Cannot publish: no node runs");
+    await until(() => first.daemon.follower.caughtUp);
     const record = configurationRecordSchema.parse({
       id: changeId(randomUUID()),
       author: "test",
-      base: Number.MAX_SAFE_INTEGER,
+      base: first.daemon.follower.configuration.offset,
       changes,
     });
     const offset = await first.daemon.log.append(CONFIGURATION_STREAM, [
