--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -31,6 +31,11 @@
 import { Drain, NothingToHandOver, WorkInProgress } from "./drain/mod.ts";
 import { createHttpApplication } from "./http_application.ts";
 import type { LoggerFactory } from "./logging/part_logger.ts";
+import {
+  type MetricsSink,
+  SilentMetrics,
+  StatsdMetrics,
+} from "./metrics/mod.ts";
 import type { DrainHook } from "./operators/drain_hook.ts";
 import { generationService } from "./peers/generation_service.ts";
 import { PeerChannels } from "./peers/peer_channels.ts";
@@ -77,6 +82,8 @@
   override readonly drainHook: DrainHook | undefined = undefined;
   override readonly router: GenerationRouter;
   override readonly delivery: DeliveryParts;
+  override readonly metrics: MetricsSink;
+  readonly #loggers: LoggerFactory;
   readonly #channels = new PeerChannels();
   readonly #spread: SpreadService;
   readonly #snapshots: SnapshotWriter;
@@ -89,6 +96,8 @@
   constructor(settings: Settings, loggers: LoggerFactory) {
     super();
     this.settings = settings;
+    this.#loggers = loggers;
+    this.metrics = makeMetrics(settings, loggers);
     const dispatcher = this.#dispatcher;
     const { clock } = this;
     this.log = new HttpLogClient({
@@ -184,7 +193,10 @@
   async start(): Promise<DaemonAddresses> {
     const { http, grpc } = this.settings.listen;
     const grpcPort = await this.#peerServer.listen(grpc);
-    this.#application = await createHttpApplication(this);
+    this.#application = await createHttpApplication(
+      this,
+      this.#loggers.forPart("callers"),
+    );
     await this.#application.listen(http.port, http.host);
     await this.directory.start();
     void this.follower.run();
@@ -225,6 +237,7 @@
     this.delivery.stop();
     this.#channels.close();
     await this.#dispatcher.destroy();
+    await this.metrics.close();
   }
 
   override readonly peerStatuses = (nodes: readonly Vm[]) =>
@@ -273,3 +286,13 @@
     });
   }
 }
+
+function makeMetrics(settings: Settings, loggers: LoggerFactory): MetricsSink {
+  const { metrics, node } = settings;
+  if (metrics.statsd === undefined) return new SilentMetrics();
+  return new StatsdMetrics({
+    address: metrics.statsd,
+    tags: { node: node.id, failure_domain: node.failure_domain },
+    logger: loggers.forPart("metrics"),
+  });
+}
--- a/packages/node/src/daemon_parts.ts
+++ b/packages/node/src/daemon_parts.ts
@@ -11,6 +11,7 @@
   ServiceDelivery,
 } from "./delivery/mod.ts";
 import type { Drain, WorkInProgress } from "./drain/mod.ts";
+import type { MetricsSink } from "./metrics/mod.ts";
 import type { VmDirectory } from "./platform/vm_directory.ts";
 import type { AddressDirectory, ServiceDispatcher } from "./routing/mod.ts";
 import type { GenerationRouter } from "./serving/generation_router.ts";
@@ -31,6 +32,7 @@
   abstract readonly drain: Drain;
   abstract readonly directory: VmDirectory;
   abstract readonly follower: ConfigurationFollower;
+  abstract readonly metrics: MetricsSink;
   abstract readonly publisher: ConfigurationPublisher;
   /** Drains this node; nothing where the daemon cannot. */
   abstract readonly drainHook: DrainHook | undefined;
