--- a/packages/core/src/dispatch/class_counts.ts
+++ b/packages/core/src/dispatch/class_counts.ts
@@ -1,6 +1,15 @@
 import type { ClassId, Duration } from "../shared/mod.ts";
 import type { WaitingRequest } from "./waiting_request.ts";
 
+/** Work gives way only to work whose target is so much shorter. */
+export const TARGET_RATIO = 4;
+
+/** How many requests have a target. */
+export interface TargetLoad {
+  readonly target: Duration;
+  readonly count: number;
+}
+
 interface ClassCount {
   target: Duration;
   count: number;
@@ -10,6 +19,11 @@
 export class ClassCounts {
   readonly #classes = new Map<ClassId, ClassCount>();
 
+  /** The targets, and how many requests have each. */
+  get loads(): readonly TargetLoad[] {
+    return [...this.#classes.values()].map((entry) => ({ ...entry }));
+  }
+
   /**
    * Counts a request.
    * @param request The request.
--- a/packages/core/src/dispatch/displacement.ts
+++ b/packages/core/src/dispatch/displacement.ts
@@ -1,9 +1,7 @@
 import type { Instant } from "../shared/mod.ts";
+import { TARGET_RATIO } from "./class_counts.ts";
 import type { WaitingRequest } from "./waiting_request.ts";
 
-/** Work gives way only to work whose target is so much shorter. */
-export const TARGET_RATIO = 4;
-
 /**
  * Tells whether running work may give its place to a request.
  * @param running The running request.
--- a/packages/core/src/dispatch/ready_queue.ts
+++ b/packages/core/src/dispatch/ready_queue.ts
@@ -1,5 +1,5 @@
 import type { ClassId, Duration, Instant } from "../shared/mod.ts";
-import { ClassCounts } from "./class_counts.ts";
+import { ClassCounts, type TargetLoad } from "./class_counts.ts";
 import { ClassQueue } from "./class_queue.ts";
 import type { WaitingRequest } from "./waiting_request.ts";
 
@@ -14,6 +14,11 @@
     return this.#size;
   }
 
+  /** The targets, and how many ready requests have each. */
+  get loads(): readonly TargetLoad[] {
+    return this.#counts.loads;
+  }
+
   /**
    * Adds a request whose place is "ready".
    * @param request The request.
--- a/packages/core/src/dispatch/request_book.ts
+++ b/packages/core/src/dispatch/request_book.ts
@@ -8,7 +8,7 @@
 } from "../shared/mod.ts";
 import type { QueuedRequest } from "../serving/engine_event.ts";
 import { type AdapterLine, AdapterLines } from "./adapter_lines.ts";
-import { ClassCounts } from "./class_counts.ts";
+import { ClassCounts, type TargetLoad } from "./class_counts.ts";
 import { ReadyQueue } from "./ready_queue.ts";
 import { WaitingRequest } from "./waiting_request.ts";
 
@@ -41,6 +41,16 @@
     return this.#running;
   }
 
+  /** The targets, and how many blocked requests have each. */
+  get blockedLoads(): readonly TargetLoad[] {
+    return this.#blockedCounts.loads;
+  }
+
+  /** The targets, and how many running requests have each. */
+  get runningLoads(): readonly TargetLoad[] {
+    return this.#runningCounts.loads;
+  }
+
   /** How many requests the engine holds, those that gave way included. */
   get atEngine(): number {
     return this.#running.size + this.#displaced;
--- a/packages/core/src/loads/load_permit_ledger.ts
+++ b/packages/core/src/loads/load_permit_ledger.ts
@@ -1,6 +1,8 @@
 import {
   type AdapterKey,
+  type AdapterReference,
   assertInvariant,
+  CLOCK_START,
   type Duration,
   elapsed,
   type EngineId,
@@ -11,6 +13,7 @@
   seconds,
 } from "../shared/mod.ts";
 import { SmoothedDuration } from "../placement/smoothed_duration.ts";
+import { expectedGrantWait } from "./expected_grant_wait.ts";
 import type { LoadLimits, LoadPermit, LoadWish } from "./load_wish.ts";
 import { RateLimit } from "./rate_limit.ts";
 
@@ -19,7 +22,6 @@
 const WISH_LIFETIME = seconds(2);
 const INITIAL_LOAD_TIME = milliseconds(500);
 const NEW_SAMPLE_SHARE = 0.1;
-const MILLISECONDS_PER_SECOND = 1_000;
 
 interface EngineWishes {
   readonly wishes: readonly LoadWish[];
@@ -31,8 +33,9 @@
  * store's rate and concurrency. One node holds it for the whole deployment.
  */
 export class LoadPermitLedger {
-  readonly #limits: LoadLimits;
-  readonly #rate: RateLimit;
+  #limits: LoadLimits;
+  #rate: RateLimit;
+  readonly #quietUntil: Instant;
   readonly #offers = new Map<EngineId, EngineWishes>();
   readonly #permits = new Map<string, LoadPermit>();
   readonly #loadTime = new SmoothedDuration(
@@ -40,10 +43,41 @@
     NEW_SAMPLE_SHARE,
   );
 
-  /** @param limits What the weight store allows. */
-  constructor(limits: LoadLimits) {
+  /**
+   * @param limits What the weight store allows.
+   * @param quietUntil A new holder grants nothing before, since permits of
+   * the holder before may still be in use.
+   */
+  constructor(limits: LoadLimits, quietUntil: Instant = CLOCK_START) {
     this.#limits = limits;
     this.#rate = new RateLimit(limits.loadsPerSecond, limits.concurrentLoads);
+    this.#quietUntil = quietUntil;
+  }
+
+  /** What the weight store allows. */
+  get limits(): LoadLimits {
+    return this.#limits;
+  }
+
+  /** Whether any engine has a wish. */
+  get hasWishes(): boolean {
+    return this.#offers.size > 0;
+  }
+
+  /**
+   * Takes other limits into force, as the store states them.
+   * @param now The present time.
+   * @param limits The limits.
+   */
+  changeLimits(now: Instant, limits: LoadLimits): void {
+    const same = limits.loadsPerSecond === this.#limits.loadsPerSecond &&
+      limits.concurrentLoads === this.#limits.concurrentLoads;
+    if (same) return;
+    this.#limits = limits;
+    this.#rate = new RateLimit(limits.loadsPerSecond, limits.concurrentLoads);
+    for (let taken = 0; taken < limits.concurrentLoads; taken += 1) {
+      this.#rate.take(now);
+    }
   }
 
   /** How many permits are out. */
@@ -62,13 +96,12 @@
    * @returns The estimate.
    */
   expectedWait(ahead: number): Duration {
-    const byRate = MILLISECONDS_PER_SECOND / this.#limits.loadsPerSecond;
-    const bySlots = this.#loadTime.value / this.#limits.concurrentLoads;
-    const busy = Math.max(
-      0,
-      this.#permits.size - this.#limits.concurrentLoads + 1,
-    );
-    return milliseconds((ahead + busy / 2) * Math.max(byRate, bySlots));
+    return expectedGrantWait({
+      ahead,
+      outstanding: this.#permits.size,
+      limits: this.#limits,
+      loadTime: this.#loadTime.value,
+    });
   }
 
   /**
@@ -89,7 +122,8 @@
    */
   hasRoom(now: Instant): boolean {
     this.#expire(now);
-    return this.#permits.size < this.#limits.concurrentLoads &&
+    return now >= this.#quietUntil &&
+      this.#permits.size < this.#limits.concurrentLoads &&
       this.#rate.allowedAt(now) <= now;
   }
 
@@ -99,7 +133,7 @@
    * @returns The time.
    */
   nextGrantAt(now: Instant): Instant {
-    return this.#rate.allowedAt(now);
+    return instant(Math.max(this.#rate.allowedAt(now), this.#quietUntil));
   }
 
   /**
@@ -129,18 +163,25 @@
   }
 
   /**
-   * Lengthens the life of a permit whose load goes on.
+   * Takes note that a load goes on: its permit lives longer. A load by a
+   * permit of another holder counts from now on like an own one.
    * @param now The present time.
    * @param load The engine and adapter.
    */
   renew(
     now: Instant,
-    load: { readonly engine: EngineId; readonly key: AdapterKey },
+    load: {
+      readonly engine: EngineId;
+      readonly key: AdapterKey;
+      readonly adapter: AdapterReference;
+    },
   ): void {
-    const permit = this.#permits.get(permitName(load));
-    if (permit === undefined) return;
+    const known = this.#permits.get(permitName(load));
     const expiresAt = later(now, PERMIT_LIFETIME);
-    this.#permits.set(permitName(load), { ...permit, expiresAt });
+    const grantedAt = known?.grantedAt ?? now;
+    const { engine, key, adapter } = load;
+    const permit = { engine, key, adapter, grantedAt, expiresAt };
+    this.#permits.set(permitName(load), permit);
   }
 
   /**
--- a/packages/core/src/residency/engine_residency.ts
+++ b/packages/core/src/residency/engine_residency.ts
@@ -15,6 +15,20 @@
   readonly loading: readonly AdapterReference[];
 }
 
+/** What an engine holds, read some time after it was taken over. */
+export interface FoundState {
+  readonly resident: readonly AdapterKey[];
+  readonly loading: readonly AdapterKey[];
+  /** Adapters of requests that this controller did not dispatch. */
+  readonly inUse: ReadonlySet<AdapterKey>;
+}
+
+/** What changed from the state that was found to a later one. */
+export interface ComparedState {
+  readonly gone: readonly AdapterKey[];
+  readonly loaded: readonly AdapterKey[];
+}
+
 /**
  * The adapters of one engine. An adapter with a pin, that is with a request
  * that runs or is on its way, is never evicted.
@@ -81,14 +95,53 @@
     }
   }
 
+  /** Tells whether found adapters may still be used or loaded by others. */
+  hasUnproven(): boolean {
+    for (const residence of this.#residences.values()) {
+      if (residence.unproven) return true;
+    }
+    return false;
+  }
+
   /**
-   * Takes note of which found adapters the engine still uses.
-   * @param inUse The adapters with requests at the engine.
+   * Compares found adapters with a later state of the engine: those that
+   * nobody uses are proven idle, and loads found in progress have ended.
+   * @param now The present time.
+   * @param state What the engine holds now.
+   * @returns The adapters that have left, and those that were loaded.
    */
-  showIdle(inUse: ReadonlySet<AdapterKey>): void {
-    for (const residence of this.#residences.values()) {
-      if (!inUse.has(residence.key)) residence.unproven = false;
+  compare(now: Instant, state: FoundState): ComparedState {
+    const resident = new Set(state.resident);
+    const loading = new Set(state.loading);
+    const gone: AdapterKey[] = [];
+    const loaded: AdapterKey[] = [];
+    for (const residence of [...this.#residences.values()]) {
+      const { key } = residence;
+      if (!residence.unproven || loading.has(key)) continue;
+      if (!resident.has(key)) {
+        if (this.lose(key)) gone.push(key);
+        continue;
+      }
+      if (residence.state === "loading") {
+        this.loadEnded(now, { key, loaded: true });
+        loaded.push(key);
+      }
+      if (!state.inUse.has(key)) residence.unproven = false;
     }
+    return { gone, loaded };
+  }
+
+  /**
+   * Forgets an adapter that the engine turned out not to have.
+   * @param key The adapter.
+   * @returns Whether it was known and no request is there for it.
+   */
+  lose(key: AdapterKey): boolean {
+    const residence = this.#residences.get(key);
+    if (residence === undefined || residence.pins > 0) return false;
+    if (residence.state === "evicting") return false;
+    if (residence.state === "loading" && !residence.unproven) return false;
+    return this.#residences.delete(key);
   }
 
   /**
--- a/packages/core/src/serving/engine_controller.ts
+++ b/packages/core/src/serving/engine_controller.ts
@@ -9,10 +9,17 @@
 import type { LoadWish } from "../loads/mod.ts";
 import {
   type AdapterStanding,
+  type EngineSummary,
   EngineView,
+  placeWait,
+  type StandingAdapter,
   textHash,
 } from "../placement/mod.ts";
-import { EngineResidency, type FoundResidences } from "../residency/mod.ts";
+import {
+  EngineResidency,
+  type FoundResidences,
+  type FoundState,
+} from "../residency/mod.ts";
 import {
   type AdapterKey,
   adapterKey,
@@ -41,6 +48,8 @@
   readonly capacity: EngineCapacity;
 }
 
+/** How many awaited adapters a summary names. */
+const SUMMARISED_AWAITED = 64;
 /** A pace that an engine of middling speed has, for weights of homes. */
 const COMMON_TOKEN_TIME = 20;
 /** Others' requests take at most this share of a batch away from us. */
@@ -61,6 +70,7 @@
   readonly #giveUp = new GiveUpTimer();
   readonly #planner: LoadPlanner;
   #others = 0;
+  #isClosed = false;
 
   /** @param parts What the controller works with. */
   constructor(parts: EngineControllerParts) {
@@ -123,12 +133,13 @@
   }
 
   override placeWait(_now: Instant, target: Duration): Duration {
-    const yielding = this.#book.runningAtLeast(TARGET_RATIO * target);
-    const free = this.#places() - this.#book.running.size + yielding;
-    const ahead = this.#book.ready.countAhead(target);
-    if (ahead < free) return milliseconds(0);
-    const turns = (ahead - Math.max(0, free) + 1) / this.#places();
-    return milliseconds(turns * this.#pace.service);
+    return placeWait({
+      places: this.#places(),
+      running: this.#book.running.size,
+      yielding: this.#book.runningAtLeast(TARGET_RATIO * target),
+      ahead: this.#book.ready.countAhead(target),
+      serviceTime: this.#pace.service,
+    });
   }
 
   override canMakeRoom(): boolean {
@@ -142,6 +153,40 @@
     );
   }
 
+  /** What other nodes are told, besides the adapters. */
+  get summary(): EngineSummary {
+    return {
+      engine: this.engine,
+      weight: this.weight,
+      firstTokenTime: this.firstTokenTime,
+      serviceTime: this.serviceTime,
+      batchCapacity: this.batchCapacity,
+      places: this.#places(),
+      running: this.running,
+      awaitedAdapters: this.awaitedAdapters,
+      canMakeRoom: this.canMakeRoom(),
+      ready: this.#book.ready.loads,
+      blocked: this.#book.blockedLoads,
+      runningByTarget: this.#book.runningLoads,
+    };
+  }
+
+  /**
+   * Lists the adapters that are here or waited for.
+   * @returns The adapters; of those waited for, only some.
+   */
+  standings(): readonly StandingAdapter[] {
+    const standings = new Map<AdapterKey, StandingAdapter>();
+    for (const { key, adapter } of this.#residency.all) {
+      standings.set(key, { key, adapter, standing: this.standing(key) });
+    }
+    for (const { key, adapter } of this.#book.blocked.lines) {
+      if (standings.size >= this.#slots() + SUMMARISED_AWAITED) break;
+      standings.set(key, { key, adapter, standing: this.standing(key) });
+    }
+    return [...standings.values()];
+  }
+
   /**
    * Takes in what the engine says that it holds, after a restart or takeover.
    * @param now The present time.
@@ -152,12 +197,33 @@
     for (const residence of this.#residency.all) this.#reindex(residence.key);
   }
 
+  /** Whether adapters were found that others may still use or load. */
+  get hasUnproven(): boolean {
+    return this.#residency.hasUnproven();
+  }
+
+  /**
+   * Compares adapters that were found with a later state of the engine.
+   * @param now The present time.
+   * @param state What the engine holds, and uses for requests of others.
+   */
+  found(now: Instant, state: FoundState): void {
+    const { gone, loaded } = this.#residency.compare(now, state);
+    for (const key of loaded) this.#book.unblock(now, key);
+    for (const key of gone) this.#book.block(now, key);
+    for (const key of [...loaded, ...gone]) this.#reindex(key);
+  }
+
   /**
-   * Takes note of which found adapters still have requests at the engine.
-   * @param inUse The adapters.
+   * Takes note that the engine does not have an adapter that it should have.
+   * @param now The present time.
+   * @param adapter The adapter.
    */
-  showIdle(inUse: ReadonlySet<AdapterKey>): void {
-    this.#residency.showIdle(inUse);
+  adapterMissing(now: Instant, adapter: AdapterReference): void {
+    const key = adapterKey(adapter);
+    if (!this.#residency.lose(key)) return;
+    this.#book.block(now, key);
+    this.#reindex(key);
   }
 
   /**
@@ -208,6 +274,7 @@
 
   /** Withdraws everything that this controller told the index. */
   close(): void {
+    this.#isClosed = true;
     for (const { key } of this.#residency.all) this.#unindex(key);
     for (const { key } of this.#book.blocked.lines) this.#unindex(key);
   }
@@ -245,8 +312,9 @@
     const { evicted } = eviction;
     if (!this.#residency.evictionEnded(now, { key, evicted })) return;
     if (!evicted) this.#book.unblock(now, key);
-    this.#planner.afterEviction(now, key, { evicted, keyOf: adapterKey });
+    const next = this.#planner.afterEviction(now, key, evicted);
     this.#reindex(key);
+    if (next !== undefined) this.#reindex(next);
   }
 
   /**
@@ -405,6 +473,10 @@
       : this.#book.blocked.size > 1;
   }
 
+  #slots(): number {
+    return this.#parts.capacity.adapterSlots;
+  }
+
   #places(): number {
     const { batchCapacity } = this.#parts.capacity;
     const others = Math.min(this.#others, OTHERS_SHARE * batchCapacity);
@@ -417,6 +489,7 @@
   }
 
   #reindex(key: AdapterKey): void {
+    if (this.#isClosed) return;
     if (this.standing(key) === "absent") this.#unindex(key);
     else this.#parts.index.add(key, this.engine);
   }
--- a/packages/core/src/serving/engine_event.ts
+++ b/packages/core/src/serving/engine_event.ts
@@ -47,7 +47,12 @@
     readonly kind: "return_permit";
     readonly adapter: AdapterReference;
   }
-  | { readonly kind: "load"; readonly adapter: AdapterReference }
+  | {
+    readonly kind: "load";
+    readonly adapter: AdapterReference;
+    /** What left to make room for it. */
+    readonly evicted?: AdapterReference;
+  }
   | { readonly kind: "evict"; readonly adapter: AdapterReference }
   | {
     readonly kind: "refuse";
--- a/packages/core/src/serving/load_planner.ts
+++ b/packages/core/src/serving/load_planner.ts
@@ -37,12 +37,21 @@
   readonly value: AdapterValue;
 }
 
+interface LoadStart {
+  readonly adapter: AdapterReference;
+  readonly evicted?: AdapterReference;
+}
+
+interface PlannedLoad extends LoadStart {
+  readonly key: AdapterKey;
+}
+
 /** Decides which adapters one engine wants, and which leave for them. */
 export class LoadPlanner {
   readonly #parts: LoadPlannerParts;
   readonly #backoff = new LoadBackoff();
   /** Loads that wait for the eviction of another adapter. */
-  readonly #afterEviction = new Map<AdapterKey, AdapterReference>();
+  readonly #afterEviction = new Map<AdapterKey, PlannedLoad>();
   readonly #awaiting = new Set<AdapterKey>();
   #orders: EngineDecision[] = [];
 
@@ -103,16 +112,17 @@
   ): boolean {
     if (!this.#isWanted(key)) return false;
     if (this.#freeSlots() > 0) {
-      this.#startLoad(now, adapter);
+      this.#startLoad(now, { adapter });
       return true;
     }
     const victim = this.#victim(now);
     if (victim === undefined) return false;
     this.#parts.book.block(now, victim.residence.key);
     this.#parts.residency.startEviction(now, victim.residence.key);
-    this.#afterEviction.set(victim.residence.key, adapter);
+    const evicted = victim.residence.adapter;
+    this.#afterEviction.set(victim.residence.key, { key, adapter, evicted });
     this.#awaiting.add(key);
-    this.#orders.push({ kind: "evict", adapter: victim.residence.adapter });
+    this.#orders.push({ kind: "evict", adapter: evicted });
     return true;
   }
 
@@ -121,22 +131,20 @@
    * @param now The present time.
    * @param victim The adapter that was to leave.
    * @param evicted Whether it has left.
-   * @param keyOf Names an adapter.
+   * @returns The adapter that was to take its place.
    */
   afterEviction(
     now: Instant,
     victim: AdapterKey,
-    { evicted, keyOf }: {
-      readonly evicted: boolean;
-      readonly keyOf: (adapter: AdapterReference) => AdapterKey;
-    },
-  ): void {
+    evicted: boolean,
+  ): AdapterKey | undefined {
     const next = this.#afterEviction.get(victim);
-    if (next === undefined) return;
+    if (next === undefined) return undefined;
     this.#afterEviction.delete(victim);
-    this.#awaiting.delete(keyOf(next));
+    this.#awaiting.delete(next.key);
     if (evicted) this.#startLoad(now, next);
-    else this.#orders.push({ kind: "return_permit", adapter: next });
+    else this.#orders.push({ kind: "return_permit", adapter: next.adapter });
+    return next.key;
   }
 
   /**
@@ -160,9 +168,14 @@
     return orders;
   }
 
-  #startLoad(now: Instant, adapter: AdapterReference): void {
+  #startLoad(now: Instant, load: LoadStart): void {
+    const { adapter, evicted } = load;
     this.#parts.residency.startLoad(now, adapter);
-    this.#orders.push({ kind: "load", adapter });
+    this.#orders.push({
+      kind: "load",
+      adapter,
+      ...(evicted === undefined ? {} : { evicted }),
+    });
   }
 
   /** Slots that no decided load will take. */
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -10,6 +10,7 @@
   HttpLogClient,
   HttpServiceClient,
   HttpVmListClient,
+  HttpWeightStoreClient,
 } from "@foxtailwind/edges";
 import type { NestFastifyApplication } from "@nestjs/platform-fastify";
 import type { AddressInfo } from "node:net";
@@ -24,6 +25,12 @@
 import { PeerServer } from "./peers/peer_server.ts";
 import { ConfigurationFollower } from "./platform/configuration_follower.ts";
 import { VmDirectory } from "./platform/vm_directory.ts";
+import { AdapterAggregates } from "./serving/adapter_aggregates.ts";
+import { ComputedAssignment } from "./serving/engine_assignment.ts";
+import { ConstantOrderRight } from "./serving/order_right.ts";
+import { NodeLoadPermits } from "./serving/permits/node_load_permits.ts";
+import { permitService } from "./serving/permits/permit_service.ts";
+import { summaryService } from "./serving/summaries/summary_service.ts";
 import { GenerationRouter } from "./serving/generation_router.ts";
 import type { Settings } from "./settings/settings.ts";
 
@@ -44,6 +51,7 @@
   override readonly observer: RequestObserver = new SilentObserver();
   override readonly router: GenerationRouter;
   readonly #channels = new PeerChannels();
+  readonly #permits: NodeLoadPermits;
   readonly #peerServer: PeerServer;
   readonly #dispatcher = new Agent({ connections: null, pipelining: 1 });
   #application: NestFastifyApplication | undefined;
@@ -70,17 +78,38 @@
       this.log,
       loggers.forPart("configuration"),
     );
-    this.router = new GenerationRouter({
+    const aggregates = new AdapterAggregates();
+    const serving = {
       self: settings.node.id,
       directory: this.directory,
-      peers: new PeerClients(this.#channels),
+      channels: this.#channels,
       clock: this.clock,
       logger: loggers.forPart("serving"),
-      fencing: () => fencingNumber(0),
+    };
+    this.#permits = new NodeLoadPermits({
+      ...serving,
+      store: settings.platform.weight_store_id,
+      client: new HttpWeightStoreClient({
+        baseAddress: settings.platform.weight_store,
+        dispatcher,
+        peer: settings.platform.weight_store_id,
+      }),
+      outlook: aggregates.loads,
+    });
+    this.router = new GenerationRouter({
+      ...serving,
+      peers: new PeerClients(this.#channels),
+      observer: this.observer,
+      right: new ConstantOrderRight(fencingNumber(0)),
+      assignment: new ComputedAssignment(this.directory),
+      permits: this.#permits,
+      aggregates,
       engineClient: (vm) => this.#engineClient(engineId(vm.id), vm.address),
     });
     this.#peerServer = new PeerServer([
       generationService(this.router, this.clock),
+      permitService(this.#permits),
+      summaryService(() => this.router.controllers),
     ]);
   }
 
@@ -94,6 +123,8 @@
     this.#application = await createHttpApplication(this);
     await this.#application.listen(http.port, http.host);
     await this.directory.start();
+    this.#permits.start();
+    this.router.start();
     void this.follower.run();
     const address = this.#application.getHttpServer().address() as AddressInfo;
     return {
@@ -109,6 +140,7 @@
     this.directory.stop();
     this.follower.stop();
     this.router.stop();
+    this.#permits.stop();
     this.#channels.close();
     await this.#dispatcher.destroy();
   }
--- /dev/null
+++ b/packages/node/src/serving/adapter_aggregates.ts
@@ -0,0 +1,72 @@
+import {
+  AdapterRouter,
+  AdapterValue,
+  DemandTracker,
+  type Duration,
+  expectedGrantWait,
+  type LoadLimits,
+  type LoadOutlook,
+  milliseconds,
+  PrefetchScout,
+  PrefixHistory,
+  ResidenceIndex,
+  SmoothedDuration,
+} from "@foxtailwind/core";
+
+const INITIAL_LOAD_TIME = milliseconds(500);
+const NEW_SAMPLE_SHARE = 0.1;
+
+/** Before the weight store has said what it allows. */
+export const CAUTIOUS_LIMITS: LoadLimits = {
+  loadsPerSecond: 1,
+  concurrentLoads: 1,
+};
+
+/** What this node expects of loads, by its own and the permit holder's word. */
+export class MeasuredLoadOutlook implements LoadOutlook {
+  limits: LoadLimits = CAUTIOUS_LIMITS;
+  /** How many permits are out in the whole deployment. */
+  outstanding = 0;
+  readonly #loadTime = new SmoothedDuration(
+    INITIAL_LOAD_TIME,
+    NEW_SAMPLE_SHARE,
+  );
+
+  get loadTime(): Duration {
+    return this.#loadTime.value;
+  }
+
+  /**
+   * Takes note of how long a load took.
+   * @param duration From the order to its end.
+   */
+  observe(duration: Duration): void {
+    this.#loadTime.observe(duration);
+  }
+
+  expectedWait(ahead: number): Duration {
+    return expectedGrantWait({
+      ahead,
+      outstanding: this.outstanding,
+      limits: this.limits,
+      loadTime: this.loadTime,
+    });
+  }
+}
+
+/** What a node knows of adapters: shared by its router and its runners. */
+export class AdapterAggregates {
+  readonly demand = new DemandTracker();
+  readonly index = new ResidenceIndex();
+  readonly prefixes = new PrefixHistory();
+  readonly loads = new MeasuredLoadOutlook();
+  readonly router: AdapterRouter;
+  readonly value: AdapterValue;
+  readonly scout: PrefetchScout;
+
+  constructor() {
+    this.router = new AdapterRouter(this);
+    this.value = new AdapterValue(this);
+    this.scout = new PrefetchScout(this);
+  }
+}
--- /dev/null
+++ b/packages/node/src/serving/engine_assignment.ts
@@ -0,0 +1,43 @@
+import {
+  type EngineId,
+  type NodeId,
+  nodeId,
+  rendezvousChoice,
+} from "@foxtailwind/core";
+import type { VmDirectory } from "../platform/vm_directory.ts";
+
+/** Tells which node controls an engine. */
+export abstract class EngineAssignment {
+  /**
+   * Finds the node that controls an engine.
+   * @param engine The engine.
+   * @returns The node, or nothing where none is known.
+   */
+  abstract controllerOf(engine: EngineId): NodeId | undefined;
+
+  /**
+   * Calls back after each change of an assignment.
+   * @param listener Called without arguments.
+   */
+  abstract onChange(listener: () => void): void;
+}
+
+/** Assigns engines by rendezvous hashing over the live nodes. */
+export class ComputedAssignment extends EngineAssignment {
+  readonly #directory: VmDirectory;
+
+  /** @param directory Lists the live nodes. */
+  constructor(directory: VmDirectory) {
+    super();
+    this.#directory = directory;
+  }
+
+  override controllerOf(engine: EngineId): NodeId | undefined {
+    const nodes = this.#directory.live("entry").map((vm) => nodeId(vm.id));
+    return rendezvousChoice(engine, nodes);
+  }
+
+  override onChange(listener: () => void): void {
+    this.#directory.onChange(listener);
+  }
+}
--- /dev/null
+++ b/packages/node/src/serving/engine_loads.ts
@@ -0,0 +1,101 @@
+import {
+  type AdapterReference,
+  elapsed,
+  type EngineDecision,
+  type RequestId,
+  type RequestObserver,
+} from "@foxtailwind/core";
+import type { PartLogger } from "../logging/part_logger.ts";
+import type { AdapterAggregates } from "./adapter_aggregates.ts";
+import { EngineOrders, type EngineOrdersParts } from "./engine_orders.ts";
+
+/** What loads and evictions are carried out with. */
+export interface EngineLoadsParts extends EngineOrdersParts {
+  readonly logger: PartLogger;
+  readonly observer: RequestObserver;
+  readonly aggregates: AdapterAggregates;
+}
+
+type LoadDecision = Extract<EngineDecision, { readonly kind: "load" }>;
+
+/** Carries out loads and evictions, and tells what came of them. */
+export class EngineLoads {
+  readonly #parts: EngineLoadsParts;
+  readonly #orders: EngineOrders;
+
+  /** @param parts What to carry them out with. */
+  constructor(parts: EngineLoadsParts) {
+    this.#parts = parts;
+    this.#orders = new EngineOrders(parts);
+  }
+
+  /**
+   * Loads an adapter.
+   * @param decision The load.
+   * @param waiting The requests that wait for it.
+   * @returns Whether it is resident now.
+   */
+  async load(
+    decision: LoadDecision,
+    waiting: readonly RequestId[],
+  ): Promise<boolean> {
+    const { aggregates, clock } = this.#parts;
+    const start = clock.now();
+    this.#recordStart(decision, waiting);
+    const result = await this.#orders.load(decision.adapter);
+    const loaded = result.isOk();
+    if (loaded) aggregates.loads.observe(elapsed(start, clock.now()));
+    else this.#warn("A load failed.", decision.adapter, result.error.reason);
+    this.#recordEnd(waiting, loaded);
+    return loaded;
+  }
+
+  /**
+   * Evicts an adapter.
+   * @param adapter The adapter.
+   * @returns Whether it has left.
+   */
+  async evict(adapter: AdapterReference): Promise<boolean> {
+    const result = await this.#orders.evict(adapter);
+    if (result.isErr()) {
+      this.#warn("An eviction failed.", adapter, result.error.reason);
+    }
+    return result.isOk();
+  }
+
+  /** Stops finding out what became of orders. */
+  stop(): void {
+    this.#orders.stop();
+  }
+
+  #recordStart(decision: LoadDecision, waiting: readonly RequestId[]): void {
+    const { clock, engine, observer } = this.#parts;
+    const { adapter, evicted } = decision;
+    for (const request of waiting) {
+      observer.record(clock.now(), {
+        kind: "load_started",
+        request,
+        engine,
+        adapter,
+        ...(evicted === undefined ? {} : { evicted }),
+      });
+    }
+  }
+
+  #recordEnd(waiting: readonly RequestId[], loaded: boolean): void {
+    const { clock, engine, observer } = this.#parts;
+    for (const request of waiting) {
+      observer.record(clock.now(), {
+        kind: "load_ended",
+        request,
+        engine,
+        loaded,
+      });
+    }
+  }
+
+  #warn(sentence: string, adapter: AdapterReference, reason: string): void {
+    const { engine, logger } = this.#parts;
+    logger.warn(sentence, { engine, adapter: adapter.adapter, reason });
+  }
+}
--- /dev/null
+++ b/packages/node/src/serving/engine_views.ts
@@ -0,0 +1,69 @@
+import {
+  type EngineId,
+  engineId,
+  type EngineView,
+  type ModelId,
+} from "@foxtailwind/core";
+import type { VmDirectory } from "../platform/vm_directory.ts";
+
+type ViewMap = ReadonlyMap<EngineId, EngineView>;
+
+const NO_VIEWS: ViewMap = new Map();
+
+/** The engines that requests may go to, by the model that they run. */
+export class EngineViews {
+  readonly #directory: VmDirectory;
+  readonly #views = new Map<EngineId, EngineView>();
+  #byModel: ReadonlyMap<ModelId, ViewMap> | undefined;
+
+  /** @param directory Tells which engines are live, and their models. */
+  constructor(directory: VmDirectory) {
+    this.#directory = directory;
+    directory.onChange(() => {
+      this.#byModel = undefined;
+    });
+  }
+
+  /**
+   * Adds the view of an engine, or replaces it.
+   * @param view The view.
+   */
+  put(view: EngineView): void {
+    if (this.#views.get(view.engine) === view) return;
+    this.#views.set(view.engine, view);
+    this.#byModel = undefined;
+  }
+
+  /**
+   * Takes a view out, unless it has been replaced.
+   * @param view The view.
+   */
+  drop(view: EngineView): void {
+    if (this.#views.get(view.engine) !== view) return;
+    this.#views.delete(view.engine);
+    this.#byModel = undefined;
+  }
+
+  /**
+   * Lists the live engines that run a model.
+   * @param model The model.
+   * @returns Their views.
+   */
+  running(model: ModelId): ViewMap {
+    this.#byModel ??= this.#arrange();
+    return this.#byModel.get(model) ?? NO_VIEWS;
+  }
+
+  #arrange(): ReadonlyMap<ModelId, ViewMap> {
+    const byModel = new Map<ModelId, Map<EngineId, EngineView>>();
+    for (const vm of this.#directory.live("engine")) {
+      const view = this.#views.get(engineId(vm.id));
+      if (view === undefined) continue;
+      const views = byModel.get(vm.role.model) ??
+        new Map<EngineId, EngineView>();
+      views.set(view.engine, view);
+      byModel.set(vm.role.model, views);
+    }
+    return byModel;
+  }
+}
--- /dev/null
+++ b/packages/node/src/serving/engine_watch.ts
@@ -0,0 +1,93 @@
+import type { EngineId } from "@foxtailwind/core";
+import type {
+  CacheEvent,
+  EngineClient,
+  EngineLoadReport,
+  EngineState,
+} from "@foxtailwind/edges";
+import { setTimeout as sleep } from "node:timers/promises";
+
+const POLL_MILLISECONDS = 500;
+
+/** Learns what an engine publishes. */
+export abstract class EngineWatcher {
+  /** @param report The engine's load, which lags. */
+  abstract onReport(report: EngineLoadReport): void;
+  /** @param events Changes of its prefix cache, late and with gaps. */
+  abstract onCacheEvents(events: readonly CacheEvent[]): void;
+  /** @param state The engine's state after it has started anew. */
+  abstract onRestart(state: EngineState): void;
+  /** @param state The engine's state, read while it is needed. */
+  abstract onState(state: EngineState): void;
+  /** Whether the engine's state is to be read at the next poll. */
+  abstract get needsState(): boolean;
+}
+
+/** What a watch needs. */
+export interface EngineWatchParts {
+  readonly engine: EngineId;
+  readonly client: EngineClient;
+  readonly watcher: EngineWatcher;
+  /** The run of the engine that is known already. */
+  readonly bootId: string;
+}
+
+/** Polls an engine's reports and cache events, and notices its restart. */
+export class EngineWatch {
+  readonly #parts: EngineWatchParts;
+  #bootId: string;
+  #lastSequence = 0;
+  #stopped = false;
+
+  /** @param parts What the watch needs. */
+  constructor(parts: EngineWatchParts) {
+    this.#parts = parts;
+    this.#bootId = parts.bootId;
+  }
+
+  /** Polls until {@link stop}. */
+  async run(): Promise<void> {
+    do {
+      await this.#poll();
+      await sleep(POLL_MILLISECONDS);
+    } while (!this.#isStopped());
+  }
+
+  /** Reads the engine's state now, as after a sign of a restart. */
+  async readState(): Promise<void> {
+    const state = await this.#parts.client.readState();
+    if (state.isErr() || this.#stopped) return;
+    if (state.value.bootId !== this.#bootId) {
+      this.#bootId = state.value.bootId;
+      this.#lastSequence = 0;
+      this.#parts.watcher.onRestart(state.value);
+      return;
+    }
+    this.#parts.watcher.onState(state.value);
+  }
+
+  /** Stops polling. */
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  #isStopped(): boolean {
+    return this.#stopped;
+  }
+
+  async #poll(): Promise<void> {
+    const { client, watcher } = this.#parts;
+    const report = await client.readLoad();
+    if (report.isErr() || this.#isStopped()) return;
+    if (report.value.bootId !== this.#bootId) {
+      await this.readState();
+      return;
+    }
+    watcher.onReport(report.value);
+    if (watcher.needsState) await this.readState();
+    const events = await client.readCacheEvents(this.#lastSequence);
+    if (events.isErr() || this.#isStopped()) return;
+    this.#lastSequence = events.value.at(-1)?.sequence ?? this.#lastSequence;
+    if (events.value.length > 0) watcher.onCacheEvents(events.value);
+  }
+}
--- /dev/null
+++ b/packages/node/src/serving/generation_estimates.ts
@@ -0,0 +1,47 @@
+import {
+  type Instant,
+  milliseconds,
+  type QueuedRequest,
+} from "@foxtailwind/core";
+import { hashPromptPrefixes } from "@foxtailwind/edges";
+import type { GenerationRequest } from "./generation_request.ts";
+
+const CHARACTERS_PER_TOKEN = 4;
+
+/**
+ * Describes a request as a controller queues it.
+ * @param now The present time.
+ * @param generation The request.
+ * @returns What decisions need of it.
+ */
+export function describeGeneration(
+  now: Instant,
+  generation: GenerationRequest,
+): QueuedRequest {
+  const prefix = sharedPrefix(generation);
+  return {
+    request: generation.request,
+    adapter: generation.adapter,
+    class: generation.class,
+    tenant: generation.tenant,
+    firstTokenTarget: generation.firstTokenTarget,
+    waitedBefore: milliseconds(now - generation.arrivedAt),
+    promptTokens: estimatePromptTokens(generation),
+    maximumTokens: generation.maximumTokens,
+    ...(prefix === undefined ? {} : { prefixHash: prefix }),
+  };
+}
+
+/** The first message is what requests have in common. */
+function sharedPrefix(generation: GenerationRequest): string | undefined {
+  if (generation.messages.length < 2) return undefined;
+  return hashPromptPrefixes(generation.messages.slice(0, 1))[0]?.hash;
+}
+
+function estimatePromptTokens(generation: GenerationRequest): number {
+  let characters = 0;
+  for (const message of generation.messages) {
+    characters += message.content.length;
+  }
+  return Math.ceil(characters / CHARACTERS_PER_TOKEN);
+}
--- a/packages/node/src/serving/generation_router.ts
+++ b/packages/node/src/serving/generation_router.ts
@@ -1,48 +1,88 @@
 import {
   adapterKey,
+  attemptNumber,
+  type EngineController,
   type EngineId,
   engineId,
   type Failure,
-  type FencingNumber,
   type NodeId,
-  rendezvousChoice,
+  nodeId,
+  type RequestObserver,
+  type RouteChoice,
 } from "@foxtailwind/core";
 import type {
   EngineClient,
   GenerationHandle,
   GenerationSink,
-  Vm,
 } from "@foxtailwind/edges";
 import { err } from "neverthrow";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { PartLogger } from "../logging/part_logger.ts";
+import type { PeerChannels } from "../peers/peer_channels.ts";
 import type { PeerClients } from "../peers/peer_clients.ts";
 import type { VmDirectory, VmOfRole } from "../platform/vm_directory.ts";
-import { EngineRunner } from "./engine_runner.ts";
+import type { AdapterAggregates } from "./adapter_aggregates.ts";
+import type { EngineAssignment } from "./engine_assignment.ts";
+import { EngineRunners } from "./engine_runners.ts";
+import { EngineViews } from "./engine_views.ts";
+import { describeGeneration } from "./generation_estimates.ts";
 import type { GenerationRequest } from "./generation_request.ts";
+import type { OrderRight } from "./order_right.ts";
+import type { LoadPermits } from "./permits/load_permits.ts";
+import { SummaryWatcher } from "./summaries/summary_watcher.ts";
 
 /** What the router works with. */
 export interface GenerationRouterParts {
   readonly self: NodeId;
   readonly directory: VmDirectory;
   readonly peers: PeerClients;
+  readonly channels: PeerChannels;
   readonly clock: SteadyClock;
   readonly logger: PartLogger;
-  readonly fencing: () => FencingNumber;
+  readonly observer: RequestObserver;
+  readonly right: OrderRight;
+  readonly assignment: EngineAssignment;
+  readonly permits: LoadPermits;
+  readonly aggregates: AdapterAggregates;
   readonly engineClient: (vm: VmOfRole<"engine">) => EngineClient;
 }
 
 /** Brings each request to the controller of the engine that is to run it. */
 export class GenerationRouter {
   readonly #parts: GenerationRouterParts;
-  readonly #runners = new Map<EngineId, EngineRunner>();
-  readonly #starting = new Set<EngineId>();
+  readonly #views: EngineViews;
+  readonly #runners: EngineRunners;
+  readonly #watcher: SummaryWatcher;
 
+  /** @param parts What the router works with. */
   constructor(parts: GenerationRouterParts) {
     this.#parts = parts;
-    parts.directory.onChange(() => {
-      this.#takeOwnEngines();
+    this.#views = new EngineViews(parts.directory);
+    this.#watcher = new SummaryWatcher({
+      ...parts,
+      views: this.#views,
+      isOwn: (engine) => this.#runners.find(engine) !== undefined,
     });
+    this.#runners = new EngineRunners({
+      ...parts,
+      views: this.#views,
+      beforeStart: (engine) => {
+        this.#watcher.forget(engine);
+      },
+    });
+    parts.assignment.onChange(() => {
+      this.#followAssignment();
+    });
+  }
+
+  /** The controllers of the engines that this node controls. */
+  get controllers(): Iterable<EngineController> {
+    return this.#runners.controllers;
+  }
+
+  /** Starts to learn of the engines that other nodes control. */
+  start(): void {
+    this.#watcher.start();
   }
 
   /**
@@ -55,20 +95,25 @@
     generation: GenerationRequest,
     sink: GenerationSink,
   ): GenerationHandle {
-    const engine = this.#home(generation);
-    if (engine === undefined) {
-      sink.onEnd(err(this.#unavailable(`No engine runs ${generation.model}.`)));
-      return FINISHED;
-    }
-    const owner = this.#ownerOf(engine);
-    if (owner === undefined || owner.id === this.#parts.self) {
-      return this.runHere(engine, generation, sink);
+    const { aggregates, clock } = this.#parts;
+    const now = clock.now();
+    const choice = aggregates.router.route(
+      now,
+      describeGeneration(now, generation),
+      this.#views.running(generation.model),
+    );
+    switch (choice.kind) {
+      case "engine":
+        return this.#bring(generation, sink, choice);
+      case "refuse":
+        sink.onEnd(err(this.#overloaded(choice.retryAfter)));
+        return FINISHED;
+      case "no_engine":
+        sink.onEnd(
+          err(this.#unavailable(`No engine runs ${generation.model}.`)),
+        );
+        return FINISHED;
     }
-    return this.#parts.peers.generate(owner, {
-      engine,
-      generation,
-      now: this.#parts.clock.now(),
-    }, sink);
   }
 
   /**
@@ -83,71 +128,96 @@
     generation: GenerationRequest,
     sink: GenerationSink,
   ): GenerationHandle {
-    const runner = this.#runners.get(engine);
+    const runner = this.#runners.find(engine);
     if (runner === undefined) {
       sink.onEnd(err(this.#unavailable(`Engine ${engine} is not held here.`)));
       return FINISHED;
     }
-    runner.submit(generation, sink);
-    return {
-      pause() {},
-      unpause() {},
-      cancel() {
-        runner.cancel(generation.request);
-      },
-    };
+    return runner.submit(generation, sink);
+  }
+
+  /**
+   * Starts to control an engine: reads its state and takes requests for it.
+   * @param vm The engine's VM.
+   */
+  async startControlling(vm: VmOfRole<"engine">): Promise<void> {
+    await this.#runners.start(vm);
+  }
+
+  /**
+   * Stops controlling an engine. Requests in progress go on here; those that
+   * wait are routed again, to the engine's next controller or elsewhere.
+   * @param engine The engine.
+   */
+  stopControlling(engine: EngineId): void {
+    for (const { generation, sink } of this.#runners.stop(engine)) {
+      this.route(generation, sink);
+    }
   }
 
   /** Stops deciding for all engines. */
   stop(): void {
-    for (const runner of this.#runners.values()) runner.stop();
+    this.#watcher.stop();
+    this.#runners.stopAll();
   }
 
-  #home(generation: GenerationRequest): EngineId | undefined {
-    const candidates = this.#parts.directory.live("engine")
-      .filter((vm) => vm.role.model === generation.model)
-      .map((vm) => engineId(vm.id));
-    return rendezvousChoice(adapterKey(generation.adapter), candidates);
+  #bring(
+    generation: GenerationRequest,
+    sink: GenerationSink,
+    choice: Extract<RouteChoice, { readonly kind: "engine" }>,
+  ): GenerationHandle {
+    const { engine, reason } = choice;
+    const { aggregates, clock, observer, peers, self } = this.#parts;
+    const now = clock.now();
+    const node = this.#controllerOf(engine) ?? self;
+    observer.record(now, {
+      kind: "routed",
+      request: generation.request,
+      attempt: attemptNumber(1),
+      engine,
+      node,
+      reason,
+    });
+    if (node === self) return this.runHere(engine, generation, sink);
+    const peer = this.#parts.directory.live("entry")
+      .find((vm) => vm.id === node);
+    if (peer === undefined) {
+      sink.onEnd(err(this.#unavailable(`Node ${node} is gone.`)));
+      return FINISHED;
+    }
+    const { adapter, firstTokenTarget } = generation;
+    const key = adapterKey(adapter);
+    this.#watcher.viewOf(engine)?.sent(key);
+    const arrival = { key, adapter, target: firstTokenTarget };
+    aggregates.demand.arrived(now, arrival);
+    return peers.generate(peer, { engine, generation, now }, sink);
   }
 
-  #ownerOf(engine: EngineId): Vm | undefined {
-    const nodes = this.#parts.directory.live("entry");
-    const chosen = rendezvousChoice(engine, nodes.map((vm) => vm.id));
-    return nodes.find((vm) => vm.id === chosen);
+  #controllerOf(engine: EngineId): NodeId | undefined {
+    if (this.#runners.find(engine) !== undefined) return this.#parts.self;
+    const node = this.#watcher.nodeOf(engine);
+    if (node !== undefined) return nodeId(node);
+    return this.#parts.assignment.controllerOf(engine);
   }
 
-  #takeOwnEngines(): void {
-    for (const vm of this.#parts.directory.live("engine")) {
+  #followAssignment(): void {
+    const { assignment, directory, self } = this.#parts;
+    for (const vm of directory.live("engine")) {
       const engine = engineId(vm.id);
-      const owner = this.#ownerOf(engine);
-      if (owner?.id !== this.#parts.self) continue;
-      if (this.#runners.has(engine) || this.#starting.has(engine)) continue;
-      this.#starting.add(engine);
-      void this.#startRunner(engine, vm);
+      const isOwn = assignment.controllerOf(engine) === self;
+      const isHeld = this.#runners.find(engine) !== undefined;
+      if (isOwn && !isHeld) void this.startControlling(vm);
+      if (!isOwn && isHeld) this.stopControlling(engine);
     }
   }
 
-  async #startRunner(
-    engine: EngineId,
-    vm: VmOfRole<"engine">,
-  ): Promise<void> {
-    const runner = await EngineRunner.start({
-      engine,
-      client: this.#parts.engineClient(vm),
-      clock: this.#parts.clock,
-      logger: this.#parts.logger,
-      fencing: this.#parts.fencing,
-    });
-    this.#starting.delete(engine);
-    if (runner.isErr()) {
-      this.#parts.logger.warn("An engine could not be read.", {
-        engine,
-        reason: runner.error.reason,
-      });
-      return;
-    }
-    this.#runners.set(engine, runner.value);
-    this.#parts.logger.info("An engine is controlled here.", { engine });
+  #overloaded(retryAfter: number): Failure {
+    return {
+      ...this.#unavailable("The class's target cannot be met now."),
+      reason: "overloaded",
+      step: "admit",
+      retryAfterMilliseconds: Math.ceil(retryAfter),
+    };
   }
 
   #unavailable(message: string): Failure {
--- /dev/null
+++ b/packages/node/src/serving/permits/node_load_permits.ts
@@ -0,0 +1,214 @@
+import {
+  adapterKey,
+  type EngineId,
+  type LoadLimits,
+  type LoadWish,
+  type NodeId,
+  rendezvousChoice,
+  type WeightStoreId,
+} from "@foxtailwind/core";
+import type { WeightStoreClient } from "@foxtailwind/edges";
+import type { SteadyClock } from "../../clock/steady_clock.ts";
+import type { PartLogger } from "../../logging/part_logger.ts";
+import type { PeerChannels } from "../../peers/peer_channels.ts";
+import type { VmDirectory } from "../../platform/vm_directory.ts";
+import type { MeasuredLoadOutlook } from "../adapter_aggregates.ts";
+import {
+  LoadPermits,
+  type PermitListener,
+  type PermittedLoad,
+} from "./load_permits.ts";
+import { PermitHolder } from "./permit_holder.ts";
+import { PermitLink } from "./permit_link.ts";
+import { StaticPermits } from "./static_permits.ts";
+
+const LIMITS_MILLISECONDS = 5_000;
+const TICK_MILLISECONDS = 500;
+/** Without the holder for so long, the static share is used. */
+const UNREACHABLE_MILLISECONDS = 2_000;
+const HOLDER = "holder";
+
+/** What a node's side of the permits works with. */
+export interface NodeLoadPermitsParts {
+  readonly self: NodeId;
+  readonly store: WeightStoreId;
+  readonly client: WeightStoreClient;
+  readonly directory: VmDirectory;
+  readonly channels: PeerChannels;
+  readonly clock: SteadyClock;
+  readonly logger: PartLogger;
+  readonly outlook: MeasuredLoadOutlook;
+}
+
+/**
+ * Asks the node that holds the store's permits, which may be this one. The
+ * holder is chosen by rendezvous hashing over the live nodes; while it cannot
+ * be reached, each engine loads within a static share.
+ */
+export class NodeLoadPermits extends LoadPermits {
+  readonly #parts: NodeLoadPermitsParts;
+  readonly #listeners = new Map<EngineId, PermitListener>();
+  readonly #loads = new Map<string, PermittedLoad>();
+  readonly #static: StaticPermits;
+  #holder: PermitHolder | undefined;
+  #link: PermitLink | undefined;
+  #reachedAt: number;
+  #limitsReadAt = -Infinity;
+  #timer: NodeJS.Timeout | undefined;
+
+  /** @param parts What to work with. */
+  constructor(parts: NodeLoadPermitsParts) {
+    super();
+    this.#parts = parts;
+    this.#static = new StaticPermits(parts.clock);
+    this.#reachedAt = parts.clock.now();
+  }
+
+  /** The permits, where this node holds them. */
+  get holder(): PermitHolder | undefined {
+    return this.#holder;
+  }
+
+  /** What the weight store allows, as last read. */
+  get limits(): LoadLimits {
+    return this.#parts.outlook.limits;
+  }
+
+  /** Starts to read the limits and to follow the choice of the holder. */
+  start(): void {
+    this.#tick();
+    this.#timer = setInterval(() => {
+      this.#tick();
+    }, TICK_MILLISECONDS);
+    this.#parts.directory.onChange(() => {
+      this.#chooseHolder();
+    });
+  }
+
+  /** Stops; permits that are out run out by themselves. */
+  stop(): void {
+    clearInterval(this.#timer);
+    this.#holder?.stop();
+    this.#holder = undefined;
+    this.#link?.close();
+    this.#link = undefined;
+  }
+
+  override register(engine: EngineId, listener: PermitListener): void {
+    this.#listeners.set(engine, (adapter) => {
+      const load = { engine, adapter };
+      this.#loads.set(loadName(load), load);
+      listener(adapter);
+    });
+  }
+
+  override unregister(engine: EngineId): void {
+    this.#listeners.delete(engine);
+    this.#holder?.withdraw(engine);
+    this.#link?.offer(engine, []);
+  }
+
+  override offer(engine: EngineId, wishes: readonly LoadWish[]): void {
+    const listener = this.#listeners.get(engine);
+    if (listener === undefined) return;
+    if (this.#holder !== undefined) {
+      this.#reached();
+      this.#parts.outlook.outstanding = this.#holder.outstanding;
+      this.#holder.offer(engine, wishes, listener);
+      return;
+    }
+    this.#link?.offer(engine, wishes);
+    if (this.#isReachable()) return;
+    this.#static.offer(engine, wishes, {
+      limits: this.limits,
+      engines: this.#parts.directory.live("engine").length,
+      listener,
+    });
+  }
+
+  override ended(load: PermittedLoad & { readonly loaded: boolean }): void {
+    this.#loads.delete(loadName(load));
+    this.#holder?.ended(load);
+    this.#link?.ended(load);
+    this.#static.ended(load);
+  }
+
+  #tick(): void {
+    this.#chooseHolder();
+    for (const load of this.#loads.values()) {
+      this.#holder?.renewed(load);
+      this.#link?.renewed(load);
+    }
+    void this.#readLimits();
+  }
+
+  #chooseHolder(): void {
+    const { self, store, directory, clock, logger } = this.#parts;
+    const nodes = directory.live("entry");
+    const key = `${HOLDER}/${store}`;
+    const chosen = rendezvousChoice(key, nodes.map((vm) => vm.id));
+    if (chosen === self) {
+      this.#link?.close();
+      this.#link = undefined;
+      if (this.#holder !== undefined) return;
+      logger.info("The load permits are held here.", { store });
+      this.#holder = new PermitHolder(clock, this.limits);
+      return;
+    }
+    this.#holder?.stop();
+    this.#holder = undefined;
+    const vm = nodes.find((node) => node.id === chosen);
+    this.#connect(vm?.peerAddress ?? vm?.address);
+  }
+
+  #connect(address: string | undefined): void {
+    if (this.#link?.address === address) return;
+    this.#link?.close();
+    this.#link = undefined;
+    if (address === undefined) return;
+    const channel = this.#parts.channels.channel(address);
+    const link = new PermitLink(address, channel, {
+      permitted: (engine, adapter) => {
+        this.#permitted({ engine, adapter });
+      },
+      outstanding: (permits) => {
+        this.#reached();
+        this.#parts.outlook.outstanding = permits;
+      },
+      lost: () => {
+        if (this.#link === link) this.#link = undefined;
+      },
+    });
+    this.#link = link;
+    for (const load of this.#loads.values()) link.renewed(load);
+  }
+
+  #permitted(load: PermittedLoad): void {
+    const listener = this.#listeners.get(load.engine);
+    if (listener === undefined) this.ended({ ...load, loaded: false });
+    else listener(load.adapter);
+  }
+
+  #reached(): void {
+    this.#reachedAt = this.#parts.clock.now();
+  }
+
+  #isReachable(): boolean {
+    const silent = this.#parts.clock.now() - this.#reachedAt;
+    return silent < UNREACHABLE_MILLISECONDS;
+  }
+
+  async #readLimits(): Promise<void> {
+    const { clock, client, outlook } = this.#parts;
+    if (clock.now() < this.#limitsReadAt + LIMITS_MILLISECONDS) return;
+    this.#limitsReadAt = clock.now();
+    const limits = await client.readLimits();
+    if (limits.isErr()) return;
+    outlook.limits = limits.value;
+    this.#holder?.changeLimits(limits.value);
+  }
+}
+
+function loadName(load: PermittedLoad): string {
+  return `${load.engine}/${adapterKey(load.adapter)}`;
+}
--- /dev/null
+++ b/packages/node/src/serving/permits/permit_link.ts
@@ -0,0 +1,127 @@
+import { type EngineId, engineId, type LoadWish } from "@foxtailwind/core";
+import {
+  LoadPermitsClient,
+  type PermitAnswer,
+  type PermitMessage,
+} from "@foxtailwind/protocol";
+import {
+  type Channel,
+  type ClientDuplexStream,
+  credentials,
+} from "@grpc/grpc-js";
+import type { PermitListener, PermittedLoad } from "./load_permits.ts";
+import {
+  fromLoadedAdapter,
+  toLoadedAdapter,
+  toWishList,
+} from "./permit_messages.ts";
+
+/** What a link tells its node. */
+export interface PermitLinkListener {
+  readonly permitted: (engine: EngineId, adapter: PermittedAdapter) => void;
+  readonly outstanding: (permits: number) => void;
+  readonly lost: () => void;
+}
+
+type PermittedAdapter = Parameters<PermitListener>[0];
+
+/** The stream to the node that holds the permits. */
+export class PermitLink {
+  readonly address: string;
+  readonly #stream: ClientDuplexStream<PermitMessage, PermitAnswer>;
+  #isConfirmed = false;
+  #isOpen = true;
+
+  /**
+   * @param address The holder's address between nodes.
+   * @param channel The connection to it.
+   * @param listener Learns of permits and of the stream's end.
+   */
+  constructor(address: string, channel: Channel, listener: PermitLinkListener) {
+    this.address = address;
+    const client = new LoadPermitsClient(
+      address,
+      credentials.createInsecure(),
+      { channelOverride: channel },
+    );
+    this.#stream = client.negotiate();
+    this.#stream.on("data", (answer: PermitAnswer) => {
+      this.#receive(answer, listener);
+    });
+    this.#stream.on("error", () => {
+      this.#lose(listener);
+    });
+    this.#stream.on("end", () => {
+      this.#lose(listener);
+    });
+  }
+
+  /** Whether the holder has answered and the stream goes on. */
+  get isConfirmed(): boolean {
+    return this.#isOpen && this.#isConfirmed;
+  }
+
+  /**
+   * Replaces an engine's wishes.
+   * @param engine The engine.
+   * @param wishes Its wishes.
+   */
+  offer(engine: EngineId, wishes: readonly LoadWish[]): void {
+    this.#send({ $case: "wishes", value: toWishList(engine, wishes) });
+  }
+
+  /**
+   * Gives a permit back.
+   * @param load The load, and whether the adapter was loaded.
+   */
+  ended(load: PermittedLoad & { readonly loaded: boolean }): void {
+    const adapter = toLoadedAdapter(load.adapter);
+    this.#send({ $case: "ended", value: { ...load, adapter } });
+  }
+
+  /**
+   * Tells that a load goes on.
+   * @param load The load.
+   */
+  renewed(load: PermittedLoad): void {
+    const adapter = toLoadedAdapter(load.adapter);
+    this.#send({ $case: "renewed", value: { ...load, adapter } });
+  }
+
+  /** Ends the stream. */
+  close(): void {
+    this.#isOpen = false;
+    this.#stream.cancel();
+  }
+
+  #send(part: PermitMessage["part"]): void {
+    if (this.#isOpen) this.#stream.write({ part });
+  }
+
+  #receive(answer: PermitAnswer, listener: PermitLinkListener): void {
+    const { part } = answer;
+    switch (part?.$case) {
+      case "permit":
+        listener.permitted(
+          engineId(part.value.engine),
+          fromLoadedAdapter(part.value.adapter),
+        );
+        break;
+      case "outlook":
+        this.#isConfirmed = true;
+        listener.outstanding(part.value.outstanding);
+        break;
+      case "refusal":
+        this.#lose(listener);
+        break;
+      case undefined:
+        break;
+    }
+  }
+
+  #lose(listener: PermitLinkListener): void {
+    if (!this.#isOpen) return;
+    this.#isOpen = false;
+    listener.lost();
+  }
+}
--- /dev/null
+++ b/packages/node/src/serving/permits/permit_service.ts
@@ -0,0 +1,120 @@
+import { type EngineId, engineId } from "@foxtailwind/core";
+import {
+  LoadPermitsService,
+  type PermitAnswer,
+  type PermitMessage,
+} from "@foxtailwind/protocol";
+import type { ServerDuplexStream } from "@grpc/grpc-js";
+import type { PeerRegistration } from "../../peers/peer_server.ts";
+import type { NodeLoadPermits } from "./node_load_permits.ts";
+import type { PermitHolder } from "./permit_holder.ts";
+import {
+  fromLoadedAdapter,
+  fromWishList,
+  toLoadedAdapter,
+} from "./permit_messages.ts";
+
+type PermitStream = ServerDuplexStream<PermitMessage, PermitAnswer>;
+
+/**
+ * Answers nodes that ask for permits of the store that this node holds.
+ * @param permits This node's side of the permits.
+ * @returns The service, to register.
+ */
+export function permitService(permits: NodeLoadPermits): PeerRegistration {
+  return {
+    definition: LoadPermitsService,
+    implementation: {
+      negotiate(stream: PermitStream) {
+        new PermitSession(stream, permits).start();
+      },
+    },
+  };
+}
+
+/** One node's stream. */
+class PermitSession {
+  readonly #stream: PermitStream;
+  readonly #permits: NodeLoadPermits;
+  readonly #engines = new Set<EngineId>();
+
+  constructor(stream: PermitStream, permits: NodeLoadPermits) {
+    this.#stream = stream;
+    this.#permits = permits;
+  }
+
+  start(): void {
+    this.#stream.on("data", (message: PermitMessage) => {
+      this.#receive(message);
+    });
+    this.#stream.on("end", () => {
+      this.#withdraw();
+      this.#stream.end();
+    });
+    this.#stream.on("error", () => {
+      this.#withdraw();
+    });
+  }
+
+  #receive(message: PermitMessage): void {
+    const holder = this.#permits.holder;
+    if (holder === undefined) {
+      const reason = "The permits are not held here.";
+      this.#answer({ $case: "refusal", value: { reason } });
+      this.#stream.end();
+      return;
+    }
+    this.#act(holder, message);
+    this.#answer({
+      $case: "outlook",
+      value: {
+        ...this.#permits.limits,
+        loadMilliseconds: 0,
+        outstanding: holder.outstanding,
+      },
+    });
+  }
+
+  #act(holder: PermitHolder, message: PermitMessage): void {
+    const { part } = message;
+    switch (part?.$case) {
+      case "wishes": {
+        const engine = engineId(part.value.engine);
+        this.#engines.add(engine);
+        holder.offer(engine, fromWishList(part.value), (adapter) => {
+          this.#answer({
+            $case: "permit",
+            value: { engine, adapter: toLoadedAdapter(adapter) },
+          });
+        });
+        break;
+      }
+      case "ended":
+        holder.ended({
+          engine: engineId(part.value.engine),
+          adapter: fromLoadedAdapter(part.value.adapter),
+          loaded: part.value.loaded,
+        });
+        break;
+      case "renewed":
+        holder.renewed({
+          engine: engineId(part.value.engine),
+          adapter: fromLoadedAdapter(part.value.adapter),
+        });
+        break;
+      case undefined:
+        break;
+    }
+  }
+
+  #answer(part: PermitAnswer["part"]): void {
+    if (this.#stream.writable) this.#stream.write({ part });
+  }
+
+  #withdraw(): void {
+    for (const engine of this.#engines) {
+      this.#permits.holder?.withdraw(engine);
+    }
+    this.#engines.clear();
+  }
+}
--- /dev/null
+++ b/packages/node/src/serving/summaries/summary_service.ts
@@ -0,0 +1,131 @@
+import {
+  type AdapterKey,
+  type EngineController,
+  type EngineId,
+  type StandingAdapter,
+} from "@foxtailwind/core";
+import {
+  EngineSummariesService,
+  type EngineSummary,
+  type WatchRequest,
+} from "@foxtailwind/protocol";
+import type { ServerWritableStream } from "@grpc/grpc-js";
+import type { PeerRegistration } from "../../peers/peer_server.ts";
+import { toSummaryMessage } from "./summary_messages.ts";
+
+const INTERVAL_MILLISECONDS = 100;
+/** An unchanged engine is summarised this seldom, as a sign of life. */
+const QUIET_INTERVALS = 20;
+
+type SummaryStream = ServerWritableStream<WatchRequest, EngineSummary>;
+
+/** Finds the engines that this node controls now. */
+export type ControlledEngines = () => Iterable<EngineController>;
+
+/**
+ * Tells other nodes of the engines that this node controls.
+ * @param controlled Finds the engines.
+ * @returns The service, to register.
+ */
+export function summaryService(
+  controlled: ControlledEngines,
+): PeerRegistration {
+  return {
+    definition: EngineSummariesService,
+    implementation: {
+      watch(stream: SummaryStream) {
+        const session = new SummarySession(stream, controlled);
+        const timer = setInterval(() => {
+          session.send();
+        }, INTERVAL_MILLISECONDS);
+        stream.on("cancelled", () => {
+          clearInterval(timer);
+          stream.end();
+        });
+        stream.on("close", () => {
+          clearInterval(timer);
+        });
+        session.send();
+      },
+    },
+  };
+}
+
+interface SentSummary {
+  readonly standings: ReadonlyMap<AdapterKey, StandingAdapter>;
+  readonly text: string;
+  readonly age: number;
+}
+
+/** One watching node: it is sent only what changed. */
+class SummarySession {
+  readonly #stream: SummaryStream;
+  readonly #controlled: ControlledEngines;
+  readonly #sent = new Map<EngineId, SentSummary>();
+
+  constructor(stream: SummaryStream, controlled: ControlledEngines) {
+    this.#stream = stream;
+    this.#controlled = controlled;
+  }
+
+  send(): void {
+    const released = new Set(this.#sent.keys());
+    for (const controller of this.#controlled()) {
+      released.delete(controller.engine);
+      this.#sendEngine(controller);
+    }
+    for (const engine of released) this.#release(engine);
+  }
+
+  #sendEngine(controller: EngineController): void {
+    const { engine, summary } = controller;
+    const before = this.#sent.get(engine);
+    const standings = new Map(
+      controller.standings().map((entry) => [entry.key, entry]),
+    );
+    const changes = changedStandings(before?.standings, standings);
+    const text = JSON.stringify(summary);
+    const age = (before?.age ?? 0) + 1;
+    const isQuiet = before?.text === text && changes.length === 0;
+    if (isQuiet && age < QUIET_INTERVALS) {
+      this.#sent.set(engine, { standings, text, age });
+      return;
+    }
+    this.#sent.set(engine, { standings, text, age: 0 });
+    const isWhole = before === undefined;
+    this.#stream.write(toSummaryMessage(summary, changes, isWhole));
+  }
+
+  #release(engine: EngineId): void {
+    this.#sent.delete(engine);
+    this.#stream.write({
+      engine,
+      released: true,
+      whole: false,
+      changes: [],
+      weight: 0,
+      firstTokenMilliseconds: 0,
+      serviceMilliseconds: 0,
+      batchCapacity: 0,
+      places: 0,
+      running: 0,
+      awaitedAdapters: 0,
+      canMakeRoom: false,
+      classes: [],
+    });
+  }
+}
+
+function changedStandings(
+  before: ReadonlyMap<AdapterKey, StandingAdapter> | undefined,
+  after: ReadonlyMap<AdapterKey, StandingAdapter>,
+): readonly StandingAdapter[] {
+  const changes: StandingAdapter[] = [];
+  for (const [key, entry] of after) {
+    if (before?.get(key)?.standing !== entry.standing) changes.push(entry);
+  }
+  for (const [key, entry] of before ?? []) {
+    if (!after.has(key)) changes.push({ ...entry, standing: "absent" });
+  }
+  return changes;
+}
--- /dev/null
+++ b/packages/node/src/serving/summaries/summary_watcher.ts
@@ -0,0 +1,165 @@
+import {
+  type EngineId,
+  engineId,
+  type NodeId,
+  SummarisedEngineView,
+} from "@foxtailwind/core";
+import type { Vm } from "@foxtailwind/edges";
+import {
+  EngineSummariesClient,
+  type EngineSummary,
+} from "@foxtailwind/protocol";
+import { type ClientReadableStream, credentials } from "@grpc/grpc-js";
+import type { PeerChannels } from "../../peers/peer_channels.ts";
+import type { VmDirectory } from "../../platform/vm_directory.ts";
+import type { AdapterAggregates } from "../adapter_aggregates.ts";
+import type { EngineViews } from "../engine_views.ts";
+import { changesOf, fromSummaryMessage } from "./summary_messages.ts";
+
+const RETRY_MILLISECONDS = 500;
+
+/** What a watcher works with. */
+export interface SummaryWatcherParts {
+  readonly self: NodeId;
+  readonly directory: VmDirectory;
+  readonly channels: PeerChannels;
+  readonly aggregates: AdapterAggregates;
+  readonly views: EngineViews;
+  /** Tells whether this node controls an engine itself. */
+  readonly isOwn: (engine: EngineId) => boolean;
+}
+
+interface Watch {
+  readonly stream: ClientReadableStream<EngineSummary>;
+  readonly views: Map<EngineId, SummarisedEngineView>;
+}
+
+/** Keeps views of the engines that other nodes control. */
+export class SummaryWatcher {
+  readonly #parts: SummaryWatcherParts;
+  readonly #watches = new Map<string, Watch>();
+  readonly #nodeOf = new Map<EngineId, string>();
+  #timer: NodeJS.Timeout | undefined;
+
+  /** @param parts What to work with. */
+  constructor(parts: SummaryWatcherParts) {
+    this.#parts = parts;
+  }
+
+  /** Starts to watch the live nodes. */
+  start(): void {
+    this.#follow();
+    this.#timer = setInterval(() => {
+      this.#follow();
+    }, RETRY_MILLISECONDS);
+  }
+
+  /** Stops watching. */
+  stop(): void {
+    clearInterval(this.#timer);
+    for (const id of [...this.#watches.keys()]) this.#end(id);
+  }
+
+  /**
+   * Finds the node that says that it controls an engine.
+   * @param engine The engine.
+   * @returns The node's id, or nothing.
+   */
+  nodeOf(engine: EngineId): string | undefined {
+    return this.#nodeOf.get(engine);
+  }
+
+  /**
+   * Finds the view of an engine.
+   * @param engine The engine.
+   * @returns The view, or nothing.
+   */
+  viewOf(engine: EngineId): SummarisedEngineView | undefined {
+    const node = this.#nodeOf.get(engine);
+    if (node === undefined) return undefined;
+    return this.#watches.get(node)?.views.get(engine);
+  }
+
+  /**
+   * Forgets an engine that this node takes over.
+   * @param engine The engine.
+   */
+  forget(engine: EngineId): void {
+    for (const [node, watch] of this.#watches) this.#drop(node, watch, engine);
+  }
+
+  #follow(): void {
+    const live = this.#parts.directory.live("entry")
+      .filter((vm) => vm.id !== this.#parts.self);
+    const ids = new Set<string>(live.map((vm) => vm.id));
+    for (const id of [...this.#watches.keys()]) {
+      if (!ids.has(id)) this.#end(id);
+    }
+    for (const vm of live) {
+      if (!this.#watches.has(vm.id)) this.#watch(vm);
+    }
+  }
+
+  #watch(vm: Vm): void {
+    const address = vm.peerAddress ?? vm.address;
+    const client = new EngineSummariesClient(
+      address,
+      credentials.createInsecure(),
+      { channelOverride: this.#parts.channels.channel(address) },
+    );
+    const stream = client.watch({ node: this.#parts.self });
+    const watch: Watch = { stream, views: new Map() };
+    this.#watches.set(vm.id, watch);
+    stream.on("data", (message: EngineSummary) => {
+      this.#receive(vm.id, watch, message);
+    });
+    const onLost = (): void => {
+      if (this.#watches.get(vm.id) === watch) this.#end(vm.id);
+    };
+    stream.on("error", onLost);
+    stream.on("end", onLost);
+  }
+
+  #receive(node: string, watch: Watch, message: EngineSummary): void {
+    if (this.#watches.get(node) !== watch) return;
+    const engine = engineId(message.engine);
+    if (message.released) {
+      this.#drop(node, watch, engine);
+      return;
+    }
+    if (this.#parts.isOwn(engine)) return;
+    const summary = fromSummaryMessage(message);
+    const known = watch.views.get(engine);
+    const view = known ??
+      new SummarisedEngineView(summary, this.#parts.aggregates.index);
+    watch.views.set(engine, view);
+    if (message.whole) view.clear();
+    view.update(summary, changesOf(message));
+    this.#nodeOf.set(engine, node);
+    this.#parts.views.put(view);
+  }
+
+  #end(node: string): void {
+    const watch = this.#watches.get(node);
+    if (watch === undefined) return;
+    this.#watches.delete(node);
+    watch.stream.on("error", ignore);
+    watch.stream.cancel();
+    for (const engine of [...watch.views.keys()]) {
+      this.#drop(node, watch, engine);
+    }
+  }
+
+  #drop(node: string, watch: Watch, engine: EngineId): void {
+    const view = watch.views.get(engine);
+    if (view === undefined) return;
+    watch.views.delete(engine);
+    view.clear();
+    this.#parts.views.drop(view);
+    if (this.#nodeOf.get(engine) === node) this.#nodeOf.delete(engine);
+  }
+}
+
+function ignore(): void {
+  // The stream was ended here.
+}
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -3,3 +3,19 @@
  * @module
  */
 export * from "./generated/peer.ts";
+export {
+  type AdapterChange,
+  type ClassLoad,
+  EngineSummariesClient,
+  EngineSummariesService,
+  type EngineSummary,
+  type LoadedAdapter,
+  LoadPermitsClient,
+  LoadPermitsService,
+  type PermitAnswer,
+  type PermitMessage,
+  Standing,
+  type WatchRequest,
+  type Wish,
+  type WishList,
+} from "./generated/loads.ts";
