--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -3,9 +3,13 @@
  * @module
  */
 export * from "./shared/mod.ts";
+export * from "./addresses/mod.ts";
 export * from "./configuration/mod.ts";
+export * from "./delivery/mod.ts";
+export * from "./drain/mod.ts";
 export * from "./observation/mod.ts";
 export * from "./ownership/mod.ts";
+export * from "./service_routing/mod.ts";
 export * from "./dispatch/mod.ts";
 export * from "./loads/mod.ts";
 export * from "./placement/mod.ts";
