--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -38,8 +38,8 @@
 import { ComputedAssignment } from "./serving/engine_assignment.ts";
 import { ConstantOrderRight } from "./serving/order_right.ts";
 import { NodeLoadPermits } from "./serving/permits/node_load_permits.ts";
-import { permitService } from "./serving/permits/permit_service.ts";
-import { summaryService } from "./serving/summaries/summary_service.ts";
+import { PermitService } from "./serving/permits/permit_service.ts";
+import { SummaryService } from "./serving/summaries/summary_service.ts";
 import {
   AddressDirectory,
   HashedControllers,
@@ -77,6 +77,8 @@
   override readonly router: GenerationRouter;
   readonly #channels = new PeerChannels();
   readonly #permits: NodeLoadPermits;
+  readonly #permitService: PermitService;
+  readonly #summaries = new SummaryService(() => this.router.controllers);
   readonly #peerServer: PeerServer;
   readonly #dispatcher = createDispatcher();
   #application: NestFastifyApplication | undefined;
@@ -122,6 +124,7 @@
       }),
       outlook: aggregates.loads,
     });
+    this.#permitService = new PermitService(this.#permits);
     this.router = new GenerationRouter({
       ...serving,
       peers: new PeerClients(this.#channels),
@@ -134,8 +137,8 @@
     });
     this.#peerServer = new PeerServer([
       countCalls(generationService(this.router, this.clock), this.work),
-      permitService(this.#permits),
-      summaryService(() => this.router.controllers),
+      this.#permitService.registration,
+      this.#summaries.registration,
     ]);
     this.drain = this.#makeDrain(loggers);
     this.serviceDispatcher = new ServiceDispatcher({
@@ -200,6 +203,8 @@
 
   async #closeServers(): Promise<void> {
     await this.#application?.close();
+    this.#summaries.close();
+    this.#permitService.close();
     await this.#peerServer.close();
   }
 
--- a/packages/node/src/serving/permits/permit_service.ts
+++ b/packages/node/src/serving/permits/permit_service.ts
@@ -16,20 +16,36 @@
 
 type PermitStream = ServerDuplexStream<PermitMessage, PermitAnswer>;
 
-/**
- * Answers nodes that ask for permits of the store that this node holds.
- * @param permits This node's side of the permits.
- * @returns The service, to register.
- */
-export function permitService(permits: NodeLoadPermits): PeerRegistration {
-  return {
-    definition: LoadPermitsService,
-    implementation: {
-      negotiate(stream: PermitStream) {
-        new PermitSession(stream, permits).start();
+/** Answers nodes that ask for permits of the store that this node holds. */
+export class PermitService {
+  readonly #permits: NodeLoadPermits;
+  readonly #streams = new Set<PermitStream>();
+
+  /** @param permits This node's side of the permits. */
+  constructor(permits: NodeLoadPermits) {
+    this.#permits = permits;
+  }
+
+  /** The service, to register. */
+  get registration(): PeerRegistration {
+    return {
+      definition: LoadPermitsService,
+      implementation: {
+        negotiate: (stream: PermitStream) => {
+          this.#streams.add(stream);
+          stream.on("close", () => {
+            this.#streams.delete(stream);
+          });
+          new PermitSession(stream, this.#permits).start();
+        },
       },
-    },
-  };
+    };
+  }
+
+  /** Ends all streams, so that the server can stop. */
+  close(): void {
+    for (const stream of this.#streams) stream.end();
+  }
 }
 
 /** One node's stream. */
--- a/packages/node/src/serving/summaries/summary_service.ts
+++ b/packages/node/src/serving/summaries/summary_service.ts
@@ -22,33 +22,48 @@
 /** Finds the engines that this node controls now. */
 export type ControlledEngines = () => Iterable<EngineController>;
 
-/**
- * Tells other nodes of the engines that this node controls.
- * @param controlled Finds the engines.
- * @returns The service, to register.
- */
-export function summaryService(
-  controlled: ControlledEngines,
-): PeerRegistration {
-  return {
-    definition: EngineSummariesService,
-    implementation: {
-      watch(stream: SummaryStream) {
-        const session = new SummarySession(stream, controlled);
-        const timer = setInterval(() => {
-          session.send();
-        }, INTERVAL_MILLISECONDS);
-        stream.on("cancelled", () => {
-          clearInterval(timer);
-          stream.end();
-        });
-        stream.on("close", () => {
-          clearInterval(timer);
-        });
-        session.send();
+/** Tells other nodes of the engines that this node controls. */
+export class SummaryService {
+  readonly #controlled: ControlledEngines;
+  readonly #streams = new Set<SummaryStream>();
+
+  /** @param controlled Finds the engines. */
+  constructor(controlled: ControlledEngines) {
+    this.#controlled = controlled;
+  }
+
+  /** The service, to register. */
+  get registration(): PeerRegistration {
+    return {
+      definition: EngineSummariesService,
+      implementation: {
+        watch: (stream: SummaryStream) => {
+          this.#serve(stream);
+        },
       },
-    },
-  };
+    };
+  }
+
+  /** Ends all streams, so that the server can stop. */
+  close(): void {
+    for (const stream of this.#streams) stream.end();
+  }
+
+  #serve(stream: SummaryStream): void {
+    this.#streams.add(stream);
+    const session = new SummarySession(stream, this.#controlled);
+    const timer = setInterval(() => {
+      session.send();
+    }, INTERVAL_MILLISECONDS);
+    const finish = (): void => {
+      clearInterval(timer);
+      this.#streams.delete(stream);
+    };
+    stream.on("cancelled", finish);
+    stream.on("finish", finish);
+    stream.on("close", finish);
+    session.send();
+  }
 }
 
 interface SentSummary {
