--- a/packages/node/src/delivery/keyed_execution.ts
+++ b/packages/node/src/delivery/keyed_execution.ts
@@ -8,9 +8,13 @@
  * Work that runs where its key may run. It must send what it does at most
  * once: no retry, unless a first try is proven not to have run.
  * @param payload The request, in the work's own form.
+ * @param key The key as the caller sent it.
  * @returns The answer, or a failure that tells truthfully whether it ran.
  */
-export type KeyedWork = (payload: Uint8Array) => Promise<KeyedResult>;
+export type KeyedWork = (
+  payload: Uint8Array,
+  key: string,
+) => Promise<KeyedResult>;
 
 /** A request that must not run twice. */
 export interface KeyedRequest {
@@ -18,8 +22,13 @@
   readonly work: string;
   /** The `Idempotency-Key` as the caller sent it. */
   readonly key: string;
-  /** What the work gets; the same request always gives the same bytes. */
+  /** What the work gets. */
   readonly payload: Uint8Array;
+  /**
+   * What a retry must repeat byte for byte, where that is not the whole
+   * payload: other uses of the key are refused.
+   */
+  readonly identity?: Uint8Array;
 }
 
 /** Runs work at most once for each key, over all nodes and caller retries. */
@@ -33,7 +42,7 @@
 
   /**
    * Runs a request where its key may run, or gives the outcome of its first
-   * run. One key stands for one payload: another payload is refused.
+   * run. One key stands for one request: another one is refused.
    * @param request The request.
    * @returns The outcome of the key's only run; or why it did not run, or
    * that nothing is known of it and it will not be run.
--- a/packages/node/src/http_application.ts
+++ b/packages/node/src/http_application.ts
@@ -9,6 +9,7 @@
 import { DaemonParts } from "./daemon_parts.ts";
 import { countRequests } from "./drain/mod.ts";
 import { OPERATOR_CONTROLLERS } from "./operators/mod.ts";
+import { TELEMETRY_CONTROLLERS } from "./telemetry/mod.ts";
 
 const BODY_LIMIT_BYTES = 4 * 1_024 * 1_024;
 
@@ -25,7 +26,11 @@
 ): Promise<NestFastifyApplication> {
   const module: DynamicModule = {
     module: HttpModule,
-    controllers: [...CALLER_CONTROLLERS, ...OPERATOR_CONTROLLERS],
+    controllers: [
+      ...CALLER_CONTROLLERS,
+      ...OPERATOR_CONTROLLERS,
+      ...TELEMETRY_CONTROLLERS,
+    ],
     providers: [{ provide: DaemonParts, useValue: parts }],
   };
   const application = await NestFactory.create<NestFastifyApplication>(
--- a/packages/node/src/serving/engine_runner.ts
+++ b/packages/node/src/serving/engine_runner.ts
@@ -125,6 +125,8 @@
     generation: GenerationRequest,
     sink: GenerationSink,
   ): GenerationHandle {
+    const resumed = this.#resumeRunning(generation, sink);
+    if (resumed !== undefined) return resumed;
     const held: HeldRequest = {
       generation,
       sink,
@@ -132,6 +134,7 @@
       paused: false,
       isCancelled: false,
       resyncs: 0,
+      priority: 0,
     };
     this.#queue(held);
     this.#act();
@@ -352,11 +355,12 @@
       loadStall,
     });
     this.#held.leaveLine(held);
-    this.#generate(held, priority);
+    held.priority = priority;
+    this.#generate(held);
   }
 
-  #generate(held: HeldRequest, priority: number): void {
-    const { generation, sink } = held;
+  #generate(held: HeldRequest): void {
+    const { generation, priority, sink } = held;
     const { request } = generation;
     const controller = this.#controller;
     const listener = new DispatchedSink(sink, {
@@ -364,23 +368,39 @@
         controller.firstToken(this.#now(), request);
       },
       ended: (result, generatedTokens) => {
+        if (this.#held.find(request) !== held) return;
         controller.requestEnded(this.#now(), request, generatedTokens);
         this.#generated(held, result);
       },
     });
     held.handle = this.#parts.client.generate({
       request,
-      attempt: attemptNumber(1),
+      attempt: generation.attempt ?? attemptNumber(1),
       model: generation.model,
       adapter: generation.adapter,
       messages: generation.messages,
       maximumTokens: generation.maximumTokens,
       priority,
-      fromSequence: 0,
+      fromSequence: generation.fromSequence ?? 0,
     }, listener);
     if (held.paused) held.handle.pause();
   }
 
+  /** A resumed stream keeps the place and the pin of the one before. */
+  #resumeRunning(
+    generation: GenerationRequest,
+    sink: GenerationSink,
+  ): GenerationHandle | undefined {
+    const { request, fromSequence = 0 } = generation;
+    const running = this.#held.find(request);
+    if (fromSequence === 0 || running?.handle === undefined) return undefined;
+    const held: HeldRequest = { ...running, generation, sink };
+    this.#held.add(held);
+    this.#held.leaveLine(held);
+    this.#generate(held);
+    return this.#handleOf(held);
+  }
+
   #generated(held: HeldRequest, result: Result<GenerationEnd, Failure>): void {
     if (isAdapterMissing(result) && held.resyncs < MOST_RESYNCS) {
       void this.#resyncAndRetry(held);
--- a/packages/node/src/serving/held_requests.ts
+++ b/packages/node/src/serving/held_requests.ts
@@ -24,6 +24,8 @@
   isCancelled: boolean;
   /** How often the engine did not have its adapter. */
   resyncs: number;
+  /** How it stands in the engine's batch; higher goes first. */
+  priority: number;
 }
 
 /** What a runner learns of a dispatched request. */
