--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -11,4 +11,8 @@
 export * from "./membership/mod.ts";
 export * from "./ownership/mod.ts";
 export * from "./service_routing/mod.ts";
+export * from "./dispatch/mod.ts";
+export * from "./loads/mod.ts";
+export * from "./placement/mod.ts";
+export * from "./residency/mod.ts";
 export * from "./serving/mod.ts";
--- a/packages/node/src/cluster/cluster_node.ts
+++ b/packages/node/src/cluster/cluster_node.ts
@@ -23,7 +23,7 @@
 } from "@foxtailwind/core";
 import type { LogClient } from "@foxtailwind/edges";
 import { randomUUID } from "node:crypto";
-import type { Result } from "neverthrow";
+import { err, type Result } from "neverthrow";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { PartLogger } from "../logging/part_logger.ts";
 import type { VmDirectory } from "../platform/vm_directory.ts";
@@ -79,9 +79,7 @@
     engine: EngineId,
     now: Instant,
   ): Result<FencingNumber, Failure> {
-    if (this.#running === undefined) {
-      throw new Error("Cannot read a right: the node has not started");
-    }
+    if (this.#running === undefined) return err(notStarted(engine));
     return this.#running.agent.current(engine, now);
   }
 
@@ -223,3 +221,13 @@
   readonly reader: MembershipLogReader;
   readonly timer: NodeJS.Timeout;
 }
+
+function notStarted(engine: EngineId): Failure {
+  return {
+    reason: "unavailable",
+    step: "take_over",
+    peer: engine,
+    message: "This node has not joined the cluster.",
+    outcome: "not_run",
+  };
+}
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -1,7 +1,6 @@
 import {
   type EngineId,
   engineId,
-  fencingNumber,
   type RequestObserver,
   seconds,
   SilentObserver,
@@ -12,19 +11,22 @@
   HttpLogClient,
   HttpServiceClient,
   HttpVmListClient,
+  HttpWeightStoreClient,
 } from "@foxtailwind/edges";
 import type { NestFastifyApplication } from "@nestjs/platform-fastify";
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { ProcessClock } from "./clock/steady_clock.ts";
+import {
+  ClusterHandOver,
+  ClusterNode,
+  ClusterPeerViews,
+  clusterService,
+  ClusterTransport,
+} from "./cluster/mod.ts";
 import { DaemonParts } from "./daemon_parts.ts";
 import { type KeyedExecution, ServiceDelivery } from "./delivery/mod.ts";
-import {
-  countCalls,
-  Drain,
-  NothingToHandOver,
-  WorkInProgress,
-} from "./drain/mod.ts";
+import { countCalls, Drain, WorkInProgress } from "./drain/mod.ts";
 import { createHttpApplication } from "./http_application.ts";
 import type { LoggerFactory } from "./logging/part_logger.ts";
 import { generationService } from "./peers/generation_service.ts";
@@ -33,6 +35,10 @@
 import { PeerServer } from "./peers/peer_server.ts";
 import { ConfigurationFollower } from "./platform/configuration_follower.ts";
 import { VmDirectory } from "./platform/vm_directory.ts";
+import { AdapterAggregates } from "./serving/adapter_aggregates.ts";
+import { NodeLoadPermits } from "./serving/permits/node_load_permits.ts";
+import { PermitService } from "./serving/permits/permit_service.ts";
+import { SummaryService } from "./serving/summaries/summary_service.ts";
 import {
   AddressDirectory,
   HashedControllers,
@@ -52,6 +58,9 @@
 /** How long closing may take once an operator's bound has passed. */
 const OVERDUE_CLOSE = 500;
 
+/** Reads that take longer renew no lease. */
+const MEMBERSHIP_LOG_TIMEOUT = 1_000;
+
 /** One node: all its parts, started and stopped together. */
 export class Daemon extends DaemonParts {
   override readonly settings: Settings;
@@ -69,6 +78,10 @@
   override readonly observer: RequestObserver = new SilentObserver();
   override readonly router: GenerationRouter;
   readonly #channels = new PeerChannels();
+  readonly #permits: NodeLoadPermits;
+  readonly #permitService: PermitService;
+  readonly #summaries = new SummaryService(() => this.router.controllers);
+  readonly #cluster: ClusterNode;
   readonly #peerServer: PeerServer;
   readonly #dispatcher = createDispatcher();
   #application: NestFastifyApplication | undefined;
@@ -96,17 +109,43 @@
       this.log,
       loggers.forPart("configuration"),
     );
-    this.router = new GenerationRouter({
+    this.#cluster = this.#makeCluster(loggers);
+    const aggregates = new AdapterAggregates();
+    const serving = {
       self: settings.node.id,
       directory: this.directory,
-      peers: new PeerClients(this.#channels),
+      channels: this.#channels,
       clock: this.clock,
       logger: loggers.forPart("serving"),
-      fencing: () => fencingNumber(0),
+    };
+    this.#permits = new NodeLoadPermits({
+      ...serving,
+      store: settings.platform.weight_store_id,
+      client: new HttpWeightStoreClient({
+        baseAddress: settings.platform.weight_store,
+        dispatcher,
+        peer: settings.platform.weight_store_id,
+      }),
+      outlook: aggregates.loads,
+    });
+    this.#permitService = new PermitService(this.#permits);
+    this.router = new GenerationRouter({
+      ...serving,
+      peers: new PeerClients(this.#channels),
+      observer: this.observer,
+      right: this.#cluster,
+      assignment: this.#cluster,
+      permits: this.#permits,
+      aggregates,
       engineClient: (vm) => this.#engineClient(engineId(vm.id), vm.address),
     });
     this.#peerServer = new PeerServer([
       countCalls(generationService(this.router, this.clock), this.work),
+      clusterService((message) => {
+        this.#cluster.receive(message);
+      }),
+      this.#permitService.registration,
+      this.#summaries.registration,
     ]);
     this.drain = this.#makeDrain(loggers);
     this.serviceDispatcher = new ServiceDispatcher({
@@ -135,6 +174,9 @@
     this.#application = await createHttpApplication(this);
     await this.#application.listen(http.port, http.host);
     await this.directory.start();
+    this.#cluster.start(`${grpc.host}:${grpcPort}`);
+    this.#permits.start();
+    this.router.start();
     void this.follower.run();
     const address = this.#application.getHttpServer().address() as AddressInfo;
     return {
@@ -159,18 +201,39 @@
   async #close(isOverdue: boolean): Promise<void> {
     const closing = this.#closeServers();
     await (isOverdue ? Promise.race([closing, sleep(OVERDUE_CLOSE)]) : closing);
+    this.#cluster.stop();
     this.directory.stop();
     this.follower.stop();
     this.router.stop();
+    this.#permits.stop();
     this.#channels.close();
     await this.#dispatcher.destroy();
   }
 
   async #closeServers(): Promise<void> {
     await this.#application?.close();
+    this.#summaries.close();
+    this.#permitService.close();
     await this.#peerServer.close();
   }
 
+  #makeCluster(loggers: LoggerFactory): ClusterNode {
+    const { settings, clock, directory } = this;
+    return new ClusterNode({
+      node: settings.node,
+      clock,
+      directory,
+      log: new HttpLogClient({
+        baseAddress: settings.platform.log,
+        dispatcher: this.#dispatcher,
+        peer: "log",
+        timeoutMilliseconds: MEMBERSHIP_LOG_TIMEOUT,
+      }),
+      transport: new ClusterTransport(this.#channels),
+      logger: loggers.forPart("ownership"),
+    });
+  }
+
   #makeDrain(loggers: LoggerFactory): Drain {
     const { addresses, stop } = this.settings;
     const longestWait = stop.longest_wait_seconds;
@@ -180,7 +243,7 @@
         ...(longestWait !== undefined && { longestWait: seconds(longestWait) }),
       },
       work: this.work,
-      handOver: new NothingToHandOver(),
+      handOver: new ClusterHandOver(this.#cluster),
       clock: this.clock,
       logger: loggers.forPart("daemon"),
     });
@@ -190,11 +253,14 @@
     const { settings, directory, follower } = this;
     return new AddressDirectory({
       directory,
-      peers: new OwnView({
-        self: settings.node.id,
-        isLeaving: () => this.drain.isLeaving,
-        load: () => this.work.count,
-      }),
+      peers: new ClusterPeerViews(
+        this.#cluster,
+        new OwnView({
+          self: settings.node.id,
+          isLeaving: () => this.drain.isLeaving,
+          load: () => this.work.count,
+        }),
+      ),
       controllers: new HashedControllers(directory, follower.configuration),
       longestLifetime: seconds(settings.addresses.lifetime_seconds),
     });
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -15,3 +15,19 @@
   type PromiseAnswerMessage,
   type PromiseAskMessage,
 } from "./generated/cluster.ts";
+export {
+  type AdapterChange,
+  type ClassLoad,
+  EngineSummariesClient,
+  EngineSummariesService,
+  type EngineSummary,
+  type LoadedAdapter,
+  LoadPermitsClient,
+  LoadPermitsService,
+  type PermitAnswer,
+  type PermitMessage,
+  Standing,
+  type WatchRequest,
+  type Wish,
+  type WishList,
+} from "./generated/loads.ts";
