--- a/packages/bench/src/faults/fault_caller.ts
+++ b/packages/bench/src/faults/fault_caller.ts
@@ -1,7 +1,7 @@
 import { Agent, type Dispatcher } from "undici";
 import { z } from "zod";
 import type { CallRecord, CallVerdict } from "./call_record.ts";
-import { TokenChecker } from "./token_checker.ts";
+import { TokenChecker } from "../load/token_checker.ts";
 
 const OK = 200;
 const DATA = "data: ";
--- a/packages/bench/src/load/completion_call.ts
+++ b/packages/bench/src/load/completion_call.ts
@@ -1,4 +1,5 @@
 import type { Dispatcher } from "undici";
+import { TokenChecker } from "./token_checker.ts";
 
 /** What came of one completion, as its caller saw it. */
 export interface CompletionOutcome {
@@ -57,7 +58,7 @@
   let firstTokenMilliseconds: number | undefined;
   for await (const piece of answer.body) {
     reader.read(String(piece));
-    if (reader.chunks > 0) {
+    if (reader.tokens > 0) {
       firstTokenMilliseconds ??= performance.now() - start;
     }
   }
@@ -75,15 +76,20 @@
 const DONE = "[DONE]";
 
 class StreamReader {
-  chunks = 0;
-  tokens = 0;
   whole = false;
-  rightAdapter = true;
-  readonly #adapter: string;
+  readonly #checker: TokenChecker;
   #rest = "";
 
   constructor(adapter: string) {
-    this.#adapter = adapter;
+    this.#checker = new TokenChecker(adapter);
+  }
+
+  get tokens(): number {
+    return this.#checker.tokens;
+  }
+
+  get rightAdapter(): boolean {
+    return this.#checker.verdict === "right";
   }
 
   read(piece: string): void {
@@ -100,13 +106,7 @@
       return;
     }
     const chunk = JSON.parse(data) as CompletionChunk;
-    const content = chunk.choices?.[0]?.delta.content;
-    if (content === undefined) return;
-    this.chunks += 1;
-    for (const word of content.trim().split(/\s+/)) {
-      this.tokens += 1;
-      if (!word.startsWith(`${this.#adapter}#`)) this.rightAdapter = false;
-    }
+    this.#checker.read(chunk.choices?.[0]?.delta.content ?? "");
   }
 }
 
