--- /dev/null
+++ b/packages/bench/src/services/service_policies.ts
@@ -0,0 +1,48 @@
+import {
+  GradientLimit,
+  NoLimit,
+  PowerOfTwoChooser,
+  RandomChooser,
+  RoundRobinChooser,
+  SERVICE_POLICY,
+  type ServicePolicy,
+} from "@foxtailwind/core";
+
+/** A way to route, and what to call it in reports. */
+export interface NamedPolicy {
+  readonly name: string;
+  readonly policy: ServicePolicy;
+}
+
+const PLAIN = {
+  limit: () => new NoLimit(),
+  retries: false,
+  hedging: false,
+  ejection: false,
+};
+
+/** The daemon's policy, its variants, and the baselines. */
+export const NAMED_POLICIES: readonly NamedPolicy[] = [
+  { name: "foxtailwind", policy: SERVICE_POLICY },
+  {
+    name: "gradient limit",
+    policy: { ...SERVICE_POLICY, limit: () => new GradientLimit() },
+  },
+  {
+    name: "no limit",
+    policy: { ...SERVICE_POLICY, limit: () => new NoLimit() },
+  },
+  { name: "no hedging", policy: { ...SERVICE_POLICY, hedging: false } },
+  {
+    name: "two choices only",
+    policy: { ...PLAIN, chooser: () => new PowerOfTwoChooser() },
+  },
+  {
+    name: "round robin",
+    policy: { ...PLAIN, chooser: () => new RoundRobinChooser() },
+  },
+  {
+    name: "random",
+    policy: { ...PLAIN, chooser: () => new RandomChooser() },
+  },
+];
