--- a/packages/bench/src/mod.ts
+++ b/packages/bench/src/mod.ts
@@ -1,1 +1,2 @@
 export {};
+export * from "./soak/mod.ts";
--- /dev/null
+++ b/packages/bench/src/soak/mod.ts
@@ -0,0 +1,1 @@
+export * from "./service_soak.ts";
--- a/packages/core/src/service_routing/attempt_ledger.ts
+++ b/packages/core/src/service_routing/attempt_ledger.ts
@@ -22,8 +22,8 @@
 /** What an attempt's end is judged by. */
 export interface AttemptJudgement {
   readonly result: AttemptResult;
-  /** What a failure counts as in latency. */
-  readonly penalty: Duration;
+  /** How quickly the service must answer; a failure counts as slow as that. */
+  readonly target: Duration;
 }
 
 /** The attempts that have not ended, and where they run. */
@@ -68,7 +68,7 @@
   end(
     now: Instant,
     reference: AttemptReference,
-    { result, penalty }: AttemptJudgement,
+    { result, target }: AttemptJudgement,
   ): ServiceServer | undefined {
     const key = attemptKey(reference);
     const attempt = this.#attempts.get(key);
@@ -88,7 +88,7 @@
       inFlight: inFlightBefore,
       overloaded: isOverload(result),
       failed,
-      penalty,
+      target,
     });
     return server;
   }
--- a/packages/core/src/service_routing/call_waiting.ts
+++ b/packages/core/src/service_routing/call_waiting.ts
@@ -29,14 +29,14 @@
 /**
  * Tells how long a call may wait and still be answered within the target.
  * @param call The call.
- * @param typicalLatency What a call takes.
+ * @param likelyLongest What nearly all calls stay below at a server.
  * @returns The longest wait.
  */
 export function longestWait(
   call: PendingCall,
-  typicalLatency: Duration,
+  likelyLongest: Duration,
 ): Duration {
-  const slack = call.terms.answerWithin - typicalLatency;
+  const slack = call.terms.answerWithin - likelyLongest;
   return milliseconds(Math.max(0, slack));
 }
 
@@ -44,13 +44,13 @@
  * Tells until when a call waits for a place. One that has been attempted
  * waits until it is given up: a refusal could no longer say that it never ran.
  * @param call The call.
- * @param typicalLatency What a call takes.
+ * @param likelyLongest What nearly all calls stay below at a server.
  * @returns The end of its wait.
  */
 export function waitsUntil(
   call: PendingCall,
-  typicalLatency: Duration,
+  likelyLongest: Duration,
 ): Instant {
   if (call.attempts > 0) return call.deadline;
-  return later(call.arrivedAt, longestWait(call, typicalLatency));
+  return later(call.arrivedAt, longestWait(call, likelyLongest));
 }
--- a/packages/core/src/service_routing/concurrency_limit.ts
+++ b/packages/core/src/service_routing/concurrency_limit.ts
@@ -3,6 +3,8 @@
 /** What an ended attempt tells of a server's load. */
 export interface LoadSample {
   readonly latency: Duration;
+  /** How quickly the service must answer. */
+  readonly target: Duration;
   /** How many calls the server had from here when the attempt began. */
   readonly inFlight: number;
   /** The server refused, or did not answer in time. */
@@ -37,14 +39,15 @@
 const MAXIMUM_LIMIT = 1_000;
 const BACKOFF = 0.9;
 const CONGESTION_RATIO = 3;
-const BASELINE_DRIFT = 1.002;
+const CONGESTED_TARGET_SHARE = 0.5;
+const BASELINE_DRIFT = 1.0002;
 const BASELINE_FLOOR_MILLISECONDS = 0.5;
 
 /**
- * Additive increase, multiplicative decrease. Latency far above the lowest
- * seen counts as congestion, as does an overload stated by the server. The
- * lowest drifts up slowly, so that a server that became slower for good is
- * not held to its past.
+ * Additive increase, multiplicative decrease. Latency that uses up half of
+ * the target and lies far above the lowest seen counts as congestion, as does
+ * an overload stated by the server. The lowest drifts up slowly, so that a
+ * server that became slower for good is not held to its past.
  */
 export class AdditiveIncreaseLimit extends ConcurrencyLimit {
   #limit = INITIAL_LIMIT;
@@ -57,8 +60,11 @@
   override update(sample: LoadSample): void {
     const latency = Math.max(sample.latency, BASELINE_FLOOR_MILLISECONDS);
     this.#baseline = Math.min(latency, this.#baseline * BASELINE_DRIFT);
-    const congested = sample.overloaded ||
-      latency > this.#baseline * CONGESTION_RATIO;
+    const threshold = Math.max(
+      sample.target * CONGESTED_TARGET_SHARE,
+      this.#baseline * CONGESTION_RATIO,
+    );
+    const congested = sample.overloaded || latency > threshold;
     if (congested) {
       this.#limit = Math.max(MINIMUM_LIMIT, this.#limit * BACKOFF);
       return;
--- a/packages/core/src/service_routing/latency_window.ts
+++ b/packages/core/src/service_routing/latency_window.ts
@@ -7,12 +7,12 @@
   seconds,
 } from "../shared/mod.ts";
 
-const WINDOW = seconds(10);
+const WINDOW = seconds(3);
 const MINIMUM_SAMPLES = 20;
 const UNITS_PER_MILLISECOND = 100;
 const HIGHEST_MILLISECONDS = 600_000;
 
-/** Latencies of the last ten to twenty seconds, for their quantiles. */
+/** Latencies of the last three to six seconds, for their quantiles. */
 export class LatencyWindow {
   #current = emptyHistogram();
   #previous = emptyHistogram();
--- a/packages/core/src/service_routing/service_router.ts
+++ b/packages/core/src/service_routing/service_router.ts
@@ -52,6 +52,7 @@
 const RETRY_RESERVE = 10;
 const MOST_ATTEMPTS = 3;
 const TYPICAL_PERCENTILE = 50;
+const LIKELY_PERCENTILE = 95;
 
 /**
  * Routes the calls of one service: which server gets each, when another
@@ -115,7 +116,7 @@
     this.#retries.earn();
     this.#hedges.earn();
     const wait = this.#expectedWait(now);
-    if (wait > longestWait(call, this.#typicalLatency())) {
+    if (wait > longestWait(call, this.#likelyLongest())) {
       this.#refuse(call, wait);
       return;
     }
@@ -146,8 +147,8 @@
     reference: AttemptReference,
     result: AttemptResult,
   ): void {
-    const penalty = this.#terms.answerWithin;
-    const server = this.#attempts.end(now, reference, { result, penalty });
+    const target = this.#terms.answerWithin;
+    const server = this.#attempts.end(now, reference, { result, target });
     if (server === undefined) return;
     if (isServerFault(result) && this.#parts.policy.ejection) {
       ejectIfOutlier(now, server, this.#servers.all);
@@ -178,9 +179,9 @@
    * @returns The time to decide again, or nothing.
    */
   nextWake(): Instant | undefined {
-    const typical = this.#typicalLatency();
+    const longest = this.#likelyLongest();
     const times: number[] = [];
-    for (const call of this.#waiting) times.push(waitsUntil(call, typical));
+    for (const call of this.#waiting) times.push(waitsUntil(call, longest));
     const hedge = this.#hedges.nextDue();
     if (hedge !== undefined) times.push(hedge);
     const readmission = this.#servers.nextReadmission();
@@ -227,9 +228,9 @@
   }
 
   #expireWaiting(now: Instant): void {
-    const typical = this.#typicalLatency();
+    const longest = this.#likelyLongest();
     for (const call of [...this.#waiting]) {
-      if (waitsUntil(call, typical) > now) continue;
+      if (waitsUntil(call, longest) > now) continue;
       if (call.attempts > 0) this.#finishWithoutGoodAnswer(call);
       else if (!this.#servers.hasPlace(now)) {
         this.#refuse(call, this.#expectedWait(now));
@@ -257,7 +258,6 @@
   }
 
   #dispatchHedges(now: Instant): void {
-    if (!this.#parts.policy.hedging) return;
     for (const id of this.#hedges.takeDue(now)) {
       const call = this.#calls.get(id);
       if (call?.inFlight.size !== 1 || call.attempts >= MOST_ATTEMPTS) continue;
@@ -289,7 +289,8 @@
       server: server.id,
       timeout,
     });
-    if (call.repeatable && call.attempts === 1) {
+    const mayHedge = this.#parts.policy.hedging && call.repeatable;
+    if (mayHedge && call.attempts === 1) {
       this.#hedges.plan(now, call.id, this.#latencies);
     }
   }
@@ -325,6 +326,11 @@
     return this.#latencies.percentile(TYPICAL_PERCENTILE) ?? milliseconds(1);
   }
 
+  /** What nearly all calls stay below, once a server has them. */
+  #likelyLongest(): Duration {
+    return this.#latencies.percentile(LIKELY_PERCENTILE) ?? milliseconds(1);
+  }
+
   #expectedWait(now: Instant): Duration {
     return expectedWait({
       ahead: this.#waiting.size,
--- a/packages/core/src/service_routing/service_server.ts
+++ b/packages/core/src/service_routing/service_server.ts
@@ -20,8 +20,6 @@
 /** How an attempt at one server ended. */
 export interface ServerSample extends LoadSample {
   readonly failed: boolean;
-  /** What a failure counts as in latency, so that failing fast gains nothing. */
-  readonly penalty: Duration;
 }
 
 /** One server of a service, as this node has come to know it. */
@@ -149,7 +147,8 @@
   }
 
   /**
-   * Ends an attempt and learns from it.
+   * Ends an attempt and learns from it. A failure counts as slow as the
+   * target, so that a server gains nothing by failing fast.
    * @param now The present time.
    * @param key Names the attempt.
    * @param sample What it told.
@@ -161,10 +160,8 @@
       (sample.failed ? weight : 0);
     if (sample.failed) {
       this.#consecutiveFailures += 1;
-      this.#latency.add(
-        now,
-        milliseconds(Math.max(sample.latency, sample.penalty)),
-      );
+      const counted = Math.max(sample.latency, sample.target);
+      this.#latency.add(now, milliseconds(counted));
       if (sample.overloaded) this.#limit.update(sample);
       return;
     }
