--- a/packages/bench/src/mod.ts
+++ b/packages/bench/src/mod.ts
@@ -1,2 +1,12 @@
-export {};
-export * from "./soak/mod.ts";
+/**
+ * Load, policy measurements and randomised runs.
+ * @module
+ */
+export * from "./in_process/in_process_cluster.ts";
+export * from "./soak/adapter_soak.ts";
+export * from "./soak/mutants.ts";
+export * from "./soak/outcome_mutants.ts";
+export * from "./soak/outcome_soak.ts";
+export * from "./soak/ownership_soak.ts";
+export * from "./soak/scenario.ts";
+export * from "./soak/service_soak.ts";
--- a/packages/bench/src/soak/mod.ts
+++ /dev/null
@@ -1,1 +0,0 @@
-export * from "./service_soak.ts";
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -2,4 +2,51 @@
  * What the nodes say to each other, over gRPC. Generated code; see buf.gen.yaml.
  * @module
  */
+export {
+  ClaimBatch,
+  ClaimVerdict,
+  ClaimVerdicts,
+  KeyClaim,
+  KeyedOutcome,
+  KeyedRun,
+  OutcomesClient,
+  OutcomesService,
+} from "./generated/outcomes.ts";
 export * from "./generated/peer.ts";
+export * as telemetry from "./generated/telemetry.ts";
+export {
+  ConfigurationClient,
+  ConfigurationService,
+  type FollowAnswer,
+  type FollowRequest,
+  type StatusAnswer,
+  type StatusRequest,
+} from "./generated/configuration.ts";
+export {
+  ClusterClient,
+  ClusterEnvelope,
+  ClusterService,
+  type Delivered,
+  type DigestEntryMessage,
+  type HeartbeatMessage,
+  type MemberMessage,
+  type NodeRunMessage,
+  type PromiseAnswerMessage,
+  type PromiseAskMessage,
+} from "./generated/cluster.ts";
+export {
+  type AdapterChange,
+  type ClassLoad,
+  EngineSummariesClient,
+  EngineSummariesService,
+  type EngineSummary,
+  type LoadedAdapter,
+  LoadPermitsClient,
+  LoadPermitsService,
+  type PermitAnswer,
+  type PermitMessage,
+  Standing,
+  type WatchRequest,
+  type Wish,
+  type WishList,
+} from "./generated/loads.ts";
