--- a/packages/core/src/configuration/configuration.ts
+++ b/packages/core/src/configuration/configuration.ts
@@ -44,9 +44,9 @@
  */
 export class Configuration {
   readonly #rules: ConfigurationRules;
-  readonly #state = new ConfigurationState();
-  readonly #recent = new RecentChanges();
-  readonly #digest = new StateDigest();
+  #state = new ConfigurationState();
+  #recent = new RecentChanges();
+  #digest = new StateDigest();
   #removed: RemovedItem[] = [];
   #offset = NO_VERSION;
 
@@ -155,6 +155,19 @@
     this.#forgetRemoved();
   }
 
+  /**
+   * Becomes equal to another configuration that covers more. Those who hold
+   * this one go on with it.
+   * @param other The other one, which must not be used afterwards.
+   */
+  become(other: Configuration): void {
+    this.skipTo(other.#offset);
+    this.#state = other.#state;
+    this.#recent = other.#recent;
+    this.#digest = other.#digest;
+    this.#removed = other.#removed;
+  }
+
   /**
    * Takes over an item and its origin from a snapshot.
    * @param change The change that makes the item.
--- a/packages/core/tests/configuration/configuration_reader_test.ts
+++ b/packages/core/tests/configuration/configuration_reader_test.ts
@@ -127,6 +127,17 @@
   });
 });
 
+test("those who hold the configuration see a snapshot that is taken over", (t) => {
+  const ahead = new ConfigurationReader();
+  ahead.read(storedRecord(0, { changes: [setClass("drafting", 1)] }));
+  const reader = new ConfigurationReader();
+  const held = reader.configuration;
+  const { chunks } = takeSnapshot(ahead.configuration);
+  reader.adopt(restoreSnapshot(chunks)._unsafeUnwrap());
+  t.is(held.classes.get(DRAFTING)?.firstTokenMilliseconds, 1);
+  t.is(held, reader.configuration);
+});
+
 test("an older snapshot is never taken over", (t) => {
   const reader = new ConfigurationReader();
   reader.read(storedRecord(0, { changes: [setClass("drafting", 1)] }));
