Drain through the daemon's own drain; items by their own paths; strict changes

A change with a key that is not known, such as a weight, was taken with the key dropped. Changes are now strict, in the log too: an unknown key makes the record corrupt for every reader. Operators' paths for single items, and the drain asks the part that carries out planned stops.

--- a/packages/bench/src/in_process/in_process_cluster.ts
+++ b/packages/bench/src/in_process/in_process_cluster.ts
@@ -64,6 +64,9 @@
 log = ${await log.listen()}
 vm_list = ${await vmList.listen()}
 weight_store = http://127.0.0.1:1
+
+[addresses]
+lifetime_seconds = 1
 `;
     const cluster = new InProcessCluster({ log, vmList, platform });
     for (let index = 0; index < size.nodes; index += 1) {
--- a/packages/core/src/configuration/change.ts
+++ b/packages/core/src/configuration/change.ts
@@ -20,7 +20,7 @@
 
 const MAXIMUM_TARGET_MILLISECONDS = 86_400_000;
 
-const targetSchema = z.object({
+const targetSchema = z.strictObject({
   firstTokenMilliseconds: z.number().int().positive()
     .max(MAXIMUM_TARGET_MILLISECONDS),
   betweenTokensMilliseconds: z.number().positive()
@@ -30,31 +30,40 @@
 });
 
 const changeSchema = z.discriminatedUnion("kind", [
-  z.object({
+  z.strictObject({
     kind: z.literal("set_class"),
     class: branded<ClassId>(),
     target: targetSchema,
   }),
-  z.object({ kind: z.literal("remove_class"), class: branded<ClassId>() }),
-  z.object({ kind: z.literal("set_tenant"), tenant: branded<TenantId>() }),
-  z.object({ kind: z.literal("remove_tenant"), tenant: branded<TenantId>() }),
-  z.object({
+  z.strictObject({
+    kind: z.literal("remove_class"),
+    class: branded<ClassId>(),
+  }),
+  z.strictObject({
+    kind: z.literal("set_tenant"),
+    tenant: branded<TenantId>(),
+  }),
+  z.strictObject({
+    kind: z.literal("remove_tenant"),
+    tenant: branded<TenantId>(),
+  }),
+  z.strictObject({
     kind: z.literal("set_adapter"),
     adapter: branded<AdapterId>(),
     model: branded<ModelId>(),
     versions: z.array(branded<AdapterVersion>()).min(1).readonly(),
     current: branded<AdapterVersion>(),
   }),
-  z.object({
+  z.strictObject({
     kind: z.literal("remove_adapter"),
     adapter: branded<AdapterId>(),
   }),
-  z.object({
+  z.strictObject({
     kind: z.literal("set_service"),
     service: branded<ServiceId>(),
     target: targetSchema,
   }),
-  z.object({
+  z.strictObject({
     kind: z.literal("remove_service"),
     service: branded<ServiceId>(),
   }),
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -33,7 +33,6 @@
 } from "./drain/mod.ts";
 import { createHttpApplication } from "./http_application.ts";
 import type { LoggerFactory } from "./logging/part_logger.ts";
-import type { DrainHook } from "./operators/drain_hook.ts";
 import { generationService } from "./peers/generation_service.ts";
 import { PeerChannels } from "./peers/peer_channels.ts";
 import { PeerClients } from "./peers/peer_clients.ts";
@@ -73,7 +72,6 @@
   override readonly directory: VmDirectory;
   override readonly follower: ConfigurationFollower;
   override readonly publisher: ConfigurationPublisher;
-  override readonly drainHook: DrainHook | undefined = undefined;
   override readonly observer: RequestObserver = new SilentObserver();
   override readonly router: GenerationRouter;
   readonly #channels = new PeerChannels();
--- a/packages/node/src/daemon_parts.ts
+++ b/packages/node/src/daemon_parts.ts
@@ -4,7 +4,6 @@
 import type { NodeStatus } from "./configuration/cluster_status.ts";
 import type { ConfigurationFollower } from "./configuration/configuration_follower.ts";
 import type { ConfigurationPublisher } from "./configuration/configuration_publisher.ts";
-import type { DrainHook } from "./operators/drain_hook.ts";
 import type { KeyedExecution, ServiceDelivery } from "./delivery/mod.ts";
 import type { Drain, WorkInProgress } from "./drain/mod.ts";
 import type { VmDirectory } from "./platform/vm_directory.ts";
@@ -27,8 +26,6 @@
   abstract readonly directory: VmDirectory;
   abstract readonly follower: ConfigurationFollower;
   abstract readonly publisher: ConfigurationPublisher;
-  /** Drains this node; nothing where the daemon cannot. */
-  abstract readonly drainHook: DrainHook | undefined;
   /** Asks other nodes which configuration is in force there. */
   abstract readonly peerStatuses: (
     nodes: readonly Vm[],
--- a/packages/node/src/operators/drain_controller.ts
+++ b/packages/node/src/operators/drain_controller.ts
@@ -1,50 +1,52 @@
-import { Controller, Get, Inject, Post, Res } from "@nestjs/common";
-import type { FastifyReply } from "fastify";
-import { publishFailure } from "../configuration/publish_failure.ts";
+import { Controller, Get, HttpCode, Inject, Post } from "@nestjs/common";
 import { DaemonParts } from "../daemon_parts.ts";
-import { sendOperatorProblem } from "./operator_problem.ts";
 
 const ACCEPTED = 202;
-const OK = 200;
+
+/** How far the drain of this node is. */
+interface DrainProgress {
+  readonly node: string;
+  readonly state: "serving" | "draining" | "drained";
+  readonly in_progress: number;
+}
 
 /** Drains this node for operators. */
 @Controller("v1/operators/drain")
 export class DrainController {
   readonly #parts: DaemonParts;
+  #isDrained = false;
+  #isFollowed = false;
 
   constructor(@Inject(DaemonParts) parts: DaemonParts) {
     this.#parts = parts;
   }
 
-  /** Starts the drain. */
+  /** Starts the drain; a second call changes nothing. */
   @Post()
-  async start(@Res() reply: FastifyReply): Promise<void> {
-    this.#parts.drainHook?.start();
-    await this.#answer(reply, ACCEPTED);
+  @HttpCode(ACCEPTED)
+  start(): DrainProgress {
+    this.#follow();
+    return this.progress();
   }
 
   /** Tells how far the drain is. */
   @Get()
-  async progress(@Res() reply: FastifyReply): Promise<void> {
-    await this.#answer(reply, OK);
+  progress(): DrainProgress {
+    const { drain, work, settings } = this.#parts;
+    if (drain.isLeaving) this.#follow();
+    const state = drain.isLeaving ? "draining" : "serving";
+    return {
+      node: settings.node.id,
+      state: this.#isDrained ? "drained" : state,
+      in_progress: work.count,
+    };
   }
 
-  async #answer(reply: FastifyReply, status: number): Promise<void> {
-    const progress = this.#parts.drainHook?.progress();
-    if (progress === undefined) {
-      await sendOperatorProblem(
-        reply,
-        publishFailure("unavailable", {
-          message: "This release cannot drain a node.",
-          remedy: "Stop the process with SIGTERM: it finishes its requests.",
-        }),
-      );
-      return;
-    }
-    await reply.status(status).send({
-      node: this.#parts.settings.node.id,
-      state: progress.state,
-      in_progress: progress.inProgress,
+  #follow(): void {
+    if (this.#isFollowed) return;
+    this.#isFollowed = true;
+    void this.#parts.drain.run().then(() => {
+      this.#isDrained = true;
     });
   }
 }
--- a/packages/node/tests/configuration/spread_test.ts
+++ b/packages/node/tests/configuration/spread_test.ts
@@ -174,6 +174,7 @@
     { changes: [{ kind: "set_class", class: "a b", target: {} }], weight: 1 },
     { changes: [{ kind: "remove_class", class: "missing" }] },
     { id: "a", changes: [{ kind: "set_tenant", tenant: "a" }] },
+    { changes: [{ kind: "set_tenant", tenant: "a", weight: 3 }] },
   ];
   for (const body of bodies) {
     t.snapshot(await call(node, "configuration", body));
@@ -181,6 +182,30 @@
   t.is(cluster.log.readCounters().records, 0);
 });
 
+test("single items are set and removed by their own paths", async (t) => {
+  const cluster = await startCluster(t, { nodes: 1, domains: 1 });
+  const node = first(cluster);
+  const url = `http://${node.addresses.http}/v1/operators`;
+  const headers = { "content-type": "application/json" };
+  const set = await request(`${url}/classes/drafting`, {
+    method: "PUT",
+    headers,
+    body: JSON.stringify({
+      target: { firstTokenMilliseconds: 700 },
+      author: "mere",
+    }),
+  });
+  t.is(set.statusCode, 200);
+  t.is(targetAt(node), 700);
+  const removed = await request(`${url}/classes/drafting`, {
+    method: "DELETE",
+  });
+  t.is(removed.statusCode, 200);
+  t.is(targetAt(node), undefined);
+  const unknown = await request(`${url}/engines/e`, { method: "DELETE" });
+  t.is(unknown.statusCode, 404);
+});
+
 function listed(cluster: InProcessCluster, node: InProcessNode) {
   const vm = cluster.vmList.readShown(performance.now()).find(({ id }) =>
     id === node.id
