--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -43,7 +43,6 @@
   SilentMetrics,
   StatsdMetrics,
 } from "./metrics/mod.ts";
-import type { DrainHook } from "./operators/drain_hook.ts";
 import { generationService } from "./peers/generation_service.ts";
 import { PeerChannels } from "./peers/peer_channels.ts";
 import { PeerClients } from "./peers/peer_clients.ts";
@@ -90,7 +89,6 @@
   override readonly observer = new RequestTelemetry(this.clock.now());
   override readonly telemetry: NodeTelemetry;
   override readonly publisher: ConfigurationPublisher;
-  override readonly drainHook: DrainHook | undefined = undefined;
   override readonly router: GenerationRouter;
   override readonly delivery: DeliveryParts;
   override readonly metrics: MetricsSink;
