--- /dev/null
+++ b/packages/bench/src/overhead/overhead_phase.ts
@@ -0,0 +1,101 @@
+import path from "node:path";
+import { fileURLToPath } from "node:url";
+import { setTimeout as sleep } from "node:timers/promises";
+import { ChildProgram } from "../demo/child_program.ts";
+import {
+  emptyResult,
+  type LoadPlan,
+  type LoadResult,
+  loadResultSchema,
+  type PathResult,
+} from "./load_plan.ts";
+import { processorSeconds } from "./processor_time.ts";
+
+/** One phase: a load from several generators, and the node's use of its core. */
+export interface PhaseResult extends LoadResult {
+  /** Cores that the node used while the load was measured. */
+  readonly nodeCores: number;
+  readonly seconds: number;
+}
+
+/** What a phase needs besides the load. */
+export interface PhaseOptions {
+  readonly generators: number;
+  readonly nodeProcess: number;
+}
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/**
+ * Runs one phase.
+ * @param plan The whole load, which is shared out over the generators.
+ * @param options How many generators, and which process is the node.
+ * @returns What was measured.
+ */
+export async function runPhase(
+  plan: LoadPlan,
+  options: PhaseOptions,
+): Promise<PhaseResult> {
+  const programs = Array.from(
+    { length: options.generators },
+    (_, index) => startGenerator(plan, { index, count: options.generators }),
+  );
+  await sleep(plan.warmMilliseconds);
+  const before = processorSeconds(options.nodeProcess);
+  const startedAt = performance.now();
+  await sleep(plan.measureMilliseconds);
+  const used = processorSeconds(options.nodeProcess) - before;
+  const seconds = (performance.now() - startedAt) / MILLISECONDS_PER_SECOND;
+  const results = await Promise.all(programs.map(async (program) => {
+    const result = loadResultSchema.parse(await program.nextLine());
+    await program.ended();
+    return result;
+  }));
+  const merged = results.reduce(merge, emptyResult());
+  return {
+    ...merged,
+    nodeCores: used / seconds,
+    seconds: plan.measureMilliseconds / MILLISECONDS_PER_SECOND,
+  };
+}
+
+function startGenerator(
+  plan: LoadPlan,
+  { index, count }: { readonly index: number; readonly count: number },
+): ChildProgram {
+  const folder = path.dirname(fileURLToPath(import.meta.url));
+  const own = { ...plan, pacing: shareOf(plan.pacing, count) };
+  return new ChildProgram(
+    `load-${index + 1}`,
+    path.join(folder, "load_program.js"),
+    [JSON.stringify({ ...own, seed: plan.seed + index })],
+  );
+}
+
+function shareOf(pacing: LoadPlan["pacing"], count: number) {
+  switch (pacing.kind) {
+    case "concurrent":
+      return { ...pacing, requests: Math.ceil(pacing.requests / count) };
+    case "paced":
+      return { ...pacing, perSecond: pacing.perSecond / count };
+  }
+}
+
+function merge(left: LoadResult, right: LoadResult): LoadResult {
+  return {
+    node: mergePaths(left.node, right.node),
+    engine: mergePaths(left.engine, right.engine),
+  };
+}
+
+function mergePaths(left: PathResult, right: PathResult): PathResult {
+  return {
+    whole: left.whole + right.whole,
+    failed: left.failed + right.failed,
+    firstTokenMilliseconds: [
+      ...left.firstTokenMilliseconds,
+      ...right.firstTokenMilliseconds,
+    ],
+    wholeMilliseconds: [...left.wholeMilliseconds, ...right.wholeMilliseconds],
+  };
+}
--- /dev/null
+++ b/packages/bench/src/overhead/overhead_report.ts
@@ -0,0 +1,115 @@
+import Table from "cli-table3";
+import type { PathResult } from "./load_plan.ts";
+import type { PhaseResult } from "./overhead_phase.ts";
+
+/** What the measurement came to. */
+export interface OverheadFigures {
+  readonly node: PhaseResult;
+  readonly direct: PhaseResult;
+  readonly half: PhaseResult;
+  readonly halfPerSecond: number;
+  readonly tokens: number;
+}
+
+const MEDIAN = 0.5;
+const TAIL = 0.95;
+
+/**
+ * Puts the figures into a table, with their ratios.
+ * @param figures The figures.
+ * @returns The text.
+ */
+export function formatOverhead(figures: OverheadFigures): string {
+  const { node, direct, half } = figures;
+  const nodeRate = node.node.whole / node.seconds;
+  const directRate = direct.engine.whole / direct.seconds;
+  return [
+    fullLoadTable(figures),
+    `Through the node to directly at full load: ${ratio(nodeRate, directRate)}`,
+    `A request of ${figures.tokens} tokens takes ` +
+    `${
+      (1_000 * node.nodeCores / nodeRate).toFixed(3)
+    } ms of the node's core: ` +
+    `${(nodeRate / node.nodeCores).toFixed(0)} requests/s a core`,
+    `Half load: ${figures.halfPerSecond.toFixed(0)} requests/s, ` +
+    `${half.nodeCores.toFixed(2)} cores of the node`,
+    halfLoadTable(half),
+    "",
+  ].join("\n");
+}
+
+function fullLoadTable({ node, direct }: OverheadFigures): string {
+  const table = plainTable(["full load", "whole/s", "failed", "node's cores"]);
+  table.push(
+    fullRow("through the node", { path: node.node, phase: node }),
+    fullRow("directly", { path: direct.engine, phase: direct }),
+  );
+  return table.toString();
+}
+
+function fullRow(
+  name: string,
+  { path, phase }: { readonly path: PathResult; readonly phase: PhaseResult },
+): string[] {
+  return [
+    name,
+    (path.whole / phase.seconds).toFixed(0),
+    String(path.failed),
+    phase.nodeCores.toFixed(2),
+  ];
+}
+
+function halfLoadTable(half: PhaseResult): string {
+  const table = plainTable([
+    "half load",
+    "requests",
+    "failed",
+    "first token p50 ms",
+    "p95 ms",
+    "whole p50 ms",
+    "p95 ms",
+  ]);
+  table.push(
+    halfRow("through the node", half.node),
+    halfRow("directly", half.engine),
+    differenceRow(half),
+  );
+  return table.toString();
+}
+
+function halfRow(name: string, path: PathResult): string[] {
+  return [
+    name,
+    String(path.whole),
+    String(path.failed),
+    ...timesOf(path).map((time) => time.toFixed(2)),
+  ];
+}
+
+function differenceRow({ node, engine }: PhaseResult): string[] {
+  const direct = timesOf(engine);
+  const added = timesOf(node).map((time, place) => time - (direct[place] ?? 0));
+  return ["added", "", "", ...added.map((time) => time.toFixed(2))];
+}
+
+function timesOf(path: PathResult): readonly number[] {
+  return [path.firstTokenMilliseconds, path.wholeMilliseconds].flatMap(
+    (times) => {
+      const sorted = [...times].sort((left, right) => left - right);
+      return [quantile(sorted, MEDIAN), quantile(sorted, TAIL)];
+    },
+  );
+}
+
+function quantile(sorted: readonly number[], share: number): number {
+  const place = Math.floor(share * sorted.length);
+  return sorted[Math.min(sorted.length - 1, place)] ?? Number.NaN;
+}
+
+function ratio(left: number, right: number): string {
+  return (left / right).toFixed(3);
+}
+
+function plainTable(head: string[]) {
+  return new Table({ head, style: { head: [], border: [] } });
+}
