--- a/packages/node/src/mod.ts
+++ b/packages/node/src/mod.ts
@@ -4,6 +4,10 @@
  */
 export { CALLER_CONTROLLERS } from "./callers/mod.ts";
 export { OPENAPI_DOCUMENT } from "./callers/openapi/openapi_document.ts";
+export {
+  CallerConnection,
+  type CallerLimits,
+} from "./callers/completions/caller_connection.ts";
 export * from "./daemon.ts";
 export * from "./daemon_parts.ts";
 export * from "./logging/part_logger.ts";
--- a/packages/node/tests/settings/load_settings_test.ts
+++ b/packages/node/tests/settings/load_settings_test.ts
@@ -1,8 +1,21 @@
+import {
+  formatSettingsProblem,
+  loadSettings,
+  parseSettings,
+  SETTINGS_SECTIONS,
+} from "@foxtailwind/node";
 import test from "ava";
-import { formatSettingsProblem, parseSettings } from "@foxtailwind/node";
+import { readFileSync } from "node:fs";
+
+const SAMPLE = "examples/node.ini";
+
+function problemsOf(text: string): readonly string[] {
+  const result = parseSettings(text, "node.ini");
+  return result.isErr() ? result.error.map(formatSettingsProblem) : [];
+}
 
 test("every problem of a settings file is told at once", (t) => {
-  const result = parseSettings(
+  t.snapshot(problemsOf(
     `[node]
 id = node one
 region = r1
@@ -19,7 +32,64 @@
 [logs]
 format = xml
 `,
-    "node.ini",
-  );
-  t.snapshot(result._unsafeUnwrapErr().map(formatSettingsProblem));
+  ));
+});
+
+test("unknown keys and sections are refused with the nearest known one", (t) => {
+  const sample = readFileSync(SAMPLE, "utf8");
+  t.snapshot(problemsOf(
+    `stray = 1
+${sample}
+[log]
+format = json
+
+[metric]
+statsd = 127.0.0.1:8125
+`.replace("failure_domain =", "failuredomain ="),
+  ));
+});
+
+test("what stands twice is refused", (t) => {
+  const sample = readFileSync(SAMPLE, "utf8");
+  t.snapshot(problemsOf(
+    `${sample}
+[node]
+id = node-2
+`,
+  ));
+});
+
+test("numbers and addresses out of their range are refused", (t) => {
+  const sample = readFileSync(SAMPLE, "utf8");
+  t.snapshot(problemsOf(
+    sample.replace(/^http = .*/m, "http = 127.0.0.1:99999")
+      .replace(/^;? ?body_bytes = .*/m, "body_bytes = 4MB")
+      .replace(/^;? ?unread_milliseconds = .*/m, "unread_milliseconds = 0")
+      .replace(/^;? ?lifetime_seconds = .*/m, "lifetime_seconds ="),
+  ));
+});
+
+test("settings have no word on targets, weights or placement", (t) => {
+  const text = `${readFileSync(SAMPLE, "utf8")}
+[classes]
+drafting = 1200
+`;
+  t.snapshot(problemsOf(text));
+});
+
+test("a file that is not there is one problem", (t) => {
+  const result = loadSettings("no/such/file.ini");
+  t.is(result._unsafeUnwrapErr().length, 1);
+});
+
+test("the sample file is valid and names every key", (t) => {
+  t.deepEqual(problemsOf(readFileSync(SAMPLE, "utf8")), []);
+  const text = readFileSync(SAMPLE, "utf8").replace(/^; (?=\w+ =)/gm, "");
+  t.deepEqual(problemsOf(text), []);
+  for (const [section, schema] of Object.entries(SETTINGS_SECTIONS)) {
+    t.true(text.includes(`[${section}]`), section);
+    for (const key of Object.keys(schema.shape)) {
+      t.regex(text, new RegExp(`^${key} = `, "m"), key);
+    }
+  }
 });
