--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -31,6 +31,11 @@
 import { Drain, NothingToHandOver, WorkInProgress } from "./drain/mod.ts";
 import { createHttpApplication } from "./http_application.ts";
 import type { LoggerFactory } from "./logging/part_logger.ts";
+import {
+  type MetricsSink,
+  SilentMetrics,
+  StatsdMetrics,
+} from "./metrics/mod.ts";
 import type { DrainHook } from "./operators/drain_hook.ts";
 import { generationService } from "./peers/generation_service.ts";
 import { PeerChannels } from "./peers/peer_channels.ts";
@@ -54,8 +59,8 @@
   readonly grpc: string;
 }
 
-/** How long closing may take once an operator's bound has passed. */
-const OVERDUE_CLOSE = 500;
+/** How long streams between nodes that carry no requests may take to end. */
+const CONTROL_CLOSE = 1_000;
 
 /** One node: all its parts, started and stopped together. */
 export class Daemon extends DaemonParts {
@@ -77,6 +82,8 @@
   override readonly drainHook: DrainHook | undefined = undefined;
   override readonly router: GenerationRouter;
   override readonly delivery: DeliveryParts;
+  override readonly metrics: MetricsSink;
+  readonly #loggers: LoggerFactory;
   readonly #channels = new PeerChannels();
   readonly #spread: SpreadService;
   readonly #snapshots: SnapshotWriter;
@@ -89,6 +96,8 @@
   constructor(settings: Settings, loggers: LoggerFactory) {
     super();
     this.settings = settings;
+    this.#loggers = loggers;
+    this.metrics = makeMetrics(settings, loggers);
     const dispatcher = this.#dispatcher;
     const { clock } = this;
     this.log = new HttpLogClient({
@@ -184,7 +193,10 @@
   async start(): Promise<DaemonAddresses> {
     const { http, grpc } = this.settings.listen;
     const grpcPort = await this.#peerServer.listen(grpc);
-    this.#application = await createHttpApplication(this);
+    this.#application = await createHttpApplication(
+      this,
+      this.#loggers.forPart("callers"),
+    );
     await this.#application.listen(http.port, http.host);
     await this.directory.start();
     void this.follower.run();
@@ -211,8 +223,12 @@
   }
 
   async #close(isOverdue: boolean): Promise<void> {
-    const closing = this.#closeServers();
-    await (isOverdue ? Promise.race([closing, sleep(OVERDUE_CLOSE)]) : closing);
+    if (isOverdue) this.#cutConnections();
+    await this.#application?.close();
+    this.#spread.close();
+    this.#peers.close();
+    await Promise.race([this.#peerServer.close(), sleep(CONTROL_CLOSE)]);
+    this.#peerServer.cutConnections();
     this.follower.stop();
     this.telemetry.stop();
     this.#snapshots.stop();
@@ -221,16 +237,16 @@
     this.delivery.stop();
     this.#channels.close();
     await this.#dispatcher.destroy();
+    await this.metrics.close();
   }
 
   override readonly peerStatuses = (nodes: readonly Vm[]) =>
     readClusterStatus(nodes, this.#channels);
 
-  async #closeServers(): Promise<void> {
-    await this.#application?.close();
-    this.#spread.close();
-    this.#peers.close();
-    await this.#peerServer.close();
+  /** Ends what is in progress, once an operator's bound has passed. */
+  #cutConnections(): void {
+    this.#application?.getHttpServer().closeAllConnections();
+    this.#peerServer.cutConnections();
   }
 
   #makeDrain(loggers: LoggerFactory): Drain {
@@ -270,3 +286,13 @@
     });
   }
 }
+
+function makeMetrics(settings: Settings, loggers: LoggerFactory): MetricsSink {
+  const { metrics, node } = settings;
+  if (metrics.statsd === undefined) return new SilentMetrics();
+  return new StatsdMetrics({
+    address: metrics.statsd,
+    tags: { node: node.id, failure_domain: node.failure_domain },
+    logger: loggers.forPart("metrics"),
+  });
+}
--- a/packages/node/src/peers/peer_server.ts
+++ b/packages/node/src/peers/peer_server.ts
@@ -44,6 +44,11 @@
     });
   }
 
+  /** Stops at once and ends the calls in progress. */
+  cutConnections(): void {
+    this.#server.forceShutdown();
+  }
+
   /** Stops listening once the calls in progress have ended. */
   close(): Promise<void> {
     for (const registration of this.#registrations) registration.drain?.();
