--- a/packages/bench/src/mod.ts
+++ b/packages/bench/src/mod.ts
@@ -3,5 +3,6 @@
  * @module
  */
 export * from "./in_process/in_process_cluster.ts";
+export * from "./soak/adapter_soak.ts";
 export * from "./soak/outcome_mutants.ts";
 export * from "./soak/outcome_soak.ts";
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -11,6 +11,7 @@
   HttpLogClient,
   HttpServiceClient,
   HttpVmListClient,
+  HttpWeightStoreClient,
   type Vm,
 } from "@foxtailwind/edges";
 import type { NestFastifyApplication } from "@nestjs/platform-fastify";
@@ -48,7 +49,9 @@
   OwnView,
   ServiceDispatcher,
 } from "./routing/mod.ts";
-import { GenerationRouter } from "./serving/generation_router.ts";
+import type { GenerationRouter } from "./serving/generation_router.ts";
+import { ConstantOrderRight } from "./serving/order_right.ts";
+import { ServingParts } from "./serving/serving_parts.ts";
 import type { Settings } from "./settings/settings.ts";
 import { NoEngineActivity } from "./telemetry/engine_activity.ts";
 import { NodeTelemetry } from "./telemetry/node_telemetry.ts";
@@ -85,6 +88,7 @@
   override readonly metrics: MetricsSink;
   readonly #loggers: LoggerFactory;
   readonly #channels = new PeerChannels();
+  readonly #serving: ServingParts;
   readonly #spread: SpreadService;
   readonly #snapshots: SnapshotWriter;
   readonly #peers = new PeerClients(this.#channels);
@@ -138,15 +142,24 @@
       this.follower.store,
       () => this.follower.status(),
     );
-    this.router = new GenerationRouter({
+    this.#serving = new ServingParts({
       self: settings.node.id,
       directory: this.directory,
       peers: this.#peers,
+      channels: this.#channels,
       clock: this.clock,
       logger: loggers.forPart("serving"),
-      fencing: () => fencingNumber(0),
+      observer: this.observer,
+      right: new ConstantOrderRight(fencingNumber(0)),
+      store: settings.platform.weight_store_id,
+      storeClient: new HttpWeightStoreClient({
+        baseAddress: settings.platform.weight_store,
+        dispatcher,
+        peer: settings.platform.weight_store_id,
+      }),
       engineClient: (vm) => this.#engineClient(engineId(vm.id), vm.address),
     });
+    this.router = this.#serving.router;
     this.delivery = new DeliveryParts({
       self: settings.node.id,
       failureDomain: settings.node.failure_domain,
@@ -168,6 +181,7 @@
       this.delivery.registration,
       this.telemetry.registration,
       this.#spread.registration,
+      ...this.#serving.registrations,
     ]);
     this.drain = this.#makeDrain(loggers);
     this.serviceDispatcher = new ServiceDispatcher({
@@ -199,6 +213,7 @@
     );
     await this.#application.listen(http.port, http.host);
     await this.directory.start();
+    this.#serving.start();
     void this.follower.run();
     this.telemetry.start();
     this.#snapshots.start();
@@ -226,6 +241,7 @@
     if (isOverdue) this.#cutConnections();
     await this.#application?.close();
     this.#spread.close();
+    this.#serving.closeStreams();
     this.#peers.close();
     await Promise.race([this.#peerServer.close(), sleep(CONTROL_CLOSE)]);
     this.#peerServer.cutConnections();
@@ -233,7 +249,7 @@
     this.telemetry.stop();
     this.#snapshots.stop();
     this.directory.stop();
-    this.router.stop();
+    this.#serving.stop();
     this.delivery.stop();
     this.#channels.close();
     await this.#dispatcher.destroy();
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -22,3 +22,19 @@
   type StatusAnswer,
   type StatusRequest,
 } from "./generated/configuration.ts";
+export {
+  type AdapterChange,
+  type ClassLoad,
+  EngineSummariesClient,
+  EngineSummariesService,
+  type EngineSummary,
+  type LoadedAdapter,
+  LoadPermitsClient,
+  LoadPermitsService,
+  type PermitAnswer,
+  type PermitMessage,
+  Standing,
+  type WatchRequest,
+  type Wish,
+  type WishList,
+} from "./generated/loads.ts";
