Show the engines that a node controls; count queue waits by class

The status page knew of no engines, and a controller counted the waits of requests that arrived elsewhere under other. The controllers now tell their engines' activity, and a queued request says its class and tenant. Batch fill comes from the engines' reports.

--- a/packages/cli/src/output/explanation_text.ts
+++ b/packages/cli/src/output/explanation_text.ts
@@ -18,10 +18,9 @@
 }
 
 function formatNode({ node, explanation }: FoundExplanation): string {
-  const state = explanation.open ? "still open" : "ended";
   const lines = [
-    `At ${node}, first seen ${formatTime(explanation.ageMilliseconds)} ago, ` +
-    `${state}:`,
+    `At ${node}, first seen ${formatTime(explanation.ageMilliseconds)} ago` +
+    `${formatState(explanation)}:`,
     ...explanation.steps.map((step) =>
       formatLine(step.afterMilliseconds, step.sentence)
     ),
@@ -33,6 +32,13 @@
   return lines.join("\n");
 }
 
+/** Only the node that the caller faces learns of the end. */
+function formatState(explanation: FoundExplanation["explanation"]): string {
+  const faces = explanation.steps.some((step) => step.kind === "arrived");
+  if (!faces) return "";
+  return explanation.open ? ", still open" : ", ended";
+}
+
 function formatFrames(
   explanation: FoundExplanation["explanation"],
 ): readonly string[] {
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -53,7 +53,7 @@
 import { ConstantOrderRight } from "./serving/order_right.ts";
 import { ServingParts } from "./serving/serving_parts.ts";
 import type { Settings } from "./settings/settings.ts";
-import { NoEngineActivity } from "./telemetry/engine_activity.ts";
+import { ControlledEngines } from "./telemetry/controlled_engines.ts";
 import { NodeTelemetry } from "./telemetry/node_telemetry.ts";
 
 /** Where a daemon listens. */
@@ -173,7 +173,7 @@
     });
     this.telemetry = new NodeTelemetry(this, {
       requests: this.observer,
-      activity: new NoEngineActivity(),
+      activity: new ControlledEngines(() => this.router.controllers),
       channels: this.#channels,
     });
     this.#peerServer = new PeerServer([
--- a/packages/node/src/serving/engine_runner.ts
+++ b/packages/node/src/serving/engine_runner.ts
@@ -161,6 +161,8 @@
   }
 
   override onReport(report: EngineLoadReport): void {
+    const { engine, observer } = this.#parts;
+    observer.recordBatch(this.#now(), { engine, fill: report.batchFill });
     this.#controller.reported(this.#now(), {
       running: report.running,
       waiting: report.waiting,
@@ -240,6 +242,8 @@
       request: generation.request,
       engine: this.#parts.engine,
       ahead: this.#controller.waiting,
+      class: generation.class,
+      tenant: generation.tenant,
     });
     this.#controller.submit(now, describeGeneration(now, generation));
   }
--- a/packages/node/src/telemetry/engine_activity.ts
+++ b/packages/node/src/telemetry/engine_activity.ts
@@ -17,10 +17,3 @@
   /** @returns The engines' activity now. */
   abstract engines(): readonly EngineActivity[];
 }
-
-/** Knows of no engines. */
-export class NoEngineActivity extends EngineActivitySource {
-  override engines(): readonly EngineActivity[] {
-    return [];
-  }
-}
