--- a/packages/node/tests/telemetry/collected_telemetry_test.ts
+++ b/packages/node/tests/telemetry/collected_telemetry_test.ts
@@ -172,3 +172,82 @@
   );
   t.true(body.classes.some((row) => row.class === "drafting"));
 });
+
+test("a served request is counted, explained and shown with its engine", async (t) => {
+  const cluster = await startTestCluster({
+    nodes: 2,
+    engines: 1,
+    settings: { addresses: { lifetime_seconds: "1" } },
+  });
+  t.teardown(() => cluster.close());
+  await cluster.publish([
+    {
+      kind: "set_class",
+      class: "drafting",
+      target: { firstTokenMilliseconds: 10_000 },
+    },
+    {
+      kind: "set_adapter",
+      adapter: "stain-notes",
+      model: "base",
+      versions: ["v1"],
+      current: "v1",
+    },
+  ]);
+  for (const { daemon } of cluster.nodes) daemon.telemetry.configure();
+  const ids = await Promise.all(cluster.nodes.map(complete));
+  const { rows } = await readHistograms(cluster);
+  const sum = rows.find((row) =>
+    row.class === "drafting" && row.tenant === "(all)"
+  );
+  t.is(sum?.ended.answered, 2);
+  for (const measure of ["first_token", "whole_answer", "queue_wait"]) {
+    t.is(sum?.measures[measure]?.count, 2, measure);
+  }
+  const kinds = await Promise.all(ids.map((id) => explainedKinds(cluster, id)));
+  for (const found of kinds) {
+    t.true(
+      ["arrived", "routed", "queued", "dispatched", "ended"]
+        .every((kind) => found.includes(kind)),
+      found.join(" "),
+    );
+  }
+  const answer = await fetch(`${cluster.url()}/v1/operators/status`);
+  t.regex(await answer.text(), /stain-notes@v1/);
+});
+
+async function complete(node: TestNode): Promise<string> {
+  const answer = await fetch(`${node.url}/v1/chat/completions`, {
+    method: "POST",
+    headers: {
+      "content-type": "application/json",
+      "x-foxtailwind-class": "drafting",
+    },
+    body: JSON.stringify({
+      model: "stain-notes",
+      messages: [{ role: "user", content: "Hello." }],
+      max_tokens: 3,
+    }),
+  });
+  await answer.text();
+  return answer.headers.get("x-request-id") ?? "";
+}
+
+async function explainedKinds(
+  cluster: TestCluster,
+  request: string,
+): Promise<readonly string[]> {
+  const answer = await fetch(
+    `${cluster.url()}/v1/operators/explanations/${request}`,
+  );
+  const body = await answer.json() as {
+    readonly found: readonly {
+      readonly explanation: {
+        readonly steps: readonly { readonly kind: string }[];
+      };
+    }[];
+  };
+  return body.found.flatMap(({ explanation }) =>
+    explanation.steps.map((step) => step.kind)
+  );
+}
