--- a/packages/bench/src/soak/ownership_run.ts
+++ b/packages/bench/src/soak/ownership_run.ts
@@ -35,6 +35,11 @@
   rebalanceAfter: seconds(3),
 };
 
+interface Link {
+  readonly from: string;
+  readonly to: string;
+}
+
 /** One run of a scenario. */
 export class OwnershipRun {
   readonly #scenario: Scenario;
@@ -44,6 +49,7 @@
   readonly #engines: readonly VirtualEngine[];
   readonly #nodes: VirtualNode[] = [];
   readonly #logCuts: ReadonlySet<string>[] = [];
+  readonly #lostLinks: Link[] = [];
   readonly #partitions: ReadonlySet<string>[] = [];
   #orders = 0;
 
@@ -134,9 +140,7 @@
       one.self.node === outgoing.to.node
     );
     if (target === undefined) return;
-    const isCut = this.#partitions.some((group) =>
-      group.has(from.node) !== group.has(target.self.node)
-    );
+    const isCut = this.#isCut(from.node, target.self.node);
     const { loseMessages, repeatMessages, longestDelay } = this.#rates;
     if (isCut || this.#random.happens(loseMessages)) return;
     const copies = this.#random.happens(repeatMessages) ? 2 : 1;
@@ -147,6 +151,13 @@
     }
   }
 
+  #isCut(from: string, to: string): boolean {
+    if (this.#lostLinks.some((one) => one.from === from && one.to === to)) {
+      return true;
+    }
+    return this.#partitions.some((group) => group.has(from) !== group.has(to));
+  }
+
   #order(
     node: VirtualNode,
     right: Parameters<VirtualSurroundings["order"]>[1],
@@ -178,6 +189,9 @@
           this.#log.endOutage();
         });
         break;
+      case "one_way":
+        this.#planLink(fault);
+        break;
       case "log_cut":
         this.#planGroup(fault, this.#logCuts);
         break;
@@ -205,6 +219,19 @@
     });
   }
 
+  #planLink(fault: Extract<Fault, { readonly kind: "one_way" }>): void {
+    const link = {
+      from: `node-${String(fault.from)}`,
+      to: `node-${String(fault.to)}`,
+    };
+    this.#timeline.after(fault.at, () => {
+      this.#lostLinks.push(link);
+    });
+    this.#timeline.after(fault.at + fault.lasts, () => {
+      this.#lostLinks.splice(this.#lostLinks.indexOf(link), 1);
+    });
+  }
+
   #planNode(fault: Extract<Fault, { readonly node: number }>): void {
     const node = this.#nodes[fault.node % this.#nodes.length];
     if (node === undefined) return;
--- a/packages/bench/src/soak/scenario.ts
+++ b/packages/bench/src/soak/scenario.ts
@@ -8,6 +8,14 @@
     readonly at: number;
     readonly lasts: number;
   }
+  | {
+    /** Messages from one node to another one are lost. */
+    readonly kind: "one_way";
+    readonly from: number;
+    readonly to: number;
+    readonly at: number;
+    readonly lasts: number;
+  }
   | { readonly kind: "log_outage"; readonly at: number; readonly lasts: number }
   | {
     /** Nodes that do not reach the log. */
@@ -58,6 +66,13 @@
     lasts,
   }),
   fc.record({ kind: fc.constant("log_outage" as const), at, lasts }),
+  fc.record({
+    kind: fc.constant("one_way" as const),
+    from: node,
+    to: node,
+    at,
+    lasts,
+  }),
   fc.record({
     kind: fc.constantFrom("log_cut" as const, "partition" as const),
     nodes: group,
@@ -113,7 +128,7 @@
 }));
 
 /**
- * A successor that hears nothing for a while claims, and may restart and join
+ * A successor that does not hear its controller for a while claims, and may restart and join
  * again, before its claim reaches the log; then all nodes but one lose the
  * log.
  */
@@ -128,15 +143,24 @@
   loseLogAnswers: fc.constant(0),
   lateAppends: fc.constant(0.7),
   start: fc.integer({ min: 6_000, max: 8_000 }),
+  controller: fc.integer({ min: 0, max: 4 }),
   victim: fc.integer({ min: 0, max: 4 }),
   outside: fc.integer({ min: 0, max: 4 }),
-  silence: fc.integer({ min: 1_000, max: 1_300 }),
+  silence: fc.integer({ min: 1_100, max: 1_800 }),
   restarts: fc.boolean(),
   cutAfter: fc.integer({ min: 100, max: 2_000 }),
-}).map(({ start, victim, outside, silence, restarts, cutAfter, ...rest }) => {
+}).map((drawn) => {
+  const { start, silence, restarts, cutAfter, ...others } = drawn;
+  const { controller, victim, outside, ...rest } = others;
   const end = start + silence;
   const faults: Fault[] = [
-    { kind: "partition", nodes: [victim], at: start, lasts: silence + 5 },
+    {
+      kind: "one_way",
+      from: controller,
+      to: victim,
+      at: start,
+      lasts: silence + 5,
+    },
     {
       kind: "log_cut",
       nodes: [0, 1, 2, 3, 4].filter((one) => one !== outside),
@@ -152,7 +176,7 @@
 export const scenarios: fc.Arbitrary<Scenario> = fc.oneof(
   { weight: 3, arbitrary: mixed },
   { weight: 1, arbitrary: isolatedGroup },
-  { weight: 1, arbitrary: lateClaim },
+  { weight: 2, arbitrary: lateClaim },
 );
 
 /**
--- a/packages/core/src/membership/failure_detector.ts
+++ b/packages/core/src/membership/failure_detector.ts
@@ -71,7 +71,10 @@
     for (const peer of peers) this.#watch(now, peer);
     for (const [node, rumour] of this.#rumours) {
       const age = elapsed(rumour.since, now);
-      if (age > this.#timing.digestLifetime) this.#rumours.delete(node);
+      const lifetime = rumour.state === "leaving"
+        ? this.#timing.leavingLifetime
+        : this.#timing.digestLifetime;
+      if (age > lifetime) this.#rumours.delete(node);
     }
   }
 
@@ -107,8 +110,11 @@
       age: elapsed(rumour.since, now),
       ...(rumour.member === undefined ? {} : { member: rumour.member }),
     }));
-    entries.sort((left, right) => left.age - right.age);
-    return entries.slice(0, MAXIMUM_DIGEST_ENTRIES);
+    const fresh = entries.filter(({ age }) =>
+      age <= this.#timing.digestLifetime
+    );
+    fresh.sort((left, right) => left.age - right.age);
+    return fresh.slice(0, MAXIMUM_DIGEST_ENTRIES);
   }
 
   #watch(now: Instant, peer: Member): void {
--- a/packages/core/src/membership/membership_agent.ts
+++ b/packages/core/src/membership/membership_agent.ts
@@ -91,6 +91,7 @@
   /** Says from now on that this node leaves. */
   leave(): void {
     this.#leaving = true;
+    this.#lastHeartbeat = undefined;
   }
 
   /**
@@ -161,7 +162,8 @@
       view: this.#register.view.offset,
       digest: this.#detector.digest(now),
     };
-    const greeted = this.isMember ? [] : this.#contacts.slice(0, CONTACTS);
+    const isSettled = this.isMember && !this.#leaving;
+    const greeted = isSettled ? [] : this.#contacts.slice(0, CONTACTS);
     const targets = new Map<NodeId, Contact>();
     for (const { node, address } of [...greeted, ...peers]) {
       targets.set(node, { node, address });
--- a/packages/core/src/membership/timing.ts
+++ b/packages/core/src/membership/timing.ts
@@ -7,6 +7,8 @@
   readonly suspectAfter: Duration;
   /** How long a rumour is passed on and believed. */
   readonly digestLifetime: Duration;
+  /** How long a run that has said that it leaves is taken as leaving. */
+  readonly leavingLifetime: Duration;
   /** The wait of each further candidate before it proposes a view. */
   readonly proposalStagger: Duration;
   /**
@@ -23,6 +25,7 @@
   heartbeatInterval: milliseconds(300),
   suspectAfter: milliseconds(1_200),
   digestLifetime: milliseconds(3_000),
+  leavingLifetime: milliseconds(60_000),
   proposalStagger: milliseconds(300),
   isolationWait: milliseconds(3_000),
   proposalTimeout: milliseconds(1_000),
