A run that leaves stays leaving; three nodes that all stop wait no more

Cause: rumours that a leaving run wants to join brought it back, so engines went to and fro between leaving nodes until the 10 s limit.

--- a/packages/core/src/membership/failure_detector.ts
+++ b/packages/core/src/membership/failure_detector.ts
@@ -148,6 +148,9 @@
 
   #note(run: NodeRun, rumour: Omit<Rumour, "incarnation">): void {
     const known = this.#rumours.get(run.node);
+    const hasLeft = known?.incarnation === run.incarnation &&
+      known.state === "leaving" && rumour.state !== "leaving";
+    if (hasLeft) return;
     const isNews = known?.incarnation !== run.incarnation ||
       known.state !== rumour.state || known.since < rumour.since;
     if (!isNews) return;
