--- a/packages/core/src/dispatch/displacement.ts
+++ b/packages/core/src/dispatch/displacement.ts
@@ -31,15 +31,20 @@
   let best: WaitingRequest | undefined;
   for (const candidate of running) {
     if (!givesWay(candidate, urgent)) continue;
-    if (slackShare(now, candidate) < slackShare(now, urgent)) continue;
+    if (!hasTimeLeft(now, candidate, urgent)) continue;
     if (best === undefined || losesLess(candidate, best)) best = candidate;
   }
   return best;
 }
 
-function slackShare(now: Instant, request: WaitingRequest): number {
-  if (request.firstTokenAt !== undefined) return Infinity;
-  return (request.deadline - now) / request.target;
+/** Work that is near its own deadline is not put aside any more. */
+function hasTimeLeft(
+  now: Instant,
+  candidate: WaitingRequest,
+  urgent: WaitingRequest,
+): boolean {
+  if (candidate.firstTokenAt !== undefined) return true;
+  return candidate.deadline - now >= TARGET_RATIO * urgent.target;
 }
 
 function losesLess(candidate: WaitingRequest, best: WaitingRequest): boolean {
--- a/packages/core/src/dispatch/tenant_line.ts
+++ b/packages/core/src/dispatch/tenant_line.ts
@@ -5,6 +5,7 @@
 interface Entry {
   readonly request: WaitingRequest;
   readonly deadline: Instant;
+  readonly order: number;
 }
 
 /**
@@ -16,6 +17,7 @@
   /** Where the tenant stands in the class's fair order. */
   tag = 0;
   readonly #onTime = new TinyQueue<Entry>([], byDeadline);
+  #added = 0;
   readonly #late = new TinyQueue<Entry>([], byDeadline);
 
   /** @param tenant The tenant. */
@@ -28,7 +30,9 @@
    * @param request The request.
    */
   add(request: WaitingRequest): void {
-    this.#onTime.push({ request, deadline: request.deadline });
+    const { deadline } = request;
+    this.#onTime.push({ request, deadline, order: this.#added });
+    this.#added += 1;
   }
 
   /**
@@ -73,5 +77,5 @@
 }
 
 function byDeadline(left: Entry, right: Entry): number {
-  return left.deadline - right.deadline;
+  return left.deadline - right.deadline || left.order - right.order;
 }
--- a/packages/core/src/serving/adapter_serving_policy.ts
+++ b/packages/core/src/serving/adapter_serving_policy.ts
@@ -8,6 +8,7 @@
 } from "../placement/mod.ts";
 import {
   adapterKey,
+  CLOCK_START,
   type EngineId,
   type Instant,
   later,
@@ -28,6 +29,8 @@
 } from "./engine_event.ts";
 import { PrefetchScout } from "./prefetch_scout.ts";
 
+/** How often all wishes are worked out anew, and prefetches looked for. */
+const LOOK_INTERVAL = milliseconds(100);
 /** How soon to look again while requests wait. */
 const LOOK_AGAIN = milliseconds(50);
 
@@ -48,6 +51,7 @@
   /** Requests that no engine could take yet. */
   readonly #unplaced = new Map<RequestId, QueuedRequest>();
   #orders: DeploymentOrder[] = [];
+  #lookAt: Instant = CLOCK_START;
 
   /** @param limits What the weight store allows. */
   constructor(limits: LoadLimits) {
@@ -211,7 +215,7 @@
   ): void {
     const controller = this.#engines.get(event.engine);
     if (controller === undefined) return;
-    this.#changed.add(event.engine);
+    if (bearsOnDecisions(event)) this.#changed.add(event.engine);
     switch (event.kind) {
       case "load_ended": {
         const key = adapterKey(event.adapter);
@@ -254,11 +258,8 @@
 
   #grantLoads(now: Instant): void {
     if (!this.#ledger.hasRoom(now)) return;
-    this.#scout.look(now, this.#engines);
-    for (const [engine, controller] of this.#engines) {
-      const prefetch = this.#scout.candidates(now, engine);
-      this.#ledger.offer(now, engine, controller.wishes(now, prefetch));
-    }
+    if (now >= this.#lookAt) this.#offerAll(now);
+    else this.#offerChanged(now);
     for (;;) {
       const permit = this.#ledger.grant(now);
       if (permit === undefined) return;
@@ -269,6 +270,26 @@
     }
   }
 
+  #offerAll(now: Instant): void {
+    this.#lookAt = later(now, LOOK_INTERVAL);
+    this.#scout.look(now, this.#engines);
+    for (const [engine, controller] of this.#engines) {
+      const prefetch = this.#scout.candidates(now, engine);
+      this.#ledger.offer(now, engine, controller.wishes(now, prefetch));
+    }
+  }
+
+  /** Between two rounds only what waits at engines that changed counts. */
+  #offerChanged(now: Instant): void {
+    for (const engine of this.#changed) {
+      const controller = this.#engines.get(engine);
+      if (controller === undefined || controller.awaitedAdapters === 0) {
+        continue;
+      }
+      this.#ledger.offer(now, engine, controller.wishes(now, []));
+    }
+  }
+
   #findHopeless(now: Instant): void {
     for (const [engine, controller] of this.#engines) {
       const next = controller.nextGiveUp;
@@ -306,3 +327,9 @@
     }
   }
 }
+
+/** A first token or a cached prefix frees nothing and asks for nothing. */
+function bearsOnDecisions(event: DeploymentEvent): boolean {
+  return event.kind !== "first_token" && event.kind !== "prefix_event" &&
+    event.kind !== "engine_reported";
+}
--- a/packages/core/src/serving/load_planner.ts
+++ b/packages/core/src/serving/load_planner.ts
@@ -79,23 +79,11 @@
     now: Instant,
     prefetch: readonly PrefetchCandidate[],
   ): readonly LoadWish[] {
+    const wanted = this.#wanted(now, prefetch);
+    if (wanted.length === 0 || this.#freeSlots() > 0) return wanted;
     const victim = this.#victim(now);
-    const isFree = this.#freeSlots() > 0;
-    if (!isFree && victim === undefined) return [];
-    const loss = isFree ? 0 : (victim?.loss ?? 0);
-    const wishes: LoadWish[] = [];
-    for (const line of this.#parts.book.blocked.lines) {
-      const wish = this.#lineWish(now, line);
-      if (wish === undefined || wish.urgency < loss) continue;
-      keepMostUrgent(wishes, wish);
-    }
-    for (const candidate of prefetch) {
-      const wish = this.#prefetchWish(now, candidate);
-      if (wish === undefined) continue;
-      if (wish.urgency < PREFETCH_MARGIN * loss) continue;
-      keepMostUrgent(wishes, wish);
-    }
-    return wishes;
+    if (victim === undefined) return [];
+    return wanted.filter((wish) => wish.urgency >= leastUrgency(wish, victim));
   }
 
   /**
@@ -168,6 +156,22 @@
     return orders;
   }
 
+  #wanted(
+    now: Instant,
+    prefetch: readonly PrefetchCandidate[],
+  ): readonly LoadWish[] {
+    const wanted: LoadWish[] = [];
+    for (const line of this.#parts.book.blocked.lines) {
+      const wish = this.#lineWish(now, line);
+      if (wish !== undefined) keepMostUrgent(wanted, wish);
+    }
+    for (const candidate of prefetch) {
+      const wish = this.#prefetchWish(now, candidate);
+      if (wish !== undefined) keepMostUrgent(wanted, wish);
+    }
+    return wanted;
+  }
+
   #startLoad(now: Instant, load: LoadStart): void {
     const { adapter, evicted } = load;
     this.#parts.residency.startLoad(now, adapter);
@@ -222,6 +226,12 @@
   }
 }
 
+function leastUrgency(wish: LoadWish, victim: EvictionCandidate): number {
+  return wish.purpose === "prefetch"
+    ? PREFETCH_MARGIN * victim.loss
+    : victim.loss;
+}
+
 function keepMostUrgent(wishes: LoadWish[], wish: LoadWish): void {
   const last = wishes[MOST_WISHES - 1];
   if (last !== undefined && last.urgency >= wish.urgency) return;
