--- a/packages/node/src/serving/engine_orders.ts
+++ b/packages/node/src/serving/engine_orders.ts
@@ -3,7 +3,6 @@
   type AdapterReference,
   type EngineId,
   type Failure,
-  milliseconds,
 } from "@foxtailwind/core";
 import type { EngineClient } from "@foxtailwind/edges";
 import { err, ok, type Result } from "neverthrow";
@@ -21,6 +20,8 @@
   readonly client: EngineClient;
   readonly clock: SteadyClock;
   readonly right: OrderRight;
+  /** Until when after its start the engine may act on an order. */
+  readonly expiresInMilliseconds?: number;
 }
 
 /**
@@ -65,6 +66,8 @@
     wantsResident: boolean,
   ): Promise<Result<void, Failure>> {
     const { client, clock, right, engine } = this.#parts;
+    const expiry = this.#parts.expiresInMilliseconds ??
+      ORDER_EXPIRY_MILLISECONDS;
     const given = clock.now();
     const fencing = right.current(engine, given);
     if (fencing.isErr()) return err(fencing.error);
@@ -72,11 +75,11 @@
       kind,
       adapter,
       fencing: fencing.value,
-      expiresInMilliseconds: ORDER_EXPIRY_MILLISECONDS,
+      expiresInMilliseconds: expiry,
     });
     if (result.isOk() || result.error.outcome === "not_run") return result;
     const passed = clock.now() - given;
-    await sleep(Math.max(0, milliseconds(ORDER_EXPIRY_MILLISECONDS - passed)));
+    await sleep(Math.max(0, expiry - passed));
     const resident = await this.#isResident(adapter);
     return resident === wantsResident ? ok() : err(result.error);
   }
--- a/packages/node/src/serving/generation_router.ts
+++ b/packages/node/src/serving/generation_router.ts
@@ -5,6 +5,8 @@
   type EngineId,
   engineId,
   type Failure,
+  later,
+  milliseconds,
   type NodeId,
   nodeId,
   type RequestObserver,
@@ -29,6 +31,7 @@
 import type { GenerationRequest } from "./generation_request.ts";
 import type { OrderRight } from "./order_right.ts";
 import type { LoadPermits } from "./permits/load_permits.ts";
+import { UnplacedRequests } from "./unplaced_requests.ts";
 import { SummaryWatcher } from "./summaries/summary_watcher.ts";
 
 /** What the router works with. */
@@ -53,6 +56,7 @@
   readonly #views: EngineViews;
   readonly #runners: EngineRunners;
   readonly #watcher: SummaryWatcher;
+  readonly #unplaced: UnplacedRequests;
 
   /** @param parts What the router works with. */
   constructor(parts: GenerationRouterParts) {
@@ -70,6 +74,18 @@
         this.#watcher.forget(engine);
       },
     });
+    this.#unplaced = new UnplacedRequests(parts.clock, {
+      place: (generation, sink) => this.#place(generation, sink),
+      expired: (generation, sink) => {
+        sink.onEnd(err(this.#noEngine(generation)));
+      },
+      cancelled: (sink) => {
+        sink.onEnd(err({
+          ...this.#unavailable("The caller left."),
+          reason: "cancelled",
+        }));
+      },
+    });
     parts.assignment.onChange(() => {
       this.#followAssignment();
     });
@@ -86,7 +102,8 @@
   }
 
   /**
-   * Routes a request of a caller.
+   * Routes a request of a caller. Where no engine can take it just now, as
+   * while a controller changes, it waits a short time within its target.
    * @param generation The request.
    * @param sink Receives the answer.
    * @returns The handle of the generation.
@@ -95,25 +112,21 @@
     generation: GenerationRequest,
     sink: GenerationSink,
   ): GenerationHandle {
-    const { aggregates, clock } = this.#parts;
-    const now = clock.now();
-    const choice = aggregates.router.route(
-      now,
-      describeGeneration(now, generation),
-      this.#views.running(generation.model),
-    );
-    switch (choice.kind) {
-      case "engine":
-        return this.#bring(generation, sink, choice);
-      case "refuse":
-        sink.onEnd(err(this.#overloaded(choice.retryAfter)));
-        return FINISHED;
-      case "no_engine":
-        sink.onEnd(
-          err(this.#unavailable(`No engine runs ${generation.model}.`)),
-        );
-        return FINISHED;
+    const placed = this.#place(generation, sink);
+    if (placed !== undefined) return placed;
+    const { clock, directory } = this.#parts;
+    const isServed = directory.live("engine")
+      .some((vm) => vm.role.model === generation.model);
+    if (!isServed) {
+      sink.onEnd(err(this.#noEngine(generation)));
+      return FINISHED;
     }
+    const wait = Math.min(generation.firstTokenTarget, LONGEST_UNPLACED);
+    return this.#unplaced.add(
+      generation,
+      sink,
+      later(clock.now(), milliseconds(wait)),
+    );
   }
 
   /**
@@ -157,10 +170,33 @@
 
   /** Stops deciding for all engines. */
   stop(): void {
+    this.#unplaced.stop();
     this.#watcher.stop();
     this.#runners.stopAll();
   }
 
+  #place(
+    generation: GenerationRequest,
+    sink: GenerationSink,
+  ): GenerationHandle | undefined {
+    const { aggregates, clock } = this.#parts;
+    const now = clock.now();
+    const choice = aggregates.router.route(
+      now,
+      describeGeneration(now, generation),
+      this.#views.running(generation.model),
+    );
+    switch (choice.kind) {
+      case "engine":
+        return this.#bring(generation, sink, choice);
+      case "refuse":
+        sink.onEnd(err(this.#overloaded(choice.retryAfter)));
+        return FINISHED;
+      case "no_engine":
+        return undefined;
+    }
+  }
+
   #bring(
     generation: GenerationRequest,
     sink: GenerationSink,
@@ -211,6 +247,10 @@
     }
   }
 
+  #noEngine(generation: GenerationRequest): Failure {
+    return this.#unavailable(`No engine runs ${generation.model}.`);
+  }
+
   #overloaded(retryAfter: number): Failure {
     return {
       ...this.#unavailable("The class's target cannot be met now."),
@@ -233,6 +273,8 @@
 }
 
 const RETRY_AFTER_MILLISECONDS = 1_000;
+/** A change of an engine's controller should not take longer. */
+const LONGEST_UNPLACED = 2_000;
 
 const FINISHED: GenerationHandle = {
   pause() {},
--- /dev/null
+++ b/packages/node/tests/serving/engine_orders_test.ts
@@ -0,0 +1,88 @@
+import {
+  adapterId,
+  adapterKey,
+  adapterVersion,
+  type EngineId,
+  engineId,
+  type Failure,
+  fencingNumber,
+} from "@foxtailwind/core";
+import { HttpEngineClient } from "@foxtailwind/edges";
+import { FakeEngine } from "@foxtailwind/standins";
+import test, { type ExecutionContext } from "ava";
+import { err, type Result } from "neverthrow";
+import { Agent } from "undici";
+import {
+  ConstantOrderRight,
+  EngineOrders,
+  OrderRight,
+  ProcessClock,
+} from "@foxtailwind/node";
+
+const ENGINE = engineId("engine-1");
+const NOTES = { adapter: adapterId("notes"), version: adapterVersion("v1") };
+
+class LapsedRight extends OrderRight {
+  override current(engine: EngineId): Result<never, Failure> {
+    return err({
+      reason: "expired",
+      step: "load_adapter",
+      peer: engine,
+      message: "The lease has lapsed.",
+      outcome: "not_run",
+    });
+  }
+}
+
+async function start(
+  t: ExecutionContext,
+  right: OrderRight = new ConstantOrderRight(fencingNumber(1)),
+) {
+  const fake = new FakeEngine({ id: ENGINE, loadMilliseconds: 1 });
+  const baseAddress = await fake.listen({ host: "127.0.0.1", port: 0 });
+  const dispatcher = new Agent();
+  const client = new HttpEngineClient({
+    peer: ENGINE,
+    baseAddress,
+    dispatcher,
+  });
+  const orders = new EngineOrders({
+    engine: ENGINE,
+    client,
+    clock: new ProcessClock(),
+    right,
+    expiresInMilliseconds: 300,
+  });
+  t.teardown(async () => {
+    orders.stop();
+    await dispatcher.destroy();
+    await fake.close();
+  });
+  async function residents(): Promise<readonly string[]> {
+    const state = await client.readState();
+    return state.isOk() ? state.value.resident.map(adapterKey) : [];
+  }
+  return { fake, orders, residents };
+}
+
+test("a load whose answer is lost is found to have taken effect", async (t) => {
+  const { fake, orders, residents } = await start(t);
+  fake.setFaults({ loseNextOrderAnswers: 1 });
+  t.true((await orders.load(NOTES)).isOk());
+  t.deepEqual(await residents(), [adapterKey(NOTES)]);
+});
+
+test("an eviction whose answer is lost is found to have taken effect", async (t) => {
+  const { fake, orders, residents } = await start(t);
+  await orders.load(NOTES);
+  fake.setFaults({ loseNextOrderAnswers: 1 });
+  t.true((await orders.evict(NOTES)).isOk());
+  t.deepEqual(await residents(), []);
+});
+
+test("no order is given without the right to it", async (t) => {
+  const { fake, orders } = await start(t, new LapsedRight());
+  const result = await orders.load(NOTES);
+  t.is(result._unsafeUnwrapErr().reason, "expired");
+  t.is(fake.readCounters().loads, 0);
+});
