--- a/packages/bench/src/mod.ts
+++ b/packages/bench/src/mod.ts
@@ -1,1 +1,1 @@
-export {};
+export * from "./policy/mod.ts";
--- /dev/null
+++ b/packages/bench/src/policy/policy_registry.ts
@@ -0,0 +1,17 @@
+import type { DeploymentPolicy } from "@foxtailwind/core";
+import { AdapterHashPolicy } from "./baselines/adapter_hash_policy.ts";
+import { LeastLoadedPolicy } from "./baselines/least_loaded_policy.ts";
+import { ResidentFirstPolicy } from "./baselines/resident_first_policy.ts";
+
+/** A policy that the measurements can run, by name. */
+export interface NamedPolicy {
+  readonly name: string;
+  readonly create: () => DeploymentPolicy;
+}
+
+/** All policies, baselines first. */
+export const POLICIES: readonly NamedPolicy[] = [
+  { name: "least-loaded", create: () => new LeastLoadedPolicy() },
+  { name: "resident-first", create: () => new ResidentFirstPolicy() },
+  { name: "adapter-hash", create: () => new AdapterHashPolicy() },
+];
