--- a/packages/bench/src/policy/main.ts
+++ b/packages/bench/src/policy/main.ts
@@ -33,6 +33,11 @@
     default: false,
     describe: "One seed and no scaling measurement",
   })
+  .option("brief", {
+    type: "boolean",
+    default: false,
+    describe: "Print totals only; the page has all",
+  })
   .option("policy", {
     type: "string",
     array: true,
@@ -55,7 +60,7 @@
 const seeds = Array.from({ length: seedCount }, (_, index) => index + 1);
 const reports = WORKLOAD_KINDS.map((kind) => {
   const report = runWorkload(kind, policies);
-  process.stdout.write(`${formatWorkloadReport(report)}\n`);
+  process.stdout.write(`${formatWorkloadReport(report, options.brief)}\n`);
   return report;
 });
 const scaling = options.quick ? [] : policies.map((policy) => {
@@ -78,7 +83,7 @@
   const workloads = seeds.map((seed) => kind.draw(seed));
   const runs = chosen.flatMap(({ name, create }) =>
     workloads.map((workload) =>
-      measureRun(workload, { name, policy: create() })
+      measureRun(workload, { name, policy: create(workload.store) })
     )
   );
   return { name: kind.name, bounds: workloads.map(boundsOf), runs };
--- a/packages/bench/src/policy/mod.ts
+++ b/packages/bench/src/policy/mod.ts
@@ -17,6 +17,7 @@
 export * from "./simulation/decision_clock.ts";
 export * from "./simulation/deployment_simulation.ts";
 export * from "./simulation/engine_model.ts";
+export * from "./simulation/engine_reporter.ts";
 export * from "./simulation/engine_timing.ts";
 export * from "./simulation/event_queue.ts";
 export * from "./simulation/policy_inbox.ts";
--- a/packages/bench/src/policy/policy_registry.ts
+++ b/packages/bench/src/policy/policy_registry.ts
@@ -1,4 +1,5 @@
-import type { DeploymentPolicy } from "@foxtailwind/core";
+import { AdapterServingPolicy, type DeploymentPolicy } from "@foxtailwind/core";
+import type { StoreProfile } from "./workloads/workload.ts";
 import { AdapterHashPolicy } from "./baselines/adapter_hash_policy.ts";
 import { LeastLoadedPolicy } from "./baselines/least_loaded_policy.ts";
 import { ResidentFirstPolicy } from "./baselines/resident_first_policy.ts";
@@ -6,7 +7,7 @@
 /** A policy that the measurements can run, by name. */
 export interface NamedPolicy {
   readonly name: string;
-  readonly create: () => DeploymentPolicy;
+  readonly create: (store: StoreProfile) => DeploymentPolicy;
 }
 
 /** All policies, baselines first. */
@@ -14,4 +15,12 @@
   { name: "least-loaded", create: () => new LeastLoadedPolicy() },
   { name: "resident-first", create: () => new ResidentFirstPolicy() },
   { name: "adapter-hash", create: () => new AdapterHashPolicy() },
+  { name: "foxtailwind", create: createOwn },
 ];
+
+function createOwn(store: StoreProfile): DeploymentPolicy {
+  return new AdapterServingPolicy({
+    loadsPerSecond: store.loadsPerSecond,
+    concurrentLoads: store.fullSpeedLoads,
+  });
+}
--- a/packages/bench/src/policy/report/console_table.ts
+++ b/packages/bench/src/policy/report/console_table.ts
@@ -42,15 +42,19 @@
 /**
  * Puts a workload's runs into tables: mean [minimum to maximum] over seeds.
  * @param report The runs.
+ * @param brief Whether to leave the classes out.
  * @returns The text.
  */
-export function formatWorkloadReport(report: WorkloadReport): string {
+export function formatWorkloadReport(
+  report: WorkloadReport,
+  brief: boolean,
+): string {
   return [
     "",
     report.name,
     formatBounds(report),
     formatTotals(report),
-    formatClasses(report),
+    ...(brief ? [] : [formatClasses(report)]),
   ].join("\n");
 }
 
--- a/packages/bench/src/policy/scaling/decision_scaling.ts
+++ b/packages/bench/src/policy/scaling/decision_scaling.ts
@@ -9,7 +9,7 @@
 import { DeploymentSimulation } from "../simulation/deployment_simulation.ts";
 import { kauriFreshWorkload } from "../workloads/kauri_fresh.ts";
 import { adapterAt } from "../workloads/request_generator.ts";
-import type { Workload } from "../workloads/workload.ts";
+import type { StoreProfile, Workload } from "../workloads/workload.ts";
 
 /** How a decision's processor time grows with the adapters. */
 export interface ScalingResult {
@@ -40,13 +40,13 @@
  */
 export function measureScaling(
   name: string,
-  create: () => DeploymentPolicy,
+  create: (store: StoreProfile) => DeploymentPolicy,
 ): ScalingResult {
   let small = Infinity;
   let large = Infinity;
   for (let round = 0; round < ROUNDS; round += 1) {
-    small = Math.min(small, decisionTime(SMALL, create()));
-    large = Math.min(large, decisionTime(LARGE, create()));
+    small = Math.min(small, decisionTime(SMALL, create));
+    large = Math.min(large, decisionTime(LARGE, create));
   }
   return {
     policy: name,
@@ -58,13 +58,17 @@
   };
 }
 
-function decisionTime(adapters: number, policy: DeploymentPolicy): number {
+function decisionTime(
+  adapters: number,
+  create: (store: StoreProfile) => DeploymentPolicy,
+): number {
   const workload = kauriFreshWorkload({
     exponent: EXPONENT,
     seed: SEED,
     requestsPerSecond: REQUESTS_PER_SECOND,
     adapters,
   });
+  const policy = create(workload.store);
   touchEveryAdapter(policy, { adapters, workload });
   const simulation = new DeploymentSimulation(workload, policy);
   simulation.run();
--- a/packages/bench/src/policy/simulation/deployment_simulation.ts
+++ b/packages/bench/src/policy/simulation/deployment_simulation.ts
@@ -13,9 +13,7 @@
   type RequestId,
   seconds,
 } from "@foxtailwind/core";
-import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import type {
   ClassProfile,
   Incident,
@@ -24,17 +22,13 @@
 } from "../workloads/workload.ts";
 import { DecisionClock } from "./decision_clock.ts";
 import type { EngineListener } from "./engine_model.ts";
+import { EngineReporter } from "./engine_reporter.ts";
 import { EventQueue } from "./event_queue.ts";
 import { RequestLedger } from "./request_ledger.ts";
 import { PolicyInbox } from "./policy_inbox.ts";
-import { drawDelay } from "./random_delay.ts";
 import { SimulatedEngines } from "./simulated_engines.ts";
 import { SimulatedLoads } from "./simulated_loads.ts";
 
-const PREFIX_EVENT_DELAY = { minimum: 100, maximum: 1_000 };
-const PREFIX_EVENT_LOSS = 0.1;
-const REPORT_INTERVAL = seconds(0.5);
-const REPORT_LAG = milliseconds(300);
 const SHORTEST_WAKE = milliseconds(0.1);
 const LONGEST_RUN_AFTER_LAST_ARRIVAL = seconds(3_600);
 
@@ -59,7 +53,7 @@
   readonly #engines: SimulatedEngines;
   readonly #inbox = new PolicyInbox(this.#queue);
   readonly #loads: SimulatedLoads;
-  readonly #random: RandomGenerator;
+  readonly #reporter: EngineReporter;
   readonly #classes: ReadonlyMap<ClassId, ClassProfile>;
   #preemptions = 0;
   #wakeAt: Instant | undefined;
@@ -72,14 +66,14 @@
     this.#workload = workload;
     this.#policy = policy;
     this.#engines = new SimulatedEngines(this.#queue, workload.engines);
-    this.#random = xoroshiro128plus(workload.seed);
-    this.#loads = new SimulatedLoads({
+    const parts = {
       queue: this.#queue,
       engines: this.#engines,
       inbox: this.#inbox,
-      random: this.#random,
-      store: workload.store,
-    });
+      random: xoroshiro128plus(workload.seed),
+    };
+    this.#loads = new SimulatedLoads({ ...parts, store: workload.store });
+    this.#reporter = new EngineReporter(parts);
     this.#classes = new Map(
       workload.classes.map((profile) => [profile.class, profile]),
     );
@@ -141,9 +135,7 @@
         this.#begin(incident);
       });
     }
-    this.#queue.schedule(instant(0), () => {
-      this.#report();
-    });
+    this.#reporter.start(this.#workload.engines);
   }
 
   #begin(incident: Incident): void {
@@ -233,42 +225,11 @@
         });
       },
       prefixStored: (work) => {
-        this.#tellPrefix(engine, work);
+        this.#reporter.prefixStored(engine, work);
       },
     };
   }
 
-  #tellPrefix(engine: EngineId, work: WorkloadRequest): void {
-    if (uniformFloat64(this.#random) < PREFIX_EVENT_LOSS) return;
-    this.#inbox.tellLate(drawDelay(this.#random, PREFIX_EVENT_DELAY), {
-      kind: "prefix_event",
-      engine,
-      change: "stored",
-      adapter: work.adapter,
-      prefixHash: work.prefixHash,
-    });
-  }
-
-  #report(): void {
-    for (const { engine } of this.#workload.engines) {
-      const run = this.#engines.find(engine);
-      if (run === undefined) continue;
-      const { running, waiting, stepTime } = run.model.report;
-      this.#inbox.tellLate(REPORT_LAG, {
-        kind: "engine_reported",
-        engine,
-        running,
-        waiting,
-        stepTime: milliseconds(stepTime),
-        age: REPORT_LAG,
-      });
-    }
-    const next = later(this.#queue.now, REPORT_INTERVAL);
-    this.#queue.schedule(next, () => {
-      this.#report();
-    });
-  }
-
   #decide(): void {
     const { now } = this.#queue;
     const events = this.#inbox.take();
--- a/packages/bench/tests/policy/bound/stall_lower_bound_test.ts
+++ b/packages/bench/tests/policy/bound/stall_lower_bound_test.ts
@@ -31,7 +31,10 @@
     t.true(bound <= stallMilliseconds);
   }
   for (const { name, create } of POLICIES) {
-    const result = measureRun(workload, { name, policy: create() });
+    const result = measureRun(workload, {
+      name,
+      policy: create(workload.store),
+    });
     t.true(bound / 1_000 <= result.stallSeconds);
   }
 });
--- a/packages/bench/tests/policy/simulation/deployment_simulation_test.ts
+++ b/packages/bench/tests/policy/simulation/deployment_simulation_test.ts
@@ -37,8 +37,14 @@
 
 for (const { name, create } of POLICIES) {
   test(`${name} ends every request once, and the same again`, (t) => {
-    const first = measureRun(TROUBLED, { name, policy: create() });
-    const second = measureRun(TROUBLED, { name, policy: create() });
+    const first = measureRun(TROUBLED, {
+      name,
+      policy: create(TROUBLED.store),
+    });
+    const second = measureRun(TROUBLED, {
+      name,
+      policy: create(TROUBLED.store),
+    });
     t.is(first.classes[0]?.requests, REQUESTS.length);
     t.is(first.stallSeconds, second.stallSeconds);
     t.is(first.endedAt, second.endedAt);
@@ -81,7 +87,7 @@
 function firstPolicy(): DeploymentPolicy {
   const [first] = POLICIES;
   if (first === undefined) throw new Error("There is no policy.");
-  return first.create();
+  return first.create(TROUBLED.store);
 }
 
 class IdlePolicy extends DeploymentPolicy {
