--- a/packages/core/src/placement/demand_tracker.ts
+++ b/packages/core/src/placement/demand_tracker.ts
@@ -13,6 +13,7 @@
 /** So many arrivals in the fast window may be chance. */
 const CHANCE_ARRIVALS = 2;
 const DEFAULT_LIMIT = 8_192;
+const MOST_ASKED = 64;
 
 /** How much an adapter is asked for, at two time scales. */
 export class AdapterDemand {
@@ -70,7 +71,8 @@
 export class DemandTracker {
   readonly #limit: number;
   readonly #demands = new Map<AdapterKey, AdapterDemand>();
-  #cursor: Iterator<[AdapterKey, AdapterDemand]> | undefined;
+  /** Those asked for since the last visit. */
+  readonly #asked = new Map<AdapterKey, AdapterDemand>();
 
   /** @param limit How many adapters to keep. */
   constructor(limit: number = DEFAULT_LIMIT) {
@@ -99,7 +101,9 @@
     this.#demands.delete(key);
     this.#demands.set(key, demand);
     demand.arrived(now, target);
-    if (this.#demands.size > this.#limit) this.#forgetOldest();
+    this.#asked.set(key, demand);
+    if (this.#asked.size > MOST_ASKED) forgetFirst(this.#asked);
+    if (this.#demands.size > this.#limit) forgetFirst(this.#demands);
   }
 
   /**
@@ -112,27 +116,18 @@
   }
 
   /**
-   * Goes on through the known adapters, a few at each call, round and round.
-   * @param count How many to visit.
-   * @param visit Called for each.
+   * Goes through the adapters that were asked for since the last call.
+   * @param visit Called for each; of very many, only for the latest.
    */
-  visitNext(
-    count: number,
+  visitAsked(
     visit: (key: AdapterKey, demand: AdapterDemand) => void,
   ): void {
-    for (let visited = 0; visited < count; visited += 1) {
-      this.#cursor ??= this.#demands.entries();
-      const next = this.#cursor.next();
-      if (next.done === true) {
-        this.#cursor = undefined;
-        return;
-      }
-      visit(next.value[0], next.value[1]);
-    }
+    for (const [key, demand] of this.#asked) visit(key, demand);
+    this.#asked.clear();
   }
+}
 
-  #forgetOldest(): void {
-    const oldest = this.#demands.keys().next();
-    if (oldest.done !== true) this.#demands.delete(oldest.value);
-  }
+function forgetFirst<Key>(map: Map<Key, unknown>): void {
+  const first = map.keys().next();
+  if (first.done !== true) map.delete(first.value);
 }
--- a/packages/core/src/serving/prefetch_scout.ts
+++ b/packages/core/src/serving/prefetch_scout.ts
@@ -9,8 +9,6 @@
 import type { AdapterValue } from "./adapter_value.ts";
 import type { PrefetchCandidate } from "./load_planner.ts";
 
-/** How many adapters are looked at in one round. */
-const VISITS = 16;
 /** How many candidates an engine keeps. */
 const KEPT = 8;
 /** An adapter needs another replica when it fills this share of a batch. */
@@ -26,9 +24,9 @@
 }
 
 /**
- * Looks for adapters that are worth a load before anyone waits for them:
- * known ones that no engine holds, and hot ones that need more replicas. It
- * visits a few at a time, so that its cost does not grow with their number.
+ * Looks for hot adapters that need more replicas, and has them loaded before
+ * anyone waits. It looks only at those that were asked for since it last did,
+ * so that its cost does not grow with the number of adapters.
  */
 export class PrefetchScout {
   readonly #parts: PrefetchScoutParts;
@@ -40,12 +38,12 @@
   }
 
   /**
-   * Looks at the next few adapters.
+   * Looks at the adapters that were asked for since the last call.
    * @param now The present time.
    * @param views The engines.
    */
   look(now: Instant, views: ReadonlyMap<EngineId, EngineView>): void {
-    this.#parts.demand.visitNext(VISITS, (key, demand) => {
+    this.#parts.demand.visitAsked((key, demand) => {
       this.#consider(now, { key, demand, views });
     });
   }
@@ -78,9 +76,7 @@
     },
   ): void {
     const holders = this.#parts.index.enginesOf(key);
-    if (holders.length > 0 && !needsReplica(now, { demand, holders, views })) {
-      return;
-    }
+    if (!needsReplica(now, { demand, holders, views })) return;
     const home = this.#parts.router.homes(key, views)
       .find((view) => !holders.includes(view.engine));
     if (home === undefined) return;
