--- a/packages/core/src/residency/load_backoff.ts
+++ b/packages/core/src/residency/load_backoff.ts
@@ -6,9 +6,9 @@
   seconds,
 } from "../shared/mod.ts";
 
-const FIRST_WAIT = milliseconds(500);
+const FIRST_WAIT = milliseconds(100);
 const LONGEST_WAIT = seconds(30);
-const ENGINE_FAILURES_TOLERATED = 2;
+const ENGINE_FAILURES_TOLERATED = 5;
 const REMEMBERED_ADAPTERS = 1_024;
 
 interface Failing {
