--- a/packages/core/src/dispatch/adapter_lines.ts
+++ b/packages/core/src/dispatch/adapter_lines.ts
@@ -120,7 +120,8 @@
 }
 
 function requestUrgency(now: Instant, request: WaitingRequest): number {
-  const least = LEAST_SLACK_SHARE * request.target;
-  const slack = Math.max(least, request.deadline - now);
+  const left = request.deadline - now;
+  if (left <= 0) return MILLISECONDS_PER_SECOND / request.target;
+  const slack = Math.max(LEAST_SLACK_SHARE * request.target, left);
   return MILLISECONDS_PER_SECOND / slack;
 }
