--- a/packages/core/src/placement/demand_tracker.ts
+++ b/packages/core/src/placement/demand_tracker.ts
@@ -1,17 +1,22 @@
 import {
   type AdapterKey,
   type AdapterReference,
+  CLOCK_START,
   type Duration,
   type Instant,
+  milliseconds,
   seconds,
 } from "../shared/mod.ts";
 import { DecayedCounter } from "./decayed_counter.ts";
 
 const FAST = seconds(10);
-const SLOW = seconds(300);
+const SLOW = seconds(900);
 const MILLISECONDS_PER_SECOND = 1_000;
 /** So many arrivals in the fast window may be chance. */
 const CHANCE_ARRIVALS = 2;
+/** The upper 95% bound on the count of events of which none was seen. */
+const SILENCE_WEIGHT = 1;
+const LEAST_SILENCE = milliseconds(1);
 const DEFAULT_LIMIT = 8_192;
 const MOST_ASKED = 64;
 
@@ -22,6 +27,10 @@
   readonly #fastPressure = new DecayedCounter(FAST);
   readonly #slowPressure = new DecayedCounter(SLOW);
 
+  #lastArrival = CLOCK_START;
+  /** The inverse of the shortest target asked for, in seconds. */
+  #tightness = 0;
+
   /** @param adapter The adapter. */
   constructor(adapter: AdapterReference) {
     this.adapter = adapter;
@@ -34,6 +43,8 @@
    */
   arrived(now: Instant, target: Duration): void {
     const tightness = MILLISECONDS_PER_SECOND / Math.max(1, target);
+    this.#lastArrival = now;
+    this.#tightness = Math.max(tightness, this.#tightness);
     this.#fastArrivals.add(now, 1);
     this.#fastPressure.add(now, tightness);
     this.#slowPressure.add(now, tightness);
@@ -55,6 +66,16 @@
    * @returns Target lengths of waiting a second, for each second of stall.
    */
   pressure(now: Instant): number {
+    return Math.min(this.#expectedPressure(now), this.#mostPressure(now));
+  }
+
+  /** By the rule of three: a silence this long makes more than that unlikely. */
+  #mostPressure(now: Instant): number {
+    const silence = Math.max(LEAST_SILENCE, now - this.#lastArrival);
+    return SILENCE_WEIGHT * MILLISECONDS_PER_SECOND * this.#tightness / silence;
+  }
+
+  #expectedPressure(now: Instant): number {
     const slow = MILLISECONDS_PER_SECOND * this.#slowPressure.value(now) / SLOW;
     const arrivals = this.#fastArrivals.value(now);
     if (arrivals <= CHANCE_ARRIVALS) return slow;
