--- a/packages/bench/src/policy/policy_registry.ts
+++ b/packages/bench/src/policy/policy_registry.ts
@@ -15,12 +15,19 @@
   { name: "least-loaded", create: () => new LeastLoadedPolicy() },
   { name: "resident-first", create: () => new ResidentFirstPolicy() },
   { name: "adapter-hash", create: () => new AdapterHashPolicy() },
-  { name: "foxtailwind", create: createOwn },
+  { name: "foxtailwind", create: (store) => createOwn(store, 0) },
+  {
+    name: "foxtailwind, one permit more",
+    create: (store) => createOwn(store, 1),
+  },
 ];
 
-function createOwn(store: StoreProfile): DeploymentPolicy {
+function createOwn(
+  store: StoreProfile,
+  furtherPermits: number,
+): DeploymentPolicy {
   return new AdapterServingPolicy({
     loadsPerSecond: store.loadsPerSecond,
-    concurrentLoads: store.fullSpeedLoads,
+    concurrentLoads: store.fullSpeedLoads + furtherPermits,
   });
 }
--- a/packages/bench/src/policy/simulation/engine_model.ts
+++ b/packages/bench/src/policy/simulation/engine_model.ts
@@ -6,6 +6,7 @@
   instant,
   type RequestId,
 } from "@foxtailwind/core";
+import { sum } from "../report/summary_statistics.ts";
 import type { EngineProfile, WorkloadRequest } from "../workloads/workload.ts";
 import { PREFILL_TOKENS_A_STEP, stepMilliseconds } from "./engine_timing.ts";
 import type { EventQueue } from "./event_queue.ts";
@@ -198,7 +199,7 @@
     const prefill = sharePrefill(batch);
     this.#lastStep = stepMilliseconds({
       sequences: batch.length,
-      prefillTokens: prefill.reduce((sum, tokens) => sum + tokens, 0),
+      prefillTokens: sum([...prefill.values()]),
       distinctAdapters: new Set(batch.map((entry) => entry.key)).size,
     }, this.profile.speed);
     this.use.steps += 1;
@@ -231,14 +232,16 @@
     else this.#listener.prefixStored(work);
   }
 
-  #stepEnded(batch: readonly Sequence[], prefill: readonly number[]): void {
+  #stepEnded(
+    batch: readonly Sequence[],
+    prefill: ReadonlyMap<Sequence, number>,
+  ): void {
     this.#stepping = false;
     if (this.#stopped) return;
-    batch.forEach((entry, index) => {
-      if (this.#running.includes(entry)) {
-        this.#advance(entry, prefill[index] ?? 0);
-      }
-    });
+    for (const entry of batch) {
+      if (!this.#running.includes(entry)) continue;
+      this.#advance(entry, prefill.get(entry) ?? 0);
+    }
     this.#step();
   }
 
@@ -254,11 +257,18 @@
   }
 }
 
-function sharePrefill(batch: readonly Sequence[]): readonly number[] {
+/** The most urgent prompts come first, as engines with priorities do. */
+function sharePrefill(
+  batch: readonly Sequence[],
+): ReadonlyMap<Sequence, number> {
+  const shares = new Map<Sequence, number>();
   let budget = PREFILL_TOKENS_A_STEP;
-  return batch.map((entry) => {
+  const waiting = batch.filter((entry) => entry.prefillLeft > 0)
+    .sort((left, right) => right.priority - left.priority);
+  for (const entry of waiting) {
     const tokens = Math.min(budget, entry.prefillLeft);
     budget -= tokens;
-    return tokens;
-  });
+    shares.set(entry, tokens);
+  }
+  return shares;
 }
