--- a/packages/core/src/serving/adapter_serving_policy.ts
+++ b/packages/core/src/serving/adapter_serving_policy.ts
@@ -8,6 +8,7 @@
 } from "../placement/mod.ts";
 import {
   adapterKey,
+  CLOCK_START,
   type EngineId,
   type Instant,
   later,
@@ -28,6 +29,8 @@
 } from "./engine_event.ts";
 import { PrefetchScout } from "./prefetch_scout.ts";
 
+/** How long wishes stand while no request, load or eviction changes them. */
+const WISHES_LAST = milliseconds(50);
 /** How soon to look again while requests wait. */
 const LOOK_AGAIN = milliseconds(50);
 
@@ -48,6 +51,9 @@
   /** Requests that no engine could take yet. */
   readonly #unplaced = new Map<RequestId, QueuedRequest>();
   #orders: DeploymentOrder[] = [];
+  /** Engines whose wishes may differ from those that they last offered. */
+  readonly #wishesChanged = new Set<EngineId>();
+  #nextLook = CLOCK_START;
 
   /** @param limits What the weight store allows. */
   constructor(limits: LoadLimits) {
@@ -150,7 +156,9 @@
   ): void {
     const { engine } = choice;
     this.#locations.set(queued.request, engine);
-    this.#engines.get(engine)?.submit(now, queued);
+    const controller = this.#engines.get(engine);
+    controller?.submit(now, queued);
+    if (choice.reason !== "resident") this.#wishesChanged.add(engine);
     this.#changed.add(engine);
   }
 
@@ -217,9 +225,11 @@
         const key = adapterKey(event.adapter);
         this.#ledger.finished(now, { ...event, key });
         controller.loadEnded(now, event);
+        this.#wishesChanged.add(event.engine);
         break;
       }
       case "eviction_ended":
+        this.#wishesChanged.add(event.engine);
         controller.evictionEnded(now, {
           adapter: event.adapter,
           evicted: event.evicted ?? true,
@@ -254,11 +264,27 @@
 
   #grantLoads(now: Instant): void {
     if (!this.#ledger.hasRoom(now)) return;
+    this.#offerWishes(now);
+    this.#usePermits(now);
+  }
+
+  #offerWishes(now: Instant): void {
     this.#scout.look(now, this.#engines);
-    for (const [engine, controller] of this.#engines) {
-      const prefetch = this.#scout.candidates(now, engine);
-      this.#ledger.offer(now, engine, controller.wishes(now, prefetch));
+    if (now >= this.#nextLook) {
+      this.#nextLook = later(now, WISHES_LAST);
+      for (const engine of this.#engines.keys()) {
+        this.#wishesChanged.add(engine);
+      }
+    }
+    for (const engine of this.#wishesChanged) {
+      const wishes = this.#engines.get(engine)
+        ?.wishes(now, this.#scout.candidates(now, engine));
+      if (wishes !== undefined) this.#ledger.offer(now, engine, wishes);
     }
+    this.#wishesChanged.clear();
+  }
+
+  #usePermits(now: Instant): void {
     for (;;) {
       const permit = this.#ledger.grant(now);
       if (permit === undefined) return;
@@ -266,6 +292,7 @@
       const used = this.#engines.get(engine)?.usePermit(now, adapter) ?? false;
       if (!used) this.#ledger.finished(now, { ...permit, loaded: false });
       this.#changed.add(engine);
+      this.#wishesChanged.add(engine);
     }
   }
 
--- a/packages/core/src/serving/load_planner.ts
+++ b/packages/core/src/serving/load_planner.ts
@@ -79,12 +79,14 @@
     now: Instant,
     prefetch: readonly PrefetchCandidate[],
   ): readonly LoadWish[] {
+    const { blocked } = this.#parts.book;
+    if (blocked.adapters === 0 && prefetch.length === 0) return [];
     const victim = this.#victim(now);
     const isFree = this.#freeSlots() > 0;
     if (!isFree && victim === undefined) return [];
     const loss = isFree ? 0 : (victim?.loss ?? 0);
     const wishes: LoadWish[] = [];
-    for (const line of this.#parts.book.blocked.lines) {
+    for (const line of blocked.lines) {
       const wish = this.#lineWish(now, line);
       if (wish === undefined || wish.urgency < loss) continue;
       keepMostUrgent(wishes, wish);
