--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -2,9 +2,8 @@
   type EngineId,
   engineId,
   fencingNumber,
-  type RequestObserver,
+  RequestTelemetry,
   seconds,
-  SilentObserver,
 } from "@foxtailwind/core";
 import {
   createDispatcher,
@@ -13,42 +12,44 @@
   HttpServiceClient,
   HttpVmListClient,
   HttpWeightStoreClient,
+  type Vm,
 } from "@foxtailwind/edges";
 import type { NestFastifyApplication } from "@nestjs/platform-fastify";
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { ProcessClock } from "./clock/steady_clock.ts";
+import { readClusterStatus } from "./configuration/cluster_status.ts";
+import { ConfigurationFollower } from "./configuration/configuration_follower.ts";
+import { ConfigurationPublisher } from "./configuration/configuration_publisher.ts";
+import { SnapshotWriter } from "./configuration/snapshot_writer.ts";
+import { SpreadService } from "./configuration/spread_service.ts";
 import { DaemonParts } from "./daemon_parts.ts";
-import { type KeyedExecution, ServiceDelivery } from "./delivery/mod.ts";
 import {
-  countCalls,
-  Drain,
-  NothingToHandOver,
-  WorkInProgress,
-} from "./drain/mod.ts";
+  DeliveryParts,
+  type KeyedExecution,
+  ServiceDelivery,
+} from "./delivery/mod.ts";
+import { Drain, NothingToHandOver, WorkInProgress } from "./drain/mod.ts";
 import { createHttpApplication } from "./http_application.ts";
 import type { LoggerFactory } from "./logging/part_logger.ts";
+import type { DrainHook } from "./operators/drain_hook.ts";
 import { generationService } from "./peers/generation_service.ts";
 import { PeerChannels } from "./peers/peer_channels.ts";
 import { PeerClients } from "./peers/peer_clients.ts";
 import { PeerServer } from "./peers/peer_server.ts";
-import { ConfigurationFollower } from "./platform/configuration_follower.ts";
 import { VmDirectory } from "./platform/vm_directory.ts";
-import { AdapterAggregates } from "./serving/adapter_aggregates.ts";
-import { ComputedAssignment } from "./serving/engine_assignment.ts";
-import { ConstantOrderRight } from "./serving/order_right.ts";
-import { NodeLoadPermits } from "./serving/permits/node_load_permits.ts";
-import { PermitService } from "./serving/permits/permit_service.ts";
-import { SummaryService } from "./serving/summaries/summary_service.ts";
 import {
   AddressDirectory,
   HashedControllers,
   OwnView,
-  RefusingKeyedExecution,
   ServiceDispatcher,
 } from "./routing/mod.ts";
-import { GenerationRouter } from "./serving/generation_router.ts";
+import type { GenerationRouter } from "./serving/generation_router.ts";
+import { ConstantOrderRight } from "./serving/order_right.ts";
+import { ServingParts } from "./serving/serving_parts.ts";
 import type { Settings } from "./settings/settings.ts";
+import { NoEngineActivity } from "./telemetry/engine_activity.ts";
+import { NodeTelemetry } from "./telemetry/node_telemetry.ts";
 
 /** Where a daemon listens. */
 export interface DaemonAddresses {
@@ -56,8 +57,8 @@
   readonly grpc: string;
 }
 
-/** How long closing may take once an operator's bound has passed. */
-const OVERDUE_CLOSE = 500;
+/** How long streams between nodes that carry no requests may take to end. */
+const CONTROL_CLOSE = 1_000;
 
 /** One node: all its parts, started and stopped together. */
 export class Daemon extends DaemonParts {
@@ -73,12 +74,17 @@
   override readonly drain: Drain;
   override readonly directory: VmDirectory;
   override readonly follower: ConfigurationFollower;
-  override readonly observer: RequestObserver = new SilentObserver();
+  override readonly observer = new RequestTelemetry(this.clock.now());
+  override readonly telemetry: NodeTelemetry;
+  override readonly publisher: ConfigurationPublisher;
+  override readonly drainHook: DrainHook | undefined = undefined;
   override readonly router: GenerationRouter;
+  override readonly delivery: DeliveryParts;
   readonly #channels = new PeerChannels();
-  readonly #permits: NodeLoadPermits;
-  readonly #permitService: PermitService;
-  readonly #summaries = new SummaryService(() => this.router.controllers);
+  readonly #serving: ServingParts;
+  readonly #spread: SpreadService;
+  readonly #snapshots: SnapshotWriter;
+  readonly #peers = new PeerClients(this.#channels);
   readonly #peerServer: PeerServer;
   readonly #dispatcher = createDispatcher();
   #application: NestFastifyApplication | undefined;
@@ -88,6 +94,7 @@
     super();
     this.settings = settings;
     const dispatcher = this.#dispatcher;
+    const { clock } = this;
     this.log = new HttpLogClient({
       baseAddress: settings.platform.log,
       dispatcher,
@@ -102,43 +109,70 @@
       }),
       loggers.forPart("membership"),
     );
-    this.follower = new ConfigurationFollower(
-      this.log,
-      loggers.forPart("configuration"),
+    this.follower = new ConfigurationFollower({
+      self: {
+        id: settings.node.id,
+        failureDomain: settings.node.failure_domain,
+      },
+      log: this.log,
+      directory: this.directory,
+      channels: this.#channels,
+      clock: this.clock,
+      logger: loggers.forPart("configuration"),
+    });
+    this.publisher = new ConfigurationPublisher(this);
+    this.#snapshots = new SnapshotWriter({
+      self: settings.node.id,
+      log: this.log,
+      follower: this.follower,
+      directory: this.directory,
+      clock: this.clock,
+      logger: loggers.forPart("configuration"),
+    });
+    this.#spread = new SpreadService(
+      this.follower.store,
+      () => this.follower.status(),
     );
-    const aggregates = new AdapterAggregates();
-    const serving = {
+    this.#serving = new ServingParts({
       self: settings.node.id,
       directory: this.directory,
+      peers: this.#peers,
       channels: this.#channels,
       clock: this.clock,
       logger: loggers.forPart("serving"),
-    };
-    this.#permits = new NodeLoadPermits({
-      ...serving,
+      observer: this.observer,
+      right: new ConstantOrderRight(fencingNumber(0)),
       store: settings.platform.weight_store_id,
-      client: new HttpWeightStoreClient({
+      storeClient: new HttpWeightStoreClient({
         baseAddress: settings.platform.weight_store,
         dispatcher,
         peer: settings.platform.weight_store_id,
       }),
-      outlook: aggregates.loads,
+      engineClient: (vm) => this.#engineClient(engineId(vm.id), vm.address),
     });
-    this.#permitService = new PermitService(this.#permits);
-    this.router = new GenerationRouter({
-      ...serving,
-      peers: new PeerClients(this.#channels),
+    this.router = this.#serving.router;
+    this.delivery = new DeliveryParts({
+      self: settings.node.id,
+      failureDomain: settings.node.failure_domain,
+      clock: this.clock,
+      log: this.log,
+      channels: this.#channels,
+      nodes: () => this.directory.vms.filter((vm) => vm.role.kind === "entry"),
+      router: this.router,
       observer: this.observer,
-      right: new ConstantOrderRight(fencingNumber(0)),
-      assignment: new ComputedAssignment(this.directory),
-      permits: this.#permits,
-      aggregates,
-      engineClient: (vm) => this.#engineClient(engineId(vm.id), vm.address),
+      work: this.work,
+    });
+    this.telemetry = new NodeTelemetry(this, {
+      requests: this.observer,
+      activity: new NoEngineActivity(),
+      channels: this.#channels,
     });
     this.#peerServer = new PeerServer([
-      countCalls(generationService(this.router, this.clock), this.work),
-      this.#permitService.registration,
-      this.#summaries.registration,
+      generationService({ router: this.router, clock, work: this.work }),
+      this.delivery.registration,
+      this.telemetry.registration,
+      this.#spread.registration,
+      ...this.#serving.registrations,
     ]);
     this.drain = this.#makeDrain(loggers);
     this.serviceDispatcher = new ServiceDispatcher({
@@ -149,7 +183,7 @@
       clock: this.clock,
       logger: loggers.forPart("services"),
     });
-    this.keyedExecution = new RefusingKeyedExecution();
+    this.keyedExecution = this.delivery.execution;
     this.serviceDelivery = new ServiceDelivery(
       this.keyedExecution,
       this.serviceDispatcher,
@@ -167,9 +201,10 @@
     this.#application = await createHttpApplication(this);
     await this.#application.listen(http.port, http.host);
     await this.directory.start();
-    this.#permits.start();
-    this.router.start();
+    this.#serving.start();
     void this.follower.run();
+    this.telemetry.start();
+    this.#snapshots.start();
     const address = this.#application.getHttpServer().address() as AddressInfo;
     return {
       http: `${http.host}:${address.port}`,
@@ -191,21 +226,30 @@
   }
 
   async #close(isOverdue: boolean): Promise<void> {
-    const closing = this.#closeServers();
-    await (isOverdue ? Promise.race([closing, sleep(OVERDUE_CLOSE)]) : closing);
-    this.directory.stop();
+    if (isOverdue) this.#cutConnections();
+    await this.#application?.close();
+    this.#spread.close();
+    this.#serving.closeStreams();
+    this.#peers.close();
+    await Promise.race([this.#peerServer.close(), sleep(CONTROL_CLOSE)]);
+    this.#peerServer.cutConnections();
     this.follower.stop();
-    this.router.stop();
-    this.#permits.stop();
+    this.telemetry.stop();
+    this.#snapshots.stop();
+    this.directory.stop();
+    this.#serving.stop();
+    this.delivery.stop();
     this.#channels.close();
     await this.#dispatcher.destroy();
   }
 
-  async #closeServers(): Promise<void> {
-    await this.#application?.close();
-    this.#summaries.close();
-    this.#permitService.close();
-    await this.#peerServer.close();
+  override readonly peerStatuses = (nodes: readonly Vm[]) =>
+    readClusterStatus(nodes, this.#channels);
+
+  /** Ends what is in progress, once an operator's bound has passed. */
+  #cutConnections(): void {
+    this.#application?.getHttpServer().closeAllConnections();
+    this.#peerServer.cutConnections();
   }
 
   #makeDrain(loggers: LoggerFactory): Drain {
--- a/packages/node/src/serving/generation_router.ts
+++ b/packages/node/src/serving/generation_router.ts
@@ -173,7 +173,7 @@
     observer.record(now, {
       kind: "routed",
       request: generation.request,
-      attempt: attemptNumber(1),
+      attempt: generation.attempt ?? attemptNumber(1),
       engine,
       node,
       reason,
