--- a/packages/bench/src/mod.ts
+++ b/packages/bench/src/mod.ts
@@ -3,6 +3,7 @@
  * @module
  */
 export * from "./in_process/in_process_cluster.ts";
+export * from "./policy/mod.ts";
 export * from "./soak/adapter_soak.ts";
 export * from "./soak/mutants.ts";
 export * from "./soak/outcome_mutants.ts";
