Engines that leave get no new work; drain for operators; likely controllers

Cause: only the VM list could take an engine out, and requests that waited at its controller still went to it; the address answers guessed controllers by hashes that the cluster no longer uses; the operators' drain had no hook. Change: LeavingEngines asks the engines controlled here twice a second and follows the list, VmDirectory keeps a VM's own word, waiting requests are brought elsewhere and running ones finish; RoutedControllers asks the router; DrainOperation. countCalls goes, as the services count their own work. Two tests of mine were wrong and are as strict as before: tokens are counted in place of frames, which may now carry several, and a leaving node is held by a call in place of a short lifetime.

--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -35,7 +35,12 @@
   type KeyedExecution,
   ServiceDelivery,
 } from "./delivery/mod.ts";
-import { Drain, WorkInProgress } from "./drain/mod.ts";
+import {
+  Drain,
+  DrainOperation,
+  LeavingEngines,
+  WorkInProgress,
+} from "./drain/mod.ts";
 import { createHttpApplication } from "./http_application.ts";
 import type { LoggerFactory } from "./logging/part_logger.ts";
 import {
@@ -51,8 +56,8 @@
 import { VmDirectory } from "./platform/vm_directory.ts";
 import {
   AddressDirectory,
-  HashedControllers,
   OwnView,
+  RoutedControllers,
   ServiceDispatcher,
 } from "./routing/mod.ts";
 import type { GenerationRouter } from "./serving/generation_router.ts";
@@ -90,7 +95,7 @@
   override readonly observer = new RequestTelemetry(this.clock.now());
   override readonly telemetry: NodeTelemetry;
   override readonly publisher: ConfigurationPublisher;
-  override readonly drainHook: DrainHook | undefined = undefined;
+  override readonly drainHook: DrainHook;
   override readonly router: GenerationRouter;
   override readonly delivery: DeliveryParts;
   override readonly metrics: MetricsSink;
@@ -100,6 +105,7 @@
   readonly #serving: ServingParts;
   readonly #spread: SpreadService;
   readonly #snapshots: SnapshotWriter;
+  readonly #leavingEngines: LeavingEngines;
   readonly #peers = new PeerClients(this.#channels);
   readonly #peerServer: PeerServer;
   readonly #dispatcher = createDispatcher();
@@ -198,6 +204,13 @@
       ...this.#serving.registrations,
     ]);
     this.drain = this.#makeDrain(loggers);
+    this.drainHook = new DrainOperation(this.drain, this.work);
+    this.#leavingEngines = new LeavingEngines({
+      directory: this.directory,
+      engines: this.router,
+      engineClient: (vm) => this.#engineClient(engineId(vm.id), vm.address),
+      logger: loggers.forPart("serving"),
+    });
     this.serviceDispatcher = new ServiceDispatcher({
       failureDomain: settings.node.failure_domain,
       client: this.services,
@@ -232,6 +245,7 @@
     void this.follower.run();
     this.telemetry.start();
     this.#snapshots.start();
+    void this.#leavingEngines.run();
     const address = this.#application.getHttpServer().address() as AddressInfo;
     return {
       http: `${http.host}:${address.port}`,
@@ -264,6 +278,7 @@
     this.follower.stop();
     this.telemetry.stop();
     this.#snapshots.stop();
+    this.#leavingEngines.stop();
     this.directory.stop();
     this.#serving.stop();
     this.delivery.stop();
@@ -325,7 +340,7 @@
           load: () => this.work.count,
         }),
       ),
-      controllers: new HashedControllers(directory, follower.configuration),
+      controllers: new RoutedControllers(this.router, follower.configuration),
       longestLifetime: seconds(settings.addresses.lifetime_seconds),
     });
   }
--- a/packages/node/src/drain/drain.ts
+++ b/packages/node/src/drain/drain.ts
@@ -2,6 +2,7 @@
   PlannedStop,
   type PlannedStopTerms,
   type StopOrder,
+  type StopPhase,
 } from "@foxtailwind/core";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { PartLogger } from "../logging/part_logger.ts";
@@ -34,6 +35,11 @@
     });
   }
 
+  /** How far the stop has come. */
+  get phase(): StopPhase {
+    return this.#stop.phase;
+  }
+
   /** Whether this node takes no new work. */
   get isLeaving(): boolean {
     return this.#stop.phase !== "serving";
--- a/packages/node/src/drain/mod.ts
+++ b/packages/node/src/drain/mod.ts
@@ -1,5 +1,6 @@
-export * from "./counted_calls.ts";
 export * from "./counted_requests.ts";
 export * from "./drain.ts";
+export * from "./drain_operation.ts";
 export * from "./hand_over.ts";
+export * from "./leaving_engines.ts";
 export * from "./work_in_progress.ts";
--- a/packages/node/src/platform/vm_directory.ts
+++ b/packages/node/src/platform/vm_directory.ts
@@ -13,6 +13,8 @@
   readonly #client: VmListClient;
   readonly #logger: PartLogger;
   readonly #listeners: (() => void)[] = [];
+  /** VMs that say of themselves that they are leaving. */
+  readonly #marked = new Set<string>();
   #vms: readonly Vm[] = [];
   #timer: NodeJS.Timeout | undefined;
 
@@ -60,12 +62,37 @@
       });
       return;
     }
-    this.#vms = list.value;
-    for (const listener of this.#listeners) listener();
+    this.#keepMarks(list.value);
+    this.#show(list.value);
+  }
+
+  /**
+   * Takes a VM's own word that it is leaving, which the list may not show
+   * yet. It counts until the list no longer shows the VM at all.
+   * @param id The VM.
+   */
+  markLeaving(id: string): void {
+    if (this.#marked.has(id)) return;
+    this.#marked.add(id);
+    this.#show(this.#vms);
   }
 
   /** Stops reading. */
   stop(): void {
     clearInterval(this.#timer);
   }
+
+  #keepMarks(listed: readonly Vm[]): void {
+    const shown = new Set(listed.map((vm) => vm.id));
+    for (const id of this.#marked) {
+      if (!shown.has(id)) this.#marked.delete(id);
+    }
+  }
+
+  #show(vms: readonly Vm[]): void {
+    this.#vms = vms.map((vm) =>
+      this.#marked.has(vm.id) ? { ...vm, state: "leaving" } : vm
+    );
+    for (const listener of this.#listeners) listener();
+  }
 }
--- a/packages/node/src/serving/generation_router.ts
+++ b/packages/node/src/serving/generation_router.ts
@@ -1,10 +1,12 @@
 import {
   adapterKey,
+  type AdapterReference,
   attemptNumber,
   type EngineController,
   type EngineId,
   engineId,
   type Failure,
+  type ModelId,
   type NodeId,
   nodeId,
   type RequestObserver,
@@ -155,6 +157,22 @@
     }
   }
 
+  /**
+   * Finds the node that controls the home of an adapter.
+   * @param model The adapter's model.
+   * @param adapter The adapter and version.
+   * @returns The node, or nothing where no engine runs the model.
+   */
+  likelyController(
+    model: ModelId,
+    adapter: AdapterReference,
+  ): NodeId | undefined {
+    const views = this.#views.running(model);
+    const { router } = this.#parts.aggregates;
+    const [home] = router.homes(adapterKey(adapter), views);
+    return home === undefined ? undefined : this.#controllerOf(home.engine);
+  }
+
   /** Stops deciding for all engines. */
   stop(): void {
     this.#watcher.stop();
--- a/packages/node/tests/callers/addresses_test.ts
+++ b/packages/node/tests/callers/addresses_test.ts
@@ -45,6 +45,7 @@
   const deployment = await startDeployment(t, { nodes: 3, engine: {} });
   await publishAdapter(deployment);
   const [url = ""] = deployment.urls;
+  await (await streamCompletion(url, 1)).text();
   const first = (await ask(url, "?adapter=adapter-1")).addresses[0];
   for (let turn = 0; turn < 5; turn += 1) {
     const again = await ask(url, "?adapter=adapter-1@v1");
--- a/packages/node/tests/helpers/streams.ts
+++ b/packages/node/tests/helpers/streams.ts
@@ -1,3 +1,4 @@
+import { z } from "zod";
 import { type Deployment, until } from "./deployment.ts";
 
 /**
@@ -71,3 +72,23 @@
   return text.split("\n").filter((line) => line.startsWith("data: "))
     .map((line) => line.slice("data: ".length));
 }
+
+const deltaSchema = z.object({
+  choices: z.array(z.object({
+    delta: z.object({ content: z.string().optional() }),
+  })),
+});
+
+/**
+ * Counts the tokens of a stream; the stand-ins end each with a space.
+ * @param events The events' data.
+ * @returns The number of tokens.
+ */
+export function countTokens(events: readonly string[]): number {
+  const text = events.filter((event) => event !== "[DONE]").flatMap((event) =>
+    deltaSchema.parse(JSON.parse(event)).choices.map((choice) =>
+      choice.delta.content ?? ""
+    )
+  ).join("");
+  return text.split(" ").filter((word) => word !== "").length;
+}
