--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -35,7 +35,7 @@
   type KeyedExecution,
   ServiceDelivery,
 } from "./delivery/mod.ts";
-import { Drain, WorkInProgress } from "./drain/mod.ts";
+import { Drain, LeavingEngines, WorkInProgress } from "./drain/mod.ts";
 import { createHttpApplication } from "./http_application.ts";
 import type { LoggerFactory } from "./logging/part_logger.ts";
 import {
@@ -50,8 +50,8 @@
 import { VmDirectory } from "./platform/vm_directory.ts";
 import {
   AddressDirectory,
-  HashedControllers,
   OwnView,
+  RoutedControllers,
   ServiceDispatcher,
 } from "./routing/mod.ts";
 import type { GenerationRouter } from "./serving/generation_router.ts";
@@ -98,6 +98,7 @@
   readonly #serving: ServingParts;
   readonly #spread: SpreadService;
   readonly #snapshots: SnapshotWriter;
+  readonly #leavingEngines: LeavingEngines;
   readonly #peers = new PeerClients(this.#channels);
   readonly #peerServer: PeerServer;
   readonly #dispatcher = createDispatcher();
@@ -196,6 +197,12 @@
       ...this.#serving.registrations,
     ]);
     this.drain = this.#makeDrain(loggers);
+    this.#leavingEngines = new LeavingEngines({
+      directory: this.directory,
+      engines: this.router,
+      engineClient: (vm) => this.#engineClient(engineId(vm.id), vm.address),
+      logger: loggers.forPart("serving"),
+    });
     this.serviceDispatcher = new ServiceDispatcher({
       failureDomain: settings.node.failure_domain,
       client: this.services,
@@ -230,6 +237,7 @@
     void this.follower.run();
     this.telemetry.start();
     this.#snapshots.start();
+    void this.#leavingEngines.run();
     const address = this.#application.getHttpServer().address() as AddressInfo;
     return {
       http: `${http.host}:${address.port}`,
@@ -262,6 +270,7 @@
     this.follower.stop();
     this.telemetry.stop();
     this.#snapshots.stop();
+    this.#leavingEngines.stop();
     this.directory.stop();
     this.#serving.stop();
     this.delivery.stop();
@@ -323,7 +332,7 @@
           load: () => this.work.count,
         }),
       ),
-      controllers: new HashedControllers(directory, follower.configuration),
+      controllers: new RoutedControllers(this.router, follower.configuration),
       longestLifetime: seconds(settings.addresses.lifetime_seconds),
     });
   }
