--- a/packages/bench/src/in_process/in_process_cluster.ts
+++ b/packages/bench/src/in_process/in_process_cluster.ts
@@ -85,9 +85,17 @@
    * Starts one more daemon and lists it as a VM.
    * @param id The node's id.
    * @param failureDomain Its failure domain.
+   * @param options Where it looks for the log, if not at the stand-in.
    * @returns The running node.
    */
-  async startNode(id: string, failureDomain: string): Promise<InProcessNode> {
+  async startNode(
+    id: string,
+    failureDomain: string,
+    options: { readonly log?: string } = {},
+  ): Promise<InProcessNode> {
+    const platform = options.log === undefined
+      ? this.#platform
+      : this.#platform.replace(/^log = .*$/m, `log = ${options.log}`);
     const settings = parseSettings(
       `[node]
 id = ${id}
@@ -98,7 +106,7 @@
 http = 127.0.0.1:0
 grpc = 127.0.0.1:0
 
-${this.#platform}`,
+${platform}`,
       `${id}.ini`,
     );
     const daemon = new Daemon(
--- a/packages/node/tests/configuration/spread_test.ts
+++ b/packages/node/tests/configuration/spread_test.ts
@@ -110,6 +110,18 @@
   t.is(late.daemon.follower.configuration.digest, digest);
 });
 
+test("a node that cannot reach the log gets changes from a peer", async (t) => {
+  const cluster = await startCluster(t, { nodes: 2, domains: 2 });
+  const cut = await cluster.startNode("node-cut", "domain-3", {
+    log: "http://127.0.0.1:1",
+  });
+  await publish(first(cluster), 700);
+  await until(() => targetAt(cut) === 700);
+  await publish(first(cluster), 900);
+  await until(() => targetAt(cut) === 900);
+  t.not(cut.daemon.follower.source, "log");
+});
+
 test("a node that starts after retention passed reads a snapshot", async (t) => {
   const cluster = await startCluster(t, {
     nodes: 1,
