--- a/packages/core/src/shared/mod.ts
+++ b/packages/core/src/shared/mod.ts
@@ -5,3 +5,4 @@
 export * from "./invariant.ts";
 export * from "./random.ts";
 export * from "./time.ts";
+export * from "./rendezvous.ts";
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -1,10 +1,8 @@
 import {
   type EngineId,
   engineId,
-  fencingNumber,
-  type RequestObserver,
+  RequestTelemetry,
   seconds,
-  SilentObserver,
 } from "@foxtailwind/core";
 import {
   createDispatcher,
@@ -12,27 +10,39 @@
   HttpLogClient,
   HttpServiceClient,
   HttpVmListClient,
+  HttpWeightStoreClient,
   type Vm,
 } from "@foxtailwind/edges";
 import type { NestFastifyApplication } from "@nestjs/platform-fastify";
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { ProcessClock } from "./clock/steady_clock.ts";
+import {
+  ClusterHandOver,
+  ClusterNode,
+  ClusterPeerViews,
+  clusterService,
+  ClusterTransport,
+} from "./cluster/mod.ts";
 import { readClusterStatus } from "./configuration/cluster_status.ts";
 import { ConfigurationFollower } from "./configuration/configuration_follower.ts";
 import { ConfigurationPublisher } from "./configuration/configuration_publisher.ts";
 import { SnapshotWriter } from "./configuration/snapshot_writer.ts";
 import { SpreadService } from "./configuration/spread_service.ts";
 import { DaemonParts } from "./daemon_parts.ts";
-import { type KeyedExecution, ServiceDelivery } from "./delivery/mod.ts";
 import {
-  countCalls,
-  Drain,
-  NothingToHandOver,
-  WorkInProgress,
-} from "./drain/mod.ts";
+  DeliveryParts,
+  type KeyedExecution,
+  ServiceDelivery,
+} from "./delivery/mod.ts";
+import { Drain, WorkInProgress } from "./drain/mod.ts";
 import { createHttpApplication } from "./http_application.ts";
 import type { LoggerFactory } from "./logging/part_logger.ts";
+import {
+  type MetricsSink,
+  SilentMetrics,
+  StatsdMetrics,
+} from "./metrics/mod.ts";
 import { generationService } from "./peers/generation_service.ts";
 import { PeerChannels } from "./peers/peer_channels.ts";
 import { PeerClients } from "./peers/peer_clients.ts";
@@ -42,11 +52,13 @@
   AddressDirectory,
   HashedControllers,
   OwnView,
-  RefusingKeyedExecution,
   ServiceDispatcher,
 } from "./routing/mod.ts";
-import { GenerationRouter } from "./serving/generation_router.ts";
+import type { GenerationRouter } from "./serving/generation_router.ts";
+import { ServingParts } from "./serving/serving_parts.ts";
 import type { Settings } from "./settings/settings.ts";
+import { NoEngineActivity } from "./telemetry/engine_activity.ts";
+import { NodeTelemetry } from "./telemetry/node_telemetry.ts";
 
 /** Where a daemon listens. */
 export interface DaemonAddresses {
@@ -54,8 +66,11 @@
   readonly grpc: string;
 }
 
-/** How long closing may take once an operator's bound has passed. */
-const OVERDUE_CLOSE = 500;
+/** How long streams between nodes that carry no requests may take to end. */
+const CONTROL_CLOSE = 1_000;
+
+/** Reads that take longer renew no lease. */
+const MEMBERSHIP_LOG_TIMEOUT = 1_000;
 
 /** One node: all its parts, started and stopped together. */
 export class Daemon extends DaemonParts {
@@ -71,12 +86,19 @@
   override readonly drain: Drain;
   override readonly directory: VmDirectory;
   override readonly follower: ConfigurationFollower;
+  override readonly observer = new RequestTelemetry(this.clock.now());
+  override readonly telemetry: NodeTelemetry;
   override readonly publisher: ConfigurationPublisher;
-  override readonly observer: RequestObserver = new SilentObserver();
   override readonly router: GenerationRouter;
+  override readonly delivery: DeliveryParts;
+  override readonly metrics: MetricsSink;
+  readonly #loggers: LoggerFactory;
   readonly #channels = new PeerChannels();
+  readonly #cluster: ClusterNode;
+  readonly #serving: ServingParts;
   readonly #spread: SpreadService;
   readonly #snapshots: SnapshotWriter;
+  readonly #peers = new PeerClients(this.#channels);
   readonly #peerServer: PeerServer;
   readonly #dispatcher = createDispatcher();
   #application: NestFastifyApplication | undefined;
@@ -85,7 +107,10 @@
   constructor(settings: Settings, loggers: LoggerFactory) {
     super();
     this.settings = settings;
+    this.#loggers = loggers;
+    this.metrics = makeMetrics(settings, loggers);
     const dispatcher = this.#dispatcher;
+    const { clock } = this;
     this.log = new HttpLogClient({
       baseAddress: settings.platform.log,
       dispatcher,
@@ -124,18 +149,51 @@
       this.follower.store,
       () => this.follower.status(),
     );
-    this.router = new GenerationRouter({
+    this.#cluster = this.#makeCluster(loggers);
+    this.#serving = new ServingParts({
       self: settings.node.id,
       directory: this.directory,
-      peers: new PeerClients(this.#channels),
+      peers: this.#peers,
+      channels: this.#channels,
       clock: this.clock,
       logger: loggers.forPart("serving"),
-      fencing: () => fencingNumber(0),
+      observer: this.observer,
+      right: this.#cluster,
+      assignment: this.#cluster,
+      store: settings.platform.weight_store_id,
+      storeClient: new HttpWeightStoreClient({
+        baseAddress: settings.platform.weight_store,
+        dispatcher,
+        peer: settings.platform.weight_store_id,
+      }),
       engineClient: (vm) => this.#engineClient(engineId(vm.id), vm.address),
     });
+    this.router = this.#serving.router;
+    this.delivery = new DeliveryParts({
+      self: settings.node.id,
+      failureDomain: settings.node.failure_domain,
+      clock: this.clock,
+      log: this.log,
+      channels: this.#channels,
+      nodes: () => this.directory.vms.filter((vm) => vm.role.kind === "entry"),
+      router: this.router,
+      observer: this.observer,
+      work: this.work,
+    });
+    this.telemetry = new NodeTelemetry(this, {
+      requests: this.observer,
+      activity: new NoEngineActivity(),
+      channels: this.#channels,
+    });
     this.#peerServer = new PeerServer([
-      countCalls(generationService(this.router, this.clock), this.work),
+      generationService({ router: this.router, clock, work: this.work }),
+      this.delivery.registration,
+      this.telemetry.registration,
       this.#spread.registration,
+      clusterService((message) => {
+        this.#cluster.receive(message);
+      }),
+      ...this.#serving.registrations,
     ]);
     this.drain = this.#makeDrain(loggers);
     this.serviceDispatcher = new ServiceDispatcher({
@@ -146,7 +204,7 @@
       clock: this.clock,
       logger: loggers.forPart("services"),
     });
-    this.keyedExecution = new RefusingKeyedExecution();
+    this.keyedExecution = this.delivery.execution;
     this.serviceDelivery = new ServiceDelivery(
       this.keyedExecution,
       this.serviceDispatcher,
@@ -161,10 +219,16 @@
   async start(): Promise<DaemonAddresses> {
     const { http, grpc } = this.settings.listen;
     const grpcPort = await this.#peerServer.listen(grpc);
-    this.#application = await createHttpApplication(this);
+    this.#application = await createHttpApplication(
+      this,
+      this.#loggers.forPart("callers"),
+    );
     await this.#application.listen(http.port, http.host);
     await this.directory.start();
+    this.#cluster.start(`${grpc.host}:${grpcPort}`);
+    this.#serving.start();
     void this.follower.run();
+    this.telemetry.start();
     this.#snapshots.start();
     const address = this.#application.getHttpServer().address() as AddressInfo;
     return {
@@ -187,23 +251,49 @@
   }
 
   async #close(isOverdue: boolean): Promise<void> {
-    const closing = this.#closeServers();
-    await (isOverdue ? Promise.race([closing, sleep(OVERDUE_CLOSE)]) : closing);
+    if (isOverdue) this.#cutConnections();
+    await this.#application?.close();
+    this.#spread.close();
+    this.#serving.closeStreams();
+    this.#peers.close();
+    await Promise.race([this.#peerServer.close(), sleep(CONTROL_CLOSE)]);
+    this.#peerServer.cutConnections();
+    this.#cluster.stop();
     this.follower.stop();
+    this.telemetry.stop();
     this.#snapshots.stop();
     this.directory.stop();
-    this.router.stop();
+    this.#serving.stop();
+    this.delivery.stop();
     this.#channels.close();
     await this.#dispatcher.destroy();
+    await this.metrics.close();
   }
 
   override readonly peerStatuses = (nodes: readonly Vm[]) =>
     readClusterStatus(nodes, this.#channels);
 
-  async #closeServers(): Promise<void> {
-    await this.#application?.close();
-    this.#spread.close();
-    await this.#peerServer.close();
+  /** Ends what is in progress, once an operator's bound has passed. */
+  #cutConnections(): void {
+    this.#application?.getHttpServer().closeAllConnections();
+    this.#peerServer.cutConnections();
+  }
+
+  #makeCluster(loggers: LoggerFactory): ClusterNode {
+    const { settings, clock, directory } = this;
+    return new ClusterNode({
+      node: settings.node,
+      clock,
+      directory,
+      log: new HttpLogClient({
+        baseAddress: settings.platform.log,
+        dispatcher: this.#dispatcher,
+        peer: "log",
+        timeoutMilliseconds: MEMBERSHIP_LOG_TIMEOUT,
+      }),
+      transport: new ClusterTransport(this.#channels),
+      logger: loggers.forPart("ownership"),
+    });
   }
 
   #makeDrain(loggers: LoggerFactory): Drain {
@@ -215,7 +305,7 @@
         ...(longestWait !== undefined && { longestWait: seconds(longestWait) }),
       },
       work: this.work,
-      handOver: new NothingToHandOver(),
+      handOver: new ClusterHandOver(this.#cluster),
       clock: this.clock,
       logger: loggers.forPart("daemon"),
     });
@@ -225,11 +315,14 @@
     const { settings, directory, follower } = this;
     return new AddressDirectory({
       directory,
-      peers: new OwnView({
-        self: settings.node.id,
-        isLeaving: () => this.drain.isLeaving,
-        load: () => this.work.count,
-      }),
+      peers: new ClusterPeerViews(
+        this.#cluster,
+        new OwnView({
+          self: settings.node.id,
+          isLeaving: () => this.drain.isLeaving,
+          load: () => this.work.count,
+        }),
+      ),
       controllers: new HashedControllers(directory, follower.configuration),
       longestLifetime: seconds(settings.addresses.lifetime_seconds),
     });
@@ -243,3 +336,13 @@
     });
   }
 }
+
+function makeMetrics(settings: Settings, loggers: LoggerFactory): MetricsSink {
+  const { metrics, node } = settings;
+  if (metrics.statsd === undefined) return new SilentMetrics();
+  return new StatsdMetrics({
+    address: metrics.statsd,
+    tags: { node: node.id, failure_domain: node.failure_domain },
+    logger: loggers.forPart("metrics"),
+  });
+}
--- a/packages/node/src/peers/peer_server.ts
+++ b/packages/node/src/peers/peer_server.ts
@@ -10,13 +10,17 @@
 export interface PeerRegistration {
   readonly definition: ServiceDefinition;
   readonly implementation: UntypedServiceImplementation;
+  /** Ends calls that would stay open, once nothing is in progress on them. */
+  readonly drain?: () => void;
 }
 
 /** Answers the other nodes. */
 export class PeerServer {
   readonly #server = new Server();
+  readonly #registrations: readonly PeerRegistration[];
 
   constructor(registrations: readonly PeerRegistration[]) {
+    this.#registrations = registrations;
     for (const { definition, implementation } of registrations) {
       this.#server.addService(definition, implementation);
     }
@@ -40,8 +44,14 @@
     });
   }
 
+  /** Stops at once and ends the calls in progress. */
+  cutConnections(): void {
+    this.#server.forceShutdown();
+  }
+
   /** Stops listening once the calls in progress have ended. */
   close(): Promise<void> {
+    for (const registration of this.#registrations) registration.drain?.();
     return new Promise((resolve) => {
       this.#server.tryShutdown(() => {
         resolve();
