--- a/packages/bench/src/overhead/load_plan.ts
+++ b/packages/bench/src/overhead/load_plan.ts
@@ -31,6 +31,8 @@
   /** Requests that were sent and ended within the measured time. */
   whole: z.number(),
   failed: z.number(),
+  /** Pieces of all whole answers together. */
+  pieces: z.number(),
   firstTokenMilliseconds: z.array(z.number()),
   wholeMilliseconds: z.array(z.number()),
 });
@@ -59,6 +61,7 @@
   return {
     whole: 0,
     failed: 0,
+    pieces: 0,
     firstTokenMilliseconds: [],
     wholeMilliseconds: [],
   };
--- a/packages/bench/src/overhead/load_program.ts
+++ b/packages/bench/src/overhead/load_program.ts
@@ -77,6 +77,7 @@
     return;
   }
   path.whole += 1;
+  path.pieces += outcome.pieces;
   path.firstTokenMilliseconds.push(outcome.firstTokenMilliseconds);
   path.wholeMilliseconds.push(outcome.wholeMilliseconds);
 }
--- a/packages/bench/src/overhead/overhead_phase.ts
+++ b/packages/bench/src/overhead/overhead_phase.ts
@@ -92,6 +92,7 @@
   return {
     whole: left.whole + right.whole,
     failed: left.failed + right.failed,
+    pieces: left.pieces + right.pieces,
     firstTokenMilliseconds: [
       ...left.firstTokenMilliseconds,
       ...right.firstTokenMilliseconds,
--- a/packages/bench/src/overhead/overhead_report.ts
+++ b/packages/bench/src/overhead/overhead_report.ts
@@ -39,7 +39,13 @@
 }
 
 function fullLoadTable({ node, direct }: OverheadFigures): string {
-  const table = plainTable(["full load", "whole/s", "failed", "node's cores"]);
+  const table = plainTable([
+    "full load",
+    "whole/s",
+    "failed",
+    "pieces an answer",
+    "node's cores",
+  ]);
   table.push(
     fullRow("through the node", { path: node.node, phase: node }),
     fullRow("directly", { path: direct.engine, phase: direct }),
@@ -55,6 +61,7 @@
     name,
     (path.whole / phase.seconds).toFixed(0),
     String(path.failed),
+    (path.pieces / path.whole).toFixed(1),
     phase.nodeCores.toFixed(2),
   ];
 }
--- a/packages/bench/src/overhead/stream_call.ts
+++ b/packages/bench/src/overhead/stream_call.ts
@@ -17,6 +17,8 @@
   readonly whole: boolean;
   readonly firstTokenMilliseconds: number;
   readonly wholeMilliseconds: number;
+  /** In how many pieces the answer arrived: about one for each write. */
+  readonly pieces: number;
 }
 
 const OK = 200;
@@ -32,6 +34,7 @@
   #firstAt: number | undefined;
   #status = 0;
   #tokens = 0;
+  #pieces = 0;
   #last = "";
 
   constructor(call: StreamCall, onOutcome: (outcome: StreamOutcome) => void) {
@@ -49,6 +52,7 @@
 
   onResponseData(_controller: unknown, chunk: Buffer): void {
     this.#tokens += countMarks(chunk);
+    this.#pieces += 1;
     if (this.#tokens > 0) this.#firstAt ??= performance.now();
     this.#last = chunk.subarray(-LAST_BYTES).toString("latin1");
   }
@@ -70,6 +74,7 @@
       whole,
       firstTokenMilliseconds: (this.#firstAt ?? now) - this.#startedAt,
       wholeMilliseconds: now - this.#startedAt,
+      pieces: this.#pieces,
     });
   }
 }
