--- /dev/null
+++ b/packages/bench/src/soak/ownership_soak.ts
@@ -0,0 +1,58 @@
+import {
+  InvariantViolation,
+  type OwnershipRules,
+  StandardOwnershipRules,
+} from "@foxtailwind/core";
+import { OwnershipRun } from "./ownership_run.ts";
+import { type Scenario, scenarioOf } from "./scenario.ts";
+
+/** An invariant that a run found broken. */
+export interface SoakFinding {
+  readonly seed: number;
+  readonly invariant: string;
+  readonly detail: string;
+}
+
+/** What a run did, where no invariant broke. */
+export interface SoakRun {
+  readonly orders: number;
+  readonly finding?: SoakFinding;
+}
+
+/**
+ * Runs the scenario of a seed and checks every invariant.
+ * @param seed The seed.
+ * @param rules The rules of ownership; other than the standard ones for
+ * mutants only.
+ * @returns What was found.
+ */
+export function runOwnershipSoak(
+  seed: number,
+  rules: OwnershipRules = new StandardOwnershipRules(),
+): SoakRun {
+  return runScenario(scenarioOf(seed), { seed, rules });
+}
+
+/**
+ * Runs one scenario and checks every invariant.
+ * @param scenario The scenario.
+ * @param options The seed that findings name, and the rules.
+ * @returns What was found.
+ */
+export function runScenario(
+  scenario: Scenario,
+  options: { readonly seed: number; readonly rules: OwnershipRules },
+): SoakRun {
+  const { seed, rules } = options;
+  const run = new OwnershipRun(scenario, rules);
+  try {
+    run.run();
+    return { orders: run.orders };
+  } catch (error) {
+    const invariant = error instanceof InvariantViolation
+      ? error.invariant
+      : "no_exception";
+    const detail = error instanceof Error ? error.message : String(error);
+    return { orders: run.orders, finding: { seed, invariant, detail } };
+  }
+}
--- a/packages/core/src/delivery/delivery_rules.ts
+++ b/packages/core/src/delivery/delivery_rules.ts
@@ -1,12 +1,17 @@
-import type { Failure } from "../shared/mod.ts";
+import type { Failure, Instant, RunOutcome } from "../shared/mod.ts";
+import type { EpochVerdict } from "./claim_index.ts";
 
 /** What is known when an attempt failed. */
 export interface FailedAttempt {
   readonly failure: Failure;
   /** Whether the request may run more than once. */
   readonly repeatable: boolean;
+  /** Tokens received, over all attempts that were resumed. */
+  readonly received: number;
   /** Tokens already passed on to the caller. */
   readonly passed: number;
+  /** Whether the attempt went on with a generation that the engine held. */
+  readonly wasResume: boolean;
 }
 
 /** How to go on after an attempt failed. */
@@ -33,10 +38,14 @@
    * @returns The next step; the retry budget may still forbid it.
    */
   nextStep(attempt: FailedAttempt): NextStep {
-    const { failure, repeatable, passed } = attempt;
+    const { failure, repeatable, received, passed, wasResume } = attempt;
+    const mayRestart = repeatable && passed === 0;
+    if (wasResume && isNothingToResume(failure)) {
+      return mayRestart ? "restart" : "give_up";
+    }
     if (!isPassing(failure)) return "give_up";
-    if (passed > 0) return "resume";
-    return repeatable || failure.outcome === "not_run" ? "restart" : "give_up";
+    if (received > 0) return "resume";
+    return mayRestart || failure.outcome === "not_run" ? "restart" : "give_up";
   }
 
   /**
@@ -82,9 +91,29 @@
     return true;
   }
 
-  /** Decides whether a key's record outlives an outcome that is unknown. */
-  keepsUnknown(): boolean {
-    return true;
+  /**
+   * Decides whether a key may run again after its run ended.
+   * @param outcome What is known of the run.
+   */
+  freesKey(outcome: RunOutcome): boolean {
+    return outcome === "not_run";
+  }
+
+  /**
+   * Decides whether a key may be claimed, given what is known of its epoch.
+   * @param verdict Whether all its claims are known.
+   */
+  acceptsEpoch(verdict: EpochVerdict): boolean {
+    return verdict === "covered";
+  }
+
+  /**
+   * Decides whether a key of a scope may still be run.
+   * @param now The present time.
+   * @param expiresAt When the scope ends.
+   */
+  acceptsExpiry(now: Instant, expiresAt: Instant): boolean {
+    return now < expiresAt;
   }
 
   /** Decides whether a stream may end though tokens are missing. */
@@ -93,6 +122,12 @@
   }
 }
 
+/** A resume never starts a generation anew: the engine has none, or refuses. */
+function isNothingToResume(failure: Failure): boolean {
+  return failure.reason === "not_found" || failure.reason === "refused" ||
+    failure.reason === "invalid";
+}
+
 function isPassing(failure: Failure): boolean {
   switch (failure.reason) {
     case "unavailable":
--- a/packages/core/src/dispatch/displacement.ts
+++ b/packages/core/src/dispatch/displacement.ts
@@ -1,9 +1,7 @@
 import type { Instant } from "../shared/mod.ts";
+import { TARGET_RATIO } from "./class_counts.ts";
 import type { WaitingRequest } from "./waiting_request.ts";
 
-/** Work gives way only to work whose target is so much shorter. */
-export const TARGET_RATIO = 4;
-
 /**
  * Tells whether running work may give its place to a request.
  * @param running The running request.
@@ -33,15 +31,20 @@
   let best: WaitingRequest | undefined;
   for (const candidate of running) {
     if (!givesWay(candidate, urgent)) continue;
-    if (slackShare(now, candidate) < slackShare(now, urgent)) continue;
+    if (!hasTimeLeft(now, candidate, urgent)) continue;
     if (best === undefined || losesLess(candidate, best)) best = candidate;
   }
   return best;
 }
 
-function slackShare(now: Instant, request: WaitingRequest): number {
-  if (request.firstTokenAt !== undefined) return Infinity;
-  return (request.deadline - now) / request.target;
+/** Work that is near its own deadline is not put aside any more. */
+function hasTimeLeft(
+  now: Instant,
+  candidate: WaitingRequest,
+  urgent: WaitingRequest,
+): boolean {
+  if (candidate.firstTokenAt !== undefined) return true;
+  return candidate.deadline - now >= TARGET_RATIO * urgent.target;
 }
 
 function losesLess(candidate: WaitingRequest, best: WaitingRequest): boolean {
--- a/packages/core/src/serving/load_planner.ts
+++ b/packages/core/src/serving/load_planner.ts
@@ -37,12 +37,21 @@
   readonly value: AdapterValue;
 }
 
+interface LoadStart {
+  readonly adapter: AdapterReference;
+  readonly evicted?: AdapterReference;
+}
+
+interface PlannedLoad extends LoadStart {
+  readonly key: AdapterKey;
+}
+
 /** Decides which adapters one engine wants, and which leave for them. */
 export class LoadPlanner {
   readonly #parts: LoadPlannerParts;
   readonly #backoff = new LoadBackoff();
   /** Loads that wait for the eviction of another adapter. */
-  readonly #afterEviction = new Map<AdapterKey, AdapterReference>();
+  readonly #afterEviction = new Map<AdapterKey, PlannedLoad>();
   readonly #awaiting = new Set<AdapterKey>();
   #orders: EngineDecision[] = [];
 
@@ -70,23 +79,11 @@
     now: Instant,
     prefetch: readonly PrefetchCandidate[],
   ): readonly LoadWish[] {
+    const wanted = this.#wanted(now, prefetch);
+    if (wanted.length === 0 || this.#freeSlots() > 0) return wanted;
     const victim = this.#victim(now);
-    const isFree = this.#freeSlots() > 0;
-    if (!isFree && victim === undefined) return [];
-    const loss = isFree ? 0 : (victim?.loss ?? 0);
-    const wishes: LoadWish[] = [];
-    for (const line of this.#parts.book.blocked.lines) {
-      const wish = this.#lineWish(now, line);
-      if (wish === undefined || wish.urgency < loss) continue;
-      keepMostUrgent(wishes, wish);
-    }
-    for (const candidate of prefetch) {
-      const wish = this.#prefetchWish(now, candidate);
-      if (wish === undefined) continue;
-      if (wish.urgency < PREFETCH_MARGIN * loss) continue;
-      keepMostUrgent(wishes, wish);
-    }
-    return wishes;
+    if (victim === undefined) return [];
+    return wanted.filter((wish) => wish.urgency >= leastUrgency(wish, victim));
   }
 
   /**
@@ -103,16 +100,17 @@
   ): boolean {
     if (!this.#isWanted(key)) return false;
     if (this.#freeSlots() > 0) {
-      this.#startLoad(now, adapter);
+      this.#startLoad(now, { adapter });
       return true;
     }
     const victim = this.#victim(now);
     if (victim === undefined) return false;
     this.#parts.book.block(now, victim.residence.key);
     this.#parts.residency.startEviction(now, victim.residence.key);
-    this.#afterEviction.set(victim.residence.key, adapter);
+    const evicted = victim.residence.adapter;
+    this.#afterEviction.set(victim.residence.key, { key, adapter, evicted });
     this.#awaiting.add(key);
-    this.#orders.push({ kind: "evict", adapter: victim.residence.adapter });
+    this.#orders.push({ kind: "evict", adapter: evicted });
     return true;
   }
 
@@ -121,22 +119,20 @@
    * @param now The present time.
    * @param victim The adapter that was to leave.
    * @param evicted Whether it has left.
-   * @param keyOf Names an adapter.
+   * @returns The adapter that was to take its place.
    */
   afterEviction(
     now: Instant,
     victim: AdapterKey,
-    { evicted, keyOf }: {
-      readonly evicted: boolean;
-      readonly keyOf: (adapter: AdapterReference) => AdapterKey;
-    },
-  ): void {
+    evicted: boolean,
+  ): AdapterKey | undefined {
     const next = this.#afterEviction.get(victim);
-    if (next === undefined) return;
+    if (next === undefined) return undefined;
     this.#afterEviction.delete(victim);
-    this.#awaiting.delete(keyOf(next));
+    this.#awaiting.delete(next.key);
     if (evicted) this.#startLoad(now, next);
-    else this.#orders.push({ kind: "return_permit", adapter: next });
+    else this.#orders.push({ kind: "return_permit", adapter: next.adapter });
+    return next.key;
   }
 
   /**
@@ -160,9 +156,30 @@
     return orders;
   }
 
-  #startLoad(now: Instant, adapter: AdapterReference): void {
+  #wanted(
+    now: Instant,
+    prefetch: readonly PrefetchCandidate[],
+  ): readonly LoadWish[] {
+    const wanted: LoadWish[] = [];
+    for (const line of this.#parts.book.blocked.lines) {
+      const wish = this.#lineWish(now, line);
+      if (wish !== undefined) keepMostUrgent(wanted, wish);
+    }
+    for (const candidate of prefetch) {
+      const wish = this.#prefetchWish(now, candidate);
+      if (wish !== undefined) keepMostUrgent(wanted, wish);
+    }
+    return wanted;
+  }
+
+  #startLoad(now: Instant, load: LoadStart): void {
+    const { adapter, evicted } = load;
     this.#parts.residency.startLoad(now, adapter);
-    this.#orders.push({ kind: "load", adapter });
+    this.#orders.push({
+      kind: "load",
+      adapter,
+      ...(evicted === undefined ? {} : { evicted }),
+    });
   }
 
   /** Slots that no decided load will take. */
@@ -209,6 +226,12 @@
   }
 }
 
+function leastUrgency(wish: LoadWish, victim: EvictionCandidate): number {
+  return wish.purpose === "prefetch"
+    ? PREFETCH_MARGIN * victim.loss
+    : victim.loss;
+}
+
 function keepMostUrgent(wishes: LoadWish[], wish: LoadWish): void {
   const last = wishes[MOST_WISHES - 1];
   if (last !== undefined && last.urgency >= wish.urgency) return;
--- a/packages/node/src/callers/completions/completions_controller.ts
+++ b/packages/node/src/callers/completions/completions_controller.ts
@@ -3,6 +3,11 @@
 import type { FastifyReply } from "fastify";
 import { randomUUID } from "node:crypto";
 import { DaemonParts } from "../../daemon_parts.ts";
+import {
+  IDEMPOTENCY_KEY_HEADER,
+  isNotRepeatable,
+  NOT_REPEATABLE_HEADER,
+} from "../../delivery/mod.ts";
 import type { GenerationRequest } from "../../serving/generation_request.ts";
 import { sendChatProblem } from "../problem.ts";
 import type { CompletionRequest } from "./completion_request.ts";
@@ -18,6 +23,14 @@
 
 const ROUTE = "completions";
 
+interface CompletionOrder {
+  readonly body: CompletionRequest;
+  readonly reply: FastifyReply;
+  /** The caller's `Idempotency-Key`. */
+  readonly key: string | undefined;
+  readonly notRepeatable: boolean;
+}
+
 /** Serves completions to callers. */
 @Controller("v1/chat/completions")
 export class CompletionsController {
@@ -34,6 +47,8 @@
     @Body() body: unknown,
     @Headers("x-foxtailwind-class") className: string | undefined,
     @Headers("x-foxtailwind-tenant") tenant: string | undefined,
+    @Headers(IDEMPOTENCY_KEY_HEADER) key: string | undefined,
+    @Headers(NOT_REPEATABLE_HEADER) notRepeatable: string | undefined,
     @Res() reply: FastifyReply,
   ): void {
     const request = requestId(randomUUID());
@@ -55,15 +70,17 @@
     if (ignored.length > 0) {
       void reply.header("x-foxtailwind-ignored", ignored.join(", "));
     }
-    this.#run(generation.value, { body: parsed.value.body, reply });
+    this.#run(generation.value, {
+      body: parsed.value.body,
+      reply,
+      key,
+      notRepeatable: isNotRepeatable(notRepeatable),
+    });
   }
 
   #run(
     generation: GenerationRequest,
-    { body, reply }: {
-      readonly body: CompletionRequest;
-      readonly reply: FastifyReply;
-    },
+    { body, reply, key, notRepeatable }: CompletionOrder,
   ): void {
     const { adapter, request, tenant } = generation;
     this.#parts.observer.record(generation.arrivedAt, {
@@ -87,7 +104,12 @@
         this.#parts.metrics.count("requests", { route: ROUTE, outcome });
       },
     });
-    sink.attach(this.#parts.router.route(generation, sink));
+    sink.attach(this.#parts.delivery.generations.deliver({
+      generation,
+      streamed: body.stream === true,
+      key,
+      notRepeatable,
+    }, sink));
   }
 
   #sink(streams: boolean, options: CompletionSinkOptions): CompletionSink {
--- a/packages/node/src/configuration/configuration_publisher.ts
+++ b/packages/node/src/configuration/configuration_publisher.ts
@@ -23,7 +23,7 @@
   refusedByReaders,
 } from "./publish_failure.ts";
 
-const DEADLINE = milliseconds(6_000);
+const DEADLINE = milliseconds(4_000);
 const RETRY_MILLISECONDS = 100;
 
 /** What a publisher works with. */
@@ -143,6 +143,9 @@
 ): Result<AcceptedChange, PublishFailure> {
   const { id, offset, verdict } = change;
   if (verdict.kind === "accepted") return ok({ id, offset, repeated });
+  if (verdict.kind === "conflict" && verdict.change === id) {
+    return ok({ id, offset: verdict.winner, repeated: true });
+  }
   return err(refusedByReaders(verdict));
 }
 
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -1,10 +1,8 @@
 import {
   type EngineId,
   engineId,
-  fencingNumber,
-  type RequestObserver,
+  RequestTelemetry,
   seconds,
-  SilentObserver,
 } from "@foxtailwind/core";
 import {
   createDispatcher,
@@ -12,25 +10,32 @@
   HttpLogClient,
   HttpServiceClient,
   HttpVmListClient,
+  HttpWeightStoreClient,
   type Vm,
 } from "@foxtailwind/edges";
 import type { NestFastifyApplication } from "@nestjs/platform-fastify";
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { ProcessClock } from "./clock/steady_clock.ts";
+import {
+  ClusterHandOver,
+  ClusterNode,
+  ClusterPeerViews,
+  clusterService,
+  ClusterTransport,
+} from "./cluster/mod.ts";
 import { readClusterStatus } from "./configuration/cluster_status.ts";
 import { ConfigurationFollower } from "./configuration/configuration_follower.ts";
 import { ConfigurationPublisher } from "./configuration/configuration_publisher.ts";
 import { SnapshotWriter } from "./configuration/snapshot_writer.ts";
 import { SpreadService } from "./configuration/spread_service.ts";
 import { DaemonParts } from "./daemon_parts.ts";
-import { type KeyedExecution, ServiceDelivery } from "./delivery/mod.ts";
 import {
-  countCalls,
-  Drain,
-  NothingToHandOver,
-  WorkInProgress,
-} from "./drain/mod.ts";
+  DeliveryParts,
+  type KeyedExecution,
+  ServiceDelivery,
+} from "./delivery/mod.ts";
+import { Drain, LeavingEngines, WorkInProgress } from "./drain/mod.ts";
 import { createHttpApplication } from "./http_application.ts";
 import type { LoggerFactory } from "./logging/part_logger.ts";
 import {
@@ -38,7 +43,6 @@
   SilentMetrics,
   StatsdMetrics,
 } from "./metrics/mod.ts";
-import type { DrainHook } from "./operators/drain_hook.ts";
 import { generationService } from "./peers/generation_service.ts";
 import { PeerChannels } from "./peers/peer_channels.ts";
 import { PeerClients } from "./peers/peer_clients.ts";
@@ -46,13 +50,15 @@
 import { VmDirectory } from "./platform/vm_directory.ts";
 import {
   AddressDirectory,
-  HashedControllers,
   OwnView,
-  RefusingKeyedExecution,
+  RoutedControllers,
   ServiceDispatcher,
 } from "./routing/mod.ts";
-import { GenerationRouter } from "./serving/generation_router.ts";
+import type { GenerationRouter } from "./serving/generation_router.ts";
+import { ServingParts } from "./serving/serving_parts.ts";
 import type { Settings } from "./settings/settings.ts";
+import { ControlledEngines } from "./telemetry/controlled_engines.ts";
+import { NodeTelemetry } from "./telemetry/node_telemetry.ts";
 
 /** Where a daemon listens. */
 export interface DaemonAddresses {
@@ -60,8 +66,11 @@
   readonly grpc: string;
 }
 
-/** How long closing may take once an operator's bound has passed. */
-const OVERDUE_CLOSE = 500;
+/** How long streams between nodes that carry no requests may take to end. */
+const CONTROL_CLOSE = 1_000;
+
+/** Reads that take longer renew no lease. */
+const MEMBERSHIP_LOG_TIMEOUT = 1_000;
 
 /** One node: all its parts, started and stopped together. */
 export class Daemon extends DaemonParts {
@@ -77,15 +86,20 @@
   override readonly drain: Drain;
   override readonly directory: VmDirectory;
   override readonly follower: ConfigurationFollower;
+  override readonly observer = new RequestTelemetry(this.clock.now());
+  override readonly telemetry: NodeTelemetry;
   override readonly publisher: ConfigurationPublisher;
-  override readonly drainHook: DrainHook | undefined = undefined;
-  override readonly observer: RequestObserver = new SilentObserver();
   override readonly router: GenerationRouter;
+  override readonly delivery: DeliveryParts;
   override readonly metrics: MetricsSink;
   readonly #loggers: LoggerFactory;
   readonly #channels = new PeerChannels();
+  readonly #cluster: ClusterNode;
+  readonly #serving: ServingParts;
   readonly #spread: SpreadService;
   readonly #snapshots: SnapshotWriter;
+  readonly #leavingEngines: LeavingEngines;
+  readonly #peers = new PeerClients(this.#channels);
   readonly #peerServer: PeerServer;
   readonly #dispatcher = createDispatcher();
   #application: NestFastifyApplication | undefined;
@@ -97,6 +111,7 @@
     this.#loggers = loggers;
     this.metrics = makeMetrics(settings, loggers);
     const dispatcher = this.#dispatcher;
+    const { clock } = this;
     this.log = new HttpLogClient({
       baseAddress: settings.platform.log,
       dispatcher,
@@ -135,20 +150,59 @@
       this.follower.store,
       () => this.follower.status(),
     );
-    this.router = new GenerationRouter({
+    this.#cluster = this.#makeCluster(loggers);
+    this.#serving = new ServingParts({
       self: settings.node.id,
       directory: this.directory,
-      peers: new PeerClients(this.#channels),
+      peers: this.#peers,
+      channels: this.#channels,
       clock: this.clock,
       logger: loggers.forPart("serving"),
-      fencing: () => fencingNumber(0),
+      observer: this.observer,
+      right: this.#cluster,
+      assignment: this.#cluster,
+      store: settings.platform.weight_store_id,
+      storeClient: new HttpWeightStoreClient({
+        baseAddress: settings.platform.weight_store,
+        dispatcher,
+        peer: settings.platform.weight_store_id,
+      }),
       engineClient: (vm) => this.#engineClient(engineId(vm.id), vm.address),
     });
+    this.router = this.#serving.router;
+    this.delivery = new DeliveryParts({
+      self: settings.node.id,
+      failureDomain: settings.node.failure_domain,
+      clock: this.clock,
+      log: this.log,
+      channels: this.#channels,
+      nodes: () => this.directory.vms.filter((vm) => vm.role.kind === "entry"),
+      router: this.router,
+      observer: this.observer,
+      work: this.work,
+    });
+    this.telemetry = new NodeTelemetry(this, {
+      requests: this.observer,
+      activity: new ControlledEngines(() => this.router.controllers),
+      channels: this.#channels,
+    });
     this.#peerServer = new PeerServer([
-      countCalls(generationService(this.router, this.clock), this.work),
+      generationService({ router: this.router, clock, work: this.work }),
+      this.delivery.registration,
+      this.telemetry.registration,
       this.#spread.registration,
+      clusterService((message) => {
+        this.#cluster.receive(message);
+      }),
+      ...this.#serving.registrations,
     ]);
     this.drain = this.#makeDrain(loggers);
+    this.#leavingEngines = new LeavingEngines({
+      directory: this.directory,
+      engines: this.router,
+      engineClient: (vm) => this.#engineClient(engineId(vm.id), vm.address),
+      logger: loggers.forPart("serving"),
+    });
     this.serviceDispatcher = new ServiceDispatcher({
       failureDomain: settings.node.failure_domain,
       client: this.services,
@@ -157,7 +211,7 @@
       clock: this.clock,
       logger: loggers.forPart("services"),
     });
-    this.keyedExecution = new RefusingKeyedExecution();
+    this.keyedExecution = this.delivery.execution;
     this.serviceDelivery = new ServiceDelivery(
       this.keyedExecution,
       this.serviceDispatcher,
@@ -178,8 +232,12 @@
     );
     await this.#application.listen(http.port, http.host);
     await this.directory.start();
+    this.#cluster.start(`${grpc.host}:${grpcPort}`);
+    this.#serving.start();
     void this.follower.run();
+    this.telemetry.start();
     this.#snapshots.start();
+    void this.#leavingEngines.run();
     const address = this.#application.getHttpServer().address() as AddressInfo;
     return {
       http: `${http.host}:${address.port}`,
@@ -201,12 +259,21 @@
   }
 
   async #close(isOverdue: boolean): Promise<void> {
-    const closing = this.#closeServers();
-    await (isOverdue ? Promise.race([closing, sleep(OVERDUE_CLOSE)]) : closing);
+    if (isOverdue) this.#cutConnections();
+    await this.#application?.close();
+    this.#spread.close();
+    this.#serving.closeStreams();
+    this.#peers.close();
+    await Promise.race([this.#peerServer.close(), sleep(CONTROL_CLOSE)]);
+    this.#peerServer.cutConnections();
+    this.#cluster.stop();
     this.follower.stop();
+    this.telemetry.stop();
     this.#snapshots.stop();
+    this.#leavingEngines.stop();
     this.directory.stop();
-    this.router.stop();
+    this.#serving.stop();
+    this.delivery.stop();
     this.#channels.close();
     await this.#dispatcher.destroy();
     await this.metrics.close();
@@ -215,10 +282,27 @@
   override readonly peerStatuses = (nodes: readonly Vm[]) =>
     readClusterStatus(nodes, this.#channels);
 
-  async #closeServers(): Promise<void> {
-    await this.#application?.close();
-    this.#spread.close();
-    await this.#peerServer.close();
+  /** Ends what is in progress, once an operator's bound has passed. */
+  #cutConnections(): void {
+    this.#application?.getHttpServer().closeAllConnections();
+    this.#peerServer.cutConnections();
+  }
+
+  #makeCluster(loggers: LoggerFactory): ClusterNode {
+    const { settings, clock, directory } = this;
+    return new ClusterNode({
+      node: settings.node,
+      clock,
+      directory,
+      log: new HttpLogClient({
+        baseAddress: settings.platform.log,
+        dispatcher: this.#dispatcher,
+        peer: "log",
+        timeoutMilliseconds: MEMBERSHIP_LOG_TIMEOUT,
+      }),
+      transport: new ClusterTransport(this.#channels),
+      logger: loggers.forPart("ownership"),
+    });
   }
 
   #makeDrain(loggers: LoggerFactory): Drain {
@@ -230,7 +314,7 @@
         ...(longestWait !== undefined && { longestWait: seconds(longestWait) }),
       },
       work: this.work,
-      handOver: new NothingToHandOver(),
+      handOver: new ClusterHandOver(this.#cluster),
       clock: this.clock,
       logger: loggers.forPart("daemon"),
     });
@@ -240,12 +324,15 @@
     const { settings, directory, follower } = this;
     return new AddressDirectory({
       directory,
-      peers: new OwnView({
-        self: settings.node.id,
-        isLeaving: () => this.drain.isLeaving,
-        load: () => this.work.count,
-      }),
-      controllers: new HashedControllers(directory, follower.configuration),
+      peers: new ClusterPeerViews(
+        this.#cluster,
+        new OwnView({
+          self: settings.node.id,
+          isLeaving: () => this.drain.isLeaving,
+          load: () => this.work.count,
+        }),
+      ),
+      controllers: new RoutedControllers(this.router, follower.configuration),
       longestLifetime: seconds(settings.addresses.lifetime_seconds),
     });
   }
--- a/packages/node/src/delivery/service_delivery.ts
+++ b/packages/node/src/delivery/service_delivery.ts
@@ -79,6 +79,7 @@
       work: WORK_NAME,
       key,
       payload: encodeRequest(withKey(request, key)),
+      identity: identityOf(request),
     });
     return answer.andThen(decodeAnswer);
   }
@@ -95,6 +96,12 @@
   };
 }
 
+/** Headers may differ between a request and its retry. */
+function identityOf(request: ServiceRequest): Uint8Array {
+  const { service, method, path, body } = request;
+  return encode([service, method, path, toBase64(body)]);
+}
+
 function encodeRequest(request: ServiceRequest): Uint8Array {
   return encode({ ...request, body: toBase64(request.body) });
 }
--- a/packages/node/src/http_application.ts
+++ b/packages/node/src/http_application.ts
@@ -14,6 +14,7 @@
 import type { PartLogger } from "./logging/part_logger.ts";
 import { OPERATOR_CONTROLLERS } from "./operators/mod.ts";
 import type { Settings } from "./settings/settings.ts";
+import { TELEMETRY_CONTROLLERS } from "./telemetry/mod.ts";
 
 /** How long a caller may take to send a whole request. */
 const REQUEST_MILLISECONDS = 30_000;
@@ -34,7 +35,11 @@
 ): Promise<NestFastifyApplication> {
   const module: DynamicModule = {
     module: HttpModule,
-    controllers: [...CALLER_CONTROLLERS, ...OPERATOR_CONTROLLERS],
+    controllers: [
+      ...CALLER_CONTROLLERS,
+      ...OPERATOR_CONTROLLERS,
+      ...TELEMETRY_CONTROLLERS,
+    ],
     providers: [{ provide: DaemonParts, useValue: parts }],
   };
   const application = await NestFactory.create<NestFastifyApplication>(
