--- a/packages/core/src/observation/describe_event.ts
+++ b/packages/core/src/observation/describe_event.ts
@@ -28,10 +28,10 @@
       }.`;
     case "dispatched":
       return `Dispatched to ${event.engine} after ${
-        rounded(event.queueWait)
-      } ms in the queue, of which ${
         rounded(event.loadStall)
-      } ms for its adapter to load.`;
+      } ms for its adapter to load and ${
+        rounded(event.queueWait)
+      } ms for a place in the batch.`;
     case "frame":
       return `Received ${event.tokens} tokens.`;
     case "preempted":
--- a/packages/node/src/telemetry/controlled_engines.ts
+++ b/packages/node/src/telemetry/controlled_engines.ts
@@ -1,5 +1,8 @@
 import { adapterKey, type EngineController } from "@foxtailwind/core";
-import { type EngineActivity, EngineActivitySource } from "./engine_activity.ts";
+import {
+  type EngineActivity,
+  EngineActivitySource,
+} from "./engine_activity.ts";
 
 /** Tells the activity of engines from their controllers. */
 export class ControlledEngines extends EngineActivitySource {
--- a/packages/node/src/telemetry/histogram_view.ts
+++ b/packages/node/src/telemetry/histogram_view.ts
@@ -1,6 +1,7 @@
 import {
   type HistogramSummary,
   type HistogramWindow,
+  MEASURES,
   type MergedRow,
   sumByClass,
   summariseHistogram,
@@ -65,10 +66,11 @@
 }
 
 function viewRow(row: MergedRow, tenant: string): HistogramRowView {
-  const measures = [...row.histograms].map(([measure, histogram]) => [
-    measure,
-    summariseHistogram(histogram, TICKS_PER_MILLISECOND),
-  ]);
+  const measures = MEASURES.flatMap((measure) => {
+    const histogram = row.histograms.get(measure);
+    if (histogram === undefined) return [];
+    return [[measure, summariseHistogram(histogram, TICKS_PER_MILLISECOND)]];
+  });
   return {
     class: row.class,
     tenant,
