--- a/packages/cli/src/mod.ts
+++ b/packages/cli/src/mod.ts
@@ -7,6 +7,14 @@
 export * from "./command_line.ts";
 export * from "./commands/command.ts";
 export * from "./commands/mod.ts";
+export type { ExplanationsAnswer } from "./commands/explain.ts";
+export type {
+  HistogramsAnswer,
+  HistogramSummaryAnswer,
+} from "./commands/histograms.ts";
 export * from "./exit_code.ts";
 export * from "./output/command_output.ts";
+export * from "./output/explanation_text.ts";
+export * from "./output/histogram_page.ts";
+export * from "./output/histogram_text.ts";
 export * from "./output/table.ts";
--- a/packages/core/src/observation/request_telemetry.ts
+++ b/packages/core/src/observation/request_telemetry.ts
@@ -1,3 +1,4 @@
+import type { Histogram } from "hdr-histogram-js";
 import {
   type Duration,
   elapsed,
@@ -14,6 +15,7 @@
 import type { EndKind, HistogramRow } from "./histogram_row.ts";
 import { HistogramTable } from "./histogram_table.ts";
 import type { HistogramWindow, Measure } from "./measure.ts";
+import type { MergedRow } from "./merged_histograms.ts";
 import type { RequestEvent } from "./request_event.ts";
 import { type BatchSample, RequestObserver } from "./request_observer.ts";
 import { RequestTrace } from "./request_trace.ts";
@@ -89,6 +91,17 @@
     return reportParts(this.#table, window);
   }
 
+  /**
+   * Reads the rows of a window one by one, without encoding them.
+   * @param now The present time.
+   * @param window Which.
+   * @returns Copies of the rows.
+   */
+  *readRows(now: Instant, window: HistogramWindow): Generator<MergedRow> {
+    this.#table.advance(now);
+    for (const row of [...this.#table.rows()]) yield copyRow(row, window);
+  }
+
   /**
    * Reports all histograms of a window at one go.
    * @param now The present time.
@@ -193,6 +206,18 @@
   }
 }
 
+function copyRow(row: HistogramRow, window: HistogramWindow): MergedRow {
+  const histograms = [...row.histograms].map((
+    [measure, histogram],
+  ): [Measure, Histogram] => [measure, histogram.read(window)]);
+  return {
+    class: row.class,
+    tenant: row.tenant,
+    ended: { ...row.ended },
+    histograms: new Map(histograms),
+  };
+}
+
 function count(row: HistogramRow, measure: Measure, time: Duration): void {
   const ticks = Math.max(Math.round(time * TICKS_PER_MILLISECOND), 0);
   row.histogram(measure).record(ticks, 1);
--- a/packages/node/src/metrics/metrics_sink.ts
+++ b/packages/node/src/metrics/metrics_sink.ts
@@ -1,7 +1,7 @@
 /** What a count is of, besides its name: few values each, never an id. */
 export type MetricTags = Readonly<Record<string, string>>;
 
-/** Takes counts for the operators' dashboards. Never influences a request. */
+/** Takes counts and values for the operators' dashboards. Never influences a request. */
 export abstract class MetricsSink {
   /**
    * Counts one occurrence.
@@ -10,6 +10,14 @@
    */
   abstract count(name: string, tags: MetricTags): void;
 
+  /**
+   * Tells the present value of something.
+   * @param name What it is.
+   * @param value The value.
+   * @param tags What kind of it.
+   */
+  abstract gauge(name: string, value: number, tags: MetricTags): void;
+
   /** Sends what is held and stops. */
   abstract close(): Promise<void>;
 }
@@ -20,6 +28,10 @@
     // Nobody asked.
   }
 
+  override gauge(): void {
+    // Nobody asked.
+  }
+
   override close(): Promise<void> {
     return Promise.resolve();
   }
--- a/packages/node/src/metrics/statsd_metrics.ts
+++ b/packages/node/src/metrics/statsd_metrics.ts
@@ -42,6 +42,10 @@
     this.#client.increment(name, { ...tags });
   }
 
+  override gauge(name: string, value: number, tags: MetricTags): void {
+    this.#client.gauge(name, value, { ...tags });
+  }
+
   override close(): Promise<void> {
     return new Promise((resolve) => {
       this.#client.close(() => {
--- a/packages/node/src/mod.ts
+++ b/packages/node/src/mod.ts
@@ -19,3 +19,4 @@
 export * from "./platform/vm_directory.ts";
 export * from "./settings/load_settings.ts";
 export * from "./settings/settings.ts";
+export * from "./telemetry/telemetry_metrics.ts";
--- a/packages/node/src/telemetry/node_telemetry.ts
+++ b/packages/node/src/telemetry/node_telemetry.ts
@@ -6,6 +6,7 @@
 import type { EngineActivitySource } from "./engine_activity.ts";
 import { LocalTelemetry } from "./local_telemetry.ts";
 import { PeerCollector } from "./peer_collector.ts";
+import { TelemetryMetrics } from "./telemetry_metrics.ts";
 import { telemetryService } from "./telemetry_service.ts";
 
 /** The telemetry of a daemon: what it observes and what it collects. */
@@ -15,6 +16,7 @@
   /** Answers peers, to register. */
   readonly registration: PeerRegistration;
   readonly #local: LocalTelemetry;
+  readonly #metrics: TelemetryMetrics;
 
   constructor(daemon: DaemonParts, parts: {
     readonly requests: RequestTelemetry;
@@ -26,6 +28,9 @@
     const { channels } = parts;
     const peers = new PeerCollector({ self, directory, channels });
     this.#local = new LocalTelemetry(daemon, parts);
+    const { clock, metrics } = daemon;
+    const { requests } = parts;
+    this.#metrics = new TelemetryMetrics({ requests, clock, metrics });
     this.registration = telemetryService(this.#local);
     this.deployment = new DeploymentTelemetry({
       self,
@@ -37,6 +42,7 @@
   /** Follows the configured classes and tenants until {@link stop}. */
   start(): void {
     this.#local.start();
+    this.#metrics.start();
   }
 
   /** Learns at once of the classes and tenants that are configured now. */
@@ -47,5 +53,6 @@
   /** Stops following. */
   stop(): void {
     this.#local.stop();
+    this.#metrics.stop();
   }
 }
