--- a/packages/node/src/mod.ts
+++ b/packages/node/src/mod.ts
@@ -21,4 +21,4 @@
 export * from "./settings/settings.ts";
 export { EngineOrders } from "./serving/engine_orders.ts";
 export { ConstantOrderRight, OrderRight } from "./serving/order_right.ts";
-export { ProcessClock } from "./clock/steady_clock.ts";
+export * from "./telemetry/telemetry_metrics.ts";
