--- a/packages/bench/src/soak/mutants.ts
+++ b/packages/bench/src/soak/mutants.ts
@@ -16,11 +16,14 @@
   type TenureReason,
   type TenureWait,
 } from "@foxtailwind/core";
+import type { ScenarioFamily } from "./scenario.ts";
 
 /** One rule of ownership replaced by a wrong one. */
 export interface OwnershipMutant {
   readonly name: string;
   readonly rules: OwnershipRules;
+  /** The scenarios that bring the fault about; any where it is left out. */
+  readonly family?: ScenarioFamily;
 }
 
 /** A lease that lapses later than clocks at the edge of the margin allow. */
@@ -211,15 +214,24 @@
   {
     name: "promise while an own claim is under way",
     rules: new PromisesDuringClaim(),
+    family: "lateClaim",
+  },
+  {
+    name: "promise before the join is read",
+    rules: new PromisesAsStranger(),
+    family: "lateClaim",
   },
-  { name: "promise before the join is read", rules: new PromisesAsStranger() },
   { name: "accept a record with a stale base", rules: new AcceptsStaleBase() },
   { name: "apply a lower offset", rules: new AppliesLowerOffset() },
   {
     name: "let nodes that are not designated take over",
     rules: new LetsOutsidersTakeOver(),
   },
-  { name: "accept claims of earlier runs", rules: new AcceptsOldRuns() },
+  {
+    name: "accept claims of earlier runs",
+    rules: new AcceptsOldRuns(),
+    family: "lateClaim",
+  },
   { name: "repair without a cause", rules: new RepairsWithoutCause() },
   {
     name: "repair after the lease only",
@@ -239,6 +251,7 @@
   {
     name: "use promises though no successor may be named",
     rules: new AllowsNoSuccessor(),
+    family: "unseenKeep",
   },
   {
     name: "order during a hand-over",
--- a/packages/bench/src/soak/mutants_main.ts
+++ b/packages/bench/src/soak/mutants_main.ts
@@ -37,7 +37,7 @@
 
 function hunt(mutant: OwnershipMutant): SoakFinding | undefined {
   for (let run = 0; run < options.runs; run += 1) {
-    const { finding } = runOwnershipSoak(options.seed + run, mutant.rules);
+    const { finding } = runOwnershipSoak(options.seed + run, mutant);
     if (finding !== undefined) return finding;
   }
   return undefined;
--- a/packages/bench/src/soak/ownership_run.ts
+++ b/packages/bench/src/soak/ownership_run.ts
@@ -2,18 +2,15 @@
   assertInvariant,
   DEFAULT_OWNERSHIP_TIMING,
   engineId,
-  failureDomainId,
-  incarnationId,
   type Member,
-  nodeId,
   type OutgoingMessage,
   type OwnershipRules,
   type OwnershipTiming,
-  regionId,
   seconds,
 } from "@foxtailwind/core";
 import { SeededRandom } from "@foxtailwind/standins";
 import { type Fault, FAULTS_END, type Scenario } from "./scenario.ts";
+import { domain, membersOf } from "./members.ts";
 import { Timeline } from "./timeline.ts";
 import { VirtualEngine } from "./virtual_engine.ts";
 import { VirtualLog } from "./virtual_log.ts";
@@ -49,6 +46,7 @@
   readonly #engines: readonly VirtualEngine[];
   readonly #nodes: VirtualNode[] = [];
   readonly #logCuts: ReadonlySet<string>[] = [];
+  readonly #appendDelays = new Map<string, number>();
   readonly #lostLinks: Link[] = [];
   readonly #partitions: ReadonlySet<string>[] = [];
   #orders = 0;
@@ -100,16 +98,7 @@
   }
 
   #startNodes(rules: OwnershipRules): void {
-    const { nodes, domains } = this.#scenario;
-    const members = Array.from({ length: nodes }, (_, index): Member => ({
-      node: nodeId(`node-${String(index)}`),
-      incarnation: incarnationId("run-1"),
-      generation: 0,
-      region: regionId("region-1"),
-      failureDomain: domain(index % domains),
-      weight: 1 + index % 2,
-      address: `node-${String(index)}`,
-    }));
+    const members = membersOf(this.#scenario);
     const surroundings: VirtualSurroundings = {
       timeline: this.#timeline,
       log: this.#log,
@@ -121,6 +110,7 @@
         this.#send(from, outgoing);
       },
       reachesLog: (node) => !this.#logCuts.some((cut) => cut.has(node.node)),
+      appendDelay: (node) => this.#appendDelays.get(node.node) ?? 0,
       repeatsPages: () => this.#random.happens(this.#rates.repeatMessages),
       order: (node, right) => {
         this.#order(node, right);
@@ -189,6 +179,14 @@
           this.#log.endOutage();
         });
         break;
+      case "late_appends":
+        this.#timeline.after(start, () => {
+          this.#appendDelays.set(`node-${String(fault.node)}`, fault.delay);
+        });
+        this.#timeline.after(end, () => {
+          this.#appendDelays.delete(`node-${String(fault.node)}`);
+        });
+        break;
       case "one_way":
         this.#planLink(fault);
         break;
@@ -232,7 +230,9 @@
     });
   }
 
-  #planNode(fault: Extract<Fault, { readonly node: number }>): void {
+  #planNode(
+    fault: Extract<Fault, { readonly kind: "pause" | "kill" | "leave" }>,
+  ): void {
     const node = this.#nodes[fault.node % this.#nodes.length];
     if (node === undefined) return;
     const timeline = this.#timeline;
@@ -291,7 +291,3 @@
     }
   }
 }
-
-function domain(index: number): ReturnType<typeof failureDomainId> {
-  return failureDomainId(`domain-${String(index)}`);
-}
--- a/packages/bench/src/soak/ownership_soak.ts
+++ b/packages/bench/src/soak/ownership_soak.ts
@@ -4,7 +4,7 @@
   StandardOwnershipRules,
 } from "@foxtailwind/core";
 import { OwnershipRun } from "./ownership_run.ts";
-import { type Scenario, scenarioOf } from "./scenario.ts";
+import { type Scenario, type ScenarioFamily, scenarioOf } from "./scenario.ts";
 
 /** An invariant that a run found broken. */
 export interface SoakFinding {
@@ -19,18 +19,25 @@
   readonly finding?: SoakFinding;
 }
 
+/** How to run a seed. */
+export interface SoakOptions {
+  /** Other than the standard ones for mutants only. */
+  readonly rules?: OwnershipRules;
+  readonly family?: ScenarioFamily;
+}
+
 /**
  * Runs the scenario of a seed and checks every invariant.
  * @param seed The seed.
- * @param rules The rules of ownership; other than the standard ones for
- * mutants only.
+ * @param options The rules and the scenarios to draw from.
  * @returns What was found.
  */
 export function runOwnershipSoak(
   seed: number,
-  rules: OwnershipRules = new StandardOwnershipRules(),
+  options: SoakOptions = {},
 ): SoakRun {
-  return runScenario(scenarioOf(seed), { seed, rules });
+  const { rules = new StandardOwnershipRules(), family = "any" } = options;
+  return runScenario(scenarioOf(seed, family), { seed, rules });
 }
 
 /**
--- a/packages/bench/src/soak/scenario.ts
+++ b/packages/bench/src/soak/scenario.ts
@@ -16,6 +16,14 @@
     readonly at: number;
     readonly lasts: number;
   }
+  | {
+    /** Appends of a node reach the log so much later. */
+    readonly kind: "late_appends";
+    readonly node: number;
+    readonly at: number;
+    readonly lasts: number;
+    readonly delay: number;
+  }
   | { readonly kind: "log_outage"; readonly at: number; readonly lasts: number }
   | {
     /** Nodes that do not reach the log. */
@@ -127,65 +135,122 @@
   ],
 }));
 
+const QUIET = {
+  loseMessages: 0,
+  repeatMessages: 0,
+  longestDelay: 5,
+  loseLogAnswers: 0,
+  lateAppends: 0,
+  domains: 1,
+} as const;
+
 /**
- * A successor that does not hear its controller for a while claims, and may restart and join
- * again, before its claim reaches the log; then all nodes but one lose the
- * log.
+ * A successor that does not hear its controller for a while claims, and may
+ * restart and join again, before its claim reaches the log; then all nodes but
+ * one lose the log.
  */
 const lateClaim: fc.Arbitrary<Scenario> = fc.record({
   seed,
-  nodes: fc.constant(5),
-  domains: fc.constant(1),
-  engines: fc.array(fc.boolean(), { minLength: 4, maxLength: 4 }),
-  loseMessages: fc.constant(0),
-  repeatMessages: fc.constant(0),
-  longestDelay: fc.constant(5),
-  loseLogAnswers: fc.constant(0),
-  lateAppends: fc.constant(0.7),
+  engines: fc.array(fc.boolean(), { minLength: 8, maxLength: 8 }),
   start: fc.integer({ min: 6_000, max: 8_000 }),
   controller: fc.integer({ min: 0, max: 4 }),
   victim: fc.integer({ min: 0, max: 4 }),
   outside: fc.integer({ min: 0, max: 4 }),
-  silence: fc.integer({ min: 1_100, max: 1_800 }),
+  silence: fc.integer({ min: 1_400, max: 1_800 }),
+  delay: fc.integer({ min: 2_500, max: 4_000 }),
   restarts: fc.boolean(),
-  cutAfter: fc.integer({ min: 100, max: 2_000 }),
-}).map((drawn) => {
-  const { start, silence, restarts, cutAfter, ...others } = drawn;
-  const { controller, victim, outside, ...rest } = others;
+  cutAfter: fc.integer({ min: 50, max: 2_000 }),
+}).map((drawn): Scenario => {
+  const { start, silence, victim, outside } = drawn;
   const end = start + silence;
+  const lasts = silence;
   const faults: Fault[] = [
+    { kind: "one_way", from: drawn.controller, to: victim, at: start, lasts },
     {
-      kind: "one_way",
-      from: controller,
-      to: victim,
+      kind: "late_appends",
+      node: victim,
       at: start,
-      lasts: silence + 5,
+      lasts,
+      delay: drawn.delay,
     },
     {
       kind: "log_cut",
       nodes: [0, 1, 2, 3, 4].filter((one) => one !== outside),
-      at: end + cutAfter,
-      lasts: 7_000,
+      at: end + drawn.cutAfter,
+      lasts: LONGEST_FAULT,
     },
   ];
-  if (restarts) faults.push({ kind: "kill", node: victim, at: end, lasts: 20 });
-  return { ...rest, faults };
+  if (drawn.restarts) {
+    faults.push({ kind: "kill", node: victim, at: end, lasts: 20 });
+  }
+  const { seed: drawnSeed, engines: drawnEngines } = drawn;
+  return {
+    ...QUIET,
+    seed: drawnSeed,
+    nodes: 5,
+    engines: drawnEngines,
+    faults,
+  };
 });
 
-/** Draws scenarios. */
-export const scenarios: fc.Arbitrary<Scenario> = fc.oneof(
-  { weight: 3, arbitrary: mixed },
-  { weight: 1, arbitrary: isolatedGroup },
-  { weight: 2, arbitrary: lateClaim },
-);
+/**
+ * A node that hears nobody removes all others from the view; their records,
+ * which name no successors, reach the log after they have lost it.
+ */
+const unseenKeep: fc.Arbitrary<Scenario> = fc.record({
+  seed,
+  engines,
+  start: fc.integer({ min: 5_000, max: 7_000 }),
+  outside: fc.integer({ min: 0, max: 3 }),
+  delay: fc.integer({ min: 800, max: 2_500 }),
+  cutAfter: fc.integer({ min: 4_200, max: 5_400 }),
+}).map(({ start, outside, delay, cutAfter, ...rest }): Scenario => {
+  const others = [0, 1, 2, 3].filter((one) => one !== outside);
+  const faults: Fault[] = [
+    { kind: "partition", nodes: [outside], at: start, lasts: 12_000 },
+    {
+      kind: "log_cut",
+      nodes: others,
+      at: start + cutAfter,
+      lasts: LONGEST_FAULT,
+    },
+    ...others.map((one): Fault => ({
+      kind: "late_appends",
+      node: one,
+      at: start + 3_000,
+      lasts: 4_000,
+      delay,
+    })),
+  ];
+  return { ...QUIET, ...rest, nodes: 4, faults };
+});
+
+/** Kinds of scenarios that a run may be limited to. */
+export type ScenarioFamily = "any" | "lateClaim" | "unseenKeep";
+
+/** Draws scenarios, for each family. */
+const families: Readonly<Record<ScenarioFamily, fc.Arbitrary<Scenario>>> = {
+  any: fc.oneof(
+    { weight: 4, arbitrary: mixed },
+    { weight: 1, arbitrary: isolatedGroup },
+    { weight: 1, arbitrary: lateClaim },
+    { weight: 1, arbitrary: unseenKeep },
+  ),
+  lateClaim,
+  unseenKeep,
+};
 
 /**
  * Draws the scenario of one seed.
  * @param seed The seed.
- * @returns The scenario, always the same for a seed.
+ * @param family What to draw from.
+ * @returns The scenario, always the same for a seed and family.
  */
-export function scenarioOf(seed: number): Scenario {
-  const [scenario] = fc.sample(scenarios, { seed, numRuns: 1 });
+export function scenarioOf(
+  seed: number,
+  family: ScenarioFamily = "any",
+): Scenario {
+  const [scenario] = fc.sample(families[family], { seed, numRuns: 1 });
   if (scenario === undefined) throw new Error(`Seed ${seed} gives no scenario`);
   return scenario;
 }
--- a/packages/bench/src/soak/virtual_log.ts
+++ b/packages/bench/src/soak/virtual_log.ts
@@ -58,17 +58,23 @@
   /**
    * Appends a record, now or late, or in an outage perhaps not at all.
    * @param data The record's text.
-   * @param answered Receives the outcome.
+   * @param options How much later it arrives, and what receives the outcome.
    */
-  append(data: string, answered: (outcome: AppendOutcome) => void): void {
+  append(
+    data: string,
+    options: {
+      readonly delay: number;
+      readonly answered: (outcome: AppendOutcome) => void;
+    },
+  ): void {
     const isLate = this.#random.happens(this.#faults.lateAppends);
     const longest = isLate ? LATE_MILLISECONDS : QUICK_MILLISECONDS;
-    const delay = this.#random.next() * longest;
+    const delay = options.delay + this.#random.next() * longest;
     let isAnswered = false;
     const answer = (outcome: AppendOutcome): void => {
       if (isAnswered) return;
       isAnswered = true;
-      answered(outcome);
+      options.answered(outcome);
     };
     this.#timeline.after(TIMEOUT_MILLISECONDS, () => {
       answer("unknown");
--- a/packages/bench/src/soak/virtual_node.ts
+++ b/packages/bench/src/soak/virtual_node.ts
@@ -32,6 +32,8 @@
   readonly contacts: readonly Member[];
   readonly send: (from: Member, outgoing: OutgoingMessage) => void;
   readonly reachesLog: (node: Member) => boolean;
+  /** How much later a node's appends reach the log, in milliseconds. */
+  readonly appendDelay: (node: Member) => number;
   /** Decides whether a page that was read arrives a second time. */
   readonly repeatsPages: () => boolean;
   /** Called with each right that the node finds itself to have. */
@@ -173,7 +175,8 @@
         });
       };
       if (reachesLog(this.#self)) {
-        log.append(formatClusterRecord(record), answered);
+        const delay = this.#surroundings.appendDelay(this.#self);
+        log.append(formatClusterRecord(record), { delay, answered });
       }
     }
     for (const { engine } of engines) {
--- a/packages/bench/tests/soak/ownership_soak_test.ts
+++ b/packages/bench/tests/soak/ownership_soak_test.ts
@@ -51,6 +51,8 @@
 
 test("a dropped lease check is noticed", (t) => {
   const rules = rulesOf("drop the lease check");
-  const findings = SEEDS.map((seed) => runOwnershipSoak(seed, rules).finding);
+  const findings = SEEDS.map((seed) =>
+    runOwnershipSoak(seed, { rules }).finding
+  );
   t.true(findings.some((one) => one?.invariant === "one_holder_of_the_right"));
 });
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -18,8 +18,10 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { ProcessClock } from "./clock/steady_clock.ts";
 import {
+  ClusterAssignment,
   ClusterHandOver,
   ClusterNode,
+  ClusterOrderRight,
   ClusterPeerViews,
   clusterService,
   ClusterTransport,
@@ -133,8 +135,8 @@
       ...serving,
       peers: new PeerClients(this.#channels),
       observer: this.observer,
-      right: this.#cluster,
-      assignment: this.#cluster,
+      right: new ClusterOrderRight(this.#cluster),
+      assignment: new ClusterAssignment(this.#cluster),
       permits: this.#permits,
       aggregates,
       engineClient: (vm) => this.#engineClient(engineId(vm.id), vm.address),
