--- /dev/null
+++ b/packages/node/src/delivery/outcome_service.ts
@@ -0,0 +1,70 @@
+import type { ClaimVerdict } from "@foxtailwind/core";
+import {
+  type ClaimBatch,
+  type ClaimVerdicts,
+  type KeyedOutcome,
+  type KeyedRun,
+  OutcomesService,
+} from "@foxtailwind/protocol";
+import type { sendUnaryData, ServerUnaryCall } from "@grpc/grpc-js";
+import type { WorkInProgress } from "../drain/mod.ts";
+import type { PeerRegistration } from "../peers/peer_server.ts";
+import type { ClaimGatherer } from "./claim_gatherer.ts";
+import type { NodeKeyedExecution } from "./node_keyed_execution.ts";
+import {
+  fromClaimMessage,
+  toKeyedOutcome,
+  toVerdictMessage,
+} from "./outcome_messages.ts";
+
+/** What answers peers about keys. */
+export interface OutcomeServiceParts {
+  /** Runs the keys of this incarnation. */
+  readonly execution: NodeKeyedExecution;
+  /** Claims keys for the nodes of this failure domain. */
+  readonly gatherer: ClaimGatherer;
+  readonly work: WorkInProgress;
+}
+
+/**
+ * Answers peers about keys.
+ * @param parts What answers.
+ * @returns The service, to register.
+ */
+export function outcomeService(parts: OutcomeServiceParts): PeerRegistration {
+  const { execution, gatherer, work } = parts;
+  return {
+    definition: OutcomesService,
+    implementation: {
+      runKeyed(
+        call: ServerUnaryCall<KeyedRun, KeyedOutcome>,
+        done: sendUnaryData<KeyedOutcome>,
+      ) {
+        const end = work.begin();
+        void execution.runForPeer(call.request).then((result) => {
+          end();
+          done(null, toKeyedOutcome(result));
+        });
+      },
+      claim(
+        call: ServerUnaryCall<ClaimBatch, ClaimVerdicts>,
+        done: sendUnaryData<ClaimVerdicts>,
+      ) {
+        const end = work.begin();
+        void claimAll(gatherer, call.request).then((verdicts) => {
+          end();
+          done(null, { verdicts: verdicts.map(toVerdictMessage) });
+        });
+      },
+    },
+  };
+}
+
+function claimAll(
+  gatherer: ClaimGatherer,
+  batch: ClaimBatch,
+): Promise<readonly ClaimVerdict[]> {
+  return Promise.all(
+    batch.claims.map((claim) => gatherer.claim(fromClaimMessage(claim))),
+  );
+}
