--- a/packages/bench/src/soak/mutants.ts
+++ b/packages/bench/src/soak/mutants.ts
@@ -236,12 +236,18 @@
   {
     name: "repair after the lease only",
     rules: new RepairsAfterLeaseOnly(),
+    family: "isolatedGroup",
   },
   {
     name: "forget a repair's wait at the next takeover",
     rules: new ForgetsRepairWait(),
+    family: "isolatedGroup",
+  },
+  {
+    name: "drop the horizon of promises",
+    rules: new DropsPromiseHorizon(),
+    family: "isolatedGroup",
   },
-  { name: "drop the horizon of promises", rules: new DropsPromiseHorizon() },
   { name: "lower the fencing number", rules: new LowersFencing() },
   { name: "need one promise only", rules: new NeedsOnePromise() },
   {
--- a/packages/bench/src/soak/ownership_run.ts
+++ b/packages/bench/src/soak/ownership_run.ts
@@ -3,6 +3,7 @@
   DEFAULT_OWNERSHIP_TIMING,
   engineId,
   type Member,
+  milliseconds,
   type OutgoingMessage,
   type OwnershipRules,
   type OwnershipTiming,
@@ -26,9 +27,8 @@
 
 const QUIET = { loseMessages: 0, repeatMessages: 0, longestDelay: 5 } as const;
 
-const TIMING: OwnershipTiming = {
+const BASE_TIMING: OwnershipTiming = {
   ...DEFAULT_OWNERSHIP_TIMING,
-  promiseHorizon: seconds(5),
   rebalanceAfter: seconds(3),
 };
 
@@ -104,7 +104,7 @@
       log: this.#log,
       engines: this.#engines.map((one) => one.description),
       rules,
-      timing: TIMING,
+      timing: this.#timing(),
       contacts: members,
       send: (from, outgoing) => {
         this.#send(from, outgoing);
@@ -125,6 +125,15 @@
     }
   }
 
+  #timing(): OwnershipTiming {
+    const { promiseMilliseconds, horizonMilliseconds } = this.#scenario;
+    return {
+      ...BASE_TIMING,
+      promise: milliseconds(promiseMilliseconds),
+      promiseHorizon: milliseconds(horizonMilliseconds),
+    };
+  }
+
   #send(from: Member, outgoing: OutgoingMessage): void {
     const target = this.#nodes.find((one) =>
       one.self.node === outgoing.to.node
@@ -160,7 +169,7 @@
     this.#checkHolders();
     const longest = engine.description.checksFencing
       ? LATE_ORDER_MILLISECONDS
-      : TIMING.orderFlight;
+      : BASE_TIMING.orderFlight;
     const order = { by: node.self, fencing: right.fencing };
     this.#timeline.after(this.#random.next() * longest, () => {
       engine.receive(order);
--- a/packages/bench/src/soak/scenario.ts
+++ b/packages/bench/src/soak/scenario.ts
@@ -52,6 +52,10 @@
   readonly longestDelay: number;
   readonly loseLogAnswers: number;
   readonly lateAppends: number;
+  /** How long promises last; the lease is 1,000 ms in all scenarios. */
+  readonly promiseMilliseconds: number;
+  /** How long promises carry a controller without the log. */
+  readonly horizonMilliseconds: number;
   readonly faults: readonly Fault[];
 }
 
@@ -99,6 +103,17 @@
 const seed = fc.integer({ min: 1, max: 2 ** 30 });
 const engines = fc.array(fc.boolean(), { minLength: 2, maxLength: 4 });
 
+const QUIET = {
+  loseMessages: 0,
+  repeatMessages: 0,
+  longestDelay: 5,
+  loseLogAnswers: 0,
+  lateAppends: 0,
+  domains: 1,
+  promiseMilliseconds: 1_000,
+  horizonMilliseconds: 5_000,
+} as const;
+
 /** Any faults, in any order. */
 const mixed: fc.Arbitrary<Scenario> = fc.record({
   seed,
@@ -107,6 +122,8 @@
   engines,
   ...chances,
   lateAppends: fc.constantFrom(0, 0.05, 0.3),
+  promiseMilliseconds: fc.constantFrom(1_000, 2_500),
+  horizonMilliseconds: fc.constant(5_000),
   faults: fc.array(fault, { minLength: 1, maxLength: 10 }),
 });
 
@@ -116,33 +133,27 @@
  */
 const isolatedGroup: fc.Arbitrary<Scenario> = fc.record({
   seed,
-  nodes: fc.integer({ min: 5, max: 7 }),
   domains: fc.constantFrom(1, 2),
-  engines,
-  ...chances,
-  loseMessages: fc.constant(0),
-  lateAppends: fc.constant(0),
-  start: fc.integer({ min: FIRST_FAULT, max: 9_000 }),
-  group: fc.uniqueArray(node, { minLength: 3, maxLength: 4 }),
-  victim: node,
-  killAfter: fc.integer({ min: 2_000, max: 6_000 }),
-}).map(({ start, group: nodes, victim, killAfter, ...rest }) => ({
-  ...rest,
-  faults: [
-    { kind: "log_cut", nodes, at: start, lasts: 12_000 },
-    { kind: "partition", nodes, at: start, lasts: 12_000 },
-    { kind: "kill", node: victim, at: start + killAfter, lasts: 5_000 },
-  ],
-}));
-
-const QUIET = {
-  loseMessages: 0,
-  repeatMessages: 0,
-  longestDelay: 5,
-  loseLogAnswers: 0,
-  lateAppends: 0,
-  domains: 1,
-} as const;
+  engines: fc.array(fc.boolean(), { minLength: 4, maxLength: 6 }),
+  start: fc.integer({ min: FIRST_FAULT, max: 7_000 }),
+  order: fc.shuffledSubarray([0, 1, 2, 3, 4, 5, 6], { minLength: 7 }),
+  killAfter: fc.integer({ min: 1_500, max: 5_000 }),
+}).map(({ start, order, killAfter, ...rest }): Scenario => {
+  const nodes = order.slice(0, 4);
+  const victim = order[4] ?? 0;
+  const at = start;
+  return {
+    ...QUIET,
+    ...rest,
+    horizonMilliseconds: 8_000,
+    nodes: 7,
+    faults: [
+      { kind: "log_cut", nodes, at, lasts: 15_000 },
+      { kind: "partition", nodes, at, lasts: 15_000 },
+      { kind: "kill", node: victim, at: start + killAfter, lasts: 9_000 },
+    ],
+  };
+});
 
 /**
  * A successor that does not hear its controller for a while claims, and may
@@ -159,6 +170,7 @@
   silence: fc.integer({ min: 1_400, max: 1_800 }),
   delay: fc.integer({ min: 2_500, max: 4_000 }),
   restarts: fc.boolean(),
+  isAlone: fc.boolean(),
   cutAfter: fc.integer({ min: 50, max: 2_000 }),
 }).map((drawn): Scenario => {
   const { start, silence, victim, outside } = drawn;
@@ -180,6 +192,10 @@
       lasts: LONGEST_FAULT,
     },
   ];
+  if (drawn.isAlone) {
+    const nodes = [outside];
+    faults.push({ kind: "partition", nodes, at: end, lasts: LONGEST_FAULT });
+  }
   if (drawn.restarts) {
     faults.push({ kind: "kill", node: victim, at: end, lasts: 20 });
   }
@@ -226,7 +242,11 @@
 });
 
 /** Kinds of scenarios that a run may be limited to. */
-export type ScenarioFamily = "any" | "lateClaim" | "unseenKeep";
+export type ScenarioFamily =
+  | "any"
+  | "isolatedGroup"
+  | "lateClaim"
+  | "unseenKeep";
 
 /** Draws scenarios, for each family. */
 const families: Readonly<Record<ScenarioFamily, fc.Arbitrary<Scenario>>> = {
@@ -236,6 +256,7 @@
     { weight: 1, arbitrary: lateClaim },
     { weight: 1, arbitrary: unseenKeep },
   ),
+  isolatedGroup,
   lateClaim,
   unseenKeep,
 };
--- a/packages/bench/tests/soak/ownership_soak_test.ts
+++ b/packages/bench/tests/soak/ownership_soak_test.ts
@@ -37,6 +37,8 @@
   longestDelay: 5,
   loseLogAnswers: 0,
   lateAppends: 0.5,
+  promiseMilliseconds: 1_000,
+  horizonMilliseconds: 5_000,
   faults: [
     { kind: "partition", nodes: [2], at: 4_003, lasts: 1_778 },
     { kind: "kill", node: 2, at: 5_776, lasts: 20 },
