--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -2,9 +2,8 @@
   type EngineId,
   engineId,
   fencingNumber,
-  type RequestObserver,
+  RequestTelemetry,
   seconds,
-  SilentObserver,
 } from "@foxtailwind/core";
 import {
   createDispatcher,
@@ -12,11 +11,17 @@
   HttpLogClient,
   HttpServiceClient,
   HttpVmListClient,
+  type Vm,
 } from "@foxtailwind/edges";
 import type { NestFastifyApplication } from "@nestjs/platform-fastify";
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { ProcessClock } from "./clock/steady_clock.ts";
+import { readClusterStatus } from "./configuration/cluster_status.ts";
+import { ConfigurationFollower } from "./configuration/configuration_follower.ts";
+import { ConfigurationPublisher } from "./configuration/configuration_publisher.ts";
+import { SnapshotWriter } from "./configuration/snapshot_writer.ts";
+import { SpreadService } from "./configuration/spread_service.ts";
 import { DaemonParts } from "./daemon_parts.ts";
 import {
   DeliveryParts,
@@ -26,11 +31,11 @@
 import { Drain, NothingToHandOver, WorkInProgress } from "./drain/mod.ts";
 import { createHttpApplication } from "./http_application.ts";
 import type { LoggerFactory } from "./logging/part_logger.ts";
+import type { DrainHook } from "./operators/drain_hook.ts";
 import { generationService } from "./peers/generation_service.ts";
 import { PeerChannels } from "./peers/peer_channels.ts";
 import { PeerClients } from "./peers/peer_clients.ts";
 import { PeerServer } from "./peers/peer_server.ts";
-import { ConfigurationFollower } from "./platform/configuration_follower.ts";
 import { VmDirectory } from "./platform/vm_directory.ts";
 import {
   AddressDirectory,
@@ -40,6 +45,8 @@
 } from "./routing/mod.ts";
 import { GenerationRouter } from "./serving/generation_router.ts";
 import type { Settings } from "./settings/settings.ts";
+import { NoEngineActivity } from "./telemetry/engine_activity.ts";
+import { NodeTelemetry } from "./telemetry/node_telemetry.ts";
 
 /** Where a daemon listens. */
 export interface DaemonAddresses {
@@ -64,10 +71,15 @@
   override readonly drain: Drain;
   override readonly directory: VmDirectory;
   override readonly follower: ConfigurationFollower;
-  override readonly observer: RequestObserver = new SilentObserver();
+  override readonly observer = new RequestTelemetry(this.clock.now());
+  override readonly telemetry: NodeTelemetry;
+  override readonly publisher: ConfigurationPublisher;
+  override readonly drainHook: DrainHook | undefined = undefined;
   override readonly router: GenerationRouter;
   override readonly delivery: DeliveryParts;
   readonly #channels = new PeerChannels();
+  readonly #spread: SpreadService;
+  readonly #snapshots: SnapshotWriter;
   readonly #peers = new PeerClients(this.#channels);
   readonly #peerServer: PeerServer;
   readonly #dispatcher = createDispatcher();
@@ -93,9 +105,29 @@
       }),
       loggers.forPart("membership"),
     );
-    this.follower = new ConfigurationFollower(
-      this.log,
-      loggers.forPart("configuration"),
+    this.follower = new ConfigurationFollower({
+      self: {
+        id: settings.node.id,
+        failureDomain: settings.node.failure_domain,
+      },
+      log: this.log,
+      directory: this.directory,
+      channels: this.#channels,
+      clock: this.clock,
+      logger: loggers.forPart("configuration"),
+    });
+    this.publisher = new ConfigurationPublisher(this);
+    this.#snapshots = new SnapshotWriter({
+      self: settings.node.id,
+      log: this.log,
+      follower: this.follower,
+      directory: this.directory,
+      clock: this.clock,
+      logger: loggers.forPart("configuration"),
+    });
+    this.#spread = new SpreadService(
+      this.follower.store,
+      () => this.follower.status(),
     );
     this.router = new GenerationRouter({
       self: settings.node.id,
@@ -117,9 +149,16 @@
       observer: this.observer,
       work: this.work,
     });
+    this.telemetry = new NodeTelemetry(this, {
+      requests: this.observer,
+      activity: new NoEngineActivity(),
+      channels: this.#channels,
+    });
     this.#peerServer = new PeerServer([
       generationService({ router: this.router, clock, work: this.work }),
       this.delivery.registration,
+      this.telemetry.registration,
+      this.#spread.registration,
     ]);
     this.drain = this.#makeDrain(loggers);
     this.serviceDispatcher = new ServiceDispatcher({
@@ -149,6 +188,8 @@
     await this.#application.listen(http.port, http.host);
     await this.directory.start();
     void this.follower.run();
+    this.telemetry.start();
+    this.#snapshots.start();
     const address = this.#application.getHttpServer().address() as AddressInfo;
     return {
       http: `${http.host}:${address.port}`,
@@ -172,16 +213,22 @@
   async #close(isOverdue: boolean): Promise<void> {
     const closing = this.#closeServers();
     await (isOverdue ? Promise.race([closing, sleep(OVERDUE_CLOSE)]) : closing);
-    this.directory.stop();
     this.follower.stop();
+    this.telemetry.stop();
+    this.#snapshots.stop();
+    this.directory.stop();
     this.router.stop();
     this.delivery.stop();
     this.#channels.close();
     await this.#dispatcher.destroy();
   }
 
+  override readonly peerStatuses = (nodes: readonly Vm[]) =>
+    readClusterStatus(nodes, this.#channels);
+
   async #closeServers(): Promise<void> {
     await this.#application?.close();
+    this.#spread.close();
     this.#peers.close();
     await this.#peerServer.close();
   }
--- a/packages/node/src/daemon_parts.ts
+++ b/packages/node/src/daemon_parts.ts
@@ -1,17 +1,21 @@
 import type { RequestObserver } from "@foxtailwind/core";
-import type { LogClient, ServiceClient } from "@foxtailwind/edges";
+import type { LogClient, ServiceClient, Vm } from "@foxtailwind/edges";
 import type { SteadyClock } from "./clock/steady_clock.ts";
+import type { NodeStatus } from "./configuration/cluster_status.ts";
+import type { ConfigurationFollower } from "./configuration/configuration_follower.ts";
+import type { ConfigurationPublisher } from "./configuration/configuration_publisher.ts";
+import type { DrainHook } from "./operators/drain_hook.ts";
 import type {
   DeliveryParts,
   KeyedExecution,
   ServiceDelivery,
 } from "./delivery/mod.ts";
 import type { Drain, WorkInProgress } from "./drain/mod.ts";
-import type { ConfigurationFollower } from "./platform/configuration_follower.ts";
 import type { VmDirectory } from "./platform/vm_directory.ts";
 import type { AddressDirectory, ServiceDispatcher } from "./routing/mod.ts";
 import type { GenerationRouter } from "./serving/generation_router.ts";
 import type { Settings } from "./settings/settings.ts";
+import type { NodeTelemetry } from "./telemetry/node_telemetry.ts";
 
 /** The running parts of a daemon, as the HTTP controllers use them. */
 export abstract class DaemonParts {
@@ -27,7 +31,15 @@
   abstract readonly drain: Drain;
   abstract readonly directory: VmDirectory;
   abstract readonly follower: ConfigurationFollower;
+  abstract readonly publisher: ConfigurationPublisher;
+  /** Drains this node; nothing where the daemon cannot. */
+  abstract readonly drainHook: DrainHook | undefined;
+  /** Asks other nodes which configuration is in force there. */
+  abstract readonly peerStatuses: (
+    nodes: readonly Vm[],
+  ) => Promise<readonly NodeStatus[]>;
   abstract readonly observer: RequestObserver;
   abstract readonly router: GenerationRouter;
   abstract readonly delivery: DeliveryParts;
+  abstract readonly telemetry: NodeTelemetry;
 }
--- a/packages/node/src/delivery/node_keyed_execution.ts
+++ b/packages/node/src/delivery/node_keyed_execution.ts
@@ -19,7 +19,7 @@
 import { createHash, randomUUID } from "node:crypto";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { ClaimRoute } from "./claim_route.ts";
-import { KEY_LIMITS, KEY_TIMING } from "./key_limits.ts";
+import { KEY_LIMITS, KEY_TIMING, SCOPE_RETRY_TIME } from "./key_limits.ts";
 import {
   KeyedExecution,
   type KeyedRequest,
@@ -78,7 +78,7 @@
 
   override scopeText(lifetimeMilliseconds: number): string {
     const { self, incarnation, clock } = this.#parts;
-    const lifetime = milliseconds(lifetimeMilliseconds);
+    const lifetime = milliseconds(lifetimeMilliseconds + SCOPE_RETRY_TIME);
     const expiresAt = later(clock.now(), lifetime);
     return scopePrefix({ node: self, incarnation, expiresAt });
   }
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -13,3 +13,12 @@
   OutcomesService,
 } from "./generated/outcomes.ts";
 export * from "./generated/peer.ts";
+export * as telemetry from "./generated/telemetry.ts";
+export {
+  ConfigurationClient,
+  ConfigurationService,
+  type FollowAnswer,
+  type FollowRequest,
+  type StatusAnswer,
+  type StatusRequest,
+} from "./generated/configuration.ts";
