--- a/packages/node/src/delivery/claim_gatherer.ts
+++ b/packages/node/src/delivery/claim_gatherer.ts
@@ -18,7 +18,7 @@
 import { FREE_KEY_WINDOW } from "./key_limits.ts";
 
 const BATCH_INTERVAL = milliseconds(50);
-const SETTLE_TIMEOUT = seconds(5);
+const SETTLE_TIMEOUT = seconds(2);
 const MAXIMUM_BATCH = 2_000;
 const MAXIMUM_KEYS = 200_000;
 const PAGE_RECORDS = 1_000;
--- a/packages/node/src/delivery/keyed_execution.ts
+++ b/packages/node/src/delivery/keyed_execution.ts
@@ -52,7 +52,8 @@
   /**
    * Gives the text that callers put before their own keys, so that only this
    * node runs them; `GET /v1/addresses` passes it on.
-   * @param lifetimeMilliseconds How long callers may use it.
+   * @param lifetimeMilliseconds How long callers may use it for new keys;
+   * retries may come for some time longer.
    * @returns The prefix.
    */
   abstract scopeText(lifetimeMilliseconds: number): string;
--- a/packages/node/src/delivery/service_delivery.ts
+++ b/packages/node/src/delivery/service_delivery.ts
@@ -60,7 +60,8 @@
     execution.register(WORK_NAME, async (payload) => {
       const request = decodeRequest(payload);
       if (request === undefined) return err(unreadable("not_run"));
-      return (await runner.runOnce(request)).map(encodeAnswer);
+      const answer = await runner.runOnce(request);
+      return answer.andThen((found) => keepIfRun(request, found));
     });
   }
 
@@ -96,6 +97,21 @@
   };
 }
 
+/** A call that its server states as not run frees its key. */
+function keepIfRun(
+  request: ServiceRequest,
+  answer: ServiceAnswer,
+): Result<Uint8Array, Failure> {
+  if (answer.statedOutcome !== "not_run") return ok(encodeAnswer(answer));
+  return err({
+    reason: "refused",
+    step: "call_service",
+    peer: request.service,
+    message: `The service refused the call with status ${answer.status}.`,
+    outcome: "not_run",
+  });
+}
+
 /** Headers may differ between a request and its retry. */
 function identityOf(request: ServiceRequest): Uint8Array {
   const { service, method, path, body } = request;
