--- a/packages/core/src/serving/engine_controller.ts
+++ b/packages/core/src/serving/engine_controller.ts
@@ -1,25 +1,6 @@
-import {
-  chooseDisplaced,
-  EnginePace,
-  OwnHistory,
-  RequestBook,
-  TARGET_RATIO,
-  type WaitingRequest,
-} from "../dispatch/mod.ts";
+import type { WaitingRequest } from "../dispatch/mod.ts";
 import type { LoadWish } from "../loads/mod.ts";
-import {
-  type AdapterStanding,
-  type EngineSummary,
-  EngineView,
-  placeWait,
-  type StandingAdapter,
-  textHash,
-} from "../placement/mod.ts";
-import {
-  EngineResidency,
-  type FoundResidences,
-  type FoundState,
-} from "../residency/mod.ts";
+import type { FoundResidences, FoundState } from "../residency/mod.ts";
 import {
   type AdapterKey,
   adapterKey,
@@ -27,179 +8,47 @@
   type ClassId,
   type Duration,
   elapsed,
-  type EngineId,
   type Instant,
   milliseconds,
   type RequestId,
 } from "../shared/mod.ts";
-import { AdapterValue, type AdapterValueParts } from "./adapter_value.ts";
+import { EngineControllerView } from "./engine_controller_view.ts";
 import type {
-  EngineCapacity,
   EngineDecision,
   EngineReport,
   QueuedRequest,
 } from "./engine_event.ts";
 import { GiveUpTimer } from "./give_up_timer.ts";
-import { LoadPlanner, type PrefetchCandidate } from "./load_planner.ts";
-
-/** What a controller works with. */
-export interface EngineControllerParts extends AdapterValueParts {
-  readonly engine: EngineId;
-  readonly capacity: EngineCapacity;
-}
-
-/** How many awaited adapters a summary names. */
-const SUMMARISED_AWAITED = 64;
-/** A pace that an engine of middling speed has, for weights of homes. */
-const COMMON_TOKEN_TIME = 20;
-/** Others' requests take at most this share of a batch away from us. */
-const OTHERS_SHARE = 0.5;
+import type { PrefetchCandidate } from "./load_planner.ts";
+import { RequestDispatcher } from "./request_dispatcher.ts";
 
 /**
  * Decides for one engine: which adapters it holds and which requests run on
  * it. Only the engine's controlling node has one.
  */
-export class EngineController extends EngineView {
-  override readonly engine: EngineId;
-  override readonly hash: number;
-  readonly #parts: EngineControllerParts;
-  readonly #residency: EngineResidency;
-  readonly #book = new RequestBook();
-  readonly #pace = new EnginePace();
-  readonly #history = new OwnHistory();
+export class EngineController extends EngineControllerView {
   readonly #giveUp = new GiveUpTimer();
-  readonly #planner: LoadPlanner;
-  #others = 0;
+  readonly #dispatcher = new RequestDispatcher({
+    book: this.book,
+    residency: this.residency,
+    history: this.history,
+    places: () => this.places(),
+  });
   #isClosed = false;
 
-  /** @param parts What the controller works with. */
-  constructor(parts: EngineControllerParts) {
-    super();
-    this.engine = parts.engine;
-    this.hash = textHash(parts.engine);
-    this.#parts = parts;
-    this.#residency = new EngineResidency(parts.capacity.adapterSlots);
-    this.#planner = new LoadPlanner({
-      engine: parts.engine,
-      residency: this.#residency,
-      book: this.#book,
-      value: new AdapterValue(parts),
-    });
-  }
-
-  /** How many requests wait. */
-  get waiting(): number {
-    return this.#book.waiting;
-  }
-
-  /** How many requests have a place in the batch. */
-  get running(): number {
-    return this.#book.running.size;
-  }
-
-  /** How many adapters are waited for. */
-  get awaitedAdapters(): number {
-    return this.#book.blocked.adapters;
-  }
-
-  /** The adapters in slots. */
-  get residency(): EngineResidency {
-    return this.#residency;
-  }
-
-  override get weight(): number {
-    const pace = Math.sqrt(COMMON_TOKEN_TIME / Math.max(1, this.#pace.token));
-    return this.#parts.capacity.adapterSlots * pace;
-  }
-
-  override get batchCapacity(): number {
-    return this.#parts.capacity.batchCapacity;
-  }
-
-  override get firstTokenTime(): Duration {
-    return this.#pace.firstToken;
-  }
-
-  override get serviceTime(): Duration {
-    return this.#pace.service;
-  }
-
-  override standing(key: AdapterKey): AdapterStanding {
-    const residence = this.#residency.find(key);
-    if (residence?.state === "resident") return "resident";
-    if (residence?.state === "loading") return "loading";
-    if (this.#planner.isAwaiting(key)) return "loading";
-    return this.#book.blocked.has(key) ? "awaited" : "absent";
-  }
-
-  override placeWait(_now: Instant, target: Duration): Duration {
-    return placeWait({
-      places: this.#places(),
-      running: this.#book.running.size,
-      yielding: this.#book.runningAtLeast(TARGET_RATIO * target),
-      ahead: this.#book.ready.countAhead(target),
-      serviceTime: this.#pace.service,
-    });
-  }
-
-  override canMakeRoom(): boolean {
-    return this.#residency.freeSlots > 0 || this.#residency.hasIdle();
-  }
-
-  override loadsAhead(target: Duration): number {
-    return Math.min(
-      this.#book.blocked.adapters,
-      this.#book.blockedAhead(target),
-    );
-  }
-
-  /** What other nodes are told, besides the adapters. */
-  get summary(): EngineSummary {
-    return {
-      engine: this.engine,
-      weight: this.weight,
-      firstTokenTime: this.firstTokenTime,
-      serviceTime: this.serviceTime,
-      batchCapacity: this.batchCapacity,
-      places: this.#places(),
-      running: this.running,
-      awaitedAdapters: this.awaitedAdapters,
-      canMakeRoom: this.canMakeRoom(),
-      ready: this.#book.ready.loads,
-      blocked: this.#book.blockedLoads,
-      runningByTarget: this.#book.runningLoads,
-    };
-  }
-
-  /**
-   * Lists the adapters that are here or waited for.
-   * @returns The adapters; of those waited for, only some.
-   */
-  standings(): readonly StandingAdapter[] {
-    const standings = new Map<AdapterKey, StandingAdapter>();
-    for (const { key, adapter } of this.#residency.all) {
-      standings.set(key, { key, adapter, standing: this.standing(key) });
-    }
-    for (const { key, adapter } of this.#book.blocked.lines) {
-      if (standings.size >= this.#slots() + SUMMARISED_AWAITED) break;
-      standings.set(key, { key, adapter, standing: this.standing(key) });
-    }
-    return [...standings.values()];
-  }
-
   /**
    * Takes in what the engine says that it holds, after a restart or takeover.
    * @param now The present time.
    * @param found The engine's own state.
    */
   takeIn(now: Instant, found: FoundResidences): void {
-    this.#residency.takeIn(now, found);
-    for (const residence of this.#residency.all) this.#reindex(residence.key);
+    this.residency.takeIn(now, found);
+    for (const residence of this.residency.all) this.#reindex(residence.key);
   }
 
   /** Whether adapters were found that others may still use or load. */
   get hasUnproven(): boolean {
-    return this.#residency.hasUnproven();
+    return this.residency.hasUnproven();
   }
 
   /**
@@ -208,9 +57,9 @@
    * @param state What the engine holds, and uses for requests of others.
    */
   found(now: Instant, state: FoundState): void {
-    const { gone, loaded } = this.#residency.compare(now, state);
-    for (const key of loaded) this.#book.unblock(now, key);
-    for (const key of gone) this.#book.block(now, key);
+    const { gone, loaded } = this.residency.compare(now, state);
+    for (const key of loaded) this.book.unblock(now, key);
+    for (const key of gone) this.book.block(now, key);
     for (const key of [...loaded, ...gone]) this.#reindex(key);
   }
 
@@ -221,8 +70,8 @@
    */
   adapterMissing(now: Instant, adapter: AdapterReference): void {
     const key = adapterKey(adapter);
-    if (!this.#residency.lose(key)) return;
-    this.#book.block(now, key);
+    if (!this.residency.lose(key)) return;
+    this.book.block(now, key);
     this.#reindex(key);
   }
 
@@ -233,8 +82,8 @@
    */
   submit(now: Instant, queued: QueuedRequest): void {
     const key = adapterKey(queued.adapter);
-    const resident = this.#residency.isResident(key);
-    const request = this.#book.submit(now, queued, resident);
+    const resident = this.residency.isResident(key);
+    const request = this.book.submit(now, queued, resident);
     this.#giveUp.watch(request);
     if (!resident) this.#reindex(key);
   }
@@ -245,7 +94,7 @@
    * @returns Whether it waited here, and so will not run.
    */
   withdraw(request: RequestId): boolean {
-    const found = this.#book.find(request);
+    const found = this.book.find(request);
     if (found === undefined || isAtEngine(found)) return false;
     this.#forget(found);
     return true;
@@ -257,7 +106,7 @@
    * @returns The requests, with the time that they waited here.
    */
   handBack(now: Instant): readonly QueuedRequest[] {
-    const waiting = [...this.#book.all].filter((one) => !isAtEngine(one));
+    const waiting = [...this.book.all].filter((one) => !isAtEngine(one));
     for (const request of waiting) this.#forget(request);
     return waiting.map(({ queued, submittedAt }) => ({
       ...queued,
@@ -269,14 +118,14 @@
 
   /** Lists the requests that are here. */
   requests(): readonly RequestId[] {
-    return [...this.#book.all].map((request) => request.queued.request);
+    return [...this.book.all].map((request) => request.queued.request);
   }
 
   /** Withdraws everything that this controller told the index. */
   close(): void {
     this.#isClosed = true;
-    for (const { key } of this.#residency.all) this.#unindex(key);
-    for (const { key } of this.#book.blocked.lines) this.#unindex(key);
+    for (const { key } of this.residency.all) this.#unindex(key);
+    for (const { key } of this.book.blocked.lines) this.#unindex(key);
   }
 
   /**
@@ -290,9 +139,9 @@
   ): void {
     const key = adapterKey(load.adapter);
     const { loaded } = load;
-    if (!this.#residency.loadEnded(now, { key, loaded })) return;
-    this.#planner.loadEnded(now, key, loaded);
-    if (loaded) this.#book.unblock(now, key);
+    if (!this.residency.loadEnded(now, { key, loaded })) return;
+    this.planner.loadEnded(now, key, loaded);
+    if (loaded) this.book.unblock(now, key);
     this.#reindex(key);
   }
 
@@ -310,9 +159,9 @@
   ): void {
     const key = adapterKey(eviction.adapter);
     const { evicted } = eviction;
-    if (!this.#residency.evictionEnded(now, { key, evicted })) return;
-    if (!evicted) this.#book.unblock(now, key);
-    const next = this.#planner.afterEviction(now, key, evicted);
+    if (!this.residency.evictionEnded(now, { key, evicted })) return;
+    if (!evicted) this.book.unblock(now, key);
+    const next = this.planner.afterEviction(now, key, evicted);
     this.#reindex(key);
     if (next !== undefined) this.#reindex(next);
   }
@@ -323,10 +172,10 @@
    * @param request The request.
    */
   firstToken(now: Instant, request: RequestId): void {
-    const found = this.#book.find(request);
+    const found = this.book.find(request);
     if (found === undefined || found.firstTokenAt !== undefined) return;
     found.firstTokenAt = now;
-    this.#pace.firstTokenCame(now, found);
+    this.pace.firstTokenCame(now, found);
   }
 
   /**
@@ -340,12 +189,12 @@
     request: RequestId,
     generatedTokens: number,
   ): void {
-    const found = this.#book.find(request);
+    const found = this.book.find(request);
     if (found === undefined || !isAtEngine(found)) return;
-    this.#pace.ended(now, found, generatedTokens);
-    this.#residency.unpin(now, found.key);
-    this.#book.remove(found);
-    this.#history.record(now, this.#book.atEngine);
+    this.pace.ended(now, found, generatedTokens);
+    this.residency.unpin(now, found.key);
+    this.book.remove(found);
+    this.history.record(now, this.book.atEngine);
   }
 
   /**
@@ -354,8 +203,8 @@
    * @param report The report.
    */
   reported(now: Instant, report: EngineReport): void {
-    this.#pace.stepReported(report.stepTime);
-    this.#others = this.#history.othersIn(now, {
+    this.pace.stepReported(report.stepTime);
+    this.others = this.history.othersIn(now, {
       held: report.running + report.waiting,
       age: report.age,
     });
@@ -367,7 +216,7 @@
    * @param target The new target.
    */
   retarget(id: ClassId, target: Duration): void {
-    this.#book.retarget(id, target);
+    this.book.retarget(id, target);
   }
 
   /**
@@ -380,7 +229,7 @@
     now: Instant,
     prefetch: readonly PrefetchCandidate[],
   ): readonly LoadWish[] {
-    return this.#planner.wishes(now, prefetch);
+    return this.planner.wishes(now, prefetch);
   }
 
   /**
@@ -391,8 +240,8 @@
    */
   usePermit(now: Instant, adapter: AdapterReference): boolean {
     const key = adapterKey(adapter);
-    const used = this.#planner.usePermit(now, adapter, key);
-    if (used) this.#parts.index.add(key, this.engine);
+    const used = this.planner.usePermit(now, adapter, key);
+    if (used) this.parts.index.add(key, this.engine);
     return used;
   }
 
@@ -402,9 +251,9 @@
    * @returns The decisions, in the order in which to carry them out.
    */
   decide(now: Instant): readonly EngineDecision[] {
-    const decisions = [...this.#planner.takeOrders()];
+    const decisions = [...this.planner.takeOrders()];
     this.#refuseHopeless(now, decisions);
-    this.#dispatch(now, decisions);
+    this.#dispatcher.dispatch(now, decisions);
     return decisions;
   }
 
@@ -413,44 +262,6 @@
     return this.#giveUp.next;
   }
 
-  #dispatch(now: Instant, decisions: EngineDecision[]): void {
-    for (;;) {
-      const request = this.#book.ready.peek(now);
-      if (request === undefined) return;
-      if (this.#book.running.size >= this.#places()) {
-        const displaced = this.#chooseDisplaced(now, request);
-        if (displaced === undefined) return;
-        this.#book.displace(displaced);
-        const id = displaced.queued.request;
-        decisions.push({ kind: "preempt", request: id });
-      }
-      decisions.push(this.#start(now, request));
-    }
-  }
-
-  #start(now: Instant, request: WaitingRequest): EngineDecision {
-    const queueWait = elapsed(request.submittedAt, now) - request.loadStall;
-    if (!request.displaced) this.#residency.pin(now, request.key);
-    this.#book.start(now, request);
-    this.#history.record(now, this.#book.atEngine);
-    return {
-      kind: "dispatch",
-      request: request.queued.request,
-      priority: -Math.round(request.deadline),
-      queueWait: milliseconds(queueWait),
-      loadStall: request.loadStall,
-    };
-  }
-
-  #chooseDisplaced(
-    now: Instant,
-    urgent: WaitingRequest,
-  ): WaitingRequest | undefined {
-    const longEnough = TARGET_RATIO * urgent.target;
-    if (this.#book.runningAtLeast(longEnough) === 0) return undefined;
-    return chooseDisplaced(now, this.#book.running, urgent);
-  }
-
   #refuseHopeless(now: Instant, decisions: EngineDecision[]): void {
     for (const request of this.#giveUp.due(now)) {
       if (isAtEngine(request) || request.place === "over") continue;
@@ -469,33 +280,23 @@
 
   #harmsOthers(request: WaitingRequest): boolean {
     return request.place === "ready"
-      ? this.#book.ready.size > 1
-      : this.#book.blocked.size > 1;
-  }
-
-  #slots(): number {
-    return this.#parts.capacity.adapterSlots;
-  }
-
-  #places(): number {
-    const { batchCapacity } = this.#parts.capacity;
-    const others = Math.min(this.#others, OTHERS_SHARE * batchCapacity);
-    return Math.max(1, Math.floor(batchCapacity - others));
+      ? this.book.ready.size > 1
+      : this.book.blocked.size > 1;
   }
 
   #forget(request: WaitingRequest): void {
-    this.#book.remove(request);
+    this.book.remove(request);
     this.#reindex(request.key);
   }
 
   #reindex(key: AdapterKey): void {
     if (this.#isClosed) return;
     if (this.standing(key) === "absent") this.#unindex(key);
-    else this.#parts.index.add(key, this.engine);
+    else this.parts.index.add(key, this.engine);
   }
 
   #unindex(key: AdapterKey): void {
-    this.#parts.index.remove(key, this.engine);
+    this.parts.index.remove(key, this.engine);
   }
 }
 
