Keep the pin of a request whose stream broke until the engine lets it go

Cause: a broken stream ended the request at its controller, though the engine may still run it, so that its adapter could be evicted in use; and a test found that the same request, come again meanwhile, broke request_queued_once.

--- a/packages/node/src/serving/engine_runner.ts
+++ b/packages/node/src/serving/engine_runner.ts
@@ -8,15 +8,12 @@
   type EngineId,
   type Failure,
   type Instant,
-  milliseconds,
   type ModelId,
   type RequestId,
   type RequestObserver,
 } from "@foxtailwind/core";
 import type {
-  CacheEvent,
   EngineClient,
-  EngineLoadReport,
   EngineState,
   GenerationEnd,
   GenerationHandle,
@@ -27,13 +24,15 @@
 import type { PartLogger } from "../logging/part_logger.ts";
 import type { AdapterAggregates } from "./adapter_aggregates.ts";
 import { EngineLoads } from "./engine_loads.ts";
-import { EngineWatch, EngineWatcher } from "./engine_watch.ts";
+import { EngineStateFollower } from "./engine_state_follower.ts";
+import { EngineWatch } from "./engine_watch.ts";
 import type { EngineViews } from "./engine_views.ts";
 import { describeGeneration } from "./generation_estimates.ts";
 import type { GenerationRequest } from "./generation_request.ts";
 import {
   DispatchedSink,
   type HeldRequest,
+  heldRequest,
   HeldRequests,
 } from "./held_requests.ts";
 import type { OrderRight } from "./order_right.ts";
@@ -42,8 +41,6 @@
 
 const TICK_MILLISECONDS = 50;
 const MOST_RESYNCS = 3;
-/** A request that the controller before sent may be so long on its way. */
-const LONGEST_FLIGHT_MILLISECONDS = 1_000;
 
 /** What a runner works with. */
 export interface EngineRunnerParts {
@@ -65,11 +62,12 @@
 }
 
 /** Carries out an engine controller's decisions on the engine. */
-export class EngineRunner extends EngineWatcher {
+export class EngineRunner {
   readonly #parts: EngineRunnerParts;
   readonly #held = new HeldRequests();
   readonly #loads: EngineLoads;
   readonly #model: ModelId;
+  readonly #follower: EngineStateFollower;
   readonly #watch: EngineWatch;
   readonly #timer: NodeJS.Timeout;
   readonly #wishes: WishOffer;
@@ -77,16 +75,25 @@
   #controlledSince: Instant = CLOCK_START;
 
   private constructor(parts: EngineRunnerParts, found: EngineState) {
-    super();
     this.#parts = parts;
     this.#loads = new EngineLoads(parts);
     this.#model = found.model;
     this.#wishes = new WishOffer(parts);
     this.#controller = this.#control(found);
+    this.#follower = new EngineStateFollower({
+      ...parts,
+      prefixes: parts.aggregates.prefixes,
+      controller: () => this.#controller,
+      controlledSince: () => this.#controlledSince,
+      isHeld: (request) => this.#held.find(request) !== undefined,
+      restarted: (state) => {
+        this.#restarted(state);
+      },
+    });
     this.#watch = new EngineWatch({
       engine: parts.engine,
       client: parts.client,
-      watcher: this,
+      watcher: this.#follower,
       bootId: found.bootId,
     });
     parts.permits.register(parts.engine, (adapter) => {
@@ -127,15 +134,7 @@
   ): GenerationHandle {
     const resumed = this.#resumeRunning(generation, sink);
     if (resumed !== undefined) return resumed;
-    const held: HeldRequest = {
-      generation,
-      sink,
-      handle: undefined,
-      paused: false,
-      isCancelled: false,
-      resyncs: 0,
-      priority: 0,
-    };
+    const held = heldRequest(generation, sink);
     this.#queue(held);
     this.#act();
     return this.#handleOf(held);
@@ -160,43 +159,7 @@
     return waiting;
   }
 
-  override onReport(report: EngineLoadReport): void {
-    this.#controller.reported(this.#now(), {
-      running: report.running,
-      waiting: report.waiting,
-      stepTime: milliseconds(report.stepMilliseconds),
-      age: milliseconds(report.ageMilliseconds),
-    });
-  }
-
-  override onCacheEvents(events: readonly CacheEvent[]): void {
-    const { aggregates, engine } = this.#parts;
-    for (const event of events) {
-      const prefix = { key: adapterKey(event.adapter), hash: event.prefixHash };
-      if (event.kind === "stored") aggregates.prefixes.stored(prefix, engine);
-      else aggregates.prefixes.evicted(prefix, engine);
-    }
-  }
-
-  override onState(state: EngineState): void {
-    const since = this.#now() - this.#controlledSince;
-    if (since < LONGEST_FLIGHT_MILLISECONDS) return;
-    const others = state.running.filter((running) =>
-      this.#held.find(running.request) === undefined
-    );
-    const inUse = others.map((running) => adapterKey(running.adapter));
-    this.#controller.found(this.#now(), {
-      resident: state.resident.map(adapterKey),
-      loading: state.loading.map(adapterKey),
-      inUse: new Set(inUse),
-    });
-  }
-
-  override get needsState(): boolean {
-    return this.#controller.hasUnproven;
-  }
-
-  override onRestart(state: EngineState): void {
+  #restarted(state: EngineState): void {
     const { engine, logger, views } = this.#parts;
     logger.warn("An engine has restarted.", { engine });
     const waiting = this.#held.undispatched;
@@ -369,7 +332,8 @@
       },
       ended: (result, generatedTokens) => {
         if (this.#held.find(request) !== held) return;
-        controller.requestEnded(this.#now(), request, generatedTokens);
+        if (mayStillRun(result)) this.#follower.orphan(request);
+        else controller.requestEnded(this.#now(), request, generatedTokens);
         this.#generated(held, result);
       },
     });
@@ -386,21 +350,36 @@
     if (held.paused) held.handle.pause();
   }
 
-  /** A resumed stream keeps the place and the pin of the one before. */
+  /**
+   * A request that runs here already keeps its place and its pin, whether its
+   * stream is resumed or its next attempt starts anew.
+   */
   #resumeRunning(
     generation: GenerationRequest,
     sink: GenerationSink,
   ): GenerationHandle | undefined {
-    const { request, fromSequence = 0 } = generation;
-    const running = this.#held.find(request);
-    if (fromSequence === 0 || running?.handle === undefined) return undefined;
-    const held: HeldRequest = { ...running, generation, sink };
+    const { request } = generation;
+    const before = this.#held.find(request);
+    const isRunning = before?.handle !== undefined;
+    if (!isRunning && !this.#follower.adopt(request)) {
+      if (before !== undefined) this.#replaceWaiting(before);
+      return undefined;
+    }
+    const held = heldRequest(generation, sink);
     this.#held.add(held);
     this.#held.leaveLine(held);
     this.#generate(held);
     return this.#handleOf(held);
   }
 
+  /** The same request has come by another path; it waits only once. */
+  #replaceWaiting(before: HeldRequest): void {
+    const { request } = before.generation;
+    this.#controller.withdraw(request);
+    const failure = this.#failure("cancelled", "It came by another path.");
+    this.#end(request, err(failure));
+  }
+
   #generated(held: HeldRequest, result: Result<GenerationEnd, Failure>): void {
     if (isAdapterMissing(result) && held.resyncs < MOST_RESYNCS) {
       void this.#resyncAndRetry(held);
@@ -418,6 +397,7 @@
     held.handle = undefined;
     held.resyncs += 1;
     await this.#watch.readState();
+    if (this.#held.find(request) !== held) return;
     const wasRestarted = this.#controller !== controller;
     if (!wasRestarted) controller.adapterMissing(this.#now(), adapter);
     if (held.isCancelled) {
@@ -465,6 +445,11 @@
   }
 }
 
+/** A stream that broke says nothing of the engine's side. */
+function mayStillRun(result: Result<GenerationEnd, Failure>): boolean {
+  return result.isErr() && result.error.outcome === "unknown";
+}
+
 function isAdapterMissing(result: Result<GenerationEnd, Failure>): boolean {
   return result.isErr() && result.error.outcome === "not_run" &&
     result.error.reason === "not_found";
--- /dev/null
+++ b/packages/node/src/serving/engine_state_follower.ts
@@ -0,0 +1,112 @@
+import {
+  adapterKey,
+  type EngineController,
+  type EngineId,
+  type Instant,
+  milliseconds,
+  type PrefixHistory,
+  type RequestId,
+} from "@foxtailwind/core";
+import type {
+  CacheEvent,
+  EngineLoadReport,
+  EngineState,
+} from "@foxtailwind/edges";
+import type { SteadyClock } from "../clock/steady_clock.ts";
+import { EngineWatcher } from "./engine_watch.ts";
+
+/** A request that the controller before sent may be so long on its way. */
+const LONGEST_FLIGHT_MILLISECONDS = 1_000;
+
+/** What a follower works with. */
+export interface EngineStateFollowerParts {
+  readonly engine: EngineId;
+  readonly clock: SteadyClock;
+  readonly prefixes: PrefixHistory;
+  readonly controller: () => EngineController;
+  readonly controlledSince: () => Instant;
+  readonly isHeld: (request: RequestId) => boolean;
+  readonly restarted: (state: EngineState) => void;
+}
+
+/** Brings what an engine publishes to its controller. */
+export class EngineStateFollower extends EngineWatcher {
+  readonly #parts: EngineStateFollowerParts;
+  /** Requests whose stream broke: the engine may still run them. */
+  readonly #orphans = new Set<RequestId>();
+
+  /** @param parts What to work with. */
+  constructor(parts: EngineStateFollowerParts) {
+    super();
+    this.#parts = parts;
+  }
+
+  override get needsState(): boolean {
+    return this.#orphans.size > 0 || this.#parts.controller().hasUnproven;
+  }
+
+  /**
+   * Keeps the pin of a request whose stream broke until the engine's state
+   * shows that it runs no more.
+   * @param request The request.
+   */
+  orphan(request: RequestId): void {
+    this.#orphans.add(request);
+  }
+
+  /**
+   * Takes a request back whose stream is to be resumed.
+   * @param request The request.
+   * @returns Whether it still has its place and its pin.
+   */
+  adopt(request: RequestId): boolean {
+    return this.#orphans.delete(request);
+  }
+
+  override onReport(report: EngineLoadReport): void {
+    this.#parts.controller().reported(this.#parts.clock.now(), {
+      running: report.running,
+      waiting: report.waiting,
+      stepTime: milliseconds(report.stepMilliseconds),
+      age: milliseconds(report.ageMilliseconds),
+    });
+  }
+
+  override onCacheEvents(events: readonly CacheEvent[]): void {
+    const { engine, prefixes } = this.#parts;
+    for (const event of events) {
+      const prefix = { key: adapterKey(event.adapter), hash: event.prefixHash };
+      if (event.kind === "stored") prefixes.stored(prefix, engine);
+      else prefixes.evicted(prefix, engine);
+    }
+  }
+
+  override onState(state: EngineState): void {
+    this.#endOrphans(state);
+    const { clock, controlledSince, isHeld } = this.#parts;
+    const now = clock.now();
+    if (now < controlledSince() + LONGEST_FLIGHT_MILLISECONDS) return;
+    const inUse = state.running.filter(({ request }) => !isHeld(request))
+      .map((running) => adapterKey(running.adapter));
+    this.#parts.controller().found(now, {
+      resident: state.resident.map(adapterKey),
+      loading: state.loading.map(adapterKey),
+      inUse: new Set(inUse),
+    });
+  }
+
+  override onRestart(state: EngineState): void {
+    this.#orphans.clear();
+    this.#parts.restarted(state);
+  }
+
+  #endOrphans(state: EngineState): void {
+    const running = new Set(state.running.map(({ request }) => request));
+    const now = this.#parts.clock.now();
+    for (const request of this.#orphans) {
+      if (running.has(request)) continue;
+      this.#orphans.delete(request);
+      this.#parts.controller().requestEnded(now, request, 0);
+    }
+  }
+}
--- a/packages/node/src/serving/held_requests.ts
+++ b/packages/node/src/serving/held_requests.ts
@@ -28,6 +28,27 @@
   priority: number;
 }
 
+/**
+ * Describes a request that has just come.
+ * @param generation The request.
+ * @param sink Receives the answer.
+ * @returns The request, not dispatched.
+ */
+export function heldRequest(
+  generation: GenerationRequest,
+  sink: GenerationSink,
+): HeldRequest {
+  return {
+    generation,
+    sink,
+    handle: undefined,
+    paused: false,
+    isCancelled: false,
+    resyncs: 0,
+    priority: 0,
+  };
+}
+
 /** What a runner learns of a dispatched request. */
 export interface DispatchListener {
   readonly firstToken: () => void;
--- a/packages/node/tests/serving/engine_restart_test.ts
+++ b/packages/node/tests/serving/engine_restart_test.ts
@@ -1,3 +1,4 @@
+import { adapterId, adapterVersion, classId, modelId } from "@foxtailwind/core";
 import test from "ava";
 import {
   startTestCluster,
@@ -5,26 +6,36 @@
   until,
 } from "../helpers/test_cluster.ts";
 
-async function start(): Promise<TestCluster> {
-  const cluster = await startTestCluster({ nodes: 1, engines: 1 });
+async function start(
+  engineSettings: readonly string[] = [],
+): Promise<TestCluster> {
+  const cluster = await startTestCluster({
+    nodes: 1,
+    engines: 1,
+    engineSettings,
+  });
   await cluster.publish([
     {
       kind: "set_class",
-      class: "drafting",
+      class: classId("drafting"),
       target: { firstTokenMilliseconds: 30_000 },
     },
-    {
-      kind: "set_adapter",
-      adapter: "notes",
-      model: "base",
-      versions: ["v1"],
-      current: "v1",
-    },
+    ...["notes", "other"].map((adapter) => ({
+      kind: "set_adapter" as const,
+      adapter: adapterId(adapter),
+      model: modelId("base"),
+      versions: [adapterVersion("v1")],
+      current: adapterVersion("v1"),
+    })),
   ]);
   return cluster;
 }
 
-async function ask(cluster: TestCluster): Promise<number> {
+async function ask(
+  cluster: TestCluster,
+  model = "notes",
+  tokens = 3,
+): Promise<number> {
   const answer = await fetch(`${cluster.url()}/v1/chat/completions`, {
     method: "POST",
     headers: {
@@ -32,9 +43,9 @@
       "x-foxtailwind-class": "drafting",
     },
     body: JSON.stringify({
-      model: "notes",
+      model,
       messages: [{ role: "user", content: "Hello." }],
-      max_tokens: 3,
+      max_tokens: tokens,
     }),
   });
   await answer.text();
@@ -69,3 +80,15 @@
   await router.startControlling(engine);
   t.is(await answer, 200);
 });
+
+test("an adapter whose stream broke is kept while the engine runs it", async (t) => {
+  const cluster = await start(["adapter_slots=1"]);
+  t.teardown(() => cluster.close());
+  await until(async () => await ask(cluster) === 200);
+  const [engine] = cluster.engines;
+  engine?.setFaults({ dropNextStreams: 8, dropStreamAfterTokens: 1 });
+  await ask(cluster, "notes", 400);
+  engine?.setFaults({});
+  await until(async () => await ask(cluster, "other") === 200);
+  t.is(engine?.readCounters().evictedInUse, 0);
+});
