--- a/packages/core/src/serving/engine_controller_view.ts
+++ b/packages/core/src/serving/engine_controller_view.ts
@@ -41,7 +41,8 @@
   override readonly engine: EngineId;
   override readonly hash: number;
   protected readonly parts: EngineControllerParts;
-  protected readonly residency: EngineResidency;
+  /** The adapters in slots. */
+  readonly residency: EngineResidency;
   protected readonly book = new RequestBook();
   protected readonly pace = new EnginePace();
   protected readonly history = new OwnHistory();
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -1,7 +1,6 @@
 import {
   type EngineId,
   engineId,
-  fencingNumber,
   RequestTelemetry,
   seconds,
 } from "@foxtailwind/core";
@@ -18,6 +17,15 @@
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { ProcessClock } from "./clock/steady_clock.ts";
+import {
+  ClusterAssignment,
+  ClusterHandOver,
+  ClusterNode,
+  ClusterOrderRight,
+  ClusterPeerViews,
+  clusterService,
+  ClusterTransport,
+} from "./cluster/mod.ts";
 import { readClusterStatus } from "./configuration/cluster_status.ts";
 import { ConfigurationFollower } from "./configuration/configuration_follower.ts";
 import { ConfigurationPublisher } from "./configuration/configuration_publisher.ts";
@@ -29,10 +37,14 @@
   type KeyedExecution,
   ServiceDelivery,
 } from "./delivery/mod.ts";
-import { Drain, NothingToHandOver, WorkInProgress } from "./drain/mod.ts";
+import { Drain, LeavingEngines, WorkInProgress } from "./drain/mod.ts";
 import { createHttpApplication } from "./http_application.ts";
 import type { LoggerFactory } from "./logging/part_logger.ts";
-import type { DrainHook } from "./operators/drain_hook.ts";
+import {
+  type MetricsSink,
+  SilentMetrics,
+  StatsdMetrics,
+} from "./metrics/mod.ts";
 import { generationService } from "./peers/generation_service.ts";
 import { PeerChannels } from "./peers/peer_channels.ts";
 import { PeerClients } from "./peers/peer_clients.ts";
@@ -40,15 +52,14 @@
 import { VmDirectory } from "./platform/vm_directory.ts";
 import {
   AddressDirectory,
-  HashedControllers,
   OwnView,
+  RoutedControllers,
   ServiceDispatcher,
 } from "./routing/mod.ts";
 import type { GenerationRouter } from "./serving/generation_router.ts";
-import { ConstantOrderRight } from "./serving/order_right.ts";
 import { ServingParts } from "./serving/serving_parts.ts";
 import type { Settings } from "./settings/settings.ts";
-import { NoEngineActivity } from "./telemetry/engine_activity.ts";
+import { ControlledEngines } from "./telemetry/controlled_engines.ts";
 import { NodeTelemetry } from "./telemetry/node_telemetry.ts";
 
 /** Where a daemon listens. */
@@ -60,6 +71,9 @@
 /** How long streams between nodes that carry no requests may take to end. */
 const CONTROL_CLOSE = 1_000;
 
+/** Reads that take longer renew no lease. */
+const MEMBERSHIP_LOG_TIMEOUT = 1_000;
+
 /** One node: all its parts, started and stopped together. */
 export class Daemon extends DaemonParts {
   override readonly settings: Settings;
@@ -77,13 +91,16 @@
   override readonly observer = new RequestTelemetry(this.clock.now());
   override readonly telemetry: NodeTelemetry;
   override readonly publisher: ConfigurationPublisher;
-  override readonly drainHook: DrainHook | undefined = undefined;
   override readonly router: GenerationRouter;
   override readonly delivery: DeliveryParts;
+  override readonly metrics: MetricsSink;
+  readonly #loggers: LoggerFactory;
   readonly #channels = new PeerChannels();
+  readonly #cluster: ClusterNode;
   readonly #serving: ServingParts;
   readonly #spread: SpreadService;
   readonly #snapshots: SnapshotWriter;
+  readonly #leavingEngines: LeavingEngines;
   readonly #peers = new PeerClients(this.#channels);
   readonly #peerServer: PeerServer;
   readonly #dispatcher = createDispatcher();
@@ -93,6 +110,8 @@
   constructor(settings: Settings, loggers: LoggerFactory) {
     super();
     this.settings = settings;
+    this.#loggers = loggers;
+    this.metrics = makeMetrics(settings, loggers);
     const dispatcher = this.#dispatcher;
     const { clock } = this;
     this.log = new HttpLogClient({
@@ -133,6 +152,7 @@
       this.follower.store,
       () => this.follower.status(),
     );
+    this.#cluster = this.#makeCluster(loggers);
     this.#serving = new ServingParts({
       self: settings.node.id,
       directory: this.directory,
@@ -141,7 +161,8 @@
       clock: this.clock,
       logger: loggers.forPart("serving"),
       observer: this.observer,
-      right: new ConstantOrderRight(fencingNumber(0)),
+      right: new ClusterOrderRight(this.#cluster),
+      assignment: new ClusterAssignment(this.#cluster),
       store: settings.platform.weight_store_id,
       storeClient: new HttpWeightStoreClient({
         baseAddress: settings.platform.weight_store,
@@ -164,7 +185,7 @@
     });
     this.telemetry = new NodeTelemetry(this, {
       requests: this.observer,
-      activity: new NoEngineActivity(),
+      activity: new ControlledEngines(() => this.router.controllers),
       channels: this.#channels,
     });
     this.#peerServer = new PeerServer([
@@ -172,9 +193,18 @@
       this.delivery.registration,
       this.telemetry.registration,
       this.#spread.registration,
+      clusterService((message) => {
+        this.#cluster.receive(message);
+      }),
       ...this.#serving.registrations,
     ]);
     this.drain = this.#makeDrain(loggers);
+    this.#leavingEngines = new LeavingEngines({
+      directory: this.directory,
+      engines: this.router,
+      engineClient: (vm) => this.#engineClient(engineId(vm.id), vm.address),
+      logger: loggers.forPart("serving"),
+    });
     this.serviceDispatcher = new ServiceDispatcher({
       failureDomain: settings.node.failure_domain,
       client: this.services,
@@ -198,13 +228,18 @@
   async start(): Promise<DaemonAddresses> {
     const { http, grpc } = this.settings.listen;
     const grpcPort = await this.#peerServer.listen(grpc);
-    this.#application = await createHttpApplication(this);
+    this.#application = await createHttpApplication(
+      this,
+      this.#loggers.forPart("callers"),
+    );
     await this.#application.listen(http.port, http.host);
     await this.directory.start();
+    this.#cluster.start(`${grpc.host}:${grpcPort}`);
     this.#serving.start();
     void this.follower.run();
     this.telemetry.start();
     this.#snapshots.start();
+    void this.#leavingEngines.run();
     const address = this.#application.getHttpServer().address() as AddressInfo;
     return {
       http: `${http.host}:${address.port}`,
@@ -233,14 +268,17 @@
     this.#peers.close();
     await Promise.race([this.#peerServer.close(), sleep(CONTROL_CLOSE)]);
     this.#peerServer.cutConnections();
+    this.#cluster.stop();
     this.follower.stop();
     this.telemetry.stop();
     this.#snapshots.stop();
+    this.#leavingEngines.stop();
     this.directory.stop();
     this.#serving.stop();
     this.delivery.stop();
     this.#channels.close();
     await this.#dispatcher.destroy();
+    await this.metrics.close();
   }
 
   override readonly peerStatuses = (nodes: readonly Vm[]) =>
@@ -252,6 +290,23 @@
     this.#peerServer.cutConnections();
   }
 
+  #makeCluster(loggers: LoggerFactory): ClusterNode {
+    const { settings, clock, directory } = this;
+    return new ClusterNode({
+      node: settings.node,
+      clock,
+      directory,
+      log: new HttpLogClient({
+        baseAddress: settings.platform.log,
+        dispatcher: this.#dispatcher,
+        peer: "log",
+        timeoutMilliseconds: MEMBERSHIP_LOG_TIMEOUT,
+      }),
+      transport: new ClusterTransport(this.#channels),
+      logger: loggers.forPart("ownership"),
+    });
+  }
+
   #makeDrain(loggers: LoggerFactory): Drain {
     const { addresses, stop } = this.settings;
     const longestWait = stop.longest_wait_seconds;
@@ -261,7 +316,7 @@
         ...(longestWait !== undefined && { longestWait: seconds(longestWait) }),
       },
       work: this.work,
-      handOver: new NothingToHandOver(),
+      handOver: new ClusterHandOver(this.#cluster),
       clock: this.clock,
       logger: loggers.forPart("daemon"),
     });
@@ -271,12 +326,15 @@
     const { settings, directory, follower } = this;
     return new AddressDirectory({
       directory,
-      peers: new OwnView({
-        self: settings.node.id,
-        isLeaving: () => this.drain.isLeaving,
-        load: () => this.work.count,
-      }),
-      controllers: new HashedControllers(directory, follower.configuration),
+      peers: new ClusterPeerViews(
+        this.#cluster,
+        new OwnView({
+          self: settings.node.id,
+          isLeaving: () => this.drain.isLeaving,
+          load: () => this.work.count,
+        }),
+      ),
+      controllers: new RoutedControllers(this.router, follower.configuration),
       longestLifetime: seconds(settings.addresses.lifetime_seconds),
     });
   }
@@ -289,3 +347,13 @@
     });
   }
 }
+
+function makeMetrics(settings: Settings, loggers: LoggerFactory): MetricsSink {
+  const { metrics, node } = settings;
+  if (metrics.statsd === undefined) return new SilentMetrics();
+  return new StatsdMetrics({
+    address: metrics.statsd,
+    tags: { node: node.id, failure_domain: node.failure_domain },
+    logger: loggers.forPart("metrics"),
+  });
+}
--- a/packages/node/src/serving/engine_state_follower.ts
+++ b/packages/node/src/serving/engine_state_follower.ts
@@ -6,6 +6,7 @@
   milliseconds,
   type PrefixHistory,
   type RequestId,
+  type RequestObserver,
 } from "@foxtailwind/core";
 import type {
   CacheEvent,
@@ -22,6 +23,7 @@
 export interface EngineStateFollowerParts {
   readonly engine: EngineId;
   readonly clock: SteadyClock;
+  readonly observer: RequestObserver;
   readonly prefixes: PrefixHistory;
   readonly controller: () => EngineController;
   readonly controlledSince: () => Instant;
@@ -64,7 +66,9 @@
   }
 
   override onReport(report: EngineLoadReport): void {
-    this.#parts.controller().reported(this.#parts.clock.now(), {
+    const { clock, engine, observer } = this.#parts;
+    observer.recordBatch(clock.now(), { engine, fill: report.batchFill });
+    this.#parts.controller().reported(clock.now(), {
       running: report.running,
       waiting: report.waiting,
       stepTime: milliseconds(report.stepMilliseconds),
--- a/packages/node/src/serving/generation_router.ts
+++ b/packages/node/src/serving/generation_router.ts
@@ -1,5 +1,6 @@
 import {
   adapterKey,
+  type AdapterReference,
   attemptNumber,
   type EngineController,
   type EngineId,
@@ -7,6 +8,7 @@
   type Failure,
   later,
   milliseconds,
+  type ModelId,
   type NodeId,
   nodeId,
   type RequestObserver,
@@ -168,6 +170,22 @@
     }
   }
 
+  /**
+   * Finds the node that controls the home of an adapter.
+   * @param model The adapter's model.
+   * @param adapter The adapter and version.
+   * @returns The node, or nothing where no engine runs the model.
+   */
+  likelyController(
+    model: ModelId,
+    adapter: AdapterReference,
+  ): NodeId | undefined {
+    const views = this.#views.running(model);
+    const { router } = this.#parts.aggregates;
+    const [home] = router.homes(adapterKey(adapter), views);
+    return home === undefined ? undefined : this.#controllerOf(home.engine);
+  }
+
   /** Stops deciding for all engines. */
   stop(): void {
     this.#unplaced.stop();
