--- a/packages/core/src/serving/engine_controller_view.ts
+++ b/packages/core/src/serving/engine_controller_view.ts
@@ -41,7 +41,7 @@
   override readonly engine: EngineId;
   override readonly hash: number;
   protected readonly parts: EngineControllerParts;
-  /** Which adapters the engine holds. */
+  /** The adapters in slots. */
   readonly residency: EngineResidency;
   protected readonly book = new RequestBook();
   protected readonly pace = new EnginePace();
--- a/packages/node/src/serving/engine_runner.ts
+++ b/packages/node/src/serving/engine_runner.ts
@@ -132,9 +132,12 @@
     generation: GenerationRequest,
     sink: GenerationSink,
   ): GenerationHandle {
-    const resumed = this.#resumeRunning(generation, sink);
-    if (resumed !== undefined) return resumed;
+    const earlier = this.#held.find(generation.request);
+    if (earlier !== undefined) {
+      return this.#supersede(earlier, { generation, sink });
+    }
     const held = heldRequest(generation, sink);
+    if (this.#follower.adopt(generation.request)) return this.#adopt(held);
     this.#queue(held);
     this.#act();
     return this.#handleOf(held);
@@ -353,35 +356,31 @@
   }
 
   /**
-   * A request that runs here already keeps its place and its pin, whether its
-   * stream is resumed or its next attempt starts anew.
+   * A later attempt takes the place, the pin and the stream of an earlier one
+   * whose path has broken, so that the request runs once all the same.
    */
-  #resumeRunning(
-    generation: GenerationRequest,
-    sink: GenerationSink,
-  ): GenerationHandle | undefined {
-    const { request } = generation;
-    const before = this.#held.find(request);
-    const isRunning = before?.handle !== undefined;
-    if (!isRunning && !this.#follower.adopt(request)) {
-      if (before !== undefined) this.#replaceWaiting(before);
-      return undefined;
+  #supersede(
+    earlier: HeldRequest,
+    { generation, sink }: ReturnedRequest,
+  ): GenerationHandle {
+    const held: HeldRequest = { ...earlier, generation, sink };
+    this.#held.add(held);
+    if (earlier.handle !== undefined) {
+      this.#held.leaveLine(held);
+      this.#generate(held);
     }
-    const held = heldRequest(generation, sink);
+    earlier.sink.onEnd(err(superseded(this.#parts.engine)));
+    return this.#handleOf(held);
+  }
+
+  /** A request whose stream broke still has its place and its pin. */
+  #adopt(held: HeldRequest): GenerationHandle {
     this.#held.add(held);
     this.#held.leaveLine(held);
     this.#generate(held);
     return this.#handleOf(held);
   }
 
-  /** The same request has come by another path; it waits only once. */
-  #replaceWaiting(before: HeldRequest): void {
-    const { request } = before.generation;
-    this.#controller.withdraw(request);
-    const failure = this.#failure("cancelled", "It came by another path.");
-    this.#end(request, err(failure));
-  }
-
   #generated(held: HeldRequest, result: Result<GenerationEnd, Failure>): void {
     if (isAdapterMissing(result) && held.resyncs < MOST_RESYNCS) {
       void this.#resyncAndRetry(held);
@@ -393,13 +392,14 @@
   }
 
   /** The engine refused to run it, so that it may be dispatched again. */
-  async #resyncAndRetry(held: HeldRequest): Promise<void> {
-    const { request, adapter } = held.generation;
+  async #resyncAndRetry(refused: HeldRequest): Promise<void> {
+    const { request, adapter } = refused.generation;
     const controller = this.#controller;
-    held.handle = undefined;
-    held.resyncs += 1;
+    refused.handle = undefined;
+    refused.resyncs += 1;
     await this.#watch.readState();
-    if (this.#held.find(request) !== held) return;
+    const held = this.#held.find(request);
+    if (held === undefined) return;
     const wasRestarted = this.#controller !== controller;
     if (!wasRestarted) controller.adapterMissing(this.#now(), adapter);
     if (held.isCancelled) {
@@ -456,3 +456,13 @@
   return result.isErr() && result.error.outcome === "not_run" &&
     result.error.reason === "not_found";
 }
+
+function superseded(engine: EngineId): Failure {
+  return {
+    reason: "cancelled",
+    step: "dispatch",
+    peer: engine,
+    message: "A later attempt at the request took its place.",
+    outcome: "unknown",
+  };
+}
--- a/packages/node/src/serving/engine_state_follower.ts
+++ b/packages/node/src/serving/engine_state_follower.ts
@@ -67,9 +67,8 @@
 
   override onReport(report: EngineLoadReport): void {
     const { clock, engine, observer } = this.#parts;
-    const now = clock.now();
-    observer.recordBatch(now, { engine, fill: report.batchFill });
-    this.#parts.controller().reported(now, {
+    observer.recordBatch(clock.now(), { engine, fill: report.batchFill });
+    this.#parts.controller().reported(clock.now(), {
       running: report.running,
       waiting: report.waiting,
       stepTime: milliseconds(report.stepMilliseconds),
