--- a/packages/core/src/placement/adapter_router.ts
+++ b/packages/core/src/placement/adapter_router.ts
@@ -157,7 +157,7 @@
     let best: Candidate | undefined;
     for (const view of this.homes(key, views)) {
       const candidate = this.#assess(now, { queued, key, view });
-      best = better(best, candidate);
+      best = cheaper(now, best, candidate);
     }
     return best;
   }
@@ -235,3 +235,20 @@
     return hasHolder ? "overflow" : "home";
   }
 }
+
+/** Of engines that are about as fast, the one whose eviction loses least. */
+function cheaper(
+  now: Instant,
+  first: Candidate | undefined,
+  second: Candidate,
+): Candidate {
+  if (first === undefined) return second;
+  const margin = Math.max(LEAST_MARGIN, MARGIN_SHARE * first.expected);
+  const gain = first.expected - second.expected;
+  if (gain > margin) return second;
+  if (gain < -margin) return first;
+  const firstLoss = first.view.roomLoss(now);
+  const secondLoss = second.view.roomLoss(now);
+  if (firstLoss === undefined || secondLoss === undefined) return first;
+  return secondLoss < firstLoss ? second : first;
+}
--- a/packages/core/src/placement/engine_view.ts
+++ b/packages/core/src/placement/engine_view.ts
@@ -39,6 +39,14 @@
    */
   abstract canMakeRoom(): boolean;
 
+  /**
+   * Estimates what is lost by the eviction that a load would need.
+   * @param now The present time.
+   * @returns Target lengths of waiting a second, 0 where a slot is free, or
+   * nothing where it is not known.
+   */
+  abstract roomLoss(now: Instant): number | undefined;
+
   /**
    * Counts the adapters that are waited for by requests at least as urgent.
    * @param target The target of the request's class.
--- a/packages/core/src/placement/summarised_engine_view.ts
+++ b/packages/core/src/placement/summarised_engine_view.ts
@@ -70,6 +70,10 @@
     return this.#summary.canMakeRoom;
   }
 
+  override roomLoss(): undefined {
+    return undefined;
+  }
+
   override loadsAhead(target: Duration): number {
     return Math.min(
       this.#summary.awaitedAdapters,
--- a/packages/core/src/serving/engine_controller.ts
+++ b/packages/core/src/serving/engine_controller.ts
@@ -146,6 +146,10 @@
     return this.#residency.freeSlots > 0 || this.#residency.hasIdle();
   }
 
+  override roomLoss(now: Instant): number {
+    return this.#planner.roomLoss(now);
+  }
+
   override loadsAhead(target: Duration): number {
     return Math.min(
       this.#book.blocked.adapters,
--- a/packages/core/src/serving/load_planner.ts
+++ b/packages/core/src/serving/load_planner.ts
@@ -69,6 +69,16 @@
     return this.#awaiting.has(key);
   }
 
+  /**
+   * Estimates what is lost by the eviction that a load would need.
+   * @param now The present time.
+   * @returns Target lengths of waiting a second; 0 where a slot is free.
+   */
+  roomLoss(now: Instant): number {
+    if (this.#freeSlots() > 0) return 0;
+    return this.#victim(now)?.loss ?? Infinity;
+  }
+
   /**
    * Lists the most urgent adapters that the engine could load now.
    * @param now The present time.
