--- a/packages/core/src/serving/adapter_serving_policy.ts
+++ b/packages/core/src/serving/adapter_serving_policy.ts
@@ -219,7 +219,7 @@
   ): void {
     const controller = this.#engines.get(event.engine);
     if (controller === undefined) return;
-    this.#changed.add(event.engine);
+    if (bearsOnDecisions(event)) this.#changed.add(event.engine);
     switch (event.kind) {
       case "load_ended": {
         const key = adapterKey(event.adapter);
@@ -333,3 +333,9 @@
     }
   }
 }
+
+/** A first token or a cached prefix frees nothing and asks for nothing. */
+function bearsOnDecisions(event: DeploymentEvent): boolean {
+  return event.kind !== "first_token" && event.kind !== "prefix_event" &&
+    event.kind !== "engine_reported";
+}
--- a/packages/node/src/delivery/key_limits.ts
+++ b/packages/node/src/delivery/key_limits.ts
@@ -11,6 +11,9 @@
  */
 export const FREE_KEY_WINDOW: Duration = seconds(900);
 
+/** How long a key of a scope may be retried once the scope is not new. */
+export const SCOPE_RETRY_TIME: Duration = FREE_KEY_WINDOW;
+
 const MARGIN_MILLISECONDS = 60_000;
 
 /** How long keys may be used. */
--- a/packages/node/src/mod.ts
+++ b/packages/node/src/mod.ts
@@ -2,8 +2,23 @@
  * The daemon of one node.
  * @module
  */
+export {
+  CallerConnection,
+  type CallerLimits,
+} from "./callers/completions/caller_connection.ts";
+export { CALLER_CONTROLLERS } from "./callers/mod.ts";
+export { OPENAPI_DOCUMENT } from "./callers/openapi/openapi_document.ts";
+export * from "./clock/steady_clock.ts";
+export * from "./cluster/mod.ts";
 export * from "./daemon.ts";
 export * from "./daemon_parts.ts";
 export * from "./logging/part_logger.ts";
+export * from "./metrics/mod.ts";
+export * from "./peers/peer_channels.ts";
+export * from "./peers/peer_server.ts";
+export * from "./platform/vm_directory.ts";
 export * from "./settings/load_settings.ts";
 export * from "./settings/settings.ts";
+export { EngineOrders } from "./serving/engine_orders.ts";
+export { ConstantOrderRight, OrderRight } from "./serving/order_right.ts";
+export * from "./telemetry/telemetry_metrics.ts";
