One registry of soaks and of deliberate faults

Change: npm run soak and soak:mutants run all five soaks and the mutants of three; directed scenarios bring about late claims, unseen records, isolated groups and forgotten promises.

--- a/packages/bench/src/soak/main.ts
+++ b/packages/bench/src/soak/main.ts
@@ -2,7 +2,7 @@
 import process from "node:process";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
-import type { SoakFinding } from "./ownership_soak.ts";
+import type { SoakFinding, SoakRun } from "./ownership_soak.ts";
 import { type Soak, SOAKS } from "./registry.ts";
 
 const MILLISECONDS_PER_MINUTE = 60_000;
@@ -36,18 +36,18 @@
   options.only === undefined || options.only === name
 );
 const reports: SoakReport[] = [];
-for (const soak of chosen) reports.push(await repeat(soak));
+for (const soak of chosen) reports.push(repeat(soak));
 print(reports);
 if (reports.some(({ findings }) => findings.length > 0)) process.exitCode = 1;
 
-async function repeat(soak: Soak): Promise<SoakReport> {
+function repeat(soak: Soak): SoakReport {
   const end = performance.now() + options.minutes * MILLISECONDS_PER_MINUTE;
   const findings: SoakFinding[] = [];
   let seed = options.seed;
   let orders = 0;
   let runs = 0;
   while (performance.now() < end && runs < options.runs) {
-    const { finding, orders: given } = await soak.run(seed);
+    const { finding, orders: given } = runCaught(soak, seed);
     orders += given;
     runs += 1;
     seed += 1;
@@ -57,6 +57,15 @@
   return { soak: soak.name, runs, orders, lastSeed: seed - 1, findings };
 }
 
+function runCaught(soak: Soak, seed: number): SoakRun {
+  try {
+    return soak.run(seed);
+  } catch (error) {
+    const detail = error instanceof Error ? error.message : String(error);
+    return { orders: 0, finding: { seed, invariant: "thrown", detail } };
+  }
+}
+
 function print(printed: readonly SoakReport[]): void {
   const table = new Table({
     head: ["soak", "seeds", "runs", "orders", "broken"],
--- a/packages/bench/src/soak/mutants.ts
+++ b/packages/bench/src/soak/mutants.ts
@@ -209,6 +209,7 @@
   {
     name: "forget promises on a restart",
     rules: new ForgetsPromisesOnRestart(),
+    family: "forgottenPromise",
   },
   { name: "claim in spite of a promise", rules: new BreaksPromises() },
   {
--- a/packages/bench/src/soak/mutants_main.ts
+++ b/packages/bench/src/soak/mutants_main.ts
@@ -2,8 +2,8 @@
 import process from "node:process";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
-import { OWNERSHIP_MUTANTS, type OwnershipMutant } from "./mutants.ts";
-import { runOwnershipSoak, type SoakFinding } from "./ownership_soak.ts";
+import type { SoakFinding } from "./ownership_soak.ts";
+import { SOAK_MUTANTS, type SoakMutant } from "./registry.ts";
 
 const options = await yargs(hideBin(process.argv))
   .option("seed", { type: "number", default: 1, describe: "The first seed" })
@@ -16,15 +16,18 @@
   .strict()
   .parse();
 
-const chosen = OWNERSHIP_MUTANTS.filter(({ name }) =>
-  options.only === undefined || name.includes(options.only)
+const chosen = SOAK_MUTANTS.filter(({ soak, name }) =>
+  options.only === undefined || `${soak}: ${name}`.includes(options.only)
 );
-const table = new Table({ head: ["mutant", "caught by", "seed", "runs"] });
+const table = new Table({
+  head: ["soak", "mutant", "caught by", "seed", "runs"],
+});
 let survivors = 0;
 for (const mutant of chosen) {
   const finding = hunt(mutant);
   if (finding === undefined) survivors += 1;
   table.push([
+    mutant.soak,
     mutant.name,
     finding?.invariant ?? "SURVIVED",
     finding?.seed ?? "-",
@@ -35,9 +38,9 @@
 process.stdout.write(`${survivors} of ${chosen.length} mutants survived.\n`);
 if (survivors > 0) process.exitCode = 1;
 
-function hunt(mutant: OwnershipMutant): SoakFinding | undefined {
+function hunt(mutant: SoakMutant): SoakFinding | undefined {
   for (let run = 0; run < options.runs; run += 1) {
-    const { finding } = runOwnershipSoak(options.seed + run, mutant);
+    const { finding } = mutant.run(options.seed + run);
     if (finding !== undefined) return finding;
   }
   return undefined;
--- a/packages/bench/src/soak/registry.ts
+++ b/packages/bench/src/soak/registry.ts
@@ -1,12 +1,72 @@
+import { runAdapterSoak } from "./adapter_soak.ts";
+import { configurationMutants } from "./configuration_mutants.ts";
+import { runConfigurationSoak } from "./configuration_soak.ts";
+import { OWNERSHIP_MUTANTS } from "./mutants.ts";
+import { outcomeMutants } from "./outcome_mutants.ts";
+import { runOutcomeSoak } from "./outcome_soak.ts";
 import { runOwnershipSoak, type SoakRun } from "./ownership_soak.ts";
+import { runServiceSoak } from "./service_soak.ts";
+
+const ADAPTER_STEPS = 600;
+const CONFIGURATION_STEPS = 400;
+const OUTCOME_STEPS = 1_500;
+const SERVICE_STEPS = 1_500;
 
 /** A randomised run that `npm run soak` repeats with many seeds. */
 export interface Soak {
   readonly name: string;
-  readonly run: (seed: number) => SoakRun | Promise<SoakRun>;
+  /** Runs one seed; a broken invariant is returned or thrown. */
+  readonly run: (seed: number) => SoakRun;
+}
+
+/** A deliberate fault that `npm run soak:mutants` looks for. */
+export interface SoakMutant extends Soak {
+  /** The soak that has to notice it. */
+  readonly soak: string;
 }
 
 /** The soaks that there are. */
 export const SOAKS: readonly Soak[] = [
   { name: "ownership", run: (seed) => runOwnershipSoak(seed) },
+  {
+    name: "outcomes",
+    run: (seed) => runOutcomeSoak({ seed, steps: OUTCOME_STEPS }),
+  },
+  {
+    name: "configuration",
+    run: (seed) => runConfigurationSoak({ seed, steps: CONFIGURATION_STEPS }),
+  },
+  {
+    name: "adapters",
+    run: (seed) => {
+      const counts = runAdapterSoak({ seed, steps: ADAPTER_STEPS });
+      return { orders: counts.answered };
+    },
+  },
+  {
+    name: "services",
+    run: (seed) => ({
+      orders: runServiceSoak({ seed, steps: SERVICE_STEPS }).answered,
+    }),
+  },
+];
+
+/** The deliberate faults of all soaks that have some. */
+export const SOAK_MUTANTS: readonly SoakMutant[] = [
+  ...OWNERSHIP_MUTANTS.map((mutant): SoakMutant => ({
+    soak: "ownership",
+    name: mutant.name,
+    run: (seed) => runOwnershipSoak(seed, mutant),
+  })),
+  ...outcomeMutants.map(({ name, rules }): SoakMutant => ({
+    soak: "outcomes",
+    name,
+    run: (seed) => runOutcomeSoak({ seed, steps: OUTCOME_STEPS, rules }),
+  })),
+  ...configurationMutants.map(({ name, rules }): SoakMutant => ({
+    soak: "configuration",
+    name,
+    run: (seed) =>
+      runConfigurationSoak({ seed, steps: CONFIGURATION_STEPS, rules }),
+  })),
 ];
--- a/packages/bench/src/soak/scenario.ts
+++ b/packages/bench/src/soak/scenario.ts
@@ -241,9 +241,35 @@
   return { ...QUIET, ...rest, nodes: 4, faults };
 });
 
+/**
+ * A successor that has promised for long restarts, and does not hear its
+ * controller, which has lost the log.
+ */
+const forgottenPromise: fc.Arbitrary<Scenario> = fc.record({
+  seed,
+  engines: fc.array(fc.boolean(), { minLength: 8, maxLength: 8 }),
+  start: fc.integer({ min: 6_000, max: 8_000 }),
+  controller: fc.integer({ min: 0, max: 4 }),
+  victim: fc.integer({ min: 0, max: 4 }),
+}).map(({ start: at, controller, victim, ...rest }): Scenario => {
+  const lasts = LONGEST_FAULT;
+  return {
+    ...QUIET,
+    ...rest,
+    nodes: 5,
+    promiseMilliseconds: 4_000,
+    faults: [
+      { kind: "log_cut", nodes: [controller], at, lasts },
+      { kind: "one_way", from: controller, to: victim, at, lasts },
+      { kind: "kill", node: victim, at, lasts: 20 },
+    ],
+  };
+});
+
 /** Kinds of scenarios that a run may be limited to. */
 export type ScenarioFamily =
   | "any"
+  | "forgottenPromise"
   | "isolatedGroup"
   | "lateClaim"
   | "unseenKeep";
@@ -255,7 +281,9 @@
     { weight: 1, arbitrary: isolatedGroup },
     { weight: 1, arbitrary: lateClaim },
     { weight: 1, arbitrary: unseenKeep },
+    { weight: 1, arbitrary: forgottenPromise },
   ),
+  forgottenPromise,
   isolatedGroup,
   lateClaim,
   unseenKeep,
