--- a/packages/bench/src/mod.ts
+++ b/packages/bench/src/mod.ts
@@ -4,6 +4,7 @@
  */
 export * from "./in_process/in_process_cluster.ts";
 export * from "./soak/adapter_soak.ts";
+export * from "./soak/fault.ts";
 export * from "./soak/mutants.ts";
 export * from "./soak/outcome_mutants.ts";
 export * from "./soak/outcome_soak.ts";
--- a/packages/bench/src/soak/ownership_run.ts
+++ b/packages/bench/src/soak/ownership_run.ts
@@ -10,7 +10,8 @@
   seconds,
 } from "@foxtailwind/core";
 import { SeededRandom } from "@foxtailwind/standins";
-import { type Fault, FAULTS_END, type Scenario } from "./scenario.ts";
+import type { Fault } from "./fault.ts";
+import { FAULTS_END, type Scenario } from "./scenario.ts";
 import { domain, membersOf } from "./members.ts";
 import { Timeline } from "./timeline.ts";
 import { VirtualEngine } from "./virtual_engine.ts";
