--- a/packages/node/src/delivery/keyed_generations.ts
+++ b/packages/node/src/delivery/keyed_generations.ts
@@ -1,4 +1,9 @@
-import { attemptNumber, type Failure, requestId } from "@foxtailwind/core";
+import {
+  attemptNumber,
+  type Failure,
+  requestId,
+  type RequestObserver,
+} from "@foxtailwind/core";
 import {
   type GenerationEnd,
   type GenerationFrame,
@@ -38,23 +43,26 @@
 export class KeyedGenerations {
   readonly #execution: KeyedExecution;
   readonly #clock: SteadyClock;
+  readonly #observer: RequestObserver;
   readonly #run: GenerationRun;
   /** Callers here that wait for a key, and may see its tokens as they come. */
   readonly #readers = new Map<string, Set<LiveReader>>();
 
   /**
-   * @param parts Runs keys at most once, and the clock.
+   * @param parts Runs keys at most once; the clock; who learns of ends.
    * @param run Starts the only run.
    */
   constructor(
     parts: {
       readonly execution: KeyedExecution;
       readonly clock: SteadyClock;
+      readonly observer: RequestObserver;
     },
     run: GenerationRun,
   ) {
     this.#execution = parts.execution;
     this.#clock = parts.clock;
+    this.#observer = parts.observer;
     this.#run = run;
     this.#execution.register(
       WORK_NAME,
@@ -70,7 +78,12 @@
    */
   deliver(keyed: KeyedGeneration, sink: GenerationSink): GenerationHandle {
     const { generation, key } = keyed;
-    const reader = new LiveReader(generation, sink);
+    const reader = new LiveReader(
+      generation,
+      new EndedSink(sink, (result) => {
+        this.#recordEnd(generation, result);
+      }),
+    );
     this.#addReader(key, reader);
     void this.#execution.execute({
       work: WORK_NAME,
@@ -83,6 +96,19 @@
     return reader;
   }
 
+  /** The run has a request id of its own; each caller's request ends too. */
+  #recordEnd(
+    generation: GenerationRequest,
+    result: Result<GenerationEnd, Failure>,
+  ): void {
+    this.#observer.record(this.#clock.now(), {
+      kind: "ended",
+      request: generation.request,
+      ...(result.isErr() && { failure: result.error }),
+      completionTokens: result.isOk() ? result.value.completionTokens : 0,
+    });
+  }
+
   #work(payload: Uint8Array, key: string): Promise<KeyedResult> {
     const generation = decodeGeneration(payload, {
       request: requestId(randomUUID()),
@@ -143,3 +169,27 @@
     );
   }
 }
+
+/** Tells of the end, and passes all on. */
+class EndedSink extends GenerationSink {
+  readonly #sink: GenerationSink;
+  readonly #ended: (result: Result<GenerationEnd, Failure>) => void;
+
+  constructor(
+    sink: GenerationSink,
+    ended: (result: Result<GenerationEnd, Failure>) => void,
+  ) {
+    super();
+    this.#sink = sink;
+    this.#ended = ended;
+  }
+
+  override onFrame(frame: GenerationFrame): void {
+    this.#sink.onFrame(frame);
+  }
+
+  override onEnd(result: Result<GenerationEnd, Failure>): void {
+    this.#ended(result);
+    this.#sink.onEnd(result);
+  }
+}
--- a/packages/node/src/serving/generation_router.ts
+++ b/packages/node/src/serving/generation_router.ts
@@ -1,52 +1,111 @@
 import {
   adapterKey,
+  type AdapterReference,
+  attemptNumber,
+  type EngineController,
   type EngineId,
   engineId,
   type Failure,
-  type FencingNumber,
+  later,
+  milliseconds,
+  type ModelId,
   type NodeId,
-  rendezvousChoice,
+  nodeId,
+  type RequestObserver,
+  type RouteChoice,
 } from "@foxtailwind/core";
 import type {
   EngineClient,
   GenerationHandle,
   GenerationSink,
-  Vm,
 } from "@foxtailwind/edges";
 import { err } from "neverthrow";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { PartLogger } from "../logging/part_logger.ts";
+import type { PeerChannels } from "../peers/peer_channels.ts";
 import type { PeerClients } from "../peers/peer_clients.ts";
 import type { VmDirectory, VmOfRole } from "../platform/vm_directory.ts";
-import { EngineRunner } from "./engine_runner.ts";
+import type { AdapterAggregates } from "./adapter_aggregates.ts";
+import type { EngineAssignment } from "./engine_assignment.ts";
+import { EngineRunners } from "./engine_runners.ts";
+import { EngineViews } from "./engine_views.ts";
+import { describeGeneration } from "./generation_estimates.ts";
 import type { GenerationRequest } from "./generation_request.ts";
+import type { OrderRight } from "./order_right.ts";
+import type { LoadPermits } from "./permits/load_permits.ts";
+import { UnplacedRequests } from "./unplaced_requests.ts";
+import { SummaryWatcher } from "./summaries/summary_watcher.ts";
 
 /** What the router works with. */
 export interface GenerationRouterParts {
   readonly self: NodeId;
   readonly directory: VmDirectory;
   readonly peers: PeerClients;
+  readonly channels: PeerChannels;
   readonly clock: SteadyClock;
   readonly logger: PartLogger;
-  readonly fencing: () => FencingNumber;
+  readonly observer: RequestObserver;
+  readonly right: OrderRight;
+  readonly assignment: EngineAssignment;
+  readonly permits: LoadPermits;
+  readonly aggregates: AdapterAggregates;
   readonly engineClient: (vm: VmOfRole<"engine">) => EngineClient;
 }
 
 /** Brings each request to the controller of the engine that is to run it. */
 export class GenerationRouter {
   readonly #parts: GenerationRouterParts;
-  readonly #runners = new Map<EngineId, EngineRunner>();
-  readonly #starting = new Set<EngineId>();
+  readonly #views: EngineViews;
+  readonly #runners: EngineRunners;
+  readonly #watcher: SummaryWatcher;
+  readonly #unplaced: UnplacedRequests;
 
+  /** @param parts What the router works with. */
   constructor(parts: GenerationRouterParts) {
     this.#parts = parts;
-    parts.directory.onChange(() => {
-      this.#takeOwnEngines();
+    this.#views = new EngineViews(parts.directory);
+    this.#watcher = new SummaryWatcher({
+      ...parts,
+      views: this.#views,
+      isOwn: (engine) => this.#runners.find(engine) !== undefined,
+    });
+    this.#runners = new EngineRunners({
+      ...parts,
+      views: this.#views,
+      beforeStart: (engine) => {
+        this.#watcher.forget(engine);
+      },
+    });
+    this.#unplaced = new UnplacedRequests(parts.clock, {
+      place: (generation, sink) => this.#place(generation, sink),
+      expired: (generation, sink) => {
+        sink.onEnd(err(this.#noEngine(generation)));
+      },
+      cancelled: (sink) => {
+        sink.onEnd(err({
+          ...this.#unavailable("The caller left."),
+          reason: "cancelled",
+        }));
+      },
+    });
+    parts.assignment.onChange(() => {
+      this.#followAssignment();
     });
   }
 
+  /** The controllers of the engines that this node controls. */
+  get controllers(): Iterable<EngineController> {
+    return this.#runners.controllers;
+  }
+
+  /** Starts to learn of the engines that other nodes control. */
+  start(): void {
+    this.#watcher.start();
+  }
+
   /**
-   * Routes a request of a caller.
+   * Routes a request of a caller. Where no engine can take it just now, as
+   * while a controller changes, it waits a short time within its target.
    * @param generation The request.
    * @param sink Receives the answer.
    * @returns The handle of the generation.
@@ -55,20 +114,21 @@
     generation: GenerationRequest,
     sink: GenerationSink,
   ): GenerationHandle {
-    const engine = this.#home(generation);
-    if (engine === undefined) {
-      sink.onEnd(err(this.#unavailable(`No engine runs ${generation.model}.`)));
+    const placed = this.#place(generation, sink);
+    if (placed !== undefined) return placed;
+    const { clock, directory } = this.#parts;
+    const isServed = directory.live("engine")
+      .some((vm) => vm.role.model === generation.model);
+    if (!isServed) {
+      sink.onEnd(err(this.#noEngine(generation)));
       return FINISHED;
     }
-    const owner = this.#ownerOf(engine);
-    if (owner === undefined || owner.id === this.#parts.self) {
-      return this.runHere(engine, generation, sink);
-    }
-    return this.#parts.peers.generate(owner, {
-      engine,
+    const wait = Math.min(generation.firstTokenTarget, LONGEST_UNPLACED);
+    return this.#unplaced.add(
       generation,
-      now: this.#parts.clock.now(),
-    }, sink);
+      sink,
+      later(clock.now(), milliseconds(wait)),
+    );
   }
 
   /**
@@ -83,76 +143,139 @@
     generation: GenerationRequest,
     sink: GenerationSink,
   ): GenerationHandle {
-    const runner = this.#runners.get(engine);
+    const runner = this.#runners.find(engine);
     if (runner === undefined) {
       sink.onEnd(err(this.#unavailable(`Engine ${engine} is not held here.`)));
       return FINISHED;
     }
-    runner.submit(generation, sink);
-    const { request } = generation;
-    return {
-      pause() {
-        runner.pause(request);
-      },
-      unpause() {
-        runner.unpause(request);
-      },
-      cancel() {
-        runner.cancel(request);
-      },
-    };
+    return runner.submit(generation, sink);
   }
 
-  /** Stops deciding for all engines. */
-  stop(): void {
-    for (const runner of this.#runners.values()) runner.stop();
+  /**
+   * Starts to control an engine: reads its state and takes requests for it.
+   * @param vm The engine's VM.
+   */
+  async startControlling(vm: VmOfRole<"engine">): Promise<void> {
+    await this.#runners.start(vm);
   }
 
-  #home(generation: GenerationRequest): EngineId | undefined {
-    const candidates = this.#parts.directory.live("engine")
-      .filter((vm) => vm.role.model === generation.model)
-      .map((vm) => engineId(vm.id));
-    return rendezvousChoice(adapterKey(generation.adapter), candidates);
+  /**
+   * Stops controlling an engine. Requests in progress go on here; those that
+   * wait are routed again, to the engine's next controller or elsewhere.
+   * @param engine The engine.
+   */
+  stopControlling(engine: EngineId): void {
+    for (const { generation, sink } of this.#runners.stop(engine)) {
+      this.route(generation, sink);
+    }
   }
 
-  #ownerOf(engine: EngineId): Vm | undefined {
-    const nodes = this.#parts.directory.live("entry");
-    const chosen = rendezvousChoice(engine, nodes.map((vm) => vm.id));
-    return nodes.find((vm) => vm.id === chosen);
+  /**
+   * Finds the node that controls the home of an adapter.
+   * @param model The adapter's model.
+   * @param adapter The adapter and version.
+   * @returns The node, or nothing where no engine runs the model.
+   */
+  likelyController(
+    model: ModelId,
+    adapter: AdapterReference,
+  ): NodeId | undefined {
+    const views = this.#views.running(model);
+    const { router } = this.#parts.aggregates;
+    const [home] = router.homes(adapterKey(adapter), views);
+    return home === undefined ? undefined : this.#controllerOf(home.engine);
   }
 
-  #takeOwnEngines(): void {
-    for (const vm of this.#parts.directory.live("engine")) {
-      const engine = engineId(vm.id);
-      const owner = this.#ownerOf(engine);
-      if (owner?.id !== this.#parts.self) continue;
-      if (this.#runners.has(engine) || this.#starting.has(engine)) continue;
-      this.#starting.add(engine);
-      void this.#startRunner(engine, vm);
+  /** Stops deciding for all engines. */
+  stop(): void {
+    this.#unplaced.stop();
+    this.#watcher.stop();
+    this.#runners.stopAll();
+  }
+
+  #place(
+    generation: GenerationRequest,
+    sink: GenerationSink,
+  ): GenerationHandle | undefined {
+    const { aggregates, clock } = this.#parts;
+    const now = clock.now();
+    const choice = aggregates.router.route(
+      now,
+      describeGeneration(now, generation),
+      this.#views.running(generation.model),
+    );
+    switch (choice.kind) {
+      case "engine":
+        return this.#bring(generation, sink, choice);
+      case "refuse":
+        sink.onEnd(err(this.#overloaded(choice.retryAfter)));
+        return FINISHED;
+      case "no_engine":
+        return undefined;
     }
   }
 
-  async #startRunner(
-    engine: EngineId,
-    vm: VmOfRole<"engine">,
-  ): Promise<void> {
-    const runner = await EngineRunner.start({
+  #bring(
+    generation: GenerationRequest,
+    sink: GenerationSink,
+    choice: Extract<RouteChoice, { readonly kind: "engine" }>,
+  ): GenerationHandle {
+    const { engine, reason } = choice;
+    const { aggregates, clock, observer, peers, self } = this.#parts;
+    const now = clock.now();
+    const node = this.#controllerOf(engine) ?? self;
+    observer.record(now, {
+      kind: "routed",
+      request: generation.request,
+      attempt: generation.attempt ?? attemptNumber(1),
       engine,
-      client: this.#parts.engineClient(vm),
-      clock: this.#parts.clock,
-      logger: this.#parts.logger,
-      fencing: this.#parts.fencing,
+      node,
+      reason,
     });
-    this.#starting.delete(engine);
-    if (runner.isErr()) {
-      this.#parts.logger.warn("An engine could not be read.", {
-        engine,
-        reason: runner.error.reason,
-      });
-      return;
+    if (node === self) return this.runHere(engine, generation, sink);
+    const peer = this.#parts.directory.live("entry")
+      .find((vm) => vm.id === node);
+    if (peer === undefined) {
+      sink.onEnd(err(this.#unavailable(`Node ${node} is gone.`)));
+      return FINISHED;
     }
-    this.#runners.set(engine, runner.value);
-    this.#parts.logger.info("An engine is controlled here.", { engine });
+    const { adapter, firstTokenTarget } = generation;
+    const key = adapterKey(adapter);
+    this.#watcher.viewOf(engine)?.sent(key);
+    const arrival = { key, adapter, target: firstTokenTarget };
+    aggregates.demand.arrived(now, arrival);
+    return peers.generate(peer, { engine, generation, now }, sink);
+  }
+
+  #controllerOf(engine: EngineId): NodeId | undefined {
+    if (this.#runners.find(engine) !== undefined) return this.#parts.self;
+    const node = this.#watcher.nodeOf(engine);
+    if (node !== undefined) return nodeId(node);
+    return this.#parts.assignment.controllerOf(engine);
+  }
+
+  #followAssignment(): void {
+    const { assignment, directory, self } = this.#parts;
+    for (const vm of directory.live("engine")) {
+      const engine = engineId(vm.id);
+      const isOwn = assignment.controllerOf(engine) === self;
+      const isHeld = this.#runners.find(engine) !== undefined;
+      if (isOwn && !isHeld) void this.startControlling(vm);
+      if (!isOwn && isHeld) this.stopControlling(engine);
+    }
+  }
+
+  #noEngine(generation: GenerationRequest): Failure {
+    return this.#unavailable(`No engine runs ${generation.model}.`);
+  }
+
+  #overloaded(retryAfter: number): Failure {
+    return {
+      ...this.#unavailable("The class's target cannot be met now."),
+      reason: "overloaded",
+      step: "admit",
+      retryAfterMilliseconds: Math.ceil(retryAfter),
+    };
   }
 
   #unavailable(message: string): Failure {
@@ -168,6 +291,8 @@
 }
 
 const RETRY_AFTER_MILLISECONDS = 1_000;
+/** A change of an engine's controller should not take longer. */
+const LONGEST_UNPLACED = 2_000;
 
 const FINISHED: GenerationHandle = {
   pause() {},
--- /dev/null
+++ b/packages/node/src/serving/serving_parts.ts
@@ -0,0 +1,95 @@
+import type {
+  EngineController,
+  NodeId,
+  RequestObserver,
+  WeightStoreId,
+} from "@foxtailwind/core";
+import type { EngineClient, WeightStoreClient } from "@foxtailwind/edges";
+import type { SteadyClock } from "../clock/steady_clock.ts";
+import type { PartLogger } from "../logging/part_logger.ts";
+import type { PeerChannels } from "../peers/peer_channels.ts";
+import type { PeerClients } from "../peers/peer_clients.ts";
+import type { PeerRegistration } from "../peers/peer_server.ts";
+import type { VmDirectory, VmOfRole } from "../platform/vm_directory.ts";
+import { AdapterAggregates } from "./adapter_aggregates.ts";
+import {
+  ComputedAssignment,
+  type EngineAssignment,
+} from "./engine_assignment.ts";
+import { GenerationRouter } from "./generation_router.ts";
+import type { OrderRight } from "./order_right.ts";
+import { NodeLoadPermits } from "./permits/node_load_permits.ts";
+import { PermitService } from "./permits/permit_service.ts";
+import { SummaryService } from "./summaries/summary_service.ts";
+
+/** What a node's serving works with. */
+export interface ServingPartsOptions {
+  readonly self: NodeId;
+  readonly directory: VmDirectory;
+  readonly peers: PeerClients;
+  readonly channels: PeerChannels;
+  readonly clock: SteadyClock;
+  readonly logger: PartLogger;
+  readonly observer: RequestObserver;
+  readonly right: OrderRight;
+  /** Who controls which engine; computed from the directory by default. */
+  readonly assignment?: EngineAssignment;
+  readonly store: WeightStoreId;
+  readonly storeClient: WeightStoreClient;
+  readonly engineClient: (vm: VmOfRole<"engine">) => EngineClient;
+}
+
+/** The parts of a node that serve adapters, started and stopped together. */
+export class ServingParts {
+  readonly router: GenerationRouter;
+  readonly permits: NodeLoadPermits;
+  readonly #permitService: PermitService;
+  readonly #summaries: SummaryService;
+
+  /** @param options What serving works with. */
+  constructor(options: ServingPartsOptions) {
+    const aggregates = new AdapterAggregates();
+    this.permits = new NodeLoadPermits({
+      ...options,
+      client: options.storeClient,
+      outlook: aggregates.loads,
+    });
+    this.router = new GenerationRouter({
+      ...options,
+      assignment: options.assignment ??
+        new ComputedAssignment(options.directory),
+      permits: this.permits,
+      aggregates,
+    });
+    this.#permitService = new PermitService(this.permits);
+    this.#summaries = new SummaryService(() => this.controllers);
+  }
+
+  /** The controllers of the engines that this node controls. */
+  get controllers(): Iterable<EngineController> {
+    return this.router.controllers;
+  }
+
+  /** What other nodes may ask. */
+  get registrations(): readonly PeerRegistration[] {
+    return [this.#permitService.registration, this.#summaries.registration];
+  }
+
+  /** Starts to ask for permits and to learn of engines. */
+  start(): void {
+    this.permits.start();
+    this.router.start();
+  }
+
+  /** Ends the streams between nodes, so that the server can stop. */
+  closeStreams(): void {
+    this.#permitService.close();
+    this.#summaries.close();
+  }
+
+  /** Stops deciding. */
+  stop(): void {
+    this.router.stop();
+    this.permits.stop();
+  }
+}
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -22,3 +22,31 @@
   type StatusAnswer,
   type StatusRequest,
 } from "./generated/configuration.ts";
+export {
+  ClusterClient,
+  ClusterEnvelope,
+  ClusterService,
+  type Delivered,
+  type DigestEntryMessage,
+  type HeartbeatMessage,
+  type MemberMessage,
+  type NodeRunMessage,
+  type PromiseAnswerMessage,
+  type PromiseAskMessage,
+} from "./generated/cluster.ts";
+export {
+  type AdapterChange,
+  type ClassLoad,
+  EngineSummariesClient,
+  EngineSummariesService,
+  type EngineSummary,
+  type LoadedAdapter,
+  LoadPermitsClient,
+  LoadPermitsService,
+  type PermitAnswer,
+  type PermitMessage,
+  Standing,
+  type WatchRequest,
+  type Wish,
+  type WishList,
+} from "./generated/loads.ts";
