--- a/packages/bench/src/mod.ts
+++ b/packages/bench/src/mod.ts
@@ -10,3 +10,5 @@
 export * from "./soak/ownership_soak.ts";
 export * from "./soak/scenario.ts";
 export * from "./soak/service_soak.ts";
+export * from "./soak/configuration_mutants.ts";
+export * from "./soak/configuration_soak.ts";
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -35,12 +35,7 @@
   type KeyedExecution,
   ServiceDelivery,
 } from "./delivery/mod.ts";
-import {
-  Drain,
-  DrainOperation,
-  LeavingEngines,
-  WorkInProgress,
-} from "./drain/mod.ts";
+import { Drain, LeavingEngines, WorkInProgress } from "./drain/mod.ts";
 import { createHttpApplication } from "./http_application.ts";
 import type { LoggerFactory } from "./logging/part_logger.ts";
 import {
@@ -48,7 +43,6 @@
   SilentMetrics,
   StatsdMetrics,
 } from "./metrics/mod.ts";
-import type { DrainHook } from "./operators/drain_hook.ts";
 import { generationService } from "./peers/generation_service.ts";
 import { PeerChannels } from "./peers/peer_channels.ts";
 import { PeerClients } from "./peers/peer_clients.ts";
@@ -63,7 +57,7 @@
 import type { GenerationRouter } from "./serving/generation_router.ts";
 import { ServingParts } from "./serving/serving_parts.ts";
 import type { Settings } from "./settings/settings.ts";
-import { NoEngineActivity } from "./telemetry/engine_activity.ts";
+import { ControlledEngines } from "./telemetry/controlled_engines.ts";
 import { NodeTelemetry } from "./telemetry/node_telemetry.ts";
 
 /** Where a daemon listens. */
@@ -95,7 +89,6 @@
   override readonly observer = new RequestTelemetry(this.clock.now());
   override readonly telemetry: NodeTelemetry;
   override readonly publisher: ConfigurationPublisher;
-  override readonly drainHook: DrainHook;
   override readonly router: GenerationRouter;
   override readonly delivery: DeliveryParts;
   override readonly metrics: MetricsSink;
@@ -190,7 +183,7 @@
     });
     this.telemetry = new NodeTelemetry(this, {
       requests: this.observer,
-      activity: new NoEngineActivity(),
+      activity: new ControlledEngines(() => this.router.controllers),
       channels: this.#channels,
     });
     this.#peerServer = new PeerServer([
@@ -204,7 +197,6 @@
       ...this.#serving.registrations,
     ]);
     this.drain = this.#makeDrain(loggers);
-    this.drainHook = new DrainOperation(this.drain, this.work);
     this.#leavingEngines = new LeavingEngines({
       directory: this.directory,
       engines: this.router,
--- a/packages/node/src/daemon_parts.ts
+++ b/packages/node/src/daemon_parts.ts
@@ -4,7 +4,6 @@
 import type { NodeStatus } from "./configuration/cluster_status.ts";
 import type { ConfigurationFollower } from "./configuration/configuration_follower.ts";
 import type { ConfigurationPublisher } from "./configuration/configuration_publisher.ts";
-import type { DrainHook } from "./operators/drain_hook.ts";
 import type {
   DeliveryParts,
   KeyedExecution,
@@ -34,8 +33,6 @@
   abstract readonly follower: ConfigurationFollower;
   abstract readonly metrics: MetricsSink;
   abstract readonly publisher: ConfigurationPublisher;
-  /** Drains this node; nothing where the daemon cannot. */
-  abstract readonly drainHook: DrainHook | undefined;
   /** Asks other nodes which configuration is in force there. */
   abstract readonly peerStatuses: (
     nodes: readonly Vm[],
--- a/packages/node/src/mod.ts
+++ b/packages/node/src/mod.ts
@@ -2,6 +2,12 @@
  * The daemon of one node.
  * @module
  */
+export {
+  CallerConnection,
+  type CallerLimits,
+} from "./callers/completions/caller_connection.ts";
+export { CALLER_CONTROLLERS } from "./callers/mod.ts";
+export { OPENAPI_DOCUMENT } from "./callers/openapi/openapi_document.ts";
 export * from "./clock/steady_clock.ts";
 export * from "./cluster/mod.ts";
 export * from "./daemon.ts";
@@ -13,5 +19,3 @@
 export * from "./platform/vm_directory.ts";
 export * from "./settings/load_settings.ts";
 export * from "./settings/settings.ts";
-export { CALLER_CONTROLLERS } from "./callers/mod.ts";
-export { OPENAPI_DOCUMENT } from "./callers/openapi/openapi_document.ts";
--- a/packages/node/tests/drain/planned_stop_test.ts
+++ b/packages/node/tests/drain/planned_stop_test.ts
@@ -2,6 +2,7 @@
 import { countTokens } from "../helpers/streams.ts";
 import { startDeployment, until } from "../helpers/deployment.ts";
 import {
+  countTokens,
   publishAdapter,
   readEvents,
   streamCompletion,
--- a/packages/node/tests/helpers/streams.ts
+++ b/packages/node/tests/helpers/streams.ts
@@ -1,4 +1,3 @@
-import { z } from "zod";
 import { type Deployment, until } from "./deployment.ts";
 
 /**
@@ -73,22 +72,11 @@
     .map((line) => line.slice("data: ".length));
 }
 
-const deltaSchema = z.object({
-  choices: z.array(z.object({
-    delta: z.object({ content: z.string().optional() }),
-  })),
-});
-
 /**
- * Counts the tokens of a stream; the stand-ins end each with a space.
+ * Counts the tokens of a stream's chunks, which may carry several each.
  * @param events The events' data.
- * @returns The number of tokens.
+ * @returns The count.
  */
 export function countTokens(events: readonly string[]): number {
-  const text = events.filter((event) => event !== "[DONE]").flatMap((event) =>
-    deltaSchema.parse(JSON.parse(event)).choices.map((choice) =>
-      choice.delta.content ?? ""
-    )
-  ).join("");
-  return text.split(" ").filter((word) => word !== "").length;
+  return events.join("").match(/adapter-1@v1#\d+ /g)?.length ?? 0;
 }
