--- a/packages/node/tests/callers/addresses_test.ts
+++ b/packages/node/tests/callers/addresses_test.ts
@@ -1,7 +1,10 @@
 import test from "ava";
+import { setTimeout as sleep } from "node:timers/promises";
 import { startDeployment } from "../helpers/deployment.ts";
 import { publishAdapter, streamCompletion } from "../helpers/streams.ts";
 
+const POLL_MILLISECONDS = 5;
+
 interface AddressesBody {
   readonly addresses: readonly {
     readonly node: string;
@@ -16,12 +19,35 @@
   return await answer.json() as AddressesBody;
 }
 
+/**
+ * Asks until an answer names so many nodes: those that have just started are
+ * named once the cluster's view has them.
+ */
+async function askUntilNamed(
+  url: string,
+  asked: {
+    readonly count: number;
+    readonly query?: string;
+    readonly onAnswer?: (body: AddressesBody) => void;
+  },
+): Promise<AddressesBody> {
+  for (;;) {
+    const body = await ask(url, asked.query);
+    asked.onAnswer?.(body);
+    if (body.addresses.length === asked.count) return body;
+    await sleep(POLL_MILLISECONDS);
+  }
+}
+
 test("an answer names nodes, and for how long", async (t) => {
   const { urls } = await startDeployment(t, {
     nodes: 3,
     addressLifetimeSeconds: 0.2,
   });
-  const body = await ask(urls[0] ?? "", "?failure_domain=domain-1");
+  const body = await askUntilNamed(urls[0] ?? "", {
+    count: 3,
+    query: "?failure_domain=domain-1",
+  });
   t.deepEqual(
     body.addresses.map(({ url }) => url).sort(),
     [...urls].sort(),
@@ -34,10 +60,16 @@
   const { urls, daemons, vmList, refresh } = await startDeployment(t, {
     nodes: 3,
   });
+  await askUntilNamed(urls[0] ?? "", { count: 3 });
   const vm = daemons[0]?.directory.vms.find(({ id }) => id === "node-2");
   if (vm !== undefined) vmList.setVm({ ...vm, state: "leaving" });
   await refresh();
-  const { addresses } = await ask(urls[0] ?? "");
+  const { addresses } = await askUntilNamed(urls[0] ?? "", {
+    count: 2,
+    onAnswer(body) {
+      t.false(body.addresses.some(({ node }) => node === "node-2"));
+    },
+  });
   t.deepEqual(addresses.map(({ node }) => node).sort(), ["node-1", "node-3"]);
 });
 
--- a/packages/node/tests/drain/planned_stop_test.ts
+++ b/packages/node/tests/drain/planned_stop_test.ts
@@ -1,5 +1,4 @@
 import test from "ava";
-import { countTokens } from "../helpers/streams.ts";
 import { startDeployment, until } from "../helpers/deployment.ts";
 import {
   countTokens,
