Soak of service routing: no work to leaving servers, places given back

Cause: trials with one line changed showed that places never given back went unnoticed, and that only the router's own word told of leaving servers.

--- a/packages/bench/src/services/model_server.ts
+++ b/packages/bench/src/services/model_server.ts
@@ -60,6 +60,8 @@
     isLeaving: false,
   };
   readonly runs = new Map<RequestId, number>();
+  /** How many calls came here, whatever became of them. */
+  received = 0;
   readonly #timeline: Timeline;
   readonly #random: RandomSource;
   readonly #queue: (() => void)[] = [];
@@ -83,6 +85,7 @@
    */
   receive(call: RequestId, answer: Answer): void {
     const { faults } = this;
+    this.received += 1;
     if (faults.isClosed) {
       answer(failed("unavailable", "not_run"));
     } else if (this.#happens(faults.dropShare)) {
--- a/packages/bench/src/soak/service_soak.ts
+++ b/packages/bench/src/soak/service_soak.ts
@@ -9,7 +9,11 @@
   ModelServer,
   ModelServerFaults,
 } from "../services/model_server.ts";
-import { type CallReport, ModelWorld } from "../services/model_world.ts";
+import {
+  type CallReport,
+  LIST_LAG_MILLISECONDS,
+  ModelWorld,
+} from "../services/model_world.ts";
 
 /** A randomised run of service routing. */
 export interface ServiceSoakOptions {
@@ -40,6 +44,9 @@
 const NOT_REPEATABLE_SHARE = 0.4;
 const CANCEL_SHARE = 0.05;
 const FAULT_SHARE = 0.02;
+/** The list's lag, and two seconds after a node has learned of it. */
+const NO_NEW_WORK_AFTER_MILLISECONDS = LIST_LAG_MILLISECONDS + 2_000;
+const NO_WORK_FOR_MILLISECONDS = 1_900;
 const RELISTED_AFTER_MILLISECONDS = 5_000;
 const FAULT_KINDS = 8;
 
@@ -131,6 +138,9 @@
     if (server.faults.isLeaving) return;
     server.faults.isLeaving = true;
     this.#world.listAsLeaving(id);
+    this.#world.timeline.after(NO_NEW_WORK_AFTER_MILLISECONDS, () => {
+      this.#expectNoWork(id, server);
+    });
     this.#world.timeline.after(RELISTED_AFTER_MILLISECONDS, () => {
       server.faults.isClosed = true;
       this.#world.setListed(id, false);
@@ -141,6 +151,17 @@
     });
   }
 
+  #expectNoWork(id: BackendServerId, server: ModelServer): void {
+    const { received } = server;
+    this.#world.timeline.after(NO_WORK_FOR_MILLISECONDS, () => {
+      assertInvariant(
+        server.received === received,
+        "leaving_server_gets_no_new_work",
+        () => `Server ${id} is leaving and got ${server.received - received}.`,
+      );
+    });
+  }
+
   #checkEnds(): void {
     const ended = this.#reports.size + this.#cancelled;
     assertInvariant(
@@ -155,6 +176,11 @@
         "no_call_is_left_behind",
         () => `${open} calls or attempts are open at the end.`,
       );
+      assertInvariant(
+        node.router.servers.every((server) => server.inFlight === 0),
+        "every_place_is_given_back",
+        () => "A server has attempts in flight at the end.",
+      );
     }
   }
 
