--- a/packages/bench/tests/soak/ownership_soak_test.ts
+++ b/packages/bench/tests/soak/ownership_soak_test.ts
@@ -37,6 +37,8 @@
   longestDelay: 5,
   loseLogAnswers: 0,
   lateAppends: 0.5,
+  promiseMilliseconds: 1_000,
+  horizonMilliseconds: 5_000,
   faults: [
     { kind: "partition", nodes: [2], at: 4_003, lasts: 1_778 },
     { kind: "kill", node: 2, at: 5_776, lasts: 20 },
@@ -51,6 +53,8 @@
 
 test("a dropped lease check is noticed", (t) => {
   const rules = rulesOf("drop the lease check");
-  const findings = SEEDS.map((seed) => runOwnershipSoak(seed, rules).finding);
+  const findings = SEEDS.map((seed) =>
+    runOwnershipSoak(seed, { rules }).finding
+  );
   t.true(findings.some((one) => one?.invariant === "one_holder_of_the_right"));
 });
--- a/packages/core/src/placement/demand_tracker.ts
+++ b/packages/core/src/placement/demand_tracker.ts
@@ -1,18 +1,24 @@
 import {
   type AdapterKey,
   type AdapterReference,
+  CLOCK_START,
   type Duration,
   type Instant,
+  milliseconds,
   seconds,
 } from "../shared/mod.ts";
 import { DecayedCounter } from "./decayed_counter.ts";
 
 const FAST = seconds(10);
-const SLOW = seconds(300);
+const SLOW = seconds(900);
 const MILLISECONDS_PER_SECOND = 1_000;
 /** So many arrivals in the fast window may be chance. */
 const CHANCE_ARRIVALS = 2;
+/** The upper 95% bound on the count of events of which none was seen. */
+const SILENCE_WEIGHT = 1;
+const LEAST_SILENCE = milliseconds(1);
 const DEFAULT_LIMIT = 8_192;
+const MOST_ASKED = 64;
 
 /** How much an adapter is asked for, at two time scales. */
 export class AdapterDemand {
@@ -21,6 +27,10 @@
   readonly #fastPressure = new DecayedCounter(FAST);
   readonly #slowPressure = new DecayedCounter(SLOW);
 
+  #lastArrival = CLOCK_START;
+  /** The inverse of the shortest target asked for, in seconds. */
+  #tightness = 0;
+
   /** @param adapter The adapter. */
   constructor(adapter: AdapterReference) {
     this.adapter = adapter;
@@ -33,6 +43,8 @@
    */
   arrived(now: Instant, target: Duration): void {
     const tightness = MILLISECONDS_PER_SECOND / Math.max(1, target);
+    this.#lastArrival = now;
+    this.#tightness = Math.max(tightness, this.#tightness);
     this.#fastArrivals.add(now, 1);
     this.#fastPressure.add(now, tightness);
     this.#slowPressure.add(now, tightness);
@@ -54,6 +66,16 @@
    * @returns Target lengths of waiting a second, for each second of stall.
    */
   pressure(now: Instant): number {
+    return Math.min(this.#expectedPressure(now), this.#mostPressure(now));
+  }
+
+  /** By the rule of three: a silence this long makes more than that unlikely. */
+  #mostPressure(now: Instant): number {
+    const silence = Math.max(LEAST_SILENCE, now - this.#lastArrival);
+    return SILENCE_WEIGHT * MILLISECONDS_PER_SECOND * this.#tightness / silence;
+  }
+
+  #expectedPressure(now: Instant): number {
     const slow = MILLISECONDS_PER_SECOND * this.#slowPressure.value(now) / SLOW;
     const arrivals = this.#fastArrivals.value(now);
     if (arrivals <= CHANCE_ARRIVALS) return slow;
@@ -70,7 +92,8 @@
 export class DemandTracker {
   readonly #limit: number;
   readonly #demands = new Map<AdapterKey, AdapterDemand>();
-  #cursor: Iterator<[AdapterKey, AdapterDemand]> | undefined;
+  /** Those asked for since the last visit. */
+  readonly #asked = new Map<AdapterKey, AdapterDemand>();
 
   /** @param limit How many adapters to keep. */
   constructor(limit: number = DEFAULT_LIMIT) {
@@ -99,7 +122,9 @@
     this.#demands.delete(key);
     this.#demands.set(key, demand);
     demand.arrived(now, target);
-    if (this.#demands.size > this.#limit) this.#forgetOldest();
+    this.#asked.set(key, demand);
+    if (this.#asked.size > MOST_ASKED) forgetFirst(this.#asked);
+    if (this.#demands.size > this.#limit) forgetFirst(this.#demands);
   }
 
   /**
@@ -112,27 +137,18 @@
   }
 
   /**
-   * Goes on through the known adapters, a few at each call, round and round.
-   * @param count How many to visit.
-   * @param visit Called for each.
+   * Goes through the adapters that were asked for since the last call.
+   * @param visit Called for each; of very many, only for the latest.
    */
-  visitNext(
-    count: number,
+  visitAsked(
     visit: (key: AdapterKey, demand: AdapterDemand) => void,
   ): void {
-    for (let visited = 0; visited < count; visited += 1) {
-      this.#cursor ??= this.#demands.entries();
-      const next = this.#cursor.next();
-      if (next.done === true) {
-        this.#cursor = undefined;
-        return;
-      }
-      visit(next.value[0], next.value[1]);
-    }
+    for (const [key, demand] of this.#asked) visit(key, demand);
+    this.#asked.clear();
   }
+}
 
-  #forgetOldest(): void {
-    const oldest = this.#demands.keys().next();
-    if (oldest.done !== true) this.#demands.delete(oldest.value);
-  }
+function forgetFirst<Key>(map: Map<Key, unknown>): void {
+  const first = map.keys().next();
+  if (first.done !== true) map.delete(first.value);
 }
--- a/packages/node/src/serving/engine_runner.ts
+++ b/packages/node/src/serving/engine_runner.ts
@@ -125,8 +125,10 @@
     generation: GenerationRequest,
     sink: GenerationSink,
   ): GenerationHandle {
-    const resumed = this.#resumeRunning(generation, sink);
-    if (resumed !== undefined) return resumed;
+    const earlier = this.#held.find(generation.request);
+    if (earlier !== undefined) {
+      return this.#supersede(earlier, { generation, sink });
+    }
     const held: HeldRequest = {
       generation,
       sink,
@@ -390,18 +392,21 @@
     if (held.paused) held.handle.pause();
   }
 
-  /** A resumed stream keeps the place and the pin of the one before. */
-  #resumeRunning(
-    generation: GenerationRequest,
-    sink: GenerationSink,
-  ): GenerationHandle | undefined {
-    const { request, fromSequence = 0 } = generation;
-    const running = this.#held.find(request);
-    if (fromSequence === 0 || running?.handle === undefined) return undefined;
-    const held: HeldRequest = { ...running, generation, sink };
+  /**
+   * A later attempt takes the place, the pin and the stream of an earlier one
+   * whose path has broken, so that the request runs once all the same.
+   */
+  #supersede(
+    earlier: HeldRequest,
+    { generation, sink }: ReturnedRequest,
+  ): GenerationHandle {
+    const held: HeldRequest = { ...earlier, generation, sink };
     this.#held.add(held);
-    this.#held.leaveLine(held);
-    this.#generate(held);
+    if (earlier.handle !== undefined) {
+      this.#held.leaveLine(held);
+      this.#generate(held);
+    }
+    earlier.sink.onEnd(err(superseded(this.#parts.engine)));
     return this.#handleOf(held);
   }
 
@@ -416,12 +421,14 @@
   }
 
   /** The engine refused to run it, so that it may be dispatched again. */
-  async #resyncAndRetry(held: HeldRequest): Promise<void> {
-    const { request, adapter } = held.generation;
+  async #resyncAndRetry(refused: HeldRequest): Promise<void> {
+    const { request, adapter } = refused.generation;
     const controller = this.#controller;
-    held.handle = undefined;
-    held.resyncs += 1;
+    refused.handle = undefined;
+    refused.resyncs += 1;
     await this.#watch.readState();
+    const held = this.#held.find(request);
+    if (held === undefined) return;
     const wasRestarted = this.#controller !== controller;
     if (!wasRestarted) controller.adapterMissing(this.#now(), adapter);
     if (held.isCancelled) {
@@ -473,3 +480,13 @@
   return result.isErr() && result.error.outcome === "not_run" &&
     result.error.reason === "not_found";
 }
+
+function superseded(engine: EngineId): Failure {
+  return {
+    reason: "cancelled",
+    step: "dispatch",
+    peer: engine,
+    message: "A later attempt at the request took its place.",
+    outcome: "unknown",
+  };
+}
--- a/packages/node/tests/helpers/streams.ts
+++ b/packages/node/tests/helpers/streams.ts
@@ -1,3 +1,4 @@
+import { z } from "zod";
 import { type Deployment, until } from "./deployment.ts";
 
 /**
@@ -72,11 +73,22 @@
     .map((line) => line.slice("data: ".length));
 }
 
+const deltaSchema = z.object({
+  choices: z.array(z.object({
+    delta: z.object({ content: z.string().optional() }),
+  })),
+});
+
 /**
- * Counts the tokens of a stream's chunks, which may carry several each.
+ * Counts the tokens of a stream; the stand-ins end each with a space.
  * @param events The events' data.
- * @returns The count.
+ * @returns The number of tokens.
  */
 export function countTokens(events: readonly string[]): number {
-  return events.join("").match(/adapter-1@v1#\d+ /g)?.length ?? 0;
+  const text = events.filter((event) => event !== "[DONE]").flatMap((event) =>
+    deltaSchema.parse(JSON.parse(event)).choices.map((choice) =>
+      choice.delta.content ?? ""
+    )
+  ).join("");
+  return text.split(" ").filter((word) => word !== "").length;
 }
