The operators' page is run with each change in force first; a drain leaves itself out

Under load the page's run failed once in three: config status could show a node a moment behind, and the drain counted the question itself as in progress. Each command now waits for what came before, and the answer leaves itself out. 8 tests pass (npx ava packages/cli/tests).

--- a/packages/cli/tests/operators_page_test.ts
+++ b/packages/cli/tests/operators_page_test.ts
@@ -3,10 +3,19 @@
 import { failureDomainId, modelId, regionId } from "@foxtailwind/core";
 import { FakeEngine } from "@foxtailwind/standins";
 import { readFileSync } from "node:fs";
+import { setTimeout as sleep } from "node:timers/promises";
 import { normalise, runPage } from "./shell_page.ts";
 
 const PAGE = new URL("../../../docs/OPERATORS.md", import.meta.url);
 
+async function inForceEverywhere(cluster: InProcessCluster): Promise<void> {
+  const offsets = () =>
+    new Set(
+      cluster.nodes.map(({ daemon }) => daemon.follower.configuration.offset),
+    );
+  while (offsets().size > 1) await sleep(10);
+}
+
 test("the operators' page shows what its commands print", async (t) => {
   const cluster = await InProcessCluster.start({ nodes: 3, domains: 3 });
   const engine = new FakeEngine();
@@ -25,6 +34,9 @@
   const [node] = cluster.nodes;
   await node?.daemon.directory.refresh();
   const page = readFileSync(PAGE, "utf8");
-  const ran = await runPage(page, { node: node?.addresses.http ?? "" });
+  const ran = await runPage(page, {
+    node: node?.addresses.http ?? "",
+    settled: () => inForceEverywhere(cluster),
+  });
   t.is(normalise(ran), normalise(page));
 });
--- a/packages/cli/tests/shell_page.ts
+++ b/packages/cli/tests/shell_page.ts
@@ -11,6 +11,8 @@
 export interface PageSurroundings {
   /** The node that the commands ask. */
   readonly node: string;
+  /** Waits until what the commands before changed is in force everywhere. */
+  readonly settled: () => Promise<void>;
 }
 
 /**
@@ -30,7 +32,7 @@
     files.set(name, path.join(folder, name));
     writeFileSync(path.join(folder, name), text);
   }
-  const shell = new Shell(surroundings.node, files);
+  const shell = new Shell(surroundings, files);
   let filled = page;
   for (const [block, session = ""] of page.matchAll(SESSION_BLOCK)) {
     const ran = await shell.run(session);
@@ -55,12 +57,15 @@
 }
 
 class Shell {
-  readonly #node: string;
+  readonly #surroundings: PageSurroundings;
   readonly #files: ReadonlyMap<string, string>;
   #lastCode = 0;
 
-  constructor(node: string, files: ReadonlyMap<string, string>) {
-    this.#node = node;
+  constructor(
+    surroundings: PageSurroundings,
+    files: ReadonlyMap<string, string>,
+  ) {
+    this.#surroundings = surroundings;
     this.#files = files;
   }
 
@@ -75,6 +80,7 @@
 
   async #command(line: string): Promise<string> {
     if (line === "echo $?") return `${this.#lastCode}\n`;
+    await this.#surroundings.settled();
     const [, ...words] = line.trim().split(/\s+/);
     let written = "";
     const write = (text: string) => {
@@ -85,7 +91,7 @@
       {
         commands: COMMANDS,
         surroundings: {
-          environment: { FOXTAILWIND_NODE: this.#node },
+          environment: { FOXTAILWIND_NODE: this.#surroundings.node },
           writeOut: write,
           writeError: write,
         },
--- a/packages/node/src/operators/drain_controller.ts
+++ b/packages/node/src/operators/drain_controller.ts
@@ -2,6 +2,8 @@
 import { DaemonParts } from "../daemon_parts.ts";
 
 const ACCEPTED = 202;
+/** The question itself is a request in progress too. */
+const THIS_REQUEST = 1;
 
 /** How far the drain of this node is. */
 interface DrainProgress {
@@ -38,7 +40,7 @@
     return {
       node: settings.node.id,
       state: this.#isDrained ? "drained" : state,
-      in_progress: work.count,
+      in_progress: Math.max(0, work.count - THIS_REQUEST),
     };
   }
 
