Spread tests give up loudly instead of hanging

A run of these tests was left pending twice on a machine at load 34 to 38, and passed in the runs between; the cause is not found. A wait that never ends now fails with its place.

--- a/packages/node/tests/configuration/spread_test.ts
+++ b/packages/node/tests/configuration/spread_test.ts
@@ -60,8 +60,14 @@
     ?.firstTokenMilliseconds;
 }
 
+const MAXIMUM_POLLS = 3_000;
+
 async function until(condition: () => boolean): Promise<void> {
-  while (!condition()) await new Promise((resolve) => setTimeout(resolve, 10));
+  for (let poll = 0; poll < MAXIMUM_POLLS; poll += 1) {
+    if (condition()) return;
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+  throw new Error(`Cannot go on: not so after ${MAXIMUM_POLLS} polls`);
 }
 
 function first(cluster: InProcessCluster): InProcessNode {
