--- a/packages/node/src/callers/completions/caller_connection.ts
+++ b/packages/node/src/callers/completions/caller_connection.ts
@@ -99,7 +99,7 @@
   #lose(why: "left" | "cut"): void {
     if (this.#finished) return;
     this.finish();
-    this.#handle?.cancel();
     this.#onLost(why);
+    this.#handle?.cancel();
   }
 }
--- a/packages/node/src/callers/completions/completion_sink.ts
+++ b/packages/node/src/callers/completions/completion_sink.ts
@@ -94,8 +94,8 @@
 
   /** Answers at once, without waiting for the engine's own end. */
   #giveUp(reason: Failure["reason"], message: string): void {
-    this.connection.cancel();
     this.onEnd(err(failureOf(reason, message)));
+    this.connection.cancel();
   }
 
   #checkWhole(end: GenerationEnd): Result<GenerationEnd, Failure> {
