--- a/packages/node/src/callers/openapi/openapi_paths.ts
+++ b/packages/node/src/callers/openapi/openapi_paths.ts
@@ -28,6 +28,11 @@
 
 const text = { type: "string" };
 
+const REPEATING_HEADERS = [
+  header("X-Foxtailwind-Not-Repeatable", "true: never sent twice."),
+  header("Idempotency-Key", "The caller's key; runs at most once."),
+];
+
 const completions = {
   post: {
     operationId: "complete",
@@ -35,6 +40,7 @@
     parameters: [
       header("X-Foxtailwind-Class", "The class of work.", true),
       header("X-Foxtailwind-Tenant", "The tenant; default if left out."),
+      ...REPEATING_HEADERS,
     ],
     requestBody: { required: true, content: json("CompletionRequest") },
     responses: {
@@ -97,8 +103,7 @@
     summary: "Passes a call on to a server of a plain service",
     parameters: [
       ...parameters,
-      header("X-Foxtailwind-Not-Repeatable", "true: never sent twice."),
-      header("Idempotency-Key", "The caller's key; runs at most once."),
+      ...REPEATING_HEADERS,
     ],
     responses: {
       default: {
