--- a/packages/bench/src/faults/audit.ts
+++ b/packages/bench/src/faults/audit.ts
@@ -36,7 +36,7 @@
   { fault, from, to }: StruckFault,
 ): FaultCost {
   const own = records.filter((record) =>
-    record.endedAt >= from && record.sentAt < to
+    record.endedAt >= from && record.endedAt < to
   );
   const struck = fault.costsNode?.split(",") ?? [];
   const broken = own.filter((record) =>
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -18,8 +18,10 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { ProcessClock } from "./clock/steady_clock.ts";
 import {
+  ClusterAssignment,
   ClusterHandOver,
   ClusterNode,
+  ClusterOrderRight,
   ClusterPeerViews,
   clusterService,
   ClusterTransport,
@@ -159,8 +161,8 @@
       clock: this.clock,
       logger: loggers.forPart("serving"),
       observer: this.observer,
-      right: this.#cluster,
-      assignment: this.#cluster,
+      right: new ClusterOrderRight(this.#cluster),
+      assignment: new ClusterAssignment(this.#cluster),
       store: settings.platform.weight_store_id,
       storeClient: new HttpWeightStoreClient({
         baseAddress: settings.platform.weight_store,
