--- a/packages/node/src/mod.ts
+++ b/packages/node/src/mod.ts
@@ -19,7 +19,6 @@
 export * from "./platform/vm_directory.ts";
 export * from "./settings/load_settings.ts";
 export * from "./settings/settings.ts";
-export * from "./telemetry/telemetry_metrics.ts";
 export { EngineOrders } from "./serving/engine_orders.ts";
 export { ConstantOrderRight, OrderRight } from "./serving/order_right.ts";
-export { ProcessClock } from "./clock/steady_clock.ts";
+export * from "./telemetry/telemetry_metrics.ts";
