Daemon's assembly in one file a part; readiness waits for the configuration

Change: makers in assembly/, unused dependencies removed, readyz also asks that the node has caught up once; the demonstration asks for addresses as callers do and shows load stalls and batch fill.

--- a/packages/bench/src/demo/demo_load.ts
+++ b/packages/bench/src/demo/demo_load.ts
@@ -2,6 +2,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { setTimeout as sleep } from "node:timers/promises";
 import { Agent } from "undici";
+import { AddressBook, type NamedNode } from "../load/address_book.ts";
 import {
   callCompletion,
   type CompletionOutcome,
@@ -11,8 +12,8 @@
 
 /** A load to send. */
 export interface DemoLoad {
-  /** The nodes' `http://` addresses. */
-  readonly addresses: readonly string[];
+  /** The nodes that a caller knows, and asks for addresses. */
+  readonly nodes: readonly NamedNode[];
   readonly adapters: number;
   readonly exponent: number;
   readonly requestsPerSecond: number;
@@ -38,13 +39,15 @@
   const agent = new Agent({ connections: null });
   const outcomes: CompletionOutcome[] = [];
   const calls: Promise<void>[] = [];
+  const book = new AddressBook(load.nodes);
   const end = performance.now() + load.durationMilliseconds;
   let next = performance.now();
   while (next < end) {
     await sleep(Math.max(0, next - performance.now()));
+    await book.refresh(performance.now());
     const chosen = chooseClass(uniformFloat64(random));
     const call = callCompletion(agent, {
-      baseUrl: load.addresses[calls.length % load.addresses.length] ?? "",
+      baseUrl: `http://${book.next().http}`,
       className: chosen.name,
       tenant: `tenant-${calls.length % 5}`,
       adapter: `adapter-${zipf.next(random)}@v1`,
--- a/packages/bench/src/demo/main.ts
+++ b/packages/bench/src/demo/main.ts
@@ -8,10 +8,11 @@
 import { DemoCluster } from "./demo_cluster.ts";
 import { publishDemoConfiguration } from "./demo_configuration.ts";
 import { sendDemoLoad } from "./demo_load.ts";
+import { readDemoMeasures } from "./demo_measures.ts";
 import { formatDemoReport } from "./demo_report.ts";
 
 const ADAPTERS = 3_000;
-const LOAD_MILLISECONDS = 15_000;
+const LOAD_MILLISECONDS = 25_000;
 const REQUESTS_PER_SECOND = 12;
 const SETTLE_MILLISECONDS = 2_000;
 
@@ -30,7 +31,7 @@
 await publishDemoConfiguration(addresses[0] ?? "", ADAPTERS);
 await sleep(SETTLE_MILLISECONDS);
 const outcomes = await sendDemoLoad({
-  addresses,
+  nodes: cluster.nodes.map(({ id, http }) => ({ id, http })),
   adapters: ADAPTERS,
   exponent: 1.2,
   requestsPerSecond: REQUESTS_PER_SECOND,
@@ -40,7 +41,8 @@
     process.stdout.write(`\rsent ${sent}, answered ${ended}   `);
   },
 });
-process.stdout.write(`\n${formatDemoReport(outcomes)}\n`);
+const measures = await readDemoMeasures(addresses[0] ?? "");
+process.stdout.write(`\n${formatDemoReport(outcomes, measures)}\n`);
 const slot = await fetch(`${addresses[0]}/v1/services/booking/slots`);
 process.stdout.write(`A call to the service: status ${slot.status}.\n`);
 const wrong = outcomes.filter((outcome) => !outcome.rightAdapter).length;
--- a/packages/bench/src/faults/fault_load.ts
+++ b/packages/bench/src/faults/fault_load.ts
@@ -4,7 +4,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import { ZipfSampler } from "../load/zipf.ts";
-import type { AddressBook } from "./address_book.ts";
+import type { AddressBook } from "../load/address_book.ts";
 import type { CallRecord } from "./call_record.ts";
 import type { FaultCaller } from "./fault_caller.ts";
 
--- a/packages/bench/src/faults/main.ts
+++ b/packages/bench/src/faults/main.ts
@@ -8,7 +8,7 @@
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import { publishDemoConfiguration } from "../demo/demo_configuration.ts";
-import { AddressBook } from "./address_book.ts";
+import { AddressBook } from "../load/address_book.ts";
 import { auditFaults, type FaultCost } from "./audit.ts";
 import { ConfigurationProbe } from "./configuration_probe.ts";
 import { auditBookings, type BookingAudit } from "./double_runs.ts";
--- /dev/null
+++ b/packages/node/src/assembly/make_drain.ts
@@ -0,0 +1,35 @@
+import { seconds } from "@foxtailwind/core";
+import type { SteadyClock } from "../clock/steady_clock.ts";
+import { ClusterHandOver, type ClusterNode } from "../cluster/mod.ts";
+import { Drain, type WorkInProgress } from "../drain/mod.ts";
+import type { LoggerFactory } from "../logging/part_logger.ts";
+import type { Settings } from "../settings/settings.ts";
+
+/** What the planned stop of a daemon works with. */
+export interface DrainSources {
+  readonly settings: Settings;
+  readonly work: WorkInProgress;
+  readonly cluster: ClusterNode;
+  readonly clock: SteadyClock;
+  readonly loggers: LoggerFactory;
+}
+
+/**
+ * Makes the part that carries out a planned stop.
+ * @param sources What it works with.
+ * @returns The part.
+ */
+export function makeDrain(sources: DrainSources): Drain {
+  const { addresses, stop } = sources.settings;
+  const longestWait = stop.longest_wait_seconds;
+  return new Drain({
+    terms: {
+      addressLifetime: seconds(addresses.lifetime_seconds),
+      ...(longestWait !== undefined && { longestWait: seconds(longestWait) }),
+    },
+    work: sources.work,
+    handOver: new ClusterHandOver(sources.cluster),
+    clock: sources.clock,
+    logger: sources.loggers.forPart("daemon"),
+  });
+}
--- a/packages/node/src/callers/health_controller.ts
+++ b/packages/node/src/callers/health_controller.ts
@@ -29,7 +29,9 @@
   }
 
   #status(): "ready" | "starting" | "leaving" {
-    if (this.#parts.drain.isLeaving) return "leaving";
-    return this.#parts.directory.vms.length > 0 ? "ready" : "starting";
+    const { directory, drain, follower } = this.#parts;
+    if (drain.isLeaving) return "leaving";
+    const knows = directory.vms.length > 0 && follower.caughtUp;
+    return knows ? "ready" : "starting";
   }
 }
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -1,9 +1,4 @@
-import {
-  type EngineId,
-  engineId,
-  RequestTelemetry,
-  seconds,
-} from "@foxtailwind/core";
+import { type EngineId, engineId, RequestTelemetry } from "@foxtailwind/core";
 import {
   createDispatcher,
   HttpEngineClient,
@@ -16,15 +11,18 @@
 import type { NestFastifyApplication } from "@nestjs/platform-fastify";
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import {
+  makeAddresses,
+  makeCluster,
+  makeDrain,
+  makeMetrics,
+} from "./assembly/mod.ts";
 import { ProcessClock } from "./clock/steady_clock.ts";
 import {
   ClusterAssignment,
-  ClusterHandOver,
-  ClusterNode,
+  type ClusterNode,
   ClusterOrderRight,
-  ClusterPeerViews,
   clusterService,
-  ClusterTransport,
 } from "./cluster/mod.ts";
 import { readClusterStatus } from "./configuration/cluster_status.ts";
 import { ConfigurationFollower } from "./configuration/configuration_follower.ts";
@@ -37,25 +35,16 @@
   type KeyedExecution,
   ServiceDelivery,
 } from "./delivery/mod.ts";
-import { Drain, LeavingEngines, WorkInProgress } from "./drain/mod.ts";
+import { type Drain, LeavingEngines, WorkInProgress } from "./drain/mod.ts";
 import { createHttpApplication } from "./http_application.ts";
 import type { LoggerFactory } from "./logging/part_logger.ts";
-import {
-  type MetricsSink,
-  SilentMetrics,
-  StatsdMetrics,
-} from "./metrics/mod.ts";
+import type { MetricsSink } from "./metrics/mod.ts";
 import { generationService } from "./peers/generation_service.ts";
 import { PeerChannels } from "./peers/peer_channels.ts";
 import { PeerClients } from "./peers/peer_clients.ts";
 import { PeerServer } from "./peers/peer_server.ts";
 import { VmDirectory } from "./platform/vm_directory.ts";
-import {
-  AddressDirectory,
-  OwnView,
-  RoutedControllers,
-  ServiceDispatcher,
-} from "./routing/mod.ts";
+import { type AddressDirectory, ServiceDispatcher } from "./routing/mod.ts";
 import type { GenerationRouter } from "./serving/generation_router.ts";
 import { ServingParts } from "./serving/serving_parts.ts";
 import type { Settings } from "./settings/settings.ts";
@@ -71,9 +60,6 @@
 /** How long streams between nodes that carry no requests may take to end. */
 const CONTROL_CLOSE = 1_000;
 
-/** Reads that take longer renew no lease. */
-const MEMBERSHIP_LOG_TIMEOUT = 1_000;
-
 /** One node: all its parts, started and stopped together. */
 export class Daemon extends DaemonParts {
   override readonly settings: Settings;
@@ -152,7 +138,14 @@
       this.follower.store,
       () => this.follower.status(),
     );
-    this.#cluster = this.#makeCluster(loggers);
+    this.#cluster = makeCluster({
+      settings,
+      clock,
+      directory: this.directory,
+      dispatcher,
+      channels: this.#channels,
+      loggers,
+    });
     this.#serving = new ServingParts({
       self: settings.node.id,
       directory: this.directory,
@@ -198,7 +191,13 @@
       }),
       ...this.#serving.registrations,
     ]);
-    this.drain = this.#makeDrain(loggers);
+    this.drain = makeDrain({
+      settings,
+      work: this.work,
+      cluster: this.#cluster,
+      clock,
+      loggers,
+    });
     this.#leavingEngines = new LeavingEngines({
       directory: this.directory,
       engines: this.router,
@@ -218,7 +217,15 @@
       this.keyedExecution,
       this.serviceDispatcher,
     );
-    this.addresses = this.#makeAddresses();
+    this.addresses = makeAddresses({
+      settings,
+      directory: this.directory,
+      cluster: this.#cluster,
+      drain: this.drain,
+      work: this.work,
+      router: this.router,
+      configuration: this.follower.configuration,
+    });
   }
 
   /**
@@ -290,55 +297,6 @@
     this.#peerServer.cutConnections();
   }
 
-  #makeCluster(loggers: LoggerFactory): ClusterNode {
-    const { settings, clock, directory } = this;
-    return new ClusterNode({
-      node: settings.node,
-      clock,
-      directory,
-      log: new HttpLogClient({
-        baseAddress: settings.platform.log,
-        dispatcher: this.#dispatcher,
-        peer: "log",
-        timeoutMilliseconds: MEMBERSHIP_LOG_TIMEOUT,
-      }),
-      transport: new ClusterTransport(this.#channels),
-      logger: loggers.forPart("ownership"),
-    });
-  }
-
-  #makeDrain(loggers: LoggerFactory): Drain {
-    const { addresses, stop } = this.settings;
-    const longestWait = stop.longest_wait_seconds;
-    return new Drain({
-      terms: {
-        addressLifetime: seconds(addresses.lifetime_seconds),
-        ...(longestWait !== undefined && { longestWait: seconds(longestWait) }),
-      },
-      work: this.work,
-      handOver: new ClusterHandOver(this.#cluster),
-      clock: this.clock,
-      logger: loggers.forPart("daemon"),
-    });
-  }
-
-  #makeAddresses(): AddressDirectory {
-    const { settings, directory, follower } = this;
-    return new AddressDirectory({
-      directory,
-      peers: new ClusterPeerViews(
-        this.#cluster,
-        new OwnView({
-          self: settings.node.id,
-          isLeaving: () => this.drain.isLeaving,
-          load: () => this.work.count,
-        }),
-      ),
-      controllers: new RoutedControllers(this.router, follower.configuration),
-      longestLifetime: seconds(settings.addresses.lifetime_seconds),
-    });
-  }
-
   #engineClient(engine: EngineId, address: string): HttpEngineClient {
     return new HttpEngineClient({
       peer: engine,
@@ -347,13 +305,3 @@
     });
   }
 }
-
-function makeMetrics(settings: Settings, loggers: LoggerFactory): MetricsSink {
-  const { metrics, node } = settings;
-  if (metrics.statsd === undefined) return new SilentMetrics();
-  return new StatsdMetrics({
-    address: metrics.statsd,
-    tags: { node: node.id, failure_domain: node.failure_domain },
-    logger: loggers.forPart("metrics"),
-  });
-}
