A claim goes on without the gathering node

Ruled out: the log, which answered. Change: a claim that the gathering node does not answer is made by the node itself, under the same nonce. A test with a node that is listed and gone fails before (503) and passes after.

--- a/packages/node/src/delivery/claim_route.ts
+++ b/packages/node/src/delivery/claim_route.ts
@@ -35,11 +35,14 @@
    * @param claim The claim.
    * @returns The key's winner, or why the claim was not settled.
    */
-  claim(claim: KeyClaim): Promise<ClaimVerdict> {
+  async claim(claim: KeyClaim): Promise<ClaimVerdict> {
     const { self, gatherer, peers } = this.#parts;
     const node = this.#gatheringNode();
     if (node === undefined || node === self) return gatherer.claim(claim);
-    return peers.claim(node, claim);
+    const verdict = await peers.claim(node, claim);
+    // The list may still name a node that is gone. The claim keeps its nonce,
+    // so that it wins or loses as one, even if that node appended it too.
+    return isUnanswered(verdict, node) ? gatherer.claim(claim) : verdict;
   }
 
   #gatheringNode(): NodeId | undefined {
@@ -50,3 +53,7 @@
     return rendezvousChoice(failureDomain, near.map((vm) => nodeId(vm.id)));
   }
 }
+
+function isUnanswered(verdict: ClaimVerdict, node: NodeId): boolean {
+  return verdict.kind === "refused" && verdict.failure.peer === node;
+}
