--- a/packages/bench/src/faults/main.ts
+++ b/packages/bench/src/faults/main.ts
@@ -30,6 +30,11 @@
   .option("adapters", { type: "number", default: 120 })
   .option("completions-per-second", { type: "number", default: 30 })
   .option("bookings-per-second", { type: "number", default: 10 })
+  .option("free-key-share", {
+    type: "number",
+    default: 0.2,
+    describe: "Share of bookings with a free key, which needs the log",
+  })
   .option("log-outage-seconds", { type: "number", default: 60 })
   .option("only", {
     type: "string",
@@ -62,6 +67,7 @@
 const load = new FaultLoad(caller, new AddressBook(known), {
   completionsPerSecond: options.completionsPerSecond,
   bookingsPerSecond: options.bookingsPerSecond,
+  freeKeyShare: options.freeKeyShare,
   adapters: options.adapters,
   exponent: 1,
   seed: options.seed,
--- a/packages/bench/src/load/address_book.ts
+++ b/packages/bench/src/load/address_book.ts
@@ -10,6 +10,7 @@
 const answerSchema = z.object({
   addresses: z.array(z.object({ node: z.string(), url: z.string() })),
   expires_in_seconds: z.number().positive(),
+  key_scope: z.string(),
 });
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -24,6 +25,7 @@
   #current: readonly NamedNode[];
   #expiresAt = 0;
   #turn = 0;
+  #keyScope = "";
 
   /** @param known The nodes to ask, from the caller's own settings. */
   constructor(known: readonly NamedNode[]) {
@@ -31,6 +33,11 @@
     this.#current = known;
   }
 
+  /** What to put before a key, so that it needs no claim in the log. */
+  get keyScope(): string {
+    return this.#keyScope;
+  }
+
   /** Chooses the next node in turn. */
   next(): NamedNode {
     this.#turn += 1;
@@ -63,6 +70,7 @@
         id: address.node,
         http: new URL(address.url).host,
       }));
+      this.#keyScope = answer.key_scope;
       this.#expiresAt = now +
         answer.expires_in_seconds * MILLISECONDS_PER_SECOND;
       return;
