--- a/packages/node/src/serving/engine_runner.ts
+++ b/packages/node/src/serving/engine_runner.ts
@@ -1,7 +1,6 @@
 import {
   adapterKey,
   type AdapterReference,
-  attemptNumber,
   CLOCK_START,
   EngineController,
   type EngineDecision,
@@ -9,38 +8,30 @@
   type Failure,
   type Instant,
   type ModelId,
-  type RequestId,
   type RequestObserver,
 } from "@foxtailwind/core";
 import type {
   EngineClient,
   EngineState,
-  GenerationEnd,
   GenerationHandle,
   GenerationSink,
 } from "@foxtailwind/edges";
-import { err, type Result } from "neverthrow";
+import type { Result } from "neverthrow";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { PartLogger } from "../logging/part_logger.ts";
 import type { AdapterAggregates } from "./adapter_aggregates.ts";
+import { EngineGenerations } from "./engine_generations.ts";
 import { EngineLoads } from "./engine_loads.ts";
 import { EngineStateFollower } from "./engine_state_follower.ts";
 import { EngineWatch } from "./engine_watch.ts";
 import type { EngineViews } from "./engine_views.ts";
-import { describeGeneration } from "./generation_estimates.ts";
 import type { GenerationRequest } from "./generation_request.ts";
-import {
-  DispatchedSink,
-  type HeldRequest,
-  heldRequest,
-  HeldRequests,
-} from "./held_requests.ts";
+import { heldRequest, type ReturnedRequest } from "./held_requests.ts";
 import type { OrderRight } from "./order_right.ts";
 import type { LoadPermits } from "./permits/load_permits.ts";
 import { WishOffer } from "./permits/wish_offer.ts";
 
 const TICK_MILLISECONDS = 50;
-const MOST_RESYNCS = 3;
 
 /** What a runner works with. */
 export interface EngineRunnerParts {
@@ -55,16 +46,10 @@
   readonly views: EngineViews;
 }
 
-/** A request that a runner gives back, to be brought elsewhere. */
-export interface ReturnedRequest {
-  readonly generation: GenerationRequest;
-  readonly sink: GenerationSink;
-}
-
 /** Carries out an engine controller's decisions on the engine. */
 export class EngineRunner {
   readonly #parts: EngineRunnerParts;
-  readonly #held = new HeldRequests();
+  readonly #generations: EngineGenerations;
   readonly #loads: EngineLoads;
   readonly #model: ModelId;
   readonly #follower: EngineStateFollower;
@@ -85,7 +70,7 @@
       prefixes: parts.aggregates.prefixes,
       controller: () => this.#controller,
       controlledSince: () => this.#controlledSince,
-      isHeld: (request) => this.#held.find(request) !== undefined,
+      isHeld: (request) => this.#generations.holds(request),
       restarted: (state) => {
         this.#restarted(state);
       },
@@ -96,6 +81,15 @@
       watcher: this.#follower,
       bootId: found.bootId,
     });
+    this.#generations = new EngineGenerations({
+      ...parts,
+      controller: () => this.#controller,
+      follower: this.#follower,
+      watch: this.#watch,
+      changed: () => {
+        this.#act();
+      },
+    });
     parts.permits.register(parts.engine, (adapter) => {
       this.#usePermit(adapter);
     });
@@ -132,15 +126,12 @@
     generation: GenerationRequest,
     sink: GenerationSink,
   ): GenerationHandle {
-    const earlier = this.#held.find(generation.request);
-    if (earlier !== undefined) {
-      return this.#supersede(earlier, { generation, sink });
-    }
-    const held = heldRequest(generation, sink);
-    if (this.#follower.adopt(generation.request)) return this.#adopt(held);
-    this.#queue(held);
+    const handle = this.#generations.takeOver({ generation, sink });
+    if (handle !== undefined) return handle;
+    this.#noteDemand(generation);
+    const queued = this.#generations.queue(heldRequest(generation, sink));
     this.#act();
-    return this.#handleOf(held);
+    return queued;
   }
 
   /**
@@ -153,11 +144,7 @@
     this.#loads.stop();
     this.#parts.permits.unregister(this.#parts.engine);
     this.#parts.views.drop(this.#controller);
-    const waiting = this.#held.undispatched;
-    for (const { generation } of waiting) {
-      this.#controller.withdraw(generation.request);
-      this.#held.remove(generation.request);
-    }
+    const waiting = this.#generations.handBack();
     this.#controller.close();
     return waiting;
   }
@@ -165,11 +152,11 @@
   #restarted(state: EngineState): void {
     const { engine, logger, views } = this.#parts;
     logger.warn("An engine has restarted.", { engine });
-    const waiting = this.#held.undispatched;
+    const waiting = this.#generations.undispatched;
     views.drop(this.#controller);
     this.#controller.close();
     this.#controller = this.#control(state);
-    for (const held of waiting) this.#queueAgain(held);
+    for (const held of waiting) this.#generations.queue(held);
     this.#act();
   }
 
@@ -188,57 +175,10 @@
     return controller;
   }
 
-  #queue(held: HeldRequest): void {
-    const { aggregates } = this.#parts;
-    const { adapter, firstTokenTarget } = held.generation;
+  #noteDemand({ adapter, firstTokenTarget }: GenerationRequest): void {
     const key = adapterKey(adapter);
     const arrival = { key, adapter, target: firstTokenTarget };
-    aggregates.demand.arrived(this.#now(), arrival);
-    this.#queueAgain(held);
-  }
-
-  #queueAgain(held: HeldRequest): void {
-    const { generation } = held;
-    const now = this.#now();
-    this.#held.add(held);
-    this.#parts.observer.record(now, {
-      kind: "queued",
-      request: generation.request,
-      engine: this.#parts.engine,
-      ahead: this.#controller.waiting,
-      class: generation.class,
-      tenant: generation.tenant,
-    });
-    this.#controller.submit(now, describeGeneration(now, generation));
-  }
-
-  #handleOf(held: HeldRequest): GenerationHandle {
-    return {
-      pause() {
-        held.paused = true;
-        held.handle?.pause();
-      },
-      unpause() {
-        held.paused = false;
-        held.handle?.unpause();
-      },
-      cancel: () => {
-        this.#cancel(held.generation.request);
-      },
-    };
-  }
-
-  #cancel(request: RequestId): void {
-    const held = this.#held.find(request);
-    if (held === undefined) return;
-    if (held.handle !== undefined) {
-      held.handle.cancel();
-      return;
-    }
-    held.isCancelled = true;
-    if (this.#controller.withdraw(request)) {
-      this.#end(request, err(this.#failure("cancelled", "The caller left.")));
-    }
+    this.#parts.aggregates.demand.arrived(this.#now(), arrival);
   }
 
   #act(): void {
@@ -275,7 +215,7 @@
   #carryOut(decision: EngineDecision): void {
     switch (decision.kind) {
       case "dispatch":
-        this.#dispatch(decision);
+        this.#generations.dispatch(decision);
         break;
       case "preempt":
         // The engine puts work of lower priority aside by itself, and keeps
@@ -295,123 +235,14 @@
         this.#permitEnded(decision.adapter, false);
         break;
       case "refuse":
-        this.#end(
-          decision.request,
-          err({
-            ...this.#failure("overloaded", "The target cannot be met."),
-            retryAfterMilliseconds: decision.retryAfter,
-          }),
-        );
+        this.#generations.refuse(decision.request, decision.retryAfter);
         break;
     }
   }
 
-  #dispatch(
-    decision: Extract<EngineDecision, { readonly kind: "dispatch" }>,
-  ): void {
-    const { request, queueWait, loadStall, priority } = decision;
-    const held = this.#held.find(request);
-    if (held === undefined) return;
-    // It gave way before, and the engine still has it.
-    if (held.handle !== undefined) return;
-    const { engine, observer } = this.#parts;
-    observer.record(this.#now(), {
-      kind: "dispatched",
-      request,
-      engine,
-      queueWait,
-      loadStall,
-    });
-    this.#held.leaveLine(held);
-    held.priority = priority;
-    this.#generate(held);
-  }
-
-  #generate(held: HeldRequest): void {
-    const { generation, priority, sink } = held;
-    const { request } = generation;
-    const controller = this.#controller;
-    const listener = new DispatchedSink(sink, {
-      firstToken: () => {
-        controller.firstToken(this.#now(), request);
-      },
-      ended: (result, generatedTokens) => {
-        if (this.#held.find(request) !== held) return;
-        if (mayStillRun(result)) this.#follower.orphan(request);
-        else controller.requestEnded(this.#now(), request, generatedTokens);
-        this.#generated(held, result);
-      },
-    });
-    held.handle = this.#parts.client.generate({
-      request,
-      attempt: generation.attempt ?? attemptNumber(1),
-      model: generation.model,
-      adapter: generation.adapter,
-      messages: generation.messages,
-      maximumTokens: generation.maximumTokens,
-      priority,
-      fromSequence: generation.fromSequence ?? 0,
-    }, listener);
-    if (held.paused) held.handle.pause();
-  }
-
-  /**
-   * A later attempt takes the place, the pin and the stream of an earlier one
-   * whose path has broken, so that the request runs once all the same.
-   */
-  #supersede(
-    earlier: HeldRequest,
-    { generation, sink }: ReturnedRequest,
-  ): GenerationHandle {
-    const held: HeldRequest = { ...earlier, generation, sink };
-    this.#held.add(held);
-    if (earlier.handle !== undefined) {
-      this.#held.leaveLine(held);
-      this.#generate(held);
-    }
-    earlier.sink.onEnd(err(superseded(this.#parts.engine)));
-    return this.#handleOf(held);
-  }
-
-  /** A request whose stream broke still has its place and its pin. */
-  #adopt(held: HeldRequest): GenerationHandle {
-    this.#held.add(held);
-    this.#held.leaveLine(held);
-    this.#generate(held);
-    return this.#handleOf(held);
-  }
-
-  #generated(held: HeldRequest, result: Result<GenerationEnd, Failure>): void {
-    if (isAdapterMissing(result) && held.resyncs < MOST_RESYNCS) {
-      void this.#resyncAndRetry(held);
-      return;
-    }
-    this.#end(held.generation.request, result);
-    if (result.isErr()) void this.#watch.readState();
-    this.#act();
-  }
-
-  /** The engine refused to run it, so that it may be dispatched again. */
-  async #resyncAndRetry(refused: HeldRequest): Promise<void> {
-    const { request, adapter } = refused.generation;
-    const controller = this.#controller;
-    refused.handle = undefined;
-    refused.resyncs += 1;
-    await this.#watch.readState();
-    const held = this.#held.find(request);
-    if (held === undefined) return;
-    const wasRestarted = this.#controller !== controller;
-    if (!wasRestarted) controller.adapterMissing(this.#now(), adapter);
-    if (held.isCancelled) {
-      controller.withdraw(request);
-      this.#end(request, err(this.#failure("cancelled", "The caller left.")));
-    } else if (!wasRestarted) this.#queueAgain(held);
-    this.#act();
-  }
-
   #load(decision: Extract<EngineDecision, { readonly kind: "load" }>): void {
     const controller = this.#controller;
-    const waiting = this.#held.waitingFor(adapterKey(decision.adapter));
+    const waiting = this.#generations.waitingFor(adapterKey(decision.adapter));
     void this.#loads.load(decision, waiting).then((loaded) => {
       const { adapter } = decision;
       this.#permitEnded(adapter, loaded);
@@ -428,41 +259,7 @@
     });
   }
 
-  #end(request: RequestId, result: Result<GenerationEnd, Failure>): void {
-    this.#held.remove(request)?.sink.onEnd(result);
-  }
-
   #now(): Instant {
     return this.#parts.clock.now();
   }
-
-  #failure(reason: Failure["reason"], message: string): Failure {
-    return {
-      reason,
-      step: "dispatch",
-      peer: this.#parts.engine,
-      message,
-      outcome: "not_run",
-    };
-  }
-}
-
-/** A stream that broke says nothing of the engine's side. */
-function mayStillRun(result: Result<GenerationEnd, Failure>): boolean {
-  return result.isErr() && result.error.outcome === "unknown";
-}
-
-function isAdapterMissing(result: Result<GenerationEnd, Failure>): boolean {
-  return result.isErr() && result.error.outcome === "not_run" &&
-    result.error.reason === "not_found";
-}
-
-function superseded(engine: EngineId): Failure {
-  return {
-    reason: "cancelled",
-    step: "dispatch",
-    peer: engine,
-    message: "A later attempt at the request took its place.",
-    outcome: "unknown",
-  };
 }
--- a/packages/node/src/serving/engine_runners.ts
+++ b/packages/node/src/serving/engine_runners.ts
@@ -5,11 +5,8 @@
 } from "@foxtailwind/core";
 import type { EngineClient } from "@foxtailwind/edges";
 import type { VmOfRole } from "../platform/vm_directory.ts";
-import {
-  EngineRunner,
-  type EngineRunnerParts,
-  type ReturnedRequest,
-} from "./engine_runner.ts";
+import { EngineRunner, type EngineRunnerParts } from "./engine_runner.ts";
+import type { ReturnedRequest } from "./held_requests.ts";
 
 /** What runners are started with. */
 export interface EngineRunnersParts
--- a/packages/node/src/serving/held_requests.ts
+++ b/packages/node/src/serving/held_requests.ts
@@ -13,6 +13,12 @@
 import type { Result } from "neverthrow";
 import type { GenerationRequest } from "./generation_request.ts";
 
+/** A request that a runner gives back, to be brought elsewhere. */
+export interface ReturnedRequest {
+  readonly generation: GenerationRequest;
+  readonly sink: GenerationSink;
+}
+
 /** A request at an engine's runner. */
 export interface HeldRequest {
   readonly generation: GenerationRequest;
