--- a/packages/core/src/dispatch/waiting_request.ts
+++ b/packages/core/src/dispatch/waiting_request.ts
@@ -50,6 +50,11 @@
     return instant(this.submittedAt - this.queued.waitedBefore + this.#target);
   }
 
+  /** Whether the engine has it, with a place in the batch or without. */
+  get isAtEngine(): boolean {
+    return this.place === "running" || this.displaced;
+  }
+
   /** How long it waited for its adapter. */
   get loadStall(): Duration {
     return milliseconds(this.#stalled);
--- a/packages/core/src/serving/engine_controller.ts
+++ b/packages/core/src/serving/engine_controller.ts
@@ -18,7 +18,7 @@
   EngineReport,
   QueuedRequest,
 } from "./engine_event.ts";
-import { GiveUpTimer } from "./give_up_timer.ts";
+import { HopelessRequests } from "./hopeless_requests.ts";
 import type { PrefetchCandidate } from "./load_planner.ts";
 import { RequestDispatcher } from "./request_dispatcher.ts";
 
@@ -27,7 +27,7 @@
  * it. Only the engine's controlling node has one.
  */
 export class EngineController extends EngineControllerView {
-  readonly #giveUp = new GiveUpTimer();
+  readonly #hopeless = new HopelessRequests(this.book);
   readonly #dispatcher = new RequestDispatcher({
     book: this.book,
     residency: this.residency,
@@ -84,7 +84,7 @@
     const key = adapterKey(queued.adapter);
     const resident = this.residency.isResident(key);
     const request = this.book.submit(now, queued, resident);
-    this.#giveUp.watch(request);
+    this.#hopeless.watch(request);
     if (!resident) this.#reindex(key);
   }
 
@@ -95,7 +95,7 @@
    */
   withdraw(request: RequestId): boolean {
     const found = this.book.find(request);
-    if (found === undefined || isAtEngine(found)) return false;
+    if (found === undefined || found.isAtEngine) return false;
     this.#forget(found);
     return true;
   }
@@ -106,7 +106,7 @@
    * @returns The requests, with the time that they waited here.
    */
   handBack(now: Instant): readonly QueuedRequest[] {
-    const waiting = [...this.book.all].filter((one) => !isAtEngine(one));
+    const waiting = [...this.book.all].filter((one) => !one.isAtEngine);
     for (const request of waiting) this.#forget(request);
     return waiting.map(({ queued, submittedAt }) => ({
       ...queued,
@@ -190,7 +190,7 @@
     generatedTokens: number,
   ): void {
     const found = this.book.find(request);
-    if (found === undefined || !isAtEngine(found)) return;
+    if (found === undefined || !found.isAtEngine) return;
     this.pace.ended(now, found, generatedTokens);
     this.residency.unpin(now, found.key);
     this.book.remove(found);
@@ -259,29 +259,18 @@
 
   /** When a waiting request may have to be given up. */
   get nextGiveUp(): Instant | undefined {
-    return this.#giveUp.next;
+    return this.#hopeless.next;
   }
 
   #refuseHopeless(now: Instant, decisions: EngineDecision[]): void {
-    for (const request of this.#giveUp.due(now)) {
-      if (isAtEngine(request) || request.place === "over") continue;
-      if (!this.#harmsOthers(request)) {
-        this.#giveUp.watchAgain(now, request);
-        continue;
-      }
+    this.#hopeless.refuseDue(now, (request) => {
       this.#forget(request);
       decisions.push({
         kind: "refuse",
         request: request.queued.request,
         retryAfter: request.target,
       });
-    }
-  }
-
-  #harmsOthers(request: WaitingRequest): boolean {
-    return request.place === "ready"
-      ? this.book.ready.size > 1
-      : this.book.blocked.size > 1;
+    });
   }
 
   #forget(request: WaitingRequest): void {
@@ -299,7 +288,3 @@
     this.parts.index.remove(key, this.engine);
   }
 }
-
-function isAtEngine(request: WaitingRequest): boolean {
-  return request.place === "running" || request.displaced;
-}
