--- a/packages/core/src/service_routing/latency_window.ts
+++ b/packages/core/src/service_routing/latency_window.ts
@@ -11,6 +11,9 @@
 const MINIMUM_SAMPLES = 20;
 const UNITS_PER_MILLISECOND = 100;
 const HIGHEST_MILLISECONDS = 600_000;
+const TYPICAL_PERCENTILE = 50;
+const LIKELY_PERCENTILE = 95;
+const UNKNOWN_LATENCY = milliseconds(1);
 
 /** Latencies of the last three to six seconds, for their quantiles. */
 export class LatencyWindow {
@@ -45,6 +48,16 @@
     return milliseconds(units / UNITS_PER_MILLISECOND);
   }
 
+  /** What a call usually takes, for estimates. */
+  get typical(): Duration {
+    return this.percentile(TYPICAL_PERCENTILE) ?? UNKNOWN_LATENCY;
+  }
+
+  /** What nearly all calls stay below, once a server has them. */
+  get likelyLongest(): Duration {
+    return this.percentile(LIKELY_PERCENTILE) ?? UNKNOWN_LATENCY;
+  }
+
   #rotate(now: Instant): void {
     this.#startedAt ??= now;
     if (elapsed(this.#startedAt, now) < WINDOW) return;
--- a/packages/core/src/service_routing/service_call.ts
+++ b/packages/core/src/service_routing/service_call.ts
@@ -84,6 +84,16 @@
     result.status >= SERVER_FAULT_STATUS;
 }
 
+/**
+ * Tells whether a result is an answer to pass on without another attempt.
+ * @param result How the attempt ended.
+ * @returns Whether the server answered, with no fault and no overload.
+ */
+export function isGoodAnswer(result: AttemptResult): boolean {
+  return result.kind === "answered" && !isServerFault(result) &&
+    !isOverload(result);
+}
+
 /**
  * Tells whether it is proven that an attempt did not run.
  * @param result How the attempt ended.
--- a/packages/core/src/service_routing/service_router.ts
+++ b/packages/core/src/service_routing/service_router.ts
@@ -5,7 +5,6 @@
   type Failure,
   type FailureDomainId,
   type Instant,
-  milliseconds,
   type RandomSource,
   type RequestId,
   type ServiceId,
@@ -21,14 +20,13 @@
 import { LatencyWindow } from "./latency_window.ts";
 import { ejectIfOutlier } from "./outlier_ejection.ts";
 import { PendingCall } from "./pending_call.ts";
-import { AttemptBudget } from "./attempt_budget.ts";
+import { MOST_ATTEMPTS, RetryRule } from "./retry_rule.ts";
 import type { ServerChooser } from "./server_choice.ts";
 import { ServerSet } from "./server_set.ts";
 import {
   type AttemptReference,
   type AttemptResult,
-  isOverload,
-  isProvenNotRun,
+  isGoodAnswer,
   isServerFault,
   type RoutedCall,
   type ServiceOrder,
@@ -36,6 +34,7 @@
 } from "./service_call.ts";
 import type { ServicePolicy } from "./service_policy.ts";
 import type { ServiceServer } from "./service_server.ts";
+import { ServiceOrders } from "./service_orders.ts";
 import { type ServiceTerms, serviceTerms } from "./service_terms.ts";
 import { WaitingCalls } from "./waiting_calls.ts";
 
@@ -48,12 +47,6 @@
   readonly policy: ServicePolicy;
 }
 
-const RETRY_SHARE = 0.1;
-const RETRY_RESERVE = 10;
-const MOST_ATTEMPTS = 3;
-const TYPICAL_PERCENTILE = 50;
-const LIKELY_PERCENTILE = 95;
-
 /**
  * Routes the calls of one service: which server gets each, when another
  * attempt is made, and which calls are refused.
@@ -63,12 +56,12 @@
   readonly #chooser: ServerChooser;
   readonly #servers: ServerSet;
   readonly #calls = new Map<RequestId, PendingCall>();
-  readonly #retries = new AttemptBudget(RETRY_SHARE, RETRY_RESERVE);
+  readonly #retries: RetryRule;
   readonly #hedges = new HedgePlan();
   readonly #latencies = new LatencyWindow();
   readonly #attempts = new AttemptLedger(this.#latencies);
   readonly #waiting = new WaitingCalls();
-  #orders: ServiceOrder[] = [];
+  readonly #orders = new ServiceOrders();
   #terms: ServiceTerms = serviceTerms(undefined);
 
   /** @param parts The service, where this node is, and the policy. */
@@ -76,6 +69,7 @@
     this.#parts = parts;
     this.#chooser = parts.policy.chooser();
     this.#servers = new ServerSet(parts.policy.limit);
+    this.#retries = new RetryRule(parts.policy, this.#servers);
   }
 
   /** How many calls have no answer yet. */
@@ -116,7 +110,7 @@
     this.#retries.earn();
     this.#hedges.earn();
     const wait = this.#expectedWait(now);
-    if (wait > longestWait(call, this.#likelyLongest())) {
+    if (wait > longestWait(call, this.#latencies.likelyLongest)) {
       this.#refuse(call, wait);
       return;
     }
@@ -131,7 +125,7 @@
   cancel(id: RequestId): void {
     const call = this.#calls.get(id);
     if (call === undefined) return;
-    if (call.repeatable) this.#abandonAttempts(call);
+    if (call.repeatable) this.#orders.abandon(call);
     this.#forget(call);
   }
 
@@ -169,9 +163,7 @@
     this.#expireWaiting(now);
     this.#dispatchWaiting(now);
     this.#dispatchHedges(now);
-    const orders = this.#orders;
-    this.#orders = [];
-    return orders;
+    return this.#orders.take();
   }
 
   /**
@@ -179,7 +171,7 @@
    * @returns The time to decide again, or nothing.
    */
   nextWake(): Instant | undefined {
-    const longest = this.#likelyLongest();
+    const longest = this.#latencies.likelyLongest;
     const times: number[] = [];
     for (const call of this.#waiting) times.push(waitsUntil(call, longest));
     const hedge = this.#hedges.nextDue();
@@ -198,27 +190,18 @@
     ended: { readonly attempt: AttemptNumber; readonly result: AttemptResult },
   ): void {
     const { attempt, result } = ended;
-    const isGood = !isServerFault(result) && !isOverload(result) &&
-      result.kind === "answered";
-    if (isGood) {
+    if (isGoodAnswer(result)) {
       this.#answer(call, attempt);
       return;
     }
     if (call.inFlight.size > 0) return;
-    if (this.#mayRetry(now, call, result)) {
+    if (this.#retries.mayRetry(now, call, result)) {
       this.#waiting.add(call);
       return;
     }
     this.#finishWithoutGoodAnswer(call);
   }
 
-  #mayRetry(now: Instant, call: PendingCall, result: AttemptResult): boolean {
-    const isSafe = call.repeatable || isProvenNotRun(result);
-    if (!isSafe || !this.#parts.policy.retries) return false;
-    if (call.attempts >= MOST_ATTEMPTS || call.deadline <= now) return false;
-    return this.#servers.anyEligible(now) && this.#retries.spend();
-  }
-
   #finishWithoutGoodAnswer(call: PendingCall): void {
     if (call.lastAnswered !== undefined) {
       this.#answer(call, call.lastAnswered);
@@ -228,7 +211,7 @@
   }
 
   #expireWaiting(now: Instant): void {
-    const longest = this.#likelyLongest();
+    const longest = this.#latencies.likelyLongest;
     for (const call of [...this.#waiting]) {
       if (waitsUntil(call, longest) > now) continue;
       if (call.attempts > 0) this.#finishWithoutGoodAnswer(call);
@@ -273,22 +256,15 @@
       servers: this.#servers.all,
       failureDomain: this.#parts.failureDomain,
       tried: call.tried,
-      unknownLatency: this.#typicalLatency(),
+      unknownLatency: this.#latencies.typical,
       random: this.#parts.random,
     });
   }
 
   #dispatch(now: Instant, call: PendingCall, server: ServiceServer): void {
     const attempt = call.dispatch(server.id);
-    const reference = { call: call.id, attempt };
-    this.#attempts.begin(now, reference, server);
-    const timeout = milliseconds(Math.max(1, call.deadline - now));
-    this.#orders.push({
-      kind: "dispatch",
-      ...reference,
-      server: server.id,
-      timeout,
-    });
+    this.#attempts.begin(now, { call: call.id, attempt }, server);
+    this.#orders.dispatch(now, call, { attempt, server: server.id });
     const mayHedge = this.#parts.policy.hedging && call.repeatable;
     if (mayHedge && call.attempts === 1) {
       this.#hedges.plan(now, call.id, this.#latencies);
@@ -296,9 +272,9 @@
   }
 
   #answer(call: PendingCall, attempt: AttemptNumber): void {
-    this.#abandonAttempts(call);
+    this.#orders.abandon(call);
     this.#forget(call);
-    this.#orders.push({ kind: "answer", call: call.id, attempt });
+    this.#orders.answer(call, attempt);
   }
 
   #refuse(call: PendingCall, wait: Duration): void {
@@ -307,13 +283,7 @@
 
   #fail(call: PendingCall, failure: Failure): void {
     this.#forget(call);
-    this.#orders.push({ kind: "fail", call: call.id, failure });
-  }
-
-  #abandonAttempts(call: PendingCall): void {
-    for (const attempt of call.inFlight) {
-      this.#orders.push({ kind: "abandon", call: call.id, attempt });
-    }
+    this.#orders.fail(call, failure);
   }
 
   #forget(call: PendingCall): void {
@@ -322,20 +292,11 @@
     this.#waiting.remove(call);
   }
 
-  #typicalLatency(): Duration {
-    return this.#latencies.percentile(TYPICAL_PERCENTILE) ?? milliseconds(1);
-  }
-
-  /** What nearly all calls stay below, once a server has them. */
-  #likelyLongest(): Duration {
-    return this.#latencies.percentile(LIKELY_PERCENTILE) ?? milliseconds(1);
-  }
-
   #expectedWait(now: Instant): Duration {
     return expectedWait({
       ahead: this.#waiting.size,
       limit: this.#servers.capacity(now).limit,
-      typicalLatency: this.#typicalLatency(),
+      typicalLatency: this.#latencies.typical,
     });
   }
 }
