--- a/packages/core/src/delivery/key_coordinator.ts
+++ b/packages/core/src/delivery/key_coordinator.ts
@@ -5,22 +5,22 @@
   type IdempotencyKey,
   type IncarnationId,
   type Instant,
-  later,
   type NodeId,
 } from "../shared/mod.ts";
 import { AbandonedClaims } from "./abandoned_claims.ts";
 import type { ClaimVerdict } from "./claim_gathering.ts";
 import type { KeyClaim } from "./claim_record.ts";
 import type { DeliveryRules } from "./delivery_rules.ts";
-import type { BoundKey, FreeKey, KeyScope } from "./execution_key.ts";
+import type { BoundKey, FreeKey } from "./execution_key.ts";
 import type { KeyAction, KeyedCall } from "./key_action.ts";
-import { badScope, forgotten, otherBody } from "./key_failures.ts";
+import { forgotten, otherBody } from "./key_failures.ts";
 import {
   KeyLedger,
   type KeyLedgerLimits,
   type KeyUse,
   type RunResult,
 } from "./key_ledger.ts";
+import { checkScope } from "./key_scope_check.ts";
 import type { KeyTiming } from "./key_timing.ts";
 
 /** What a coordinator decides with. */
@@ -160,22 +160,12 @@
         nonce: "",
       }];
     }
-    const refused = this.#checkScope(now, scope);
+    const refused = checkScope(now, scope, this.#options);
     if (refused !== undefined) return refuse(call, refused);
     const use = { ...useOf(call), keepUntil: scope.expiresAt };
     return this.#admit(now, { call, use }, () => this.#run(call, undefined));
   }
 
-  #checkScope(now: Instant, scope: KeyScope): Failure | undefined {
-    const { self, timing, rules } = this.#options;
-    if (!rules.acceptsExpiry(now, scope.expiresAt)) {
-      return badScope("expired", self);
-    }
-    const latest = later(now, timing.maximumScopeLifetime);
-    if (scope.expiresAt > latest) return badScope("invalid", self);
-    return undefined;
-  }
-
   #requestFree(
     now: Instant,
     call: KeyedCall,
--- /dev/null
+++ b/packages/core/src/delivery/key_scope_check.ts
@@ -0,0 +1,35 @@
+import {
+  type Failure,
+  type Instant,
+  later,
+  type NodeId,
+} from "../shared/mod.ts";
+import type { DeliveryRules } from "./delivery_rules.ts";
+import type { KeyScope } from "./execution_key.ts";
+import { badScope } from "./key_failures.ts";
+import type { KeyTiming } from "./key_timing.ts";
+
+/**
+ * Checks that a key's scope of this incarnation can be used now.
+ * @param now The present time.
+ * @param scope The scope.
+ * @param options This node, and the rules and times that it goes by.
+ * @returns Why it cannot, or nothing.
+ */
+export function checkScope(
+  now: Instant,
+  scope: KeyScope,
+  options: {
+    readonly self: NodeId;
+    readonly rules: DeliveryRules;
+    readonly timing: KeyTiming;
+  },
+): Failure | undefined {
+  const { self, rules, timing } = options;
+  if (!rules.acceptsExpiry(now, scope.expiresAt)) {
+    return badScope("expired", self);
+  }
+  const latest = later(now, timing.maximumScopeLifetime);
+  if (scope.expiresAt > latest) return badScope("invalid", self);
+  return undefined;
+}
