--- a/packages/core/src/serving/adapter_serving_policy.ts
+++ b/packages/core/src/serving/adapter_serving_policy.ts
@@ -8,7 +8,6 @@
 } from "../placement/mod.ts";
 import {
   adapterKey,
-  CLOCK_START,
   type EngineId,
   type Instant,
   later,
@@ -17,6 +16,7 @@
 } from "../shared/mod.ts";
 import { AdapterValue } from "./adapter_value.ts";
 import {
+  bearsOnDecisions,
   type DeploymentEvent,
   type DeploymentOrder,
   DeploymentPolicy,
@@ -27,10 +27,9 @@
   EngineDecision,
   QueuedRequest,
 } from "./engine_event.ts";
+import { LoadGrants } from "./load_grants.ts";
 import { PrefetchScout } from "./prefetch_scout.ts";
 
-/** How long wishes stand while no request, load or eviction changes them. */
-const WISHES_LAST = milliseconds(50);
 /** How soon to look again while requests wait. */
 const LOOK_AGAIN = milliseconds(50);
 
@@ -46,14 +45,11 @@
   readonly #prefixes = new PrefixHistory();
   readonly #ledger: LoadPermitLedger;
   readonly #router: AdapterRouter;
-  readonly #scout: PrefetchScout;
+  readonly #grants: LoadGrants;
   readonly #changed = new Set<EngineId>();
   /** Requests that no engine could take yet. */
   readonly #unplaced = new Map<RequestId, QueuedRequest>();
   #orders: DeploymentOrder[] = [];
-  /** Engines whose wishes may differ from those that they last offered. */
-  readonly #wishesChanged = new Set<EngineId>();
-  #nextLook = CLOCK_START;
 
   /** @param limits What the weight store allows. */
   constructor(limits: LoadLimits) {
@@ -66,10 +62,11 @@
       demand: this.#demand,
     };
     this.#router = new AdapterRouter(parts);
-    this.#scout = new PrefetchScout({
-      ...parts,
-      router: this.#router,
-      value: new AdapterValue(parts),
+    const value = new AdapterValue(parts);
+    this.#grants = new LoadGrants({
+      ledger: this.#ledger,
+      scout: new PrefetchScout({ ...parts, router: this.#router, value }),
+      engines: this.#engines,
     });
   }
 
@@ -104,7 +101,7 @@
   }
 
   override decide(now: Instant): readonly DeploymentOrder[] {
-    this.#grantLoads(now);
+    for (const engine of this.#grants.grant(now)) this.#changed.add(engine);
     this.#findHopeless(now);
     for (const engine of this.#changed) this.#decideAt(now, engine);
     this.#changed.clear();
@@ -158,7 +155,7 @@
     this.#locations.set(queued.request, engine);
     const controller = this.#engines.get(engine);
     controller?.submit(now, queued);
-    if (choice.reason !== "resident") this.#wishesChanged.add(engine);
+    if (choice.reason !== "resident") this.#grants.wishesChanged(engine);
     this.#changed.add(engine);
   }
 
@@ -225,11 +222,11 @@
         const key = adapterKey(event.adapter);
         this.#ledger.finished(now, { ...event, key });
         controller.loadEnded(now, event);
-        this.#wishesChanged.add(event.engine);
+        this.#grants.wishesChanged(event.engine);
         break;
       }
       case "eviction_ended":
-        this.#wishesChanged.add(event.engine);
+        this.#grants.wishesChanged(event.engine);
         controller.evictionEnded(now, {
           adapter: event.adapter,
           evicted: event.evicted ?? true,
@@ -262,40 +259,6 @@
     else this.#prefixes.evicted(prefix, event.engine);
   }
 
-  #grantLoads(now: Instant): void {
-    if (!this.#ledger.hasRoom(now)) return;
-    this.#offerWishes(now);
-    this.#usePermits(now);
-  }
-
-  #offerWishes(now: Instant): void {
-    this.#scout.look(now, this.#engines);
-    if (now >= this.#nextLook) {
-      this.#nextLook = later(now, WISHES_LAST);
-      for (const engine of this.#engines.keys()) {
-        this.#wishesChanged.add(engine);
-      }
-    }
-    for (const engine of this.#wishesChanged) {
-      const wishes = this.#engines.get(engine)
-        ?.wishes(now, this.#scout.candidates(now, engine));
-      if (wishes !== undefined) this.#ledger.offer(now, engine, wishes);
-    }
-    this.#wishesChanged.clear();
-  }
-
-  #usePermits(now: Instant): void {
-    for (;;) {
-      const permit = this.#ledger.grant(now);
-      if (permit === undefined) return;
-      const { engine, adapter } = permit;
-      const used = this.#engines.get(engine)?.usePermit(now, adapter) ?? false;
-      if (!used) this.#ledger.finished(now, { ...permit, loaded: false });
-      this.#changed.add(engine);
-      this.#wishesChanged.add(engine);
-    }
-  }
-
   #findHopeless(now: Instant): void {
     for (const [engine, controller] of this.#engines) {
       const next = controller.nextGiveUp;
@@ -333,9 +296,3 @@
     }
   }
 }
-
-/** A first token or a cached prefix frees nothing and asks for nothing. */
-function bearsOnDecisions(event: DeploymentEvent): boolean {
-  return event.kind !== "first_token" && event.kind !== "prefix_event" &&
-    event.kind !== "engine_reported";
-}
--- a/packages/core/src/serving/deployment_policy.ts
+++ b/packages/core/src/serving/deployment_policy.ts
@@ -139,3 +139,14 @@
    */
   abstract nextWake(now: Instant): Instant | undefined;
 }
+
+/**
+ * Tells whether an event may change what is decided at its engine: a first
+ * token or a cached prefix frees nothing and asks for nothing.
+ * @param event The event.
+ * @returns Whether to decide anew.
+ */
+export function bearsOnDecisions(event: DeploymentEvent): boolean {
+  return event.kind !== "first_token" && event.kind !== "prefix_event" &&
+    event.kind !== "engine_reported";
+}
