--- a/packages/bench/src/soak/adapter_soak.ts
+++ b/packages/bench/src/soak/adapter_soak.ts
@@ -1,6 +1,7 @@
 import fc from "fast-check";
 import { soakStepArbitrary } from "./soak_step.ts";
-import { type SoakCounts, SoakWorld } from "./soak_world.ts";
+import type { SoakCounts } from "./soak_requests.ts";
+import { SoakWorld } from "./soak_world.ts";
 
 /** How to run a soak. */
 export interface AdapterSoakOptions {
--- a/packages/bench/src/soak/soak_world.ts
+++ b/packages/bench/src/soak/soak_world.ts
@@ -1,51 +1,20 @@
 import {
-  adapterId,
-  type AdapterKey,
-  type AdapterReference,
   AdapterServingPolicy,
-  adapterVersion,
   assertInvariant,
-  type ClassId,
-  classId,
   type DeploymentEvent,
   type DeploymentOrder,
   type Duration,
-  type EngineId,
-  engineId,
-  type Instant,
   instant,
   later,
   milliseconds,
   type RequestId,
-  requestId,
   tenantId,
 } from "@foxtailwind/core";
-import { SoakEngine } from "./soak_engine.ts";
+import { SoakEngines } from "./soak_engines.ts";
+import { adapterOf, classOf, idOf, pick } from "./soak_names.ts";
+import { type SoakCounts, SoakRequests } from "./soak_requests.ts";
 import { SOAK_ENGINES, type SoakStep } from "./soak_step.ts";
 
-/** What a soak did. */
-export interface SoakCounts {
-  requests: number;
-  answered: number;
-  refused: number;
-  cancelled: number;
-  loads: number;
-  failedLoads: number;
-  evictions: number;
-  preemptions: number;
-  restarts: number;
-}
-
-type RequestState = "waiting" | "dispatched" | "cancelling";
-
-interface OpenRequest {
-  readonly adapter: AdapterReference;
-  readonly class: number;
-  readonly arrivedAt: Instant;
-  state: RequestState;
-  engine: EngineId | undefined;
-}
-
 const LOADS_PER_SECOND = 5;
 const CONCURRENT_LOADS = 2;
 const PREFIX = "prefix";
@@ -56,23 +25,12 @@
  * ends once, runs only on its adapter, and is not run after a refusal.
  */
 export class SoakWorld {
-  readonly counts: SoakCounts = {
-    requests: 0,
-    answered: 0,
-    refused: 0,
-    cancelled: 0,
-    loads: 0,
-    failedLoads: 0,
-    evictions: 0,
-    preemptions: 0,
-    restarts: 0,
-  };
+  readonly #requests = new SoakRequests();
   readonly #policy = new AdapterServingPolicy({
     loadsPerSecond: LOADS_PER_SECOND,
     concurrentLoads: CONCURRENT_LOADS,
   });
-  readonly #engines = new Map<EngineId, SoakEngine>();
-  readonly #open = new Map<RequestId, OpenRequest>();
+  readonly #engines = new SoakEngines();
   readonly #targets: Duration[] = TARGETS.map(milliseconds);
   #now = instant(0);
 
@@ -80,9 +38,14 @@
     for (let index = 0; index < SOAK_ENGINES; index += 1) this.#start(index);
   }
 
+  /** What has happened so far. */
+  get counts(): Readonly<SoakCounts> {
+    return this.#requests.counts;
+  }
+
   /** How many requests have not ended. */
   get open(): number {
-    return this.#open.size;
+    return this.#requests.size;
   }
 
   /**
@@ -97,19 +60,19 @@
   /** Lets everything end well, which must leave no request open. */
   settle(): void {
     for (let index = 0; index < SOAK_ENGINES; index += 1) {
-      if (!this.#engines.has(idOf(index))) this.#start(index);
+      if (this.#engines.find(idOf(index)) === undefined) this.#start(index);
     }
-    const rounds = 50 + 40 * this.#open.size;
-    for (let round = 0; round < rounds && this.#open.size > 0; round += 1) {
+    const rounds = 50 + 40 * this.#requests.size;
+    for (let round = 0; round < rounds && this.#requests.size > 0; round += 1) {
       this.step({ kind: "end_load", choice: 0, loaded: true });
       this.step({ kind: "end_eviction", choice: 0, evicted: true });
       this.step({ kind: "end_request", choice: round });
       this.step({ kind: "wait", milliseconds: 500 });
     }
     assertInvariant(
-      this.#open.size === 0,
+      this.#requests.size === 0,
       "every_request_ends",
-      () => `Open: ${JSON.stringify([...this.#open.entries()].slice(0, 3))}.`,
+      () => `Open: ${JSON.stringify(this.#requests.open.slice(0, 3))}.`,
     );
   }
 
@@ -162,21 +125,14 @@
   }
 
   #request(step: Extract<SoakStep, { readonly kind: "request" }>): void {
-    this.counts.requests += 1;
-    const request = requestId(`request-${this.counts.requests}`);
     const adapter = adapterOf(step.adapter, step.version);
-    this.#open.set(request, {
-      adapter,
-      class: step.class,
-      arrivedAt: this.#now,
-      state: "waiting",
-      engine: undefined,
-    });
+    const asked = { adapter, class: step.class };
+    const request = this.#requests.add(this.#now, asked);
     this.#arrive(request, step.tenant);
   }
 
   #arrive(request: RequestId, tenant: number): void {
-    const open = this.#find(request);
+    const open = this.#requests.find(request);
     this.#tell({
       kind: "request_arrived",
       queued: {
@@ -194,7 +150,7 @@
   }
 
   #cancel(choice: number): void {
-    const [request, open] = pick([...this.#open], choice) ?? [];
+    const [request, open] = pick(this.#requests.open, choice) ?? [];
     if (request === undefined || open === undefined) return;
     if (open.state === "cancelling") return;
     this.#tell({ kind: "request_cancelled", request });
@@ -202,17 +158,17 @@
       open.state = "cancelling";
       return;
     }
-    this.counts.cancelled += 1;
-    this.#open.delete(request);
+    this.#requests.cancelled(request);
   }
 
   #endLoad(choice: number, loaded: boolean): void {
-    const [engine, key] = pick(this.#everywhere("loading"), choice) ?? [];
+    const [engine, key] = pick(this.#engines.everywhere("loading"), choice) ??
+      [];
     if (engine === undefined || key === undefined) return;
     const adapter = engine.loading.get(key);
     if (adapter === undefined) return;
     engine.endLoad(key, loaded);
-    if (!loaded) this.counts.failedLoads += 1;
+    if (!loaded) this.#requests.counts.failedLoads += 1;
     this.#tell({
       kind: "load_ended",
       engine: engine.engine,
@@ -222,7 +178,8 @@
   }
 
   #endEviction(choice: number, evicted: boolean): void {
-    const [engine, key] = pick(this.#everywhere("evicting"), choice) ?? [];
+    const [engine, key] = pick(this.#engines.everywhere("evicting"), choice) ??
+      [];
     if (engine === undefined || key === undefined) return;
     const adapter = engine.evicting.get(key);
     if (adapter === undefined) return;
@@ -236,7 +193,7 @@
   }
 
   #firstToken(choice: number): void {
-    const [engine, request] = pick(this.#allRunning(), choice) ?? [];
+    const [engine, request] = pick(this.#engines.running(), choice) ?? [];
     if (engine === undefined || request === undefined) return;
     const running = engine.running.get(request);
     if (running === undefined || running.hasFirstToken) return;
@@ -245,10 +202,10 @@
   }
 
   #endRequest(choice: number): void {
-    const [engine, request] = pick(this.#allRunning(), choice) ?? [];
+    const [engine, request] = pick(this.#engines.running(), choice) ?? [];
     if (engine === undefined || request === undefined) return;
     engine.running.delete(request);
-    this.#close(request);
+    this.#requests.close(request);
     this.#tell({
       kind: "request_ended",
       engine: engine.engine,
@@ -257,23 +214,16 @@
     });
   }
 
-  #close(request: RequestId): void {
-    const open = this.#find(request);
-    if (open.state === "cancelling") this.counts.cancelled += 1;
-    else this.counts.answered += 1;
-    this.#open.delete(request);
-  }
-
   #stop(index: number): void {
-    const engine = this.#engines.get(idOf(index));
+    const engine = this.#engines.find(idOf(index));
     if (engine === undefined) return;
-    this.counts.restarts += 1;
-    this.#engines.delete(engine.engine);
+    this.#requests.counts.restarts += 1;
+    this.#engines.remove(engine.engine);
     this.#tell({ kind: "engine_left", engine: engine.engine });
     for (const [request, { hasFirstToken }] of engine.running) {
-      const open = this.#find(request);
+      const open = this.#requests.find(request);
       if (hasFirstToken || open.state === "cancelling") {
-        this.#close(request);
+        this.#requests.close(request);
         continue;
       }
       open.state = "waiting";
@@ -285,12 +235,12 @@
   #start(index: number): void {
     const engine = idOf(index);
     const capacity = { adapterSlots: 2 + 2 * index, batchCapacity: 2 + index };
-    this.#engines.set(engine, new SoakEngine(engine, capacity));
+    this.#engines.start(engine, capacity);
     this.#tell({ kind: "engine_started", engine, capacity });
   }
 
   #report(step: Extract<SoakStep, { readonly kind: "report" }>): void {
-    const engine = this.#engines.get(idOf(step.engine));
+    const engine = this.#engines.find(idOf(step.engine));
     if (engine === undefined) return;
     this.#tell({
       kind: "engine_reported",
@@ -318,7 +268,7 @@
   #decide(): void {
     for (const order of this.#policy.decide(this.#now)) this.#carryOut(order);
     this.#policy.nextWake(this.#now);
-    const loading = this.#everywhere("loading").length;
+    const loading = this.#engines.everywhere("loading").length;
     assertInvariant(
       loading <= CONCURRENT_LOADS,
       "loads_within_weight_store_limits",
@@ -328,99 +278,26 @@
 
   #carryOut(order: DeploymentOrder): void {
     switch (order.kind) {
-      case "dispatch":
-        this.#dispatch(order.engine, order.request);
+      case "dispatch": {
+        const { engine, request } = order;
+        const adapter = this.#requests.dispatch(request, engine);
+        this.#engines.live(engine).dispatch(request, adapter);
         break;
+      }
       case "load":
-        this.counts.loads += 1;
-        this.#engine(order.engine).load(order.adapter);
+        this.#requests.counts.loads += 1;
+        this.#engines.live(order.engine).load(order.adapter);
         break;
       case "evict":
-        this.counts.evictions += 1;
-        this.#engine(order.engine).evict(order.adapter);
+        this.#requests.counts.evictions += 1;
+        this.#engines.live(order.engine).evict(order.adapter);
         break;
       case "preempt":
-        this.counts.preemptions += 1;
+        this.#requests.counts.preemptions += 1;
         break;
       case "refuse":
-        this.#refuse(order.request);
+        this.#requests.refuse(order.request);
         break;
     }
   }
-
-  #dispatch(engine: EngineId, request: RequestId): void {
-    const open = this.#find(request);
-    assertInvariant(
-      open.engine === undefined || open.engine === engine,
-      "runs_at_one_engine",
-      () => `${request} runs at ${open.engine ?? ""} already.`,
-    );
-    this.#engine(engine).dispatch(request, open.adapter);
-    open.engine = engine;
-    if (open.state === "waiting") open.state = "dispatched";
-  }
-
-  #refuse(request: RequestId): void {
-    const open = this.#find(request);
-    assertInvariant(
-      open.engine === undefined,
-      "refused_was_not_run",
-      () => `${request} runs at ${open.engine ?? ""}.`,
-    );
-    this.counts.refused += 1;
-    this.#open.delete(request);
-  }
-
-  #find(request: RequestId): OpenRequest {
-    const open = this.#open.get(request);
-    assertInvariant(
-      open !== undefined,
-      "request_ends_once",
-      () => `${request} has ended.`,
-    );
-    return open;
-  }
-
-  #engine(id: EngineId): SoakEngine {
-    const engine = this.#engines.get(id);
-    assertInvariant(
-      engine !== undefined,
-      "orders_only_to_live_engines",
-      () => id,
-    );
-    return engine;
-  }
-
-  #everywhere(
-    what: "loading" | "evicting",
-  ): readonly (readonly [SoakEngine, AdapterKey])[] {
-    return [...this.#engines.values()].flatMap((engine) =>
-      [...engine[what].keys()].map((key) => [engine, key] as const)
-    );
-  }
-
-  #allRunning(): readonly (readonly [SoakEngine, RequestId])[] {
-    return [...this.#engines.values()].flatMap((engine) =>
-      [...engine.running.keys()].map((key) => [engine, key] as const)
-    );
-  }
-}
-
-function idOf(index: number): EngineId {
-  return engineId(`engine-${index}`);
-}
-
-function classOf(index: number): ClassId {
-  return classId(`class-${index}`);
-}
-
-function adapterOf(adapter: number, version: number): AdapterReference {
-  return {
-    adapter: adapterId(`adapter-${adapter}`),
-    version: adapterVersion(`v${version + 1}`),
-  };
-}
-
-function pick<Item>(items: readonly Item[], choice: number): Item | undefined {
-  return items[choice % Math.max(1, items.length)];
 }
