--- a/packages/bench/src/soak/stream_world.ts
+++ b/packages/bench/src/soak/stream_world.ts
@@ -10,10 +10,14 @@
   type Failure,
   instant,
   RequestDelivery,
-  type RequestId,
   requestId,
   RetryBudget,
 } from "@foxtailwind/core";
+import {
+  type CallerView,
+  checkCaller,
+  type EngineRun,
+} from "./stream_caller.ts";
 import type { OutcomeTimeline } from "./outcome_timeline.ts";
 
 const ADAPTER: AdapterReference = {
@@ -25,21 +29,6 @@
 const FRAME_TOKENS = 3;
 const MOST_TOKENS = 12;
 
-/** One run of a request at the engine: its tokens name it. */
-interface EngineRun {
-  readonly tokens: readonly string[];
-  lost: boolean;
-}
-
-interface CallerView {
-  readonly request: RequestId;
-  readonly repeatable: boolean;
-  readonly delivery: RequestDelivery;
-  readonly runs: EngineRun[];
-  readonly got: string[];
-  readonly ends: DeliveryAction[];
-}
-
 /** Streams of generations over a path that loses, repeats and reorders. */
 export class StreamWorld {
   readonly #timeline: OutcomeTimeline;
@@ -270,44 +259,6 @@
   }
 }
 
-function checkCaller(caller: CallerView): void {
-  const { request, repeatable, runs, got, ends } = caller;
-  assertInvariant(
-    repeatable || runs.length <= 1,
-    "at_most_once",
-    () => `${request} ran ${runs.length} times.`,
-  );
-  const source = runs.find((run) => startsWith(run.tokens, got));
-  assertInvariant(
-    got.length === 0 || source !== undefined,
-    "own_answer_only",
-    () => `${request} got ${got.join(" ")}.`,
-  );
-  for (const end of ends) {
-    const isWhole = end.kind !== "complete" ||
-      runs.some((run) => run.tokens.join() === got.join());
-    assertInvariant(
-      isWhole,
-      "answer_is_whole",
-      () => `${request} ended after ${got.length} tokens.`,
-    );
-    const isTrue = end.kind !== "fail" || end.failure.outcome !== "not_run" ||
-      runs.length === 0;
-    assertInvariant(
-      isTrue,
-      "not_run_means_not_run",
-      () => `${request} ran, but its caller was told otherwise.`,
-    );
-  }
-}
-
-function startsWith(
-  tokens: readonly string[],
-  got: readonly string[],
-): boolean {
-  return got.every((token, place) => tokens[place] === token);
-}
-
 function failure(
   reason: Failure["reason"],
   outcome: Failure["outcome"],
