--- a/packages/bench/src/soak/key_world.ts
+++ b/packages/bench/src/soak/key_world.ts
@@ -12,6 +12,7 @@
   scopePrefix,
 } from "@foxtailwind/core";
 import { err, ok } from "neverthrow";
+import { answerOf, checkCall, type KeyWorldCall } from "./key_world_call.ts";
 import { KeyWorldLog } from "./key_world_log.ts";
 import {
   KEY_WINDOW,
@@ -25,18 +26,8 @@
 const LATEST_PLAIN_RETRY = KEY_WINDOW / 2;
 const LATEST_RETRY = KEY_WINDOW * 3;
 
-/** One call of a caller; a retry is another call with the same key. */
-interface Call {
-  readonly key: ExecutionKey;
-  readonly body: string;
-  readonly sentAt: number;
-  readonly answers: RunResult[];
-  /** Whether the node that took it was killed before it answered. */
-  cut: boolean;
-}
-
 interface Taken {
-  readonly call: Call;
+  readonly call: KeyWorldCall;
   readonly keyed: KeyedCall;
   readonly reply: (result: RunResult) => void;
 }
@@ -47,8 +38,8 @@
   readonly #log: KeyWorldLog;
   readonly #surroundings: KeyWorldSurroundings;
   readonly #nodes: KeyWorldNode[];
-  readonly #calls: Call[] = [];
-  readonly #runs = new Map<string, Call[]>();
+  readonly #calls: KeyWorldCall[] = [];
+  readonly #runs = new Map<string, KeyWorldCall[]>();
   readonly #taken = new Map<KeyWorldNode, Map<number, Taken>>();
   #incarnations = 0;
   #tickets = 0;
@@ -140,7 +131,9 @@
         () => `Key ${key} ran ${runs.length} times.`,
       );
     }
-    for (const call of this.#calls) this.#checkCall(call);
+    for (const call of this.#calls) {
+      checkCall(call, this.#runs.get(call.key.key) ?? []);
+    }
   }
 
   /** Checks that every call that was not cut off has its only answer. */
@@ -154,29 +147,6 @@
     }
   }
 
-  #checkCall(call: Call): void {
-    const runs = this.#runs.get(call.key.key) ?? [];
-    for (const answer of call.answers) {
-      const told = answer.isOk() ? "ran" : answer.error.outcome;
-      assertInvariant(
-        told !== "not_run" || !runs.includes(call),
-        "not_run_means_not_run",
-        () => `A call of key ${call.key.key} ran in spite of its answer.`,
-      );
-      assertInvariant(
-        told !== "ran" || runs.length === 1,
-        "ran_means_ran",
-        () => `Key ${call.key.key} ran ${runs.length} times.`,
-      );
-      const text = answer.isOk() ? Buffer.from(answer.value).toString() : "";
-      assertInvariant(
-        answer.isErr() || text === answerOf(call),
-        "own_answer_only",
-        () => `A call of key ${call.key.key} got "${text}".`,
-      );
-    }
-  }
-
   #newKey(kind: "bound" | "epoch" | "plain"): ExecutionKey {
     const own = `key-${this.#calls.length}`;
     const node = this.#timeline.pick(this.#nodes);
@@ -189,7 +159,7 @@
   }
 
   #send(key: ExecutionKey, body: string): void {
-    const call: Call = {
+    const call: KeyWorldCall = {
       key,
       body,
       sentAt: this.#timeline.now,
@@ -203,7 +173,7 @@
 
   #take(
     node: KeyWorldNode,
-    call: Call,
+    call: KeyWorldCall,
     reply: (result: RunResult) => void,
     forPeer?: KeyedCall["forPeer"],
   ): void {
@@ -234,13 +204,13 @@
     });
   }
 
-  #countRun(call: Call): void {
+  #countRun(call: KeyWorldCall): void {
     const runs = this.#runs.get(call.key.key) ?? [];
     runs.push(call);
     this.#runs.set(call.key.key, runs);
   }
 
-  #resultOf(call: Call, refused: boolean): RunResult {
+  #resultOf(call: KeyWorldCall, refused: boolean): RunResult {
     if (refused) return err(failureOf("not_run"));
     if (this.#timeline.random.happens(0.15)) return err(failureOf("unknown"));
     return ok(Buffer.from(answerOf(call)));
@@ -303,10 +273,6 @@
   }
 }
 
-function answerOf(call: Call): string {
-  return `${call.key.key} ran with ${call.body}`;
-}
-
 function failureOf(outcome: Failure["outcome"]): Failure {
   return {
     reason: "unavailable",
