--- a/packages/bench/src/soak/ownership_run.ts
+++ b/packages/bench/src/soak/ownership_run.ts
@@ -1,5 +1,4 @@
 import {
-  assertInvariant,
   DEFAULT_OWNERSHIP_TIMING,
   engineId,
   type Member,
@@ -13,6 +12,11 @@
 import type { Fault } from "./fault.ts";
 import { FAULTS_END, type Scenario } from "./scenario.ts";
 import { domain, membersOf } from "./members.ts";
+import {
+  checkHolders,
+  checkSettled,
+  type OwnershipState,
+} from "./ownership_checks.ts";
 import { Timeline } from "./timeline.ts";
 import { VirtualEngine } from "./virtual_engine.ts";
 import { VirtualLog } from "./virtual_log.ts";
@@ -85,9 +89,17 @@
       this.#log.calm();
     });
     this.#timeline.runUntil(FAULTS_END + SETTLE_MILLISECONDS, (now) => {
-      if (now % CHECK_MILLISECONDS === 0) this.#checkHolders();
+      if (now % CHECK_MILLISECONDS === 0) checkHolders(this.#state);
     });
-    this.#checkSettled();
+    checkSettled(this.#state);
+  }
+
+  get #state(): OwnershipState {
+    return {
+      engines: this.#engines,
+      nodes: this.#nodes,
+      now: this.#timeline.now,
+    };
   }
 
   /** Chance faults end with the planned ones. */
@@ -167,7 +179,7 @@
     );
     if (engine === undefined) return;
     this.#orders += 1;
-    this.#checkHolders();
+    checkHolders(this.#state);
     const longest = engine.description.checksFencing
       ? LATE_ORDER_MILLISECONDS
       : BASE_TIMING.orderFlight;
@@ -267,37 +279,4 @@
       node.restart();
     });
   }
-
-  #checkHolders(): void {
-    for (const { description } of this.#engines) {
-      const holders = this.#nodes.filter((node) =>
-        node.isAlive &&
-        node.agent.current(description.engine, node.now()).isOk()
-      );
-      assertInvariant(
-        holders.length <= 1,
-        "one_holder_of_the_right",
-        () => {
-          const names = holders.map((one) => one.self.node).join(" and ");
-          return `${names} for ${description.engine} at ${this.#timeline.now}`;
-        },
-      );
-    }
-  }
-
-  #checkSettled(): void {
-    for (const engine of this.#engines) {
-      const { description } = engine;
-      const holder = this.#nodes.find((node) =>
-        node.isAlive &&
-        node.agent.current(description.engine, node.now()).isOk()
-      );
-      assertInvariant(
-        holder !== undefined && engine.lastBy !== undefined &&
-          engine.lastBy.node === holder.self.node,
-        "each_engine_gets_a_controller",
-        () => `${description.engine} has ${holder?.self.node ?? "none"}`,
-      );
-    }
-  }
 }
