--- a/packages/node/src/serving/generation_router.ts
+++ b/packages/node/src/serving/generation_router.ts
@@ -5,7 +5,6 @@
   type EngineController,
   type EngineId,
   engineId,
-  type Failure,
   later,
   milliseconds,
   type ModelId,
@@ -33,6 +32,12 @@
 import type { GenerationRequest } from "./generation_request.ts";
 import type { OrderRight } from "./order_right.ts";
 import type { LoadPermits } from "./permits/load_permits.ts";
+import {
+  cannotMeetTarget,
+  leftUnplaced,
+  noEngine,
+  unroutable,
+} from "./routing_failures.ts";
 import { UnplacedRequests } from "./unplaced_requests.ts";
 import { SummaryWatcher } from "./summaries/summary_watcher.ts";
 
@@ -79,13 +84,10 @@
     this.#unplaced = new UnplacedRequests(parts.clock, {
       place: (generation, sink) => this.#place(generation, sink),
       expired: (generation, sink) => {
-        sink.onEnd(err(this.#noEngine(generation)));
+        sink.onEnd(err(noEngine(this.#parts.self, generation.model)));
       },
       cancelled: (sink) => {
-        sink.onEnd(err({
-          ...this.#unavailable("The caller left."),
-          reason: "cancelled",
-        }));
+        sink.onEnd(err(leftUnplaced(parts.self)));
       },
     });
     parts.assignment.onChange(() => {
@@ -120,7 +122,7 @@
     const isServed = directory.live("engine")
       .some((vm) => vm.role.model === generation.model);
     if (!isServed) {
-      sink.onEnd(err(this.#noEngine(generation)));
+      sink.onEnd(err(noEngine(this.#parts.self, generation.model)));
       return FINISHED;
     }
     const wait = Math.min(generation.firstTokenTarget, LONGEST_UNPLACED);
@@ -145,7 +147,9 @@
   ): GenerationHandle {
     const runner = this.#runners.find(engine);
     if (runner === undefined) {
-      sink.onEnd(err(this.#unavailable(`Engine ${engine} is not held here.`)));
+      sink.onEnd(
+        err(unroutable(this.#parts.self, `Engine ${engine} is not held here.`)),
+      );
       return FINISHED;
     }
     return runner.submit(generation, sink);
@@ -208,7 +212,7 @@
       case "engine":
         return this.#bring(generation, sink, choice);
       case "refuse":
-        sink.onEnd(err(this.#overloaded(choice.retryAfter)));
+        sink.onEnd(err(cannotMeetTarget(this.#parts.self, choice.retryAfter)));
         return FINISHED;
       case "no_engine":
         return undefined;
@@ -236,7 +240,7 @@
     const peer = this.#parts.directory.live("entry")
       .find((vm) => vm.id === node);
     if (peer === undefined) {
-      sink.onEnd(err(this.#unavailable(`Node ${node} is gone.`)));
+      sink.onEnd(err(unroutable(this.#parts.self, `Node ${node} is gone.`)));
       return FINISHED;
     }
     const { adapter, firstTokenTarget } = generation;
@@ -264,33 +268,8 @@
       if (!isOwn && isHeld) this.stopControlling(engine);
     }
   }
-
-  #noEngine(generation: GenerationRequest): Failure {
-    return this.#unavailable(`No engine runs ${generation.model}.`);
-  }
-
-  #overloaded(retryAfter: number): Failure {
-    return {
-      ...this.#unavailable("The class's target cannot be met now."),
-      reason: "overloaded",
-      step: "admit",
-      retryAfterMilliseconds: Math.ceil(retryAfter),
-    };
-  }
-
-  #unavailable(message: string): Failure {
-    return {
-      reason: "unavailable",
-      step: "route",
-      peer: this.#parts.self,
-      message,
-      outcome: "not_run",
-      retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS,
-    };
-  }
 }
 
-const RETRY_AFTER_MILLISECONDS = 1_000;
 /** A change of an engine's controller should not take longer. */
 const LONGEST_UNPLACED = 2_000;
 
--- /dev/null
+++ b/packages/node/src/serving/routing_failures.ts
@@ -0,0 +1,54 @@
+import type { Failure, ModelId, NodeId } from "@foxtailwind/core";
+
+const RETRY_AFTER_MILLISECONDS = 1_000;
+
+/**
+ * Describes a request that could not be brought to an engine.
+ * @param self This node.
+ * @param message What stood in the way.
+ * @returns The failure.
+ */
+export function unroutable(self: NodeId, message: string): Failure {
+  return {
+    reason: "unavailable",
+    step: "route",
+    peer: self,
+    message,
+    outcome: "not_run",
+    retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS,
+  };
+}
+
+/**
+ * Describes a request whose model no engine runs.
+ * @param self This node.
+ * @param model The model.
+ * @returns The failure.
+ */
+export function noEngine(self: NodeId, model: ModelId): Failure {
+  return unroutable(self, `No engine runs ${model}.`);
+}
+
+/**
+ * Describes a request whose caller left before an engine was found.
+ * @param self This node.
+ * @returns The failure.
+ */
+export function leftUnplaced(self: NodeId): Failure {
+  return { ...unroutable(self, "The caller left."), reason: "cancelled" };
+}
+
+/**
+ * Describes a request that no engine would answer within its target.
+ * @param self This node.
+ * @param retryAfter When its caller may come back, in milliseconds.
+ * @returns The failure.
+ */
+export function cannotMeetTarget(self: NodeId, retryAfter: number): Failure {
+  return {
+    ...unroutable(self, "The class's target cannot be met now."),
+    reason: "overloaded",
+    step: "admit",
+    retryAfterMilliseconds: Math.ceil(retryAfter),
+  };
+}
