--- a/packages/bench/src/policy/simulation/deployment_simulation.ts
+++ b/packages/bench/src/policy/simulation/deployment_simulation.ts
@@ -25,7 +25,7 @@
 import { EngineReporter } from "./engine_reporter.ts";
 import { EventQueue } from "./event_queue.ts";
 import { RequestLedger } from "./request_ledger.ts";
-import { PolicyInbox } from "./policy_inbox.ts";
+import { PolicyInbox, requestArrived } from "./policy_inbox.ts";
 import { SimulatedEngines } from "./simulated_engines.ts";
 import { SimulatedLoads } from "./simulated_loads.ts";
 
@@ -165,20 +165,8 @@
   }
 
   #offer(work: WorkloadRequest, waitedBefore: Duration): void {
-    this.#inbox.tell({
-      kind: "request_arrived",
-      queued: {
-        request: work.request,
-        adapter: work.adapter,
-        class: work.class,
-        tenant: work.tenant,
-        firstTokenTarget: this.#target(work),
-        waitedBefore,
-        promptTokens: work.promptTokens,
-        maximumTokens: work.outputTokens,
-        prefixHash: work.prefixHash,
-      },
-    });
+    const firstTokenTarget = this.#target(work);
+    this.#inbox.tell(requestArrived(work, { firstTokenTarget, waitedBefore }));
   }
 
   #target(work: WorkloadRequest): Duration {
--- a/packages/bench/src/policy/simulation/policy_inbox.ts
+++ b/packages/bench/src/policy/simulation/policy_inbox.ts
@@ -1,4 +1,5 @@
 import { type DeploymentEvent, type Duration, later } from "@foxtailwind/core";
+import type { WorkloadRequest } from "../workloads/workload.ts";
 import type { EventQueue } from "./event_queue.ts";
 
 /** The events that the policy is to learn of at its next decision. */
@@ -41,3 +42,31 @@
     return events;
   }
 }
+
+/**
+ * Describes the arrival of a request.
+ * @param work The request.
+ * @param times Its class's target, and how long it has waited elsewhere.
+ * @returns The event.
+ */
+export function requestArrived(
+  work: WorkloadRequest,
+  times: {
+    readonly firstTokenTarget: Duration;
+    readonly waitedBefore: Duration;
+  },
+): DeploymentEvent {
+  return {
+    kind: "request_arrived",
+    queued: {
+      request: work.request,
+      adapter: work.adapter,
+      class: work.class,
+      tenant: work.tenant,
+      ...times,
+      promptTokens: work.promptTokens,
+      maximumTokens: work.outputTokens,
+      prefixHash: work.prefixHash,
+    },
+  };
+}
