--- a/packages/core/src/configuration/snapshot_schedule.ts
+++ b/packages/core/src/configuration/snapshot_schedule.ts
@@ -15,9 +15,6 @@
   grace: seconds(15),
 } as const;
 
-/** The schedule of snapshots. */
-export type SnapshotSchedule = typeof SNAPSHOT_SCHEDULE;
-
 /** What decides whether a snapshot is due. */
 export interface SnapshotView {
   readonly now: Instant;
--- a/packages/core/src/observation/request_observer.ts
+++ b/packages/core/src/observation/request_observer.ts
@@ -27,10 +27,3 @@
   /** The share of the batch in use, 0 to 1. */
   readonly fill: number;
 }
-
-/** Takes note of nothing. */
-export class SilentObserver extends RequestObserver {
-  override record(): void {
-    // Nothing is kept.
-  }
-}
--- a/packages/node/src/drain/hand_over.ts
+++ b/packages/node/src/drain/hand_over.ts
@@ -1,5 +1,5 @@
 import type { Failure } from "@foxtailwind/core";
-import { ok, type Result } from "neverthrow";
+import type { Result } from "neverthrow";
 
 /** Lets go of what this node holds for the others, when it stops. */
 export abstract class HandOver {
@@ -16,14 +16,3 @@
    */
   abstract releaseEngines(): Promise<Result<void, Failure>>;
 }
-
-/** For a node that has no peers to tell. */
-export class NothingToHandOver extends HandOver {
-  override announceLeaving(): Promise<Result<void, Failure>> {
-    return Promise.resolve(ok(undefined));
-  }
-
-  override releaseEngines(): Promise<Result<void, Failure>> {
-    return Promise.resolve(ok(undefined));
-  }
-}
