A stopped node sends no cluster message

Cause: once in a loaded run a test ended with an unhandled rejection, since a heartbeat was sent after the channels had closed and the library threw within the promise. Change: the transport answers that it did not come.

--- a/packages/node/src/cluster/cluster_transport.ts
+++ b/packages/node/src/cluster/cluster_transport.ts
@@ -35,6 +35,10 @@
     const client = this.#client(outgoing.to.address);
     const deadline = Date.now() + DEADLINE_MILLISECONDS;
     return new Promise((resolve) => {
+      if (this.#channels.isClosed) {
+        resolve(false);
+        return;
+      }
       client.deliver(
         toEnvelope(outgoing.message),
         new Metadata(),
--- a/packages/node/src/peers/peer_channels.ts
+++ b/packages/node/src/peers/peer_channels.ts
@@ -10,6 +10,12 @@
 /** Keeps one gRPC connection to each peer, which all services share. */
 export class PeerChannels {
   readonly #channels = new Map<string, Channel>();
+  #isClosed = false;
+
+  /** Whether the node has stopped, and calls no peer any more. */
+  get isClosed(): boolean {
+    return this.#isClosed;
+  }
 
   /**
    * Gives the connection to a peer.
@@ -42,6 +48,7 @@
 
   /** Closes all connections. */
   close(): void {
+    this.#isClosed = true;
     this.retain(new Set());
   }
 }
