The daemon asks for a young space of 64 MiB

Cause: the node used more than its one thread's core at full load; part of the rest is presumably garbage collection, whose young space fills fast. The memory it costs was not measured.

--- a/packages/bench/src/demo/child_program.ts
+++ b/packages/bench/src/demo/child_program.ts
@@ -20,10 +20,16 @@
    * @param name What to call it in errors.
    * @param script The path of its entry script.
    * @param parameters Its command line.
+   * @param flags Flags of the runtime that runs it.
    */
-  constructor(name: string, script: string, parameters: readonly string[]) {
+  constructor(
+    name: string,
+    script: string,
+    parameters: readonly string[],
+    flags: readonly string[] = [],
+  ) {
     this.name = name;
-    const child = spawn(process.execPath, [script, ...parameters], {
+    const child = spawn(process.execPath, [...flags, script, ...parameters], {
       stdio: ["ignore", "pipe", "inherit"],
     });
     this.#child = child;
--- a/packages/bench/src/demo/node_process.ts
+++ b/packages/bench/src/demo/node_process.ts
@@ -20,6 +20,8 @@
   ready: z.object({ http: z.string(), grpc: z.string() }),
 });
 
+/** Those in the first line of the daemon's entry script. */
+const RUNTIME_FLAGS = ["--max-semi-space-size=64"];
 const ANY_PORT = "127.0.0.1:0";
 
 /** A daemon as a process of its own. */
@@ -62,6 +64,7 @@
       plan.id,
       programPath("@foxtailwind/node"),
       ["--settings", file],
+      RUNTIME_FLAGS,
     );
     const { ready } = readyLine.parse(await program.nextLine());
     return new NodeProcess(plan, program, ready);
--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -1,4 +1,4 @@
-#!/usr/bin/env node
+#!/usr/bin/env -S node --max-semi-space-size=64
 import process from "node:process";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
