An engine that refuses connections is left out, and another serves

Change: a refused connection takes the engine out of the router's views and of the summaries to other nodes until it reports again.

--- a/packages/node/src/serving/engine_generations.ts
+++ b/packages/node/src/serving/engine_generations.ts
@@ -18,7 +18,7 @@
 import { err, type Result } from "neverthrow";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { EngineStateFollower } from "./engine_state_follower.ts";
-import type { EngineWatch } from "./engine_watch.ts";
+import { type EngineWatch, isRefusal } from "./engine_watch.ts";
 import { describeGeneration } from "./generation_estimates.ts";
 import {
   callerLeft,
@@ -228,6 +228,10 @@
       void this.#resyncAndRetry(held);
       return;
     }
+    // Before the end, so that another attempt finds another engine.
+    if (result.isErr() && isRefusal(result.error)) {
+      this.#parts.follower.onRefused();
+    }
     this.#end(held.generation.request, result);
     if (result.isErr()) void this.#parts.watch.readState();
     this.#parts.changed();
--- a/packages/node/src/serving/engine_runner.ts
+++ b/packages/node/src/serving/engine_runner.ts
@@ -58,6 +58,7 @@
   readonly #wishes: WishOffer;
   #controller: EngineController;
   #controlledSince: Instant = CLOCK_START;
+  #isReachable = true;
 
   private constructor(parts: EngineRunnerParts, found: EngineState) {
     this.#parts = parts;
@@ -74,6 +75,9 @@
       restarted: (state) => {
         this.#restarted(state);
       },
+      reachable: (isReachable) => {
+        this.#setReachable(isReachable);
+      },
     });
     this.#watch = new EngineWatch({
       engine: parts.engine,
@@ -116,6 +120,21 @@
     return this.#controller;
   }
 
+  /** Whether the engine takes connections, as far as is known. */
+  get isReachable(): boolean {
+    return this.#isReachable;
+  }
+
+  #setReachable(isReachable: boolean): void {
+    if (isReachable === this.#isReachable) return;
+    this.#isReachable = isReachable;
+    const { engine, logger, views } = this.#parts;
+    if (isReachable) views.put(this.#controller);
+    else views.drop(this.#controller);
+    const word = isReachable ? "is reached again" : "refuses connections";
+    logger.warn(`An engine ${word}.`, { engine });
+  }
+
   /**
    * Queues a request; its answer goes to the sink.
    * @param generation The request.
--- a/packages/node/src/serving/engine_runners.ts
+++ b/packages/node/src/serving/engine_runners.ts
@@ -32,6 +32,12 @@
     return [...this.#runners.values()].map((runner) => runner.controller);
   }
 
+  /** The controllers of the engines that take connections. */
+  get reachable(): Iterable<EngineController> {
+    return [...this.#runners.values()].filter((runner) => runner.isReachable)
+      .map((runner) => runner.controller);
+  }
+
   /**
    * Finds an engine's runner.
    * @param engine The engine.
--- a/packages/node/src/serving/engine_state_follower.ts
+++ b/packages/node/src/serving/engine_state_follower.ts
@@ -29,6 +29,8 @@
   readonly controlledSince: () => Instant;
   readonly isHeld: (request: RequestId) => boolean;
   readonly restarted: (state: EngineState) => void;
+  /** Learns whether the engine takes connections. */
+  readonly reachable: (isReachable: boolean) => void;
 }
 
 /** Brings what an engine publishes to its controller. */
@@ -65,7 +67,12 @@
     return this.#orphans.delete(request);
   }
 
+  override onRefused(): void {
+    this.#parts.reachable(false);
+  }
+
   override onReport(report: EngineLoadReport): void {
+    this.#parts.reachable(true);
     const { clock, engine, observer } = this.#parts;
     observer.recordBatch(clock.now(), { engine, fill: report.batchFill });
     this.#parts.controller().reported(clock.now(), {
--- a/packages/node/src/serving/engine_watch.ts
+++ b/packages/node/src/serving/engine_watch.ts
@@ -1,4 +1,4 @@
-import type { EngineId } from "@foxtailwind/core";
+import type { EngineId, Failure } from "@foxtailwind/core";
 import type {
   CacheEvent,
   EngineClient,
@@ -13,6 +13,10 @@
 export abstract class EngineWatcher {
   /** @param report The engine's load, which lags. */
   abstract onReport(report: EngineLoadReport): void;
+
+  /** The engine refuses connections. */
+  abstract onRefused(): void;
+
   /** @param events Changes of its prefix cache, late and with gaps. */
   abstract onCacheEvents(events: readonly CacheEvent[]): void;
   /** @param state The engine's state after it has started anew. */
@@ -56,7 +60,11 @@
   /** Reads the engine's state now, as after a sign of a restart. */
   async readState(): Promise<void> {
     const state = await this.#parts.client.readState();
-    if (state.isErr() || this.#stopped) return;
+    if (this.#stopped) return;
+    if (state.isErr()) {
+      this.#failed(state.error);
+      return;
+    }
     if (state.value.bootId !== this.#bootId) {
       this.#bootId = state.value.bootId;
       this.#lastSequence = 0;
@@ -75,10 +83,18 @@
     return this.#stopped;
   }
 
+  #failed(failure: Failure): void {
+    if (isRefusal(failure)) this.#parts.watcher.onRefused();
+  }
+
   async #poll(): Promise<void> {
     const { client, watcher } = this.#parts;
     const report = await client.readLoad();
-    if (report.isErr() || this.#isStopped()) return;
+    if (this.#isStopped()) return;
+    if (report.isErr()) {
+      this.#failed(report.error);
+      return;
+    }
     if (report.value.bootId !== this.#bootId) {
       await this.readState();
       return;
@@ -91,3 +107,12 @@
     if (events.value.length > 0) watcher.onCacheEvents(events.value);
   }
 }
+
+/**
+ * Tells whether an engine could not be reached at all.
+ * @param failure Why a call to it failed.
+ * @returns Whether the connection was refused.
+ */
+export function isRefusal(failure: Failure): boolean {
+  return failure.reason === "unavailable" && failure.outcome === "not_run";
+}
--- a/packages/node/src/serving/generation_router.ts
+++ b/packages/node/src/serving/generation_router.ts
@@ -95,6 +95,11 @@
     });
   }
 
+  /** The controllers of the engines that take connections. */
+  get reachableControllers(): Iterable<EngineController> {
+    return this.#runners.reachable;
+  }
+
   /** The controllers of the engines that this node controls. */
   get controllers(): Iterable<EngineController> {
     return this.#runners.controllers;
--- a/packages/node/src/serving/serving_parts.ts
+++ b/packages/node/src/serving/serving_parts.ts
@@ -62,7 +62,9 @@
       aggregates,
     });
     this.#permitService = new PermitService(this.permits);
-    this.#summaries = new SummaryService(() => this.controllers);
+    this.#summaries = new SummaryService(
+      () => this.router.reachableControllers,
+    );
   }
 
   /** The controllers of the engines that this node controls. */
--- a/packages/node/tests/serving/engine_restart_test.ts
+++ b/packages/node/tests/serving/engine_restart_test.ts
@@ -8,10 +8,11 @@
 
 async function start(
   engineSettings: readonly string[] = [],
+  engines = 1,
 ): Promise<TestCluster> {
   const cluster = await startTestCluster({
     nodes: 1,
-    engines: 1,
+    engines,
     engineSettings,
   });
   await cluster.publish([
@@ -92,3 +93,25 @@
   await until(async () => await ask(cluster, "other") === 200);
   t.is(engine?.readCounters().evictedInUse, 0);
 });
+
+test("an engine that refuses connections is left out, and another serves", async (t) => {
+  const cluster = await start([], 2);
+  t.teardown(() => cluster.close());
+  await until(async () => await ask(cluster) === 200);
+  const started = cluster.engines.map((engine) =>
+    engine.readCounters().generationsStarted
+  );
+  t.is(await ask(cluster), 200);
+  const home = cluster.engines.find((engine, index) =>
+    engine.readCounters().generationsStarted !== started[index]
+  );
+  home?.setFaults({ outage: "refuse" });
+  const answers = await Promise.all(
+    Array.from({ length: 8 }, () => ask(cluster)),
+  );
+  t.deepEqual(answers, answers.map(() => 200));
+  home?.setFaults({ outage: "none" });
+  await until(() =>
+    [...cluster.nodes[0]?.daemon.router.reachableControllers ?? []].length === 2
+  );
+});
