Start and list daemons in one place for the demonstration and the benches

Cause: the demonstration and the fault bench each held the same loop that starts daemons, and publishing repeated the JSON call. Change: startNodes and listNodes beside the node's process; publishing calls postJson.

--- a/packages/bench/src/demo/demo_cluster.ts
+++ b/packages/bench/src/demo/demo_cluster.ts
@@ -2,12 +2,8 @@
 import { tmpdir } from "node:os";
 import path from "node:path";
 import type { ChildProgram } from "./child_program.ts";
-import { NodeProcess } from "./node_process.ts";
-import {
-  postJson,
-  type StandInAddress,
-  StandInProcess,
-} from "./stand_in_process.ts";
+import { type NodeProcess, startNodes } from "./node_process.ts";
+import { type StandInAddress, StandInProcess } from "./stand_in_process.ts";
 
 /** How large a cluster to start. */
 export interface DemoClusterSize {
@@ -43,20 +39,8 @@
   static async start(size: DemoClusterSize): Promise<DemoCluster> {
     const folder = mkdtempSync(path.join(tmpdir(), "foxtailwind-demo-"));
     const standIns = await StandInProcess.start(standInParameters(size));
-    const nodes = await Promise.all(
-      Array.from({ length: size.nodes }, (_, index) =>
-        NodeProcess.start({
-          id: `node-${index + 1}`,
-          failureDomain: `domain-${index % size.domains + 1}`,
-          log: standIns.addressOf("log_service"),
-          vmList: standIns.addressOf("vm_list"),
-          weightStore: standIns.addressOf("weight_store"),
-          folder,
-        })),
-    );
-    const cluster = new DemoCluster(nodes, standIns, folder);
-    await listNodes(cluster.addressOf("vm_list"), nodes);
-    return cluster;
+    const nodes = await startNodes({ ...size, platform: standIns, folder });
+    return new DemoCluster(nodes, standIns, folder);
   }
 
   /** The stand-ins and where they listen. */
@@ -86,27 +70,6 @@
   }
 }
 
-/**
- * Lists daemons as live entry VMs.
- * @param vmList The VM list stand-in's `http://` address.
- * @param nodes The daemons.
- */
-export async function listNodes(
-  vmList: string,
-  nodes: readonly NodeProcess[],
-): Promise<void> {
-  const vms = nodes.map((node) => ({
-    id: node.id,
-    address: node.http,
-    peerAddress: node.grpc,
-    region: "region-1",
-    failureDomain: node.failureDomain,
-    role: { kind: "entry" },
-    state: "live",
-  }));
-  await postJson(`${vmList}/standin/vms`, { vms });
-}
-
 function standInParameters(size: DemoClusterSize): readonly string[] {
   return [
     "--domains",
--- a/packages/bench/src/demo/demo_configuration.ts
+++ b/packages/bench/src/demo/demo_configuration.ts
@@ -1,3 +1,5 @@
+import { postJson } from "./stand_in_process.ts";
+
 /** A class of the demonstration, and how much of the load is of it. */
 export interface DemoClass {
   readonly name: string;
@@ -54,17 +56,8 @@
     });
   }
   for (let from = 0; from < changes.length; from += RECORD_CHANGES) {
-    await publish(node, changes.slice(from, from + RECORD_CHANGES));
-  }
-}
-
-async function publish(node: string, changes: object[]): Promise<void> {
-  const answer = await fetch(`${node}/v1/operators/configuration`, {
-    method: "POST",
-    headers: { "content-type": "application/json" },
-    body: JSON.stringify({ changes }),
-  });
-  if (!answer.ok) {
-    throw new Error(`Publishing was refused: ${await answer.text()}`);
+    await postJson(`${node}/v1/operators/configuration`, {
+      changes: changes.slice(from, from + RECORD_CHANGES),
+    });
   }
 }
--- a/packages/bench/src/demo/node_process.ts
+++ b/packages/bench/src/demo/node_process.ts
@@ -3,6 +3,7 @@
 import { z } from "zod";
 import { ChildProgram } from "./child_program.ts";
 import { programPath } from "./program_path.ts";
+import { postJson, type StandInProcess } from "./stand_in_process.ts";
 
 /** What a daemon is started with. */
 export interface NodePlan {
@@ -82,6 +83,64 @@
   }
 }
 
+/** How many daemons to start, and where. */
+export interface NodesPlan {
+  readonly nodes: number;
+  readonly domains: number;
+  /** The stand-ins of the platform. */
+  readonly platform: StandInProcess;
+  /** Where the settings files go. */
+  readonly folder: string;
+}
+
+/**
+ * Starts daemons, spread evenly over the failure domains, and lists them as
+ * live entry VMs.
+ * @param plan How many, and where.
+ * @returns The running daemons.
+ */
+export async function startNodes(plan: NodesPlan): Promise<NodeProcess[]> {
+  const { domains, platform, folder } = plan;
+  const vmList = platform.addressOf("vm_list");
+  const nodes = await Promise.all(
+    Array.from({ length: plan.nodes }, (_, index) =>
+      NodeProcess.start({
+        id: `node-${index + 1}`,
+        failureDomain: `domain-${index % domains + 1}`,
+        log: platform.addressOf("log_service"),
+        vmList,
+        weightStore: platform.addressOf("weight_store"),
+        folder,
+      })),
+  );
+  await listNodes(vmList, nodes);
+  return nodes;
+}
+
+/**
+ * Lists daemons as live entry VMs.
+ * @param vmList The VM list stand-in's `http://` address.
+ * @param nodes The daemons.
+ */
+export async function listNodes(
+  vmList: string,
+  nodes: readonly NodeProcess[],
+): Promise<void> {
+  await postJson(`${vmList}/standin/vms`, { vms: nodes.map(describeNode) });
+}
+
+function describeNode(node: NodeProcess): object {
+  return {
+    id: node.id,
+    address: node.http,
+    peerAddress: node.grpc,
+    region: "region-1",
+    failureDomain: node.failureDomain,
+    role: { kind: "entry" },
+    state: "live",
+  };
+}
+
 function settingsText(
   plan: NodePlan,
   listen: { readonly http: string; readonly grpc: string },
--- a/packages/bench/src/faults/fault_cluster.ts
+++ b/packages/bench/src/faults/fault_cluster.ts
@@ -1,8 +1,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import path from "node:path";
-import { listNodes } from "../demo/demo_cluster.ts";
-import { NodeProcess } from "../demo/node_process.ts";
+import { type NodeProcess, startNodes } from "../demo/node_process.ts";
 import { postJson, StandInProcess } from "../demo/stand_in_process.ts";
 import {
   type EnginePlan,
@@ -55,18 +54,7 @@
       "--services=booking",
     ]);
     const engines = await startEngines(size, platform, folder);
-    const nodes = await Promise.all(
-      Array.from({ length: size.nodes }, (_, index) =>
-        NodeProcess.start({
-          id: `node-${index + 1}`,
-          failureDomain: `domain-${index % size.domains + 1}`,
-          log: platform.addressOf("log_service"),
-          vmList: platform.addressOf("vm_list"),
-          weightStore: platform.addressOf("weight_store"),
-          folder,
-        })),
-    );
-    await listNodes(platform.addressOf("vm_list"), nodes);
+    const nodes = await startNodes({ ...size, platform, folder });
     return new FaultCluster(platform, { nodes, engines, folder });
   }
 
--- a/packages/bench/src/overhead/overhead_cluster.ts
+++ b/packages/bench/src/overhead/overhead_cluster.ts
@@ -1,8 +1,7 @@
 import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import path from "node:path";
-import { listNodes } from "../demo/demo_cluster.ts";
-import { NodeProcess } from "../demo/node_process.ts";
+import { listNodes, NodeProcess } from "../demo/node_process.ts";
 import { postJson, StandInProcess } from "../demo/stand_in_process.ts";
 
 /** What to measure. */
