--- /dev/null
+++ b/deploy/bundle.js
@@ -0,0 +1,40 @@
+import { build } from "esbuild";
+
+/** NestJS's optional packages, and Fastify's plugins that are not used. */
+const EXTERNAL = [
+  "@nestjs/platform-express",
+  "@nestjs/microservices",
+  "@nestjs/microservices/*",
+  "@nestjs/websockets",
+  "@nestjs/websockets/*",
+  "class-transformer",
+  "class-transformer/*",
+  "class-validator",
+  "@fastify/static",
+  "@fastify/view",
+  "@fastify/multipart",
+];
+
+/** CommonJS packages inside the bundle ask for Node's own modules. */
+const BANNER = [
+  "import { createRequire as makeRequire } from 'node:module';",
+  "import { fileURLToPath as toPath } from 'node:url';",
+  "import { dirname as toFolder } from 'node:path';",
+  "const require = makeRequire(import.meta.url);",
+  "const __filename = toPath(import.meta.url);",
+  "const __dirname = toFolder(__filename);",
+].join("\n");
+
+await build({
+  entryPoints: ["platform/src/main.ts"],
+  outfile: "target/foxtailwind-node.js",
+  bundle: true,
+  platform: "node",
+  target: "node20",
+  format: "esm",
+  conditions: ["foxtailwind-source"],
+  tsconfig: "tsconfig.base.json",
+  external: EXTERNAL,
+  banner: { js: BANNER },
+  logLevel: "warning",
+});
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -16,3 +16,4 @@
 export * from "./placement/mod.ts";
 export * from "./residency/mod.ts";
 export * from "./serving/mod.ts";
+export * from "./relay/mod.ts";
--- /dev/null
+++ b/packages/core/src/relay/engine_choice.ts
@@ -0,0 +1,78 @@
+import type {
+  AdapterId,
+  BackendServerId,
+  ModelId,
+} from "../shared/mod.ts";
+import { rendezvousOrder } from "../shared/mod.ts";
+
+/** What a node knows of an engine when it places a request. */
+export interface EngineState {
+  readonly id: BackendServerId;
+  /** Expected wait before a new request's first token, in milliseconds. */
+  readonly wait: number;
+  /** Whether its owner can be asked for an adapter. */
+  readonly isOrderable: boolean;
+  /** How many adapters more could come without a running request in the way. */
+  readonly room: number;
+  readonly holds: boolean;
+  readonly isLoading: boolean;
+}
+
+/** A request to be placed. */
+export interface Placement {
+  readonly model: ModelId;
+  readonly adapter?: AdapterId;
+}
+
+/** Expected time to bring an adapter from the store, in milliseconds. */
+const LOAD_COST = 300;
+/** What is left of it, on average, for an adapter already on its way. */
+const LOADING_COST = 120;
+/**
+ * What a load at another engine than the adapter's first costs beside its
+ * time: the engines keep what they held, so that loads at the same engine
+ * come from its own memory and not from the store.
+ */
+const STRAY_COST = 120;
+/** How much each place further down an adapter's order costs, for ties. */
+const ORDER_COST = 4;
+/** What a full engine costs: a slot has to come free first. */
+const NO_ROOM_COST = 1_500;
+
+/**
+ * Orders engines for a request by expected time to its first token and the
+ * cost of loads.
+ * @param placement What is to run.
+ * @param engines The engines that could run it.
+ * @returns The engines, the best first. Without engines that hold the
+ * adapter or can be ordered, it is empty.
+ */
+export function orderEngines(
+  placement: Placement,
+  engines: readonly EngineState[],
+): readonly BackendServerId[] {
+  if (placement.adapter === undefined) {
+    return engines.toSorted((left, right) => left.wait - right.wait)
+      .map((engine) => engine.id);
+  }
+  const key = `${placement.model}/${placement.adapter}`;
+  const order = rendezvousOrder(key, engines.map((engine) => engine.id));
+  const costs = new Map<BackendServerId, number>();
+  for (const engine of engines) {
+    const cost = placementCost(engine, order.indexOf(engine.id));
+    if (cost !== undefined) costs.set(engine.id, cost);
+  }
+  return [...costs.keys()].toSorted((left, right) =>
+    (costs.get(left) ?? 0) - (costs.get(right) ?? 0)
+  );
+}
+
+function placementCost(engine: EngineState, rank: number): number | undefined {
+  const base = engine.wait + rank * ORDER_COST;
+  if (engine.holds) return base;
+  if (!engine.isOrderable) return undefined;
+  if (engine.isLoading) return base + LOADING_COST;
+  const stray = Math.min(rank, 3) * STRAY_COST;
+  const full = engine.room > 0 ? 0 : NO_ROOM_COST;
+  return base + LOAD_COST + stray + full;
+}
--- /dev/null
+++ b/packages/core/src/relay/engine_claims.ts
@@ -0,0 +1,176 @@
+import {
+  type BackendServerId,
+  type Duration,
+  elapsed,
+  type FencingNumber,
+  fencingNumber,
+  type Instant,
+  type LogOffset,
+  milliseconds,
+  type NodeId,
+  rendezvousOrder,
+} from "../shared/mod.ts";
+
+/** The newest claim to one engine, as the log has it. */
+export interface EngineClaim {
+  readonly engine: BackendServerId;
+  readonly owner: NodeId;
+  /** The run of the owner's process that claimed. */
+  readonly incarnation: string;
+  /** Its place in the log, which fences orders. */
+  readonly offset: LogOffset;
+  /** Whether the engine may have had orders of an earlier owner. */
+  readonly isTakeover: boolean;
+  readonly seenAt: Instant;
+}
+
+/** The right to order an engine: until when it must wait, and its number. */
+export interface OrderRight {
+  readonly fence: FencingNumber;
+  /** Before it, an earlier owner's orders may still arrive. */
+  readonly from: Instant;
+}
+
+/** What decides who claims. */
+export interface ClaimView {
+  readonly engines: readonly BackendServerId[];
+  /** The nodes heard of lately, this one included, and none that leaves. */
+  readonly nodes: readonly NodeId[];
+}
+
+/** Who a node is, in claims. */
+export interface Claimant {
+  readonly id: NodeId;
+  readonly incarnation: string;
+}
+
+/**
+ * How long a claim stands at least, so that nodes that can't hear each other
+ * don't take an engine from one another in turns.
+ */
+const SHORTEST_TENURE = milliseconds(6_000);
+
+/**
+ * Folds the claims in the log and decides which to add. Claims are appended
+ * only where the log ends as this node has read it, so that each one in the
+ * log was made in knowledge of the ones before it.
+ */
+export class EngineClaims {
+  readonly #self: Claimant;
+  readonly #takeoverWait: Duration;
+  readonly #claims = new Map<BackendServerId, EngineClaim>();
+  readonly #refused = new Map<BackendServerId, FencingNumber>();
+
+  /**
+   * @param self This node.
+   * @param takeoverWait How long a new owner waits after its claim, so that
+   * orders of two owners never alternate within a lease.
+   */
+  constructor(self: Claimant, takeoverWait: Duration) {
+    this.#self = self;
+    this.#takeoverWait = takeoverWait;
+  }
+
+  /**
+   * Takes a claim from the log.
+   * @param claim The claim.
+   */
+  apply(claim: EngineClaim): void {
+    const known = this.#claims.get(claim.engine);
+    if (known !== undefined && known.offset >= claim.offset) return;
+    this.#claims.set(claim.engine, claim);
+  }
+
+  /**
+   * Tells who owns an engine.
+   * @param engine The engine.
+   * @returns The owner, or nothing where none has claimed it.
+   */
+  owner(engine: BackendServerId): NodeId | undefined {
+    return this.#claims.get(engine)?.owner;
+  }
+
+  /**
+   * Gives this node's right to order an engine.
+   * @param engine The engine.
+   * @returns The right, or nothing where another node has it, or where the
+   * engine has refused this node's number.
+   */
+  right(engine: BackendServerId): OrderRight | undefined {
+    const claim = this.#claims.get(engine);
+    if (claim === undefined || !this.#isOwn(claim)) return undefined;
+    const fence = fencingNumber(claim.offset + 1);
+    if (this.#refused.get(engine) === fence) return undefined;
+    const wait = claim.isTakeover ? this.#takeoverWait : 0;
+    return { fence, from: (claim.seenAt + wait) as Instant };
+  }
+
+  /**
+   * Takes note that an engine has refused a number, which is not used again.
+   * @param engine The engine.
+   * @param fence The refused number.
+   */
+  refuse(engine: BackendServerId, fence: FencingNumber): void {
+    this.#refused.set(engine, fence);
+  }
+
+  /**
+   * Lists the engines that this node should claim now.
+   * @param now The present time.
+   * @param view The engines and nodes that are there.
+   * @returns The engines; each claim is a takeover where one stands already.
+   */
+  wanted(now: Instant, view: ClaimView): readonly BackendServerId[] {
+    return view.engines.filter((engine) =>
+      this.#isVacant(now, engine, view.nodes) &&
+      rendezvousOrder(engine, view.nodes)[0] === this.#self.id
+    );
+  }
+
+  /**
+   * Tells whether an engine has a claim, of whatever owner.
+   * @param engine The engine.
+   * @returns Whether it has one.
+   */
+  isClaimed(engine: BackendServerId): boolean {
+    return this.#claims.has(engine);
+  }
+
+  /** The engines that this node may order, now or after its wait. */
+  get owned(): readonly BackendServerId[] {
+    return [...this.#claims.keys()].filter((engine) =>
+      this.right(engine) !== undefined
+    );
+  }
+
+  /**
+   * Forgets engines that are gone.
+   * @param engines The engines that remain.
+   */
+  retain(engines: ReadonlySet<BackendServerId>): void {
+    for (const engine of this.#claims.keys()) {
+      if (engines.has(engine)) continue;
+      this.#claims.delete(engine);
+      this.#refused.delete(engine);
+    }
+  }
+
+  #isVacant(
+    now: Instant,
+    engine: BackendServerId,
+    nodes: readonly NodeId[],
+  ): boolean {
+    const claim = this.#claims.get(engine);
+    if (claim === undefined) return true;
+    if (claim.owner === this.#self.id) {
+      return !this.#isOwn(claim) || this.right(engine) === undefined;
+    }
+    if (nodes.includes(claim.owner)) return false;
+    return elapsed(claim.seenAt, now) >= SHORTEST_TENURE;
+  }
+
+  #isOwn(claim: EngineClaim): boolean {
+    return claim.owner === this.#self.id &&
+      claim.incarnation === this.#self.incarnation;
+  }
+}
--- /dev/null
+++ b/packages/core/src/relay/engine_slots.ts
@@ -0,0 +1,431 @@
+import {
+  type AdapterId,
+  assertInvariant,
+  type Duration,
+  elapsed,
+  type Instant,
+  instant,
+  later,
+  milliseconds,
+  type ModelId,
+} from "../shared/mod.ts";
+
+/** An adapter of a base model. */
+export interface AdapterName {
+  readonly model: ModelId;
+  readonly adapter: AdapterId;
+}
+
+/** Where an adapter stands at one engine. */
+export type SlotState = "loading" | "resident" | "leaving";
+
+/** An adapter that takes a slot of an engine. */
+export interface AdapterSlot extends AdapterName {
+  readonly state: SlotState;
+  readonly version: number;
+  /** Requests that were granted its use and have not ended. */
+  readonly uses: number;
+  readonly lastUse: Instant;
+  /** Since when it is in its state. */
+  readonly since: Instant;
+}
+
+/** Someone who waits for an adapter. */
+interface Waiting extends AdapterName {
+  readonly key: string;
+  readonly minimumVersion: number;
+  readonly since: Instant;
+}
+
+/** What an engine should be ordered next. */
+export type SlotOrder =
+  | {
+    readonly kind: "load";
+    readonly name: AdapterName;
+    /** The version to load; 0 where any will do. */
+    readonly version: number;
+  }
+  | { readonly kind: "unload"; readonly name: AdapterName };
+
+/** What the engine answered to an order. */
+export type OrderAnswer =
+  /** Already so: loaded, or no longer there. */
+  | "holds"
+  /** Accepted; it will be so. */
+  | "accepted"
+  /** Not now: in use, or another order came in between. */
+  | "conflict"
+  /** It may have been accepted, or may be carried out later. */
+  | "unknown";
+
+/** What bounds the slots of one engine. */
+export interface SlotTerms {
+  readonly slots: number;
+  /** How many adapters may be on their way to the engine at once. */
+  readonly transfers: number;
+  /** Adapters that the engine keeps beside its slots, quick to load again. */
+  readonly kept: number;
+}
+
+/** Expected time to load an adapter, before any was measured. */
+const COLD_LOAD = milliseconds(250);
+/** The same for an adapter that the engine held lately. */
+const WARM_LOAD = milliseconds(30);
+/** After a refused unload, the adapter is left alone for so long. */
+const BUSY_TIME = milliseconds(400);
+/** Weight of the newest measurement in the expected time to load. */
+const LOAD_WEIGHT = 0.2;
+
+/**
+ * The adapter slots of one engine, as its owner knows them. Each adapter that
+ * may be there takes a slot, so that no order ever asks for more than fit.
+ */
+export class EngineSlots {
+  readonly #terms: SlotTerms;
+  readonly #slots = new Map<string, AdapterSlot>();
+  readonly #waiting = new Map<string, Waiting>();
+  readonly #busyUntil = new Map<string, Instant>();
+  readonly #checkAt = new Map<string, Instant>();
+  /** Adapters held before, the latest last. */
+  readonly #kept = new Set<string>();
+  #coldLoad: number = COLD_LOAD;
+
+  /** @param terms The engine's bounds. */
+  constructor(terms: SlotTerms) {
+    this.#terms = terms;
+  }
+
+  /** The adapters that take a slot. */
+  get slots(): readonly AdapterSlot[] {
+    return [...this.#slots.values()];
+  }
+
+  /** How many adapters are asked for and not yet ordered. */
+  get waiting(): number {
+    return this.#waiting.size;
+  }
+
+  /**
+   * Finds the slot of an adapter.
+   * @param name The adapter.
+   * @returns The slot, or nothing.
+   */
+  find(name: AdapterName): AdapterSlot | undefined {
+    return this.#slots.get(keyOf(name));
+  }
+
+  /**
+   * Replaces what is known by what the engine itself reports. Uses are kept.
+   * @param now The present time.
+   * @param held What it holds, with versions.
+   * @param incoming What is on its way to it.
+   */
+  reported(
+    now: Instant,
+    held: readonly (AdapterName & { readonly version: number })[],
+    incoming: readonly AdapterName[],
+  ): void {
+    const before = new Map(this.#slots);
+    this.#slots.clear();
+    for (const name of held) {
+      this.#put(now, name, "resident", name.version, before);
+    }
+    for (const name of incoming) {
+      if (this.#slots.has(keyOf(name))) continue;
+      this.#put(now, name, "loading", 0, before);
+    }
+  }
+
+  /**
+   * Uses an adapter for a request, where it is there in a version new enough.
+   * @param now The present time.
+   * @param name The adapter.
+   * @param minimumVersion The oldest version allowed.
+   * @returns The version in use, or nothing where it has to be awaited.
+   */
+  use(
+    now: Instant,
+    name: AdapterName,
+    minimumVersion: number,
+  ): number | undefined {
+    const slot = this.find(name);
+    if (slot?.state !== "resident") return undefined;
+    if (slot.version < minimumVersion) return undefined;
+    this.#set({ ...slot, uses: slot.uses + 1, lastUse: now });
+    return slot.version;
+  }
+
+  /**
+   * Ends a use.
+   * @param now The present time.
+   * @param name The adapter.
+   */
+  release(now: Instant, name: AdapterName): void {
+    const slot = this.find(name);
+    if (slot === undefined || slot.uses === 0) return;
+    this.#set({ ...slot, uses: slot.uses - 1, lastUse: now });
+  }
+
+  /**
+   * Asks for an adapter that is not there in the wanted version.
+   * @param now The present time.
+   * @param name The adapter.
+   * @param minimumVersion The oldest version allowed.
+   */
+  want(now: Instant, name: AdapterName, minimumVersion: number): void {
+    const key = keyOf(name);
+    const known = this.#waiting.get(key);
+    this.#waiting.set(key, {
+      ...name,
+      key,
+      minimumVersion: Math.max(minimumVersion, known?.minimumVersion ?? 0),
+      since: known?.since ?? now,
+    });
+  }
+
+  /**
+   * Takes back a wish, where nobody waits any more.
+   * @param name The adapter.
+   */
+  forgetWish(name: AdapterName): void {
+    this.#waiting.delete(keyOf(name));
+  }
+
+  /**
+   * Tells whether an adapter could be brought in before long: a slot is free
+   * or holds an adapter that no request uses.
+   * @param now The present time.
+   * @param name The adapter.
+   * @returns Whether it could.
+   */
+  canTake(now: Instant, name: AdapterName): boolean {
+    const slot = this.find(name);
+    if (slot !== undefined) return slot.state !== "leaving" && slot.uses === 0;
+    return this.room(now) > 0;
+  }
+
+  /**
+   * Estimates how long an adapter takes to load.
+   * @param name The adapter.
+   * @returns The time.
+   */
+  loadTime(name: AdapterName): Duration {
+    return this.#kept.has(keyOf(name))
+      ? WARM_LOAD
+      : milliseconds(this.#coldLoad);
+  }
+
+  /**
+   * Decides the next order.
+   * @param now The present time.
+   * @returns The order, or nothing where none is useful or possible now.
+   */
+  nextOrder(now: Instant): SlotOrder | undefined {
+    if (this.#loading() >= this.#terms.transfers) return undefined;
+    const wishes = [...this.#waiting.values()];
+    const wish = wishes.find((one) => this.#isOrderable(now, one));
+    if (wish === undefined) return undefined;
+    const isReplacement = this.#slots.has(wish.key);
+    if (isReplacement || this.#slots.size < this.#terms.slots) {
+      return { kind: "load", name: wish, version: wish.minimumVersion };
+    }
+    const victim = this.#victim(now);
+    return victim === undefined ? undefined : { kind: "unload", name: victim };
+  }
+
+  /**
+   * Takes note of the answer to an order.
+   * @param now The present time.
+   * @param order The order.
+   * @param answer What the engine answered.
+   */
+  answered(now: Instant, order: SlotOrder, answer: OrderAnswer): void {
+    if (order.kind === "unload") this.#unloadAnswered(now, order.name, answer);
+    else this.#loadAnswered(now, order, answer);
+  }
+
+  /**
+   * Takes note that an ordered adapter is there.
+   * @param now The present time.
+   * @param name The adapter.
+   */
+  loaded(now: Instant, name: AdapterName): void {
+    const slot = this.find(name);
+    if (slot?.state !== "loading") return;
+    if (!this.#kept.has(keyOf(name))) {
+      const took = elapsed(slot.since, now);
+      this.#coldLoad += LOAD_WEIGHT * (took - this.#coldLoad);
+    }
+    this.#remember(keyOf(name));
+    this.#checkAt.delete(keyOf(name));
+    this.#set({ ...slot, state: "resident", since: now, lastUse: now });
+  }
+
+  /**
+   * Tells which load should have ended first.
+   * @returns The adapter, and when to ask whether it is there.
+   */
+  nextCheck(): { readonly name: AdapterName; readonly at: Instant } | undefined {
+    let first: { readonly name: AdapterName; readonly at: Instant } | undefined;
+    for (const slot of this.#slots.values()) {
+      if (slot.state !== "loading") continue;
+      const at = this.#checkAt.get(keyOf(slot)) ??
+        later(slot.since, this.loadTime(slot));
+      if (first === undefined || at < first.at) first = { name: slot, at };
+    }
+    return first;
+  }
+
+  /**
+   * Takes note that a load has not ended yet.
+   * @param now The present time.
+   * @param name The adapter.
+   * @param pause When to ask again.
+   */
+  checkAgain(now: Instant, name: AdapterName, pause: Duration): void {
+    this.#checkAt.set(keyOf(name), later(now, pause));
+  }
+
+  /**
+   * Counts the adapters that could come without waiting for a request.
+   * @param now The present time.
+   * @returns The count.
+   */
+  room(now: Instant): number {
+    const idle = this.slots.filter((one) => this.#isIdle(now, one)).length;
+    const free = this.#terms.slots - this.#slots.size;
+    return Math.max(0, free + idle - this.#waiting.size);
+  }
+
+  /** How many adapters are on their way to the engine. */
+  get transfers(): number {
+    return this.#loading();
+  }
+
+  #loadAnswered(
+    now: Instant,
+    { name, version }: { readonly name: AdapterName; readonly version: number },
+    answer: OrderAnswer,
+  ): void {
+    switch (answer) {
+      case "holds":
+      case "accepted": {
+        const uses = this.find(name)?.uses ?? 0;
+        const slot = this.#newSlot(now, name, "loading", version);
+        this.#set({ ...slot, uses });
+        this.#waiting.delete(keyOf(name));
+        break;
+      }
+      case "unknown":
+        this.#set(
+          this.find(name) ?? this.#newSlot(now, name, "loading", version),
+        );
+        break;
+      case "conflict":
+        this.#busyUntil.set(keyOf(name), later(now, BUSY_TIME));
+        break;
+    }
+    assertInvariant(
+      this.#slots.size <= this.#terms.slots,
+      "adapter_slots_are_never_exceeded",
+      () => `${this.#slots.size} adapters in ${this.#terms.slots} slots.`,
+    );
+  }
+
+  #unloadAnswered(now: Instant, name: AdapterName, answer: OrderAnswer): void {
+    const slot = this.find(name);
+    switch (answer) {
+      case "holds":
+        this.#slots.delete(keyOf(name));
+        break;
+      case "accepted":
+        if (slot !== undefined) this.#set({ ...slot, state: "leaving" });
+        break;
+      case "unknown":
+      case "conflict":
+        this.#busyUntil.set(keyOf(name), later(now, BUSY_TIME));
+        break;
+    }
+  }
+
+  #loading(): number {
+    return this.slots.filter((slot) => slot.state === "loading").length;
+  }
+
+  #isOrderable(now: Instant, wish: Waiting): boolean {
+    if (this.#isBusy(now, wish.key)) return false;
+    const slot = this.#slots.get(wish.key);
+    if (slot === undefined) return true;
+    return slot.state === "resident" && slot.uses === 0;
+  }
+
+  #victim(now: Instant): AdapterSlot | undefined {
+    const leaving = this.slots.find((slot) =>
+      slot.state === "leaving" && !this.#isBusy(now, keyOf(slot))
+    );
+    if (leaving !== undefined) return leaving;
+    let victim: AdapterSlot | undefined;
+    for (const slot of this.#slots.values()) {
+      if (!this.#isIdle(now, slot) || this.#waiting.has(keyOf(slot))) continue;
+      if (victim === undefined || slot.lastUse < victim.lastUse) victim = slot;
+    }
+    return victim;
+  }
+
+  #isIdle(now: Instant, slot: AdapterSlot): boolean {
+    return slot.state === "resident" && slot.uses === 0 &&
+      !this.#isBusy(now, keyOf(slot));
+  }
+
+  #isBusy(now: Instant, key: string): boolean {
+    return (this.#busyUntil.get(key) ?? 0) > now;
+  }
+
+  #put(
+    now: Instant,
+    name: AdapterName,
+    state: SlotState,
+    version: number,
+    before: ReadonlyMap<string, AdapterSlot>,
+  ): void {
+    const known = before.get(keyOf(name));
+    const slot = this.#newSlot(now, name, state, version);
+    this.#remember(keyOf(name));
+    this.#set({
+      ...slot,
+      uses: known?.uses ?? 0,
+      lastUse: known?.lastUse ?? instant(0),
+    });
+  }
+
+  #newSlot(
+    now: Instant,
+    { model, adapter }: AdapterName,
+    state: SlotState,
+    version: number,
+  ): AdapterSlot {
+    return { model, adapter, state, version, uses: 0, lastUse: now, since: now };
+  }
+
+  #set(slot: AdapterSlot): void {
+    this.#slots.set(keyOf(slot), slot);
+  }
+
+  #remember(key: string): void {
+    this.#kept.delete(key);
+    this.#kept.add(key);
+    for (const oldest of this.#kept) {
+      if (this.#kept.size <= this.#terms.kept) break;
+      this.#kept.delete(oldest);
+    }
+  }
+}
+
+/**
+ * Gives the key of an adapter among those of all models.
+ * @param name The adapter.
+ * @returns The key.
+ */
+export function keyOf({ model, adapter }: AdapterName): string {
+  return `${model}/${adapter}`;
+}
--- /dev/null
+++ b/packages/core/src/relay/relay_configuration.ts
@@ -0,0 +1,71 @@
+import type { Duration, ModelId, ServiceId } from "../shared/mod.ts";
+
+/** A service that a route leads to, and its share of the route's requests. */
+export interface RouteTarget {
+  readonly service: ServiceId;
+  /** Relative to the other targets of the route. */
+  readonly weight: number;
+}
+
+/** Which requests go where, and what may be done with them. */
+export interface Route {
+  readonly name: string;
+  readonly host: string;
+  /** Begins and ends with a slash. */
+  readonly pathPrefix: string;
+  /** Whether a request may run more than once. */
+  readonly repeatable: boolean;
+  /** Whether answers are event streams. */
+  readonly streams: boolean;
+  /** Whether a stream may go on at another server after its last event. */
+  readonly resumable: boolean;
+  /** How many servers may run one request. */
+  readonly attempts: number;
+  /** The longest time from a request's arrival to its final answer. */
+  readonly timeLimit: Duration;
+  /** The time in which answers, or first events, are wanted. */
+  readonly target: Duration;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  readonly targets: readonly RouteTarget[];
+}
+
+/** A base model that the engines of a service may hold. */
+export interface EngineModel {
+  readonly model: ModelId;
+  readonly megabytes: number;
+  readonly adapterMegabytes: number;
+}
+
+/** What the engines of a service can hold. */
+export interface EngineTerms {
+  readonly models: readonly EngineModel[];
+  /** Memory for base models and adapters together. */
+  readonly megabytes: number;
+  readonly adapterSlots: number;
+}
+
+/** A service of backend servers. */
+export interface RelayService {
+  readonly id: ServiceId;
+  /** Connections that one server accepts from all nodes together. */
+  readonly connectionLimit: number;
+  /** Set where the servers are model engines. */
+  readonly engine?: EngineTerms;
+}
+
+/** What a caller may send, and how slowly. */
+export interface CallerLimits {
+  readonly headerBytes: number;
+  readonly bodyBytes: number;
+  readonly headerTime: Duration;
+  readonly idleTime: Duration;
+}
+
+/** A whole configuration; a later version replaces it as a whole. */
+export interface RelayConfiguration {
+  readonly version: number;
+  readonly routes: readonly Route[];
+  readonly services: readonly RelayService[];
+  readonly limits: CallerLimits;
+}
--- /dev/null
+++ b/packages/core/src/relay/retry_allowance.ts
@@ -0,0 +1,60 @@
+import { type Duration, elapsed, type Instant } from "../shared/mod.ts";
+
+/** What all nodes together may send beyond the first send of each request. */
+export interface RetryTerms {
+  /** Further sends for each request of the window. */
+  readonly share: number;
+  /** Further sends of a window beside the share, over all nodes. */
+  readonly reserve: number;
+  readonly window: Duration;
+}
+
+/**
+ * How much of its part a node uses: windows slide, and requests may be
+ * counted a little later by whoever checks than they are counted here.
+ */
+const CAUTION = 0.85;
+
+/**
+ * Bounds one node's further sends to a service. The share grows with the
+ * node's own requests; the reserve is split evenly among the nodes.
+ */
+export class RetryAllowance {
+  readonly #terms: RetryTerms;
+  #requests: Instant[] = [];
+  #retries: Instant[] = [];
+
+  /** @param terms The bound for all nodes together. */
+  constructor(terms: RetryTerms) {
+    this.#terms = terms;
+  }
+
+  /**
+   * Takes note of a request.
+   * @param now The present time.
+   */
+  earn(now: Instant): void {
+    this.#requests.push(now);
+  }
+
+  /**
+   * Takes a further send from the allowance.
+   * @param now The present time.
+   * @param nodes How many nodes share the reserve, at least 1.
+   * @returns Whether the send is allowed.
+   */
+  take(now: Instant, nodes: number): boolean {
+    this.#forget(now);
+    const { share, reserve } = this.#terms;
+    const earned = share * this.#requests.length + reserve / nodes;
+    if (this.#retries.length + 1 > earned * CAUTION) return false;
+    this.#retries.push(now);
+    return true;
+  }
+
+  #forget(now: Instant): void {
+    const isRecent = (at: Instant) => elapsed(at, now) < this.#terms.window;
+    this.#requests = this.#requests.filter(isRecent);
+    this.#retries = this.#retries.filter(isRecent);
+  }
+}
--- /dev/null
+++ b/packages/core/src/relay/server_registry.ts
@@ -0,0 +1,223 @@
+import {
+  type AdapterId,
+  type BackendServerId,
+  type Duration,
+  elapsed,
+  type FailureDomainId,
+  type Instant,
+  type LogOffset,
+  milliseconds,
+  type ModelId,
+  type ServiceId,
+} from "../shared/mod.ts";
+
+/** A base model on an engine, and the versions of its adapters there. */
+export interface HeldModel {
+  readonly model: ModelId;
+  readonly adapters: ReadonlyMap<AdapterId, number>;
+}
+
+/** One run of a backend server, as it describes itself. */
+export interface RegisteredServer {
+  /** Changes with each start of the server. */
+  readonly id: BackendServerId;
+  readonly service: ServiceId;
+  /** IP literal and port. */
+  readonly address: string;
+  readonly failureDomain: FailureDomainId;
+  readonly leaving: boolean;
+  /** Requests that it runs at once. */
+  readonly slots: number;
+  readonly models: readonly HeldModel[];
+  /** Orders that it has accepted, where it is an engine. */
+  readonly orderCount: number;
+}
+
+/** Something that the registry's log says of a server. */
+export type RegistryEntry =
+  | {
+    readonly kind: "present";
+    readonly offset: LogOffset;
+    readonly server: RegisteredServer;
+  }
+  | {
+    readonly kind: "gone";
+    readonly offset: LogOffset;
+    readonly id: BackendServerId;
+  };
+
+interface Known {
+  readonly offset: LogOffset;
+  readonly server: RegisteredServer;
+  /** When its entry vanished though it may live. */
+  readonly lapsedAt?: Instant;
+}
+
+/**
+ * How long a server whose entry vanished beside a disturbance of the store
+ * is kept: such entries are back about 2 s after the disturbance.
+ */
+const LAPSE_TIME = milliseconds(2_500);
+/** Entries of servers that vanish together count as a disturbance. */
+const LAPSE_SHARE = 0.4;
+/** Over which time servers count as vanishing together. */
+const LAPSE_WINDOW = milliseconds(1_500);
+/**
+ * How long servers that vanish together are kept without any other sign of a
+ * disturbance: below the 2 s in which a departure has to be followed.
+ */
+const TOGETHER_TIME = milliseconds(1_600);
+
+/** The backend servers that are there, as far as the registry's log tells. */
+export class ServerRegistry {
+  readonly #known = new Map<BackendServerId, Known>();
+  readonly #gone = new Map<BackendServerId, LogOffset>();
+  #disturbedAt: Instant | undefined;
+  #removals: Instant[] = [];
+  #revision = 0;
+
+  /** Grows with each change of what {@link all} gives. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** The servers that are there. */
+  get all(): readonly RegisteredServer[] {
+    return [...this.#known.values()].map((known) => known.server);
+  }
+
+  /** All that is known, for a node that can't reach the registry. */
+  get entries(): readonly RegistryEntry[] {
+    const present = [...this.#known.values()].map((
+      { offset, server },
+    ): RegistryEntry => ({ kind: "present", offset, server }));
+    const gone = [...this.#gone].map(([id, offset]): RegistryEntry => ({
+      kind: "gone",
+      offset,
+      id,
+    }));
+    return [...present, ...gone];
+  }
+
+  /**
+   * Finds a server.
+   * @param id The server's id.
+   * @returns The server, or nothing where it is not there.
+   */
+  find(id: BackendServerId): RegisteredServer | undefined {
+    return this.#known.get(id)?.server;
+  }
+
+  /**
+   * Takes note that the store failed calls, so that entries may lapse though
+   * their servers live.
+   * @param now The present time.
+   */
+  disturbed(now: Instant): void {
+    this.#disturbedAt = now;
+  }
+
+  /**
+   * Takes an entry, unless a newer one of the same server is known.
+   * @param now The present time.
+   * @param entry The entry.
+   */
+  apply(now: Instant, entry: RegistryEntry): void {
+    if (entry.kind === "gone") {
+      this.#vanish(now, entry.id, entry.offset);
+      return;
+    }
+    const { server, offset } = entry;
+    const newest = this.#known.get(server.id)?.offset ??
+      this.#gone.get(server.id) ?? -1;
+    if (offset < newest) return;
+    this.#gone.delete(server.id);
+    this.#known.set(server.id, { offset, server });
+    this.#revision += 1;
+  }
+
+  /**
+   * Takes a whole listing: what it lacks is gone.
+   * @param now The present time.
+   * @param entries The listed servers.
+   * @param end The offset up to which the listing is complete.
+   */
+  replace(
+    now: Instant,
+    entries: readonly RegistryEntry[],
+    end: LogOffset,
+  ): void {
+    const listed = new Set<BackendServerId>();
+    for (const entry of entries) {
+      if (entry.kind === "present") listed.add(entry.server.id);
+      this.apply(now, entry);
+    }
+    for (const [id, known] of this.#known) {
+      if (listed.has(id) || known.offset >= end) continue;
+      this.#vanish(now, id, end);
+    }
+  }
+
+  /**
+   * Takes note that a server answered under another id: its address belongs
+   * to another server now.
+   * @param id The server that is gone.
+   */
+  replaced(id: BackendServerId): void {
+    const known = this.#known.get(id);
+    if (known === undefined) return;
+    this.#gone.set(id, known.offset);
+    this.#known.delete(id);
+    this.#revision += 1;
+  }
+
+  /**
+   * Drops servers whose entries have not come back.
+   * @param now The present time.
+   */
+  expire(now: Instant): void {
+    const patience = this.#isDisturbed(now) ? undefined : LAPSE_TIME;
+    if (patience === undefined) return;
+    for (const [id, { lapsedAt, offset }] of this.#known) {
+      if (lapsedAt === undefined) continue;
+      const since = Math.max(lapsedAt, this.#disturbedAt ?? lapsedAt);
+      const wait: Duration = this.#disturbedAt === undefined ||
+          this.#disturbedAt < lapsedAt - LAPSE_TIME
+        ? TOGETHER_TIME
+        : patience;
+      if (now - since < wait) continue;
+      this.#known.delete(id);
+      this.#gone.set(id, offset);
+      this.#revision += 1;
+    }
+  }
+
+  #vanish(now: Instant, id: BackendServerId, offset: LogOffset): void {
+    const known = this.#known.get(id);
+    if (known !== undefined && known.offset > offset) return;
+    if (known === undefined || known.server.leaving) {
+      this.#known.delete(id);
+      this.#gone.set(id, offset);
+      this.#revision += 1;
+      return;
+    }
+    this.#removals = this.#removals.filter((at) =>
+      elapsed(at, now) < LAPSE_WINDOW
+    );
+    if (known.lapsedAt === undefined) this.#removals.push(now);
+    const together = this.#removals.length >=
+      Math.max(2, this.#known.size * LAPSE_SHARE);
+    if (together || this.#isDisturbed(now)) {
+      this.#known.set(id, { ...known, offset, lapsedAt: now });
+      return;
+    }
+    this.#known.delete(id);
+    this.#gone.set(id, offset);
+    this.#revision += 1;
+  }
+
+  #isDisturbed(now: Instant): boolean {
+    return this.#disturbedAt !== undefined &&
+      elapsed(this.#disturbedAt, now) < LAPSE_TIME;
+  }
+}
--- a/packages/node/src/peers/peer_channels.ts
+++ b/packages/node/src/peers/peer_channels.ts
@@ -5,6 +5,8 @@
   "grpc.initial_reconnect_backoff_ms": 100,
   "grpc.min_reconnect_backoff_ms": 100,
   "grpc.max_reconnect_backoff_ms": 1_000,
+  "grpc.keepalive_time_ms": 1_500,
+  "grpc.keepalive_timeout_ms": 1_000,
 } as const;
 
 /** Keeps one gRPC connection to each peer, which all services share. */
--- /dev/null
+++ b/packages/node/src/relay/adapter_grants.ts
@@ -0,0 +1,170 @@
+import {
+  type BackendServerId,
+  backendServerId,
+  modelId,
+  adapterId,
+  type NodeId,
+} from "@foxtailwind/core";
+import {
+  type AdapterGrant,
+  type AdapterUse,
+  GrantOutcome,
+  RelayPeersClient,
+} from "@foxtailwind/protocol";
+import { credentials, type ServerWritableStream } from "@grpc/grpc-js";
+import type { PeerChannels } from "../peers/peer_channels.ts";
+import type { EngineOwners } from "./engine_owners.ts";
+import type { UseAnswer, UseRequest } from "./engine_owner.ts";
+
+/** What an owner answers, or that it can't be reached. */
+export type GrantAnswer = UseAnswer | { readonly kind: "unreachable" };
+
+/** Where to ask for the use of an adapter. */
+export interface GrantAddress {
+  readonly engine: BackendServerId;
+  readonly owner: NodeId;
+  /** IP literal and port of the owner. */
+  readonly address: string;
+}
+
+/** Asks the owners of engines, this node included, for uses of adapters. */
+export class AdapterGrants {
+  readonly #self: NodeId;
+  readonly #owners: EngineOwners;
+  readonly #channels: PeerChannels;
+
+  /**
+   * @param self This node.
+   * @param owners The engines that it owns.
+   * @param channels Its connections to the others.
+   */
+  constructor(self: NodeId, owners: EngineOwners, channels: PeerChannels) {
+    this.#self = self;
+    this.#owners = owners;
+    this.#channels = channels;
+  }
+
+  /**
+   * Asks for a use.
+   * @param where The engine and its owner.
+   * @param request What is to be used.
+   * @param signal Ends the wait.
+   * @returns The answer.
+   */
+  ask(
+    where: GrantAddress,
+    request: UseRequest,
+    signal: AbortSignal,
+  ): Promise<GrantAnswer> {
+    if (where.owner !== this.#self) return this.#askPeer(where, request, signal);
+    const owner = this.#owners.find(where.engine);
+    if (owner === undefined) return Promise.resolve({ kind: "not_owner" });
+    return owner.use(request, signal);
+  }
+
+  #askPeer(
+    { engine, address }: GrantAddress,
+    request: UseRequest,
+    signal: AbortSignal,
+  ): Promise<GrantAnswer> {
+    const client = new RelayPeersClient(
+      address,
+      credentials.createInsecure(),
+      { channelOverride: this.#channels.channel(address) },
+    );
+    const call = client.useAdapter({
+      engine,
+      model: request.model,
+      adapter: request.adapter ?? "",
+      minimumVersion: request.minimumVersion,
+      promptTokens: request.promptTokens,
+    });
+    const release = () => {
+      call.cancel();
+    };
+    return new Promise((resolve) => {
+      const leave = () => {
+        release();
+        resolve({ kind: "unreachable" });
+      };
+      signal.addEventListener("abort", leave, { once: true });
+      call.on("data", (grant: AdapterGrant) => {
+        signal.removeEventListener("abort", leave);
+        resolve(toAnswer(grant, release));
+      });
+      call.on("error", () => {
+        signal.removeEventListener("abort", leave);
+        resolve({ kind: "unreachable" });
+      });
+      call.on("end", () => {
+        resolve({ kind: "unreachable" });
+      });
+    });
+  }
+}
+
+/**
+ * Answers a peer that asks for a use; the call's end ends the use.
+ * @param owners The engines that this node owns.
+ * @param call The peer's call.
+ */
+export async function serveUse(
+  owners: EngineOwners,
+  call: ServerWritableStream<AdapterUse, AdapterGrant>,
+): Promise<void> {
+  const { engine, model, adapter, minimumVersion, promptTokens } = call.request;
+  const owner = owners.find(backendServerId(engine));
+  if (owner === undefined) {
+    writeRefusal(call, GrantOutcome.NOT_OWNER);
+    return;
+  }
+  const departure = new AbortController();
+  call.once("cancelled", () => {
+    departure.abort();
+  });
+  const answer = await owner.use({
+    model: modelId(model),
+    ...(adapter === "" ? {} : { adapter: adapterId(adapter) }),
+    minimumVersion,
+    promptTokens,
+  }, departure.signal);
+  if (answer.kind !== "granted") {
+    writeRefusal(
+      call,
+      answer.kind === "no_room" ? GrantOutcome.NO_ROOM : GrantOutcome.NOT_OWNER,
+    );
+    return;
+  }
+  if (call.cancelled) {
+    answer.release();
+    return;
+  }
+  call.once("cancelled", answer.release);
+  call.once("close", answer.release);
+  call.write({
+    outcome: GrantOutcome.GRANTED,
+    version: answer.version,
+    waitMilliseconds: owner.digest.waitMilliseconds,
+  });
+}
+
+function writeRefusal(
+  call: ServerWritableStream<AdapterUse, AdapterGrant>,
+  outcome: GrantOutcome,
+): void {
+  call.write({ outcome, version: 0, waitMilliseconds: 0 });
+  call.end();
+}
+
+function toAnswer(grant: AdapterGrant, release: () => void): UseAnswer {
+  switch (grant.outcome) {
+    case GrantOutcome.GRANTED:
+      return { kind: "granted", version: grant.version, release };
+    case GrantOutcome.NO_ROOM:
+      release();
+      return { kind: "no_room" };
+    default:
+      release();
+      return { kind: "not_owner" };
+  }
+}
--- /dev/null
+++ b/packages/node/src/relay/answer_passage.ts
@@ -0,0 +1,259 @@
+import {
+  type Duration,
+  elapsed,
+  EventSplitter,
+  type Instant,
+} from "@foxtailwind/core";
+import type { ServerResponse } from "node:http";
+import {
+  type AnswerHead,
+  AnswerTaker,
+  type HeadVerdict,
+} from "./backend_call.ts";
+import type { RelayParts } from "./relay_parts.ts";
+import type { ReadRequest, RelayRefusal } from "./relay_request.ts";
+
+/** What came of a server's answer so far. */
+export type PassageVerdict =
+  | "none"
+  /** A success, passed on as it comes. */
+  | "passed"
+  /** The server says that it has not run the request. */
+  | "not_run"
+  /** The server's own failure, kept until it is known whether to pass it. */
+  | "failure"
+  /** Not an answer to this request. */
+  | "foreign";
+
+/** A refusal in the node's own words. */
+export interface OwnRefusal {
+  readonly refusal: RelayRefusal | string;
+  readonly comeBackSeconds?: number;
+}
+
+/** Headers that concern one connection only. */
+const CONNECTION_HEADERS = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+const BAD_GATEWAY = 502;
+const SUCCESSES_FROM = 200;
+const REDIRECTS_FROM = 300;
+/** Statuses that promise that nothing has run. */
+const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** Passes the answers of servers on to one caller. */
+export class AnswerPassage extends AnswerTaker {
+  readonly #request: ReadRequest;
+  readonly #parts: RelayParts;
+  readonly #response: ServerResponse;
+  readonly #splitter: EventSplitter | undefined;
+  #verdict: PassageVerdict = "none";
+  #isMisdirected = false;
+  #hasBegun = false;
+  #failure: { readonly head: AnswerHead; readonly body: Buffer[] } | undefined;
+  #lastEventId: string | undefined;
+  #sentAt: Instant;
+  #heardAt: Instant;
+  #firstAfter: Duration | undefined;
+
+  /**
+   * @param request The request.
+   * @param parts What it works with.
+   */
+  constructor(request: ReadRequest, parts: RelayParts) {
+    super();
+    this.#request = request;
+    this.#parts = parts;
+    this.#response = request.response;
+    this.#splitter = request.route.resumable ? new EventSplitter() : undefined;
+    this.#sentAt = request.arrivedAt;
+    this.#heardAt = request.arrivedAt;
+  }
+
+  /** What came of the answer so far. */
+  get verdict(): PassageVerdict {
+    return this.#verdict;
+  }
+
+  /** Whether the caller has got the head of a success. */
+  get hasBegun(): boolean {
+    return this.#hasBegun;
+  }
+
+  /** Whether a failure of the server is kept. */
+  get hasFailure(): boolean {
+    return this.#failure !== undefined;
+  }
+
+  /** Whether the server says that it is not the one that was meant. */
+  get isMisdirected(): boolean {
+    return this.#isMisdirected;
+  }
+
+  /** From the send to the first bytes of the body. */
+  get firstAfter(): Duration | undefined {
+    return this.#firstAfter;
+  }
+
+  /** The last event that was passed on, where the stream may be resumed. */
+  get lastEventId(): string | undefined {
+    return this.#lastEventId;
+  }
+
+  /**
+   * Begins to wait for an answer to a send.
+   * @param now The present time.
+   */
+  begin(now: Instant): void {
+    this.#verdict = "none";
+    this.#isMisdirected = false;
+    this.#failure = undefined;
+    this.#sentAt = now;
+    this.#heardAt = now;
+    this.#firstAfter = undefined;
+    this.#splitter?.reset();
+  }
+
+  /**
+   * Tells how long the server has been silent.
+   * @param now The present time.
+   * @returns The time.
+   */
+  silence(now: Instant): Duration {
+    return elapsed(this.#heardAt, now);
+  }
+
+  override head(head: AnswerHead): HeadVerdict {
+    const { wire, clock } = this.#parts;
+    this.#heardAt = clock.now();
+    const facts = wire.readAnswer(head.status, head.headers);
+    if (facts.notRun) {
+      this.#verdict = "not_run";
+      this.#isMisdirected = facts.isMisdirected;
+      return "drop";
+    }
+    const isOwn = facts.requestId === undefined ||
+      facts.requestId === this.#request.caller.id;
+    const isSuccess = head.status >= SUCCESSES_FROM &&
+      head.status < REDIRECTS_FROM;
+    const isWhole = facts.isAttested &&
+      head.headers["content-encoding"] === undefined;
+    if (!isOwn || (isSuccess && !isWhole)) {
+      this.#verdict = "foreign";
+      return "cut";
+    }
+    if (!isSuccess) {
+      this.#verdict = "failure";
+      this.#failure = { head, body: [] };
+      return "take";
+    }
+    this.#verdict = "passed";
+    this.#beginAnswer(head);
+    return "take";
+  }
+
+  override data(bytes: Buffer): boolean {
+    this.#heardAt = this.#parts.clock.now();
+    if (this.#failure !== undefined) {
+      this.#failure.body.push(Buffer.from(bytes));
+      return true;
+    }
+    this.#firstAfter ??= elapsed(this.#sentAt, this.#heardAt);
+    if (this.#splitter === undefined) return this.#response.write(bytes);
+    let isOpen = true;
+    for (const event of this.#splitter.push(bytes)) {
+      if (event.id !== undefined) this.#lastEventId = event.id;
+      isOpen = this.#response.write(event.bytes);
+    }
+    return isOpen;
+  }
+
+  /** Ends a success whose last bytes have come. */
+  finish(): void {
+    this.#firstAfter ??= elapsed(this.#sentAt, this.#heardAt);
+    const rest = this.#splitter?.rest;
+    if (rest !== undefined && rest.length > 0) this.#response.write(rest);
+    this.#response.end();
+  }
+
+  /** Passes the server's own failure on. */
+  passFailure(): void {
+    const failure = this.#failure;
+    if (failure === undefined) return;
+    const { head, body } = failure;
+    if (PROMISES.has(head.status)) {
+      this.refuse(BAD_GATEWAY, { refusal: "server_failure" });
+      return;
+    }
+    this.#writeHead(head);
+    this.#response.end(Buffer.concat(body));
+  }
+
+  /**
+   * Refuses in the node's own words.
+   * @param status The status.
+   * @param own What to say.
+   */
+  refuse(status: number, own: OwnRefusal): void {
+    if (this.#response.headersSent) {
+      this.breakOff();
+      return;
+    }
+    writeRefusal(this.#response, status, own);
+  }
+
+  /** Ends an answer that can't be completed, so that it doesn't look whole. */
+  breakOff(): void {
+    this.#response.destroy();
+  }
+
+  #beginAnswer(head: AnswerHead): void {
+    if (this.#hasBegun) return;
+    this.#hasBegun = true;
+    this.#writeHead(head);
+    this.#response.flushHeaders();
+  }
+
+  #writeHead({ status, headers }: AnswerHead): void {
+    const response = this.#response;
+    response.statusCode = status;
+    response.sendDate = false;
+    const isResumable = this.#splitter !== undefined;
+    for (const [name, value] of Object.entries(headers)) {
+      if (value === undefined || CONNECTION_HEADERS.has(name)) continue;
+      // A resumed stream may have another length than the first server said.
+      if (isResumable && name === "content-length") continue;
+      response.setHeader(name, value);
+    }
+    if (this.#parts.isLeaving()) response.setHeader("connection", "close");
+  }
+}
+
+/**
+ * Writes a refusal in the node's own words.
+ * @param response The answer.
+ * @param status The status.
+ * @param own What to say.
+ */
+export function writeRefusal(
+  response: ServerResponse,
+  status: number,
+  own: OwnRefusal,
+): void {
+  const body = JSON.stringify({ error: own.refusal });
+  response.statusCode = status;
+  response.setHeader("content-type", "application/json");
+  response.setHeader("content-length", Buffer.byteLength(body));
+  if (own.comeBackSeconds !== undefined) {
+    response.setHeader("retry-after", String(own.comeBackSeconds));
+  }
+  response.end(body);
+}
--- /dev/null
+++ b/packages/node/src/relay/engine_owners.ts
@@ -0,0 +1,120 @@
+import type { BackendServerId, Instant } from "@foxtailwind/core";
+import type { EngineDigest } from "@foxtailwind/protocol";
+import { EngineOwner, type EngineOwnerParts } from "./engine_owner.ts";
+import type { ClaimRecord, SharedLog } from "./shared_log.ts";
+
+/** What owners need besides an engine. */
+export interface EngineOwnersParts extends EngineOwnerParts {
+  readonly log: SharedLog;
+  readonly incarnation: string;
+  /** Whether this node is stopping, and gives its engines to others. */
+  readonly isLeaving: () => boolean;
+}
+
+/** A node claims engines only after it has listened to its peers so long. */
+const LISTENING_MILLISECONDS = 1_000;
+
+/** The engines that this node owns, and the claims that it adds. */
+export class EngineOwners {
+  readonly #parts: EngineOwnersParts;
+  readonly #owners = new Map<BackendServerId, EngineOwner>();
+  readonly #startedAt: Instant;
+  #isClaiming = false;
+
+  /** @param parts What owners work with. */
+  constructor(parts: EngineOwnersParts) {
+    this.#parts = parts;
+    this.#startedAt = parts.clock.now();
+  }
+
+  /** What other nodes are told of this node's engines. */
+  get digests(): readonly EngineDigest[] {
+    return [...this.#owners.values()].map((owner) => owner.digest);
+  }
+
+  /**
+   * Finds the owner of an engine, where this node owns it.
+   * @param engine The engine.
+   * @returns The owner, or nothing.
+   */
+  find(engine: BackendServerId): EngineOwner | undefined {
+    return this.#owners.get(engine);
+  }
+
+  /** Follows the claims and servers that are known, and adds claims. */
+  refresh(): void {
+    const { knowledge } = this.#parts;
+    const engines = knowledge.engines;
+    const ids = new Set(engines.map((engine) => engine.id));
+    for (const [id, owner] of this.#owners) {
+      const isKept = ids.has(id) && knowledge.claims.right(id) !== undefined &&
+        !this.#parts.isLeaving();
+      if (isKept) continue;
+      owner.stop();
+      this.#owners.delete(id);
+    }
+    if (this.#parts.isLeaving()) return;
+    for (const engine of engines) this.#own(engine.id);
+    void this.#claim();
+  }
+
+  /** Stops all owners. */
+  stop(): void {
+    for (const owner of this.#owners.values()) owner.stop();
+    this.#owners.clear();
+  }
+
+  #own(id: BackendServerId): void {
+    const { knowledge } = this.#parts;
+    const server = knowledge.registry.find(id);
+    if (server === undefined) return;
+    const known = this.#owners.get(id);
+    if (known !== undefined) {
+      known.update(server);
+      return;
+    }
+    if (knowledge.claims.right(id) === undefined) return;
+    const terms = knowledge.routes?.service(server.service)?.engine;
+    if (terms === undefined) return;
+    const owner = new EngineOwner(server, terms, this.#parts);
+    this.#owners.set(id, owner);
+    void owner.pump();
+  }
+
+  async #claim(): Promise<void> {
+    const { knowledge, clock, settings, log, logger } = this.#parts;
+    const now = clock.now();
+    if (this.#isClaiming || now - this.#startedAt < LISTENING_MILLISECONDS) {
+      return;
+    }
+    if (!knowledge.isInContact(now)) return;
+    const peers = knowledge.peers.alive(now).filter((peer) => !peer.isLeaving);
+    const nodes = peers.map((peer) => peer.node as typeof settings.node.id);
+    const wanted = knowledge.claims.wanted(now, {
+      engines: knowledge.engines.map((engine) => engine.id),
+      nodes: [settings.node.id, ...nodes],
+    });
+    if (wanted.length === 0) return;
+    this.#isClaiming = true;
+    const claims = wanted.map((engine) => this.#record(engine));
+    const added = await log.claim(claims);
+    this.#isClaiming = false;
+    if (added.isErr()) {
+      logger.warn("Claims got no answer.", {
+        step: added.error.step,
+        peer: added.error.peer,
+        detail: added.error.message,
+      });
+    }
+  }
+
+  #record(engine: BackendServerId): ClaimRecord {
+    const { settings, incarnation, knowledge } = this.#parts;
+    return {
+      engine,
+      owner: settings.node.id,
+      incarnation,
+      isTakeover: knowledge.claims.isClaimed(engine),
+    };
+  }
+}
--- /dev/null
+++ b/packages/node/src/relay/front_server.ts
@@ -0,0 +1,217 @@
+import { chooseTarget } from "@foxtailwind/core";
+import Fastify, { type FastifyInstance } from "fastify";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { SocketAddress } from "../settings/settings.ts";
+import { writeRefusal } from "./answer_passage.ts";
+import type { RelayParts } from "./relay_parts.ts";
+import { RelayRequest } from "./relay_request.ts";
+
+const BAD_REQUEST = 400;
+const NOT_FOUND = 404;
+const TOO_LARGE = 413;
+const HEADERS_TOO_LARGE = 431;
+const UNAVAILABLE = 503;
+/** Asked of callers while the node knows no configuration, in seconds. */
+const COME_BACK_UNCONFIGURED = 0.5;
+/** Above the largest header limit that a configuration may set. */
+const MOST_HEADER_BYTES = 128 * 1_024;
+/** Before the first configuration sets them. */
+const FIRST_IDLE_MILLISECONDS = 15_000;
+const FIRST_HEADER_MILLISECONDS = 10_000;
+/** How much longer than stated an idle connection is kept open. */
+const IDLE_MARGIN_MILLISECONDS = 1_000;
+const CHECK_MILLISECONDS = 1_000;
+
+/** Takes callers' requests and relays them. */
+export class FrontServer {
+  readonly #parts: RelayParts;
+  readonly #fastify: FastifyInstance;
+  #running = 0;
+
+  /** @param parts What relaying works with. */
+  constructor(parts: RelayParts) {
+    this.#parts = parts;
+    this.#fastify = Fastify({
+      logger: false,
+      genReqId: () => "",
+      keepAliveTimeout: FIRST_IDLE_MILLISECONDS + IDLE_MARGIN_MILLISECONDS,
+      requestTimeout: 0,
+      http: {
+        maxHeaderSize: MOST_HEADER_BYTES,
+        headersTimeout: FIRST_HEADER_MILLISECONDS,
+        connectionsCheckingInterval: CHECK_MILLISECONDS,
+        noDelay: true,
+      },
+    });
+    this.#install();
+  }
+
+  /** How many requests are in progress. */
+  get running(): number {
+    return this.#running;
+  }
+
+  /**
+   * Starts to take requests.
+   * @param address Where.
+   * @returns The port taken.
+   */
+  async listen(address: SocketAddress): Promise<number> {
+    await this.#fastify.listen(address);
+    const bound = this.#fastify.server.address();
+    return typeof bound === "object" && bound !== null ? bound.port : 0;
+  }
+
+  /** Takes no new connections, and closes idle ones. */
+  stopListening(): void {
+    this.#fastify.server.close();
+    this.#fastify.server.closeIdleConnections();
+  }
+
+  /** Ends all connections. */
+  cut(): void {
+    this.#fastify.server.closeAllConnections();
+  }
+
+  /** Puts the limits of the configuration in force. */
+  applyLimits(): void {
+    const limits = this.#parts.knowledge.routes?.configuration.limits;
+    if (limits === undefined) return;
+    const { server } = this.#fastify;
+    server.keepAliveTimeout = limits.idleTime + IDLE_MARGIN_MILLISECONDS;
+    server.headersTimeout = limits.headerTime;
+  }
+
+  #install(): void {
+    const fastify = this.#fastify;
+    fastify.removeAllContentTypeParsers();
+    fastify.addContentTypeParser("*", (_request, _payload, done) => {
+      done(null);
+    });
+    fastify.all("*", (request, reply) => {
+      reply.hijack();
+      void this.#take(request.raw, reply.raw);
+    });
+  }
+
+  async #take(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    this.#running += 1;
+    try {
+      await this.#relay(message, response);
+    } finally {
+      this.#running -= 1;
+    }
+  }
+
+  async #relay(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { knowledge, wire, clock } = this.#parts;
+    const arrivedAt = clock.now();
+    if (this.#parts.isLeaving()) response.setHeader("connection", "close");
+    const routes = knowledge.routes;
+    if (routes === undefined) {
+      this.#refuse(message, response, UNAVAILABLE, "no_configuration");
+      return;
+    }
+    const { limits } = routes.configuration;
+    if (headerBytes(message) > limits.headerBytes) {
+      this.#refuse(message, response, HEADERS_TOO_LARGE, "headers_too_large");
+      return;
+    }
+    const caller = wire.readRequest(message.headers);
+    if (caller.isErr()) {
+      this.#refuse(message, response, BAD_REQUEST, caller.error);
+      return;
+    }
+    const route = routes.find(message.headers.host ?? "", message.url ?? "/");
+    const target = route && chooseTarget(route, Math.random());
+    const service = target && routes.service(target);
+    if (route === undefined || service === undefined) {
+      this.#refuse(message, response, NOT_FOUND, "no_route");
+      return;
+    }
+    const body = await readBody(message, limits.bodyBytes);
+    if (body.kind === "too_large") {
+      this.#refuse(message, response, TOO_LARGE, "body_too_large");
+      return;
+    }
+    if (body.kind === "broken") return;
+    await new RelayRequest(this.#parts, {
+      message,
+      response,
+      caller: caller.value,
+      route,
+      service,
+      body: body.bytes,
+      arrivedAt,
+    }).run();
+  }
+
+  #refuse(
+    message: IncomingMessage,
+    response: ServerResponse,
+    status: number,
+    refusal: string,
+  ): void {
+    this.#parts.logger.info("A request was refused unread.", {
+      status,
+      refusal,
+      path: message.url,
+      configuration: this.#parts.knowledge.routes?.configuration.version,
+    });
+    if (!message.complete) response.setHeader("connection", "close");
+    writeRefusal(response, status, {
+      refusal,
+      ...(status === UNAVAILABLE
+        ? { comeBackSeconds: COME_BACK_UNCONFIGURED }
+        : {}),
+    });
+  }
+}
+
+type ReadBody =
+  | { readonly kind: "read"; readonly bytes: Buffer | undefined }
+  | { readonly kind: "too_large" }
+  | { readonly kind: "broken" };
+
+/** Reads a whole body, up to a limit. */
+function readBody(message: IncomingMessage, limit: number): Promise<ReadBody> {
+  const stated = Number(message.headers["content-length"] ?? 0);
+  if (stated > limit) return Promise.resolve({ kind: "too_large" });
+  const hasBody = stated > 0 ||
+    message.headers["transfer-encoding"] !== undefined;
+  if (!hasBody) {
+    message.resume();
+    const bytes = message.headers["content-length"] === undefined
+      ? undefined
+      : Buffer.alloc(0);
+    return Promise.resolve({ kind: "read", bytes });
+  }
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    message.on("data", (chunk: Buffer) => {
+      length += chunk.length;
+      if (length > limit) resolve({ kind: "too_large" });
+      else chunks.push(chunk);
+    });
+    message.once("end", () => {
+      resolve({ kind: "read", bytes: Buffer.concat(chunks) });
+    });
+    message.once("close", () => {
+      resolve({ kind: "broken" });
+    });
+    message.once("error", () => {
+      resolve({ kind: "broken" });
+    });
+  });
+}
+
+function headerBytes(message: IncomingMessage): number {
+  return message.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+}
--- /dev/null
+++ b/packages/node/src/relay/knowledge.ts
@@ -0,0 +1,216 @@
+import {
+  type AdapterId,
+  AdapterVersions,
+  type BackendServerId,
+  EngineClaims,
+  type Failure,
+  type FencingNumber,
+  type Instant,
+  type LogOffset,
+  milliseconds,
+  type ModelId,
+  type RegisteredServer,
+  type RegistryEntry,
+  type RelayConfiguration,
+  RouteTable,
+  ServerRegistry,
+  type ServiceId,
+} from "@foxtailwind/core";
+import type { SteadyClock } from "../clock/steady_clock.ts";
+import type { PartLogger } from "../logging/part_logger.ts";
+import { PeerBook } from "./peer_book.ts";
+import type { RelaySettings } from "./relay_settings.ts";
+import {
+  type ClaimRecord,
+  type NodeRecord,
+  SharedLogListener,
+} from "./shared_log.ts";
+
+/** Without a successful call for so long, the log counts as out of reach. */
+const CONTACT_TIME = milliseconds(2_000);
+
+/** What knowledge is kept for. */
+export interface KnowledgeParts {
+  readonly settings: RelaySettings;
+  readonly incarnation: string;
+  readonly clock: SteadyClock;
+  readonly logger: PartLogger;
+}
+
+/** What this node knows of configuration, servers, claims and nodes. */
+export class Knowledge extends SharedLogListener {
+  readonly versions = new AdapterVersions();
+  readonly registry = new ServerRegistry();
+  readonly peers = new PeerBook();
+  readonly claims: EngineClaims;
+  readonly #parts: KnowledgeParts;
+  #routes: RouteTable | undefined;
+  #byService = new Map<ServiceId, readonly RegisteredServer[]>();
+  #byServiceRevision = -1;
+  #reachedAt: Instant | undefined;
+  #isInContact = false;
+  /** Called after each change that may matter to the owners of engines. */
+  onChange: () => void = () => undefined;
+
+  /** @param parts What it is kept for. */
+  constructor(parts: KnowledgeParts) {
+    super();
+    this.#parts = parts;
+    const { settings, incarnation } = parts;
+    this.claims = new EngineClaims(
+      { id: settings.node.id, incarnation },
+      milliseconds(settings.engines.lease_milliseconds),
+    );
+  }
+
+  /** The configuration in force, or nothing before the first. */
+  get routes(): RouteTable | undefined {
+    return this.#routes;
+  }
+
+  /**
+   * Lists the servers of a service that are there.
+   * @param service The service.
+   * @returns The servers, leaving ones included.
+   */
+  servers(service: ServiceId): readonly RegisteredServer[] {
+    if (this.#byServiceRevision !== this.registry.revision) this.#group();
+    return this.#byService.get(service) ?? [];
+  }
+
+  /** The model engines that are there and stay. */
+  get engines(): readonly RegisteredServer[] {
+    const services = this.#routes?.configuration.services ?? [];
+    return services.filter((service) => service.engine !== undefined)
+      .flatMap((service) => this.servers(service.id))
+      .filter((server) => !server.leaving);
+  }
+
+  /**
+   * Tells whether the platform's log answers this node.
+   * @param now The present time.
+   * @returns Whether it has answered lately.
+   */
+  isInContact(now: Instant): boolean {
+    return this.#reachedAt !== undefined &&
+      now - this.#reachedAt < CONTACT_TIME;
+  }
+
+  override configuration(configuration: RelayConfiguration): void {
+    const known = this.#routes?.configuration.version ?? -1;
+    if (configuration.version <= known) return;
+    this.#routes = new RouteTable(configuration);
+    this.#parts.logger.info("A configuration is in force.", {
+      version: configuration.version,
+      routes: configuration.routes.length,
+      before: known,
+    });
+    this.onChange();
+  }
+
+  override adapterVersion(
+    model: ModelId,
+    adapter: AdapterId,
+    version: number,
+  ): void {
+    if (this.versions.newest(model, adapter) >= version) return;
+    this.versions.name(model, adapter, version);
+    this.#parts.logger.info("A version of an adapter was named.", {
+      model,
+      adapter,
+      version,
+    });
+    this.onChange();
+  }
+
+  override registryEntry(entry: RegistryEntry): void {
+    const before = this.registry.revision;
+    const id = entry.kind === "gone" ? entry.id : entry.server.id;
+    const known = this.registry.find(id);
+    this.registry.apply(this.#parts.clock.now(), entry);
+    if (this.registry.revision === before) return;
+    this.#logServer(entry, known);
+    this.onChange();
+  }
+
+  override registryListed(
+    entries: readonly RegistryEntry[],
+    end: LogOffset,
+  ): void {
+    this.registry.replace(this.#parts.clock.now(), entries, end);
+    this.onChange();
+  }
+
+  override claim(claim: ClaimRecord, offset: LogOffset): void {
+    const seenAt = this.#parts.clock.now();
+    this.claims.apply({ ...claim, offset, seenAt });
+    this.#parts.logger.info("An engine has a new owner.", {
+      engine: claim.engine,
+      owner: claim.owner,
+      offset,
+      takeover: claim.isTakeover,
+    });
+    this.onChange();
+  }
+
+  override node(node: NodeRecord): void {
+    if (node.id === this.#parts.settings.node.id) return;
+    this.peers.record(this.#parts.clock.now(), node);
+  }
+
+  override reached(): void {
+    this.#reachedAt = this.#parts.clock.now();
+    if (this.#isInContact) return;
+    this.#isInContact = true;
+    this.#parts.logger.info("The platform's log is in reach.");
+  }
+
+  override failed(failure: Failure): void {
+    const now = this.#parts.clock.now();
+    this.registry.disturbed(now);
+    if (!this.#isInContact) return;
+    this.#isInContact = false;
+    this.#parts.logger.warn("The platform's log failed a call.", {
+      step: failure.step,
+      peer: failure.peer,
+      reason: failure.reason,
+      detail: failure.message,
+    });
+  }
+
+  /**
+   * Takes note that an engine refused this node's number.
+   * @param engine The engine.
+   * @param fence The number.
+   */
+  fenced(engine: BackendServerId, fence: FencingNumber): void {
+    this.claims.refuse(engine, fence);
+    this.#parts.logger.warn("An engine has a newer owner.", { engine, fence });
+    this.onChange();
+  }
+
+  #group(): void {
+    const groups = new Map<ServiceId, RegisteredServer[]>();
+    for (const server of this.registry.all) {
+      const group = groups.get(server.service) ?? [];
+      group.push(server);
+      groups.set(server.service, group);
+    }
+    this.#byService = groups;
+    this.#byServiceRevision = this.registry.revision;
+  }
+
+  #logServer(
+    entry: RegistryEntry,
+    known: RegisteredServer | undefined,
+  ): void {
+    const { logger } = this.#parts;
+    if (entry.kind === "gone") {
+      logger.info("A server has left.", { server: entry.id });
+      return;
+    }
+    const { id, service, leaving } = entry.server;
+    if (known === undefined) logger.info("A server is there.", { server: id, service });
+    else if (leaving && !known.leaving) logger.info("A server leaves.", { server: id, service });
+  }
+}
--- /dev/null
+++ b/packages/node/src/relay/knowledge_message.ts
@@ -0,0 +1,87 @@
+import {
+  adapterId,
+  type HeldModel,
+  modelId,
+  type RegisteredServer,
+  type RegistryEntry,
+  type RelayConfiguration,
+} from "@foxtailwind/core";
+import type { Knowledge as KnowledgeMessage } from "@foxtailwind/protocol";
+import type { Knowledge } from "./knowledge.ts";
+
+type StoredModel = Omit<HeldModel, "adapters"> & {
+  readonly adapters: readonly (readonly [string, number])[];
+};
+type StoredServer = Omit<RegisteredServer, "models"> & {
+  readonly models: readonly StoredModel[];
+};
+type StoredEntry =
+  | Extract<RegistryEntry, { kind: "gone" }>
+  | (Omit<Extract<RegistryEntry, { kind: "present" }>, "server"> & {
+    readonly server: StoredServer;
+  });
+
+/**
+ * Writes what a node knows for a peer.
+ * @param knowledge What it knows.
+ * @param configurationVersion The version that the peer has.
+ * @returns The message.
+ */
+export function writeKnowledge(
+  knowledge: Knowledge,
+  configurationVersion: number,
+): KnowledgeMessage {
+  const configuration = knowledge.routes?.configuration;
+  const isNewer = configuration !== undefined &&
+    configuration.version > configurationVersion;
+  return {
+    configuration: isNewer ? JSON.stringify(configuration) : "",
+    registry: JSON.stringify(knowledge.registry.entries.map(storeEntry)),
+    versions: JSON.stringify(knowledge.versions.all),
+  };
+}
+
+/**
+ * Takes what a peer knows. Peers run the same program, so that the message
+ * is taken as written.
+ * @param knowledge Takes it.
+ * @param message The peer's message.
+ */
+export function readKnowledge(
+  knowledge: Knowledge,
+  message: KnowledgeMessage,
+): void {
+  if (message.configuration !== "") {
+    knowledge.configuration(
+      JSON.parse(message.configuration) as RelayConfiguration,
+    );
+  }
+  for (const entry of JSON.parse(message.registry) as StoredEntry[]) {
+    knowledge.registryEntry(restoreEntry(entry));
+  }
+  const versions = JSON.parse(message.versions) as [string, number][];
+  for (const [key, version] of versions) {
+    const [model = "", adapter = ""] = key.split("/");
+    knowledge.adapterVersion(modelId(model), adapterId(adapter), version);
+  }
+}
+
+function storeEntry(entry: RegistryEntry): StoredEntry {
+  if (entry.kind === "gone") return entry;
+  const models = entry.server.models.map((held) => ({
+    ...held,
+    adapters: [...held.adapters],
+  }));
+  return { ...entry, server: { ...entry.server, models } };
+}
+
+function restoreEntry(entry: StoredEntry): RegistryEntry {
+  if (entry.kind === "gone") return entry;
+  const models = entry.server.models.map((held) => ({
+    ...held,
+    adapters: new Map(
+      held.adapters.map(([adapter, version]) => [adapterId(adapter), version]),
+    ),
+  }));
+  return { ...entry, server: { ...entry.server, models } };
+}
--- /dev/null
+++ b/packages/node/src/relay/mod.ts
@@ -0,0 +1,15 @@
+/**
+ * The relay: requests by route, whole, to the backend servers that run them.
+ * @module
+ */
+export { LoggerFactory, type PartLogger } from "../logging/part_logger.ts";
+export { ProcessClock } from "../clock/steady_clock.ts";
+export { formatSettingsProblem } from "../settings/load_settings.ts";
+export type { SocketAddress } from "../settings/settings.ts";
+export * from "./bounded_writer.ts";
+export * from "./caller_wire.ts";
+export * from "./engine_control.ts";
+export * from "./operations_wire.ts";
+export * from "./relay_daemon.ts";
+export * from "./relay_settings.ts";
+export * from "./shared_log.ts";
--- /dev/null
+++ b/packages/node/src/relay/peer_exchange.ts
@@ -0,0 +1,164 @@
+import { elapsed, type Instant, milliseconds } from "@foxtailwind/core";
+import {
+  type AdapterGrant,
+  type AdapterUse,
+  type Knowledge as KnowledgeMessage,
+  type KnowledgeRequest,
+  type NodeDigest,
+  RelayPeersClient,
+  RelayPeersService,
+} from "@foxtailwind/protocol";
+import {
+  credentials,
+  Metadata,
+  type sendUnaryData,
+  type ServerUnaryCall,
+  type ServerWritableStream,
+} from "@grpc/grpc-js";
+import type { SteadyClock } from "../clock/steady_clock.ts";
+import type { PartLogger } from "../logging/part_logger.ts";
+import type { PeerChannels } from "../peers/peer_channels.ts";
+import type { PeerRegistration } from "../peers/peer_server.ts";
+import { serveUse } from "./adapter_grants.ts";
+import type { EngineOwners } from "./engine_owners.ts";
+import type { Knowledge } from "./knowledge.ts";
+import { readKnowledge, writeKnowledge } from "./knowledge_message.ts";
+
+/** Between two exchanges with each peer. */
+const EXCHANGE_PERIOD = 300;
+/** After so long, an exchange counts as unanswered. */
+const EXCHANGE_LIMIT = 500;
+/** After so long without the log, a peer is asked for what it knows. */
+const PATIENCE_WITHOUT_LOG = milliseconds(1_500);
+
+/** What exchanges work with. */
+export interface PeerExchangeParts {
+  readonly knowledge: Knowledge;
+  readonly owners: EngineOwners;
+  readonly channels: PeerChannels;
+  readonly clock: SteadyClock;
+  readonly logger: PartLogger;
+  /** What this node says of itself. */
+  readonly digest: () => NodeDigest;
+}
+
+/** Exchanges digests with the other nodes, both ways in one call. */
+export class PeerExchange {
+  readonly #parts: PeerExchangeParts;
+  readonly #pending = new Set<string>();
+  readonly #startedAt: Instant;
+  #timer: NodeJS.Timeout | undefined;
+  #fetchedAt: Instant | undefined;
+
+  /** @param parts What it works with. */
+  constructor(parts: PeerExchangeParts) {
+    this.#parts = parts;
+    this.#startedAt = parts.clock.now();
+  }
+
+  /** The gRPC service that answers the peers. */
+  get registration(): PeerRegistration {
+    const { owners } = this.#parts;
+    return {
+      definition: RelayPeersService,
+      implementation: {
+        useAdapter: (call: ServerWritableStream<AdapterUse, AdapterGrant>) => {
+          void serveUse(owners, call);
+        },
+        exchange: (
+          call: ServerUnaryCall<NodeDigest, NodeDigest>,
+          answer: sendUnaryData<NodeDigest>,
+        ) => {
+          this.#hear(call.request);
+          answer(null, this.#parts.digest());
+        },
+        fetchKnowledge: (
+          call: ServerUnaryCall<KnowledgeRequest, KnowledgeMessage>,
+          answer: sendUnaryData<KnowledgeMessage>,
+        ) => {
+          const { configurationVersion } = call.request;
+          answer(null, writeKnowledge(this.#parts.knowledge, configurationVersion));
+        },
+      },
+    };
+  }
+
+  /** Starts to exchange. */
+  start(): void {
+    this.#timer = setInterval(() => {
+      this.exchange();
+    }, EXCHANGE_PERIOD);
+  }
+
+  /** Exchanges with all peers now. */
+  exchange(): void {
+    const { knowledge, clock, channels } = this.#parts;
+    const now = clock.now();
+    channels.retain(knowledge.peers.addresses);
+    const digest = this.#parts.digest();
+    for (const contact of knowledge.peers.contacts(now)) {
+      this.#exchangeWith(contact.address, digest);
+    }
+    this.#fetchIfNeeded(now);
+  }
+
+  /** Stops. */
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  #exchangeWith(address: string, digest: NodeDigest): void {
+    if (this.#pending.has(address)) return;
+    this.#pending.add(address);
+    this.#client(address).exchange(
+      digest,
+      new Metadata(),
+      { deadline: Date.now() + EXCHANGE_LIMIT },
+      (error, answer: NodeDigest | undefined) => {
+        this.#pending.delete(address);
+        if (error === null && answer !== undefined) this.#hear(answer);
+      },
+    );
+  }
+
+  #hear(digest: NodeDigest): void {
+    const { knowledge, clock } = this.#parts;
+    knowledge.peers.heard(clock.now(), digest);
+    this.#parts.owners.refresh();
+  }
+
+  /** Asks a peer for what it knows while the log is out of reach. */
+  #fetchIfNeeded(now: Instant): void {
+    const { knowledge, logger } = this.#parts;
+    if (knowledge.isInContact(now)) return;
+    const since = this.#fetchedAt ?? this.#startedAt;
+    if (elapsed(since, now) < PATIENCE_WITHOUT_LOG) return;
+    const peers = knowledge.peers.alive(now);
+    const peer = peers[Math.floor(Math.random() * peers.length)];
+    if (peer === undefined) return;
+    this.#fetchedAt = now;
+    const version = knowledge.routes?.configuration.version ?? 0;
+    this.#client(peer.address).fetchKnowledge(
+      { configurationVersion: version },
+      new Metadata(),
+      { deadline: Date.now() + EXCHANGE_LIMIT },
+      (error, answer: KnowledgeMessage | undefined) => {
+        if (error !== null || answer === undefined) {
+          logger.warn("A peer did not tell what it knows.", {
+            peer: peer.node,
+            detail: error?.message,
+          });
+          return;
+        }
+        readKnowledge(knowledge, answer);
+        logger.info("A peer told what it knows.", { peer: peer.node });
+      },
+    );
+  }
+
+  #client(address: string): RelayPeersClient {
+    return new RelayPeersClient(address, credentials.createInsecure(), {
+      channelOverride: this.#parts.channels.channel(address),
+    });
+  }
+}
--- /dev/null
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -0,0 +1,295 @@
+import { elapsed, type Instant, milliseconds, seconds } from "@foxtailwind/core";
+import type { NodeDigest } from "@foxtailwind/protocol";
+import { randomUUID } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import { ProcessClock } from "../clock/steady_clock.ts";
+import type { LoggerFactory, PartLogger } from "../logging/part_logger.ts";
+import { PeerChannels } from "../peers/peer_channels.ts";
+import { PeerServer } from "../peers/peer_server.ts";
+import { AdapterGrants } from "./adapter_grants.ts";
+import { BackendPools } from "./backend_pools.ts";
+import type { RelayWire } from "./caller_wire.ts";
+import type { EngineControl } from "./engine_control.ts";
+import { EngineOwners } from "./engine_owners.ts";
+import { FrontServer } from "./front_server.ts";
+import { Knowledge } from "./knowledge.ts";
+import { OperationsApplication } from "./operations_application.ts";
+import type { OperationsWire } from "./operations_wire.ts";
+import { PeerExchange } from "./peer_exchange.ts";
+import { RelayMetrics } from "./relay_metrics.ts";
+import type { RelayParts } from "./relay_parts.ts";
+import type { RelaySettings } from "./relay_settings.ts";
+import { ADDRESS_LIFETIME_SECONDS, stopStep } from "./relay_stop.ts";
+import { RequestPlacer } from "./request_placer.ts";
+import { RetryAllowances } from "./retry_allowances.ts";
+import { ServerLoads } from "./server_loads.ts";
+import type { SharedLog } from "./shared_log.ts";
+
+/** The outside as one platform forms it. */
+export interface RelayEdges {
+  readonly log: SharedLog;
+  readonly wire: RelayWire;
+  readonly control: EngineControl;
+  readonly operations: OperationsWire;
+}
+
+/** Between two looks at claims, lapsed servers and limits. */
+const REFRESH_MILLISECONDS = 250;
+/** Between two attempts to make this node known. */
+const ANNOUNCE_MILLISECONDS = 500;
+const STOP_CHECK_MILLISECONDS = 100;
+/** Nodes heard of in this time share limits, even if silent now. */
+const NODE_MEMORY = milliseconds(20_000);
+
+/** One node that relays requests by route: all its parts together. */
+export class RelayDaemon {
+  readonly #settings: RelaySettings;
+  readonly #edges: RelayEdges;
+  readonly #clock = new ProcessClock();
+  readonly #logger: PartLogger;
+  readonly #incarnation = randomUUID();
+  readonly #channels = new PeerChannels();
+  readonly #knowledge: Knowledge;
+  readonly #owners: EngineOwners;
+  readonly #exchange: PeerExchange;
+  readonly #peerServer: PeerServer;
+  readonly #pools = new BackendPools();
+  readonly #loads: ServerLoads;
+  readonly #front: FrontServer;
+  readonly #operations: OperationsApplication;
+  readonly #metrics: RelayMetrics;
+  readonly #heardNodes = new Map<string, Instant>();
+  #refreshTimer: NodeJS.Timeout | undefined;
+  #lastRequestAt: Instant;
+  #isListening = false;
+  #isLeaving = false;
+
+  /**
+   * @param settings The checked settings.
+   * @param edges The outside.
+   * @param loggers Makes the parts' loggers.
+   */
+  constructor(
+    settings: RelaySettings,
+    edges: RelayEdges,
+    loggers: LoggerFactory,
+  ) {
+    this.#settings = settings;
+    this.#edges = edges;
+    this.#logger = loggers.forPart("daemon");
+    this.#lastRequestAt = this.#clock.now();
+    this.#loads = new ServerLoads(settings.node.failure_domain);
+    this.#knowledge = new Knowledge({
+      settings,
+      incarnation: this.#incarnation,
+      clock: this.#clock,
+      logger: loggers.forPart("configuration"),
+    });
+    const knowledge = this.#knowledge;
+    const clock = this.#clock;
+    this.#owners = new EngineOwners({
+      settings,
+      knowledge,
+      control: edges.control,
+      clock,
+      logger: loggers.forPart("ownership"),
+      log: edges.log,
+      incarnation: this.#incarnation,
+      isLeaving: () => this.#isLeaving,
+    });
+    this.#exchange = new PeerExchange({
+      knowledge,
+      owners: this.#owners,
+      channels: this.#channels,
+      clock,
+      logger: loggers.forPart("peers"),
+      digest: () => this.#digest(),
+    });
+    this.#peerServer = new PeerServer([this.#exchange.registration]);
+    const parts = this.#relayParts(loggers);
+    this.#front = new FrontServer(parts);
+    this.#metrics = new RelayMetrics({
+      requestsInProgress: () => this.#front.running,
+      configurationVersion: () =>
+        knowledge.routes?.configuration.version ?? 0,
+      enginesOwned: () => this.#owners.digests.length,
+      nodesAlive: () => knowledge.peers.alive(clock.now()).length,
+    });
+    this.#operations = new OperationsApplication(edges.operations, {
+      isReady: () => this.#isReady(),
+      addresses: (failureDomain) => this.#addresses(failureDomain),
+      addressLifetimeSeconds: Math.min(
+        ADDRESS_LIFETIME_SECONDS,
+        settings.addresses.longest_lifetime_seconds,
+      ),
+      metrics: () => this.#metrics.text(),
+    });
+    knowledge.onChange = () => {
+      this.#front.applyLimits();
+      this.#owners.refresh();
+    };
+  }
+
+  /** Starts all parts. */
+  async start(): Promise<void> {
+    const { listen } = this.#settings;
+    this.#edges.log.start(this.#knowledge);
+    await this.#peerServer.listen(listen.peers);
+    await this.#front.listen(listen.callers);
+    this.#isListening = true;
+    const { readiness, addresses, metrics } = listen;
+    await this.#operations.listen({ readiness, addresses, metrics });
+    this.#exchange.start();
+    void this.#announce();
+    this.#refreshTimer = setInterval(() => {
+      this.#refresh();
+    }, REFRESH_MILLISECONDS);
+    this.#logger.info("Started.", {
+      node: this.#settings.node.id,
+      incarnation: this.#incarnation,
+    });
+  }
+
+  /** Leaves the addresses, finishes what is in progress, and stops. */
+  async stop(): Promise<void> {
+    const begunAt = this.#clock.now();
+    const grace = seconds(this.#settings.stop.grace_seconds);
+    this.#isLeaving = true;
+    this.#logger.info("Stopping.", { running: this.#front.running });
+    this.#exchange.exchange();
+    this.#owners.refresh();
+    for (;;) {
+      const step = stopStep(this.#clock.now(), {
+        begunAt,
+        grace,
+        running: this.#front.running,
+        lastRequestAt: this.#lastRequestAt,
+      });
+      if (step === "end") break;
+      if (step === "close_door") this.#front.stopListening();
+      await sleep(STOP_CHECK_MILLISECONDS);
+    }
+    this.#logger.info("Stopped.", {
+      cut: this.#front.running,
+      took: Math.round(elapsed(begunAt, this.#clock.now())),
+    });
+    await this.#close();
+  }
+
+  async #close(): Promise<void> {
+    clearInterval(this.#refreshTimer);
+    this.#exchange.stop();
+    this.#owners.stop();
+    this.#edges.log.stop();
+    this.#front.stopListening();
+    this.#front.cut();
+    this.#peerServer.cutConnections();
+    this.#channels.close();
+    await this.#operations.close();
+    await this.#pools.destroy();
+  }
+
+  #relayParts(loggers: LoggerFactory): RelayParts {
+    const { node, retries } = this.#settings;
+    const knowledge = this.#knowledge;
+    const clock = this.#clock;
+    const nodes = () => this.#countNodes();
+    return {
+      knowledge,
+      clock,
+      nodes,
+      pools: this.#pools,
+      loads: this.#loads,
+      wire: this.#edges.wire,
+      logger: loggers.forPart("callers"),
+      isLeaving: () => this.#isLeaving,
+      allowances: new RetryAllowances({
+        share: retries.share,
+        reserve: retries.reserve,
+        window: seconds(retries.window_seconds),
+      }, nodes),
+      placer: new RequestPlacer({
+        self: node.id,
+        knowledge,
+        owners: this.#owners,
+        grants: new AdapterGrants(node.id, this.#owners, this.#channels),
+        loads: this.#loads,
+        clock,
+      }),
+      record: (route, outcome, took, firstAfter) => {
+        this.#lastRequestAt = clock.now();
+        this.#metrics.record(route, outcome, took, firstAfter);
+      },
+    };
+  }
+
+  #refresh(): void {
+    const now = this.#clock.now();
+    const { registry } = this.#knowledge;
+    const before = registry.revision;
+    registry.expire(now);
+    this.#owners.refresh();
+    for (const peer of this.#knowledge.peers.alive(now)) {
+      this.#heardNodes.set(peer.node, now);
+    }
+    if (registry.revision === before) return;
+    const ids = new Set(registry.all.map((server) => server.id));
+    this.#pools.retain(ids);
+    this.#loads.retain(ids);
+    this.#knowledge.claims.retain(ids);
+  }
+
+  #countNodes(): number {
+    const now = this.#clock.now();
+    let count = 1;
+    for (const heardAt of this.#heardNodes.values()) {
+      if (elapsed(heardAt, now) < NODE_MEMORY) count += 1;
+    }
+    return count;
+  }
+
+  #isReady(): boolean {
+    return this.#isListening && !this.#isLeaving &&
+      this.#knowledge.routes !== undefined;
+  }
+
+  #addresses(failureDomain: string | undefined): readonly string[] {
+    const self = this.#digest();
+    const peers = this.#knowledge.peers.alive(this.#clock.now());
+    const ready = [self, ...peers].filter((one) =>
+      one.isReady && !one.isLeaving
+    );
+    const near = ready.filter((one) => one.failureDomain === failureDomain);
+    const chosen = near.length > 1 ? near : ready;
+    return chosen.map((one) => one.callerAddress);
+  }
+
+  #digest(): NodeDigest {
+    const { node, listen } = this.#settings;
+    return {
+      node: node.id,
+      incarnation: this.#incarnation,
+      address: `${listen.peers.host}:${listen.peers.port}`,
+      callerAddress: `${listen.callers.host}:${listen.callers.port}`,
+      failureDomain: node.failure_domain,
+      isReady: this.#isReady(),
+      isLeaving: this.#isLeaving,
+      engines: [...this.#owners.digests],
+    };
+  }
+
+  async #announce(): Promise<void> {
+    const { node, listen } = this.#settings;
+    const record = {
+      id: node.id,
+      incarnation: this.#incarnation,
+      address: `${listen.peers.host}:${listen.peers.port}`,
+    };
+    for (;;) {
+      const added = await this.#edges.log.announce(record);
+      if (added.isOk() && added.value) return;
+      if (this.#isLeaving) return;
+      await sleep(ANNOUNCE_MILLISECONDS);
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/relay/relay_metrics.ts
@@ -0,0 +1,92 @@
+import type { Duration, Route } from "@foxtailwind/core";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** Bounds of latency histograms, in seconds: from a lookup to a long stream. */
+const LATENCY_BOUNDS = [
+  0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2, 4, 8, 16,
+];
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Values that are read when metrics are. */
+export interface RelayGauges {
+  readonly requestsInProgress: () => number;
+  readonly configurationVersion: () => number;
+  readonly enginesOwned: () => number;
+  readonly nodesAlive: () => number;
+}
+
+/** The counters and histograms of a relay, as text for a scraper. */
+export class RelayMetrics {
+  readonly #registry = new Registry();
+  readonly #requests = new Counter({
+    name: "foxtailwind_requests_total",
+    help: "Requests that ended, by service and outcome.",
+    labelNames: ["service", "priority", "outcome"],
+    registers: [this.#registry],
+  });
+  readonly #first = new Histogram({
+    name: "foxtailwind_first_bytes_seconds",
+    help: "From the last send to the first bytes of the answer.",
+    labelNames: ["service", "priority"],
+    buckets: LATENCY_BOUNDS,
+    registers: [this.#registry],
+  });
+  readonly #whole = new Histogram({
+    name: "foxtailwind_request_seconds",
+    help: "From a request's arrival to the end of its answer.",
+    labelNames: ["service", "priority"],
+    buckets: LATENCY_BOUNDS,
+    registers: [this.#registry],
+  });
+
+  /** @param gauges Values that are read when metrics are. */
+  constructor(gauges: RelayGauges) {
+    this.#gauge("foxtailwind_requests_in_progress", "Requests in progress.", gauges.requestsInProgress);
+    this.#gauge("foxtailwind_configuration_version", "The configuration in force.", gauges.configurationVersion);
+    this.#gauge("foxtailwind_engines_owned", "Engines that this node may order.", gauges.enginesOwned);
+    this.#gauge("foxtailwind_nodes_alive", "Other nodes heard of lately.", gauges.nodesAlive);
+  }
+
+  /**
+   * Counts a request that has ended.
+   * @param route Its route.
+   * @param outcome How it ended.
+   * @param took From its arrival to its end.
+   * @param firstAfter From the last send to the first bytes, if any came.
+   */
+  record(
+    route: Route,
+    outcome: string,
+    took: Duration,
+    firstAfter: Duration | undefined,
+  ): void {
+    const service = route.targets[0]?.service ?? "";
+    const priority = String(route.priority);
+    this.#requests.inc({ service, priority, outcome });
+    this.#whole.observe({ service, priority }, took / MILLISECONDS_PER_SECOND);
+    if (firstAfter === undefined) return;
+    this.#first.observe(
+      { service, priority },
+      firstAfter / MILLISECONDS_PER_SECOND,
+    );
+  }
+
+  /**
+   * Writes all metrics.
+   * @returns The text.
+   */
+  text(): Promise<string> {
+    return this.#registry.metrics();
+  }
+
+  #gauge(name: string, help: string, read: () => number): void {
+    new Gauge({
+      name,
+      help,
+      registers: [this.#registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+}
--- /dev/null
+++ b/packages/node/src/relay/relay_parts.ts
@@ -0,0 +1,32 @@
+import type { Duration, Route } from "@foxtailwind/core";
+import type { SteadyClock } from "../clock/steady_clock.ts";
+import type { PartLogger } from "../logging/part_logger.ts";
+import type { BackendPools } from "./backend_pools.ts";
+import type { RelayWire } from "./caller_wire.ts";
+import type { Knowledge } from "./knowledge.ts";
+import type { RequestPlacer } from "./request_placer.ts";
+import type { RetryAllowances } from "./retry_allowances.ts";
+import type { ServerLoads } from "./server_loads.ts";
+
+/** What relaying requests works with. */
+export interface RelayParts {
+  readonly knowledge: Knowledge;
+  readonly placer: RequestPlacer;
+  readonly pools: BackendPools;
+  readonly loads: ServerLoads;
+  readonly allowances: RetryAllowances;
+  readonly wire: RelayWire;
+  readonly clock: SteadyClock;
+  readonly logger: PartLogger;
+  /** Counts the nodes that share limits, this one included. */
+  readonly nodes: () => number;
+  /** Whether this node is stopping. */
+  readonly isLeaving: () => boolean;
+  /** Counts a request that has ended. */
+  readonly record: (
+    route: Route,
+    outcome: string,
+    took: Duration,
+    firstAfter: Duration | undefined,
+  ) => void;
+}
--- /dev/null
+++ b/packages/node/src/relay/relay_request.ts
@@ -0,0 +1,350 @@
+import {
+  type BackendServerId,
+  type Duration,
+  elapsed,
+  type Instant,
+  later,
+  type RegisteredServer,
+  type RelayService,
+  type Route,
+  type SendResult,
+} from "@foxtailwind/core";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { AnswerPassage } from "./answer_passage.ts";
+import { BackendCall, type CallEnd } from "./backend_call.ts";
+import type { CallerRequest } from "./caller_wire.ts";
+import type { RelayParts } from "./relay_parts.ts";
+import type { Place } from "./request_placer.ts";
+
+/** A caller's request that has been read whole and has a route. */
+export interface ReadRequest {
+  readonly message: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly caller: CallerRequest;
+  readonly route: Route;
+  readonly service: RelayService;
+  readonly body: Buffer | undefined;
+  readonly arrivedAt: Instant;
+}
+
+/** Why a request gets no server's answer. */
+export type RelayRefusal =
+  | "no_server"
+  | "no_engine"
+  | "not_run_in_time"
+  | "not_run"
+  | "lost"
+  | "time_limit"
+  | "broken_stream";
+
+/** Asked of callers whose request found no place, in seconds. */
+const COME_BACK_SECONDS = 0.3;
+/** Between two looks for a place, in milliseconds. */
+const PLACE_PAUSE_MILLISECONDS = 40;
+/** The share of a request's time in which a place is looked for. */
+const PLACE_SHARE = 0.4;
+/** How many targets a silent server gets where another may be tried. */
+const SILENT_TARGETS = 2;
+/** A pause in a resumable stream after which another server is tried. */
+const SILENT_STREAM_MILLISECONDS = 1_200;
+/** Sends to servers that did not run the request. */
+const MOST_SENDS = 6;
+/** The largest urgency number that engines know. */
+const LEAST_URGENT = 9;
+
+/** Relays one request to its end. */
+export class RelayRequest {
+  readonly #parts: RelayParts;
+  readonly #request: ReadRequest;
+  readonly #endsAt: Instant;
+  readonly #over = new AbortController();
+  readonly #tried = new Set<BackendServerId>();
+  readonly #passage: AnswerPassage;
+  #sends = 0;
+  /** Sends after which the request may have run. */
+  #runs = 0;
+  #call: BackendCall | undefined;
+  #outcome = "";
+  #lastServer: BackendServerId | undefined;
+  #placedAfter: Duration | undefined;
+  #timer: NodeJS.Timeout | undefined;
+
+  /**
+   * @param parts What it works with.
+   * @param request The request.
+   */
+  constructor(parts: RelayParts, request: ReadRequest) {
+    this.#parts = parts;
+    this.#request = request;
+    const { route, caller, arrivedAt } = request;
+    const patience = Math.min(
+      route.timeLimit,
+      caller.patience ?? route.timeLimit,
+    ) as Duration;
+    this.#endsAt = later(arrivedAt, patience);
+    this.#passage = new AnswerPassage(request, parts);
+  }
+
+  /** Relays the request; resolves once its answer has ended. */
+  async run(): Promise<void> {
+    const { response } = this.#request;
+    const delay = Math.max(0, this.#endsAt - this.#now());
+    this.#timer = setTimeout(() => {
+      this.#timeIsUp();
+    }, delay);
+    response.once("close", () => {
+      this.#closed();
+    });
+    response.on("drain", () => {
+      this.#call?.resume();
+    });
+    this.#parts.allowances.earn(this.#now(), this.#request.service.id);
+    while (!this.#over.signal.aborted && await this.#attempt());
+    clearTimeout(this.#timer);
+    this.#log();
+  }
+
+  /** One send; whether another one is to follow. */
+  async #attempt(): Promise<boolean> {
+    const place = await this.#findPlace();
+    if (this.#over.signal.aborted) {
+      place?.release();
+      return false;
+    }
+    if (place === undefined) {
+      this.#refuse(this.#isEngine ? "no_engine" : "no_server");
+      return false;
+    }
+    this.#placedAfter ??= elapsed(this.#request.arrivedAt, this.#now());
+    const end = await this.#send(place);
+    place.release();
+    if (this.#over.signal.aborted) return false;
+    return this.#judge(place.server, end);
+  }
+
+  async #findPlace(): Promise<Place | undefined> {
+    const { arrivedAt } = this.#request;
+    const patience = (this.#endsAt - arrivedAt) * PLACE_SHARE;
+    const until = later(this.#now(), patience as Duration);
+    for (;;) {
+      const place = await this.#look();
+      if (place !== undefined || this.#over.signal.aborted) return place;
+      if (this.#now() >= until) return undefined;
+      await this.#pause(PLACE_PAUSE_MILLISECONDS);
+    }
+  }
+
+  async #look(): Promise<Place | undefined> {
+    const { service, caller } = this.#request;
+    const { knowledge, placer } = this.#parts;
+    const there = knowledge.servers(service.id).filter((one) => !one.leaving);
+    const untried = there.filter((one) => !this.#tried.has(one.id));
+    const servers = untried.length > 0 ? untried : there;
+    if (!this.#isEngine || caller.use === undefined) {
+      return placer.choosePlain(this.#now(), servers);
+    }
+    return await placer.placeOnEngine(caller.use, servers, this.#over.signal);
+  }
+
+  async #send(place: Place): Promise<CallEnd> {
+    const { pools, wire, loads } = this.#parts;
+    const { message, route, service, body } = this.#request;
+    const { server, adapterVersion } = place;
+    const sentAt = this.#now();
+    const load = loads.of(server.id);
+    this.#sends += 1;
+    this.#runs += 1;
+    this.#lastServer = server.id;
+    load.sent(sentAt);
+    this.#passage.begin(sentAt);
+    const call = new BackendCall(this.#passage);
+    this.#call = call;
+    const resumeAfter = this.#passage.lastEventId;
+    call.send(pools.pool(server, service.connectionLimit, this.#parts.nodes()), {
+      method: message.method ?? "GET",
+      path: message.url ?? "/",
+      headers: wire.sendHeaders(message.rawHeaders, {
+        server: server.id,
+        timeLeft: Math.floor(this.#endsAt - sentAt) as Duration,
+        ...(adapterVersion === undefined ? {} : { adapterVersion }),
+        ...(this.#isEngine
+          ? { urgency: Math.min(LEAST_URGENT, route.priority) }
+          : {}),
+        ...(resumeAfter === undefined ? {} : { resumeAfter }),
+      }),
+      body,
+    });
+    const watch = this.#watchSilence(call, server.id);
+    const end = await call.ended;
+    clearInterval(watch);
+    this.#call = undefined;
+    load.ended(this.#now(), this.#resultFor(end));
+    return end;
+  }
+
+  /** Cuts a call to a silent server where another may be tried. */
+  #watchSilence(
+    call: BackendCall,
+    server: BackendServerId,
+  ): NodeJS.Timeout | undefined {
+    const { route } = this.#request;
+    if (!this.#mayRunAgain() || this.#runs >= route.attempts) return undefined;
+    const limit = route.target * SILENT_TARGETS;
+    return setInterval(() => {
+      const silence = this.#passage.silence(this.#now());
+      const most = this.#passage.hasBegun
+        ? Math.max(SILENT_STREAM_MILLISECONDS, limit)
+        : limit;
+      if (silence < most) return;
+      this.#parts.pools.renew(server);
+      call.cut("The server is silent.");
+    }, PLACE_PAUSE_MILLISECONDS);
+  }
+
+  /** Decides what follows the end of a send; whether another send does. */
+  #judge(server: RegisteredServer, end: CallEnd): boolean {
+    const { verdict } = this.#passage;
+    if (end.kind === "complete" && verdict === "passed") {
+      this.#passage.finish();
+      this.#outcome = "answered";
+      return false;
+    }
+    if (verdict === "not_run") {
+      this.#runs -= 1;
+      this.#tried.add(server.id);
+      if (this.#passage.isMisdirected) this.#noteMisdirected(server);
+      return this.#tryAgain() || this.#refuse("not_run");
+    }
+    if (end.kind === "broken" && !end.wasSent) {
+      this.#runs -= 1;
+      this.#sends -= 1;
+      this.#tried.add(server.id);
+      return true;
+    }
+    this.#tried.add(server.id);
+    if (this.#passage.hasBegun) {
+      return this.#mayResume() && this.#tryAgain() || this.#breakOff();
+    }
+    if (this.#mayRunAgain() && this.#tryAgain()) return true;
+    if (end.kind === "complete" && this.#passage.hasFailure) {
+      this.#passage.passFailure();
+      this.#outcome = "server_failure";
+      return false;
+    }
+    return this.#refuse("lost");
+  }
+
+  #noteMisdirected(server: RegisteredServer): void {
+    // An engine also says so of an adapter that it does not hold.
+    if (!this.#isEngine) this.#parts.knowledge.registry.replaced(server.id);
+  }
+
+  #mayRunAgain(): boolean {
+    const { route } = this.#request;
+    return route.streams ? route.resumable : route.repeatable;
+  }
+
+  #mayResume(): boolean {
+    return this.#request.route.resumable;
+  }
+
+  /** Takes another send from attempts, time and the allowance. */
+  #tryAgain(): boolean {
+    const { route, service } = this.#request;
+    if (this.#runs >= route.attempts && this.#runs > 0) return false;
+    if (this.#sends >= MOST_SENDS || this.#now() >= this.#endsAt) return false;
+    return this.#parts.allowances.take(this.#now(), service.id);
+  }
+
+  #timeIsUp(): void {
+    if (this.#over.signal.aborted) return;
+    if (this.#passage.hasBegun) this.#breakOff();
+    else this.#refuse(this.#runs > 0 ? "time_limit" : "not_run_in_time");
+  }
+
+  /** Gives the final answer where no server's answer is passed on. */
+  #refuse(refusal: RelayRefusal): false {
+    this.#outcome = refusal;
+    const isNotRun = this.#runs === 0;
+    this.#passage.refuse(isNotRun ? 503 : refusal === "lost" ? 502 : 504, {
+      refusal,
+      ...(isNotRun ? { comeBackSeconds: COME_BACK_SECONDS } : {}),
+    });
+    this.#end(refusal);
+    return false;
+  }
+
+  #breakOff(): false {
+    this.#outcome = "broken_stream";
+    this.#passage.breakOff();
+    this.#end("broken_stream");
+    return false;
+  }
+
+  #closed(): void {
+    if (this.#request.response.writableFinished) return;
+    if (this.#outcome === "") this.#outcome = "caller_left";
+    this.#end("caller_left");
+  }
+
+  #end(because: string): void {
+    this.#over.abort();
+    this.#call?.cut(because);
+  }
+
+  #resultFor(end: CallEnd): SendResult {
+    const { verdict, firstAfter } = this.#passage;
+    if (verdict === "not_run") {
+      return { kind: this.#passage.isMisdirected ? "neutral" : "full" };
+    }
+    if (verdict === "passed" && firstAfter !== undefined) {
+      return { kind: "answered", took: firstAfter };
+    }
+    if (this.#over.signal.aborted) {
+      return { kind: this.#outcome === "time_limit" ? "dead" : "neutral" };
+    }
+    if (this.#passage.hasFailure) return { kind: "failed" };
+    return { kind: end.kind === "broken" ? "dead" : "failed" };
+  }
+
+  #pause(length: number): Promise<void> {
+    return new Promise((resolve) => {
+      setTimeout(resolve, length);
+    });
+  }
+
+  get #isEngine(): boolean {
+    return this.#request.service.engine !== undefined;
+  }
+
+  #now(): Instant {
+    return this.#parts.clock.now();
+  }
+
+  #log(): void {
+    const { caller, route, service, arrivedAt, response } = this.#request;
+    const now = this.#now();
+    const took = elapsed(arrivedAt, now);
+    this.#parts.record(route, this.#outcome, took, this.#passage.firstAfter);
+    this.#parts.logger.info("A request ended.", {
+      request: caller.id,
+      route: route.name,
+      service: service.id,
+      outcome: this.#outcome,
+      status: response.statusCode,
+      server: this.#lastServer,
+      adapter: caller.use?.adapter,
+      sends: this.#sends,
+      runs: this.#runs,
+      placed_after: round(this.#placedAfter),
+      first_after: round(this.#passage.firstAfter),
+      took: round(took),
+      patience: caller.patience,
+      configuration: this.#parts.knowledge.routes?.configuration.version,
+    });
+  }
+}
+
+function round(duration: number | undefined): number | undefined {
+  return duration === undefined ? undefined : Math.round(duration);
+}
--- /dev/null
+++ b/packages/node/src/relay/relay_settings.ts
@@ -0,0 +1,97 @@
+import { failureDomainId, nodeId } from "@foxtailwind/core";
+import { parse } from "ini";
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import { socketAddressSchema } from "../settings/address_schemas.ts";
+import { findRepeatedKeys } from "../settings/repeated_keys.ts";
+import {
+  problemOfRepeated,
+  problemsOfIssue,
+  type SettingsProblem,
+} from "../settings/settings_problem.ts";
+
+const name = z.string().min(1).max(128);
+
+function positive(largest: number) {
+  const allowed = `a number above 0, at most ${largest}`;
+  return z.coerce.number(allowed).positive(allowed).max(largest, allowed);
+}
+
+function share(largest: number) {
+  const allowed = `a number from 0 to ${largest}`;
+  return z.coerce.number(allowed).min(0, allowed).max(largest, allowed);
+}
+
+const LONGEST_MILLISECONDS = 600_000;
+const LONGEST_SECONDS = 3_600;
+const MOST_RETRIES = 1_000_000;
+const MOST_LINES = 100_000;
+const MOST_TRANSFERS = 64;
+
+/** The sections of the relay's settings. */
+const relaySettingsSchema = z.strictObject({
+  node: z.strictObject({
+    id: name.transform(nodeId),
+    failure_domain: name.transform(failureDomainId),
+  }),
+  listen: z.strictObject({
+    callers: socketAddressSchema,
+    readiness: socketAddressSchema,
+    addresses: socketAddressSchema,
+    peers: socketAddressSchema,
+    metrics: socketAddressSchema,
+  }),
+  platform: z.strictObject({ store: socketAddressSchema }),
+  /** Bounds on sends beyond the first of a request, over all nodes. */
+  retries: z.strictObject({
+    share: share(1),
+    reserve: share(MOST_RETRIES),
+    window_seconds: positive(LONGEST_SECONDS),
+  }),
+  engines: z.strictObject({
+    /** How long orders of two owners must lie apart. */
+    lease_milliseconds: positive(LONGEST_MILLISECONDS),
+    /** Adapters on their way to one engine at once. */
+    transfers: positive(MOST_TRANSFERS).default(3),
+    /** Adapters that an engine keeps in memory beside its slots. */
+    kept_adapters: positive(MOST_RETRIES).default(100),
+  }),
+  stop: z.strictObject({
+    /** From the signal to the end of the process by force. */
+    grace_seconds: positive(LONGEST_SECONDS),
+  }),
+  addresses: z.strictObject({
+    longest_lifetime_seconds: positive(LONGEST_SECONDS),
+  }),
+  logs: z.strictObject({
+    level: z.enum(["error", "warn", "info", "debug"]).default("info"),
+    /** Lines written in a second at most; the rest is counted. */
+    lines_a_second: positive(MOST_LINES).default(60),
+  }).default({ level: "info", lines_a_second: 60 }),
+});
+
+/** The checked settings of a relay. */
+export type RelaySettings = z.infer<typeof relaySettingsSchema>;
+
+/**
+ * Checks the text of a relay's settings file.
+ * @param text INI.
+ * @param file The file's name, for problems.
+ * @returns The settings, or every problem at once.
+ */
+export function parseRelaySettings(
+  text: string,
+  file: string,
+): Result<RelaySettings, readonly SettingsProblem[]> {
+  const values = parse(text);
+  const parsed = relaySettingsSchema.safeParse(values);
+  const problems = findRepeatedKeys(text).map((repeated) =>
+    problemOfRepeated(repeated, file)
+  );
+  for (const issue of parsed.error?.issues ?? []) {
+    problems.push(...problemsOfIssue(issue, { file, values }));
+  }
+  return parsed.success && problems.length === 0
+    ? ok(parsed.data)
+    : err(problems);
+}
--- /dev/null
+++ b/packages/node/src/relay/request_placer.ts
@@ -0,0 +1,207 @@
+import {
+  type BackendServerId,
+  type EngineState,
+  type Instant,
+  type NodeId,
+  orderEngines,
+  type RegisteredServer,
+} from "@foxtailwind/core";
+import type { SteadyClock } from "../clock/steady_clock.ts";
+import type { AdapterGrants } from "./adapter_grants.ts";
+import type { ModelUse } from "./caller_wire.ts";
+import type { EngineOwners } from "./engine_owners.ts";
+import type { Knowledge } from "./knowledge.ts";
+import type { ServerLoads } from "./server_loads.ts";
+
+/** Where a request goes, and what to do once it has ended there. */
+export interface Place {
+  readonly server: RegisteredServer;
+  /** The version that must serve it, where known. */
+  readonly adapterVersion?: number;
+  readonly release: () => void;
+}
+
+/** What a placer works with. */
+export interface RequestPlacerParts {
+  readonly self: NodeId;
+  readonly knowledge: Knowledge;
+  readonly owners: EngineOwners;
+  readonly grants: AdapterGrants;
+  readonly loads: ServerLoads;
+  readonly clock: SteadyClock;
+}
+
+/** How many engines are asked for an adapter before the placer waits. */
+const MOST_ASKED = 3;
+/** How long an owner is waited for where the engine holds the adapter. */
+const HELD_ANSWER_MILLISECONDS = 250;
+/** How long an owner may take to bring an adapter before another is asked. */
+const LOAD_ANSWER_MILLISECONDS = 1_600;
+
+interface KnownEngine extends EngineState {
+  readonly server: RegisteredServer;
+  readonly owner?: NodeId;
+  readonly address?: string;
+}
+
+const nothingToRelease = () => undefined;
+
+/** Finds a server for each request, and brings adapters where needed. */
+export class RequestPlacer {
+  readonly #parts: RequestPlacerParts;
+
+  /** @param parts What it works with. */
+  constructor(parts: RequestPlacerParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * Chooses a server of a plain service.
+   * @param now The present time.
+   * @param servers The servers that may be chosen.
+   * @returns The place, or nothing where there is no server.
+   */
+  choosePlain(
+    now: Instant,
+    servers: readonly RegisteredServer[],
+  ): Place | undefined {
+    const server = this.#parts.loads.choose(now, servers, Math.random());
+    return server === undefined
+      ? undefined
+      : { server, release: nothingToRelease };
+  }
+
+  /**
+   * Finds an engine for a request, and waits for its adapter where needed.
+   * @param use What the request runs on.
+   * @param servers The engines that may be chosen.
+   * @param signal Ends the wait.
+   * @returns The place, or nothing where no engine can take it now.
+   */
+  async placeOnEngine(
+    use: ModelUse,
+    servers: readonly RegisteredServer[],
+    signal: AbortSignal,
+  ): Promise<Place | undefined> {
+    const now = this.#parts.clock.now();
+    const minimumVersion = use.adapter === undefined
+      ? 0
+      : this.#parts.knowledge.versions.newest(use.model, use.adapter);
+    const engines = servers
+      .filter((server) => !this.#parts.loads.of(server.id).isPaused(now))
+      .map((server) => this.#describe(now, server, use, minimumVersion))
+      .filter((engine) => engine !== undefined);
+    const byId = new Map(engines.map((engine) => [engine.id, engine]));
+    for (const id of orderEngines(use, engines).slice(0, MOST_ASKED)) {
+      const engine = byId.get(id);
+      if (engine === undefined || signal.aborted) break;
+      const place = await this.#ask(engine, use, minimumVersion, signal);
+      if (place !== undefined) return place;
+    }
+    return undefined;
+  }
+
+  async #ask(
+    engine: KnownEngine,
+    use: ModelUse,
+    minimumVersion: number,
+    signal: AbortSignal,
+  ): Promise<Place | undefined> {
+    const { server, owner, address } = engine;
+    if (owner === undefined || address === undefined) {
+      return engine.holds
+        ? { server, release: nothingToRelease }
+        : undefined;
+    }
+    const patience = engine.holds
+      ? HELD_ANSWER_MILLISECONDS
+      : LOAD_ANSWER_MILLISECONDS;
+    const answer = await this.#parts.grants.ask(
+      { engine: engine.id, owner, address },
+      {
+        model: use.model,
+        ...(use.adapter === undefined ? {} : { adapter: use.adapter }),
+        minimumVersion,
+        promptTokens: use.promptTokens,
+      },
+      AbortSignal.any([signal, AbortSignal.timeout(patience)]),
+    );
+    if (answer.kind === "granted") {
+      const { version, release } = answer;
+      return {
+        server,
+        ...(version === 0 ? {} : { adapterVersion: version }),
+        release,
+      };
+    }
+    const isHeldWithoutOwner = engine.holds && answer.kind !== "no_room";
+    return isHeldWithoutOwner && !signal.aborted
+      ? { server, release: nothingToRelease }
+      : undefined;
+  }
+
+  #describe(
+    now: Instant,
+    server: RegisteredServer,
+    use: ModelUse,
+    minimumVersion: number,
+  ): KnownEngine | undefined {
+    const { loads } = this.#parts;
+    const load = loads.of(server.id);
+    const heard = this.#heard(now, server.id);
+    if (heard === undefined) {
+      const holds = holdsByRegistry(server, use, minimumVersion);
+      if (!server.models.some((held) => held.model === use.model)) {
+        return undefined;
+      }
+      return {
+        id: server.id,
+        server,
+        wait: load.excess(now),
+        isOrderable: false,
+        room: 0,
+        holds,
+        isLoading: false,
+      };
+    }
+    const { digest, owner, address } = heard;
+    const held = digest.adapters.find((one) =>
+      one.adapter === use.adapter && one.model === use.model
+    );
+    const isFresh = held !== undefined && held.version >= minimumVersion;
+    return {
+      id: server.id,
+      server,
+      owner,
+      address,
+      wait: digest.waitMilliseconds + load.excess(now),
+      isOrderable: true,
+      room: digest.room,
+      holds: use.adapter === undefined || (isFresh && !held.isLoading),
+      isLoading: isFresh && held.isLoading,
+    };
+  }
+
+  #heard(now: Instant, id: BackendServerId) {
+    const { knowledge, owners, self } = this.#parts;
+    const own = owners.find(id);
+    if (own !== undefined) {
+      return { digest: own.digest, owner: self, address: "self" };
+    }
+    const owner = knowledge.claims.owner(id);
+    if (owner === undefined) return undefined;
+    return knowledge.peers.engine(now, id, owner);
+  }
+}
+
+function holdsByRegistry(
+  server: RegisteredServer,
+  use: ModelUse,
+  minimumVersion: number,
+): boolean {
+  const held = server.models.find((one) => one.model === use.model);
+  if (held === undefined) return false;
+  if (use.adapter === undefined) return true;
+  const version = held.adapters.get(use.adapter);
+  return version !== undefined && version >= minimumVersion;
+}
--- /dev/null
+++ b/packages/node/src/relay/shared_log.ts
@@ -0,0 +1,82 @@
+import type {
+  AdapterId,
+  BackendServerId,
+  Failure,
+  LogOffset,
+  ModelId,
+  NodeId,
+  RegistryEntry,
+  RelayConfiguration,
+} from "@foxtailwind/core";
+import type { Result } from "neverthrow";
+
+/** A claim to order an engine, as it stands in the log. */
+export interface ClaimRecord {
+  readonly engine: BackendServerId;
+  readonly owner: NodeId;
+  readonly incarnation: string;
+  readonly isTakeover: boolean;
+}
+
+/** Where a node can be reached, as it stands in the log. */
+export interface NodeRecord {
+  readonly id: NodeId;
+  readonly incarnation: string;
+  /** IP literal and port for other nodes. */
+  readonly address: string;
+}
+
+/** Takes what the platform's log says. */
+export abstract class SharedLogListener {
+  /** A configuration, which may be older than one taken before. */
+  abstract configuration(configuration: RelayConfiguration): void;
+  /** A version of an adapter that operators named. */
+  abstract adapterVersion(
+    model: ModelId,
+    adapter: AdapterId,
+    version: number,
+  ): void;
+  /** An entry of the registry of backend servers. */
+  abstract registryEntry(entry: RegistryEntry): void;
+  /** The whole registry, complete up to an offset. */
+  abstract registryListed(
+    entries: readonly RegistryEntry[],
+    end: LogOffset,
+  ): void;
+  /** A claim. */
+  abstract claim(claim: ClaimRecord, offset: LogOffset): void;
+  /** A node that has started. */
+  abstract node(node: NodeRecord): void;
+  /** The log has been read up to its end. */
+  abstract reached(): void;
+  /** A call to the log has failed. */
+  abstract failed(failure: Failure): void;
+}
+
+/** The platform's log, as the relay uses it. */
+export abstract class SharedLog {
+  /**
+   * Starts to follow the log.
+   * @param listener Takes what it says.
+   */
+  abstract start(listener: SharedLogListener): void;
+
+  /**
+   * Adds claims, unless the log has grown since it was last read.
+   * @param claims The claims.
+   * @returns Whether they were added; a failure may still be carried out.
+   */
+  abstract claim(
+    claims: readonly ClaimRecord[],
+  ): Promise<Result<boolean, Failure>>;
+
+  /**
+   * Makes this node known.
+   * @param node The node.
+   * @returns Whether it was added.
+   */
+  abstract announce(node: NodeRecord): Promise<Result<boolean, Failure>>;
+
+  /** Stops following. */
+  abstract stop(): void;
+}
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -50,3 +50,15 @@
   type Wish,
   type WishList,
 } from "./generated/loads.ts";
+export {
+  type AdapterGrant,
+  type AdapterUse,
+  type EngineDigest,
+  GrantOutcome,
+  type HeldAdapter,
+  type Knowledge,
+  type KnowledgeRequest,
+  type NodeDigest,
+  RelayPeersClient,
+  RelayPeersService,
+} from "./generated/relay.ts";
