--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,5 @@
 export default {
-  files: ["packages/*/tests/**/*_test.ts"],
+  files: ["packages/*/tests/**/*_test.ts", "platform/tests/**/*_test.ts"],
   extensions: { ts: "module" },
   nodeArguments: ["--import=tsx", "--conditions=foxtailwind-source"],
   environmentVariables: { TSX_TSCONFIG_PATH: "tsconfig.base.json" },
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,6 +7,8 @@
       "**/node_modules/**",
       "packages/protocol/src/generated/**",
       "eslint.config.js",
+      "deploy/bundle.js",
+      "target/**",
       "ava.config.js",
     ],
   },
--- a/packages/core/src/relay/engine_choice.ts
+++ b/packages/core/src/relay/engine_choice.ts
@@ -1,8 +1,4 @@
-import type {
-  AdapterId,
-  BackendServerId,
-  ModelId,
-} from "../shared/mod.ts";
+import type { AdapterId, BackendServerId, ModelId } from "../shared/mod.ts";
 import { rendezvousOrder } from "../shared/mod.ts";
 
 /** What a node knows of an engine when it places a request. */
--- a/packages/core/src/relay/engine_slots.ts
+++ b/packages/core/src/relay/engine_slots.ts
@@ -265,7 +265,9 @@
    * Tells which load should have ended first.
    * @returns The adapter, and when to ask whether it is there.
    */
-  nextCheck(): { readonly name: AdapterName; readonly at: Instant } | undefined {
+  nextCheck():
+    | { readonly name: AdapterName; readonly at: Instant }
+    | undefined {
     let first: { readonly name: AdapterName; readonly at: Instant } | undefined;
     for (const slot of this.#slots.values()) {
       if (slot.state !== "loading") continue;
@@ -404,7 +406,15 @@
     state: SlotState,
     version: number,
   ): AdapterSlot {
-    return { model, adapter, state, version, uses: 0, lastUse: now, since: now };
+    return {
+      model,
+      adapter,
+      state,
+      version,
+      uses: 0,
+      lastUse: now,
+      since: now,
+    };
   }
 
   #set(slot: AdapterSlot): void {
--- a/packages/core/src/relay/event_splitter.ts
+++ b/packages/core/src/relay/event_splitter.ts
@@ -31,7 +31,11 @@
       : Buffer.concat([this.#rest, bytes]);
     const events: StreamEvent[] = [];
     let start = 0;
-    for (let end = eventEnd(text, start); end > 0; end = eventEnd(text, start)) {
+    for (
+      let end = eventEnd(text, start);
+      end > 0;
+      end = eventEnd(text, start)
+    ) {
       events.push(toEvent(text.subarray(start, end)));
       start = end;
     }
--- a/packages/core/src/relay/server_load.ts
+++ b/packages/core/src/relay/server_load.ts
@@ -79,7 +79,7 @@
    */
   excess(now: Instant): number {
     const idle = this.idleFor(now) ?? 0;
-    return this.#latency * Math.exp(-idle / SLOWNESS_TIME);
+    return this.#latency * Math.exp((0 - idle) / SLOWNESS_TIME);
   }
 
   /**
--- a/packages/node/src/relay/adapter_grants.ts
+++ b/packages/node/src/relay/adapter_grants.ts
@@ -1,8 +1,8 @@
 import {
+  adapterId,
   type BackendServerId,
   backendServerId,
   modelId,
-  adapterId,
   type NodeId,
 } from "@foxtailwind/core";
 import {
@@ -56,7 +56,9 @@
     request: UseRequest,
     signal: AbortSignal,
   ): Promise<GrantAnswer> {
-    if (where.owner !== this.#self) return this.#askPeer(where, request, signal);
+    if (where.owner !== this.#self) {
+      return this.#askPeer(where, request, signal);
+    }
     const owner = this.#owners.find(where.engine);
     if (owner === undefined) return Promise.resolve({ kind: "not_owner" });
     return owner.use(request, signal);
@@ -163,7 +165,9 @@
     case GrantOutcome.NO_ROOM:
       release();
       return { kind: "no_room" };
-    default:
+    case GrantOutcome.NOT_OWNER:
+    case GrantOutcome.GRANT_OUTCOME_UNSPECIFIED:
+    case GrantOutcome.UNRECOGNIZED:
       release();
       return { kind: "not_owner" };
   }
--- a/packages/node/src/relay/answer_passage.ts
+++ b/packages/node/src/relay/answer_passage.ts
@@ -11,7 +11,7 @@
   type HeadVerdict,
 } from "./backend_call.ts";
 import type { RelayParts } from "./relay_parts.ts";
-import type { ReadRequest, RelayRefusal } from "./relay_request.ts";
+import type { ReadRequest } from "./relay_request.ts";
 
 /** What came of a server's answer so far. */
 export type PassageVerdict =
@@ -27,7 +27,8 @@
 
 /** A refusal in the node's own words. */
 export interface OwnRefusal {
-  readonly refusal: RelayRefusal | string;
+  /** Why, in one word of the node's own. */
+  readonly refusal: string;
   readonly comeBackSeconds?: number;
 }
 
--- a/packages/node/src/relay/backend_call.ts
+++ b/packages/node/src/relay/backend_call.ts
@@ -72,7 +72,7 @@
   send(dispatcher: Dispatcher, request: OutgoingRequest): void {
     const { method, path, headers, body } = request;
     dispatcher.dispatch({
-      method: method as Dispatcher.HttpMethod,
+      method: method,
       path,
       headers,
       body: body ?? null,
--- a/packages/node/src/relay/backend_pools.ts
+++ b/packages/node/src/relay/backend_pools.ts
@@ -1,7 +1,4 @@
-import type {
-  BackendServerId,
-  RegisteredServer,
-} from "@foxtailwind/core";
+import type { BackendServerId, RegisteredServer } from "@foxtailwind/core";
 import { type Dispatcher, Pool } from "undici";
 
 /** A connection that takes longer counts as failed. */
--- a/packages/node/src/relay/engine_owner.ts
+++ b/packages/node/src/relay/engine_owner.ts
@@ -13,7 +13,11 @@
 import type { EngineDigest } from "@foxtailwind/protocol";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { PartLogger } from "../logging/part_logger.ts";
-import type { EngineControl, EngineOrder, OrderResult } from "./engine_control.ts";
+import type {
+  EngineControl,
+  EngineOrder,
+  OrderResult,
+} from "./engine_control.ts";
 import type { Knowledge } from "./knowledge.ts";
 import type { RelaySettings } from "./relay_settings.ts";
 
@@ -118,7 +122,9 @@
       engine: this.#server.id,
       waitMilliseconds: this.#wait(),
       room: this.#slots.room(this.#now()),
-      adapters: slots.filter((slot) => slot.state !== "leaving").map((slot) => ({
+      adapters: slots.filter((slot) => slot.state !== "leaving").map((
+        slot,
+      ) => ({
         model: slot.model,
         adapter: slot.adapter,
         version: slot.version,
@@ -256,7 +262,10 @@
       case "conflict":
         this.#slots.checkAgain(now, name, LOAD_POLL);
         break;
-      default:
+      case "unknown":
+      case "fenced":
+      case "misdirected":
+      case "invalid":
         this.#takeTrouble(result);
     }
   }
@@ -282,7 +291,9 @@
         this.#slots.answered(now, order, "unknown");
         this.#askAgain();
         break;
-      default:
+      case "fenced":
+      case "misdirected":
+      case "invalid":
         this.#takeTrouble(result);
     }
   }
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -210,7 +210,10 @@
       return;
     }
     const { id, service, leaving } = entry.server;
-    if (known === undefined) logger.info("A server is there.", { server: id, service });
-    else if (leaving && !known.leaving) logger.info("A server leaves.", { server: id, service });
+    if (known === undefined) {
+      logger.info("A server is there.", { server: id, service });
+    } else if (leaving && !known.leaving) {
+      logger.info("A server leaves.", { server: id, service });
+    }
   }
 }
--- a/packages/node/src/relay/operations_application.ts
+++ b/packages/node/src/relay/operations_application.ts
@@ -61,7 +61,7 @@
       { logger: false },
     );
     const fastify = this.#application.getHttpAdapter().getInstance();
-    this.#addRoutes(fastify as unknown as FastifyInstance);
+    this.#addRoutes(fastify);
     await this.#application.init();
     await fastify.ready();
     const places = new Map(
--- a/packages/node/src/relay/peer_book.ts
+++ b/packages/node/src/relay/peer_book.ts
@@ -94,7 +94,9 @@
    * @returns The addresses.
    */
   get addresses(): ReadonlySet<string> {
-    return new Set([...this.#peers.values()].map((peer) => peer.record.address));
+    return new Set(
+      [...this.#peers.values()].map((peer) => peer.record.address),
+    );
   }
 
   /**
--- a/packages/node/src/relay/peer_exchange.ts
+++ b/packages/node/src/relay/peer_exchange.ts
@@ -77,7 +77,10 @@
           answer: sendUnaryData<KnowledgeMessage>,
         ) => {
           const { configurationVersion } = call.request;
-          answer(null, writeKnowledge(this.#parts.knowledge, configurationVersion));
+          answer(
+            null,
+            writeKnowledge(this.#parts.knowledge, configurationVersion),
+          );
         },
       },
     };
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -1,4 +1,9 @@
-import { elapsed, type Instant, milliseconds, seconds } from "@foxtailwind/core";
+import {
+  elapsed,
+  type Instant,
+  milliseconds,
+  seconds,
+} from "@foxtailwind/core";
 import type { NodeDigest } from "@foxtailwind/protocol";
 import { randomUUID } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -110,8 +115,7 @@
     this.#front = new FrontServer(parts);
     this.#metrics = new RelayMetrics({
       requestsInProgress: () => this.#front.running,
-      configurationVersion: () =>
-        knowledge.routes?.configuration.version ?? 0,
+      configurationVersion: () => knowledge.routes?.configuration.version ?? 0,
       enginesOwned: () => this.#owners.digests.length,
       nodesAlive: () => knowledge.peers.alive(clock.now()).length,
     });
--- a/packages/node/src/relay/relay_metrics.ts
+++ b/packages/node/src/relay/relay_metrics.ts
@@ -3,7 +3,20 @@
 
 /** Bounds of latency histograms, in seconds: from a lookup to a long stream. */
 const LATENCY_BOUNDS = [
-  0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2, 4, 8, 16,
+  0.01,
+  0.025,
+  0.05,
+  0.1,
+  0.2,
+  0.4,
+  0.6,
+  0.8,
+  1,
+  1.5,
+  2,
+  4,
+  8,
+  16,
 ];
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -41,10 +54,26 @@
 
   /** @param gauges Values that are read when metrics are. */
   constructor(gauges: RelayGauges) {
-    this.#gauge("foxtailwind_requests_in_progress", "Requests in progress.", gauges.requestsInProgress);
-    this.#gauge("foxtailwind_configuration_version", "The configuration in force.", gauges.configurationVersion);
-    this.#gauge("foxtailwind_engines_owned", "Engines that this node may order.", gauges.enginesOwned);
-    this.#gauge("foxtailwind_nodes_alive", "Other nodes heard of lately.", gauges.nodesAlive);
+    this.#gauge(
+      "foxtailwind_requests_in_progress",
+      "Requests in progress.",
+      gauges.requestsInProgress,
+    );
+    this.#gauge(
+      "foxtailwind_configuration_version",
+      "The configuration in force.",
+      gauges.configurationVersion,
+    );
+    this.#gauge(
+      "foxtailwind_engines_owned",
+      "Engines that this node may order.",
+      gauges.enginesOwned,
+    );
+    this.#gauge(
+      "foxtailwind_nodes_alive",
+      "Other nodes heard of lately.",
+      gauges.nodesAlive,
+    );
   }
 
   /**
--- a/packages/node/src/relay/relay_request.ts
+++ b/packages/node/src/relay/relay_request.ts
@@ -99,7 +99,8 @@
       this.#call?.resume();
     });
     this.#parts.allowances.earn(this.#now(), this.#request.service.id);
-    while (!this.#over.signal.aborted && await this.#attempt());
+    let goesOn = true;
+    while (goesOn) goesOn = await this.#attempt();
     clearTimeout(this.#timer);
     this.#log();
   }
@@ -160,20 +161,23 @@
     const call = new BackendCall(this.#passage);
     this.#call = call;
     const resumeAfter = this.#passage.lastEventId;
-    call.send(pools.pool(server, service.connectionLimit, this.#parts.nodes()), {
-      method: message.method ?? "GET",
-      path: message.url ?? "/",
-      headers: wire.sendHeaders(message.rawHeaders, {
-        server: server.id,
-        timeLeft: Math.floor(this.#endsAt - sentAt) as Duration,
-        ...(adapterVersion === undefined ? {} : { adapterVersion }),
-        ...(this.#isEngine
-          ? { urgency: Math.min(LEAST_URGENT, route.priority) }
-          : {}),
-        ...(resumeAfter === undefined ? {} : { resumeAfter }),
-      }),
-      body,
-    });
+    call.send(
+      pools.pool(server, service.connectionLimit, this.#parts.nodes()),
+      {
+        method: message.method ?? "GET",
+        path: message.url ?? "/",
+        headers: wire.sendHeaders(message.rawHeaders, {
+          server: server.id,
+          timeLeft: Math.floor(this.#endsAt - sentAt) as Duration,
+          ...(adapterVersion === undefined ? {} : { adapterVersion }),
+          ...(this.#isEngine
+            ? { urgency: Math.min(LEAST_URGENT, route.priority) }
+            : {}),
+          ...(resumeAfter === undefined ? {} : { resumeAfter }),
+        }),
+        body,
+      },
+    );
     const watch = this.#watchSilence(call, server.id);
     const end = await call.ended;
     clearInterval(watch);
--- a/packages/node/src/relay/request_placer.ts
+++ b/packages/node/src/relay/request_placer.ts
@@ -109,9 +109,7 @@
   ): Promise<Place | undefined> {
     const { server, owner, address } = engine;
     if (owner === undefined || address === undefined) {
-      return engine.holds
-        ? { server, release: nothingToRelease }
-        : undefined;
+      return engine.holds ? { server, release: nothingToRelease } : undefined;
     }
     const patience = engine.holds
       ? HELD_ANSWER_MILLISECONDS
