--- a/packages/node/src/relay/relay_request.ts
+++ b/packages/node/src/relay/relay_request.ts
@@ -108,7 +108,7 @@
   /** One send; whether another one is to follow. */
   async #attempt(): Promise<boolean> {
     const place = await this.#findPlace();
-    if (this.#over.signal.aborted) {
+    if (this.#isOver()) {
       place?.release();
       return false;
     }
@@ -119,7 +119,7 @@
     this.#placedAfter ??= elapsed(this.#request.arrivedAt, this.#now());
     const end = await this.#send(place);
     place.release();
-    if (this.#over.signal.aborted) return false;
+    if (this.#isOver()) return false;
     return this.#judge(place.server, end);
   }
 
@@ -129,7 +129,7 @@
     const until = later(this.#now(), patience as Duration);
     for (;;) {
       const place = await this.#look();
-      if (place !== undefined || this.#over.signal.aborted) return place;
+      if (place !== undefined || this.#isOver()) return place;
       if (this.#now() >= until) return undefined;
       await this.#pause(PLACE_PAUSE_MILLISECONDS);
     }
@@ -261,7 +261,7 @@
   }
 
   #timeIsUp(): void {
-    if (this.#over.signal.aborted) return;
+    if (this.#isOver()) return;
     if (this.#passage.hasBegun) this.#breakOff();
     else this.#refuse(this.#runs > 0 ? "time_limit" : "not_run_in_time");
   }
@@ -304,13 +304,17 @@
     if (verdict === "passed" && firstAfter !== undefined) {
       return { kind: "answered", took: firstAfter };
     }
-    if (this.#over.signal.aborted) {
+    if (this.#isOver()) {
       return { kind: this.#outcome === "time_limit" ? "dead" : "neutral" };
     }
     if (this.#passage.hasFailure) return { kind: "failed" };
     return { kind: end.kind === "broken" ? "dead" : "failed" };
   }
 
+  #isOver(): boolean {
+    return this.#over.signal.aborted;
+  }
+
   #pause(length: number): Promise<void> {
     return new Promise((resolve) => {
       setTimeout(resolve, length);
