A late request no longer waits for remembered demand to fade

Cause: eviction compared a waiting request's urgency, constant once it is late, with the remembered demand of idle adapters, which fades over minutes.

--- a/packages/core/src/serving/load_planner.ts
+++ b/packages/core/src/serving/load_planner.ts
@@ -93,7 +93,10 @@
     if (wanted.length === 0 || this.#freeSlots() > 0) return wanted;
     const victim = this.#victim(now);
     if (victim === undefined) return [];
-    return wanted.filter((wish) => wish.urgency >= leastUrgency(wish, victim));
+    return wanted.filter((wish) =>
+      wish.urgency * this.#patienceLost(now, wish) >=
+        leastUrgency(wish, victim)
+    );
   }
 
   /**
@@ -206,6 +209,18 @@
     );
   }
 
+  /**
+   * How much more a wish counts against remembered demand than it did when
+   * its oldest request was due: remembered demand fades over minutes, and a
+   * request must not wait for that.
+   */
+  #patienceLost(now: Instant, wish: LoadWish): number {
+    const line = this.#parts.book.blocked.find(wish.key);
+    const oldest = line?.requests.values().next().value;
+    if (oldest === undefined) return 1;
+    return 1 + Math.max(0, now - oldest.deadline) / oldest.target;
+  }
+
   #isWanted(key: AdapterKey): boolean {
     return this.#parts.residency.find(key) === undefined &&
       !this.#awaiting.has(key);
--- /dev/null
+++ b/packages/core/tests/relay/engine_choice_test.ts
@@ -0,0 +1,69 @@
+import {
+  adapterId,
+  backendServerId,
+  type EngineState,
+  modelId,
+  orderEngines,
+  rendezvousOrder,
+} from "@foxtailwind/core";
+import test from "ava";
+
+const USE = { model: modelId("m"), adapter: adapterId("a") };
+const IDS = ["e1", "e2", "e3", "e4"].map(backendServerId);
+const ORDER = rendezvousOrder("m/a", IDS);
+
+function engines(
+  change: (rank: number) => Partial<EngineState> = () => ({}),
+): readonly EngineState[] {
+  return IDS.map((id) => ({
+    id,
+    wait: 0,
+    isOrderable: true,
+    room: 5,
+    holds: false,
+    isLoading: false,
+    ...change(ORDER.indexOf(id)),
+  }));
+}
+
+test("an adapter that no engine holds goes to the first of its order", (t) => {
+  t.is(orderEngines(USE, engines())[0], ORDER[0]);
+});
+
+test("an engine that holds the adapter is better than a load at the first", (t) => {
+  const choice = orderEngines(USE, engines((rank) => ({ holds: rank === 3 })));
+  t.is(choice[0], ORDER[3]);
+});
+
+test("a loaded holder gives way to a load elsewhere", (t) => {
+  const choice = orderEngines(
+    USE,
+    engines((rank) => rank === 0 ? { holds: true, wait: 900 } : {}),
+  );
+  t.is(choice[0], ORDER[1]);
+});
+
+test("a full engine is the last that is asked for a load", (t) => {
+  const choice = orderEngines(
+    USE,
+    engines((rank) => ({ room: rank === 0 ? 0 : 5 })),
+  );
+  t.is(choice[0], ORDER[1]);
+  t.is(choice.at(-1), ORDER[0]);
+});
+
+test("without an owner only an engine that holds the adapter is chosen", (t) => {
+  const choice = orderEngines(
+    USE,
+    engines((rank) => ({ isOrderable: false, holds: rank === 2 })),
+  );
+  t.deepEqual(choice, [ORDER[2]]);
+});
+
+test("the base model goes where the wait is shortest", (t) => {
+  const choice = orderEngines(
+    { model: modelId("m") },
+    engines((rank) => ({ wait: rank === 2 ? 1 : 50 })),
+  );
+  t.is(choice[0], ORDER[2]);
+});
--- /dev/null
+++ b/packages/core/tests/relay/engine_claims_test.ts
@@ -0,0 +1,97 @@
+import {
+  backendServerId,
+  EngineClaims,
+  instant,
+  logOffset,
+  milliseconds,
+  nodeId,
+  rendezvousOrder,
+} from "@foxtailwind/core";
+import test from "ava";
+
+const ENGINE = backendServerId("engine");
+const NODES = [nodeId("n1"), nodeId("n2"), nodeId("n3")];
+const [FIRST = NODES[0], SECOND = NODES[1]] = rendezvousOrder(ENGINE, NODES);
+const LEASE = milliseconds(3_000);
+
+function claims(id = FIRST, incarnation = "run-1"): EngineClaims {
+  return new EngineClaims({ id: id ?? nodeId("n1"), incarnation }, LEASE);
+}
+
+function claim(
+  owner = FIRST,
+  offset = 1,
+  isTakeover = false,
+  seenAt = 0,
+  incarnation = "run-1",
+) {
+  return {
+    engine: ENGINE,
+    owner: owner ?? nodeId("n1"),
+    incarnation,
+    isTakeover,
+    offset: logOffset(offset),
+    seenAt: instant(seenAt),
+  };
+}
+
+test("exactly one node of those that are there wants an unclaimed engine", (t) => {
+  const wanting = NODES.filter((node) =>
+    claims(node).wanted(instant(0), { engines: [ENGINE], nodes: NODES })
+      .length > 0
+  );
+  t.deepEqual(wanting, [FIRST]);
+});
+
+test("a first owner may order at once, a later one after the lease", (t) => {
+  const first = claims();
+  first.apply(claim(FIRST, 7));
+  t.deepEqual(first.right(ENGINE), { fence: 8, from: 0 } as never);
+  const second = claims(SECOND);
+  second.apply(claim(SECOND, 9, true, 500));
+  t.is(second.right(ENGINE)?.from, instant(3_500));
+});
+
+test("a claim by another node ends the right", (t) => {
+  const first = claims();
+  first.apply(claim(FIRST, 7));
+  first.apply(claim(SECOND, 9, true));
+  t.is(first.right(ENGINE), undefined);
+  t.is(first.owner(ENGINE), SECOND);
+  first.apply(claim(FIRST, 7));
+  t.is(first.owner(ENGINE), SECOND, "An older claim changes nothing.");
+});
+
+test("a restarted node has no right by its earlier run's claim, and claims anew", (t) => {
+  const restarted = claims(FIRST, "run-2");
+  restarted.apply(claim(FIRST, 7));
+  t.is(restarted.right(ENGINE), undefined);
+  const view = { engines: [ENGINE], nodes: NODES };
+  t.deepEqual(restarted.wanted(instant(0), view), [ENGINE]);
+});
+
+test("a number that an engine refused is not used again", (t) => {
+  const first = claims();
+  first.apply(claim(FIRST, 7));
+  const right = first.right(ENGINE);
+  t.truthy(right);
+  if (right !== undefined) first.refuse(ENGINE, right.fence);
+  t.is(first.right(ENGINE), undefined);
+  first.apply(claim(FIRST, 12, true));
+  t.is(first.right(ENGINE)?.fence, 13 as never);
+});
+
+test("an engine is taken from a silent owner only after the shortest tenure", (t) => {
+  const second = claims(SECOND);
+  second.apply(claim(FIRST, 7, false, 1_000));
+  const view = {
+    engines: [ENGINE],
+    nodes: NODES.filter((node) => node !== FIRST),
+  };
+  t.deepEqual(second.wanted(instant(6_000), view), []);
+  t.deepEqual(second.wanted(instant(7_000), view), [ENGINE]);
+  t.deepEqual(
+    second.wanted(instant(7_000), { engines: [ENGINE], nodes: NODES }),
+    [],
+  );
+});
--- /dev/null
+++ b/packages/core/tests/relay/engine_slots_test.ts
@@ -0,0 +1,121 @@
+import {
+  adapterId,
+  type AdapterName,
+  EngineSlots,
+  instant,
+  milliseconds,
+  modelId,
+  type OrderAnswer,
+  type SlotOrder,
+} from "@foxtailwind/core";
+import test from "ava";
+import fc from "fast-check";
+
+function name(adapter: string): AdapterName {
+  return { model: modelId("m"), adapter: adapterId(adapter) };
+}
+
+function slots(count = 2): EngineSlots {
+  return new EngineSlots({ slots: count, transfers: 4, kept: 10 });
+}
+
+function bring(
+  engine: EngineSlots,
+  adapter: string,
+  at: number,
+  version = 0,
+): void {
+  engine.want(instant(at), name(adapter), version);
+  const order = engine.nextOrder(instant(at));
+  if (order?.kind !== "load") {
+    throw new Error(`no load: ${JSON.stringify(order)}`);
+  }
+  engine.answered(instant(at), order, "accepted");
+  engine.loaded(instant(at), name(adapter));
+}
+
+test("the least recently used idle adapter makes way, never one in use", (t) => {
+  const engine = slots();
+  bring(engine, "a", 0);
+  bring(engine, "b", 10);
+  engine.use(instant(20), name("a"), 0);
+  engine.want(instant(30), name("c"), 0);
+  const order = engine.nextOrder(instant(30));
+  t.deepEqual([order?.kind, order?.name.adapter], ["unload", adapterId("b")]);
+  engine.use(instant(40), name("b"), 0);
+  t.is(engine.nextOrder(instant(50)), undefined, "Both are in use.");
+});
+
+test("an adapter whose unload is refused keeps its slot and another goes", (t) => {
+  const engine = slots();
+  bring(engine, "a", 0);
+  bring(engine, "b", 10);
+  engine.want(instant(20), name("c"), 0);
+  const first = engine.nextOrder(instant(20));
+  if (first === undefined) throw new Error("no order");
+  engine.answered(instant(20), first, "conflict");
+  t.is(engine.slots.length, 2);
+  t.is(engine.nextOrder(instant(21))?.name.adapter, adapterId("b"));
+});
+
+test("a named version replaces the one that is there once it is idle", (t) => {
+  const engine = slots();
+  bring(engine, "a", 0);
+  t.is(engine.use(instant(1), name("a"), 0), 0);
+  t.is(engine.use(instant(2), name("a"), 3), undefined);
+  engine.want(instant(2), name("a"), 3);
+  t.is(engine.nextOrder(instant(2)), undefined, "A request still uses it.");
+  engine.release(instant(5), name("a"));
+  const order = engine.nextOrder(instant(5));
+  t.deepEqual(order?.kind === "load" ? order.version : undefined, 3);
+  if (order === undefined) return;
+  engine.answered(instant(5), order, "accepted");
+  engine.loaded(instant(9), name("a"));
+  t.is(engine.use(instant(10), name("a"), 3), 3);
+});
+
+test("an adapter held before is expected back soon, any other after a load's time", (t) => {
+  const engine = slots(1);
+  t.is(engine.loadTime(name("a")), milliseconds(250));
+  bring(engine, "a", 0);
+  t.is(engine.loadTime(name("a")), milliseconds(30));
+});
+
+test("no order ever asks for more adapters than there are slots", (t) => {
+  const step = fc.record({
+    adapter: fc.constantFrom("a", "b", "c", "d", "e", "f"),
+    act: fc.constantFrom("want", "use", "release", "order", "loaded"),
+    answer: fc.constantFrom<OrderAnswer>(
+      "holds",
+      "accepted",
+      "conflict",
+      "unknown",
+    ),
+  });
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 200 }), (steps) => {
+      const engine = slots(3);
+      let now = 0;
+      for (const { adapter, act, answer } of steps) {
+        now += 37;
+        const at = instant(now);
+        if (act === "want") engine.want(at, name(adapter), 0);
+        if (act === "use") engine.use(at, name(adapter), 0);
+        if (act === "release") engine.release(at, name(adapter));
+        if (act === "loaded") engine.loaded(at, name(adapter));
+        if (act === "order") orderOnce(engine, now, answer);
+        t.true(engine.slots.length <= 3);
+      }
+    }),
+    { seed: 1, numRuns: 300 },
+  );
+});
+
+function orderOnce(
+  engine: EngineSlots,
+  now: number,
+  answer: OrderAnswer,
+): void {
+  const order: SlotOrder | undefined = engine.nextOrder(instant(now));
+  if (order !== undefined) engine.answered(instant(now), order, answer);
+}
--- /dev/null
+++ b/packages/core/tests/relay/event_splitter_test.ts
@@ -0,0 +1,29 @@
+import { EventSplitter } from "@foxtailwind/core";
+import test from "ava";
+
+const STREAM =
+  "id: 1\ndata: a\n\nid: 2\ndata: b\n\ndata: none\n\nid:3\r\ndata: c\r\n\r\n";
+
+test("events come whole and in order however the bytes are cut", (t) => {
+  for (let size = 1; size <= STREAM.length; size += 1) {
+    const splitter = new EventSplitter();
+    const events = [];
+    for (let at = 0; at < STREAM.length; at += size) {
+      events.push(...splitter.push(Buffer.from(STREAM.slice(at, at + size))));
+    }
+    t.is(events.map((event) => event.bytes.toString()).join(""), STREAM);
+    t.deepEqual(events.map((event) => event.id), ["1", "2", undefined, "3"]);
+  }
+});
+
+test("an unfinished event is kept back, and dropped before a resumption", (t) => {
+  const splitter = new EventSplitter();
+  const events = splitter.push(Buffer.from("id: 1\ndata: a\n\nid: 2\nda"));
+  t.deepEqual(events.map((event) => event.id), ["1"]);
+  t.is(splitter.rest.toString(), "id: 2\nda");
+  splitter.reset();
+  t.deepEqual(
+    splitter.push(Buffer.from("id: 2\ndata: b\n\n")).map((event) => event.id),
+    ["2"],
+  );
+});
