--- a/packages/core/src/relay/engine_claims.ts
+++ b/packages/core/src/relay/engine_claims.ts
@@ -128,12 +128,16 @@
   }
 
   /**
-   * Tells whether an engine has a claim, of whatever owner.
+   * Tells whether a claim by this node would take an engine from another one.
+   * An earlier run of this node's own process is no other one: its orders are
+   * those of the same VM.
    * @param engine The engine.
-   * @returns Whether it has one.
+   * @returns Whether it would.
    */
-  isClaimed(engine: BackendServerId): boolean {
-    return this.#claims.has(engine);
+  isTakeover(engine: BackendServerId): boolean {
+    const claim = this.#claims.get(engine);
+    if (claim === undefined) return false;
+    return claim.owner !== this.#self.id || this.#refused.has(engine);
   }
 
   /** The engines that this node may order, now or after its wait. */
@@ -155,6 +159,19 @@
     }
   }
 
+  /**
+   * Lists the engines that an earlier run of this node owned, and that no
+   * other node has claimed since.
+   * @param engines The engines that are there.
+   * @returns The engines, to be claimed without listening to others first.
+   */
+  abandoned(engines: readonly BackendServerId[]): readonly BackendServerId[] {
+    return engines.filter((engine) => {
+      const claim = this.#claims.get(engine);
+      return claim?.owner === this.#self.id && !this.#isOwn(claim);
+    });
+  }
+
   #isVacant(
     now: Instant,
     engine: BackendServerId,
--- a/packages/core/src/relay/engine_slots.ts
+++ b/packages/core/src/relay/engine_slots.ts
@@ -2,7 +2,6 @@
   type AdapterId,
   assertInvariant,
   type Duration,
-  elapsed,
   type Instant,
   instant,
   later,
@@ -67,14 +66,12 @@
   readonly kept: number;
 }
 
-/** Expected time to load an adapter, before any was measured. */
+/** Time to load an adapter from the store, by the users' sheets. */
 const COLD_LOAD = milliseconds(250);
 /** The same for an adapter that the engine held lately. */
 const WARM_LOAD = milliseconds(30);
 /** After a refused unload, the adapter is left alone for so long. */
 const BUSY_TIME = milliseconds(400);
-/** Weight of the newest measurement in the expected time to load. */
-const LOAD_WEIGHT = 0.2;
 
 /**
  * The adapter slots of one engine, as its owner knows them. Each adapter that
@@ -88,7 +85,6 @@
   readonly #checkAt = new Map<string, Instant>();
   /** Adapters held before, the latest last. */
   readonly #kept = new Set<string>();
-  #coldLoad: number = COLD_LOAD;
 
   /** @param terms The engine's bounds. */
   constructor(terms: SlotTerms) {
@@ -210,9 +206,7 @@
    * @returns The time.
    */
   loadTime(name: AdapterName): Duration {
-    return this.#kept.has(keyOf(name))
-      ? WARM_LOAD
-      : milliseconds(this.#coldLoad);
+    return this.#kept.has(keyOf(name)) ? WARM_LOAD : COLD_LOAD;
   }
 
   /**
@@ -252,10 +246,6 @@
   loaded(now: Instant, name: AdapterName): void {
     const slot = this.find(name);
     if (slot?.state !== "loading") return;
-    if (!this.#kept.has(keyOf(name))) {
-      const took = elapsed(slot.since, now);
-      this.#coldLoad += LOAD_WEIGHT * (took - this.#coldLoad);
-    }
     this.#remember(keyOf(name));
     this.#checkAt.delete(keyOf(name));
     this.#set({ ...slot, state: "resident", since: now, lastUse: now });
--- a/packages/core/src/relay/relay_configuration.ts
+++ b/packages/core/src/relay/relay_configuration.ts
@@ -25,6 +25,8 @@
   readonly timeLimit: Duration;
   /** The time in which answers, or first events, are wanted. */
   readonly target: Duration;
+  /** The longest pause between the events of a stream that is in time. */
+  readonly longestPause?: Duration;
   /** 0 is the most urgent. */
   readonly priority: number;
   readonly targets: readonly RouteTarget[];
--- a/packages/node/src/relay/engine_owner.ts
+++ b/packages/node/src/relay/engine_owner.ts
@@ -62,12 +62,18 @@
 const LOAD_POLL = milliseconds(20);
 /** Between two orders to load a base model. */
 const MODEL_PAUSE = milliseconds(2_500);
+/** How often an order is sent while no answer comes. */
+const MOST_COPIES = 4;
 /** Conflicts in a row after which the engine is asked what it holds. */
 const CONFLICTS_TO_REPORT = 2;
 /** Prompt tokens that an engine reads in a millisecond, assumed for waits. */
 const PROMPT_PACE = 20;
-/** By how much each running request slows the first token, in milliseconds. */
-const RUNNING_COST = 1;
+/**
+ * Running requests delay a new one by the square of their number, a quarter
+ * of a millisecond each: little while an engine has time to spare, and more
+ * than a load elsewhere once it is behind its peers.
+ */
+const CROWDING = 0.25;
 
 /** Orders one engine while this node has the right to. */
 export class EngineOwner {
@@ -260,9 +266,9 @@
         break;
       case "accepted":
       case "conflict":
+      case "unknown":
         this.#slots.checkAgain(now, name, LOAD_POLL);
         break;
-      case "unknown":
       case "fenced":
       case "misdirected":
       case "invalid":
@@ -271,8 +277,7 @@
   }
 
   async #carryOut(order: SlotOrder, right: OrderRight): Promise<void> {
-    const result = await this.#send(order, right);
-    this.#logOrder(order.kind, order.name.model, order.name.adapter, result);
+    const result = await this.#sendUntilAnswered(order, right);
     const now = this.#now();
     switch (result.kind) {
       case "holds":
@@ -298,6 +303,27 @@
     }
   }
 
+  /**
+   * Sends an order, and again while no answer comes. All copies expect the
+   * same number of orders before them, so that one at most is carried out,
+   * however late.
+   */
+  async #sendUntilAnswered(
+    order: SlotOrder,
+    right: OrderRight,
+  ): Promise<OrderResult> {
+    let result: OrderResult = { kind: "unknown" };
+    for (let sends = 0; sends < MOST_COPIES; sends += 1) {
+      const isCopy = sends > 0;
+      result = await this.#send(order, right);
+      this.#logOrder(order.kind, order.name.model, order.name.adapter, result);
+      // An earlier copy may be what the engine counts as another order.
+      if (isCopy && result.kind === "conflict") return { kind: "unknown" };
+      if (result.kind !== "unknown" || this.#isStopped) return result;
+    }
+    return result;
+  }
+
   /** Trusts nothing that is known until the engine has reported. */
   #askAgain(): void {
     this.#orderCount = undefined;
@@ -415,7 +441,7 @@
 
   #wait(): number {
     const prompts = Math.max(0, this.#promptsUntil - this.#now());
-    return Math.round(prompts + this.#running * RUNNING_COST);
+    return Math.round(prompts + CROWDING * this.#running ** 2);
   }
 
   #wakeAt(at: Instant): false {
--- a/packages/node/src/relay/engine_owners.ts
+++ b/packages/node/src/relay/engine_owners.ts
@@ -1,4 +1,4 @@
-import type { BackendServerId, Instant } from "@foxtailwind/core";
+import { type BackendServerId, type Instant, nodeId } from "@foxtailwind/core";
 import type { EngineDigest } from "@foxtailwind/protocol";
 import { EngineOwner, type EngineOwnerParts } from "./engine_owner.ts";
 import type { ClaimRecord, SharedLog } from "./shared_log.ts";
@@ -82,18 +82,10 @@
   }
 
   async #claim(): Promise<void> {
-    const { knowledge, clock, settings, log, logger } = this.#parts;
+    const { knowledge, clock, log, logger } = this.#parts;
     const now = clock.now();
-    if (this.#isClaiming || now - this.#startedAt < LISTENING_MILLISECONDS) {
-      return;
-    }
-    if (!knowledge.isInContact(now)) return;
-    const peers = knowledge.peers.alive(now).filter((peer) => !peer.isLeaving);
-    const nodes = peers.map((peer) => peer.node as typeof settings.node.id);
-    const wanted = knowledge.claims.wanted(now, {
-      engines: knowledge.engines.map((engine) => engine.id),
-      nodes: [settings.node.id, ...nodes],
-    });
+    if (this.#isClaiming || !knowledge.isInContact(now)) return;
+    const wanted = this.#wanted(now);
     if (wanted.length === 0) return;
     this.#isClaiming = true;
     const claims = wanted.map((engine) => this.#record(engine));
@@ -108,13 +100,28 @@
     }
   }
 
+  #wanted(now: Instant): readonly BackendServerId[] {
+    const { knowledge, settings } = this.#parts;
+    const engines = knowledge.engines.map((engine) => engine.id);
+    if (now - this.#startedAt < LISTENING_MILLISECONDS) {
+      return knowledge.claims.abandoned(engines);
+    }
+    const nodes = knowledge.peers.alive(now)
+      .filter((peer) => !peer.isLeaving)
+      .map((peer) => nodeId(peer.node));
+    return knowledge.claims.wanted(now, {
+      engines,
+      nodes: [settings.node.id, ...nodes],
+    });
+  }
+
   #record(engine: BackendServerId): ClaimRecord {
     const { settings, incarnation, knowledge } = this.#parts;
     return {
       engine,
       owner: settings.node.id,
       incarnation,
-      isTakeover: knowledge.claims.isClaimed(engine),
+      isTakeover: knowledge.claims.isTakeover(engine),
     };
   }
 }
--- a/packages/node/src/relay/relay_request.ts
+++ b/packages/node/src/relay/relay_request.ts
@@ -4,6 +4,7 @@
   elapsed,
   type Instant,
   later,
+  milliseconds,
   type RegisteredServer,
   type RelayService,
   type Route,
@@ -41,8 +42,10 @@
 const COME_BACK_SECONDS = 0.3;
 /** Between two looks for a place, in milliseconds. */
 const PLACE_PAUSE_MILLISECONDS = 40;
-/** The share of a request's time in which a place is looked for. */
+/** The share of a caller's patience in which a place is looked for. */
 const PLACE_SHARE = 0.4;
+/** Callers leave a stream without events after the longest of these. */
+const STREAM_PATIENCE = { least: 2_000, targets: 4, pauses: 8 } as const;
 /** How many targets a silent server gets where another may be tried. */
 const SILENT_TARGETS = 2;
 /** A pause in a resumable stream after which another server is tried. */
@@ -124,18 +127,21 @@
   }
 
   async #findPlace(): Promise<Place | undefined> {
-    const { arrivedAt } = this.#request;
-    const patience = (this.#endsAt - arrivedAt) * PLACE_SHARE;
-    const until = later(this.#now(), patience as Duration);
+    const { arrivedAt, route } = this.#request;
+    const patience = Math.min(
+      this.#endsAt - arrivedAt,
+      firstEventPatience(route),
+    );
+    const until = later(arrivedAt, milliseconds(patience * PLACE_SHARE));
     for (;;) {
-      const place = await this.#look();
+      const place = await this.#look(until);
       if (place !== undefined || this.#isOver()) return place;
       if (this.#now() >= until) return undefined;
       await this.#pause(PLACE_PAUSE_MILLISECONDS);
     }
   }
 
-  async #look(): Promise<Place | undefined> {
+  async #look(until: Instant): Promise<Place | undefined> {
     const { service, caller } = this.#request;
     const { knowledge, placer } = this.#parts;
     const there = knowledge.servers(service.id).filter((one) => !one.leaving);
@@ -144,7 +150,12 @@
     if (!this.#isEngine || caller.use === undefined) {
       return placer.choosePlain(this.#now(), servers);
     }
-    return await placer.placeOnEngine(caller.use, servers, this.#over.signal);
+    const left = Math.max(1, until - this.#now());
+    const signal = AbortSignal.any([
+      this.#over.signal,
+      AbortSignal.timeout(left),
+    ]);
+    return await placer.placeOnEngine(caller.use, servers, signal);
   }
 
   async #send(place: Place): Promise<CallEnd> {
@@ -353,6 +364,17 @@
   }
 }
 
+/** How long callers of a route wait for a first event. */
+function firstEventPatience(route: Route): number {
+  if (!route.streams) return route.timeLimit;
+  const { least, targets, pauses } = STREAM_PATIENCE;
+  return Math.max(
+    least,
+    targets * route.target,
+    pauses * (route.longestPause ?? 0),
+  );
+}
+
 function round(duration: number | undefined): number | undefined {
   return duration === undefined ? undefined : Math.round(duration);
 }
--- a/packages/node/src/relay/relay_settings.ts
+++ b/packages/node/src/relay/relay_settings.ts
@@ -52,7 +52,7 @@
     /** How long orders of two owners must lie apart. */
     lease_milliseconds: positive(LONGEST_MILLISECONDS),
     /** Adapters on their way to one engine at once. */
-    transfers: positive(MOST_TRANSFERS).default(3),
+    transfers: positive(MOST_TRANSFERS).default(4),
     /** Adapters that an engine keeps in memory beside its slots. */
     kept_adapters: positive(MOST_RETRIES).default(100),
   }),
