--- a/packages/node/src/relay/relay_request.ts
+++ b/packages/node/src/relay/relay_request.ts
@@ -150,7 +150,7 @@
     if (!this.#isEngine || caller.use === undefined) {
       return placer.choosePlain(this.#now(), servers);
     }
-    const left = Math.max(1, until - this.#now());
+    const left = Math.max(1, Math.ceil(until - this.#now()));
     const signal = AbortSignal.any([
       this.#over.signal,
       AbortSignal.timeout(left),
