--- a/packages/core/src/relay/engine_choice.ts
+++ b/packages/core/src/relay/engine_choice.ts
@@ -29,7 +29,7 @@
  * time: the engines keep what they held, so that loads at the same engine
  * come from its own memory and not from the store.
  */
-const STRAY_COST = 120;
+const STRAY_COST = 200;
 /** How much each place further down an adapter's order costs, for ties. */
 const ORDER_COST = 4;
 /** What a full engine costs: a slot has to come free first. */
--- a/packages/node/src/relay/engine_owner.ts
+++ b/packages/node/src/relay/engine_owner.ts
@@ -63,11 +63,18 @@
 /** Between two orders to load a base model. */
 const MODEL_PAUSE = milliseconds(2_500);
 /** How often an order is sent while no answer comes. */
-const MOST_COPIES = 4;
+const MOST_COPIES = 5;
 /** Conflicts in a row after which the engine is asked what it holds. */
 const CONFLICTS_TO_REPORT = 2;
 /** Prompt tokens that an engine reads in a millisecond, assumed for waits. */
 const PROMPT_PACE = 20;
+/** Calls without an answer in a row after which an engine is out of reach. */
+const SILENT_CALLS = 4;
+/**
+ * The share of an engine's places that is used: above it, its own queue
+ * begins to hold requests back, and the next ones wait better elsewhere.
+ */
+const FULL_SHARE = 0.8;
 /**
  * Running requests delay a new one by the square of their number, a quarter
  * of a millisecond each: little while an engine has time to spare, and more
@@ -89,6 +96,7 @@
   #modelOrderedAt: Instant | undefined;
   #pauseUntil: Instant | undefined;
   #timer: NodeJS.Timeout | undefined;
+  #silentCalls = 0;
   #isPumping = false;
   #isStopped = false;
 
@@ -128,6 +136,8 @@
       engine: this.#server.id,
       waitMilliseconds: this.#wait(),
       room: this.#slots.room(this.#now()),
+      isReachable: this.#isReachable(),
+      isFull: this.#isFull(),
       adapters: slots.filter((slot) => slot.state !== "leaving").map((
         slot,
       ) => ({
@@ -147,6 +157,9 @@
    */
   use(request: UseRequest, signal: AbortSignal): Promise<UseAnswer> {
     if (this.#isStopped) return Promise.resolve({ kind: "not_owner" });
+    if (!this.#isReachable() || this.#isFull()) {
+      return Promise.resolve({ kind: "no_room" });
+    }
     if (request.adapter === undefined) {
       return Promise.resolve(this.#grant(request, undefined, 0));
     }
@@ -204,6 +217,7 @@
   async #readReport(): Promise<boolean> {
     const report = await this.#parts.control.report(this.#server);
     const now = this.#now();
+    this.#heard(report.isOk());
     if (report.isErr()) {
       this.#parts.logger.warn("An engine gave no report.", {
         engine: this.#server.id,
@@ -316,6 +330,7 @@
     for (let sends = 0; sends < MOST_COPIES; sends += 1) {
       const isCopy = sends > 0;
       result = await this.#send(order, right);
+      this.#heard(result.kind !== "unknown");
       this.#logOrder(order.kind, order.name.model, order.name.adapter, result);
       // An earlier copy may be what the engine counts as another order.
       if (isCopy && result.kind === "conflict") return { kind: "unknown" };
@@ -439,6 +454,25 @@
     );
   }
 
+  /** Takes note of an answer, or of its absence. */
+  #heard(hasAnswered: boolean): void {
+    this.#silentCalls = hasAnswered ? 0 : this.#silentCalls + 1;
+    if (this.#silentCalls !== SILENT_CALLS) return;
+    this.#parts.logger.warn("An engine is out of its owner's reach.", {
+      engine: this.#server.id,
+      waiting: this.#waiters.size,
+    });
+    for (const waiter of this.#waiters) waiter.answer({ kind: "no_room" });
+  }
+
+  #isReachable(): boolean {
+    return this.#silentCalls < SILENT_CALLS;
+  }
+
+  #isFull(): boolean {
+    return this.#running >= this.#server.slots * FULL_SHARE;
+  }
+
   #wait(): number {
     const prompts = Math.max(0, this.#promptsUntil - this.#now());
     return Math.round(prompts + CROWDING * this.#running ** 2);
--- a/packages/node/src/relay/request_placer.ts
+++ b/packages/node/src/relay/request_placer.ts
@@ -36,7 +36,7 @@
 /** How long an owner is waited for where the engine holds the adapter. */
 const HELD_ANSWER_MILLISECONDS = 250;
 /** How long an owner may take to bring an adapter before another is asked. */
-const LOAD_ANSWER_MILLISECONDS = 1_600;
+const LOAD_ANSWER_MILLISECONDS = 1_000;
 
 interface KnownEngine extends EngineState {
   readonly server: RegisteredServer;
@@ -147,6 +147,7 @@
     const { loads } = this.#parts;
     const load = loads.of(server.id);
     const heard = this.#heard(now, server.id);
+    if (heard?.digest.isFull === true) return undefined;
     if (heard === undefined) {
       const holds = holdsByRegistry(server, use, minimumVersion);
       if (!server.models.some((held) => held.model === use.model)) {
@@ -173,9 +174,10 @@
       owner,
       address,
       wait: digest.waitMilliseconds + load.excess(now),
-      isOrderable: true,
+      isOrderable: digest.isReachable,
       room: digest.room,
-      holds: use.adapter === undefined || (isFresh && !held.isLoading),
+      holds: digest.isReachable &&
+        (use.adapter === undefined || (isFresh && !held.isLoading)),
       isLoading: isFresh && held.isLoading,
     };
   }
