A wrong count of orders is found out while loads are asked about

Ruled out: adapters in use; the questions concern loads only. Test: 'a wrong count of orders is found out'.

--- a/packages/node/src/relay/engine_owner.ts
+++ b/packages/node/src/relay/engine_owner.ts
@@ -275,11 +275,15 @@
     const now = this.#now();
     switch (result.kind) {
       case "holds":
+        this.#conflicts = 0;
         this.#slots.loaded(now, name);
         this.#serveWaiters();
         break;
-      case "accepted":
       case "conflict":
+        this.#slots.checkAgain(now, name, LOAD_POLL);
+        this.#noteConflict();
+        break;
+      case "accepted":
       case "unknown":
         this.#slots.checkAgain(now, name, LOAD_POLL);
         break;
@@ -303,8 +307,7 @@
         break;
       case "conflict":
         this.#slots.answered(now, order, "conflict");
-        this.#conflicts += 1;
-        if (this.#conflicts >= CONFLICTS_TO_REPORT) this.#askAgain();
+        this.#noteConflict();
         break;
       case "unknown":
         this.#slots.answered(now, order, "unknown");
@@ -339,6 +342,12 @@
     return result;
   }
 
+  /** After some conflicts in a row, the count of orders must be wrong. */
+  #noteConflict(): void {
+    this.#conflicts += 1;
+    if (this.#conflicts >= CONFLICTS_TO_REPORT) this.#askAgain();
+  }
+
   /** Trusts nothing that is known until the engine has reported. */
   #askAgain(): void {
     this.#orderCount = undefined;
--- /dev/null
+++ b/packages/node/tests/relay/engine_owner_test.ts
@@ -0,0 +1,195 @@
+import {
+  adapterId,
+  backendServerId,
+  failureDomainId,
+  logOffset,
+  modelId,
+  nodeId,
+  type RegisteredServer,
+  serviceId,
+} from "@foxtailwind/core";
+import {
+  EngineOwner,
+  Knowledge,
+  LoggerFactory,
+  ProcessClock,
+  type UseAnswer,
+} from "@foxtailwind/node/relay";
+import test from "ava";
+import { relaySettings } from "./helpers/relay_settings.ts";
+import { ScriptedEngine } from "./helpers/scripted_engine.ts";
+
+const MODEL = modelId("m");
+const SERVER: RegisteredServer = {
+  id: backendServerId("engine"),
+  service: serviceId("engines"),
+  address: "127.0.0.1:1",
+  failureDomain: failureDomainId("domain-a"),
+  leaving: false,
+  slots: 64,
+  models: [{ model: MODEL, adapters: new Map() }],
+  orderCount: 0,
+};
+
+function setUp(slots = 2) {
+  const settings = relaySettings();
+  const clock = new ProcessClock();
+  const logger = new LoggerFactory("json", 0, () => undefined).forPart(
+    "ownership",
+  );
+  const knowledge = new Knowledge({
+    settings,
+    incarnation: "run-1",
+    clock,
+    logger,
+  });
+  const control = new ScriptedEngine(slots);
+  control.models = [MODEL];
+  const terms = {
+    models: [{ model: MODEL, megabytes: 1, adapterMegabytes: 1 }],
+    megabytes: 10,
+    adapterSlots: slots,
+  };
+  const owner = new EngineOwner(SERVER, terms, {
+    settings,
+    knowledge,
+    control,
+    clock,
+    logger,
+  });
+  const claim = (owner: string, offset: number) => {
+    knowledge.claim({
+      engine: SERVER.id,
+      owner: nodeId(owner),
+      incarnation: "run-1",
+      isTakeover: false,
+    }, logOffset(offset));
+  };
+  return { owner, control, claim, knowledge };
+}
+
+function use(
+  owner: EngineOwner,
+  adapter: string,
+  patience = 5_000,
+): Promise<UseAnswer> {
+  return owner.use({
+    model: MODEL,
+    adapter: adapterId(adapter),
+    minimumVersion: 0,
+    promptTokens: 100,
+  }, AbortSignal.timeout(patience));
+}
+
+function release(answer: UseAnswer): void {
+  if (answer.kind === "granted") answer.release();
+}
+
+test("an adapter is brought for whoever asks, and evicted only when idle", async (t) => {
+  const { owner, control, claim } = setUp(1);
+  claim("node-1", 4);
+  const first = await use(owner, "a");
+  t.is(first.kind, "granted");
+  t.is((await use(owner, "b")).kind, "no_room", "The only slot is in use.");
+  release(first);
+  const second = await use(owner, "b");
+  t.is(second.kind, "granted");
+  t.deepEqual([...control.held], ["b"]);
+  t.true(control.orders.every((order) => order.fence === 5 as never));
+  owner.stop();
+});
+
+test("without the right nothing is ordered", async (t) => {
+  const { owner, control, claim } = setUp();
+  claim("node-2", 4);
+  const answer = await use(owner, "a", 100);
+  t.not(answer.kind, "granted");
+  t.deepEqual(control.orders, []);
+  owner.stop();
+});
+
+test("an order without an answer is sent again, and carried out once", async (t) => {
+  for (const fate of ["lost", "late", "answer_lost"] as const) {
+    const { owner, control, claim } = setUp();
+    control.nextFates = [fate];
+    claim("node-1", 4);
+    const answer = await use(owner, "a");
+    t.is(answer.kind, "granted", fate);
+    control.carryOutLate();
+    t.deepEqual([...control.held], ["a"]);
+    t.is(control.count, 1, fate);
+    owner.stop();
+  }
+});
+
+test("late orders never lead past the slots", async (t) => {
+  const { owner, control, claim } = setUp(2);
+  control.nextFates = [
+    "late",
+    "answered",
+    "late",
+    "answered",
+    "answered",
+    "late",
+  ];
+  claim("node-1", 4);
+  for (const adapter of ["a", "b", "c", "d", "a"]) {
+    release(await use(owner, adapter));
+    control.carryOutLate();
+  }
+  t.false(control.isOverfull);
+  t.true(control.held.size <= 2);
+  owner.stop();
+});
+
+test("a wrong count of orders is found out and put right while a load is asked about", async (t) => {
+  const { owner, control, claim } = setUp();
+  claim("node-1", 4);
+  const waiting = use(owner, "a");
+  while (control.held.size === 0) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  control.count += 1;
+  t.is((await waiting).kind, "granted");
+  t.is((await use(owner, "b")).kind, "granted");
+  owner.stop();
+});
+
+test("who waits for an engine that falls silent is sent away at once", async (t) => {
+  const { owner, control, claim } = setUp();
+  claim("node-1", 4);
+  release(await use(owner, "a"));
+  control.isDown = true;
+  t.is((await use(owner, "b")).kind, "no_room");
+  t.false(owner.digest.isReachable);
+  t.is((await use(owner, "a")).kind, "no_room");
+  control.isDown = false;
+  while (!owner.digest.isReachable) {
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  t.is((await use(owner, "b")).kind, "granted");
+  owner.stop();
+});
+
+test("a refused fencing number is not used again", async (t) => {
+  const { owner, control, claim } = setUp();
+  claim("node-1", 4);
+  control.highestFence = 9;
+  const answer = await use(owner, "a", 400);
+  t.not(answer.kind, "granted");
+  t.is(control.orders.length, 1);
+  owner.stop();
+});
+
+test("an engine that runs all it should takes no more until a request ends", async (t) => {
+  const { owner, claim } = setUp();
+  claim("node-1", 4);
+  const first = await use(owner, "a");
+  const uses = [first];
+  while (!owner.digest.isFull) uses.push(await use(owner, "a"));
+  t.true(uses.length < SERVER.slots);
+  t.is((await use(owner, "a")).kind, "no_room");
+  release(first);
+  t.is((await use(owner, "a")).kind, "granted");
+  owner.stop();
+});
