--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -26,9 +26,14 @@
 ].join("\n");
 
 await build({
-  entryPoints: ["platform/src/main.ts"],
-  outfile: "target/foxtailwind-node.js",
+  entryPoints: { "foxtailwind-node": "platform/src/main.ts" },
+  outdir: "target",
   bundle: true,
+  // What is loaded after the start stands in files of its own.
+  splitting: true,
+  // Less to read at each start; names stay, for stack traces.
+  minifyWhitespace: true,
+  minifySyntax: true,
   platform: "node",
   target: "node20",
   format: "esm",
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -18,7 +18,10 @@
 import { EngineOwners } from "./engine_owners.ts";
 import { FrontServer } from "./front_server.ts";
 import { Knowledge } from "./knowledge.ts";
-import { OperationsApplication } from "./operations_application.ts";
+import type {
+  OperationsAnswers,
+  OperationsApplication,
+} from "./operations_application.ts";
 import type { OperationsWire } from "./operations_wire.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { RelayMetrics } from "./relay_metrics.ts";
@@ -61,7 +64,8 @@
   readonly #pools = new BackendPools();
   readonly #loads: ServerLoads;
   readonly #front: FrontServer;
-  readonly #operations: OperationsApplication;
+  readonly #operationsAnswers: OperationsAnswers;
+  #operations: OperationsApplication | undefined;
   readonly #metrics: RelayMetrics;
   readonly #heardNodes = new Map<string, Instant>();
   #refreshTimer: NodeJS.Timeout | undefined;
@@ -119,7 +123,7 @@
       enginesOwned: () => this.#owners.digests.length,
       nodesAlive: () => knowledge.peers.alive(clock.now()).length,
     });
-    this.#operations = new OperationsApplication(edges.operations, {
+    this.#operationsAnswers = {
       isReady: () => this.#isReady(),
       addresses: (failureDomain) => this.#addresses(failureDomain),
       addressLifetimeSeconds: Math.min(
@@ -127,7 +131,7 @@
         settings.addresses.longest_lifetime_seconds,
       ),
       metrics: () => this.#metrics.text(),
-    });
+    };
     knowledge.onChange = () => {
       this.#front.applyLimits();
       this.#owners.refresh();
@@ -141,19 +145,34 @@
     await this.#peerServer.listen(listen.peers);
     await this.#front.listen(listen.callers);
     this.#isListening = true;
-    const { readiness, addresses, metrics } = listen;
-    await this.#operations.listen({ readiness, addresses, metrics });
     this.#exchange.start();
     void this.#announce();
     this.#refreshTimer = setInterval(() => {
       this.#refresh();
     }, REFRESH_MILLISECONDS);
+    await this.#startOperations();
     this.#logger.info("Started.", {
       node: this.#settings.node.id,
       incarnation: this.#incarnation,
     });
   }
 
+  /**
+   * Loads what answers questions about the node after its own work has begun:
+   * it is the larger half of the program's code.
+   */
+  async #startOperations(): Promise<void> {
+    const { OperationsApplication } = await import(
+      "./operations_application.ts"
+    );
+    const { readiness, addresses, metrics } = this.#settings.listen;
+    this.#operations = new OperationsApplication(
+      this.#edges.operations,
+      this.#operationsAnswers,
+    );
+    await this.#operations.listen({ readiness, addresses, metrics });
+  }
+
   /** Leaves the addresses, finishes what is in progress, and stops. */
   async stop(): Promise<void> {
     const begunAt = this.#clock.now();
@@ -189,7 +208,7 @@
     this.#front.cut();
     this.#peerServer.cutConnections();
     this.#channels.close();
-    await this.#operations.close();
+    await this.#operations?.close();
     await this.#pools.destroy();
   }
 
--- a/packages/node/src/relay/relay_settings.ts
+++ b/packages/node/src/relay/relay_settings.ts
@@ -1,14 +1,9 @@
 import { failureDomainId, nodeId } from "@foxtailwind/core";
-import { parse } from "ini";
-import { err, ok, type Result } from "neverthrow";
+import type { Result } from "neverthrow";
 import { z } from "zod";
 import { socketAddressSchema } from "../settings/address_schemas.ts";
-import { findRepeatedKeys } from "../settings/repeated_keys.ts";
-import {
-  problemOfRepeated,
-  problemsOfIssue,
-  type SettingsProblem,
-} from "../settings/settings_problem.ts";
+import { parseIni } from "../settings/parse_ini.ts";
+import type { SettingsProblem } from "../settings/settings_problem.ts";
 
 const name = z.string().min(1).max(128);
 
@@ -83,15 +78,5 @@
   text: string,
   file: string,
 ): Result<RelaySettings, readonly SettingsProblem[]> {
-  const values = parse(text);
-  const parsed = relaySettingsSchema.safeParse(values);
-  const problems = findRepeatedKeys(text).map((repeated) =>
-    problemOfRepeated(repeated, file)
-  );
-  for (const issue of parsed.error?.issues ?? []) {
-    problems.push(...problemsOfIssue(issue, { file, values }));
-  }
-  return parsed.success && problems.length === 0
-    ? ok(parsed.data)
-    : err(problems);
+  return parseIni(text, file, relaySettingsSchema);
 }
--- a/packages/node/src/settings/load_settings.ts
+++ b/packages/node/src/settings/load_settings.ts
@@ -1,13 +1,8 @@
-import { parse } from "ini";
 import { err, ok, type Result } from "neverthrow";
 import { readFileSync } from "node:fs";
-import { findRepeatedKeys } from "./repeated_keys.ts";
 import { type Settings, settingsSchema } from "./settings.ts";
-import {
-  problemOfRepeated,
-  problemsOfIssue,
-  type SettingsProblem,
-} from "./settings_problem.ts";
+import { parseIni } from "./parse_ini.ts";
+import type { SettingsProblem } from "./settings_problem.ts";
 
 export {
   formatSettingsProblem,
@@ -35,17 +30,7 @@
   text: string,
   file: string,
 ): Result<Settings, readonly SettingsProblem[]> {
-  const values = parse(text);
-  const parsed = settingsSchema.safeParse(values);
-  const problems = findRepeatedKeys(text).map((repeated) =>
-    problemOfRepeated(repeated, file)
-  );
-  for (const issue of parsed.error?.issues ?? []) {
-    problems.push(...problemsOfIssue(issue, { file, values }));
-  }
-  return parsed.success && problems.length === 0
-    ? ok(parsed.data)
-    : err(problems);
+  return parseIni(text, file, settingsSchema);
 }
 
 function readText(file: string): Result<string, readonly SettingsProblem[]> {
--- a/packages/node/src/settings/settings_problem.ts
+++ b/packages/node/src/settings/settings_problem.ts
@@ -1,7 +1,6 @@
 import { closest } from "fastest-levenshtein";
 import type { z } from "zod";
 import type { RepeatedKey } from "./repeated_keys.ts";
-import { SETTINGS_SECTIONS } from "./settings.ts";
 
 /** One thing that is wrong with the settings. */
 export interface SettingsProblem {
@@ -17,8 +16,13 @@
 export interface RawSettings {
   readonly file: string;
   readonly values: Readonly<Record<string, unknown>>;
+  /** The keys that each known section may hold. */
+  readonly sections: SectionKeys;
 }
 
+/** The keys of each section. */
+export type SectionKeys = ReadonlyMap<string, readonly string[]>;
+
 /**
  * Says what is wrong in one line.
  * @param problem The problem.
@@ -50,7 +54,7 @@
   }
   const seen = describeValue(valueAt(raw, section, key));
   const allowed = key === ""
-    ? `a section with ${listKeys(section).join(", ")}`
+    ? `a section with ${listKeys(section, raw).join(", ")}`
     : issue.message;
   return [{ file: raw.file, section, key, seen, allowed }];
 }
@@ -69,7 +73,7 @@
 }
 
 function unknownSection(name: string, raw: RawSettings): SettingsProblem {
-  const known = Object.keys(SETTINGS_SECTIONS);
+  const known = [...raw.sections.keys()];
   const isSection = typeof raw.values[name] === "object";
   return {
     file: raw.file,
@@ -88,7 +92,7 @@
   key: string,
   { section, raw }: { readonly section: string; readonly raw: RawSettings },
 ): SettingsProblem {
-  const nearest = closest(key, listKeys(section));
+  const nearest = closest(key, [...listKeys(section, raw)]);
   return {
     file: raw.file,
     section,
@@ -98,14 +102,10 @@
   };
 }
 
-function listKeys(section: string): string[] {
-  return Object.hasOwn(SETTINGS_SECTIONS, section)
-    ? Object.keys(SETTINGS_SECTIONS[section as SettingsSection].shape)
-    : [];
+function listKeys(section: string, raw: RawSettings): readonly string[] {
+  return raw.sections.get(section) ?? [];
 }
 
-type SettingsSection = keyof typeof SETTINGS_SECTIONS;
-
 function valueAt(raw: RawSettings, section: string, key: string): unknown {
   if (section === "") return raw.values[key];
   const values = raw.values[section];
