Servers without a connection are passed over; the relay is tested end to end

Cause: a server that refuses connections was tried in a tight loop until the request's time was up, and the answer then said that it may have run. Dark servers held a request for 0.7 s and more a try, undici's own limit being coarse. 12 tests of the relay against servers that answer badly; of these 'a server that refuses connections' failed before.

--- a/packages/node/src/relay/backend_call.ts
+++ b/packages/node/src/relay/backend_call.ts
@@ -64,6 +64,11 @@
     });
   }
 
+  /** Whether bytes of the request may have reached the server. */
+  get wasSent(): boolean {
+    return this.#wasSent;
+  }
+
   /**
    * Sends the request.
    * @param dispatcher The connections to the server.
--- a/packages/node/src/relay/relay_request.ts
+++ b/packages/node/src/relay/relay_request.ts
@@ -50,8 +50,15 @@
 const SILENT_TARGETS = 2;
 /** A pause in a resumable stream after which another server is tried. */
 const SILENT_STREAM_MILLISECONDS = 1_200;
+/**
+ * How long a call waits for a connection: a new one takes a few milliseconds,
+ * and the first lost packet of one is sent again after a second.
+ */
+const CONNECTION_MILLISECONDS = 300;
 /** Sends to servers that did not run the request. */
 const MOST_SENDS = 6;
+/** Servers without a connection that are tried before the caller is told. */
+const MOST_UNSENT = 4;
 /** The largest urgency number that engines know. */
 const LEAST_URGENT = 9;
 
@@ -66,6 +73,8 @@
   #sends = 0;
   /** Sends after which the request may have run. */
   #runs = 0;
+  /** Sends that found no connection. */
+  #unsent = 0;
   #call: BackendCall | undefined;
   #outcome = "";
   #lastServer: BackendServerId | undefined;
@@ -190,13 +199,22 @@
       },
     );
     const watch = this.#watchSilence(call, server.id);
+    const connecting = this.#watchConnection(call);
     const end = await call.ended;
     clearInterval(watch);
+    clearTimeout(connecting);
     this.#call = undefined;
     load.ended(this.#now(), this.#resultFor(end));
     return end;
   }
 
+  /** Gives a call up that no connection takes, so that another server may. */
+  #watchConnection(call: BackendCall): NodeJS.Timeout {
+    return setTimeout(() => {
+      if (!call.wasSent) call.cut("No connection was ready.");
+    }, CONNECTION_MILLISECONDS);
+  }
+
   /** Cuts a call to a silent server where another may be tried. */
   #watchSilence(
     call: BackendCall,
@@ -233,8 +251,9 @@
     if (end.kind === "broken" && !end.wasSent) {
       this.#runs -= 1;
       this.#sends -= 1;
+      this.#unsent += 1;
       this.#tried.add(server.id);
-      return true;
+      return this.#unsent < MOST_UNSENT || this.#refuse("not_run");
     }
     this.#tried.add(server.id);
     if (this.#passage.hasBegun) {
@@ -274,13 +293,13 @@
   #timeIsUp(): void {
     if (this.#isOver()) return;
     if (this.#passage.hasBegun) this.#breakOff();
-    else this.#refuse(this.#runs > 0 ? "time_limit" : "not_run_in_time");
+    else this.#refuse(this.#mayHaveRun() ? "time_limit" : "not_run_in_time");
   }
 
   /** Gives the final answer where no server's answer is passed on. */
   #refuse(refusal: RelayRefusal): false {
     this.#outcome = refusal;
-    const isNotRun = this.#runs === 0;
+    const isNotRun = !this.#mayHaveRun();
     this.#passage.refuse(isNotRun ? 503 : refusal === "lost" ? 502 : 504, {
       refusal,
       ...(isNotRun ? { comeBackSeconds: COME_BACK_SECONDS } : {}),
@@ -289,6 +308,11 @@
     return false;
   }
 
+  #mayHaveRun(): boolean {
+    const isUnsent = this.#call !== undefined && !this.#call.wasSent;
+    return this.#runs > (isUnsent ? 1 : 0);
+  }
+
   #breakOff(): false {
     this.#outcome = "broken_stream";
     this.#passage.breakOff();
--- /dev/null
+++ b/packages/node/tests/relay/helpers/relay_world.ts
@@ -0,0 +1,234 @@
+import {
+  backendServerId,
+  failureDomainId,
+  logOffset,
+  milliseconds,
+  type Route,
+  seconds,
+  serviceId,
+} from "@foxtailwind/core";
+import {
+  AdapterGrants,
+  BackendPools,
+  EngineOwners,
+  FrontServer,
+  Knowledge,
+  LoggerFactory,
+  ProcessClock,
+  type RelayParts,
+  RequestPlacer,
+  RetryAllowances,
+  ServerLoads,
+} from "@foxtailwind/node/relay";
+import type { ExecutionContext } from "ava";
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import { request as send } from "undici";
+import { relaySettings } from "./relay_settings.ts";
+import { ScriptedEngine } from "./scripted_engine.ts";
+import { TestWire } from "./test_wire.ts";
+
+const SERVICE = serviceId("plain");
+
+const BASE: Omit<Route, "name" | "pathPrefix"> = {
+  host: "one.example",
+  repeatable: false,
+  streams: false,
+  resumable: false,
+  attempts: 1,
+  timeLimit: milliseconds(1_500),
+  target: milliseconds(200),
+  priority: 0,
+  targets: [{ service: SERVICE, weight: 1 }],
+};
+
+const ROUTES: readonly Route[] = [
+  { ...BASE, name: "once", pathPrefix: "/once/" },
+  {
+    ...BASE,
+    name: "repeatable",
+    pathPrefix: "/repeatable/",
+    repeatable: true,
+    attempts: 2,
+  },
+  { ...BASE, name: "stream", pathPrefix: "/stream/", streams: true },
+  {
+    ...BASE,
+    name: "resumable",
+    pathPrefix: "/resumable/",
+    streams: true,
+    resumable: true,
+    attempts: 2,
+  },
+  {
+    ...BASE,
+    name: "short",
+    pathPrefix: "/short/",
+    timeLimit: milliseconds(150),
+  },
+];
+
+/** A front with backend servers that answer as a test says. */
+export class RelayWorld {
+  readonly knowledge: Knowledge;
+  readonly front: FrontServer;
+  readonly outcomes: string[] = [];
+  readonly #pools = new BackendPools();
+  readonly #owners: EngineOwners;
+  readonly #servers: ReturnType<typeof createServer>[] = [];
+  #offset = 0;
+  port = 0;
+
+  constructor() {
+    const settings = relaySettings();
+    const clock = new ProcessClock();
+    const logger = new LoggerFactory("json", 0, () => undefined).forPart(
+      "callers",
+    );
+    const base = { settings, incarnation: "run-1", clock, logger };
+    const knowledge = new Knowledge(base);
+    const loads = new ServerLoads(settings.node.failure_domain);
+    this.knowledge = knowledge;
+    this.#owners = new EngineOwners({
+      ...base,
+      knowledge,
+      control: new ScriptedEngine(1),
+      log: undefined as never,
+      isLeaving: () => true,
+    });
+    const parts: RelayParts = {
+      knowledge,
+      loads,
+      clock,
+      logger,
+      pools: this.#pools,
+      wire: new TestWire(),
+      nodes: () => 1,
+      isLeaving: () => false,
+      allowances: new RetryAllowances({
+        share: 0.2,
+        reserve: 58,
+        window: seconds(10),
+      }, () => 1),
+      placer: new RequestPlacer({
+        self: settings.node.id,
+        knowledge,
+        owners: this.#owners,
+        grants: new AdapterGrants(
+          settings.node.id,
+          this.#owners,
+          undefined as never,
+        ),
+        loads,
+        clock,
+      }),
+      record: (_route, outcome) => {
+        this.outcomes.push(outcome);
+      },
+    };
+    this.front = new FrontServer(parts);
+  }
+
+  /** Puts the configuration in force. */
+  configure(): void {
+    this.knowledge.configuration({
+      version: 1,
+      routes: ROUTES,
+      services: [{ id: SERVICE, connectionLimit: 100 }],
+      limits: {
+        headerBytes: 4_096,
+        bodyBytes: 100_000,
+        headerTime: seconds(3),
+        idleTime: seconds(15),
+      },
+    });
+  }
+
+  /**
+   * Adds a backend server.
+   * @param id Its id.
+   * @param answer How it answers.
+   */
+  async addServer(id: string, answer: RequestListener): Promise<void> {
+    const server = createServer(answer);
+    this.#servers.push(server);
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = server.address() as AddressInfo;
+    this.addAddress(id, `127.0.0.1:${port}`);
+  }
+
+  /**
+   * Registers a server at an address, whoever answers there.
+   * @param id The server's id.
+   * @param address The address.
+   */
+  addAddress(id: string, address: string): void {
+    this.#offset += 1;
+    this.knowledge.registryEntry({
+      kind: "present",
+      offset: logOffset(this.#offset),
+      server: {
+        id: backendServerId(id),
+        service: SERVICE,
+        address,
+        failureDomain: failureDomainId("domain-a"),
+        leaving: false,
+        slots: 4,
+        models: [],
+        orderCount: 0,
+      },
+    });
+  }
+
+  /** Starts the front. */
+  async start(t: ExecutionContext): Promise<this> {
+    this.port = await this.front.listen({ host: "127.0.0.1", port: 0 });
+    t.teardown(async () => {
+      this.front.stopListening();
+      this.front.cut();
+      for (const server of this.#servers) {
+        server.closeAllConnections();
+        server.close();
+      }
+      await this.#pools.destroy();
+    });
+    return this;
+  }
+
+  /** Sends a request as a caller. */
+  async call(path: string, options: {
+    readonly method?: "GET" | "POST";
+    readonly body?: Buffer;
+    readonly headers?: Record<string, string>;
+    readonly signal?: AbortSignal;
+  } = {}) {
+    const answer = await send(`http://127.0.0.1:${this.port}${path}`, {
+      method: options.method ?? "POST",
+      headers: { host: "one.example", "x-id": "r1", ...options.headers },
+      ...(options.body === undefined ? {} : { body: options.body }),
+      ...(options.signal === undefined ? {} : { signal: options.signal }),
+      reset: true,
+    });
+    const { statusCode: status, headers } = answer;
+    const bytes = Buffer.from(await answer.body.arrayBuffer());
+    return { status, headers, bytes };
+  }
+}
+
+/** Answers a request with a success. */
+export function succeed(
+  request: IncomingMessage,
+  response: ServerResponse,
+  body: string | Buffer,
+): void {
+  response.setHeader("x-id", String(request.headers["x-id"]));
+  response.setHeader("x-seal", "s");
+  response.end(body);
+}
--- /dev/null
+++ b/packages/node/tests/relay/relay_test.ts
@@ -0,0 +1,289 @@
+import test from "ava";
+import { createHash } from "node:crypto";
+import type { ServerResponse } from "node:http";
+import { connect, createServer as createTcpServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { RelayWorld, succeed } from "./helpers/relay_world.ts";
+
+function beginStream(response: ServerResponse): void {
+  response.writeHead(200, {
+    "x-id": "r1",
+    "x-seal": "s",
+    "content-type": "text/event-stream",
+  });
+}
+
+test("bodies pass byte for byte both ways, with a length and in chunks", async (t) => {
+  const world = new RelayWorld();
+  world.configure();
+  await world.addServer("s1", (request, response) => {
+    const hash = createHash("sha256");
+    request.on("data", (bytes: Buffer) => hash.update(bytes));
+    request.on("end", () => {
+      succeed(
+        request,
+        response,
+        `${request.method} ${request.url} ${hash.digest("hex")}`,
+      );
+    });
+  });
+  await world.start(t);
+  const body = Buffer.from(
+    Array.from({ length: 70_000 }, (_, index) => index % 256),
+  );
+  const expected = createHash("sha256").update(body).digest("hex");
+  const answer = await world.call("/once/a%20b?c=%2F", { body });
+  t.is(answer.status, 200);
+  t.is(answer.bytes.toString(), `POST /once/a%20b?c=%2F ${expected}`);
+  t.is(answer.headers["x-seal"], "s");
+  const chunked = await world.call("/once/x", {
+    body,
+    headers: { "transfer-encoding": "chunked" },
+  }).catch(() => undefined);
+  if (chunked !== undefined) {
+    t.true(chunked.bytes.toString().endsWith(expected));
+  }
+});
+
+test("an answer that ends with its connection is passed on whole", async (t) => {
+  const world = new RelayWorld();
+  world.configure();
+  const server = createTcpServer((socket) => {
+    socket.once("data", () => {
+      socket.end(
+        "HTTP/1.1 200 OK\r\nx-id: r1\r\nx-seal: s\r\nconnection: close\r\n\r\nwhole body",
+      );
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => server.close());
+  world.addAddress("s1", `127.0.0.1:${(server.address() as AddressInfo).port}`);
+  await world.start(t);
+  const answer = await world.call("/once/a");
+  t.deepEqual([answer.status, answer.bytes.toString()], [200, "whole body"]);
+});
+
+test("what can't be read or routed is refused and reaches no server", async (t) => {
+  const world = new RelayWorld();
+  let arrivals = 0;
+  await world.addServer("s1", (request, response) => {
+    arrivals += 1;
+    succeed(request, response, "no");
+  });
+  await world.start(t);
+  t.is((await world.call("/once/a")).status, 503, "No configuration yet.");
+  world.configure();
+  t.is((await world.call("/none/a")).status, 404);
+  t.is(
+    (await world.call("/once/a", { headers: { host: "two.example" } })).status,
+    404,
+  );
+  t.is(
+    (await world.call("/once/a", { body: Buffer.alloc(100_001) })).status,
+    413,
+  );
+  t.is(
+    (await world.call("/once/a", { headers: { "x-long": "x".repeat(5_000) } }))
+      .status,
+    431,
+  );
+  const raw = [
+    "POST /once/a HTTP/1.1\r\nHost: one.example\r\n\r\n",
+    "POST /once/a HTTP/1.1\r\nHost: one.example\r\nx-id: r\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
+    "POST /once/a HTTP/1.1\r\nHost: one.example\r\nx-id: r\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "POST /once/a HTTP/1.1\r\nHost: one.example\r\nx-id: r\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+  ];
+  for (const text of raw) {
+    t.regex(await exchange(world.port, text), /^HTTP\/1\.1 400 /);
+  }
+  t.is(arrivals, 0);
+});
+
+function exchange(port: number, text: string): Promise<string> {
+  return new Promise((resolve) => {
+    const socket = connect(port, "127.0.0.1", () => socket.write(text));
+    let seen = "";
+    socket.on("data", (bytes) => {
+      seen += bytes.toString();
+      socket.end();
+    });
+    socket.on("close", () => {
+      resolve(seen);
+    });
+    socket.on("error", () => undefined);
+  });
+}
+
+test("a failed read is tried at another server, a failed instruction is not", async (t) => {
+  const world = new RelayWorld();
+  world.configure();
+  const arrivals: string[] = [];
+  for (const id of ["s1", "s2"]) {
+    await world.addServer(id, (request, response) => {
+      arrivals.push(`${id} ${request.url}`);
+      const isFirst = arrivals.filter((one) =>
+        one.endsWith(request.url ?? "")
+      ).length === 1;
+      response.setHeader("x-id", "r1");
+      response.setHeader("x-seal", "s");
+      response.statusCode = isFirst ? 500 : 200;
+      response.end(isFirst ? "failed" : "well");
+    });
+  }
+  await world.start(t);
+  const read = await world.call("/repeatable/a");
+  t.deepEqual([read.status, read.bytes.toString()], [200, "well"]);
+  const servers = arrivals.map((one) => one.split(" ")[0]);
+  t.is(new Set(servers).size, 2, "The second send went to another server.");
+  const instruction = await world.call("/once/a");
+  t.deepEqual([instruction.status, instruction.bytes.toString()], [
+    500,
+    "failed",
+  ]);
+  t.is(instruction.headers["x-seal"], "s");
+  t.is(arrivals.length, 3);
+});
+
+test("a server that says it has not run a request is followed by another one", async (t) => {
+  const world = new RelayWorld();
+  world.configure();
+  const arrivals: string[] = [];
+  for (const id of ["s1", "s2"]) {
+    await world.addServer(id, (request, response) => {
+      arrivals.push(id);
+      if (arrivals.length > 1) {
+        succeed(request, response, "well");
+        return;
+      }
+      response.writeHead(503, { "x-not-run": "1" });
+      response.end();
+    });
+  }
+  await world.start(t);
+  const answer = await world.call("/once/a");
+  t.deepEqual([answer.status, answer.bytes.toString()], [200, "well"]);
+  t.is(new Set(arrivals).size, 2);
+});
+
+test("a refusal that promises too much is not passed on as one", async (t) => {
+  const world = new RelayWorld();
+  world.configure();
+  await world.addServer("s1", (_request, response) => {
+    response.writeHead(503, { "x-id": "r1", "x-seal": "s" });
+    response.end();
+  });
+  await world.start(t);
+  const answer = await world.call("/once/a");
+  t.is(answer.status, 502);
+  t.is(answer.headers["x-seal"], undefined);
+});
+
+test("an answer to another request, or without its seal, is never passed on", async (t) => {
+  const world = new RelayWorld();
+  world.configure();
+  let answers = 0;
+  await world.addServer("s1", (_request, response) => {
+    answers += 1;
+    response.writeHead(
+      200,
+      answers === 1 ? { "x-id": "r0", "x-seal": "s" } : { "x-id": "r1" },
+    );
+    response.end("another's");
+  });
+  await world.start(t);
+  for (let turn = 0; turn < 2; turn += 1) {
+    const answer = await world.call("/once/a");
+    t.is(answer.status, 502);
+    t.false(answer.bytes.toString().includes("another's"));
+  }
+});
+
+test("a request gets its final answer at its route's limit", async (t) => {
+  const world = new RelayWorld();
+  world.configure();
+  await world.addServer("s1", () => undefined);
+  await world.start(t);
+  t.is((await world.call("/short/a")).status, 504, "It may have run.");
+  const empty = new RelayWorld();
+  empty.configure();
+  await empty.start(t);
+  const refused = await empty.call("/short/a");
+  t.is(refused.status, 503, "It was sent nowhere.");
+  t.true(Number(refused.headers["retry-after"]) > 0);
+});
+
+test("a stream cut at the server does not look whole to the caller", async (t) => {
+  const world = new RelayWorld();
+  world.configure();
+  await world.addServer("s1", (_request, response) => {
+    beginStream(response);
+    response.write("id: 1\ndata: a\n\nid: 2\nda");
+    setTimeout(() => response.destroy(), 30);
+  });
+  await world.start(t);
+  await t.throwsAsync(world.call("/stream/a"));
+  t.deepEqual(world.outcomes, ["broken_stream"]);
+});
+
+test("a resumable stream goes on elsewhere after its last whole event", async (t) => {
+  const world = new RelayWorld();
+  world.configure();
+  const after: unknown[] = [];
+  for (const id of ["s1", "s2"]) {
+    await world.addServer(id, (request, response) => {
+      after.push(request.headers["x-after"]);
+      beginStream(response);
+      if (after.length > 1) {
+        response.end("id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+        return;
+      }
+      response.write("id: 1\ndata: a\n\nid: 2\nda");
+      setTimeout(() => response.destroy(), 30);
+    });
+  }
+  await world.start(t);
+  const answer = await world.call("/resumable/a");
+  t.is(
+    answer.bytes.toString(),
+    "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n",
+  );
+  t.deepEqual(after, [undefined, "1"]);
+});
+
+test("a caller that leaves ends the work at the server", async (t) => {
+  const world = new RelayWorld();
+  world.configure();
+  const closed = new Promise<void>((resolve) => {
+    void world.addServer("s1", (request) => {
+      request.socket.once("close", () => {
+        resolve();
+      });
+      leaving.abort();
+    });
+  });
+  const leaving = new AbortController();
+  await world.start(t);
+  await t.throwsAsync(world.call("/once/a", { signal: leaving.signal }), {
+    any: true,
+  });
+  await closed;
+  t.pass();
+});
+
+test("a server that refuses connections is passed over, and nothing counts as run", async (t) => {
+  const world = new RelayWorld();
+  world.configure();
+  const unused = createTcpServer();
+  await new Promise<void>((resolve) => unused.listen(0, "127.0.0.1", resolve));
+  const { port } = unused.address() as AddressInfo;
+  await new Promise((resolve) => unused.close(resolve));
+  world.addAddress("gone", `127.0.0.1:${port}`);
+  await world.start(t);
+  t.is((await world.call("/once/a")).status, 503);
+  await world.addServer("s2", (request, response) => {
+    succeed(request, response, "well");
+  });
+  for (let turn = 0; turn < 5; turn += 1) {
+    t.is((await world.call("/once/a")).status, 200);
+  }
+});
