--- a/packages/core/src/relay/mod.ts
+++ b/packages/core/src/relay/mod.ts
@@ -4,6 +4,7 @@
 export * from "./engine_slots.ts";
 export * from "./event_splitter.ts";
 export * from "./relay_configuration.ts";
+export * from "./request_urgency.ts";
 export * from "./retry_allowance.ts";
 export * from "./route_table.ts";
 export * from "./server_load.ts";
--- a/packages/node/src/relay/engine_owner.ts
+++ b/packages/node/src/relay/engine_owner.ts
@@ -7,6 +7,7 @@
   milliseconds,
   type ModelId,
   type OrderRight,
+  PROMPT_PACE,
   type RegisteredServer,
   type SlotOrder,
 } from "@foxtailwind/core";
@@ -66,8 +67,6 @@
 const MOST_COPIES = 5;
 /** Conflicts in a row after which the engine is asked what it holds. */
 const CONFLICTS_TO_REPORT = 2;
-/** Prompt tokens that an engine reads in a millisecond, assumed for waits. */
-const PROMPT_PACE = 20;
 /** Calls without an answer in a row after which an engine is out of reach. */
 const SILENT_CALLS = 4;
 /**
--- a/packages/node/src/relay/front_server.ts
+++ b/packages/node/src/relay/front_server.ts
@@ -1,6 +1,12 @@
-import { chooseTarget } from "@foxtailwind/core";
+import {
+  chooseTarget,
+  later,
+  milliseconds,
+  type RouteTable,
+} from "@foxtailwind/core";
 import Fastify, { type FastifyInstance } from "fastify";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { SocketAddress } from "../settings/settings.ts";
 import { writeRefusal } from "./answer_passage.ts";
 import type { RelayParts } from "./relay_parts.ts";
@@ -15,6 +21,9 @@
 const COME_BACK_UNCONFIGURED = 0.5;
 /** Above the largest header limit that a configuration may set. */
 const MOST_HEADER_BYTES = 128 * 1_024;
+/** How long a request waits for a starting node's first configuration. */
+const FIRST_CONFIGURATION = milliseconds(400);
+const CONFIGURATION_POLL = 10;
 /** Before the first configuration sets them. */
 const FIRST_IDLE_MILLISECONDS = 15_000;
 const FIRST_HEADER_MILLISECONDS = 10_000;
@@ -113,7 +122,7 @@
     const { knowledge, wire, clock } = this.#parts;
     const arrivedAt = clock.now();
     if (this.#parts.isLeaving()) response.setHeader("connection", "close");
-    const routes = knowledge.routes;
+    const routes = knowledge.routes ?? await this.#awaitConfiguration();
     if (routes === undefined) {
       this.#refuse(message, response, UNAVAILABLE, "no_configuration");
       return;
@@ -152,6 +161,16 @@
     }).run();
   }
 
+  /** Waits a moment for the first configuration, just after the start. */
+  async #awaitConfiguration(): Promise<RouteTable | undefined> {
+    const { knowledge, clock } = this.#parts;
+    const until = later(clock.now(), FIRST_CONFIGURATION);
+    while (knowledge.routes === undefined && clock.now() < until) {
+      await sleep(CONFIGURATION_POLL);
+    }
+    return knowledge.routes;
+  }
+
   #refuse(
     message: IncomingMessage,
     response: ServerResponse,
--- a/packages/node/src/relay/relay_request.ts
+++ b/packages/node/src/relay/relay_request.ts
@@ -7,6 +7,7 @@
   milliseconds,
   type RegisteredServer,
   type RelayService,
+  requestUrgency,
   type Route,
   type SendResult,
 } from "@foxtailwind/core";
@@ -59,8 +60,6 @@
 const MOST_SENDS = 6;
 /** Servers without a connection that are tried before the caller is told. */
 const MOST_UNSENT = 4;
-/** The largest urgency number that engines know. */
-const LEAST_URGENT = 9;
 
 /** Relays one request to its end. */
 export class RelayRequest {
@@ -168,36 +167,25 @@
   }
 
   async #send(place: Place): Promise<CallEnd> {
-    const { pools, wire, loads } = this.#parts;
-    const { message, route, service, body } = this.#request;
-    const { server, adapterVersion } = place;
+    const { pools, loads, nodes } = this.#parts;
+    const { message, service, body } = this.#request;
+    const { server } = place;
     const sentAt = this.#now();
     const load = loads.of(server.id);
     this.#sends += 1;
     this.#runs += 1;
     this.#lastServer = server.id;
     load.sent(sentAt);
+    const headers = this.#sendHeaders(place, sentAt);
     this.#passage.begin(sentAt);
     const call = new BackendCall(this.#passage);
     this.#call = call;
-    const resumeAfter = this.#passage.lastEventId;
-    call.send(
-      pools.pool(server, service.connectionLimit, this.#parts.nodes()),
-      {
-        method: message.method ?? "GET",
-        path: message.url ?? "/",
-        headers: wire.sendHeaders(message.rawHeaders, {
-          server: server.id,
-          timeLeft: Math.floor(this.#endsAt - sentAt) as Duration,
-          ...(adapterVersion === undefined ? {} : { adapterVersion }),
-          ...(this.#isEngine
-            ? { urgency: Math.min(LEAST_URGENT, route.priority) }
-            : {}),
-          ...(resumeAfter === undefined ? {} : { resumeAfter }),
-        }),
-        body,
-      },
-    );
+    call.send(pools.pool(server, service.connectionLimit, nodes()), {
+      method: message.method ?? "GET",
+      path: message.url ?? "/",
+      headers,
+      body,
+    });
     const watch = this.#watchSilence(call, server.id);
     const connecting = this.#watchConnection(call);
     const end = await call.ended;
@@ -208,6 +196,27 @@
     return end;
   }
 
+  #sendHeaders({ server, adapterVersion }: Place, now: Instant): string[] {
+    const resumeAfter = this.#passage.lastEventId;
+    return this.#parts.wire.sendHeaders(this.#request.message.rawHeaders, {
+      server: server.id,
+      timeLeft: milliseconds(Math.floor(this.#endsAt - now)),
+      ...(adapterVersion === undefined ? {} : { adapterVersion }),
+      ...(this.#isEngine ? { urgency: this.#urgency(now) } : {}),
+      ...(resumeAfter === undefined ? {} : { resumeAfter }),
+    });
+  }
+
+  #urgency(now: Instant): number {
+    const { route, caller, arrivedAt } = this.#request;
+    return requestUrgency({
+      target: route.target,
+      waited: elapsed(arrivedAt, now),
+      promptTokens: caller.use?.promptTokens ?? 0,
+      priority: route.priority,
+    });
+  }
+
   /** Gives a call up that no connection takes, so that another server may. */
   #watchConnection(call: BackendCall): NodeJS.Timeout {
     return setTimeout(() => {
--- a/packages/node/tests/relay/relay_test.ts
+++ b/packages/node/tests/relay/relay_test.ts
@@ -114,6 +114,19 @@
   });
 }
 
+test("a request that comes before the first configuration waits a moment for it", async (t) => {
+  const world = new RelayWorld();
+  await world.addServer("s1", (request, response) => {
+    succeed(request, response, "well");
+  });
+  await world.start(t);
+  const waiting = world.call("/once/a");
+  setTimeout(() => {
+    world.configure();
+  }, 50);
+  t.is((await waiting).status, 200);
+});
+
 test("a failed read is tried at another server, a failed instruction is not", async (t) => {
   const world = new RelayWorld();
   world.configure();
