--- a/packages/core/src/relay/engine_slots.ts
+++ b/packages/core/src/relay/engine_slots.ts
@@ -1,70 +1,22 @@
 import {
-  type AdapterId,
   assertInvariant,
   type Duration,
   type Instant,
   instant,
   later,
   milliseconds,
-  type ModelId,
 } from "../shared/mod.ts";
-
-/** An adapter of a base model. */
-export interface AdapterName {
-  readonly model: ModelId;
-  readonly adapter: AdapterId;
-}
-
-/** Where an adapter stands at one engine. */
-export type SlotState = "loading" | "resident" | "leaving";
-
-/** An adapter that takes a slot of an engine. */
-export interface AdapterSlot extends AdapterName {
-  readonly state: SlotState;
-  readonly version: number;
-  /** Requests that were granted its use and have not ended. */
-  readonly uses: number;
-  readonly lastUse: Instant;
-  /** Since when it is in its state. */
-  readonly since: Instant;
-}
-
-/** Someone who waits for an adapter. */
-interface Waiting extends AdapterName {
-  readonly key: string;
-  readonly minimumVersion: number;
-  readonly since: Instant;
-}
-
-/** What an engine should be ordered next. */
-export type SlotOrder =
-  | {
-    readonly kind: "load";
-    readonly name: AdapterName;
-    /** The version to load; 0 where any will do. */
-    readonly version: number;
-  }
-  | { readonly kind: "unload"; readonly name: AdapterName };
-
-/** What the engine answered to an order. */
-export type OrderAnswer =
-  /** Already so: loaded, or no longer there. */
-  | "holds"
-  /** Accepted; it will be so. */
-  | "accepted"
-  /** Not now: in use, or another order came in between. */
-  | "conflict"
-  /** It may have been accepted, or may be carried out later. */
-  | "unknown";
-
-/** What bounds the slots of one engine. */
-export interface SlotTerms {
-  readonly slots: number;
-  /** How many adapters may be on their way to the engine at once. */
-  readonly transfers: number;
-  /** Adapters that the engine keeps beside its slots, quick to load again. */
-  readonly kept: number;
-}
+import {
+  type AdapterName,
+  type AdapterSlot,
+  keyOf,
+  type OrderAnswer,
+  type SlotOrder,
+  type SlotState,
+  type SlotTerms,
+  type WantedAdapter,
+} from "./adapter_slot.ts";
+import { RecentKeys } from "./recent_keys.ts";
 
 /** Time to load an adapter from the store, by the users' sheets. */
 const COLD_LOAD = milliseconds(250);
@@ -80,15 +32,16 @@
 export class EngineSlots {
   readonly #terms: SlotTerms;
   readonly #slots = new Map<string, AdapterSlot>();
-  readonly #waiting = new Map<string, Waiting>();
+  readonly #waiting = new Map<string, WantedAdapter>();
   readonly #busyUntil = new Map<string, Instant>();
   readonly #checkAt = new Map<string, Instant>();
-  /** Adapters held before, the latest last. */
-  readonly #kept = new Set<string>();
+  /** Adapters that the engine held lately, and keeps in memory. */
+  readonly #kept: RecentKeys;
 
   /** @param terms The engine's bounds. */
   constructor(terms: SlotTerms) {
     this.#terms = terms;
+    this.#kept = new RecentKeys(terms.kept);
   }
 
   /** The adapters that take a slot. */
@@ -246,7 +199,7 @@
   loaded(now: Instant, name: AdapterName): void {
     const slot = this.find(name);
     if (slot?.state !== "loading") return;
-    this.#remember(keyOf(name));
+    this.#kept.add(keyOf(name));
     this.#checkAt.delete(keyOf(name));
     this.#set({ ...slot, state: "resident", since: now, lastUse: now });
   }
@@ -346,7 +299,7 @@
     return this.slots.filter((slot) => slot.state === "loading").length;
   }
 
-  #isOrderable(now: Instant, wish: Waiting): boolean {
+  #isOrderable(now: Instant, wish: WantedAdapter): boolean {
     if (this.#isBusy(now, wish.key)) return false;
     const slot = this.#slots.get(wish.key);
     if (slot === undefined) return true;
@@ -384,7 +337,7 @@
   ): void {
     const known = before.get(keyOf(name));
     const slot = this.#newSlot(now, name, state, version);
-    this.#remember(keyOf(name));
+    this.#kept.add(keyOf(name));
     this.#set({
       ...slot,
       uses: known?.uses ?? 0,
@@ -412,22 +365,4 @@
   #set(slot: AdapterSlot): void {
     this.#slots.set(keyOf(slot), slot);
   }
-
-  #remember(key: string): void {
-    this.#kept.delete(key);
-    this.#kept.add(key);
-    for (const oldest of this.#kept) {
-      if (this.#kept.size <= this.#terms.kept) break;
-      this.#kept.delete(oldest);
-    }
-  }
-}
-
-/**
- * Gives the key of an adapter among those of all models.
- * @param name The adapter.
- * @returns The key.
- */
-export function keyOf({ model, adapter }: AdapterName): string {
-  return `${model}/${adapter}`;
 }
--- a/packages/node/src/relay/adapter_grants.ts
+++ b/packages/node/src/relay/adapter_grants.ts
@@ -14,7 +14,7 @@
 import { credentials, type ServerWritableStream } from "@grpc/grpc-js";
 import type { PeerChannels } from "../peers/peer_channels.ts";
 import type { EngineOwners } from "./engine_owners.ts";
-import type { UseAnswer, UseRequest } from "./engine_owner.ts";
+import type { UseAnswer, UseRequest } from "./engine_use.ts";
 
 /** What an owner answers, or that it can't be reached. */
 export type GrantAnswer = UseAnswer | { readonly kind: "unreachable" };
--- a/packages/node/src/relay/mod.ts
+++ b/packages/node/src/relay/mod.ts
@@ -15,6 +15,7 @@
 export * from "./shared_log.ts";
 export * from "./backend_call.ts";
 export * from "./engine_owner.ts";
+export * from "./engine_use.ts";
 export * from "./front_server.ts";
 export * from "./knowledge.ts";
 export * from "./relay_parts.ts";
--- a/packages/node/src/relay/relay_request.ts
+++ b/packages/node/src/relay/relay_request.ts
@@ -16,7 +16,7 @@
 import { BackendCall, type CallEnd } from "./backend_call.ts";
 import type { CallerRequest } from "./caller_wire.ts";
 import type { RelayParts } from "./relay_parts.ts";
-import type { Place } from "./request_placer.ts";
+import type { Place, PlaceAnswer } from "./request_placer.ts";
 
 /** A caller's request that has been read whole and has a route. */
 export interface ReadRequest {
@@ -58,6 +58,8 @@
 const CONNECTION_MILLISECONDS = 300;
 /** Sends to servers that did not run the request. */
 const MOST_SENDS = 6;
+/** Engines that were asked for a place, in one line of the log. */
+const MOST_ASKED_LOGGED = 8;
 /** Servers without a connection that are tried before the caller is told. */
 const MOST_UNSENT = 4;
 
@@ -74,6 +76,8 @@
   #runs = 0;
   /** Sends that found no connection. */
   #unsent = 0;
+  /** The engines that were asked for a place. */
+  readonly #asked: PlaceAnswer[] = [];
   #call: BackendCall | undefined;
   #outcome = "";
   #lastServer: BackendServerId | undefined;
@@ -163,7 +167,12 @@
       this.#over.signal,
       AbortSignal.timeout(left),
     ]);
-    return await placer.placeOnEngine(caller.use, servers, signal);
+    return await placer.placeOnEngine(caller.use, servers, {
+      signal,
+      note: (answer) => {
+        if (this.#asked.length < MOST_ASKED_LOGGED) this.#asked.push(answer);
+      },
+    });
   }
 
   async #send(place: Place): Promise<CallEnd> {
@@ -296,7 +305,22 @@
     const { route, service } = this.#request;
     if (this.#runs >= route.attempts && this.#runs > 0) return false;
     if (this.#sends >= MOST_SENDS || this.#now() >= this.#endsAt) return false;
-    return this.#parts.allowances.take(this.#now(), service.id);
+    const isAllowed = this.#parts.allowances.take(this.#now(), service.id);
+    this.#parts.logger.info(
+      isAllowed
+        ? "A request is sent again."
+        : "A request is not sent again: the allowance is used up.",
+      {
+        request: this.#request.caller.id,
+        service: service.id,
+        server: this.#lastServer,
+        because: this.#passage.verdict,
+        sends: this.#sends,
+        runs: this.#runs,
+        left: round(this.#endsAt - this.#now()),
+      },
+    );
+    return isAllowed;
   }
 
   #timeIsUp(): void {
@@ -388,6 +412,7 @@
       adapter: caller.use?.adapter,
       sends: this.#sends,
       runs: this.#runs,
+      asked: this.#asked.map(describeAnswer).join(" ") || undefined,
       placed_after: round(this.#placedAfter),
       first_after: round(this.#passage.firstAfter),
       took: round(took),
@@ -397,6 +422,10 @@
   }
 }
 
+function describeAnswer({ engine, owner, answer }: PlaceAnswer): string {
+  return `${engine}@${owner ?? "none"}:${answer}`;
+}
+
 /** How long callers of a route wait for a first event. */
 function firstEventPatience(route: Route): number {
   if (!route.streams) return route.timeLimit;
--- a/packages/node/src/relay/request_placer.ts
+++ b/packages/node/src/relay/request_placer.ts
@@ -7,7 +7,7 @@
   type RegisteredServer,
 } from "@foxtailwind/core";
 import type { SteadyClock } from "../clock/steady_clock.ts";
-import type { AdapterGrants } from "./adapter_grants.ts";
+import type { AdapterGrants, GrantAnswer } from "./adapter_grants.ts";
 import type { ModelUse } from "./caller_wire.ts";
 import type { EngineOwners } from "./engine_owners.ts";
 import type { Knowledge } from "./knowledge.ts";
@@ -21,6 +21,22 @@
   readonly release: () => void;
 }
 
+/** An engine that was asked for a place, and what came of it. */
+export interface PlaceAnswer {
+  readonly engine: BackendServerId;
+  /** The owner that was asked; left out where none could be. */
+  readonly owner?: NodeId;
+  readonly answer: GrantAnswer["kind"] | "no_owner";
+}
+
+/** How a place is looked for. */
+export interface PlaceSearch {
+  /** Ends the search. */
+  readonly signal: AbortSignal;
+  /** Takes note of what came of each engine that was asked. */
+  readonly note: (answer: PlaceAnswer) => void;
+}
+
 /** What a placer works with. */
 export interface RequestPlacerParts {
   readonly self: NodeId;
@@ -75,13 +91,13 @@
    * Finds an engine for a request, and waits for its adapter where needed.
    * @param use What the request runs on.
    * @param servers The engines that may be chosen.
-   * @param signal Ends the wait.
+   * @param search How it is looked for.
    * @returns The place, or nothing where no engine can take it now.
    */
   async placeOnEngine(
     use: ModelUse,
     servers: readonly RegisteredServer[],
-    signal: AbortSignal,
+    search: PlaceSearch,
   ): Promise<Place | undefined> {
     const now = this.#parts.clock.now();
     const minimumVersion = use.adapter === undefined
@@ -94,8 +110,8 @@
     const byId = new Map(engines.map((engine) => [engine.id, engine]));
     for (const id of orderEngines(use, engines).slice(0, MOST_ASKED)) {
       const engine = byId.get(id);
-      if (engine === undefined || signal.aborted) break;
-      const place = await this.#ask(engine, use, minimumVersion, signal);
+      if (engine === undefined || search.signal.aborted) break;
+      const place = await this.#ask(engine, use, minimumVersion, search);
       if (place !== undefined) return place;
     }
     return undefined;
@@ -105,10 +121,11 @@
     engine: KnownEngine,
     use: ModelUse,
     minimumVersion: number,
-    signal: AbortSignal,
+    { signal, note }: PlaceSearch,
   ): Promise<Place | undefined> {
     const { server, owner, address } = engine;
     if (owner === undefined || address === undefined) {
+      note({ engine: engine.id, answer: "no_owner" });
       return engine.holds ? { server, release: nothingToRelease } : undefined;
     }
     const patience = engine.holds
@@ -124,6 +141,7 @@
       },
       AbortSignal.any([signal, AbortSignal.timeout(patience)]),
     );
+    note({ engine: engine.id, owner, answer: answer.kind });
     if (answer.kind === "granted") {
       const { version, release } = answer;
       return {
