--- a/packages/node/src/relay/answer_passage.ts
+++ b/packages/node/src/relay/answer_passage.ts
@@ -11,7 +11,7 @@
   type HeadVerdict,
 } from "./backend_call.ts";
 import type { RelayParts } from "./relay_parts.ts";
-import type { ReadRequest } from "./relay_request.ts";
+import type { ReadRequest } from "./read_request.ts";
 
 /** What came of a server's answer so far. */
 export type PassageVerdict =
--- a/packages/node/src/relay/relay_request.ts
+++ b/packages/node/src/relay/relay_request.ts
@@ -6,29 +6,18 @@
   later,
   milliseconds,
   type RegisteredServer,
-  type RelayService,
   requestUrgency,
   type Route,
   type SendResult,
 } from "@foxtailwind/core";
-import type { IncomingMessage, ServerResponse } from "node:http";
 import { AnswerPassage } from "./answer_passage.ts";
 import { BackendCall, type CallEnd } from "./backend_call.ts";
-import type { CallerRequest } from "./caller_wire.ts";
+import { watchCall } from "./call_watch.ts";
 import type { RelayParts } from "./relay_parts.ts";
+import type { ReadRequest } from "./read_request.ts";
+import { describeEnd } from "./request_line.ts";
 import type { Place, PlaceAnswer } from "./request_placer.ts";
 
-/** A caller's request that has been read whole and has a route. */
-export interface ReadRequest {
-  readonly message: IncomingMessage;
-  readonly response: ServerResponse;
-  readonly caller: CallerRequest;
-  readonly route: Route;
-  readonly service: RelayService;
-  readonly body: Buffer | undefined;
-  readonly arrivedAt: Instant;
-}
-
 /** Why a request gets no server's answer. */
 export type RelayRefusal =
   | "no_server"
@@ -47,15 +36,6 @@
 const PLACE_SHARE = 0.4;
 /** Callers leave a stream without events after the longest of these. */
 const STREAM_PATIENCE = { least: 2_000, targets: 4, pauses: 8 } as const;
-/** How many targets a silent server gets where another may be tried. */
-const SILENT_TARGETS = 2;
-/** A pause in a resumable stream after which another server is tried. */
-const SILENT_STREAM_MILLISECONDS = 1_200;
-/**
- * How long a call waits for a connection: a new one takes a few milliseconds,
- * and the first lost packet of one is sent again after a second.
- */
-const CONNECTION_MILLISECONDS = 300;
 /** Sends to servers that did not run the request. */
 const MOST_SENDS = 6;
 /** Engines that were asked for a place, in one line of the log. */
@@ -195,11 +175,18 @@
       headers,
       body,
     });
-    const watch = this.#watchSilence(call, server.id);
-    const connecting = this.#watchConnection(call);
+    const stopWatching = watchCall(call, {
+      clock: this.#parts.clock,
+      passage: this.#passage,
+      target: this.#request.route.target,
+      mayBeReplaced: this.#mayRunAgain() &&
+        this.#runs < this.#request.route.attempts,
+      fellSilent: () => {
+        pools.renew(server.id);
+      },
+    });
     const end = await call.ended;
-    clearInterval(watch);
-    clearTimeout(connecting);
+    stopWatching();
     this.#call = undefined;
     load.ended(this.#now(), this.#resultFor(end));
     return end;
@@ -226,32 +213,6 @@
     });
   }
 
-  /** Gives a call up that no connection takes, so that another server may. */
-  #watchConnection(call: BackendCall): NodeJS.Timeout {
-    return setTimeout(() => {
-      if (!call.wasSent) call.cut("No connection was ready.");
-    }, CONNECTION_MILLISECONDS);
-  }
-
-  /** Cuts a call to a silent server where another may be tried. */
-  #watchSilence(
-    call: BackendCall,
-    server: BackendServerId,
-  ): NodeJS.Timeout | undefined {
-    const { route } = this.#request;
-    if (!this.#mayRunAgain() || this.#runs >= route.attempts) return undefined;
-    const limit = route.target * SILENT_TARGETS;
-    return setInterval(() => {
-      const silence = this.#passage.silence(this.#now());
-      const most = this.#passage.hasBegun
-        ? Math.max(SILENT_STREAM_MILLISECONDS, limit)
-        : limit;
-      if (silence < most) return;
-      this.#parts.pools.renew(server);
-      call.cut("The server is silent.");
-    }, PLACE_PAUSE_MILLISECONDS);
-  }
-
   /** Decides what follows the end of a send; whether another send does. */
   #judge(server: RegisteredServer, end: CallEnd): boolean {
     const { verdict } = this.#passage;
@@ -317,7 +278,7 @@
         because: this.#passage.verdict,
         sends: this.#sends,
         runs: this.#runs,
-        left: round(this.#endsAt - this.#now()),
+        left: Math.round(this.#endsAt - this.#now()),
       },
     );
     return isAllowed;
@@ -398,34 +359,26 @@
   }
 
   #log(): void {
-    const { caller, route, service, arrivedAt, response } = this.#request;
-    const now = this.#now();
-    const took = elapsed(arrivedAt, now);
+    const { route, arrivedAt } = this.#request;
+    const took = elapsed(arrivedAt, this.#now());
     this.#parts.record(route, this.#outcome, took, this.#passage.firstAfter);
-    this.#parts.logger.info("A request ended.", {
-      request: caller.id,
-      route: route.name,
-      service: service.id,
-      outcome: this.#outcome,
-      status: response.statusCode,
-      server: this.#lastServer,
-      adapter: caller.use?.adapter,
-      sends: this.#sends,
-      runs: this.#runs,
-      asked: this.#asked.map(describeAnswer).join(" ") || undefined,
-      placed_after: round(this.#placedAfter),
-      first_after: round(this.#passage.firstAfter),
-      took: round(took),
-      patience: caller.patience,
-      configuration: this.#parts.knowledge.routes?.configuration.version,
-    });
+    this.#parts.logger.info(
+      "A request ended.",
+      describeEnd(this.#request, {
+        outcome: this.#outcome,
+        server: this.#lastServer,
+        sends: this.#sends,
+        runs: this.#runs,
+        asked: this.#asked,
+        placedAfter: this.#placedAfter,
+        firstAfter: this.#passage.firstAfter,
+        took,
+        configuration: this.#parts.knowledge.routes?.configuration.version,
+      }),
+    );
   }
 }
 
-function describeAnswer({ engine, owner, answer }: PlaceAnswer): string {
-  return `${engine}@${owner ?? "none"}:${answer}`;
-}
-
 /** How long callers of a route wait for a first event. */
 function firstEventPatience(route: Route): number {
   if (!route.streams) return route.timeLimit;
@@ -436,7 +389,3 @@
     pauses * (route.longestPause ?? 0),
   );
 }
-
-function round(duration: number | undefined): number | undefined {
-  return duration === undefined ? undefined : Math.round(duration);
-}
--- /dev/null
+++ b/packages/node/src/relay/request_line.ts
@@ -0,0 +1,58 @@
+import type { BackendServerId, Duration } from "@foxtailwind/core";
+import type { LogFields } from "../logging/part_logger.ts";
+import type { ReadRequest } from "./read_request.ts";
+import type { PlaceAnswer } from "./request_placer.ts";
+
+/** What is known of a request once it has ended. */
+export interface RequestEnd {
+  readonly outcome: string;
+  /** The last server that it was sent to. */
+  readonly server: BackendServerId | undefined;
+  readonly sends: number;
+  /** Sends after which it may have run. */
+  readonly runs: number;
+  readonly asked: readonly PlaceAnswer[];
+  readonly placedAfter: Duration | undefined;
+  readonly firstAfter: Duration | undefined;
+  readonly took: Duration;
+  /** The configuration in force at the end. */
+  readonly configuration: number | undefined;
+}
+
+/**
+ * Describes a request that has ended for the log: what decided its outcome.
+ * @param request The request.
+ * @param end What is known of its end.
+ * @returns The fields of its line; times in milliseconds.
+ */
+export function describeEnd(
+  { caller, route, service, response }: ReadRequest,
+  end: RequestEnd,
+): LogFields {
+  const asked = end.asked.map(describeAnswer).join(" ");
+  return {
+    request: caller.id,
+    route: route.name,
+    service: service.id,
+    outcome: end.outcome,
+    status: response.statusCode,
+    server: end.server,
+    adapter: caller.use?.adapter,
+    sends: end.sends,
+    runs: end.runs,
+    asked: asked === "" ? undefined : asked,
+    placed_after: round(end.placedAfter),
+    first_after: round(end.firstAfter),
+    took: round(end.took),
+    patience: caller.patience,
+    configuration: end.configuration,
+  };
+}
+
+function describeAnswer({ engine, owner, answer }: PlaceAnswer): string {
+  return `${engine}@${owner ?? "none"}:${answer}`;
+}
+
+function round(duration: Duration | undefined): number | undefined {
+  return duration === undefined ? undefined : Math.round(duration);
+}
