--- a/packages/node/src/relay/mod.ts
+++ b/packages/node/src/relay/mod.ts
@@ -26,3 +26,6 @@
 export * from "./request_placer.ts";
 export * from "./retry_allowances.ts";
 export * from "./server_loads.ts";
+export * from "./knowledge_message.ts";
+export * from "./peer_book.ts";
+export * from "./relay_metrics.ts";
--- /dev/null
+++ b/packages/node/tests/relay/knowledge_message_test.ts
@@ -0,0 +1,91 @@
+import {
+  adapterId,
+  backendServerId,
+  failureDomainId,
+  logOffset,
+  milliseconds,
+  modelId,
+  serviceId,
+} from "@foxtailwind/core";
+import {
+  Knowledge,
+  LoggerFactory,
+  ProcessClock,
+  readKnowledge,
+  writeKnowledge,
+} from "@foxtailwind/node/relay";
+import test from "ava";
+import { relaySettings } from "./helpers/relay_settings.ts";
+
+function knowledge(): Knowledge {
+  return new Knowledge({
+    settings: relaySettings(),
+    incarnation: "run-1",
+    clock: new ProcessClock(),
+    logger: new LoggerFactory("json", 0, () => undefined).forPart(
+      "configuration",
+    ),
+  });
+}
+
+function configuration(version: number) {
+  return {
+    version,
+    routes: [],
+    services: [{ id: serviceId("s"), connectionLimit: 3 }],
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTime: milliseconds(1),
+      idleTime: milliseconds(1),
+    },
+  };
+}
+
+test("a node that can't reach the log learns all from a peer", (t) => {
+  const peer = knowledge();
+  peer.configuration(configuration(7));
+  peer.adapterVersion(modelId("m"), adapterId("a1"), 3);
+  peer.registryEntry({
+    kind: "present",
+    offset: logOffset(4),
+    server: {
+      id: backendServerId("i-1"),
+      service: serviceId("s"),
+      address: "127.0.0.1:1",
+      failureDomain: failureDomainId("d"),
+      leaving: false,
+      slots: 4,
+      models: [{
+        model: modelId("m"),
+        adapters: new Map([[adapterId("a1"), 3]]),
+      }],
+      orderCount: 2,
+    },
+  });
+  const node = knowledge();
+  readKnowledge(node, writeKnowledge(peer, 0));
+  t.is(node.routes?.configuration.version, 7);
+  t.is(node.versions.newest(modelId("m"), adapterId("a1")), 3);
+  t.deepEqual(node.registry.all, peer.registry.all);
+  t.deepEqual(node.servers(serviceId("s")), peer.servers(serviceId("s")));
+});
+
+test("what a peer knows never takes a node back to an older configuration", (t) => {
+  const peer = knowledge();
+  peer.configuration(configuration(7));
+  const node = knowledge();
+  node.configuration(configuration(9));
+  readKnowledge(node, writeKnowledge(peer, 0));
+  t.is(node.routes?.configuration.version, 9);
+  t.is(writeKnowledge(peer, 9).configuration, "");
+});
+
+test("configurations go forward only", (t) => {
+  const node = knowledge();
+  node.configuration(configuration(9));
+  node.configuration(configuration(8));
+  t.is(node.routes?.configuration.version, 9);
+  node.configuration(configuration(12));
+  t.is(node.routes?.configuration.version, 12);
+});
--- /dev/null
+++ b/packages/node/tests/relay/relay_stop_test.ts
@@ -0,0 +1,26 @@
+import { instant, seconds } from "@foxtailwind/core";
+import { stopStep } from "@foxtailwind/node/relay";
+import test from "ava";
+
+function step(now: number, running: number, lastRequestAt = 0): string {
+  return stopStep(instant(now), {
+    begunAt: instant(0),
+    grace: seconds(8),
+    running,
+    lastRequestAt: instant(lastRequestAt),
+  });
+}
+
+test("a stopping node serves while callers may hold its address", (t) => {
+  t.is(step(100, 0), "serve");
+  t.is(step(3_900, 0), "serve");
+  t.is(step(4_100, 1), "serve");
+  t.is(step(4_100, 0, 3_900), "serve", "A request came just now.");
+  t.is(step(4_600, 0, 3_900), "end");
+});
+
+test("near the end by force no new connections are taken, and work goes on", (t) => {
+  t.is(step(6_100, 2, 6_000), "close_door");
+  t.is(step(7_700, 1, 6_000), "close_door");
+  t.is(step(7_800, 1, 6_000), "end");
+});
