--- a/packages/node/src/relay/relay_request.ts
+++ b/packages/node/src/relay/relay_request.ts
@@ -124,7 +124,9 @@
       this.#endsAt - arrivedAt,
       firstEventPatience(route),
     );
-    const until = later(arrivedAt, milliseconds(patience * PLACE_SHARE));
+    // A stream that goes on elsewhere has used up its first patience long ago.
+    const from = this.#sends === 0 ? arrivedAt : this.#now();
+    const until = later(from, milliseconds(patience * PLACE_SHARE));
     for (;;) {
       const place = await this.#look(until);
       if (place !== undefined || this.#isOver()) return place;
--- a/packages/node/tests/relay/helpers/relay_world.ts
+++ b/packages/node/tests/relay/helpers/relay_world.ts
@@ -81,6 +81,7 @@
   readonly #pools = new BackendPools();
   readonly #owners: EngineOwners;
   readonly #servers: ReturnType<typeof createServer>[] = [];
+  readonly #addresses = new Map<string, string>();
   #offset = 0;
   port = 0;
 
@@ -171,6 +172,7 @@
    */
   addAddress(id: string, address: string): void {
     this.#offset += 1;
+    this.#addresses.set(id, address);
     this.knowledge.registryEntry({
       kind: "present",
       offset: logOffset(this.#offset),
@@ -187,6 +189,27 @@
     });
   }
 
+  /**
+   * Takes a server out of the registry.
+   * @param id The server's id.
+   */
+  leave(id: string): void {
+    this.#offset += 1;
+    this.knowledge.registryEntry({
+      kind: "gone",
+      offset: logOffset(this.#offset),
+      id: backendServerId(id),
+    });
+  }
+
+  /**
+   * Puts a server that has left back into the registry.
+   * @param id The server's id.
+   */
+  comeBack(id: string): void {
+    this.addAddress(id, this.#addresses.get(id) ?? "");
+  }
+
   /** Starts the front. */
   async start(t: ExecutionContext): Promise<this> {
     this.port = await this.front.listen({ host: "127.0.0.1", port: 0 });
--- a/packages/node/tests/relay/relay_test.ts
+++ b/packages/node/tests/relay/relay_test.ts
@@ -263,6 +263,31 @@
   t.deepEqual(after, [undefined, "1"]);
 });
 
+test("a stream that breaks late is resumed as well", async (t) => {
+  const world = new RelayWorld();
+  world.configure();
+  let arrivals = 0;
+  await world.addServer("s1", (_request, response) => {
+    arrivals += 1;
+    beginStream(response);
+    if (arrivals > 1) {
+      response.end("id: 2\ndata: b\n\n");
+      return;
+    }
+    response.write("id: 1\ndata: a\n\n");
+    setTimeout(() => {
+      world.leave("s1");
+      response.destroy();
+    }, 750);
+    setTimeout(() => {
+      world.comeBack("s1");
+    }, 800);
+  });
+  await world.start(t);
+  const answer = await world.call("/resumable/a");
+  t.is(answer.bytes.toString(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+});
+
 test("a caller that leaves ends the work at the server", async (t) => {
   const world = new RelayWorld();
   world.configure();
