A new owner grants what its engine holds while it waits, and sends others away at once

Ruled out: the owner itself was in reach (it answered other uses). Test: 'a new owner that has to wait grants what the engine holds'. Also: one list of the headers of one connection instead of three.

--- a/packages/node/src/callers/services_headers.ts
+++ b/packages/node/src/callers/services_headers.ts
@@ -1,20 +1,7 @@
 import type { Header } from "@foxtailwind/edges";
+import { connectionHeaders } from "../http/connection_headers.ts";
 
-/** Headers of one connection, which are not passed on (RFC 9110, 7.6.1). */
-const HOP_HEADERS: ReadonlySet<string> = new Set([
-  "connection",
-  "expect",
-  "host",
-  "keep-alive",
-  "proxy-authenticate",
-  "proxy-authorization",
-  "proxy-connection",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-]);
-
+const HOST = "host";
 const CONTENT_LENGTH = "content-length";
 const LEAVING = "foxtailwind-leaving";
 
@@ -49,14 +36,11 @@
   return headers.filter(({ name }) => !dropped.has(name.toLowerCase()));
 }
 
-/** `Connection` names further headers that concern one connection only. */
 function droppedNames(headers: readonly Header[]): Set<string> {
-  const dropped = new Set(HOP_HEADERS);
-  for (const { name, value } of headers) {
-    if (name.toLowerCase() !== "connection") continue;
-    for (const token of value.split(",")) {
-      dropped.add(token.trim().toLowerCase());
-    }
-  }
+  const connection = headers.filter(({ name }) =>
+    name.toLowerCase() === "connection"
+  );
+  const dropped = connectionHeaders(connection.map(({ value }) => value));
+  dropped.add(HOST);
   return dropped;
 }
--- a/packages/node/src/relay/answer_passage.ts
+++ b/packages/node/src/relay/answer_passage.ts
@@ -5,6 +5,7 @@
   type Instant,
 } from "@foxtailwind/core";
 import type { ServerResponse } from "node:http";
+import { connectionHeaders } from "../http/connection_headers.ts";
 import {
   type AnswerHead,
   AnswerTaker,
@@ -32,18 +33,6 @@
   readonly comeBackSeconds?: number;
 }
 
-/** Headers that concern one connection only. */
-const CONNECTION_HEADERS = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-authenticate",
-  "proxy-connection",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-]);
-
 const BAD_GATEWAY = 502;
 const SUCCESSES_FROM = 200;
 const REDIRECTS_FROM = 300;
@@ -228,8 +217,9 @@
     response.statusCode = status;
     response.sendDate = false;
     const isResumable = this.#splitter !== undefined;
+    const dropped = connectionHeaders([headers["connection"] ?? []].flat());
     for (const [name, value] of Object.entries(headers)) {
-      if (value === undefined || CONNECTION_HEADERS.has(name)) continue;
+      if (value === undefined || dropped.has(name)) continue;
       // A resumed stream may have another length than the first server said.
       if (isResumable && name === "content-length") continue;
       response.setHeader(name, value);
--- a/packages/node/src/relay/engine_owner.ts
+++ b/packages/node/src/relay/engine_owner.ts
@@ -36,6 +36,8 @@
 const LOAD_POLL = milliseconds(20);
 /** Between two orders to load a base model. */
 const MODEL_PAUSE = milliseconds(2_500);
+/** An owner whose orders may go within a load's time counts as able to order. */
+const SOON = milliseconds(250);
 /** Conflicts in a row after which the engine is asked what it holds. */
 const CONFLICTS_TO_REPORT = 2;
 
@@ -100,7 +102,7 @@
     return {
       engine: this.#server.id,
       waitMilliseconds: this.#occupancy.wait(this.#now()),
-      room: this.#slots.room(this.#now()),
+      room: this.#ordersSoon() ? this.#slots.room(this.#now()) : 0,
       isReachable: this.#orders.isReachable,
       isFull: this.#occupancy.isFull(this.#server.slots),
       adapters: slots.map((slot) => ({
@@ -129,9 +131,11 @@
     const { minimumVersion } = request;
     const version = this.#slots.use(this.#now(), name, minimumVersion);
     if (version !== undefined) return this.#grant(request, name, version);
-    if (!this.#isExpected(name) && !this.#slots.canTake(this.#now(), name)) {
+    const isExpected = this.#isExpected(name);
+    if (!isExpected && !this.#slots.canTake(this.#now(), name)) {
       return { kind: "no_room" };
     }
+    if (!this.#ordersSoon()) return { kind: "no_room" };
     this.#slots.want(this.#now(), name, minimumVersion);
     const answer = this.#waiters.add(name, request, signal, () => {
       if (!this.#waiters.has(name)) this.#slots.forgetWish(name);
@@ -164,9 +168,11 @@
     const now = this.#now();
     const right = this.#parts.knowledge.claims.right(this.#server.id);
     if (right === undefined) return false;
-    const from = Math.max(right.from, this.#pauseUntil ?? 0) as Instant;
-    if (from > now) return this.#wakeAt(from);
+    const pause = this.#pauseUntil ?? now;
+    if (pause > now) return this.#wakeAt(pause);
+    // What the engine holds may be used, and asked for, before orders may go.
     if (!this.#orders.isCounted) return await this.#readReport();
+    if (right.from > now) return this.#wakeAt(right.from);
     if (this.#models.length === 0) return await this.#loadModel(now, right);
     if (await this.#askAfterLoads(now, right)) return true;
     const order = this.#slots.nextOrder(now);
@@ -341,6 +347,12 @@
     this.#waiters.answerAll({ kind: "no_room" });
   }
 
+  /** Whether orders may go now, or as soon as a load takes anyway. */
+  #ordersSoon(): boolean {
+    const right = this.#parts.knowledge.claims.right(this.#server.id);
+    return right !== undefined && right.from - this.#now() < SOON;
+  }
+
   #isExpected(name: AdapterName): boolean {
     return this.#slots.find(name)?.state === "loading" ||
       this.#waiters.has(name);
--- a/packages/node/src/relay/mod.ts
+++ b/packages/node/src/relay/mod.ts
@@ -3,6 +3,7 @@
  * @module
  */
 export { LoggerFactory, type PartLogger } from "../logging/part_logger.ts";
+export { connectionHeaders } from "../http/connection_headers.ts";
 export { ProcessClock } from "../clock/steady_clock.ts";
 export { formatSettingsProblem } from "../settings/load_settings.ts";
 export type { SocketAddress } from "../settings/settings.ts";
--- a/packages/node/tests/relay/engine_owner_test.ts
+++ b/packages/node/tests/relay/engine_owner_test.ts
@@ -58,12 +58,12 @@
     clock,
     logger,
   });
-  const claim = (owner: string, offset: number) => {
+  const claim = (owner: string, offset: number, wait = 0) => {
     knowledge.claim({
       engine: SERVER.id,
       owner: nodeId(owner),
       incarnation: "run-1",
-      wait: milliseconds(0),
+      wait: milliseconds(wait),
     }, logOffset(offset));
   };
   return { owner, control, claim, knowledge };
@@ -109,6 +109,21 @@
   owner.stop();
 });
 
+test("a new owner that has to wait grants what the engine holds, and sends others away at once", async (t) => {
+  const { owner, control, claim } = setUp();
+  control.held.add("a");
+  claim("node-1", 4, 60_000);
+  void owner.pump();
+  while (owner.digest.adapters.length === 0) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  t.is((await use(owner, "a")).kind, "granted");
+  t.is((await use(owner, "b", 60_000)).kind, "no_room");
+  t.is(owner.digest.room, 0);
+  t.deepEqual(control.orders, []);
+  owner.stop();
+});
+
 test("an order without an answer is sent again, and carried out once", async (t) => {
   for (const fate of ["lost", "late", "answer_lost"] as const) {
     const { owner, control, claim } = setUp();
