An answer without a length that is reset on its way is not taken for whole

The crashed server's half answer was passed on as a whole one. Ruled out: an orderly end by the server, which the protocol allows. Test: 'an answer without a length that is reset on its way', failed before.

--- a/packages/node/src/relay/backend_call.ts
+++ b/packages/node/src/relay/backend_call.ts
@@ -1,4 +1,5 @@
 import type { Dispatcher } from "undici";
+import { isSocketFailing } from "./socket_errors.ts";
 
 /** The beginning of a server's answer. */
 export interface AnswerHead {
@@ -135,7 +136,8 @@
   }
 
   onResponseEnd(): void {
-    this.#end({ kind: "complete" });
+    if (isSocketFailing()) this.#break("The connection was reset.");
+    else this.#end({ kind: "complete" });
   }
 
   onResponseError(
--- a/packages/node/src/relay/backend_pools.ts
+++ b/packages/node/src/relay/backend_pools.ts
@@ -1,5 +1,6 @@
 import type { BackendServerId, RegisteredServer } from "@foxtailwind/core";
-import { type Dispatcher, Pool } from "undici";
+import { buildConnector, type Dispatcher, Pool } from "undici";
+import { noteSocketErrors } from "./socket_errors.ts";
 
 /** A connection that takes longer counts as failed. */
 const CONNECT_MILLISECONDS = 700;
@@ -18,6 +19,11 @@
 /** Keeps connections to backend servers, apart for each run of a server. */
 export class BackendPools {
   readonly #pools = new Map<BackendServerId, Pool>();
+  readonly #connect = noteSocketErrors(buildConnector({
+    timeout: CONNECT_MILLISECONDS,
+    keepAlive: true,
+    keepAliveInitialDelay: PROBE_MILLISECONDS,
+  }));
 
   /**
    * Gives the connections to a server.
@@ -38,11 +44,7 @@
       keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MILLISECONDS,
       keepAliveMaxTimeout: KEEP_ALIVE_MOST_MILLISECONDS,
-      connect: {
-        timeout: CONNECT_MILLISECONDS,
-        keepAlive: true,
-        keepAliveInitialDelay: PROBE_MILLISECONDS,
-      },
+      connect: this.#connect,
     });
     this.#pools.set(server.id, pool);
     return pool;
--- a/packages/node/tests/relay/relay_test.ts
+++ b/packages/node/tests/relay/relay_test.ts
@@ -63,6 +63,24 @@
   t.deepEqual([answer.status, answer.bytes.toString()], [200, "whole body"]);
 });
 
+test("an answer without a length that is reset on its way does not look whole", async (t) => {
+  const world = new RelayWorld();
+  world.configure();
+  const server = createTcpServer((socket) => {
+    socket.once("data", () => {
+      socket.write(
+        "HTTP/1.1 200 OK\r\nx-id: r1\r\nx-seal: s\r\nconnection: close\r\n\r\nhalf a bo",
+      );
+      setTimeout(() => socket.resetAndDestroy(), 30);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => server.close());
+  world.addAddress("s1", `127.0.0.1:${(server.address() as AddressInfo).port}`);
+  await world.start(t);
+  await t.throwsAsync(world.call("/once/a"));
+});
+
 test("what can't be read or routed is refused and reaches no server", async (t) => {
   const world = new RelayWorld();
   let arrivals = 0;
