--- a/packages/core/src/relay/engine_claims.ts
+++ b/packages/core/src/relay/engine_claims.ts
@@ -9,7 +9,7 @@
   type LogOffset,
   milliseconds,
   type NodeId,
-  rendezvousOrder,
+  rendezvousChoice,
 } from "../shared/mod.ts";
 
 /** The newest claim to one engine, as the log has it. */
@@ -132,7 +132,7 @@
   wanted(now: Instant, view: ClaimView): readonly BackendServerId[] {
     return view.engines.filter((engine) =>
       this.#isVacant(now, engine, view) &&
-      rendezvousOrder(engine, view.nodes)[0] === this.#self.id
+      rendezvousChoice(engine, view.nodes) === this.#self.id
     );
   }
 
@@ -156,13 +156,6 @@
     return left.has(claim.owner) ? HANDOVER_WAIT : this.#takeoverWait;
   }
 
-  /** The engines that this node may order, now or after its wait. */
-  get owned(): readonly BackendServerId[] {
-    return [...this.#claims.keys()].filter((engine) =>
-      this.right(engine) !== undefined
-    );
-  }
-
   /**
    * Forgets engines that are gone.
    * @param engines The engines that remain.
--- a/packages/core/src/relay/server_registry.ts
+++ b/packages/core/src/relay/server_registry.ts
@@ -166,10 +166,7 @@
    */
   replaced(id: BackendServerId): void {
     const known = this.#known.get(id);
-    if (known === undefined) return;
-    this.#gone.set(id, known.offset);
-    this.#known.delete(id);
-    this.#revision += 1;
+    if (known !== undefined) this.#drop(id, known.offset);
   }
 
   /**
@@ -177,19 +174,15 @@
    * @param now The present time.
    */
   expire(now: Instant): void {
-    const patience = this.#isDisturbed(now) ? undefined : LAPSE_TIME;
-    if (patience === undefined) return;
+    if (this.#isDisturbed(now)) return;
     for (const [id, { lapsedAt, offset }] of this.#known) {
       if (lapsedAt === undefined) continue;
       const since = Math.max(lapsedAt, this.#disturbedAt ?? lapsedAt);
       const wait: Duration = this.#disturbedAt === undefined ||
           this.#disturbedAt < lapsedAt - LAPSE_TIME
         ? TOGETHER_TIME
-        : patience;
-      if (now - since < wait) continue;
-      this.#known.delete(id);
-      this.#gone.set(id, offset);
-      this.#revision += 1;
+        : LAPSE_TIME;
+      if (now - since >= wait) this.#drop(id, offset);
     }
   }
 
@@ -197,9 +190,7 @@
     const known = this.#known.get(id);
     if (known !== undefined && known.offset > offset) return;
     if (known === undefined || known.server.leaving) {
-      this.#known.delete(id);
-      this.#gone.set(id, offset);
-      this.#revision += 1;
+      this.#drop(id, offset);
       return;
     }
     this.#removals = this.#removals.filter((at) =>
@@ -212,6 +203,10 @@
       this.#known.set(id, { ...known, offset, lapsedAt: now });
       return;
     }
+    this.#drop(id, offset);
+  }
+
+  #drop(id: BackendServerId, offset: LogOffset): void {
     this.#known.delete(id);
     this.#gone.set(id, offset);
     this.#revision += 1;
