Trial: the relay's own questions are answered without NestJS

Ruled out: waiting for peers, since own earlier engines are claimed without it. docs/decisions/0091.

--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -1,18 +1,12 @@
 import { build } from "esbuild";
 
-/** NestJS's optional packages, and Fastify's plugins that are not used. */
+/** What Fastify and gRPC load only for parts of theirs that are not used. */
 const EXTERNAL = [
-  "@nestjs/platform-express",
-  "@nestjs/microservices",
-  "@nestjs/microservices/*",
-  "@nestjs/websockets",
-  "@nestjs/websockets/*",
-  "class-transformer",
-  "class-transformer/*",
-  "class-validator",
-  "@fastify/static",
-  "@fastify/view",
-  "@fastify/multipart",
+  "@fastify/ajv-compiler",
+  "@fastify/fast-json-stringify-compiler",
+  "@grpc/proto-loader",
+  "light-my-request",
+  "pino",
 ];
 
 /** CommonJS packages inside the bundle ask for Node's own modules. */
--- a/packages/bench/src/configuration/measure_spread.ts
+++ b/packages/bench/src/configuration/measure_spread.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
-import { z } from "zod";
+import * as z from "zod";
 import type { InProcessCluster } from "../in_process/in_process_cluster.ts";
 
 const answerSchema = z.object({ offset: z.number() });
--- a/packages/bench/src/demo/demo_measures.ts
+++ b/packages/bench/src/demo/demo_measures.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const summarySchema = z.object({ count: z.number(), mean: z.number() });
 
--- a/packages/bench/src/demo/node_process.ts
+++ b/packages/bench/src/demo/node_process.ts
@@ -1,6 +1,6 @@
 import { writeFileSync } from "node:fs";
 import path from "node:path";
-import { z } from "zod";
+import * as z from "zod";
 import { ChildProgram } from "./child_program.ts";
 import { programPath } from "./program_path.ts";
 import { postJson, type StandInProcess } from "./stand_in_process.ts";
--- a/packages/bench/src/demo/stand_in_process.ts
+++ b/packages/bench/src/demo/stand_in_process.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { ChildProgram } from "./child_program.ts";
 import { programPath } from "./program_path.ts";
 
--- a/packages/bench/src/faults/configuration_probe.ts
+++ b/packages/bench/src/faults/configuration_probe.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
-import { z } from "zod";
+import * as z from "zod";
 import type { NodeProcess } from "../demo/node_process.ts";
 
 /** How long one change took until every reachable node had it. */
--- a/packages/bench/src/faults/double_runs.ts
+++ b/packages/bench/src/faults/double_runs.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { CallRecord } from "./call_record.ts";
 
 /** What the booking service counted against what callers were told. */
--- a/packages/bench/src/faults/fault_caller.ts
+++ b/packages/bench/src/faults/fault_caller.ts
@@ -1,5 +1,5 @@
 import { Agent, type Dispatcher } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import type { CallRecord, CallVerdict } from "./call_record.ts";
 import { TokenChecker } from "../load/token_checker.ts";
 
--- a/packages/bench/src/faults/gap_probe.ts
+++ b/packages/bench/src/faults/gap_probe.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { FaultCluster } from "./fault_cluster.ts";
 
 const PROBE_MILLISECONDS = 50;
--- a/packages/bench/src/load/address_book.ts
+++ b/packages/bench/src/load/address_book.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** A node that callers may use. */
 export interface NamedNode {
--- a/packages/bench/src/overhead/load_plan.ts
+++ b/packages/bench/src/overhead/load_plan.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const pacingSchema = z.discriminatedUnion("kind", [
   /** So many requests at any time, whatever they take. */
--- a/packages/cli/src/client/differences.ts
+++ b/packages/cli/src/client/differences.ts
@@ -1,5 +1,5 @@
 import { ok, type Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import type { CommandFailure } from "../command_failure.ts";
 import { formatTable } from "../output/table.ts";
 import type { NodeClient } from "./node_client.ts";
--- a/packages/cli/src/client/problem.ts
+++ b/packages/cli/src/client/problem.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { CommandFailure } from "../command_failure.ts";
 import { EXIT_CODE, type ExitCode } from "../exit_code.ts";
 
--- a/packages/cli/src/client/publish.ts
+++ b/packages/cli/src/client/publish.ts
@@ -1,7 +1,7 @@
 import type { Result } from "neverthrow";
 import { randomUUID } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
-import { z } from "zod";
+import * as z from "zod";
 import type { CommandFailure } from "../command_failure.ts";
 import { EXIT_CODE } from "../exit_code.ts";
 import type { NodeClient } from "./node_client.ts";
--- a/packages/cli/src/commands/classes.ts
+++ b/packages/cli/src/commands/classes.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { Command } from "./command.ts";
 import { targetAnswerSchema } from "./target_options.ts";
 import { defineTargetedGroup } from "./targeted_group.ts";
--- a/packages/cli/src/commands/drain.ts
+++ b/packages/cli/src/commands/drain.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { type Command, defineCommand } from "./command.ts";
 
 const drainSchema = z.object({
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { formatExplanations } from "../output/explanation_text.ts";
 import { type Command, defineCommand } from "./command.ts";
 
--- a/packages/cli/src/commands/histograms.ts
+++ b/packages/cli/src/commands/histograms.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { formatHistogramPage } from "../output/histogram_page.ts";
 import { formatHistogramText } from "../output/histogram_text.ts";
 import { type Command, defineCommand } from "./command.ts";
--- a/packages/cli/src/commands/target_options.ts
+++ b/packages/cli/src/commands/target_options.ts
@@ -1,5 +1,5 @@
 import type { ArgumentsCamelCase, Argv } from "yargs";
-import { z } from "zod";
+import * as z from "zod";
 import { type WriteOptions, writeOptions } from "./write_options.ts";
 import type { GlobalOptions } from "./command.ts";
 
--- a/packages/cli/src/commands/tenants.ts
+++ b/packages/cli/src/commands/tenants.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { formatTable } from "../output/table.ts";
 import { type Command, defineCommand, defineGroup } from "./command.ts";
 import { publishChanges, writeOptions } from "./write_options.ts";
--- a/packages/cli/src/files/configuration_file.ts
+++ b/packages/cli/src/files/configuration_file.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const NAME = /^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$/;
 const MAXIMUM_MILLISECONDS = 86_400_000;
--- a/packages/core/src/configuration/change.ts
+++ b/packages/core/src/configuration/change.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type {
   AdapterId,
   AdapterVersion,
--- a/packages/core/src/configuration/snapshot.ts
+++ b/packages/core/src/configuration/snapshot.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import type { Failure, LogOffset } from "../shared/mod.ts";
 import { type ConfigurationChange, RECORD_FORMAT } from "./change.ts";
 import { Configuration } from "./configuration.ts";
--- a/packages/core/src/configuration/snapshot_line.ts
+++ b/packages/core/src/configuration/snapshot_line.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { ChangeId, LogOffset } from "../shared/mod.ts";
 import {
   type ConfigurationChange,
--- a/packages/core/src/delivery/claim_record.ts
+++ b/packages/core/src/delivery/claim_record.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import {
   type IdempotencyKey,
   idempotencyKey,
--- a/packages/edges/src/http/engine_schemas.ts
+++ b/packages/edges/src/http/engine_schemas.ts
@@ -7,7 +7,7 @@
   modelId,
   requestId,
 } from "@foxtailwind/core";
-import { z } from "zod";
+import * as z from "zod";
 
 const count = z.number().int().nonnegative();
 const attemptSchema = z.number().int().positive().transform(attemptNumber);
--- a/packages/edges/src/http/generation_line.ts
+++ b/packages/edges/src/http/generation_line.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { GenerationEnd, GenerationFrame } from "../engine_client.ts";
 import { generationEndSchema } from "./engine_schemas.ts";
 import { type StatedFailure, statedFailureSchema } from "./stated_failure.ts";
--- a/packages/edges/src/http/http_log_client.ts
+++ b/packages/edges/src/http/http_log_client.ts
@@ -1,6 +1,6 @@
 import { type Failure, type LogOffset, logOffset } from "@foxtailwind/core";
 import type { Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import { LogClient, type LogPage } from "../log_client.ts";
 import type { HttpClientOptions } from "./client_options.ts";
 import { callJson } from "./json_call.ts";
--- a/packages/edges/src/http/http_weight_store_client.ts
+++ b/packages/edges/src/http/http_weight_store_client.ts
@@ -1,6 +1,6 @@
 import type { Failure } from "@foxtailwind/core";
 import type { Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import type { AdapterReference } from "../engine_client.ts";
 import {
   type AdapterWeights,
--- a/packages/edges/src/http/json_call.ts
+++ b/packages/edges/src/http/json_call.ts
@@ -1,6 +1,6 @@
 import type { Failure, FailureStep } from "@foxtailwind/core";
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import {
   DEFAULT_TIMEOUT_MILLISECONDS,
   type HttpClientOptions,
--- a/packages/edges/src/http/stated_failure.ts
+++ b/packages/edges/src/http/stated_failure.ts
@@ -1,5 +1,5 @@
 import type { Failure, FailureReason, FailureStep } from "@foxtailwind/core";
-import { z } from "zod";
+import * as z from "zod";
 
 /** The body of a refusal, as peers state it. */
 export const statedFailureSchema = z.object({
--- a/packages/edges/src/http/vm_schema.ts
+++ b/packages/edges/src/http/vm_schema.ts
@@ -4,7 +4,7 @@
   regionId,
   serviceId,
 } from "@foxtailwind/core";
-import { z } from "zod";
+import * as z from "zod";
 
 const vmRoleSchema = z.discriminatedUnion("kind", [
   z.object({ kind: z.literal("entry") }),
--- a/packages/node/src/callers/completions/completion_request.ts
+++ b/packages/node/src/callers/completions/completion_request.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const MAXIMUM_TOKENS = 32_768;
 const DEFAULT_TOKENS = 256;
--- a/packages/node/src/callers/models_controller.ts
+++ b/packages/node/src/callers/models_controller.ts
@@ -8,7 +8,7 @@
 import { adapterId } from "@foxtailwind/core";
 import { Controller, Get, Inject, Param, Query, Res } from "@nestjs/common";
 import type { FastifyReply } from "fastify";
-import { z } from "zod";
+import * as z from "zod";
 import { DaemonParts } from "../daemon_parts.ts";
 import { sendChatProblem } from "./problem.ts";
 
--- a/packages/node/src/callers/openapi/openapi_schemas.ts
+++ b/packages/node/src/callers/openapi/openapi_schemas.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { completionRequestSchema } from "../completions/completion_request.ts";
 import {
   IGNORED_FIELDS,
--- a/packages/node/src/delivery/keyed_generation_message.ts
+++ b/packages/node/src/delivery/keyed_generation_message.ts
@@ -13,7 +13,7 @@
 } from "@foxtailwind/core";
 import type { GenerationEnd } from "@foxtailwind/edges";
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import type { GenerationRequest } from "../serving/generation_request.ts";
 
 /** The whole answer of a generation. */
--- a/packages/node/src/delivery/service_delivery.ts
+++ b/packages/node/src/delivery/service_delivery.ts
@@ -1,7 +1,7 @@
 import type { Failure } from "@foxtailwind/core";
 import type { Header, ServiceAnswer } from "@foxtailwind/edges";
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import type { KeyedExecution } from "./keyed_execution.ts";
 
 /** A caller's call to a plain service, before a server is chosen. */
--- a/packages/node/src/operators/publish_body.ts
+++ b/packages/node/src/operators/publish_body.ts
@@ -5,7 +5,7 @@
 } from "@foxtailwind/core";
 import { err, ok, type Result } from "neverthrow";
 import { randomUUID } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 import {
   type PublishFailure,
   publishFailure,
--- a/packages/node/src/relay/front_server.ts
+++ b/packages/node/src/relay/front_server.ts
@@ -5,9 +5,10 @@
   type Route,
   type RouteTable,
 } from "@foxtailwind/core";
-import Fastify, { type FastifyInstance } from "fastify";
+import type { FastifyInstance } from "fastify";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
+import { schemalessFastify } from "../http/schemaless_fastify.ts";
 import type { SocketAddress } from "../settings/settings.ts";
 import { writeRefusal } from "./answer_passage.ts";
 import type { CallerRequest } from "./caller_wire.ts";
@@ -46,8 +47,7 @@
   /** @param parts What relaying works with. */
   constructor(parts: RelayParts) {
     this.#parts = parts;
-    this.#fastify = Fastify({
-      logger: false,
+    this.#fastify = schemalessFastify({
       genReqId: () => "",
       keepAliveTimeout: FIRST_IDLE_MILLISECONDS + IDLE_MARGIN_MILLISECONDS,
       requestTimeout: 0,
--- a/packages/node/src/relay/operations_application.ts
+++ b/packages/node/src/relay/operations_server.ts
@@ -1,11 +1,6 @@
-import { type DynamicModule, Module } from "@nestjs/common";
-import { NestFactory } from "@nestjs/core";
-import {
-  FastifyAdapter,
-  type NestFastifyApplication,
-} from "@nestjs/platform-fastify";
 import type { FastifyInstance } from "fastify";
 import { createServer, type Server } from "node:http";
+import { schemalessFastify } from "../http/schemaless_fastify.ts";
 import type { SocketAddress } from "../settings/settings.ts";
 import type { OperationsWire } from "./operations_wire.ts";
 
@@ -29,15 +24,12 @@
 const NOT_READY = 503;
 const METRICS_PATH = "/metrics";
 
-@Module({})
-class OperationsModule {}
-
 /** Answers questions for readiness, addresses and metrics. */
-export class OperationsApplication {
+export class OperationsServer {
   readonly #wire: OperationsWire;
   readonly #answers: OperationsAnswers;
   readonly #servers: Server[] = [];
-  #application: NestFastifyApplication | undefined;
+  readonly #fastify: FastifyInstance;
 
   /**
    * @param wire How the questions are asked.
@@ -46,6 +38,8 @@
   constructor(wire: OperationsWire, answers: OperationsAnswers) {
     this.#wire = wire;
     this.#answers = answers;
+    this.#fastify = schemalessFastify();
+    this.#addRoutes(this.#fastify);
   }
 
   /**
@@ -53,16 +47,7 @@
    * @param listen Where.
    */
   async listen(listen: OperationsListen): Promise<void> {
-    const module: DynamicModule = { module: OperationsModule };
-    this.#application = await NestFactory.create<NestFastifyApplication>(
-      module,
-      new FastifyAdapter(),
-      // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment -- Nest's own options are a class.
-      { logger: false },
-    );
-    const fastify = this.#application.getHttpAdapter().getInstance();
-    this.#addRoutes(fastify);
-    await this.#application.init();
+    const fastify = this.#fastify;
     await fastify.ready();
     const places = new Map(
       Object.values(listen).map((address: SocketAddress) => [
@@ -88,7 +73,7 @@
       server.close();
       server.closeAllConnections();
     }
-    await this.#application?.close();
+    await this.#fastify.close();
   }
 
   #addRoutes(fastify: FastifyInstance): void {
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -18,10 +18,7 @@
 import { EngineOwners } from "./engine_owners.ts";
 import { FrontServer } from "./front_server.ts";
 import { Knowledge } from "./knowledge.ts";
-import type {
-  OperationsAnswers,
-  OperationsApplication,
-} from "./operations_application.ts";
+import { OperationsServer } from "./operations_server.ts";
 import type { OperationsWire } from "./operations_wire.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { RelayMetrics } from "./relay_metrics.ts";
@@ -68,8 +65,7 @@
   readonly #pools = new BackendPools();
   readonly #loads: ServerLoads;
   readonly #front: FrontServer;
-  readonly #operationsAnswers: OperationsAnswers;
-  #operations: OperationsApplication | undefined;
+  readonly #operations: OperationsServer;
   readonly #metrics: RelayMetrics;
   readonly #heardNodes = new Map<string, Instant>();
   #refreshTimer: NodeJS.Timeout | undefined;
@@ -127,7 +123,7 @@
       enginesOwned: () => this.#owners.digests.length,
       nodesAlive: () => knowledge.peers.alive(clock.now()).length,
     });
-    this.#operationsAnswers = {
+    this.#operations = new OperationsServer(edges.operations, {
       isReady: () => this.#isReady(),
       addresses: (failureDomain) => this.#addresses(failureDomain),
       addressLifetimeSeconds: Math.min(
@@ -135,7 +131,7 @@
         settings.addresses.longest_lifetime_seconds,
       ),
       metrics: () => this.#metrics.text(),
-    };
+    });
     knowledge.onChange = () => {
       this.#front.applyLimits();
       this.#owners.refresh();
@@ -144,39 +140,24 @@
 
   /** Starts all parts. */
   async start(): Promise<void> {
-    const { listen } = this.#settings;
+    const { callers, peers, readiness, addresses, metrics } =
+      this.#settings.listen;
     this.#edges.log.start(this.#knowledge);
-    await this.#peerServer.listen(listen.peers);
-    await this.#front.listen(listen.callers);
+    await this.#peerServer.listen(peers);
+    await this.#front.listen(callers);
     this.#isListening = true;
     this.#exchange.start();
     void this.#announce();
     this.#refreshTimer = setInterval(() => {
       this.#refresh();
     }, REFRESH_MILLISECONDS);
-    await this.#startOperations();
+    await this.#operations.listen({ readiness, addresses, metrics });
     this.#logger.info("Started.", {
       node: this.#settings.node.id,
       incarnation: this.#incarnation,
     });
   }
 
-  /**
-   * Loads what answers questions about the node after its own work has begun:
-   * it is the larger half of the program's code.
-   */
-  async #startOperations(): Promise<void> {
-    const { OperationsApplication } = await import(
-      "./operations_application.ts"
-    );
-    const { readiness, addresses, metrics } = this.#settings.listen;
-    this.#operations = new OperationsApplication(
-      this.#edges.operations,
-      this.#operationsAnswers,
-    );
-    await this.#operations.listen({ readiness, addresses, metrics });
-  }
-
   /** Leaves the addresses, finishes what is in progress, and stops. */
   async stop(): Promise<void> {
     const stop: PlannedStop = {
@@ -213,7 +194,7 @@
     this.#front.cut();
     this.#peerServer.cutConnections();
     this.#channels.close();
-    await this.#operations?.close();
+    await this.#operations.close();
     await this.#pools.destroy();
   }
 
--- a/packages/node/src/relay/relay_settings.ts
+++ b/packages/node/src/relay/relay_settings.ts
@@ -1,6 +1,6 @@
 import { failureDomainId, nodeId } from "@foxtailwind/core";
 import type { Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import { socketAddressSchema } from "../settings/address_schemas.ts";
 import { parseIni } from "../settings/parse_ini.ts";
 import type { SettingsProblem } from "../settings/settings_problem.ts";
--- a/packages/node/src/settings/address_schemas.ts
+++ b/packages/node/src/settings/address_schemas.ts
@@ -1,5 +1,5 @@
 import { isIP } from "node:net";
-import { z } from "zod";
+import * as z from "zod";
 
 /** An IP literal and a port. */
 export interface SocketAddress {
--- a/packages/node/src/settings/settings.ts
+++ b/packages/node/src/settings/settings.ts
@@ -4,7 +4,7 @@
   regionId,
   weightStoreId,
 } from "@foxtailwind/core";
-import { z } from "zod";
+import * as z from "zod";
 import { httpUrlSchema, socketAddressSchema } from "./address_schemas.ts";
 
 export type { SocketAddress } from "./address_schemas.ts";
--- a/packages/node/tests/delivery/generations_test.ts
+++ b/packages/node/tests/delivery/generations_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { Agent, fetch } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import {
   startTestCluster,
   type TestCluster,
--- a/packages/node/tests/delivery/keyed_calls_test.ts
+++ b/packages/node/tests/delivery/keyed_calls_test.ts
@@ -1,6 +1,6 @@
 import type { FakePlainService } from "@foxtailwind/standins";
 import test from "ava";
-import { z } from "zod";
+import * as z from "zod";
 import {
   startTestCluster,
   type TestCluster,
--- a/packages/standins/src/engine/fake_engine.ts
+++ b/packages/standins/src/engine/fake_engine.ts
@@ -8,7 +8,7 @@
 import { type RequestId, requestId } from "@foxtailwind/core";
 import type { FastifyReply, FastifyRequest } from "fastify";
 import { setTimeout as delay } from "node:timers/promises";
-import { z } from "zod";
+import * as z from "zod";
 import { parseInput } from "../shared/parse_input.ts";
 import { SeededRandom } from "../shared/random.ts";
 import { refusal, sendRefusal } from "../shared/refusal.ts";
--- a/packages/standins/src/engine/kv_cache.ts
+++ b/packages/standins/src/engine/kv_cache.ts
@@ -6,7 +6,7 @@
 } from "@foxtailwind/edges";
 import type { RequestId } from "@foxtailwind/core";
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import { refusal } from "../shared/refusal.ts";
 import { adapterKey } from "./adapter_key.ts";
 import type { Generation } from "./generation.ts";
--- a/packages/standins/src/engine/settings.ts
+++ b/packages/standins/src/engine/settings.ts
@@ -1,5 +1,5 @@
 import { engineRoleSchema } from "@foxtailwind/edges";
-import { z } from "zod";
+import * as z from "zod";
 import {
   commonFaults,
   nextOccasions,
--- a/packages/standins/src/plain_service/fake_plain_service.ts
+++ b/packages/standins/src/plain_service/fake_plain_service.ts
@@ -1,7 +1,7 @@
 import { LEAVING_HEADER, OUTCOME_HEADER, parseJson } from "@foxtailwind/edges";
 import type { FastifyReply, FastifyRequest, HTTPMethods } from "fastify";
 import { setTimeout as delay } from "node:timers/promises";
-import { z } from "zod";
+import * as z from "zod";
 import {
   commonFaults,
   nextOccasions,
--- a/packages/standins/src/shared/common_faults.ts
+++ b/packages/standins/src/shared/common_faults.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /**
  * The faults that every stand-in has. `refuse` states that nothing ran;
--- a/packages/standins/src/shared/parse_input.ts
+++ b/packages/standins/src/shared/parse_input.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 import type { StatedFailure } from "@foxtailwind/edges";
-import { z } from "zod";
+import * as z from "zod";
 import { refusal } from "./refusal.ts";
 
 /**
--- a/packages/standins/src/shared/stand_in.ts
+++ b/packages/standins/src/shared/stand_in.ts
@@ -1,6 +1,6 @@
 import fastify, { type FastifyInstance, type FastifyReply } from "fastify";
 import { setTimeout as delay } from "node:timers/promises";
-import { z } from "zod";
+import * as z from "zod";
 import type { CommonFaults } from "./common_faults.ts";
 import { refusal, sendRefusal } from "./refusal.ts";
 
--- a/packages/standins/src/vm_list/fake_vm_list.ts
+++ b/packages/standins/src/vm_list/fake_vm_list.ts
@@ -1,5 +1,5 @@
 import { type Vm, vmListSchema, vmSchema } from "@foxtailwind/edges";
-import { z } from "zod";
+import * as z from "zod";
 import { commonFaults } from "../shared/common_faults.ts";
 import { parseInput } from "../shared/parse_input.ts";
 import { sendRefusal } from "../shared/refusal.ts";
