--- a/packages/core/src/relay/request_urgency.ts
+++ b/packages/core/src/relay/request_urgency.ts
@@ -4,7 +4,7 @@
 export interface UrgencyBasis {
   /** The time in which its first event is wanted. */
   readonly target: Duration;
-  /** How long the caller has waited. */
+  /** How long the caller has waited, earlier tries included. */
   readonly waited: Duration;
   readonly promptTokens: number;
   /** The rank of its route; 0 is the most urgent. */
--- a/packages/core/src/relay/retry_allowance.ts
+++ b/packages/core/src/relay/retry_allowance.ts
@@ -1,4 +1,4 @@
-import { type Duration, elapsed, type Instant } from "../shared/mod.ts";
+import type { Duration, Instant } from "../shared/mod.ts";
 
 /** What all nodes together may send beyond the first send of each request. */
 export interface RetryTerms {
@@ -21,8 +21,8 @@
  */
 export class RetryAllowance {
   readonly #terms: RetryTerms;
-  #requests: Instant[] = [];
-  #retries: Instant[] = [];
+  readonly #requests: Instant[] = [];
+  readonly #retries: Instant[] = [];
 
   /** @param terms The bound for all nodes together. */
   constructor(terms: RetryTerms) {
@@ -34,6 +34,7 @@
    * @param now The present time.
    */
   earn(now: Instant): void {
+    this.#forget(now);
     this.#requests.push(now);
   }
 
@@ -53,8 +54,13 @@
   }
 
   #forget(now: Instant): void {
-    const isRecent = (at: Instant) => elapsed(at, now) < this.#terms.window;
-    this.#requests = this.#requests.filter(isRecent);
-    this.#retries = this.#retries.filter(isRecent);
+    dropBefore(this.#requests, now - this.#terms.window);
+    dropBefore(this.#retries, now - this.#terms.window);
   }
 }
+
+/** Drops the first of some instants in order, up to a time. */
+function dropBefore(instants: Instant[], until: number): void {
+  const kept = instants.findIndex((at) => at > until);
+  instants.splice(0, kept === -1 ? instants.length : kept);
+}
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -1,4 +1,5 @@
 import {
+  CallerPatience,
   elapsed,
   type Instant,
   milliseconds,
@@ -211,6 +212,7 @@
       loads: this.#loads,
       wire: this.#edges.wire,
       logger: loggers.forPart("callers"),
+      patience: new CallerPatience(),
       plannedStop: () => this.#plannedStop,
       allowances: new RetryAllowances({
         share: retries.share,
--- a/packages/node/src/relay/relay_parts.ts
+++ b/packages/node/src/relay/relay_parts.ts
@@ -1,4 +1,4 @@
-import type { Duration, Route } from "@foxtailwind/core";
+import type { CallerPatience, Duration, Route } from "@foxtailwind/core";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { PartLogger } from "../logging/part_logger.ts";
 import type { BackendPools } from "./backend_pools.ts";
@@ -16,6 +16,7 @@
   readonly pools: BackendPools;
   readonly loads: ServerLoads;
   readonly allowances: RetryAllowances;
+  readonly patience: CallerPatience;
   readonly wire: RelayWire;
   readonly clock: SteadyClock;
   readonly logger: PartLogger;
--- a/packages/node/src/relay/relay_request.ts
+++ b/packages/node/src/relay/relay_request.ts
@@ -48,6 +48,8 @@
   readonly #parts: RelayParts;
   readonly #request: ReadRequest;
   readonly #endsAt: Instant;
+  /** How long the caller has waited in tries before this one. */
+  readonly #waitedBefore: Duration;
   readonly #over = new AbortController();
   readonly #tried = new Set<BackendServerId>();
   readonly #passage: AnswerPassage;
@@ -77,6 +79,11 @@
       caller.patience ?? route.timeLimit,
     ) as Duration;
     this.#endsAt = later(arrivedAt, patience);
+    this.#waitedBefore = parts.patience.waitedBefore(
+      arrivedAt,
+      route.name,
+      patience,
+    );
     this.#passage = new AnswerPassage(request, parts);
   }
 
@@ -209,7 +216,7 @@
     const { route, caller, arrivedAt } = this.#request;
     return requestUrgency({
       target: route.target,
-      waited: elapsed(arrivedAt, now),
+      waited: milliseconds(this.#waitedBefore + elapsed(arrivedAt, now)),
       promptTokens: caller.use?.promptTokens ?? 0,
       priority: route.priority,
     });
--- a/packages/node/tests/relay/helpers/relay_world.ts
+++ b/packages/node/tests/relay/helpers/relay_world.ts
@@ -1,5 +1,6 @@
 import {
   backendServerId,
+  CallerPatience,
   failureDomainId,
   type Instant,
   instant,
@@ -116,6 +117,7 @@
       pools: this.#pools,
       wire: new TestWire(),
       nodes: () => 1,
+      patience: new CallerPatience(),
       plannedStop: () => this.stop,
       allowances: new RetryAllowances({
         share: 0.2,
