--- a/packages/core/src/relay/engine_choice.ts
+++ b/packages/core/src/relay/engine_choice.ts
@@ -6,6 +6,8 @@
   readonly id: BackendServerId;
   /** Expected wait before a new request's first token, in milliseconds. */
   readonly wait: number;
+  /** How many requests run there. */
+  readonly running: number;
   /** Whether its owner can be asked for an adapter. */
   readonly isOrderable: boolean;
   /** How many adapters more could come without a running request in the way. */
@@ -18,6 +20,7 @@
 export interface Placement {
   readonly model: ModelId;
   readonly adapter?: AdapterId;
+  readonly promptTokens: number;
 }
 
 /** Expected time to bring an adapter from the store, in milliseconds. */
@@ -32,6 +35,12 @@
 const STRAY_COST = 200;
 /** How much each place further down an adapter's order costs, for ties. */
 const ORDER_COST = 4;
+/**
+ * Each running request delays the reading of a prompt by so many milliseconds
+ * a token: engines read prompts in pieces between the tokens of what runs.
+ * Prompts of 9,200 tokens took 480 ms on idle engines and 800 ms beside 30.
+ */
+const READING_DELAY = 0.001_1;
 /** What a full engine costs: a slot has to come free first. */
 const NO_ROOM_COST = 1_500;
 
@@ -48,14 +57,16 @@
   engines: readonly EngineState[],
 ): readonly BackendServerId[] {
   if (placement.adapter === undefined) {
-    return engines.toSorted((left, right) => left.wait - right.wait)
+    const wait = (engine: EngineState) => waitAt(engine, placement);
+    return engines.toSorted((left, right) => wait(left) - wait(right))
       .map((engine) => engine.id);
   }
   const key = `${placement.model}/${placement.adapter}`;
   const order = rendezvousOrder(key, engines.map((engine) => engine.id));
   const costs = new Map<BackendServerId, number>();
   for (const engine of engines) {
-    const cost = placementCost(engine, order.indexOf(engine.id));
+    const rank = order.indexOf(engine.id);
+    const cost = placementCost(engine, waitAt(engine, placement), rank);
     if (cost !== undefined) costs.set(engine.id, cost);
   }
   return [...costs.keys()].toSorted((left, right) =>
@@ -63,8 +74,17 @@
   );
 }
 
-function placementCost(engine: EngineState, rank: number): number | undefined {
-  const base = engine.wait + rank * ORDER_COST;
+/** Estimates the time to the first token where the adapter is there. */
+function waitAt(engine: EngineState, { promptTokens }: Placement): number {
+  return engine.wait + READING_DELAY * promptTokens * engine.running;
+}
+
+function placementCost(
+  engine: EngineState,
+  wait: number,
+  rank: number,
+): number | undefined {
+  const base = wait + rank * ORDER_COST;
   if (engine.holds) return base;
   if (!engine.isOrderable) return undefined;
   if (engine.isLoading) return base + LOADING_COST;
--- a/packages/core/src/relay/engine_occupancy.ts
+++ b/packages/core/src/relay/engine_occupancy.ts
@@ -18,6 +18,11 @@
   #running = 0;
   #promptsUntil = 0;
 
+  /** How many requests run. */
+  get running(): number {
+    return this.#running;
+  }
+
   /**
    * Takes note of a request that begins.
    * @param now The present time.
--- a/packages/core/tests/relay/engine_choice_test.ts
+++ b/packages/core/tests/relay/engine_choice_test.ts
@@ -8,7 +8,11 @@
 } from "@foxtailwind/core";
 import test from "ava";
 
-const USE = { model: modelId("m"), adapter: adapterId("a") };
+const USE = {
+  model: modelId("m"),
+  adapter: adapterId("a"),
+  promptTokens: 600,
+};
 const IDS = ["e1", "e2", "e3", "e4"].map(backendServerId);
 const ORDER = rendezvousOrder("m/a", IDS);
 
@@ -18,6 +22,7 @@
   return IDS.map((id) => ({
     id,
     wait: 0,
+    running: 0,
     isOrderable: true,
     room: 5,
     holds: false,
@@ -62,8 +67,20 @@
 
 test("the base model goes where the wait is shortest", (t) => {
   const choice = orderEngines(
-    { model: modelId("m") },
+    { model: modelId("m"), promptTokens: 600 },
     engines((rank) => ({ wait: rank === 2 ? 1 : 50 })),
   );
   t.is(choice[0], ORDER[2]);
 });
+
+test("a long prompt shuns a crowded engine sooner than a short one", (t) => {
+  const states = engines((rank) => ({
+    holds: rank < 2,
+    running: rank === 0 ? 30 : 5,
+    wait: rank === 0 ? 0 : 60,
+  }));
+  const choose = (promptTokens: number) =>
+    orderEngines({ ...USE, promptTokens }, states)[0];
+  t.is(choose(600), ORDER[0]);
+  t.is(choose(9_000), ORDER[1]);
+});
--- a/packages/node/src/relay/engine_owner.ts
+++ b/packages/node/src/relay/engine_owner.ts
@@ -104,6 +104,7 @@
       waitMilliseconds: this.#occupancy.wait(this.#now()),
       room: this.#ordersSoon() ? this.#slots.room(this.#now()) : 0,
       isReachable: this.#orders.isReachable,
+      running: this.#occupancy.running,
       isFull: this.#occupancy.isFull(this.#server.slots),
       adapters: slots.map((slot) => ({
         model: slot.model,
--- a/packages/node/src/relay/request_placer.ts
+++ b/packages/node/src/relay/request_placer.ts
@@ -175,6 +175,7 @@
         id: server.id,
         server,
         wait: load.excess(now),
+        running: 0,
         isOrderable: false,
         room: 0,
         holds,
@@ -192,6 +193,7 @@
       owner,
       address,
       wait: digest.waitMilliseconds + load.excess(now),
+      running: digest.running,
       isOrderable: digest.isReachable,
       room: digest.room,
       holds: digest.isReachable &&
--- a/packages/node/tests/relay/peer_book_test.ts
+++ b/packages/node/tests/relay/peer_book_test.ts
@@ -43,6 +43,7 @@
     adapters: [],
     isReachable: true,
     isFull: false,
+    running: 0,
   };
   peers.heard(instant(0), digest("n1", { engines: [engine] }));
   const find = (now: number, owner: string) =>
