--- a/packages/node/src/relay/engine_owners.ts
+++ b/packages/node/src/relay/engine_owners.ts
@@ -14,6 +14,8 @@
   readonly incarnation: string;
   /** Whether this node is stopping, and gives its engines to others. */
   readonly isLeaving: () => boolean;
+  /** Called once this node owns an engine more, which others should know. */
+  readonly gained: () => void;
 }
 
 /** A node claims engines only after it has listened to its peers so long. */
@@ -84,6 +86,7 @@
     const owner = new EngineOwner(server, terms, this.#parts);
     this.#owners.set(id, owner);
     void owner.pump();
+    this.#parts.gained();
   }
 
   async #claim(): Promise<void> {
--- a/packages/node/src/relay/peer_exchange.ts
+++ b/packages/node/src/relay/peer_exchange.ts
@@ -26,6 +26,8 @@
 
 /** Between two exchanges with each peer. */
 const EXCHANGE_PERIOD = 300;
+/** News that come together go out together. */
+const GATHERING_TIME = 5;
 /** After so long, an exchange counts as unanswered. */
 const EXCHANGE_LIMIT = 500;
 /** After so long without the log, a peer is asked for what it knows. */
@@ -48,6 +50,7 @@
   readonly #pending = new Set<string>();
   readonly #startedAt: Instant;
   #timer: NodeJS.Timeout | undefined;
+  #newsTimer: NodeJS.Timeout | undefined;
   #fetchedAt: Instant | undefined;
 
   /** @param parts What it works with. */
@@ -105,9 +108,18 @@
     this.#fetchIfNeeded(now);
   }
 
+  /** Exchanges with all peers ahead of time, since there is news. */
+  exchangeSoon(): void {
+    this.#newsTimer ??= setTimeout(() => {
+      this.#newsTimer = undefined;
+      this.exchange();
+    }, GATHERING_TIME);
+  }
+
   /** Stops. */
   stop(): void {
     clearInterval(this.#timer);
+    clearTimeout(this.#newsTimer);
   }
 
   #exchangeWith(address: string, digest: NodeDigest): void {
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -106,6 +106,9 @@
       log: edges.log,
       incarnation: this.#incarnation,
       isLeaving: () => this.#isLeaving,
+      gained: () => {
+        this.#exchange.exchangeSoon();
+      },
     });
     this.#exchange = new PeerExchange({
       knowledge,
--- /dev/null
+++ b/packages/node/tests/relay/engine_owners_test.ts
@@ -0,0 +1,125 @@
+import {
+  backendServerId,
+  failureDomainId,
+  logOffset,
+  milliseconds,
+  modelId,
+  seconds,
+  serviceId,
+} from "@foxtailwind/core";
+import {
+  type ClaimRecord,
+  EngineOwners,
+  Knowledge,
+  LoggerFactory,
+  ProcessClock,
+  SharedLog,
+} from "@foxtailwind/node/relay";
+import test from "ava";
+import { ok, type Result } from "neverthrow";
+import { relaySettings } from "./helpers/relay_settings.ts";
+import { ScriptedEngine } from "./helpers/scripted_engine.ts";
+
+const ENGINE = backendServerId("engine");
+const SERVICE = serviceId("engines");
+const MODEL = modelId("m");
+
+/** A log that takes every claim and keeps it. */
+class ClaimLog extends SharedLog {
+  readonly claims: ClaimRecord[] = [];
+
+  override start(): void {
+    // Nothing is read: the test tells what the log says.
+  }
+
+  override claim(
+    claims: readonly ClaimRecord[],
+  ): Promise<Result<boolean, never>> {
+    this.claims.push(...claims);
+    return Promise.resolve(ok(true));
+  }
+
+  override announce(): Promise<Result<boolean, never>> {
+    return Promise.resolve(ok(true));
+  }
+
+  override stop(): void {
+    // Nothing runs.
+  }
+}
+
+test("a node that comes back claims its engine at once and says that it has it", async (t) => {
+  const settings = relaySettings();
+  const clock = new ProcessClock();
+  const logger = new LoggerFactory("json", 0, () => undefined).forPart(
+    "ownership",
+  );
+  const base = { settings, incarnation: "run-2", clock, logger };
+  const knowledge = new Knowledge(base);
+  const log = new ClaimLog();
+  let gained = 0;
+  const owners = new EngineOwners({
+    ...base,
+    knowledge,
+    log,
+    control: new ScriptedEngine(2),
+    isLeaving: () => false,
+    gained: () => {
+      gained += 1;
+    },
+  });
+  t.teardown(() => {
+    owners.stop();
+  });
+  knowledge.reached();
+  knowledge.configuration({
+    version: 1,
+    routes: [],
+    services: [{
+      id: SERVICE,
+      connectionLimit: 10,
+      engine: {
+        models: [{ model: MODEL, megabytes: 1, adapterMegabytes: 1 }],
+        megabytes: 10,
+        adapterSlots: 2,
+      },
+    }],
+    limits: {
+      headerBytes: 4_096,
+      bodyBytes: 100_000,
+      headerTime: seconds(3),
+      idleTime: seconds(15),
+    },
+  });
+  knowledge.registryEntry({
+    kind: "present",
+    offset: logOffset(1),
+    server: {
+      id: ENGINE,
+      service: SERVICE,
+      address: "127.0.0.1:1",
+      failureDomain: failureDomainId("domain-a"),
+      leaving: false,
+      slots: 64,
+      models: [{ model: MODEL, adapters: new Map() }],
+      orderCount: 0,
+    },
+  });
+  const claim = {
+    engine: ENGINE,
+    owner: settings.node.id,
+    wait: milliseconds(0),
+  };
+  knowledge.claim({ ...claim, incarnation: "run-1" }, logOffset(4));
+  owners.refresh();
+  await Promise.resolve();
+  t.is(log.claims.length, 1, "Its own earlier run is no other owner.");
+  t.is(log.claims[0]?.wait, milliseconds(0));
+  t.is(gained, 0, "The log has not taken the claim yet.");
+  knowledge.claim({ ...claim, incarnation: "run-2" }, logOffset(5));
+  owners.refresh();
+  t.is(gained, 1);
+  t.is(owners.digests[0]?.engine, ENGINE);
+  owners.refresh();
+  t.is(gained, 1, "It says so once.");
+});
--- a/packages/node/tests/relay/helpers/relay_world.ts
+++ b/packages/node/tests/relay/helpers/relay_world.ts
@@ -108,6 +108,7 @@
       control: new ScriptedEngine(1),
       log: undefined as never,
       isLeaving: () => true,
+      gained: () => undefined,
     });
     const parts: RelayParts = {
       knowledge,
