--- a/packages/cli/src/command_line.ts
+++ b/packages/cli/src/command_line.ts
@@ -1,4 +1,5 @@
 import { closest } from "fastest-levenshtein";
+import { err } from "neverthrow";
 import process from "node:process";
 import yargs, { type Argv } from "yargs";
 import { NodeClient } from "./client/node_client.ts";
@@ -6,7 +7,12 @@
   type CommandFailure,
   formatCommandFailure,
 } from "./command_failure.ts";
-import type { Command, GlobalOptions } from "./commands/command.ts";
+import type {
+  Command,
+  CommandResult,
+  CommandWork,
+  GlobalOptions,
+} from "./commands/command.ts";
 import { EXIT_CODE, type ExitCode } from "./exit_code.ts";
 import { formatOutput } from "./output/command_output.ts";
 
@@ -59,11 +65,7 @@
     command.register(parser, async (options, work) => {
       const address = options.node ??
         surroundings.environment["FOXTAILWIND_NODE"];
-      if (address === undefined) {
-        fail(NO_NODE, options.json);
-        return;
-      }
-      const result = await work(new NodeClient(address));
+      const result = await runWork(work, address);
       result.match(
         (output) => {
           surroundings.writeOut(`${formatOutput(output, options.json)}\n`);
@@ -90,6 +92,15 @@
   return reported.code;
 }
 
+function runWork(
+  work: CommandWork,
+  address: string | undefined,
+): Promise<CommandResult> {
+  if (work.kind === "here") return work.run();
+  if (address === undefined) return Promise.resolve(err(NO_NODE));
+  return work.run(new NodeClient(address));
+}
+
 function usageFailure(
   message: string,
   { word, known }: { readonly word: string; readonly known: string[] },
--- a/packages/cli/src/commands/command.ts
+++ b/packages/cli/src/commands/command.ts
@@ -13,10 +13,19 @@
 /** What a command's work comes to. */
 export type CommandResult = Result<CommandOutput, CommandFailure>;
 
+/** The work of a command. */
+export type CommandWork =
+  | {
+    readonly kind: "at_node";
+    readonly run: (client: NodeClient) => Promise<CommandResult>;
+  }
+  /** Needs no node. */
+  | { readonly kind: "here"; readonly run: () => Promise<CommandResult> };
+
 /** Runs the work of a command and reports what it came to. */
 export type Execute = (
   options: GlobalOptions,
-  work: (client: NodeClient) => Promise<CommandResult>,
+  work: CommandWork,
 ) => Promise<void>;
 
 /** A command, ready to be added to the parser. */
@@ -39,6 +48,10 @@
     options: ArgumentsCamelCase<Options>,
     client: NodeClient,
   ) => Promise<CommandResult>;
+  /** The work, where these options ask for some that needs no node. */
+  readonly runHere?: (
+    options: ArgumentsCamelCase<Options>,
+  ) => Promise<CommandResult> | undefined;
 }
 
 /**
@@ -49,7 +62,7 @@
 export function defineCommand<Options extends GlobalOptions>(
   definition: CommandDefinition<Options>,
 ): Command {
-  const { command, describe, options, run } = definition;
+  const { command, describe, options, run, runHere } = definition;
   return {
     word: command.split(" ")[0] ?? command,
     register: (parser, execute) =>
@@ -57,7 +70,15 @@
         command,
         describe,
         (inner) => options(inner),
-        (given) => execute(given, (client) => run(given, client)),
+        (given) => {
+          const here = runHere?.(given);
+          return execute(
+            given,
+            here === undefined
+              ? { kind: "at_node", run: (client) => run(given, client) }
+              : { kind: "here", run: () => here },
+          );
+        },
       ),
   };
 }
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -1,6 +1,11 @@
 import * as z from "zod";
+import { err, ok } from "neverthrow";
+import { EXIT_CODE } from "../exit_code.ts";
+import { explainRequest } from "../logs/explain_request.ts";
+import { readLogs } from "../logs/read_logs.ts";
 import { formatExplanations } from "../output/explanation_text.ts";
-import { type Command, defineCommand } from "./command.ts";
+import { formatLogExplanation } from "../output/log_explanation_text.ts";
+import { type Command, type CommandResult, defineCommand } from "./command.ts";
 
 const explanationSchema = z.object({
   classId: z.string(),
@@ -44,7 +49,14 @@
       type: "string",
       demandOption: true,
       describe: "The id that the answer carried as x-request-id",
-    }),
+    })
+      .option("log", {
+        type: "string",
+        array: true,
+        describe: "Read these nodes' logs instead (- for standard input)",
+      }),
+  runHere: ({ request, log }) =>
+    log === undefined ? undefined : explainFromLogs(log, request),
   async run(options, client) {
     const answer = await client.get(
       `explanations/${encodeURIComponent(options.request)}`,
@@ -56,3 +68,20 @@
     }));
   },
 });
+
+async function explainFromLogs(
+  files: readonly string[],
+  request: string,
+): Promise<CommandResult> {
+  const lines = await readLogs(files, request);
+  if (lines.isErr()) return err(lines.error);
+  const explanation = explainRequest(lines.value, request);
+  if (explanation === undefined) {
+    return err({
+      code: EXIT_CODE.notFound,
+      message: `No line says that request ${request} ended.`,
+      remedy: "Give the logs of all nodes, from before the request's arrival.",
+    });
+  }
+  return ok({ json: explanation, text: formatLogExplanation(explanation) });
+}
--- /dev/null
+++ b/packages/cli/src/logs/read_logs.ts
@@ -0,0 +1,84 @@
+import { err, ok, type Result } from "neverthrow";
+import { createReadStream } from "node:fs";
+import process from "node:process";
+import { createInterface } from "node:readline";
+import type { CommandFailure } from "../command_failure.ts";
+import { EXIT_CODE } from "../exit_code.ts";
+import { type LogLine, parseLogLine, SENTENCE } from "./log_line.ts";
+
+/** The name that stands for standard input. */
+const STANDARD_INPUT = "-";
+/** Outcomes of other requests that may tell something of a server. */
+const TELLING = new Set(["lost", "broken_stream", "time_limit"]);
+
+/**
+ * Reads what may matter for a request from nodes' logs.
+ * @param files Paths; `-` is standard input.
+ * @param request The request's id.
+ * @returns The lines, in order of time.
+ */
+export async function readLogs(
+  files: readonly string[],
+  request: string,
+): Promise<Result<readonly LogLine[], CommandFailure>> {
+  const lines: LogLine[] = [];
+  for (const file of files) {
+    const read = await readLog(file, request);
+    if (read.isErr()) return err(read.error);
+    lines.push(...read.value);
+  }
+  return ok(lines.toSorted((left, right) => left.time - right.time));
+}
+
+async function readLog(
+  file: string,
+  request: string,
+): Promise<Result<readonly LogLine[], CommandFailure>> {
+  const kept: LogLine[] = [];
+  const nodes = new Set<string>();
+  const name = file === STANDARD_INPUT ? "standard input" : file;
+  let count = 0;
+  try {
+    for await (const text of openLog(file)) {
+      const line = parseLogLine(text, name);
+      if (line === undefined) continue;
+      count += 1;
+      const { node } = line.fields;
+      const isNaming = line.sentence === SENTENCE.started;
+      if (isNaming && typeof node === "string") nodes.add(node);
+      if (mayMatter(line, request)) kept.push(line);
+    }
+  } catch (error) {
+    const cause = error instanceof Error ? error.message : String(error);
+    return err({
+      code: EXIT_CODE.usage,
+      message: `Cannot read ${file}: ${cause}.`,
+      remedy: "Name readable log files, or - for standard input.",
+    });
+  }
+  // A file with the lines of several nodes doesn't tell whose each one is.
+  const [node] = nodes;
+  const source = nodes.size === 1 && node !== undefined ? node : name;
+  if (count > 0) return ok(kept.map((line) => ({ ...line, source })));
+  return err({
+    code: EXIT_CODE.usage,
+    message: `${file} has no line of a node's log.`,
+    remedy: "Name files with the JSON lines that nodes write.",
+  });
+}
+
+function openLog(file: string): AsyncIterable<string> {
+  const input = file === STANDARD_INPUT
+    ? process.stdin
+    : createReadStream(file);
+  return createInterface({ input, crlfDelay: Infinity });
+}
+
+/** The ends of other requests are most of a log, and mostly tell nothing. */
+function mayMatter({ sentence, fields }: LogLine, request: string): boolean {
+  const isOther = fields["request"] !== undefined &&
+    fields["request"] !== request;
+  if (!isOther) return true;
+  return sentence === SENTENCE.requestEnded &&
+    TELLING.has(String(fields["outcome"]));
+}
--- /dev/null
+++ b/packages/cli/tests/explain_logs_test.ts
@@ -0,0 +1,119 @@
+import { COMMANDS, EXIT_CODE, runCommandLine } from "@foxtailwind/cli";
+import { milliseconds } from "@foxtailwind/core";
+import test, { type ExecutionContext } from "ava";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import {
+  RelayWorld,
+  succeed,
+} from "../../node/tests/relay/helpers/relay_world.ts";
+
+/** Explains a request from nothing but its id and a log. */
+async function explain(
+  t: ExecutionContext,
+  lines: readonly string[],
+  request: string,
+) {
+  const folder = mkdtempSync(path.join(tmpdir(), "foxtailwind-log-"));
+  t.teardown(() => {
+    rmSync(folder, { recursive: true });
+  });
+  const file = path.join(folder, "node-1.log");
+  writeFileSync(file, lines.join(""));
+  return await run(["explain", request, "--log", file]);
+}
+
+async function run(words: readonly string[]) {
+  const said = { out: "", error: "" };
+  const code = await runCommandLine(words, {
+    commands: COMMANDS,
+    surroundings: {
+      environment: {},
+      writeOut: (text) => void (said.out += text),
+      writeError: (text) => void (said.error += text),
+    },
+  });
+  return { code, ...said };
+}
+
+function makeWorld() {
+  const lines: string[] = [];
+  const world = new RelayWorld((line) => {
+    lines.push(line);
+  });
+  world.configure();
+  return { world, lines };
+}
+
+test("refused while its adapter was to be brought: the owner may not order yet", async (t) => {
+  const { world, lines } = makeWorld();
+  await world.start(t);
+  await world.addEngine("engine-1", milliseconds(30_000), (_, response) => {
+    response.end();
+  });
+  const answer = await world.call("/engine/a", {
+    headers: { "x-id": "refused", "x-adapter": "a1", "x-patience": "500" },
+  });
+  t.is(answer.status, 503);
+  const { code, out } = await explain(t, lines, "refused");
+  t.is(code, EXIT_CODE.ok);
+  t.regex(out, /no_engine, status 503/);
+  t.regex(
+    out,
+    /Engine engine-1 had a new owner, node node-1, which may not order it for 30000 ms\./,
+  );
+});
+
+test("failed by a server that does not answer: others were lost there too", async (t) => {
+  const { world, lines } = makeWorld();
+  await world.addServer("s1", (request) => {
+    request.socket.destroy();
+  });
+  await world.start(t);
+  for (const id of ["first", "second"]) {
+    const answer = await world.call("/once/a", { headers: { "x-id": id } });
+    t.is(answer.status, 502);
+  }
+  const { out } = await explain(t, lines, "second");
+  t.regex(out, /lost, status 502/);
+  t.regex(
+    out,
+    /Server s1 ended or fell silent: 1 more requests were lost there/,
+  );
+});
+
+test("late through a change of owners: the wait is told", async (t) => {
+  const { world, lines } = makeWorld();
+  await world.start(t);
+  await world.addEngine("engine-1", milliseconds(400), (request, response) => {
+    succeed(request, response, "late");
+  });
+  const answer = await world.call("/engine/a", {
+    headers: { "x-id": "late", "x-adapter": "a1" },
+  });
+  t.is(answer.status, 200);
+  const { out } = await explain(t, lines, "late");
+  t.regex(out, /answered, status 200/);
+  t.regex(
+    out,
+    /It waited \d+ ms for a place\. Engine engine-1 had a new owner/,
+  );
+});
+
+test("logs that can't be read, or say nothing of a request, end with a code", async (t) => {
+  const missing = await run(["explain", "r", "--log", "/no/such/file"]);
+  t.is(missing.code, EXIT_CODE.usage);
+  t.regex(missing.error, /Cannot read \/no\/such\/file/);
+  const foreign = await explain(t, ["a line of another program\n"], "r");
+  t.is(foreign.code, EXIT_CODE.usage);
+  t.regex(foreign.error, /has no line of a node's log/);
+  const line = JSON.stringify({
+    time: "2026-01-01T00:00:00.000Z",
+    message: "daemon: Started.",
+    node: "node-1",
+  });
+  const unknown = await explain(t, [`{broken\n${line}\n`], "r");
+  t.is(unknown.code, EXIT_CODE.notFound);
+  t.regex(unknown.error, /No line says that request r ended/);
+});
--- a/packages/node/tests/relay/helpers/relay_world.ts
+++ b/packages/node/tests/relay/helpers/relay_world.ts
@@ -1,6 +1,7 @@
 import {
   backendServerId,
   CallerPatience,
+  type Duration,
   failureDomainId,
   type Instant,
   instant,
@@ -35,9 +36,12 @@
 import { request as send } from "undici";
 import { relaySettings } from "./relay_settings.ts";
 import { ScriptedEngine } from "./scripted_engine.ts";
-import { TestWire } from "./test_wire.ts";
+import { TEST_MODEL, TestWire } from "./test_wire.ts";
 
 const SERVICE = serviceId("plain");
+const ENGINES = serviceId("engines");
+
+const INCARNATION = "run-1";
 
 const BASE: Omit<Route, "name" | "pathPrefix"> = {
   host: "one.example",
@@ -75,6 +79,13 @@
     pathPrefix: "/short/",
     timeLimit: milliseconds(150),
   },
+  {
+    ...BASE,
+    name: "engine",
+    pathPrefix: "/engine/",
+    timeLimit: seconds(5),
+    targets: [{ service: ENGINES, weight: 1 }],
+  },
 ];
 
 /** A front with backend servers that answer as a test says. */
@@ -91,23 +102,25 @@
   port = 0;
   /** The stop that the front's node is in. */
   stop: PlannedStop | undefined;
+  readonly control = new ScriptedEngine(2);
 
-  constructor() {
+  /** @param write Takes the lines of the log, where a test reads them. */
+  constructor(write?: (line: string) => void) {
     const settings = relaySettings();
     const clock = this.#clock;
-    const logger = new LoggerFactory("json", 0, () => undefined).forPart(
-      "callers",
-    );
-    const base = { settings, incarnation: "run-1", clock, logger };
+    const logger = write === undefined
+      ? new LoggerFactory("json", 0, () => undefined).forPart("callers")
+      : new LoggerFactory("json", 3, write).forPart("callers");
+    const base = { settings, incarnation: INCARNATION, clock, logger };
     const knowledge = new Knowledge(base);
     const loads = new ServerLoads(settings.node.failure_domain);
     this.knowledge = knowledge;
     this.#owners = new EngineOwners({
       ...base,
       knowledge,
-      control: new ScriptedEngine(1),
+      control: this.control,
       log: undefined as never,
-      isLeaving: () => true,
+      isLeaving: () => false,
       gained: () => undefined,
     });
     const parts: RelayParts = {
@@ -154,7 +167,18 @@
     this.knowledge.configuration({
       version: 1,
       routes: ROUTES,
-      services: [{ id: SERVICE, connectionLimit: 100 }],
+      services: [
+        { id: SERVICE, connectionLimit: 100 },
+        {
+          id: ENGINES,
+          connectionLimit: 100,
+          engine: {
+            models: [{ model: TEST_MODEL, megabytes: 1, adapterMegabytes: 1 }],
+            megabytes: 10,
+            adapterSlots: this.control.slots,
+          },
+        },
+      ],
       limits: {
         headerBytes: 4_096,
         bodyBytes: 100_000,
@@ -168,23 +192,52 @@
    * Adds a backend server.
    * @param id Its id.
    * @param answer How it answers.
+   * @param service The service that it is of.
    */
-  async addServer(id: string, answer: RequestListener): Promise<void> {
+  async addServer(
+    id: string,
+    answer: RequestListener,
+    service = SERVICE,
+  ): Promise<void> {
     const server = createServer(answer);
     this.#servers.push(server);
     await new Promise<void>((resolve) =>
       server.listen(0, "127.0.0.1", resolve)
     );
     const { port } = server.address() as AddressInfo;
-    this.addAddress(id, `127.0.0.1:${port}`);
+    this.addAddress(id, `127.0.0.1:${port}`, service);
+  }
+
+  /**
+   * Adds an engine that this node owns.
+   * @param id Its id.
+   * @param wait How long this node may not order it yet.
+   * @param answer How it answers requests.
+   */
+  async addEngine(
+    id: string,
+    wait: Duration,
+    answer: RequestListener,
+  ): Promise<void> {
+    this.control.models = [TEST_MODEL];
+    await this.addServer(id, answer, ENGINES);
+    this.#offset += 1;
+    this.knowledge.claim({
+      engine: backendServerId(id),
+      owner: relaySettings().node.id,
+      incarnation: INCARNATION,
+      wait,
+    }, logOffset(this.#offset));
+    this.#owners.refresh();
   }
 
   /**
    * Registers a server at an address, whoever answers there.
    * @param id The server's id.
    * @param address The address.
+   * @param service The service that it is of.
    */
-  addAddress(id: string, address: string): void {
+  addAddress(id: string, address: string, service = SERVICE): void {
     this.#offset += 1;
     this.#addresses.set(id, address);
     this.knowledge.registryEntry({
@@ -192,12 +245,14 @@
       offset: logOffset(this.#offset),
       server: {
         id: backendServerId(id),
-        service: SERVICE,
+        service,
         address,
         failureDomain: failureDomainId("domain-a"),
         leaving: false,
         slots: 4,
-        models: [],
+        models: service === ENGINES
+          ? [{ model: TEST_MODEL, adapters: new Map() }]
+          : [],
         orderCount: 0,
       },
     });
@@ -230,6 +285,7 @@
     t.teardown(async () => {
       this.front.stopListening();
       this.front.cut();
+      this.#owners.stop();
       for (const server of this.#servers) {
         server.closeAllConnections();
         server.close();
--- a/packages/node/tests/relay/helpers/test_wire.ts
+++ b/packages/node/tests/relay/helpers/test_wire.ts
@@ -1,4 +1,4 @@
-import { milliseconds, requestId } from "@foxtailwind/core";
+import { adapterId, milliseconds, modelId, requestId } from "@foxtailwind/core";
 import {
   type AnswerFacts,
   type CallerRequest,
@@ -10,6 +10,9 @@
 
 type Headers = Readonly<Record<string, string | string[] | undefined>>;
 
+/** The one model of the tests' engines. */
+export const TEST_MODEL = modelId("m");
+
 /** A wire of the tests' own. */
 export class TestWire extends RelayWire {
   override readRequest(
@@ -18,11 +21,22 @@
     const id = headers["x-id"];
     if (typeof id !== "string") return err("no_request_id");
     const patience = headers["x-patience"];
+    const adapter = headers["x-adapter"];
     return ok({
       id: requestId(id),
       ...(typeof patience === "string"
         ? { patience: milliseconds(Number(patience)) }
         : {}),
+      ...(typeof adapter === "string"
+        ? {
+          use: {
+            model: TEST_MODEL,
+            adapter: adapterId(adapter),
+            promptTokens: 10,
+            outputTokens: 10,
+          },
+        }
+        : {}),
     });
   }
 
--- a/packages/node/tests/relay/relay_test.ts
+++ b/packages/node/tests/relay/relay_test.ts
@@ -165,13 +165,13 @@
     succeed(request, response, "done");
   });
   await world.start(t);
-  world.stop = { begunAt: world.earlier(3_000), grace: seconds(4.6) };
-  const refused = await world.call("/once/a");
+  world.stop = { begunAt: world.earlier(3_000), grace: seconds(8) };
+  const refused = await world.call("/engine/a");
   t.is(refused.status, 503);
   t.is(refused.headers["connection"], "close");
   t.true(Number(refused.headers["retry-after"]) > 0);
-  t.is((await world.call("/short/a")).status, 200);
-  t.deepEqual(arrivals, ["/short/a"]);
+  t.is((await world.call("/once/a")).status, 200);
+  t.deepEqual(arrivals, ["/once/a"]);
 });
 
 test("what can't be read or routed is refused and reaches no server", async (t) => {
