A reset that comes together with the last bytes is noticed

Cause: libuv reports an orderly end, without an error, where a poll shows data and a hang-up at once; a crash of a server right after its last bytes looked like the end of an answer without a length. A write of no bytes then tells: a reset connection refuses it. The tests' own caller was blind in the same way. Test first failing: with the answer of the write ignored two tests fail.

--- a/packages/node/src/relay/backend_call.ts
+++ b/packages/node/src/relay/backend_call.ts
@@ -1,5 +1,5 @@
 import type { Dispatcher } from "undici";
-import { isSocketFailing } from "./socket_errors.ts";
+import { failureOfEnd } from "./connection_ends.ts";
 
 /** The beginning of a server's answer. */
 export interface AnswerHead {
@@ -136,8 +136,15 @@
   }
 
   onResponseEnd(): void {
-    if (isSocketFailing()) this.#break("The connection was reset.");
-    else this.#end({ kind: "complete" });
+    const failure = failureOfEnd();
+    if (failure === undefined) {
+      this.#end({ kind: "complete" });
+      return;
+    }
+    void failure.then((hasFailed) => {
+      if (hasFailed) this.#break("The connection was reset.");
+      else this.#end({ kind: "complete" });
+    });
   }
 
   onResponseError(
--- a/packages/node/src/relay/backend_pools.ts
+++ b/packages/node/src/relay/backend_pools.ts
@@ -1,6 +1,6 @@
 import type { BackendServerId, RegisteredServer } from "@foxtailwind/core";
 import { buildConnector, type Dispatcher, Pool } from "undici";
-import { noteSocketErrors } from "./socket_errors.ts";
+import { noteConnectionEnds } from "./connection_ends.ts";
 
 /** A connection that takes longer counts as failed. */
 const CONNECT_MILLISECONDS = 700;
@@ -19,7 +19,7 @@
 /** Keeps connections to backend servers, apart for each run of a server. */
 export class BackendPools {
   readonly #pools = new Map<BackendServerId, Pool>();
-  readonly #connect = noteSocketErrors(buildConnector({
+  readonly #connect = noteConnectionEnds(buildConnector({
     timeout: CONNECT_MILLISECONDS,
     keepAlive: true,
     keepAliveInitialDelay: PROBE_MILLISECONDS,
--- /dev/null
+++ b/packages/node/src/relay/connection_ends.ts
@@ -0,0 +1,64 @@
+import type { Socket } from "node:net";
+import process from "node:process";
+import type { buildConnector } from "undici";
+
+/** Set while a connection's end is being told to its listeners. */
+let endingNow: Promise<boolean> | undefined;
+
+const NOTHING = Buffer.alloc(0);
+
+/**
+ * Tells how the connection ends whose end is being told at this moment.
+ * undici takes a reset for the end of an answer without a length; libuv even
+ * reports a reset as an orderly end where it comes together with the last
+ * bytes. Whoever is told of such an end asks here whether it was a failure.
+ * @returns Whether the connection failed, or nothing where none ends now.
+ */
+export function failureOfEnd(): Promise<boolean> | undefined {
+  return endingNow;
+}
+
+/**
+ * Takes note of how the connections end that a connector makes, ahead of
+ * undici's own listeners.
+ * @param connect Makes connections.
+ * @returns A connector that does the same, and takes note.
+ */
+export function noteConnectionEnds(
+  connect: buildConnector.connector,
+): buildConnector.connector {
+  return (options, callback) => {
+    connect(options, (...result) => {
+      const [error, socket] = result;
+      if (error === null) {
+        socket.prependListener("error", () => {
+          tellNow(Promise.resolve(true));
+        });
+        socket.prependListener("end", () => {
+          tellNow(refusesWrites(socket));
+        });
+      }
+      callback(...result);
+    });
+  };
+}
+
+/** Listeners of one event run one after the other, before the next tick. */
+function tellNow(hasFailed: Promise<boolean>): void {
+  endingNow = hasFailed;
+  process.nextTick(() => {
+    if (endingNow === hasFailed) endingNow = undefined;
+  });
+}
+
+/**
+ * A connection that its peer has closed in order still takes writes, one that
+ * was reset does not. No bytes are written, so that the peer sees nothing.
+ */
+function refusesWrites(socket: Socket): Promise<boolean> {
+  return new Promise((resolve) => {
+    socket.write(NOTHING, (error) => {
+      resolve(error !== null && error !== undefined);
+    });
+  });
+}
--- a/packages/node/tests/relay/relay_test.ts
+++ b/packages/node/tests/relay/relay_test.ts
@@ -45,6 +45,11 @@
     socket.on("error", () => {
       wasReset = true;
     });
+    // A reset that comes with the last bytes shows as an end, and as an error
+    // only once something is written.
+    socket.prependListener("end", () => {
+      socket.write(Buffer.alloc(0));
+    });
     socket.once("close", () => {
       resolve({ bytes, wasReset });
     });
@@ -123,6 +128,18 @@
   t.true(wasReset || bytes.startsWith("HTTP/1.1 502"), bytes);
 });
 
+test("a reset that comes together with the last bytes does not look whole", async (t) => {
+  const world = new RelayWorld();
+  world.configure();
+  await serveOpenEnded(t, world, (socket) => {
+    socket.write("half a bo");
+    socket.resetAndDestroy();
+  });
+  await world.start(t);
+  const { bytes, wasReset } = await rawCall(world.port);
+  t.true(wasReset || bytes.startsWith("HTTP/1.1 502"), bytes);
+});
+
 test("an answer that ends with its connection is framed so to its caller", async (t) => {
   const world = new RelayWorld();
   world.configure();
