--- /dev/null
+++ b/packages/node/src/relay/place_finder.ts
@@ -0,0 +1,112 @@
+import {
+  type Instant,
+  later,
+  milliseconds,
+  type Route,
+} from "@foxtailwind/core";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { ReadRequest } from "./read_request.ts";
+import type { RelayParts } from "./relay_parts.ts";
+import type { Place, PlaceAnswer } from "./request_placer.ts";
+import type { SendRecord } from "./send_record.ts";
+
+/** Between two looks for a place, in milliseconds. */
+const PLACE_PAUSE_MILLISECONDS = 40;
+/** The share of a caller's patience in which a place is looked for. */
+const PLACE_SHARE = 0.4;
+/** Callers leave a stream without events after the longest of these. */
+const STREAM_PATIENCE = { least: 2_000, targets: 4, pauses: 8 } as const;
+/** Engines that were asked for a place, in one line of the log. */
+const MOST_ASKED_LOGGED = 8;
+
+/** What bounds the search for a place. */
+export interface PlaceTerms {
+  /** When the request's time is over. */
+  readonly endsAt: Instant;
+  /** Where it was sent before. */
+  readonly sent: SendRecord;
+  /** Tells that nobody waits for the request any more. */
+  readonly over: AbortSignal;
+}
+
+/** Looks for servers for one request. */
+export class PlaceFinder {
+  readonly #parts: RelayParts;
+  readonly #request: ReadRequest;
+  readonly #terms: PlaceTerms;
+  readonly #asked: PlaceAnswer[] = [];
+
+  /**
+   * @param parts What it works with.
+   * @param request The request.
+   * @param terms What bounds the search.
+   */
+  constructor(parts: RelayParts, request: ReadRequest, terms: PlaceTerms) {
+    this.#parts = parts;
+    this.#request = request;
+    this.#terms = terms;
+  }
+
+  /** The first engines that were asked for a place, and their answers. */
+  get asked(): readonly PlaceAnswer[] {
+    return this.#asked;
+  }
+
+  /**
+   * Looks for a place until there is one or it is too late for one.
+   * @returns The place, or nothing.
+   */
+  async find(): Promise<Place | undefined> {
+    const { arrivedAt, route } = this.#request;
+    const patience = Math.min(
+      this.#terms.endsAt - arrivedAt,
+      firstEventPatience(route),
+    );
+    // A stream that goes on elsewhere has used up its first patience long ago.
+    const from = this.#terms.sent.sends === 0 ? arrivedAt : this.#now();
+    const until = later(from, milliseconds(patience * PLACE_SHARE));
+    for (;;) {
+      const place = await this.#look(until);
+      if (place !== undefined || this.#terms.over.aborted) return place;
+      if (this.#now() >= until) return undefined;
+      await sleep(PLACE_PAUSE_MILLISECONDS);
+    }
+  }
+
+  async #look(until: Instant): Promise<Place | undefined> {
+    const { service, caller } = this.#request;
+    const { knowledge, placer } = this.#parts;
+    const there = knowledge.servers(service.id).filter((one) => !one.leaving);
+    const untried = there.filter((one) => !this.#terms.sent.hasTried(one.id));
+    const servers = untried.length > 0 ? untried : there;
+    if (service.engine === undefined || caller.use === undefined) {
+      return placer.choosePlain(this.#now(), servers);
+    }
+    const left = Math.max(1, Math.ceil(until - this.#now()));
+    const signal = AbortSignal.any([
+      this.#terms.over,
+      AbortSignal.timeout(left),
+    ]);
+    return await placer.placeOnEngine(caller.use, servers, {
+      signal,
+      note: (answer) => {
+        if (this.#asked.length < MOST_ASKED_LOGGED) this.#asked.push(answer);
+      },
+    });
+  }
+
+  #now(): Instant {
+    return this.#parts.clock.now();
+  }
+}
+
+/** How long callers of a route wait for a first event. */
+function firstEventPatience(route: Route): number {
+  if (!route.streams) return route.timeLimit;
+  const { least, targets, pauses } = STREAM_PATIENCE;
+  return Math.max(
+    least,
+    targets * route.target,
+    pauses * (route.longestPause ?? 0),
+  );
+}
--- a/packages/node/src/relay/relay_request.ts
+++ b/packages/node/src/relay/relay_request.ts
@@ -1,5 +1,4 @@
 import {
-  type BackendServerId,
   type Duration,
   elapsed,
   type Instant,
@@ -7,7 +6,6 @@
   milliseconds,
   type RegisteredServer,
   requestUrgency,
-  type Route,
   type SendResult,
 } from "@foxtailwind/core";
 import { AnswerPassage } from "./answer_passage.ts";
@@ -16,7 +14,9 @@
 import type { RelayParts } from "./relay_parts.ts";
 import type { ReadRequest } from "./read_request.ts";
 import { describeEnd } from "./request_line.ts";
-import type { Place, PlaceAnswer } from "./request_placer.ts";
+import { PlaceFinder } from "./place_finder.ts";
+import type { Place } from "./request_placer.ts";
+import { SendRecord } from "./send_record.ts";
 
 /** Why a request gets no server's answer. */
 export type RelayRefusal =
@@ -30,19 +30,6 @@
 
 /** Asked of callers whose request found no place, in seconds. */
 const COME_BACK_SECONDS = 0.3;
-/** Between two looks for a place, in milliseconds. */
-const PLACE_PAUSE_MILLISECONDS = 40;
-/** The share of a caller's patience in which a place is looked for. */
-const PLACE_SHARE = 0.4;
-/** Callers leave a stream without events after the longest of these. */
-const STREAM_PATIENCE = { least: 2_000, targets: 4, pauses: 8 } as const;
-/** Sends to servers that did not run the request. */
-const MOST_SENDS = 6;
-/** Engines that were asked for a place, in one line of the log. */
-const MOST_ASKED_LOGGED = 8;
-/** Servers without a connection that are tried before the caller is told. */
-const MOST_UNSENT = 4;
-
 /** Relays one request to its end. */
 export class RelayRequest {
   readonly #parts: RelayParts;
@@ -51,18 +38,11 @@
   /** How long the caller has waited in tries before this one. */
   readonly #waitedBefore: Duration;
   readonly #over = new AbortController();
-  readonly #tried = new Set<BackendServerId>();
+  readonly #sent = new SendRecord();
   readonly #passage: AnswerPassage;
-  #sends = 0;
-  /** Sends after which the request may have run. */
-  #runs = 0;
-  /** Sends that found no connection. */
-  #unsent = 0;
-  /** The engines that were asked for a place. */
-  readonly #asked: PlaceAnswer[] = [];
+  readonly #finder: PlaceFinder;
   #call: BackendCall | undefined;
   #outcome = "";
-  #lastServer: BackendServerId | undefined;
   #placedAfter: Duration | undefined;
   #timer: NodeJS.Timeout | undefined;
 
@@ -85,6 +65,11 @@
       patience,
     );
     this.#passage = new AnswerPassage(request, parts);
+    this.#finder = new PlaceFinder(parts, request, {
+      endsAt: this.#endsAt,
+      sent: this.#sent,
+      over: this.#over.signal,
+    });
   }
 
   /** Relays the request; resolves once its answer has ended. */
@@ -109,7 +94,7 @@
 
   /** One send; whether another one is to follow. */
   async #attempt(): Promise<boolean> {
-    const place = await this.#findPlace();
+    const place = await this.#finder.find();
     if (this.#isOver()) {
       place?.release();
       return false;
@@ -125,54 +110,13 @@
     return this.#judge(place.server, end);
   }
 
-  async #findPlace(): Promise<Place | undefined> {
-    const { arrivedAt, route } = this.#request;
-    const patience = Math.min(
-      this.#endsAt - arrivedAt,
-      firstEventPatience(route),
-    );
-    // A stream that goes on elsewhere has used up its first patience long ago.
-    const from = this.#sends === 0 ? arrivedAt : this.#now();
-    const until = later(from, milliseconds(patience * PLACE_SHARE));
-    for (;;) {
-      const place = await this.#look(until);
-      if (place !== undefined || this.#isOver()) return place;
-      if (this.#now() >= until) return undefined;
-      await this.#pause(PLACE_PAUSE_MILLISECONDS);
-    }
-  }
-
-  async #look(until: Instant): Promise<Place | undefined> {
-    const { service, caller } = this.#request;
-    const { knowledge, placer } = this.#parts;
-    const there = knowledge.servers(service.id).filter((one) => !one.leaving);
-    const untried = there.filter((one) => !this.#tried.has(one.id));
-    const servers = untried.length > 0 ? untried : there;
-    if (!this.#isEngine || caller.use === undefined) {
-      return placer.choosePlain(this.#now(), servers);
-    }
-    const left = Math.max(1, Math.ceil(until - this.#now()));
-    const signal = AbortSignal.any([
-      this.#over.signal,
-      AbortSignal.timeout(left),
-    ]);
-    return await placer.placeOnEngine(caller.use, servers, {
-      signal,
-      note: (answer) => {
-        if (this.#asked.length < MOST_ASKED_LOGGED) this.#asked.push(answer);
-      },
-    });
-  }
-
   async #send(place: Place): Promise<CallEnd> {
     const { pools, loads, nodes } = this.#parts;
     const { message, service, body } = this.#request;
     const { server } = place;
     const sentAt = this.#now();
     const load = loads.of(server.id);
-    this.#sends += 1;
-    this.#runs += 1;
-    this.#lastServer = server.id;
+    this.#sent.begin(server.id);
     load.sent(sentAt);
     const headers = this.#sendHeaders(place, sentAt);
     this.#passage.begin(sentAt);
@@ -189,7 +133,7 @@
       passage: this.#passage,
       target: this.#request.route.target,
       mayBeReplaced: this.#mayRunAgain() &&
-        this.#runs < this.#request.route.attempts,
+        this.#sent.runs < this.#request.route.attempts,
       fellSilent: () => {
         pools.renew(server.id);
       },
@@ -234,19 +178,15 @@
       return false;
     }
     if (verdict === "not_run") {
-      this.#runs -= 1;
-      this.#tried.add(server.id);
+      this.#sent.notRun(server.id);
       if (this.#passage.isMisdirected) this.#noteMisdirected(server);
       return this.#tryAgain() || this.#refuse("not_run");
     }
     if (end.kind === "broken" && !end.wasSent) {
-      this.#runs -= 1;
-      this.#sends -= 1;
-      this.#unsent += 1;
-      this.#tried.add(server.id);
-      return this.#unsent < MOST_UNSENT || this.#refuse("not_run");
+      this.#sent.notSent(server.id);
+      return !this.#sent.foundNoConnection || this.#refuse("not_run");
     }
-    this.#tried.add(server.id);
+    this.#sent.ended(server.id);
     if (this.#passage.hasBegun) {
       return this.#mayResume() && this.#tryAgain() || this.#breakOff();
     }
@@ -276,8 +216,9 @@
   /** Takes another send from attempts, time and the allowance. */
   #tryAgain(): boolean {
     const { route, service } = this.#request;
-    if (this.#runs >= route.attempts && this.#runs > 0) return false;
-    if (this.#sends >= MOST_SENDS || this.#now() >= this.#endsAt) return false;
+    const { runs, sends, isSpent, lastServer } = this.#sent;
+    if (runs >= route.attempts && runs > 0) return false;
+    if (isSpent || this.#now() >= this.#endsAt) return false;
     const isAllowed = this.#parts.allowances.take(this.#now(), service.id);
     this.#parts.logger.info(
       isAllowed
@@ -286,10 +227,10 @@
       {
         request: this.#request.caller.id,
         service: service.id,
-        server: this.#lastServer,
+        server: lastServer,
         because: this.#passage.verdict,
-        sends: this.#sends,
-        runs: this.#runs,
+        sends,
+        runs,
         left: Math.round(this.#endsAt - this.#now()),
       },
     );
@@ -316,7 +257,7 @@
 
   #mayHaveRun(): boolean {
     const isUnsent = this.#call !== undefined && !this.#call.wasSent;
-    return this.#runs > (isUnsent ? 1 : 0);
+    return this.#sent.runs > (isUnsent ? 1 : 0);
   }
 
   #breakOff(): false {
@@ -356,12 +297,6 @@
     return this.#over.signal.aborted;
   }
 
-  #pause(length: number): Promise<void> {
-    return new Promise((resolve) => {
-      setTimeout(resolve, length);
-    });
-  }
-
   get #isEngine(): boolean {
     return this.#request.service.engine !== undefined;
   }
@@ -378,10 +313,10 @@
       "A request ended.",
       describeEnd(this.#request, {
         outcome: this.#outcome,
-        server: this.#lastServer,
-        sends: this.#sends,
-        runs: this.#runs,
-        asked: this.#asked,
+        server: this.#sent.lastServer,
+        sends: this.#sent.sends,
+        runs: this.#sent.runs,
+        asked: this.#finder.asked,
         placedAfter: this.#placedAfter,
         firstAfter: this.#passage.firstAfter,
         took,
@@ -390,14 +325,3 @@
     );
   }
 }
-
-/** How long callers of a route wait for a first event. */
-function firstEventPatience(route: Route): number {
-  if (!route.streams) return route.timeLimit;
-  const { least, targets, pauses } = STREAM_PATIENCE;
-  return Math.max(
-    least,
-    targets * route.target,
-    pauses * (route.longestPause ?? 0),
-  );
-}
