Relays in one process on stand-ins of all that they run on

RelayCluster starts whole daemons on a stand-in of the store's log, of engines that count and fence orders, and of a plain service; its tests follow a request's whole way, adapters that take turns, a configuration, an outage of the store and a planned stop. A node announces the ports that it has taken. The engine of the owner's tests and that of the cluster share one account of adapters.

--- /dev/null
+++ b/packages/bench/src/relay/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Stand-ins of what a relay runs on, and a cluster of relays on them.
+ * @module
+ */
+export * from "./ordered_adapters.ts";
+export * from "./relay_cluster.ts";
+export * from "./stand_in_engine.ts";
+export * from "./stand_in_log.ts";
+export * from "./stand_in_wire.ts";
--- /dev/null
+++ b/packages/bench/src/relay/relay_cluster.ts
@@ -0,0 +1,285 @@
+import {
+  type Duration,
+  milliseconds,
+  type RelayConfiguration,
+  seconds,
+  serviceId,
+} from "@foxtailwind/core";
+import {
+  LoggerFactory,
+  parseRelaySettings,
+  RelayDaemon,
+} from "@foxtailwind/node/relay";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { request as send } from "undici";
+import { StandInControl, StandInEngine } from "./stand_in_engine.ts";
+import { StandInLog, StandInStore } from "./stand_in_log.ts";
+import {
+  STAND_IN_MODEL,
+  StandInOperations,
+  StandInWire,
+} from "./stand_in_wire.ts";
+
+const ENGINES = serviceId("engines");
+const LOOKUPS = serviceId("lookups");
+const HOST = "desk.example";
+const READY = 200;
+/** Between two questions for readiness, in milliseconds. */
+const READY_POLL = 20;
+
+/** How large a cluster is. */
+export interface RelayClusterSize {
+  readonly nodes: number;
+  readonly engines: number;
+  /** Adapters that fit on an engine. */
+  readonly slots: number;
+  /** From a planned stop's begin to its end by force. */
+  readonly grace?: Duration;
+}
+
+/** A caller's answer. */
+export interface RelayAnswer {
+  readonly status: number;
+  readonly body: string;
+}
+
+/** Relays in this process, on stand-ins of all that they run on. */
+export class RelayCluster {
+  readonly store = new StandInStore();
+  readonly engines = new Map<string, StandInEngine>();
+  readonly daemons: RelayDaemon[] = [];
+  readonly #size: RelayClusterSize;
+  readonly #lookups: Server;
+  #requests = 0;
+
+  private constructor(size: RelayClusterSize) {
+    this.#size = size;
+    this.#lookups = createServer((request, response) => {
+      request.resume();
+      response.setHeader("x-id", String(request.headers["x-id"]));
+      response.setHeader("x-seal", "s");
+      response.end(`looked up ${request.url}`);
+    });
+  }
+
+  /**
+   * Starts a cluster, and waits until its nodes are ready.
+   * @param size Its size.
+   * @returns The cluster.
+   */
+  static async start(size: RelayClusterSize): Promise<RelayCluster> {
+    const cluster = new RelayCluster(size);
+    cluster.store.configure(configuration(1, size.slots));
+    await cluster.#startServers();
+    for (let index = 1; index <= size.nodes; index += 1) {
+      await cluster.addNode(`node-${index}`);
+    }
+    return cluster;
+  }
+
+  /**
+   * Starts a node, and waits until it is ready.
+   * @param id Its id.
+   * @returns The node.
+   */
+  async addNode(id: string): Promise<RelayDaemon> {
+    const settings = parseRelaySettings(
+      settingsText(id, this.#size.grace ?? seconds(8)),
+      `${id}.ini`,
+    );
+    if (settings.isErr()) throw new Error(JSON.stringify(settings.error));
+    const daemon = new RelayDaemon(settings.value, {
+      log: new StandInLog(this.store),
+      wire: new StandInWire(),
+      control: new StandInControl(this.engines),
+      operations: new StandInOperations(),
+    }, new LoggerFactory("json", 0, () => undefined));
+    await daemon.start();
+    this.daemons.push(daemon);
+    while (!await this.isReady(daemon)) await sleep(READY_POLL);
+    return daemon;
+  }
+
+  /**
+   * Asks a node whether it is ready.
+   * @param daemon The node.
+   * @returns Whether it says so.
+   */
+  async isReady(daemon: RelayDaemon): Promise<boolean> {
+    const { statusCode, body } = await send(
+      `http://${daemon.readinessAddress}/readiness`,
+      { reset: true },
+    );
+    await body.dump();
+    return statusCode === READY;
+  }
+
+  /**
+   * Asks a node where callers may connect.
+   * @param daemon The node.
+   * @returns The addresses that it names.
+   */
+  async addresses(daemon: RelayDaemon): Promise<readonly string[]> {
+    const { body } = await send(
+      `http://${daemon.readinessAddress}/addresses`,
+      { reset: true },
+    );
+    return await body.json() as readonly string[];
+  }
+
+  /**
+   * Asks for a generation with an adapter.
+   * @param daemon The node that is asked.
+   * @param adapter The adapter.
+   * @returns The answer; its body has an event for each piece.
+   */
+  generate(daemon: RelayDaemon, adapter: string): Promise<RelayAnswer> {
+    return this.#call(daemon, "/drafts/new", { "x-adapter": adapter });
+  }
+
+  /**
+   * Asks the plain service.
+   * @param daemon The node that is asked.
+   * @returns The answer.
+   */
+  lookUp(daemon: RelayDaemon): Promise<RelayAnswer> {
+    return this.#call(daemon, "/lookups/slots", {});
+  }
+
+  /**
+   * Puts another version of the configuration in force, without the lookups.
+   * @param version The version.
+   */
+  withoutLookups(version: number): void {
+    const { routes, ...rest } = configuration(version, this.#size.slots);
+    this.store.configure({
+      ...rest,
+      routes: routes.filter((route) => route.name !== "lookups"),
+    });
+  }
+
+  /** Ends everything. */
+  async stop(): Promise<void> {
+    await Promise.all(this.daemons.map((daemon) => daemon.stop()));
+    for (const engine of this.engines.values()) engine.close();
+    this.#lookups.close();
+    this.#lookups.closeAllConnections();
+  }
+
+  async #startServers(): Promise<void> {
+    for (let index = 1; index <= this.#size.engines; index += 1) {
+      const engine = new StandInEngine(`engine-${index}`, this.#size.slots);
+      this.engines.set(engine.id, engine);
+      this.store.register({
+        id: engine.id,
+        service: ENGINES,
+        address: await engine.listen(),
+        models: [{ model: STAND_IN_MODEL, adapters: new Map() }],
+      });
+    }
+    await new Promise<void>((resolve) => {
+      this.#lookups.listen(0, "127.0.0.1", resolve);
+    });
+    const { port } = this.#lookups.address() as AddressInfo;
+    this.store.register({
+      id: "lookup-1",
+      service: LOOKUPS,
+      address: `127.0.0.1:${port}`,
+    });
+  }
+
+  async #call(
+    daemon: RelayDaemon,
+    path: string,
+    headers: Readonly<Record<string, string>>,
+  ): Promise<RelayAnswer> {
+    this.#requests += 1;
+    const { statusCode, body } = await send(
+      `http://${daemon.callerAddress}${path}`,
+      {
+        method: "POST",
+        headers: { host: HOST, "x-id": `r${this.#requests}`, ...headers },
+        reset: true,
+      },
+    );
+    return { status: statusCode, body: await body.text() };
+  }
+}
+
+function configuration(version: number, slots: number): RelayConfiguration {
+  const base = {
+    host: HOST,
+    resumable: false,
+    attempts: 2,
+    timeLimit: seconds(10),
+    target: milliseconds(800),
+    priority: 0,
+  };
+  return {
+    version,
+    routes: [
+      {
+        ...base,
+        name: "drafts",
+        pathPrefix: "/drafts/",
+        repeatable: false,
+        streams: true,
+        targets: [{ service: ENGINES, weight: 1 }],
+      },
+      {
+        ...base,
+        name: "lookups",
+        pathPrefix: "/lookups/",
+        repeatable: true,
+        streams: false,
+        targets: [{ service: LOOKUPS, weight: 1 }],
+      },
+    ],
+    services: [
+      { id: LOOKUPS, connectionLimit: 50 },
+      {
+        id: ENGINES,
+        connectionLimit: 50,
+        engine: {
+          models: [
+            { model: STAND_IN_MODEL, megabytes: 1, adapterMegabytes: 1 },
+          ],
+          megabytes: 100,
+          adapterSlots: slots,
+        },
+      },
+    ],
+    limits: {
+      headerBytes: 8_192,
+      bodyBytes: 100_000,
+      headerTime: seconds(5),
+      idleTime: seconds(15),
+    },
+  };
+}
+
+function settingsText(id: string, grace: Duration): string {
+  const address = "127.0.0.1:0";
+  return [
+    "[node]",
+    `id = ${id}`,
+    "failure_domain = domain-a",
+    "[listen]",
+    ...["callers", "readiness", "addresses", "peers", "metrics"]
+      .map((name) => `${name} = ${address}`),
+    "[platform]",
+    "store = 127.0.0.1:1",
+    "[retries]",
+    "share = 0.2",
+    "reserve = 50",
+    "window_seconds = 10",
+    "[engines]",
+    "lease_milliseconds = 3000",
+    "[stop]",
+    `grace_seconds = ${grace / 1_000}`,
+    "[addresses]",
+    "longest_lifetime_seconds = 5",
+  ].join("\n");
+}
--- /dev/null
+++ b/packages/bench/src/relay/stand_in_log.ts
@@ -0,0 +1,219 @@
+import {
+  backendServerId,
+  type Failure,
+  failureDomainId,
+  logOffset,
+  type RegisteredServer,
+  type RelayConfiguration,
+  type ServiceId,
+} from "@foxtailwind/core";
+import {
+  type ClaimRecord,
+  type NodeRecord,
+  SharedLog,
+  type SharedLogListener,
+} from "@foxtailwind/node/relay";
+import { err, ok, type Result } from "neverthrow";
+
+const FAILURE: Failure = {
+  reason: "unavailable",
+  step: "read_log",
+  peer: "store",
+  message: "The stand-in of the store is down.",
+  outcome: "not_run",
+};
+
+/** A backend server as the stand-in's registry has it. */
+export interface StandInServer {
+  readonly id: string;
+  readonly service: ServiceId;
+  /** IP literal and port. */
+  readonly address: string;
+  readonly models?: RegisteredServer["models"];
+  readonly leaving?: boolean;
+}
+
+/** What the platform's store holds, for all nodes of one process. */
+export class StandInStore {
+  readonly #logs = new Set<StandInLog>();
+  readonly #servers = new Map<string, RegisteredServer>();
+  readonly #claims: ClaimRecord[] = [];
+  readonly #nodes: NodeRecord[] = [];
+  #configuration: RelayConfiguration | undefined;
+  #registryEnd = 0;
+  /** Whether calls are answered. */
+  isUp = true;
+
+  /** The claims, in their order. */
+  get claims(): readonly ClaimRecord[] {
+    return this.#claims;
+  }
+
+  /**
+   * Names a configuration.
+   * @param configuration The whole configuration.
+   */
+  configure(configuration: RelayConfiguration): void {
+    this.#configuration = configuration;
+    this.#publish((listener) => {
+      listener.configuration(configuration);
+    });
+  }
+
+  /**
+   * Adds a server to the registry, or changes its entry.
+   * @param server The server.
+   */
+  register(server: StandInServer): void {
+    const id = backendServerId(server.id);
+    const entry: RegisteredServer = {
+      id,
+      service: server.service,
+      address: server.address,
+      failureDomain: failureDomainId("domain-a"),
+      leaving: server.leaving ?? false,
+      slots: 16,
+      models: server.models ?? [],
+      orderCount: 0,
+    };
+    this.#servers.set(server.id, entry);
+    this.#registryEnd += 1;
+    const offset = logOffset(this.#registryEnd);
+    this.#publish((listener) => {
+      listener.registryEntry({ kind: "present", offset, server: entry });
+    });
+  }
+
+  /**
+   * Takes a server out of the registry.
+   * @param id The server's id.
+   */
+  unregister(id: string): void {
+    this.#servers.delete(id);
+    this.#registryEnd += 1;
+    const offset = logOffset(this.#registryEnd);
+    this.#publish((listener) => {
+      listener.registryEntry({
+        kind: "gone",
+        offset,
+        id: backendServerId(id),
+      });
+    });
+  }
+
+  /**
+   * Adds claims where the log ends at an offset.
+   * @param claims The claims.
+   * @param end The offset.
+   * @returns Whether it did.
+   */
+  appendClaims(claims: readonly ClaimRecord[], end: number): boolean {
+    if (end !== this.#claims.length) return false;
+    for (const claim of claims) {
+      this.#claims.push(claim);
+      const offset = logOffset(this.#claims.length - 1);
+      this.#publish((listener) => {
+        listener.claim(claim, offset);
+      });
+    }
+    return true;
+  }
+
+  /**
+   * Makes a node known.
+   * @param node The node.
+   */
+  appendNode(node: NodeRecord): void {
+    this.#nodes.push(node);
+    this.#publish((listener) => {
+      listener.node(node);
+    });
+  }
+
+  /**
+   * Tells a node all that is there, and what comes from now on.
+   * @param log The node's log.
+   * @param listener Takes it.
+   */
+  attach(log: StandInLog, listener: SharedLogListener): void {
+    this.#logs.add(log);
+    if (this.#configuration !== undefined) {
+      listener.configuration(this.#configuration);
+    }
+    const offset = logOffset(this.#registryEnd);
+    const entries = [...this.#servers.values()].map((server) =>
+      ({ kind: "present", offset, server }) as const
+    );
+    listener.registryListed(entries, offset);
+    for (const [index, claim] of this.#claims.entries()) {
+      listener.claim(claim, logOffset(index));
+    }
+    for (const node of this.#nodes) listener.node(node);
+  }
+
+  /**
+   * Tells a node no more.
+   * @param log The node's log.
+   */
+  detach(log: StandInLog): void {
+    this.#logs.delete(log);
+  }
+
+  #publish(tell: (listener: SharedLogListener) => void): void {
+    for (const log of this.#logs) log.deliver(tell);
+  }
+}
+
+/** Between two looks whether the store still answers, in milliseconds. */
+const POLL_MILLISECONDS = 100;
+
+/** One node's view of the stand-in of the store. */
+export class StandInLog extends SharedLog {
+  readonly #store: StandInStore;
+  #listener: SharedLogListener | undefined;
+  #timer: NodeJS.Timeout | undefined;
+
+  /** @param store The store. */
+  constructor(store: StandInStore) {
+    super();
+    this.#store = store;
+  }
+
+  override start(listener: SharedLogListener): void {
+    this.#listener = listener;
+    this.#store.attach(this, listener);
+    listener.reached();
+    this.#timer = setInterval(() => {
+      if (this.#store.isUp) listener.reached();
+      else listener.failed(FAILURE);
+    }, POLL_MILLISECONDS);
+  }
+
+  override claim(
+    claims: readonly ClaimRecord[],
+  ): Promise<Result<boolean, Failure>> {
+    if (!this.#store.isUp) return Promise.resolve(err(FAILURE));
+    const end = this.#store.claims.length;
+    return Promise.resolve(ok(this.#store.appendClaims(claims, end)));
+  }
+
+  override announce(node: NodeRecord): Promise<Result<boolean, Failure>> {
+    if (!this.#store.isUp) return Promise.resolve(err(FAILURE));
+    this.#store.appendNode(node);
+    return Promise.resolve(ok(true));
+  }
+
+  override stop(): void {
+    clearInterval(this.#timer);
+    this.#store.detach(this);
+    this.#listener = undefined;
+  }
+
+  /**
+   * Takes news of the store.
+   * @param tell Tells it to whoever listens.
+   */
+  deliver(tell: (listener: SharedLogListener) => void): void {
+    if (this.#listener !== undefined) tell(this.#listener);
+  }
+}
--- a/packages/node/tests/relay/helpers/test_wire.ts
+++ b/packages/bench/src/relay/stand_in_wire.ts
@@ -1,7 +1,9 @@
 import { adapterId, milliseconds, modelId, requestId } from "@foxtailwind/core";
 import {
+  type AddressQuestion,
   type AnswerFacts,
   type CallerRequest,
+  OperationsWire,
   RelayWire,
   type SendTerms,
 } from "@foxtailwind/node/relay";
@@ -10,11 +12,11 @@
 
 type Headers = Readonly<Record<string, string | string[] | undefined>>;
 
-/** The one model of the tests' engines. */
-export const TEST_MODEL = modelId("m");
+/** The one model of the stand-ins of engines. */
+export const STAND_IN_MODEL = modelId("m");
 
-/** A wire of the tests' own. */
-export class TestWire extends RelayWire {
+/** A wire of the stand-ins: headers that begin with `x-`. */
+export class StandInWire extends RelayWire {
   override readRequest(
     headers: IncomingHttpHeaders,
   ): Result<CallerRequest, string> {
@@ -30,7 +32,7 @@
       ...(typeof adapter === "string"
         ? {
           use: {
-            model: TEST_MODEL,
+            model: STAND_IN_MODEL,
             adapter: adapterId(adapter),
             promptTokens: 10,
             outputTokens: 10,
@@ -63,3 +65,20 @@
     };
   }
 }
+
+/** How the stand-ins ask a node for its readiness and for addresses. */
+export class StandInOperations extends OperationsWire {
+  override readonly readinessPath = "/readiness";
+  override readonly addressesPath = "/addresses";
+
+  override readQuestion(
+    query: Readonly<Record<string, string | undefined>>,
+  ): AddressQuestion {
+    const failureDomain = query["domain"];
+    return failureDomain === undefined ? {} : { failureDomain };
+  }
+
+  override writeAddresses(addresses: readonly string[]): string {
+    return JSON.stringify(addresses);
+  }
+}
--- /dev/null
+++ b/packages/bench/tests/relay/relay_cluster_test.ts
@@ -0,0 +1,123 @@
+import { RelayCluster } from "@foxtailwind/bench";
+import { seconds } from "@foxtailwind/core";
+import type { RelayDaemon } from "@foxtailwind/node/relay";
+import test, { type ExecutionContext } from "ava";
+import { setTimeout as sleep } from "node:timers/promises";
+
+const EVENTS = 5;
+
+async function start(t: ExecutionContext, nodes: number) {
+  const cluster = await RelayCluster.start({
+    nodes,
+    engines: 2,
+    slots: 3,
+    grace: seconds(6),
+  });
+  t.teardown(() => cluster.stop());
+  return cluster;
+}
+
+function nodeOf(cluster: RelayCluster, index: number): RelayDaemon {
+  const daemon = cluster.daemons[index];
+  if (daemon === undefined) throw new RangeError(`There is no node ${index}.`);
+  return daemon;
+}
+
+/** Waits for what nodes learn from one another. */
+async function until(isSo: () => boolean | Promise<boolean>): Promise<void> {
+  while (!await isSo()) await sleep(20);
+}
+
+async function untilOwned(cluster: RelayCluster): Promise<void> {
+  await until(() => {
+    const owned = cluster.store.claims.map((claim) => claim.engine);
+    return new Set(owned).size === cluster.engines.size;
+  });
+}
+
+test("each node serves lookups and generations, with adapters brought on demand", async (t) => {
+  const cluster = await start(t, 3);
+  await untilOwned(cluster);
+  for (const [index, daemon] of cluster.daemons.entries()) {
+    t.is((await cluster.lookUp(daemon)).body, "looked up /lookups/slots");
+    for (const adapter of [`a${index}`, "shared"]) {
+      await until(async () => {
+        const { status, body } = await cluster.generate(daemon, adapter);
+        if (status === 503) return false;
+        t.is(status, 200);
+        t.is(body.split(`data: ${adapter}\n`).length - 1, EVENTS);
+        return true;
+      });
+    }
+  }
+  for (const engine of cluster.engines.values()) {
+    t.false(engine.adapters.isOverfull);
+    t.is(new Set(engine.runs).size, engine.runs.length, "Nothing ran twice.");
+  }
+});
+
+test("more adapters than fit take turns, and no engine is overfull", async (t) => {
+  const cluster = await start(t, 2);
+  await untilOwned(cluster);
+  const node = nodeOf(cluster, 0);
+  const adapters = Array.from({ length: 12 }, (_, index) => `a${index}`);
+  const served = await Promise.all(adapters.map(async (adapter) => {
+    let answer = await cluster.generate(node, adapter);
+    while (answer.status === 503) {
+      await sleep(50);
+      answer = await cluster.generate(node, adapter);
+    }
+    return answer.body.split(`data: ${adapter}\n`).length - 1;
+  }));
+  t.deepEqual(served, adapters.map(() => EVENTS));
+  for (const engine of cluster.engines.values()) {
+    t.false(engine.adapters.isOverfull);
+  }
+});
+
+test("a configuration is in force at every node, and a store that is down changes nothing", async (t) => {
+  const cluster = await start(t, 2);
+  cluster.withoutLookups(2);
+  for (const daemon of cluster.daemons) {
+    t.is((await cluster.lookUp(daemon)).status, 404);
+  }
+  await untilOwned(cluster);
+  cluster.store.isUp = false;
+  await sleep(300);
+  t.true(await cluster.isReady(nodeOf(cluster, 0)));
+  t.is((await cluster.lookUp(nodeOf(cluster, 1))).status, 404);
+});
+
+test("a node that stops leaves the addresses, ends nothing midway, and others own its engines", async (t) => {
+  const cluster = await start(t, 2);
+  await untilOwned(cluster);
+  const [leaving, staying] = [nodeOf(cluster, 0), nodeOf(cluster, 1)];
+  await until(async () => (await cluster.addresses(staying)).length === 2);
+  const before = cluster.store.claims.length;
+  const running = Promise.all(
+    ["a1", "a2", "a3"].map((adapter) => cluster.generate(leaving, adapter)),
+  );
+  const stopped = leaving.stop();
+  t.false(await cluster.isReady(leaving));
+  await until(async () =>
+    !(await cluster.addresses(staying)).includes(leaving.callerAddress)
+  );
+  for (const { status, body } of await running) {
+    t.true(
+      status === 503 || body.split("data: ").length - 1 === EVENTS,
+      `${status} ${body}`,
+    );
+  }
+  await stopped;
+  await until(() => {
+    const newest = new Map(
+      cluster.store.claims.map((claim) => [claim.engine, String(claim.owner)]),
+    );
+    return [...newest.values()].every((owner) => owner === "node-2");
+  });
+  t.true(cluster.store.claims.length >= before);
+  await until(async () =>
+    (await cluster.generate(staying, "a1")).status === 200
+  );
+  t.pass();
+});
--- a/packages/node/src/relay/operations_server.ts
+++ b/packages/node/src/relay/operations_server.ts
@@ -1,5 +1,6 @@
 import type { FastifyInstance } from "fastify";
 import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
 import { schemalessFastify } from "../http/schemaless_fastify.ts";
 import type { SocketAddress } from "../settings/settings.ts";
 import type { OperationsWire } from "./operations_wire.ts";
@@ -44,17 +45,20 @@
 
   /**
    * Starts to answer.
-   * @param listen Where.
+   * @param listen Where; places that are the same are listened at once.
+   * @returns The port taken for readiness.
    */
-  async listen(listen: OperationsListen): Promise<void> {
+  async listen(listen: OperationsListen): Promise<number> {
     const fastify = this.#fastify;
     await fastify.ready();
+    const { readiness, addresses, metrics } = listen;
     const places = new Map(
-      Object.values(listen).map((address: SocketAddress) => [
+      [readiness, addresses, metrics].map((address: SocketAddress) => [
         `${address.host}:${address.port}`,
         address,
       ]),
     );
+    const ports: number[] = [];
     for (const address of places.values()) {
       const server = createServer((request, response) => {
         fastify.routing(request, response);
@@ -64,7 +68,9 @@
         server.once("error", reject);
         server.listen(address.port, address.host, resolve);
       });
+      ports.push((server.address() as AddressInfo).port);
     }
+    return ports[0] ?? 0;
   }
 
   /** Stops to answer. */
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -71,6 +71,9 @@
   readonly #heardNodes = new Map<string, Instant>();
   #refreshTimer: NodeJS.Timeout | undefined;
   #lastRequestAt: Instant;
+  #peerPort = 0;
+  #callerPort = 0;
+  #operationsPort = 0;
   #isListening = false;
   #plannedStop: PlannedStop | undefined;
 
@@ -142,20 +145,34 @@
     };
   }
 
+  /** Where callers reach this node, once it has started. */
+  get callerAddress(): string {
+    return `${this.#settings.listen.callers.host}:${this.#callerPort}`;
+  }
+
+  /** Where readiness is asked, once it has started. */
+  get readinessAddress(): string {
+    return `${this.#settings.listen.readiness.host}:${this.#operationsPort}`;
+  }
+
   /** Starts all parts. */
   async start(): Promise<void> {
     const { callers, peers, readiness, addresses, metrics } =
       this.#settings.listen;
     this.#edges.log.start(this.#knowledge);
-    await this.#peerServer.listen(peers);
-    await this.#front.listen(callers);
+    this.#peerPort = await this.#peerServer.listen(peers);
+    this.#callerPort = await this.#front.listen(callers);
     this.#isListening = true;
     this.#exchange.start();
     void this.#announce();
     this.#refreshTimer = setInterval(() => {
       this.#refresh();
     }, REFRESH_MILLISECONDS);
-    await this.#operations.listen({ readiness, addresses, metrics });
+    this.#operationsPort = await this.#operations.listen({
+      readiness,
+      addresses,
+      metrics,
+    });
     this.#logger.info("Started.", {
       node: this.#settings.node.id,
       incarnation: this.#incarnation,
@@ -262,6 +279,10 @@
     return count;
   }
 
+  get #peerAddress(): string {
+    return `${this.#settings.listen.peers.host}:${this.#peerPort}`;
+  }
+
   get #isLeaving(): boolean {
     return this.#plannedStop !== undefined;
   }
@@ -283,12 +304,12 @@
   }
 
   #digest(): NodeDigest {
-    const { node, listen } = this.#settings;
+    const { node } = this.#settings;
     return {
       node: node.id,
       incarnation: this.#incarnation,
-      address: `${listen.peers.host}:${listen.peers.port}`,
-      callerAddress: `${listen.callers.host}:${listen.callers.port}`,
+      address: this.#peerAddress,
+      callerAddress: this.callerAddress,
       failureDomain: node.failure_domain,
       isReady: this.#isReady(),
       isLeaving: this.#isLeaving,
@@ -297,11 +318,10 @@
   }
 
   async #announce(): Promise<void> {
-    const { node, listen } = this.#settings;
     const record = {
-      id: node.id,
+      id: this.#settings.node.id,
       incarnation: this.#incarnation,
-      address: `${listen.peers.host}:${listen.peers.port}`,
+      address: this.#peerAddress,
     };
     for (;;) {
       const added = await this.#edges.log.announce(record);
--- a/packages/node/tests/relay/engine_owner_test.ts
+++ b/packages/node/tests/relay/engine_owner_test.ts
@@ -45,7 +45,7 @@
     logger,
   });
   const control = new ScriptedEngine(slots);
-  control.models = [MODEL];
+  control.adapters.models = [MODEL];
   const terms = {
     models: [{ model: MODEL, megabytes: 1, adapterMegabytes: 1 }],
     megabytes: 10,
@@ -95,7 +95,7 @@
   release(first);
   const second = await use(owner, "b");
   t.is(second.kind, "granted");
-  t.deepEqual([...control.held], ["b"]);
+  t.deepEqual([...control.adapters.held], ["b"]);
   t.true(control.orders.every((order) => order.fence === 5 as never));
   owner.stop();
 });
@@ -111,7 +111,7 @@
 
 test("a new owner that has to wait grants what the engine holds, and sends others away at once", async (t) => {
   const { owner, control, claim } = setUp();
-  control.held.add("a");
+  control.adapters.held.add(adapterId("a"));
   claim("node-1", 4, 60_000);
   void owner.pump();
   while (owner.digest.adapters.length === 0) {
@@ -132,8 +132,8 @@
     const answer = await use(owner, "a");
     t.is(answer.kind, "granted", fate);
     control.carryOutLate();
-    t.deepEqual([...control.held], ["a"]);
-    t.is(control.count, 1, fate);
+    t.deepEqual([...control.adapters.held], ["a"]);
+    t.is(control.adapters.count, 1, fate);
     owner.stop();
   }
 });
@@ -153,8 +153,8 @@
     release(await use(owner, adapter));
     control.carryOutLate();
   }
-  t.false(control.isOverfull);
-  t.true(control.held.size <= 2);
+  t.false(control.adapters.isOverfull);
+  t.true(control.adapters.held.size <= 2);
   owner.stop();
 });
 
@@ -162,10 +162,10 @@
   const { owner, control, claim } = setUp();
   claim("node-1", 4);
   const waiting = use(owner, "a");
-  while (control.held.size === 0) {
+  while (control.adapters.held.size === 0) {
     await new Promise((resolve) => setTimeout(resolve, 5));
   }
-  control.count += 1;
+  control.adapters.count += 1;
   t.is((await waiting).kind, "granted");
   t.is((await use(owner, "b")).kind, "granted");
   owner.stop();
@@ -190,7 +190,7 @@
 test("a refused fencing number is not used again", async (t) => {
   const { owner, control, claim } = setUp();
   claim("node-1", 4);
-  control.highestFence = 9;
+  control.adapters.highestFence = 9;
   const answer = await use(owner, "a", 400);
   t.not(answer.kind, "granted");
   t.is(control.orders.length, 1);
--- a/packages/node/tests/relay/helpers/relay_world.ts
+++ b/packages/node/tests/relay/helpers/relay_world.ts
@@ -1,3 +1,4 @@
+import { STAND_IN_MODEL, StandInWire } from "@foxtailwind/bench";
 import {
   backendServerId,
   CallerPatience,
@@ -36,7 +37,6 @@
 import { request as send } from "undici";
 import { relaySettings } from "./relay_settings.ts";
 import { ScriptedEngine } from "./scripted_engine.ts";
-import { TEST_MODEL, TestWire } from "./test_wire.ts";
 
 const SERVICE = serviceId("plain");
 const ENGINES = serviceId("engines");
@@ -129,7 +129,7 @@
       clock,
       logger,
       pools: this.#pools,
-      wire: new TestWire(),
+      wire: new StandInWire(),
       nodes: () => 1,
       patience: new CallerPatience(),
       plannedStop: () => this.stop,
@@ -173,9 +173,13 @@
           id: ENGINES,
           connectionLimit: 100,
           engine: {
-            models: [{ model: TEST_MODEL, megabytes: 1, adapterMegabytes: 1 }],
+            models: [{
+              model: STAND_IN_MODEL,
+              megabytes: 1,
+              adapterMegabytes: 1,
+            }],
             megabytes: 10,
-            adapterSlots: this.control.slots,
+            adapterSlots: this.control.adapters.slots,
           },
         },
       ],
@@ -219,7 +223,7 @@
     wait: Duration,
     answer: RequestListener,
   ): Promise<void> {
-    this.control.models = [TEST_MODEL];
+    this.control.adapters.models = [STAND_IN_MODEL];
     await this.addServer(id, answer, ENGINES);
     this.#offset += 1;
     this.knowledge.claim({
@@ -251,7 +255,7 @@
         leaving: false,
         slots: 4,
         models: service === ENGINES
-          ? [{ model: TEST_MODEL, adapters: new Map() }]
+          ? [{ model: STAND_IN_MODEL, adapters: new Map() }]
           : [],
         orderCount: 0,
       },
--- a/packages/node/tests/relay/helpers/scripted_engine.ts
+++ b/packages/node/tests/relay/helpers/scripted_engine.ts
@@ -1,4 +1,5 @@
-import type { Failure, ModelId } from "@foxtailwind/core";
+import { OrderedAdapters } from "@foxtailwind/bench";
+import type { Failure } from "@foxtailwind/core";
 import {
   EngineControl,
   type EngineOrder,
@@ -27,15 +28,8 @@
 
 /** An engine that counts its orders and checks what they expect. */
 export class ScriptedEngine extends EngineControl {
-  readonly slots: number;
-  readonly held = new Set<string>();
-  readonly inUse = new Set<string>();
   readonly orders: EngineOrder[] = [];
-  models: readonly ModelId[] = [];
-  count = 0;
-  highestFence = 0;
-  /** Whether it was ever ordered to hold more than fits. */
-  isOverfull = false;
+  readonly adapters: OrderedAdapters;
   isDown = false;
   nextFates: OrderFate[] = [];
   readonly #late: EngineOrder[] = [];
@@ -43,7 +37,7 @@
   /** @param slots How many adapters fit. */
   constructor(slots: number) {
     super();
-    this.slots = slots;
+    this.adapters = new OrderedAdapters(slots);
   }
 
   override async order(
@@ -56,54 +50,18 @@
     const fate = this.nextFates.shift() ?? "answered";
     if (fate === "late") this.#late.push(order);
     if (fate === "late" || fate === "lost") return { kind: "unknown" };
-    const result = this.#carryOut(order);
+    const result = this.adapters.carryOut(order);
     return fate === "answer_lost" ? { kind: "unknown" } : result;
   }
 
   override async report(): Promise<Result<EngineReport, Failure>> {
     await Promise.resolve();
     if (this.isDown) return err(FAILURE);
-    const model = this.models[0];
-    return ok({
-      models: this.models,
-      adapters: model === undefined ? [] : [...this.held].map((adapter) => ({
-        model,
-        adapter: adapter as never,
-        version: 1,
-      })),
-      incoming: [],
-      isBusy: false,
-      orderCount: this.count,
-    });
+    return ok(this.adapters.report);
   }
 
   /** Carries out what was late. */
   carryOutLate(): void {
-    for (const order of this.#late.splice(0)) this.#carryOut(order);
-  }
-
-  #carryOut(order: EngineOrder): OrderResult {
-    if (order.fence < this.highestFence) return { kind: "fenced" };
-    this.highestFence = order.fence;
-    if (order.expectedOrders !== this.count) return { kind: "conflict" };
-    const { adapter, model } = order;
-    if (adapter === undefined) {
-      this.models = [model];
-      this.count += 1;
-      return { kind: "accepted" };
-    }
-    if (order.kind === "unload") return this.#unload(adapter);
-    if (this.held.has(adapter)) return { kind: "holds" };
-    this.held.add(adapter);
-    this.count += 1;
-    if (this.held.size > this.slots) this.isOverfull = true;
-    return { kind: "accepted" };
-  }
-
-  #unload(adapter: string): OrderResult {
-    if (this.inUse.has(adapter)) return { kind: "conflict" };
-    this.held.delete(adapter);
-    this.count += 1;
-    return { kind: "holds" };
+    for (const order of this.#late.splice(0)) this.adapters.carryOut(order);
   }
 }
