--- a/packages/bench/src/demo/main.ts
+++ b/packages/bench/src/demo/main.ts
@@ -1,6 +1,7 @@
 /**
  * The demonstration: three nodes, engines, a plain service and the platform's
- * stand-ins on loopback, under a skewed load over 3,000 adapters.
+ * stand-ins on loopback, under a skewed load over 3,000 adapters; then relays
+ * by route on stand-ins of the users' platform.
  * @module
  */
 import process from "node:process";
@@ -10,6 +11,7 @@
 import { sendDemoLoad } from "./demo_load.ts";
 import { readDemoMeasures } from "./demo_measures.ts";
 import { formatDemoReport } from "./demo_report.ts";
+import { demonstrateRelay } from "./relay_demo.ts";
 
 const ADAPTERS = 3_000;
 const LOAD_MILLISECONDS = 25_000;
@@ -38,6 +40,8 @@
   durationMilliseconds: LOAD_MILLISECONDS,
   seed: 1,
   onProgress(sent, ended) {
+    // Elsewhere than on a terminal, the report at the end is enough.
+    if (!process.stdout.isTTY) return;
     process.stdout.write(`\rsent ${sent}, answered ${ended}   `);
   },
 });
@@ -50,4 +54,6 @@
   outcomes.filter((outcome) => outcome.status === 200 && !outcome.whole).length;
 process.stdout.write(`Wrong adapter: ${wrong}. Cut off: ${cut}.\n`);
 await cluster.stop();
-process.exitCode = wrong + cut > 0 ? 1 : 0;
+const relay = await demonstrateRelay();
+process.stdout.write(`${relay.text}\n`);
+process.exitCode = wrong + cut + relay.wrong > 0 ? 1 : 0;
