A server that has said that it leaves stays leaving

Found while looking for the cause of a late send to a leaving server, of which it is not the cause: a description written before and read after it made the server ready again. Test first failing.

--- a/packages/core/src/relay/server_registry.ts
+++ b/packages/core/src/relay/server_registry.ts
@@ -10,6 +10,7 @@
   type ModelId,
   type ServiceId,
 } from "../shared/mod.ts";
+import { RecentKeys } from "./recent_keys.ts";
 
 /** A base model on an engine, and the versions of its adapters there. */
 export interface HeldModel {
@@ -69,10 +70,18 @@
  */
 const TOGETHER_TIME = milliseconds(1_000);
 
+/** Servers that leave which are remembered: a day's, at one in 20 s. */
+const MOST_LEFT = 5_000;
+
 /** The backend servers that are there, as far as the registry's log tells. */
 export class ServerRegistry {
   readonly #known = new Map<BackendServerId, Known>();
   readonly #gone = new Map<BackendServerId, LogOffset>();
+  /**
+   * Servers that have said that they leave. What a server wrote before may
+   * stand in the log behind it; the same id never stays after all.
+   */
+  readonly #left = new RecentKeys(MOST_LEFT);
   #disturbedAt: Instant | undefined;
   #removals: Instant[] = [];
   #revision = 0;
@@ -133,7 +142,9 @@
       this.#gone.get(server.id) ?? -1;
     if (offset < newest) return;
     this.#gone.delete(server.id);
-    this.#known.set(server.id, { offset, server });
+    if (server.leaving) this.#left.add(server.id);
+    const leaving = this.#left.has(server.id);
+    this.#known.set(server.id, { offset, server: { ...server, leaving } });
     this.#revision += 1;
   }
 
--- a/packages/core/tests/relay/server_registry_test.ts
+++ b/packages/core/tests/relay/server_registry_test.ts
@@ -109,3 +109,15 @@
   for (const entry of registry.entries) copy.apply(instant(1), entry);
   t.deepEqual(copy.all, registry.all);
 });
+
+test("a server that leaves stays so, whatever an older description says later", (t) => {
+  const registry = new ServerRegistry();
+  const isLeaving = () => registry.find(backendServerId("a"))?.leaving;
+  registry.apply(instant(0), present("a", 1));
+  registry.apply(instant(100), present("a", 2, true));
+  registry.apply(instant(200), present("a", 3));
+  t.true(isLeaving());
+  registry.apply(instant(300), gone("a", 4));
+  registry.apply(instant(400), present("a", 5));
+  t.true(isLeaving(), "Also after its end.");
+});
