A server that vanished is kept no longer than the store's failures allow

Cause, seen in the log of: one node is turned away by the store until 23.5 s; an engine leaves at 24.4 s without a word, only its entry goes; that node alone writes no 'A server has left.', since for 2.5 s after a failed call it takes vanished entries for lapsed ones, and counted 2.5 s from the vanishing: until 27 s. Now it is 2.5 s from the last failure, and 1 s at least: less than the 3 s after which a node counts as reaching the store. Ruled out: a slow read of the registry (the other five nodes wrote the line within 0.4 s), placing (the requests were looked up and sent in 6 ms).

--- a/packages/core/src/relay/server_registry.ts
+++ b/packages/core/src/relay/server_registry.ts
@@ -1,7 +1,6 @@
 import {
   type AdapterId,
   type BackendServerId,
-  type Duration,
   elapsed,
   type FailureDomainId,
   type Instant,
@@ -55,8 +54,9 @@
 }
 
 /**
- * How long a server whose entry vanished beside a disturbance of the store
- * is kept: such entries are back about 2 s after the disturbance.
+ * How long after the last failed call servers whose entries vanished are kept:
+ * they are back about 2 s after the store. A departure is to be followed in
+ * 2 s by those who have reached the store for 3 s.
  */
 const LAPSE_TIME = milliseconds(2_500);
 /** Entries of servers that vanish together count as a disturbance. */
@@ -64,8 +64,8 @@
 /** Over which time servers count as vanishing together. */
 const LAPSE_WINDOW = milliseconds(1_500);
 /**
- * How long servers that vanish together are kept without any other sign of a
- * disturbance. With the time between two reads of the registry it stays below
+ * How long servers that vanish together, or after failed calls, are kept at
+ * least. With the time between two reads of the registry it stays below
  * the 2 s in which a departure has to be followed.
  */
 const TOGETHER_TIME = milliseconds(1_000);
@@ -188,12 +188,7 @@
     if (this.#isDisturbed(now)) return;
     for (const [id, { lapsedAt, offset }] of this.#known) {
       if (lapsedAt === undefined) continue;
-      const since = Math.max(lapsedAt, this.#disturbedAt ?? lapsedAt);
-      const wait: Duration = this.#disturbedAt === undefined ||
-          this.#disturbedAt < lapsedAt - LAPSE_TIME
-        ? TOGETHER_TIME
-        : LAPSE_TIME;
-      if (now - since >= wait) this.#drop(id, offset);
+      if (elapsed(lapsedAt, now) >= TOGETHER_TIME) this.#drop(id, offset);
     }
   }
 
--- a/packages/core/tests/relay/server_registry_test.ts
+++ b/packages/core/tests/relay/server_registry_test.ts
@@ -121,3 +121,18 @@
   registry.apply(instant(400), present("a", 5));
   t.true(isLeaving(), "Also after its end.");
 });
+
+test("a server that vanishes after the failures is kept no longer than after the last one", (t) => {
+  const registry = new ServerRegistry();
+  for (const id of ["a", "b", "c"]) registry.apply(instant(0), present(id, 1));
+  registry.disturbed(instant(1_000));
+  registry.apply(instant(1_900), gone("a", 2));
+  registry.expire(instant(2_700));
+  t.deepEqual(ids(registry), ["a", "b", "c"]);
+  registry.expire(instant(3_500));
+  t.deepEqual(ids(registry), ["b", "c"], "2.5 s after the last failure");
+  registry.apply(instant(3_450), gone("b", 3));
+  t.deepEqual(ids(registry), ["b", "c"], "A moment before that time ends.");
+  registry.expire(instant(4_450));
+  t.deepEqual(ids(registry), ["c"], "1 s after it vanished");
+});
