--- a/packages/bench/src/relay/relay_cluster.ts
+++ b/packages/bench/src/relay/relay_cluster.ts
@@ -149,14 +149,15 @@
   }
 
   /**
-   * Puts another version of the configuration in force, without the lookups.
+   * Names another version of the configuration.
    * @param version The version.
+   * @param hasLookups Whether it has the route of the plain service.
    */
-  withoutLookups(version: number): void {
+  configure(version: number, hasLookups: boolean): void {
     const { routes, ...rest } = configuration(version, this.#size.slots);
     this.store.configure({
       ...rest,
-      routes: routes.filter((route) => route.name !== "lookups"),
+      routes: routes.filter((route) => hasLookups || route.name !== "lookups"),
     });
   }
 
--- a/packages/bench/src/relay/stand_in_log.ts
+++ b/packages/bench/src/relay/stand_in_log.ts
@@ -23,6 +23,9 @@
   outcome: "not_run",
 };
 
+/** Tells a node something that the store holds. */
+type News = (listener: SharedLogListener) => void;
+
 /** A backend server as the stand-in's registry has it. */
 export interface StandInServer {
   readonly id: string;
@@ -41,7 +44,7 @@
   readonly #nodes: NodeRecord[] = [];
   #configuration: RelayConfiguration | undefined;
   #registryEnd = 0;
-  /** Whether calls are answered. */
+  /** Whether calls are answered, and what changes is told. */
   isUp = true;
 
   /** The claims, in their order. */
@@ -159,7 +162,7 @@
     this.#logs.delete(log);
   }
 
-  #publish(tell: (listener: SharedLogListener) => void): void {
+  #publish(tell: News): void {
     for (const log of this.#logs) log.deliver(tell);
   }
 }
@@ -170,6 +173,8 @@
 /** One node's view of the stand-in of the store. */
 export class StandInLog extends SharedLog {
   readonly #store: StandInStore;
+  /** News that came while the store was down. */
+  readonly #held: News[] = [];
   #listener: SharedLogListener | undefined;
   #timer: NodeJS.Timeout | undefined;
 
@@ -184,8 +189,12 @@
     this.#store.attach(this, listener);
     listener.reached();
     this.#timer = setInterval(() => {
-      if (this.#store.isUp) listener.reached();
-      else listener.failed(FAILURE);
+      if (!this.#store.isUp) {
+        listener.failed(FAILURE);
+        return;
+      }
+      for (const tell of this.#held.splice(0)) tell(listener);
+      listener.reached();
     }, POLL_MILLISECONDS);
   }
 
@@ -210,10 +219,11 @@
   }
 
   /**
-   * Takes news of the store.
+   * Takes news of the store, for when it answers.
    * @param tell Tells it to whoever listens.
    */
-  deliver(tell: (listener: SharedLogListener) => void): void {
-    if (this.#listener !== undefined) tell(this.#listener);
+  deliver(tell: News): void {
+    if (!this.#store.isUp) this.#held.push(tell);
+    else if (this.#listener !== undefined) tell(this.#listener);
   }
 }
--- a/packages/bench/tests/relay/relay_cluster_test.ts
+++ b/packages/bench/tests/relay/relay_cluster_test.ts
@@ -75,17 +75,24 @@
   }
 });
 
-test("a configuration is in force at every node, and a store that is down changes nothing", async (t) => {
+test("a configuration is in force at every node, also after an outage of the store", async (t) => {
   const cluster = await start(t, 2);
-  cluster.withoutLookups(2);
+  cluster.configure(2, false);
   for (const daemon of cluster.daemons) {
     t.is((await cluster.lookUp(daemon)).status, 404);
   }
-  await untilOwned(cluster);
   cluster.store.isUp = false;
+  cluster.configure(3, true);
   await sleep(300);
-  t.true(await cluster.isReady(nodeOf(cluster, 0)));
-  t.is((await cluster.lookUp(nodeOf(cluster, 1))).status, 404);
+  for (const daemon of cluster.daemons) {
+    t.true(await cluster.isReady(daemon), "It serves what it knows.");
+    t.is((await cluster.lookUp(daemon)).status, 404);
+  }
+  cluster.store.isUp = true;
+  for (const daemon of cluster.daemons) {
+    await until(async () => (await cluster.lookUp(daemon)).status === 200);
+  }
+  t.pass();
 });
 
 test("a node that stops leaves the addresses, ends nothing midway, and others own its engines", async (t) => {
