--- a/packages/node/src/relay/answer_passage.ts
+++ b/packages/node/src/relay/answer_passage.ts
@@ -176,8 +176,8 @@
   }
 
   /**
-   * Whether the end that came shows that the answer is whole: without a length,
-   * it is the caller that has to know that it can't tell.
+   * Whether the caller may be told that the answer is whole. The end of a
+   * connection proves that to nobody, so it may only be passed on as such.
    */
   get isKnownWhole(): boolean {
     return !this.#isOpenEnded || this.#isPassedOpenEnded;
@@ -220,7 +220,7 @@
   /** Ends an answer that can't be completed, so that it doesn't look whole. */
   breakOff(): void {
     const { socket } = this.#response;
-    // To a caller that waits for the connection's end, only a reset is none.
+    // Where the connection's end is the answer's, only a reset tells a failure.
     if (this.#isPassedOpenEnded && socket !== null) socket.resetAndDestroy();
     else this.#response.destroy();
   }
