Explanations come in the order of nodes; a halted node follows no peer

'A request is explained from every node' : the order was that of the directory, which depends on who was heard first; now it is the nodes' own. 'Status names corrupt records' waited 30 s for both nodes to name the log as their source; supposed cause, read in the code: a node that is halted by a record read beside a peer keeps the peer's name, for good.

--- a/packages/node/src/configuration/configuration_follower.ts
+++ b/packages/node/src/configuration/configuration_follower.ts
@@ -109,6 +109,8 @@
   async run(): Promise<void> {
     while (!this.#stopped) {
       if (this.store.reader.halt !== undefined) {
+        // Whoever passed the record on, the log has it, and nobody is followed.
+        this.#source = LOG_NAME;
         await sleep(HALTED_MILLISECONDS, undefined, { ref: false });
         continue;
       }
--- a/packages/node/src/telemetry/deployment_telemetry.ts
+++ b/packages/node/src/telemetry/deployment_telemetry.ts
@@ -80,7 +80,8 @@
   /**
    * Collects what the nodes saw of a request.
    * @param request The request.
-   * @returns The explanations, the asked node's own first.
+   * @returns The explanations, the asked node's own first, then in the order
+   * of the nodes' ids.
    */
   async explain(request: RequestId): Promise<CollectedExplanation> {
     const answers = await this.#peers.collect<telemetry.ExplainAnswer>(
@@ -92,7 +93,7 @@
       answer.answered && answer.answer.explanation !== undefined
         ? [{ node: answer.node, explanation: answer.answer.explanation }]
         : []
-    );
+    ).toSorted((left, right) => left.node < right.node ? -1 : 1);
     const found = own === undefined ? explanations : [
       { node: this.#self, explanation: toExplanationMessage(own) },
       ...explanations,
--- a/packages/node/tests/configuration/spread_test.ts
+++ b/packages/node/tests/configuration/spread_test.ts
@@ -195,6 +195,25 @@
   t.is(targetAt(node), 700);
 });
 
+test("a node that is halted follows no peer any more", async (t) => {
+  const cluster = await startCluster(t, { nodes: 2, domains: 1 });
+  await until(() =>
+    cluster.nodes.some(({ daemon }) => daemon.follower.source !== "log")
+  );
+  await first(cluster).daemon.log.append(CONFIGURATION_STREAM, [
+    `{"format":2}`,
+  ]);
+  await until(() =>
+    cluster.nodes.every(({ daemon }) =>
+      daemon.follower.store.reader.halt !== undefined
+    )
+  );
+  await until(() =>
+    cluster.nodes.every(({ daemon }) => daemon.follower.source === "log")
+  );
+  t.pass();
+});
+
 test("what cannot be published is refused with the key and the remedy", async (t) => {
   const cluster = await startCluster(t, { nodes: 1, domains: 1 });
   const node = first(cluster);
