--- a/packages/core/src/relay/engine_choice.ts
+++ b/packages/core/src/relay/engine_choice.ts
@@ -38,7 +38,8 @@
 /**
  * Each running request delays the reading of a prompt by so many milliseconds
  * a token: engines read prompts in pieces between the tokens of what runs.
- * Prompts of 9,200 tokens took 480 ms on idle engines and 800 ms beside 30.
+ * 9,200 tokens take 480 ms by the users' sheets, and took 800 ms in the median
+ * of a played day; that 30 requests ran beside them is an assumption.
  */
 const READING_DELAY = 0.001_1;
 /** What a full engine costs: a slot has to come free first. */
--- a/packages/core/src/relay/server_registry.ts
+++ b/packages/core/src/relay/server_registry.ts
@@ -55,8 +55,8 @@
 
 /**
  * How long after the last failed call servers whose entries vanished are kept:
- * they are back about 2 s after the store. A departure is to be followed in
- * 2 s by those who have reached the store for 3 s.
+ * lapsed ones are back about 2 s after the store. Stays below the 3 s of
+ * contact with the store from which a node's bounds hold, by the users' sheets.
  */
 const LAPSE_TIME = milliseconds(2_500);
 /** Entries of servers that vanish together count as a disturbance. */
@@ -65,10 +65,10 @@
 const LAPSE_WINDOW = milliseconds(1_500);
 /**
  * How long servers that vanish together, or after failed calls, are kept at
- * least. With the time between two reads of the registry it stays below
- * the 2 s in which a departure has to be followed.
+ * least. With the time between two reads of the registry it stays below the
+ * 2 s that the users' sheets give to follow a departure.
  */
-const TOGETHER_TIME = milliseconds(1_000);
+const SHORTEST_LAPSE = milliseconds(1_000);
 
 /** Servers that leave which are remembered: a day's, at one in 20 s. */
 const MOST_LEFT = 5_000;
@@ -188,7 +188,7 @@
     if (this.#isDisturbed(now)) return;
     for (const [id, { lapsedAt, offset }] of this.#known) {
       if (lapsedAt === undefined) continue;
-      if (elapsed(lapsedAt, now) >= TOGETHER_TIME) this.#drop(id, offset);
+      if (elapsed(lapsedAt, now) >= SHORTEST_LAPSE) this.#drop(id, offset);
     }
   }
 
--- a/packages/node/src/relay/front_server.ts
+++ b/packages/node/src/relay/front_server.ts
@@ -12,6 +12,7 @@
 import type { SocketAddress } from "../settings/settings.ts";
 import { writeRefusal } from "./answer_passage.ts";
 import type { CallerRequest } from "./caller_wire.ts";
+import { longestTime } from "./read_request.ts";
 import type { RelayParts } from "./relay_parts.ts";
 import { RelayRequest } from "./relay_request.ts";
 import { isTakenWhileStopping } from "./relay_stop.ts";
@@ -173,12 +174,10 @@
     }).run();
   }
 
-  #isTaken(route: Route, { patience }: CallerRequest): boolean {
+  #isTaken(route: Route, caller: CallerRequest): boolean {
     const stop = this.#parts.plannedStop();
     if (stop === undefined) return true;
-    const longest = milliseconds(
-      Math.min(route.timeLimit, patience ?? route.timeLimit),
-    );
+    const longest = longestTime({ route, caller });
     return isTakenWhileStopping(this.#parts.clock.now(), stop, longest);
   }
 
--- a/packages/node/src/relay/peer_exchange.ts
+++ b/packages/node/src/relay/peer_exchange.ts
@@ -26,7 +26,7 @@
 
 /** Between two exchanges with each peer. */
 const EXCHANGE_PERIOD = 300;
-/** News that come together go out together. */
+/** News of so many milliseconds go out together. */
 const GATHERING_TIME = 5;
 /** After so long, an exchange counts as unanswered. */
 const EXCHANGE_LIMIT = 500;
--- a/packages/node/src/relay/read_request.ts
+++ b/packages/node/src/relay/read_request.ts
@@ -1,4 +1,10 @@
-import type { Instant, RelayService, Route } from "@foxtailwind/core";
+import {
+  type Duration,
+  type Instant,
+  milliseconds,
+  type RelayService,
+  type Route,
+} from "@foxtailwind/core";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { CallerRequest } from "./caller_wire.ts";
 
@@ -12,3 +18,26 @@
   readonly body: Buffer | undefined;
   readonly arrivedAt: Instant;
 }
+
+/**
+ * Tells how long a request may take: its route's limit, or less where its
+ * caller waits less.
+ * @param request What is known of it.
+ * @returns The longest time, from its arrival.
+ */
+export function longestTime(
+  { route, caller }: Pick<ReadRequest, "route" | "caller">,
+): Duration {
+  const { timeLimit } = route;
+  return milliseconds(Math.min(timeLimit, caller.patience ?? timeLimit));
+}
+
+/**
+ * Tells whether a request may run at another server though it may have run at
+ * one before.
+ * @param request The request.
+ * @returns Whether its route allows it.
+ */
+export function mayRunAgain({ route }: ReadRequest): boolean {
+  return route.streams ? route.resumable : route.repeatable;
+}
--- a/packages/node/src/relay/relay_request.ts
+++ b/packages/node/src/relay/relay_request.ts
@@ -3,19 +3,15 @@
   elapsed,
   type Instant,
   later,
-  milliseconds,
   type RegisteredServer,
-  requestUrgency,
-  type SendResult,
 } from "@foxtailwind/core";
 import { AnswerPassage } from "./answer_passage.ts";
-import { BackendCall, type CallEnd } from "./backend_call.ts";
-import { watchCall } from "./call_watch.ts";
+import type { CallEnd } from "./backend_call.ts";
+import { PlaceFinder } from "./place_finder.ts";
+import { longestTime, mayRunAgain, type ReadRequest } from "./read_request.ts";
 import type { RelayParts } from "./relay_parts.ts";
-import type { ReadRequest } from "./read_request.ts";
 import { describeEnd } from "./request_line.ts";
-import { PlaceFinder } from "./place_finder.ts";
-import type { Place } from "./request_placer.ts";
+import { RequestSender } from "./request_sender.ts";
 import { SendRecord } from "./send_record.ts";
 
 /** Why a request gets no server's answer. */
@@ -30,18 +26,17 @@
 
 /** Asked of callers whose request found no place, in seconds. */
 const COME_BACK_SECONDS = 0.3;
+
 /** Relays one request to its end. */
 export class RelayRequest {
   readonly #parts: RelayParts;
   readonly #request: ReadRequest;
   readonly #endsAt: Instant;
-  /** How long the caller has waited in tries before this one. */
-  readonly #waitedBefore: Duration;
   readonly #over = new AbortController();
   readonly #sent = new SendRecord();
   readonly #passage: AnswerPassage;
   readonly #finder: PlaceFinder;
-  #call: BackendCall | undefined;
+  readonly #sender: RequestSender;
   #outcome = "";
   #placedAfter: Duration | undefined;
   #timer: NodeJS.Timeout | undefined;
@@ -53,22 +48,17 @@
   constructor(parts: RelayParts, request: ReadRequest) {
     this.#parts = parts;
     this.#request = request;
-    const { route, caller, arrivedAt } = request;
-    const patience = Math.min(
-      route.timeLimit,
-      caller.patience ?? route.timeLimit,
-    ) as Duration;
-    this.#endsAt = later(arrivedAt, patience);
-    this.#waitedBefore = parts.patience.waitedBefore(
-      arrivedAt,
-      route.name,
-      patience,
-    );
+    this.#endsAt = later(request.arrivedAt, longestTime(request));
     this.#passage = new AnswerPassage(request, parts);
-    this.#finder = new PlaceFinder(parts, request, {
+    const terms = {
       endsAt: this.#endsAt,
       sent: this.#sent,
       over: this.#over.signal,
+    };
+    this.#finder = new PlaceFinder(parts, request, terms);
+    this.#sender = new RequestSender(parts, request, {
+      ...terms,
+      passage: this.#passage,
     });
   }
 
@@ -83,7 +73,7 @@
       this.#closed();
     });
     response.on("drain", () => {
-      this.#call?.resume();
+      this.#sender.call?.resume();
     });
     this.#parts.allowances.earn(this.#now(), this.#request.service.id);
     let goesOn = true;
@@ -104,68 +94,12 @@
       return false;
     }
     this.#placedAfter ??= elapsed(this.#request.arrivedAt, this.#now());
-    const end = await this.#send(place);
+    const end = await this.#sender.send(place);
     place.release();
     if (this.#isOver()) return false;
     return this.#judge(place.server, end);
   }
 
-  async #send(place: Place): Promise<CallEnd> {
-    const { pools, loads, nodes } = this.#parts;
-    const { message, service, body } = this.#request;
-    const { server } = place;
-    const sentAt = this.#now();
-    const load = loads.of(server.id);
-    this.#sent.begin(server.id);
-    load.sent(sentAt);
-    const headers = this.#sendHeaders(place, sentAt);
-    this.#passage.begin(sentAt);
-    const call = new BackendCall(this.#passage);
-    this.#call = call;
-    call.send(pools.pool(server, service.connectionLimit, nodes()), {
-      method: message.method ?? "GET",
-      path: message.url ?? "/",
-      headers,
-      body,
-    });
-    const stopWatching = watchCall(call, {
-      clock: this.#parts.clock,
-      passage: this.#passage,
-      target: this.#request.route.target,
-      mayBeReplaced: this.#mayRunAgain() &&
-        this.#sent.runs < this.#request.route.attempts,
-      fellSilent: () => {
-        pools.renew(server.id);
-      },
-    });
-    const end = await call.ended;
-    stopWatching();
-    this.#call = undefined;
-    load.ended(this.#now(), this.#resultFor(end));
-    return end;
-  }
-
-  #sendHeaders({ server, adapterVersion }: Place, now: Instant): string[] {
-    const resumeAfter = this.#passage.lastEventId;
-    return this.#parts.wire.sendHeaders(this.#request.message.rawHeaders, {
-      server: server.id,
-      timeLeft: milliseconds(Math.floor(this.#endsAt - now)),
-      ...(adapterVersion === undefined ? {} : { adapterVersion }),
-      ...(this.#isEngine ? { urgency: this.#urgency(now) } : {}),
-      ...(resumeAfter === undefined ? {} : { resumeAfter }),
-    });
-  }
-
-  #urgency(now: Instant): number {
-    const { route, caller, arrivedAt } = this.#request;
-    return requestUrgency({
-      target: route.target,
-      waited: milliseconds(this.#waitedBefore + elapsed(arrivedAt, now)),
-      promptTokens: caller.use?.promptTokens ?? 0,
-      priority: route.priority,
-    });
-  }
-
   /** Decides what follows the end of a send; whether another send does. */
   #judge(server: RegisteredServer, end: CallEnd): boolean {
     const { verdict } = this.#passage;
@@ -190,7 +124,7 @@
     if (this.#passage.hasBegun) {
       return this.#mayResume() && this.#tryAgain() || this.#breakOff();
     }
-    if (this.#mayRunAgain() && this.#tryAgain()) return true;
+    if (mayRunAgain(this.#request) && this.#tryAgain()) return true;
     if (end.kind === "complete" && this.#passage.hasFailure) {
       this.#passage.passFailure();
       this.#outcome = "server_failure";
@@ -204,11 +138,6 @@
     if (!this.#isEngine) this.#parts.knowledge.registry.replaced(server.id);
   }
 
-  #mayRunAgain(): boolean {
-    const { route } = this.#request;
-    return route.streams ? route.resumable : route.repeatable;
-  }
-
   #mayResume(): boolean {
     return this.#request.route.resumable;
   }
@@ -256,7 +185,8 @@
   }
 
   #mayHaveRun(): boolean {
-    const isUnsent = this.#call !== undefined && !this.#call.wasSent;
+    const { call } = this.#sender;
+    const isUnsent = call !== undefined && !call.wasSent;
     return this.#sent.runs > (isUnsent ? 1 : 0);
   }
 
@@ -274,23 +204,8 @@
   }
 
   #end(because: string): void {
-    this.#over.abort();
-    this.#call?.cut(because);
-  }
-
-  #resultFor(end: CallEnd): SendResult {
-    const { verdict, firstAfter } = this.#passage;
-    if (verdict === "not_run") {
-      return { kind: this.#passage.isMisdirected ? "neutral" : "full" };
-    }
-    if (verdict === "passed" && firstAfter !== undefined) {
-      return { kind: "answered", took: firstAfter };
-    }
-    if (this.#isOver()) {
-      return { kind: this.#outcome === "time_limit" ? "dead" : "neutral" };
-    }
-    if (this.#passage.hasFailure) return { kind: "failed" };
-    return { kind: end.kind === "broken" ? "dead" : "failed" };
+    this.#over.abort(because);
+    this.#sender.call?.cut(because);
   }
 
   #isOver(): boolean {
