--- a/packages/node/src/relay/engine_owner.ts
+++ b/packages/node/src/relay/engine_owner.ts
@@ -1,12 +1,10 @@
 import {
   type AdapterName,
-  EngineOccupancy,
   EngineSlots,
   type EngineTerms,
   type Instant,
   later,
   milliseconds,
-  type ModelId,
   type OrderRight,
   type RegisteredServer,
   type SlotOrder,
@@ -14,8 +12,9 @@
 import type { EngineDigest } from "@foxtailwind/protocol";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { PartLogger } from "../logging/part_logger.ts";
-import { AdapterWaiters } from "./adapter_waiters.ts";
+import { AdapterUses } from "./adapter_uses.ts";
 import type { EngineControl, OrderResult } from "./engine_control.ts";
+import { EngineModel } from "./engine_model.ts";
 import { EngineOrders } from "./engine_orders.ts";
 import type { UseAnswer, UseRequest } from "./engine_use.ts";
 import type { Knowledge } from "./knowledge.ts";
@@ -34,8 +33,6 @@
 const REPORT_LAG = milliseconds(250);
 /** Between two questions whether a load has ended. */
 const LOAD_POLL = milliseconds(20);
-/** Between two orders to load a base model. */
-const MODEL_PAUSE = milliseconds(2_500);
 /** An owner whose orders may go within a load's time counts as able to order. */
 const SOON = milliseconds(250);
 /** Conflicts in a row after which the engine is asked what it holds. */
@@ -46,12 +43,10 @@
   readonly #parts: EngineOwnerParts;
   readonly #slots: EngineSlots;
   readonly #orders: EngineOrders;
-  readonly #waiters = new AdapterWaiters();
-  readonly #occupancy = new EngineOccupancy();
+  readonly #model: EngineModel;
+  readonly #uses: AdapterUses;
   #server: RegisteredServer;
-  #models: readonly ModelId[];
   #conflicts = 0;
-  #modelOrderedAt: Instant | undefined;
   #pauseUntil: Instant | undefined;
   #timer: NodeJS.Timeout | undefined;
   #isPumping = false;
@@ -69,21 +64,26 @@
   ) {
     this.#server = server;
     this.#parts = parts;
-    this.#models = server.models.map((held) => held.model);
     const { engines, node } = parts.settings;
     this.#slots = new EngineSlots({
       slots: terms.adapterSlots,
       transfers: engines.transfers,
       kept: engines.kept_adapters,
     });
+    this.#uses = new AdapterUses(this.#slots, {
+      clock: parts.clock,
+      ordersSoon: () => this.#ordersSoon(),
+      changed: () => void this.pump(),
+    });
     this.#orders = new EngineOrders(server, {
       self: node.id,
       control: parts.control,
       logger: parts.logger,
       fellSilent: () => {
-        this.#sendWaitersAway();
+        this.#uses.sendWaitersAway();
       },
     });
+    this.#model = new EngineModel(server, parts.knowledge, this.#orders);
   }
 
   /**
@@ -101,11 +101,11 @@
     const slots = this.#slots.slots.filter((slot) => slot.state !== "leaving");
     return {
       engine: this.#server.id,
-      waitMilliseconds: this.#occupancy.wait(this.#now()),
+      waitMilliseconds: this.#uses.occupancy.wait(this.#now()),
       room: this.#ordersSoon() ? this.#slots.room(this.#now()) : 0,
       isReachable: this.#orders.isReachable,
-      running: this.#occupancy.running,
-      isFull: this.#occupancy.isFull(this.#server.slots),
+      running: this.#uses.occupancy.running,
+      isFull: this.#isFull(),
       adapters: slots.map((slot) => ({
         model: slot.model,
         adapter: slot.adapter,
@@ -123,26 +123,8 @@
    */
   async use(request: UseRequest, signal: AbortSignal): Promise<UseAnswer> {
     if (this.#isStopped) return { kind: "not_owner" };
-    const isFull = this.#occupancy.isFull(this.#server.slots);
-    if (isFull || !this.#orders.isReachable) return { kind: "no_room" };
-    if (request.adapter === undefined) {
-      return this.#grant(request, undefined, 0);
-    }
-    const name = { model: request.model, adapter: request.adapter };
-    const { minimumVersion } = request;
-    const version = this.#slots.use(this.#now(), name, minimumVersion);
-    if (version !== undefined) return this.#grant(request, name, version);
-    const isExpected = this.#isExpected(name);
-    if (!isExpected && !this.#slots.canTake(this.#now(), name)) {
-      return { kind: "no_room" };
-    }
-    if (!this.#ordersSoon()) return { kind: "no_room" };
-    this.#slots.want(this.#now(), name, minimumVersion);
-    const answer = this.#waiters.add(name, request, signal, () => {
-      if (!this.#waiters.has(name)) this.#slots.forgetWish(name);
-    });
-    void this.pump();
-    return await answer;
+    if (this.#isFull() || !this.#orders.isReachable) return { kind: "no_room" };
+    return await this.#uses.ask(request, signal);
   }
 
   /** Gives up the engine: nobody waits here any more. */
@@ -150,7 +132,7 @@
     this.#isStopped = true;
     this.#orders.stop();
     clearTimeout(this.#timer);
-    this.#waiters.answerAll({ kind: "not_owner" });
+    this.#uses.stop();
   }
 
   /** Carries out what is due; called by itself when more becomes due. */
@@ -174,7 +156,7 @@
     // What the engine holds may be used, and asked for, before orders may go.
     if (!this.#orders.isCounted) return await this.#readReport();
     if (right.from > now) return this.#wakeAt(right.from);
-    if (this.#models.length === 0) return await this.#loadModel(now, right);
+    if (!this.#model.isThere) return await this.#loadModel(now, right);
     if (await this.#askAfterLoads(now, right)) return true;
     const order = this.#slots.nextOrder(now);
     if (order !== undefined) {
@@ -189,25 +171,17 @@
     const report = await this.#orders.report();
     const now = this.#now();
     if (report === undefined) return this.#wakeAt(later(now, REPORT_LAG));
-    this.#models = report.models;
+    this.#model.reported(report.models);
     this.#conflicts = 0;
     this.#slots.reported(now, report.adapters, report.incoming);
-    this.#serveWaiters();
+    this.#uses.serveWaiters();
     return true;
   }
 
   async #loadModel(now: Instant, right: OrderRight): Promise<boolean> {
-    const service = this.#parts.knowledge.routes?.service(this.#server.service);
-    const model = service?.engine?.models[0]?.model;
-    if (model === undefined) return false;
-    const isAllowed = this.#modelOrderedAt === undefined ||
-      later(this.#modelOrderedAt, MODEL_PAUSE) <= now;
-    if (isAllowed) {
-      this.#modelOrderedAt = now;
-      await this.#orders.loadModel(model, right);
-    }
-    this.#askAgain();
-    return true;
+    const isWanted = await this.#model.load(now, right);
+    if (isWanted) this.#askAgain();
+    return isWanted;
   }
 
   /** Asks whether a load that should have ended has; one at a time. */
@@ -235,7 +209,7 @@
       case "holds":
         this.#conflicts = 0;
         this.#slots.loaded(now, name);
-        this.#serveWaiters();
+        this.#uses.serveWaiters();
         break;
       case "conflict":
         this.#slots.checkAgain(now, name, LOAD_POLL);
@@ -316,36 +290,8 @@
     }
   }
 
-  #grant(
-    request: UseRequest,
-    name: AdapterName | undefined,
-    version: number,
-  ): UseAnswer {
-    this.#occupancy.begin(this.#now(), request.promptTokens);
-    let isReleased = false;
-    const release = () => {
-      if (isReleased) return;
-      isReleased = true;
-      this.#occupancy.end();
-      if (name !== undefined) this.#slots.release(this.#now(), name);
-      if (this.#slots.waiting > 0) void this.pump();
-    };
-    return { kind: "granted", version, release };
-  }
-
-  #serveWaiters(): void {
-    const now = this.#now();
-    for (const { name, request, answer } of this.#waiters.all) {
-      const version = this.#slots.use(now, name, request.minimumVersion);
-      if (version === undefined) continue;
-      this.#slots.forgetWish(name);
-      answer(this.#grant(request, name, version));
-    }
-  }
-
-  #sendWaitersAway(): void {
-    for (const { name } of this.#waiters.all) this.#slots.forgetWish(name);
-    this.#waiters.answerAll({ kind: "no_room" });
+  #isFull(): boolean {
+    return this.#uses.occupancy.isFull(this.#server.slots);
   }
 
   /** Whether orders may go now, or as soon as a load takes anyway. */
@@ -354,11 +300,6 @@
     return right !== undefined && right.from - this.#now() < SOON;
   }
 
-  #isExpected(name: AdapterName): boolean {
-    return this.#slots.find(name)?.state === "loading" ||
-      this.#waiters.has(name);
-  }
-
   #wakeAt(at: Instant): false {
     clearTimeout(this.#timer);
     const delay = Math.max(1, at - this.#now());
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -2,10 +2,8 @@
   CallerPatience,
   elapsed,
   type Instant,
-  milliseconds,
   seconds,
 } from "@foxtailwind/core";
-import type { NodeDigest } from "@foxtailwind/protocol";
 import { randomUUID } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
 import { ProcessClock } from "../clock/steady_clock.ts";
@@ -21,6 +19,7 @@
 import { Knowledge } from "./knowledge.ts";
 import { OperationsServer } from "./operations_server.ts";
 import type { OperationsWire } from "./operations_wire.ts";
+import { NodePresence } from "./node_presence.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { RelayMetrics } from "./relay_metrics.ts";
 import type { RelayParts } from "./relay_parts.ts";
@@ -48,8 +47,6 @@
 /** Between two attempts to make this node known. */
 const ANNOUNCE_MILLISECONDS = 500;
 const STOP_CHECK_MILLISECONDS = 100;
-/** Nodes heard of in this time share limits, even if silent now. */
-const NODE_MEMORY = milliseconds(20_000);
 
 /** One node that relays requests by route: all its parts together. */
 export class RelayDaemon {
@@ -62,20 +59,16 @@
   readonly #knowledge: Knowledge;
   readonly #owners: EngineOwners;
   readonly #exchange: PeerExchange;
+  readonly #presence: NodePresence;
   readonly #peerServer: PeerServer;
   readonly #pools = new BackendPools();
   readonly #loads: ServerLoads;
   readonly #front: FrontServer;
   readonly #operations: OperationsServer;
   readonly #metrics: RelayMetrics;
-  readonly #heardNodes = new Map<string, Instant>();
   #refreshTimer: NodeJS.Timeout | undefined;
   #lastRequestAt: Instant;
-  #peerPort = 0;
-  #callerPort = 0;
   #operationsPort = 0;
-  #isListening = false;
-  #plannedStop: PlannedStop | undefined;
 
   /**
    * @param settings The checked settings.
@@ -108,18 +101,25 @@
       logger: loggers.forPart("ownership"),
       log: edges.log,
       incarnation: this.#incarnation,
-      isLeaving: () => this.#isLeaving,
+      isLeaving: () => this.#presence.isLeaving,
       gained: () => {
         this.#exchange.exchangeSoon();
       },
     });
+    this.#presence = new NodePresence({
+      settings,
+      knowledge,
+      clock,
+      incarnation: this.#incarnation,
+      engines: () => this.#owners.digests,
+    });
     this.#exchange = new PeerExchange({
       knowledge,
       owners: this.#owners,
       channels: this.#channels,
       clock,
       logger: loggers.forPart("peers"),
-      digest: () => this.#digest(),
+      digest: () => this.#presence.digest,
     });
     this.#peerServer = new PeerServer([this.#exchange.registration]);
     const parts = this.#relayParts(loggers);
@@ -131,8 +131,8 @@
       nodesAlive: () => knowledge.peers.alive(clock.now()).length,
     });
     this.#operations = new OperationsServer(edges.operations, {
-      isReady: () => this.#isReady(),
-      addresses: (failureDomain) => this.#addresses(failureDomain),
+      isReady: () => this.#presence.isReady,
+      addresses: (failureDomain) => this.#presence.addresses(failureDomain),
       addressLifetimeSeconds: Math.min(
         ADDRESS_LIFETIME_SECONDS,
         settings.addresses.longest_lifetime_seconds,
@@ -147,7 +147,7 @@
 
   /** Where callers reach this node, once it has started. */
   get callerAddress(): string {
-    return `${this.#settings.listen.callers.host}:${this.#callerPort}`;
+    return this.#presence.callerAddress;
   }
 
   /** Where readiness is asked, once it has started. */
@@ -160,9 +160,10 @@
     const { callers, peers, readiness, addresses, metrics } =
       this.#settings.listen;
     this.#edges.log.start(this.#knowledge);
-    this.#peerPort = await this.#peerServer.listen(peers);
-    this.#callerPort = await this.#front.listen(callers);
-    this.#isListening = true;
+    this.#presence.listening({
+      peers: await this.#peerServer.listen(peers),
+      callers: await this.#front.listen(callers),
+    });
     this.#exchange.start();
     void this.#announce();
     this.#refreshTimer = setInterval(() => {
@@ -185,7 +186,7 @@
       begunAt: this.#clock.now(),
       grace: seconds(this.#settings.stop.grace_seconds),
     };
-    this.#plannedStop = stop;
+    this.#presence.plannedStop = stop;
     this.#logger.info("Stopping.", { running: this.#front.running });
     this.#exchange.exchange();
     this.#owners.refresh();
@@ -223,7 +224,7 @@
     const { node, retries } = this.#settings;
     const knowledge = this.#knowledge;
     const clock = this.#clock;
-    const nodes = () => this.#countNodes();
+    const nodes = () => this.#presence.countNodes(clock.now());
     return {
       knowledge,
       clock,
@@ -233,7 +234,7 @@
       wire: this.#edges.wire,
       logger: loggers.forPart("callers"),
       patience: new CallerPatience(),
-      plannedStop: () => this.#plannedStop,
+      plannedStop: () => this.#presence.plannedStop,
       allowances: new RetryAllowances({
         share: retries.share,
         reserve: retries.reserve,
@@ -260,9 +261,7 @@
     const before = registry.revision;
     registry.expire(now);
     this.#owners.refresh();
-    for (const peer of this.#knowledge.peers.alive(now)) {
-      this.#heardNodes.set(peer.node, now);
-    }
+    this.#presence.refresh(now);
     if (registry.revision === before) return;
     const ids = new Set(registry.all.map((server) => server.id));
     this.#pools.retain(ids);
@@ -270,63 +269,12 @@
     this.#knowledge.claims.retain(ids);
   }
 
-  #countNodes(): number {
-    const now = this.#clock.now();
-    let count = 1;
-    for (const heardAt of this.#heardNodes.values()) {
-      if (elapsed(heardAt, now) < NODE_MEMORY) count += 1;
-    }
-    return count;
-  }
-
-  get #peerAddress(): string {
-    return `${this.#settings.listen.peers.host}:${this.#peerPort}`;
-  }
-
-  get #isLeaving(): boolean {
-    return this.#plannedStop !== undefined;
-  }
-
-  #isReady(): boolean {
-    return this.#isListening && !this.#isLeaving &&
-      this.#knowledge.routes !== undefined;
-  }
-
-  #addresses(failureDomain: string | undefined): readonly string[] {
-    const self = this.#digest();
-    const peers = this.#knowledge.peers.alive(this.#clock.now());
-    const ready = [self, ...peers].filter((one) =>
-      one.isReady && !one.isLeaving
-    );
-    const near = ready.filter((one) => one.failureDomain === failureDomain);
-    const chosen = near.length > 1 ? near : ready;
-    return chosen.map((one) => one.callerAddress);
-  }
-
-  #digest(): NodeDigest {
-    const { node } = this.#settings;
-    return {
-      node: node.id,
-      incarnation: this.#incarnation,
-      address: this.#peerAddress,
-      callerAddress: this.callerAddress,
-      failureDomain: node.failure_domain,
-      isReady: this.#isReady(),
-      isLeaving: this.#isLeaving,
-      engines: [...this.#owners.digests],
-    };
-  }
-
   async #announce(): Promise<void> {
-    const record = {
-      id: this.#settings.node.id,
-      incarnation: this.#incarnation,
-      address: this.#peerAddress,
-    };
+    const { record } = this.#presence;
     for (;;) {
       const added = await this.#edges.log.announce(record);
       if (added.isOk() && added.value) return;
-      if (this.#isLeaving) return;
+      if (this.#presence.isLeaving) return;
       await sleep(ANNOUNCE_MILLISECONDS);
     }
   }
