--- a/packages/core/src/relay/adapter_slot.ts
+++ b/packages/core/src/relay/adapter_slot.ts
@@ -65,3 +65,28 @@
 export function keyOf({ model, adapter }: AdapterName): string {
   return `${model}/${adapter}`;
 }
+
+/**
+ * Makes the slot of an adapter that nobody uses yet.
+ * @param now The present time.
+ * @param name The adapter.
+ * @param state Where it stands.
+ * @param version Its version.
+ * @returns The slot.
+ */
+export function newSlot(
+  now: Instant,
+  { model, adapter }: AdapterName,
+  state: SlotState,
+  version: number,
+): AdapterSlot {
+  return {
+    model,
+    adapter,
+    state,
+    version,
+    uses: 0,
+    lastUse: now,
+    since: now,
+  };
+}
--- a/packages/core/src/relay/engine_slots.ts
+++ b/packages/core/src/relay/engine_slots.ts
@@ -10,18 +10,15 @@
   type AdapterName,
   type AdapterSlot,
   keyOf,
+  newSlot,
   type OrderAnswer,
   type SlotOrder,
   type SlotState,
   type SlotTerms,
   type WantedAdapter,
 } from "./adapter_slot.ts";
-import { RecentKeys } from "./recent_keys.ts";
+import { type LoadCheck, LoadTimes } from "./load_times.ts";
 
-/** Time to load an adapter from the store, by the users' sheets. */
-const COLD_LOAD = milliseconds(250);
-/** The same for an adapter that the engine held lately. */
-const WARM_LOAD = milliseconds(30);
 /** An adapter that can't leave yet is left alone for so long. */
 const BUSY_TIME = milliseconds(300);
 
@@ -34,14 +31,12 @@
   readonly #slots = new Map<string, AdapterSlot>();
   readonly #waiting = new Map<string, WantedAdapter>();
   readonly #busyUntil = new Map<string, Instant>();
-  readonly #checkAt = new Map<string, Instant>();
-  /** Adapters that the engine held lately, and keeps in memory. */
-  readonly #kept: RecentKeys;
+  readonly #loads: LoadTimes;
 
   /** @param terms The engine's bounds. */
   constructor(terms: SlotTerms) {
     this.#terms = terms;
-    this.#kept = new RecentKeys(terms.kept);
+    this.#loads = new LoadTimes(terms.kept);
   }
 
   /** The adapters that take a slot. */
@@ -159,7 +154,7 @@
    * @returns The time.
    */
   loadTime(name: AdapterName): Duration {
-    return this.#kept.has(keyOf(name)) ? WARM_LOAD : COLD_LOAD;
+    return this.#loads.timeOf(name);
   }
 
   /**
@@ -199,8 +194,7 @@
   loaded(now: Instant, name: AdapterName): void {
     const slot = this.find(name);
     if (slot?.state !== "loading") return;
-    this.#kept.add(keyOf(name));
-    this.#checkAt.delete(keyOf(name));
+    this.#loads.ended(name);
     this.#set({ ...slot, state: "resident", since: now, lastUse: now });
   }
 
@@ -208,17 +202,8 @@
    * Tells which load should have ended first.
    * @returns The adapter, and when to ask whether it is there.
    */
-  nextCheck():
-    | { readonly name: AdapterName; readonly at: Instant }
-    | undefined {
-    let first: { readonly name: AdapterName; readonly at: Instant } | undefined;
-    for (const slot of this.#slots.values()) {
-      if (slot.state !== "loading") continue;
-      const at = this.#checkAt.get(keyOf(slot)) ??
-        later(slot.since, this.loadTime(slot));
-      if (first === undefined || at < first.at) first = { name: slot, at };
-    }
-    return first;
+  nextCheck(): LoadCheck | undefined {
+    return this.#loads.next(this.slots);
   }
 
   /**
@@ -228,7 +213,7 @@
    * @param pause When to ask again.
    */
   checkAgain(now: Instant, name: AdapterName, pause: Duration): void {
-    this.#checkAt.set(keyOf(name), later(now, pause));
+    this.#loads.askAt(name, later(now, pause));
   }
 
   /**
@@ -256,14 +241,14 @@
       case "holds":
       case "accepted": {
         const uses = this.find(name)?.uses ?? 0;
-        const slot = this.#newSlot(now, name, "loading", version);
+        const slot = newSlot(now, name, "loading", version);
         this.#set({ ...slot, uses });
         this.#waiting.delete(keyOf(name));
         break;
       }
       case "unknown":
         this.#set(
-          this.find(name) ?? this.#newSlot(now, name, "loading", version),
+          this.find(name) ?? newSlot(now, name, "loading", version),
         );
         break;
       case "conflict":
@@ -336,8 +321,8 @@
     before: ReadonlyMap<string, AdapterSlot>,
   ): void {
     const known = before.get(keyOf(name));
-    const slot = this.#newSlot(now, name, state, version);
-    this.#kept.add(keyOf(name));
+    const slot = newSlot(now, name, state, version);
+    this.#loads.seen(name);
     this.#set({
       ...slot,
       uses: known?.uses ?? 0,
@@ -345,23 +330,6 @@
     });
   }
 
-  #newSlot(
-    now: Instant,
-    { model, adapter }: AdapterName,
-    state: SlotState,
-    version: number,
-  ): AdapterSlot {
-    return {
-      model,
-      adapter,
-      state,
-      version,
-      uses: 0,
-      lastUse: now,
-      since: now,
-    };
-  }
-
   #set(slot: AdapterSlot): void {
     this.#slots.set(keyOf(slot), slot);
   }
--- a/packages/node/src/relay/engine_control.ts
+++ b/packages/node/src/relay/engine_control.ts
@@ -32,6 +32,12 @@
   | { readonly kind: "misdirected" }
   | { readonly kind: "invalid"; readonly failure: Failure };
 
+/** An answer after which the owner can't go on as before. */
+export type OrderTrouble = Extract<
+  OrderResult,
+  { readonly kind: "fenced" | "misdirected" | "invalid" }
+>;
+
 /** What an engine reports of itself. */
 export interface EngineReport {
   readonly models: readonly ModelId[];
--- a/packages/node/src/relay/engine_owner.ts
+++ b/packages/node/src/relay/engine_owner.ts
@@ -10,24 +10,12 @@
   type SlotOrder,
 } from "@foxtailwind/core";
 import type { EngineDigest } from "@foxtailwind/protocol";
-import type { SteadyClock } from "../clock/steady_clock.ts";
-import type { PartLogger } from "../logging/part_logger.ts";
 import { AdapterUses } from "./adapter_uses.ts";
-import type { EngineControl, OrderResult } from "./engine_control.ts";
+import type { OrderResult, OrderTrouble } from "./engine_control.ts";
 import { EngineModel } from "./engine_model.ts";
 import { EngineOrders } from "./engine_orders.ts";
+import type { EngineOwnerParts } from "./engine_owner_parts.ts";
 import type { UseAnswer, UseRequest } from "./engine_use.ts";
-import type { Knowledge } from "./knowledge.ts";
-import type { RelaySettings } from "./relay_settings.ts";
-
-/** What an owner works with. */
-export interface EngineOwnerParts {
-  readonly settings: RelaySettings;
-  readonly knowledge: Knowledge;
-  readonly control: EngineControl;
-  readonly clock: SteadyClock;
-  readonly logger: PartLogger;
-}
 
 /** Reads after a conflict wait so long: reports lag by some 100 ms. */
 const REPORT_LAG = milliseconds(250);
@@ -263,13 +251,7 @@
     this.#pauseUntil = later(this.#now(), REPORT_LAG);
   }
 
-  #takeTrouble(
-    result: Extract<
-      OrderResult,
-      { kind: "fenced" | "misdirected" | "invalid" }
-    >,
-    right: OrderRight,
-  ): void {
+  #takeTrouble(result: OrderTrouble, right: OrderRight): void {
     const { knowledge, logger } = this.#parts;
     const engine = this.#server.id;
     switch (result.kind) {
--- a/packages/node/src/relay/engine_owners.ts
+++ b/packages/node/src/relay/engine_owners.ts
@@ -5,7 +5,8 @@
   nodeId,
 } from "@foxtailwind/core";
 import type { EngineDigest } from "@foxtailwind/protocol";
-import { EngineOwner, type EngineOwnerParts } from "./engine_owner.ts";
+import { EngineOwner } from "./engine_owner.ts";
+import type { EngineOwnerParts } from "./engine_owner_parts.ts";
 import type { ClaimRecord, SharedLog } from "./shared_log.ts";
 
 /** What owners need besides an engine. */
