--- a/packages/bench/src/soak/soak_engines.ts
+++ b/packages/bench/src/soak/soak_engines.ts
@@ -6,6 +6,7 @@
   type RequestId,
 } from "@foxtailwind/core";
 import { SoakEngine } from "./soak_engine.ts";
+import { pick } from "./soak_names.ts";
 
 /** The engines of a soak that are up. */
 export class SoakEngines {
@@ -65,6 +66,19 @@
     );
   }
 
+  /**
+   * Picks one of the loads or evictions in progress.
+   * @param what Which of them.
+   * @param choice Which one, modulo their number.
+   * @returns Its engine and adapter, or nothing where there is none.
+   */
+  pickMoving(what: "loading" | "evicting", choice: number) {
+    const [engine, key] = pick(this.everywhere(what), choice) ?? [];
+    if (engine === undefined || key === undefined) return undefined;
+    const adapter = engine[what].get(key);
+    return adapter === undefined ? undefined : { engine, key, adapter };
+  }
+
   /**
    * Lists the requests that run.
    * @returns Each with its engine.
--- a/packages/bench/src/soak/soak_world.ts
+++ b/packages/bench/src/soak/soak_world.ts
@@ -162,11 +162,9 @@
   }
 
   #endLoad(choice: number, loaded: boolean): void {
-    const [engine, key] = pick(this.#engines.everywhere("loading"), choice) ??
-      [];
-    if (engine === undefined || key === undefined) return;
-    const adapter = engine.loading.get(key);
-    if (adapter === undefined) return;
+    const moving = this.#engines.pickMoving("loading", choice);
+    if (moving === undefined) return;
+    const { engine, key, adapter } = moving;
     engine.endLoad(key, loaded);
     if (!loaded) this.#requests.counts.failedLoads += 1;
     this.#tell({
@@ -178,11 +176,9 @@
   }
 
   #endEviction(choice: number, evicted: boolean): void {
-    const [engine, key] = pick(this.#engines.everywhere("evicting"), choice) ??
-      [];
-    if (engine === undefined || key === undefined) return;
-    const adapter = engine.evicting.get(key);
-    if (adapter === undefined) return;
+    const moving = this.#engines.pickMoving("evicting", choice);
+    if (moving === undefined) return;
+    const { engine, key, adapter } = moving;
     engine.endEviction(key, evicted);
     this.#tell({
       kind: "eviction_ended",
--- a/packages/core/src/relay/adapter_slot.ts
+++ b/packages/core/src/relay/adapter_slot.ts
@@ -66,6 +66,15 @@
   return `${model}/${adapter}`;
 }
 
+/**
+ * Tells whether an adapter is there and no request uses it.
+ * @param slot Its slot.
+ * @returns Whether it is so.
+ */
+export function isUnused(slot: AdapterSlot): boolean {
+  return slot.state === "resident" && slot.uses === 0;
+}
+
 /**
  * Makes the slot of an adapter that nobody uses yet.
  * @param now The present time.
--- a/packages/core/src/relay/engine_slots.ts
+++ b/packages/core/src/relay/engine_slots.ts
@@ -9,6 +9,7 @@
 import {
   type AdapterName,
   type AdapterSlot,
+  isUnused,
   keyOf,
   newSlot,
   type OrderAnswer,
@@ -17,6 +18,7 @@
   type SlotTerms,
   type WantedAdapter,
 } from "./adapter_slot.ts";
+import { chooseVictim } from "./choose_victim.ts";
 import { type LoadCheck, LoadTimes } from "./load_times.ts";
 
 /** An adapter that can't leave yet is left alone for so long. */
@@ -171,7 +173,10 @@
     if (isReplacement || this.#slots.size < this.#terms.slots) {
       return { kind: "load", name: wish, version: wish.minimumVersion };
     }
-    const victim = this.#victim(now);
+    const victim = chooseVictim(
+      this.slots.filter((slot) => !this.#isBusy(now, keyOf(slot))),
+      (slot) => this.#waiting.has(keyOf(slot)),
+    );
     return victim === undefined ? undefined : { kind: "unload", name: victim };
   }
 
@@ -227,11 +232,6 @@
     return Math.max(0, free + idle - this.#waiting.size);
   }
 
-  /** How many adapters are on their way to the engine. */
-  get transfers(): number {
-    return this.#loading();
-  }
-
   #loadAnswered(
     now: Instant,
     { name, version }: { readonly name: AdapterName; readonly version: number },
@@ -288,25 +288,11 @@
     if (this.#isBusy(now, wish.key)) return false;
     const slot = this.#slots.get(wish.key);
     if (slot === undefined) return true;
-    return slot.state === "resident" && slot.uses === 0;
-  }
-
-  #victim(now: Instant): AdapterSlot | undefined {
-    const leaving = this.slots.find((slot) =>
-      slot.state === "leaving" && !this.#isBusy(now, keyOf(slot))
-    );
-    if (leaving !== undefined) return leaving;
-    let victim: AdapterSlot | undefined;
-    for (const slot of this.#slots.values()) {
-      if (!this.#isIdle(now, slot) || this.#waiting.has(keyOf(slot))) continue;
-      if (victim === undefined || slot.lastUse < victim.lastUse) victim = slot;
-    }
-    return victim;
+    return isUnused(slot);
   }
 
   #isIdle(now: Instant, slot: AdapterSlot): boolean {
-    return slot.state === "resident" && slot.uses === 0 &&
-      !this.#isBusy(now, keyOf(slot));
+    return isUnused(slot) && !this.#isBusy(now, keyOf(slot));
   }
 
   #isBusy(now: Instant, key: string): boolean {
--- a/packages/core/src/service_routing/service_router.ts
+++ b/packages/core/src/service_routing/service_router.ts
@@ -3,11 +3,8 @@
   type AttemptNumber,
   type Duration,
   type Failure,
-  type FailureDomainId,
   type Instant,
-  type RandomSource,
   type RequestId,
-  type ServiceId,
 } from "../shared/mod.ts";
 import {
   attemptsFailure,
@@ -32,21 +29,12 @@
   type ServiceOrder,
   type ServiceServerView,
 } from "./service_call.ts";
-import type { ServicePolicy } from "./service_policy.ts";
+import type { ServiceRouterParts } from "./service_router_parts.ts";
 import type { ServiceServer } from "./service_server.ts";
 import { ServiceOrders } from "./service_orders.ts";
 import { type ServiceTerms, serviceTerms } from "./service_terms.ts";
 import { WaitingCalls } from "./waiting_calls.ts";
 
-/** What a router works with. */
-export interface ServiceRouterParts {
-  readonly service: ServiceId;
-  /** The failure domain of this node. */
-  readonly failureDomain: FailureDomainId;
-  readonly random: RandomSource;
-  readonly policy: ServicePolicy;
-}
-
 /**
  * Routes the calls of one service: which server gets each, when another
  * attempt is made, and which calls are refused.
--- /dev/null
+++ b/packages/core/src/service_routing/service_router_parts.ts
@@ -0,0 +1,15 @@
+import type {
+  FailureDomainId,
+  RandomSource,
+  ServiceId,
+} from "../shared/mod.ts";
+import type { ServicePolicy } from "./service_policy.ts";
+
+/** What a router works with. */
+export interface ServiceRouterParts {
+  readonly service: ServiceId;
+  /** The failure domain of this node. */
+  readonly failureDomain: FailureDomainId;
+  readonly random: RandomSource;
+  readonly policy: ServicePolicy;
+}
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -2,10 +2,8 @@
 import {
   createDispatcher,
   HttpEngineClient,
-  HttpLogClient,
+  type HttpLogClient,
   HttpServiceClient,
-  HttpVmListClient,
-  HttpWeightStoreClient,
   type Vm,
 } from "@foxtailwind/edges";
 import type { NestFastifyApplication } from "@nestjs/platform-fastify";
@@ -16,6 +14,7 @@
   makeCluster,
   makeDrain,
   makeMetrics,
+  makePlatformClients,
 } from "./assembly/mod.ts";
 import { ProcessClock } from "./clock/steady_clock.ts";
 import {
@@ -100,18 +99,11 @@
     this.metrics = makeMetrics(settings, loggers);
     const dispatcher = this.#dispatcher;
     const { clock } = this;
-    this.log = new HttpLogClient({
-      baseAddress: settings.platform.log,
-      dispatcher,
-      peer: "log",
-    });
+    const platform = makePlatformClients(settings, dispatcher);
+    this.log = platform.log;
     this.services = new HttpServiceClient({ dispatcher });
     this.directory = new VmDirectory(
-      new HttpVmListClient({
-        baseAddress: settings.platform.vm_list,
-        dispatcher,
-        peer: "vm_list",
-      }),
+      platform.vmList,
       loggers.forPart("membership"),
     );
     this.follower = new ConfigurationFollower({
@@ -157,11 +149,7 @@
       right: new ClusterOrderRight(this.#cluster),
       assignment: new ClusterAssignment(this.#cluster),
       store: settings.platform.weight_store_id,
-      storeClient: new HttpWeightStoreClient({
-        baseAddress: settings.platform.weight_store,
-        dispatcher,
-        peer: settings.platform.weight_store_id,
-      }),
+      storeClient: platform.weightStore,
       engineClient: (vm) => this.#engineClient(engineId(vm.id), vm.address),
     });
     this.router = this.#serving.router;
