One copy of the log's sentences, of the stand-ins' servers and settings

Behaviour, bounds and assertions are as they were; the tests' servers state 16 places instead of 4, which no test depends on.

--- a/packages/bench/src/demo/relay_demo.ts
+++ b/packages/bench/src/demo/relay_demo.ts
@@ -1,4 +1,5 @@
 import { seconds } from "@foxtailwind/core";
+import type { RelayDaemon } from "@foxtailwind/node/relay";
 import { setTimeout as sleep } from "node:timers/promises";
 import { RelayCluster } from "../relay/relay_cluster.ts";
 
@@ -35,12 +36,12 @@
   const later = await sendRound(cluster);
   await stopped;
   const last = await sendRound(cluster);
-  const runs = [...cluster.engines.values()].flatMap((engine) => engine.runs);
-  const isOverfull = [...cluster.engines.values()]
-    .some((engine) => engine.adapters.isOverfull);
+  const engines = [...cluster.engines.values()];
+  const runs = engines.flatMap((engine) => engine.runs);
+  const isOverfull = engines.some((engine) => engine.adapters.isOverfull);
   await cluster.stop();
   const all = [...first, ...later, ...last];
-  const whole = all.filter((answer) => answer === "whole").length;
+  const whole = all.filter(Boolean).length;
   return {
     text: `Relays by route: ${whole} of ${all.length} answers whole, ` +
       `${runs.length} generations run, one of three relays stopped midway` +
@@ -49,42 +50,42 @@
   };
 }
 
-type Verdict = "whole" | "wrong";
-
-async function sendRound(cluster: RelayCluster): Promise<readonly Verdict[]> {
-  const nodes = cluster.daemons;
-  const pick = (index: number) => nodes[index % nodes.length];
+/** Sends a round of requests; whether each was answered rightly and whole. */
+async function sendRound(cluster: RelayCluster): Promise<readonly boolean[]> {
   const lookups = Array.from({ length: LOOKUPS }, async (_, index) => {
-    const node = pick(index);
-    if (node === undefined) return "wrong";
-    const { body } = await cluster.lookUp(node);
-    return body === "looked up /lookups/slots" ? "whole" : "wrong";
+    const { body } = await cluster.lookUp(nodeFor(cluster, index));
+    return body === "looked up /lookups/slots";
   });
   const generations = Array.from(
     { length: ADAPTERS * ROUNDS },
-    async (_, index) => {
-      const node = pick(index);
-      if (node === undefined) return "wrong";
-      return await generateUntilServed(cluster, node, `a${index % ADAPTERS}`);
-    },
+    (_, index) =>
+      generateUntilServed(
+        cluster,
+        nodeFor(cluster, index),
+        `a${index % ADAPTERS}`,
+      ),
   );
   return await Promise.all([...lookups, ...generations]);
 }
 
+function nodeFor({ daemons }: RelayCluster, index: number): RelayDaemon {
+  const node = daemons[index % daemons.length];
+  if (node === undefined) throw new RangeError("The cluster has no node.");
+  return node;
+}
+
 /** Comes back after a refusal, as callers do. */
 async function generateUntilServed(
   cluster: RelayCluster,
-  node: Parameters<RelayCluster["generate"]>[0],
+  node: RelayDaemon,
   adapter: string,
-): Promise<Verdict> {
+): Promise<boolean> {
   for (let tries = 0; tries < MOST_TRIES; tries += 1) {
     const { status, body } = await cluster.generate(node, adapter);
     if (status === 200) {
-      return body.includes("id: 5\n") && body.includes(`data: ${adapter}\n`)
-        ? "whole"
-        : "wrong";
+      return body.includes("id: 5\n") && body.includes(`data: ${adapter}\n`);
     }
     await sleep(COME_BACK_MILLISECONDS);
   }
-  return "wrong";
+  return false;
 }
--- a/packages/bench/src/relay/mod.ts
+++ b/packages/bench/src/relay/mod.ts
@@ -6,4 +6,6 @@
 export * from "./relay_cluster.ts";
 export * from "./stand_in_engine.ts";
 export * from "./stand_in_log.ts";
+export * from "./stand_in_server.ts";
+export * from "./stand_in_settings.ts";
 export * from "./stand_in_wire.ts";
--- a/packages/bench/src/relay/relay_cluster.ts
+++ b/packages/bench/src/relay/relay_cluster.ts
@@ -16,11 +16,9 @@
 import { request as send } from "undici";
 import { StandInControl, StandInEngine } from "./stand_in_engine.ts";
 import { StandInLog, StandInStore } from "./stand_in_log.ts";
-import {
-  STAND_IN_MODEL,
-  StandInOperations,
-  StandInWire,
-} from "./stand_in_wire.ts";
+import { standInEngines } from "./stand_in_server.ts";
+import { standInSettings } from "./stand_in_settings.ts";
+import { StandInOperations, StandInWire } from "./stand_in_wire.ts";
 
 const ENGINES = serviceId("engines");
 const LOOKUPS = serviceId("lookups");
@@ -86,7 +84,7 @@
    */
   async addNode(id: string): Promise<RelayDaemon> {
     const settings = parseRelaySettings(
-      settingsText(id, this.#size.grace ?? seconds(8)),
+      standInSettings(id, this.#size.grace ?? seconds(8)),
       `${id}.ini`,
     );
     if (settings.isErr()) throw new Error(JSON.stringify(settings.error));
@@ -177,7 +175,7 @@
         id: engine.id,
         service: ENGINES,
         address: await engine.listen(),
-        models: [{ model: STAND_IN_MODEL, adapters: new Map() }],
+        isEngine: true,
       });
     }
     await new Promise<void>((resolve) => {
@@ -240,17 +238,7 @@
     ],
     services: [
       { id: LOOKUPS, connectionLimit: 50 },
-      {
-        id: ENGINES,
-        connectionLimit: 50,
-        engine: {
-          models: [
-            { model: STAND_IN_MODEL, megabytes: 1, adapterMegabytes: 1 },
-          ],
-          megabytes: 100,
-          adapterSlots: slots,
-        },
-      },
+      standInEngines(ENGINES, slots),
     ],
     limits: {
       headerBytes: 8_192,
@@ -260,27 +248,3 @@
     },
   };
 }
-
-function settingsText(id: string, grace: Duration): string {
-  const address = "127.0.0.1:0";
-  return [
-    "[node]",
-    `id = ${id}`,
-    "failure_domain = domain-a",
-    "[listen]",
-    ...["callers", "readiness", "addresses", "peers", "metrics"]
-      .map((name) => `${name} = ${address}`),
-    "[platform]",
-    "store = 127.0.0.1:1",
-    "[retries]",
-    "share = 0.2",
-    "reserve = 50",
-    "window_seconds = 10",
-    "[engines]",
-    "lease_milliseconds = 3000",
-    "[stop]",
-    `grace_seconds = ${grace / 1_000}`,
-    "[addresses]",
-    "longest_lifetime_seconds = 5",
-  ].join("\n");
-}
--- a/packages/bench/src/relay/stand_in_log.ts
+++ b/packages/bench/src/relay/stand_in_log.ts
@@ -1,11 +1,9 @@
 import {
   backendServerId,
   type Failure,
-  failureDomainId,
   logOffset,
   type RegisteredServer,
   type RelayConfiguration,
-  type ServiceId,
 } from "@foxtailwind/core";
 import {
   type ClaimRecord,
@@ -13,6 +11,7 @@
   SharedLog,
   type SharedLogListener,
 } from "@foxtailwind/node/relay";
+import { type StandInServer, standInServer } from "./stand_in_server.ts";
 import { err, ok, type Result } from "neverthrow";
 
 const FAILURE: Failure = {
@@ -26,16 +25,6 @@
 /** Tells a node something that the store holds. */
 type News = (listener: SharedLogListener) => void;
 
-/** A backend server as the stand-in's registry has it. */
-export interface StandInServer {
-  readonly id: string;
-  readonly service: ServiceId;
-  /** IP literal and port. */
-  readonly address: string;
-  readonly models?: RegisteredServer["models"];
-  readonly leaving?: boolean;
-}
-
 /** What the platform's store holds, for all nodes of one process. */
 export class StandInStore {
   readonly #logs = new Set<StandInLog>();
@@ -68,17 +57,7 @@
    * @param server The server.
    */
   register(server: StandInServer): void {
-    const id = backendServerId(server.id);
-    const entry: RegisteredServer = {
-      id,
-      service: server.service,
-      address: server.address,
-      failureDomain: failureDomainId("domain-a"),
-      leaving: server.leaving ?? false,
-      slots: 16,
-      models: server.models ?? [],
-      orderCount: 0,
-    };
+    const entry = standInServer(server);
     this.#servers.set(server.id, entry);
     this.#registryEnd += 1;
     const offset = logOffset(this.#registryEnd);
@@ -105,13 +84,11 @@
   }
 
   /**
-   * Adds claims where the log ends at an offset.
+   * Adds claims. Nodes hear of each one at once, so that none claims without
+   * knowing the ones before.
    * @param claims The claims.
-   * @param end The offset.
-   * @returns Whether it did.
    */
-  appendClaims(claims: readonly ClaimRecord[], end: number): boolean {
-    if (end !== this.#claims.length) return false;
+  appendClaims(claims: readonly ClaimRecord[]): void {
     for (const claim of claims) {
       this.#claims.push(claim);
       const offset = logOffset(this.#claims.length - 1);
@@ -119,7 +96,6 @@
         listener.claim(claim, offset);
       });
     }
-    return true;
   }
 
   /**
@@ -202,8 +178,8 @@
     claims: readonly ClaimRecord[],
   ): Promise<Result<boolean, Failure>> {
     if (!this.#store.isUp) return Promise.resolve(err(FAILURE));
-    const end = this.#store.claims.length;
-    return Promise.resolve(ok(this.#store.appendClaims(claims, end)));
+    this.#store.appendClaims(claims);
+    return Promise.resolve(ok(true));
   }
 
   override announce(node: NodeRecord): Promise<Result<boolean, Failure>> {
--- a/packages/cli/src/logs/explain_request.ts
+++ b/packages/cli/src/logs/explain_request.ts
@@ -1,4 +1,5 @@
-import { type LogLine, SENTENCE } from "./log_line.ts";
+import { RELAY_SENTENCE } from "@foxtailwind/core";
+import { type LogLine } from "./log_line.ts";
 
 /** What the logs tell of a request. */
 export interface LogExplanation {
@@ -50,7 +51,7 @@
 ): LogExplanation | undefined {
   const isOwn = (line: LogLine) => line.fields["request"] === request;
   const end = lines.find((line) =>
-    line.sentence === SENTENCE.requestEnded && isOwn(line)
+    line.sentence === RELAY_SENTENCE.requestEnded && isOwn(line)
   );
   if (end === undefined) return undefined;
   const took = numberOf(end, "took");
@@ -115,7 +116,7 @@
   const engines = new Set(asked.map((one) => one.engine));
   const isOfEngine = (line: LogLine) => engines.has(textOf(line, "engine"));
   const owners = found.around.filter((line) =>
-    line.sentence === SENTENCE.newOwner && isOfEngine(line) &&
+    line.sentence === RELAY_SENTENCE.newOwner && isOfEngine(line) &&
     line.time + numberOf(line, "wait") > found.arrivedAt
   );
   const [owner] = owners;
@@ -123,7 +124,7 @@
     return { cause: describeOwner(owner), evidence: owners };
   }
   const silent = found.around.filter((line) =>
-    line.sentence === SENTENCE.outOfReach && isOfEngine(line)
+    line.sentence === RELAY_SENTENCE.outOfReach && isOfEngine(line)
   );
   const [engine] = silent;
   if (engine !== undefined) {
@@ -145,7 +146,7 @@
     };
   }
   const failures = found.around.filter((line) =>
-    line.sentence === SENTENCE.logFailed
+    line.sentence === RELAY_SENTENCE.logFailed
   );
   const unowned = refused.find((one) =>
     one.answer === "no_owner" || one.answer === "not_owner"
@@ -192,13 +193,14 @@
     return { cause: `Server ${server} answered with a failure.`, evidence: [] };
   }
   const gone = around.filter((line) =>
-    (line.sentence === SENTENCE.serverLeft ||
-        line.sentence === SENTENCE.serverLeaves) &&
+    (line.sentence === RELAY_SENTENCE.serverLeft ||
+        line.sentence === RELAY_SENTENCE.serverLeaves) &&
       textOf(line, "server") === server ||
-    line.sentence === SENTENCE.outOfReach && textOf(line, "engine") === server
+    line.sentence === RELAY_SENTENCE.outOfReach &&
+      textOf(line, "engine") === server
   );
   const lost = around.filter((line) =>
-    line.sentence === SENTENCE.requestEnded && line !== end &&
+    line.sentence === RELAY_SENTENCE.requestEnded && line !== end &&
     textOf(line, "server") === server &&
     Math.abs(line.time - end.time) <= TOGETHER
   );
@@ -217,8 +219,8 @@
 
 function explainNoServer({ end, around }: Case): Finding {
   const left = around.filter((line) =>
-    line.sentence === SENTENCE.serverLeft ||
-    line.sentence === SENTENCE.serverLeaves
+    line.sentence === RELAY_SENTENCE.serverLeft ||
+    line.sentence === RELAY_SENTENCE.serverLeaves
   );
   return {
     cause: `No server of service ${textOf(end, "service")} could be chosen.`,
--- a/packages/cli/src/logs/log_line.ts
+++ b/packages/cli/src/logs/log_line.ts
@@ -11,19 +11,6 @@
   readonly fields: Readonly<Record<string, string | number | boolean>>;
 }
 
-/** The sentences that an explanation is made from. */
-export const SENTENCE = {
-  started: "Started.",
-  requestEnded: "A request ended.",
-  sentAgain: "A request is sent again.",
-  notSentAgain: "A request is not sent again: the allowance is used up.",
-  newOwner: "An engine has a new owner.",
-  outOfReach: "An engine is out of its owner's reach.",
-  serverLeaves: "A server leaves.",
-  serverLeft: "A server has left.",
-  logFailed: "The platform's log failed a call.",
-} as const;
-
 const lineSchema = z.looseObject({
   time: z.iso.datetime(),
   message: z.string(),
--- a/packages/cli/src/logs/read_logs.ts
+++ b/packages/cli/src/logs/read_logs.ts
@@ -1,10 +1,11 @@
+import { RELAY_SENTENCE } from "@foxtailwind/core";
 import { err, ok, type Result } from "neverthrow";
 import { createReadStream } from "node:fs";
 import process from "node:process";
 import { createInterface } from "node:readline";
 import type { CommandFailure } from "../command_failure.ts";
 import { EXIT_CODE } from "../exit_code.ts";
-import { type LogLine, parseLogLine, SENTENCE } from "./log_line.ts";
+import { type LogLine, parseLogLine } from "./log_line.ts";
 
 /** The name that stands for standard input. */
 const STANDARD_INPUT = "-";
@@ -44,7 +45,7 @@
       if (line === undefined) continue;
       count += 1;
       const { node } = line.fields;
-      const isNaming = line.sentence === SENTENCE.started;
+      const isNaming = line.sentence === RELAY_SENTENCE.started;
       if (isNaming && typeof node === "string") nodes.add(node);
       if (mayMatter(line, request)) kept.push(line);
     }
@@ -79,6 +80,6 @@
   const isOther = fields["request"] !== undefined &&
     fields["request"] !== request;
   if (!isOther) return true;
-  return sentence === SENTENCE.requestEnded &&
+  return sentence === RELAY_SENTENCE.requestEnded &&
     TELLING.has(String(fields["outcome"]));
 }
--- a/packages/core/src/observation/mod.ts
+++ b/packages/core/src/observation/mod.ts
@@ -6,6 +6,7 @@
 export * from "./histogram_table.ts";
 export * from "./measure.ts";
 export * from "./merged_histograms.ts";
+export * from "./relay_sentence.ts";
 export * from "./request_event.ts";
 export * from "./request_observer.ts";
 export * from "./request_telemetry.ts";
--- /dev/null
+++ b/packages/core/src/observation/relay_sentence.ts
@@ -0,0 +1,13 @@
+/**
+ * The sentences of the relay's log that explanations are made from: those who
+ * write lines and those who read them use the same.
+ */
+export const RELAY_SENTENCE = {
+  started: "Started.",
+  requestEnded: "A request ended.",
+  newOwner: "An engine has a new owner.",
+  outOfReach: "An engine is out of its owner's reach.",
+  serverLeaves: "A server leaves.",
+  serverLeft: "A server has left.",
+  logFailed: "The platform's log failed a call.",
+} as const;
--- a/packages/node/src/relay/engine_orders.ts
+++ b/packages/node/src/relay/engine_orders.ts
@@ -1,9 +1,10 @@
-import type {
-  ModelId,
-  NodeId,
-  OrderRight,
-  RegisteredServer,
-  SlotOrder,
+import {
+  type ModelId,
+  type NodeId,
+  type OrderRight,
+  type RegisteredServer,
+  RELAY_SENTENCE,
+  type SlotOrder,
 } from "@foxtailwind/core";
 import type { PartLogger } from "../logging/part_logger.ts";
 import type {
@@ -165,7 +166,7 @@
   #heard(hasAnswered: boolean): void {
     this.#silentCalls = hasAnswered ? 0 : this.#silentCalls + 1;
     if (this.#silentCalls !== SILENT_CALLS) return;
-    this.#parts.logger.warn("An engine is out of its owner's reach.", {
+    this.#parts.logger.warn(RELAY_SENTENCE.outOfReach, {
       engine: this.#server.id,
     });
     this.#parts.fellSilent();
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -11,6 +11,7 @@
   type ModelId,
   type RegisteredServer,
   type RegistryEntry,
+  RELAY_SENTENCE,
   type RelayConfiguration,
   RouteTable,
   ServerRegistry,
@@ -144,7 +145,7 @@
   override claim(claim: ClaimRecord, offset: LogOffset): void {
     const seenAt = this.#parts.clock.now();
     this.claims.apply({ ...claim, offset, seenAt });
-    this.#parts.logger.info("An engine has a new owner.", {
+    this.#parts.logger.info(RELAY_SENTENCE.newOwner, {
       engine: claim.engine,
       owner: claim.owner,
       offset,
@@ -170,7 +171,7 @@
     this.registry.disturbed(now);
     if (!this.#isInContact) return;
     this.#isInContact = false;
-    this.#parts.logger.warn("The platform's log failed a call.", {
+    this.#parts.logger.warn(RELAY_SENTENCE.logFailed, {
       step: failure.step,
       peer: failure.peer,
       reason: failure.reason,
@@ -206,14 +207,14 @@
   ): void {
     const { logger } = this.#parts;
     if (entry.kind === "gone") {
-      logger.info("A server has left.", { server: entry.id });
+      logger.info(RELAY_SENTENCE.serverLeft, { server: entry.id });
       return;
     }
     const { id, service, leaving } = entry.server;
     if (known === undefined) {
       logger.info("A server is there.", { server: id, service });
     } else if (leaving && !known.leaving) {
-      logger.info("A server leaves.", { server: id, service });
+      logger.info(RELAY_SENTENCE.serverLeaves, { server: id, service });
     }
   }
 }
--- a/packages/node/src/relay/peer_exchange.ts
+++ b/packages/node/src/relay/peer_exchange.ts
@@ -24,11 +24,11 @@
 import type { Knowledge } from "./knowledge.ts";
 import { readKnowledge, writeKnowledge } from "./knowledge_message.ts";
 
-/** Between two exchanges with each peer. */
+/** Between two exchanges with each peer, in milliseconds. */
 const EXCHANGE_PERIOD = 300;
 /** News of so many milliseconds go out together. */
 const GATHERING_TIME = 5;
-/** After so long, an exchange counts as unanswered. */
+/** After so many milliseconds, an exchange counts as unanswered. */
 const EXCHANGE_LIMIT = 500;
 /** After so long without the log, a peer is asked for what it knows. */
 const PATIENCE_WITHOUT_LOG = milliseconds(1_500);
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -2,6 +2,7 @@
   CallerPatience,
   elapsed,
   type Instant,
+  RELAY_SENTENCE,
   seconds,
 } from "@foxtailwind/core";
 import { randomUUID } from "node:crypto";
@@ -174,7 +175,7 @@
       addresses,
       metrics,
     });
-    this.#logger.info("Started.", {
+    this.#logger.info(RELAY_SENTENCE.started, {
       node: this.#settings.node.id,
       incarnation: this.#incarnation,
     });
--- a/packages/node/src/relay/relay_request.ts
+++ b/packages/node/src/relay/relay_request.ts
@@ -4,6 +4,7 @@
   type Instant,
   later,
   type RegisteredServer,
+  RELAY_SENTENCE,
 } from "@foxtailwind/core";
 import { AnswerPassage } from "./answer_passage.ts";
 import type { CallEnd } from "./backend_call.ts";
@@ -225,7 +226,7 @@
     const took = elapsed(arrivedAt, this.#now());
     this.#parts.record(route, this.#outcome, took, this.#passage.firstAfter);
     this.#parts.logger.info(
-      "A request ended.",
+      RELAY_SENTENCE.requestEnded,
       describeEnd(this.#request, {
         outcome: this.#outcome,
         server: this.#sent.lastServer,
--- a/packages/node/tests/relay/engine_owners_test.ts
+++ b/packages/node/tests/relay/engine_owners_test.ts
@@ -1,9 +1,8 @@
+import { standInEngines, standInServer } from "@foxtailwind/bench";
 import {
   backendServerId,
-  failureDomainId,
   logOffset,
   milliseconds,
-  modelId,
   seconds,
   serviceId,
 } from "@foxtailwind/core";
@@ -22,7 +21,6 @@
 
 const ENGINE = backendServerId("engine");
 const SERVICE = serviceId("engines");
-const MODEL = modelId("m");
 
 /** A log that takes every claim and keeps it. */
 class ClaimLog extends SharedLog {
@@ -75,15 +73,7 @@
   knowledge.configuration({
     version: 1,
     routes: [],
-    services: [{
-      id: SERVICE,
-      connectionLimit: 10,
-      engine: {
-        models: [{ model: MODEL, megabytes: 1, adapterMegabytes: 1 }],
-        megabytes: 10,
-        adapterSlots: 2,
-      },
-    }],
+    services: [standInEngines(SERVICE, 2)],
     limits: {
       headerBytes: 4_096,
       bodyBytes: 100_000,
@@ -94,16 +84,12 @@
   knowledge.registryEntry({
     kind: "present",
     offset: logOffset(1),
-    server: {
+    server: standInServer({
       id: ENGINE,
       service: SERVICE,
       address: "127.0.0.1:1",
-      failureDomain: failureDomainId("domain-a"),
-      leaving: false,
-      slots: 64,
-      models: [{ model: MODEL, adapters: new Map() }],
-      orderCount: 0,
-    },
+      isEngine: true,
+    }),
   });
   const claim = {
     engine: ENGINE,
--- a/packages/node/tests/relay/helpers/relay_world.ts
+++ b/packages/node/tests/relay/helpers/relay_world.ts
@@ -1,16 +1,17 @@
-import { STAND_IN_MODEL, StandInWire } from "@foxtailwind/bench";
+import {
+  STAND_IN_MODEL,
+  standInEngines,
+  standInServer,
+  StandInWire,
+} from "@foxtailwind/bench";
 import {
   backendServerId,
   CallerPatience,
   type Duration,
-  failureDomainId,
   type Instant,
   instant,
   logOffset,
-  milliseconds,
-  type Route,
   seconds,
-  serviceId,
 } from "@foxtailwind/core";
 import {
   AdapterGrants,
@@ -35,59 +36,12 @@
 } from "node:http";
 import type { AddressInfo } from "node:net";
 import { request as send } from "undici";
+import { ENGINES, ROUTES, SERVICE } from "./relay_routes.ts";
 import { relaySettings } from "./relay_settings.ts";
 import { ScriptedEngine } from "./scripted_engine.ts";
 
-const SERVICE = serviceId("plain");
-const ENGINES = serviceId("engines");
-
 const INCARNATION = "run-1";
 
-const BASE: Omit<Route, "name" | "pathPrefix"> = {
-  host: "one.example",
-  repeatable: false,
-  streams: false,
-  resumable: false,
-  attempts: 1,
-  timeLimit: milliseconds(1_500),
-  target: milliseconds(200),
-  priority: 0,
-  targets: [{ service: SERVICE, weight: 1 }],
-};
-
-const ROUTES: readonly Route[] = [
-  { ...BASE, name: "once", pathPrefix: "/once/" },
-  {
-    ...BASE,
-    name: "repeatable",
-    pathPrefix: "/repeatable/",
-    repeatable: true,
-    attempts: 2,
-  },
-  { ...BASE, name: "stream", pathPrefix: "/stream/", streams: true },
-  {
-    ...BASE,
-    name: "resumable",
-    pathPrefix: "/resumable/",
-    streams: true,
-    resumable: true,
-    attempts: 2,
-  },
-  {
-    ...BASE,
-    name: "short",
-    pathPrefix: "/short/",
-    timeLimit: milliseconds(150),
-  },
-  {
-    ...BASE,
-    name: "engine",
-    pathPrefix: "/engine/",
-    timeLimit: seconds(5),
-    targets: [{ service: ENGINES, weight: 1 }],
-  },
-];
-
 /** A front with backend servers that answer as a test says. */
 export class RelayWorld {
   readonly knowledge: Knowledge;
@@ -169,19 +123,7 @@
       routes: ROUTES,
       services: [
         { id: SERVICE, connectionLimit: 100 },
-        {
-          id: ENGINES,
-          connectionLimit: 100,
-          engine: {
-            models: [{
-              model: STAND_IN_MODEL,
-              megabytes: 1,
-              adapterMegabytes: 1,
-            }],
-            megabytes: 10,
-            adapterSlots: this.control.adapters.slots,
-          },
-        },
+        standInEngines(ENGINES, this.control.adapters.slots),
       ],
       limits: {
         headerBytes: 4_096,
@@ -247,18 +189,12 @@
     this.knowledge.registryEntry({
       kind: "present",
       offset: logOffset(this.#offset),
-      server: {
-        id: backendServerId(id),
+      server: standInServer({
+        id,
         service,
         address,
-        failureDomain: failureDomainId("domain-a"),
-        leaving: false,
-        slots: 4,
-        models: service === ENGINES
-          ? [{ model: STAND_IN_MODEL, adapters: new Map() }]
-          : [],
-        orderCount: 0,
-      },
+        isEngine: service === ENGINES,
+      }),
     });
   }
 
