A request's line tells how its answer was framed, what broke it, and how old a stop was

Cause: three of the hypotheses on short answers differ only by the framing and by what ended the connection, and those on stops by when the request was taken; no line told either. Change: framing, broke and stopping_for on the line of an ended request.

--- a/packages/node/src/relay/answer_passage.ts
+++ b/packages/node/src/relay/answer_passage.ts
@@ -26,6 +26,9 @@
   /** Not an answer to this request. */
   | "foreign";
 
+/** How the end of an answer's body is told. */
+export type AnswerFraming = "length" | "chunks" | "connection";
+
 /** A refusal in the node's own words. */
 export interface OwnRefusal {
   /** Why, in one word of the node's own. */
@@ -50,8 +53,8 @@
   #verdict: PassageVerdict = "none";
   #isMisdirected = false;
   #hasBegun = false;
-  /** Whether the server's answer has no length, but ends with its connection. */
-  #isOpenEnded = false;
+  /** How the server tells the end of its answer's body. */
+  #framing: AnswerFraming | undefined;
   /** Whether the caller's answer is framed in that way. */
   #isPassedOpenEnded = false;
   #failure: { readonly head: AnswerHead; readonly body: Buffer[] } | undefined;
@@ -94,6 +97,11 @@
     return this.#isMisdirected;
   }
 
+  /** How the last server framed its answer, where one came. */
+  get framing(): AnswerFraming | undefined {
+    return this.#framing;
+  }
+
   /** From the send to the first bytes of the body. */
   get firstAfter(): Duration | undefined {
     return this.#firstAfter;
@@ -110,6 +118,7 @@
    */
   begin(now: Instant): void {
     this.#verdict = "none";
+    this.#framing = undefined;
     this.#isMisdirected = false;
     this.#failure = undefined;
     this.#sentAt = now;
@@ -131,6 +140,7 @@
     const { wire, clock } = this.#parts;
     this.#heardAt = clock.now();
     const facts = wire.readAnswer(head.status, head.headers);
+    this.#framing = this.#framingOf(head);
     if (facts.notRun) {
       this.#verdict = "not_run";
       this.#isMisdirected = facts.isMisdirected;
@@ -152,9 +162,6 @@
       return "take";
     }
     this.#verdict = "passed";
-    this.#isOpenEnded = head.headers["content-length"] === undefined &&
-      head.headers["transfer-encoding"] === undefined &&
-      this.#request.message.method !== "HEAD" && !BODILESS.has(head.status);
     this.#beginAnswer(head);
     return "take";
   }
@@ -225,6 +232,17 @@
     else this.#response.destroy();
   }
 
+  get #isOpenEnded(): boolean {
+    return this.#framing === "connection";
+  }
+
+  #framingOf({ status, headers }: AnswerHead): AnswerFraming {
+    if (headers["transfer-encoding"] !== undefined) return "chunks";
+    const hasLength = headers["content-length"] !== undefined ||
+      this.#request.message.method === "HEAD" || BODILESS.has(status);
+    return hasLength ? "length" : "connection";
+  }
+
   #beginAnswer(head: AnswerHead): void {
     if (this.#hasBegun) return;
     this.#hasBegun = true;
--- a/packages/node/src/relay/relay_request.ts
+++ b/packages/node/src/relay/relay_request.ts
@@ -35,10 +35,12 @@
   readonly #endsAt: Instant;
   readonly #over = new AbortController();
   readonly #sent = new SendRecord();
+  readonly #stoppingFor: Duration | undefined;
   readonly #passage: AnswerPassage;
   readonly #finder: PlaceFinder;
   readonly #sender: RequestSender;
   #outcome = "";
+  #broke: string | undefined;
   #placedAfter: Duration | undefined;
   #timer: NodeJS.Timeout | undefined;
 
@@ -50,6 +52,8 @@
     this.#parts = parts;
     this.#request = request;
     this.#endsAt = later(request.arrivedAt, longestTime(request));
+    const stop = parts.plannedStop();
+    this.#stoppingFor = stop && elapsed(stop.begunAt, request.arrivedAt);
     this.#passage = new AnswerPassage(request, parts);
     const terms = {
       endsAt: this.#endsAt,
@@ -97,6 +101,7 @@
     this.#placedAfter ??= elapsed(this.#request.arrivedAt, this.#now());
     const end = await this.#sender.send(place);
     place.release();
+    this.#broke = end.kind === "broken" ? end.detail : undefined;
     if (this.#isOver()) return false;
     return this.#judge(place.server, end);
   }
@@ -232,10 +237,13 @@
         server: this.#sent.lastServer,
         sends: this.#sent.sends,
         runs: this.#sent.runs,
+        framing: this.#passage.framing,
+        broke: this.#broke,
         asked: this.#finder.asked,
         placedAfter: this.#placedAfter,
         firstAfter: this.#passage.firstAfter,
         took,
+        stoppingFor: this.#stoppingFor,
         configuration: this.#parts.knowledge.routes?.configuration.version,
       }),
     );
--- a/packages/node/src/relay/request_line.ts
+++ b/packages/node/src/relay/request_line.ts
@@ -1,5 +1,6 @@
 import type { BackendServerId, Duration } from "@foxtailwind/core";
 import type { LogFields } from "../logging/part_logger.ts";
+import type { AnswerFraming } from "./answer_passage.ts";
 import type { ReadRequest } from "./read_request.ts";
 import type { PlaceAnswer } from "./request_placer.ts";
 
@@ -11,10 +12,16 @@
   readonly sends: number;
   /** Sends after which it may have run. */
   readonly runs: number;
+  /** How the last answer told its end. */
+  readonly framing: AnswerFraming | undefined;
+  /** What broke the last call to a server, where it did not end in order. */
+  readonly broke: string | undefined;
   readonly asked: readonly PlaceAnswer[];
   readonly placedAfter: Duration | undefined;
   readonly firstAfter: Duration | undefined;
   readonly took: Duration;
+  /** How long the node had been stopping when the request came. */
+  readonly stoppingFor: Duration | undefined;
   /** The configuration in force at the end. */
   readonly configuration: number | undefined;
 }
@@ -40,11 +47,14 @@
     adapter: caller.use?.adapter,
     sends: end.sends,
     runs: end.runs,
+    framing: end.framing,
+    broke: end.broke,
     asked: asked === "" ? undefined : asked,
     placed_after: round(end.placedAfter),
     first_after: round(end.firstAfter),
     took: round(end.took),
     patience: caller.patience,
+    stopping_for: round(end.stoppingFor),
     configuration: end.configuration,
   };
 }
