--- /dev/null
+++ b/packages/node/tests/relay/stop_end_test.ts
@@ -0,0 +1,52 @@
+/**
+ * The end of a planned stop. A caller's connection was closed in the middle of
+ * its answer 7.8 s after the signal: the node had taken the request 4.5 s after
+ * it, though nothing bounds such a request to the time that is left. Refusing
+ * what comes late mends that case only. What was taken earlier, or before the
+ * signal, still ended with a bare close where its server was slow, and servers
+ * were given time that the node did not have.
+ */
+import { seconds } from "@foxtailwind/core";
+import test from "ava";
+import { setTimeout as sleep } from "node:timers/promises";
+import { rawCall } from "./helpers/raw_call.ts";
+import { RelayWorld } from "./helpers/relay_world.ts";
+
+test.failing("a request that a stopping node can't finish gets a final answer", async (t) => {
+  const world = new RelayWorld();
+  world.configure();
+  await world.addServer("s1", () => undefined);
+  await world.start(t);
+  const call = rawCall(world.port, "/once/a");
+  await sleep(100);
+  world.front.cut();
+  const { bytes } = await call.ended;
+  t.regex(bytes, /^HTTP\/1\.1 504 /, "It may have run.");
+});
+
+test.failing("a request that found no place until a node ends is told that it has not run", async (t) => {
+  const world = new RelayWorld();
+  world.configure();
+  await world.start(t);
+  const call = rawCall(world.port, "/once/a");
+  await sleep(100);
+  world.front.cut();
+  const { bytes } = await call.ended;
+  t.regex(bytes, /^HTTP\/1\.1 503 /);
+  t.regex(bytes, /retry-after: /i);
+});
+
+test.failing("a server gets no more time than a stopping node has left", async (t) => {
+  const world = new RelayWorld();
+  world.configure();
+  const left: number[] = [];
+  await world.addServer("s1", (request) => {
+    left.push(Number(request.headers["x-left"]));
+  });
+  await world.start(t);
+  world.stop = { begunAt: world.earlier(2_500), grace: seconds(3.5) };
+  const { bytes } = await rawCall(world.port, "/once/a").ended;
+  t.regex(bytes, /^HTTP\/1\.1 504 /);
+  const [milliseconds = Number.NaN] = left;
+  t.true(milliseconds > 0 && milliseconds < 1_000, `${milliseconds}`);
+});
