--- a/packages/edges/tests/http/http_service_client_test.ts
+++ b/packages/edges/tests/http/http_service_client_test.ts
@@ -5,6 +5,7 @@
   type ServiceCall,
 } from "@foxtailwind/edges";
 import test, { type ExecutionContext } from "ava";
+import type { Socket } from "node:net";
 import { findClosedAddress, startRawServer } from "../helpers/raw_server.ts";
 
 function clientOf(t: ExecutionContext): HttpServiceClient {
@@ -72,3 +73,25 @@
   const result = await clientOf(t).call(call, new AbortController().signal);
   t.like(result._unsafeUnwrapErr(), { reason: "timeout", outcome: "unknown" });
 });
+
+const CRASHES: Readonly<Record<string, (socket: Socket) => void>> = {
+  "at once": (socket) => {
+    socket.resetAndDestroy();
+  },
+  "a moment later": (socket) => {
+    setTimeout(() => socket.resetAndDestroy(), 30);
+  },
+};
+
+for (const [moment, crash] of Object.entries(CRASHES)) {
+  test.failing(`an answer without a length that is reset ${moment} is not taken as whole`, async (t) => {
+    const server = await startRawServer(({ socket }) => {
+      socket.write("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf a bo");
+      crash(socket);
+    });
+    t.teardown(server.close);
+    const signal = new AbortController().signal;
+    const result = await clientOf(t).call(callTo(server.address), signal);
+    t.is(result._unsafeUnwrapErr().outcome, "unknown");
+  });
+}
