--- a/packages/node/src/logging/part_logger.ts
+++ b/packages/node/src/logging/part_logger.ts
@@ -63,24 +63,32 @@
   }
 }
 
+/** Where the lines of parts go that don't go with all others. */
+export type PartWriters = Readonly<Partial<Record<LogPart, WriteLine>>>;
+
 /** Makes the loggers of all parts. */
 export class LoggerFactory {
+  readonly #format: LogFormat;
+  readonly #level: number;
   readonly #consola: ConsolaInstance;
+  readonly #partWriters: PartWriters;
 
   /**
    * @param format How lines are written.
    * @param level The most talkative level of consola that is written.
    * @param write Takes the lines; standard error where left out.
+   * @param partWriters Take the lines of single parts instead.
    */
   constructor(
     format: LogFormat,
     level: number,
     write: WriteLine = writeToStandardError,
+    partWriters: PartWriters = {},
   ) {
-    const reporter = format === "human"
-      ? humanReporter(write)
-      : jsonReporter(write);
-    this.#consola = createConsola({ level, reporters: [reporter] });
+    this.#format = format;
+    this.#level = level;
+    this.#consola = this.#makeConsola(write);
+    this.#partWriters = partWriters;
   }
 
   /**
@@ -89,7 +97,18 @@
    * @returns Its logger.
    */
   forPart(part: LogPart): PartLogger {
-    return new PartLogger(this.#consola, part);
+    const write = this.#partWriters[part];
+    const consola = write === undefined
+      ? this.#consola
+      : this.#makeConsola(write);
+    return new PartLogger(consola, part);
+  }
+
+  #makeConsola(write: WriteLine): ConsolaInstance {
+    const reporter = this.#format === "human"
+      ? humanReporter(write)
+      : jsonReporter(write);
+    return createConsola({ level: this.#level, reporters: [reporter] });
   }
 }
 
--- a/packages/node/tests/relay/bounded_writer_test.ts
+++ b/packages/node/tests/relay/bounded_writer_test.ts
@@ -1,5 +1,9 @@
 import { type Instant, instant } from "@foxtailwind/core";
-import { BoundedWriter, ProcessClock } from "@foxtailwind/node/relay";
+import {
+  BoundedWriter,
+  LoggerFactory,
+  ProcessClock,
+} from "@foxtailwind/node/relay";
 import test from "ava";
 import { Writable } from "node:stream";
 
@@ -11,6 +15,30 @@
   }
 }
 
+test("a burst of requests costs no line that a node says of itself", (t) => {
+  const written: string[] = [];
+  const stream = new Writable({
+    write(chunk: Buffer, _encoding, done) {
+      written.push(chunk.toString());
+      done();
+    },
+  });
+  const own = new BoundedWriter(stream, new SetClock(), 2);
+  const requests = new BoundedWriter(stream, new SetClock(), 2);
+  const loggers = new LoggerFactory("json", 3, (line) => {
+    own.write(line);
+  }, {
+    callers: (line) => {
+      requests.write(line);
+    },
+  });
+  const callers = loggers.forPart("callers");
+  for (let count = 0; count < 10; count += 1) callers.info("A request ended.");
+  loggers.forPart("daemon").info("Stopping.");
+  t.is(written.length, 3);
+  t.regex(written.at(-1) ?? "", /daemon: Stopping\./);
+});
+
 test("lines beyond the budget of a second are dropped, counted and told", (t) => {
   const written: string[] = [];
   const stream = new Writable({
