What is written to a caller stands apart from what a server's answer is

Change: CallerAnswer writes and ends, AnswerPassage decides; no change of behaviour but that a failure of a resumable route goes in chunks instead of a counted length.

--- a/packages/node/src/relay/answer_passage.ts
+++ b/packages/node/src/relay/answer_passage.ts
@@ -4,13 +4,12 @@
   EventSplitter,
   type Instant,
 } from "@foxtailwind/core";
-import type { ServerResponse } from "node:http";
-import { connectionHeaders } from "../http/connection_headers.ts";
 import {
   type AnswerHead,
   AnswerTaker,
   type HeadVerdict,
 } from "./backend_call.ts";
+import { CallerAnswer, type OwnRefusal } from "./caller_answer.ts";
 import { KeptAnswer } from "./kept_answer.ts";
 import type { RelayParts } from "./relay_parts.ts";
 import type { ReadRequest } from "./read_request.ts";
@@ -30,13 +29,6 @@
 /** How the end of an answer's body is told. */
 export type AnswerFraming = "length" | "chunks" | "connection";
 
-/** A refusal in the node's own words. */
-export interface OwnRefusal {
-  /** Why, in one word of the node's own. */
-  readonly refusal: string;
-  readonly comeBackSeconds?: number;
-}
-
 const BAD_GATEWAY = 502;
 const SUCCESSES_FROM = 200;
 const REDIRECTS_FROM = 300;
@@ -49,16 +41,13 @@
 export class AnswerPassage extends AnswerTaker {
   readonly #request: ReadRequest;
   readonly #parts: RelayParts;
-  readonly #response: ServerResponse;
+  readonly #answer: CallerAnswer;
   /** Set where an event that is cut off must not be passed on. */
   #splitter: EventSplitter | undefined;
   #verdict: PassageVerdict = "none";
   #isMisdirected = false;
-  #hasBegun = false;
   /** How the server tells the end of its answer's body. */
   #framing: AnswerFraming | undefined;
-  /** Whether the caller's answer is framed in that way. */
-  #isPassedOpenEnded = false;
   /** What is not passed on until it is known how it ends. */
   #kept: KeptAnswer | undefined;
   #lastEventId: string | undefined;
@@ -74,7 +63,7 @@
     super();
     this.#request = request;
     this.#parts = parts;
-    this.#response = request.response;
+    this.#answer = new CallerAnswer(request.response);
     this.#splitter = request.route.resumable ? new EventSplitter() : undefined;
     this.#sentAt = request.arrivedAt;
     this.#heardAt = request.arrivedAt;
@@ -87,7 +76,7 @@
 
   /** Whether the caller has got the head of a success. */
   get hasBegun(): boolean {
-    return this.#hasBegun;
+    return this.#answer.hasBegun;
   }
 
   /** Whether a failure of the server is kept. */
@@ -196,7 +185,7 @@
     if (!this.#isOpenEnded) return true;
     const isCutOff = this.#splitter !== undefined &&
       this.#splitter.rest.length > 0;
-    return !isCutOff && (this.#kept !== undefined || this.#isPassedOpenEnded);
+    return !isCutOff && (this.#kept !== undefined || this.#answer.isOpenEnded);
   }
 
   /** Ends a success whose last bytes have come. */
@@ -204,8 +193,8 @@
     this.#firstAfter ??= elapsed(this.#sentAt, this.#heardAt);
     if (this.#kept !== undefined) this.#passKept(this.#kept);
     const rest = this.#splitter?.rest;
-    if (rest !== undefined && rest.length > 0) this.#response.write(rest);
-    this.#response.end();
+    if (rest !== undefined && rest.length > 0) this.#answer.write(rest);
+    this.#answer.end();
   }
 
   /** Passes the server's own failure on. */
@@ -216,9 +205,9 @@
       this.refuse(BAD_GATEWAY, { refusal: "server_failure" });
       return;
     }
-    this.#writeHead(head);
-    if (this.#isOpenEnded) this.#frameOpenEnded();
-    this.#response.end(body);
+    this.#beginAnswer(head);
+    this.#answer.write(body);
+    this.#answer.end();
   }
 
   /**
@@ -227,19 +216,12 @@
    * @param own What to say.
    */
   refuse(status: number, own: OwnRefusal): void {
-    if (this.#response.headersSent) {
-      this.breakOff();
-      return;
-    }
-    writeRefusal(this.#response, status, own);
+    this.#answer.refuse(status, own);
   }
 
   /** Ends an answer that can't be completed, so that it doesn't look whole. */
   breakOff(): void {
-    const { socket } = this.#response;
-    // Where the connection's end is the answer's, only a reset tells a failure.
-    if (this.#isPassedOpenEnded && socket !== null) socket.resetAndDestroy();
-    else this.#response.destroy();
+    this.#answer.breakOff();
   }
 
   get #isOpenEnded(): boolean {
@@ -266,7 +248,7 @@
     if (this.#request.route.streams) {
       this.#splitter ??= new EventSplitter();
       this.#beginAnswer(head);
-    } else if (!this.#hasBegun) {
+    } else if (!this.hasBegun) {
       this.#kept = new KeptAnswer(head);
     }
   }
@@ -278,67 +260,21 @@
   }
 
   #pass(bytes: Buffer): boolean {
-    if (this.#splitter === undefined) return this.#response.write(bytes);
+    if (this.#splitter === undefined) return this.#answer.write(bytes);
     let isOpen = true;
     for (const event of this.#splitter.push(bytes)) {
       if (event.id !== undefined) this.#lastEventId = event.id;
-      isOpen = this.#response.write(event.bytes);
+      isOpen = this.#answer.write(event.bytes);
     }
     return isOpen;
   }
 
   #beginAnswer(head: AnswerHead): void {
-    if (this.#hasBegun) return;
-    this.#hasBegun = true;
-    this.#writeHead(head);
-    if (this.#isOpenEnded) this.#frameOpenEnded();
-    this.#response.flushHeaders();
-  }
-
-  /** Frames the caller's answer so that its connection's end is its end. */
-  #frameOpenEnded(): void {
-    this.#isPassedOpenEnded = true;
-    // Without this header and a length, node:http ends with the connection.
-    this.#response.setHeader("connection", "close");
-    this.#response.removeHeader("transfer-encoding");
-    this.#response.flushHeaders();
-  }
-
-  #writeHead({ status, headers }: AnswerHead): void {
-    const response = this.#response;
-    response.statusCode = status;
-    response.sendDate = false;
-    const isResumable = this.#request.route.resumable;
-    const dropped = connectionHeaders([headers["connection"] ?? []].flat());
-    for (const [name, value] of Object.entries(headers)) {
-      if (value === undefined || dropped.has(name)) continue;
-      // A resumed stream may have another length than the first server said.
-      if (isResumable && name === "content-length") continue;
-      response.setHeader(name, value);
-    }
-    if (this.#parts.plannedStop() !== undefined) {
-      response.setHeader("connection", "close");
-    }
-  }
-}
-
-/**
- * Writes a refusal in the node's own words.
- * @param response The answer.
- * @param status The status.
- * @param own What to say.
- */
-export function writeRefusal(
-  response: ServerResponse,
-  status: number,
-  own: OwnRefusal,
-): void {
-  const body = JSON.stringify({ error: own.refusal });
-  response.statusCode = status;
-  response.setHeader("content-type", "application/json");
-  response.setHeader("content-length", Buffer.byteLength(body));
-  if (own.comeBackSeconds !== undefined) {
-    response.setHeader("retry-after", String(own.comeBackSeconds));
+    if (this.hasBegun) return;
+    this.#answer.begin(head, {
+      isOpenEnded: this.#isOpenEnded,
+      isResumable: this.#request.route.resumable,
+      isLast: this.#parts.plannedStop() !== undefined,
+    });
   }
-  response.end(body);
 }
--- a/packages/node/src/relay/front_server.ts
+++ b/packages/node/src/relay/front_server.ts
@@ -13,7 +13,7 @@
 } from "node:timers/promises";
 import { schemalessFastify } from "../http/schemaless_fastify.ts";
 import type { SocketAddress } from "../settings/settings.ts";
-import { writeRefusal } from "./answer_passage.ts";
+import { writeRefusal } from "./caller_answer.ts";
 import type { CallerRequest } from "./caller_wire.ts";
 import { longestTime } from "./read_request.ts";
 import type { RelayParts } from "./relay_parts.ts";
