--- a/packages/node/src/relay/answer_passage.ts
+++ b/packages/node/src/relay/answer_passage.ts
@@ -30,6 +30,7 @@
 export type AnswerFraming = "length" | "chunks" | "connection";
 
 const BAD_GATEWAY = 502;
+const EVENT_STREAM = "text/event-stream";
 const SUCCESSES_FROM = 200;
 const REDIRECTS_FROM = 300;
 /** Successes that have no body. */
@@ -170,28 +171,26 @@
       this.#firstAfter ??= elapsed(this.#sentAt, this.#heardAt);
     }
     if (this.#kept === undefined) return this.#pass(bytes);
+    const isFailure = this.#verdict === "failure";
+    // A failure that is too large is not passed on.
+    if (isFailure && this.#kept.isLarge) return true;
     this.#kept.add(bytes);
-    if (this.#verdict === "passed" && this.#kept.isLarge) {
-      return this.#passKept(this.#kept);
-    }
-    return true;
+    return isFailure || !this.#kept.isLarge || this.#passBegun(this.#kept);
   }
 
   /**
-   * Whether the caller may be told that the answer is whole. The end of a
-   * connection proves that to nobody, so it may only be passed on as such.
+   * Whether an answer whose connection ended in order may be called whole:
+   * not where that end cut an event off.
    */
   get isKnownWhole(): boolean {
-    if (!this.#isOpenEnded) return true;
-    const isCutOff = this.#splitter !== undefined &&
-      this.#splitter.rest.length > 0;
-    return !isCutOff && (this.#kept !== undefined || this.#answer.isOpenEnded);
+    const rest = this.#splitter?.rest.length ?? 0;
+    return !this.#isOpenEnded || rest === 0;
   }
 
   /** Ends a success whose last bytes have come. */
   finish(): void {
     this.#firstAfter ??= elapsed(this.#sentAt, this.#heardAt);
-    if (this.#kept !== undefined) this.#passKept(this.#kept);
+    if (this.#kept !== undefined) this.#passWhole(this.#kept);
     const rest = this.#splitter?.rest;
     if (rest !== undefined && rest.length > 0) this.#answer.write(rest);
     this.#answer.end();
@@ -200,13 +199,11 @@
   /** Passes the server's own failure on. */
   passFailure(): void {
     if (this.#kept === undefined) return;
-    const { head, body } = this.#kept;
-    if (PROMISES.has(head.status)) {
+    if (this.#kept.isLarge || PROMISES.has(this.#kept.head.status)) {
       this.refuse(BAD_GATEWAY, { refusal: "server_failure" });
       return;
     }
-    this.#beginAnswer(head);
-    this.#answer.write(body);
+    this.#passWhole(this.#kept);
     this.#answer.end();
   }
 
@@ -216,6 +213,7 @@
    * @param own What to say.
    */
   refuse(status: number, own: OwnRefusal): void {
+    if (this.#isStopping) this.#answer.makeLast();
     this.#answer.refuse(status, own);
   }
 
@@ -245,7 +243,7 @@
       this.#beginAnswer(head);
       return;
     }
-    if (this.#request.route.streams) {
+    if (this.#request.route.streams && mayBeEvents(head)) {
       this.#splitter ??= new EventSplitter();
       this.#beginAnswer(head);
     } else if (!this.hasBegun) {
@@ -253,12 +251,20 @@
     }
   }
 
-  #passKept({ head, body }: KeptAnswer): boolean {
+  /** Passes on what has come of a kept answer, and no longer keeps it. */
+  #passBegun({ head, body }: KeptAnswer): boolean {
     this.#kept = undefined;
     this.#beginAnswer(head);
     return this.#pass(body);
   }
 
+  /** Passes on a kept answer whose end is known, and so is its length. */
+  #passWhole({ head, body }: KeptAnswer): void {
+    this.#kept = undefined;
+    this.#beginAnswer(head, this.#isOpenEnded ? body.length : undefined);
+    this.#answer.write(body);
+  }
+
   #pass(bytes: Buffer): boolean {
     if (this.#splitter === undefined) return this.#answer.write(bytes);
     let isOpen = true;
@@ -269,12 +275,22 @@
     return isOpen;
   }
 
-  #beginAnswer(head: AnswerHead): void {
+  #beginAnswer(head: AnswerHead, length?: number): void {
     if (this.hasBegun) return;
     this.#answer.begin(head, {
-      isOpenEnded: this.#isOpenEnded,
+      ...(length === undefined ? {} : { length }),
       isResumable: this.#request.route.resumable,
-      isLast: this.#parts.plannedStop() !== undefined,
+      isLast: this.#isStopping,
     });
   }
+
+  get #isStopping(): boolean {
+    return this.#parts.plannedStop() !== undefined;
+  }
+}
+
+/** Answers on streaming routes are events unless they say otherwise. */
+function mayBeEvents({ headers }: AnswerHead): boolean {
+  const type = headers["content-type"];
+  return type === undefined || String(type).startsWith(EVENT_STREAM);
 }
--- a/packages/node/src/relay/backend_pools.ts
+++ b/packages/node/src/relay/backend_pools.ts
@@ -1,6 +1,6 @@
 import type { BackendServerId, RegisteredServer } from "@foxtailwind/core";
 import { noteConnectionEnds } from "@foxtailwind/edges";
-import { buildConnector, type Dispatcher, Pool } from "undici";
+import { buildConnector, Client, type Dispatcher, Pool } from "undici";
 
 /** A connection that takes longer counts as failed. */
 const CONNECT_MILLISECONDS = 700;
@@ -50,6 +50,20 @@
     return pool;
   }
 
+  /**
+   * Gives a connection to a server for one request, to be closed by its user.
+   * @param server The server.
+   * @returns The connection.
+   */
+  single(server: RegisteredServer): Dispatcher {
+    return new Client(`http://${server.address}`, {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: this.#connect,
+    });
+  }
+
   /**
    * Leaves a server's open connections to the requests that use them, and
    * opens new ones for those to come: the open ones may have gone silent.
--- a/packages/node/src/relay/caller_answer.ts
+++ b/packages/node/src/relay/caller_answer.ts
@@ -11,8 +11,8 @@
 
 /** How a server's answer is begun at the caller. */
 export interface AnswerTerms {
-  /** Whether the end of the connection is the end of the answer. */
-  readonly isOpenEnded: boolean;
+  /** Its length in bytes, where the server did not state the one that is known. */
+  readonly length?: number;
   /** Whether another server may go on with it, to another length. */
   readonly isResumable: boolean;
   /** Whether the caller is to come back on another connection. */
@@ -22,18 +22,12 @@
 /** The answer that one caller gets, from however many servers. */
 export class CallerAnswer {
   readonly #response: ServerResponse;
-  #isOpenEnded = false;
 
   /** @param response Where it is written. */
   constructor(response: ServerResponse) {
     this.#response = response;
   }
 
-  /** Whether the caller has been told that its answer ends with the connection. */
-  get isOpenEnded(): boolean {
-    return this.#isOpenEnded;
-  }
-
   /** Whether the caller has got a head. */
   get hasBegun(): boolean {
     return this.#response.headersSent;
@@ -54,8 +48,10 @@
       if (terms.isResumable && name === "content-length") continue;
       response.setHeader(name, value);
     }
+    if (terms.length !== undefined) {
+      response.setHeader("content-length", terms.length);
+    }
     if (terms.isLast) response.setHeader("connection", "close");
-    if (terms.isOpenEnded) this.#frameOpenEnded();
     response.flushHeaders();
   }
 
@@ -83,19 +79,26 @@
     else writeRefusal(this.#response, status, own);
   }
 
+  /** Asks the caller to come back on another connection. */
+  makeLast(): void {
+    if (!this.hasBegun) this.#response.setHeader("connection", "close");
+  }
+
   /** Ends an answer that can't be completed, so that it doesn't look whole. */
   breakOff(): void {
     const { socket } = this.#response;
-    // Where the connection's end is the answer's, only a reset tells a failure.
-    if (this.#isOpenEnded && socket !== null) socket.resetAndDestroy();
+    if (this.#endsWithConnection && socket !== null) socket.resetAndDestroy();
     else this.#response.destroy();
   }
 
-  #frameOpenEnded(): void {
-    this.#isOpenEnded = true;
-    // Without this header and a length, node:http ends with the connection.
-    this.#response.setHeader("connection", "close");
-    this.#response.removeHeader("transfer-encoding");
+  /**
+   * Whether the end of the connection is the answer's, so that only a reset
+   * tells a failure: to callers of HTTP/1.0, which know no chunks.
+   */
+  get #endsWithConnection(): boolean {
+    const response = this.#response;
+    return response.headersSent && !response.chunkedEncoding &&
+      !response.hasHeader("content-length");
   }
 }
 
--- a/packages/node/src/relay/front_server.ts
+++ b/packages/node/src/relay/front_server.ts
@@ -7,6 +7,7 @@
 } from "@foxtailwind/core";
 import type { FastifyInstance } from "fastify";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { Server } from "node:net";
 import {
   setImmediate as nextTurn,
   setTimeout as sleep,
@@ -14,6 +15,7 @@
 import { schemalessFastify } from "../http/schemaless_fastify.ts";
 import type { SocketAddress } from "../settings/settings.ts";
 import { writeRefusal } from "./caller_answer.ts";
+import { CallerConnections } from "./caller_connections.ts";
 import type { CallerRequest } from "./caller_wire.ts";
 import { longestTime } from "./read_request.ts";
 import type { RelayParts } from "./relay_parts.ts";
@@ -46,8 +48,10 @@
 export class FrontServer {
   readonly #parts: RelayParts;
   readonly #fastify: FastifyInstance;
+  readonly #connections = new CallerConnections();
   readonly #requests = new Set<RelayRequest>();
-  #running = 0;
+  /** Aborted once nothing more is taken or waited for. */
+  readonly #end = new AbortController();
 
   /** @param parts What relaying works with. */
   constructor(parts: RelayParts) {
@@ -68,7 +72,7 @@
 
   /** How many requests are in progress. */
   get running(): number {
-    return this.#running;
+    return this.#connections.running;
   }
 
   /**
@@ -84,8 +88,10 @@
 
   /** Takes no new connections, and closes idle ones. */
   stopListening(): void {
-    this.#fastify.server.close();
-    this.#fastify.server.closeIdleConnections();
+    // node:http would also close connections whose last answer is ended but
+    // not yet handed over.
+    Server.prototype.close.call(this.#fastify.server);
+    this.#connections.closeIdle();
   }
 
   /**
@@ -94,6 +100,7 @@
    * end of the connection would tell neither.
    */
   async cut(): Promise<void> {
+    this.#end.abort();
     for (const request of this.#requests) request.endWithNode();
     // Answers are handed to their connections at the end of this turn.
     await nextTurn();
@@ -111,28 +118,20 @@
 
   #install(): void {
     const fastify = this.#fastify;
+    fastify.server.on("connection", (socket) => {
+      this.#connections.add(socket);
+    });
     fastify.removeAllContentTypeParsers();
     fastify.addContentTypeParser("*", (_request, _payload, done) => {
       done(null);
     });
     fastify.all("*", (request, reply) => {
       reply.hijack();
-      void this.#take(request.raw, reply.raw);
+      this.#connections.begin(request.raw.socket, reply.raw);
+      void this.#relay(request.raw, reply.raw);
     });
   }
 
-  async #take(
-    message: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
-    this.#running += 1;
-    try {
-      await this.#relay(message, response);
-    } finally {
-      this.#running -= 1;
-    }
-  }
-
   async #relay(
     message: IncomingMessage,
     response: ServerResponse,
@@ -143,6 +142,7 @@
       response.setHeader("connection", "close");
     }
     const routes = knowledge.routes ?? await this.#awaitConfiguration();
+    if (response.destroyed) return;
     if (routes === undefined) {
       this.#refuse(message, response, UNAVAILABLE, "no_configuration");
       return;
@@ -170,7 +170,7 @@
       return;
     }
     if (body.kind === "broken") return;
-    if (!this.#isTaken(route, caller.value)) {
+    if (this.#end.signal.aborted || !this.#isTaken(route, caller.value)) {
       this.#refuse(message, response, UNAVAILABLE, "stopping");
       return;
     }
@@ -200,7 +200,9 @@
     const { knowledge, clock } = this.#parts;
     const until = later(clock.now(), FIRST_CONFIGURATION);
     while (knowledge.routes === undefined && clock.now() < until) {
-      await sleep(CONFIGURATION_POLL);
+      if (this.#end.signal.aborted) break;
+      await sleep(CONFIGURATION_POLL, undefined, { signal: this.#end.signal })
+        .catch(() => undefined);
     }
     return knowledge.routes;
   }
@@ -217,7 +219,9 @@
       path: message.url,
       configuration: this.#parts.knowledge.routes?.configuration.version,
     });
-    if (!message.complete) response.setHeader("connection", "close");
+    if (!message.complete || this.#end.signal.aborted) {
+      response.setHeader("connection", "close");
+    }
     writeRefusal(response, status, {
       refusal,
       ...(status === UNAVAILABLE ? { comeBackSeconds: COME_BACK_SECONDS } : {}),
--- a/packages/node/src/relay/place_finder.ts
+++ b/packages/node/src/relay/place_finder.ts
@@ -21,8 +21,8 @@
 
 /** What bounds the search for a place. */
 export interface PlaceTerms {
-  /** When the request's time is over. */
-  readonly endsAt: Instant;
+  /** Tells when the request's time is over; a stop may shorten it. */
+  readonly endsAt: () => Instant;
   /** Where it was sent before. */
   readonly sent: SendRecord;
   /** Tells that nobody waits for the request any more. */
@@ -59,7 +59,7 @@
   async find(): Promise<Place | undefined> {
     const { arrivedAt, route } = this.#request;
     const patience = Math.min(
-      this.#terms.endsAt - arrivedAt,
+      this.#terms.endsAt() - arrivedAt,
       firstEventPatience(route),
     );
     // A stream that goes on elsewhere has used up its first patience long ago.
--- a/packages/node/src/relay/read_request.ts
+++ b/packages/node/src/relay/read_request.ts
@@ -38,8 +38,8 @@
 /**
  * Tells when a request has to have its final answer.
  * @param request The request.
- * @param stop The stop of this node that was in progress as it came, if any:
- * no server is given time that the node does not have.
+ * @param stop The stop of this node that is in progress, if any: no server is
+ * given time that the node does not have.
  * @returns The end of its time.
  */
 export function endOf(
--- a/packages/node/src/relay/relay_request.ts
+++ b/packages/node/src/relay/relay_request.ts
@@ -32,7 +32,6 @@
 export class RelayRequest {
   readonly #parts: RelayParts;
   readonly #request: ReadRequest;
-  readonly #endsAt: Instant;
   readonly #over = new AbortController();
   readonly #sent = new SendRecord();
   readonly #stoppingFor: Duration | undefined;
@@ -52,11 +51,10 @@
     this.#parts = parts;
     this.#request = request;
     const stop = parts.plannedStop();
-    this.#endsAt = endOf(request, stop);
     this.#stoppingFor = stop && elapsed(stop.begunAt, request.arrivedAt);
     this.#passage = new AnswerPassage(request, parts);
     const terms = {
-      endsAt: this.#endsAt,
+      endsAt: () => this.#endsAt,
       sent: this.#sent,
       over: this.#over.signal,
     };
@@ -99,6 +97,11 @@
       place?.release();
       return false;
     }
+    if (this.#now() >= this.#endsAt) {
+      place?.release();
+      this.#timeIsUp();
+      return false;
+    }
     if (place === undefined) {
       this.#refuse(this.#isEngine ? "no_engine" : "no_server");
       return false;
@@ -227,6 +230,10 @@
     return this.#over.signal.aborted;
   }
 
+  get #endsAt(): Instant {
+    return endOf(this.#request, this.#parts.plannedStop());
+  }
+
   get #isEngine(): boolean {
     return this.#request.service.engine !== undefined;
   }
--- a/packages/node/src/relay/request_sender.ts
+++ b/packages/node/src/relay/request_sender.ts
@@ -64,13 +64,19 @@
     const { server } = place;
     const sentAt = this.#now();
     const load = loads.of(server.id);
+    const isRepeat = this.#terms.sent.hasTried(server.id);
     this.#terms.sent.begin(server.id);
     load.sent(sentAt);
     const headers = this.#sendHeaders(place, sentAt);
     this.#terms.passage.begin(sentAt);
     const call = new BackendCall(this.#terms.passage);
     this.#call = call;
-    call.send(pools.pool(server, service.connectionLimit, nodes()), {
+    // Another send to a server never goes where a late repeat of its first
+    // answer, which bears the same id, may come.
+    const connections = isRepeat
+      ? pools.single(server)
+      : pools.pool(server, service.connectionLimit, nodes());
+    call.send(connections, {
       method: message.method ?? "GET",
       path: message.url ?? "/",
       headers,
@@ -88,6 +94,7 @@
     });
     const end = await call.ended;
     stopWatching();
+    if (isRepeat) void connections.close();
     this.#call = undefined;
     load.ended(this.#now(), this.#resultFor(end));
     return end;
@@ -97,7 +104,7 @@
     const resumeAfter = this.#terms.passage.lastEventId;
     return this.#parts.wire.sendHeaders(this.#request.message.rawHeaders, {
       server: server.id,
-      timeLeft: milliseconds(Math.floor(this.#terms.endsAt - now)),
+      timeLeft: milliseconds(Math.floor(this.#terms.endsAt() - now)),
       ...(adapterVersion === undefined ? {} : { adapterVersion }),
       ...(this.#isEngine ? { urgency: this.#urgency(now) } : {}),
       ...(resumeAfter === undefined ? {} : { resumeAfter }),
