A start of a backend server has a type, decoded from all that servers say

A server may start again under the id that it had, and nothing read the time of its start. ServerStart (whole Unix milliseconds) is a branded value of the core; RegisteredServer and EngineReport carry it, decoded from registry entries and reports, and peers' knowledge hands it on. Where it is missing or no whole number, the start is unknown and counts as the one that is known. Nothing decides by it yet.

--- a/packages/bench/src/relay/ordered_adapters.ts
+++ b/packages/bench/src/relay/ordered_adapters.ts
@@ -1,4 +1,4 @@
-import type { AdapterId, ModelId } from "@foxtailwind/core";
+import type { AdapterId, ModelId, ServerStart } from "@foxtailwind/core";
 import type {
   EngineOrder,
   EngineReport,
@@ -12,6 +12,8 @@
   /** Adapters that runs use, which can't leave. */
   readonly inUse = new Set<AdapterId>();
   models: readonly ModelId[] = [];
+  /** The start that it reports, if any. */
+  start: ServerStart | undefined;
   count = 0;
   highestFence = 0;
   /** Whether it was ever ordered to hold more than fits. */
@@ -49,6 +51,7 @@
   get report(): EngineReport {
     const model = this.models[0];
     return {
+      ...(this.start === undefined ? {} : { start: this.start }),
       models: this.models,
       adapters: model === undefined
         ? []
--- a/packages/bench/src/relay/stand_in_server.ts
+++ b/packages/bench/src/relay/stand_in_server.ts
@@ -3,6 +3,7 @@
   failureDomainId,
   type RegisteredServer,
   type RelayService,
+  type ServerStart,
   type ServiceId,
 } from "@foxtailwind/core";
 import { STAND_IN_MODEL } from "./stand_in_wire.ts";
@@ -11,6 +12,7 @@
 export interface StandInServer {
   readonly id: string;
   readonly service: ServiceId;
+  readonly start?: ServerStart;
   /** IP literal and port. */
   readonly address: string;
   /** Whether it is an engine, and holds the stand-ins' model. */
@@ -33,6 +35,7 @@
   const held = { model: STAND_IN_MODEL, adapters: new Map() };
   return {
     id: backendServerId(server.id),
+    ...(server.start === undefined ? {} : { start: server.start }),
     service: server.service,
     address: server.address,
     failureDomain: failureDomainId("domain-a"),
--- a/packages/core/src/relay/server_registry.ts
+++ b/packages/core/src/relay/server_registry.ts
@@ -7,6 +7,7 @@
   type LogOffset,
   milliseconds,
   type ModelId,
+  type ServerStart,
   type ServiceId,
 } from "../shared/mod.ts";
 import { RecentKeys } from "./recent_keys.ts";
@@ -17,10 +18,12 @@
   readonly adapters: ReadonlyMap<AdapterId, number>;
 }
 
-/** One run of a backend server, as it describes itself. */
+/** One start of a backend server, as it describes itself. */
 export interface RegisteredServer {
-  /** Changes with each start of the server. */
+  /** May outlive a start of the server. */
   readonly id: BackendServerId;
+  /** Left out where the server does not tell it. */
+  readonly start?: ServerStart;
   readonly service: ServiceId;
   /** IP literal and port. */
   readonly address: string;
--- a/packages/core/src/shared/mod.ts
+++ b/packages/core/src/shared/mod.ts
@@ -6,3 +6,4 @@
 export * from "./random.ts";
 export * from "./time.ts";
 export * from "./rendezvous.ts";
+export * from "./server_start.ts";
--- a/packages/node/src/relay/engine_control.ts
+++ b/packages/node/src/relay/engine_control.ts
@@ -6,6 +6,7 @@
   NodeId,
   OrderAnswer,
   RegisteredServer,
+  ServerStart,
 } from "@foxtailwind/core";
 import type { Result } from "neverthrow";
 
@@ -40,6 +41,8 @@
 
 /** What an engine reports of itself. */
 export interface EngineReport {
+  /** Which start reports; left out where the engine does not tell it. */
+  readonly start?: ServerStart;
   readonly models: readonly ModelId[];
   readonly adapters: readonly (AdapterName & { readonly version: number })[];
   readonly incoming: readonly AdapterName[];
--- a/packages/node/tests/relay/knowledge_message_test.ts
+++ b/packages/node/tests/relay/knowledge_message_test.ts
@@ -5,6 +5,7 @@
   logOffset,
   milliseconds,
   modelId,
+  serverStart,
   serviceId,
 } from "@foxtailwind/core";
 import {
@@ -51,6 +52,7 @@
     offset: logOffset(4),
     server: {
       id: backendServerId("i-1"),
+      start: serverStart(1_700_000_000_123),
       service: serviceId("s"),
       address: "127.0.0.1:1",
       failureDomain: failureDomainId("d"),
