Stand-ins of the relay's servers start again under their id

RelayCluster.restart gives a server a new start under its id and address: nothing held, counts and fences anew, its connections cut, its entry told or held back. Orders to its engines can be lost, late or answered in vain, as those of the owners' tests, whose fates are one class now (FatedOrders).

--- a/packages/bench/src/relay/mod.ts
+++ b/packages/bench/src/relay/mod.ts
@@ -2,8 +2,10 @@
  * Stand-ins of what a relay runs on, and a cluster of relays on them.
  * @module
  */
+export * from "./fated_orders.ts";
 export * from "./ordered_adapters.ts";
 export * from "./relay_cluster.ts";
+export * from "./stand_in_configuration.ts";
 export * from "./stand_in_engine.ts";
 export * from "./stand_in_log.ts";
 export * from "./stand_in_server.ts";
--- a/packages/bench/src/relay/ordered_adapters.ts
+++ b/packages/bench/src/relay/ordered_adapters.ts
@@ -47,6 +47,19 @@
     return { kind: "accepted" };
   }
 
+  /**
+   * Starts again: nothing is held, and counts and fences begin anew.
+   * @param start The new start.
+   */
+  restart(start: ServerStart): void {
+    this.start = start;
+    this.models = [];
+    this.held.clear();
+    this.inUse.clear();
+    this.count = 0;
+    this.highestFence = 0;
+  }
+
   /** What the engine says of itself. */
   get report(): EngineReport {
     const model = this.models[0];
--- a/packages/bench/src/relay/relay_cluster.ts
+++ b/packages/bench/src/relay/relay_cluster.ts
@@ -1,9 +1,8 @@
 import {
   type Duration,
-  milliseconds,
-  type RelayConfiguration,
   seconds,
-  serviceId,
+  type ServerStart,
+  serverStart,
 } from "@foxtailwind/core";
 import {
   LoggerFactory,
@@ -14,19 +13,35 @@
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { request as send } from "undici";
+import {
+  STAND_IN_ENGINES as ENGINES,
+  STAND_IN_HOST as HOST,
+  STAND_IN_LOOKUPS as LOOKUPS,
+  standInConfiguration,
+} from "./stand_in_configuration.ts";
 import { StandInControl, StandInEngine } from "./stand_in_engine.ts";
 import { StandInLog, StandInStore } from "./stand_in_log.ts";
-import { standInEngines } from "./stand_in_server.ts";
+import type { StandInServer } from "./stand_in_server.ts";
 import { standInSettings } from "./stand_in_settings.ts";
 import { StandInOperations, StandInWire } from "./stand_in_wire.ts";
 
-const ENGINES = serviceId("engines");
-const LOOKUPS = serviceId("lookups");
-const HOST = "desk.example";
 const READY = 200;
 /** Between two questions for readiness, in milliseconds. */
 const READY_POLL = 20;
 
+/** The first start of every server, in Unix milliseconds. */
+const FIRST_START = serverStart(1_700_000_000_000);
+/** Between two starts of a server, in milliseconds, by its own clock. */
+const START_STEP = 1_000;
+
+/** How a server starts again under its id. */
+export interface RestartTerms {
+  /** The new start; a second after the one before where left out. */
+  readonly start?: ServerStart;
+  /** Whether its entry in the registry is held back, and told by nobody. */
+  readonly isUnregistered?: boolean;
+}
+
 /** How large a cluster is. */
 export interface RelayClusterSize {
   readonly nodes: number;
@@ -50,6 +65,7 @@
   readonly daemons: RelayDaemon[] = [];
   readonly #size: RelayClusterSize;
   readonly #lookups: Server;
+  readonly #servers = new Map<string, StandInServer>();
   #requests = 0;
 
   private constructor(size: RelayClusterSize) {
@@ -69,7 +85,7 @@
    */
   static async start(size: RelayClusterSize): Promise<RelayCluster> {
     const cluster = new RelayCluster(size);
-    cluster.store.configure(configuration(1, size.slots));
+    cluster.store.configure(standInConfiguration(1, size.slots));
     await cluster.#startServers();
     for (let index = 1; index <= size.nodes; index += 1) {
       await cluster.addNode(`node-${index}`);
@@ -152,13 +168,52 @@
    * @param hasLookups Whether it has the route of the plain service.
    */
   configure(version: number, hasLookups: boolean): void {
-    const { routes, ...rest } = configuration(version, this.#size.slots);
+    const { routes, ...rest } = standInConfiguration(version, this.#size.slots);
     this.store.configure({
       ...rest,
       routes: routes.filter((route) => hasLookups || route.name !== "lookups"),
     });
   }
 
+  /**
+   * Starts a server again under its id and address: it holds nothing, its
+   * counts and fences begin anew, and its connections are cut.
+   * @param id The server.
+   * @param terms How it starts again.
+   * @returns The new start.
+   */
+  restart(id: string, terms: RestartTerms = {}): ServerStart {
+    const server = this.#server(id);
+    const start = terms.start ??
+      serverStart((server.start ?? FIRST_START) + START_STEP);
+    const engine = this.engines.get(id);
+    if (engine === undefined) this.#lookups.closeAllConnections();
+    else engine.restart(start);
+    this.#servers.set(id, { ...server, leaving: false, start });
+    if (terms.isUnregistered !== true) this.register(id);
+    return start;
+  }
+
+  /**
+   * Writes a server's entry into the registry, as servers do from time to
+   * time.
+   * @param id The server.
+   */
+  register(id: string): void {
+    const server = this.#server(id);
+    const models = this.engines.get(id)?.adapters.models ?? [];
+    this.store.register({ ...server, isEmpty: models.length === 0 });
+  }
+
+  /**
+   * Lets a server say that it leaves.
+   * @param id The server.
+   */
+  leave(id: string): void {
+    this.#servers.set(id, { ...this.#server(id), leaving: true });
+    this.register(id);
+  }
+
   /** Ends everything. */
   async stop(): Promise<void> {
     await Promise.all(this.daemons.map((daemon) => daemon.stop()));
@@ -169,10 +224,15 @@
 
   async #startServers(): Promise<void> {
     for (let index = 1; index <= this.#size.engines; index += 1) {
-      const engine = new StandInEngine(`engine-${index}`, this.#size.slots);
+      const engine = new StandInEngine(
+        `engine-${index}`,
+        this.#size.slots,
+        FIRST_START,
+      );
       this.engines.set(engine.id, engine);
-      this.store.register({
+      this.#addServer({
         id: engine.id,
+        start: FIRST_START,
         service: ENGINES,
         address: await engine.listen(),
         isEngine: true,
@@ -182,13 +242,25 @@
       this.#lookups.listen(0, "127.0.0.1", resolve);
     });
     const { port } = this.#lookups.address() as AddressInfo;
-    this.store.register({
+    this.#addServer({
       id: "lookup-1",
+      start: FIRST_START,
       service: LOOKUPS,
       address: `127.0.0.1:${port}`,
     });
   }
 
+  #addServer(server: StandInServer): void {
+    this.#servers.set(server.id, server);
+    this.register(server.id);
+  }
+
+  #server(id: string): StandInServer {
+    const server = this.#servers.get(id);
+    if (server === undefined) throw new RangeError(`There is no server ${id}.`);
+    return server;
+  }
+
   async #call(
     daemon: RelayDaemon,
     path: string,
@@ -206,45 +278,3 @@
     return { status: statusCode, body: await body.text() };
   }
 }
-
-function configuration(version: number, slots: number): RelayConfiguration {
-  const base = {
-    host: HOST,
-    resumable: false,
-    attempts: 2,
-    timeLimit: seconds(10),
-    target: milliseconds(800),
-    priority: 0,
-  };
-  return {
-    version,
-    routes: [
-      {
-        ...base,
-        name: "drafts",
-        pathPrefix: "/drafts/",
-        repeatable: false,
-        streams: true,
-        targets: [{ service: ENGINES, weight: 1 }],
-      },
-      {
-        ...base,
-        name: "lookups",
-        pathPrefix: "/lookups/",
-        repeatable: true,
-        streams: false,
-        targets: [{ service: LOOKUPS, weight: 1 }],
-      },
-    ],
-    services: [
-      { id: LOOKUPS, connectionLimit: 50 },
-      standInEngines(ENGINES, slots),
-    ],
-    limits: {
-      headerBytes: 8_192,
-      bodyBytes: 100_000,
-      headerTime: seconds(5),
-      idleTime: seconds(15),
-    },
-  };
-}
--- a/packages/bench/src/relay/stand_in_engine.ts
+++ b/packages/bench/src/relay/stand_in_engine.ts
@@ -2,6 +2,7 @@
   adapterId,
   type Failure,
   type RegisteredServer,
+  type ServerStart,
 } from "@foxtailwind/core";
 import {
   EngineControl,
@@ -17,6 +18,7 @@
 } from "node:http";
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import { FatedOrders } from "./fated_orders.ts";
 import { OrderedAdapters } from "./ordered_adapters.ts";
 import { STAND_IN_MODEL } from "./stand_in_wire.ts";
 
@@ -29,6 +31,7 @@
 export class StandInEngine {
   readonly id: string;
   readonly adapters: OrderedAdapters;
+  readonly fates: FatedOrders;
   /** The request ids that it ran, in order. */
   readonly runs: string[] = [];
   readonly #server = createServer((request, response) => {
@@ -38,11 +41,14 @@
   /**
    * @param id Its id.
    * @param slots How many adapters fit.
+   * @param start Its first start.
    */
-  constructor(id: string, slots: number) {
+  constructor(id: string, slots: number, start: ServerStart) {
     this.id = id;
     this.adapters = new OrderedAdapters(slots);
     this.adapters.models = [STAND_IN_MODEL];
+    this.adapters.start = start;
+    this.fates = new FatedOrders(this.adapters);
   }
 
   /**
@@ -56,6 +62,15 @@
     return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
   }
 
+  /**
+   * Starts again under its id and address: empty, its connections cut.
+   * @param start The new start.
+   */
+  restart(start: ServerStart): void {
+    this.adapters.restart(start);
+    this.#server.closeAllConnections();
+  }
+
   /** Ends at once. */
   close(): void {
     this.#server.close();
@@ -79,7 +94,7 @@
       "x-seal": "s",
       "content-type": "text/event-stream",
     });
-    for (let event = 1; event <= EVENTS; event += 1) {
+    for (let event = 1; event <= EVENTS && !response.destroyed; event += 1) {
       response.write(`id: ${event}\ndata: ${adapter}\n\n`);
       await sleep(PAUSE_MILLISECONDS);
     }
@@ -103,9 +118,7 @@
   ): Promise<OrderResult> {
     const engine = this.#engines.get(id);
     return Promise.resolve(
-      engine === undefined
-        ? { kind: "misdirected" }
-        : engine.adapters.carryOut(order),
+      engine === undefined ? { kind: "misdirected" } : engine.fates.send(order),
     );
   }
 
--- a/packages/bench/src/relay/stand_in_server.ts
+++ b/packages/bench/src/relay/stand_in_server.ts
@@ -18,6 +18,8 @@
   /** Whether it is an engine, and holds the stand-ins' model. */
   readonly isEngine?: boolean;
   readonly leaving?: boolean;
+  /** Whether it has just started again and holds no model yet. */
+  readonly isEmpty?: boolean;
 }
 
 /** Requests that a stand-in runs at once. */
@@ -41,7 +43,7 @@
     failureDomain: failureDomainId("domain-a"),
     leaving: server.leaving ?? false,
     slots: SLOTS,
-    models: server.isEngine === true ? [held] : [],
+    models: server.isEngine === true && server.isEmpty !== true ? [held] : [],
     orderCount: 0,
   };
 }
--- a/packages/bench/tests/relay/relay_cluster_test.ts
+++ b/packages/bench/tests/relay/relay_cluster_test.ts
@@ -1,39 +1,12 @@
-import { RelayCluster } from "@foxtailwind/bench";
-import { seconds } from "@foxtailwind/core";
-import type { RelayDaemon } from "@foxtailwind/node/relay";
-import test, { type ExecutionContext } from "ava";
+import test from "ava";
 import { setTimeout as sleep } from "node:timers/promises";
-
-const EVENTS = 5;
-
-async function start(t: ExecutionContext, nodes: number) {
-  const cluster = await RelayCluster.start({
-    nodes,
-    engines: 2,
-    slots: 3,
-    grace: seconds(6),
-  });
-  t.teardown(() => cluster.stop());
-  return cluster;
-}
-
-function nodeOf(cluster: RelayCluster, index: number): RelayDaemon {
-  const daemon = cluster.daemons[index];
-  if (daemon === undefined) throw new RangeError(`There is no node ${index}.`);
-  return daemon;
-}
-
-/** Waits for what nodes learn from one another. */
-async function until(isSo: () => boolean | Promise<boolean>): Promise<void> {
-  while (!await isSo()) await sleep(20);
-}
-
-async function untilOwned(cluster: RelayCluster): Promise<void> {
-  await until(() => {
-    const owned = cluster.store.claims.map((claim) => claim.engine);
-    return new Set(owned).size === cluster.engines.size;
-  });
-}
+import {
+  EVENTS,
+  nodeOf,
+  startCluster as start,
+  until,
+  untilOwned,
+} from "./helpers/cluster.ts";
 
 test("each node serves lookups and generations, with adapters brought on demand", async (t) => {
   const cluster = await start(t, 3);
--- /dev/null
+++ b/packages/bench/tests/relay/stand_in_restart_test.ts
@@ -0,0 +1,49 @@
+import { FatedOrders, OrderedAdapters } from "@foxtailwind/bench";
+import {
+  adapterId,
+  fencingNumber,
+  modelId,
+  nodeId,
+  serverStart,
+} from "@foxtailwind/core";
+import test from "ava";
+
+function load(adapter: string, expectedOrders: number, fence: number) {
+  return {
+    kind: "load",
+    model: modelId("m"),
+    adapter: adapterId(adapter),
+    owner: nodeId("node-1"),
+    fence: fencingNumber(fence),
+    expectedOrders,
+  } as const;
+}
+
+test("an engine's stand-in that starts again has its count, fences and adapters anew", (t) => {
+  const adapters = new OrderedAdapters(2);
+  adapters.start = serverStart(1_000);
+  adapters.models = [modelId("m")];
+  t.is(adapters.carryOut(load("a", 0, 7)).kind, "accepted");
+  adapters.restart(serverStart(2_000));
+  t.deepEqual(adapters.report, {
+    start: serverStart(2_000),
+    models: [],
+    adapters: [],
+    incoming: [],
+    isBusy: false,
+    orderCount: 0,
+  });
+  t.is(adapters.carryOut(load("b", 0, 3)).kind, "accepted");
+});
+
+test("an order that is late reaches whichever start the stand-in is in", (t) => {
+  const adapters = new OrderedAdapters(2);
+  const orders = new FatedOrders(adapters);
+  orders.nextFates = ["late", "lost"];
+  t.is(orders.send(load("a", 0, 7)).kind, "unknown");
+  t.is(orders.send(load("b", 0, 7)).kind, "unknown");
+  adapters.restart(serverStart(2_000));
+  t.is(orders.lateCount, 1);
+  t.deepEqual(orders.carryOutLate(), [{ kind: "accepted" }]);
+  t.deepEqual([...adapters.held], ["a"]);
+});
--- a/packages/node/tests/relay/engine_owner_test.ts
+++ b/packages/node/tests/relay/engine_owner_test.ts
@@ -127,11 +127,11 @@
 test("an order without an answer is sent again, and carried out once", async (t) => {
   for (const fate of ["lost", "late", "answer_lost"] as const) {
     const { owner, control, claim } = setUp();
-    control.nextFates = [fate];
+    control.fates.nextFates = [fate];
     claim("node-1", 4);
     const answer = await use(owner, "a");
     t.is(answer.kind, "granted", fate);
-    control.carryOutLate();
+    control.fates.carryOutLate();
     t.deepEqual([...control.adapters.held], ["a"]);
     t.is(control.adapters.count, 1, fate);
     owner.stop();
@@ -140,7 +140,7 @@
 
 test("late orders never lead past the slots", async (t) => {
   const { owner, control, claim } = setUp(2);
-  control.nextFates = [
+  control.fates.nextFates = [
     "late",
     "answered",
     "late",
@@ -151,7 +151,7 @@
   claim("node-1", 4);
   for (const adapter of ["a", "b", "c", "d", "a"]) {
     release(await use(owner, adapter));
-    control.carryOutLate();
+    control.fates.carryOutLate();
   }
   t.false(control.adapters.isOverfull);
   t.true(control.adapters.held.size <= 2);
--- a/packages/node/tests/relay/helpers/scripted_engine.ts
+++ b/packages/node/tests/relay/helpers/scripted_engine.ts
@@ -1,4 +1,4 @@
-import { OrderedAdapters } from "@foxtailwind/bench";
+import { FatedOrders, OrderedAdapters } from "@foxtailwind/bench";
 import type { Failure } from "@foxtailwind/core";
 import {
   EngineControl,
@@ -8,16 +8,6 @@
 } from "@foxtailwind/node/relay";
 import { err, ok, type Result } from "neverthrow";
 
-/** How an order's answer fares. */
-export type OrderFate =
-  | "answered"
-  /** Carried out at once; the answer is lost. */
-  | "answer_lost"
-  /** Not carried out until {@link ScriptedEngine.carryOutLate}. */
-  | "late"
-  /** Nothing arrives. */
-  | "lost";
-
 const FAILURE: Failure = {
   reason: "unavailable",
   step: "read_engine",
@@ -30,14 +20,16 @@
 export class ScriptedEngine extends EngineControl {
   readonly orders: EngineOrder[] = [];
   readonly adapters: OrderedAdapters;
+  readonly fates: FatedOrders;
   isDown = false;
-  nextFates: OrderFate[] = [];
-  readonly #late: EngineOrder[] = [];
+  /** Reports as they are answered, where they aren't the engine's own. */
+  nextReports: EngineReport[] = [];
 
   /** @param slots How many adapters fit. */
   constructor(slots: number) {
     super();
     this.adapters = new OrderedAdapters(slots);
+    this.fates = new FatedOrders(this.adapters);
   }
 
   override async order(
@@ -46,22 +38,12 @@
   ): Promise<OrderResult> {
     await Promise.resolve();
     this.orders.push(order);
-    if (this.isDown) return { kind: "unknown" };
-    const fate = this.nextFates.shift() ?? "answered";
-    if (fate === "late") this.#late.push(order);
-    if (fate === "late" || fate === "lost") return { kind: "unknown" };
-    const result = this.adapters.carryOut(order);
-    return fate === "answer_lost" ? { kind: "unknown" } : result;
+    return this.isDown ? { kind: "unknown" } : this.fates.send(order);
   }
 
   override async report(): Promise<Result<EngineReport, Failure>> {
     await Promise.resolve();
     if (this.isDown) return err(FAILURE);
-    return ok(this.adapters.report);
-  }
-
-  /** Carries out what was late. */
-  carryOutLate(): void {
-    for (const order of this.#late.splice(0)) this.adapters.carryOut(order);
+    return ok(this.nextReports.shift() ?? this.adapters.report);
   }
 }
