A new start under the same id is a new server in the registry

ServerRegistry remembered by id alone: a server that had said that it leaves stayed left after it started again, and an entry of the start before, written late, was taken for news. Leaving now belongs to a start (StartHistory). The log's order decides between starts, never their times; a start that was followed by another one is over, unless two of its entries in a row show that it goes on. An entry that tells no start is of the known one. Gone and lacking records concern the id.

--- a/packages/core/src/relay/mod.ts
+++ b/packages/core/src/relay/mod.ts
@@ -12,3 +12,4 @@
 export * from "./route_table.ts";
 export * from "./server_load.ts";
 export * from "./server_registry.ts";
+export * from "./start_history.ts";
--- a/packages/core/src/relay/server_registry.ts
+++ b/packages/core/src/relay/server_registry.ts
@@ -11,6 +11,7 @@
   type ServiceId,
 } from "../shared/mod.ts";
 import { RecentKeys } from "./recent_keys.ts";
+import { StartHistory, startKey, type StartNews } from "./start_history.ts";
 
 /** A base model on an engine, and the versions of its adapters there. */
 export interface HeldModel {
@@ -49,6 +50,12 @@
     readonly id: BackendServerId;
   };
 
+/** What came of an entry. */
+export type EntryOutcome =
+  | StartNews
+  /** A newer entry is known. */
+  | "older";
+
 interface Known {
   readonly offset: LogOffset;
   readonly server: RegisteredServer;
@@ -80,9 +87,10 @@
 export class ServerRegistry {
   readonly #known = new Map<BackendServerId, Known>();
   readonly #gone = new Map<BackendServerId, LogOffset>();
+  readonly #starts = new StartHistory();
   /**
-   * Servers that have said that they leave. What a server wrote before may
-   * stand in the log behind it; the same id never stays after all.
+   * Starts of servers that have said that they leave. What one wrote before
+   * may stand in the log behind it; the same start never stays after all.
    */
   readonly #left = new RecentKeys(MOST_LEFT);
   #disturbedAt: Instant | undefined;
@@ -131,24 +139,27 @@
   }
 
   /**
-   * Takes an entry, unless a newer one of the same server is known.
+   * Takes an entry, unless a newer one of the same server is known. That a
+   * server is gone concerns its id, whatever its start.
    * @param now The present time.
    * @param entry The entry.
+   * @returns What came of it.
    */
-  apply(now: Instant, entry: RegistryEntry): void {
+  apply(now: Instant, entry: RegistryEntry): EntryOutcome {
     if (entry.kind === "gone") {
       this.#vanish(now, entry.id, entry.offset);
-      return;
+      return "taken";
     }
     const { server, offset } = entry;
-    const newest = this.#known.get(server.id)?.offset ??
-      this.#gone.get(server.id) ?? -1;
-    if (offset < newest) return;
-    this.#gone.delete(server.id);
-    if (server.leaving) this.#left.add(server.id);
-    const leaving = this.#left.has(server.id);
-    this.#known.set(server.id, { offset, server: { ...server, leaving } });
-    this.#revision += 1;
+    const { id } = server;
+    const newest = this.#known.get(id)?.offset ?? this.#gone.get(id) ?? -1;
+    if (offset < newest) {
+      this.#starts.passed(id, server.start);
+      return "older";
+    }
+    const news = this.#starts.take(id, server.start, offset);
+    if (news !== "older_start") this.#set(server, offset);
+    return news;
   }
 
   /**
@@ -156,21 +167,23 @@
    * @param now The present time.
    * @param entries The listed servers.
    * @param end The offset up to which the listing is complete.
+   * @returns What came of each entry.
    */
   replace(
     now: Instant,
     entries: readonly RegistryEntry[],
     end: LogOffset,
-  ): void {
+  ): readonly EntryOutcome[] {
     const listed = new Set<BackendServerId>();
-    for (const entry of entries) {
+    const outcomes = entries.map((entry) => {
       if (entry.kind === "present") listed.add(entry.server.id);
-      this.apply(now, entry);
-    }
+      return this.apply(now, entry);
+    });
     for (const [id, known] of this.#known) {
       if (listed.has(id) || known.offset >= end) continue;
       this.#vanish(now, id, end);
     }
+    return outcomes;
   }
 
   /**
@@ -195,6 +208,21 @@
     }
   }
 
+  #set(told: RegisteredServer, offset: LogOffset): void {
+    const { id } = told;
+    const start = this.#starts.latest(id);
+    const key = startKey(id, start);
+    if (told.leaving) this.#left.add(key);
+    const server = {
+      ...told,
+      ...(start === undefined ? {} : { start }),
+      leaving: this.#left.has(key),
+    };
+    this.#gone.delete(id);
+    this.#known.set(id, { offset, server });
+    this.#revision += 1;
+  }
+
   #vanish(now: Instant, id: BackendServerId, offset: LogOffset): void {
     const known = this.#known.get(id);
     if (known !== undefined && known.offset > offset) return;
--- a/packages/core/tests/relay/server_registry_test.ts
+++ b/packages/core/tests/relay/server_registry_test.ts
@@ -5,16 +5,23 @@
   logOffset,
   type RegistryEntry,
   ServerRegistry,
+  serverStart,
   serviceId,
 } from "@foxtailwind/core";
 import test from "ava";
 
-function present(id: string, offset: number, leaving = false): RegistryEntry {
+function present(
+  id: string,
+  offset: number,
+  leaving = false,
+  start?: number,
+): Extract<RegistryEntry, { kind: "present" }> {
   return {
     kind: "present",
     offset: logOffset(offset),
     server: {
       id: backendServerId(id),
+      ...(start === undefined ? {} : { start: serverStart(start) }),
       service: serviceId("service"),
       address: "127.0.0.1:1",
       failureDomain: failureDomainId("domain"),
@@ -136,3 +143,97 @@
   registry.expire(instant(4_450));
   t.deepEqual(ids(registry), ["c"], "1 s after it vanished");
 });
+
+/** Applies entries of one server in their order, and gives its start. */
+function startAfter(
+  ...entries: readonly (readonly [offset: number, start: number])[]
+): number | undefined {
+  const registry = new ServerRegistry();
+  for (const [offset, start] of entries) {
+    registry.apply(instant(offset), present("a", offset, false, start));
+  }
+  return registry.find(backendServerId("a"))?.start;
+}
+
+test("a server that starts again under its id is not leaving, nor gone", (t) => {
+  const registry = new ServerRegistry();
+  const found = () => registry.find(backendServerId("a"));
+  registry.apply(instant(0), present("a", 1, false, 10));
+  registry.apply(instant(1), present("a", 2, true, 10));
+  registry.apply(instant(2), present("a", 3, false, 20));
+  t.false(found()?.leaving);
+  registry.apply(instant(3), gone("a", 4));
+  t.is(found(), undefined);
+  registry.apply(instant(4), present("a", 5, false, 20));
+  t.false(found()?.leaving);
+  registry.apply(instant(5), present("a", 6, true, 20));
+  registry.apply(instant(6), present("a", 7, false, 20));
+  t.true(found()?.leaving, "The same start stays so.");
+});
+
+test("a server that left without telling its start is back once it tells one", (t) => {
+  const registry = new ServerRegistry();
+  registry.apply(instant(0), present("a", 1, true));
+  registry.apply(instant(1), present("a", 2, false));
+  t.true(registry.find(backendServerId("a"))?.leaving);
+  registry.apply(instant(2), present("a", 3, false, 20));
+  t.false(registry.find(backendServerId("a"))?.leaving);
+});
+
+test("an entry that tells no start is one of the start that is known", (t) => {
+  const registry = new ServerRegistry();
+  registry.apply(instant(0), present("a", 1, false, 10));
+  t.is(registry.apply(instant(1), present("a", 2, true)), "taken");
+  t.is(registry.find(backendServerId("a"))?.start, serverStart(10));
+  registry.apply(instant(2), present("a", 3, false, 10));
+  t.true(registry.find(backendServerId("a"))?.leaving);
+});
+
+test("an entry of the start before that is read late changes nothing", (t) => {
+  const registry = new ServerRegistry();
+  registry.apply(instant(0), present("a", 1, false, 10));
+  t.is(registry.apply(instant(1), present("a", 3, false, 20)), "restarted");
+  t.is(registry.apply(instant(2), present("a", 2, true, 10)), "older");
+  t.is(registry.apply(instant(3), present("a", 4, true, 10)), "older_start");
+  const server = registry.find(backendServerId("a"));
+  t.is(server?.start, serverStart(20));
+  t.false(server?.leaving);
+});
+
+test("a start that was followed by another one stays over when the server has vanished", (t) => {
+  const registry = new ServerRegistry();
+  registry.apply(instant(0), present("a", 1, false, 10));
+  registry.apply(instant(1), present("a", 2, false, 20));
+  registry.apply(instant(2), gone("a", 3));
+  t.is(registry.apply(instant(3), present("a", 4, false, 10)), "older_start");
+  t.is(registry.find(backendServerId("a")), undefined);
+  t.is(registry.apply(instant(4), present("a", 5, false, 20)), "taken");
+});
+
+test("the log's order decides between starts, also where a clock has stepped back", (t) => {
+  t.is(startAfter([1, 20], [2, 10]), 10);
+  t.is(startAfter([1, 20], [3, 10], [2, 20]), 10);
+  t.is(startAfter([1, 20], [2, 10], [3, 20]), 10, "A late entry.");
+  t.is(startAfter([1, 20], [2, 10], [3, 20], [4, 10], [5, 20]), 10);
+});
+
+test("a start that goes on telling of itself is found to be the newest after all", (t) => {
+  t.is(startAfter([1, 20], [2, 10], [3, 20], [4, 20]), 20);
+  t.is(startAfter([1, 20], [2, 10], [3, 20], [3, 20]), 10, "One told twice.");
+});
+
+test("restarts in series end at the last one, whichever entries are missed", (t) => {
+  t.is(startAfter([1, 10], [2, 20], [3, 30], [4, 20], [5, 10]), 30);
+  t.is(startAfter([1, 10], [3, 30], [2, 20]), 30);
+});
+
+test("what a peer knows of an older start never replaces a newer one", (t) => {
+  const peer = new ServerRegistry();
+  peer.apply(instant(0), present("a", 5, true, 10));
+  const registry = new ServerRegistry();
+  registry.apply(instant(0), present("a", 6, false, 20));
+  for (const entry of peer.entries) registry.apply(instant(1), entry);
+  t.is(registry.find(backendServerId("a"))?.start, serverStart(20));
+  for (const entry of registry.entries) peer.apply(instant(1), entry);
+  t.deepEqual(peer.all, registry.all);
+});
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -3,6 +3,7 @@
   AdapterVersions,
   type BackendServerId,
   EngineClaims,
+  type EntryOutcome,
   type Failure,
   type FencingNumber,
   type Instant,
@@ -128,7 +129,8 @@
     const before = this.registry.revision;
     const id = entry.kind === "gone" ? entry.id : entry.server.id;
     const known = this.registry.find(id);
-    this.registry.apply(this.#parts.clock.now(), entry);
+    const outcome = this.registry.apply(this.#parts.clock.now(), entry);
+    this.#logStart(entry, outcome);
     if (this.registry.revision === before) return;
     this.#logServer(entry, known);
     this.onChange();
@@ -138,7 +140,11 @@
     entries: readonly RegistryEntry[],
     end: LogOffset,
   ): void {
-    this.registry.replace(this.#parts.clock.now(), entries, end);
+    const now = this.#parts.clock.now();
+    const outcomes = this.registry.replace(now, entries, end);
+    for (const [index, entry] of entries.entries()) {
+      this.#logStart(entry, outcomes[index]);
+    }
     this.onChange();
   }
 
@@ -201,6 +207,21 @@
     this.#byServiceRevision = this.registry.revision;
   }
 
+  #logStart(entry: RegistryEntry, outcome: EntryOutcome | undefined): void {
+    if (entry.kind === "gone") return;
+    const { id, start } = entry.server;
+    const { logger } = this.#parts;
+    if (outcome === "restarted") {
+      logger.info("A server has started again.", { server: id, start });
+    } else if (outcome === "older_start") {
+      logger.warn("An entry of an older start is left out.", {
+        server: id,
+        start,
+        offset: entry.offset,
+      });
+    }
+  }
+
   #logServer(
     entry: RegistryEntry,
     known: RegisteredServer | undefined,
