--- a/packages/bench/src/relay/fated_orders.ts
+++ b/packages/bench/src/relay/fated_orders.ts
@@ -17,6 +17,8 @@
   readonly #late: EngineOrder[] = [];
   /** The fates of the next orders; those after them are answered. */
   nextFates: OrderFate[] = [];
+  /** What is late is carried out once the engine has accepted so many. */
+  carryOutLateAt: number | undefined;
 
   /** @param adapters Takes the orders that arrive. */
   constructor(adapters: OrderedAdapters) {
@@ -38,6 +40,7 @@
     if (fate === "late") this.#late.push(order);
     if (fate === "late" || fate === "lost") return { kind: "unknown" };
     const result = this.#adapters.carryOut(order);
+    if (this.#adapters.count === this.carryOutLateAt) this.carryOutLate();
     return fate === "answer_lost" ? { kind: "unknown" } : result;
   }
 
--- a/packages/core/src/relay/engine_claims.ts
+++ b/packages/core/src/relay/engine_claims.ts
@@ -63,7 +63,10 @@
 /**
  * Folds the claims in the log and decides which to add. Claims are appended
  * only where the log ends as this node has read it, so that each one in the
- * log was made in knowledge of the ones before it.
+ * log was made in knowledge of the ones before it. A claim is to an engine's
+ * id, from start to start: who may order it changes with no restart, nor with
+ * an entry that vanishes for a while. Were it forgotten, the next one would
+ * be made without waiting for the orders of the owner before.
  */
 export class EngineClaims {
   readonly #self: Claimant;
@@ -156,18 +159,6 @@
     return left.has(claim.owner) ? HANDOVER_WAIT : this.#takeoverWait;
   }
 
-  /**
-   * Forgets engines that are gone.
-   * @param engines The engines that remain.
-   */
-  retain(engines: ReadonlySet<BackendServerId>): void {
-    for (const engine of this.#claims.keys()) {
-      if (engines.has(engine)) continue;
-      this.#claims.delete(engine);
-      this.#refused.delete(engine);
-    }
-  }
-
   /**
    * Lists the engines that an earlier run of this node owned, and that no
    * other node has claimed since.
--- a/packages/core/src/relay/engine_slots.ts
+++ b/packages/core/src/relay/engine_slots.ts
@@ -34,6 +34,7 @@
   readonly #waiting = new Map<string, WantedAdapter>();
   readonly #busyUntil = new Map<string, Instant>();
   readonly #loads: LoadTimes;
+  #reserved = 0;
 
   /** @param terms The engine's bounds. */
   constructor(terms: SlotTerms) {
@@ -46,6 +47,14 @@
     return [...this.#slots.values()];
   }
 
+  /**
+   * Keeps slots free for adapters that may come without an order of now.
+   * @param slots How many.
+   */
+  reserve(slots: number): void {
+    this.#reserved = slots;
+  }
+
   /** How many adapters are asked for and not yet ordered. */
   get waiting(): number {
     return this.#waiting.size;
@@ -170,7 +179,7 @@
     const wish = wishes.find((one) => this.#isOrderable(now, one));
     if (wish === undefined) return undefined;
     const isReplacement = this.#slots.has(wish.key);
-    if (isReplacement || this.#slots.size < this.#terms.slots) {
+    if (isReplacement || this.#slots.size < this.#usable) {
       return { kind: "load", name: wish, version: wish.minimumVersion };
     }
     const victim = chooseVictim(
@@ -228,7 +237,7 @@
    */
   room(now: Instant): number {
     const idle = this.slots.filter((one) => this.#isIdle(now, one)).length;
-    const free = this.#terms.slots - this.#slots.size;
+    const free = this.#usable - this.#slots.size;
     return Math.max(0, free + idle - this.#waiting.size);
   }
 
@@ -280,6 +289,10 @@
     }
   }
 
+  get #usable(): number {
+    return this.#terms.slots - this.#reserved;
+  }
+
   #loading(): number {
     return this.slots.filter((slot) => slot.state === "loading").length;
   }
--- a/packages/core/src/relay/server_registry.ts
+++ b/packages/core/src/relay/server_registry.ts
@@ -4,6 +4,7 @@
   elapsed,
   type FailureDomainId,
   type Instant,
+  isOtherStart,
   type LogOffset,
   milliseconds,
   type ModelId,
@@ -190,10 +191,13 @@
    * Takes note that a server answered under another id: its address belongs
    * to another server now.
    * @param id The server that is gone.
+   * @param start Its start that was asked, if known; a later one stays.
    */
-  replaced(id: BackendServerId): void {
+  replaced(id: BackendServerId, start?: ServerStart): void {
     const known = this.#known.get(id);
-    if (known !== undefined) this.#drop(id, known.offset);
+    if (known === undefined) return;
+    if (isOtherStart(known.server.start, start)) return;
+    this.#drop(id, known.offset);
   }
 
   /**
--- /dev/null
+++ b/packages/core/tests/relay/late_orders_test.ts
@@ -0,0 +1,20 @@
+import { instant, LateOrders } from "@foxtailwind/core";
+import test from "ava";
+
+test("late loads keep a slot each until the count has passed what they expect", (t) => {
+  const late = new LateOrders();
+  late.add(instant(0), 3);
+  late.add(instant(10), 3);
+  late.add(instant(20), 5);
+  t.is(late.slots(instant(100), 0), 2);
+  t.is(late.slots(instant(100), 3), 2);
+  t.is(late.slots(instant(100), 4), 1);
+  t.is(late.slots(instant(100), 6), 0);
+});
+
+test("a load that is late for too long is no longer waited for", (t) => {
+  const late = new LateOrders();
+  late.add(instant(0), 3);
+  t.is(late.slots(instant(9_999), 0), 1);
+  t.is(late.slots(instant(10_000), 0), 0);
+});
--- a/packages/core/tests/relay/server_registry_test.ts
+++ b/packages/core/tests/relay/server_registry_test.ts
@@ -237,3 +237,14 @@
   for (const entry of registry.entries) peer.apply(instant(1), entry);
   t.deepEqual(peer.all, registry.all);
 });
+
+test("an answer of another id to what was sent to the start before takes nothing away", (t) => {
+  const registry = new ServerRegistry();
+  const id = backendServerId("a");
+  registry.apply(instant(0), present("a", 1, false, 10));
+  registry.apply(instant(1), present("a", 2, false, 20));
+  registry.replaced(id, serverStart(10));
+  t.is(registry.find(id)?.start, serverStart(20));
+  registry.replaced(id, serverStart(20));
+  t.is(registry.find(id), undefined);
+});
--- a/packages/node/src/relay/adapter_grants.ts
+++ b/packages/node/src/relay/adapter_grants.ts
@@ -15,6 +15,7 @@
 import type { PeerChannels } from "../peers/peer_channels.ts";
 import type { EngineOwners } from "./engine_owners.ts";
 import type { UseAnswer, UseRequest } from "./engine_use.ts";
+import { readStart, writeStart } from "./start_message.ts";
 
 /** What an owner answers, or that it can't be reached. */
 export type GrantAnswer = UseAnswer | { readonly kind: "unreachable" };
@@ -81,6 +82,7 @@
       minimumVersion: request.minimumVersion,
       promptTokens: request.promptTokens,
     });
+    const over = new AbortController();
     const release = () => {
       call.cancel();
     };
@@ -92,13 +94,14 @@
       signal.addEventListener("abort", leave, { once: true });
       call.on("data", (grant: AdapterGrant) => {
         signal.removeEventListener("abort", leave);
-        resolve(toAnswer(grant, release));
+        resolve(toAnswer(grant, over.signal, release));
       });
       call.on("error", () => {
         signal.removeEventListener("abort", leave);
         resolve({ kind: "unreachable" });
       });
       call.on("end", () => {
+        over.abort();
         resolve({ kind: "unreachable" });
       });
     });
@@ -143,9 +146,13 @@
   }
   call.once("cancelled", answer.release);
   call.once("close", answer.release);
+  answer.over.addEventListener("abort", () => {
+    call.end();
+  }, { once: true });
   call.write({
     outcome: GrantOutcome.GRANTED,
     version: answer.version,
+    start: writeStart(answer.start),
     waitMilliseconds: owner.digest.waitMilliseconds,
   });
 }
@@ -154,14 +161,24 @@
   call: ServerWritableStream<AdapterUse, AdapterGrant>,
   outcome: GrantOutcome,
 ): void {
-  call.write({ outcome, version: 0, waitMilliseconds: 0 });
+  call.write({ outcome, version: 0, waitMilliseconds: 0, start: 0 });
   call.end();
 }
 
-function toAnswer(grant: AdapterGrant, release: () => void): UseAnswer {
+function toAnswer(
+  grant: AdapterGrant,
+  over: AbortSignal,
+  release: () => void,
+): UseAnswer {
   switch (grant.outcome) {
     case GrantOutcome.GRANTED:
-      return { kind: "granted", version: grant.version, release };
+      return {
+        kind: "granted",
+        version: grant.version,
+        start: readStart(grant.start),
+        over,
+        release,
+      };
     case GrantOutcome.NO_ROOM:
       release();
       return { kind: "no_room" };
--- a/packages/node/src/relay/adapter_uses.ts
+++ b/packages/node/src/relay/adapter_uses.ts
@@ -3,6 +3,7 @@
   EngineOccupancy,
   type EngineSlots,
   type Instant,
+  type ServerStart,
 } from "@foxtailwind/core";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import { AdapterWaiters } from "./adapter_waiters.ts";
@@ -11,6 +12,8 @@
 /** What grants of uses work with. */
 export interface AdapterUsesParts {
   readonly clock: SteadyClock;
+  /** The start of the engine, if it is known. */
+  readonly start: () => ServerStart | undefined;
   /** Whether orders to the engine may go before long. */
   readonly ordersSoon: () => boolean;
   /** Called where more may have to be ordered. */
@@ -23,6 +26,7 @@
   readonly #slots: EngineSlots;
   readonly #parts: AdapterUsesParts;
   readonly #waiters = new AdapterWaiters();
+  readonly #over = new AbortController();
 
   /**
    * @param slots The engine's adapters.
@@ -77,6 +81,12 @@
     this.#waiters.answerAll({ kind: "no_room" });
   }
 
+  /** Ends with the engine's start: who waits may ask for the next one. */
+  end(): void {
+    this.sendWaitersAway();
+    this.#over.abort();
+  }
+
   /** Tells all who wait that this node owns the engine no more. */
   stop(): void {
     this.#waiters.answerAll({ kind: "not_owner" });
@@ -96,7 +106,13 @@
       if (name !== undefined) this.#slots.release(this.#now(), name);
       if (this.#slots.waiting > 0) this.#parts.changed();
     };
-    return { kind: "granted", version, release };
+    return {
+      kind: "granted",
+      version,
+      start: this.#parts.start(),
+      over: this.#over.signal,
+      release,
+    };
   }
 
   #isExpected(name: AdapterName): boolean {
--- a/packages/node/src/relay/backend_pools.ts
+++ b/packages/node/src/relay/backend_pools.ts
@@ -1,4 +1,9 @@
-import type { BackendServerId, RegisteredServer } from "@foxtailwind/core";
+import {
+  type BackendServerId,
+  isOtherStart,
+  type RegisteredServer,
+  type ServerStart,
+} from "@foxtailwind/core";
 import { buildConnector, type Dispatcher, Pool } from "undici";
 import { noteConnectionEnds } from "./connection_ends.ts";
 
@@ -16,9 +21,15 @@
 const CONNECTION_SHARE = 0.85;
 const FEWEST_CONNECTIONS = 2;
 
-/** Keeps connections to backend servers, apart for each run of a server. */
+interface KnownPool {
+  /** Told later where it was unknown at first. */
+  start: ServerStart | undefined;
+  readonly pool: Pool;
+}
+
+/** Keeps connections to backend servers, apart for each start of a server. */
 export class BackendPools {
-  readonly #pools = new Map<BackendServerId, Pool>();
+  readonly #pools = new Map<BackendServerId, KnownPool>();
   readonly #connect = noteConnectionEnds(buildConnector({
     timeout: CONNECT_MILLISECONDS,
     keepAlive: true,
@@ -26,15 +37,20 @@
   }));
 
   /**
-   * Gives the connections to a server.
-   * @param server The server.
+   * Gives the connections to a server. Those to an earlier start are left to
+   * the requests that use them, some of which may run at the new start.
+   * @param server The server, as it is known now.
    * @param limit The connections that it accepts from all nodes.
    * @param nodes How many nodes share them.
    * @returns The connections.
    */
   pool(server: RegisteredServer, limit: number, nodes: number): Dispatcher {
     const known = this.#pools.get(server.id);
-    if (known !== undefined) return known;
+    if (known !== undefined && !isOtherStart(known.start, server.start)) {
+      known.start ??= server.start;
+      return known.pool;
+    }
+    this.renew(server.id);
     const share = Math.floor(limit * CONNECTION_SHARE / nodes);
     const pool = new Pool(`http://${server.address}`, {
       connections: Math.max(FEWEST_CONNECTIONS, share),
@@ -46,7 +62,7 @@
       keepAliveMaxTimeout: KEEP_ALIVE_MOST_MILLISECONDS,
       connect: this.#connect,
     });
-    this.#pools.set(server.id, pool);
+    this.#pools.set(server.id, { start: server.start, pool });
     return pool;
   }
 
@@ -56,19 +72,22 @@
    * @param id The server.
    */
   renew(id: BackendServerId): void {
-    const pool = this.#pools.get(id);
-    if (pool === undefined) return;
+    const known = this.#pools.get(id);
+    if (known === undefined) return;
     this.#pools.delete(id);
-    void pool.close();
+    void known.pool.close();
   }
 
   /**
-   * Closes the connections to servers that are gone, after their requests.
-   * @param ids The servers that remain.
+   * Closes the connections to servers and starts that are gone, after their
+   * requests.
+   * @param servers The servers that are there.
    */
-  retain(ids: ReadonlySet<BackendServerId>): void {
-    for (const id of this.#pools.keys()) {
-      if (!ids.has(id)) this.renew(id);
+  retain(servers: readonly RegisteredServer[]): void {
+    const starts = new Map(servers.map(({ id, start }) => [id, start]));
+    for (const [id, { start }] of this.#pools) {
+      const remains = starts.has(id) && !isOtherStart(start, starts.get(id));
+      if (!remains) this.renew(id);
     }
   }
 
@@ -76,6 +95,6 @@
   async destroy(): Promise<void> {
     const pools = [...this.#pools.values()];
     this.#pools.clear();
-    await Promise.all(pools.map((pool) => pool.destroy()));
+    await Promise.all(pools.map(({ pool }) => pool.destroy()));
   }
 }
--- a/packages/node/src/relay/engine_orders.ts
+++ b/packages/node/src/relay/engine_orders.ts
@@ -4,6 +4,7 @@
   type OrderRight,
   type RegisteredServer,
   RELAY_SENTENCE,
+  type ServerStart,
   type SlotOrder,
 } from "@foxtailwind/core";
 import type { PartLogger } from "../logging/part_logger.ts";
@@ -24,6 +25,10 @@
   readonly self: NodeId;
   readonly control: EngineControl;
   readonly logger: PartLogger;
+  /** Whether a report that names a start is to be believed. */
+  readonly isBelieved: (start: ServerStart | undefined) => boolean;
+  /** Called where a load got no answer, with the count that it expects. */
+  readonly loadUnanswered: (expectedOrders: number) => void;
   /** Called once when the engine falls out of reach. */
   readonly fellSilent: () => void;
 }
@@ -50,6 +55,11 @@
     return this.#count !== undefined;
   }
 
+  /** The orders that the engine has accepted; 0 where they are unknown. */
+  get count(): number {
+    return this.#count ?? 0;
+  }
+
   /** Whether the engine has answered lately. */
   get isReachable(): boolean {
     return this.#silentCalls < SILENT_CALLS;
@@ -84,6 +94,7 @@
    */
   async report(): Promise<EngineReport | undefined> {
     const report = await this.#parts.control.report(this.#server);
+    if (this.#isStopped) return undefined;
     this.#heard(report.isOk());
     if (report.isErr()) {
       this.#parts.logger.warn("An engine gave no report.", {
@@ -92,6 +103,7 @@
       });
       return undefined;
     }
+    if (!this.#parts.isBelieved(report.value.start)) return undefined;
     if (report.value.isBusy) return undefined;
     this.#count = report.value.orderCount;
     return report.value;
@@ -144,13 +156,16 @@
     right: OrderRight,
   ): Promise<OrderResult> {
     const { control, self, logger } = this.#parts;
-    const expectedOrders = this.#count ?? 0;
+    const expectedOrders = this.count;
     const result = await control.order(this.#server, {
       ...order,
       owner: self,
       fence: right.fence,
       expectedOrders,
     });
+    if (result.kind === "unknown" && order.kind === "load") {
+      this.#parts.loadUnanswered(expectedOrders);
+    }
     logger.debug("An order was answered.", {
       engine: this.#server.id,
       kind: purpose,
--- a/packages/node/src/relay/engine_owner.ts
+++ b/packages/node/src/relay/engine_owner.ts
@@ -1,44 +1,26 @@
 import {
-  type AdapterName,
-  EngineSlots,
+  EngineStart,
   type EngineTerms,
-  type Instant,
-  later,
-  milliseconds,
-  type OrderRight,
+  LateOrders,
   type RegisteredServer,
-  type SlotOrder,
+  type ServerStart,
 } from "@foxtailwind/core";
 import type { EngineDigest } from "@foxtailwind/protocol";
-import { AdapterUses } from "./adapter_uses.ts";
-import type { OrderResult, OrderTrouble } from "./engine_control.ts";
-import { EngineModel } from "./engine_model.ts";
-import { EngineOrders } from "./engine_orders.ts";
 import type { EngineOwnerParts } from "./engine_owner_parts.ts";
+import { EngineRun } from "./engine_run.ts";
 import type { UseAnswer, UseRequest } from "./engine_use.ts";
 
-/** Reads after a conflict wait so long: reports lag by some 100 ms. */
-const REPORT_LAG = milliseconds(250);
-/** Between two questions whether a load has ended. */
-const LOAD_POLL = milliseconds(20);
-/** An owner whose orders may go within a load's time counts as able to order. */
-const SOON = milliseconds(250);
-/** Conflicts in a row after which the engine is asked what it holds. */
-const CONFLICTS_TO_REPORT = 2;
-
-/** Orders one engine while this node has the right to. */
+/**
+ * Orders one engine while this node has the right to, from one start of the
+ * engine to the next: what is known of a start ends with it.
+ */
 export class EngineOwner {
   readonly #parts: EngineOwnerParts;
-  readonly #slots: EngineSlots;
-  readonly #orders: EngineOrders;
-  readonly #model: EngineModel;
-  readonly #uses: AdapterUses;
+  readonly #terms: EngineTerms;
+  readonly #start: EngineStart;
+  readonly #lateOrders = new LateOrders();
   #server: RegisteredServer;
-  #conflicts = 0;
-  #pauseUntil: Instant | undefined;
-  #timer: NodeJS.Timeout | undefined;
-  #isPumping = false;
-  #isStopped = false;
+  #run: EngineRun;
 
   /**
    * @param server The engine.
@@ -51,27 +33,15 @@
     parts: EngineOwnerParts,
   ) {
     this.#server = server;
+    this.#terms = terms;
     this.#parts = parts;
-    const { engines, node } = parts.settings;
-    this.#slots = new EngineSlots({
-      slots: terms.adapterSlots,
-      transfers: engines.transfers,
-      kept: engines.kept_adapters,
-    });
-    this.#uses = new AdapterUses(this.#slots, {
-      clock: parts.clock,
-      ordersSoon: () => this.#ordersSoon(),
-      changed: () => void this.pump(),
-    });
-    this.#orders = new EngineOrders(server, {
-      self: node.id,
-      control: parts.control,
-      logger: parts.logger,
-      fellSilent: () => {
-        this.#uses.sendWaitersAway();
-      },
-    });
-    this.#model = new EngineModel(server, parts.knowledge, this.#orders);
+    this.#start = new EngineStart(server.start);
+    this.#run = this.#begin(server);
+  }
+
+  /** What other nodes are told of the engine. */
+  get digest(): EngineDigest {
+    return this.#run.digest;
   }
 
   /**
@@ -80,27 +50,8 @@
    */
   update(server: RegisteredServer): void {
     this.#server = server;
-    this.#orders.update(server);
-    void this.pump();
-  }
-
-  /** What other nodes are told of the engine. */
-  get digest(): EngineDigest {
-    const slots = this.#slots.slots.filter((slot) => slot.state !== "leaving");
-    return {
-      engine: this.#server.id,
-      waitMilliseconds: this.#uses.occupancy.wait(this.#now()),
-      room: this.#ordersSoon() ? this.#slots.room(this.#now()) : 0,
-      isReachable: this.#orders.isReachable,
-      running: this.#uses.occupancy.running,
-      isFull: this.#isFull(),
-      adapters: slots.map((slot) => ({
-        model: slot.model,
-        adapter: slot.adapter,
-        version: slot.version,
-        isLoading: slot.state === "loading",
-      })),
-    };
+    if (this.#start.registered(server.start)) this.#restarted();
+    else this.#run.update(server);
   }
 
   /**
@@ -109,187 +60,58 @@
    * @param signal Ends the wait.
    * @returns The answer.
    */
-  async use(request: UseRequest, signal: AbortSignal): Promise<UseAnswer> {
-    if (this.#isStopped) return { kind: "not_owner" };
-    if (this.#isFull() || !this.#orders.isReachable) return { kind: "no_room" };
-    return await this.#uses.ask(request, signal);
+  use(request: UseRequest, signal: AbortSignal): Promise<UseAnswer> {
+    return this.#run.use(request, signal);
   }
 
   /** Gives up the engine: nobody waits here any more. */
   stop(): void {
-    this.#isStopped = true;
-    this.#orders.stop();
-    clearTimeout(this.#timer);
-    this.#uses.stop();
+    this.#run.stop();
   }
 
   /** Carries out what is due; called by itself when more becomes due. */
   async pump(): Promise<void> {
-    if (this.#isPumping) return;
-    this.#isPumping = true;
-    try {
-      while (!this.#isStopped && await this.#step());
-    } finally {
-      this.#isPumping = false;
-    }
-  }
-
-  /** One step; whether another one may follow at once. */
-  async #step(): Promise<boolean> {
-    const now = this.#now();
-    const right = this.#parts.knowledge.claims.right(this.#server.id);
-    if (right === undefined) return false;
-    const pause = this.#pauseUntil ?? now;
-    if (pause > now) return this.#wakeAt(pause);
-    // What the engine holds may be used, and asked for, before orders may go.
-    if (!this.#orders.isCounted) return await this.#readReport();
-    if (right.from > now) return this.#wakeAt(right.from);
-    if (!this.#model.isThere) return await this.#loadModel(now, right);
-    if (await this.#askAfterLoads(now, right)) return true;
-    const order = this.#slots.nextOrder(now);
-    if (order !== undefined) {
-      await this.#carryOut(order, right);
-      return true;
-    }
-    if (this.#slots.waiting > 0) this.#wakeAt(later(now, LOAD_POLL));
-    return false;
+    await this.#run.pump();
   }
 
-  async #readReport(): Promise<boolean> {
-    const report = await this.#orders.report();
-    const now = this.#now();
-    if (report === undefined) return this.#wakeAt(later(now, REPORT_LAG));
-    this.#model.reported(report.models);
-    this.#conflicts = 0;
-    this.#slots.reported(now, report.adapters, report.incoming);
-    this.#uses.serveWaiters();
-    return true;
-  }
-
-  async #loadModel(now: Instant, right: OrderRight): Promise<boolean> {
-    const isWanted = await this.#model.load(now, right);
-    if (isWanted) this.#askAgain();
-    return isWanted;
-  }
-
-  /** Asks whether a load that should have ended has; one at a time. */
-  async #askAfterLoads(now: Instant, right: OrderRight): Promise<boolean> {
-    const due = this.#slots.nextCheck();
-    if (due === undefined) return false;
-    if (due.at > now) {
-      this.#wakeAt(due.at);
-      return false;
-    }
-    const { name } = due;
-    const version = this.#slots.find(name)?.version ?? 0;
-    const order = { kind: "load", name, version } as const;
-    this.#takeLoadState(name, await this.#orders.ask(order, right), right);
-    return true;
-  }
-
-  #takeLoadState(
-    name: AdapterName,
-    result: OrderResult,
-    right: OrderRight,
-  ): void {
-    const now = this.#now();
-    switch (result.kind) {
-      case "holds":
-        this.#conflicts = 0;
-        this.#slots.loaded(now, name);
-        this.#uses.serveWaiters();
-        break;
-      case "conflict":
-        this.#slots.checkAgain(now, name, LOAD_POLL);
-        this.#noteConflict();
-        break;
-      case "accepted":
-      case "unknown":
-        this.#slots.checkAgain(now, name, LOAD_POLL);
-        break;
-      case "fenced":
-      case "misdirected":
-      case "invalid":
-        this.#takeTrouble(result, right);
-    }
-  }
-
-  async #carryOut(order: SlotOrder, right: OrderRight): Promise<void> {
-    const result = await this.#orders.carryOut(order, right);
-    const now = this.#now();
-    switch (result.kind) {
-      case "holds":
-      case "accepted":
-        this.#conflicts = 0;
-        this.#slots.answered(now, order, result.kind);
-        this.#orders.accepted();
-        break;
-      case "conflict":
-        this.#slots.answered(now, order, "conflict");
-        this.#noteConflict();
-        break;
-      case "unknown":
-        this.#slots.answered(now, order, "unknown");
-        this.#askAgain();
-        break;
-      case "fenced":
-      case "misdirected":
-      case "invalid":
-        this.#takeTrouble(result, right);
-    }
-  }
-
-  /** After some conflicts in a row, the count of orders must be wrong. */
-  #noteConflict(): void {
-    this.#conflicts += 1;
-    if (this.#conflicts >= CONFLICTS_TO_REPORT) this.#askAgain();
-  }
-
-  /** Trusts nothing that is known until the engine has reported. */
-  #askAgain(): void {
-    this.#orders.forgetCount();
-    this.#pauseUntil = later(this.#now(), REPORT_LAG);
+  #begin(server: RegisteredServer): EngineRun {
+    return new EngineRun(server, this.#terms, {
+      ...this.#parts,
+      lateOrders: this.#lateOrders,
+      start: () => this.#start.current,
+      isBelieved: (start) => this.#isBelieved(start),
+    });
   }
 
-  #takeTrouble(result: OrderTrouble, right: OrderRight): void {
-    const { knowledge, logger } = this.#parts;
-    const engine = this.#server.id;
-    switch (result.kind) {
-      case "fenced":
-        knowledge.fenced(engine, right.fence);
-        break;
-      case "misdirected":
-        knowledge.registry.replaced(engine);
-        this.stop();
-        break;
-      case "invalid":
-        logger.error("An engine did not take an order.", {
-          engine,
-          step: result.failure.step,
-          detail: result.failure.message,
+  /** Begins anew with an engine that holds nothing that is known. */
+  #restarted(): void {
+    const before = this.#run;
+    this.#run = this.#begin({ ...this.#server, models: [] });
+    this.#parts.logger.info("An engine has started again.", {
+      engine: this.#server.id,
+      start: this.#start.current,
+    });
+    before.end();
+    void this.#run.pump();
+  }
+
+  /** Whether a report is of the start that is known. */
+  #isBelieved(start: ServerStart | undefined): boolean {
+    const before = this.#start.current;
+    const news = this.#start.reported(start);
+    switch (news) {
+      case "current":
+        return true;
+      case "late":
+        this.#parts.logger.warn("A report of an older start is left out.", {
+          engine: this.#server.id,
+          start,
+          known: before,
         });
-        this.#askAgain();
+        return false;
+      case "restarted":
+        this.#restarted();
+        return false;
     }
   }
-
-  #isFull(): boolean {
-    return this.#uses.occupancy.isFull(this.#server.slots);
-  }
-
-  /** Whether orders may go now, or as soon as a load takes anyway. */
-  #ordersSoon(): boolean {
-    const right = this.#parts.knowledge.claims.right(this.#server.id);
-    return right !== undefined && right.from - this.#now() < SOON;
-  }
-
-  #wakeAt(at: Instant): false {
-    clearTimeout(this.#timer);
-    const delay = Math.max(1, at - this.#now());
-    this.#timer = setTimeout(() => void this.pump(), delay);
-    return false;
-  }
-
-  #now(): Instant {
-    return this.#parts.clock.now();
-  }
 }
--- a/packages/node/src/relay/engine_owner_parts.ts
+++ b/packages/node/src/relay/engine_owner_parts.ts
@@ -1,3 +1,4 @@
+import type { LateOrders, ServerStart } from "@foxtailwind/core";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { PartLogger } from "../logging/part_logger.ts";
 import type { EngineControl } from "./engine_control.ts";
@@ -12,3 +13,13 @@
   readonly clock: SteadyClock;
   readonly logger: PartLogger;
 }
+
+/** What an owner works with at one start of its engine. */
+export interface EngineRunParts extends EngineOwnerParts {
+  /** The loads of earlier starts that got no answer. */
+  readonly lateOrders: LateOrders;
+  /** The start, if it is known. */
+  readonly start: () => ServerStart | undefined;
+  /** Whether a report that names a start is to be believed. */
+  readonly isBelieved: (start: ServerStart | undefined) => boolean;
+}
--- /dev/null
+++ b/packages/node/src/relay/engine_run.ts
@@ -0,0 +1,305 @@
+import {
+  type AdapterName,
+  EngineSlots,
+  type EngineTerms,
+  type Instant,
+  LateOrders,
+  later,
+  milliseconds,
+  type OrderRight,
+  type RegisteredServer,
+  type SlotOrder,
+} from "@foxtailwind/core";
+import type { EngineDigest } from "@foxtailwind/protocol";
+import { AdapterUses } from "./adapter_uses.ts";
+import type { OrderResult, OrderTrouble } from "./engine_control.ts";
+import { writeEngineDigest } from "./engine_digest.ts";
+import { EngineModel } from "./engine_model.ts";
+import { EngineOrders } from "./engine_orders.ts";
+import type { EngineRunParts } from "./engine_owner_parts.ts";
+import { takeTrouble } from "./engine_trouble.ts";
+import type { UseAnswer, UseRequest } from "./engine_use.ts";
+import { writeStart } from "./start_message.ts";
+
+/** Reads after a conflict wait so long: reports lag by some 100 ms. */
+const REPORT_LAG = milliseconds(250);
+/** Between two questions whether a load has ended. */
+const LOAD_POLL = milliseconds(20);
+/** An owner whose orders may go within a load's time counts as able to order. */
+const SOON = milliseconds(250);
+/** Conflicts in a row after which the engine is asked what it holds. */
+const CONFLICTS_TO_REPORT = 2;
+
+/** What an engine's owner knows and orders at one start of the engine. */
+export class EngineRun {
+  readonly #parts: EngineRunParts;
+  readonly #slots: EngineSlots;
+  readonly #orders: EngineOrders;
+  readonly #model: EngineModel;
+  readonly #uses: AdapterUses;
+  /** Loads of this start; their slots are known while it lasts. */
+  #unanswered = new LateOrders();
+  #server: RegisteredServer;
+  #conflicts = 0;
+  #pauseUntil: Instant | undefined;
+  #timer: NodeJS.Timeout | undefined;
+  #isPumping = false;
+  #isStopped = false;
+
+  /**
+   * @param server The engine.
+   * @param terms What it can hold.
+   * @param parts What the owner works with.
+   */
+  constructor(
+    server: RegisteredServer,
+    terms: EngineTerms,
+    parts: EngineRunParts,
+  ) {
+    this.#server = server;
+    this.#parts = parts;
+    const { engines, node } = parts.settings;
+    this.#slots = new EngineSlots({
+      slots: terms.adapterSlots,
+      transfers: engines.transfers,
+      kept: engines.kept_adapters,
+    });
+    this.#uses = new AdapterUses(this.#slots, {
+      clock: parts.clock,
+      start: parts.start,
+      ordersSoon: () => this.#ordersSoon(),
+      changed: () => void this.pump(),
+    });
+    this.#orders = new EngineOrders(server, {
+      self: node.id,
+      control: parts.control,
+      logger: parts.logger,
+      isBelieved: parts.isBelieved,
+      loadUnanswered: (expected) => {
+        this.#unanswered.add(this.#now(), expected);
+      },
+      fellSilent: () => {
+        this.#uses.sendWaitersAway();
+      },
+    });
+    this.#model = new EngineModel(server, parts.knowledge, this.#orders);
+  }
+
+  /**
+   * Takes a newer description of the engine.
+   * @param server The engine.
+   */
+  update(server: RegisteredServer): void {
+    this.#server = server;
+    this.#orders.update(server);
+    void this.pump();
+  }
+
+  /** What other nodes are told of the engine. */
+  get digest(): EngineDigest {
+    const now = this.#now();
+    return writeEngineDigest(this.#server, this.#slots.slots, {
+      start: writeStart(this.#parts.start()),
+      waitMilliseconds: this.#uses.occupancy.wait(now),
+      room: this.#ordersSoon() ? this.#slots.room(now) : 0,
+      isReachable: this.#orders.isReachable,
+      running: this.#uses.occupancy.running,
+      isFull: this.#isFull(),
+    });
+  }
+
+  /**
+   * Asks for the use of an adapter or of a base model.
+   * @param request What is to be used.
+   * @param signal Ends the wait.
+   * @returns The answer.
+   */
+  async use(request: UseRequest, signal: AbortSignal): Promise<UseAnswer> {
+    if (this.#isStopped) return { kind: "not_owner" };
+    if (this.#isFull() || !this.#orders.isReachable) return { kind: "no_room" };
+    return await this.#uses.ask(request, signal);
+  }
+
+  /** Gives up the engine: nobody waits here any more. */
+  stop(): void {
+    this.#isStopped = true;
+    this.#orders.stop();
+    clearTimeout(this.#timer);
+    this.#uses.stop();
+  }
+
+  /** Ends with the start: who waits is sent away, and uses end. */
+  end(): void {
+    const { lateOrders } = this.#parts;
+    lateOrders.include(this.#unanswered);
+    this.#unanswered = lateOrders;
+    this.#uses.end();
+    this.stop();
+  }
+
+  /** Carries out what is due; called by itself when more becomes due. */
+  async pump(): Promise<void> {
+    if (this.#isPumping) return;
+    this.#isPumping = true;
+    try {
+      while (!this.#isStopped && await this.#step());
+    } finally {
+      this.#isPumping = false;
+    }
+  }
+
+  /** One step; whether another one may follow at once. */
+  async #step(): Promise<boolean> {
+    const now = this.#now();
+    const right = this.#parts.knowledge.claims.right(this.#server.id);
+    if (right === undefined) return false;
+    const pause = this.#pauseUntil ?? now;
+    if (pause > now) return this.#wakeAt(pause);
+    // What the engine holds may be used, and asked for, before orders may go.
+    if (!this.#orders.isCounted) return await this.#readReport();
+    this.#keepSlotsFree(now);
+    if (right.from > now) return this.#wakeAt(right.from);
+    if (!this.#model.isThere) return await this.#loadModel(now, right);
+    if (await this.#askAfterLoads(now, right)) return true;
+    const order = this.#slots.nextOrder(now);
+    if (order !== undefined) {
+      await this.#carryOut(order, right);
+      return true;
+    }
+    if (this.#slots.waiting > 0) this.#wakeAt(later(now, LOAD_POLL));
+    return false;
+  }
+
+  /** Keeps slots for what was ordered of an earlier start and may come. */
+  #keepSlotsFree(now: Instant): void {
+    const { lateOrders } = this.#parts;
+    this.#slots.reserve(lateOrders.slots(now, this.#orders.count));
+  }
+
+  async #readReport(): Promise<boolean> {
+    const report = await this.#orders.report();
+    if (this.#isStopped) return false;
+    const now = this.#now();
+    if (report === undefined) return this.#wakeAt(later(now, REPORT_LAG));
+    this.#model.reported(report.models);
+    this.#conflicts = 0;
+    this.#slots.reported(now, report.adapters, report.incoming);
+    this.#uses.serveWaiters();
+    return true;
+  }
+
+  async #loadModel(now: Instant, right: OrderRight): Promise<boolean> {
+    const isWanted = await this.#model.load(now, right);
+    if (isWanted) this.#askAgain();
+    return isWanted;
+  }
+
+  /** Asks whether a load that should have ended has; one at a time. */
+  async #askAfterLoads(now: Instant, right: OrderRight): Promise<boolean> {
+    const due = this.#slots.nextCheck();
+    if (due === undefined) return false;
+    if (due.at > now) {
+      this.#wakeAt(due.at);
+      return false;
+    }
+    const { name } = due;
+    const version = this.#slots.find(name)?.version ?? 0;
+    const order = { kind: "load", name, version } as const;
+    this.#takeLoadState(name, await this.#orders.ask(order, right), right);
+    return true;
+  }
+
+  #takeLoadState(
+    name: AdapterName,
+    result: OrderResult,
+    right: OrderRight,
+  ): void {
+    if (this.#isStopped) return;
+    const now = this.#now();
+    switch (result.kind) {
+      case "holds":
+        this.#conflicts = 0;
+        this.#slots.loaded(now, name);
+        this.#uses.serveWaiters();
+        break;
+      case "conflict":
+        this.#slots.checkAgain(now, name, LOAD_POLL);
+        this.#noteConflict();
+        break;
+      case "accepted":
+      case "unknown":
+        this.#slots.checkAgain(now, name, LOAD_POLL);
+        break;
+      case "fenced":
+      case "misdirected":
+      case "invalid":
+        this.#takeTrouble(result, right);
+    }
+  }
+
+  async #carryOut(order: SlotOrder, right: OrderRight): Promise<void> {
+    const result = await this.#orders.carryOut(order, right);
+    // A late answer says nothing of what came after: a new start, or owner.
+    if (this.#isStopped) return;
+    const now = this.#now();
+    switch (result.kind) {
+      case "holds":
+      case "accepted":
+        this.#conflicts = 0;
+        this.#slots.answered(now, order, result.kind);
+        this.#orders.accepted();
+        break;
+      case "conflict":
+        this.#slots.answered(now, order, "conflict");
+        this.#noteConflict();
+        break;
+      case "unknown":
+        this.#slots.answered(now, order, "unknown");
+        this.#askAgain();
+        break;
+      case "fenced":
+      case "misdirected":
+      case "invalid":
+        this.#takeTrouble(result, right);
+    }
+  }
+
+  /** After some conflicts in a row, the count of orders must be wrong. */
+  #noteConflict(): void {
+    this.#conflicts += 1;
+    if (this.#conflicts >= CONFLICTS_TO_REPORT) this.#askAgain();
+  }
+
+  /** Trusts nothing that is known until the engine has reported. */
+  #askAgain(): void {
+    this.#orders.forgetCount();
+    this.#pauseUntil = later(this.#now(), REPORT_LAG);
+  }
+
+  #takeTrouble(result: OrderTrouble, right: OrderRight): void {
+    const step = takeTrouble(this.#parts, this.#server.id, result, right);
+    if (step === "stop") this.stop();
+    if (step === "ask_again") this.#askAgain();
+  }
+
+  #isFull(): boolean {
+    return this.#uses.occupancy.isFull(this.#server.slots);
+  }
+
+  /** Whether orders may go now, or as soon as a load takes anyway. */
+  #ordersSoon(): boolean {
+    const right = this.#parts.knowledge.claims.right(this.#server.id);
+    return right !== undefined && right.from - this.#now() < SOON;
+  }
+
+  #wakeAt(at: Instant): false {
+    clearTimeout(this.#timer);
+    const delay = Math.max(1, at - this.#now());
+    this.#timer = setTimeout(() => void this.pump(), delay);
+    return false;
+  }
+
+  #now(): Instant {
+    return this.#parts.clock.now();
+  }
+}
--- a/packages/node/src/relay/engine_use.ts
+++ b/packages/node/src/relay/engine_use.ts
@@ -1,4 +1,4 @@
-import type { AdapterName, ModelId } from "@foxtailwind/core";
+import type { AdapterName, ModelId, ServerStart } from "@foxtailwind/core";
 
 /** The use of an adapter that is asked for. */
 export interface UseRequest {
@@ -15,6 +15,10 @@
     readonly kind: "granted";
     /** 0 where the engine has not told it, or for the base model. */
     readonly version: number;
+    /** The start of the engine that it is granted at, if known. */
+    readonly start: ServerStart | undefined;
+    /** Tells that the use has ended with that start. */
+    readonly over: AbortSignal;
     /** Ends the use. */
     readonly release: () => void;
   }
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -69,6 +69,7 @@
   readonly #metrics: RelayMetrics;
   #refreshTimer: NodeJS.Timeout | undefined;
   #lastRequestAt: Instant;
+  #retainedRevision = 0;
   #operationsPort = 0;
 
   /**
@@ -259,15 +260,13 @@
   #refresh(): void {
     const now = this.#clock.now();
     const { registry } = this.#knowledge;
-    const before = registry.revision;
     registry.expire(now);
     this.#owners.refresh();
     this.#presence.refresh(now);
-    if (registry.revision === before) return;
-    const ids = new Set(registry.all.map((server) => server.id));
-    this.#pools.retain(ids);
-    this.#loads.retain(ids);
-    this.#knowledge.claims.retain(ids);
+    if (registry.revision === this.#retainedRevision) return;
+    this.#retainedRevision = registry.revision;
+    this.#pools.retain(registry.all);
+    this.#loads.retain(new Set(registry.all.map((server) => server.id)));
   }
 
   async #announce(): Promise<void> {
--- a/packages/node/src/relay/request_placer.ts
+++ b/packages/node/src/relay/request_placer.ts
@@ -2,6 +2,7 @@
   type BackendServerId,
   type EngineState,
   type Instant,
+  isOlderStart,
   type NodeId,
   orderEngines,
   type RegisteredServer,
@@ -12,6 +13,7 @@
 import type { EngineOwners } from "./engine_owners.ts";
 import type { Knowledge } from "./knowledge.ts";
 import type { ServerLoads } from "./server_loads.ts";
+import { readStart } from "./start_message.ts";
 
 /** Where a request goes, and what to do once it has ended there. */
 export interface Place {
@@ -54,6 +56,8 @@
 /** How long an owner may take to bring an adapter before another is asked. */
 const LOAD_ANSWER_MILLISECONDS = 1_000;
 
+type Grant = Extract<GrantAnswer, { readonly kind: "granted" }>;
+
 interface KnownEngine extends EngineState {
   readonly server: RegisteredServer;
   readonly owner?: NodeId;
@@ -104,7 +108,7 @@
       ? 0
       : this.#parts.knowledge.versions.newest(use.model, use.adapter);
     const engines = servers
-      .filter((server) => !this.#parts.loads.of(server.id).isPaused(now))
+      .filter((server) => !this.#parts.loads.of(server).isPaused(now))
       .map((server) => this.#describe(now, server, use, minimumVersion))
       .filter((engine) => engine !== undefined);
     const byId = new Map(engines.map((engine) => [engine.id, engine]));
@@ -144,6 +148,10 @@
     note({ engine: engine.id, owner, answer: answer.kind });
     if (answer.kind === "granted") {
       const { version, release } = answer;
+      if (this.#isOver(server, answer)) {
+        release();
+        return undefined;
+      }
       return {
         server,
         ...(version === 0 ? {} : { adapterVersion: version }),
@@ -156,6 +164,12 @@
       : undefined;
   }
 
+  /** Whether a use was granted at a start that is over by now. */
+  #isOver({ id }: RegisteredServer, { start, over }: Grant): boolean {
+    const known = this.#parts.knowledge.registry.find(id);
+    return over.aborted || isOlderStart(start, known?.start);
+  }
+
   #describe(
     now: Instant,
     server: RegisteredServer,
@@ -163,8 +177,8 @@
     minimumVersion: number,
   ): KnownEngine | undefined {
     const { loads } = this.#parts;
-    const load = loads.of(server.id);
-    const heard = this.#heard(now, server.id);
+    const load = loads.of(server);
+    const heard = this.#heard(now, server);
     if (heard?.digest.isFull === true) return undefined;
     if (heard === undefined) {
       const holds = holdsByRegistry(server, use, minimumVersion);
@@ -202,7 +216,15 @@
     };
   }
 
-  #heard(now: Instant, id: BackendServerId) {
+  /** What the owner says of an engine, unless it is of an older start. */
+  #heard(now: Instant, { id, start }: RegisteredServer) {
+    const heard = this.#ownerSays(now, id);
+    if (heard === undefined) return undefined;
+    const isOver = isOlderStart(readStart(heard.digest.start), start);
+    return isOver ? undefined : heard;
+  }
+
+  #ownerSays(now: Instant, id: BackendServerId) {
     const { knowledge, owners, self } = this.#parts;
     const own = owners.find(id);
     if (own !== undefined) {
--- a/packages/node/src/relay/request_sender.ts
+++ b/packages/node/src/relay/request_sender.ts
@@ -63,7 +63,7 @@
     const { message, service, body } = this.#request;
     const { server } = place;
     const sentAt = this.#now();
-    const load = loads.of(server.id);
+    const load = loads.of(server);
     this.#terms.sent.begin(server.id);
     load.sent(sentAt);
     const headers = this.#sendHeaders(place, sentAt);
--- a/packages/node/src/relay/server_loads.ts
+++ b/packages/node/src/relay/server_loads.ts
@@ -3,13 +3,21 @@
   chooseServer,
   type FailureDomainId,
   type Instant,
+  isOtherStart,
   type RegisteredServer,
   ServerLoad,
+  type ServerStart,
 } from "@foxtailwind/core";
 
-/** What this node has seen of each backend server. */
+interface SeenServer {
+  /** Told later where it was unknown at first. */
+  start: ServerStart | undefined;
+  readonly load: ServerLoad;
+}
+
+/** What this node has seen of each backend server, since it started. */
 export class ServerLoads {
-  readonly #loads = new Map<BackendServerId, ServerLoad>();
+  readonly #loads = new Map<BackendServerId, SeenServer>();
   readonly #failureDomain: FailureDomainId;
 
   /** @param failureDomain Where this node stands. */
@@ -18,15 +26,19 @@
   }
 
   /**
-   * Gives what was seen of a server.
-   * @param id The server.
+   * Gives what was seen of a server at its start; of an earlier one nothing
+   * counts, and sends to that one go on with what was seen of it.
+   * @param server The server, as it is known now.
    * @returns What was seen.
    */
-  of(id: BackendServerId): ServerLoad {
+  of({ id, start }: Pick<RegisteredServer, "id" | "start">): ServerLoad {
     const known = this.#loads.get(id);
-    if (known !== undefined) return known;
+    if (known !== undefined && !isOtherStart(known.start, start)) {
+      known.start ??= start;
+      return known.load;
+    }
     const load = new ServerLoad();
-    this.#loads.set(id, load);
+    this.#loads.set(id, { start, load });
     return load;
   }
 
@@ -44,7 +56,7 @@
   ): RegisteredServer | undefined {
     const loaded = servers.map((server) => ({
       server,
-      load: this.of(server.id),
+      load: this.of(server),
       isNear: server.failureDomain === this.#failureDomain,
     }));
     return chooseServer(now, loaded, draw);
--- a/packages/node/tests/relay/engine_owner_test.ts
+++ b/packages/node/tests/relay/engine_owner_test.ts
@@ -1,93 +1,9 @@
-import {
-  adapterId,
-  backendServerId,
-  failureDomainId,
-  logOffset,
-  milliseconds,
-  modelId,
-  nodeId,
-  type RegisteredServer,
-  serviceId,
-} from "@foxtailwind/core";
-import {
-  EngineOwner,
-  Knowledge,
-  LoggerFactory,
-  ProcessClock,
-  type UseAnswer,
-} from "@foxtailwind/node/relay";
+import { adapterId } from "@foxtailwind/core";
 import test from "ava";
-import { relaySettings } from "./helpers/relay_settings.ts";
-import { ScriptedEngine } from "./helpers/scripted_engine.ts";
-
-const MODEL = modelId("m");
-const SERVER: RegisteredServer = {
-  id: backendServerId("engine"),
-  service: serviceId("engines"),
-  address: "127.0.0.1:1",
-  failureDomain: failureDomainId("domain-a"),
-  leaving: false,
-  slots: 64,
-  models: [{ model: MODEL, adapters: new Map() }],
-  orderCount: 0,
-};
-
-function setUp(slots = 2) {
-  const settings = relaySettings();
-  const clock = new ProcessClock();
-  const logger = new LoggerFactory("json", 0, () => undefined).forPart(
-    "ownership",
-  );
-  const knowledge = new Knowledge({
-    settings,
-    incarnation: "run-1",
-    clock,
-    logger,
-  });
-  const control = new ScriptedEngine(slots);
-  control.adapters.models = [MODEL];
-  const terms = {
-    models: [{ model: MODEL, megabytes: 1, adapterMegabytes: 1 }],
-    megabytes: 10,
-    adapterSlots: slots,
-  };
-  const owner = new EngineOwner(SERVER, terms, {
-    settings,
-    knowledge,
-    control,
-    clock,
-    logger,
-  });
-  const claim = (owner: string, offset: number, wait = 0) => {
-    knowledge.claim({
-      engine: SERVER.id,
-      owner: nodeId(owner),
-      incarnation: "run-1",
-      wait: milliseconds(wait),
-    }, logOffset(offset));
-  };
-  return { owner, control, claim, knowledge };
-}
-
-function use(
-  owner: EngineOwner,
-  adapter: string,
-  patience = 5_000,
-): Promise<UseAnswer> {
-  return owner.use({
-    model: MODEL,
-    adapter: adapterId(adapter),
-    minimumVersion: 0,
-    promptTokens: 100,
-  }, AbortSignal.timeout(patience));
-}
-
-function release(answer: UseAnswer): void {
-  if (answer.kind === "granted") answer.release();
-}
+import { release, SERVER, setUpOwner, use } from "./helpers/owned_engine.ts";
 
 test("an adapter is brought for whoever asks, and evicted only when idle", async (t) => {
-  const { owner, control, claim } = setUp(1);
+  const { owner, control, claim } = setUpOwner(1);
   claim("node-1", 4);
   const first = await use(owner, "a");
   t.is(first.kind, "granted");
@@ -101,7 +17,7 @@
 });
 
 test("without the right nothing is ordered", async (t) => {
-  const { owner, control, claim } = setUp();
+  const { owner, control, claim } = setUpOwner();
   claim("node-2", 4);
   const answer = await use(owner, "a", 100);
   t.not(answer.kind, "granted");
@@ -110,7 +26,7 @@
 });
 
 test("a new owner that has to wait grants what the engine holds, and sends others away at once", async (t) => {
-  const { owner, control, claim } = setUp();
+  const { owner, control, claim } = setUpOwner();
   control.adapters.held.add(adapterId("a"));
   claim("node-1", 4, 60_000);
   void owner.pump();
@@ -126,7 +42,7 @@
 
 test("an order without an answer is sent again, and carried out once", async (t) => {
   for (const fate of ["lost", "late", "answer_lost"] as const) {
-    const { owner, control, claim } = setUp();
+    const { owner, control, claim } = setUpOwner();
     control.fates.nextFates = [fate];
     claim("node-1", 4);
     const answer = await use(owner, "a");
@@ -139,7 +55,7 @@
 });
 
 test("late orders never lead past the slots", async (t) => {
-  const { owner, control, claim } = setUp(2);
+  const { owner, control, claim } = setUpOwner(2);
   control.fates.nextFates = [
     "late",
     "answered",
@@ -159,7 +75,7 @@
 });
 
 test("a wrong count of orders is found out and put right while a load is asked about", async (t) => {
-  const { owner, control, claim } = setUp();
+  const { owner, control, claim } = setUpOwner();
   claim("node-1", 4);
   const waiting = use(owner, "a");
   while (control.adapters.held.size === 0) {
@@ -172,7 +88,7 @@
 });
 
 test("who waits for an engine that falls silent is sent away at once", async (t) => {
-  const { owner, control, claim } = setUp();
+  const { owner, control, claim } = setUpOwner();
   claim("node-1", 4);
   release(await use(owner, "a"));
   control.isDown = true;
@@ -188,7 +104,7 @@
 });
 
 test("a refused fencing number is not used again", async (t) => {
-  const { owner, control, claim } = setUp();
+  const { owner, control, claim } = setUpOwner();
   claim("node-1", 4);
   control.adapters.highestFence = 9;
   const answer = await use(owner, "a", 400);
@@ -198,7 +114,7 @@
 });
 
 test("an engine that runs all it should takes no more until a request ends", async (t) => {
-  const { owner, claim } = setUp();
+  const { owner, claim } = setUpOwner();
   claim("node-1", 4);
   const first = await use(owner, "a");
   const uses = [first];
--- a/packages/node/tests/relay/helpers/scripted_engine.ts
+++ b/packages/node/tests/relay/helpers/scripted_engine.ts
@@ -22,6 +22,8 @@
   readonly adapters: OrderedAdapters;
   readonly fates: FatedOrders;
   isDown = false;
+  /** Answers to the next orders, which do not reach it. */
+  nextAnswers: OrderResult[] = [];
   /** Reports as they are answered, where they aren't the engine's own. */
   nextReports: EngineReport[] = [];
 
@@ -38,7 +40,8 @@
   ): Promise<OrderResult> {
     await Promise.resolve();
     this.orders.push(order);
-    return this.isDown ? { kind: "unknown" } : this.fates.send(order);
+    if (this.isDown) return { kind: "unknown" };
+    return this.nextAnswers.shift() ?? this.fates.send(order);
   }
 
   override async report(): Promise<Result<EngineReport, Failure>> {
--- a/packages/node/tests/relay/peer_book_test.ts
+++ b/packages/node/tests/relay/peer_book_test.ts
@@ -38,6 +38,7 @@
   const peers = new PeerBook();
   const engine = {
     engine: "e1",
+    start: 0,
     waitMilliseconds: 5,
     room: 3,
     adapters: [],
--- /dev/null
+++ b/packages/node/tests/relay/request_placer_test.ts
@@ -0,0 +1,181 @@
+import {
+  STAND_IN_ENGINES,
+  STAND_IN_MODEL,
+  standInConfiguration,
+  standInServer,
+} from "@foxtailwind/bench";
+import {
+  adapterId,
+  backendServerId,
+  logOffset,
+  milliseconds,
+  nodeId,
+  serverStart,
+} from "@foxtailwind/core";
+import {
+  AdapterGrants,
+  EngineOwners,
+  type GrantAnswer,
+  Knowledge,
+  LoggerFactory,
+  ProcessClock,
+  RequestPlacer,
+  ServerLoads,
+} from "@foxtailwind/node/relay";
+import test from "ava";
+import { relaySettings } from "./helpers/relay_settings.ts";
+import { ScriptedEngine } from "./helpers/scripted_engine.ts";
+
+const ENGINE = backendServerId("engine");
+const OWNER = nodeId("node-2");
+const ADAPTER = adapterId("a");
+const OLD = serverStart(1_000);
+const NEW = serverStart(2_000);
+
+/** Grants that a peer gives as a test says. */
+class ScriptedGrants extends AdapterGrants {
+  asked = 0;
+  released = 0;
+  readonly over = new AbortController();
+  start = NEW;
+  /** Called before the answer comes. */
+  meanwhile: () => void = () => undefined;
+
+  override async ask(): Promise<GrantAnswer> {
+    this.asked += 1;
+    await Promise.resolve();
+    this.meanwhile();
+    return {
+      kind: "granted",
+      version: 1,
+      start: this.start,
+      over: this.over.signal,
+      release: () => {
+        this.released += 1;
+      },
+    };
+  }
+}
+
+/** A node that knows an engine at a start, and a peer that owns it. */
+function setUp(known: number, told: number) {
+  const settings = relaySettings();
+  const clock = new ProcessClock();
+  const logger = new LoggerFactory("json", 0, () => undefined).forPart(
+    "callers",
+  );
+  const base = { settings, incarnation: "run-1", clock, logger };
+  const knowledge = new Knowledge(base);
+  knowledge.configuration(standInConfiguration(1, 2));
+  const register = (start: number, offset: number) => {
+    knowledge.registryEntry({
+      kind: "present",
+      offset: logOffset(offset),
+      server: standInServer({
+        id: ENGINE,
+        start: serverStart(start),
+        service: STAND_IN_ENGINES,
+        address: "127.0.0.1:1",
+        isEngine: true,
+      }),
+    });
+  };
+  register(known, 1);
+  knowledge.claim({
+    engine: ENGINE,
+    owner: OWNER,
+    incarnation: "run-1",
+    wait: milliseconds(0),
+  }, logOffset(1));
+  knowledge.peers.heard(clock.now(), {
+    node: OWNER,
+    incarnation: "run-1",
+    address: "127.0.0.1:2",
+    callerAddress: "127.0.0.1:3",
+    failureDomain: "d",
+    isReady: true,
+    isLeaving: false,
+    engines: [{
+      engine: ENGINE,
+      start: told,
+      waitMilliseconds: 0,
+      room: 1,
+      isReachable: true,
+      isFull: false,
+      running: 0,
+      adapters: [{
+        model: STAND_IN_MODEL,
+        adapter: ADAPTER,
+        version: 1,
+        isLoading: false,
+      }],
+    }],
+  });
+  const owners = new EngineOwners({
+    ...base,
+    knowledge,
+    control: new ScriptedEngine(2),
+    log: undefined as never,
+    isLeaving: () => false,
+    gained: () => undefined,
+  });
+  const { id, failure_domain: failureDomain } = settings.node;
+  const grants = new ScriptedGrants(id, owners, undefined as never);
+  const placer = new RequestPlacer({
+    self: id,
+    knowledge,
+    owners,
+    grants,
+    loads: new ServerLoads(failureDomain),
+    clock,
+  });
+  const place = () =>
+    placer.placeOnEngine(
+      {
+        model: STAND_IN_MODEL,
+        adapter: ADAPTER,
+        promptTokens: 1,
+        outputTokens: 1,
+      },
+      knowledge.registry.all,
+      { signal: new AbortController().signal, note: () => undefined },
+    );
+  return { grants, place, register };
+}
+
+test("what an owner says of an older start of its engine is not believed", async (t) => {
+  const { grants, place } = setUp(NEW, OLD);
+  t.is(await place(), undefined);
+  t.is(grants.asked, 0);
+});
+
+test("an owner that knows of a newer start is believed", async (t) => {
+  const { place } = setUp(OLD, NEW);
+  t.is((await place())?.adapterVersion, 1);
+});
+
+test("a use that was granted at an older start is given back", async (t) => {
+  const { grants, place } = setUp(NEW, NEW);
+  grants.start = OLD;
+  t.is(await place(), undefined);
+  t.is(grants.released, 1);
+});
+
+test("a use that was granted before the engine started again is given back", async (t) => {
+  const { grants, place, register } = setUp(OLD, OLD);
+  grants.start = OLD;
+  grants.meanwhile = () => {
+    register(NEW, 2);
+  };
+  t.is(await place(), undefined);
+  t.is(grants.released, 1);
+});
+
+test("a use that its owner has ended is given back", async (t) => {
+  const { grants, place } = setUp(NEW, NEW);
+  grants.meanwhile = () => {
+    grants.over.abort();
+  };
+  t.is(await place(), undefined);
+  t.is(grants.released, 1);
+});
