--- a/packages/bench/src/relay/stand_in_server.ts
+++ b/packages/bench/src/relay/stand_in_server.ts
@@ -3,6 +3,7 @@
   failureDomainId,
   type RegisteredServer,
   type RelayService,
+  type ServerStart,
   type ServiceId,
 } from "@foxtailwind/core";
 import { STAND_IN_MODEL } from "./stand_in_wire.ts";
@@ -11,11 +12,14 @@
 export interface StandInServer {
   readonly id: string;
   readonly service: ServiceId;
+  readonly start?: ServerStart;
   /** IP literal and port. */
   readonly address: string;
   /** Whether it is an engine, and holds the stand-ins' model. */
   readonly isEngine?: boolean;
   readonly leaving?: boolean;
+  /** Whether it has just started again and holds no model yet. */
+  readonly isEmpty?: boolean;
 }
 
 /** Requests that a stand-in runs at once. */
@@ -33,12 +37,13 @@
   const held = { model: STAND_IN_MODEL, adapters: new Map() };
   return {
     id: backendServerId(server.id),
+    ...(server.start === undefined ? {} : { start: server.start }),
     service: server.service,
     address: server.address,
     failureDomain: failureDomainId("domain-a"),
     leaving: server.leaving ?? false,
     slots: SLOTS,
-    models: server.isEngine === true ? [held] : [],
+    models: server.isEngine === true && server.isEmpty !== true ? [held] : [],
     orderCount: 0,
   };
 }
--- a/packages/core/src/relay/server_registry.ts
+++ b/packages/core/src/relay/server_registry.ts
@@ -4,12 +4,15 @@
   elapsed,
   type FailureDomainId,
   type Instant,
+  isOtherStart,
   type LogOffset,
   milliseconds,
   type ModelId,
+  type ServerStart,
   type ServiceId,
 } from "../shared/mod.ts";
 import { RecentKeys } from "./recent_keys.ts";
+import { StartHistory, startKey, type StartNews } from "./start_history.ts";
 
 /** A base model on an engine, and the versions of its adapters there. */
 export interface HeldModel {
@@ -17,10 +20,12 @@
   readonly adapters: ReadonlyMap<AdapterId, number>;
 }
 
-/** One run of a backend server, as it describes itself. */
+/** One start of a backend server, as it describes itself. */
 export interface RegisteredServer {
-  /** Changes with each start of the server. */
+  /** May outlive a start of the server. */
   readonly id: BackendServerId;
+  /** Left out where the server does not tell it. */
+  readonly start?: ServerStart;
   readonly service: ServiceId;
   /** IP literal and port. */
   readonly address: string;
@@ -46,6 +51,12 @@
     readonly id: BackendServerId;
   };
 
+/** What came of an entry. */
+export type EntryOutcome =
+  | StartNews
+  /** A newer entry is known. */
+  | "older";
+
 interface Known {
   readonly offset: LogOffset;
   readonly server: RegisteredServer;
@@ -77,9 +88,10 @@
 export class ServerRegistry {
   readonly #known = new Map<BackendServerId, Known>();
   readonly #gone = new Map<BackendServerId, LogOffset>();
+  readonly #starts = new StartHistory();
   /**
-   * Servers that have said that they leave. What a server wrote before may
-   * stand in the log behind it; the same id never stays after all.
+   * Starts of servers that have said that they leave. What one wrote before
+   * may stand in the log behind it; the same start never stays after all.
    */
   readonly #left = new RecentKeys(MOST_LEFT);
   #disturbedAt: Instant | undefined;
@@ -128,24 +140,27 @@
   }
 
   /**
-   * Takes an entry, unless a newer one of the same server is known.
+   * Takes an entry, unless a newer one of the same server is known. That a
+   * server is gone concerns its id, whatever its start.
    * @param now The present time.
    * @param entry The entry.
+   * @returns What came of it.
    */
-  apply(now: Instant, entry: RegistryEntry): void {
+  apply(now: Instant, entry: RegistryEntry): EntryOutcome {
     if (entry.kind === "gone") {
       this.#vanish(now, entry.id, entry.offset);
-      return;
+      return "taken";
     }
     const { server, offset } = entry;
-    const newest = this.#known.get(server.id)?.offset ??
-      this.#gone.get(server.id) ?? -1;
-    if (offset < newest) return;
-    this.#gone.delete(server.id);
-    if (server.leaving) this.#left.add(server.id);
-    const leaving = this.#left.has(server.id);
-    this.#known.set(server.id, { offset, server: { ...server, leaving } });
-    this.#revision += 1;
+    const { id } = server;
+    const newest = this.#known.get(id)?.offset ?? this.#gone.get(id) ?? -1;
+    if (offset < newest) {
+      this.#starts.passed(id, server.start);
+      return "older";
+    }
+    const news = this.#starts.take(id, server.start, offset);
+    if (news !== "older_start") this.#set(server, offset);
+    return news;
   }
 
   /**
@@ -153,31 +168,36 @@
    * @param now The present time.
    * @param entries The listed servers.
    * @param end The offset up to which the listing is complete.
+   * @returns What came of each entry.
    */
   replace(
     now: Instant,
     entries: readonly RegistryEntry[],
     end: LogOffset,
-  ): void {
+  ): readonly EntryOutcome[] {
     const listed = new Set<BackendServerId>();
-    for (const entry of entries) {
+    const outcomes = entries.map((entry) => {
       if (entry.kind === "present") listed.add(entry.server.id);
-      this.apply(now, entry);
-    }
+      return this.apply(now, entry);
+    });
     for (const [id, known] of this.#known) {
       if (listed.has(id) || known.offset >= end) continue;
       this.#vanish(now, id, end);
     }
+    return outcomes;
   }
 
   /**
    * Takes note that a server answered under another id: its address belongs
    * to another server now.
    * @param id The server that is gone.
+   * @param start Its start that was asked, if known; a later one stays.
    */
-  replaced(id: BackendServerId): void {
+  replaced(id: BackendServerId, start?: ServerStart): void {
     const known = this.#known.get(id);
-    if (known !== undefined) this.#drop(id, known.offset);
+    if (known === undefined) return;
+    if (isOtherStart(known.server.start, start)) return;
+    this.#drop(id, known.offset);
   }
 
   /**
@@ -192,6 +212,21 @@
     }
   }
 
+  #set(told: RegisteredServer, offset: LogOffset): void {
+    const { id } = told;
+    const start = this.#starts.latest(id);
+    const key = startKey(id, start);
+    if (told.leaving) this.#left.add(key);
+    const server = {
+      ...told,
+      ...(start === undefined ? {} : { start }),
+      leaving: this.#left.has(key),
+    };
+    this.#gone.delete(id);
+    this.#known.set(id, { offset, server });
+    this.#revision += 1;
+  }
+
   #vanish(now: Instant, id: BackendServerId, offset: LogOffset): void {
     const known = this.#known.get(id);
     if (known !== undefined && known.offset > offset) return;
--- a/packages/node/src/relay/request_sender.ts
+++ b/packages/node/src/relay/request_sender.ts
@@ -63,7 +63,7 @@
     const { message, service, body } = this.#request;
     const { server } = place;
     const sentAt = this.#now();
-    const load = loads.of(server.id);
+    const load = loads.of(server);
     const isRepeat = this.#terms.sent.hasTried(server.id);
     this.#terms.sent.begin(server.id);
     load.sent(sentAt);
