--- a/packages/bench/src/relay/relay_cluster.ts
+++ b/packages/bench/src/relay/relay_cluster.ts
@@ -48,6 +48,8 @@
   readonly store = new StandInStore();
   readonly engines = new Map<string, StandInEngine>();
   readonly daemons: RelayDaemon[] = [];
+  /** Each node's view of the store, in the order of the daemons. */
+  readonly logs: StandInLog[] = [];
   readonly #size: RelayClusterSize;
   readonly #lookups: Server;
   #requests = 0;
@@ -88,14 +90,16 @@
       `${id}.ini`,
     );
     if (settings.isErr()) throw new Error(JSON.stringify(settings.error));
+    const log = new StandInLog(this.store);
     const daemon = new RelayDaemon(settings.value, {
-      log: new StandInLog(this.store),
+      log,
       wire: new StandInWire(),
       control: new StandInControl(this.engines),
       operations: new StandInOperations(),
     }, new LoggerFactory("json", 0, () => undefined));
     await daemon.start();
     this.daemons.push(daemon);
+    this.logs.push(log);
     while (!await this.isReady(daemon)) await sleep(READY_POLL);
     return daemon;
   }
--- a/packages/bench/src/relay/stand_in_log.ts
+++ b/packages/bench/src/relay/stand_in_log.ts
@@ -33,6 +33,7 @@
   readonly #nodes: NodeRecord[] = [];
   #configuration: RelayConfiguration | undefined;
   #registryEnd = 0;
+  #operatorsEnd = 0;
   /** Whether calls are answered, and what changes is told. */
   isUp = true;
 
@@ -47,8 +48,11 @@
    */
   configure(configuration: RelayConfiguration): void {
     this.#configuration = configuration;
+    this.#operatorsEnd += 1;
+    const end = logOffset(this.#operatorsEnd);
     this.#publish((listener) => {
       listener.configuration(configuration);
+      listener.operatorsTold(end);
     });
   }
 
@@ -119,6 +123,7 @@
     if (this.#configuration !== undefined) {
       listener.configuration(this.#configuration);
     }
+    listener.operatorsTold(logOffset(this.#operatorsEnd));
     const offset = logOffset(this.#registryEnd);
     const entries = [...this.#servers.values()].map((server) =>
       ({ kind: "present", offset, server }) as const
@@ -153,6 +158,8 @@
   readonly #held: News[] = [];
   #listener: SharedLogListener | undefined;
   #timer: NodeJS.Timeout | undefined;
+  /** Whether news are held back though calls are answered. */
+  isSilent = false;
 
   /** @param store The store. */
   constructor(store: StandInStore) {
@@ -169,7 +176,7 @@
         listener.failed(FAILURE);
         return;
       }
-      for (const tell of this.#held.splice(0)) tell(listener);
+      this.#release(listener);
       listener.reached();
     }, POLL_MILLISECONDS);
   }
@@ -199,7 +206,12 @@
    * @param tell Tells it to whoever listens.
    */
   deliver(tell: News): void {
-    if (!this.#store.isUp) this.#held.push(tell);
+    if (!this.#store.isUp || this.isSilent) this.#held.push(tell);
     else if (this.#listener !== undefined) tell(this.#listener);
   }
+
+  #release(listener: SharedLogListener): void {
+    if (this.isSilent) return;
+    for (const tell of this.#held.splice(0)) tell(listener);
+  }
 }
--- a/packages/bench/tests/relay/relay_cluster_test.ts
+++ b/packages/bench/tests/relay/relay_cluster_test.ts
@@ -95,6 +95,18 @@
   t.pass();
 });
 
+test("a node whose read of the log gets no answer takes a configuration from its peers", async (t) => {
+  const cluster = await start(t, 3);
+  cluster.configure(2, false);
+  const [silent] = cluster.logs;
+  if (silent === undefined) throw new RangeError("There is no log.");
+  silent.isSilent = true;
+  cluster.configure(3, true);
+  const node = nodeOf(cluster, 0);
+  await until(async () => (await cluster.lookUp(node)).status === 200);
+  t.true(silent.isSilent, "Its own read has told it nothing.");
+});
+
 test("a node that stops leaves the addresses, ends nothing midway, and others own its engines", async (t) => {
   const cluster = await start(t, 2);
   await untilOwned(cluster);
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -7,6 +7,7 @@
   type FencingNumber,
   type Instant,
   type LogOffset,
+  logOffset,
   milliseconds,
   type ModelId,
   type RegisteredServer,
@@ -46,6 +47,7 @@
   readonly claims: EngineClaims;
   readonly #parts: KnowledgeParts;
   #routes: RouteTable | undefined;
+  #operatorsEnd = logOffset(0);
   #byService = new Map<ServiceId, readonly RegisteredServer[]>();
   #byServiceRevision = -1;
   #reachedAt: Instant | undefined;
@@ -69,6 +71,11 @@
     return this.#routes;
   }
 
+  /** The offset up to which this node knows what operators wrote. */
+  get operatorsEnd(): LogOffset {
+    return this.#operatorsEnd;
+  }
+
   /**
    * Lists the servers of a service that are there.
    * @param service The service.
@@ -124,6 +131,10 @@
     this.onChange();
   }
 
+  override operatorsTold(end: LogOffset): void {
+    if (end > this.#operatorsEnd) this.#operatorsEnd = end;
+  }
+
   override registryEntry(entry: RegistryEntry): void {
     const before = this.registry.revision;
     const id = entry.kind === "gone" ? entry.id : entry.server.id;
--- /dev/null
+++ b/packages/node/src/relay/knowledge_fetch.ts
@@ -0,0 +1,125 @@
+import { elapsed, type Instant, milliseconds } from "@foxtailwind/core";
+import type {
+  Knowledge as KnowledgeMessage,
+  NodeDigest,
+  RelayPeersClient,
+} from "@foxtailwind/protocol";
+import { Metadata } from "@grpc/grpc-js";
+import type { SteadyClock } from "../clock/steady_clock.ts";
+import type { PartLogger } from "../logging/part_logger.ts";
+import type { Knowledge } from "./knowledge.ts";
+import { readKnowledge } from "./knowledge_message.ts";
+
+/** After so long without the log, a peer is asked for what it knows. */
+const PATIENCE_WITHOUT_LOG = milliseconds(1_500);
+/**
+ * How long a node waits for its own read of what a peer has read already, in
+ * milliseconds. The store tells all its readers within a few.
+ */
+const PATIENCE_BEHIND_PEERS = 100;
+/**
+ * After so many milliseconds another peer is asked. A peer answers within a
+ * few; on a link that loses a packet, within about 200.
+ */
+const FETCH_LIMIT = 300;
+
+/** What asking peers works with. */
+export interface KnowledgeFetchParts {
+  readonly knowledge: Knowledge;
+  readonly clock: SteadyClock;
+  readonly logger: PartLogger;
+  /** Gives the client of the peer at an address. */
+  readonly client: (address: string) => RelayPeersClient;
+}
+
+/** Asks the peers for what this node hasn't read in the log itself. */
+export class KnowledgeFetch {
+  readonly #parts: KnowledgeFetchParts;
+  readonly #startedAt: Instant;
+  #askedAt: Instant | undefined;
+  #behindTimer: NodeJS.Timeout | undefined;
+  #isAskingAhead = false;
+  #isStopped = false;
+
+  /** @param parts What it works with. */
+  constructor(parts: KnowledgeFetchParts) {
+    this.#parts = parts;
+    this.#startedAt = parts.clock.now();
+  }
+
+  /**
+   * Asks some peer, where the log has been out of reach for long.
+   * @param now The present time.
+   */
+  askWithoutLog(now: Instant): void {
+    const { knowledge } = this.#parts;
+    if (knowledge.isInContact(now)) return;
+    const since = this.#askedAt ?? this.#startedAt;
+    if (elapsed(since, now) < PATIENCE_WITHOUT_LOG) return;
+    const peer = pick(knowledge.peers.alive(now));
+    if (peer === undefined) return;
+    this.#askedAt = now;
+    this.#ask(peer, () => undefined);
+  }
+
+  /**
+   * Asks a peer that has read more of the operators' records, unless this
+   * node reads them itself in a moment: its own read may wait on a connection
+   * that has fallen silent, or the store may turn this node away.
+   */
+  askAhead(): void {
+    if (this.#isStopped || this.#isAskingAhead) return;
+    if (this.#ahead().length === 0) return;
+    this.#behindTimer ??= setTimeout(() => {
+      this.#behindTimer = undefined;
+      const peer = pick(this.#ahead());
+      if (peer === undefined) return;
+      this.#isAskingAhead = true;
+      this.#ask(peer, () => {
+        this.#isAskingAhead = false;
+        this.askAhead();
+      });
+    }, PATIENCE_BEHIND_PEERS);
+  }
+
+  /** Asks no more. */
+  stop(): void {
+    this.#isStopped = true;
+    clearTimeout(this.#behindTimer);
+  }
+
+  /** The peers that have read more of the operators' records. */
+  #ahead(): readonly NodeDigest[] {
+    const { knowledge, clock } = this.#parts;
+    return knowledge.peers.alive(clock.now()).filter((peer) =>
+      peer.operatorsEnd > knowledge.operatorsEnd
+    );
+  }
+
+  #ask(peer: NodeDigest, ended: () => void): void {
+    const { knowledge, logger, client } = this.#parts;
+    client(peer.address).fetchKnowledge(
+      {
+        configurationVersion: knowledge.routes?.configuration.version ?? 0,
+      },
+      new Metadata(),
+      { deadline: Date.now() + FETCH_LIMIT },
+      (error, answer: KnowledgeMessage | undefined) => {
+        if (error !== null || answer === undefined) {
+          logger.warn("A peer did not tell what it knows.", {
+            peer: peer.node,
+            detail: error?.message,
+          });
+        } else {
+          readKnowledge(knowledge, answer);
+          logger.info("A peer told what it knows.", { peer: peer.node });
+        }
+        ended();
+      },
+    );
+  }
+}
+
+function pick(peers: readonly NodeDigest[]): NodeDigest | undefined {
+  return peers[Math.floor(Math.random() * peers.length)];
+}
--- a/packages/node/src/relay/knowledge_message.ts
+++ b/packages/node/src/relay/knowledge_message.ts
@@ -1,6 +1,7 @@
 import {
   adapterId,
   type HeldModel,
+  logOffset,
   modelId,
   type RegisteredServer,
   type RegistryEntry,
@@ -38,6 +39,7 @@
     configuration: isNewer ? JSON.stringify(configuration) : "",
     registry: JSON.stringify(knowledge.registry.entries.map(storeEntry)),
     versions: JSON.stringify(knowledge.versions.all),
+    operatorsEnd: knowledge.operatorsEnd,
   };
 }
 
@@ -64,6 +66,7 @@
     const [model = "", adapter = ""] = key.split("/");
     knowledge.adapterVersion(modelId(model), adapterId(adapter), version);
   }
+  knowledge.operatorsTold(logOffset(message.operatorsEnd));
 }
 
 function storeEntry(entry: RegistryEntry): StoredEntry {
--- a/packages/node/src/relay/node_presence.ts
+++ b/packages/node/src/relay/node_presence.ts
@@ -79,6 +79,7 @@
       isReady: this.isReady,
       isLeaving: this.isLeaving,
       engines: [...this.#parts.engines()],
+      operatorsEnd: this.#parts.knowledge.operatorsEnd,
     };
   }
 
--- a/packages/node/src/relay/peer_exchange.ts
+++ b/packages/node/src/relay/peer_exchange.ts
@@ -1,4 +1,3 @@
-import { elapsed, type Instant, milliseconds } from "@foxtailwind/core";
 import {
   type AdapterGrant,
   type AdapterUse,
@@ -22,7 +21,8 @@
 import { serveUse } from "./adapter_grants.ts";
 import type { EngineOwners } from "./engine_owners.ts";
 import type { Knowledge } from "./knowledge.ts";
-import { readKnowledge, writeKnowledge } from "./knowledge_message.ts";
+import { KnowledgeFetch } from "./knowledge_fetch.ts";
+import { writeKnowledge } from "./knowledge_message.ts";
 
 /** Between two exchanges with each peer, in milliseconds. */
 const EXCHANGE_PERIOD = 300;
@@ -30,8 +30,6 @@
 const GATHERING_TIME = 5;
 /** After so many milliseconds, an exchange counts as unanswered. */
 const EXCHANGE_LIMIT = 500;
-/** After so long without the log, a peer is asked for what it knows. */
-const PATIENCE_WITHOUT_LOG = milliseconds(1_500);
 
 /** What exchanges work with. */
 export interface PeerExchangeParts {
@@ -48,15 +46,17 @@
 export class PeerExchange {
   readonly #parts: PeerExchangeParts;
   readonly #pending = new Set<string>();
-  readonly #startedAt: Instant;
+  readonly #fetch: KnowledgeFetch;
   #timer: NodeJS.Timeout | undefined;
   #newsTimer: NodeJS.Timeout | undefined;
-  #fetchedAt: Instant | undefined;
 
   /** @param parts What it works with. */
   constructor(parts: PeerExchangeParts) {
     this.#parts = parts;
-    this.#startedAt = parts.clock.now();
+    this.#fetch = new KnowledgeFetch({
+      ...parts,
+      client: (address) => this.#client(address),
+    });
   }
 
   /** The gRPC service that answers the peers. */
@@ -105,7 +105,7 @@
     for (const contact of knowledge.peers.contacts(now)) {
       this.#exchangeWith(contact.address, digest);
     }
-    this.#fetchIfNeeded(now);
+    this.#fetch.askWithoutLog(now);
   }
 
   /** Exchanges with all peers ahead of time, since there is news. */
@@ -120,6 +120,7 @@
   stop(): void {
     clearInterval(this.#timer);
     clearTimeout(this.#newsTimer);
+    this.#fetch.stop();
   }
 
   #exchangeWith(address: string, digest: NodeDigest): void {
@@ -140,35 +141,7 @@
     const { knowledge, clock } = this.#parts;
     knowledge.peers.heard(clock.now(), digest);
     this.#parts.owners.refresh();
-  }
-
-  /** Asks a peer for what it knows while the log is out of reach. */
-  #fetchIfNeeded(now: Instant): void {
-    const { knowledge, logger } = this.#parts;
-    if (knowledge.isInContact(now)) return;
-    const since = this.#fetchedAt ?? this.#startedAt;
-    if (elapsed(since, now) < PATIENCE_WITHOUT_LOG) return;
-    const peers = knowledge.peers.alive(now);
-    const peer = peers[Math.floor(Math.random() * peers.length)];
-    if (peer === undefined) return;
-    this.#fetchedAt = now;
-    const version = knowledge.routes?.configuration.version ?? 0;
-    this.#client(peer.address).fetchKnowledge(
-      { configurationVersion: version },
-      new Metadata(),
-      { deadline: Date.now() + EXCHANGE_LIMIT },
-      (error, answer: KnowledgeMessage | undefined) => {
-        if (error !== null || answer === undefined) {
-          logger.warn("A peer did not tell what it knows.", {
-            peer: peer.node,
-            detail: error?.message,
-          });
-          return;
-        }
-        readKnowledge(knowledge, answer);
-        logger.info("A peer told what it knows.", { peer: peer.node });
-      },
-    );
+    this.#fetch.askAhead();
   }
 
   #client(address: string): RelayPeersClient {
--- a/packages/node/src/relay/shared_log.ts
+++ b/packages/node/src/relay/shared_log.ts
@@ -38,6 +38,11 @@
     adapter: AdapterId,
     version: number,
   ): void;
+  /**
+   * What operators wrote is told up to an offset, which is the same for all
+   * nodes.
+   */
+  abstract operatorsTold(end: LogOffset): void;
   /** An entry of the registry of backend servers. */
   abstract registryEntry(entry: RegistryEntry): void;
   /** The whole registry, complete up to an offset. */
--- a/packages/node/tests/relay/peer_book_test.ts
+++ b/packages/node/tests/relay/peer_book_test.ts
@@ -13,6 +13,7 @@
     isReady: true,
     isLeaving: false,
     engines: [],
+    operatorsEnd: 0,
     ...change,
   };
 }
