--- a/packages/node/tests/configuration/spread_test.ts
+++ b/packages/node/tests/configuration/spread_test.ts
@@ -214,6 +214,25 @@
   t.pass();
 });
 
+test("a node that a late answer of the log halts while it follows a peer follows nobody any more", async (t) => {
+  const cluster = await startCluster(t, { nodes: 2, domains: 2 });
+  cluster.log.setFaults({ outage: "hang" });
+  await until(() =>
+    cluster.nodes.every(({ daemon }) => daemon.follower.source !== "log")
+  );
+  cluster.log.setFaults({ outage: "none" });
+  await first(cluster).daemon.log.append(CONFIGURATION_STREAM, [
+    `{"format":2}`,
+  ]);
+  await until(() =>
+    cluster.nodes.every(({ daemon }) =>
+      daemon.follower.store.reader.halt !== undefined &&
+      daemon.follower.source === "log"
+    )
+  );
+  t.pass();
+});
+
 test("what cannot be published is refused with the key and the remedy", async (t) => {
   const cluster = await startCluster(t, { nodes: 1, domains: 1 });
   const node = first(cluster);
