--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -31,6 +31,12 @@
 /** Without a successful call for so long, the log counts as out of reach. */
 const CONTACT_TIME = milliseconds(2_000);
 
+/**
+ * So many nodes, the first by id among those alive, watch what operators write
+ * for all. A second one watches on while the first stops or is cut off.
+ */
+const WATCHERS = 2;
+
 /** What knowledge is kept for. */
 export interface KnowledgeParts {
   readonly settings: RelaySettings;
@@ -104,6 +110,14 @@
       now - this.#reachedAt < CONTACT_TIME;
   }
 
+  override get isWatcher(): boolean {
+    const { settings, clock } = this.#parts;
+    const before = this.peers.alive(clock.now()).filter((peer) =>
+      peer.node < settings.node.id
+    );
+    return before.length < WATCHERS;
+  }
+
   override configuration(configuration: RelayConfiguration): void {
     const known = this.#routes?.configuration.version ?? -1;
     if (configuration.version <= known) return;
--- a/packages/node/src/relay/shared_log.ts
+++ b/packages/node/src/relay/shared_log.ts
@@ -30,6 +30,11 @@
 
 /** Takes what the platform's log says. */
 export abstract class SharedLogListener {
+  /**
+   * Whether this node watches what operators write for the others, too, and
+   * so shouldn't rely on being told of it.
+   */
+  abstract get isWatcher(): boolean;
   /** A configuration, which may be older than one taken before. */
   abstract configuration(configuration: RelayConfiguration): void;
   /** A version of an adapter that operators named. */
--- /dev/null
+++ b/packages/node/tests/relay/helpers/node_digest.ts
@@ -0,0 +1,25 @@
+import type { NodeDigest } from "@foxtailwind/protocol";
+
+/**
+ * Makes what a node says of itself.
+ * @param node The node.
+ * @param change What differs from a node that is ready and owns nothing.
+ * @returns The digest.
+ */
+export function nodeDigest(
+  node: string,
+  change: Partial<NodeDigest> = {},
+): NodeDigest {
+  return {
+    node,
+    incarnation: "run-1",
+    address: "127.0.0.1:1",
+    callerAddress: "127.0.0.1:2",
+    failureDomain: "d",
+    isReady: true,
+    isLeaving: false,
+    engines: [],
+    operatorsEnd: 0,
+    ...change,
+  };
+}
--- a/packages/node/tests/relay/knowledge_message_test.ts
+++ b/packages/node/tests/relay/knowledge_message_test.ts
@@ -2,6 +2,7 @@
   adapterId,
   backendServerId,
   failureDomainId,
+  instant,
   logOffset,
   milliseconds,
   modelId,
@@ -15,6 +16,7 @@
   writeKnowledge,
 } from "@foxtailwind/node/relay";
 import test from "ava";
+import { nodeDigest } from "./helpers/node_digest.ts";
 import { relaySettings } from "./helpers/relay_settings.ts";
 
 function knowledge(): Knowledge {
@@ -89,3 +91,17 @@
   node.configuration(configuration(12));
   t.is(node.routes?.configuration.version, 12);
 });
+
+test("the first two nodes by id watch what operators write, and others once they are silent", (t) => {
+  const node = knowledge();
+  const id = relaySettings().node.id;
+  const now = new ProcessClock().now();
+  t.true(node.isWatcher, "It is alone.");
+  node.peers.heard(now, nodeDigest(`${id}-later`));
+  node.peers.heard(now, nodeDigest("a"));
+  t.true(node.isWatcher, "One is before it.");
+  node.peers.heard(now, nodeDigest("b"));
+  t.false(node.isWatcher, "Two are before it.");
+  node.peers.heard(instant(now - 2_000), nodeDigest("b"));
+  t.true(node.isWatcher, "One of them has been silent.");
+});
--- a/packages/node/tests/relay/peer_book_test.ts
+++ b/packages/node/tests/relay/peer_book_test.ts
@@ -1,26 +1,11 @@
 import { backendServerId, instant, nodeId } from "@foxtailwind/core";
 import { PeerBook } from "@foxtailwind/node/relay";
-import type { NodeDigest } from "@foxtailwind/protocol";
 import test from "ava";
-
-function digest(node: string, change: Partial<NodeDigest> = {}): NodeDigest {
-  return {
-    node,
-    incarnation: "run-1",
-    address: "127.0.0.1:1",
-    callerAddress: "127.0.0.1:2",
-    failureDomain: "d",
-    isReady: true,
-    isLeaving: false,
-    engines: [],
-    operatorsEnd: 0,
-    ...change,
-  };
-}
+import { nodeDigest } from "./helpers/node_digest.ts";
 
 test("a silent node is no longer there, but is still contacted", (t) => {
   const peers = new PeerBook();
-  peers.heard(instant(0), digest("n1"));
+  peers.heard(instant(0), nodeDigest("n1"));
   t.is(peers.alive(instant(1_000)).length, 1);
   t.is(peers.alive(instant(1_600)).length, 0);
   t.is(peers.contacts(instant(1_600)).length, 1);
@@ -29,9 +14,9 @@
 
 test("a node that said that it stops counts as stopped until it is heard again", (t) => {
   const peers = new PeerBook();
-  peers.heard(instant(0), digest("n1", { isLeaving: true }));
+  peers.heard(instant(0), nodeDigest("n1", { isLeaving: true }));
   t.true(peers.left(instant(5_000)).has(nodeId("n1")));
-  peers.heard(instant(6_000), digest("n1", { incarnation: "run-2" }));
+  peers.heard(instant(6_000), nodeDigest("n1", { incarnation: "run-2" }));
   t.false(peers.left(instant(6_001)).has(nodeId("n1")));
 });
 
@@ -46,7 +31,7 @@
     isFull: false,
     running: 0,
   };
-  peers.heard(instant(0), digest("n1", { engines: [engine] }));
+  peers.heard(instant(0), nodeDigest("n1", { engines: [engine] }));
   const find = (now: number, owner: string) =>
     peers.engine(instant(now), backendServerId("e1"), nodeId(owner));
   t.is(find(500, "n1")?.digest.room, 3);
