--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -8,6 +8,7 @@
   type FencingNumber,
   type Instant,
   type LogOffset,
+  logOffset,
   milliseconds,
   type ModelId,
   type RegisteredServer,
@@ -31,6 +32,12 @@
 /** Without a successful call for so long, the log counts as out of reach. */
 const CONTACT_TIME = milliseconds(2_000);
 
+/**
+ * So many nodes, the first by id among those alive, watch what operators write
+ * for all. A second one watches on while the first stops or is cut off.
+ */
+const WATCHERS = 2;
+
 /** What knowledge is kept for. */
 export interface KnowledgeParts {
   readonly settings: RelaySettings;
@@ -47,6 +54,7 @@
   readonly claims: EngineClaims;
   readonly #parts: KnowledgeParts;
   #routes: RouteTable | undefined;
+  #operatorsEnd = logOffset(0);
   #byService = new Map<ServiceId, readonly RegisteredServer[]>();
   #byServiceRevision = -1;
   #reachedAt: Instant | undefined;
@@ -70,6 +78,11 @@
     return this.#routes;
   }
 
+  /** The offset up to which this node knows what operators wrote. */
+  get operatorsEnd(): LogOffset {
+    return this.#operatorsEnd;
+  }
+
   /**
    * Lists the servers of a service that are there.
    * @param service The service.
@@ -98,6 +111,14 @@
       now - this.#reachedAt < CONTACT_TIME;
   }
 
+  override get isWatcher(): boolean {
+    const { settings, clock } = this.#parts;
+    const before = this.peers.alive(clock.now()).filter((peer) =>
+      peer.node < settings.node.id
+    );
+    return before.length < WATCHERS;
+  }
+
   override configuration(configuration: RelayConfiguration): void {
     const known = this.#routes?.configuration.version ?? -1;
     if (configuration.version <= known) return;
@@ -125,6 +146,10 @@
     this.onChange();
   }
 
+  override operatorsTold(end: LogOffset): void {
+    if (end > this.#operatorsEnd) this.#operatorsEnd = end;
+  }
+
   override registryEntry(entry: RegistryEntry): void {
     const before = this.registry.revision;
     const id = entry.kind === "gone" ? entry.id : entry.server.id;
--- a/packages/node/src/relay/shared_log.ts
+++ b/packages/node/src/relay/shared_log.ts
@@ -30,6 +30,11 @@
 
 /** Takes what the platform's log says. */
 export abstract class SharedLogListener {
+  /**
+   * Whether this node watches what operators write for the others, too, and
+   * so shouldn't rely on being told of it.
+   */
+  abstract get isWatcher(): boolean;
   /** A configuration, which may be older than one taken before. */
   abstract configuration(configuration: RelayConfiguration): void;
   /** A version of an adapter that operators named. */
@@ -38,6 +43,11 @@
     adapter: AdapterId,
     version: number,
   ): void;
+  /**
+   * What operators wrote is told up to an offset, which is the same for all
+   * nodes.
+   */
+  abstract operatorsTold(end: LogOffset): void;
   /** An entry of the registry of backend servers. */
   abstract registryEntry(entry: RegistryEntry): void;
   /** The whole registry, complete up to an offset. */
--- a/packages/node/tests/relay/answer_end_test.ts
+++ b/packages/node/tests/relay/answer_end_test.ts
@@ -8,6 +8,7 @@
  * here failed on the code that had mended only the servers' resets.
  */
 import test, { type ExecutionContext } from "ava";
+import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { rawCall } from "./helpers/raw_call.ts";
 import { RelayWorld } from "./helpers/relay_world.ts";
@@ -21,15 +22,16 @@
 
 test("an answer without a length reaches its caller only once its end is known", async (t) => {
   const world = await startWorld(t);
-  let finish = (): void => undefined;
+  const begun: Socket[] = [];
   await serveRaw(t, world, "s1", (socket) => {
     socket.write(`${OPEN_ENDED}half a bo`);
-    finish = () => socket.end("dy");
+    begun.push(socket);
   });
   const call = rawCall(world.port, "/once/a");
+  while (begun.length === 0) await sleep(5);
   await sleep(150);
   t.is(call.bytes, "", "A node that is killed here must not have begun it.");
-  finish();
+  begun[0]?.end("dy");
   const { bytes, wasReset } = await call.ended;
   t.regex(bytes, /^HTTP\/1\.1 200 [^]*half a body$/);
   t.false(wasReset);
--- a/packages/node/tests/relay/request_placer_test.ts
+++ b/packages/node/tests/relay/request_placer_test.ts
@@ -23,6 +23,7 @@
   ServerLoads,
 } from "@foxtailwind/node/relay";
 import test from "ava";
+import { nodeDigest } from "./helpers/node_digest.ts";
 import { relaySettings } from "./helpers/relay_settings.ts";
 import { ScriptedEngine } from "./helpers/scripted_engine.ts";
 
@@ -87,14 +88,7 @@
     incarnation: "run-1",
     wait: milliseconds(0),
   }, logOffset(1));
-  knowledge.peers.heard(clock.now(), {
-    node: OWNER,
-    incarnation: "run-1",
-    address: "127.0.0.1:2",
-    callerAddress: "127.0.0.1:3",
-    failureDomain: "d",
-    isReady: true,
-    isLeaving: false,
+  const digest = nodeDigest(OWNER, {
     engines: [{
       engine: ENGINE,
       start: told,
@@ -111,6 +105,7 @@
       }],
     }],
   });
+  knowledge.peers.heard(clock.now(), digest);
   const owners = new EngineOwners({
     ...base,
     knowledge,
