--- a/packages/node/tests/relay/answer_belief_test.ts
+++ b/packages/node/tests/relay/answer_belief_test.ts
@@ -2,11 +2,11 @@
  * What a server's connection brings that is no answer to this request: what it
  * said of an earlier send, what names no request, and bytes behind an answer.
  */
-import test, { type ExecutionContext } from "ava";
+import test from "ava";
 import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { rawCall } from "./helpers/raw_call.ts";
-import { RelayWorld } from "./helpers/relay_world.ts";
+import { startWorld } from "./helpers/relay_world.ts";
 import { OPEN_ENDED, serveRaw } from "./helpers/serve_raw.ts";
 
 const NOT_RUN =
@@ -16,12 +16,6 @@
 /** Enough for what is in the kernel to arrive. */
 const MOMENT = 100;
 
-async function startWorld(t: ExecutionContext): Promise<RelayWorld> {
-  const world = new RelayWorld();
-  world.configure();
-  return await world.start(t);
-}
-
 test("what a server says again of an earlier send says nothing of the next send to it", async (t) => {
   const world = await startWorld(t);
   let arrivals = 0;
--- a/packages/node/tests/relay/answer_end_test.ts
+++ b/packages/node/tests/relay/answer_end_test.ts
@@ -7,19 +7,13 @@
  * and a repeated answer was believed before it was asked whose it is. Each test
  * here failed on the code that had mended only the servers' resets.
  */
-import test, { type ExecutionContext } from "ava";
+import test from "ava";
 import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { rawCall } from "./helpers/raw_call.ts";
-import { RelayWorld } from "./helpers/relay_world.ts";
+import { startWorld } from "./helpers/relay_world.ts";
 import { OPEN_ENDED, serveRaw } from "./helpers/serve_raw.ts";
 
-async function startWorld(t: ExecutionContext): Promise<RelayWorld> {
-  const world = new RelayWorld();
-  world.configure();
-  return await world.start(t);
-}
-
 test("an answer without a length reaches its caller only once its end is known", async (t) => {
   const world = await startWorld(t);
   const begun: Socket[] = [];
--- a/packages/node/tests/relay/answer_way_test.ts
+++ b/packages/node/tests/relay/answer_way_test.ts
@@ -17,18 +17,12 @@
 } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { rawCall, readBody } from "./helpers/raw_call.ts";
-import { RelayWorld } from "./helpers/relay_world.ts";
+import { startWorld } from "./helpers/relay_world.ts";
 import { OPEN_ENDED, serveRaw } from "./helpers/serve_raw.ts";
 
 /** Enough for what is in the kernel to arrive. */
 const MOMENT = 100;
 
-async function startWorld(t: ExecutionContext): Promise<RelayWorld> {
-  const world = new RelayWorld();
-  world.configure();
-  return await world.start(t);
-}
-
 /** A caller's connection, with all that came on it. */
 function dial(port: number, allowHalfOpen = false) {
   const socket = connect({ port, host: "127.0.0.1", allowHalfOpen });
--- a/packages/node/tests/relay/helpers/relay_world.ts
+++ b/packages/node/tests/relay/helpers/relay_world.ts
@@ -255,6 +255,13 @@
   }
 }
 
+/** Starts a front with the tests' configuration. */
+export async function startWorld(t: ExecutionContext): Promise<RelayWorld> {
+  const world = new RelayWorld();
+  world.configure();
+  return await world.start(t);
+}
+
 /** Answers a request with a success. */
 export function succeed(
   request: IncomingMessage,
