Registry: an entry that can't be read takes its server out of use at once

Cause: an entry that is overwritten with what can't be read is no lapse: the server stayed in use for a second or more where others vanished beside it or calls failed. Entries of ids that were never known grew the list of gone servers without bound, and counted as changes of what is there. Change: an entry may say that it is unreadable, which drops its server at once; 5,000 gone servers are remembered, as many as ones that left; an id that wasn't there is no change.

--- a/packages/core/src/relay/mod.ts
+++ b/packages/core/src/relay/mod.ts
@@ -13,5 +13,6 @@
 export * from "./retry_allowance.ts";
 export * from "./route_table.ts";
 export * from "./server_load.ts";
+export * from "./recent_keys.ts";
 export * from "./server_registry.ts";
 export * from "./start_history.ts";
--- a/packages/core/src/relay/server_registry.ts
+++ b/packages/core/src/relay/server_registry.ts
@@ -49,6 +49,8 @@
     readonly kind: "gone";
     readonly offset: LogOffset;
     readonly id: BackendServerId;
+    /** Whether an entry stands there, but names no server to use. */
+    readonly isUnreadable?: true;
   };
 
 /** What came of an entry. */
@@ -84,6 +86,9 @@
 /** Servers that leave which are remembered: a day's, at one in 20 s. */
 const MOST_LEFT = 5_000;
 
+/** Servers that are gone which are remembered: a day's, at one in 20 s. */
+const MOST_GONE = 5_000;
+
 /** The backend servers that are there, as far as the registry's log tells. */
 export class ServerRegistry {
   readonly #known = new Map<BackendServerId, Known>();
@@ -148,7 +153,7 @@
    */
   apply(now: Instant, entry: RegistryEntry): EntryOutcome {
     if (entry.kind === "gone") {
-      this.#vanish(now, entry.id, entry.offset);
+      this.#vanish(now, entry);
       return "taken";
     }
     const { server, offset } = entry;
@@ -182,7 +187,7 @@
     });
     for (const [id, known] of this.#known) {
       if (listed.has(id) || known.offset >= end) continue;
-      this.#vanish(now, id, end);
+      this.#vanish(now, { kind: "gone", offset: end, id });
     }
     return outcomes;
   }
@@ -227,10 +232,14 @@
     this.#revision += 1;
   }
 
-  #vanish(now: Instant, id: BackendServerId, offset: LogOffset): void {
+  #vanish(
+    now: Instant,
+    { id, offset, isUnreadable }: Extract<RegistryEntry, { kind: "gone" }>,
+  ): void {
     const known = this.#known.get(id);
     if (known !== undefined && known.offset > offset) return;
-    if (known === undefined || known.server.leaving) {
+    // An entry that was overwritten has not lapsed: it is used no longer.
+    if (known === undefined || known.server.leaving || isUnreadable === true) {
       this.#drop(id, offset);
       return;
     }
@@ -248,9 +257,13 @@
   }
 
   #drop(id: BackendServerId, offset: LogOffset): void {
-    this.#known.delete(id);
+    if (this.#known.delete(id)) this.#revision += 1;
+    this.#gone.delete(id);
     this.#gone.set(id, offset);
-    this.#revision += 1;
+    for (const oldest of this.#gone.keys()) {
+      if (this.#gone.size <= MOST_GONE) break;
+      this.#gone.delete(oldest);
+    }
   }
 
   #isDisturbed(now: Instant): boolean {
--- a/packages/core/tests/relay/server_registry_test.ts
+++ b/packages/core/tests/relay/server_registry_test.ts
@@ -37,6 +37,15 @@
   return { kind: "gone", offset: logOffset(offset), id: backendServerId(id) };
 }
 
+function unreadable(id: string, offset: number): RegistryEntry {
+  return {
+    kind: "gone",
+    offset: logOffset(offset),
+    id: backendServerId(id),
+    isUnreadable: true,
+  };
+}
+
 function ids(registry: ServerRegistry): readonly string[] {
   return registry.all.map((server) => server.id).toSorted();
 }
@@ -248,3 +257,32 @@
   registry.replaced(id, serverStart(20));
   t.is(registry.find(id), undefined);
 });
+
+test("servers whose entries are overwritten by what can't be read are gone at once, also together and beside failing calls, until they are written readably", (t) => {
+  const registry = new ServerRegistry();
+  for (const id of ["a", "b", "c"]) registry.apply(instant(0), present(id, 1));
+  registry.disturbed(instant(1_000));
+  registry.apply(instant(1_100), unreadable("a", 2));
+  registry.apply(instant(1_100), unreadable("b", 3));
+  t.deepEqual(ids(registry), ["c"]);
+  registry.replace(
+    instant(1_200),
+    [present("a", 4), unreadable("c", 5)],
+    logOffset(6),
+  );
+  t.deepEqual(ids(registry), ["a"]);
+  registry.apply(instant(1_300), unreadable("a", 3));
+  t.deepEqual(ids(registry), ["a"], "an older one changes nothing");
+});
+
+test("entries that never named a server change nothing, and are forgotten in time", (t) => {
+  const registry = new ServerRegistry();
+  registry.apply(instant(0), present("a", 1));
+  const before = registry.revision;
+  for (let count = 0; count < 20_000; count += 1) {
+    registry.apply(instant(1), unreadable(`foreign-${count}`, 2 + count));
+  }
+  t.is(registry.revision, before);
+  t.deepEqual(ids(registry), ["a"]);
+  t.true(registry.entries.length < 10_000);
+});
