--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -25,7 +25,9 @@
 import {
   type ClaimRecord,
   type NodeRecord,
+  type RecordTopic,
   SharedLogListener,
+  type SkipReason,
 } from "./shared_log.ts";
 
 /** Without a successful call for so long, the log counts as out of reach. */
@@ -53,6 +55,9 @@
   #isInContact = false;
   /** Called after each change that may matter to the owners of engines. */
   onChange: () => void = () => undefined;
+  /** Called for each record that was left out. */
+  onRecordSkipped: (topic: RecordTopic, reason: SkipReason) => void = () =>
+    undefined;
 
   /** @param parts What it is kept for. */
   constructor(parts: KnowledgeParts) {
@@ -165,6 +170,10 @@
     this.peers.record(this.#parts.clock.now(), node);
   }
 
+  override recordSkipped(topic: RecordTopic, reason: SkipReason): void {
+    this.onRecordSkipped(topic, reason);
+  }
+
   override reached(): void {
     this.#reachedAt = this.#parts.clock.now();
     if (this.#isInContact) return;
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -141,6 +141,9 @@
       ),
       metrics: () => this.#metrics.text(),
     });
+    knowledge.onRecordSkipped = (topic, reason) => {
+      this.#metrics.recordSkipped(topic, reason);
+    };
     knowledge.onChange = () => {
       this.#front.applyLimits();
       this.#owners.refresh();
--- a/packages/node/src/relay/relay_metrics.ts
+++ b/packages/node/src/relay/relay_metrics.ts
@@ -1,5 +1,6 @@
 import type { Duration, Route } from "@foxtailwind/core";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { RecordTopic, SkipReason } from "./shared_log.ts";
 
 /** Bounds of latency histograms, in seconds: from a lookup to a long stream. */
 const LATENCY_BOUNDS = [
@@ -52,6 +53,13 @@
     registers: [this.#registry],
   });
 
+  readonly #skippedRecords = new Counter({
+    name: "foxtailwind_records_skipped_total",
+    help: "Records of the platform's log that can't be read, by reason.",
+    labelNames: ["topic", "reason"],
+    registers: [this.#registry],
+  });
+
   /** @param gauges Values that are read when metrics are. */
   constructor(gauges: RelayGauges) {
     this.#gauge(
@@ -100,6 +108,15 @@
     );
   }
 
+  /**
+   * Counts a record that was left out.
+   * @param topic What it is about.
+   * @param reason Why it can't be used.
+   */
+  recordSkipped(topic: RecordTopic, reason: SkipReason): void {
+    this.#skippedRecords.inc({ topic, reason });
+  }
+
   /**
    * Writes all metrics.
    * @returns The text.
--- a/packages/node/src/relay/shared_log.ts
+++ b/packages/node/src/relay/shared_log.ts
@@ -28,6 +28,15 @@
   readonly address: string;
 }
 
+/** What a record of the log is about. */
+export type RecordTopic = "operators" | "servers" | "nodes";
+
+/**
+ * Why a record can't be used: its key is no name, it is too large, its bytes
+ * are no text, the text is no JSON, or its fields are not as they should be.
+ */
+export type SkipReason = "key" | "size" | "bytes" | "json" | "fields";
+
 /** Takes what the platform's log says. */
 export abstract class SharedLogListener {
   /** A configuration, which may be older than one taken before. */
@@ -49,6 +58,8 @@
   abstract claim(claim: ClaimRecord, offset: LogOffset): void;
   /** A node that has started. */
   abstract node(node: NodeRecord): void;
+  /** A record can't be read and was left out; called once a record. */
+  abstract recordSkipped(topic: RecordTopic, reason: SkipReason): void;
   /** The log has been read up to its end. */
   abstract reached(): void;
   /** A call to the log has failed. */
