--- a/packages/node/src/relay/adapter_grants.ts
+++ b/packages/node/src/relay/adapter_grants.ts
@@ -11,12 +11,19 @@
   GrantOutcome,
   RelayPeersClient,
 } from "@foxtailwind/protocol";
-import { credentials, type ServerWritableStream } from "@grpc/grpc-js";
+import {
+  credentials,
+  Metadata,
+  type ServerWritableStream,
+} from "@grpc/grpc-js";
 import type { PeerChannels } from "../peers/peer_channels.ts";
 import type { EngineOwners } from "./engine_owners.ts";
 import type { UseAnswer, UseRequest } from "./engine_use.ts";
 import { readStart, writeStart } from "./start_message.ts";
 
+/** After so many milliseconds, an owner counts as not told of a miss. */
+const MISS_LIMIT = 500;
+
 /** What an owner answers, or that it can't be reached. */
 export type GrantAnswer = UseAnswer | { readonly kind: "unreachable" };
 
@@ -65,17 +72,36 @@
     return owner.use(request, signal);
   }
 
+  /**
+   * Tells an engine's owner that the engine lacked what it had granted. Where
+   * the owner does not hear of it, the next miss is told.
+   * @param where The engine and its owner.
+   */
+  missed({ engine, owner, address }: GrantAddress): void {
+    if (owner === this.#self) {
+      this.#owners.find(engine)?.missed();
+      return;
+    }
+    this.#client(address).noteMiss(
+      { engine },
+      new Metadata(),
+      { deadline: Date.now() + MISS_LIMIT },
+      () => undefined,
+    );
+  }
+
+  #client(address: string): RelayPeersClient {
+    return new RelayPeersClient(address, credentials.createInsecure(), {
+      channelOverride: this.#channels.channel(address),
+    });
+  }
+
   #askPeer(
     { engine, address }: GrantAddress,
     request: UseRequest,
     signal: AbortSignal,
   ): Promise<GrantAnswer> {
-    const client = new RelayPeersClient(
-      address,
-      credentials.createInsecure(),
-      { channelOverride: this.#channels.channel(address) },
-    );
-    const call = client.useAdapter({
+    const call = this.#client(address).useAdapter({
       engine,
       model: request.model,
       adapter: request.adapter ?? "",
--- a/packages/node/src/relay/adapter_uses.ts
+++ b/packages/node/src/relay/adapter_uses.ts
@@ -26,7 +26,7 @@
   readonly #slots: EngineSlots;
   readonly #parts: AdapterUsesParts;
   readonly #waiters = new AdapterWaiters();
-  readonly #over = new AbortController();
+  readonly #running = new Set<AbortController>();
 
   /**
    * @param slots The engine's adapters.
@@ -84,7 +84,8 @@
   /** Ends with the engine's start: who waits may ask for the next one. */
   end(): void {
     this.sendWaitersAway();
-    this.#over.abort();
+    for (const over of this.#running) over.abort();
+    this.#running.clear();
   }
 
   /** Tells all who wait that this node owns the engine no more. */
@@ -98,10 +99,13 @@
     version: number,
   ): UseAnswer {
     this.occupancy.begin(this.#now(), request.promptTokens);
+    const over = new AbortController();
+    this.#running.add(over);
     let isReleased = false;
     const release = () => {
       if (isReleased) return;
       isReleased = true;
+      this.#running.delete(over);
       this.occupancy.end();
       if (name !== undefined) this.#slots.release(this.#now(), name);
       if (this.#slots.waiting > 0) this.#parts.changed();
@@ -110,7 +114,7 @@
       kind: "granted",
       version,
       start: this.#parts.start(),
-      over: this.#over.signal,
+      over: over.signal,
       release,
     };
   }
--- a/packages/node/src/relay/engine_owner.ts
+++ b/packages/node/src/relay/engine_owner.ts
@@ -64,6 +64,14 @@
     return this.#run.use(request, signal);
   }
 
+  /**
+   * Takes note that the engine lacked what a use was granted of: it may have
+   * started again.
+   */
+  missed(): void {
+    this.#run.missed();
+  }
+
   /** Gives up the engine: nobody waits here any more. */
   stop(): void {
     this.#run.stop();
--- a/packages/node/src/relay/engine_run.ts
+++ b/packages/node/src/relay/engine_run.ts
@@ -1,5 +1,6 @@
 import {
   type AdapterName,
+  elapsed,
   EngineSlots,
   type EngineTerms,
   type Instant,
@@ -20,6 +21,7 @@
 import { takeTrouble } from "./engine_trouble.ts";
 import type { UseAnswer, UseRequest } from "./engine_use.ts";
 import { writeStart } from "./start_message.ts";
+import { StepLoop } from "./step_loop.ts";
 
 /** Reads after a conflict wait so long: reports lag by some 100 ms. */
 const REPORT_LAG = milliseconds(250);
@@ -27,6 +29,8 @@
 const LOAD_POLL = milliseconds(20);
 /** An owner whose orders may go within a load's time counts as able to order. */
 const SOON = milliseconds(250);
+/** Misses within it ask for one report: they come from many requests. */
+const MISS_PAUSE = milliseconds(1_000);
 /** Conflicts in a row after which the engine is asked what it holds. */
 const CONFLICTS_TO_REPORT = 2;
 
@@ -36,15 +40,14 @@
   readonly #slots: EngineSlots;
   readonly #orders: EngineOrders;
   readonly #model: EngineModel;
+  readonly #loop: StepLoop;
   readonly #uses: AdapterUses;
   /** Loads of this start; their slots are known while it lasts. */
   #unanswered = new LateOrders();
   #server: RegisteredServer;
   #conflicts = 0;
   #pauseUntil: Instant | undefined;
-  #timer: NodeJS.Timeout | undefined;
-  #isPumping = false;
-  #isStopped = false;
+  #missedAt: Instant | undefined;
 
   /**
    * @param server The engine.
@@ -58,6 +61,7 @@
   ) {
     this.#server = server;
     this.#parts = parts;
+    this.#loop = new StepLoop(parts.clock, () => this.#step());
     const { engines, node } = parts.settings;
     this.#slots = new EngineSlots({
       slots: terms.adapterSlots,
@@ -115,16 +119,25 @@
    * @returns The answer.
    */
   async use(request: UseRequest, signal: AbortSignal): Promise<UseAnswer> {
-    if (this.#isStopped) return { kind: "not_owner" };
+    if (this.#loop.isStopped) return { kind: "not_owner" };
     if (this.#isFull() || !this.#orders.isReachable) return { kind: "no_room" };
     return await this.#uses.ask(request, signal);
   }
 
+  /** Takes note that the engine lacked what a use was granted of. */
+  missed(): void {
+    const now = this.#now();
+    const askedAt = this.#missedAt;
+    if (askedAt !== undefined && elapsed(askedAt, now) < MISS_PAUSE) return;
+    this.#missedAt = now;
+    this.#askAgain();
+    void this.pump();
+  }
+
   /** Gives up the engine: nobody waits here any more. */
   stop(): void {
-    this.#isStopped = true;
+    this.#loop.stop();
     this.#orders.stop();
-    clearTimeout(this.#timer);
     this.#uses.stop();
   }
 
@@ -139,13 +152,7 @@
 
   /** Carries out what is due; called by itself when more becomes due. */
   async pump(): Promise<void> {
-    if (this.#isPumping) return;
-    this.#isPumping = true;
-    try {
-      while (!this.#isStopped && await this.#step());
-    } finally {
-      this.#isPumping = false;
-    }
+    await this.#loop.run();
   }
 
   /** One step; whether another one may follow at once. */
@@ -154,11 +161,11 @@
     const right = this.#parts.knowledge.claims.right(this.#server.id);
     if (right === undefined) return false;
     const pause = this.#pauseUntil ?? now;
-    if (pause > now) return this.#wakeAt(pause);
+    if (pause > now) return this.#loop.wakeAt(pause);
     // What the engine holds may be used, and asked for, before orders may go.
     if (!this.#orders.isCounted) return await this.#readReport();
     this.#keepSlotsFree(now);
-    if (right.from > now) return this.#wakeAt(right.from);
+    if (right.from > now) return this.#loop.wakeAt(right.from);
     if (!this.#model.isThere) return await this.#loadModel(now, right);
     if (await this.#askAfterLoads(now, right)) return true;
     const order = this.#slots.nextOrder(now);
@@ -166,7 +173,7 @@
       await this.#carryOut(order, right);
       return true;
     }
-    if (this.#slots.waiting > 0) this.#wakeAt(later(now, LOAD_POLL));
+    if (this.#slots.waiting > 0) this.#loop.wakeAt(later(now, LOAD_POLL));
     return false;
   }
 
@@ -178,9 +185,9 @@
 
   async #readReport(): Promise<boolean> {
     const report = await this.#orders.report();
-    if (this.#isStopped) return false;
+    if (this.#loop.isStopped) return false;
     const now = this.#now();
-    if (report === undefined) return this.#wakeAt(later(now, REPORT_LAG));
+    if (report === undefined) return this.#loop.wakeAt(later(now, REPORT_LAG));
     this.#model.reported(report.models);
     this.#conflicts = 0;
     this.#slots.reported(now, report.adapters, report.incoming);
@@ -199,7 +206,7 @@
     const due = this.#slots.nextCheck();
     if (due === undefined) return false;
     if (due.at > now) {
-      this.#wakeAt(due.at);
+      this.#loop.wakeAt(due.at);
       return false;
     }
     const { name } = due;
@@ -214,7 +221,7 @@
     result: OrderResult,
     right: OrderRight,
   ): void {
-    if (this.#isStopped) return;
+    if (this.#loop.isStopped) return;
     const now = this.#now();
     switch (result.kind) {
       case "holds":
@@ -240,7 +247,7 @@
   async #carryOut(order: SlotOrder, right: OrderRight): Promise<void> {
     const result = await this.#orders.carryOut(order, right);
     // A late answer says nothing of what came after: a new start, or owner.
-    if (this.#isStopped) return;
+    if (this.#loop.isStopped) return;
     const now = this.#now();
     switch (result.kind) {
       case "holds":
@@ -292,13 +299,6 @@
     return right !== undefined && right.from - this.#now() < SOON;
   }
 
-  #wakeAt(at: Instant): false {
-    clearTimeout(this.#timer);
-    const delay = Math.max(1, at - this.#now());
-    this.#timer = setTimeout(() => void this.pump(), delay);
-    return false;
-  }
-
   #now(): Instant {
     return this.#parts.clock.now();
   }
--- a/packages/node/src/relay/peer_exchange.ts
+++ b/packages/node/src/relay/peer_exchange.ts
@@ -1,6 +1,9 @@
+import { backendServerId } from "@foxtailwind/core";
 import {
   type AdapterGrant,
   type AdapterUse,
+  type EngineMiss,
+  type EngineMissNoted,
   type Knowledge as KnowledgeMessage,
   type KnowledgeRequest,
   type NodeDigest,
@@ -68,6 +71,13 @@
         useAdapter: (call: ServerWritableStream<AdapterUse, AdapterGrant>) => {
           void serveUse(owners, call);
         },
+        noteMiss: (
+          call: ServerUnaryCall<EngineMiss, EngineMissNoted>,
+          answer: sendUnaryData<EngineMissNoted>,
+        ) => {
+          owners.find(backendServerId(call.request.engine))?.missed();
+          answer(null, {});
+        },
         exchange: (
           call: ServerUnaryCall<NodeDigest, NodeDigest>,
           answer: sendUnaryData<NodeDigest>,
--- a/packages/node/src/relay/request_placer.ts
+++ b/packages/node/src/relay/request_placer.ts
@@ -8,7 +8,11 @@
   type RegisteredServer,
 } from "@foxtailwind/core";
 import type { SteadyClock } from "../clock/steady_clock.ts";
-import type { AdapterGrants, GrantAnswer } from "./adapter_grants.ts";
+import type {
+  AdapterGrants,
+  GrantAddress,
+  GrantAnswer,
+} from "./adapter_grants.ts";
 import type { ModelUse } from "./caller_wire.ts";
 import type { EngineOwners } from "./engine_owners.ts";
 import type { Knowledge } from "./knowledge.ts";
@@ -21,6 +25,8 @@
   /** The version that must serve it, where known. */
   readonly adapterVersion?: number;
   readonly release: () => void;
+  /** Called where the server lacked what the request needs. */
+  readonly missed: () => void;
 }
 
 /** An engine that was asked for a place, and what came of it. */
@@ -64,7 +70,7 @@
   readonly address?: string;
 }
 
-const nothingToRelease = () => undefined;
+const nothing = () => undefined;
 
 /** Finds a server for each request, and brings adapters where needed. */
 export class RequestPlacer {
@@ -88,7 +94,7 @@
     const server = this.#parts.loads.choose(now, servers, Math.random());
     return server === undefined
       ? undefined
-      : { server, release: nothingToRelease };
+      : { server, release: nothing, missed: nothing };
   }
 
   /**
@@ -130,13 +136,16 @@
     const { server, owner, address } = engine;
     if (owner === undefined || address === undefined) {
       note({ engine: engine.id, answer: "no_owner" });
-      return engine.holds ? { server, release: nothingToRelease } : undefined;
+      return engine.holds
+        ? { server, release: nothing, missed: nothing }
+        : undefined;
     }
     const patience = engine.holds
       ? HELD_ANSWER_MILLISECONDS
       : LOAD_ANSWER_MILLISECONDS;
+    const where = { engine: engine.id, owner, address };
     const answer = await this.#parts.grants.ask(
-      { engine: engine.id, owner, address },
+      where,
       {
         model: use.model,
         ...(use.adapter === undefined ? {} : { adapter: use.adapter }),
@@ -148,7 +157,7 @@
     note({ engine: engine.id, owner, answer: answer.kind });
     if (answer.kind === "granted") {
       const { version, release } = answer;
-      if (this.#isOver(server, answer)) {
+      if (this.#isOver(where, answer)) {
         release();
         return undefined;
       }
@@ -156,18 +165,24 @@
         server,
         ...(version === 0 ? {} : { adapterVersion: version }),
         release,
+        missed: () => {
+          this.#parts.grants.missed(where);
+        },
       };
     }
     const isHeldWithoutOwner = engine.holds && answer.kind !== "no_room";
     return isHeldWithoutOwner && !signal.aborted
-      ? { server, release: nothingToRelease }
+      ? { server, release: nothing, missed: nothing }
       : undefined;
   }
 
   /** Whether a use was granted at a start that is over by now. */
-  #isOver({ id }: RegisteredServer, { start, over }: Grant): boolean {
-    const known = this.#parts.knowledge.registry.find(id);
-    return over.aborted || isOlderStart(start, known?.start);
+  #isOver(where: GrantAddress, { start, over }: Grant): boolean {
+    if (over.aborted) return true;
+    // This node's own owner knows all that the registry told this node.
+    if (where.owner === this.#parts.self) return false;
+    const known = this.#parts.knowledge.registry.find(where.engine);
+    return isOlderStart(start, known?.start);
   }
 
   #describe(
@@ -218,13 +233,6 @@
 
   /** What the owner says of an engine, unless it is of an older start. */
   #heard(now: Instant, { id, start }: RegisteredServer) {
-    const heard = this.#ownerSays(now, id);
-    if (heard === undefined) return undefined;
-    const isOver = isOlderStart(readStart(heard.digest.start), start);
-    return isOver ? undefined : heard;
-  }
-
-  #ownerSays(now: Instant, id: BackendServerId) {
     const { knowledge, owners, self } = this.#parts;
     const own = owners.find(id);
     if (own !== undefined) {
@@ -232,7 +240,10 @@
     }
     const owner = knowledge.claims.owner(id);
     if (owner === undefined) return undefined;
-    return knowledge.peers.engine(now, id, owner);
+    const heard = knowledge.peers.engine(now, id, owner);
+    if (heard === undefined) return undefined;
+    const isOver = isOlderStart(readStart(heard.digest.start), start);
+    return isOver ? undefined : heard;
   }
 }
 
--- a/packages/node/src/relay/request_sender.ts
+++ b/packages/node/src/relay/request_sender.ts
@@ -97,6 +97,8 @@
     if (isRepeat) void connections.close();
     this.#call = undefined;
     load.ended(this.#now(), this.#resultFor(end));
+    const { verdict, isMisdirected } = this.#terms.passage;
+    if (verdict === "not_run" && isMisdirected) place.missed();
     return end;
   }
 
--- a/packages/node/tests/relay/engine_restart_test.ts
+++ b/packages/node/tests/relay/engine_restart_test.ts
@@ -176,3 +176,17 @@
   t.false(control.adapters.isOverfull);
   owner.stop();
 });
+
+test("an engine that lacks what its owner granted is asked what it holds, by one report for many misses", async (t) => {
+  const { owner, control, claim } = setUpOwner();
+  claim("node-1", 4);
+  release(await use(owner, "a"));
+  const reports = control.reports;
+  restart(control);
+  for (let misses = 0; misses < 5; misses += 1) owner.missed();
+  await untilStart(owner, SECOND);
+  t.deepEqual(adaptersOf(owner), []);
+  t.is((await use(owner, "a")).kind, "granted");
+  t.is(control.reports - reports, 2, "And one of the new start.");
+  owner.stop();
+});
--- a/packages/node/tests/relay/helpers/scripted_engine.ts
+++ b/packages/node/tests/relay/helpers/scripted_engine.ts
@@ -22,6 +22,8 @@
   readonly adapters: OrderedAdapters;
   readonly fates: FatedOrders;
   isDown = false;
+  /** How often it was asked for a report. */
+  reports = 0;
   /** Answers to the next orders, which do not reach it. */
   nextAnswers: OrderResult[] = [];
   /** Reports as they are answered, where they aren't the engine's own. */
@@ -45,6 +47,7 @@
   }
 
   override async report(): Promise<Result<EngineReport, Failure>> {
+    this.reports += 1;
     await Promise.resolve();
     if (this.isDown) return err(FAILURE);
     return ok(this.nextReports.shift() ?? this.adapters.report);
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -54,6 +54,8 @@
   type AdapterGrant,
   type AdapterUse,
   type EngineDigest,
+  type EngineMiss,
+  type EngineMissNoted,
   GrantOutcome,
   type HeldAdapter,
   type Knowledge,
