Loads without an answer are remembered past the end of an engine's owner

An engine that leaves the registry, or is another node's for a while, has a new owner object at its next start, which knew nothing of the loads that the one before had left unanswered. EngineOwners keeps them by the engine's id.

--- a/packages/node/src/relay/engine_owner.ts
+++ b/packages/node/src/relay/engine_owner.ts
@@ -1,7 +1,6 @@
 import {
   EngineStart,
   type EngineTerms,
-  LateOrders,
   type RegisteredServer,
   type ServerStart,
 } from "@foxtailwind/core";
@@ -18,7 +17,6 @@
   readonly #parts: EngineOwnerParts;
   readonly #terms: EngineTerms;
   readonly #start: EngineStart;
-  readonly #lateOrders = new LateOrders();
   #server: RegisteredServer;
   #run: EngineRun;
 
@@ -85,7 +83,6 @@
   #begin(server: RegisteredServer): EngineRun {
     return new EngineRun(server, this.#terms, {
       ...this.#parts,
-      lateOrders: this.#lateOrders,
       start: () => this.#start.current,
       isBelieved: (start) => this.#isBelieved(start),
     });
--- a/packages/node/src/relay/engine_owner_parts.ts
+++ b/packages/node/src/relay/engine_owner_parts.ts
@@ -12,12 +12,12 @@
   readonly control: EngineControl;
   readonly clock: SteadyClock;
   readonly logger: PartLogger;
+  /** This node's loads of the engine that got no answer, before this owner. */
+  readonly lateOrders: LateOrders;
 }
 
 /** What an owner works with at one start of its engine. */
 export interface EngineRunParts extends EngineOwnerParts {
-  /** The loads of earlier starts that got no answer. */
-  readonly lateOrders: LateOrders;
   /** The start, if it is known. */
   readonly start: () => ServerStart | undefined;
   /** Whether a report that names a start is to be believed. */
--- a/packages/node/src/relay/engine_owners.ts
+++ b/packages/node/src/relay/engine_owners.ts
@@ -1,6 +1,7 @@
 import {
   type BackendServerId,
   type Instant,
+  LateOrders,
   type NodeId,
   nodeId,
 } from "@foxtailwind/core";
@@ -10,7 +11,8 @@
 import type { ClaimRecord, SharedLog } from "./shared_log.ts";
 
 /** What owners need besides an engine. */
-export interface EngineOwnersParts extends EngineOwnerParts {
+export interface EngineOwnersParts
+  extends Omit<EngineOwnerParts, "lateOrders"> {
   readonly log: SharedLog;
   readonly incarnation: string;
   /** Whether this node is stopping, and gives its engines to others. */
@@ -26,6 +28,11 @@
 export class EngineOwners {
   readonly #parts: EngineOwnersParts;
   readonly #owners = new Map<BackendServerId, EngineOwner>();
+  /**
+   * Kept past the end of an owner: the engine may leave the registry, or be
+   * another node's, and start again while its orders are on their way.
+   */
+  readonly #lateOrders = new Map<BackendServerId, LateOrders>();
   readonly #startedAt: Instant;
   #isClaiming = false;
 
@@ -84,7 +91,10 @@
     if (knowledge.claims.right(id) === undefined) return;
     const terms = knowledge.routes?.service(server.service)?.engine;
     if (terms === undefined) return;
-    const owner = new EngineOwner(server, terms, this.#parts);
+    const lateOrders = this.#lateOrders.get(id) ?? new LateOrders();
+    this.#lateOrders.set(id, lateOrders);
+    const parts = { ...this.#parts, lateOrders };
+    const owner = new EngineOwner(server, terms, parts);
     this.#owners.set(id, owner);
     void owner.pump();
     this.#parts.gained();
--- a/packages/node/src/relay/engine_run.ts
+++ b/packages/node/src/relay/engine_run.ts
@@ -136,6 +136,9 @@
 
   /** Gives up the engine: nobody waits here any more. */
   stop(): void {
+    const { lateOrders } = this.#parts;
+    if (!this.#loop.isStopped) lateOrders.include(this.#unanswered);
+    this.#unanswered = lateOrders;
     this.#loop.stop();
     this.#orders.stop();
     this.#uses.stop();
@@ -143,9 +146,6 @@
 
   /** Ends with the start: who waits is sent away, and uses end. */
   end(): void {
-    const { lateOrders } = this.#parts;
-    lateOrders.include(this.#unanswered);
-    this.#unanswered = lateOrders;
     this.#uses.end();
     this.stop();
   }
--- a/packages/node/tests/relay/engine_restart_test.ts
+++ b/packages/node/tests/relay/engine_restart_test.ts
@@ -1,7 +1,7 @@
 import { standInConfiguration } from "@foxtailwind/bench";
 import { type RegisteredServer, serverStart } from "@foxtailwind/core";
 import type { EngineOwner } from "@foxtailwind/node/relay";
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
   MODEL,
@@ -141,18 +141,27 @@
   }
 });
 
-test("an order that a later start carries out late never leads past its slots", async (t) => {
-  const { owner, control, claim, knowledge } = setUpOwner(2);
+/** Lets an order stay unanswered, and the next start carry it out when full. */
+async function leaveLateOrder(
+  { owner, control, claim, knowledge }: ReturnType<typeof setUpOwner>,
+): Promise<RegisteredServer> {
   knowledge.configuration(standInConfiguration(1, 2));
   claim("node-1", 4);
   release(await use(owner, "a"));
   release(await use(owner, "b"));
   control.fates.nextFates = ["answered", ...LATE];
   void use(owner, "c");
-  while (control.fates.lateCount < 5) await sleep(5);
+  while (control.fates.lateCount < LATE.length) await sleep(5);
   // The model's load and two adapters may fill it up to the count they expect.
   control.fates.carryOutLateAt = 3;
-  owner.update(restart(control, SECOND, []));
+  return restart(control, SECOND, []);
+}
+
+async function fillPastLateOrder(
+  t: ExecutionContext,
+  owner: EngineOwner,
+  control: ScriptedEngine,
+): Promise<void> {
   for (const adapter of ["d", "e", "f", "g"]) {
     release(await use(owner, adapter));
   }
@@ -160,6 +169,20 @@
   t.false(control.adapters.isOverfull);
   t.is((await use(owner, "h")).kind, "granted");
   owner.stop();
+}
+
+test("an order that a later start carries out late never leads past its slots", async (t) => {
+  const world = setUpOwner(2);
+  const server = await leaveLateOrder(world);
+  world.owner.update(server);
+  await fillPastLateOrder(t, world.owner, world.control);
+});
+
+test("an order that is late is remembered where the engine was nobody's in between", async (t) => {
+  const world = setUpOwner(2);
+  const server = await leaveLateOrder(world);
+  world.owner.stop();
+  await fillPastLateOrder(t, world.own(server), world.control);
 });
 
 test("restarts in series leave the owner with the last one", async (t) => {
--- a/packages/node/tests/relay/helpers/owned_engine.ts
+++ b/packages/node/tests/relay/helpers/owned_engine.ts
@@ -2,6 +2,7 @@
   adapterId,
   backendServerId,
   failureDomainId,
+  LateOrders,
   logOffset,
   milliseconds,
   modelId,
@@ -62,13 +63,17 @@
     megabytes: 10,
     adapterSlots: slots,
   };
-  const owner = new EngineOwner(SERVER, terms, {
-    settings,
-    knowledge,
-    control,
-    clock,
-    logger,
-  });
+  const lateOrders = new LateOrders();
+  const own = (server: RegisteredServer) =>
+    new EngineOwner(server, terms, {
+      settings,
+      knowledge,
+      control,
+      clock,
+      logger,
+      lateOrders,
+    });
+  const owner = own(SERVER);
   const claim = (owner: string, offset: number, wait = 0) => {
     knowledge.claim({
       engine: SERVER.id,
@@ -77,7 +82,7 @@
       wait: milliseconds(wait),
     }, logOffset(offset));
   };
-  return { owner, control, claim, knowledge };
+  return { own, owner, control, claim, knowledge };
 }
 
 /**
