--- a/packages/node/src/relay/adapter_grants.ts
+++ b/packages/node/src/relay/adapter_grants.ts
@@ -166,8 +166,9 @@
     );
     return;
   }
-  if (call.cancelled) {
+  if (call.cancelled || answer.over.aborted) {
     answer.release();
+    call.end();
     return;
   }
   call.once("cancelled", answer.release);
