--- a/packages/node/src/relay/mod.ts
+++ b/packages/node/src/relay/mod.ts
@@ -29,4 +29,5 @@
 export * from "./server_loads.ts";
 export * from "./knowledge_message.ts";
 export * from "./peer_book.ts";
+export * from "./peer_exchange.ts";
 export * from "./relay_metrics.ts";
