--- a/packages/node/src/relay/engine_owner.ts
+++ b/packages/node/src/relay/engine_owner.ts
@@ -1,7 +1,6 @@
 import {
   EngineStart,
   type EngineTerms,
-  LateOrders,
   type RegisteredServer,
   type ServerStart,
 } from "@foxtailwind/core";
@@ -18,7 +17,6 @@
   readonly #parts: EngineOwnerParts;
   readonly #terms: EngineTerms;
   readonly #start: EngineStart;
-  readonly #lateOrders = new LateOrders();
   #server: RegisteredServer;
   #run: EngineRun;
 
@@ -64,6 +62,14 @@
     return this.#run.use(request, signal);
   }
 
+  /**
+   * Takes note that the engine lacked what a use was granted of: it may have
+   * started again.
+   */
+  missed(): void {
+    this.#run.missed();
+  }
+
   /** Gives up the engine: nobody waits here any more. */
   stop(): void {
     this.#run.stop();
@@ -77,7 +83,6 @@
   #begin(server: RegisteredServer): EngineRun {
     return new EngineRun(server, this.#terms, {
       ...this.#parts,
-      lateOrders: this.#lateOrders,
       start: () => this.#start.current,
       isBelieved: (start) => this.#isBelieved(start),
     });
