Tests: a slow caller's connection is stuck for 100 ms before it counts as full

Cause: the kernel's buffers grow a moment later under load; the test then saw an answer that was out already, and failed once beside other work.

--- a/packages/node/tests/relay/answer_way_test.ts
+++ b/packages/node/tests/relay/answer_way_test.ts
@@ -122,6 +122,8 @@
   t.false(looksWhole, "Its end in order is all that tells its end.");
 });
 
+/** Looks in a row at which a connection takes nothing, 5 ms apart. */
+const STUCK_LOOKS = 20;
 /** Where node:http tells of each request that it takes. */
 const REQUESTS = "http.server.request.start";
 
@@ -155,11 +157,15 @@
     void (async () => {
       server.write(head);
       const atCaller = await connection;
-      // Until the caller's connection takes no more.
-      while (atCaller.writableLength === 0) {
-        server.write(chunk);
-        sent += chunk.length;
-        await nextTurn();
+      // Until the caller's connection has taken nothing more for a while.
+      for (let looks = 0; looks < STUCK_LOOKS; looks += 1) {
+        while (atCaller.writableLength === 0) {
+          server.write(chunk);
+          sent += chunk.length;
+          looks = 0;
+          await nextTurn();
+        }
+        await sleep(5);
       }
       server.end();
     })();
