--- a/packages/core/src/relay/engine_slots.ts
+++ b/packages/core/src/relay/engine_slots.ts
@@ -18,6 +18,7 @@
   type SlotTerms,
   type WantedAdapter,
 } from "./adapter_slot.ts";
+import { AdapterWishes } from "./adapter_wishes.ts";
 import { chooseVictim } from "./choose_victim.ts";
 import { type LoadCheck, LoadTimes } from "./load_times.ts";
 
@@ -31,7 +32,7 @@
 export class EngineSlots {
   readonly #terms: SlotTerms;
   readonly #slots = new Map<string, AdapterSlot>();
-  readonly #waiting = new Map<string, WantedAdapter>();
+  readonly #wishes = new AdapterWishes();
   readonly #busyUntil = new Map<string, Instant>();
   readonly #loads: LoadTimes;
   #reserved = 0;
@@ -57,7 +58,7 @@
 
   /** How many adapters are asked for and not yet ordered. */
   get waiting(): number {
-    return this.#waiting.size;
+    return this.#wishes.size;
   }
 
   /**
@@ -128,14 +129,7 @@
    * @param minimumVersion The oldest version allowed.
    */
   want(now: Instant, name: AdapterName, minimumVersion: number): void {
-    const key = keyOf(name);
-    const known = this.#waiting.get(key);
-    this.#waiting.set(key, {
-      ...name,
-      key,
-      minimumVersion: Math.max(minimumVersion, known?.minimumVersion ?? 0),
-      since: known?.since ?? now,
-    });
+    this.#wishes.add(now, name, minimumVersion);
   }
 
   /**
@@ -143,7 +137,7 @@
    * @param name The adapter.
    */
   forgetWish(name: AdapterName): void {
-    this.#waiting.delete(keyOf(name));
+    this.#wishes.delete(name);
   }
 
   /**
@@ -175,8 +169,7 @@
    */
   nextOrder(now: Instant): SlotOrder | undefined {
     if (this.#loading() >= this.#terms.transfers) return undefined;
-    const wishes = [...this.#waiting.values()];
-    const wish = wishes.find((one) => this.#isOrderable(now, one));
+    const wish = this.#wishes.all.find((one) => this.#isOrderable(now, one));
     if (wish === undefined) return undefined;
     const isReplacement = this.#slots.has(wish.key);
     if (isReplacement || this.#slots.size < this.#usable) {
@@ -184,7 +177,7 @@
     }
     const victim = chooseVictim(
       this.slots.filter((slot) => !this.#isBusy(now, keyOf(slot))),
-      (slot) => this.#waiting.has(keyOf(slot)),
+      (slot) => this.#wishes.has(slot),
     );
     return victim === undefined ? undefined : { kind: "unload", name: victim };
   }
@@ -238,7 +231,7 @@
   room(now: Instant): number {
     const idle = this.slots.filter((one) => this.#isIdle(now, one)).length;
     const free = this.#usable - this.#slots.size;
-    return Math.max(0, free + idle - this.#waiting.size);
+    return Math.max(0, free + idle - this.#wishes.size);
   }
 
   #loadAnswered(
@@ -252,7 +245,7 @@
         const uses = this.find(name)?.uses ?? 0;
         const slot = newSlot(now, name, "loading", version);
         this.#set({ ...slot, uses });
-        this.#waiting.delete(keyOf(name));
+        this.#wishes.delete(name);
         break;
       }
       case "unknown":
