Tests: a caller that reads slowly has a route with 20 s

Cause of one failure beside load ('broken_stream'): the route's limit of 1.5 s was over before the caller's connection was full.

--- a/packages/node/tests/relay/helpers/relay_routes.ts
+++ b/packages/node/tests/relay/helpers/relay_routes.ts
@@ -47,6 +47,12 @@
     pathPrefix: "/short/",
     timeLimit: milliseconds(150),
   },
+  {
+    ...BASE,
+    name: "patient",
+    pathPrefix: "/patient/",
+    timeLimit: seconds(20),
+  },
   {
     ...BASE,
     name: "engine",
