A departure counts though the word that its server is gone came first

Change: that a start leaves holds whatever is known besides. And many requests may wait for a first configuration without a warning. Measured: the new test failed before; server_registry_test passes.

--- a/packages/core/src/relay/server_registry.ts
+++ b/packages/core/src/relay/server_registry.ts
@@ -161,6 +161,7 @@
     const newest = this.#known.get(id)?.offset ?? this.#gone.get(id) ?? -1;
     if (offset < newest) {
       this.#starts.passed(id, server.start);
+      if (server.leaving) this.#leave(server);
       return "older";
     }
     const news = this.#starts.take(id, server.start, offset);
@@ -232,6 +233,23 @@
     this.#revision += 1;
   }
 
+  /**
+   * Takes note that a start leaves, which holds whatever is known besides: the
+   * word that its server is gone may come first, from a peer, and be doubted.
+   */
+  #leave({ id, start }: RegisteredServer): void {
+    const key = startKey(id, start ?? this.#starts.latest(id));
+    this.#left.add(key);
+    const known = this.#known.get(id);
+    if (known === undefined || known.server.leaving) return;
+    if (startKey(id, known.server.start) !== key) return;
+    this.#known.set(id, {
+      ...known,
+      server: { ...known.server, leaving: true },
+    });
+    this.#revision += 1;
+  }
+
   #vanish(
     now: Instant,
     { id, offset, isUnreadable }: Extract<RegistryEntry, { kind: "gone" }>,
--- a/packages/core/tests/relay/server_registry_test.ts
+++ b/packages/core/tests/relay/server_registry_test.ts
@@ -286,3 +286,24 @@
   t.deepEqual(ids(registry), ["a"]);
   t.true(registry.entries.length < 10_000);
 });
+
+test("a departure that is heard after a doubted word that its server is gone counts", (t) => {
+  const registry = new ServerRegistry();
+  const id = backendServerId("a");
+  registry.apply(instant(0), present("a", 1));
+  registry.disturbed(instant(10));
+  registry.apply(instant(20), gone("a", 3));
+  t.false(registry.find(id)?.leaving, "It may have lapsed only.");
+  const before = registry.revision;
+  registry.apply(instant(30), present("a", 2, true));
+  t.true(registry.find(id)?.leaving);
+  t.true(registry.revision > before);
+});
+
+test("a departure of an earlier start takes nothing from the one that followed", (t) => {
+  const registry = new ServerRegistry();
+  registry.apply(instant(0), present("a", 1, false, 100));
+  registry.apply(instant(1), present("a", 3, false, 200));
+  registry.apply(instant(2), present("a", 2, true, 100));
+  t.false(registry.find(backendServerId("a"))?.leaving);
+});
--- a/packages/node/src/relay/front_server.ts
+++ b/packages/node/src/relay/front_server.ts
@@ -6,6 +6,7 @@
   type RouteTable,
 } from "@foxtailwind/core";
 import type { FastifyInstance } from "fastify";
+import { setMaxListeners } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Server } from "node:net";
 import {
@@ -56,6 +57,8 @@
   /** @param parts What relaying works with. */
   constructor(parts: RelayParts) {
     this.#parts = parts;
+    // Each request that waits for a first configuration listens to it.
+    setMaxListeners(0, this.#end.signal);
     this.#fastify = schemalessFastify({
       genReqId: () => "",
       keepAliveTimeout: FIRST_IDLE_MILLISECONDS + IDLE_MARGIN_MILLISECONDS,
