A seeded soak of the relay: real daemons on stand-ins, in real time

Cause: npm run soak and its mutants exercised none of the relay. Change: three RelayDaemons in one process on raw servers that refuse, fail, lose, garble, break off and repeat answers as the seed says; takeovers (also unseen ones), store outages, forgotten entries, late orders, departures, crashes, stops in series and overlapping, nodes cut off at once, versions and a route that move. Checked from what callers and servers saw; 16 mutants, at the nodes' edges but for one. npm run soak and soak:mutants wait for soaks that take real time. Not there yet: restarts under an old id and their two mutants.

--- a/packages/bench/src/mod.ts
+++ b/packages/bench/src/mod.ts
@@ -13,5 +13,6 @@
 export * from "./soak/outcome_mutants.ts";
 export * from "./soak/outcome_soak.ts";
 export * from "./soak/ownership_soak.ts";
+export * from "./soak/relay/mod.ts";
 export * from "./soak/scenario.ts";
 export * from "./soak/service_soak.ts";
--- a/packages/bench/src/soak/main.ts
+++ b/packages/bench/src/soak/main.ts
@@ -36,18 +36,18 @@
   options.only === undefined || options.only === name
 );
 const reports: SoakReport[] = [];
-for (const soak of chosen) reports.push(repeat(soak));
+for (const soak of chosen) reports.push(await repeat(soak));
 print(reports);
 if (reports.some(({ findings }) => findings.length > 0)) process.exitCode = 1;
 
-function repeat(soak: Soak): SoakReport {
+async function repeat(soak: Soak): Promise<SoakReport> {
   const end = performance.now() + options.minutes * MILLISECONDS_PER_MINUTE;
   const findings: SoakFinding[] = [];
   let seed = options.seed;
   let orders = 0;
   let runs = 0;
   while (performance.now() < end && runs < options.runs) {
-    const { finding, orders: given } = runCaught(soak, seed);
+    const { finding, orders: given } = await runCaught(soak, seed);
     orders += given;
     runs += 1;
     seed += 1;
@@ -57,9 +57,9 @@
   return { soak: soak.name, runs, orders, lastSeed: seed - 1, findings };
 }
 
-function runCaught(soak: Soak, seed: number): SoakRun {
+async function runCaught(soak: Soak, seed: number): Promise<SoakRun> {
   try {
-    return soak.run(seed);
+    return await soak.run(seed);
   } catch (error) {
     const detail = error instanceof Error ? error.message : String(error);
     return { orders: 0, finding: { seed, invariant: "thrown", detail } };
--- a/packages/bench/src/soak/mutants_main.ts
+++ b/packages/bench/src/soak/mutants_main.ts
@@ -24,7 +24,7 @@
 });
 let survivors = 0;
 for (const mutant of chosen) {
-  const finding = hunt(mutant);
+  const finding = await hunt(mutant);
   if (finding === undefined) survivors += 1;
   table.push([
     mutant.soak,
@@ -38,9 +38,9 @@
 process.stdout.write(`${survivors} of ${chosen.length} mutants survived.\n`);
 if (survivors > 0) process.exitCode = 1;
 
-function hunt(mutant: SoakMutant): SoakFinding | undefined {
+async function hunt(mutant: SoakMutant): Promise<SoakFinding | undefined> {
   for (let run = 0; run < options.runs; run += 1) {
-    const { finding } = mutant.run(options.seed + run);
+    const { finding } = await mutant.run(options.seed + run);
     if (finding !== undefined) return finding;
   }
   return undefined;
--- a/packages/bench/src/soak/registry.ts
+++ b/packages/bench/src/soak/registry.ts
@@ -5,6 +5,7 @@
 import { outcomeMutants } from "./outcome_mutants.ts";
 import { runOutcomeSoak } from "./outcome_soak.ts";
 import { runOwnershipSoak, type SoakRun } from "./ownership_soak.ts";
+import { relayMutants, runRelaySoak } from "./relay/mod.ts";
 import { runServiceSoak } from "./service_soak.ts";
 
 const ADAPTER_STEPS = 600;
@@ -16,7 +17,7 @@
 export interface Soak {
   readonly name: string;
   /** Runs one seed; a broken invariant is returned or thrown. */
-  readonly run: (seed: number) => SoakRun;
+  readonly run: (seed: number) => SoakRun | Promise<SoakRun>;
 }
 
 /** A deliberate fault that `npm run soak:mutants` looks for. */
@@ -49,6 +50,7 @@
       orders: runServiceSoak({ seed, steps: SERVICE_STEPS }).answered,
     }),
   },
+  { name: "relay", run: (seed) => runRelaySoak({ seed }) },
 ];
 
 /** The deliberate faults of all soaks that have some. */
@@ -69,4 +71,9 @@
     run: (seed) =>
       runConfigurationSoak({ seed, steps: CONFIGURATION_STEPS, rules }),
   })),
+  ...relayMutants.map(({ name, made }): SoakMutant => ({
+    soak: "relay",
+    name,
+    run: (seed) => runRelaySoak({ seed, made }),
+  })),
 ];
--- /dev/null
+++ b/packages/bench/src/soak/relay/answer_checks.ts
@@ -0,0 +1,85 @@
+import { traceCall } from "./call_trace.ts";
+import type {
+  CallEndRecord,
+  CallRecord,
+  RelayRecord,
+  SendRecord,
+} from "./relay_record.ts";
+import { EVENTS, eventsOf } from "./soak_engine.ts";
+import { plainBody } from "./soak_server.ts";
+
+const OK = 200;
+
+/**
+ * Checks that a success is the request's own, and whole where it is framed as
+ * whole.
+ * @param record What was seen.
+ * @param call The request.
+ * @param end How it ended.
+ */
+export function checkAnswer(
+  record: RelayRecord,
+  call: CallRecord,
+  end: CallEndRecord,
+): void {
+  if (end.status !== OK) return;
+  const isStream = call.adapter !== undefined;
+  const rest = isStream ? afterEvents(call, end.body) : afterBody(call, end);
+  const told = `\n${traceCall(record, call)}`;
+  if (rest === "wrong") {
+    record.breaks("own_answer_only", told);
+    return;
+  }
+  if (rest === "whole" || !end.isComplete) return;
+  if (mayEndOpen(call, end, record.sendsOf(call.id))) return;
+  record.breaks("answer_is_whole", told);
+}
+
+/** What a body is, beside the whole of what it should be. */
+type BodyState = "whole" | "part" | "wrong";
+
+function afterBody(call: CallRecord, { body }: CallEndRecord): BodyState {
+  const whole = plainBody(call.id).join("");
+  if (body === whole) return "whole";
+  return whole.startsWith(body) ? "part" : "wrong";
+}
+
+/** Each event may come from another run, of its own version. */
+function afterEvents(call: CallRecord, body: string): BodyState {
+  let rest = body;
+  for (let index = 0; index < EVENTS; index += 1) {
+    if (rest === "") return "part";
+    const version = /^id: \d+\ndata: \S+ \S+ (\d+)/.exec(rest)?.[1];
+    const least = call.leastVersion;
+    const isOld = version !== undefined && Number(version) < least;
+    const event = eventsOf(call.id, call.adapter ?? "", Number(version))[index];
+    if (event === undefined || isOld) return "wrong";
+    if (!rest.startsWith(event)) return isPartOf(call, rest, index);
+    rest = rest.slice(event.length);
+  }
+  return rest === "" ? "whole" : "wrong";
+}
+
+function isPartOf(call: CallRecord, rest: string, index: number): BodyState {
+  const versions = Array.from({ length: 20 }, (_, version) => version + 1);
+  const isPart = versions.some((version) =>
+    eventsOf(call.id, call.adapter ?? "", version)[index]?.startsWith(rest)
+  );
+  return isPart ? "part" : "wrong";
+}
+
+/**
+ * An answer without a length that its server ends in order is whole to whoever
+ * sees it; and a node that is cut off ends a stream without one in order.
+ */
+function mayEndOpen(
+  call: CallRecord,
+  end: CallEndRecord,
+  sends: readonly SendRecord[],
+): boolean {
+  const last = sends.at(-1);
+  const isEndedInOrder = last?.framing === "connection" && last.end === "close";
+  const isCutStream = end.framing === "connection" &&
+    call.adapter !== undefined && call.node.cutAt !== undefined;
+  return isEndedInOrder || isCutStream;
+}
--- /dev/null
+++ b/packages/bench/src/soak/relay/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * A randomised run of relays on stand-ins, in real time.
+ * @module
+ */
+export * from "./node_parts.ts";
+export * from "./relay_mutants.ts";
+export * from "./relay_soak.ts";
--- /dev/null
+++ b/packages/bench/src/soak/relay/node_sockets.ts
@@ -0,0 +1,52 @@
+import { AsyncLocalStorage } from "node:async_hooks";
+import { subscribe } from "node:diagnostics_channel";
+import type { Socket } from "node:net";
+
+const RUNNING = new AsyncLocalStorage<NodeSockets>();
+
+subscribe("net.server.socket", (message) => {
+  const { socket } = message as { readonly socket: Socket };
+  RUNNING.getStore()?.add(socket, undefined);
+});
+subscribe("net.client.socket", (message) => {
+  const { socket } = message as { readonly socket: Socket };
+  // Clients take an end without an error for the end of an answer.
+  RUNNING.getStore()?.add(socket, new Error("The node is cut off."));
+});
+
+/** The connections of one node among several in this process. */
+export class NodeSockets {
+  readonly #sockets = new Map<Socket, Error | undefined>();
+  #isCut = false;
+
+  /**
+   * Runs a part of the node, whose connections from then on belong to it.
+   * @param run The part.
+   * @returns What it gives.
+   */
+  run<Outcome>(run: () => Outcome): Outcome {
+    return RUNNING.run(this, run);
+  }
+
+  /**
+   * Takes a connection; one of a node that is cut off ends at once.
+   * @param socket The connection.
+   * @param error What its own side is told then, if anything.
+   */
+  add(socket: Socket, error: Error | undefined): void {
+    if (this.#isCut) {
+      socket.destroy(error);
+      return;
+    }
+    this.#sockets.set(socket, error);
+    socket.once("close", () => {
+      this.#sockets.delete(socket);
+    });
+  }
+
+  /** Ends all connections, and each later one as it begins. */
+  cut(): void {
+    this.#isCut = true;
+    for (const [socket, error] of this.#sockets) socket.destroy(error);
+  }
+}
--- /dev/null
+++ b/packages/bench/src/soak/relay/relay_mutants.ts
@@ -0,0 +1,338 @@
+import {
+  fencingNumber,
+  type RegistryEntry,
+  type RelayConfiguration,
+  type Route,
+} from "@foxtailwind/core";
+import {
+  type AnswerFacts,
+  BackendCall,
+  type EngineOrder,
+  type LoggerFactory,
+  type OrderResult,
+  RelayDaemon,
+  type RelayEdges,
+  type RelaySettings,
+  type RelayWire,
+  type SendTerms,
+  type SharedLogListener,
+} from "@foxtailwind/node/relay";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Draws } from "./draws.ts";
+import {
+  GRACE_SECONDS,
+  NodeParts,
+  SoakControl,
+  SoakWire,
+} from "./node_parts.ts";
+import type { SoakEngine } from "./soak_engine.ts";
+import { PassingListener } from "./soak_store.ts";
+
+/** One part of the nodes replaced by a wrong one. */
+export interface RelayMutant {
+  readonly name: string;
+  /** The invariants that are expected to notice, any of them first. */
+  readonly invariants: readonly string[];
+  readonly made: NodeParts;
+}
+
+type Headers = Parameters<RelayWire["readAnswer"]>[1];
+
+/** Nodes with another wire. */
+class WithWire extends NodeParts {
+  readonly #make: () => RelayWire;
+
+  constructor(make: () => RelayWire) {
+    super();
+    this.#make = make;
+  }
+
+  override wire(): RelayWire {
+    return this.#make();
+  }
+}
+
+/** Nodes that are told something else than the log says. */
+class WithListener extends NodeParts {
+  readonly #make: (next: SharedLogListener) => SharedLogListener;
+
+  constructor(make: (next: SharedLogListener) => SharedLogListener) {
+    super();
+    this.#make = make;
+  }
+
+  override listener(next: SharedLogListener): SharedLogListener {
+    return this.#make(next);
+  }
+}
+
+/** Nodes with one other line in their settings. */
+class WithSettings extends NodeParts {
+  readonly #lines: readonly (readonly [pattern: RegExp, line: string])[];
+
+  constructor(...lines: readonly (readonly [RegExp, string])[]) {
+    super();
+    this.#lines = lines;
+  }
+
+  override settings(id: string): string {
+    return this.#lines.reduce(
+      (text, [pattern, line]) => text.replace(pattern, line),
+      super.settings(id),
+    );
+  }
+}
+
+/** Nodes that take each orderly end of a connection for an answer's. */
+class TakesEndsForWhole extends NodeParts {
+  override install(): () => void {
+    const calls = BackendCall.prototype;
+    // eslint-disable-next-line @typescript-eslint/unbound-method
+    const { onResponseError } = calls;
+    calls.onResponseError = function (this: BackendCall) {
+      this.onResponseEnd();
+    };
+    return () => {
+      calls.onResponseError = onResponseError;
+    };
+  }
+}
+
+class BelievesAnyRefusal extends SoakWire {
+  override readAnswer(status: number, headers: Headers): AnswerFacts {
+    const { requestId, ...facts } = super.readAnswer(status, headers);
+    return facts.notRun || requestId === undefined
+      ? facts
+      : { ...facts, requestId };
+  }
+}
+
+class ReadsNoIds extends SoakWire {
+  override readAnswer(status: number, headers: Headers): AnswerFacts {
+    const { notRun, isMisdirected, isAttested } = super.readAnswer(
+      status,
+      headers,
+    );
+    return { notRun, isMisdirected, isAttested };
+  }
+}
+
+class NeedsNoSeal extends SoakWire {
+  override readAnswer(status: number, headers: Headers): AnswerFacts {
+    return { ...super.readAnswer(status, headers), isAttested: true };
+  }
+}
+
+class TakesFailuresForRefusals extends SoakWire {
+  override readAnswer(status: number, headers: Headers): AnswerFacts {
+    const facts = super.readAnswer(status, headers);
+    return { ...facts, notRun: facts.notRun || status >= 500 };
+  }
+}
+
+class ResumesFromTheBeginning extends SoakWire {
+  override sendHeaders(raw: readonly string[], terms: SendTerms): string[] {
+    const headers = super.sendHeaders(raw, terms);
+    const after = headers.indexOf("x-after");
+    return after === -1 ? headers : headers.toSpliced(after, 2);
+  }
+}
+
+class RepeatsEverything extends PassingListener {
+  override configuration(configuration: RelayConfiguration): void {
+    const routes = configuration.routes.map((route): Route => ({
+      ...route,
+      repeatable: true,
+      resumable: route.streams,
+    }));
+    super.configuration({ ...configuration, routes });
+  }
+}
+
+class AddsSlots extends PassingListener {
+  override configuration(configuration: RelayConfiguration): void {
+    const services = configuration.services.map((service) =>
+      service.engine === undefined ? service : {
+        ...service,
+        engine: {
+          ...service.engine,
+          adapterSlots: service.engine.adapterSlots + 1,
+        },
+      }
+    );
+    super.configuration({ ...configuration, services });
+  }
+}
+
+class KeepsItsFirstRoutes extends PassingListener {
+  #first: RelayConfiguration | undefined;
+
+  override configuration(configuration: RelayConfiguration): void {
+    this.#first ??= configuration;
+    super.configuration({ ...this.#first, version: configuration.version });
+  }
+}
+
+class HearsNoVersions extends PassingListener {
+  override adapterVersion(): void {
+    // Versions that operators name are not checked then.
+  }
+}
+
+class HearsNoDepartures extends PassingListener {
+  override registryEntry(entry: RegistryEntry): void {
+    if (entry.kind === "gone") return;
+    super.registryEntry({
+      ...entry,
+      server: { ...entry.server, leaving: false },
+    });
+  }
+}
+
+/** Orders that each engine takes for those of its newest owner. */
+class OrdersWithAnyRight extends SoakControl {
+  protected override deliver(
+    engine: SoakEngine,
+    order: EngineOrder,
+  ): OrderResult {
+    const fence = fencingNumber(Number.MAX_SAFE_INTEGER);
+    return super.deliver(engine, { ...order, fence });
+  }
+}
+
+class ExpectsNoCount extends SoakControl {
+  protected override deliver(
+    engine: SoakEngine,
+    order: EngineOrder,
+  ): OrderResult {
+    const expectedOrders = engine.adapters.count;
+    return super.deliver(engine, { ...order, expectedOrders });
+  }
+}
+
+/** Nodes with other orders. */
+class WithControl extends NodeParts {
+  readonly #Control: typeof SoakControl;
+
+  constructor(Control: typeof SoakControl) {
+    super();
+    this.#Control = Control;
+  }
+
+  override control(
+    engines: ReadonlyMap<string, SoakEngine>,
+    delays: Draws,
+  ): SoakControl {
+    return new this.#Control(engines, delays);
+  }
+}
+
+/** Before the end by force, the node begins to stop after all. */
+const DEAF_MILLISECONDS = GRACE_SECONDS * 1_000 - 300;
+
+class HearsOfStopsLate extends RelayDaemon {
+  override async stop(): Promise<void> {
+    await sleep(DEAF_MILLISECONDS);
+    await super.stop();
+  }
+}
+
+class WithDeafDaemon extends NodeParts {
+  override daemon(
+    settings: RelaySettings,
+    edges: RelayEdges,
+    loggers: LoggerFactory,
+  ): RelayDaemon {
+    return new HearsOfStopsLate(settings, edges, loggers);
+  }
+}
+
+const LOST = ["no_request_is_lost", "a_whole_answer_is_passed_on"];
+const RUNS = ["at_most_once", "not_run_means_not_run", "attempts_are_bounded"];
+
+/** Deliberate faults of nodes, each of which the soak has to notice. */
+export const relayMutants: readonly RelayMutant[] = [
+  {
+    name: "pass an answer without its end as whole",
+    invariants: ["answer_is_whole"],
+    made: new TakesEndsForWhole(),
+  },
+  {
+    name: "take requests late at a stop",
+    invariants: LOST,
+    made: new WithDeafDaemon(),
+  },
+  {
+    name: "end a stop with a bare close",
+    invariants: LOST,
+    made: new WithSettings([/grace_seconds = .*/, "grace_seconds = 60"]),
+  },
+  {
+    name: "believe a refusal of another request",
+    invariants: RUNS,
+    made: new WithWire(() => new BelievesAnyRefusal()),
+  },
+  {
+    name: "order with an outdated right",
+    invariants: ["an_owner_that_was_followed_orders_no_more"],
+    made: new WithControl(OrdersWithAnyRight),
+  },
+  {
+    name: "order without expecting a count",
+    invariants: ["adapter_slots_are_never_exceeded"],
+    made: new WithControl(ExpectsNoCount),
+  },
+  {
+    name: "retry what may have run",
+    invariants: RUNS,
+    made: new WithListener((next) => new RepeatsEverything(next)),
+  },
+  {
+    name: "take a failure for a refusal",
+    invariants: RUNS,
+    made: new WithWire(() => new TakesFailuresForRefusals()),
+  },
+  {
+    name: "leave out the check of an answer's id",
+    invariants: ["own_answer_only"],
+    made: new WithWire(() => new ReadsNoIds()),
+  },
+  {
+    name: "pass a body that nothing attests",
+    invariants: ["own_answer_only"],
+    made: new WithWire(() => new NeedsNoSeal()),
+  },
+  {
+    name: "resume a stream from its beginning",
+    invariants: ["own_answer_only"],
+    made: new WithWire(() => new ResumesFromTheBeginning()),
+  },
+  {
+    name: "overfill an engine's slots",
+    invariants: ["adapter_slots_are_never_exceeded"],
+    made: new WithListener((next) => new AddsSlots(next)),
+  },
+  {
+    name: "leave out the check of the version",
+    invariants: ["own_answer_only"],
+    made: new WithListener((next) => new HearsNoVersions(next)),
+  },
+  {
+    name: "keep the routes of the first configuration",
+    invariants: ["configuration_is_in_force"],
+    made: new WithListener((next) => new KeepsItsFirstRoutes(next)),
+  },
+  {
+    name: "send to a server that leaves",
+    invariants: ["leaving_server_gets_no_new_work"],
+    made: new WithListener((next) => new HearsNoDepartures(next)),
+  },
+  {
+    name: "repeat beyond the allowance",
+    invariants: ["repeats_are_bounded"],
+    made: new WithSettings([/share = .*/, "share = 1"], [
+      /reserve = .*/,
+      "reserve = 1000",
+    ]),
+  },
+];
--- /dev/null
+++ b/packages/bench/src/soak/relay/relay_script.ts
@@ -0,0 +1,175 @@
+import { Draws } from "./draws.ts";
+import { REQUEST_KINDS, type RequestKind } from "./relay_record.ts";
+
+/** How large a soak's world is. */
+export const WORLD_SIZE = {
+  nodes: 3,
+  engines: 3,
+  plainServers: 3,
+  /** Adapters that fit on an engine. */
+  slots: 3,
+  adapters: 12,
+  callers: 4,
+} as const;
+
+/** A fault; nodes, engines and servers are numbers to be taken in turn. */
+export type RelayFault =
+  | { readonly kind: "store_down"; readonly lasts: number }
+  | {
+    readonly kind: "store_turns_away";
+    readonly node: number;
+    readonly lasts: number;
+  }
+  | { readonly kind: "store_forgets"; readonly lasts: number }
+  | {
+    readonly kind: "takeover";
+    readonly engine: number;
+    readonly node: number;
+    /** How long the store doesn't answer the owner before. */
+    readonly unseenFor?: number;
+  }
+  | {
+    readonly kind: "server_leaves" | "server_crashes";
+    readonly server: number;
+  }
+  | {
+    readonly kind: "orders_late";
+    readonly engine: number;
+    readonly lasts: number;
+  }
+  | { readonly kind: "stop" | "cut"; readonly node: number }
+  | { readonly kind: "version"; readonly adapter: number }
+  | { readonly kind: "route_moves" | "foreign_record" };
+
+/** A fault and its time, in milliseconds after the script's begin. */
+export interface PlannedFault {
+  readonly at: number;
+  readonly fault: RelayFault;
+}
+
+/** A request and its time, in milliseconds after the script's begin. */
+export interface PlannedCall {
+  readonly at: number;
+  readonly id: string;
+  readonly kind: RequestKind | "extra";
+  readonly adapter: number;
+  readonly node: number;
+  readonly caller: number;
+  readonly isKept: boolean;
+  /** How long the caller waits, where it says so, in milliseconds. */
+  readonly patience?: number;
+}
+
+/** All that a seed decides ahead. */
+export interface RelayScript {
+  readonly calls: readonly PlannedCall[];
+  readonly faults: readonly PlannedFault[];
+}
+
+/** Faults begin so long, and callers come a little longer, in milliseconds. */
+const FAULT_MILLISECONDS = 4_400;
+const CALL_MILLISECONDS = 9_800;
+const CALL_PAUSE_MILLISECONDS = 15;
+const FEWEST_FAULTS = 9;
+const MOST_FAULTS = 18;
+const FAULT_KINDS = [
+  "store_down",
+  "store_turns_away",
+  "store_turns_away",
+  "store_forgets",
+  "takeover",
+  "takeover",
+  "takeover",
+  "server_leaves",
+  "server_leaves",
+  "server_crashes",
+  "orders_late",
+  "orders_late",
+  "stop",
+  "cut",
+  "version",
+  "version",
+  "version",
+  "route_moves",
+  "foreign_record",
+] as const;
+
+/**
+ * Draws what happens in a run.
+ * @param seed The seed.
+ * @returns The script.
+ */
+export function drawScript(seed: number): RelayScript {
+  return { calls: drawCalls(seed), faults: drawFaults(seed) };
+}
+
+function drawCalls(seed: number): readonly PlannedCall[] {
+  const draws = new Draws(seed, "calls");
+  const calls: PlannedCall[] = [];
+  let at = 0;
+  while (at < CALL_MILLISECONDS) {
+    const isImpatient = draws.happens(0.2);
+    calls.push({
+      at,
+      id: `r${calls.length + 1}`,
+      kind: draws.happens(0.1) ? "extra" : draws.pick(REQUEST_KINDS),
+      adapter: drawAdapter(draws),
+      node: draws.between(0, WORLD_SIZE.nodes),
+      caller: draws.between(0, WORLD_SIZE.callers),
+      isKept: draws.happens(0.6),
+      ...(isImpatient ? { patience: draws.between(300, 1_200) } : {}),
+    });
+    at += draws.between(1, 2 * CALL_PAUSE_MILLISECONDS);
+  }
+  return calls;
+}
+
+function drawFaults(seed: number): readonly PlannedFault[] {
+  const draws = new Draws(seed, "faults");
+  const count = draws.between(FEWEST_FAULTS, MOST_FAULTS + 1);
+  const faults = Array.from({ length: count }, (): PlannedFault => ({
+    at: draws.between(0, FAULT_MILLISECONDS),
+    fault: drawFault(draws),
+  }));
+  return faults.toSorted((one, other) => one.at - other.at);
+}
+
+function drawFault(draws: Draws): RelayFault {
+  const kind = draws.pick(FAULT_KINDS);
+  const lasts = draws.between(200, 1_200);
+  const engine = draws.between(0, WORLD_SIZE.engines);
+  const node = draws.between(0, WORLD_SIZE.nodes);
+  switch (kind) {
+    case "store_down":
+    case "store_forgets":
+      return { kind, lasts };
+    case "store_turns_away":
+      return { kind, node, lasts };
+    case "takeover":
+      return draws.happens(0.7)
+        ? { kind, engine, node, unseenFor: 2 * lasts }
+        : { kind, engine, node };
+    case "server_leaves":
+    case "server_crashes":
+      return {
+        kind,
+        server: draws.between(0, WORLD_SIZE.engines + WORLD_SIZE.plainServers),
+      };
+    case "orders_late":
+      return { kind, engine, lasts };
+    case "stop":
+    case "cut":
+      return { kind, node };
+    case "version":
+      return { kind, adapter: drawAdapter(draws) };
+    case "route_moves":
+    case "foreign_record":
+      return { kind };
+  }
+}
+
+/** Low numbers are asked for more often, and stay on their engines. */
+function drawAdapter(draws: Draws): number {
+  const drawn = [0, 0, 0].map(() => draws.between(0, WORLD_SIZE.adapters));
+  return Math.min(...drawn);
+}
--- /dev/null
+++ b/packages/bench/src/soak/relay/relay_world.ts
@@ -0,0 +1,286 @@
+import {
+  type AdapterId,
+  adapterId,
+  backendServerId,
+  milliseconds,
+  nodeId,
+  serviceId,
+} from "@foxtailwind/core";
+import type { ClaimRecord, NodeRecord } from "@foxtailwind/node/relay";
+import type { StandInServer } from "../../relay/stand_in_server.ts";
+import { GRACE_SECONDS, type NodeParts } from "./node_parts.ts";
+import { RelayNode } from "./relay_node.ts";
+import { RelayRecord } from "./relay_record.ts";
+import { WORLD_SIZE } from "./relay_script.ts";
+import { ENGINES, PLAIN, soakConfiguration } from "./soak_configuration.ts";
+import { SoakEngine } from "./soak_engine.ts";
+import { PlainSoakServer, type SoakServer } from "./soak_server.ts";
+import { SoakStore } from "./soak_store.ts";
+
+/** A store that also tells which nodes have made themselves known. */
+class WorldStore extends SoakStore {
+  readonly nodes = new Map<string, NodeRecord>();
+
+  override appendNode(node: NodeRecord): void {
+    this.nodes.set(node.id, node);
+    super.appendNode(node);
+  }
+}
+
+/** Nodes, servers and the store of one run. */
+export class RelayWorld {
+  readonly record = new RelayRecord();
+  readonly store = new WorldStore();
+  readonly engines = new Map<string, SoakEngine>();
+  /** The servers that are there and stay. */
+  readonly servers: SoakServer[] = [];
+  /** One node in each place; another run of it after a stop. */
+  readonly nodes: RelayNode[] = [];
+  /** When servers said that they leave. */
+  readonly leftAt = new Map<string, number>();
+  /** When the newest version of an adapter was named. */
+  readonly namedAt = new Map<AdapterId, number>();
+  /** Whether the route that moves is there, and since when. */
+  extraRoute = { isThere: true, since: performance.now() };
+  readonly #seed: number;
+  readonly #made: NodeParts;
+  readonly #addresses = new Map<string, string>();
+  readonly #ending = new Set<Promise<void>>();
+  readonly #allServers: SoakServer[] = [];
+  #isOver = false;
+  #version = 1;
+  #runs = 0;
+
+  /**
+   * @param seed Decides what servers do.
+   * @param made What nodes are made of.
+   */
+  constructor(seed: number, made: NodeParts) {
+    this.#seed = seed;
+    this.#made = made;
+    this.store.configure(soakConfiguration(1, true));
+  }
+
+  /** Starts servers and nodes. */
+  async start(): Promise<void> {
+    for (let index = 0; index < WORLD_SIZE.engines; index += 1) {
+      await this.#startServer(true);
+    }
+    for (let index = 0; index < WORLD_SIZE.plainServers; index += 1) {
+      await this.#startServer(false);
+    }
+    for (let place = 0; place < WORLD_SIZE.nodes; place += 1) {
+      await this.#startNode(place);
+    }
+  }
+
+  /**
+   * Stops a node as planned, and starts it anew once it has ended.
+   * @param place Its place.
+   */
+  stopNode(place: number): void {
+    const node = this.nodes[place];
+    if (node?.isUp !== true) return;
+    this.#follow(async () => {
+      await node.stop(GRACE_SECONDS * 1_000);
+      await this.#startNode(place);
+    });
+  }
+
+  /**
+   * Cuts a node off at once, and starts it anew.
+   * @param place Its place.
+   */
+  cutNode(place: number): void {
+    const node = this.nodes[place];
+    if (node?.isUp !== true) return;
+    this.#follow(() => node.cut());
+    this.#follow(() => this.#startNode(place));
+  }
+
+  /**
+   * Lets a node reach the store, or not.
+   * @param node The node.
+   * @param isReachable Whether it does.
+   */
+  setReachable(node: RelayNode, isReachable: boolean): void {
+    if (node.record.cutAt !== undefined) return;
+    node.log.isReachable = isReachable;
+    const { outages } = node.record;
+    if (!isReachable) outages.push({ from: performance.now() });
+    else {
+      for (const outage of outages) outage.to ??= performance.now();
+    }
+  }
+
+  /**
+   * Lets a server say that it leaves, and another come; later it ends.
+   * @param server The server.
+   * @param stays How long it stays until it ends, in milliseconds.
+   */
+  leave(server: SoakServer, stays: number): void {
+    this.#forget(server);
+    this.leftAt.set(server.id, performance.now());
+    this.store.register({ ...this.#entryOf(server), leaving: true });
+    setTimeout(() => {
+      this.store.unregister(server.id);
+    }, stays);
+    this.#replace(server);
+  }
+
+  /**
+   * Ends a server at once; its entry stays a while, and another comes.
+   * @param server The server.
+   * @param entryStays How long its entry stays, in milliseconds.
+   */
+  crash(server: SoakServer, entryStays: number): void {
+    this.#forget(server);
+    server.crash();
+    this.engines.delete(server.id);
+    setTimeout(() => {
+      this.store.unregister(server.id);
+    }, entryStays);
+    this.#replace(server);
+  }
+
+  /**
+   * Takes entries out of the registry, and puts them back.
+   * @param lasts After how long, in milliseconds.
+   */
+  forgetServers(lasts: number): void {
+    const there = [...this.servers];
+    for (const server of there) this.store.unregister(server.id);
+    setTimeout(() => {
+      for (const server of there) {
+        if (!this.servers.includes(server)) continue;
+        this.store.register(this.#entryOf(server));
+      }
+    }, lasts);
+  }
+
+  /**
+   * Puts a claim of a node in the log, ahead of the node itself.
+   * @param engine The engine.
+   * @param place The node's place.
+   */
+  claimFor(engine: SoakServer, place: number): void {
+    const node = this.nodes[place];
+    const known = node && this.store.nodes.get(node.id);
+    if (node?.isUp !== true || known === undefined) return;
+    const claim: ClaimRecord = {
+      engine: backendServerId(engine.id),
+      owner: nodeId(known.id),
+      incarnation: known.incarnation,
+      wait: milliseconds(0),
+    };
+    this.store.appendClaims([claim]);
+  }
+
+  /**
+   * Names a newer version of an adapter.
+   * @param adapter The adapter.
+   */
+  nameVersion(adapter: AdapterId): void {
+    this.store.nameVersion(adapter, this.store.newestVersion(adapter) + 1);
+    this.namedAt.set(adapter, performance.now());
+  }
+
+  /** Adds the route that moves, or takes it away. */
+  moveRoute(): void {
+    this.#version += 1;
+    const isThere = !this.extraRoute.isThere;
+    this.store.configure(soakConfiguration(this.#version, isThere));
+    this.extraRoute = { isThere, since: performance.now() };
+  }
+
+  /** Writes a record that names no server to use. */
+  writeForeignRecord(): void {
+    this.store.register({
+      id: `stranger-${this.#runs}`,
+      service: serviceId("nowhere"),
+      address: "nothing at all",
+    });
+    this.store.unregister(`never-there-${this.#runs}`);
+  }
+
+  /** Stops all nodes at once, and ends everything. */
+  async stop(): Promise<void> {
+    this.#isOver = true;
+    for (const node of this.nodes) this.setReachable(node, true);
+    for (let place = 0; place < this.nodes.length; place += 1) {
+      this.stopNode(place);
+    }
+    while (this.#ending.size > 0) await Promise.all(this.#ending);
+    for (const server of this.#allServers) server.crash();
+  }
+
+  #follow(run: () => Promise<void>): void {
+    const ending = run().catch((error: unknown) => {
+      this.record.breaks("no_exception", String(error));
+    }).finally(() => {
+      this.#ending.delete(ending);
+    });
+    this.#ending.add(ending);
+  }
+
+  async #startNode(place: number): Promise<void> {
+    if (this.#isOver) return;
+    this.#runs += 1;
+    const node = new RelayNode(`node-${place + 1}`, this.#runs, {
+      seed: this.#seed,
+      store: this.store,
+      engines: this.engines,
+      made: this.#made,
+    });
+    this.record.nodeStarts += 1;
+    await node.start();
+    this.nodes[place] = node;
+  }
+
+  async #startServer(isEngine: boolean): Promise<void> {
+    const number = this.#allServers.length + 1;
+    const parts = { seed: this.#seed, record: this.record };
+    const server = isEngine
+      ? new SoakEngine(`engine-${number}`, ENGINES, {
+        ...parts,
+        slots: WORLD_SIZE.slots,
+        newestVersion: (adapter) => this.store.newestVersion(adapter),
+        claimPlace: (engine, owner) =>
+          this.store.claims.findLastIndex((claim) =>
+            claim.engine === engine && claim.owner === owner
+          ),
+      })
+      : new PlainSoakServer(`plain-${number}`, PLAIN, parts);
+    this.#allServers.push(server);
+    this.#addresses.set(server.id, await server.listen());
+    if (server instanceof SoakEngine) this.engines.set(server.id, server);
+    this.servers.push(server);
+    this.store.register(this.#entryOf(server));
+  }
+
+  #replace(server: SoakServer): void {
+    this.#follow(() => this.#startServer(server instanceof SoakEngine));
+  }
+
+  #forget(server: SoakServer): void {
+    this.servers.splice(this.servers.indexOf(server), 1);
+  }
+
+  #entryOf(server: SoakServer): StandInServer {
+    return {
+      id: server.id,
+      service: serviceId(server.service),
+      address: this.#addresses.get(server.id) ?? "",
+      isEngine: server instanceof SoakEngine,
+    };
+  }
+}
+
+/**
+ * Names an adapter of a soak.
+ * @param number Which one.
+ * @returns Its id.
+ */
+export function soakAdapter(number: number): AdapterId {
+  return adapterId(`a${number}`);
+}
--- /dev/null
+++ b/packages/bench/src/soak/relay/soak_engine.ts
@@ -0,0 +1,155 @@
+import { type AdapterId, adapterId } from "@foxtailwind/core";
+import type {
+  EngineOrder,
+  EngineReport,
+  OrderResult,
+} from "@foxtailwind/node/relay";
+import { OrderedAdapters } from "../../relay/ordered_adapters.ts";
+import { STAND_IN_MODEL } from "../../relay/stand_in_wire.ts";
+import type { RawRequest } from "./raw_server.ts";
+import { type Run, SoakServer, type SoakServerParts } from "./soak_server.ts";
+
+/** Tells the newest version that operators have named of an adapter. */
+export type NewestVersion = (adapter: AdapterId) => number;
+
+/** Tells the place in the log of an owner's newest claim to an engine. */
+export type ClaimPlace = (engine: string, owner: string) => number;
+
+/** What an engine works with. */
+export interface SoakEngineParts extends SoakServerParts {
+  readonly slots: number;
+  readonly newestVersion: NewestVersion;
+  readonly claimPlace: ClaimPlace;
+}
+
+/** How many events a stream has. */
+export const EVENTS = 5;
+
+/** An engine that streams events for adapters that it was ordered to hold. */
+export class SoakEngine extends SoakServer {
+  readonly adapters: OrderedAdapters;
+  /** Whether orders get no answer and are carried out late. */
+  isLate = false;
+  readonly #parts: SoakEngineParts;
+  readonly #versions = new Map<AdapterId, number>();
+  readonly #runs = new Map<AdapterId, number>();
+  #highestClaim = -1;
+
+  /**
+   * @param id Its id.
+   * @param service Its service.
+   * @param parts What it works with.
+   */
+  constructor(id: string, service: string, parts: SoakEngineParts) {
+    super(id, service, parts);
+    this.#parts = parts;
+    this.adapters = new OrderedAdapters(parts.slots);
+    this.adapters.models = [STAND_IN_MODEL];
+  }
+
+  /** What the engine says of itself. */
+  get report(): EngineReport {
+    const { report } = this.adapters;
+    const adapters = report.adapters.map((held) => ({
+      ...held,
+      version: this.#versionOf(held.adapter),
+    }));
+    return { ...report, adapters };
+  }
+
+  /**
+   * Takes an order.
+   * @param order The order.
+   * @returns What came of it.
+   */
+  carryOut(order: EngineOrder): OrderResult {
+    const { adapter } = order;
+    if (adapter === undefined) return this.#take(order);
+    const wanted = order.version ?? this.#parts.newestVersion(adapter);
+    const isNewer = order.kind === "load" &&
+      this.adapters.held.has(adapter) && this.#versionOf(adapter) < wanted;
+    if (isNewer && this.adapters.inUse.has(adapter)) {
+      return { kind: "conflict" };
+    }
+    if (isNewer) this.adapters.held.delete(adapter);
+    const result = this.#take(order);
+    if (result.kind === "accepted" && order.kind === "load") {
+      this.#versions.set(adapter, wanted);
+    } else if (isNewer) this.adapters.held.add(adapter);
+    return result;
+  }
+
+  protected override begin(request: RawRequest): Run | undefined {
+    const id = request.headers.get("x-id") ?? "";
+    const adapter = adapterId(request.headers.get("x-adapter") ?? "");
+    if (!this.adapters.held.has(adapter)) return undefined;
+    const version = this.#versionOf(adapter);
+    const expected = request.headers.get("x-version");
+    if (expected !== undefined && Number(expected) !== version) {
+      return undefined;
+    }
+    this.#use(adapter, 1);
+    const after = Number(request.headers.get("x-after") ?? 0);
+    return {
+      pieces: eventsOf(id, adapter, version).slice(after),
+      isStream: true,
+      version,
+      ended: () => {
+        this.#use(adapter, -1);
+      },
+    };
+  }
+
+  #take(order: EngineOrder): OrderResult {
+    const before = this.adapters.count;
+    const result = this.adapters.carryOut(order);
+    const { record, claimPlace } = this.#parts;
+    if (this.adapters.count > before) {
+      const place = claimPlace(this.id, order.owner);
+      if (place < this.#highestClaim) {
+        record.breaks(
+          "an_owner_that_was_followed_orders_no_more",
+          `${this.id} carried out an order of ${order.owner}, claim ${place}`,
+        );
+      }
+      this.#highestClaim = Math.max(this.#highestClaim, place);
+    }
+    if (this.adapters.isOverfull) {
+      record.breaks(
+        "adapter_slots_are_never_exceeded",
+        `${this.id} was ordered to hold ${this.adapters.held.size}`,
+      );
+    }
+    return result;
+  }
+
+  #versionOf(adapter: AdapterId): number {
+    return this.#versions.get(adapter) ?? 1;
+  }
+
+  #use(adapter: AdapterId, change: number): void {
+    const runs = (this.#runs.get(adapter) ?? 0) + change;
+    this.#runs.set(adapter, runs);
+    if (runs > 0) this.adapters.inUse.add(adapter);
+    else this.adapters.inUse.delete(adapter);
+  }
+}
+
+/**
+ * Writes the events of a stream.
+ * @param id The request's id.
+ * @param adapter The adapter that it runs on.
+ * @param version The adapter's version.
+ * @returns The events; the last one has the end mark.
+ */
+export function eventsOf(
+  id: string,
+  adapter: string,
+  version: number,
+): readonly string[] {
+  return Array.from({ length: EVENTS }, (_, index) => {
+    const mark = index + 1 === EVENTS ? " end" : "";
+    const data = `${id} ${adapter} ${version}${mark}`;
+    return `id: ${index + 1}\ndata: ${data}\n\n`;
+  });
+}
--- /dev/null
+++ b/packages/bench/src/soak/relay/soak_store.ts
@@ -0,0 +1,195 @@
+import type { AdapterId, Failure } from "@foxtailwind/core";
+import {
+  type ClaimRecord,
+  type NodeRecord,
+  SharedLogListener,
+} from "@foxtailwind/node/relay";
+import { err, type Result } from "neverthrow";
+import { StandInLog, StandInStore } from "../../relay/stand_in_log.ts";
+import { STAND_IN_MODEL } from "../../relay/stand_in_wire.ts";
+
+const FAILURE: Failure = {
+  reason: "unavailable",
+  step: "read_log",
+  peer: "store",
+  message: "The store does not answer this node.",
+  outcome: "not_run",
+};
+
+type News = (listener: SharedLogListener) => void;
+
+/** A store that also names adapters' versions. */
+export class SoakStore extends StandInStore {
+  readonly #versions = new Map<AdapterId, number>();
+  readonly #followers = new Set<StandInLog>();
+
+  /**
+   * Tells the newest version of an adapter.
+   * @param adapter The adapter.
+   * @returns The version; 1 before any was named.
+   */
+  newestVersion(adapter: AdapterId): number {
+    return this.#versions.get(adapter) ?? 1;
+  }
+
+  /**
+   * Names a version of an adapter.
+   * @param adapter The adapter.
+   * @param version The version.
+   */
+  nameVersion(adapter: AdapterId, version: number): void {
+    this.#versions.set(adapter, version);
+    for (const log of this.#followers) {
+      log.deliver((listener) => {
+        listener.adapterVersion(STAND_IN_MODEL, adapter, version);
+      });
+    }
+  }
+
+  override attach(log: StandInLog, listener: SharedLogListener): void {
+    super.attach(log, listener);
+    this.#followers.add(log);
+    for (const [adapter, version] of this.#versions) {
+      listener.adapterVersion(STAND_IN_MODEL, adapter, version);
+    }
+  }
+
+  override detach(log: StandInLog): void {
+    super.detach(log);
+    this.#followers.delete(log);
+  }
+}
+
+/** One node's view of the store, which may not answer this node. */
+export class SoakLog extends StandInLog {
+  readonly #unread: News[] = [];
+  #isReachable = true;
+  #begin: (() => void) | undefined;
+
+  /** Whether the store answers this node. */
+  get isReachable(): boolean {
+    return this.#isReachable;
+  }
+
+  set isReachable(isReachable: boolean) {
+    this.#isReachable = isReachable;
+    if (!isReachable) return;
+    this.#begin?.();
+    this.#begin = undefined;
+    for (const tell of this.#unread.splice(0)) super.deliver(tell);
+  }
+
+  override start(listener: SharedLogListener): void {
+    const begin = () => {
+      super.start(new ReachedListener(listener, this));
+    };
+    if (this.#isReachable) begin();
+    else this.#begin = begin;
+  }
+
+  override stop(): void {
+    this.#begin = undefined;
+    super.stop();
+  }
+
+  override claim(
+    claims: readonly ClaimRecord[],
+  ): Promise<Result<boolean, Failure>> {
+    return this.#isReachable
+      ? super.claim(claims)
+      : Promise.resolve(err(FAILURE));
+  }
+
+  override announce(node: NodeRecord): Promise<Result<boolean, Failure>> {
+    return this.#isReachable
+      ? super.announce(node)
+      : Promise.resolve(err(FAILURE));
+  }
+
+  override deliver(tell: News): void {
+    if (this.#isReachable) super.deliver(tell);
+    else this.#unread.push(tell);
+  }
+}
+
+/** Passes on what a log says. */
+export class PassingListener extends SharedLogListener {
+  protected readonly next: SharedLogListener;
+
+  /** @param next Takes it. */
+  constructor(next: SharedLogListener) {
+    super();
+    this.next = next;
+  }
+
+  override get isWatcher(): boolean {
+    return this.next.isWatcher;
+  }
+
+  override operatorsTold(
+    ...news: Parameters<SharedLogListener["operatorsTold"]>
+  ): void {
+    this.next.operatorsTold(...news);
+  }
+
+  override configuration(
+    ...news: Parameters<SharedLogListener["configuration"]>
+  ): void {
+    this.next.configuration(...news);
+  }
+
+  override adapterVersion(
+    ...news: Parameters<SharedLogListener["adapterVersion"]>
+  ): void {
+    this.next.adapterVersion(...news);
+  }
+
+  override registryEntry(
+    ...news: Parameters<SharedLogListener["registryEntry"]>
+  ): void {
+    this.next.registryEntry(...news);
+  }
+
+  override registryListed(
+    ...news: Parameters<SharedLogListener["registryListed"]>
+  ): void {
+    this.next.registryListed(...news);
+  }
+
+  override claim(...news: Parameters<SharedLogListener["claim"]>): void {
+    this.next.claim(...news);
+  }
+
+  override node(...news: Parameters<SharedLogListener["node"]>): void {
+    this.next.node(...news);
+  }
+
+  override recordSkipped(
+    ...news: Parameters<SharedLogListener["recordSkipped"]>
+  ): void {
+    this.next.recordSkipped(...news);
+  }
+
+  override reached(): void {
+    this.next.reached();
+  }
+
+  override failed(...news: Parameters<SharedLogListener["failed"]>): void {
+    this.next.failed(...news);
+  }
+}
+
+/** Tells failures instead while the store does not answer the node. */
+class ReachedListener extends PassingListener {
+  readonly #log: SoakLog;
+
+  constructor(next: SharedLogListener, log: SoakLog) {
+    super(next);
+    this.#log = log;
+  }
+
+  override reached(): void {
+    if (this.#log.isReachable) super.reached();
+    else this.next.failed(FAILURE);
+  }
+}
