--- a/packages/bench/tests/soak/relay_soak_test.ts
+++ b/packages/bench/tests/soak/relay_soak_test.ts
@@ -44,3 +44,16 @@
     }));
   });
 }
+
+// It replaces a method of all nodes in this process, so it goes alone.
+test.serial("the checks notice: pass an answer without its end as whole", async (t) => {
+  const mutant = relayMutants.find(({ name }) =>
+    name === "pass an answer without its end as whole"
+  );
+  const { record } = await runRelaySoak({
+    seed: MUTANT_SEED,
+    ...(mutant === undefined ? {} : { made: mutant.made }),
+  });
+  const noticed = record.broken.map(({ invariant }) => invariant);
+  t.true(noticed.includes("answer_is_whole"), noticed.join(", "));
+});
