--- a/packages/bench/src/soak/relay/answer_checks.ts
+++ b/packages/bench/src/soak/relay/answer_checks.ts
@@ -70,16 +70,17 @@
 
 /**
  * An answer without a length that its server ends in order is whole to whoever
- * sees it; and a node that is cut off ends a stream without one in order.
+ * sees it.
  */
 function mayEndOpen(
   call: CallRecord,
   end: CallEndRecord,
   sends: readonly SendRecord[],
 ): boolean {
-  const last = sends.at(-1);
-  const isEndedInOrder = last?.framing === "connection" && last.end === "close";
-  const isCutStream = end.framing === "connection" &&
-    call.adapter !== undefined && call.node.cutAt !== undefined;
-  return isEndedInOrder || isCutStream;
+  const isStream = call.adapter !== undefined;
+  // A stream may end at another server than its first one, whose seal it has.
+  const last = isStream
+    ? sends.at(-1)
+    : sends.findLast(({ server }) => server === end.seal);
+  return last?.framing === "connection" && last.end === "close";
 }
--- a/packages/bench/src/soak/relay/relay_record.ts
+++ b/packages/bench/src/soak/relay/relay_record.ts
@@ -30,6 +30,8 @@
   /** Left out where no head came. */
   readonly status?: number;
   readonly framing?: AnswerFraming;
+  /** The server whose answer it is, or whose began it. */
+  readonly seal?: string;
   /** Whether the answer ended as its framing says. */
   readonly isComplete: boolean;
   readonly body: string;
--- a/packages/bench/src/soak/relay/soak_caller.ts
+++ b/packages/bench/src/soak/relay/soak_caller.ts
@@ -54,7 +54,7 @@
 }
 
 /** What has been seen of an answer. */
-type CallSeen = Pick<CallEndRecord, "status" | "framing" | "body">;
+type CallSeen = Pick<CallEndRecord, "status" | "framing" | "seal" | "body">;
 
 const NOTHING = Buffer.alloc(0);
 
@@ -65,7 +65,12 @@
   let body = "";
   let wasReset = Promise.resolve(false);
   const framing = framingOf(answer);
-  const seen = () => ({ status: answer.statusCode ?? 0, framing, body });
+  const seen = () => ({
+    status: answer.statusCode ?? 0,
+    framing,
+    seal: String(answer.headers["x-seal"]),
+    body,
+  });
   answer.setEncoding("utf8");
   answer.on("data", (text: string) => {
     body += text;
--- a/packages/bench/src/soak/relay/soak_server.ts
+++ b/packages/bench/src/soak/relay/soak_server.ts
@@ -79,7 +79,7 @@
     repeatLastAnswer(socket);
     const answer = run === undefined
       ? refusal(MISDIRECTED, id)
-      : answerOf(made, id, run);
+      : answerOf(send, run);
     try {
       const end = await writeAnswer(socket, answer, {
         ...plan,
@@ -106,12 +106,11 @@
 const PAUSE_MILLISECONDS = 12;
 
 function answerOf(
-  made: SendRecord["made"],
-  id: string,
+  { made, request: id, server }: SendRecord,
   run: Run,
 ): PlannedAnswer {
   const type = run.isStream ? "text/event-stream" : "text/plain";
-  const headers = { "x-id": id, "x-seal": "s", "content-type": type };
+  const headers = { "x-id": id, "x-seal": server, "content-type": type };
   const { pieces } = run;
   const pause = PAUSE_MILLISECONDS;
   switch (made) {
--- a/packages/bench/tests/soak/relay_soak_test.ts
+++ b/packages/bench/tests/soak/relay_soak_test.ts
@@ -6,6 +6,7 @@
 import test from "ava";
 
 const SEEDS = [1, 2, 3];
+const AT_ONCE = 4;
 /** A seed in which each of these faults shows more often than once. */
 const MUTANT_SEED = 2;
 const MUTANTS = [
@@ -17,15 +18,34 @@
   "keep the routes of the first configuration",
   "send to a server that leaves",
 ];
-const AT_ONCE = 4;
 
-test.serial("no invariant breaks through drawn faults", async (t) => {
-  const runs = await Promise.all(SEEDS.map((seed) => runRelaySoak({ seed })));
-  for (const { record, orders } of runs) {
-    t.deepEqual(record.broken, []);
-    t.true(orders > 0);
-  }
-});
+/** Seeds that broke an invariant once, by what the relay did wrong. */
+const KNOWN_SEEDS: Readonly<Record<string, readonly number[]>> = {
+  "a short answer was called whole, and a late refusal believed": [4],
+  "a late refusal was believed of another request": [8, 9],
+  "an instruction ran twice after such a refusal": [5],
+  "a departure was left out behind a peer's word of it": [7],
+  "a request was lost, seen once": [11],
+};
+
+for (
+  const [what, seeds] of Object.entries({
+    "drawn faults": SEEDS,
+    "what broke before": Object.values(KNOWN_SEEDS).flat(),
+  })
+) {
+  test.serial(`no invariant breaks through ${what}`, async (t) => {
+    for (let from = 0; from < seeds.length; from += AT_ONCE) {
+      const runs = await Promise.all(
+        seeds.slice(from, from + AT_ONCE).map((seed) => runRelaySoak({ seed })),
+      );
+      for (const { record, orders } of runs) {
+        t.deepEqual(record.broken, []);
+        t.true(orders > 0);
+      }
+    }
+  });
+}
 
 for (let from = 0; from < MUTANTS.length; from += AT_ONCE) {
   const names = MUTANTS.slice(from, from + AT_ONCE);
