--- /dev/null
+++ b/packages/bench/src/soak/relay/faulty_wires.ts
@@ -0,0 +1,53 @@
+import type {
+  AnswerFacts,
+  RelayWire,
+  SendTerms,
+} from "@foxtailwind/node/relay";
+import { SoakWire } from "./node_parts.ts";
+
+type Headers = Parameters<RelayWire["readAnswer"]>[1];
+
+/** Reads a refusal of any request as one of this request. */
+export class BelievesAnyRefusal extends SoakWire {
+  override readAnswer(status: number, headers: Headers): AnswerFacts {
+    const { requestId, ...facts } = super.readAnswer(status, headers);
+    return facts.notRun || requestId === undefined
+      ? facts
+      : { ...facts, requestId };
+  }
+}
+
+/** Reads no answer's id. */
+export class ReadsNoIds extends SoakWire {
+  override readAnswer(status: number, headers: Headers): AnswerFacts {
+    const { notRun, isMisdirected, isAttested } = super.readAnswer(
+      status,
+      headers,
+    );
+    return { notRun, isMisdirected, isAttested };
+  }
+}
+
+/** Takes any body for attested. */
+export class NeedsNoSeal extends SoakWire {
+  override readAnswer(status: number, headers: Headers): AnswerFacts {
+    return { ...super.readAnswer(status, headers), isAttested: true };
+  }
+}
+
+/** Reads a failure as a refusal that has run nothing. */
+export class TakesFailuresForRefusals extends SoakWire {
+  override readAnswer(status: number, headers: Headers): AnswerFacts {
+    const facts = super.readAnswer(status, headers);
+    return { ...facts, notRun: facts.notRun || status >= 500 };
+  }
+}
+
+/** Leaves out where a stream goes on. */
+export class ResumesFromTheBeginning extends SoakWire {
+  override sendHeaders(raw: readonly string[], terms: SendTerms): string[] {
+    const headers = super.sendHeaders(raw, terms);
+    const after = headers.indexOf("x-after");
+    return after === -1 ? headers : headers.toSpliced(after, 2);
+  }
+}
--- a/packages/bench/src/soak/relay/relay_mutants.ts
+++ b/packages/bench/src/soak/relay/relay_mutants.ts
@@ -1,11 +1,5 @@
+import { fencingNumber } from "@foxtailwind/core";
 import {
-  fencingNumber,
-  type RegistryEntry,
-  type RelayConfiguration,
-  type Route,
-} from "@foxtailwind/core";
-import {
-  type AnswerFacts,
   BackendCall,
   type EngineOrder,
   type LoggerFactory,
@@ -14,19 +8,26 @@
   type RelayEdges,
   type RelaySettings,
   type RelayWire,
-  type SendTerms,
   type SharedLogListener,
 } from "@foxtailwind/node/relay";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Draws } from "./draws.ts";
 import {
-  GRACE_SECONDS,
-  NodeParts,
-  SoakControl,
-  SoakWire,
-} from "./node_parts.ts";
+  AddsSlots,
+  HearsNoDepartures,
+  HearsNoVersions,
+  KeepsItsFirstRoutes,
+  RepeatsEverything,
+} from "./faulty_listeners.ts";
+import {
+  BelievesAnyRefusal,
+  NeedsNoSeal,
+  ReadsNoIds,
+  ResumesFromTheBeginning,
+  TakesFailuresForRefusals,
+} from "./faulty_wires.ts";
+import { GRACE_SECONDS, NodeParts, SoakControl } from "./node_parts.ts";
 import type { SoakEngine } from "./soak_engine.ts";
-import { PassingListener } from "./soak_store.ts";
 
 /** One part of the nodes replaced by a wrong one. */
 export interface RelayMutant {
@@ -36,8 +37,6 @@
   readonly made: NodeParts;
 }
 
-type Headers = Parameters<RelayWire["readAnswer"]>[1];
-
 /** Nodes with another wire. */
 class WithWire extends NodeParts {
   readonly #make: () => RelayWire;
@@ -98,97 +97,6 @@
   }
 }
 
-class BelievesAnyRefusal extends SoakWire {
-  override readAnswer(status: number, headers: Headers): AnswerFacts {
-    const { requestId, ...facts } = super.readAnswer(status, headers);
-    return facts.notRun || requestId === undefined
-      ? facts
-      : { ...facts, requestId };
-  }
-}
-
-class ReadsNoIds extends SoakWire {
-  override readAnswer(status: number, headers: Headers): AnswerFacts {
-    const { notRun, isMisdirected, isAttested } = super.readAnswer(
-      status,
-      headers,
-    );
-    return { notRun, isMisdirected, isAttested };
-  }
-}
-
-class NeedsNoSeal extends SoakWire {
-  override readAnswer(status: number, headers: Headers): AnswerFacts {
-    return { ...super.readAnswer(status, headers), isAttested: true };
-  }
-}
-
-class TakesFailuresForRefusals extends SoakWire {
-  override readAnswer(status: number, headers: Headers): AnswerFacts {
-    const facts = super.readAnswer(status, headers);
-    return { ...facts, notRun: facts.notRun || status >= 500 };
-  }
-}
-
-class ResumesFromTheBeginning extends SoakWire {
-  override sendHeaders(raw: readonly string[], terms: SendTerms): string[] {
-    const headers = super.sendHeaders(raw, terms);
-    const after = headers.indexOf("x-after");
-    return after === -1 ? headers : headers.toSpliced(after, 2);
-  }
-}
-
-class RepeatsEverything extends PassingListener {
-  override configuration(configuration: RelayConfiguration): void {
-    const routes = configuration.routes.map((route): Route => ({
-      ...route,
-      repeatable: true,
-      resumable: route.streams,
-    }));
-    super.configuration({ ...configuration, routes });
-  }
-}
-
-class AddsSlots extends PassingListener {
-  override configuration(configuration: RelayConfiguration): void {
-    const services = configuration.services.map((service) =>
-      service.engine === undefined ? service : {
-        ...service,
-        engine: {
-          ...service.engine,
-          adapterSlots: service.engine.adapterSlots + 1,
-        },
-      }
-    );
-    super.configuration({ ...configuration, services });
-  }
-}
-
-class KeepsItsFirstRoutes extends PassingListener {
-  #first: RelayConfiguration | undefined;
-
-  override configuration(configuration: RelayConfiguration): void {
-    this.#first ??= configuration;
-    super.configuration({ ...this.#first, version: configuration.version });
-  }
-}
-
-class HearsNoVersions extends PassingListener {
-  override adapterVersion(): void {
-    // Versions that operators name are not checked then.
-  }
-}
-
-class HearsNoDepartures extends PassingListener {
-  override registryEntry(entry: RegistryEntry): void {
-    if (entry.kind === "gone") return;
-    super.registryEntry({
-      ...entry,
-      server: { ...entry.server, leaving: false },
-    });
-  }
-}
-
 /** Orders that each engine takes for those of its newest owner. */
 class OrdersWithAnyRight extends SoakControl {
   protected override deliver(
