Soak of the relay: servers start again under their id, in series and before they are read

Up to four restarts a seed, drawn apart, so that what seeds decided before stays; a restart clears holdings, counts and fences, as at the servers. Two mutants (an old start's adapters kept, an older start taken for a newer) show from outside only as refusals, and would need a check of progress: left.

--- a/packages/bench/src/soak/relay/raw_server.ts
+++ b/packages/bench/src/soak/relay/raw_server.ts
@@ -50,6 +50,11 @@
   /** Takes no more connections, and resets those that are there. */
   crash(): void {
     this.#server.close();
+    this.reset();
+  }
+
+  /** Resets the connections that are there, and takes others. */
+  reset(): void {
     for (const socket of this.#sockets) socket.resetAndDestroy();
   }
 }
--- a/packages/bench/src/soak/relay/relay_script.ts
+++ b/packages/bench/src/soak/relay/relay_script.ts
@@ -32,6 +32,12 @@
     readonly kind: "server_leaves" | "server_crashes";
     readonly server: number;
   }
+  | {
+    readonly kind: "server_restarts";
+    readonly server: number;
+    /** Until its first entry is there, in milliseconds. */
+    readonly unread: number;
+  }
   | {
     readonly kind: "orders_late";
     readonly engine: number;
@@ -72,6 +78,8 @@
 const CALL_PAUSE_MILLISECONDS = 15;
 const FEWEST_FAULTS = 9;
 const MOST_FAULTS = 18;
+const MOST_RESTARTS = 4;
+const MOST_UNREAD_MILLISECONDS = 900;
 const FAULT_KINDS = [
   "store_down",
   "store_turns_away",
@@ -100,7 +108,11 @@
  * @returns The script.
  */
 export function drawScript(seed: number): RelayScript {
-  return { calls: drawCalls(seed), faults: drawFaults(seed) };
+  const faults = [...drawFaults(seed), ...drawRestarts(seed)];
+  return {
+    calls: drawCalls(seed),
+    faults: faults.toSorted((one, other) => one.at - other.at),
+  };
 }
 
 function drawCalls(seed: number): readonly PlannedCall[] {
@@ -131,7 +143,21 @@
     at: draws.between(0, FAULT_MILLISECONDS),
     fault: drawFault(draws),
   }));
-  return faults.toSorted((one, other) => one.at - other.at);
+  return faults;
+}
+
+/** Some begin before the entry of the one before is there. */
+function drawRestarts(seed: number): readonly PlannedFault[] {
+  const draws = new Draws(seed, "restarts");
+  const count = draws.between(0, MOST_RESTARTS + 1);
+  return Array.from({ length: count }, (): PlannedFault => ({
+    at: draws.between(0, FAULT_MILLISECONDS),
+    fault: {
+      kind: "server_restarts",
+      server: draws.between(0, WORLD_SIZE.engines + WORLD_SIZE.plainServers),
+      unread: draws.between(0, MOST_UNREAD_MILLISECONDS),
+    },
+  }));
 }
 
 function drawFault(draws: Draws): RelayFault {
--- a/packages/bench/src/soak/relay/relay_soak.ts
+++ b/packages/bench/src/soak/relay/relay_soak.ts
@@ -199,6 +199,11 @@
         else world.crash(server, 400);
         break;
       }
+      case "server_restarts": {
+        const server = world.servers[fault.server % world.servers.length];
+        if (server !== undefined) world.restart(server, fault.unread);
+        break;
+      }
       case "orders_late":
         this.#delayOrders(fault.engine, fault.lasts);
         break;
--- a/packages/bench/src/soak/relay/relay_world.ts
+++ b/packages/bench/src/soak/relay/relay_world.ts
@@ -143,6 +143,19 @@
     this.#replace(server);
   }
 
+  /**
+   * Starts a server again under its id.
+   * @param server The server.
+   * @param unread After how long its first entry is there, in milliseconds.
+   */
+  restart(server: SoakServer, unread: number): void {
+    server.restart();
+    setTimeout(() => {
+      if (!this.servers.includes(server)) return;
+      this.store.register({ ...this.#entryOf(server), isEmpty: true });
+    }, unread);
+  }
+
   /**
    * Takes entries out of the registry, and puts them back.
    * @param lasts After how long, in milliseconds.
@@ -269,6 +282,7 @@
   #entryOf(server: SoakServer): StandInServer {
     return {
       id: server.id,
+      start: server.start,
       service: serviceId(server.service),
       address: this.#addresses.get(server.id) ?? "",
       isEngine: server instanceof SoakEngine,
--- a/packages/bench/src/soak/relay/soak_engine.ts
+++ b/packages/bench/src/soak/relay/soak_engine.ts
@@ -45,6 +45,16 @@
     this.#parts = parts;
     this.adapters = new OrderedAdapters(parts.slots);
     this.adapters.models = [STAND_IN_MODEL];
+    this.adapters.start = this.start;
+  }
+
+  /** Holds and knows nothing of before, not even who ordered it. */
+  override restart(): void {
+    super.restart();
+    this.adapters.restart(this.start);
+    this.#versions.clear();
+    this.#runs.clear();
+    this.#highestClaim = -1;
   }
 
   /** What the engine says of itself. */
@@ -89,13 +99,14 @@
       return undefined;
     }
     this.#use(adapter, 1);
+    const { start } = this;
     const after = Number(request.headers.get("x-after") ?? 0);
     return {
       pieces: eventsOf(id, adapter, version).slice(after),
       isStream: true,
       version,
       ended: () => {
-        this.#use(adapter, -1);
+        if (start === this.start) this.#use(adapter, -1);
       },
     };
   }
--- a/packages/bench/src/soak/relay/soak_server.ts
+++ b/packages/bench/src/soak/relay/soak_server.ts
@@ -1,3 +1,4 @@
+import { type ServerStart, serverStart } from "@foxtailwind/core";
 import type { Socket } from "node:net";
 import { planAnswer } from "./answer_plan.ts";
 import {
@@ -24,6 +25,7 @@
   readonly id: string;
   readonly service: string;
   readonly #parts: SoakServerParts;
+  #start = serverStart(1);
   readonly #server = new RawServer((request, socket) => {
     void this.#take(request, socket);
   });
@@ -47,11 +49,22 @@
     return this.#server.listen();
   }
 
+  /** Its present start. */
+  get start(): ServerStart {
+    return this.#start;
+  }
+
   /** Ends at once. */
   crash(): void {
     this.#server.crash();
   }
 
+  /** Ends at once, and starts again under its id and at its address. */
+  restart(): void {
+    this.#start = serverStart(this.#start + 1);
+    this.#server.reset();
+  }
+
   /**
    * Begins to run a request.
    * @param request The request.
