The soak's test no longer ends its process itself: that silenced a check

Cause: let ava's completion handler end the process, which hides that something of a stopped world may stay.

--- a/packages/bench/tests/soak/relay_soak_test.ts
+++ b/packages/bench/tests/soak/relay_soak_test.ts
@@ -3,13 +3,7 @@
  * go at once, as they wait for most of their time; groups one after the other.
  */
 import { relayMutants, runRelaySoak } from "@foxtailwind/bench";
-import test, { registerCompletionHandler } from "ava";
-import process from "node:process";
-
-// Something of a stopped world may keep this process alive: an open finding.
-registerCompletionHandler(() => {
-  process.exit();
-});
+import test from "ava";
 
 const SEEDS = [1, 2, 3];
 const AT_ONCE = 4;
