--- a/packages/node/src/relay/mod.ts
+++ b/packages/node/src/relay/mod.ts
@@ -8,6 +8,7 @@
 export { formatSettingsProblem } from "../settings/load_settings.ts";
 export type { SocketAddress } from "../settings/settings.ts";
 export * from "./bounded_writer.ts";
+export * from "./caller_answer.ts";
 export * from "./caller_wire.ts";
 export * from "./engine_control.ts";
 export * from "./operations_wire.ts";
