A connection whose own end is under way is let go instead of reset

Cause: Node refuses a reset between the request and the completion of a connection's own end, and then never closes the handle.

Change: one function that resets where there can be one and else closes; used by the relay and by the soak's servers.

--- a/packages/bench/src/soak/relay/answer_writer.ts
+++ b/packages/bench/src/soak/relay/answer_writer.ts
@@ -1,3 +1,4 @@
+import { resetConnection } from "@foxtailwind/edges";
 import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { AnswerPlan } from "./answer_plan.ts";
@@ -69,7 +70,7 @@
 }
 
 function breakOff(socket: Socket, plan: AnswerPlan): WritingEnd {
-  if (plan.break === "reset") socket.resetAndDestroy();
+  if (plan.break === "reset") resetConnection(socket);
   if (plan.break === "close") socket.destroy();
   return plan.break === "none" ? "silence" : plan.break;
 }
--- a/packages/bench/src/soak/relay/raw_server.ts
+++ b/packages/bench/src/soak/relay/raw_server.ts
@@ -1,3 +1,4 @@
+import { resetConnection } from "@foxtailwind/edges";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 
 /** The head of a request, as a raw server reads it. */
@@ -55,7 +56,7 @@
 
   /** Resets the connections that are there, and takes others. */
   reset(): void {
-    for (const socket of this.#sockets) socket.resetAndDestroy();
+    for (const socket of this.#sockets) resetConnection(socket);
   }
 }
 
--- a/packages/edges/src/http/connection_ends.ts
+++ b/packages/edges/src/http/connection_ends.ts
@@ -43,6 +43,18 @@
   };
 }
 
+/**
+ * Ends a connection at once, by a reset where there can be one. While an end of
+ * its own is under way Node refuses the reset and never closes the connection:
+ * it keeps its descriptor, tells no close, and holds the process at its exit.
+ * @param socket The connection.
+ */
+export function resetConnection(socket: Socket): void {
+  const isEnding = socket.writableEnded && !socket.writableFinished;
+  if (isEnding) socket.destroy();
+  else socket.resetAndDestroy();
+}
+
 /** Listeners of one event run one after the other, before the next tick. */
 function tellNow(hasFailed: Promise<boolean>): void {
   endingNow = hasFailed;
--- a/packages/node/src/relay/caller_answer.ts
+++ b/packages/node/src/relay/caller_answer.ts
@@ -1,3 +1,4 @@
+import { resetConnection } from "@foxtailwind/edges";
 import type { ServerResponse } from "node:http";
 import { connectionHeaders } from "../http/connection_headers.ts";
 import type { AnswerHead } from "./backend_call.ts";
@@ -87,7 +88,7 @@
   /** Ends an answer that can't be completed, so that it doesn't look whole. */
   breakOff(): void {
     const { socket } = this.#response;
-    if (this.#endsWithConnection && socket !== null) socket.resetAndDestroy();
+    if (this.#endsWithConnection && socket !== null) resetConnection(socket);
     else this.#response.destroy();
   }
 
