--- a/packages/node/tests/relay/relay_test.ts
+++ b/packages/node/tests/relay/relay_test.ts
@@ -143,7 +143,7 @@
   world.leave("s1");
   await serveOpenEnded(t, world, (socket) => socket.end("whole"), "s2");
   const { bytes } = await rawCall(world.port, "/once/a").ended;
-  t.true(bytes.endsWith("whole"));
+  t.true(bytes.endsWith("whole"), bytes);
 });
 
 test("a stopping node refuses late what may outlast it, and runs what can't", async (t) => {
