--- a/packages/node/tests/relay/engine_owners_test.ts
+++ b/packages/node/tests/relay/engine_owners_test.ts
@@ -9,14 +9,11 @@
 import {
   type ClaimRecord,
   EngineOwners,
-  Knowledge,
-  LoggerFactory,
-  ProcessClock,
   SharedLog,
 } from "@foxtailwind/node/relay";
 import test from "ava";
 import { ok, type Result } from "neverthrow";
-import { relaySettings } from "./helpers/relay_settings.ts";
+import { relayBase } from "./helpers/relay_base.ts";
 import { ScriptedEngine } from "./helpers/scripted_engine.ts";
 
 const ENGINE = backendServerId("engine");
@@ -47,13 +44,11 @@
 }
 
 test("a node that comes back claims its engine at once and says that it has it", async (t) => {
-  const settings = relaySettings();
-  const clock = new ProcessClock();
-  const logger = new LoggerFactory("json", 0, () => undefined).forPart(
-    "ownership",
-  );
-  const base = { settings, incarnation: "run-2", clock, logger };
-  const knowledge = new Knowledge(base);
+  const { base, knowledge } = relayBase({
+    part: "ownership",
+    incarnation: "run-2",
+  });
+  const { settings } = base;
   const log = new ClaimLog();
   let gained = 0;
   const owners = new EngineOwners({
--- a/packages/node/tests/relay/helpers/owned_engine.ts
+++ b/packages/node/tests/relay/helpers/owned_engine.ts
@@ -11,14 +11,8 @@
   serverStart,
   serviceId,
 } from "@foxtailwind/core";
-import {
-  EngineOwner,
-  Knowledge,
-  LoggerFactory,
-  ProcessClock,
-  type UseAnswer,
-} from "@foxtailwind/node/relay";
-import { relaySettings } from "./relay_settings.ts";
+import { EngineOwner, type UseAnswer } from "@foxtailwind/node/relay";
+import { relayBase } from "./relay_base.ts";
 import { ScriptedEngine } from "./scripted_engine.ts";
 
 /** The model of the owned engine. */
@@ -43,18 +37,8 @@
  * @returns The owner and what it works with.
  */
 export function setUpOwner(slots = 2, write?: (line: string) => void) {
-  const settings = relaySettings();
-  const clock = new ProcessClock();
-  const loggers = write === undefined
-    ? new LoggerFactory("json", 0, () => undefined)
-    : new LoggerFactory("json", 3, write);
-  const logger = loggers.forPart("ownership");
-  const knowledge = new Knowledge({
-    settings,
-    incarnation: "run-1",
-    clock,
-    logger,
-  });
+  const { base, knowledge } = relayBase({ part: "ownership", write });
+  const { settings, clock, logger } = base;
   const control = new ScriptedEngine(slots);
   control.adapters.models = [MODEL];
   control.adapters.start = SERVER.start;
--- a/packages/node/tests/relay/helpers/relay_world.ts
+++ b/packages/node/tests/relay/helpers/relay_world.ts
@@ -13,13 +13,12 @@
   logOffset,
   seconds,
 } from "@foxtailwind/core";
+import type { Knowledge } from "@foxtailwind/node/relay";
 import {
   AdapterGrants,
   BackendPools,
   EngineOwners,
   FrontServer,
-  Knowledge,
-  LoggerFactory,
   type PlannedStop,
   ProcessClock,
   type RelayParts,
@@ -37,6 +36,7 @@
 import type { AddressInfo } from "node:net";
 import { request as send } from "undici";
 import { ENGINES, ROUTES, SERVICE } from "./relay_routes.ts";
+import { relayBase } from "./relay_base.ts";
 import { relaySettings } from "./relay_settings.ts";
 import { ScriptedEngine } from "./scripted_engine.ts";
 
@@ -60,13 +60,13 @@
 
   /** @param write Takes the lines of the log, where a test reads them. */
   constructor(write?: (line: string) => void) {
-    const settings = relaySettings();
-    const clock = this.#clock;
-    const logger = write === undefined
-      ? new LoggerFactory("json", 0, () => undefined).forPart("callers")
-      : new LoggerFactory("json", 3, write).forPart("callers");
-    const base = { settings, incarnation: INCARNATION, clock, logger };
-    const knowledge = new Knowledge(base);
+    const { base, knowledge } = relayBase({
+      part: "callers",
+      incarnation: INCARNATION,
+      clock: this.#clock,
+      write,
+    });
+    const { settings, clock, logger } = base;
     const loads = new ServerLoads(settings.node.failure_domain);
     this.knowledge = knowledge;
     this.#owners = new EngineOwners({
--- a/packages/node/tests/relay/knowledge_message_test.ts
+++ b/packages/node/tests/relay/knowledge_message_test.ts
@@ -9,26 +9,19 @@
   serverStart,
   serviceId,
 } from "@foxtailwind/core";
+import type { Knowledge } from "@foxtailwind/node/relay";
 import {
-  Knowledge,
-  LoggerFactory,
   ProcessClock,
   readKnowledge,
   writeKnowledge,
 } from "@foxtailwind/node/relay";
 import test from "ava";
 import { nodeDigest } from "./helpers/node_digest.ts";
+import { relayBase } from "./helpers/relay_base.ts";
 import { relaySettings } from "./helpers/relay_settings.ts";
 
 function knowledge(): Knowledge {
-  return new Knowledge({
-    settings: relaySettings(),
-    incarnation: "run-1",
-    clock: new ProcessClock(),
-    logger: new LoggerFactory("json", 0, () => undefined).forPart(
-      "configuration",
-    ),
-  });
+  return relayBase({ part: "configuration" }).knowledge;
 }
 
 function configuration(version: number) {
--- a/packages/node/tests/relay/peer_grants_test.ts
+++ b/packages/node/tests/relay/peer_grants_test.ts
@@ -1,14 +1,7 @@
-import {
-  STAND_IN_ENGINES,
-  STAND_IN_MODEL,
-  standInConfiguration,
-  standInServer,
-} from "@foxtailwind/bench";
+import { STAND_IN_MODEL } from "@foxtailwind/bench";
 import {
   adapterId,
   backendServerId,
-  logOffset,
-  milliseconds,
   nodeId,
   serverStart,
 } from "@foxtailwind/core";
@@ -16,14 +9,11 @@
 import {
   AdapterGrants,
   EngineOwners,
-  Knowledge,
-  LoggerFactory,
   PeerExchange,
-  ProcessClock,
 } from "@foxtailwind/node/relay";
 import test, { type ExecutionContext } from "ava";
 import { setTimeout as sleep } from "node:timers/promises";
-import { relaySettings } from "./helpers/relay_settings.ts";
+import { knowEngine, registerEngine, relayBase } from "./helpers/relay_base.ts";
 import { ScriptedEngine } from "./helpers/scripted_engine.ts";
 
 const ENGINE = backendServerId("engine");
@@ -32,11 +22,8 @@
 
 /** A node that owns an engine, and a peer that asks it for uses. */
 async function setUp(t: ExecutionContext) {
-  const settings = relaySettings();
-  const clock = new ProcessClock();
-  const logger = new LoggerFactory("json", 0, () => undefined).forPart("peers");
-  const base = { settings, incarnation: "run-1", clock, logger };
-  const knowledge = new Knowledge(base);
+  const { base, knowledge } = relayBase({ part: "peers" });
+  const { settings, clock, logger } = base;
   const control = new ScriptedEngine(2);
   control.adapters.restart(FIRST);
   control.adapters.models = [STAND_IN_MODEL];
@@ -64,31 +51,16 @@
     channels.close();
     server.cutConnections();
   });
-  knowledge.configuration(standInConfiguration(1, 2));
   const register = (start: number, offset: number) => {
-    knowledge.registryEntry({
-      kind: "present",
-      offset: logOffset(offset),
-      server: standInServer({
-        id: ENGINE,
-        start: serverStart(start),
-        service: STAND_IN_ENGINES,
-        address: "127.0.0.1:1",
-        isEngine: true,
-      }),
-    });
+    registerEngine(knowledge, ENGINE, start, offset);
     owners.refresh();
   };
-  knowledge.claim({
-    engine: ENGINE,
-    owner: settings.node.id,
-    incarnation: "run-1",
-    wait: milliseconds(0),
-  }, logOffset(1));
-  register(FIRST, 1);
+  const { id: owner } = settings.node;
+  knowEngine(knowledge, { engine: ENGINE, start: FIRST, owner });
+  owners.refresh();
   const where = {
     engine: ENGINE,
-    owner: settings.node.id,
+    owner,
     address: `127.0.0.1:${port}`,
   };
   const grants = new AdapterGrants(nodeId("peer"), owners, channels);
--- a/packages/node/tests/relay/request_placer_test.ts
+++ b/packages/node/tests/relay/request_placer_test.ts
@@ -1,14 +1,7 @@
-import {
-  STAND_IN_ENGINES,
-  STAND_IN_MODEL,
-  standInConfiguration,
-  standInServer,
-} from "@foxtailwind/bench";
+import { STAND_IN_MODEL } from "@foxtailwind/bench";
 import {
   adapterId,
   backendServerId,
-  logOffset,
-  milliseconds,
   nodeId,
   serverStart,
 } from "@foxtailwind/core";
@@ -16,15 +9,12 @@
   AdapterGrants,
   EngineOwners,
   type GrantAnswer,
-  Knowledge,
-  LoggerFactory,
-  ProcessClock,
   RequestPlacer,
   ServerLoads,
 } from "@foxtailwind/node/relay";
 import test from "ava";
 import { nodeDigest } from "./helpers/node_digest.ts";
-import { relaySettings } from "./helpers/relay_settings.ts";
+import { knowEngine, registerEngine, relayBase } from "./helpers/relay_base.ts";
 import { ScriptedEngine } from "./helpers/scripted_engine.ts";
 
 const ENGINE = backendServerId("engine");
@@ -60,34 +50,12 @@
 
 /** A node that knows an engine at a start, and a peer that owns it. */
 function setUp(known: number, told: number) {
-  const settings = relaySettings();
-  const clock = new ProcessClock();
-  const logger = new LoggerFactory("json", 0, () => undefined).forPart(
-    "callers",
-  );
-  const base = { settings, incarnation: "run-1", clock, logger };
-  const knowledge = new Knowledge(base);
-  knowledge.configuration(standInConfiguration(1, 2));
+  const { base, knowledge } = relayBase({ part: "callers" });
+  const { settings, clock } = base;
   const register = (start: number, offset: number) => {
-    knowledge.registryEntry({
-      kind: "present",
-      offset: logOffset(offset),
-      server: standInServer({
-        id: ENGINE,
-        start: serverStart(start),
-        service: STAND_IN_ENGINES,
-        address: "127.0.0.1:1",
-        isEngine: true,
-      }),
-    });
+    registerEngine(knowledge, ENGINE, start, offset);
   };
-  register(known, 1);
-  knowledge.claim({
-    engine: ENGINE,
-    owner: OWNER,
-    incarnation: "run-1",
-    wait: milliseconds(0),
-  }, logOffset(1));
+  knowEngine(knowledge, { engine: ENGINE, start: known, owner: OWNER });
   const digest = nodeDigest(OWNER, {
     engines: [{
       engine: ENGINE,
