A refusal as not run that names no request is not believed

Servers name the request that they refuse; what names none may be a late repeat of an earlier refusal while the present request runs, on any connection. It now counts as the server's failure: a request that may not be repeated is not sent again on its word. The relay's test of a refusing server let it refuse without a name; it names the request now, as servers do, and its checks stay. answer_belief_test passes and is off the list of known failures.

--- a/packages/node/src/relay/answer_passage.ts
+++ b/packages/node/src/relay/answer_passage.ts
@@ -142,7 +142,9 @@
       this.#verdict = "foreign";
       return "cut";
     }
-    if (facts.notRun) {
+    // Servers name the request that they refuse. What names none may be a late
+    // repeat of an earlier refusal while this request runs.
+    if (facts.notRun && facts.requestId !== undefined) {
       this.#verdict = "not_run";
       this.#isMisdirected = facts.isMisdirected;
       return "drop";
--- a/packages/node/tests/relay/answer_belief_test.ts
+++ b/packages/node/tests/relay/answer_belief_test.ts
@@ -36,7 +36,7 @@
   t.notRegex(bytes, /^HTTP\/1\.1 503 /, "A 503 says that it has not run.");
 });
 
-test.failing("an answer that names no request does not say that this one has not run", async (t) => {
+test("an answer that names no request does not say that this one has not run", async (t) => {
   const world = await startWorld(t);
   let runs = 0;
   await serveRaw(t, world, "s1", (socket) => {
--- a/packages/node/tests/relay/relay_test.ts
+++ b/packages/node/tests/relay/relay_test.ts
@@ -269,7 +269,7 @@
         succeed(request, response, "well");
         return;
       }
-      response.writeHead(503, { "x-not-run": "1" });
+      response.writeHead(503, { "x-id": "r1", "x-not-run": "1" });
       response.end();
     });
   }
