Peers: a large system exchanges digests through hubs, and reads the log at a shared pace

Cause: each node called each other one every 300 ms and 5 ms after any news (61 nodes: 12,200 calls a second), each hearing looked at all engines again, each record of nodes or claims ended a waiting read of each node, and claims that met were tried again at once. Digests are numbered and carry their age. Reads of claims gather records (log_pace), nodes that are told of registry changes read it less often, claims that met another node's are spread. Up to 12 nodes all ask all as before.

--- a/packages/bench/src/relay/stand_in_log.ts
+++ b/packages/bench/src/relay/stand_in_log.ts
@@ -189,6 +189,11 @@
     return Promise.resolve(ok(true));
   }
 
+  /** Claims are told as they are added. */
+  override catchUp(): Promise<void> {
+    return Promise.resolve();
+  }
+
   override announce(node: NodeRecord): Promise<Result<boolean, Failure>> {
     if (!this.#store.isUp) return Promise.resolve(err(FAILURE));
     this.#store.appendNode(node);
--- a/packages/bench/src/soak/relay/soak_store.ts
+++ b/packages/bench/src/soak/relay/soak_store.ts
@@ -126,6 +126,10 @@
     return this.next.isWatcher;
   }
 
+  override get readers(): number {
+    return this.next.readers;
+  }
+
   override operatorsTold(
     ...news: Parameters<SharedLogListener["operatorsTold"]>
   ): void {
--- /dev/null
+++ b/packages/core/src/relay/exchange_partners.ts
@@ -0,0 +1,82 @@
+import {
+  type FailureDomainId,
+  type NodeId,
+  rendezvousOrder,
+} from "../shared/mod.ts";
+
+/** A node that may be asked what it knows of itself and of others. */
+export interface ExchangeNode {
+  readonly id: NodeId;
+  readonly failureDomain: FailureDomainId;
+}
+
+/** Whom a node asks, and for what. */
+export interface ExchangePartners {
+  /** The nodes that are asked in each period. */
+  readonly partners: readonly NodeId[];
+  /** Whether they are asked of other nodes, too, and not of themselves alone. */
+  readonly isRelayed: boolean;
+}
+
+/**
+ * Up to so many nodes all ask all. Each node then makes 37 calls a second at
+ * 300 ms a period, which takes about 1% of a core at 0.25 ms a call; the number
+ * of calls grows with the square of the nodes, and 61 nodes would make 12,200.
+ */
+const MOST_WITHOUT_HUBS = 12;
+/**
+ * So many nodes of each failure domain pass on what they hear. One of them
+ * may be lost with another one stopping, and a third still answers.
+ */
+const HUBS_A_DOMAIN = 3;
+
+/**
+ * Chooses whom a node asks for the digests of all nodes, so that the calls
+ * grow with the nodes and not with their square: in a large system each
+ * failure domain has a few hubs, each node asks one hub of its own domain, and
+ * hubs ask the others of their domain and one of each other domain. News reach
+ * all in five periods at most. At 61 nodes in three domains that is 300 calls a
+ * second in all.
+ * @param self The node that asks.
+ * @param others The nodes that are there, or may be.
+ * @returns The nodes to ask.
+ */
+export function exchangePartners(
+  self: ExchangeNode,
+  others: readonly ExchangeNode[],
+): ExchangePartners {
+  if (others.length < MOST_WITHOUT_HUBS) {
+    return { partners: others.map(({ id }) => id), isRelayed: false };
+  }
+  const hubs = hubsByDomain([self, ...others]);
+  const near = hubs.get(self.failureDomain) ?? [];
+  const isHub = near.includes(self.id);
+  if (!isHub) return { partners: firstFor(self.id, near), isRelayed: true };
+  const partners = [...hubs].flatMap(([domain, ids]) =>
+    domain === self.failureDomain
+      ? ids.filter((id) => id !== self.id)
+      : firstFor(self.id, ids)
+  );
+  return { partners, isRelayed: true };
+}
+
+/** The first nodes of each failure domain by id. */
+function hubsByDomain(
+  nodes: readonly ExchangeNode[],
+): ReadonlyMap<FailureDomainId, readonly NodeId[]> {
+  const domains = new Map<FailureDomainId, NodeId[]>();
+  for (const { id, failureDomain } of nodes) {
+    const ids = domains.get(failureDomain) ?? [];
+    ids.push(id);
+    domains.set(failureDomain, ids);
+  }
+  for (const [domain, ids] of domains) {
+    domains.set(domain, ids.toSorted().slice(0, HUBS_A_DOMAIN));
+  }
+  return domains;
+}
+
+/** The hub that a node asks among some: nodes spread over them. */
+function firstFor(node: NodeId, hubs: readonly NodeId[]): readonly NodeId[] {
+  return rendezvousOrder(node, hubs).slice(0, 1);
+}
--- /dev/null
+++ b/packages/core/src/relay/log_pace.ts
@@ -0,0 +1,35 @@
+import { type Duration, milliseconds } from "../shared/mod.ts";
+
+/** Up to so many nodes read the log as often as each of them would alone. */
+const FEW_READERS = 12;
+/**
+ * For each further reader, a node waits so many milliseconds for more records
+ * before it reads again. As 61 nodes start, each writes a record, and each
+ * record would end a waiting read of each node: 3,700 reads, and 600 with
+ * 196 ms of pause. It stays below the 250 ms in which nodes look at claims.
+ */
+const GATHERING_PER_READER = 4;
+
+/**
+ * Tells how long a node that has read records of all nodes waits before it
+ * reads on, so that the reads in a second don't grow with the square of the
+ * nodes.
+ * @param readers How many nodes read the log.
+ * @returns The pause; none in a small system.
+ */
+export function gatheringPause(readers: number): Duration {
+  return milliseconds(
+    GATHERING_PER_READER * Math.max(0, readers - FEW_READERS),
+  );
+}
+
+/**
+ * Stretches the time between two reads of a node that is told by others of
+ * what it has not read, so that all nodes together read as often as a few do.
+ * @param pause The time in a small system.
+ * @param readers How many nodes read the log.
+ * @returns The time.
+ */
+export function sharedPause(pause: Duration, readers: number): Duration {
+  return milliseconds(pause * Math.max(1, readers / FEW_READERS));
+}
--- a/packages/core/src/relay/server_registry.ts
+++ b/packages/core/src/relay/server_registry.ts
@@ -6,6 +6,7 @@
   type Instant,
   isOtherStart,
   type LogOffset,
+  logOffset,
   milliseconds,
   type ModelId,
   type ServerStart,
@@ -102,12 +103,30 @@
   #disturbedAt: Instant | undefined;
   #removals: Instant[] = [];
   #revision = 0;
+  #changedAt = logOffset(0);
 
   /** Grows with each change of what {@link all} gives. */
   get revision(): number {
     return this.#revision;
   }
 
+  /**
+   * The offset of the last change that concerns who may be sent what: a server
+   * came, left, is leaving or has started again. What engines hold is told by
+   * their owners sooner than by the log.
+   */
+  get changedAt(): LogOffset {
+    return this.#changedAt;
+  }
+
+  /**
+   * Takes note that all changes up to an offset are known.
+   * @param offset The offset.
+   */
+  toldUntil(offset: LogOffset): void {
+    if (offset > this.#changedAt) this.#changedAt = offset;
+  }
+
   /** The servers that are there. */
   get all(): readonly RegisteredServer[] {
     return [...this.#known.values()].map((known) => known.server);
@@ -228,6 +247,10 @@
       ...(start === undefined ? {} : { start }),
       leaving: this.#left.has(key),
     };
+    const before = this.#known.get(id)?.server;
+    if (before === undefined || !isSameToCallers(before, server)) {
+      this.toldUntil(offset);
+    }
     this.#gone.delete(id);
     this.#known.set(id, { offset, server });
     this.#revision += 1;
@@ -276,6 +299,7 @@
 
   #drop(id: BackendServerId, offset: LogOffset): void {
     if (this.#known.delete(id)) this.#revision += 1;
+    this.toldUntil(offset);
     this.#gone.delete(id);
     this.#gone.set(id, offset);
     for (const oldest of this.#gone.keys()) {
@@ -289,3 +313,14 @@
       elapsed(this.#disturbedAt, now) < LAPSE_TIME;
   }
 }
+
+/** Whether requests go to a server as they did, by two descriptions of it. */
+function isSameToCallers(
+  one: RegisteredServer,
+  other: RegisteredServer,
+): boolean {
+  return one.start === other.start && one.service === other.service &&
+    one.address === other.address && one.leaving === other.leaving &&
+    one.slots === other.slots &&
+    one.models.length === other.models.length;
+}
--- /dev/null
+++ b/packages/core/tests/relay/log_pace_test.ts
@@ -0,0 +1,24 @@
+import { gatheringPause, milliseconds, sharedPause } from "@foxtailwind/core";
+import test from "ava";
+
+test("a few readers read as each of them would alone", (t) => {
+  t.is(gatheringPause(9), milliseconds(0));
+  t.is(sharedPause(milliseconds(650), 9), milliseconds(650));
+});
+
+/** Reads of all readers while each of them writes a record in this time. */
+function readsOfAStart(readers: number, duration: number): number {
+  const pause = gatheringPause(readers);
+  const recordsApart = duration / readers;
+  return readers * Math.ceil(duration / Math.max(pause, recordsApart));
+}
+
+test("61 nodes that start within a second and a half read a sixth of what they read without a pause", (t) => {
+  const withoutPause = 61 * 61;
+  t.true(readsOfAStart(61, 1_500) < withoutPause / 6);
+});
+
+test("many readers together read as often as twelve", (t) => {
+  const readsASecond = 61 * 1_000 / sharedPause(milliseconds(650), 61);
+  t.true(Math.abs(readsASecond - 12 * 1_000 / 650) < 0.1);
+});
--- a/packages/node/src/relay/engine_owners.ts
+++ b/packages/node/src/relay/engine_owners.ts
@@ -1,13 +1,17 @@
 import {
   type BackendServerId,
+  type Failure,
   type Instant,
   LateOrders,
+  later,
+  milliseconds,
   type NodeId,
   nodeId,
 } from "@foxtailwind/core";
 import type { EngineDigest } from "@foxtailwind/protocol";
 import { EngineOwner } from "./engine_owner.ts";
 import type { EngineOwnerParts } from "./engine_owner_parts.ts";
+import type { Result } from "neverthrow";
 import type { ClaimRecord, SharedLog } from "./shared_log.ts";
 
 /** What owners need besides an engine. */
@@ -23,6 +27,13 @@
 
 /** A node claims engines only after it has listened to its peers so long. */
 const LISTENING_MILLISECONDS = 1_000;
+/**
+ * Where another node's claim came first, a node waits for a part of so many
+ * milliseconds for each node before it claims again: a claim takes about
+ * 10 ms, so that of nodes that all wait, one after the other finds the log as
+ * it has read it.
+ */
+const CLAIM_SPACING = 10;
 
 /** The engines that this node owns, and the claims that it adds. */
 export class EngineOwners {
@@ -35,6 +46,8 @@
   readonly #lateOrders = new Map<BackendServerId, LateOrders>();
   readonly #startedAt: Instant;
   #isClaiming = false;
+  /** Before it, claims would most likely meet those of other nodes again. */
+  #claimsFrom: Instant | undefined;
 
   /** @param parts What owners work with. */
   constructor(parts: EngineOwnersParts) {
@@ -104,14 +117,17 @@
     const { knowledge, clock, log, logger } = this.#parts;
     const now = clock.now();
     if (this.#isClaiming || !knowledge.isInContact(now)) return;
-    const left = knowledge.peers.left(now);
-    const wanted = this.#wanted(now, left);
-    if (wanted.length === 0) return;
+    if (this.#claimsFrom !== undefined && now < this.#claimsFrom) return;
+    if (this.#wanted(now).length === 0) return;
     this.#isClaiming = true;
-    const claims = wanted.map((engine) => this.#record(engine, left));
-    const added = await log.claim(claims);
+    await log.catchUp();
+    const added = await this.#addClaims(clock.now());
     this.#isClaiming = false;
-    if (added.isErr()) {
+    if (added?.isOk() === true && !added.value) {
+      const spread = CLAIM_SPACING * knowledge.readers * Math.random();
+      this.#claimsFrom = later(clock.now(), milliseconds(spread));
+    }
+    if (added?.isErr() === true) {
       logger.warn("Claims got no answer.", {
         step: added.error.step,
         peer: added.error.peer,
@@ -120,11 +136,19 @@
     }
   }
 
-  #wanted(
+  async #addClaims(
     now: Instant,
-    left: ReadonlySet<NodeId>,
-  ): readonly BackendServerId[] {
+  ): Promise<Result<boolean, Failure> | undefined> {
+    const { knowledge, log } = this.#parts;
+    const left = knowledge.peers.left(now);
+    const claims = this.#wanted(now)
+      .map((engine) => this.#record(engine, left));
+    return claims.length === 0 ? undefined : await log.claim(claims);
+  }
+
+  #wanted(now: Instant): readonly BackendServerId[] {
     const { knowledge, settings } = this.#parts;
+    const left = knowledge.peers.left(now);
     const engines = knowledge.engines.map((engine) => engine.id);
     if (now - this.#startedAt < LISTENING_MILLISECONDS) {
       return knowledge.claims.abandoned(engines);
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -124,6 +124,10 @@
     return before.length < WATCHERS;
   }
 
+  override get readers(): number {
+    return this.peers.contacts(this.#parts.clock.now()).length + 1;
+  }
+
   override configuration(configuration: RelayConfiguration): void {
     const known = this.#routes?.configuration.version ?? -1;
     if (configuration.version <= known) return;
--- a/packages/node/src/relay/knowledge_fetch.ts
+++ b/packages/node/src/relay/knowledge_fetch.ts
@@ -63,9 +63,10 @@
   }
 
   /**
-   * Asks a peer that has read more of the operators' records, unless this
-   * node reads them itself in a moment: its own read may wait on a connection
-   * that has fallen silent, or the store may turn this node away.
+   * Asks a peer that knows of more changes, unless this node reads them itself
+   * in a moment: its own read may wait on a connection that has fallen silent,
+   * or the store may turn this node away; in a large system few nodes read the
+   * registry often.
    */
   askAhead(): void {
     if (this.#isStopped || this.#isAskingAhead) return;
@@ -88,11 +89,12 @@
     clearTimeout(this.#behindTimer);
   }
 
-  /** The peers that have read more of the operators' records. */
+  /** The peers that know of more changes. */
   #ahead(): readonly NodeDigest[] {
     const { knowledge, clock } = this.#parts;
     return knowledge.peers.alive(clock.now()).filter((peer) =>
-      peer.operatorsEnd > knowledge.operatorsEnd
+      peer.operatorsEnd > knowledge.operatorsEnd ||
+      peer.registryEnd > knowledge.registry.changedAt
     );
   }
 
--- a/packages/node/src/relay/knowledge_message.ts
+++ b/packages/node/src/relay/knowledge_message.ts
@@ -40,6 +40,7 @@
     registry: JSON.stringify(knowledge.registry.entries.map(storeEntry)),
     versions: JSON.stringify(knowledge.versions.all),
     operatorsEnd: knowledge.operatorsEnd,
+    registryEnd: knowledge.registry.changedAt,
   };
 }
 
@@ -67,6 +68,7 @@
     knowledge.adapterVersion(modelId(model), adapterId(adapter), version);
   }
   knowledge.operatorsTold(logOffset(message.operatorsEnd));
+  knowledge.registry.toldUntil(logOffset(message.registryEnd));
 }
 
 function storeEntry(entry: RegistryEntry): StoredEntry {
--- a/packages/node/src/relay/node_presence.ts
+++ b/packages/node/src/relay/node_presence.ts
@@ -1,4 +1,9 @@
-import { elapsed, type Instant, milliseconds } from "@foxtailwind/core";
+import {
+  elapsed,
+  failureDomainId,
+  type Instant,
+  milliseconds,
+} from "@foxtailwind/core";
 import type { EngineDigest, NodeDigest } from "@foxtailwind/protocol";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { Knowledge } from "./knowledge.ts";
@@ -64,22 +69,25 @@
       id: settings.node.id,
       incarnation,
       address: `${peers.host}:${this.#ports?.peers ?? peers.port}`,
+      failureDomain: failureDomainId(settings.node.failure_domain),
     };
   }
 
   /** What other nodes are told of this one. */
   get digest(): NodeDigest {
-    const { id, incarnation, address } = this.record;
+    const { id, incarnation, address, failureDomain } = this.record;
     return {
       node: id,
       incarnation,
       address,
       callerAddress: this.callerAddress,
-      failureDomain: this.#parts.settings.node.failure_domain,
+      failureDomain,
       isReady: this.isReady,
       isLeaving: this.isLeaving,
       engines: [...this.#parts.engines()],
       operatorsEnd: this.#parts.knowledge.operatorsEnd,
+      registryEnd: this.#parts.knowledge.registry.changedAt,
+      sequence: Math.floor(this.#parts.clock.now()),
     };
   }
 
--- a/packages/node/src/relay/peer_exchange.ts
+++ b/packages/node/src/relay/peer_exchange.ts
@@ -1,9 +1,19 @@
-import { backendServerId } from "@foxtailwind/core";
+import {
+  backendServerId,
+  elapsed,
+  type ExchangeNode,
+  exchangePartners,
+  type Instant,
+  milliseconds,
+} from "@foxtailwind/core";
 import {
   type AdapterGrant,
   type AdapterUse,
+  type AgedDigest,
   type EngineMiss,
   type EngineMissNoted,
+  type ExchangeAnswer,
+  type ExchangeQuestion,
   type Knowledge as KnowledgeMessage,
   type KnowledgeRequest,
   type NodeDigest,
@@ -26,6 +36,7 @@
 import type { Knowledge } from "./knowledge.ts";
 import { KnowledgeFetch } from "./knowledge_fetch.ts";
 import { writeKnowledge } from "./knowledge_message.ts";
+import type { NodeRecord } from "./shared_log.ts";
 
 /** Between two exchanges with each peer, in milliseconds. */
 const EXCHANGE_PERIOD = 300;
@@ -33,9 +44,12 @@
 const GATHERING_TIME = 5;
 /** After so many milliseconds, an exchange counts as unanswered. */
 const EXCHANGE_LIMIT = 500;
+/** So long, a hub that has not answered is passed over for another one. */
+const FAILURE_MEMORY = milliseconds(2_000);
 
 /** What exchanges work with. */
 export interface PeerExchangeParts {
+  readonly self: ExchangeNode;
   readonly knowledge: Knowledge;
   readonly owners: EngineOwners;
   readonly channels: PeerChannels;
@@ -49,6 +63,8 @@
 export class PeerExchange {
   readonly #parts: PeerExchangeParts;
   readonly #pending = new Set<string>();
+  /** When a node at an address last did not answer. */
+  readonly #failedAt = new Map<string, Instant>();
   readonly #fetch: KnowledgeFetch;
   #timer: NodeJS.Timeout | undefined;
   #newsTimer: NodeJS.Timeout | undefined;
@@ -79,11 +95,10 @@
           answer(null, {});
         },
         exchange: (
-          call: ServerUnaryCall<NodeDigest, NodeDigest>,
-          answer: sendUnaryData<NodeDigest>,
+          call: ServerUnaryCall<ExchangeQuestion, ExchangeAnswer>,
+          answer: sendUnaryData<ExchangeAnswer>,
         ) => {
-          this.#hear(call.request);
-          answer(null, this.#parts.digest());
+          answer(null, this.#answer(call.request));
         },
         fetchKnowledge: (
           call: ServerUnaryCall<KnowledgeRequest, KnowledgeMessage>,
@@ -106,19 +121,24 @@
     }, EXCHANGE_PERIOD);
   }
 
-  /** Exchanges with all peers now. */
+  /** Exchanges with this node's partners now. */
   exchange(): void {
     const { knowledge, clock, channels } = this.#parts;
+    const { peers } = knowledge;
     const now = clock.now();
-    channels.retain(knowledge.peers.addresses);
-    const digest = this.#parts.digest();
-    for (const contact of knowledge.peers.contacts(now)) {
-      this.#exchangeWith(contact.address, digest);
-    }
+    channels.retain(peers.addresses);
+    const own = this.#parts.digest();
+    const { partners, isRelayed } = this.#partners(now);
+    const question: ExchangeQuestion = {
+      own,
+      known: isRelayed ? [...peers.known] : [],
+      wantsOthers: isRelayed,
+    };
+    for (const { address } of partners) this.#exchangeWith(address, question);
     this.#fetch.askWithoutLog(now);
   }
 
-  /** Exchanges with all peers ahead of time, since there is news. */
+  /** Exchanges with partners ahead of time, since there is news. */
   exchangeSoon(): void {
     this.#newsTimer ??= setTimeout(() => {
       this.#newsTimer = undefined;
@@ -133,24 +153,73 @@
     this.#fetch.stop();
   }
 
-  #exchangeWith(address: string, digest: NodeDigest): void {
+  /** Whom to ask now; nodes that have just not answered are left out. */
+  #partners(
+    now: Instant,
+  ): { readonly partners: readonly NodeRecord[]; readonly isRelayed: boolean } {
+    const { knowledge, self } = this.#parts;
+    const contacts = knowledge.peers.contacts(now);
+    const byId = new Map(contacts.map((contact) => [contact.id, contact]));
+    const reachable = knowledge.peers.candidates(now).filter(({ address }) =>
+      !this.#hasFailed(now, address)
+    );
+    const { partners, isRelayed } = exchangePartners(self, reachable);
+    // While few are known, all that may be there are asked.
+    if (!isRelayed) return { partners: contacts, isRelayed };
+    const records = partners.flatMap((id) => byId.get(id) ?? []);
+    return { partners: records, isRelayed };
+  }
+
+  #hasFailed(now: Instant, address: string): boolean {
+    const failedAt = this.#failedAt.get(address);
+    return failedAt !== undefined && elapsed(failedAt, now) < FAILURE_MEMORY;
+  }
+
+  #exchangeWith(address: string, question: ExchangeQuestion): void {
     if (this.#pending.has(address)) return;
     this.#pending.add(address);
     this.#client(address).exchange(
-      digest,
+      question,
       new Metadata(),
       { deadline: Date.now() + EXCHANGE_LIMIT },
-      (error, answer: NodeDigest | undefined) => {
+      (error, answer: ExchangeAnswer | undefined) => {
         this.#pending.delete(address);
-        if (error === null && answer !== undefined) this.#hear(answer);
+        if (error !== null || answer === undefined) {
+          this.#failedAt.set(address, this.#parts.clock.now());
+          return;
+        }
+        this.#failedAt.delete(address);
+        this.#hear(answer.digests);
       },
     );
   }
 
-  #hear(digest: NodeDigest): void {
+  #answer({ own, known, wantsOthers }: ExchangeQuestion): ExchangeAnswer {
+    const digests = [{ digest: this.#parts.digest(), ageMilliseconds: 0 }];
+    if (own !== undefined) {
+      this.#hear([{ digest: own, ageMilliseconds: 0 }]);
+    }
+    if (!wantsOthers) return { digests };
     const { knowledge, clock } = this.#parts;
-    knowledge.peers.heard(clock.now(), digest);
-    this.#parts.owners.refresh();
+    const asker = own?.node;
+    const others = knowledge.peers.newerThan(clock.now(), known)
+      .filter(({ digest }) => digest?.node !== asker);
+    return { digests: [...digests, ...others] };
+  }
+
+  #hear(digests: readonly AgedDigest[]): void {
+    const { knowledge, clock, self } = this.#parts;
+    const now = clock.now();
+    let isNews = false;
+    for (const [index, { digest, ageMilliseconds }] of digests.entries()) {
+      if (digest === undefined || digest.node === self.id) continue;
+      const terms = {
+        age: milliseconds(ageMilliseconds),
+        isRelayed: index > 0,
+      };
+      if (knowledge.peers.heard(now, digest, terms)) isNews = true;
+    }
+    if (isNews) this.#parts.owners.refresh();
     this.#fetch.askAhead();
   }
 
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -1,6 +1,7 @@
 import {
   CallerPatience,
   elapsed,
+  failureDomainId,
   type Instant,
   RELAY_SENTENCE,
   seconds,
@@ -116,6 +117,10 @@
       engines: () => this.#owners.digests,
     });
     this.#exchange = new PeerExchange({
+      self: {
+        id: settings.node.id,
+        failureDomain: failureDomainId(settings.node.failure_domain),
+      },
       knowledge,
       owners: this.#owners,
       channels: this.#channels,
--- a/packages/node/src/relay/shared_log.ts
+++ b/packages/node/src/relay/shared_log.ts
@@ -3,6 +3,7 @@
   BackendServerId,
   Duration,
   Failure,
+  FailureDomainId,
   LogOffset,
   ModelId,
   NodeId,
@@ -26,6 +27,7 @@
   readonly incarnation: string;
   /** IP literal and port for other nodes. */
   readonly address: string;
+  readonly failureDomain: FailureDomainId;
 }
 
 /** What a record of the log is about. */
@@ -44,6 +46,8 @@
    * so shouldn't rely on being told of it.
    */
   abstract get isWatcher(): boolean;
+  /** How many nodes read the log, this one included. */
+  abstract get readers(): number;
   /** A configuration, which may be older than one taken before. */
   abstract configuration(configuration: RelayConfiguration): void;
   /** A version of an adapter that operators named. */
@@ -93,6 +97,9 @@
     claims: readonly ClaimRecord[],
   ): Promise<Result<boolean, Failure>>;
 
+  /** Reads the claims that were added since they were last read. */
+  abstract catchUp(): Promise<void>;
+
   /**
    * Makes this node known.
    * @param node The node.
--- a/packages/node/tests/relay/engine_owners_test.ts
+++ b/packages/node/tests/relay/engine_owners_test.ts
@@ -34,6 +34,10 @@
     return Promise.resolve(ok(true));
   }
 
+  override catchUp(): Promise<void> {
+    return Promise.resolve();
+  }
+
   override announce(): Promise<Result<boolean, never>> {
     return Promise.resolve(ok(true));
   }
--- a/packages/node/tests/relay/helpers/node_digest.ts
+++ b/packages/node/tests/relay/helpers/node_digest.ts
@@ -20,6 +20,8 @@
     isLeaving: false,
     engines: [],
     operatorsEnd: 0,
+    sequence: 0,
+    registryEnd: 0,
     ...change,
   };
 }
--- a/packages/node/tests/relay/knowledge_message_test.ts
+++ b/packages/node/tests/relay/knowledge_message_test.ts
@@ -97,6 +97,6 @@
   t.true(node.isWatcher, "One is before it.");
   node.peers.heard(now, nodeDigest("b"));
   t.false(node.isWatcher, "Two are before it.");
-  node.peers.heard(instant(now - 2_000), nodeDigest("b"));
+  node.peers.heard(instant(now - 2_000), nodeDigest("b", { sequence: 1 }));
   t.true(node.isWatcher, "One of them has been silent.");
 });
--- a/packages/node/tests/relay/peer_book_test.ts
+++ b/packages/node/tests/relay/peer_book_test.ts
@@ -1,4 +1,9 @@
-import { backendServerId, instant, nodeId } from "@foxtailwind/core";
+import {
+  backendServerId,
+  instant,
+  milliseconds,
+  nodeId,
+} from "@foxtailwind/core";
 import { PeerBook } from "@foxtailwind/node/relay";
 import test from "ava";
 import { nodeDigest } from "./helpers/node_digest.ts";
@@ -39,3 +44,43 @@
   t.is(find(500, "n2"), undefined);
   t.is(find(1_300, "n1"), undefined);
 });
+
+test("of digests that come by several ways, the newest one counts", (t) => {
+  const peers = new PeerBook();
+  const later = nodeDigest("n1", { sequence: 7, isReady: false });
+  peers.heard(instant(1_000), later);
+  const passedOn = { age: milliseconds(100), isRelayed: true };
+  const earlier = nodeDigest("n1", { sequence: 6 });
+  t.false(peers.heard(instant(1_100), earlier, passedOn));
+  t.false(peers.alive(instant(1_100))[0]?.isReady);
+  const before = nodeDigest("n1", { sequence: 9_000, incarnation: "run-0" });
+  peers.heard(
+    instant(1_200),
+    before,
+    { age: milliseconds(900), isRelayed: true },
+  );
+  t.is(peers.alive(instant(1_200))[0]?.incarnation, "run-1");
+});
+
+test("another node is told of what it lacks alone, and how old that is", (t) => {
+  const peers = new PeerBook();
+  peers.heard(instant(0), nodeDigest("n1", { sequence: 1 }));
+  peers.heard(instant(50), nodeDigest("n2", { sequence: 5 }));
+  const known = [
+    { node: "n1", incarnation: "run-1", sequence: 1 },
+    { node: "n2", incarnation: "run-1", sequence: 4 },
+  ];
+  const told = peers.newerThan(instant(250), known);
+  t.deepEqual(
+    told.map(({ digest, ageMilliseconds }) => [digest?.node, ageMilliseconds]),
+    [["n2", 200]],
+  );
+});
+
+test("what is passed on may be older before its node counts as gone", (t) => {
+  const peers = new PeerBook();
+  const terms = { age: milliseconds(500), isRelayed: true };
+  peers.heard(instant(500), nodeDigest("n1"), terms);
+  t.is(peers.alive(instant(2_600)).length, 1);
+  t.is(peers.alive(instant(2_700)).length, 0);
+});
--- a/packages/node/tests/relay/peer_grants_test.ts
+++ b/packages/node/tests/relay/peer_grants_test.ts
@@ -2,6 +2,7 @@
 import {
   adapterId,
   backendServerId,
+  failureDomainId,
   nodeId,
   serverStart,
 } from "@foxtailwind/core";
@@ -42,6 +43,7 @@
     channels,
     clock,
     logger,
+    self: { id: nodeId("peer"), failureDomain: failureDomainId("d") },
     digest: () => undefined as never,
   });
   const server = new PeerServer([exchange.registration]);
