Nodes that are told of the operators' records no longer wait for them in a large system

Change: above 12 nodes, only watchers wait for records; the others are told by peers and read every 5 s for themselves (module log_pace, tested). Nodes that the log does not answer are passed over as watchers.

--- a/packages/core/src/relay/log_pace.ts
+++ b/packages/core/src/relay/log_pace.ts
@@ -23,6 +23,27 @@
   );
 }
 
+/**
+ * Tells whether so many nodes read the log that those which are told of what
+ * others read should not wait for records themselves.
+ * @param readers How many nodes read the log.
+ * @returns Whether it is so.
+ */
+export function isCrowded(readers: number): boolean {
+  return readers > FEW_READERS;
+}
+
+/**
+ * Tells how long a node that is told of what others read pauses between its
+ * own reads, which are for the case that nobody tells it.
+ * @param pause The time in a system of twelve nodes.
+ * @param readers How many nodes read the log.
+ * @returns The pause; none in a small system, whose nodes wait for records.
+ */
+export function pauseOfTold(pause: Duration, readers: number): Duration {
+  return isCrowded(readers) ? sharedPause(pause, readers) : milliseconds(0);
+}
+
 /**
  * Stretches the time between two reads of a node that is told by others of
  * what it has not read, so that all nodes together read as often as a few do.
--- a/packages/core/tests/relay/log_pace_test.ts
+++ b/packages/core/tests/relay/log_pace_test.ts
@@ -1,9 +1,17 @@
-import { gatheringPause, milliseconds, sharedPause } from "@foxtailwind/core";
+import {
+  gatheringPause,
+  isCrowded,
+  milliseconds,
+  pauseOfTold,
+  sharedPause,
+} from "@foxtailwind/core";
 import test from "ava";
 
 test("a few readers read as each of them would alone", (t) => {
   t.is(gatheringPause(9), milliseconds(0));
   t.is(sharedPause(milliseconds(650), 9), milliseconds(650));
+  t.false(isCrowded(9));
+  t.is(pauseOfTold(milliseconds(1_000), 9), milliseconds(0));
 });
 
 /** Reads of all readers while each of them writes a record in this time. */
@@ -22,3 +30,9 @@
   const readsASecond = 61 * 1_000 / sharedPause(milliseconds(650), 61);
   t.true(Math.abs(readsASecond - 12 * 1_000 / 650) < 0.1);
 });
+
+test("61 readers that are told of records read them twelve times a second, however many records come", (t) => {
+  t.true(isCrowded(61));
+  const pause = pauseOfTold(milliseconds(1_000), 61);
+  t.true(Math.abs(61 * 1_000 / pause - 12) < 0.1);
+});
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -35,8 +35,9 @@
 const CONTACT_TIME = milliseconds(2_000);
 
 /**
- * So many nodes, the first by id among those alive, watch what operators write
- * for all. A second one watches on while the first stops or is cut off.
+ * So many nodes, the first by id among those that reach the log, watch what
+ * operators write for all. A second one watches on while the first stops or is
+ * cut off.
  */
 const WATCHERS = 2;
 
@@ -119,7 +120,7 @@
   override get isWatcher(): boolean {
     const { settings, clock } = this.#parts;
     const before = this.peers.alive(clock.now()).filter((peer) =>
-      peer.node < settings.node.id
+      peer.reachesLog && peer.node < settings.node.id
     );
     return before.length < WATCHERS;
   }
--- a/packages/node/src/relay/node_presence.ts
+++ b/packages/node/src/relay/node_presence.ts
@@ -75,6 +75,7 @@
 
   /** What other nodes are told of this one. */
   get digest(): NodeDigest {
+    const now = this.#parts.clock.now();
     const { id, incarnation, address, failureDomain } = this.record;
     return {
       node: id,
@@ -87,7 +88,8 @@
       engines: [...this.#parts.engines()],
       operatorsEnd: this.#parts.knowledge.operatorsEnd,
       registryEnd: this.#parts.knowledge.registry.changedAt,
-      sequence: Math.floor(this.#parts.clock.now()),
+      sequence: Math.floor(now),
+      reachesLog: this.#parts.knowledge.isInContact(now),
     };
   }
 
--- a/packages/node/tests/relay/helpers/node_digest.ts
+++ b/packages/node/tests/relay/helpers/node_digest.ts
@@ -21,6 +21,7 @@
     engines: [],
     operatorsEnd: 0,
     sequence: 0,
+    reachesLog: true,
     registryEnd: 0,
     ...change,
   };
--- a/packages/node/tests/relay/knowledge_message_test.ts
+++ b/packages/node/tests/relay/knowledge_message_test.ts
@@ -100,3 +100,11 @@
   node.peers.heard(instant(now - 2_000), nodeDigest("b", { sequence: 1 }));
   t.true(node.isWatcher, "One of them has been silent.");
 });
+
+test("nodes that don't reach the log are passed over as watchers", (t) => {
+  const node = knowledge();
+  const now = new ProcessClock().now();
+  node.peers.heard(now, nodeDigest("a", { reachesLog: false }));
+  node.peers.heard(now, nodeDigest("b"));
+  t.true(node.isWatcher);
+});
