--- a/packages/core/src/relay/mod.ts
+++ b/packages/core/src/relay/mod.ts
@@ -20,3 +20,4 @@
 export * from "./recent_keys.ts";
 export * from "./server_registry.ts";
 export * from "./start_history.ts";
+export * from "./transfer_window.ts";
--- a/packages/node/tests/relay/helpers/owned_engine.ts
+++ b/packages/node/tests/relay/helpers/owned_engine.ts
@@ -10,6 +10,7 @@
   type RegisteredServer,
   serverStart,
   serviceId,
+  TransferWindow,
 } from "@foxtailwind/core";
 import { EngineOwner, type UseAnswer } from "@foxtailwind/node/relay";
 import { relayBase } from "./relay_base.ts";
@@ -56,6 +57,7 @@
       clock,
       logger,
       lateOrders,
+      transferWindow: new TransferWindow(),
     });
   const owner = own(SERVER);
   const claim = (owner: string, offset: number, wait = 0) => {
