--- a/packages/core/src/relay/engine_choice.ts
+++ b/packages/core/src/relay/engine_choice.ts
@@ -16,6 +16,8 @@
   readonly room: number;
   readonly holds: boolean;
   readonly isLoading: boolean;
+  /** Expected time to bring an adapter from the store, in milliseconds. */
+  readonly loadTime: number;
 }
 
 /** A request to be placed. */
@@ -25,8 +27,8 @@
   readonly promptTokens: number;
 }
 
-/** Expected time to bring an adapter from the store, in milliseconds. */
-const LOAD_COST = 300;
+/** What orders and questions add to the time of a load, in milliseconds. */
+const ORDER_TIME = 50;
 /** What is left of it, on average, for an adapter already on its way. */
 const LOADING_COST = 120;
 /**
@@ -94,5 +96,5 @@
   if (engine.isLoading) return base + LOADING_COST;
   const stray = Math.min(rank, 3) * STRAY_COST;
   const full = engine.room > 0 ? 0 : NO_ROOM_COST;
-  return base + LOAD_COST + stray + full;
+  return base + engine.loadTime + ORDER_TIME + stray + full;
 }
--- a/packages/core/src/relay/transfer_window.ts
+++ b/packages/core/src/relay/transfer_window.ts
@@ -1,4 +1,9 @@
-import { type Duration, elapsed, type Instant } from "../shared/mod.ts";
+import {
+  type Duration,
+  elapsed,
+  type Instant,
+  milliseconds,
+} from "../shared/mod.ts";
 
 /** Adapters that a node brings at once at first. */
 const FIRST_SIZE = 2;
@@ -9,6 +14,11 @@
 /** Assumed of a transfer until one was seen, in milliseconds. */
 const ASSUMED_TIME = 250;
 
+/** Weight of the newest transfer in the time that is expected of the next. */
+const TIME_WEIGHT = 0.3;
+/** Over which time without transfers their slowness is forgotten, to 1/e. */
+const SLOWNESS_TIME = 1_000;
+
 /** Something that waits until it may bring an adapter. */
 export interface TransferWaiter {
   /** Called where it may be its turn; asks again if it still waits. */
@@ -29,6 +39,9 @@
   #running = 0;
   #leastTime = ASSUMED_TIME;
   #shrunkAt: Instant | undefined;
+  /** How much longer transfers lately took than the fastest, in milliseconds. */
+  #slowness = 0;
+  #endedAt: Instant | undefined;
   #waiters = new Map<TransferWaiter, Instant>();
 
   /** Whether a further transfer may begin. */
@@ -36,6 +49,18 @@
     return this.#running < Math.max(1, Math.floor(this.#size));
   }
 
+  /**
+   * Estimates how long a further adapter takes, its wait for a turn included.
+   * @param now The present time.
+   * @returns The time.
+   */
+  expected(now: Instant): Duration {
+    const idle = this.#endedAt === undefined ? 0 : elapsed(this.#endedAt, now);
+    const slowness = this.#slowness * Math.exp((0 - idle) / SLOWNESS_TIME);
+    const turns = this.#waiters.size / Math.max(1, Math.floor(this.#size));
+    return milliseconds((1 + turns) * (this.#leastTime + slowness));
+  }
+
   /**
    * Adds one that waits; it is woken once a transfer may begin, the one whose
    * request is wanted first before the others.
@@ -58,6 +83,8 @@
    */
   ended(now: Instant, took: Duration): void {
     this.#leastTime = Math.min(this.#leastTime, took);
+    this.#slowness += TIME_WEIGHT * (took - this.#leastTime - this.#slowness);
+    this.#endedAt = now;
     const isCalm = took <= CALM_RATIO * this.#leastTime;
     if (isCalm) this.#size += 1 / this.#size;
     else if (this.#mayShrink(now, took)) {
--- a/packages/core/tests/relay/transfer_window_test.ts
+++ b/packages/core/tests/relay/transfer_window_test.ts
@@ -113,3 +113,14 @@
   t.deepEqual(woken, ["first", "later"]);
   t.true(window.isOpen);
 });
+
+test("what a further adapter takes is learned, and slowness is forgotten", (t) => {
+  const window = new TransferWindow();
+  t.is(window.expected(instant(0)), milliseconds(250));
+  for (let now = 1; now <= 20; now += 1) {
+    window.begin();
+    window.ended(instant(now), milliseconds(600));
+  }
+  t.true(window.expected(instant(20)) > 550);
+  t.true(window.expected(instant(5_000)) < 260);
+});
--- a/packages/node/src/relay/engine_run.ts
+++ b/packages/node/src/relay/engine_run.ts
@@ -114,6 +114,7 @@
       isReachable: this.#orders.isReachable,
       running: this.#uses.running,
       isFull: this.#isFull(),
+      loadMilliseconds: Math.round(this.#transfers.expected(now)),
     });
   }
 
--- a/packages/node/src/relay/engine_transfers.ts
+++ b/packages/node/src/relay/engine_transfers.ts
@@ -1,6 +1,7 @@
 import {
   type AdapterName,
   type AdapterSlot,
+  type Duration,
   elapsed,
   type Instant,
   keyOf,
@@ -28,6 +29,15 @@
     return this.#window.isOpen;
   }
 
+  /**
+   * Estimates how long a further adapter takes.
+   * @param now The present time.
+   * @returns The time.
+   */
+  expected(now: Instant): Duration {
+    return this.#window.expected(now);
+  }
+
   /**
    * Waits until a transfer may begin.
    * @param wantedBy When its request is wanted.
--- a/packages/node/src/relay/request_placer.ts
+++ b/packages/node/src/relay/request_placer.ts
@@ -147,7 +147,7 @@
     }
     const answerTime = engine.holds
       ? HELD_ANSWER_MILLISECONDS
-      : LOAD_ANSWER_MILLISECONDS;
+      : LOAD_ANSWER_MILLISECONDS + engine.loadTime;
     const patience = Math.ceil(engine.wait + answerTime);
     const where = { engine: engine.id, owner, address };
     const answer = await this.#parts.grants.ask(
@@ -218,6 +218,7 @@
         room: 0,
         holds,
         isLoading: false,
+        loadTime: 0,
       };
     }
     const { digest, owner, address } = heard;
@@ -238,6 +239,7 @@
       holds: digest.isReachable &&
         (use.adapter === undefined || (isFresh && !held.isLoading)),
       isLoading: isFresh && held.isLoading,
+      loadTime: digest.loadMilliseconds,
     };
   }
 
