--- a/packages/core/src/relay/reading_queue.ts
+++ b/packages/core/src/relay/reading_queue.ts
@@ -87,13 +87,16 @@
   }
 
   /**
-   * Estimates how long a further prompt waits until it is read.
+   * Estimates how long a further prompt that can be in time waits until it is
+   * read: the late ones are read after it.
    * @param now The present time.
    * @returns The time.
    */
   wait(now: Instant): Duration {
     let queued = 0;
-    for (const { reading } of this.#waiting.values()) queued += reading;
+    for (const terms of this.#waiting.values()) {
+      if (spareTime(now, terms) >= 0) queued += terms.reading;
+    }
     const ahead = Math.max(0, this.#readUntil - now);
     return milliseconds(ahead + queued / READING_SHARE);
   }
@@ -102,7 +105,7 @@
     let first: [Entry, ReadingTerms] | undefined;
     let least = Infinity;
     for (const [entry, terms] of this.#waiting) {
-      const spare = terms.wantedBy - now - terms.reading;
+      const spare = spareTime(now, terms);
       // The late ones stay in the order in which they came.
       const rank = spare >= 0 ? spare : Number.MAX_VALUE;
       if (first !== undefined && rank >= least) continue;
@@ -112,3 +115,8 @@
     return first;
   }
 }
+
+/** How long a prompt may still wait, in milliseconds; below 0 it is late. */
+function spareTime(now: Instant, { reading, wantedBy }: ReadingTerms): number {
+  return wantedBy - now - reading;
+}
