--- a/packages/core/src/relay/adapter_slot.ts
+++ b/packages/core/src/relay/adapter_slot.ts
@@ -25,8 +25,6 @@
   readonly key: string;
   readonly minimumVersion: number;
   readonly since: Instant;
-  /** When the first of the requests that wait for it is wanted. */
-  readonly wantedBy: Instant;
 }
 
 /** What an engine should be ordered next. */
@@ -36,8 +34,6 @@
     readonly name: AdapterName;
     /** The version to load; 0 where any will do. */
     readonly version: number;
-    /** Whether it has to come from the weight store. */
-    readonly isFromStore: boolean;
   }
   | { readonly kind: "unload"; readonly name: AdapterName };
 
--- a/packages/core/src/relay/adapter_wishes.ts
+++ b/packages/core/src/relay/adapter_wishes.ts
@@ -1,15 +1,7 @@
-import { type Instant, instant } from "../shared/mod.ts";
+import type { Instant } from "../shared/mod.ts";
 import { type AdapterName, keyOf, type WantedAdapter } from "./adapter_slot.ts";
 
-/** What a request asks for of an adapter. */
-export interface WishTerms {
-  /** The oldest version allowed. */
-  readonly minimumVersion: number;
-  /** When the request's first event is wanted. */
-  readonly wantedBy: Instant;
-}
-
-/** The adapters that are asked for and not yet ordered. */
+/** The adapters that are asked for and not yet ordered, oldest first. */
 export class AdapterWishes {
   readonly #wishes = new Map<string, WantedAdapter>();
 
@@ -18,19 +10,9 @@
     return this.#wishes.size;
   }
 
-  /**
-   * Lists them by who waits: those whose requests can still be in time come
-   * first, the one that is wanted first before the others, and then those that
-   * are late in any case.
-   * @param now The present time.
-   * @returns The wishes.
-   */
-  byUrgency(now: Instant): readonly WantedAdapter[] {
-    const rank = ({ wantedBy }: WantedAdapter) =>
-      wantedBy >= now ? wantedBy - now : Number.MAX_VALUE;
-    return [...this.#wishes.values()].toSorted((one, other) =>
-      rank(one) - rank(other)
-    );
+  /** All of them. */
+  get all(): readonly WantedAdapter[] {
+    return [...this.#wishes.values()];
   }
 
   /**
@@ -46,22 +28,16 @@
    * Asks for an adapter, or for a newer version of one that is asked for.
    * @param now The present time.
    * @param name The adapter.
-   * @param terms What is asked for.
+   * @param minimumVersion The oldest version allowed.
    */
-  add(now: Instant, name: AdapterName, terms: WishTerms): void {
+  add(now: Instant, name: AdapterName, minimumVersion: number): void {
     const key = keyOf(name);
     const known = this.#wishes.get(key);
     this.#wishes.set(key, {
       ...name,
       key,
-      minimumVersion: Math.max(
-        terms.minimumVersion,
-        known?.minimumVersion ?? 0,
-      ),
+      minimumVersion: Math.max(minimumVersion, known?.minimumVersion ?? 0),
       since: known?.since ?? now,
-      wantedBy: instant(
-        Math.min(terms.wantedBy, known?.wantedBy ?? terms.wantedBy),
-      ),
     });
   }
 
--- a/packages/core/src/relay/engine_choice.ts
+++ b/packages/core/src/relay/engine_choice.ts
@@ -1,11 +1,5 @@
-import {
-  type AdapterId,
-  type BackendServerId,
-  type Duration,
-  milliseconds,
-  type ModelId,
-  rendezvousOrder,
-} from "../shared/mod.ts";
+import type { AdapterId, BackendServerId, ModelId } from "../shared/mod.ts";
+import { rendezvousOrder } from "../shared/mod.ts";
 
 /** What a node knows of an engine when it places a request. */
 export interface EngineState {
@@ -22,8 +16,6 @@
   readonly room: number;
   readonly holds: boolean;
   readonly isLoading: boolean;
-  /** Expected time to bring an adapter from the store, in milliseconds. */
-  readonly loadTime: number;
 }
 
 /** A request to be placed. */
@@ -33,8 +25,8 @@
   readonly promptTokens: number;
 }
 
-/** What orders and questions add to the time of a load, in milliseconds. */
-const ORDER_TIME = 50;
+/** Expected time to bring an adapter from the store, in milliseconds. */
+const LOAD_COST = 300;
 /** What is left of it, on average, for an adapter already on its way. */
 const LOADING_COST = 120;
 /**
@@ -85,20 +77,6 @@
   );
 }
 
-/**
- * Estimates how long a request waits at best until an engine reads its prompt.
- * @param engines The engines that could run it.
- * @returns The time, or nothing where no engine can take it.
- */
-export function shortestWait(
-  engines: readonly EngineState[],
-): Duration | undefined {
-  const waits = engines
-    .filter(({ holds, isOrderable }) => holds || isOrderable)
-    .map(({ holds, wait, loadTime }) => holds ? wait : wait + loadTime);
-  return waits.length === 0 ? undefined : milliseconds(Math.min(...waits));
-}
-
 /** Estimates the time to the first token where the adapter is there. */
 function waitAt(engine: EngineState, { promptTokens }: Placement): number {
   return engine.wait + engine.reading +
@@ -116,5 +94,5 @@
   if (engine.isLoading) return base + LOADING_COST;
   const stray = Math.min(rank, 3) * STRAY_COST;
   const full = engine.room > 0 ? 0 : NO_ROOM_COST;
-  return base + engine.loadTime + ORDER_TIME + stray + full;
+  return base + LOAD_COST + stray + full;
 }
--- a/packages/core/src/relay/engine_slots.ts
+++ b/packages/core/src/relay/engine_slots.ts
@@ -18,7 +18,7 @@
   type SlotTerms,
   type WantedAdapter,
 } from "./adapter_slot.ts";
-import { AdapterWishes, type WishTerms } from "./adapter_wishes.ts";
+import { AdapterWishes } from "./adapter_wishes.ts";
 import { chooseVictim } from "./choose_victim.ts";
 import { type LoadCheck, LoadTimes } from "./load_times.ts";
 
@@ -126,20 +126,10 @@
    * Asks for an adapter that is not there in the wanted version.
    * @param now The present time.
    * @param name The adapter.
-   * @param terms What is asked for.
-   */
-  want(now: Instant, name: AdapterName, terms: WishTerms): void {
-    this.#wishes.add(now, name, terms);
-  }
-
-  /**
-   * Finds the adapter from the store that should come next.
-   * @param now The present time.
-   * @returns When it is wanted, or nothing where none is asked for.
+   * @param minimumVersion The oldest version allowed.
    */
-  nextFromStore(now: Instant): Instant | undefined {
-    return this.#wishes.byUrgency(now)
-      .find((wish) => this.#isFromStore(wish))?.wantedBy;
+  want(now: Instant, name: AdapterName, minimumVersion: number): void {
+    this.#wishes.add(now, name, minimumVersion);
   }
 
   /**
@@ -175,23 +165,15 @@
   /**
    * Decides the next order.
    * @param now The present time.
-   * @param isStoreOpen Whether an adapter may be brought from the store.
    * @returns The order, or nothing where none is useful or possible now.
    */
-  nextOrder(now: Instant, isStoreOpen: boolean): SlotOrder | undefined {
+  nextOrder(now: Instant): SlotOrder | undefined {
     if (this.#loading() >= this.#terms.transfers) return undefined;
-    const wish = this.#wishes.byUrgency(now).find((one) =>
-      this.#isOrderable(now, one) && (isStoreOpen || !this.#isFromStore(one))
-    );
+    const wish = this.#wishes.all.find((one) => this.#isOrderable(now, one));
     if (wish === undefined) return undefined;
     const isReplacement = this.#slots.has(wish.key);
     if (isReplacement || this.#slots.size < this.#usable) {
-      return {
-        kind: "load",
-        name: wish,
-        version: wish.minimumVersion,
-        isFromStore: this.#isFromStore(wish),
-      };
+      return { kind: "load", name: wish, version: wish.minimumVersion };
     }
     const victim = chooseVictim(
       this.slots.filter((slot) => !this.#isBusy(now, keyOf(slot))),
@@ -254,7 +236,7 @@
 
   #loadAnswered(
     now: Instant,
-    { name, version, isFromStore }: Extract<SlotOrder, { kind: "load" }>,
+    { name, version }: { readonly name: AdapterName; readonly version: number },
     answer: OrderAnswer,
   ): void {
     switch (answer) {
@@ -264,7 +246,6 @@
         const slot = newSlot(now, name, "loading", version);
         this.#set({ ...slot, uses });
         this.#wishes.delete(name);
-        this.#loads.began(now, name, isFromStore);
         break;
       }
       case "unknown":
@@ -301,11 +282,6 @@
     }
   }
 
-  /** A newer version, or an adapter that the engine has not kept. */
-  #isFromStore(wish: WantedAdapter): boolean {
-    return this.#slots.has(wish.key) || !this.#loads.isKept(wish);
-  }
-
   get #usable(): number {
     return this.#terms.slots - this.#reserved;
   }
--- a/packages/core/src/relay/load_times.ts
+++ b/packages/core/src/relay/load_times.ts
@@ -37,25 +37,6 @@
     this.#kept.add(keyOf(name));
   }
 
-  /**
-   * Tells whether the engine keeps an adapter, and need not fetch it.
-   * @param name The adapter.
-   * @returns Whether it does.
-   */
-  isKept(name: AdapterName): boolean {
-    return this.#kept.has(keyOf(name));
-  }
-
-  /**
-   * Takes note that a load has begun.
-   * @param now The present time.
-   * @param name The adapter.
-   * @param isFromStore Whether the engine has to fetch it.
-   */
-  began(now: Instant, name: AdapterName, isFromStore: boolean): void {
-    this.askAt(name, later(now, isFromStore ? COLD_LOAD : WARM_LOAD));
-  }
-
   /**
    * Takes note that a load has ended.
    * @param name The adapter.
@@ -80,7 +61,7 @@
    * @returns The time.
    */
   timeOf(name: AdapterName): Duration {
-    return this.isKept(name) ? WARM_LOAD : COLD_LOAD;
+    return this.#kept.has(keyOf(name)) ? WARM_LOAD : COLD_LOAD;
   }
 
   /**
--- a/packages/core/src/relay/mod.ts
+++ b/packages/core/src/relay/mod.ts
@@ -1,7 +1,6 @@
 export * from "./adapter_slot.ts";
 export * from "./adapter_versions.ts";
 export * from "./caller_patience.ts";
-export * from "./come_back.ts";
 export * from "./engine_choice.ts";
 export * from "./engine_claims.ts";
 export * from "./engine_occupancy.ts";
@@ -21,4 +20,3 @@
 export * from "./recent_keys.ts";
 export * from "./server_registry.ts";
 export * from "./start_history.ts";
-export * from "./transfer_window.ts";
--- a/packages/core/src/relay/reading_queue.ts
+++ b/packages/core/src/relay/reading_queue.ts
@@ -87,16 +87,13 @@
   }
 
   /**
-   * Estimates how long a further prompt that can be in time waits until it is
-   * read: the late ones are read after it.
+   * Estimates how long a further prompt waits until it is read.
    * @param now The present time.
    * @returns The time.
    */
   wait(now: Instant): Duration {
     let queued = 0;
-    for (const terms of this.#waiting.values()) {
-      if (spareTime(now, terms) >= 0) queued += terms.reading;
-    }
+    for (const { reading } of this.#waiting.values()) queued += reading;
     const ahead = Math.max(0, this.#readUntil - now);
     return milliseconds(ahead + queued / READING_SHARE);
   }
@@ -105,7 +102,7 @@
     let first: [Entry, ReadingTerms] | undefined;
     let least = Infinity;
     for (const [entry, terms] of this.#waiting) {
-      const spare = spareTime(now, terms);
+      const spare = terms.wantedBy - now - terms.reading;
       // The late ones stay in the order in which they came.
       const rank = spare >= 0 ? spare : Number.MAX_VALUE;
       if (first !== undefined && rank >= least) continue;
@@ -115,8 +112,3 @@
     return first;
   }
 }
-
-/** How long a prompt may still wait, in milliseconds; below 0 it is late. */
-function spareTime(now: Instant, { reading, wantedBy }: ReadingTerms): number {
-  return wantedBy - now - reading;
-}
--- a/packages/node/src/relay/adapter_uses.ts
+++ b/packages/node/src/relay/adapter_uses.ts
@@ -100,10 +100,7 @@
       return { kind: "no_room" };
     }
     if (!this.#parts.ordersSoon()) return { kind: "no_room" };
-    this.#slots.want(this.#now(), name, {
-      minimumVersion,
-      wantedBy: later(this.#now(), request.timeLeft),
-    });
+    this.#slots.want(this.#now(), name, minimumVersion);
     const answer = this.#waiters.add(name, request, signal, () => {
       if (!this.#waiters.has(name)) this.#slots.forgetWish(name);
     });
--- a/packages/node/src/relay/engine_orders.ts
+++ b/packages/node/src/relay/engine_orders.ts
@@ -125,7 +125,7 @@
    * @param right The right to order.
    * @returns What came of it.
    */
-  ask(order: SlotCommand, right: OrderRight): Promise<OrderResult> {
+  ask(order: SlotOrder, right: OrderRight): Promise<OrderResult> {
     return this.#send("ask", toEngineOrder(order), right);
   }
 
@@ -137,7 +137,7 @@
    * @param right The right to order.
    * @returns What came of it.
    */
-  async carryOut(order: SlotCommand, right: OrderRight): Promise<OrderResult> {
+  async carryOut(order: SlotOrder, right: OrderRight): Promise<OrderResult> {
     let result: OrderResult = { kind: "unknown" };
     for (let sends = 0; sends < MOST_COPIES; sends += 1) {
       const isCopy = sends > 0;
@@ -188,14 +188,9 @@
   }
 }
 
-/** What the engine is told of an order. */
-type SlotCommand =
-  | Omit<Extract<SlotOrder, { kind: "load" }>, "isFromStore">
-  | Extract<SlotOrder, { kind: "unload" }>;
-
 type OrderContent = Pick<EngineOrder, "kind" | "model" | "adapter" | "version">;
 
-function toEngineOrder(order: SlotCommand): OrderContent {
+function toEngineOrder(order: SlotOrder): OrderContent {
   const { model, adapter } = order.name;
   const version = order.kind === "load" ? order.version : 0;
   return {
--- a/packages/node/src/relay/engine_owner_parts.ts
+++ b/packages/node/src/relay/engine_owner_parts.ts
@@ -1,8 +1,4 @@
-import type {
-  LateOrders,
-  ServerStart,
-  TransferWindow,
-} from "@foxtailwind/core";
+import type { LateOrders, ServerStart } from "@foxtailwind/core";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { PartLogger } from "../logging/part_logger.ts";
 import type { EngineControl } from "./engine_control.ts";
@@ -18,8 +14,6 @@
   readonly logger: PartLogger;
   /** This node's loads of the engine that got no answer, before this owner. */
   readonly lateOrders: LateOrders;
-  /** Bounds what this node's engines bring from the weight store at once. */
-  readonly transferWindow: TransferWindow;
 }
 
 /** What an owner works with at one start of its engine. */
--- a/packages/node/src/relay/engine_owners.ts
+++ b/packages/node/src/relay/engine_owners.ts
@@ -7,7 +7,6 @@
   milliseconds,
   type NodeId,
   nodeId,
-  TransferWindow,
 } from "@foxtailwind/core";
 import type { EngineDigest } from "@foxtailwind/protocol";
 import { EngineOwner } from "./engine_owner.ts";
@@ -17,7 +16,7 @@
 
 /** What owners need besides an engine. */
 export interface EngineOwnersParts
-  extends Omit<EngineOwnerParts, "lateOrders" | "transferWindow"> {
+  extends Omit<EngineOwnerParts, "lateOrders"> {
   readonly log: SharedLog;
   readonly incarnation: string;
   /** Whether this node is stopping, and gives its engines to others. */
@@ -46,7 +45,6 @@
    */
   readonly #lateOrders = new Map<BackendServerId, LateOrders>();
   readonly #startedAt: Instant;
-  readonly #transferWindow = new TransferWindow();
   #isClaiming = false;
   /** Before it, claims would most likely meet those of other nodes again. */
   #claimsFrom: Instant | undefined;
@@ -108,8 +106,7 @@
     if (terms === undefined) return;
     const lateOrders = this.#lateOrders.get(id) ?? new LateOrders();
     this.#lateOrders.set(id, lateOrders);
-    const transferWindow = this.#transferWindow;
-    const parts = { ...this.#parts, lateOrders, transferWindow };
+    const parts = { ...this.#parts, lateOrders };
     const owner = new EngineOwner(server, terms, parts);
     this.#owners.set(id, owner);
     void owner.pump();
--- a/packages/node/src/relay/engine_run.ts
+++ b/packages/node/src/relay/engine_run.ts
@@ -20,7 +20,6 @@
 import type { EngineRunParts } from "./engine_owner_parts.ts";
 import { takeTrouble } from "./engine_trouble.ts";
 import type { UseAnswer, UseRequest } from "./engine_use.ts";
-import { EngineTransfers } from "./engine_transfers.ts";
 import { writeStart } from "./start_message.ts";
 import { StepLoop } from "./step_loop.ts";
 
@@ -43,7 +42,6 @@
   readonly #model: EngineModel;
   readonly #loop: StepLoop;
   readonly #uses: AdapterUses;
-  readonly #transfers: EngineTransfers;
   /** Loads of this start; their slots are known while it lasts. */
   #unanswered = new LateOrders();
   #server: RegisteredServer;
@@ -70,9 +68,6 @@
       transfers: engines.transfers,
       kept: engines.kept_adapters,
     });
-    this.#transfers = new EngineTransfers(parts.transferWindow, () => {
-      void this.pump();
-    });
     this.#uses = new AdapterUses(this.#slots, {
       clock: parts.clock,
       start: parts.start,
@@ -114,7 +109,6 @@
       isReachable: this.#orders.isReachable,
       running: this.#uses.running,
       isFull: this.#isFull(),
-      loadMilliseconds: Math.round(this.#transfers.expected(now)),
     });
   }
 
@@ -146,7 +140,6 @@
     if (!this.#loop.isStopped) lateOrders.include(this.#unanswered);
     this.#unanswered = lateOrders;
     this.#loop.stop();
-    this.#transfers.retain([]);
     this.#orders.stop();
     this.#uses.stop();
   }
@@ -175,13 +168,11 @@
     if (right.from > now) return this.#loop.wakeAt(right.from);
     if (!this.#model.isThere) return await this.#loadModel(now, right);
     if (await this.#askAfterLoads(now, right)) return true;
-    const order = this.#slots.nextOrder(now, this.#transfers.isOpen);
+    const order = this.#slots.nextOrder(now);
     if (order !== undefined) {
       await this.#carryOut(order, right);
       return true;
     }
-    const nextWanted = this.#slots.nextFromStore(now);
-    if (nextWanted !== undefined) this.#transfers.wait(nextWanted);
     if (this.#slots.waiting > 0) this.#loop.wakeAt(later(now, LOAD_POLL));
     return false;
   }
@@ -200,7 +191,6 @@
     this.#model.reported(report.models);
     this.#conflicts = 0;
     this.#slots.reported(now, report.adapters, report.incoming);
-    this.#transfers.retain(this.#slots.slots);
     this.#uses.serveWaiters();
     return true;
   }
@@ -237,7 +227,6 @@
       case "holds":
         this.#conflicts = 0;
         this.#slots.loaded(now, name);
-        this.#transfers.loaded(now, name);
         this.#uses.serveWaiters();
         break;
       case "conflict":
@@ -256,9 +245,6 @@
   }
 
   async #carryOut(order: SlotOrder, right: OrderRight): Promise<void> {
-    if (order.kind === "load" && order.isFromStore) {
-      this.#transfers.begin(this.#now(), order.name);
-    }
     const result = await this.#orders.carryOut(order, right);
     // A late answer says nothing of what came after: a new start, or owner.
     if (this.#loop.isStopped) return;
@@ -272,7 +258,6 @@
         break;
       case "conflict":
         this.#slots.answered(now, order, "conflict");
-        this.#transfers.retain(this.#slots.slots);
         this.#noteConflict();
         break;
       case "unknown":
@@ -282,7 +267,6 @@
       case "fenced":
       case "misdirected":
       case "invalid":
-        this.#transfers.retain(this.#slots.slots);
         this.#takeTrouble(result, right);
     }
   }
--- a/packages/node/src/relay/place_finder.ts
+++ b/packages/node/src/relay/place_finder.ts
@@ -1,9 +1,7 @@
 import {
-  type Duration,
   type Instant,
   later,
   milliseconds,
-  type RegisteredServer,
   type Route,
 } from "@foxtailwind/core";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -14,14 +12,8 @@
 
 /** Between two looks for a place, in milliseconds. */
 const PLACE_PAUSE_MILLISECONDS = 40;
-/** The share of a caller's patience in which a server is looked for. */
+/** The share of a caller's patience in which a place is looked for. */
 const PLACE_SHARE = 0.4;
-/**
- * The same for an engine. A stream that begins late is worth more to its caller
- * than a refusal, after which it waits again from the start; a quarter of its
- * patience is left for the first event, which takes 360 ms in 99 of 100.
- */
-const ENGINE_SHARE = 0.75;
 /** Callers leave a stream without events after the longest of these. */
 const STREAM_PATIENCE = { least: 2_000, targets: 4, pauses: 8 } as const;
 /** Engines that were asked for a place, in one line of the log. */
@@ -45,7 +37,6 @@
   readonly #request: ReadRequest;
   readonly #terms: PlaceTerms;
   readonly #asked: PlaceAnswer[] = [];
-  #expectedWait = milliseconds(0);
 
   /**
    * @param parts What it works with.
@@ -63,11 +54,6 @@
     return this.#asked;
   }
 
-  /** How long a place would take, as it looked when it was last looked for. */
-  get expectedWait(): Duration {
-    return this.#expectedWait;
-  }
-
   /**
    * Looks for a place until there is one or it is too late for one.
    * @returns The place, or nothing.
@@ -80,10 +66,8 @@
     );
     // A stream that goes on elsewhere has used up its first patience long ago.
     const from = this.#terms.sent.sends === 0 ? arrivedAt : this.#now();
-    const share = this.#isEngine ? ENGINE_SHARE : PLACE_SHARE;
-    const until = later(from, milliseconds(patience * share));
+    const until = later(from, milliseconds(patience * PLACE_SHARE));
     for (;;) {
-      if (this.#isHopeless(until)) return undefined;
       const place = await this.#look(until);
       if (place !== undefined || this.#terms.over.aborted) return place;
       if (this.#now() >= until) return undefined;
@@ -91,30 +75,13 @@
     }
   }
 
-  /** Whether it is known that no engine can begin the request in time. */
-  #isHopeless(until: Instant): boolean {
-    const { use } = this.#request.caller;
-    if (!this.#isEngine || use === undefined) return false;
-    const wait = this.#parts.placer.shortestWait(use, this.#servers);
-    if (wait === undefined) return false;
-    this.#expectedWait = wait;
-    return later(this.#now(), wait) > until;
-  }
-
-  /** The servers that may be chosen. */
-  get #servers(): readonly RegisteredServer[] {
-    const { knowledge } = this.#parts;
-    const there = knowledge.servers(this.#request.service.id)
-      .filter((one) => !one.leaving);
-    const untried = there.filter((one) => !this.#terms.sent.hasTried(one.id));
-    return untried.length > 0 ? untried : there;
-  }
-
   async #look(until: Instant): Promise<Place | undefined> {
-    const { caller } = this.#request;
-    const { placer } = this.#parts;
-    const servers = this.#servers;
-    if (!this.#isEngine || caller.use === undefined) {
+    const { service, caller } = this.#request;
+    const { knowledge, placer } = this.#parts;
+    const there = knowledge.servers(service.id).filter((one) => !one.leaving);
+    const untried = there.filter((one) => !this.#terms.sent.hasTried(one.id));
+    const servers = untried.length > 0 ? untried : there;
+    if (service.engine === undefined || caller.use === undefined) {
       return placer.choosePlain(this.#now(), servers);
     }
     const left = Math.max(1, Math.ceil(until - this.#now()));
@@ -131,10 +98,6 @@
     });
   }
 
-  get #isEngine(): boolean {
-    return this.#request.service.engine !== undefined;
-  }
-
   #now(): Instant {
     return this.#parts.clock.now();
   }
--- a/packages/node/src/relay/relay_request.ts
+++ b/packages/node/src/relay/relay_request.ts
@@ -1,5 +1,4 @@
 import {
-  comeBackAfter,
   type Duration,
   elapsed,
   type Instant,
@@ -33,7 +32,8 @@
   | "node_stops"
   | "broken_stream";
 
-const MILLISECONDS_A_SECOND = 1_000;
+/** Asked of callers whose request found no place, in seconds. */
+const COME_BACK_SECONDS = 0.3;
 
 /** Relays one request to its end. */
 export class RelayRequest {
@@ -214,17 +214,12 @@
     const isNotRun = !this.#mayHaveRun();
     this.#passage.refuse(isNotRun ? 503 : refusal === "lost" ? 502 : 504, {
       refusal,
-      ...(isNotRun ? { comeBackSeconds: this.#comeBackSeconds } : {}),
+      ...(isNotRun ? { comeBackSeconds: COME_BACK_SECONDS } : {}),
     });
     this.#end(refusal);
     return false;
   }
 
-  get #comeBackSeconds(): number {
-    const after = comeBackAfter(this.#finder.expectedWait, Math.random());
-    return after / MILLISECONDS_A_SECOND;
-  }
-
   #mayHaveRun(): boolean {
     const { call } = this.#sender;
     const isUnsent = call !== undefined && !call.wasSent;
--- a/packages/node/src/relay/request_placer.ts
+++ b/packages/node/src/relay/request_placer.ts
@@ -8,7 +8,6 @@
   type NodeId,
   orderEngines,
   type RegisteredServer,
-  shortestWait,
 } from "@foxtailwind/core";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type {
@@ -115,8 +114,14 @@
     servers: readonly RegisteredServer[],
     search: PlaceSearch,
   ): Promise<Place | undefined> {
-    const minimumVersion = this.#minimumVersion(use);
-    const engines = this.#engines(use, servers);
+    const now = this.#parts.clock.now();
+    const minimumVersion = use.adapter === undefined
+      ? 0
+      : this.#parts.knowledge.versions.newest(use.model, use.adapter);
+    const engines = servers
+      .filter((server) => !this.#parts.loads.of(server).isPaused(now))
+      .map((server) => this.#describe(now, server, use, minimumVersion))
+      .filter((engine) => engine !== undefined);
     const byId = new Map(engines.map((engine) => [engine.id, engine]));
     for (const id of orderEngines(use, engines).slice(0, MOST_ASKED)) {
       const engine = byId.get(id);
@@ -127,38 +132,6 @@
     return undefined;
   }
 
-  /**
-   * Estimates how long a request waits at best until an engine can begin it.
-   * @param use What the request runs on.
-   * @param servers The engines that may be chosen.
-   * @returns The time, or nothing where no engine can take it.
-   */
-  shortestWait(
-    use: ModelUse,
-    servers: readonly RegisteredServer[],
-  ): Duration | undefined {
-    return shortestWait(this.#engines(use, servers));
-  }
-
-  #minimumVersion({ model, adapter }: ModelUse): number {
-    return adapter === undefined
-      ? 0
-      : this.#parts.knowledge.versions.newest(model, adapter);
-  }
-
-  /** Describes the engines that could run a request. */
-  #engines(
-    use: ModelUse,
-    servers: readonly RegisteredServer[],
-  ): readonly KnownEngine[] {
-    const now = this.#parts.clock.now();
-    const minimumVersion = this.#minimumVersion(use);
-    return servers
-      .filter((server) => !this.#parts.loads.of(server).isPaused(now))
-      .map((server) => this.#describe(now, server, use, minimumVersion))
-      .filter((engine) => engine !== undefined);
-  }
-
   async #ask(
     engine: KnownEngine,
     use: ModelUse,
@@ -174,7 +147,7 @@
     }
     const answerTime = engine.holds
       ? HELD_ANSWER_MILLISECONDS
-      : LOAD_ANSWER_MILLISECONDS + engine.loadTime;
+      : LOAD_ANSWER_MILLISECONDS;
     const patience = Math.ceil(engine.wait + answerTime);
     const where = { engine: engine.id, owner, address };
     const answer = await this.#parts.grants.ask(
@@ -245,7 +218,6 @@
         room: 0,
         holds,
         isLoading: false,
-        loadTime: 0,
       };
     }
     const { digest, owner, address } = heard;
@@ -266,7 +238,6 @@
       holds: digest.isReachable &&
         (use.adapter === undefined || (isFresh && !held.isLoading)),
       isLoading: isFresh && held.isLoading,
-      loadTime: digest.loadMilliseconds,
     };
   }
 
