--- a/packages/node/tests/relay/engine_owners_test.ts
+++ b/packages/node/tests/relay/engine_owners_test.ts
@@ -1,8 +1,10 @@
 import { standInEngines, standInServer } from "@foxtailwind/bench";
 import {
   backendServerId,
+  failureDomainId,
   logOffset,
   milliseconds,
+  nodeId,
   seconds,
   serviceId,
 } from "@foxtailwind/core";
@@ -11,17 +13,19 @@
   EngineOwners,
   SharedLog,
 } from "@foxtailwind/node/relay";
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import { ok, type Result } from "neverthrow";
+import { setTimeout as sleep } from "node:timers/promises";
 import { relayBase } from "./helpers/relay_base.ts";
 import { ScriptedEngine } from "./helpers/scripted_engine.ts";
 
 const ENGINE = backendServerId("engine");
 const SERVICE = serviceId("engines");
 
-/** A log that takes every claim and keeps it. */
+/** A log that keeps every claim, and takes it unless another came first. */
 class ClaimLog extends SharedLog {
   readonly claims: ClaimRecord[] = [];
+  isTaken = true;
 
   override start(): void {
     // Nothing is read: the test tells what the log says.
@@ -31,7 +35,7 @@
     claims: readonly ClaimRecord[],
   ): Promise<Result<boolean, never>> {
     this.claims.push(...claims);
-    return Promise.resolve(ok(true));
+    return Promise.resolve(ok(this.isTaken));
   }
 
   override catchUp(): Promise<void> {
@@ -47,7 +51,8 @@
   }
 }
 
-test("a node that comes back claims its engine at once and says that it has it", async (t) => {
+/** A node that has come back, and whose engine its earlier run had. */
+function comeBack(t: ExecutionContext) {
   const { base, knowledge } = relayBase({
     part: "ownership",
     incarnation: "run-2",
@@ -96,15 +101,43 @@
     wait: milliseconds(0),
   };
   knowledge.claim({ ...claim, incarnation: "run-1" }, logOffset(4));
+  return { claim, gained: () => gained, knowledge, log, owners };
+}
+
+test("a node that comes back claims its engine at once and says that it has it", async (t) => {
+  const { claim, gained, knowledge, log, owners } = comeBack(t);
   owners.refresh();
   await Promise.resolve();
   t.is(log.claims.length, 1, "Its own earlier run is no other owner.");
   t.is(log.claims[0]?.wait, milliseconds(0));
-  t.is(gained, 0, "The log has not taken the claim yet.");
+  t.is(gained(), 0, "The log has not taken the claim yet.");
   knowledge.claim({ ...claim, incarnation: "run-2" }, logOffset(5));
   owners.refresh();
-  t.is(gained, 1);
+  t.is(gained(), 1);
   t.is(owners.digests[0]?.engine, ENGINE);
   owners.refresh();
-  t.is(gained, 1, "It says so once.");
+  t.is(gained(), 1, "It says so once.");
+});
+
+test("of 61 nodes whose claims meet, one waits its part before it claims again", async (t) => {
+  const { knowledge, log, owners } = comeBack(t);
+  for (let node = 0; node < 60; node += 1) {
+    knowledge.node({
+      id: nodeId(`n${node}`),
+      incarnation: "run",
+      address: "127.0.0.1:1",
+      failureDomain: failureDomainId("d"),
+    });
+  }
+  log.isTaken = false;
+  const claimsIn = async (looks: number) => {
+    const before = log.claims.length;
+    for (let look = 0; look < looks; look += 1) {
+      owners.refresh();
+      await sleep(1);
+    }
+    return log.claims.length - before;
+  };
+  const claims = await claimsIn(200);
+  t.true(claims >= 1 && claims < 20, `${claims} claims in 200 looks`);
 });
