--- a/packages/core/src/relay/exchange_partners.ts
+++ b/packages/core/src/relay/exchange_partners.ts
@@ -21,9 +21,9 @@
 }
 
 /**
- * Up to so many nodes all ask all. Each node then makes 37 calls a second at
- * 300 ms a period, which takes about 1% of a core at 0.25 ms a call; the number
- * of calls grows with the square of the nodes, and 61 nodes would make 12,200.
+ * Up to so many nodes all ask all: each then makes 37 calls a second at 300 ms
+ * a period, and hears of all at first hand. All calls grow with the square of
+ * the nodes; 61 nodes would make 12,200 a second.
  */
 const MOST_WITHOUT_HUBS = 12;
 /**
