--- a/packages/node/tests/relay/peer_book_test.ts
+++ b/packages/node/tests/relay/peer_book_test.ts
@@ -5,6 +5,7 @@
   nodeId,
 } from "@foxtailwind/core";
 import { PeerBook } from "@foxtailwind/node/relay";
+import { NodeDigest } from "@foxtailwind/protocol";
 import test from "ava";
 import { nodeDigest } from "./helpers/node_digest.ts";
 
@@ -84,3 +85,15 @@
   t.is(peers.alive(instant(3_200)).length, 1);
   t.is(peers.alive(instant(3_300)).length, 0);
 });
+
+test("digests of a node that has run for months are still numbered upwards", (t) => {
+  const peers = new PeerBook();
+  const halfAYear = 180 * 24 * 3_600 * 1_000;
+  for (const sequence of [halfAYear, halfAYear + 300]) {
+    const sent = NodeDigest.decode(
+      NodeDigest.encode(nodeDigest("n1", { sequence })).finish(),
+    );
+    peers.heard(instant(sequence), sent);
+  }
+  t.is(peers.known[0]?.sequence, halfAYear + 300);
+});
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -64,7 +64,7 @@
   type Knowledge,
   type KnowledgeRequest,
   type KnownDigest,
-  type NodeDigest,
+  NodeDigest,
   RelayPeersClient,
   RelayPeersService,
 } from "./generated/relay.ts";
