Prompts are spaced only where reading in a row outlasts the pause that a stream may have

Change: an owner spaces prompts where an engine, by its learned pace, reads 6,500 tokens in longer than the route's longest pause; else it grants at once and counts the reading for the wait.

--- a/packages/bench/src/reading/prompt_gates.ts
+++ b/packages/bench/src/reading/prompt_gates.ts
@@ -34,6 +34,7 @@
       queue.add(index, {
         reading: milliseconds(speed * tokens / TOKENS_A_MILLISECOND),
         wantedBy: instant(at + TARGET_MILLISECONDS),
+        needsBreak: true,
       });
     },
     take: (now) => {
--- a/packages/core/src/relay/reading_queue.ts
+++ b/packages/core/src/relay/reading_queue.ts
@@ -20,16 +20,40 @@
  */
 const HEAD_START = 10;
 
+/**
+ * Prompt tokens that an engine reads at most between two events of a stream: by
+ * the users' sheets an event takes 2 to 5 steps of 2,048 tokens; the middle.
+ */
+const TOKENS_BETWEEN_EVENTS = 6_500;
+
+/**
+ * Tells whether an engine that reads prompts without a break makes what runs
+ * there late. Engines that read fast enough, or whose streams may pause for
+ * longer, are better given each prompt at once: with breaks that nothing needs,
+ * the users' fastest engines served 6 to 12 in 100 requests fewer in time.
+ * @param tokenTime Milliseconds in which the engine reads a token.
+ * @param longestPause The longest pause between two events that is not late.
+ * @returns Whether prompts are to be spaced.
+ */
+export function needsBreaks(
+  tokenTime: number,
+  longestPause: Duration,
+): boolean {
+  return TOKENS_BETWEEN_EVENTS * tokenTime > longestPause;
+}
+
 /** A prompt that waits to be read. */
 export interface ReadingTerms {
   /** How long the engine reads it. */
   readonly reading: Duration;
   /** When its first event is wanted. */
   readonly wantedBy: Instant;
+  /** Whether the prompts before it have to be read first. */
+  readonly needsBreak: boolean;
 }
 
 /**
- * Spaces the prompts that one engine reads, so that what runs there goes on
+ * Spaces the prompts that one engine reads, where they need it, so that what runs there goes on
  * between them: under bursts of prompts, running streams keep their pace and
  * the prompts wait, in place of all of them being late. Those that can still
  * be in time go first, the one with the least time to spare before the others;
@@ -74,19 +98,21 @@
   next(now: Instant): Entry | undefined {
     const at = this.nextAt;
     if (at === undefined || at > now) return undefined;
-    const first = this.#mostUrgent(now);
+    const first = this.#withoutBreak ?? this.#mostUrgent(now);
     if (first === undefined) return undefined;
-    const [entry, { reading }] = first;
+    const [entry, { reading, needsBreak }] = first;
     this.#waiting.delete(entry);
-    this.#readUntil = Math.max(now, this.#readUntil) + reading / READING_SHARE;
+    const share = needsBreak ? READING_SHARE : 1;
+    this.#readUntil = Math.max(now, this.#readUntil) + reading / share;
     return entry;
   }
 
   /** When the next prompt may be read, where one waits. */
   get nextAt(): Instant | undefined {
-    return this.#waiting.size === 0
-      ? undefined
-      : instant(this.#readUntil - HEAD_START);
+    if (this.#waiting.size === 0) return undefined;
+    return instant(
+      this.#withoutBreak === undefined ? this.#readUntil - HEAD_START : 0,
+    );
   }
 
   /**
@@ -101,6 +127,10 @@
     return milliseconds(ahead + queued / READING_SHARE);
   }
 
+  get #withoutBreak(): [Entry, ReadingTerms] | undefined {
+    return [...this.#waiting].find(([, { needsBreak }]) => !needsBreak);
+  }
+
   #mostUrgent(now: Instant): [Entry, ReadingTerms] | undefined {
     let first: [Entry, ReadingTerms] | undefined;
     let least = Infinity;
--- a/packages/core/tests/relay/reading_queue_test.ts
+++ b/packages/core/tests/relay/reading_queue_test.ts
@@ -12,7 +12,12 @@
   spacedGate,
   TARGET_MILLISECONDS,
 } from "@foxtailwind/bench";
-import { instant, milliseconds, ReadingQueue } from "@foxtailwind/core";
+import {
+  instant,
+  milliseconds,
+  needsBreaks,
+  ReadingQueue,
+} from "@foxtailwind/core";
 import test from "ava";
 
 const SEEDS = Array.from({ length: 20 }, (_, index) => index + 1);
@@ -38,7 +43,11 @@
   const queue = new ReadingQueue<string>();
   const reading = milliseconds(50);
   const add = (name: string, wantedBy: number) => {
-    queue.add(name, { reading, wantedBy: instant(wantedBy) });
+    queue.add(name, {
+      reading,
+      wantedBy: instant(wantedBy),
+      needsBreak: true,
+    });
   };
   add("late", 0);
   add("later", 20);
@@ -53,7 +62,11 @@
 
 test("an idle engine reads at once, and the next prompt waits for the one before", (t) => {
   const queue = new ReadingQueue<string>();
-  const terms = { reading: milliseconds(100), wantedBy: instant(2_000) };
+  const terms = {
+    reading: milliseconds(100),
+    wantedBy: instant(2_000),
+    needsBreak: true,
+  };
   queue.add("a", terms);
   queue.add("b", terms);
   t.is(queue.next(instant(1_000)), "a");
@@ -67,8 +80,35 @@
 
 test("a prompt that nobody waits for is not read", (t) => {
   const queue = new ReadingQueue<string>();
-  queue.add("a", { reading: milliseconds(9), wantedBy: instant(9) });
+  queue.add("a", {
+    reading: milliseconds(9),
+    wantedBy: instant(9),
+    needsBreak: true,
+  });
   t.true(queue.delete("a"));
   t.is(queue.next(instant(0)), undefined);
   t.is(queue.wait(instant(0)), milliseconds(0));
 });
+
+test("prompts that need no break are given at once, and count for the wait", (t) => {
+  const queue = new ReadingQueue<string>();
+  const terms = {
+    reading: milliseconds(100),
+    wantedBy: instant(2_000),
+    needsBreak: false,
+  };
+  queue.add("a", terms);
+  queue.add("b", terms);
+  t.is(queue.next(instant(0)), "a");
+  t.is(queue.next(instant(0)), "b");
+  t.is(queue.wait(instant(0)), milliseconds(200));
+});
+
+test("breaks are needed where reading in a row takes longer than a stream may pause", (t) => {
+  const fast = 1 / 38.7;
+  const usual = 1 / 19.2;
+  t.false(needsBreaks(fast, milliseconds(400)));
+  t.false(needsBreaks(usual, milliseconds(400)));
+  t.true(needsBreaks(usual, milliseconds(300)));
+  t.true(needsBreaks(1.3 * usual, milliseconds(400)));
+});
--- a/packages/node/src/relay/adapter_grants.ts
+++ b/packages/node/src/relay/adapter_grants.ts
@@ -109,6 +109,7 @@
       minimumVersion: request.minimumVersion,
       readingMilliseconds: Math.round(request.reading),
       timeLeftMilliseconds: Math.round(request.timeLeft),
+      needsBreak: request.needsBreak,
     });
     const over = new AbortController();
     const release = () => {
@@ -161,6 +162,7 @@
     minimumVersion,
     reading: milliseconds(call.request.readingMilliseconds),
     timeLeft: milliseconds(call.request.timeLeftMilliseconds),
+    needsBreak: call.request.needsBreak,
   }, departure.signal);
   if (answer.kind !== "granted") {
     writeRefusal(
--- a/packages/node/src/relay/adapter_uses.ts
+++ b/packages/node/src/relay/adapter_uses.ts
@@ -164,6 +164,7 @@
       this.#turns.add(turn, {
         reading: request.reading,
         wantedBy: later(now, request.timeLeft),
+        needsBreak: request.needsBreak,
       });
       signal.addEventListener("abort", leave, { once: true });
       if (signal.aborted) leave();
--- a/packages/node/src/relay/engine_use.ts
+++ b/packages/node/src/relay/engine_use.ts
@@ -15,6 +15,8 @@
   readonly reading: Duration;
   /** Until the first event is wanted; less than 0 where that is over. */
   readonly timeLeft: Duration;
+  /** Whether the prompts before it have to be read first. */
+  readonly needsBreak: boolean;
 }
 
 /** What an owner answers to a request for use. */
--- a/packages/node/src/relay/place_finder.ts
+++ b/packages/node/src/relay/place_finder.ts
@@ -92,6 +92,7 @@
     return await placer.placeOnEngine(caller.use, servers, {
       signal,
       wantedBy: this.#terms.wantedBy,
+      longestPause: this.#request.route.longestPause,
       note: (answer) => {
         if (this.#asked.length < MOST_ASKED_LOGGED) this.#asked.push(answer);
       },
--- a/packages/node/src/relay/request_placer.ts
+++ b/packages/node/src/relay/request_placer.ts
@@ -5,6 +5,7 @@
   type Instant,
   isOlderStart,
   milliseconds,
+  needsBreaks,
   type NodeId,
   orderEngines,
   type RegisteredServer,
@@ -43,6 +44,8 @@
 export interface PlaceSearch {
   /** When the first event is wanted. */
   readonly wantedBy: Instant;
+  /** The longest pause between two events that is not late, where there is one. */
+  readonly longestPause: Duration | undefined;
   /** Ends the search. */
   readonly signal: AbortSignal;
   /** Takes note of what came of each engine that was asked. */
@@ -136,7 +139,7 @@
     engine: KnownEngine,
     use: ModelUse,
     minimumVersion: number,
-    { signal, note, wantedBy }: PlaceSearch,
+    { signal, note, wantedBy, longestPause }: PlaceSearch,
   ): Promise<Place | undefined> {
     const { server, owner, address } = engine;
     if (owner === undefined || address === undefined) {
@@ -158,6 +161,11 @@
         minimumVersion,
         reading: engine.reading,
         timeLeft: milliseconds(wantedBy - this.#parts.clock.now()),
+        needsBreak: longestPause !== undefined &&
+          needsBreaks(
+            this.#parts.loads.of(server).pace.tokenTime,
+            longestPause,
+          ),
       },
       AbortSignal.any([signal, AbortSignal.timeout(patience)]),
     );
--- a/packages/node/tests/relay/helpers/owned_engine.ts
+++ b/packages/node/tests/relay/helpers/owned_engine.ts
@@ -87,6 +87,7 @@
     minimumVersion: 0,
     reading: milliseconds(5),
     timeLeft: milliseconds(1_000),
+    needsBreak: true,
   }, AbortSignal.timeout(patience));
 }
 
--- a/packages/node/tests/relay/peer_grants_test.ts
+++ b/packages/node/tests/relay/peer_grants_test.ts
@@ -74,6 +74,7 @@
       minimumVersion: 0,
       reading: milliseconds(1),
       timeLeft: milliseconds(1_000),
+      needsBreak: true,
     }, AbortSignal.timeout(10_000));
   return { ask, control, grants, owners, register, where };
 }
--- a/packages/node/tests/relay/request_placer_test.ts
+++ b/packages/node/tests/relay/request_placer_test.ts
@@ -103,6 +103,7 @@
       knowledge.registry.all,
       {
         wantedBy: clock.now(),
+        longestPause: undefined,
         signal: new AbortController().signal,
         note: () => undefined,
       },
