--- a/packages/node/tests/relay/answer_way_test.ts
+++ b/packages/node/tests/relay/answer_way_test.ts
@@ -127,15 +127,19 @@
 /** Where node:http tells of each request that it takes. */
 const REQUESTS = "http.server.request.start";
 
-/** Tells of the connection that a front's next request comes on. */
-function nextConnection(): Promise<Socket> {
+/**
+ * Tells of the connection that a front's next request comes on. Fronts of tests
+ * that run at the same time are told apart by their ports.
+ */
+function nextConnection(port: number): Promise<Socket> {
   return new Promise((resolve) => {
     const take = (found: unknown): void => {
       const { socket, request } = found as {
         readonly socket: Socket;
         readonly request: IncomingMessage;
       };
-      if (request.headers["x-id"] !== "slow") return;
+      const isOther = socket.localPort !== port;
+      if (isOther || request.headers["x-id"] !== "slow") return;
       unsubscribe(REQUESTS, take);
       resolve(socket);
     };
@@ -151,7 +155,7 @@
 ) {
   const world = await startWorld(t);
   const chunk = "x".repeat(8_192);
-  const connection = nextConnection();
+  const connection = nextConnection(world.port);
   let sent = 0;
   await serveRaw(t, world, "s1", (server) => {
     void (async () => {
