--- a/packages/bench/src/relay/stand_in_log.ts
+++ b/packages/bench/src/relay/stand_in_log.ts
@@ -194,6 +194,8 @@
     return Promise.resolve();
   }
 
+  override hurry(): void {}
+
   override announce(node: NodeRecord): Promise<Result<boolean, Failure>> {
     if (!this.#store.isUp) return Promise.resolve(err(FAILURE));
     this.#store.appendNode(node);
--- a/packages/bench/src/soak/relay/soak_store.ts
+++ b/packages/bench/src/soak/relay/soak_store.ts
@@ -130,6 +130,10 @@
     return this.next.readers;
   }
 
+  override get isActive(): boolean {
+    return this.next.isActive;
+  }
+
   override operatorsTold(
     ...news: Parameters<SharedLogListener["operatorsTold"]>
   ): void {
--- a/packages/core/src/relay/engine_claims.ts
+++ b/packages/core/src/relay/engine_claims.ts
@@ -37,6 +37,8 @@
   readonly engines: readonly BackendServerId[];
   /** The nodes heard of lately, this one included, and none that leaves. */
   readonly nodes: readonly NodeId[];
+  /** Those of them that take an engine that has no owner. */
+  readonly candidates: readonly NodeId[];
   /** Nodes that have said that they stop, and order no more. */
   readonly left: ReadonlySet<NodeId>;
 }
@@ -135,7 +137,7 @@
   wanted(now: Instant, view: ClaimView): readonly BackendServerId[] {
     return view.engines.filter((engine) =>
       this.#isVacant(now, engine, view) &&
-      rendezvousChoice(engine, view.nodes) === this.#self.id
+      rendezvousChoice(engine, view.candidates) === this.#self.id
     );
   }
 
--- a/packages/core/src/relay/exchange_partners.ts
+++ b/packages/core/src/relay/exchange_partners.ts
@@ -8,6 +8,8 @@
 export interface ExchangeNode {
   readonly id: NodeId;
   readonly failureDomain: FailureDomainId;
+  /** Whether it takes callers and owns engines, and so hears of all soonest. */
+  readonly isServing: boolean;
 }
 
 /** Whom a node asks, and for what. */
@@ -35,8 +37,8 @@
 /**
  * Chooses whom a node asks for the digests of all nodes, so that the calls
  * grow with the nodes and not with their square: in a large system each
- * failure domain has a few hubs, each node asks one hub of its own domain, and
- * hubs ask the others of their domain and one of each other domain. News reach
+ * failure domain has a few hubs, of the nodes that serve where there are such,
+ * each node asks one hub of its own domain, and hubs ask the others of their domain and one of each other domain. News reach
  * all in five periods at most. At 61 nodes in three domains that is 88 calls a
  * period in all, for 3,660 where all ask all.
  * @param self The node that asks.
@@ -68,22 +70,24 @@
   return { partners, isRelayed: true, isHub };
 }
 
-/** The first nodes of each failure domain by id. */
+/** Of each failure domain the first nodes by id, those that serve before others. */
 function hubsByDomain(
   nodes: readonly ExchangeNode[],
 ): ReadonlyMap<FailureDomainId, readonly NodeId[]> {
   const domains = new Map<FailureDomainId, NodeId[]>();
-  for (const { id, failureDomain } of nodes) {
+  for (const { id, failureDomain } of nodes.toSorted(servingFirst)) {
     const ids = domains.get(failureDomain) ?? [];
-    ids.push(id);
+    if (ids.length < HUBS_A_DOMAIN) ids.push(id);
     domains.set(failureDomain, ids);
   }
-  for (const [domain, ids] of domains) {
-    domains.set(domain, ids.toSorted().slice(0, HUBS_A_DOMAIN));
-  }
   return domains;
 }
 
+function servingFirst(left: ExchangeNode, right: ExchangeNode): number {
+  if (left.isServing !== right.isServing) return left.isServing ? -1 : 1;
+  return left.id < right.id ? -1 : 1;
+}
+
 /** The hub that a node asks among some: nodes spread over them. */
 function firstFor(node: NodeId, hubs: readonly NodeId[]): readonly NodeId[] {
   return rendezvousOrder(node, hubs).slice(0, 1);
--- a/packages/core/src/relay/mod.ts
+++ b/packages/core/src/relay/mod.ts
@@ -21,4 +21,5 @@
 export * from "./recent_keys.ts";
 export * from "./registered_server.ts";
 export * from "./server_registry.ts";
+export * from "./serving_set.ts";
 export * from "./start_history.ts";
--- a/packages/core/src/shared/rendezvous.ts
+++ b/packages/core/src/shared/rendezvous.ts
@@ -24,6 +24,18 @@
   return scored.map((entry) => entry.candidate);
 }
 
+const SCORES = 2 ** 32;
+
+/**
+ * Scores a candidate for a key: a draw that stays the same.
+ * @param key What is placed.
+ * @param candidate The candidate's id.
+ * @returns A number from 0 up to, and without, 1.
+ */
+export function rendezvousScore(key: string, candidate: string): number {
+  return hasher.h32(`${candidate}/${key}`) / SCORES;
+}
+
 /**
  * Chooses the best candidate for a key.
  * @param key What is placed.
--- a/packages/core/tests/relay/engine_claims_test.ts
+++ b/packages/core/tests/relay/engine_claims_test.ts
@@ -42,6 +42,7 @@
     claims(node).wanted(instant(0), {
       engines: [ENGINE],
       nodes: NODES,
+      candidates: NODES,
       left: NOBODY,
     })
       .length > 0
@@ -72,7 +73,12 @@
   const restarted = claims(FIRST, "run-2");
   restarted.apply(claim(FIRST, 7));
   t.is(restarted.right(ENGINE), undefined);
-  const view = { engines: [ENGINE], nodes: NODES, left: NOBODY };
+  const view = {
+    engines: [ENGINE],
+    nodes: NODES,
+    candidates: NODES,
+    left: NOBODY,
+  };
   t.deepEqual(restarted.wanted(instant(0), view), [ENGINE]);
 });
 
@@ -90,9 +96,11 @@
 test("an engine is taken from a silent owner only after the shortest tenure", (t) => {
   const second = claims(SECOND);
   second.apply(claim(FIRST, 7, 0, 1_000));
+  const others = NODES.filter((node) => node !== FIRST);
   const view = {
     engines: [ENGINE],
-    nodes: NODES.filter((node) => node !== FIRST),
+    nodes: others,
+    candidates: others,
     left: NOBODY,
   };
   t.deepEqual(second.wanted(instant(6_000), view), []);
@@ -101,6 +109,7 @@
     second.wanted(instant(7_000), {
       engines: [ENGINE],
       nodes: NODES,
+      candidates: NODES,
       left: NOBODY,
     }),
     [],
@@ -113,7 +122,12 @@
   const left = new Set(FIRST === undefined ? [] : [FIRST]);
   const nodes = NODES.filter((node) => node !== FIRST);
   t.deepEqual(
-    second.wanted(instant(1_001), { engines: [ENGINE], nodes, left }),
+    second.wanted(instant(1_001), {
+      engines: [ENGINE],
+      nodes,
+      candidates: nodes,
+      left,
+    }),
     [ENGINE],
   );
   t.true(second.waitAfterClaim(ENGINE, left) < 500);
@@ -129,3 +143,17 @@
   t.deepEqual(restarted.abandoned([ENGINE]), []);
   t.is(restarted.waitAfterClaim(ENGINE, NOBODY), LEASE);
 });
+
+test("of nodes that are there, one that serves takes an engine, and none from an owner that doesn't", (t) => {
+  const unowned = {
+    engines: [ENGINE],
+    nodes: NODES,
+    candidates: NODES.filter((node) => node !== FIRST),
+    left: NOBODY,
+  };
+  t.deepEqual(claims(FIRST).wanted(instant(0), unowned), []);
+  t.deepEqual(claims(SECOND).wanted(instant(0), unowned), [ENGINE]);
+  const second = claims(SECOND);
+  second.apply(claim(FIRST, 7));
+  t.deepEqual(second.wanted(instant(60_000), unowned), []);
+});
--- a/packages/core/tests/relay/exchange_partners_test.ts
+++ b/packages/core/tests/relay/exchange_partners_test.ts
@@ -10,6 +10,7 @@
   return Array.from({ length: count }, (_, index) => ({
     id: nodeId(`n${String(index).padStart(3, "0")}`),
     failureDomain: failureDomainId(`d${index % domains}`),
+    isServing: false,
   }));
 }
 
@@ -70,3 +71,17 @@
   const domain = left.find(({ id }) => id === next)?.failureDomain;
   t.is(domain, self.failureDomain);
 });
+
+test("hubs are nodes that serve, where some do", (t) => {
+  const all = nodes(195, 5).map((node, index) => ({
+    ...node,
+    isServing: index >= 100 && index < 120,
+  }));
+  const serving = new Set(
+    all.filter(({ isServing }) => isServing).map(({ id }) => id),
+  );
+  for (const [id, partners] of partnersOfAll(all)) {
+    t.true(partners.every((partner) => serving.has(partner)), id);
+  }
+  t.true(periodsToReachAll(all) <= 5);
+});
--- a/packages/node/src/relay/engine_owners.ts
+++ b/packages/node/src/relay/engine_owners.ts
@@ -55,6 +55,11 @@
     this.#startedAt = parts.clock.now();
   }
 
+  /** Whether this node owns an engine. */
+  get ownsAny(): boolean {
+    return this.#owners.size > 0;
+  }
+
   /** What other nodes are told of this node's engines. */
   get digests(): readonly EngineDigest[] {
     return [...this.#owners.values()].map((owner) => owner.digest);
@@ -153,12 +158,15 @@
     if (now - this.#startedAt < LISTENING_MILLISECONDS) {
       return knowledge.claims.abandoned(engines);
     }
-    const nodes = knowledge.peers.alive(now)
+    const peers = knowledge.peers.alive(now)
       .filter((peer) => !peer.isLeaving)
       .map((peer) => nodeId(peer.node));
+    const nodes = [settings.node.id, ...peers];
+    const serving = nodes.filter((node) => knowledge.serving.has(node));
     return knowledge.claims.wanted(now, {
       engines,
-      nodes: [settings.node.id, ...nodes],
+      nodes,
+      candidates: serving.length > 0 ? serving : nodes,
       left,
     });
   }
--- a/packages/node/src/relay/front_server.ts
+++ b/packages/node/src/relay/front_server.ts
@@ -130,6 +130,7 @@
     });
     fastify.all("*", (request, reply) => {
       reply.hijack();
+      this.#parts.asked();
       this.#connections.begin(request.raw.socket, reply.raw);
       void this.#relay(request.raw, reply.raw);
     });
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -11,6 +11,7 @@
   logOffset,
   milliseconds,
   type ModelId,
+  nodeId,
   type RegisteredServer,
   type RegistryEntry,
   RELAY_SENTENCE,
@@ -23,6 +24,7 @@
 import type { PartLogger } from "../logging/part_logger.ts";
 import { PeerBook } from "./peer_book.ts";
 import type { RelaySettings } from "./relay_settings.ts";
+import type { ServingNodes } from "./serving_nodes.ts";
 import {
   type ClaimRecord,
   type NodeRecord,
@@ -35,9 +37,9 @@
 const CONTACT_TIME = milliseconds(2_000);
 
 /**
- * So many nodes, the first by id among those that reach the log, watch what
- * operators write for all. A second one watches on while the first stops or is
- * cut off.
+ * So many nodes, the first by id among those that reach the log and serve,
+ * watch what operators write for all. A second one watches on while the first
+ * stops or is cut off.
  */
 const WATCHERS = 2;
 
@@ -49,6 +51,11 @@
   readonly logger: PartLogger;
 }
 
+/** Which nodes serve, as far as what a node knows depends on it. */
+export type ServingView = Pick<ServingNodes, "has" | "isActive">;
+
+const EVERYBODY: ServingView = { has: () => true, isActive: () => true };
+
 /** What this node knows of configuration, servers, claims and nodes. */
 export class Knowledge extends SharedLogListener {
   readonly versions = new AdapterVersions();
@@ -62,6 +69,8 @@
   #byServiceRevision = -1;
   #reachedAt: Instant | undefined;
   #isInContact = false;
+  /** Which nodes serve; all of them, until the node has worked it out. */
+  serving: ServingView = EVERYBODY;
   /** Called after each change that may matter to the owners of engines. */
   onChange: () => void = () => undefined;
   /** Called for each record that was left out. */
@@ -119,12 +128,21 @@
 
   override get isWatcher(): boolean {
     const { settings, clock } = this.#parts;
-    const before = this.peers.alive(clock.now()).filter((peer) =>
-      peer.reachesLog && peer.node < settings.node.id
-    );
+    const { id } = settings.node;
+    const isServing = this.serving.has(id);
+    const before = this.peers.alive(clock.now()).filter((peer) => {
+      if (!peer.reachesLog) return false;
+      const node = nodeId(peer.node);
+      const serves = this.serving.has(node);
+      return serves === isServing ? node < id : serves;
+    });
     return before.length < WATCHERS;
   }
 
+  override get isActive(): boolean {
+    return this.serving.isActive(this.#parts.clock.now());
+  }
+
   override get readers(): number {
     return this.peers.contacts(this.#parts.clock.now()).length + 1;
   }
--- /dev/null
+++ b/packages/node/src/relay/node_load.ts
@@ -0,0 +1,80 @@
+import { elapsed, type Instant, milliseconds } from "@foxtailwind/core";
+import { type EventLoopUtilization, performance } from "node:perf_hooks";
+
+/** Between two looks at the event loop. */
+const SAMPLE_TIME = milliseconds(1_000);
+/** The weight of the newest look. */
+const WEIGHT = 0.5;
+/** What a process does so long after its start is its start. */
+const START_TIME = milliseconds(3_000);
+/** Loads are told in so many steps, so that few of their changes are news. */
+const STEPS = 16;
+const THOUSANDTHS = 1_000;
+
+/** How much of what its VM can do a node uses, by what its event loop waits. */
+export class NodeLoad {
+  readonly #startedAt: Instant;
+  #sampledAt: Instant;
+  #before: EventLoopUtilization = performance.eventLoopUtilization();
+  #load = 0;
+
+  /** @param now The present time. */
+  constructor(now: Instant) {
+    this.#startedAt = now;
+    this.#sampledAt = now;
+  }
+
+  /** The load as it is told, in steps. */
+  get told(): number {
+    return Math.round(this.#load * STEPS);
+  }
+
+  /** The share of its VM that the node uses, as others hear it. */
+  get share(): number {
+    return loadOf(this.told);
+  }
+
+  /**
+   * Looks at the event loop, where that is due.
+   * @param now The present time.
+   */
+  sample(now: Instant): void {
+    if (elapsed(this.#sampledAt, now) < SAMPLE_TIME) return;
+    const utilization = performance.eventLoopUtilization();
+    const { utilization: share } = performance.eventLoopUtilization(
+      utilization,
+      this.#before,
+    );
+    this.#before = utilization;
+    this.#sampledAt = now;
+    if (elapsed(this.#startedAt, now) < START_TIME) return;
+    this.#load += WEIGHT * (share - this.#load);
+  }
+}
+
+/**
+ * Reads a load as it is told.
+ * @param told In steps.
+ * @returns The share of the VM that is in use, from 0 to 1.
+ */
+export function loadOf(told: number): number {
+  return told / STEPS;
+}
+
+/**
+ * Reads a capacity as it is told.
+ * @param told In thousandths of a processor; 0 where a node does not tell.
+ * @returns In processors.
+ */
+export function capacityOf(told: number): number {
+  return told === 0 ? 1 : told / THOUSANDTHS;
+}
+
+/**
+ * Writes a capacity to be told.
+ * @param processors In processors.
+ * @returns In thousandths of a processor.
+ */
+export function toldCapacity(processors: number): number {
+  return Math.max(1, Math.round(processors * THOUSANDTHS));
+}
--- a/packages/node/src/relay/node_presence.ts
+++ b/packages/node/src/relay/node_presence.ts
@@ -1,9 +1,22 @@
-import { elapsed, type Instant, milliseconds } from "@foxtailwind/core";
-import type { EngineDigest, NodeDigest } from "@foxtailwind/protocol";
+import {
+  elapsed,
+  type Instant,
+  isNamedToCallers,
+  milliseconds,
+  nodeId,
+} from "@foxtailwind/core";
+import {
+  type EngineDigest,
+  EngineStates,
+  NodeDigest,
+} from "@foxtailwind/protocol";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { Knowledge } from "./knowledge.ts";
 import type { RelaySettings } from "./relay_settings.ts";
+import { capacityOf } from "./node_load.ts";
 import type { PlannedStop } from "./relay_stop.ts";
+import type { ServingNodes } from "./serving_nodes.ts";
+import { NumberedState } from "./numbered_state.ts";
 import type { NodeRecord } from "./shared_log.ts";
 
 /** Nodes heard of in this time share limits, even if silent now. */
@@ -18,6 +31,9 @@
   readonly incarnation: string;
   /** What others are told of this node's engines. */
   readonly engines: () => readonly EngineDigest[];
+  readonly serving: ServingNodes;
+  /** Between two exchanges that this node begins, in milliseconds. */
+  readonly exchangePeriod: () => number;
 }
 
 /** The ports that a node has taken. */
@@ -30,6 +46,8 @@
 export class NodePresence {
   readonly #parts: NodePresenceParts;
   readonly #heardNodes = new Map<string, Instant>();
+  readonly #ownState = new NumberedState();
+  readonly #engineStates = new NumberedState();
   #ports: NodePorts | undefined;
   /** The stop in progress, if this node is stopping. */
   plannedStop: PlannedStop | undefined;
@@ -65,13 +83,34 @@
       incarnation,
       address: `${peers.host}:${this.#ports?.peers ?? peers.port}`,
       failureDomain: settings.node.failure_domain,
+      capacity: this.#parts.serving.capacity,
     };
   }
 
   /** What other nodes are told of this one. */
   get digest(): NodeDigest {
     const now = this.#parts.clock.now();
-    const { id, incarnation, address, failureDomain } = this.record;
+    const unnumbered = this.#unnumbered(now);
+    const engines = [...this.#parts.engines()];
+    return {
+      ...unnumbered,
+      sequence: this.#ownState.number(
+        now,
+        NodeDigest.encode(unnumbered).finish(),
+      ),
+      engineStates: {
+        engines,
+        sequence: this.#engineStates.number(
+          now,
+          EngineStates.encode({ engines, sequence: 0 }).finish(),
+        ),
+      },
+    };
+  }
+
+  #unnumbered(now: Instant): NodeDigest {
+    const { knowledge, serving, exchangePeriod } = this.#parts;
+    const { id, incarnation, address, failureDomain, capacity } = this.record;
     return {
       node: id,
       incarnation,
@@ -80,11 +119,14 @@
       failureDomain,
       isReady: this.isReady,
       isLeaving: this.isLeaving,
-      engines: [...this.#parts.engines()],
-      operatorsEnd: this.#parts.knowledge.operatorsEnd,
-      registryEnd: this.#parts.knowledge.registry.changedAt,
-      sequence: Math.floor(now),
-      reachesLog: this.#parts.knowledge.isInContact(now),
+      engineStates: undefined,
+      operatorsEnd: knowledge.operatorsEnd,
+      registryEnd: knowledge.registry.changedAt,
+      sequence: 0,
+      reachesLog: knowledge.isInContact(now),
+      capacity,
+      load: serving.load,
+      periodMilliseconds: exchangePeriod(),
     };
   }
 
@@ -120,18 +162,27 @@
   }
 
   /**
-   * Lists where callers may connect.
+   * Lists where callers may connect: nodes that serve, where some do.
    * @param failureDomain The callers' failure domain; where several of its
    * nodes take callers, only they are named.
    * @returns The addresses of nodes that take callers.
    */
   addresses(failureDomain: string | undefined): readonly string[] {
-    const peers = this.#parts.knowledge.peers.alive(this.#parts.clock.now());
+    const { knowledge, clock, serving, settings } = this.#parts;
+    const peers = knowledge.peers.alive(clock.now());
     const ready = [this.digest, ...peers].filter((one) =>
       one.isReady && !one.isLeaving
     );
     const near = ready.filter((one) => one.failureDomain === failureDomain);
-    const chosen = near.length > 1 ? near : ready;
-    return chosen.map((one) => one.callerAddress);
+    const inReach = near.length > 1 ? near : ready;
+    const chosen = inReach.filter((one) => serving.has(nodeId(one.node)));
+    if (chosen.length === 0) return inReach.map((one) => one.callerAddress);
+    const strongest = Math.max(...chosen.map((one) => one.capacity));
+    return chosen.filter((one) =>
+      isNamedToCallers(settings.node.id, {
+        id: nodeId(one.node),
+        capacity: capacityOf(one.capacity),
+      }, capacityOf(strongest))
+    ).map((one) => one.callerAddress);
   }
 }
--- a/packages/node/src/relay/peer_book.ts
+++ b/packages/node/src/relay/peer_book.ts
@@ -8,37 +8,27 @@
   milliseconds,
   type NodeId,
   nodeId,
+  type ServingCandidate,
 } from "@foxtailwind/core";
-import type {
-  AgedDigest,
-  EngineDigest,
-  KnownDigest,
-  NodeDigest,
-} from "@foxtailwind/protocol";
+import type { EngineDigest, NodeDigest, NodeNews } from "@foxtailwind/protocol";
+import { capacityOf, loadOf } from "./node_load.ts";
+import {
+  isFresh,
+  mergeDigest,
+  type Peer,
+  SILENCE,
+  silenceOf,
+} from "./known_peer.ts";
 import type { NodeRecord } from "./shared_log.ts";
 
-/** A node that is silent for longer counts as gone: six missed exchanges. */
-const SILENCE: Duration = milliseconds(1_500);
 /** A digest that is older says nothing of an engine any more. */
 const STALE_DIGEST: Duration = milliseconds(1_200);
-/**
- * What hubs pass on may be so much older: its node tells its hub every 600 ms,
- * two hubs ask on its way every 300 ms, and the last node every 600 ms.
- */
-const RELAY_TIME = 1_800;
 /** How long a node's word that it stops is remembered. */
 const STOP_MEMORY: Duration = milliseconds(20_000);
 /** A node that has not been heard of for so long is asked no more. */
 const FORGOTTEN: Duration = milliseconds(60_000);
-
-interface Peer {
-  readonly record: NodeRecord;
-  readonly digest?: NodeDigest;
-  readonly heardAt?: Instant;
-  readonly knownSince: Instant;
-  /** Whether the newest digest came by way of another node. */
-  readonly isRelayed: boolean;
-}
+/** The unit in which ages are told, in milliseconds. */
+const AGE_UNIT = 10;
 
 /** How a digest came. */
 export interface HeardTerms {
@@ -57,9 +47,24 @@
   readonly digest: EngineDigest;
 }
 
+/** Of what another node wants to hear. */
+export interface NewsTerms {
+  /** The count of changes up to which it has heard. */
+  readonly cursor: number;
+  readonly wantsEngines: boolean;
+}
+
 /** The other nodes, as far as this one has heard of them. */
 export class PeerBook {
   readonly #peers = new Map<NodeId, Peer>();
+  /** The nodes by the order in which they were heard of first. */
+  readonly #order: NodeId[] = [];
+  #changes = 0;
+
+  /** Counts what has changed of any node, but for the time of hearing it. */
+  get cursor(): number {
+    return this.#changes;
+  }
 
   /**
    * Takes note of a node that the log names.
@@ -69,7 +74,14 @@
   record(now: Instant, record: NodeRecord): void {
     const known = this.#peers.get(record.id);
     if (known?.record.incarnation === record.incarnation) return;
-    this.#peers.set(record.id, { record, knownSince: now, isRelayed: false });
+    this.#peers.set(record.id, {
+      record,
+      knownSince: now,
+      isRelayed: false,
+      index: this.#indexOf(record.id),
+      changedAt: 0,
+      enginesChangedAt: 0,
+    });
   }
 
   /**
@@ -83,23 +95,53 @@
     const id = nodeId(digest.node);
     const known = this.#peers.get(id);
     const heardAt = instant(now - terms.age);
-    if (known !== undefined && !isNewer(digest, heardAt, known)) return false;
+    const merged = mergeDigest(known, digest, heardAt);
+    if (merged === undefined) return false;
     const isNews = known?.digest === undefined ||
       !isFresh(known, now, SILENCE) ||
       known.digest.incarnation !== digest.incarnation ||
       known.digest.isLeaving !== digest.isLeaving;
-    const record = {
-      id,
-      incarnation: digest.incarnation,
-      address: digest.address,
-      failureDomain: failureDomainId(digest.failureDomain),
-    };
-    const knownSince = known?.knownSince ?? now;
-    const { isRelayed } = terms;
-    this.#peers.set(id, { record, digest, heardAt, knownSince, isRelayed });
+    const isSooner = known?.heardAt === undefined || heardAt > known.heardAt ||
+      known.digest?.incarnation !== digest.incarnation;
+    if (merged.isChanged || merged.hasNewEngines) this.#changes += 1;
+    this.#peers.set(id, {
+      record: recordOf(merged.digest),
+      digest: merged.digest,
+      heardAt: isSooner ? heardAt : known.heardAt,
+      isRelayed: isSooner ? terms.isRelayed : known.isRelayed,
+      knownSince: known?.knownSince ?? now,
+      index: known?.index ?? this.#indexOf(id),
+      changedAt: merged.isChanged ? this.#changes : known?.changedAt ?? 0,
+      enginesChangedAt: merged.hasNewEngines
+        ? this.#changes
+        : known?.enginesChangedAt ?? 0,
+    });
     return isNews;
   }
 
+  /**
+   * Takes note that another node has heard a node, of which it told before.
+   * @param now The present time.
+   * @param id The node.
+   * @param incarnation The run that was heard.
+   * @param age How long ago it was heard.
+   * @returns Whether the node counted as gone before.
+   */
+  heardOf(
+    now: Instant,
+    id: NodeId,
+    incarnation: string,
+    age: Duration,
+  ): boolean {
+    const known = this.#peers.get(id);
+    if (known?.digest?.incarnation !== incarnation) return false;
+    const heardAt = instant(now - age);
+    if (known.heardAt !== undefined && heardAt <= known.heardAt) return false;
+    const wasGone = !isFresh(known, now, SILENCE);
+    this.#peers.set(id, { ...known, heardAt, isRelayed: true });
+    return wasGone && isFresh({ ...known, heardAt }, now, SILENCE);
+  }
+
   /**
    * Lists the nodes that may be there.
    * @param now The present time.
@@ -120,52 +162,65 @@
    * @returns The nodes.
    */
   candidates(now: Instant): readonly NodeRecord[] {
-    return [...this.#peers.values()]
-      .filter((peer) =>
-        peer.digest === undefined
-          ? elapsed(peer.knownSince, now) < SILENCE
-          : isFresh(peer, now, SILENCE)
-      )
-      .map((peer) => peer.record);
+    return this.#there(now).map((peer) => peer.record);
   }
 
-  /** The newest digest that is known of each node. */
-  get known(): readonly KnownDigest[] {
-    return this.#digests().map(({ digest }) => ({
-      node: digest.node,
-      incarnation: digest.incarnation,
-      sequence: digest.sequence,
-    }));
+  /**
+   * Lists the nodes that may serve: those that are there and don't leave.
+   * @param now The present time.
+   * @returns The nodes, with what they can do.
+   */
+  servingCandidates(now: Instant): readonly ServingCandidate[] {
+    return this.#there(now)
+      .filter(({ digest }) => digest?.isLeaving !== true)
+      .map(({ record, digest }) => ({
+        id: record.id,
+        failureDomain: record.failureDomain,
+        capacity: capacityOf(digest?.capacity ?? record.capacity),
+        load: loadOf(digest?.load ?? 0),
+      }));
   }
 
   /**
-   * Lists what another node may lack.
+   * Lists what another node has not heard yet.
    * @param now The present time.
-   * @param known The newest digests that the other node knows.
-   * @returns The digests of the last minute that differ from those.
+   * @param terms Of what it wants to hear.
+   * @returns The nodes of which something has changed.
    */
-  newerThan(
-    now: Instant,
-    known: readonly KnownDigest[],
-  ): readonly AgedDigest[] {
-    const before = new Map(known.map((one) => [one.node, one]));
-    return this.#digests()
-      .filter(({ digest, heardAt }) => {
-        if (elapsed(heardAt, now) >= FORGOTTEN) return false;
-        const one = before.get(digest.node);
-        return one?.incarnation !== digest.incarnation ||
-          one.sequence < digest.sequence;
-      })
-      .map(({ digest, heardAt }) => ({
-        digest,
-        ageMilliseconds: Math.round(elapsed(heardAt, now)),
-      }));
+  newsSince(now: Instant, terms: NewsTerms): readonly NodeNews[] {
+    const { cursor, wantsEngines } = terms;
+    const news: NodeNews[] = [];
+    for (const peer of this.#peers.values()) {
+      const { digest, heardAt, index } = peer;
+      if (digest === undefined || heardAt === undefined) continue;
+      if (elapsed(heardAt, now) >= FORGOTTEN) continue;
+      const hasEngines = wantsEngines && peer.enginesChangedAt > cursor;
+      if (!hasEngines && peer.changedAt <= cursor) continue;
+      const { engineStates, ...rest } = digest;
+      news.push({
+        index,
+        digest: {
+          ...rest,
+          engineStates: hasEngines ? engineStates : undefined,
+        },
+      });
+    }
+    return news;
   }
 
-  #digests(): readonly HeardDigest[] {
-    return [...this.#peers.values()].flatMap(({ digest, heardAt }) =>
-      digest === undefined || heardAt === undefined ? [] : [{ digest, heardAt }]
-    );
+  /**
+   * Tells how long ago each node was heard.
+   * @param now The present time.
+   * @returns By index, hundredths of a second and one more, 0 for a forgotten
+   * node.
+   */
+  ages(now: Instant): number[] {
+    return this.#order.map((id) => {
+      const heardAt = this.#peers.get(id)?.heardAt;
+      if (heardAt === undefined) return 0;
+      const age = elapsed(heardAt, now);
+      return age >= FORGOTTEN ? 0 : Math.ceil(age / AGE_UNIT) + 1;
+    });
   }
 
   /**
@@ -175,7 +230,7 @@
    */
   alive(now: Instant): readonly NodeDigest[] {
     return [...this.#peers.values()].flatMap((peer) =>
-      peer.digest !== undefined && isFresh(peer, now, SILENCE)
+      peer.digest !== undefined && isFresh(peer, now, silenceOf(peer))
         ? [peer.digest]
         : []
     );
@@ -204,6 +259,18 @@
     );
   }
 
+  /**
+   * Tells up to which change a node's engines are known.
+   * @param id The node.
+   * @param incarnation Its run.
+   * @returns The sequence of their states, 0 where none are known.
+   */
+  enginesKnown(id: NodeId, incarnation: string): number {
+    const digest = this.#peers.get(id)?.digest;
+    if (digest?.incarnation !== incarnation) return 0;
+    return digest.engineStates?.sequence ?? 0;
+  }
+
   /**
    * Finds what the owner of an engine says of it.
    * @param now The present time.
@@ -219,30 +286,34 @@
     const peer = this.#peers.get(owner);
     if (peer?.digest === undefined) return undefined;
     if (!isFresh(peer, now, STALE_DIGEST)) return undefined;
-    const digest = peer.digest.engines.find((one) => one.engine === engine);
+    const digest = peer.digest.engineStates?.engines
+      .find((one) => one.engine === engine);
     if (digest === undefined) return undefined;
     return { owner, address: peer.record.address, digest };
   }
-}
 
-interface HeardDigest {
-  readonly digest: NodeDigest;
-  readonly heardAt: Instant;
-}
+  #there(now: Instant): readonly Peer[] {
+    return [...this.#peers.values()].filter((peer) =>
+      peer.digest === undefined
+        ? elapsed(peer.knownSince, now) < SILENCE
+        : isFresh(peer, now, silenceOf(peer))
+    );
+  }
 
-function isFresh(peer: Peer, now: Instant, limit: Duration): boolean {
-  const allowance = peer.isRelayed ? RELAY_TIME : 0;
-  return peer.heardAt !== undefined &&
-    elapsed(peer.heardAt, now) < limit + allowance;
+  #indexOf(id: NodeId): number {
+    const known = this.#peers.get(id)?.index;
+    if (known !== undefined) return known;
+    this.#order.push(id);
+    return this.#order.length - 1;
+  }
 }
 
-/**
- * Tells whether a digest says more than what is known. Digests of one run are
- * numbered; of two runs, the one that was given last is of the later one.
- */
-function isNewer(digest: NodeDigest, heardAt: Instant, known: Peer): boolean {
-  if (known.digest === undefined || known.heardAt === undefined) return true;
-  return known.digest.incarnation === digest.incarnation
-    ? digest.sequence > known.digest.sequence
-    : heardAt > known.heardAt;
+function recordOf(digest: NodeDigest): NodeRecord {
+  return {
+    id: nodeId(digest.node),
+    incarnation: digest.incarnation,
+    address: digest.address,
+    failureDomain: failureDomainId(digest.failureDomain),
+    capacity: digest.capacity,
+  };
 }
--- a/packages/node/src/relay/peer_exchange.ts
+++ b/packages/node/src/relay/peer_exchange.ts
@@ -10,7 +10,6 @@
 import {
   type AdapterGrant,
   type AdapterUse,
-  type AgedDigest,
   type EngineMiss,
   type EngineMissNoted,
   type ExchangeAnswer,
@@ -34,25 +33,37 @@
 import type { PeerRegistration } from "../peers/peer_server.ts";
 import { serveUse } from "./adapter_grants.ts";
 import type { EngineOwners } from "./engine_owners.ts";
+import {
+  answerExchange,
+  ExchangePartner,
+  type ExchangeWishes,
+} from "./exchange_partner.ts";
 import type { Knowledge } from "./knowledge.ts";
 import { KnowledgeFetch } from "./knowledge_fetch.ts";
 import { writeKnowledge } from "./knowledge_message.ts";
 import type { NodeRecord } from "./shared_log.ts";
 
-/** Between two exchanges with each peer, in milliseconds. */
-const EXCHANGE_PERIOD = 300;
-/** Nodes that ask a hub do so once in so many periods. */
-const MEMBER_PERIODS = 2;
+/** Between two exchanges of nodes that pass on what they hear, in milliseconds. */
+const HUB_PERIOD = 300;
+/** Between two exchanges of other nodes that place requests. */
+const MEMBER_PERIOD = 600;
+/** Between two exchanges of nodes that stand by. */
+const STANDBY_PERIOD = 1_000;
 /** News of so many milliseconds go out together. */
 const GATHERING_TIME = 5;
 /** After so many milliseconds, an exchange counts as unanswered. */
 const EXCHANGE_LIMIT = 500;
 /** So long, a hub that has not answered is passed over for another one. */
 const FAILURE_MEMORY = milliseconds(2_000);
+/**
+ * A node that has asked within this part of a period is not asked itself: its
+ * question has carried the news both ways.
+ */
+const RECENT_SHARE = 0.7;
 
 /** What exchanges work with. */
 export interface PeerExchangeParts {
-  readonly self: ExchangeNode;
+  readonly self: Omit<ExchangeNode, "isServing">;
   readonly knowledge: Knowledge;
   readonly owners: EngineOwners;
   readonly channels: PeerChannels;
@@ -70,14 +81,17 @@
 export class PeerExchange {
   readonly #parts: PeerExchangeParts;
   readonly #pending = new Set<string>();
-  /** Whether this node asks a hub, and none asks it. */
-  #isMember = false;
-  #periods = 0;
+  /** What the node at an address has told and has been told. */
+  readonly #partnersByAddress = new Map<string, ExchangePartner>();
+  /** When a node at an address last asked. */
+  readonly #askedAt = new Map<string, Instant>();
   /** When a node at an address last did not answer. */
   readonly #failedAt = new Map<string, Instant>();
   readonly #fetch: KnowledgeFetch;
+  #period = HUB_PERIOD;
   #timer: NodeJS.Timeout | undefined;
   #newsTimer: NodeJS.Timeout | undefined;
+  #isStopped = false;
 
   /** @param parts What it works with. */
   constructor(parts: PeerExchangeParts) {
@@ -88,6 +102,11 @@
     });
   }
 
+  /** Between two exchanges that this node begins, in milliseconds. */
+  get period(): number {
+    return this.#period;
+  }
+
   /** The gRPC service that answers the peers. */
   get registration(): PeerRegistration {
     const { owners } = this.#parts;
@@ -122,33 +141,19 @@
 
   /** Starts to exchange. */
   start(): void {
-    this.#timer = setInterval(() => {
-      this.#periods += 1;
-      const isDue = !this.#isMember || this.#periods % MEMBER_PERIODS === 0;
-      if (isDue) this.exchange();
-    }, EXCHANGE_PERIOD);
+    this.#timer = setTimeout(() => {
+      this.#exchange(false);
+    }, this.#period);
   }
 
-  /** Exchanges with this node's partners now. */
+  /** Exchanges with this node's partners now, whoever of them has just asked. */
   exchange(): void {
-    const { knowledge, clock, channels } = this.#parts;
-    const { peers } = knowledge;
-    const now = clock.now();
-    channels.retain(peers.addresses);
-    const own = this.#parts.digest();
-    const { partners, isRelayed, isHub } = this.#partners(now);
-    this.#isMember = isRelayed && !isHub;
-    const question: ExchangeQuestion = {
-      own,
-      known: isRelayed ? [...peers.known] : [],
-      wantsOthers: isRelayed,
-    };
-    for (const { address } of partners) this.#exchangeWith(address, question);
-    this.#fetch.askWithoutLog(now);
+    this.#exchange(true);
   }
 
   /** Exchanges with partners ahead of time, since there is news. */
   exchangeSoon(): void {
+    if (this.#isStopped) return;
     this.#newsTimer ??= setTimeout(() => {
       this.#newsTimer = undefined;
       this.exchange();
@@ -157,20 +162,60 @@
 
   /** Stops. */
   stop(): void {
-    clearInterval(this.#timer);
+    this.#isStopped = true;
+    clearTimeout(this.#timer);
     clearTimeout(this.#newsTimer);
     this.#fetch.stop();
   }
 
+  #exchange(isNews: boolean): void {
+    const { knowledge, clock, channels } = this.#parts;
+    const now = clock.now();
+    channels.retain(knowledge.peers.addresses);
+    const chosen = this.#partners(now);
+    this.#period = this.#periodOf(chosen);
+    const own = this.#parts.digest();
+    const wishes = {
+      wantsOthers: chosen.isRelayed,
+      wantsEngines: knowledge.serving.isActive(now),
+    };
+    for (const { address } of chosen.partners) {
+      // Where all ask all, one call of two carries all that there is to tell.
+      const isSpared = !isNews && !chosen.isRelayed &&
+        this.#hasAsked(now, address);
+      if (!isSpared) this.#exchangeWith(address, own, wishes);
+    }
+    this.#fetch.askWithoutLog(now);
+    if (this.#isStopped) return;
+    clearTimeout(this.#timer);
+    this.start();
+  }
+
+  #periodOf({ isRelayed, isHub }: ChosenPartners): number {
+    if (!isRelayed || isHub) return HUB_PERIOD;
+    const { knowledge, clock } = this.#parts;
+    return knowledge.serving.isActive(clock.now())
+      ? MEMBER_PERIOD
+      : STANDBY_PERIOD;
+  }
+
   /** Whom to ask now; nodes that have just not answered are left out. */
   #partners(now: Instant): ChosenPartners {
     const { knowledge, self } = this.#parts;
+    const { serving } = knowledge;
     const contacts = knowledge.peers.contacts(now);
     const byId = new Map(contacts.map((contact) => [contact.id, contact]));
-    const reachable = knowledge.peers.candidates(now).filter(({ address }) =>
-      !this.#hasFailed(now, address)
+    const reachable = knowledge.peers.candidates(now)
+      .filter(({ address }) => !this.#hasFailed(now, address))
+      .map(({ id, failureDomain }) => ({
+        id,
+        failureDomain,
+        isServing: serving.has(id),
+      }));
+    const chosen = exchangePartners(
+      { ...self, isServing: serving.has(self.id) },
+      reachable,
     );
-    const chosen = exchangePartners(self, reachable);
     // While few are known, all that may be there are asked.
     if (!chosen.isRelayed) return { ...chosen, partners: contacts };
     const partners = chosen.partners.flatMap((id) => byId.get(id) ?? []);
@@ -182,49 +227,64 @@
     return failedAt !== undefined && elapsed(failedAt, now) < FAILURE_MEMORY;
   }
 
-  #exchangeWith(address: string, question: ExchangeQuestion): void {
+  #hasAsked(now: Instant, address: string): boolean {
+    const askedAt = this.#askedAt.get(address);
+    return askedAt !== undefined &&
+      elapsed(askedAt, now) < RECENT_SHARE * this.#period;
+  }
+
+  #exchangeWith(
+    address: string,
+    own: NodeDigest,
+    wishes: ExchangeWishes,
+  ): void {
     if (this.#pending.has(address)) return;
     this.#pending.add(address);
+    const partner = this.#partnerAt(address);
     this.#client(address).exchange(
-      question,
+      partner.question(own, wishes),
       new Metadata(),
       { deadline: Date.now() + EXCHANGE_LIMIT },
       (error, answer: ExchangeAnswer | undefined) => {
         this.#pending.delete(address);
+        const now = this.#parts.clock.now();
         if (error !== null || answer === undefined) {
-          this.#failedAt.set(address, this.#parts.clock.now());
+          this.#failed(now, address, wishes);
           return;
         }
         this.#failedAt.delete(address);
-        // Its first digest is the answering node's own.
-        const [teller, ...others] = answer.digests;
-        this.#hear(teller?.digest, others);
+        this.#heard(partner.answered(now, answer, wishes));
       },
     );
   }
 
-  #answer({ own, known, wantsOthers }: ExchangeQuestion): ExchangeAnswer {
-    const digests = [{ digest: this.#parts.digest(), ageMilliseconds: 0 }];
-    this.#hear(own, []);
-    if (!wantsOthers) return { digests };
-    const { knowledge, clock } = this.#parts;
-    const asker = own?.node;
-    const others = knowledge.peers.newerThan(clock.now(), known)
-      .filter(({ digest }) => digest?.node !== asker);
-    return { digests: [...digests, ...others] };
+  #partnerAt(address: string): ExchangePartner {
+    const { self, knowledge } = this.#parts;
+    const known = this.#partnersByAddress.get(address) ??
+      new ExchangePartner(self.id, knowledge.peers);
+    this.#partnersByAddress.set(address, known);
+    return known;
+  }
+
+  /** Passes over a node that did not answer, and asks another hub at once. */
+  #failed(now: Instant, address: string, wishes: ExchangeWishes): void {
+    const isFirst = !this.#hasFailed(now, address);
+    this.#failedAt.set(address, now);
+    if (isFirst && wishes.wantsOthers) this.exchangeSoon();
   }
 
-  /** Takes what a node says of itself, and what it passes on of others. */
-  #hear(teller: NodeDigest | undefined, others: readonly AgedDigest[]): void {
-    const { knowledge, clock, self } = this.#parts;
-    const { peers } = knowledge;
+  #answer(question: ExchangeQuestion): ExchangeAnswer {
+    const { knowledge, clock } = this.#parts;
     const now = clock.now();
-    let isNews = teller !== undefined && peers.heard(now, teller);
-    for (const { digest, ageMilliseconds } of others) {
-      if (digest === undefined || digest.node === self.id) continue;
-      const age = milliseconds(ageMilliseconds);
-      if (peers.heard(now, digest, { age, isRelayed: true })) isNews = true;
+    const { own } = question;
+    if (own !== undefined) {
+      this.#askedAt.set(own.address, now);
+      this.#heard(knowledge.peers.heard(now, own));
     }
+    return answerExchange(now, knowledge.peers, this.#parts.digest(), question);
+  }
+
+  #heard(isNews: boolean): void {
     if (isNews) this.#parts.owners.refresh();
     this.#fetch.askAhead();
   }
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -33,6 +33,7 @@
 import { RequestPlacer } from "./request_placer.ts";
 import { RetryAllowances } from "./retry_allowances.ts";
 import { ServerLoads } from "./server_loads.ts";
+import { ServingNodes } from "./serving_nodes.ts";
 import type { SharedLog } from "./shared_log.ts";
 
 /** The outside as one platform forms it. */
@@ -45,6 +46,8 @@
 
 /** Between two looks at claims, lapsed servers and limits. */
 const REFRESH_MILLISECONDS = 250;
+/** The same at a node that stands by. */
+const STANDBY_REFRESH_MILLISECONDS = 500;
 /** Between two attempts to make this node known. */
 const ANNOUNCE_MILLISECONDS = 500;
 const STOP_CHECK_MILLISECONDS = 100;
@@ -60,6 +63,7 @@
   readonly #knowledge: Knowledge;
   readonly #owners: EngineOwners;
   readonly #exchange: PeerExchange;
+  readonly #serving: ServingNodes;
   readonly #presence: NodePresence;
   readonly #peerServer: PeerServer;
   readonly #pools = new BackendPools();
@@ -95,6 +99,20 @@
     });
     const knowledge = this.#knowledge;
     const clock = this.#clock;
+    this.#serving = new ServingNodes({
+      self: settings.node.id,
+      failureDomain: settings.node.failure_domain,
+      processors: settings.vm.processor_share * settings.vm.processor_speed,
+      peers: knowledge.peers,
+      startedAt: clock.now(),
+      ownsEngines: () => this.#owners.ownsAny,
+      isLeaving: () => this.#presence.isLeaving,
+      woken: () => {
+        this.#exchange.exchangeSoon();
+        this.#edges.log.hurry();
+      },
+    });
+    knowledge.serving = this.#serving;
     this.#owners = new EngineOwners({
       settings,
       knowledge,
@@ -114,6 +132,8 @@
       clock,
       incarnation: this.#incarnation,
       engines: () => this.#owners.digests,
+      serving: this.#serving,
+      exchangePeriod: () => this.#exchange.period,
     });
     this.#exchange = new PeerExchange({
       self: this.#presence.record,
@@ -172,9 +192,7 @@
     });
     this.#exchange.start();
     void this.#announce();
-    this.#refreshTimer = setInterval(() => {
-      this.#refresh();
-    }, REFRESH_MILLISECONDS);
+    this.#refreshLater();
     this.#operationsPort = await this.#operations.listen({
       readiness,
       addresses,
@@ -214,7 +232,7 @@
   }
 
   async #close(): Promise<void> {
-    clearInterval(this.#refreshTimer);
+    clearTimeout(this.#refreshTimer);
     this.#exchange.stop();
     this.#owners.stop();
     this.#edges.log.stop();
@@ -241,6 +259,9 @@
       logger: loggers.forPart("callers"),
       patience: new CallerPatience(),
       plannedStop: () => this.#presence.plannedStop,
+      asked: () => {
+        this.#serving.asked(clock.now());
+      },
       allowances: new RetryAllowances({
         share: retries.share,
         reserve: retries.reserve,
@@ -261,10 +282,21 @@
     };
   }
 
+  #refreshLater(): void {
+    const pause = this.#serving.isActive(this.#clock.now())
+      ? REFRESH_MILLISECONDS
+      : STANDBY_REFRESH_MILLISECONDS;
+    this.#refreshTimer = setTimeout(() => {
+      this.#refresh();
+      this.#refreshLater();
+    }, pause);
+  }
+
   #refresh(): void {
     const now = this.#clock.now();
     const { registry } = this.#knowledge;
     registry.expire(now);
+    this.#serving.refresh(now);
     this.#owners.refresh();
     this.#presence.refresh(now);
     if (registry.revision === this.#retainedRevision) return;
--- a/packages/node/src/relay/relay_parts.ts
+++ b/packages/node/src/relay/relay_parts.ts
@@ -20,6 +20,8 @@
   readonly wire: RelayWire;
   readonly clock: SteadyClock;
   readonly logger: PartLogger;
+  /** Called for each request that comes. */
+  readonly asked: () => void;
   /** Counts the nodes that share limits, this one included. */
   readonly nodes: () => number;
   /** The stop in progress, if this node is stopping. */
--- a/packages/node/src/relay/relay_settings.ts
+++ b/packages/node/src/relay/relay_settings.ts
@@ -22,6 +22,7 @@
 const MOST_RETRIES = 1_000_000;
 const MOST_LINES = 100_000;
 const MOST_TRANSFERS = 64;
+const MOST_PROCESSORS = 1_024;
 
 /** The sections of the relay's settings. */
 const relaySettingsSchema = z.strictObject({
@@ -29,6 +30,11 @@
     id: name.transform(nodeId),
     failure_domain: name.transform(failureDomainId),
   }),
+  /** What the VM can do: a share of a processor, so many times as fast. */
+  vm: z.strictObject({
+    processor_share: positive(MOST_PROCESSORS).default(1),
+    processor_speed: positive(MOST_PROCESSORS).default(1),
+  }).default({ processor_share: 1, processor_speed: 1 }),
   listen: z.strictObject({
     callers: socketAddressSchema,
     readiness: socketAddressSchema,
--- a/packages/node/src/relay/shared_log.ts
+++ b/packages/node/src/relay/shared_log.ts
@@ -28,6 +28,8 @@
   /** IP literal and port for other nodes. */
   readonly address: string;
   readonly failureDomain: FailureDomainId;
+  /** What its VM can do, in thousandths of a processor; 0 where not told. */
+  readonly capacity: number;
 }
 
 /** What a record of the log is about. */
@@ -48,6 +50,8 @@
   abstract get isWatcher(): boolean;
   /** How many nodes read the log, this one included. */
   abstract get readers(): number;
+  /** Whether this node places requests, and has to know claims at once. */
+  abstract get isActive(): boolean;
   /** A configuration, which may be older than one taken before. */
   abstract configuration(configuration: RelayConfiguration): void;
   /** A version of an adapter that operators named. */
@@ -100,6 +104,9 @@
   /** Reads the claims that were added since they were last read. */
   abstract catchUp(): Promise<void>;
 
+  /** Reads the claims soon, since this node has begun to place requests. */
+  abstract hurry(): void;
+
   /**
    * Makes this node known.
    * @param node The node.
--- a/packages/node/tests/relay/engine_owners_test.ts
+++ b/packages/node/tests/relay/engine_owners_test.ts
@@ -42,6 +42,10 @@
     return Promise.resolve();
   }
 
+  override hurry(): void {
+    // Nothing is read here.
+  }
+
   override announce(): Promise<Result<boolean, never>> {
     return Promise.resolve(ok(true));
   }
@@ -127,6 +131,7 @@
       incarnation: "run",
       address: "127.0.0.1:1",
       failureDomain: failureDomainId("d"),
+      capacity: 324,
     });
   }
   log.isTaken = false;
--- /dev/null
+++ b/packages/node/tests/relay/exchange_partner_test.ts
@@ -0,0 +1,123 @@
+/**
+ * What one node tells another in one exchange after the other, of many nodes
+ * of which little changes.
+ */
+import { instant, nodeId } from "@foxtailwind/core";
+import { ExchangeAnswer, type NodeDigest } from "@foxtailwind/protocol";
+import {
+  answerExchange,
+  ExchangePartner,
+  PeerBook,
+} from "@foxtailwind/node/relay";
+import test from "ava";
+import { nodeDigest } from "./helpers/node_digest.ts";
+
+const ASKER = nodeId("asker");
+const EVERYTHING = { wantsOthers: true, wantsEngines: true };
+const NODES_ONLY = { wantsOthers: true, wantsEngines: false };
+
+function engines(sequence: number) {
+  return { engines: [], sequence };
+}
+
+/** A node that asks, and a hub that has heard many others. */
+function setUp(others: number) {
+  const asker = { book: new PeerBook(), own: nodeDigest("asker") };
+  const hub = { book: new PeerBook(), own: nodeDigest("hub") };
+  for (let node = 0; node < others; node += 1) {
+    hub.book.heard(instant(0), nodeDigest(`n${node}`, { sequence: 1 }));
+  }
+  const partner = new ExchangePartner(ASKER, asker.book);
+  const exchange = (
+    now: number,
+    wishes = EVERYTHING,
+    own: NodeDigest = asker.own,
+  ) => {
+    const at = instant(now);
+    const question = partner.question(own, wishes);
+    if (question.own !== undefined) hub.book.heard(at, question.own);
+    const answer = answerExchange(at, hub.book, hub.own, question);
+    const isNews = partner.answered(at, answer, wishes);
+    return { question, answer, isNews };
+  };
+  return { asker, hub, exchange };
+}
+
+test("of 195 nodes of which nothing changes, an answer has some hundred bytes", (t) => {
+  const { asker, hub, exchange } = setUp(195);
+  t.true(exchange(0).isNews);
+  t.is(asker.book.alive(instant(100)).length, 196);
+  for (let node = 0; node < 195; node += 1) {
+    hub.book.heard(instant(1_000), nodeDigest(`n${node}`, { sequence: 1 }));
+  }
+  const { answer, isNews } = exchange(1_000);
+  t.false(isNews);
+  t.is(answer.news.length, 0);
+  t.true(ExchangeAnswer.encode(answer).finish().length < 700);
+  t.is(asker.book.alive(instant(2_400)).length, 196, "All were heard again.");
+});
+
+test("what changes is told once", (t) => {
+  const { asker, hub, exchange } = setUp(20);
+  exchange(0);
+  hub.book.heard(
+    instant(100),
+    nodeDigest("n3", { sequence: 2, isLeaving: true }),
+  );
+  const { answer, isNews } = exchange(300);
+  t.deepEqual(answer.news.map(({ digest }) => digest?.node), ["n3"]);
+  t.true(isNews);
+  t.true(asker.book.left(instant(300)).has(nodeId("n3")));
+  t.is(exchange(600).answer.news.length, 0);
+});
+
+test("an answer that was lost is told again", (t) => {
+  const { asker, hub } = setUp(3);
+  const lost = new ExchangePartner(ASKER, asker.book);
+  const ask = () =>
+    answerExchange(
+      instant(0),
+      hub.book,
+      hub.own,
+      lost.question(asker.own, EVERYTHING),
+    );
+  t.is(ask().news.length, 3);
+  t.is(ask().news.length, 3);
+});
+
+test("a hub that has started again tells all, and is told all", (t) => {
+  const { asker, hub, exchange } = setUp(5);
+  asker.own = nodeDigest("asker", { engineStates: engines(7) });
+  exchange(0, EVERYTHING, asker.own);
+  t.is(
+    exchange(300, EVERYTHING, asker.own).question.own?.engineStates,
+    undefined,
+  );
+  hub.own = nodeDigest("hub", { incarnation: "run-2" });
+  hub.book = new PeerBook();
+  hub.book.heard(instant(400), nodeDigest("n9", { sequence: 1 }));
+  const { answer } = exchange(600, EVERYTHING, asker.own);
+  t.deepEqual(answer.news.map(({ digest }) => digest?.node), ["n9", "asker"]);
+  const { question } = exchange(900, EVERYTHING, asker.own);
+  t.is(question.own?.engineStates?.sequence, 7);
+});
+
+test("a node that begins to place requests hears of all engines", (t) => {
+  const { asker, hub, exchange } = setUp(0);
+  hub.book.heard(instant(0), nodeDigest("n1", { engineStates: engines(3) }));
+  exchange(0, NODES_ONLY);
+  t.is(asker.book.enginesKnown(nodeId("n1"), "run-1"), 0);
+  exchange(300, EVERYTHING);
+  t.is(asker.book.enginesKnown(nodeId("n1"), "run-1"), 3);
+});
+
+test("the ages of a node's earlier run keep no later one there", (t) => {
+  const { asker, hub, exchange } = setUp(1);
+  exchange(0);
+  asker.book.heard(instant(100), nodeDigest("n0", { incarnation: "run-2" }));
+  hub.book.heard(instant(5_000), nodeDigest("n0", { sequence: 1 }));
+  exchange(5_000);
+  t.deepEqual(asker.book.alive(instant(5_000)).map(({ node }) => node), [
+    "hub",
+  ]);
+});
--- a/packages/node/tests/relay/helpers/node_digest.ts
+++ b/packages/node/tests/relay/helpers/node_digest.ts
@@ -18,11 +18,14 @@
     failureDomain: "d",
     isReady: true,
     isLeaving: false,
-    engines: [],
+    engineStates: undefined,
     operatorsEnd: 0,
     sequence: 0,
     reachesLog: true,
     registryEnd: 0,
+    capacity: 0,
+    load: 0,
+    periodMilliseconds: 300,
     ...change,
   };
 }
--- a/packages/node/tests/relay/helpers/relay_world.ts
+++ b/packages/node/tests/relay/helpers/relay_world.ts
@@ -85,6 +85,7 @@
       pools: this.#pools,
       wire: new StandInWire(),
       nodes: () => 1,
+      asked: () => undefined,
       patience: new CallerPatience(),
       plannedStop: () => this.stop,
       allowances: new RetryAllowances({
--- a/packages/node/tests/relay/knowledge_message_test.ts
+++ b/packages/node/tests/relay/knowledge_message_test.ts
@@ -6,6 +6,7 @@
   logOffset,
   milliseconds,
   modelId,
+  nodeId,
   type RegistryEntry,
   serverStart,
   serviceId,
@@ -109,8 +110,32 @@
   t.true(node.isWatcher, "One is before it.");
   node.peers.heard(now, nodeDigest("b"));
   t.false(node.isWatcher, "Two are before it.");
-  node.peers.heard(instant(now - 2_000), nodeDigest("b", { sequence: 1 }));
-  t.true(node.isWatcher, "One of them has been silent.");
+  const later = knowledge();
+  later.peers.heard(now, nodeDigest("a"));
+  later.peers.heard(instant(now - 2_000), nodeDigest("b"));
+  t.true(later.isWatcher, "One of them has been silent.");
+});
+
+test("nodes that serve watch before others do", (t) => {
+  const node = knowledge();
+  const now = new ProcessClock().now();
+  const { id } = relaySettings().node;
+  const serve = (...nodes: readonly string[]) => {
+    const serving = new Set(nodes.map(nodeId));
+    node.serving = {
+      has: (one) => serving.has(one),
+      isActive: () => serving.has(id),
+    };
+  };
+  for (const before of ["a", "b", "z1", "z2"]) {
+    node.peers.heard(now, nodeDigest(before));
+  }
+  serve(id);
+  t.true(node.isWatcher, "No other node serves.");
+  serve("z1", "z2");
+  t.false(node.isWatcher, "Two others serve.");
+  serve("z1", id);
+  t.true(node.isWatcher, "Another one serves, behind it.");
 });
 
 test("nodes that don't reach the log are passed over as watchers", (t) => {
--- a/packages/node/tests/relay/peer_book_test.ts
+++ b/packages/node/tests/relay/peer_book_test.ts
@@ -38,7 +38,10 @@
     isFull: false,
     running: 0,
   };
-  peers.heard(instant(0), nodeDigest("n1", { engines: [engine] }));
+  peers.heard(
+    instant(0),
+    nodeDigest("n1", { engineStates: { engines: [engine], sequence: 1 } }),
+  );
   const find = (now: number, owner: string) =>
     peers.engine(instant(now), backendServerId("e1"), nodeId(owner));
   t.is(find(500, "n1")?.digest.room, 3);
@@ -63,19 +66,75 @@
   t.is(peers.alive(instant(1_200))[0]?.incarnation, "run-1");
 });
 
-test("another node is told of what it lacks alone, and how old that is", (t) => {
+const ENGINES = (sequence: number) => ({ engines: [], sequence });
+
+/** What a book tells beyond a count of changes: nodes, and whose engines. */
+function news(peers: PeerBook, cursor: number, wantsEngines = true) {
+  return peers.newsSince(instant(250), { cursor, wantsEngines })
+    .map(({ digest }) => [
+      digest?.node,
+      digest?.engineStates?.sequence,
+    ]);
+}
+
+test("another node is told of what it lacks alone, and how old all is", (t) => {
   const peers = new PeerBook();
   peers.heard(instant(0), nodeDigest("n1", { sequence: 1 }));
+  const { cursor } = peers;
   peers.heard(instant(50), nodeDigest("n2", { sequence: 5 }));
-  const known = [
-    { node: "n1", incarnation: "run-1", sequence: 1 },
-    { node: "n2", incarnation: "run-1", sequence: 4 },
-  ];
-  const told = peers.newerThan(instant(250), known);
-  t.deepEqual(
-    told.map(({ digest, ageMilliseconds }) => [digest?.node, ageMilliseconds]),
-    [["n2", 200]],
+  peers.heard(instant(100), nodeDigest("n1", { sequence: 1 }));
+  t.deepEqual(news(peers, 0), [["n1", undefined], ["n2", undefined]]);
+  t.deepEqual(news(peers, cursor), [["n2", undefined]]);
+  t.deepEqual(news(peers, peers.cursor), []);
+  t.deepEqual(peers.ages(instant(250)), [16, 21]);
+  t.deepEqual(peers.ages(instant(70_000)), [0, 0]);
+});
+
+test("who places no requests is told of no engines, nor of their changes", (t) => {
+  const peers = new PeerBook();
+  const digest = nodeDigest("n1", { sequence: 1, engineStates: ENGINES(1) });
+  peers.heard(instant(0), digest);
+  t.deepEqual(news(peers, 0, false), [["n1", undefined]]);
+  t.deepEqual(news(peers, 0), [["n1", 1]]);
+  const { cursor } = peers;
+  peers.heard(instant(50), { ...digest, engineStates: ENGINES(2) });
+  t.deepEqual(news(peers, cursor, false), []);
+  t.deepEqual(news(peers, cursor), [["n1", 2]]);
+});
+
+test("engines that are left out stay known through one run of their node", (t) => {
+  const peers = new PeerBook();
+  const digest = nodeDigest("n1", { sequence: 1, engineStates: ENGINES(4) });
+  peers.heard(instant(0), digest);
+  peers.heard(instant(50), {
+    ...digest,
+    sequence: 2,
+    engineStates: undefined,
+  });
+  t.is(peers.enginesKnown(nodeId("n1"), "run-1"), 4);
+  peers.heard(instant(100), nodeDigest("n1", { incarnation: "run-2" }));
+  t.is(peers.enginesKnown(nodeId("n1"), "run-2"), 0);
+});
+
+test("a node that others hear is there, in the run that they hear", (t) => {
+  const peers = new PeerBook();
+  peers.heard(instant(0), nodeDigest("n1"));
+  const age = milliseconds(100);
+  t.true(peers.heardOf(instant(9_000), nodeId("n1"), "run-1", age));
+  t.is(peers.alive(instant(9_000)).length, 1);
+  t.false(
+    peers.heardOf(instant(9_100), nodeId("n1"), "run-1", age),
+    "No news.",
   );
+  t.false(peers.heardOf(instant(20_000), nodeId("n1"), "run-0", age));
+  t.is(peers.alive(instant(20_000)).length, 0);
+});
+
+test("a node that exchanges rarely is given its time before it counts as gone", (t) => {
+  const peers = new PeerBook();
+  peers.heard(instant(0), nodeDigest("n1", { periodMilliseconds: 1_000 }));
+  t.is(peers.alive(instant(2_400)).length, 1);
+  t.is(peers.alive(instant(2_600)).length, 0);
 });
 
 test("what is passed on may be older before its node counts as gone", (t) => {
@@ -95,5 +154,5 @@
     );
     peers.heard(instant(sequence), sent);
   }
-  t.is(peers.known[0]?.sequence, halfAYear + 300);
+  t.is(peers.alive(instant(halfAYear + 300))[0]?.sequence, halfAYear + 300);
 });
--- a/packages/node/tests/relay/request_placer_test.ts
+++ b/packages/node/tests/relay/request_placer_test.ts
@@ -57,21 +57,24 @@
   };
   knowEngine(knowledge, { engine: ENGINE, start: known, owner: OWNER });
   const digest = nodeDigest(OWNER, {
-    engines: [{
-      engine: ENGINE,
-      start: told,
-      waitMilliseconds: 0,
-      room: 1,
-      isReachable: true,
-      isFull: false,
-      running: 0,
-      adapters: [{
-        model: STAND_IN_MODEL,
-        adapter: ADAPTER,
-        version: 1,
-        isLoading: false,
+    engineStates: {
+      sequence: 1,
+      engines: [{
+        engine: ENGINE,
+        start: told,
+        waitMilliseconds: 0,
+        room: 1,
+        isReachable: true,
+        isFull: false,
+        running: 0,
+        adapters: [{
+          model: STAND_IN_MODEL,
+          adapter: ADAPTER,
+          version: 1,
+          isLoading: false,
+        }],
       }],
-    }],
+    },
   });
   knowledge.peers.heard(clock.now(), digest);
   const owners = new EngineOwners({
