--- a/packages/node/src/relay/mod.ts
+++ b/packages/node/src/relay/mod.ts
@@ -31,6 +31,7 @@
 export * from "./knowledge_message.ts";
 export * from "./peer_book.ts";
 export * from "./exchange_partner.ts";
+export * from "./node_presence.ts";
 export * from "./peer_exchange.ts";
 export * from "./serving_nodes.ts";
 export * from "./relay_metrics.ts";
--- a/packages/node/src/relay/node_presence.ts
+++ b/packages/node/src/relay/node_presence.ts
@@ -143,17 +143,20 @@
    * @param now The present time.
    */
   refresh(now: Instant): void {
-    for (const peer of this.#parts.knowledge.peers.alive(now)) {
-      this.#heardNodes.set(peer.node, now);
+    for (const { id } of this.#parts.knowledge.peers.candidates(now)) {
+      this.#heardNodes.set(id, now);
     }
   }
 
   /**
-   * Counts the nodes that share limits, this one included.
+   * Counts the nodes that share limits, this one included. Nodes that the log
+   * names count before they are heard: one that has just started with many
+   * others would take all of a limit for its own.
    * @param now The present time.
    * @returns The count.
    */
   countNodes(now: Instant): number {
+    this.refresh(now);
     let count = 1;
     for (const heardAt of this.#heardNodes.values()) {
       if (elapsed(heardAt, now) < NODE_MEMORY) count += 1;
--- /dev/null
+++ b/packages/node/tests/relay/node_presence_test.ts
@@ -0,0 +1,106 @@
+/** What a node of a large system says of itself and of the others. */
+import {
+  failureDomainId,
+  instant,
+  milliseconds,
+  nodeId,
+} from "@foxtailwind/core";
+import {
+  type Knowledge,
+  NodePresence,
+  ProcessClock,
+  ServingNodes,
+} from "@foxtailwind/node/relay";
+import test from "ava";
+import { nodeDigest } from "./helpers/node_digest.ts";
+import { relayBase } from "./helpers/relay_base.ts";
+
+/** A node that listens, and knows a configuration. */
+function setUp() {
+  const clock = new ProcessClock();
+  const { base, knowledge } = relayBase({ part: "daemon", clock });
+  const { settings } = base;
+  const serving = new ServingNodes({
+    self: settings.node.id,
+    failureDomain: settings.node.failure_domain,
+    processors: 0.324,
+    peers: knowledge.peers,
+    ownsEngines: () => false,
+    isLeaving: () => false,
+    woken: () => undefined,
+    startedAt: clock.now(),
+  });
+  const presence = new NodePresence({
+    ...base,
+    knowledge,
+    serving,
+    engines: () => [],
+    exchangePeriod: () => 300,
+  });
+  presence.listening({ peers: 1, callers: 2 });
+  configure(knowledge);
+  return { clock, knowledge, serving, presence };
+}
+
+function configure(knowledge: Knowledge): void {
+  knowledge.configuration({
+    version: 1,
+    routes: [],
+    services: [],
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTime: milliseconds(1),
+      idleTime: milliseconds(1),
+    },
+  });
+}
+
+test("a node that starts with sixty others shares limits with them before it has heard them", (t) => {
+  const { clock, knowledge, presence } = setUp();
+  for (let node = 0; node < 60; node += 1) {
+    knowledge.node({
+      id: nodeId(`n${node}`),
+      incarnation: "run",
+      address: "127.0.0.1:1",
+      failureDomain: failureDomainId("d"),
+      capacity: 324,
+    });
+  }
+  const now = clock.now();
+  t.is(presence.countNodes(now), 61);
+  t.is(presence.countNodes(instant(now + 10_000)), 61);
+  t.is(presence.countNodes(instant(now + 25_000)), 1);
+});
+
+test("callers are sent to nodes that serve, of their own failure domain", (t) => {
+  const { clock, knowledge, serving, presence } = setUp();
+  const now = clock.now();
+  for (let node = 0; node < 60; node += 1) {
+    knowledge.peers.heard(
+      now,
+      nodeDigest(`n${node}`, {
+        failureDomain: `d${node % 3}`,
+        callerAddress: `n${node}`,
+        capacity: node < 9 ? 1_350 : 324,
+      }),
+    );
+  }
+  t.is(presence.addresses("d1").length, 20, "All, before it has looked.");
+  serving.refresh(now);
+  t.deepEqual(presence.addresses("d1"), ["n1", "n4", "n7"]);
+  const others = presence.addresses("elsewhere");
+  t.true(others.length >= 9);
+  for (const node of ["n0", "n4", "n8"]) t.true(others.includes(node));
+});
+
+test("what a node says of itself is numbered anew only where it has changed", (t) => {
+  const { knowledge, presence } = setUp();
+  const first = presence.digest;
+  const second = presence.digest;
+  t.is(second.sequence, first.sequence);
+  t.is(second.engineStates?.sequence, first.engineStates?.sequence);
+  knowledge.adapterVersion("m" as never, "a" as never, 1);
+  knowledge.operatorsTold(7 as never);
+  t.true(presence.digest.sequence > first.sequence);
+});
