--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -7,6 +7,7 @@
   type Failure,
   type FencingNumber,
   type Instant,
+  isCrowded,
   type LogOffset,
   logOffset,
   milliseconds,
@@ -122,8 +123,11 @@
    * @returns Whether it has answered lately.
    */
   isInContact(now: Instant): boolean {
-    return this.#reachedAt !== undefined &&
-      now - this.#reachedAt < CONTACT_TIME;
+    if (this.#reachedAt === undefined) return false;
+    // A node that others tell calls too rarely to know more than how its last
+    // call ended.
+    if (isCrowded(this.readers) && !this.isWatcher) return this.#isInContact;
+    return now - this.#reachedAt < CONTACT_TIME;
   }
 
   override get isWatcher(): boolean {
--- a/packages/node/tests/relay/knowledge_message_test.ts
+++ b/packages/node/tests/relay/knowledge_message_test.ts
@@ -178,3 +178,24 @@
   readKnowledge(node, writeKnowledge(peer, ASKER));
   t.deepEqual(node.registry.all, []);
 });
+
+test("of many nodes, one that others tell reaches the log until a call of its own fails", (t) => {
+  const node = knowledge();
+  const clock = new ProcessClock();
+  const heardAt = clock.now();
+  for (let other = 0; other < 20; other += 1) {
+    node.peers.heard(heardAt, nodeDigest(`a${other}`));
+  }
+  const later = instant(heardAt + 30_000);
+  t.false(node.isInContact(later), "It has not reached it.");
+  node.reached();
+  t.true(node.isInContact(later));
+  node.failed({
+    reason: "unavailable",
+    step: "read_log",
+    peer: "store",
+    message: "",
+    outcome: "not_run",
+  });
+  t.false(node.isInContact(later));
+});
