--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -33,6 +33,7 @@
   SharedLogListener,
   type SkipReason,
 } from "./shared_log.ts";
+import { WorkCounts } from "./work_counts.ts";
 
 /** Without a successful call for so long, the log counts as out of reach. */
 const CONTACT_TIME = milliseconds(2_000);
@@ -62,6 +63,8 @@
   readonly versions = new AdapterVersions();
   readonly registry = new ServerRegistry();
   readonly peers = new PeerBook();
+  /** What this node does to know all that, and to let others know. */
+  readonly work = new WorkCounts();
   readonly claims: EngineClaims;
   readonly #parts: KnowledgeParts;
   #routes: RouteTable | undefined;
@@ -227,6 +230,7 @@
   }
 
   override reached(): void {
+    this.work.count("log_answered");
     this.#reachedAt = this.#parts.clock.now();
     if (this.#isInContact) return;
     this.#isInContact = true;
@@ -234,6 +238,7 @@
   }
 
   override failed(failure: Failure): void {
+    this.work.count("log_failed");
     const now = this.#parts.clock.now();
     this.registry.disturbed(now);
     if (!this.#isInContact) return;
--- a/packages/node/src/relay/knowledge_fetch.ts
+++ b/packages/node/src/relay/knowledge_fetch.ts
@@ -100,6 +100,7 @@
 
   #ask(peer: NodeDigest, ended: () => void): void {
     const { knowledge, logger, client } = this.#parts;
+    knowledge.work.count("knowledge_asked");
     client(peer.address).fetchKnowledge(
       {
         configurationVersion: knowledge.routes?.configuration.version ?? 0,
--- a/packages/node/src/relay/mod.ts
+++ b/packages/node/src/relay/mod.ts
@@ -35,3 +35,4 @@
 export * from "./peer_exchange.ts";
 export * from "./serving_nodes.ts";
 export * from "./relay_metrics.ts";
+export * from "./work_counts.ts";
--- a/packages/node/src/relay/peer_exchange.ts
+++ b/packages/node/src/relay/peer_exchange.ts
@@ -114,6 +114,7 @@
       definition: RelayPeersService,
       implementation: {
         useAdapter: (call: ServerWritableStream<AdapterUse, AdapterGrant>) => {
+          this.#parts.knowledge.work.count("use_answered");
           void serveUse(owners, call);
         },
         noteMiss: (
@@ -133,7 +134,9 @@
           call: ServerUnaryCall<KnowledgeRequest, KnowledgeMessage>,
           answer: sendUnaryData<KnowledgeMessage>,
         ) => {
-          answer(null, writeKnowledge(this.#parts.knowledge, call.request));
+          const { knowledge } = this.#parts;
+          knowledge.work.count("knowledge_answered");
+          answer(null, writeKnowledge(knowledge, call.request));
         },
       },
     };
@@ -240,6 +243,7 @@
   ): void {
     if (this.#pending.has(address)) return;
     this.#pending.add(address);
+    this.#parts.knowledge.work.count("exchange_asked");
     const partner = this.#partnerAt(address);
     this.#client(address).exchange(
       partner.question(own, wishes),
@@ -276,6 +280,7 @@
   #answer(question: ExchangeQuestion): ExchangeAnswer {
     const { knowledge, clock } = this.#parts;
     const now = clock.now();
+    knowledge.work.count("exchange_answered");
     const { own } = question;
     if (own !== undefined) {
       this.#askedAt.set(own.address, now);
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -152,6 +152,9 @@
       configurationVersion: () => knowledge.routes?.configuration.version ?? 0,
       enginesOwned: () => this.#owners.digests.length,
       nodesAlive: () => knowledge.peers.alive(clock.now()).length,
+      nodesServing: () => this.#serving.count,
+      isActive: () => this.#serving.isActive(clock.now()) ? 1 : 0,
+      work: () => knowledge.work.all,
     });
     this.#operations = new OperationsServer(edges.operations, {
       isReady: () => this.#presence.isReady,
@@ -294,7 +297,8 @@
 
   #refresh(): void {
     const now = this.#clock.now();
-    const { registry } = this.#knowledge;
+    const { registry, work } = this.#knowledge;
+    work.count("look");
     registry.expire(now);
     this.#serving.refresh(now);
     this.#owners.refresh();
--- a/packages/node/src/relay/relay_metrics.ts
+++ b/packages/node/src/relay/relay_metrics.ts
@@ -1,6 +1,7 @@
 import type { Duration, Route } from "@foxtailwind/core";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { RecordTopic, SkipReason } from "./shared_log.ts";
+import type { WorkKind } from "./work_counts.ts";
 
 /** Bounds of latency histograms, in seconds: from a lookup to a long stream. */
 const LATENCY_BOUNDS = [
@@ -27,6 +28,10 @@
   readonly configurationVersion: () => number;
   readonly enginesOwned: () => number;
   readonly nodesAlive: () => number;
+  readonly nodesServing: () => number;
+  /** 1 where this node places requests, 0 where it stands by. */
+  readonly isActive: () => number;
+  readonly work: () => ReadonlyMap<WorkKind, number>;
 }
 
 /** The counters and histograms of a relay, as text for a scraper. */
@@ -82,6 +87,17 @@
       "Other nodes heard of lately.",
       gauges.nodesAlive,
     );
+    this.#gauge(
+      "foxtailwind_nodes_serving",
+      "Nodes that take callers and own engines, this one included.",
+      gauges.nodesServing,
+    );
+    this.#gauge(
+      "foxtailwind_active",
+      "Whether this node places requests, and does not stand by.",
+      gauges.isActive,
+    );
+    this.#work(gauges.work);
   }
 
   /**
@@ -125,6 +141,19 @@
     return this.#registry.metrics();
   }
 
+  #work(read: RelayGauges["work"]): void {
+    new Counter({
+      name: "foxtailwind_work_total",
+      help: "What the node does beside relaying requests, by kind.",
+      labelNames: ["kind"],
+      registers: [this.#registry],
+      collect() {
+        this.reset();
+        for (const [kind, count] of read()) this.inc({ kind }, count);
+      },
+    });
+  }
+
   #gauge(name: string, help: string, read: () => number): void {
     new Gauge({
       name,
--- a/packages/node/src/relay/request_placer.ts
+++ b/packages/node/src/relay/request_placer.ts
@@ -152,6 +152,9 @@
       : LOAD_ANSWER_MILLISECONDS;
     const patience = Math.ceil(engine.wait + answerTime);
     const where = { engine: engine.id, owner, address };
+    if (owner !== this.#parts.self) {
+      this.#parts.knowledge.work.count("use_asked");
+    }
     const answer = await this.#parts.grants.ask(
       where,
       {
--- a/packages/node/src/relay/serving_nodes.ts
+++ b/packages/node/src/relay/serving_nodes.ts
@@ -54,6 +54,11 @@
     return this.#load.told;
   }
 
+  /** How many nodes serve. */
+  get count(): number {
+    return this.#serving.size;
+  }
+
   /**
    * Tells whether a node serves.
    * @param node The node.
--- a/packages/node/tests/relay/relay_metrics_test.ts
+++ b/packages/node/tests/relay/relay_metrics_test.ts
@@ -1,13 +1,18 @@
-import { RelayMetrics } from "@foxtailwind/node/relay";
+import { RelayMetrics, WorkCounts } from "@foxtailwind/node/relay";
 import test from "ava";
 
+const GAUGES = {
+  requestsInProgress: () => 0,
+  configurationVersion: () => 0,
+  enginesOwned: () => 0,
+  nodesAlive: () => 0,
+  nodesServing: () => 0,
+  isActive: () => 0,
+};
+
 test("records that were left out are counted by topic and reason", async (t) => {
-  const metrics = new RelayMetrics({
-    requestsInProgress: () => 0,
-    configurationVersion: () => 0,
-    enginesOwned: () => 0,
-    nodesAlive: () => 0,
-  });
+  const work = new WorkCounts();
+  const metrics = new RelayMetrics({ ...GAUGES, work: () => work.all });
   metrics.recordSkipped("servers", "json");
   metrics.recordSkipped("servers", "json");
   metrics.recordSkipped("nodes", "fields");
@@ -18,3 +23,21 @@
     'foxtailwind_records_skipped_total{topic="nodes",reason="fields"} 1',
   ]);
 });
+
+test("what a node does beside relaying is told by kind, each time anew", async (t) => {
+  const work = new WorkCounts();
+  const metrics = new RelayMetrics({ ...GAUGES, work: () => work.all });
+  const lines = async () =>
+    (await metrics.text()).split("\n")
+      .filter((line) => line.startsWith("foxtailwind_work_total"));
+  work.count("exchange_asked");
+  t.deepEqual(await lines(), [
+    'foxtailwind_work_total{kind="exchange_asked"} 1',
+  ]);
+  work.count("exchange_asked");
+  work.count("look");
+  t.deepEqual(await lines(), [
+    'foxtailwind_work_total{kind="exchange_asked"} 2',
+    'foxtailwind_work_total{kind="look"} 1',
+  ]);
+});
