--- a/packages/core/src/relay/log_pace.ts
+++ b/packages/core/src/relay/log_pace.ts
@@ -44,6 +44,28 @@
   return isCrowded(readers) ? sharedPause(pause, readers) : milliseconds(0);
 }
 
+/** Between two calls while the log fails them, where few nodes read it. */
+const FAILURE_PAUSE = milliseconds(150);
+
+/**
+ * Tells how long a node waits after failed calls, so that many nodes don't
+ * press a log that is down: one in reach again is told of by those few that
+ * watch it for others. After the first failure there is no pause: mostly only
+ * its connection had fallen silent, and a new one is open in a moment.
+ * @param failures Calls that failed in a row.
+ * @param readers How many nodes read the log.
+ * @param isWatcher Whether this one watches it for others.
+ * @returns The time until the next call.
+ */
+export function pauseAfterFailures(
+  failures: number,
+  readers: number,
+  isWatcher: boolean,
+): Duration {
+  if (failures <= 1) return milliseconds(0);
+  return isWatcher ? FAILURE_PAUSE : sharedPause(FAILURE_PAUSE, readers);
+}
+
 /**
  * Stretches the time between two reads of a node that is told by others of
  * what it has not read, so that all nodes together read as often as a few do.
--- a/packages/core/src/relay/serving_set.ts
+++ b/packages/core/src/relay/serving_set.ts
@@ -22,9 +22,10 @@
 const LEAST_A_DOMAIN = 3;
 /**
  * The share of their capacity that serving nodes use in the mean. Traffic may
- * double before more of them are told to callers.
+ * double before more of them are told to callers, and events that wait behind
+ * others' are late long before a node has no time left.
  */
-const WANTED_LOAD = 0.4;
+const WANTED_LOAD = 0.25;
 /** A node serves for so long after it was last needed. */
 const LINGERING = milliseconds(15_000);
 
@@ -74,6 +75,19 @@
   return [...groupByDomain(candidates).values()].flatMap(neededInDomain);
 }
 
+/**
+ * Chooses the nodes that take engines without an owner: those that serve
+ * whatever the load. Engines stay with their owners, so that what a load of a
+ * moment adds to the serving nodes must not decide on them.
+ * @param candidates The nodes that are there.
+ * @returns The nodes.
+ */
+export function owningNodes(
+  candidates: readonly ServingCandidate[],
+): readonly NodeId[] {
+  return neededNodes(candidates.map((one) => ({ ...one, load: 0 })));
+}
+
 /**
  * Tells whether an answer with addresses names a node. The strongest are in all
  * answers, a weaker one in as many as it is weaker: callers connect to each
--- a/packages/core/tests/relay/log_pace_test.ts
+++ b/packages/core/tests/relay/log_pace_test.ts
@@ -2,6 +2,7 @@
   gatheringPause,
   isCrowded,
   milliseconds,
+  pauseAfterFailures,
   pauseOfTold,
   sharedPause,
 } from "@foxtailwind/core";
@@ -36,3 +37,15 @@
   const pause = pauseOfTold(milliseconds(1_000), 61);
   t.true(Math.abs(61 * 1_000 / pause - 12) < 0.1);
 });
+
+test("while the log is down, many nodes together press it as much as a dozen", (t) => {
+  const callsASecond = (readers: number) =>
+    readers * 1_000 / pauseAfterFailures(2, readers, false);
+  t.true(callsASecond(195) <= callsASecond(12));
+  t.is(pauseAfterFailures(1, 195, false), milliseconds(0));
+  t.is(
+    pauseAfterFailures(2, 195, true),
+    pauseAfterFailures(2, 6, false),
+    "Those who watch for the others find it as soon as in a small system.",
+  );
+});
--- a/packages/core/tests/relay/serving_set_test.ts
+++ b/packages/core/tests/relay/serving_set_test.ts
@@ -4,6 +4,7 @@
   isNamedToCallers,
   neededNodes,
   nodeId,
+  owningNodes,
   type ServingCandidate,
   ServingSet,
 } from "@foxtailwind/core";
@@ -128,3 +129,10 @@
   t.true(Math.abs(named(weak) / 1_000 - WEAK / STRONG) < 0.05);
   t.is(named(weak), named(weak), "One node always answers the same.");
 });
+
+test("a load of a moment makes no weak node take engines", (t) => {
+  const calm = nodes(61, 3, 2);
+  const busy = nodes(61, 3, 2, () => 1);
+  t.is(neededNodes(busy).length, 61);
+  t.deepEqual(owningNodes(busy), neededNodes(calm));
+});
--- a/packages/node/src/relay/engine_owners.ts
+++ b/packages/node/src/relay/engine_owners.ts
@@ -162,11 +162,11 @@
       .filter((peer) => !peer.isLeaving)
       .map((peer) => nodeId(peer.node));
     const nodes = [settings.node.id, ...peers];
-    const serving = nodes.filter((node) => knowledge.serving.has(node));
+    const taking = nodes.filter((node) => knowledge.serving.takesEngines(node));
     return knowledge.claims.wanted(now, {
       engines,
       nodes,
-      candidates: serving.length > 0 ? serving : nodes,
+      candidates: taking.length > 0 ? taking : nodes,
       left,
     });
   }
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -54,9 +54,16 @@
 }
 
 /** Which nodes serve, as far as what a node knows depends on it. */
-export type ServingView = Pick<ServingNodes, "has" | "isActive">;
+export type ServingView = Pick<
+  ServingNodes,
+  "has" | "isActive" | "takesEngines"
+>;
 
-const EVERYBODY: ServingView = { has: () => true, isActive: () => true };
+const EVERYBODY: ServingView = {
+  has: () => true,
+  isActive: () => true,
+  takesEngines: () => true,
+};
 
 /** What this node knows of configuration, servers, claims and nodes. */
 export class Knowledge extends SharedLogListener {
--- a/packages/node/src/relay/node_load.ts
+++ b/packages/node/src/relay/node_load.ts
@@ -5,7 +5,11 @@
 const SAMPLE_TIME = milliseconds(1_000);
 /** The weight of the newest look. */
 const WEIGHT = 0.5;
-/** What a process does so long after its start is its start. */
+/**
+ * What a process does so long after its start is its start: it says nothing of
+ * the load. Where callers are there all the same, it counts as full, since they
+ * come back together with the nodes.
+ */
 const START_TIME = milliseconds(3_000);
 /** Loads are told in so many steps, so that few of their changes are news. */
 const STEPS = 16;
@@ -37,8 +41,11 @@
   /**
    * Looks at the event loop, where that is due.
    * @param now The present time.
+   * @param hasCallers Whether callers have come.
    */
-  sample(now: Instant): void {
+  sample(now: Instant, hasCallers: boolean): void {
+    const isStarting = elapsed(this.#startedAt, now) < START_TIME;
+    if (isStarting) this.#load = hasCallers ? 1 : 0;
     if (elapsed(this.#sampledAt, now) < SAMPLE_TIME) return;
     const utilization = performance.eventLoopUtilization();
     const { utilization: share } = performance.eventLoopUtilization(
@@ -47,7 +54,7 @@
     );
     this.#before = utilization;
     this.#sampledAt = now;
-    if (elapsed(this.#startedAt, now) < START_TIME) return;
+    if (isStarting) return;
     this.#load += WEIGHT * (share - this.#load);
   }
 }
--- a/packages/node/src/relay/serving_nodes.ts
+++ b/packages/node/src/relay/serving_nodes.ts
@@ -4,6 +4,7 @@
   type Instant,
   milliseconds,
   type NodeId,
+  owningNodes,
   ServingSet,
 } from "@foxtailwind/core";
 import { capacityOf, NodeLoad, toldCapacity } from "./node_load.ts";
@@ -35,6 +36,7 @@
   readonly #set = new ServingSet();
   readonly #load: NodeLoad;
   #serving: ReadonlySet<NodeId>;
+  #owning: ReadonlySet<NodeId>;
   #askedAt: Instant | undefined;
 
   /** @param parts What it works with. */
@@ -42,6 +44,7 @@
     this.#parts = parts;
     this.#load = new NodeLoad(parts.startedAt);
     this.#serving = new Set([parts.self]);
+    this.#owning = this.#serving;
   }
 
   /** What this node's VM can do, as other nodes are told. */
@@ -68,6 +71,15 @@
     return this.#serving.has(node);
   }
 
+  /**
+   * Tells whether a node takes engines that have no owner.
+   * @param node The node.
+   * @returns Whether it does.
+   */
+  takesEngines(node: NodeId): boolean {
+    return this.#owning.has(node);
+  }
+
   /**
    * Tells whether this node places requests, and so has to know the engines:
    * it serves, or owns engines, or callers hold on to its address.
@@ -96,7 +108,7 @@
    */
   refresh(now: Instant): void {
     const { self, failureDomain, processors, peers } = this.#parts;
-    this.#load.sample(now);
+    this.#load.sample(now, this.#askedAt !== undefined);
     const others = peers.servingCandidates(now);
     const own = {
       id: self,
@@ -105,10 +117,9 @@
       load: this.#load.share,
     };
     const wasActive = this.isActive(now);
-    this.#serving = this.#set.choose(
-      now,
-      this.#parts.isLeaving() ? others : [own, ...others],
-    );
+    const candidates = this.#parts.isLeaving() ? others : [own, ...others];
+    this.#serving = this.#set.choose(now, candidates);
+    this.#owning = new Set(owningNodes(candidates));
     if (!wasActive && this.isActive(now)) this.#parts.woken();
   }
 }
--- a/packages/node/tests/relay/knowledge_message_test.ts
+++ b/packages/node/tests/relay/knowledge_message_test.ts
@@ -125,6 +125,7 @@
     node.serving = {
       has: (one) => serving.has(one),
       isActive: () => serving.has(id),
+      takesEngines: (one) => serving.has(one),
     };
   };
   for (const before of ["a", "b", "z1", "z2"]) {
