--- a/packages/core/src/relay/mod.ts
+++ b/packages/core/src/relay/mod.ts
@@ -19,6 +19,7 @@
 export * from "./route_table.ts";
 export * from "./server_load.ts";
 export * from "./recent_keys.ts";
+export * from "./refusal_memory.ts";
 export * from "./registered_server.ts";
 export * from "./server_registry.ts";
 export * from "./serving_set.ts";
--- a/packages/node/src/relay/request_placer.ts
+++ b/packages/node/src/relay/request_placer.ts
@@ -8,6 +8,7 @@
   needsBreaks,
   type NodeId,
   orderEngines,
+  RefusalMemory,
   type RegisteredServer,
 } from "@foxtailwind/core";
 import type { SteadyClock } from "../clock/steady_clock.ts";
@@ -82,6 +83,7 @@
 /** Finds a server for each request, and brings adapters where needed. */
 export class RequestPlacer {
   readonly #parts: RequestPlacerParts;
+  readonly #refusals = new RefusalMemory();
 
   /** @param parts What it works with. */
   constructor(parts: RequestPlacerParts) {
@@ -128,12 +130,19 @@
     for (const id of orderEngines(use, engines).slice(0, MOST_ASKED)) {
       const engine = byId.get(id);
       if (engine === undefined || search.signal.aborted) break;
+      if (!this.#mayTake(engine)) continue;
       const place = await this.#ask(engine, use, minimumVersion, search);
       if (place !== undefined) return place;
     }
     return undefined;
   }
 
+  /** Whether a question to an engine may be answered by a place. */
+  #mayTake({ id, holds, isLoading }: KnownEngine): boolean {
+    const now = this.#parts.clock.now();
+    return holds || isLoading || !this.#refusals.isLikelyFull(now, id);
+  }
+
   async #ask(
     engine: KnownEngine,
     use: ModelUse,
@@ -172,6 +181,9 @@
       AbortSignal.any([signal, AbortSignal.timeout(patience)]),
     );
     note({ engine: engine.id, owner, answer: answer.kind });
+    if (answer.kind === "no_room") {
+      this.#refusals.refused(this.#parts.clock.now(), engine.id);
+    }
     if (answer.kind === "granted") {
       const { version, release } = answer;
       if (this.#isOver(where, answer)) {
