--- a/packages/node/src/relay/peer_exchange.ts
+++ b/packages/node/src/relay/peer_exchange.ts
@@ -55,12 +55,6 @@
 const EXCHANGE_LIMIT = 500;
 /** So long, a hub that has not answered is passed over for another one. */
 const FAILURE_MEMORY = milliseconds(2_000);
-/**
- * A node that has asked within this part of a period is not asked itself: its
- * question has carried the news both ways.
- */
-const RECENT_SHARE = 0.7;
-
 /** What exchanges work with. */
 export interface PeerExchangeParts {
   readonly self: Omit<ExchangeNode, "isServing">;
@@ -83,8 +77,6 @@
   readonly #pending = new Set<string>();
   /** What the node at an address has told and has been told. */
   readonly #partnersByAddress = new Map<string, ExchangePartner>();
-  /** When a node at an address last asked. */
-  readonly #askedAt = new Map<string, Instant>();
   /** When a node at an address last did not answer. */
   readonly #failedAt = new Map<string, Instant>();
   readonly #fetch: KnowledgeFetch;
@@ -145,15 +137,10 @@
   /** Starts to exchange. */
   start(): void {
     this.#timer = setTimeout(() => {
-      this.#exchange(false);
+      this.exchange();
     }, this.#period);
   }
 
-  /** Exchanges with this node's partners now, whoever of them has just asked. */
-  exchange(): void {
-    this.#exchange(true);
-  }
-
   /** Exchanges with partners ahead of time, since there is news. */
   exchangeSoon(): void {
     if (this.#isStopped) return;
@@ -171,7 +158,8 @@
     this.#fetch.stop();
   }
 
-  #exchange(isNews: boolean): void {
+  /** Exchanges with this node's partners now. */
+  exchange(): void {
     const { knowledge, clock, channels } = this.#parts;
     const now = clock.now();
     channels.retain(knowledge.peers.addresses);
@@ -183,10 +171,7 @@
       wantsEngines: knowledge.serving.isActive(now),
     };
     for (const { address } of chosen.partners) {
-      // Where all ask all, one call of two carries all that there is to tell.
-      const isSpared = !isNews && !chosen.isRelayed &&
-        this.#hasAsked(now, address);
-      if (!isSpared) this.#exchangeWith(address, own, wishes);
+      this.#exchangeWith(address, own, wishes);
     }
     this.#fetch.askWithoutLog(now);
     if (this.#isStopped) return;
@@ -230,12 +215,6 @@
     return failedAt !== undefined && elapsed(failedAt, now) < FAILURE_MEMORY;
   }
 
-  #hasAsked(now: Instant, address: string): boolean {
-    const askedAt = this.#askedAt.get(address);
-    return askedAt !== undefined &&
-      elapsed(askedAt, now) < RECENT_SHARE * this.#period;
-  }
-
   #exchangeWith(
     address: string,
     own: NodeDigest,
@@ -282,10 +261,7 @@
     const now = clock.now();
     knowledge.work.count("exchange_answered");
     const { own } = question;
-    if (own !== undefined) {
-      this.#askedAt.set(own.address, now);
-      this.#heard(knowledge.peers.heard(now, own));
-    }
+    if (own !== undefined) this.#heard(knowledge.peers.heard(now, own));
     return answerExchange(now, knowledge.peers, this.#parts.digest(), question);
   }
 
