--- a/packages/node/src/relay/exchange_partner.ts
+++ b/packages/node/src/relay/exchange_partner.ts
@@ -1,18 +1,11 @@
-import {
-  type Instant,
-  milliseconds,
-  type NodeId,
-  nodeId,
-} from "@foxtailwind/core";
+import { type Instant, type NodeId, nodeId } from "@foxtailwind/core";
 import type {
   ExchangeAnswer,
   ExchangeQuestion,
   NodeDigest,
 } from "@foxtailwind/protocol";
 import type { PeerBook } from "./peer_book.ts";
-
-/** The unit in which ages are told, in milliseconds. */
-const AGE_UNIT = 10;
+import { ageOf } from "./told_age.ts";
 
 /** What a node wants to hear from a partner. */
 export interface ExchangeWishes {
@@ -146,9 +139,3 @@
       : peers.enginesKnown(nodeId(asker.node), asker.incarnation),
   };
 }
-
-function ageOf(told: number | undefined) {
-  return told === undefined || told === 0
-    ? undefined
-    : milliseconds((told - 1) * AGE_UNIT);
-}
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -3,7 +3,6 @@
   AdapterVersions,
   type BackendServerId,
   EngineClaims,
-  type EntryOutcome,
   type Failure,
   type FencingNumber,
   type Instant,
@@ -24,6 +23,7 @@
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { PartLogger } from "../logging/part_logger.ts";
 import { PeerBook } from "./peer_book.ts";
+import { logServer, logStart } from "./registry_lines.ts";
 import type { RelaySettings } from "./relay_settings.ts";
 import type { ServingNodes } from "./serving_nodes.ts";
 import {
@@ -197,9 +197,9 @@
     const id = entry.kind === "gone" ? entry.id : entry.server.id;
     const known = this.registry.find(id);
     const outcome = this.registry.apply(this.#parts.clock.now(), entry);
-    this.#logStart(entry, outcome);
+    logStart(this.#parts.logger, entry, outcome);
     if (this.registry.revision === before) return;
-    this.#logServer(entry, known);
+    logServer(this.#parts.logger, entry, known);
     this.onChange();
   }
 
@@ -210,7 +210,7 @@
     const now = this.#parts.clock.now();
     const outcomes = this.registry.replace(now, entries, end);
     for (const [index, entry] of entries.entries()) {
-      this.#logStart(entry, outcomes[index]);
+      logStart(this.#parts.logger, entry, outcomes[index]);
     }
     this.onChange();
   }
@@ -279,36 +279,4 @@
     this.#byService = groups;
     this.#byServiceRevision = this.registry.revision;
   }
-
-  #logStart(entry: RegistryEntry, outcome: EntryOutcome | undefined): void {
-    if (entry.kind === "gone") return;
-    const { id, start } = entry.server;
-    const { logger } = this.#parts;
-    if (outcome === "restarted") {
-      logger.info("A server has started again.", { server: id, start });
-    } else if (outcome === "older_start") {
-      logger.warn("An entry of an older start is left out.", {
-        server: id,
-        start,
-        offset: entry.offset,
-      });
-    }
-  }
-
-  #logServer(
-    entry: RegistryEntry,
-    known: RegisteredServer | undefined,
-  ): void {
-    const { logger } = this.#parts;
-    if (entry.kind === "gone") {
-      logger.info(RELAY_SENTENCE.serverLeft, { server: entry.id });
-      return;
-    }
-    const { id, service, leaving } = entry.server;
-    if (known === undefined) {
-      logger.info("A server is there.", { server: id, service });
-    } else if (leaving && !known.leaving) {
-      logger.info(RELAY_SENTENCE.serverLeaves, { server: id, service });
-    }
-  }
 }
--- /dev/null
+++ b/packages/node/src/relay/make_relay_parts.ts
@@ -0,0 +1,63 @@
+import { CallerPatience, seconds } from "@foxtailwind/core";
+import type { PeerChannels } from "../peers/peer_channels.ts";
+import { AdapterGrants } from "./adapter_grants.ts";
+import type { EngineOwners } from "./engine_owners.ts";
+import type { NodePresence } from "./node_presence.ts";
+import type { RelayParts } from "./relay_parts.ts";
+import type { RelaySettings } from "./relay_settings.ts";
+import { RequestPlacer } from "./request_placer.ts";
+import { RetryAllowances } from "./retry_allowances.ts";
+import type { ServingNodes } from "./serving_nodes.ts";
+
+/** The parts of a node that relaying requests is put together from. */
+export interface RelayPartsTerms extends
+  Pick<
+    RelayParts,
+    "clock" | "knowledge" | "loads" | "logger" | "pools" | "record" | "wire"
+  > {
+  readonly settings: RelaySettings;
+  readonly owners: EngineOwners;
+  readonly presence: NodePresence;
+  readonly serving: ServingNodes;
+  readonly channels: PeerChannels;
+}
+
+/**
+ * Puts together what relaying requests works with.
+ * @param terms The node's parts.
+ * @returns What a request is relayed with.
+ */
+export function makeRelayParts(terms: RelayPartsTerms): RelayParts {
+  const { clock, knowledge, loads, logger, pools, record, wire } = terms;
+  const { settings, owners, presence, serving, channels } = terms;
+  const { node, retries } = settings;
+  const nodes = () => presence.countNodes(clock.now());
+  return {
+    knowledge,
+    clock,
+    nodes,
+    pools,
+    loads,
+    wire,
+    logger,
+    record,
+    patience: new CallerPatience(),
+    plannedStop: () => presence.plannedStop,
+    asked: () => {
+      serving.asked(clock.now());
+    },
+    allowances: new RetryAllowances({
+      share: retries.share,
+      reserve: retries.reserve,
+      window: seconds(retries.window_seconds),
+    }, nodes),
+    placer: new RequestPlacer({
+      self: node.id,
+      knowledge,
+      owners,
+      grants: new AdapterGrants(node.id, owners, channels),
+      loads,
+      clock,
+    }),
+  };
+}
--- a/packages/node/src/relay/peer_book.ts
+++ b/packages/node/src/relay/peer_book.ts
@@ -19,7 +19,9 @@
   SILENCE,
   silenceOf,
 } from "./known_peer.ts";
+import { newsOf, type NewsTerms } from "./peer_news.ts";
 import type { NodeRecord } from "./shared_log.ts";
+import { NO_AGE, toldAge } from "./told_age.ts";
 
 /** A digest that is older says nothing of an engine any more. */
 const STALE_DIGEST: Duration = milliseconds(1_200);
@@ -27,8 +29,6 @@
 const STOP_MEMORY: Duration = milliseconds(20_000);
 /** A node that has not been heard of for so long is asked no more. */
 const FORGOTTEN: Duration = milliseconds(60_000);
-/** The unit in which ages are told, in milliseconds. */
-const AGE_UNIT = 10;
 
 /** How a digest came. */
 export interface HeardTerms {
@@ -47,13 +47,6 @@
   readonly digest: EngineDigest;
 }
 
-/** Of what another node wants to hear. */
-export interface NewsTerms {
-  /** The count of changes up to which it has heard. */
-  readonly cursor: number;
-  readonly wantsEngines: boolean;
-}
-
 /** The other nodes, as far as this one has heard of them. */
 export class PeerBook {
   readonly #peers = new Map<NodeId, Peer>();
@@ -188,38 +181,21 @@
    * @returns The nodes of which something has changed.
    */
   newsSince(now: Instant, terms: NewsTerms): readonly NodeNews[] {
-    const { cursor, wantsEngines } = terms;
-    const news: NodeNews[] = [];
-    for (const peer of this.#peers.values()) {
-      const { digest, heardAt, index } = peer;
-      if (digest === undefined || heardAt === undefined) continue;
-      if (elapsed(heardAt, now) >= FORGOTTEN) continue;
-      const hasEngines = wantsEngines && peer.enginesChangedAt > cursor;
-      if (!hasEngines && peer.changedAt <= cursor) continue;
-      const { engineStates, ...rest } = digest;
-      news.push({
-        index,
-        digest: {
-          ...rest,
-          engineStates: hasEngines ? engineStates : undefined,
-        },
-      });
-    }
-    return news;
+    return [...this.#peers.values()]
+      .flatMap((peer) => newsOf(now, peer, terms, FORGOTTEN) ?? []);
   }
 
   /**
    * Tells how long ago each node was heard.
    * @param now The present time.
-   * @returns By index, hundredths of a second and one more, 0 for a forgotten
-   * node.
+   * @returns The ages by index, as they are told.
    */
   ages(now: Instant): number[] {
     return this.#order.map((id) => {
       const heardAt = this.#peers.get(id)?.heardAt;
-      if (heardAt === undefined) return 0;
+      if (heardAt === undefined) return NO_AGE;
       const age = elapsed(heardAt, now);
-      return age >= FORGOTTEN ? 0 : Math.ceil(age / AGE_UNIT) + 1;
+      return age >= FORGOTTEN ? NO_AGE : toldAge(age);
     });
   }
 
--- a/packages/node/src/relay/peer_exchange.ts
+++ b/packages/node/src/relay/peer_exchange.ts
@@ -1,11 +1,7 @@
 import {
   backendServerId,
-  elapsed,
   type ExchangeNode,
-  type ExchangePartners,
-  exchangePartners,
   type Instant,
-  milliseconds,
 } from "@foxtailwind/core";
 import {
   type AdapterGrant,
@@ -41,20 +37,12 @@
 import type { Knowledge } from "./knowledge.ts";
 import { KnowledgeFetch } from "./knowledge_fetch.ts";
 import { writeKnowledge } from "./knowledge_message.ts";
-import type { NodeRecord } from "./shared_log.ts";
+import { PartnerChoice } from "./partner_choice.ts";
 
-/** Between two exchanges of nodes that pass on what they hear, in milliseconds. */
-const HUB_PERIOD = 300;
-/** Between two exchanges of other nodes that place requests. */
-const MEMBER_PERIOD = 600;
-/** Between two exchanges of nodes that stand by. */
-const STANDBY_PERIOD = 1_000;
 /** News of so many milliseconds go out together. */
 const GATHERING_TIME = 5;
 /** After so many milliseconds, an exchange counts as unanswered. */
 const EXCHANGE_LIMIT = 500;
-/** So long, a hub that has not answered is passed over for another one. */
-const FAILURE_MEMORY = milliseconds(2_000);
 /** What exchanges work with. */
 export interface PeerExchangeParts {
   readonly self: Omit<ExchangeNode, "isServing">;
@@ -67,20 +55,15 @@
   readonly digest: () => NodeDigest;
 }
 
-interface ChosenPartners extends Omit<ExchangePartners, "partners"> {
-  readonly partners: readonly NodeRecord[];
-}
-
 /** Exchanges digests with the other nodes, both ways in one call. */
 export class PeerExchange {
   readonly #parts: PeerExchangeParts;
   readonly #pending = new Set<string>();
   /** What the node at an address has told and has been told. */
   readonly #partnersByAddress = new Map<string, ExchangePartner>();
-  /** When a node at an address last did not answer. */
-  readonly #failedAt = new Map<string, Instant>();
+  readonly #choice: PartnerChoice;
   readonly #fetch: KnowledgeFetch;
-  #period = HUB_PERIOD;
+  #period: number;
   #timer: NodeJS.Timeout | undefined;
   #newsTimer: NodeJS.Timeout | undefined;
   #isStopped = false;
@@ -88,6 +71,8 @@
   /** @param parts What it works with. */
   constructor(parts: PeerExchangeParts) {
     this.#parts = parts;
+    this.#choice = new PartnerChoice(parts.self, parts.knowledge);
+    this.#period = this.#choice.choose(parts.clock.now()).period;
     this.#fetch = new KnowledgeFetch({
       ...parts,
       client: (address) => this.#client(address),
@@ -160,11 +145,11 @@
 
   /** Exchanges with this node's partners now. */
   exchange(): void {
-    const { knowledge, clock, channels } = this.#parts;
+    const { knowledge, clock } = this.#parts;
     const now = clock.now();
-    channels.retain(knowledge.peers.addresses);
-    const chosen = this.#partners(now);
-    this.#period = this.#periodOf(chosen);
+    this.#forget(knowledge.peers.addresses);
+    const chosen = this.#choice.choose(now);
+    this.#period = chosen.period;
     const own = this.#parts.digest();
     const wishes = {
       wantsOthers: chosen.isRelayed,
@@ -179,42 +164,6 @@
     this.start();
   }
 
-  #periodOf({ isRelayed, isHub }: ChosenPartners): number {
-    if (!isRelayed || isHub) return HUB_PERIOD;
-    const { knowledge, clock } = this.#parts;
-    return knowledge.serving.isActive(clock.now())
-      ? MEMBER_PERIOD
-      : STANDBY_PERIOD;
-  }
-
-  /** Whom to ask now; nodes that have just not answered are left out. */
-  #partners(now: Instant): ChosenPartners {
-    const { knowledge, self } = this.#parts;
-    const { serving } = knowledge;
-    const contacts = knowledge.peers.contacts(now);
-    const byId = new Map(contacts.map((contact) => [contact.id, contact]));
-    const reachable = knowledge.peers.candidates(now)
-      .filter(({ address }) => !this.#hasFailed(now, address))
-      .map(({ id, failureDomain }) => ({
-        id,
-        failureDomain,
-        isServing: serving.has(id),
-      }));
-    const chosen = exchangePartners(
-      { ...self, isServing: serving.has(self.id) },
-      reachable,
-    );
-    // While few are known, all that may be there are asked.
-    if (!chosen.isRelayed) return { ...chosen, partners: contacts };
-    const partners = chosen.partners.flatMap((id) => byId.get(id) ?? []);
-    return { ...chosen, partners };
-  }
-
-  #hasFailed(now: Instant, address: string): boolean {
-    const failedAt = this.#failedAt.get(address);
-    return failedAt !== undefined && elapsed(failedAt, now) < FAILURE_MEMORY;
-  }
-
   #exchangeWith(
     address: string,
     own: NodeDigest,
@@ -235,12 +184,20 @@
           this.#failed(now, address, wishes);
           return;
         }
-        this.#failedAt.delete(address);
+        this.#choice.answered(address);
         this.#heard(partner.answered(now, answer, wishes));
       },
     );
   }
 
+  /** Forgets what nodes have told that are at none of some addresses. */
+  #forget(kept: ReadonlySet<string>): void {
+    this.#parts.channels.retain(kept);
+    for (const address of this.#partnersByAddress.keys()) {
+      if (!kept.has(address)) this.#partnersByAddress.delete(address);
+    }
+  }
+
   #partnerAt(address: string): ExchangePartner {
     const { self, knowledge } = this.#parts;
     const known = this.#partnersByAddress.get(address) ??
@@ -251,9 +208,8 @@
 
   /** Passes over a node that did not answer, and asks another hub at once. */
   #failed(now: Instant, address: string, wishes: ExchangeWishes): void {
-    const isFirst = !this.#hasFailed(now, address);
-    this.#failedAt.set(address, now);
-    if (isFirst && wishes.wantsOthers) this.exchangeSoon();
+    const isNews = this.#choice.failed(now, address);
+    if (isNews && wishes.wantsOthers) this.exchangeSoon();
   }
 
   #answer(question: ExchangeQuestion): ExchangeAnswer {
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -1,5 +1,4 @@
 import {
-  CallerPatience,
   elapsed,
   type Instant,
   RELAY_SENTENCE,
@@ -11,7 +10,6 @@
 import type { LoggerFactory, PartLogger } from "../logging/part_logger.ts";
 import { PeerChannels } from "../peers/peer_channels.ts";
 import { PeerServer } from "../peers/peer_server.ts";
-import { AdapterGrants } from "./adapter_grants.ts";
 import { BackendPools } from "./backend_pools.ts";
 import type { RelayWire } from "./caller_wire.ts";
 import type { EngineControl } from "./engine_control.ts";
@@ -20,6 +18,7 @@
 import { Knowledge } from "./knowledge.ts";
 import { OperationsServer } from "./operations_server.ts";
 import type { OperationsWire } from "./operations_wire.ts";
+import { makeRelayParts } from "./make_relay_parts.ts";
 import { NodePresence } from "./node_presence.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import { RelayMetrics } from "./relay_metrics.ts";
@@ -30,8 +29,6 @@
   type PlannedStop,
   stopStep,
 } from "./relay_stop.ts";
-import { RequestPlacer } from "./request_placer.ts";
-import { RetryAllowances } from "./retry_allowances.ts";
 import { ServerLoads } from "./server_loads.ts";
 import { ServingNodes } from "./serving_nodes.ts";
 import type { SharedLog } from "./shared_log.ts";
@@ -248,41 +245,23 @@
   }
 
   #relayParts(loggers: LoggerFactory): RelayParts {
-    const { node, retries } = this.#settings;
-    const knowledge = this.#knowledge;
-    const clock = this.#clock;
-    const nodes = () => this.#presence.countNodes(clock.now());
-    return {
-      knowledge,
-      clock,
-      nodes,
+    return makeRelayParts({
+      settings: this.#settings,
+      wire: this.#edges.wire,
+      knowledge: this.#knowledge,
+      owners: this.#owners,
+      presence: this.#presence,
+      serving: this.#serving,
+      channels: this.#channels,
       pools: this.#pools,
       loads: this.#loads,
-      wire: this.#edges.wire,
+      clock: this.#clock,
       logger: loggers.forPart("callers"),
-      patience: new CallerPatience(),
-      plannedStop: () => this.#presence.plannedStop,
-      asked: () => {
-        this.#serving.asked(clock.now());
-      },
-      allowances: new RetryAllowances({
-        share: retries.share,
-        reserve: retries.reserve,
-        window: seconds(retries.window_seconds),
-      }, nodes),
-      placer: new RequestPlacer({
-        self: node.id,
-        knowledge,
-        owners: this.#owners,
-        grants: new AdapterGrants(node.id, this.#owners, this.#channels),
-        loads: this.#loads,
-        clock,
-      }),
       record: (route, outcome, took, firstAfter) => {
-        this.#lastRequestAt = clock.now();
+        this.#lastRequestAt = this.#clock.now();
         this.#metrics.record(route, outcome, took, firstAfter);
       },
-    };
+    });
   }
 
   #refreshLater(): void {
