--- a/packages/core/src/relay/exchange_partners.ts
+++ b/packages/core/src/relay/exchange_partners.ts
@@ -37,10 +37,11 @@
 /**
  * Chooses whom a node asks for the digests of all nodes, so that the calls
  * grow with the nodes and not with their square: in a large system each
- * failure domain has a few hubs, of the nodes that serve where there are such,
- * each node asks one hub of its own domain, and hubs ask the others of their domain and one of each other domain. News reach
- * all in five periods at most. At 61 nodes in three domains that is 88 calls a
- * period in all, for 3,660 where all ask all.
+ * failure domain has a few hubs, of the nodes that serve where there are such.
+ * Each node asks one hub of its own domain, and hubs ask the others of their
+ * domain and one of each other domain. News reach all in five periods at most.
+ * At 61 nodes in three domains that is 88 calls a period in all, for 3,660
+ * where all ask all.
  * @param self The node that asks.
  * @param others The nodes that are there, or may be.
  * @returns The nodes to ask.
--- a/packages/node/src/relay/exchange_partner.ts
+++ b/packages/node/src/relay/exchange_partner.ts
@@ -27,6 +27,7 @@
   readonly #peers: PeerBook;
   #id: NodeId | undefined;
   #incarnation = "";
+  /** Up to which of its changes the partner's run has told of others. */
   #cursor = 0;
   #hadEngines = false;
   /** The sequence of this node's engines that the partner knows. */
@@ -78,15 +79,25 @@
     const { own } = answer;
     if (own === undefined) return false;
     this.#id = nodeId(own.node);
-    if (own.incarnation !== this.#incarnation) this.#told.clear();
+    if (own.incarnation !== this.#incarnation) this.#restarted();
     this.#incarnation = own.incarnation;
-    this.#cursor = answer.cursor;
-    this.#hadEngines = wishes.wantsEngines;
+    // What an answer was not asked for it has not told.
+    if (wishes.wantsOthers) {
+      this.#cursor = answer.cursor;
+      this.#hadEngines = wishes.wantsEngines;
+    }
     this.#knownEngines = answer.knownEngines;
     const isNews = this.#peers.heard(now, own);
     return this.#hearOthers(now, answer) || isNews;
   }
 
+  /** Nothing that an earlier run has told counts for a later one. */
+  #restarted(): void {
+    this.#told.clear();
+    this.#cursor = 0;
+    this.#hadEngines = false;
+  }
+
   #hearOthers(now: Instant, { news, ages }: ExchangeAnswer): boolean {
     let isNews = false;
     for (const { index, digest } of news) {
--- a/packages/node/tests/relay/exchange_partner_test.ts
+++ b/packages/node/tests/relay/exchange_partner_test.ts
@@ -14,6 +14,7 @@
 
 const ASKER = nodeId("asker");
 const EVERYTHING = { wantsOthers: true, wantsEngines: true };
+const ITSELF_ONLY = { wantsOthers: false, wantsEngines: true };
 const NODES_ONLY = { wantsOthers: true, wantsEngines: false };
 
 function engines(sequence: number) {
@@ -111,6 +112,14 @@
   t.is(asker.book.enginesKnown(nodeId("n1"), "run-1"), 3);
 });
 
+test("a node that asked for a hub's own news alone hears of all others later", (t) => {
+  const { asker, exchange } = setUp(20);
+  t.is(exchange(0, ITSELF_ONLY).answer.news.length, 0);
+  t.is(asker.book.alive(instant(0)).length, 1);
+  t.is(exchange(300).answer.news.length, 21, "With the asker itself.");
+  t.is(asker.book.alive(instant(300)).length, 21);
+});
+
 test("the ages of a node's earlier run keep no later one there", (t) => {
   const { asker, hub, exchange } = setUp(1);
   exchange(0);
