--- a/packages/bench/src/soak/relay/soak_store.ts
+++ b/packages/bench/src/soak/relay/soak_store.ts
@@ -130,6 +130,10 @@
     return this.next.readers;
   }
 
+  override get triesFirst(): boolean {
+    return this.next.triesFirst;
+  }
+
   override get isActive(): boolean {
     return this.next.isActive;
   }
--- a/packages/core/src/relay/log_pace.ts
+++ b/packages/core/src/relay/log_pace.ts
@@ -54,16 +54,16 @@
  * its connection had fallen silent, and a new one is open in a moment.
  * @param failures Calls that failed in a row.
  * @param readers How many nodes read the log.
- * @param isWatcher Whether this one watches it for others.
+ * @param triesFirst Whether this one is of the few that try for the others.
  * @returns The time until the next call.
  */
 export function pauseAfterFailures(
   failures: number,
   readers: number,
-  isWatcher: boolean,
+  triesFirst: boolean,
 ): Duration {
   if (failures <= 1) return milliseconds(0);
-  return isWatcher ? FAILURE_PAUSE : sharedPause(FAILURE_PAUSE, readers);
+  return triesFirst ? FAILURE_PAUSE : sharedPause(FAILURE_PAUSE, readers);
 }
 
 /**
--- a/packages/core/src/relay/retry_allowance.ts
+++ b/packages/core/src/relay/retry_allowance.ts
@@ -7,6 +7,11 @@
   /** Further sends of a window beside the share, over all nodes. */
   readonly reserve: number;
   readonly window: Duration;
+  /**
+   * Before it, a node that has started again leaves the reserve alone: its
+   * earlier run may have spent its part within the same window.
+   */
+  readonly reserveFrom?: Instant;
 }
 
 /**
@@ -46,8 +51,9 @@
    */
   take(now: Instant, nodes: number): boolean {
     this.#forget(now);
-    const { share, reserve } = this.#terms;
-    const earned = share * this.#requests.length + reserve / nodes;
+    const { share, reserve, reserveFrom = now } = this.#terms;
+    const part = now >= reserveFrom ? reserve / nodes : 0;
+    const earned = share * this.#requests.length + part;
     if (this.#retries.length + 1 > earned * CAUTION) return false;
     this.#retries.push(now);
     return true;
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -20,6 +20,7 @@
   ServerRegistry,
   type ServiceId,
 } from "@foxtailwind/core";
+import type { NodeDigest } from "@foxtailwind/protocol";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { PartLogger } from "../logging/part_logger.ts";
 import { PeerBook } from "./peer_book.ts";
@@ -141,16 +142,12 @@
   }
 
   override get isWatcher(): boolean {
-    const { settings, clock } = this.#parts;
-    const { id } = settings.node;
-    const isServing = this.serving.has(id);
-    const before = this.peers.alive(clock.now()).filter((peer) => {
-      if (!peer.reachesLog) return false;
-      const node = nodeId(peer.node);
-      const serves = this.serving.has(node);
-      return serves === isServing ? node < id : serves;
-    });
-    return before.length < WATCHERS;
+    return this.#before((peer) => peer.reachesLog) < WATCHERS;
+  }
+
+  /** Those that would watch, were the log in everybody's reach. */
+  override get triesFirst(): boolean {
+    return this.#before(() => true) < WATCHERS;
   }
 
   override get isActive(): boolean {
@@ -269,6 +266,19 @@
     this.onChange();
   }
 
+  /** Counts the nodes of some kind that watch before this one. */
+  #before(isCounted: (peer: NodeDigest) => boolean): number {
+    const { settings, clock } = this.#parts;
+    const { id } = settings.node;
+    const isServing = this.serving.has(id);
+    return this.peers.alive(clock.now()).filter((peer) => {
+      if (!isCounted(peer)) return false;
+      const node = nodeId(peer.node);
+      const serves = this.serving.has(node);
+      return serves === isServing ? node < id : serves;
+    }).length;
+  }
+
   #group(): void {
     const groups = new Map<ServiceId, RegisteredServer[]>();
     for (const server of this.registry.all) {
--- a/packages/node/src/relay/make_relay_parts.ts
+++ b/packages/node/src/relay/make_relay_parts.ts
@@ -1,4 +1,4 @@
-import { CallerPatience, seconds } from "@foxtailwind/core";
+import { CallerPatience, later, seconds } from "@foxtailwind/core";
 import type { PeerChannels } from "../peers/peer_channels.ts";
 import { AdapterGrants } from "./adapter_grants.ts";
 import type { EngineOwners } from "./engine_owners.ts";
@@ -32,6 +32,7 @@
   const { settings, owners, presence, serving, channels } = terms;
   const { node, retries } = settings;
   const nodes = () => presence.countNodes(clock.now());
+  const window = seconds(retries.window_seconds);
   return {
     knowledge,
     clock,
@@ -49,7 +50,8 @@
     allowances: new RetryAllowances({
       share: retries.share,
       reserve: retries.reserve,
-      window: seconds(retries.window_seconds),
+      window,
+      reserveFrom: later(clock.now(), window),
     }, nodes),
     placer: new RequestPlacer({
       self: node.id,
--- a/packages/node/src/relay/shared_log.ts
+++ b/packages/node/src/relay/shared_log.ts
@@ -48,6 +48,11 @@
    * so shouldn't rely on being told of it.
    */
   abstract get isWatcher(): boolean;
+  /**
+   * Whether this node is one of the few that go on calling a log that is down
+   * as often as in a small system.
+   */
+  abstract get triesFirst(): boolean;
   /** How many nodes read the log, this one included. */
   abstract get readers(): number;
   /** Whether this node places requests, and has to know claims at once. */
--- a/packages/node/tests/relay/knowledge_message_test.ts
+++ b/packages/node/tests/relay/knowledge_message_test.ts
@@ -200,3 +200,13 @@
   });
   t.false(node.isInContact(later));
 });
+
+test("while the log is out of everybody's reach, two nodes try it for the others", (t) => {
+  const node = knowledge();
+  const now = new ProcessClock().now();
+  for (const other of ["a", "b", "c"]) {
+    node.peers.heard(now, nodeDigest(other, { reachesLog: false }));
+  }
+  t.true(node.isWatcher, "It relies on nobody.");
+  t.false(node.triesFirst);
+});
