--- a/packages/core/src/shared/rendezvous.ts
+++ b/packages/core/src/shared/rendezvous.ts
@@ -1,6 +1,8 @@
 import xxhash from "xxhash-wasm";
 
 const hasher = await xxhash();
+/** How many hashes there are. */
+const HASHES = 2 ** 32;
 
 /**
  * Orders candidates for a key by rendezvous hashing: each candidate scores a
@@ -16,7 +18,7 @@
 ): readonly Id[] {
   const scored = candidates.map((candidate) => ({
     candidate,
-    score: hasher.h32(`${candidate}/${key}`),
+    score: rendezvousScore(key, candidate),
   }));
   scored.sort((left, right) =>
     right.score - left.score || (left.candidate < right.candidate ? -1 : 1)
@@ -24,8 +26,6 @@
   return scored.map((entry) => entry.candidate);
 }
 
-const SCORES = 2 ** 32;
-
 /**
  * Scores a candidate for a key: a draw that stays the same.
  * @param key What is placed.
@@ -33,7 +33,7 @@
  * @returns A number from 0 up to, and without, 1.
  */
 export function rendezvousScore(key: string, candidate: string): number {
-  return hasher.h32(`${candidate}/${key}`) / SCORES;
+  return hasher.h32(`${candidate}/${key}`) / HASHES;
 }
 
 /**
@@ -49,7 +49,7 @@
   let best: Id | undefined;
   let bestScore = -1;
   for (const candidate of candidates) {
-    const score = hasher.h32(`${candidate}/${key}`);
+    const score = rendezvousScore(key, candidate);
     const wins = score > bestScore ||
       (score === bestScore && best !== undefined && candidate < best);
     if (!wins) continue;
--- a/packages/node/tests/relay/engine_owners_test.ts
+++ b/packages/node/tests/relay/engine_owners_test.ts
@@ -1,10 +1,8 @@
 import { standInEngines, standInServer } from "@foxtailwind/bench";
 import {
   backendServerId,
-  failureDomainId,
   logOffset,
   milliseconds,
-  nodeId,
   seconds,
   serviceId,
 } from "@foxtailwind/core";
@@ -16,6 +14,7 @@
 import test, { type ExecutionContext } from "ava";
 import { ok, type Result } from "neverthrow";
 import { setTimeout as sleep } from "node:timers/promises";
+import { nodeRecord } from "./helpers/node_record.ts";
 import { relayBase } from "./helpers/relay_base.ts";
 import { ScriptedEngine } from "./helpers/scripted_engine.ts";
 
@@ -126,13 +125,7 @@
 test("of 61 nodes whose claims meet, one waits its part before it claims again", async (t) => {
   const { knowledge, log, owners } = comeBack(t);
   for (let node = 0; node < 60; node += 1) {
-    knowledge.node({
-      id: nodeId(`n${node}`),
-      incarnation: "run",
-      address: "127.0.0.1:1",
-      failureDomain: failureDomainId("d"),
-      capacity: 324,
-    });
+    knowledge.node(nodeRecord(`n${node}`));
   }
   log.isTaken = false;
   const claimsIn = async (looks: number) => {
--- a/packages/node/tests/relay/node_presence_test.ts
+++ b/packages/node/tests/relay/node_presence_test.ts
@@ -1,10 +1,5 @@
 /** What a node of a large system says of itself and of the others. */
-import {
-  failureDomainId,
-  instant,
-  milliseconds,
-  nodeId,
-} from "@foxtailwind/core";
+import { instant, milliseconds } from "@foxtailwind/core";
 import {
   type Knowledge,
   NodePresence,
@@ -13,6 +8,7 @@
 } from "@foxtailwind/node/relay";
 import test from "ava";
 import { nodeDigest } from "./helpers/node_digest.ts";
+import { nodeRecord } from "./helpers/node_record.ts";
 import { relayBase } from "./helpers/relay_base.ts";
 
 /** A node that listens, and knows a configuration. */
@@ -59,13 +55,7 @@
 test("a node that starts with sixty others shares limits with them before it has heard them", (t) => {
   const { clock, knowledge, presence } = setUp();
   for (let node = 0; node < 60; node += 1) {
-    knowledge.node({
-      id: nodeId(`n${node}`),
-      incarnation: "run",
-      address: "127.0.0.1:1",
-      failureDomain: failureDomainId("d"),
-      capacity: 324,
-    });
+    knowledge.node(nodeRecord(`n${node}`));
   }
   const now = clock.now();
   t.is(presence.countNodes(now), 61);
