The log shows the content of a request whose call broke

A request that comes again has another id each time, so the log could not tell whether two requests that ended with a server were the same.

--- a/packages/core/src/shared/ids.ts
+++ b/packages/core/src/shared/ids.ts
@@ -227,3 +227,15 @@
 export function attemptNumber(value: number): AttemptNumber {
   return value as AttemptNumber;
 }
+
+/** Identifies the content of a request, whoever sends it. */
+export type ContentDigest = Brand<string, "ContentDigest">;
+
+/**
+ * Brands a checked string as a ContentDigest.
+ * @param value The raw value.
+ * @returns The branded value.
+ */
+export function contentDigest(value: string): ContentDigest {
+  return value as ContentDigest;
+}
--- a/packages/node/src/relay/answer_passage.ts
+++ b/packages/node/src/relay/answer_passage.ts
@@ -3,6 +3,7 @@
   elapsed,
   EventSplitter,
   type Instant,
+  milliseconds,
 } from "@foxtailwind/core";
 import {
   type AnswerHead,
@@ -100,6 +101,16 @@
     return this.#firstAfter;
   }
 
+  /**
+   * Tells for how long the server's answer has come.
+   * @param now The present time.
+   * @returns The time since its first bytes, or nothing before them.
+   */
+  ranFor(now: Instant): Duration | undefined {
+    if (this.#firstAfter === undefined) return undefined;
+    return milliseconds(elapsed(this.#sentAt, now) - this.#firstAfter);
+  }
+
   /** The last event that was passed on, where the stream may be resumed. */
   get lastEventId(): string | undefined {
     return this.#lastEventId;
--- a/packages/node/src/relay/front_server.ts
+++ b/packages/node/src/relay/front_server.ts
@@ -22,6 +22,7 @@
 import type { RelayParts } from "./relay_parts.ts";
 import { RelayRequest } from "./relay_request.ts";
 import { isTakenWhileStopping } from "./relay_stop.ts";
+import { RequestContent } from "./request_content.ts";
 
 const BAD_REQUEST = 400;
 const NOT_FOUND = 404;
@@ -185,6 +186,7 @@
       route,
       service,
       body: body.bytes,
+      content: new RequestContent(message, body.bytes),
       arrivedAt,
     });
     this.#requests.add(request);
--- a/packages/node/src/relay/read_request.ts
+++ b/packages/node/src/relay/read_request.ts
@@ -10,6 +10,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { CallerRequest } from "./caller_wire.ts";
 import { lastMoment, type PlannedStop } from "./relay_stop.ts";
+import type { RequestContent } from "./request_content.ts";
 
 /** A caller's request that has been read whole and has a route. */
 export interface ReadRequest {
@@ -19,6 +20,7 @@
   readonly route: Route;
   readonly service: RelayService;
   readonly body: Buffer | undefined;
+  readonly content: RequestContent;
   readonly arrivedAt: Instant;
 }
 
--- a/packages/node/src/relay/relay_request.ts
+++ b/packages/node/src/relay/relay_request.ts
@@ -47,6 +47,7 @@
   readonly #sender: RequestSender;
   #outcome = "";
   #broke: string | undefined;
+  #ranFor: Duration | undefined;
   #placedAfter: Duration | undefined;
   #timer: NodeJS.Timeout | undefined;
 
@@ -126,6 +127,9 @@
     const end = await this.#sender.send(place);
     place.release();
     this.#broke = end.kind === "broken" ? end.detail : undefined;
+    this.#ranFor = end.kind === "broken"
+      ? this.#passage.ranFor(this.#now())
+      : undefined;
     if (this.#isOver()) return false;
     return this.#judge(place.server, end);
   }
@@ -273,6 +277,7 @@
         runs: this.#sent.runs,
         framing: this.#passage.framing,
         broke: this.#broke,
+        ranFor: this.#ranFor,
         asked: this.#finder.asked,
         placedAfter: this.#placedAfter,
         firstAfter: this.#passage.firstAfter,
--- a/packages/node/src/relay/request_line.ts
+++ b/packages/node/src/relay/request_line.ts
@@ -16,6 +16,8 @@
   readonly framing: AnswerFraming | undefined;
   /** What broke the last call to a server, where it did not end in order. */
   readonly broke: string | undefined;
+  /** From the first bytes of the last answer to the end of its call. */
+  readonly ranFor: Duration | undefined;
   readonly asked: readonly PlaceAnswer[];
   readonly placedAfter: Duration | undefined;
   readonly firstAfter: Duration | undefined;
@@ -33,7 +35,7 @@
  * @returns The fields of its line; times in milliseconds.
  */
 export function describeEnd(
-  { caller, route, service, response }: ReadRequest,
+  { caller, route, service, response, content }: ReadRequest,
   end: RequestEnd,
 ): LogFields {
   const asked = end.asked.map(describeAnswer).join(" ");
@@ -49,6 +51,8 @@
     runs: end.runs,
     framing: end.framing,
     broke: end.broke,
+    content: end.broke === undefined ? undefined : content.digest,
+    ran_for: round(end.ranFor),
     asked: asked === "" ? undefined : asked,
     placed_after: round(end.placedAfter),
     first_after: round(end.firstAfter),
