--- a/packages/bench/src/relay/relay_cluster.ts
+++ b/packages/bench/src/relay/relay_cluster.ts
@@ -151,10 +151,31 @@
    * Asks for a generation with an adapter.
    * @param daemon The node that is asked.
    * @param adapter The adapter.
+   * @param path What is asked for.
    * @returns The answer; its body has an event for each piece.
    */
-  generate(daemon: RelayDaemon, adapter: string): Promise<RelayAnswer> {
-    return this.#call(daemon, "/drafts/new", { "x-adapter": adapter });
+  generate(
+    daemon: RelayDaemon,
+    adapter: string,
+    path = "/drafts/new",
+  ): Promise<RelayAnswer> {
+    return this.#call(daemon, path, { "x-adapter": adapter });
+  }
+
+  /**
+   * Lets a request with a path end each engine that begins to run it; the
+   * engine starts again.
+   * @param path The path.
+   * @param onCrash Called each time.
+   */
+  crashOn(path: string, onCrash: () => void): void {
+    for (const [id, engine] of this.engines) {
+      engine.crashPath = path;
+      engine.onCrash = () => {
+        this.restart(id);
+        onCrash();
+      };
+    }
   }
 
   /**
--- a/packages/bench/src/relay/stand_in_engine.ts
+++ b/packages/bench/src/relay/stand_in_engine.ts
@@ -34,6 +34,10 @@
   readonly fates: FatedOrders;
   /** The request ids that it ran, in order. */
   readonly runs: string[] = [];
+  /** A request with this path ends the engine as it begins to run. */
+  crashPath: string | undefined;
+  /** Called as the engine ends in that way. */
+  onCrash: () => void = () => undefined;
   readonly #server = createServer((request, response) => {
     void this.#answer(request, response);
   });
@@ -94,6 +98,12 @@
       "x-seal": "s",
       "content-type": "text/event-stream",
     });
+    if (request.url === this.crashPath) {
+      response.flushHeaders();
+      await sleep(PAUSE_MILLISECONDS);
+      this.onCrash();
+      return;
+    }
     for (let event = 1; event <= EVENTS && !response.destroyed; event += 1) {
       response.write(`id: ${event}\ndata: ${adapter}\n\n`);
       await sleep(PAUSE_MILLISECONDS);
