Test, failing: servers that name a limit get requests as before

A server that names 3 requests a second gets 192 in four seconds from four nodes, an engine 136, where 23 are allowed.

--- a/packages/bench/src/relay/relay_cluster.ts
+++ b/packages/bench/src/relay/relay_cluster.ts
@@ -23,7 +23,11 @@
 import { StandInLog, StandInStore } from "./stand_in_log.ts";
 import type { StandInServer } from "./stand_in_server.ts";
 import { standInSettings } from "./stand_in_settings.ts";
-import { StandInOperations, StandInWire } from "./stand_in_wire.ts";
+import {
+  LIMIT_HEADER,
+  StandInOperations,
+  StandInWire,
+} from "./stand_in_wire.ts";
 
 const READY = 200;
 /** Between two questions for readiness, in milliseconds. */
@@ -72,13 +76,21 @@
   readonly #lookups: Server;
   readonly #servers = new Map<string, StandInServer>();
   #requests = 0;
+  /** The requests a second that the plain server names, where it does. */
+  lookupLimit: number | undefined;
+  /** Called as a request reaches the plain server. */
+  onLookup: () => void = () => undefined;
 
   private constructor(size: RelayClusterSize) {
     this.#size = size;
     this.#lookups = createServer((request, response) => {
       request.resume();
+      this.onLookup();
       response.setHeader("x-id", String(request.headers["x-id"]));
       response.setHeader("x-seal", "s");
+      if (this.lookupLimit !== undefined) {
+        response.setHeader(LIMIT_HEADER, String(this.lookupLimit));
+      }
       response.end(`looked up ${request.url}`);
     });
   }
--- a/packages/bench/src/relay/stand_in_engine.ts
+++ b/packages/bench/src/relay/stand_in_engine.ts
@@ -20,7 +20,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { FatedOrders } from "./fated_orders.ts";
 import { OrderedAdapters } from "./ordered_adapters.ts";
-import { STAND_IN_MODEL } from "./stand_in_wire.ts";
+import { LIMIT_HEADER, STAND_IN_MODEL } from "./stand_in_wire.ts";
 
 const MISDIRECTED = 421;
 /** Events of each stream, and the pause between two, in milliseconds. */
@@ -36,6 +36,10 @@
   readonly runs: string[] = [];
   /** A request with this path ends the engine as it begins to run. */
   crashPath: string | undefined;
+  /** The requests a second that it names in its answers, where it does. */
+  requestLimit: number | undefined;
+  /** Called as a request reaches it. */
+  onRequest: () => void = () => undefined;
   /** Called as the engine ends in that way. */
   onCrash: () => void = () => undefined;
   readonly #server = createServer((request, response) => {
@@ -97,9 +101,13 @@
     response: ServerResponse,
   ): Promise<void> {
     request.resume();
+    this.onRequest();
     const id = String(request.headers["x-id"]);
     const adapter = adapterId(String(request.headers["x-adapter"]));
     response.setHeader("x-id", id);
+    if (this.requestLimit !== undefined) {
+      response.setHeader(LIMIT_HEADER, String(this.requestLimit));
+    }
     if (!this.adapters.held.has(adapter)) {
       response.writeHead(MISDIRECTED, { "x-not-run": "1" }).end();
       return;
--- a/packages/bench/src/relay/stand_in_wire.ts
+++ b/packages/bench/src/relay/stand_in_wire.ts
@@ -15,6 +15,9 @@
 /** The one model of the stand-ins of engines. */
 export const STAND_IN_MODEL = modelId("m");
 
+/** The requests a second that a server takes from all nodes together. */
+export const LIMIT_HEADER = "x-limit";
+
 /** A wire of the stand-ins: headers that begin with `x-`. */
 export class StandInWire extends RelayWire {
   override readRequest(
