Suspicions only of servers whose connections all end; files split

A node wrote a suspicion for each call that was broken off where it had heard nothing else of the server for 200 ms. Servers that reset single connections would have cost a call to the log for each. As a server ends, so do all connections to it: where some stay open, it lives.

--- a/packages/node/src/relay/answer_passage.ts
+++ b/packages/node/src/relay/answer_passage.ts
@@ -17,29 +17,10 @@
 } from "./backend_call.ts";
 import { CallerAnswer, type OwnRefusal } from "./caller_answer.ts";
 import { KeptAnswer } from "./kept_answer.ts";
+import type { PassageListener, PassageVerdict } from "./passage_verdict.ts";
 import type { RelayParts } from "./relay_parts.ts";
 import type { ReadRequest } from "./read_request.ts";
 
-/** What came of a server's answer so far. */
-export type PassageVerdict =
-  | "none"
-  /** A success, passed on as it comes. */
-  | "passed"
-  /** The server says that it has not run the request. */
-  | "not_run"
-  /** The server's own failure, kept until it is known whether to pass it. */
-  | "failure"
-  /** Not an answer to this request. */
-  | "foreign";
-
-/** Told of what an answer says of its server. */
-export interface PassageListener {
-  /** Bytes have come. */
-  readonly heard: (now: Instant) => void;
-  /** The head names the requests a second that the server takes, or none. */
-  readonly named: (limit: number | undefined) => void;
-}
-
 const BAD_GATEWAY = 502;
 const SUCCESSES_FROM = 200;
 const REDIRECTS_FROM = 300;
--- a/packages/node/src/relay/backend_pools.ts
+++ b/packages/node/src/relay/backend_pools.ts
@@ -66,6 +66,17 @@
     return pool;
   }
 
+  /**
+   * Tells whether connections to a server are open: with its end all end.
+   * @param server The server, as it was known when it was last sent to.
+   * @returns Whether some are.
+   */
+  isConnected({ id, start }: RegisteredServer): boolean {
+    const known = this.#pools.get(id);
+    if (known === undefined || isOtherStart(known.start, start)) return false;
+    return known.pool.stats.connected > 0;
+  }
+
   /**
    * Gives a connection to a server for one request, to be closed by its user.
    * @param server The server.
--- a/packages/node/src/relay/crash_reports.ts
+++ b/packages/node/src/relay/crash_reports.ts
@@ -15,6 +15,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { PartLogger } from "../logging/part_logger.ts";
+import type { Knowledge } from "./knowledge.ts";
 import type { RequestContent } from "./request_content.ts";
 import type { SharedLog, SuspicionChange } from "./shared_log.ts";
 
@@ -31,7 +32,7 @@
 
 /** What crash reports work with. */
 export interface CrashReportsParts {
-  readonly quarantine: RequestQuarantine;
+  readonly knowledge: Knowledge;
   readonly log: Pick<SharedLog, "changeSuspicions">;
   readonly clock: SteadyClock;
   readonly logger: PartLogger;
@@ -41,6 +42,8 @@
 export interface BrokenCall {
   readonly server: RegisteredServer;
   readonly load: ServerLoad;
+  /** Tells whether other connections to the server are open. */
+  readonly isConnected: () => boolean;
   /** From the first bytes of its answer to its end, where some came. */
   readonly ranFor: Duration | undefined;
 }
@@ -51,6 +54,7 @@
  */
 export class CrashReports {
   readonly #parts: CrashReportsParts;
+  readonly #quarantine: RequestQuarantine;
   readonly #unwritten = new Map<string, SuspicionChange>();
   #isWriting = false;
   #isStopped = false;
@@ -58,12 +62,15 @@
   /** @param parts What it works with. */
   constructor(parts: CrashReportsParts) {
     this.#parts = parts;
-  }
-
-  /** The suspicions of this node that the log may not have yet. */
-  get unwritten(): readonly SuspicionKey[] {
-    return [...this.#unwritten.values()]
-      .flatMap((change) => change.kind === "added" ? [change.suspicion] : []);
+    const { knowledge } = parts;
+    this.#quarantine = knowledge.suspicions.quarantine;
+    knowledge.suspicions.unwritten = () =>
+      [...this.#unwritten.values()].flatMap((change) =>
+        change.kind === "added" ? [change.suspicion] : []
+      );
+    knowledge.suspicions.onServersLive = (dropped) => {
+      if (knowledge.isWatcher) this.#writeDropped(dropped);
+    };
   }
 
   /**
@@ -72,9 +79,9 @@
    * @returns The time until it may be tried again, or nothing.
    */
   refusedFor(content: RequestContent): Duration | undefined {
-    const { quarantine, clock } = this.#parts;
-    if (quarantine.isEmpty) return undefined;
-    return quarantine.refusedFor(clock.now(), content.digest);
+    if (this.#quarantine.isEmpty) return undefined;
+    const now = this.#parts.clock.now();
+    return this.#quarantine.refusedFor(now, content.digest);
   }
 
   /**
@@ -82,9 +89,8 @@
    * @param content Its content.
    */
   served(content: RequestContent): void {
-    const { quarantine } = this.#parts;
-    if (quarantine.isEmpty) return;
-    this.writeDropped(quarantine.served(content.digest));
+    if (this.#quarantine.isEmpty) return;
+    this.#writeDropped(this.#quarantine.served(content.digest));
   }
 
   /**
@@ -92,24 +98,27 @@
    * @param content What was asked for.
    * @param call The call.
    */
-  broke(content: RequestContent, { server, load, ranFor }: BrokenCall): void {
-    const { quarantine, clock } = this.#parts;
-    const time = suspectTime(ranFor);
+  broke(content: RequestContent, call: BrokenCall): void {
+    const time = suspectTime(call.ranFor);
     if (time === undefined) return;
-    const brokeAt = clock.now();
-    const suspicion = suspicionOf(server, content.digest, time);
-    quarantine.suspect(brokeAt, suspicion);
+    const brokeAt = this.#parts.clock.now();
+    const suspicion = suspicionOf(call.server, content.digest, time);
+    this.#quarantine.suspect(brokeAt, suspicion);
     setTimeout(() => {
-      this.#settle(suspicion, load, brokeAt);
+      // After a stall, ends of other connections may still wait to be told.
+      setImmediate(() => {
+        this.#settle(suspicion, call, brokeAt);
+      });
     }, SETTLING_TIME);
   }
 
   /**
-   * Writes that suspicions are dropped.
-   * @param dropped The suspicions.
+   * Forgets what is too old. Of all nodes the watchers drop it from the log.
+   * @param now The present time.
    */
-  writeDropped(dropped: readonly SuspicionKey[]): void {
-    for (const key of dropped) this.#change(key, { kind: "dropped", key });
+  expire(now: Instant): void {
+    const expired = this.#quarantine.expire(now);
+    if (this.#parts.knowledge.isWatcher) this.#writeDropped(expired);
   }
 
   /** Writes no more. */
@@ -117,17 +126,24 @@
     this.#isStopped = true;
   }
 
-  #settle(suspicion: CrashSuspicion, load: ServerLoad, brokeAt: Instant): void {
+  #writeDropped(dropped: readonly SuspicionKey[]): void {
+    for (const key of dropped) this.#change(key, { kind: "dropped", key });
+  }
+
+  #settle(
+    suspicion: CrashSuspicion,
+    { load, isConnected }: BrokenCall,
+    brokeAt: Instant,
+  ): void {
     if (this.#isStopped) return;
-    const { quarantine, logger } = this.#parts;
     const { heardAt } = load;
-    const lives = heardAt !== undefined &&
+    const wasHeard = heardAt !== undefined &&
       heardAt > later(brokeAt, LATE_BYTES_TIME);
-    if (lives) {
-      quarantine.drop(suspicion);
+    if (wasHeard || isConnected()) {
+      this.#quarantine.drop(suspicion);
       return;
     }
-    logger.info("A server may have ended under a request.", {
+    this.#parts.logger.info("A server may have ended under a request.", {
       server: suspicion.server,
       start: suspicion.start,
       content: suspicion.content,
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -2,7 +2,6 @@
   type AdapterId,
   AdapterVersions,
   type BackendServerId,
-  type ContentDigest,
   type CrashSuspicion,
   EngineClaims,
   type Failure,
@@ -18,11 +17,9 @@
   type RegistryEntry,
   RELAY_SENTENCE,
   type RelayConfiguration,
-  RequestQuarantine,
   RouteTable,
   ServerRegistry,
   type ServiceId,
-  type SuspicionKey,
 } from "@foxtailwind/core";
 import type { NodeDigest } from "@foxtailwind/protocol";
 import type { SteadyClock } from "../clock/steady_clock.ts";
@@ -40,6 +37,7 @@
   type SkipReason,
   type SuspicionChange,
 } from "./shared_log.ts";
+import { SuspicionNews } from "./suspicion_news.ts";
 import { WorkCounts } from "./work_counts.ts";
 
 /** Without a successful call for so long, the log counts as out of reach. */
@@ -78,7 +76,7 @@
   readonly registry = new ServerRegistry();
   readonly peers = new PeerBook();
   /** The requests that crash servers. */
-  readonly quarantine = new RequestQuarantine();
+  readonly suspicions: SuspicionNews;
   /** What this node does to know all that, and to let others know. */
   readonly work = new WorkCounts();
   readonly claims: EngineClaims;
@@ -88,17 +86,10 @@
   readonly #byService = new ServersByService(this.registry);
   #reachedAt: Instant | undefined;
   #isInContact = false;
-  #quarantined: ReadonlySet<ContentDigest> = new Set();
   /** Which nodes serve; all of them, until the node has worked it out. */
   serving: ServingView = EVERYBODY;
   /** Called after each change that may matter to the owners of engines. */
   onChange: () => void = () => undefined;
-  /** Called with suspicions of servers that were seen to live. */
-  onServersLive: (dropped: readonly SuspicionKey[]) => void = () => undefined;
-  /** Called once further requests are refused since they crash servers. */
-  onQuarantined: () => void = () => undefined;
-  /** Gives the suspicions of this node that the log may not have yet. */
-  unwrittenSuspicions: () => readonly SuspicionKey[] = () => [];
   /** Called for each record that was left out. */
   onRecordSkipped: (topic: RecordTopic, reason: SkipReason) => void = () =>
     undefined;
@@ -107,6 +98,7 @@
   constructor(parts: KnowledgeParts) {
     super();
     this.#parts = parts;
+    this.suspicions = new SuspicionNews(parts);
     const { settings, incarnation } = parts;
     this.claims = new EngineClaims(
       { id: settings.node.id, incarnation },
@@ -206,7 +198,7 @@
     const before = this.registry.revision;
     const id = entry.kind === "gone" ? entry.id : entry.server.id;
     const known = this.registry.find(id);
-    this.#noteLife(entry);
+    this.suspicions.noteLife(this.registry, entry);
     const outcome = this.registry.apply(this.#parts.clock.now(), entry);
     logStart(this.#parts.logger, entry, outcome);
     if (this.registry.revision === before) return;
@@ -219,7 +211,7 @@
     end: LogOffset,
   ): void {
     const now = this.#parts.clock.now();
-    for (const entry of entries) this.#noteLife(entry);
+    for (const entry of entries) this.suspicions.noteLife(this.registry, entry);
     const outcomes = this.registry.replace(now, entries, end);
     for (const [index, entry] of entries.entries()) {
       logStart(this.#parts.logger, entry, outcomes[index]);
@@ -245,15 +237,11 @@
   }
 
   override suspicion(change: SuspicionChange): void {
-    if (change.kind === "dropped") this.quarantine.drop(change.key);
-    else this.quarantine.suspect(this.#parts.clock.now(), change.suspicion);
+    this.suspicions.changed(change);
   }
 
   override suspicionsListed(suspicions: readonly CrashSuspicion[]): void {
-    this.quarantine.retain([...suspicions, ...this.unwrittenSuspicions()]);
-    for (const suspicion of suspicions) {
-      this.suspicion({ kind: "added", suspicion });
-    }
+    this.suspicions.listed(suspicions);
   }
 
   override recordSkipped(topic: RecordTopic, reason: SkipReason): void {
@@ -263,7 +251,7 @@
   override reached(): void {
     this.work.count("log_answered");
     this.#reachedAt = this.#parts.clock.now();
-    this.#noteQuarantined();
+    this.suspicions.noteRefused();
     if (this.#isInContact) return;
     this.#isInContact = true;
     this.#parts.logger.info("The platform's log is in reach.");
@@ -294,27 +282,6 @@
     this.onChange();
   }
 
-  #noteQuarantined(): void {
-    const { contents } = this.quarantine;
-    if (contents === this.#quarantined) return;
-    const added = [...contents].filter((one) => !this.#quarantined.has(one));
-    this.#quarantined = contents;
-    for (const content of added) {
-      this.#parts.logger.warn(RELAY_SENTENCE.quarantined, { content });
-    }
-    if (added.length > 0) this.onQuarantined();
-  }
-
-  /** A server that writes a further entry lives. */
-  #noteLife(entry: RegistryEntry): void {
-    if (entry.kind === "gone" || this.quarantine.isEmpty) return;
-    const { id, start } = entry.server;
-    const known = this.registry.newestOffset(id);
-    if (known === undefined || entry.offset <= known) return;
-    const now = this.#parts.clock.now();
-    this.onServersLive(this.quarantine.serverWrote(now, id, start));
-  }
-
   /** Counts the nodes of some kind that watch before this one. */
   #before(isCounted: (peer: NodeDigest) => boolean): number {
     const { settings, clock } = this.#parts;
--- a/packages/node/src/relay/make_relay_parts.ts
+++ b/packages/node/src/relay/make_relay_parts.ts
@@ -3,8 +3,10 @@
 import { AdapterGrants } from "./adapter_grants.ts";
 import type { EngineOwners } from "./engine_owners.ts";
 import type { NodePresence } from "./node_presence.ts";
+import { CrashReports } from "./crash_reports.ts";
 import type { RelayParts } from "./relay_parts.ts";
 import type { RelaySettings } from "./relay_settings.ts";
+import { RequestLimits } from "./request_limits.ts";
 import { RequestPlacer } from "./request_placer.ts";
 import { RetryAllowances } from "./retry_allowances.ts";
 import type { ServingNodes } from "./serving_nodes.ts";
@@ -15,9 +17,7 @@
   Pick<
     RelayParts,
     | "clock"
-    | "crashes"
     | "knowledge"
-    | "limits"
     | "loads"
     | "logger"
     | "pools"
@@ -29,7 +29,9 @@
   readonly presence: NodePresence;
   readonly serving: ServingNodes;
   readonly channels: PeerChannels;
-  readonly log: Pick<SharedLog, "catchUp">;
+  readonly log: SharedLog;
+  /** Called where a server has begun or ceased to name a limit. */
+  readonly limitsChanged: () => void;
 }
 
 /**
@@ -38,15 +40,22 @@
  * @returns What a request is relayed with.
  */
 export function makeRelayParts(terms: RelayPartsTerms): RelayParts {
-  const { clock, crashes, knowledge, limits, loads, logger, pools } = terms;
+  const { clock, knowledge, loads, logger, pools } = terms;
   const { record, wire, settings, owners, presence, serving, channels, log } =
     terms;
   const { node, retries } = settings;
   const nodes = () => presence.countNodes(clock.now());
+  const limits = new RequestLimits({
+    self: node.id,
+    knowledge,
+    clock,
+    logger,
+    changed: terms.limitsChanged,
+  });
   const window = seconds(retries.window_seconds);
   return {
     knowledge,
-    crashes,
+    crashes: new CrashReports({ knowledge, log, clock, logger }),
     limits,
     clock,
     nodes,
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -10,10 +10,10 @@
 import type { LoggerFactory, PartLogger } from "../logging/part_logger.ts";
 import { PeerChannels } from "../peers/peer_channels.ts";
 import { PeerServer } from "../peers/peer_server.ts";
+import { announceNode } from "./announce_node.ts";
 import { BackendPools } from "./backend_pools.ts";
 import type { RelayWire } from "./caller_wire.ts";
 import type { EngineControl } from "./engine_control.ts";
-import { CrashReports } from "./crash_reports.ts";
 import { EngineOwners } from "./engine_owners.ts";
 import { FrontServer } from "./front_server.ts";
 import { Knowledge } from "./knowledge.ts";
@@ -30,7 +30,6 @@
   type PlannedStop,
   stopStep,
 } from "./relay_stop.ts";
-import { RequestLimits } from "./request_limits.ts";
 import { ServerLoads } from "./server_loads.ts";
 import { ServingNodes } from "./serving_nodes.ts";
 import type { SharedLog } from "./shared_log.ts";
@@ -47,8 +46,6 @@
 const REFRESH_MILLISECONDS = 250;
 /** The same at a node that stands by. */
 const STANDBY_REFRESH_MILLISECONDS = 500;
-/** Between two attempts to make this node known. */
-const ANNOUNCE_MILLISECONDS = 500;
 const STOP_CHECK_MILLISECONDS = 100;
 
 /** One node that relays requests by route: all its parts together. */
@@ -67,8 +64,7 @@
   readonly #peerServer: PeerServer;
   readonly #pools = new BackendPools();
   readonly #loads: ServerLoads;
-  readonly #crashes: CrashReports;
-  readonly #limits: RequestLimits;
+  readonly #parts: RelayParts;
   readonly #front: FrontServer;
   readonly #operations: OperationsServer;
   readonly #metrics: RelayMetrics;
@@ -135,7 +131,7 @@
       engines: () => this.#owners.digests,
       serving: this.#serving,
       exchangePeriod: () => this.#exchange.period,
-      limits: () => this.#limits.told,
+      limits: () => this.#parts.limits.told,
     });
     this.#exchange = new PeerExchange({
       self: this.#presence.record,
@@ -147,23 +143,8 @@
       digest: () => this.#presence.digest,
     });
     this.#peerServer = new PeerServer([this.#exchange.registration]);
-    this.#crashes = new CrashReports({
-      quarantine: knowledge.quarantine,
-      log: edges.log,
-      clock,
-      logger: loggers.forPart("callers"),
-    });
-    this.#limits = new RequestLimits({
-      self: settings.node.id,
-      knowledge,
-      clock,
-      logger: loggers.forPart("callers"),
-      changed: () => {
-        this.#exchange.exchangeSoon();
-      },
-    });
-    const parts = this.#relayParts(loggers);
-    this.#front = new FrontServer(parts);
+    this.#parts = this.#relayParts(loggers);
+    this.#front = new FrontServer(this.#parts);
     this.#metrics = new RelayMetrics({
       requestsInProgress: () => this.#front.running,
       configurationVersion: () => knowledge.routes?.configuration.version ?? 0,
@@ -185,11 +166,7 @@
     knowledge.onRecordSkipped = (topic, reason) => {
       this.#metrics.recordSkipped(topic, reason);
     };
-    knowledge.unwrittenSuspicions = () => this.#crashes.unwritten;
-    knowledge.onServersLive = (dropped) => {
-      if (knowledge.isWatcher) this.#crashes.writeDropped(dropped);
-    };
-    knowledge.onQuarantined = () => {
+    knowledge.suspicions.onRefused = () => {
       this.#front.endCrashing();
     };
     knowledge.onChange = () => {
@@ -218,7 +195,7 @@
       callers: await this.#front.listen(callers),
     });
     this.#exchange.start();
-    void this.#announce();
+    void announceNode(this.#edges.log, this.#presence);
     this.#refreshLater();
     this.#operationsPort = await this.#operations.listen({
       readiness,
@@ -262,7 +239,7 @@
     clearTimeout(this.#refreshTimer);
     this.#exchange.stop();
     this.#owners.stop();
-    this.#crashes.stop();
+    this.#parts.crashes.stop();
     this.#edges.log.stop();
     this.#front.stopListening();
     await this.#front.cut();
@@ -283,9 +260,10 @@
       channels: this.#channels,
       pools: this.#pools,
       loads: this.#loads,
-      crashes: this.#crashes,
-      limits: this.#limits,
       log: this.#edges.log,
+      limitsChanged: () => {
+        this.#exchange.exchangeSoon();
+      },
       clock: this.#clock,
       logger: loggers.forPart("callers"),
       record: (route, outcome, took, firstAfter) => {
@@ -307,28 +285,17 @@
 
   #refresh(): void {
     const now = this.#clock.now();
-    const { registry, quarantine, work } = this.#knowledge;
+    const { registry, work } = this.#knowledge;
     work.count("look");
-    const expired = quarantine.expire(now);
-    if (this.#knowledge.isWatcher) this.#crashes.writeDropped(expired);
+    this.#parts.crashes.expire(now);
     registry.expire(now);
     this.#serving.refresh(now);
     this.#owners.refresh();
     this.#presence.refresh(now);
-    this.#limits.refresh(now);
+    this.#parts.limits.refresh(now);
     if (registry.revision === this.#retainedRevision) return;
     this.#retainedRevision = registry.revision;
     this.#pools.retain(registry.all);
     this.#loads.retain(new Set(registry.all.map((server) => server.id)));
   }
-
-  async #announce(): Promise<void> {
-    const { record } = this.#presence;
-    for (;;) {
-      const added = await this.#edges.log.announce(record);
-      if (added.isOk() && added.value) return;
-      if (this.#presence.isLeaving) return;
-      await sleep(ANNOUNCE_MILLISECONDS);
-    }
-  }
 }
--- a/packages/node/src/relay/request_sender.ts
+++ b/packages/node/src/relay/request_sender.ts
@@ -107,6 +107,7 @@
       this.#parts.crashes.broke(this.#request.content, {
         server,
         load,
+        isConnected: () => pools.isConnected(server),
         ranFor: this.#terms.passage.ranFor(this.#now()),
       });
     }
--- /dev/null
+++ b/packages/node/src/relay/suspicion_news.ts
@@ -0,0 +1,82 @@
+import {
+  type ContentDigest,
+  type CrashSuspicion,
+  type RegistryEntry,
+  RELAY_SENTENCE,
+  RequestQuarantine,
+  type ServerRegistry,
+  type SuspicionKey,
+} from "@foxtailwind/core";
+import type { SteadyClock } from "../clock/steady_clock.ts";
+import type { PartLogger } from "../logging/part_logger.ts";
+import type { SuspicionChange } from "./shared_log.ts";
+
+/** What news of suspicions are taken with. */
+export interface SuspicionNewsParts {
+  readonly clock: SteadyClock;
+  readonly logger: PartLogger;
+}
+
+/** Takes what the log says of requests that crash servers. */
+export class SuspicionNews {
+  readonly quarantine = new RequestQuarantine();
+  readonly #parts: SuspicionNewsParts;
+  #refused: ReadonlySet<ContentDigest> = new Set();
+  /** Called with suspicions of servers that were seen to live. */
+  onServersLive: (dropped: readonly SuspicionKey[]) => void = () => undefined;
+  /** Called once further requests are refused. */
+  onRefused: () => void = () => undefined;
+  /** Gives the suspicions of this node that the log may not have yet. */
+  unwritten: () => readonly SuspicionKey[] = () => [];
+
+  /** @param parts What they are taken with. */
+  constructor(parts: SuspicionNewsParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * Takes a change of the log.
+   * @param change The change.
+   */
+  changed(change: SuspicionChange): void {
+    if (change.kind === "dropped") this.quarantine.drop(change.key);
+    else this.quarantine.suspect(this.#parts.clock.now(), change.suspicion);
+  }
+
+  /**
+   * Takes all that the log holds.
+   * @param suspicions The suspicions.
+   */
+  listed(suspicions: readonly CrashSuspicion[]): void {
+    this.quarantine.retain([...suspicions, ...this.unwritten()]);
+    for (const suspicion of suspicions) {
+      this.changed({ kind: "added", suspicion });
+    }
+  }
+
+  /** Tells of the contents that are refused since it was last called. */
+  noteRefused(): void {
+    const { contents } = this.quarantine;
+    if (contents === this.#refused) return;
+    const added = [...contents].filter((one) => !this.#refused.has(one));
+    this.#refused = contents;
+    for (const content of added) {
+      this.#parts.logger.warn(RELAY_SENTENCE.quarantined, { content });
+    }
+    if (added.length > 0) this.onRefused();
+  }
+
+  /**
+   * Takes note that a server which writes a further entry lives.
+   * @param registry What was known before the entry.
+   * @param entry The entry.
+   */
+  noteLife(registry: ServerRegistry, entry: RegistryEntry): void {
+    if (entry.kind === "gone" || this.quarantine.isEmpty) return;
+    const { id, start } = entry.server;
+    const known = registry.newestOffset(id);
+    if (known === undefined || entry.offset <= known) return;
+    const now = this.#parts.clock.now();
+    this.onServersLive(this.quarantine.serverWrote(now, id, start));
+  }
+}
--- a/packages/node/tests/relay/helpers/relay_world.ts
+++ b/packages/node/tests/relay/helpers/relay_world.ts
@@ -93,7 +93,7 @@
       knowledge,
       limits,
       crashes: new CrashReports({
-        quarantine: knowledge.quarantine,
+        knowledge,
         log: { changeSuspicions: () => Promise.resolve(ok(undefined)) },
         clock,
         logger,
--- a/packages/node/tests/relay/quarantine_test.ts
+++ b/packages/node/tests/relay/quarantine_test.ts
@@ -1,5 +1,6 @@
 import {
   backendServerId,
+  contentDigest,
   logOffset,
   milliseconds,
   serverStart,
@@ -39,7 +40,7 @@
   const path = "/once/crashing";
   for (const id of ["r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8"]) {
     await world.call(path, { body: BODY, headers: { "x-id": id } });
-    if (world.knowledge.quarantine.contents.size > 0) break;
+    if (world.knowledge.suspicions.quarantine.contents.size > 0) break;
   }
   const before = arrivals.length;
   const refused = await world.call(path, { body: BODY });
@@ -65,10 +66,10 @@
 test("an entry that a server writes after it broke a call off clears the request", async (t) => {
   const { knowledge } = relayBase({ part: "callers" });
   const dropped: number[] = [];
-  knowledge.onServersLive = (suspicions) => {
+  knowledge.suspicions.onServersLive = (suspicions) => {
     dropped.push(suspicions.length);
   };
-  const { quarantine } = knowledge;
+  const { quarantine } = knowledge.suspicions;
   const world = new RelayWorld();
   world.addAddress("s1", "127.0.0.1:1");
   const [server] = world.knowledge.registry.all;
@@ -84,7 +85,7 @@
   knowledge.suspicion({
     kind: "added",
     suspicion: {
-      content: "c" as never,
+      content: contentDigest("c"),
       server: backendServerId("s1"),
       start: serverStart(1),
       ranFor: milliseconds(1),
@@ -123,19 +124,31 @@
   const going = world.call("/stream/a", { body: BODY });
   await sleep(100);
   await world.call("/stream/broken", { body: BODY });
-  t.false(world.knowledge.quarantine.isEmpty);
+  t.false(world.knowledge.suspicions.quarantine.isEmpty);
   await sleep(SETTLED_MILLISECONDS);
-  t.true(world.knowledge.quarantine.isEmpty);
+  t.true(world.knowledge.suspicions.quarantine.isEmpty);
   t.is((await going).status, 200);
 });
 
+test("a server whose other connections stay open has not ended under a request", async (t) => {
+  const { world } = await startWorld(t);
+  const answers = await Promise.all(
+    Array.from({ length: 16 }, () => world.call("/once/a", { body: BODY })),
+  );
+  t.true(answers.every(({ status }) => status === 200));
+  await world.call("/once/crashing", { body: BODY });
+  t.false(world.knowledge.suspicions.quarantine.isEmpty);
+  await sleep(SETTLED_MILLISECONDS);
+  t.true(world.knowledge.suspicions.quarantine.isEmpty);
+});
+
 test("suspicions that the log does not take are written again", async (t) => {
   const { base, knowledge } = relayBase({ part: "callers" });
   const written: SuspicionChange[] = [];
   let failures = 0;
-  const reports = new CrashReports({
+  new CrashReports({
     ...base,
-    quarantine: knowledge.quarantine,
+    knowledge,
     log: {
       changeSuspicions: (changes) => {
         failures += 1;
@@ -145,9 +158,14 @@
       },
     },
   });
-  const key = { content: "c" as never, server: backendServerId("s1") };
-  reports.writeDropped([key]);
+  const suspicion = {
+    content: contentDigest("c"),
+    server: backendServerId("s1"),
+    ranFor: milliseconds(1),
+  };
+  knowledge.suspicion({ kind: "added", suspicion });
+  knowledge.suspicions.onServersLive([suspicion]);
   while (written.length === 0) await sleep(20);
-  t.deepEqual(written, [{ kind: "dropped", key }]);
+  t.deepEqual(written, [{ kind: "dropped", key: suspicion }]);
   t.is(failures, 3);
 });
