--- a/packages/cli/src/logs/explain_request.ts
+++ b/packages/cli/src/logs/explain_request.ts
@@ -83,11 +83,13 @@
     case "broken_stream":
     case "server_failure":
       return explainServer(found);
+    case "quarantined":
+      return explainQuarantine(found);
     case "no_engine":
     case "not_run_in_time":
       return explainPlacing(found);
     case "no_server":
-      return explainNoServer(found);
+      return explainLimits(found) ?? explainNoServer(found);
     default:
       return numberOf(end, "sends") > 0
         ? explainServer(found)
@@ -95,6 +97,28 @@
   }
 }
 
+function explainQuarantine({ end, around }: Case): Finding {
+  const content = textOf(end, "content");
+  return {
+    cause: `Requests of its content, ${content}, have crashed servers, ` +
+      "and all nodes refuse them.",
+    evidence: around.filter((line) =>
+      line.sentence === RELAY_SENTENCE.quarantined &&
+      textOf(line, "content") === content
+    ),
+  };
+}
+
+function explainLimits({ end }: Case): Finding | undefined {
+  const limitedFor = numberOf(end, "limited_for");
+  if (limitedFor === 0) return undefined;
+  return {
+    cause: "All servers that could run it name limits; its turn was likely " +
+      `after ${limitedFor} ms.`,
+    evidence: [],
+  };
+}
+
 function explainAnswered(found: Case): Finding {
   const { end } = found;
   const placed = numberOf(end, "placed_after");
@@ -112,6 +136,8 @@
 
 /** Why no engine had a place, or had one late. */
 function explainPlacing(found: Case): Finding {
+  const limits = explainLimits(found);
+  if (limits !== undefined) return limits;
   const asked = askedOf(found.end);
   const engines = new Set(asked.map((one) => one.engine));
   const isOfEngine = (line: LogLine) => engines.has(textOf(line, "engine"));
--- a/packages/cli/tests/explain_logs_test.ts
+++ b/packages/cli/tests/explain_logs_test.ts
@@ -117,3 +117,36 @@
   t.is(unknown.code, EXIT_CODE.notFound);
   t.regex(unknown.error, /No line says that request r ended/);
 });
+
+test("refused since its content crashes servers", async (t) => {
+  const { world, lines } = makeWorld();
+  for (const id of ["s1", "s2", "s3"]) {
+    await world.addServer(id, (_, response) => {
+      response.destroy();
+    });
+  }
+  await world.start(t);
+  for (let index = 0; index < 8; index += 1) {
+    const headers = { "x-id": `r${index}` };
+    const { status } = await world.call("/once/crashing", { headers });
+    if (status === 503) break;
+    world.knowledge.reached();
+  }
+  await world.call("/once/crashing", { headers: { "x-id": "refused" } });
+  const { out } = await explain(t, lines, "refused");
+  t.true(out.includes("have crashed servers"), out);
+  t.true(out.includes("refused from now on"), out);
+});
+
+test("refused since all servers name limits", async (t) => {
+  const { world, lines } = makeWorld();
+  await world.addServer("s1", (request, response) => {
+    response.setHeader("x-limit", "0.5");
+    succeed(request, response, "served");
+  });
+  await world.start(t);
+  await world.call("/once/a");
+  await world.call("/once/b", { headers: { "x-id": "refused" } });
+  const { out } = await explain(t, lines, "refused");
+  t.true(out.includes("All servers that could run it name limits"), out);
+});
--- a/packages/core/src/relay/limit_memory.ts
+++ b/packages/core/src/relay/limit_memory.ts
@@ -81,6 +81,14 @@
     }
   }
 
+  /** The runs of servers that have a limit. */
+  get runs(): ReadonlySet<string> {
+    const own = this.own.flatMap(({ run, limit }) =>
+      limit === undefined ? [] : [run]
+    );
+    return new Set([...own, ...this.#told.keys()]);
+  }
+
   /** What this node has seen itself, for the others. */
   get own(): readonly NamedLimit[] {
     return [...this.#seen].map(([run, { limit }]) => ({
--- a/packages/node/src/relay/relay_metrics.ts
+++ b/packages/node/src/relay/relay_metrics.ts
@@ -31,6 +31,8 @@
   readonly nodesServing: () => number;
   /** 1 where this node places requests, 0 where it stands by. */
   readonly isActive: () => number;
+  readonly contentsRefused: () => number;
+  readonly serversLimited: () => number;
   readonly work: () => ReadonlyMap<WorkKind, number>;
 }
 
@@ -97,6 +99,16 @@
       "Whether this node places requests, and does not stand by.",
       gauges.isActive,
     );
+    this.#gauge(
+      "foxtailwind_contents_refused",
+      "Contents of requests that are refused since they crash servers.",
+      gauges.contentsRefused,
+    );
+    this.#gauge(
+      "foxtailwind_servers_limited",
+      "Servers that name a limit of requests a second.",
+      gauges.serversLimited,
+    );
     this.#work(gauges.work);
   }
 
--- a/packages/node/src/relay/relay_request.ts
+++ b/packages/node/src/relay/relay_request.ts
@@ -282,6 +282,7 @@
         broke: this.#broke,
         ranFor: this.#ranFor,
         asked: this.#finder.asked,
+        limitedFor: this.#finder.comeBackAfter,
         placedAfter: this.#placedAfter,
         firstAfter: this.#passage.firstAfter,
         took,
--- a/packages/node/src/relay/request_limits.ts
+++ b/packages/node/src/relay/request_limits.ts
@@ -73,6 +73,11 @@
     return this.#memory.own.map(writeLimit);
   }
 
+  /** How many runs of servers have a limit. */
+  get count(): number {
+    return this.#memory.runs.size;
+  }
+
   /**
    * Takes what an answer says of its server's limit.
    * @param run The run of the server that gave it.
--- a/packages/node/src/relay/request_line.ts
+++ b/packages/node/src/relay/request_line.ts
@@ -19,6 +19,8 @@
   /** From the first bytes of the last answer to the end of its call. */
   readonly ranFor: Duration | undefined;
   readonly asked: readonly PlaceAnswer[];
+  /** Until a place was likely, where servers' limits left none. */
+  readonly limitedFor: Duration | undefined;
   readonly placedAfter: Duration | undefined;
   readonly firstAfter: Duration | undefined;
   readonly took: Duration;
@@ -51,9 +53,10 @@
     runs: end.runs,
     framing: end.framing,
     broke: end.broke,
-    content: end.broke === undefined ? undefined : content.digest,
+    content: needsContent(end) ? content.digest : undefined,
     ran_for: round(end.ranFor),
     asked: asked === "" ? undefined : asked,
+    limited_for: round(end.limitedFor),
     placed_after: round(end.placedAfter),
     first_after: round(end.firstAfter),
     took: round(end.took),
@@ -63,6 +66,11 @@
   };
 }
 
+/** Only these lines are compared with others by what was asked for. */
+function needsContent({ broke, outcome }: RequestEnd): boolean {
+  return broke !== undefined || outcome === "quarantined";
+}
+
 function describeAnswer({ engine, owner, answer }: PlaceAnswer): string {
   return `${engine}@${owner ?? "none"}:${answer}`;
 }
--- a/packages/node/tests/relay/relay_metrics_test.ts
+++ b/packages/node/tests/relay/relay_metrics_test.ts
@@ -8,6 +8,8 @@
   nodesAlive: () => 0,
   nodesServing: () => 0,
   isActive: () => 0,
+  contentsRefused: () => 0,
+  serversLimited: () => 0,
 };
 
 test("records that were left out are counted by topic and reason", async (t) => {
