A request whose answer has begun is not ended as crashing; limits read simpler

One that runs shows by its end that it crashes nothing, so that a content refused by coincidence is cleared. What waits for limits is asked for in two plain questions.

--- a/packages/node/src/relay/place_finder.ts
+++ b/packages/node/src/relay/place_finder.ts
@@ -96,18 +96,14 @@
    */
   #isTooFarBack(until: Instant): boolean {
     const { limits } = this.#parts;
-    const { service } = this.#request;
-    const ahead = this.#queued?.ahead ?? 0;
-    const found = limits.waitBehind(this.#servers(), ahead);
-    if (!found.isLimited) return false;
-    this.#comeBackAfter = found.wait;
-    if (found.wait === undefined) return true;
-    if (this.#queued !== undefined) return false;
-    this.#queued = limits.queue(service.id);
-    const wait = limits.waitBehind(this.#servers(), this.#queued.ahead);
-    if (!wait.isLimited || wait.wait === undefined) return false;
-    this.#comeBackAfter = wait.wait;
-    return later(this.#now(), wait.wait) > until;
+    const servers = this.#servers();
+    if (!limits.areReached(servers)) return false;
+    const isQueued = this.#queued !== undefined;
+    this.#queued ??= limits.queue(this.#request.service.id);
+    const wait = limits.waitBehind(servers, this.#queued.ahead);
+    this.#comeBackAfter = wait;
+    if (wait === undefined) return true;
+    return !isQueued && later(this.#now(), wait) > until;
   }
 
   /** The servers that could run the request, those it was not sent to first. */
--- a/packages/node/src/relay/relay_request.ts
+++ b/packages/node/src/relay/relay_request.ts
@@ -89,9 +89,13 @@
     this.#log();
   }
 
-  /** Ends the request if its content has crashed servers meanwhile. */
+  /**
+   * Ends the request if its content has crashed servers meanwhile. One whose
+   * answer has begun goes on: its end shows that it crashes none.
+   */
   endIfCrashing(): void {
-    if (!this.#isOver() && this.#outcome === "") this.#endIfQuarantined();
+    if (this.#isOver() || this.#outcome !== "") return;
+    if (!this.#passage.hasBegun) this.#endIfQuarantined();
   }
 
   /** Ends the request together with its node. */
--- a/packages/node/src/relay/request_limits.ts
+++ b/packages/node/src/relay/request_limits.ts
@@ -37,12 +37,6 @@
   readonly changed: () => void;
 }
 
-/** Whether a request waits for limits, and how long. */
-export type LimitWait =
-  | { readonly isLimited: false }
-  /** Without a wait, this node sends no request to any of the servers. */
-  | { readonly isLimited: true; readonly wait: Duration | undefined };
-
 /** A request's place among those that wait for limits. */
 export interface LimitQueuePlace {
   readonly ahead: number;
@@ -116,24 +110,29 @@
   }
 
   /**
-   * Estimates when a request may be sent that can't be sent now.
-   * @param runs The servers that could run it.
+   * Tells whether limits keep a request from all servers that could run it.
+   * @param runs The servers.
+   * @returns Whether there are some, and none takes a request of this node now.
+   */
+  areReached(runs: readonly ServerRun[]): boolean {
+    return runs.length > 0 && runs.every((run) => this.wait(run) !== 0);
+  }
+
+  /**
+   * Estimates when a request may be sent that limits keep from all servers.
+   * @param runs The servers.
    * @param ahead How many requests wait before it.
-   * @returns Whether limits are what it waits for, and how long.
+   * @returns The time, or nothing where this node sends none of them any.
    */
-  waitBehind(runs: readonly ServerRun[], ahead: number): LimitWait {
+  waitBehind(runs: readonly ServerRun[], ahead: number): Duration | undefined {
     const now = this.#parts.clock.now();
-    const limited = runs.map((run) => this.#limited(now, run))
-      .filter((one) => one !== undefined);
-    if (limited.length < runs.length || runs.length === 0) {
-      return { isLimited: false };
-    }
-    const servers = limited.map(({ pace, rate }) => ({
-      wait: pace.wait(now, rate),
-      rate,
-    }));
-    if (servers.some(({ wait }) => wait === 0)) return { isLimited: false };
-    return { isLimited: true, wait: waitBehind(servers, ahead) };
+    const servers = runs.flatMap((run) => {
+      const limited = this.#limited(now, run);
+      if (limited === undefined) return [];
+      const { pace, rate } = limited;
+      return [{ wait: pace.wait(now, rate), rate }];
+    });
+    return waitBehind(servers, ahead);
   }
 
   /**
--- a/packages/node/tests/relay/quarantine_test.ts
+++ b/packages/node/tests/relay/quarantine_test.ts
@@ -5,7 +5,11 @@
   milliseconds,
   serverStart,
 } from "@foxtailwind/core";
-import { CrashReports, type SuspicionChange } from "@foxtailwind/node/relay";
+import {
+  CrashReports,
+  RequestContent,
+  type SuspicionChange,
+} from "@foxtailwind/node/relay";
 import test from "ava";
 import { err, ok } from "neverthrow";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -130,6 +134,42 @@
   t.is((await going).status, 200);
 });
 
+test("of requests in progress with a refused content those without an answer end", async (t) => {
+  const world = new RelayWorld();
+  world.configure();
+  await world.addServer("s1", (request, response) => {
+    request.resume();
+    if (request.url === "/stream/waiting") return;
+    response.writeHead(200, { "x-id": "r1", "x-seal": "s" });
+    response.write("id: 1\n\n");
+    setTimeout(() => response.end(), 400);
+  });
+  await world.start(t);
+  const paths = ["/stream/waiting", "/stream/begun"];
+  const calls = paths.map((path) => world.call(path, { body: BODY }));
+  await sleep(150);
+  for (const path of paths) {
+    const headers = { host: "one.example" };
+    const head = { method: "POST", url: path, headers };
+    const content = new RequestContent(head, BODY).digest;
+    for (const id of ["a", "b", "c"]) {
+      const server = backendServerId(`${path}${id}`);
+      const suspicion = { content, server, ranFor: milliseconds(1) };
+      world.knowledge.suspicion({ kind: "added", suspicion });
+    }
+  }
+  t.is(world.knowledge.suspicions.quarantine.contents.size, 2);
+  world.front.endCrashing();
+  const [waiting, begun] = await Promise.all(calls);
+  t.is(waiting?.status, 502);
+  t.is(begun?.status, 200);
+  t.is(
+    world.knowledge.suspicions.quarantine.contents.size,
+    1,
+    "It was served.",
+  );
+});
+
 test("a server whose other connections stay open has not ended under a request", async (t) => {
   const { world } = await startWorld(t);
   const answers = await Promise.all(
