--- a/packages/bench/tests/relay/request_limit_test.ts
+++ b/packages/bench/tests/relay/request_limit_test.ts
@@ -18,20 +18,17 @@
 const STREAM_PAUSE_MILLISECONDS = 200;
 
 /** Sends requests at a node until told to stop; gives the statuses. */
-function load(
+async function load(
   node: RelayDaemon,
   send: (node: RelayDaemon) => Promise<{ readonly status: number }>,
   { signal, pause }: { readonly signal: AbortSignal; readonly pause: number },
 ): Promise<readonly number[]> {
   const statuses: Promise<number>[] = [];
-  const clock = async () => {
-    while (!signal.aborted) {
-      statuses.push(send(node).then(({ status }) => status, () => 0));
-      await sleep(pause);
-    }
-    return await Promise.all(statuses);
-  };
-  return clock();
+  while (!signal.aborted) {
+    statuses.push(send(node).then(({ status }) => status, () => 0));
+    await sleep(pause);
+  }
+  return await Promise.all(statuses);
 }
 
 /** The most arrivals in a window, of those after a time. */
--- a/packages/core/src/relay/crash_suspicion.ts
+++ b/packages/core/src/relay/crash_suspicion.ts
@@ -7,7 +7,7 @@
 } from "../shared/mod.ts";
 import { startKey } from "./start_history.ts";
 
-/** A request's content, and a run of a server that ended as it began there. */
+/** A request's content, and the run of a server that it may have ended. */
 export interface SuspicionKey {
   readonly content: ContentDigest;
   readonly server: BackendServerId;
@@ -21,7 +21,7 @@
   readonly ranFor: Duration;
 }
 
-/** A request that has run for longer has not ended its server by beginning. */
+/** A request that ran for longer before its server's end did not cause it. */
 const LONGEST_BEGINNING = milliseconds(1_000);
 
 /**
--- a/packages/core/src/relay/limit_memory.ts
+++ b/packages/core/src/relay/limit_memory.ts
@@ -4,7 +4,7 @@
 const LIMIT_TIME = milliseconds(30_000);
 /** How long others are told that a server names a limit no more. */
 const ENDED_TIME = milliseconds(3_000);
-/** The word of others that a limit has ended is older than one named since. */
+/** A limit named so lately outweighs the word of others that it has ended. */
 const FRESH_TIME = milliseconds(2_000);
 
 /** What a run of a server named last, as it is told to other nodes. */
--- a/packages/core/src/relay/request_quarantine.ts
+++ b/packages/core/src/relay/request_quarantine.ts
@@ -22,8 +22,8 @@
 /** Crashes that are remembered at most. */
 const MOST_CRASHES = 500;
 /**
- * A run of a server that writes to its registry twice, so far apart, after it
- * was taken for ended lives: what it wrote before its end is read sooner.
+ * A run that was taken for ended lives where it writes to its registry twice,
+ * at least so far apart. What it wrote before an end is read sooner than that.
  */
 const LIFE_TIME = milliseconds(2_500);
 
