Soak: a node whose start overlaps the end of the run is stopped as well

What was seen: the process of the relay's soak did not exit after its tests had passed, in 1 of 5 whole runs of the checks; nobody had looked at that process.

Cause: a run ends by stopping the nodes that it knows. A node that is started again behind a cut or a stop is known only once its start has ended, so one that still starts at that moment is stopped by nobody. Its listeners and timers hold the process for ever.

--- a/packages/bench/src/soak/relay/mod.ts
+++ b/packages/bench/src/soak/relay/mod.ts
@@ -5,3 +5,4 @@
 export * from "./node_parts.ts";
 export * from "./relay_mutants.ts";
 export * from "./relay_soak.ts";
+export { RelayWorld as RelaySoakWorld } from "./relay_world.ts";
--- a/packages/bench/src/soak/relay/relay_world.ts
+++ b/packages/bench/src/soak/relay/relay_world.ts
@@ -248,6 +248,8 @@
     this.record.nodeStarts += 1;
     await node.start();
     this.nodes[place] = node;
+    // A stop of all nodes that came meanwhile did not see this one.
+    if (this.#isOver) this.stopNode(place);
   }
 
   async #startServer(isEngine: boolean): Promise<void> {
