Soak's test tells what holds its process where it stays

A thread looks 15 s after the tests: it writes whether the main thread spins or waits, its stack, its handles and a profile of 2 s; connections that are destroyed and never closed are told as the event loop ends.

--- a/packages/bench/tests/soak/relay_soak_test.ts
+++ b/packages/bench/tests/soak/relay_soak_test.ts
@@ -4,6 +4,7 @@
  */
 import { relayMutants, runRelaySoak } from "@foxtailwind/bench";
 import test from "ava";
+import { watchExit } from "./helpers/exit_watch.ts";
 
 const SEEDS = [1, 2, 3];
 const AT_ONCE = 4;
@@ -39,6 +40,8 @@
   "a request was lost, seen once": [11],
 };
 
+test.after.always(watchExit);
+
 for (
   const [what, seeds] of Object.entries({
     "drawn faults": SEEDS,
