Soak's watch of its process in TypeScript, as all tests are

The linter can't type a plain module. Tried again on a test that waits (40 ms of 2,000 used, the listening server named) and one that spins (2,030 ms, the function named).

--- a/packages/bench/tests/soak/helpers/exit_watch.ts
+++ b/packages/bench/tests/soak/helpers/exit_watch.ts
@@ -16,7 +16,15 @@
  * that loop ends.
  */
 export function watchExit(): void {
-  const worker = new Worker(new URL("exit_watch_thread.mjs", import.meta.url));
+  const thread = new URL("exit_watch_thread.ts", import.meta.url).href;
+  // Threads do not inherit the loader of TypeScript from their process.
+  const worker = new Worker(
+    `import("tsx/esm/api").then(({ register }) => {
+      register();
+      return import("${thread}");
+    });`,
+    { eval: true },
+  );
   worker.unref();
   process.once("exit", () => {
     for (const handle of activeHandles()) {
--- a/packages/bench/tests/soak/helpers/exit_watch_thread.mjs
+++ b/packages/bench/tests/soak/helpers/exit_watch_thread.ts
@@ -1,6 +1,6 @@
 /** The thread behind `watchExit`: it writes what holds the main thread. */
 import { readFileSync, writeSync } from "node:fs";
-import { Session } from "node:inspector";
+import { type Debugger, type Profiler, Session } from "node:inspector/promises";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 
@@ -16,6 +16,7 @@
 const USER_TICKS = 11;
 const SYSTEM_TICKS = 12;
 
+/** Evaluated by the main thread. */
 const HANDLES = `process._getActiveHandles().map((handle) => [
   handle.constructor.name, handle.listening, handle.destroyed,
   handle.readyState, handle.localPort ?? handle.address?.()?.port,
@@ -23,22 +24,11 @@
 ].join(" ")).concat(process.getActiveResourcesInfo().join(" ")).join("\\n")`;
 
 const session = new Session();
-// Calls to the main thread alone would not keep this one.
-const alive = setInterval(() => undefined, PROFILE_MILLISECONDS);
 
-function write(text) {
+function write(text: string): void {
   writeSync(STDERR, `${text}\n`);
 }
 
-function post(method, parameters) {
-  return new Promise((resolve, reject) => {
-    session.post(method, parameters, (error, result) => {
-      if (error === null) resolve(result);
-      else reject(new Error(error.message));
-    });
-  });
-}
-
 function readMainThread() {
   const { pid } = process;
   const text = readFileSync(`/proc/${pid}/task/${pid}/stat`, "latin1");
@@ -50,58 +40,64 @@
   };
 }
 
-function stackOf({ callFrames }) {
-  return callFrames.map(({ functionName, url, location }) =>
-    `  ${functionName || "(anonymous)"} ${url}:${location.lineNumber + 1}`
+function describeStack(frames: readonly Debugger.CallFrame[]): string {
+  return frames.map(({ functionName, url, location }) =>
+    `  ${functionName} ${url}:${location.lineNumber + 1}`
   ).join("\n");
 }
 
-function hottest({ nodes, samples }) {
-  const counts = new Map();
+/** The functions that were seen most often, and how often. */
+function describeProfile({ nodes, samples = [] }: Profiler.Profile): string {
+  const counts = new Map<number, number>();
   for (const id of samples) counts.set(id, (counts.get(id) ?? 0) + 1);
-  const byId = new Map(nodes.map((node) => [node.id, node.callFrame]));
-  return [...counts].sort(([, one], [, other]) => other - one)
-    .slice(0, MOST_FUNCTIONS).map(([id, count]) => {
-      const { functionName, url, lineNumber } = byId.get(id);
-      return `  ${count} ${functionName} ${url}:${lineNumber + 1}`;
-    }).join("\n");
+  return nodes
+    .map((node) => ({ ...node.callFrame, count: counts.get(node.id) ?? 0 }))
+    .toSorted((one, other) => other.count - one.count)
+    .slice(0, MOST_FUNCTIONS)
+    .map(({ count, functionName, url, lineNumber }) =>
+      `  ${count} ${functionName} ${url}:${lineNumber + 1}`
+    ).join("\n");
 }
 
-async function tellStack() {
-  await post("Debugger.enable");
-  const paused = new Promise((resolve) => {
-    session.once("Debugger.paused", ({ params }) => {
-      resolve(stackOf(params));
-    });
-  });
-  await post("Debugger.pause");
-  // A thread that waits in its event loop runs nothing that could be paused.
-  const stack = await Promise.race([paused, sleep(PROFILE_MILLISECONDS)]);
-  await post("Debugger.disable");
-  write(`Stack:\n${stack ?? "  none, no script runs"}`);
-}
-
-async function tellProcessorTime() {
+async function tellProcessorTime(): Promise<void> {
   const before = readMainThread();
-  await post("Profiler.enable");
-  await post("Profiler.start");
+  await session.post("Profiler.enable");
+  await session.post("Profiler.start");
   await sleep(PROFILE_MILLISECONDS);
-  const { profile } = await post("Profiler.stop");
+  const { profile } = await session.post("Profiler.stop");
   const { state, used } = readMainThread();
   const spent = used - before.used;
   write(
     `Main thread: state ${state}, ${spent} ms of ${PROFILE_MILLISECONDS} used`,
   );
-  write(`Samples:\n${hottest(profile)}`);
+  write(`Samples:\n${describeProfile(profile)}`);
+}
+
+async function tellStack(): Promise<void> {
+  const paused = new Promise<string>((resolve) => {
+    session.once("Debugger.paused", ({ params }) => {
+      resolve(describeStack(params.callFrames));
+    });
+  });
+  await session.post("Debugger.enable");
+  await session.post("Debugger.pause");
+  // A thread that waits in its event loop runs nothing that could be paused.
+  const stack = await Promise.race([paused, sleep(PROFILE_MILLISECONDS)]);
+  await session.post("Debugger.disable");
+  write(`Stack:\n${stack ?? "  none, no script runs"}`);
 }
 
-async function tellHandles() {
-  const { result } = await post("Runtime.evaluate", { expression: HANDLES });
-  write(`Handles:\n${result.value}`);
+async function tellHandles(): Promise<void> {
+  const { result } = await session.post("Runtime.evaluate", {
+    expression: HANDLES,
+  });
+  write(`Handles:\n${String(result.value)}`);
 }
 
 await sleep(EXIT_MILLISECONDS);
 write(`The process is still there ${EXIT_MILLISECONDS} ms after its tests.`);
+// Calls to the main thread alone would not keep this one.
+const alive = setInterval(() => undefined, PROFILE_MILLISECONDS);
 session.connectToMainThread();
 await tellProcessorTime();
 await tellStack();
