An engine that leaves while owners are asked gets no request

Cause: the placer lists engines, then asks up to three owners one after the other, and sent to an engine of its old list. The owner of a leaving engine gives it up, which counted as an engine without an owner that holds the adapter.

Two of the new tests fail on the code before.

Change: the registry is asked again before each engine and after each answer.

--- a/packages/node/src/relay/request_placer.ts
+++ b/packages/node/src/relay/request_placer.ts
@@ -136,6 +136,7 @@
       const engine = byId.get(id);
       if (engine === undefined || search.signal.aborted) break;
       const { server } = engine;
+      if (!this.#isOpen(server)) continue;
       if (!this.#mayTake(engine) || !this.#parts.limits.take(server)) continue;
       const place = await this.#ask(engine, use, minimumVersion, search);
       if (place !== undefined) return place;
@@ -191,9 +192,10 @@
     if (answer.kind === "no_room") {
       this.#refusals.refused(this.#parts.clock.now(), engine.id);
     }
+    const isOpen = this.#isOpen(server);
     if (answer.kind === "granted") {
       const { version, release } = answer;
-      if (this.#isOver(where, answer)) {
+      if (!isOpen || this.#isOver(where, answer)) {
         release();
         return undefined;
       }
@@ -207,11 +209,16 @@
       };
     }
     const isHeldWithoutOwner = engine.holds && answer.kind !== "no_room";
-    return isHeldWithoutOwner && !signal.aborted
+    return isHeldWithoutOwner && isOpen && !signal.aborted
       ? { server, release: nothing, missed: nothing }
       : undefined;
   }
 
+  /** Whether an engine takes requests: it may leave while owners are asked. */
+  #isOpen({ id }: RegisteredServer): boolean {
+    return this.#parts.knowledge.registry.find(id)?.leaving === false;
+  }
+
   /** Whether a use was granted at a start that is over by now. */
   #isOver(where: GrantAddress, { start, over }: Grant): boolean {
     if (over.aborted) return true;
--- a/packages/node/tests/relay/helpers/relay_base.ts
+++ b/packages/node/tests/relay/helpers/relay_base.ts
@@ -62,7 +62,7 @@
 export function knowEngine(knowledge: Knowledge, known: KnownEngine): void {
   const { engine, owner } = known;
   knowledge.configuration(standInConfiguration(1, 2));
-  registerEngine(knowledge, engine, known.start, 1);
+  registerEngine(knowledge, { engine, start: known.start, offset: 1 });
   knowledge.claim({
     engine,
     owner,
@@ -71,28 +71,36 @@
   }, logOffset(1));
 }
 
+/** An entry of an engine in the registry's log. */
+export interface EngineEntry {
+  readonly engine: BackendServerId;
+  /** When it has started, in Unix milliseconds. */
+  readonly start: number;
+  /** Where the log has the entry. */
+  readonly offset: number;
+  /** Whether the engine says that it leaves. */
+  readonly leaving?: boolean;
+}
+
 /**
  * Tells a node of an engine's entry.
  * @param knowledge What the node knows.
- * @param id The engine.
- * @param start When it has started, in Unix milliseconds.
- * @param offset Where the log has the entry.
+ * @param entry The entry.
  */
 export function registerEngine(
   knowledge: Knowledge,
-  id: BackendServerId,
-  start: number,
-  offset: number,
+  { engine, start, offset, leaving = false }: EngineEntry,
 ): void {
   knowledge.registryEntry({
     kind: "present",
     offset: logOffset(offset),
     server: standInServer({
-      id,
+      id: engine,
       start: serverStart(start),
       service: STAND_IN_ENGINES,
       address: "127.0.0.1:1",
       isEngine: true,
+      leaving,
     }),
   });
 }
--- a/packages/node/tests/relay/peer_grants_test.ts
+++ b/packages/node/tests/relay/peer_grants_test.ts
@@ -55,7 +55,7 @@
     server.cutConnections();
   });
   const register = (start: number, offset: number) => {
-    registerEngine(knowledge, ENGINE, start, offset);
+    registerEngine(knowledge, { engine: ENGINE, start, offset });
     owners.refresh();
   };
   const { id: owner } = settings.node;
--- a/packages/node/tests/relay/request_placer_test.ts
+++ b/packages/node/tests/relay/request_placer_test.ts
@@ -30,6 +30,8 @@
   released = 0;
   readonly over = new AbortController();
   start = NEW;
+  /** Whether the peer still owns the engine. */
+  isOwner = true;
   /** Called before the answer comes. */
   meanwhile: () => void = () => undefined;
 
@@ -37,6 +39,7 @@
     this.asked += 1;
     await Promise.resolve();
     this.meanwhile();
+    if (!this.isOwner) return { kind: "not_owner" };
     return {
       kind: "granted",
       version: 1,
@@ -53,8 +56,13 @@
 function setUp(known: number, told: number) {
   const { base, knowledge } = relayBase({ part: "callers" });
   const { settings, clock } = base;
-  const register = (start: number, offset: number) => {
-    registerEngine(knowledge, ENGINE, start, offset);
+  const register = (start: number, offset: number, leaving = false) => {
+    registerEngine(knowledge, {
+      engine: ENGINE,
+      start,
+      offset,
+      leaving,
+    });
   };
   knowEngine(knowledge, { engine: ENGINE, start: known, owner: OWNER });
   const digest = nodeDigest(OWNER, {
@@ -103,7 +111,7 @@
     }),
     clock,
   });
-  const place = () =>
+  const place = (servers = knowledge.registry.all) =>
     placer.placeOnEngine(
       {
         model: STAND_IN_MODEL,
@@ -111,7 +119,7 @@
         promptTokens: 1,
         outputTokens: 1,
       },
-      knowledge.registry.all,
+      servers,
       {
         wantedBy: clock.now(),
         longestPause: undefined,
@@ -119,7 +127,7 @@
         note: () => undefined,
       },
     );
-  return { grants, place, register };
+  return { grants, knowledge, place, register };
 }
 
 test("what an owner says of an older start of its engine is not believed", async (t) => {
@@ -158,3 +166,25 @@
   t.is(await place(), undefined);
   t.is(grants.released, 1);
 });
+
+// Guards against requests that reach an engine long after it said that it
+// leaves: owners that stand still are waited for, one after the other.
+test("an engine that leaves while its owner is asked gets no request", async (t) => {
+  for (const isOwner of [true, false]) {
+    const { grants, place, register } = setUp(NEW, NEW);
+    grants.isOwner = isOwner;
+    grants.meanwhile = () => {
+      register(NEW, 2, true);
+    };
+    t.is(await place(), undefined, `The owner is known: ${isOwner}.`);
+    t.is(grants.released, isOwner ? 1 : 0);
+  }
+});
+
+test("an engine that has left since the servers were listed is not asked", async (t) => {
+  const { grants, knowledge, place, register } = setUp(NEW, NEW);
+  const before = knowledge.registry.all;
+  register(NEW, 2, true);
+  t.is(await place(before), undefined);
+  t.is(grants.asked, 0);
+});
