Limits are judged once what came in time has been read

What callers saw: after a stall of a node's process, a refusal (504 or 503) although the answer lay there unread; a request that may be repeated was sent a second time.

Cause: Node runs timers ahead of connections, so that the timer of a limit fires before the answer behind it is read.

Change: verdicts of limits wait for one look at all connections.

--- a/packages/edges/src/http/exchange.ts
+++ b/packages/edges/src/http/exchange.ts
@@ -2,6 +2,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import type { Dispatcher } from "undici";
+import { afterPendingInput } from "./after_pending_input.ts";
 import { failureOfEnd, hasFurtherAnswer } from "./connection_ends.ts";
 import { transportFailure } from "./transport_failure.ts";
 
@@ -54,6 +55,8 @@
   };
   #timer: NodeJS.Timeout | undefined;
   #controller: Dispatcher.DispatchController | undefined;
+  /** Whether the whole answer has come, and is being judged. */
+  #hasEnded = false;
   #settled = false;
   #bytes = 0;
   #status = 0;
@@ -75,9 +78,12 @@
     }
     signal?.addEventListener("abort", this.#onAbort, { once: true });
     this.#timer = setTimeout(() => {
-      this.#giveUp(
-        errorWithCode("The answer took too long", "UND_ERR_HEADERS_TIMEOUT"),
-      );
+      afterPendingInput(() => {
+        if (this.#hasEnded) return;
+        this.#giveUp(
+          errorWithCode("The answer took too long", "UND_ERR_HEADERS_TIMEOUT"),
+        );
+      });
     }, this.#options.timeoutMilliseconds);
     dispatcher.dispatch({
       origin,
@@ -121,10 +127,12 @@
   }
 
   onResponseEnd(): void {
+    this.#hasEnded = true;
     void this.#judgeEnd(failureOfEnd(), hasFurtherAnswer());
   }
 
   onResponseError(_controller: unknown, error: Error): void {
+    this.#hasEnded = true;
     this.#fail(error);
   }
 
--- a/packages/edges/src/http/mod.ts
+++ b/packages/edges/src/http/mod.ts
@@ -2,6 +2,7 @@
  * The HTTP forms of the edges, over undici.
  * @module
  */
+export * from "./after_pending_input.ts";
 export * from "./client_options.ts";
 export * from "./connection_ends.ts";
 export * from "./dispatcher.ts";
--- /dev/null
+++ b/packages/edges/tests/after_pending_input_test.ts
@@ -0,0 +1,71 @@
+/** Limits of calls in a process that stands still for a moment. */
+import { exchange, inputTimeout } from "@foxtailwind/edges";
+import test, { type ExecutionContext } from "ava";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { Pool } from "undici";
+
+const ANSWER = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nwell";
+const LIMIT = 150;
+const STALL = 400;
+
+/** Connections to a server that answers, and then keeps the process busy. */
+async function stallBehindAnswer(t: ExecutionContext): Promise<Pool> {
+  const server = createServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.once("data", () => {
+      socket.write(ANSWER);
+      const until = performance.now() + STALL;
+      while (performance.now() < until);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const pool = new Pool(`http://127.0.0.1:${port}`);
+  t.teardown(async () => {
+    await pool.destroy();
+    server.close();
+  });
+  return pool;
+}
+
+// Guards against calls given up as unanswered whose answer was not read yet.
+test.serial("an answer that came before a call's limit counts after a stall", async (t) => {
+  const pool = await stallBehindAnswer(t);
+  const answer = await exchange(pool, {
+    step: "read_engine",
+    peer: "engine",
+    origin: "http://127.0.0.1",
+    method: "GET",
+    path: "/",
+    timeoutMilliseconds: LIMIT,
+  });
+  t.is(answer._unsafeUnwrap().body.toString(), "well");
+});
+
+test.serial("a signal at a limit ends no call whose answer has come", async (t) => {
+  const pool = await stallBehindAnswer(t);
+  const answer = await pool.request({
+    method: "GET",
+    path: "/",
+    signal: inputTimeout(LIMIT),
+  });
+  t.is(await answer.body.text(), "well");
+});
+
+test.serial("a signal at a limit ends a call without an answer", async (t) => {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const pool = new Pool(`http://127.0.0.1:${port}`);
+  t.teardown(async () => {
+    await pool.destroy();
+    server.close();
+  });
+  const call = pool.request({
+    method: "GET",
+    path: "/",
+    signal: inputTimeout(LIMIT),
+  });
+  await t.throwsAsync(call, { message: "No answer came in time." });
+});
--- a/packages/node/src/relay/call_watch.ts
+++ b/packages/node/src/relay/call_watch.ts
@@ -1,4 +1,5 @@
 import { type Duration } from "@foxtailwind/core";
+import { afterPendingInput } from "@foxtailwind/edges";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { AnswerPassage } from "./answer_passage.ts";
 import type { BackendCall } from "./backend_call.ts";
@@ -35,27 +36,36 @@
  * @returns Ends the watch.
  */
 export function watchCall(call: BackendCall, watch: CallWatch): () => void {
+  let isOver = false;
   const connecting = setTimeout(() => {
-    if (!call.wasSent) call.cut("No connection was ready.");
+    afterPendingInput(() => {
+      if (!isOver && !call.wasSent) call.cut("No connection was ready.");
+    });
   }, CONNECTION_MILLISECONDS);
   const looking = watch.mayBeReplaced
     ? setInterval(() => {
-      cutIfSilent(call, watch);
+      if (!isSilent(watch)) return;
+      afterPendingInput(() => {
+        if (!isOver && isSilent(watch)) cutSilent(call, watch);
+      });
     }, LOOK_MILLISECONDS)
     : undefined;
   return () => {
+    isOver = true;
     clearTimeout(connecting);
     clearInterval(looking);
   };
 }
 
-function cutIfSilent(call: BackendCall, watch: CallWatch): void {
-  const { clock, passage, target } = watch;
+function isSilent({ clock, passage, target }: CallWatch): boolean {
   const limit = target * SILENT_TARGETS;
   const most = passage.hasBegun
     ? Math.max(SILENT_STREAM_MILLISECONDS, limit)
     : limit;
-  if (passage.silence(clock.now()) < most) return;
-  watch.fellSilent();
+  return passage.silence(clock.now()) >= most;
+}
+
+function cutSilent(call: BackendCall, { fellSilent }: CallWatch): void {
+  fellSilent();
   call.cut("The server is silent.");
 }
--- a/packages/node/src/relay/crash_reports.ts
+++ b/packages/node/src/relay/crash_reports.ts
@@ -12,6 +12,7 @@
   suspectTime,
   type SuspicionKey,
 } from "@foxtailwind/core";
+import { afterPendingInput } from "@foxtailwind/edges";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { PartLogger } from "../logging/part_logger.ts";
@@ -105,8 +106,7 @@
     const suspicion = suspicionOf(call.server, content.digest, time);
     this.#quarantine.suspect(brokeAt, suspicion);
     setTimeout(() => {
-      // After a stall, ends of other connections may still wait to be told.
-      setImmediate(() => {
+      afterPendingInput(() => {
         this.#settle(suspicion, call, brokeAt);
       });
     }, SETTLING_TIME);
--- a/packages/node/src/relay/relay_request.ts
+++ b/packages/node/src/relay/relay_request.ts
@@ -7,6 +7,7 @@
   type RegisteredServer,
   RELAY_SENTENCE,
 } from "@foxtailwind/core";
+import { afterPendingInput } from "@foxtailwind/edges";
 import { AnswerPassage } from "./answer_passage.ts";
 import type { CallEnd } from "./backend_call.ts";
 import { PlaceFinder } from "./place_finder.ts";
@@ -74,7 +75,9 @@
     const { response } = this.#request;
     const delay = Math.max(0, this.#endsAt - this.#now());
     this.#timer = setTimeout(() => {
-      this.#timeIsUp();
+      afterPendingInput(() => {
+        this.#timeIsUp();
+      });
     }, delay);
     response.once("close", () => {
       this.#closed();
@@ -212,7 +215,7 @@
   }
 
   #timeIsUp(): void {
-    if (this.#isOver()) return;
+    if (this.#isOver() || this.#outcome !== "") return;
     this.#giveUp(this.#mayHaveRun() ? "time_limit" : "not_run_in_time");
   }
 
--- a/packages/node/src/relay/request_placer.ts
+++ b/packages/node/src/relay/request_placer.ts
@@ -11,6 +11,7 @@
   RefusalMemory,
   type RegisteredServer,
 } from "@foxtailwind/core";
+import { inputTimeout } from "@foxtailwind/edges";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type {
   AdapterGrants,
@@ -186,7 +187,7 @@
             longestPause,
           ),
       },
-      AbortSignal.any([signal, AbortSignal.timeout(patience)]),
+      AbortSignal.any([signal, inputTimeout(patience)]),
     );
     note({ engine: engine.id, owner, answer: answer.kind });
     if (answer.kind === "no_room") {
