The product's own interface refuses contents that end engines

What callers saw: nothing yet there; a prompt that ends each engine that runs it was tried at up to five engines by one node, and again by each other node.

Change: the node that controls an engine suspects the streams that broke off once the engine refuses connections or shows another start. Suspicions go through a stream of the log to all nodes; contents of three such ends are refused as not run. One request is tried at no fourth engine after three.

--- a/packages/core/src/delivery/mod.ts
+++ b/packages/core/src/delivery/mod.ts
@@ -3,6 +3,7 @@
 export * from "./claim_gathering.ts";
 export * from "./claim_index.ts";
 export * from "./claim_record.ts";
+export * from "./crash_record.ts";
 export * from "./delivery_event.ts";
 export * from "./delivery_options.ts";
 export * from "./delivery_rules.ts";
--- a/packages/core/src/delivery/request_delivery.ts
+++ b/packages/core/src/delivery/request_delivery.ts
@@ -22,6 +22,9 @@
   withOutcome,
 } from "./delivery_failures.ts";
 
+/** A request under which so many engines broke off is tried at no other. */
+const MOST_LOST_ENGINES = 3;
+
 /** Brings one request to its only outcome, over as many attempts as allowed. */
 export class RequestDelivery {
   readonly #options: DeliveryOptions;
@@ -192,7 +195,11 @@
       passed: this.#passed,
       wasResume: this.#resumed,
     });
-    if (step === "give_up" || !this.#takeRetry()) return this.#giveUp(known);
+    if (
+      step === "give_up" || this.#lostTooManyEngines || !this.#takeRetry()
+    ) {
+      return this.#giveUp(known);
+    }
     this.#checkRepeat(step === "resume");
     this.#retryFrom = step === "resume" ? this.#gate.next : 0;
     this.#retryAt = later(now, this.#wait(known));
@@ -222,6 +229,14 @@
     );
   }
 
+  /** Whether so many engines broke off that it may be the request's doing. */
+  get #lostTooManyEngines(): boolean {
+    const lost = this.#failures.filter(({ step, outcome }) =>
+      step === "generate" && outcome === "unknown"
+    );
+    return new Set(lost.map(({ peer }) => peer)).size >= MOST_LOST_ENGINES;
+  }
+
   #takeRetry(): boolean {
     const { budget, maximumAttempts } = this.#options;
     return this.#attempt < maximumAttempts && budget.take();
--- a/packages/core/tests/delivery/request_delivery_test.ts
+++ b/packages/core/tests/delivery/request_delivery_test.ts
@@ -164,3 +164,20 @@
   t.like(actions[0], { kind: "cancel", atEngine: true });
   t.like(actions[1], { kind: "fail", failure: { outcome: "unknown" } });
 });
+
+// Guards against engines that end one after the other under one request.
+test("a request under which three engines broke off is tried at no fourth", (t) => {
+  const delivery = deliveryOf({ maximumAttempts: 5 });
+  delivery.start();
+  const engines = ["engine-1", "engine-2", "engine-2", "engine-3"];
+  const last = engines.map((peer, index) => {
+    const actions = delivery.handle(
+      NOW,
+      failed(index + 1, { step: "generate", peer }),
+    );
+    delivery.handle(LATER, { kind: "tick" });
+    return actions;
+  }).at(-1);
+  t.true(delivery.ended);
+  t.like(last, [{ kind: "fail", failure: { outcome: "unknown" } }]);
+});
--- /dev/null
+++ b/packages/node/src/crashes/crash_memory.ts
@@ -0,0 +1,172 @@
+import {
+  type ContentDigest,
+  CRASH_STREAM,
+  type CrashRecord,
+  type CrashSuspicion,
+  type Duration,
+  formatCrashRecord,
+  type LogOffset,
+  logOffset,
+  parseCrashRecord,
+  RequestQuarantine,
+} from "@foxtailwind/core";
+import type { LogClient, LogRecord } from "@foxtailwind/edges";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { SteadyClock } from "../clock/steady_clock.ts";
+import type { PartLogger } from "../logging/part_logger.ts";
+
+const PAGE_RECORDS = 1_000;
+const LONG_POLL_MILLISECONDS = 10_000;
+/** Between two tries at a log that fails, in milliseconds. */
+const RETRY_MILLISECONDS = 500;
+/** Records that wait to be appended at most; the oldest are left out. */
+const MOST_UNWRITTEN = 500;
+
+/** What the memory of crashes works with. */
+export interface CrashMemoryParts {
+  readonly log: LogClient;
+  readonly clock: SteadyClock;
+  readonly logger: PartLogger;
+}
+
+/**
+ * Remembers which contents end the engines that run them, together with all
+ * nodes: each appends what it sees to a stream of the log, and follows it.
+ */
+export class CrashMemory {
+  readonly #parts: CrashMemoryParts;
+  readonly #quarantine = new RequestQuarantine();
+  readonly #unwritten: CrashRecord[] = [];
+  #refused: ReadonlySet<ContentDigest> = new Set();
+  #next: LogOffset = logOffset(0);
+  #isWriting = false;
+  #isStopped = false;
+
+  /** @param parts What it works with. */
+  constructor(parts: CrashMemoryParts) {
+    this.#parts = parts;
+  }
+
+  /** Follows the stream until {@link stop}. */
+  async run(): Promise<void> {
+    while (!this.#isStopped) {
+      const isRead = await this.#readPage();
+      if (!isRead) await sleep(RETRY_MILLISECONDS);
+    }
+  }
+
+  /** Ends {@link run} after the read in progress. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  /** Whether no content is suspected, so that none needs to be digested. */
+  get isEmpty(): boolean {
+    return this.#quarantine.isEmpty;
+  }
+
+  /**
+   * Tells whether a content is refused.
+   * @param content The content.
+   * @returns The time until it may be tried again, or nothing.
+   */
+  refusedFor(content: ContentDigest): Duration | undefined {
+    return this.#quarantine.refusedFor(this.#parts.clock.now(), content);
+  }
+
+  /**
+   * Takes note that a run of an engine may have ended under a content.
+   * @param suspicion What is suspected.
+   */
+  suspect(suspicion: CrashSuspicion): void {
+    this.#parts.logger.info("An engine may have ended under a request.", {
+      engine: suspicion.server,
+      content: suspicion.content,
+      ran_for: Math.round(suspicion.ranFor),
+    });
+    this.#add({ kind: "suspected", suspicion });
+  }
+
+  /**
+   * Takes note that a request was served to its end.
+   * @param content Its content.
+   */
+  served(content: ContentDigest): void {
+    const dropped = this.#quarantine.served(content);
+    if (dropped.length > 0) this.#add({ kind: "served", content });
+  }
+
+  #add(record: CrashRecord): void {
+    this.#take(record);
+    if (this.#unwritten.length >= MOST_UNWRITTEN) this.#unwritten.shift();
+    this.#unwritten.push(record);
+    if (!this.#isWriting) void this.#write();
+  }
+
+  #take(record: CrashRecord): void {
+    const now = this.#parts.clock.now();
+    if (record.kind === "served") this.#quarantine.served(record.content);
+    else this.#quarantine.suspect(now, record.suspicion);
+    this.#quarantine.expire(now);
+    this.#noteRefused();
+  }
+
+  #noteRefused(): void {
+    const { contents } = this.#quarantine;
+    for (const content of contents) {
+      if (this.#refused.has(content)) continue;
+      this.#parts.logger.warn(
+        "Requests of a content that ends engines are refused.",
+        {
+          content,
+        },
+      );
+    }
+    this.#refused = contents;
+  }
+
+  async #write(): Promise<void> {
+    this.#isWriting = true;
+    while (this.#unwritten.length > 0 && !this.#isStopped) {
+      const records = [...this.#unwritten];
+      const appended = await this.#parts.log.append(
+        CRASH_STREAM,
+        records.map(formatCrashRecord),
+      );
+      if (appended.isErr()) await sleep(RETRY_MILLISECONDS);
+      else this.#dropWritten(records);
+    }
+    this.#isWriting = false;
+  }
+
+  #dropWritten(records: readonly CrashRecord[]): void {
+    const written = new Set(records);
+    const left = this.#unwritten.filter((one) => !written.has(one));
+    this.#unwritten.splice(0, this.#unwritten.length, ...left);
+  }
+
+  async #readPage(): Promise<boolean> {
+    const page = await this.#parts.log.read(CRASH_STREAM, {
+      from: this.#next,
+      limit: PAGE_RECORDS,
+      waitMilliseconds: LONG_POLL_MILLISECONDS,
+    });
+    if (page.isErr() || this.#isStopped) return this.#isStopped;
+    const { records, firstKept } = page.value;
+    this.#next = logOffset(Math.max(this.#next, firstKept));
+    for (const record of records) this.#takeIn(record);
+    return true;
+  }
+
+  #takeIn({ offset, data }: LogRecord): void {
+    this.#next = logOffset(offset + 1);
+    const record = parseCrashRecord(data);
+    if (record.isOk()) this.#take(record.value);
+    else {
+      this.#parts.logger.warn("A record of crashes can't be read.", {
+        offset,
+        detail: record.error,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/crashes/generation_content.ts
@@ -0,0 +1,24 @@
+import { type ContentDigest, contentDigest } from "@foxtailwind/core";
+import { createHash } from "node:crypto";
+import type { GenerationRequest } from "../serving/generation_request.ts";
+
+/**
+ * Digests what a request asks an engine for, whatever its id and its node.
+ * @param generation The request.
+ * @returns The digest of model, adapter, messages and length.
+ */
+export function contentOf(
+  { model, adapter, messages, maximumTokens }: Pick<
+    GenerationRequest,
+    "model" | "adapter" | "messages" | "maximumTokens"
+  >,
+): ContentDigest {
+  const text = JSON.stringify([
+    model,
+    adapter.adapter,
+    adapter.version,
+    messages.map(({ role, content }) => [role, content]),
+    maximumTokens,
+  ]);
+  return contentDigest(createHash("sha256").update(text).digest("base64url"));
+}
--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -139,6 +139,7 @@
       loggers,
     });
     this.#serving = new ServingParts({
+      log: this.log,
       self: settings.node.id,
       directory: this.directory,
       peers: this.#peers,
@@ -154,6 +155,7 @@
     });
     this.router = this.#serving.router;
     this.delivery = new DeliveryParts({
+      crashes: this.#serving.crashes,
       self: settings.node.id,
       failureDomain: settings.node.failure_domain,
       clock: this.clock,
--- a/packages/node/src/delivery/delivery_parts.ts
+++ b/packages/node/src/delivery/delivery_parts.ts
@@ -8,6 +8,7 @@
 import type { LogClient, Vm } from "@foxtailwind/edges";
 import { randomUUID } from "node:crypto";
 import type { SteadyClock } from "../clock/steady_clock.ts";
+import type { CrashMemory } from "../crashes/mod.ts";
 import type { WorkInProgress } from "../drain/mod.ts";
 import type { PeerChannels } from "../peers/peer_channels.ts";
 import type { PeerRegistration } from "../peers/peer_server.ts";
@@ -32,6 +33,7 @@
   readonly nodes: () => readonly Vm[];
   readonly router: Pick<GenerationRouter, "route">;
   readonly observer: RequestObserver;
+  readonly crashes: CrashMemory;
   /** Counts what peers have in progress here. */
   readonly work: WorkInProgress;
 }
@@ -46,7 +48,7 @@
   /** @param sources What the parts are made of. */
   constructor(sources: DeliverySources) {
     const { self, clock, nodes, failureDomain } = sources;
-    const { router, observer } = sources;
+    const { router, observer, crashes } = sources;
     const peers = new OutcomePeers(sources.channels, nodes);
     this.gatherer = new ClaimGatherer(sources.log, clock);
     this.execution = new NodeKeyedExecution({
@@ -67,6 +69,7 @@
       router,
       clock,
       observer,
+      crashes,
       execution: this.execution,
     });
     this.registration = outcomeService({
--- a/packages/node/src/delivery/generation_attempts.ts
+++ b/packages/node/src/delivery/generation_attempts.ts
@@ -16,6 +16,7 @@
 } from "@foxtailwind/edges";
 import { err, ok, type Result } from "neverthrow";
 import type { SteadyClock } from "../clock/steady_clock.ts";
+import { contentOf, type CrashMemory } from "../crashes/mod.ts";
 import type { GenerationRouter } from "../serving/generation_router.ts";
 import type { DeliveryCounters } from "./delivery_counters.ts";
 import type { GenerationOrder } from "./generation_delivery.ts";
@@ -30,6 +31,7 @@
   readonly router: Pick<GenerationRouter, "route">;
   readonly clock: SteadyClock;
   readonly observer: RequestObserver;
+  readonly crashes: CrashMemory;
   readonly counters: DeliveryCounters;
   readonly budget: RetryBudget;
   readonly rules: DeliveryRules;
@@ -128,6 +130,13 @@
     const { router, order, counters } = this.#parts;
     if (attempt > 1) counters.retried += 1;
     if (fromSequence > 0) counters.resumed += 1;
+    const refusal = this.#refusalOfCrashing();
+    if (refusal !== undefined) {
+      queueMicrotask(() => {
+        this.#handleEvent({ kind: "failed", attempt, failure: refusal });
+      });
+      return;
+    }
     const generation = { ...order.generation, attempt, fromSequence };
     const sink = new AttemptSink(attempt, (event) => {
       this.#handleEvent(event);
@@ -136,6 +145,22 @@
     if (this.#paused) this.#handle.pause();
   }
 
+  /** Why the request does not run, where its content ends engines. */
+  #refusalOfCrashing(): Failure | undefined {
+    const { crashes, order } = this.#parts;
+    if (crashes.isEmpty) return undefined;
+    const wait = crashes.refusedFor(contentOf(order.generation));
+    if (wait === undefined) return undefined;
+    return {
+      reason: "refused",
+      step: "admit",
+      peer: "self",
+      message: "Requests of this content have ended the engines that ran them.",
+      outcome: "not_run",
+      retryAfterMilliseconds: wait,
+    };
+  }
+
   #pass(sequence: number, tokens: readonly string[]): void {
     const { request, adapter } = this.#parts.order.generation;
     const { attempt } = this.#delivery;
@@ -150,7 +175,10 @@
   }
 
   #end(result: Result<GenerationEnd, Failure>): void {
-    const { sink, observer, clock, order, counters } = this.#parts;
+    const { sink, observer, clock, order, counters, crashes } = this.#parts;
+    if (result.isOk() && !crashes.isEmpty) {
+      crashes.served(contentOf(order.generation));
+    }
     counters.addDropped(this.#delivery.dropped);
     observer.record(clock.now(), {
       kind: "ended",
--- a/packages/node/src/delivery/generation_delivery.ts
+++ b/packages/node/src/delivery/generation_delivery.ts
@@ -5,6 +5,7 @@
 } from "@foxtailwind/core";
 import type { GenerationHandle, GenerationSink } from "@foxtailwind/edges";
 import type { SteadyClock } from "../clock/steady_clock.ts";
+import type { CrashMemory } from "../crashes/mod.ts";
 import type { GenerationRequest } from "../serving/generation_request.ts";
 import type { GenerationRouter } from "../serving/generation_router.ts";
 import { DeliveryCounters } from "./delivery_counters.ts";
@@ -17,6 +18,7 @@
   readonly router: Pick<GenerationRouter, "route">;
   readonly clock: SteadyClock;
   readonly observer: RequestObserver;
+  readonly crashes: CrashMemory;
   readonly execution: KeyedExecution;
 }
 
@@ -69,13 +71,14 @@
   }
 
   #attempt(order: GenerationOrder, sink: GenerationSink): GenerationHandle {
-    const { router, clock, observer } = this.#parts;
+    const { router, clock, observer, crashes } = this.#parts;
     const attempts = new GenerationAttempts({
       order,
       sink,
       router,
       clock,
       observer,
+      crashes,
       counters: this.counters,
       budget: this.#budget,
       rules: this.#rules,
--- a/packages/node/src/serving/engine_generations.ts
+++ b/packages/node/src/serving/engine_generations.ts
@@ -2,6 +2,7 @@
   type AdapterKey,
   attemptNumber,
   type Duration,
+  elapsed,
   type EngineController,
   type EngineDecision,
   type EngineId,
@@ -17,6 +18,8 @@
 } from "@foxtailwind/edges";
 import { err, type Result } from "neverthrow";
 import type { SteadyClock } from "../clock/steady_clock.ts";
+import { contentOf, type EngineSuspects } from "../crashes/mod.ts";
+import { EngineLook } from "./engine_look.ts";
 import type { EngineStateFollower } from "./engine_state_follower.ts";
 import { type EngineWatch, isRefusal } from "./engine_watch.ts";
 import { describeGeneration } from "./generation_estimates.ts";
@@ -47,6 +50,8 @@
   readonly controller: () => EngineController;
   readonly follower: EngineStateFollower;
   readonly watch: EngineWatch;
+  /** Takes the streams that broke off. */
+  readonly suspects: EngineSuspects;
   /** Tells that the controller may have something new to decide. */
   readonly changed: () => void;
 }
@@ -55,10 +60,12 @@
 export class EngineGenerations {
   readonly #parts: EngineGenerationsParts;
   readonly #held = new HeldRequests();
+  readonly #look: EngineLook;
 
   /** @param parts What the generations work with. */
   constructor(parts: EngineGenerationsParts) {
     this.#parts = parts;
+    this.#look = new EngineLook(parts);
   }
 
   /** The requests that were not dispatched. */
@@ -173,14 +180,20 @@
     const { generation, priority, sink } = held;
     const { request } = generation;
     const controller = this.#parts.controller();
+    let firstAt: Instant | undefined;
     const listener = new DispatchedSink(sink, {
       firstToken: () => {
-        controller.firstToken(this.#now(), request);
+        firstAt = this.#now();
+        controller.firstToken(firstAt, request);
       },
       ended: (result, generatedTokens) => {
         if (this.#held.find(request) !== held) return;
-        if (mayStillRun(result)) this.#parts.follower.orphan(request);
-        else controller.requestEnded(this.#now(), request, generatedTokens);
+        if (mayStillRun(result)) {
+          this.#parts.follower.orphan(request);
+          const now = this.#now();
+          const ranFor = firstAt && elapsed(firstAt, now);
+          this.#parts.suspects.broke(now, contentOf(generation), ranFor);
+        } else controller.requestEnded(this.#now(), request, generatedTokens);
         this.#generated(held, result);
       },
     });
@@ -233,7 +246,7 @@
       this.#parts.follower.onRefused();
     }
     this.#end(held.generation.request, result);
-    if (result.isErr()) void this.#parts.watch.readState();
+    if (result.isErr()) void this.#look.look();
     this.#parts.changed();
   }
 
--- a/packages/node/src/serving/engine_runner.ts
+++ b/packages/node/src/serving/engine_runner.ts
@@ -19,6 +19,7 @@
 import type { Result } from "neverthrow";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { PartLogger } from "../logging/part_logger.ts";
+import { type CrashMemory, EngineSuspects } from "../crashes/mod.ts";
 import type { AdapterAggregates } from "./adapter_aggregates.ts";
 import { EngineGenerations } from "./engine_generations.ts";
 import { EngineLoads } from "./engine_loads.ts";
@@ -44,6 +45,7 @@
   readonly permits: LoadPermits;
   readonly aggregates: AdapterAggregates;
   readonly views: EngineViews;
+  readonly crashes: CrashMemory;
 }
 
 /** Carries out an engine controller's decisions on the engine. */
@@ -56,6 +58,7 @@
   readonly #watch: EngineWatch;
   readonly #timer: NodeJS.Timeout;
   readonly #wishes: WishOffer;
+  readonly #suspects: EngineSuspects;
   #controller: EngineController;
   #controlledSince: Instant = CLOCK_START;
   #isReachable = true;
@@ -65,6 +68,7 @@
     this.#loads = new EngineLoads(parts);
     this.#model = found.model;
     this.#wishes = new WishOffer(parts);
+    this.#suspects = new EngineSuspects(parts.engine, parts.crashes);
     this.#controller = this.#control(found);
     this.#follower = new EngineStateFollower({
       ...parts,
@@ -72,7 +76,8 @@
       controller: () => this.#controller,
       controlledSince: () => this.#controlledSince,
       isHeld: (request) => this.#generations.holds(request),
-      restarted: (state) => {
+      restarted: (state, over) => {
+        this.#suspects.ended(this.#now(), over);
         this.#restarted(state);
       },
       reachable: (isReachable) => {
@@ -90,6 +95,7 @@
       controller: () => this.#controller,
       follower: this.#follower,
       watch: this.#watch,
+      suspects: this.#suspects,
       changed: () => {
         this.#act();
       },
@@ -130,7 +136,10 @@
     this.#isReachable = isReachable;
     const { engine, logger, views } = this.#parts;
     if (isReachable) views.put(this.#controller);
-    else views.drop(this.#controller);
+    else {
+      views.drop(this.#controller);
+      this.#suspects.ended(this.#now(), this.#watch.bootId);
+    }
     const word = isReachable ? "is reached again" : "refuses connections";
     logger.warn(`An engine ${word}.`, { engine });
   }
--- a/packages/node/src/serving/engine_state_follower.ts
+++ b/packages/node/src/serving/engine_state_follower.ts
@@ -28,7 +28,7 @@
   readonly controller: () => EngineController;
   readonly controlledSince: () => Instant;
   readonly isHeld: (request: RequestId) => boolean;
-  readonly restarted: (state: EngineState) => void;
+  readonly restarted: (state: EngineState, over: string) => void;
   /** Learns whether the engine takes connections. */
   readonly reachable: (isReachable: boolean) => void;
 }
@@ -106,9 +106,9 @@
     });
   }
 
-  override onRestart(state: EngineState): void {
+  override onRestart(state: EngineState, over: string): void {
     this.#orphans.clear();
-    this.#parts.restarted(state);
+    this.#parts.restarted(state, over);
   }
 
   #endOrphans(state: EngineState): void {
--- a/packages/node/src/serving/engine_watch.ts
+++ b/packages/node/src/serving/engine_watch.ts
@@ -19,8 +19,11 @@
 
   /** @param events Changes of its prefix cache, late and with gaps. */
   abstract onCacheEvents(events: readonly CacheEvent[]): void;
-  /** @param state The engine's state after it has started anew. */
-  abstract onRestart(state: EngineState): void;
+  /**
+   * @param state The engine's state after it has started anew.
+   * @param over The run before.
+   */
+  abstract onRestart(state: EngineState, over: string): void;
   /** @param state The engine's state, read while it is needed. */
   abstract onState(state: EngineState): void;
   /** Whether the engine's state is to be read at the next poll. */
@@ -57,21 +60,31 @@
     } while (!this.#isStopped());
   }
 
-  /** Reads the engine's state now, as after a sign of a restart. */
-  async readState(): Promise<void> {
+  /** The run of the engine that was seen last. */
+  get bootId(): string {
+    return this.#bootId;
+  }
+
+  /**
+   * Reads the engine's state now, as after a sign of a restart.
+   * @returns Whether the run that was known before goes on, as far as is known.
+   */
+  async readState(): Promise<boolean> {
     const state = await this.#parts.client.readState();
-    if (this.#stopped) return;
+    if (this.#stopped) return false;
     if (state.isErr()) {
       this.#failed(state.error);
-      return;
+      return false;
     }
     if (state.value.bootId !== this.#bootId) {
+      const over = this.#bootId;
       this.#bootId = state.value.bootId;
       this.#lastSequence = 0;
-      this.#parts.watcher.onRestart(state.value);
-      return;
+      this.#parts.watcher.onRestart(state.value, over);
+      return false;
     }
     this.#parts.watcher.onState(state.value);
+    return true;
   }
 
   /** Stops polling. */
--- a/packages/node/src/serving/generation_router.ts
+++ b/packages/node/src/serving/generation_router.ts
@@ -20,6 +20,7 @@
 } from "@foxtailwind/edges";
 import { err } from "neverthrow";
 import type { SteadyClock } from "../clock/steady_clock.ts";
+import type { CrashMemory } from "../crashes/mod.ts";
 import type { PartLogger } from "../logging/part_logger.ts";
 import type { PeerChannels } from "../peers/peer_channels.ts";
 import type { PeerClients } from "../peers/peer_clients.ts";
@@ -54,6 +55,7 @@
   readonly assignment: EngineAssignment;
   readonly permits: LoadPermits;
   readonly aggregates: AdapterAggregates;
+  readonly crashes: CrashMemory;
   readonly engineClient: (vm: VmOfRole<"engine">) => EngineClient;
 }
 
--- a/packages/node/src/serving/serving_parts.ts
+++ b/packages/node/src/serving/serving_parts.ts
@@ -4,8 +4,13 @@
   RequestObserver,
   WeightStoreId,
 } from "@foxtailwind/core";
-import type { EngineClient, WeightStoreClient } from "@foxtailwind/edges";
+import type {
+  EngineClient,
+  LogClient,
+  WeightStoreClient,
+} from "@foxtailwind/edges";
 import type { SteadyClock } from "../clock/steady_clock.ts";
+import { CrashMemory } from "../crashes/mod.ts";
 import type { PartLogger } from "../logging/part_logger.ts";
 import type { PeerChannels } from "../peers/peer_channels.ts";
 import type { PeerClients } from "../peers/peer_clients.ts";
@@ -37,10 +42,12 @@
   readonly store: WeightStoreId;
   readonly storeClient: WeightStoreClient;
   readonly engineClient: (vm: VmOfRole<"engine">) => EngineClient;
+  readonly log: LogClient;
 }
 
 /** The parts of a node that serve adapters, started and stopped together. */
 export class ServingParts {
+  readonly crashes: CrashMemory;
   readonly router: GenerationRouter;
   readonly permits: NodeLoadPermits;
   readonly #permitService: PermitService;
@@ -49,6 +56,7 @@
   /** @param options What serving works with. */
   constructor(options: ServingPartsOptions) {
     const aggregates = new AdapterAggregates();
+    this.crashes = new CrashMemory(options);
     this.permits = new NodeLoadPermits({
       ...options,
       client: options.storeClient,
@@ -60,6 +68,7 @@
         new ComputedAssignment(options.directory),
       permits: this.permits,
       aggregates,
+      crashes: this.crashes,
     });
     this.#permitService = new PermitService(this.permits);
     this.#summaries = new SummaryService(
@@ -79,6 +88,7 @@
 
   /** Starts to ask for permits and to learn of engines. */
   start(): void {
+    void this.crashes.run();
     this.permits.start();
     this.router.start();
   }
@@ -92,6 +102,7 @@
   /** Stops deciding. */
   stop(): void {
     this.router.stop();
+    this.crashes.stop();
     this.permits.stop();
   }
 }
--- a/packages/standins/src/engine/fake_engine.ts
+++ b/packages/standins/src/engine/fake_engine.ts
@@ -3,6 +3,7 @@
   cancelCallSchema,
   engineOrderSchema,
   exportedKvCacheSchema,
+  type GenerateCall,
   generateCallSchema,
 } from "@foxtailwind/edges";
 import { type RequestId, requestId } from "@foxtailwind/core";
@@ -27,6 +28,9 @@
 const requestSchema = z.object({ request: z.string().transform(requestId) });
 const residentSchema = z.object({ adapters: z.array(adapterReferenceSchema) });
 
+/** After so long, a request that ends an engine does so, in milliseconds. */
+const CRASH_MILLISECONDS = 20;
+
 /** Takes the place of a model engine that batches continuously. */
 export class FakeEngine extends StandIn<FakeEngineFaults> {
   readonly #settings: FakeEngineSettings;
@@ -138,6 +142,11 @@
     this.application.post("/v1/generate", (request, reply) => {
       const call = parseInput(generateCallSchema, request.body);
       if (call.isErr()) return sendRefusal(reply, call.error);
+      if (this.#crashesOn(call.value)) {
+        setTimeout(() => {
+          this.restart();
+        }, CRASH_MILLISECONDS);
+      }
       return this.#boot.generate(call.value, reply);
     });
     this.application.post("/v1/cancel", (request, reply) => {
@@ -153,6 +162,12 @@
     });
   }
 
+  #crashesOn({ messages }: GenerateCall): boolean {
+    const { crashOnText } = this.faults;
+    return crashOnText !== "" &&
+      messages.some(({ content }) => content.includes(crashOnText));
+  }
+
   #serveOrders(): void {
     this.application.post("/v1/orders", (request, reply) => {
       return this.#order(request, reply);
--- a/packages/standins/src/engine/settings.ts
+++ b/packages/standins/src/engine/settings.ts
@@ -67,6 +67,8 @@
   dropStreamAfterTokens: z.number().int().nonnegative().default(3),
   duplicateFrameProbability: probability,
   misorderFrameProbability: probability,
+  /** Prompts with this text end the engine as it begins to answer them. */
+  crashOnText: z.string().default(""),
 });
 
 /** The faults of an engine stand-in. */
