--- a/packages/bench/src/soak/relay/relay_soak.ts
+++ b/packages/bench/src/soak/relay/relay_soak.ts
@@ -12,9 +12,9 @@
   type RelayFault,
   WORLD_SIZE,
 } from "./relay_script.ts";
-import { RelayWorld, soakAdapter } from "./relay_world.ts";
+import { RelayWorld } from "./relay_world.ts";
 import { SoakCaller } from "./soak_caller.ts";
-import { TIME_LIMIT } from "./soak_configuration.ts";
+import { soakAdapter, TIME_LIMIT } from "./soak_configuration.ts";
 import { SoakEngine } from "./soak_engine.ts";
 
 /** What one run of the relay's soak is made of. */
--- a/packages/bench/src/soak/relay/relay_world.ts
+++ b/packages/bench/src/soak/relay/relay_world.ts
@@ -1,6 +1,5 @@
 import {
   type AdapterId,
-  adapterId,
   backendServerId,
   milliseconds,
   nodeId,
@@ -236,8 +235,12 @@
     this.#ending.add(ending);
   }
 
+  #hasEnded(): boolean {
+    return this.#isOver;
+  }
+
   async #startNode(place: number): Promise<void> {
-    if (this.#isOver) return;
+    if (this.#hasEnded()) return;
     this.#runs += 1;
     const node = new RelayNode(`node-${place + 1}`, this.#runs, {
       seed: this.#seed,
@@ -249,7 +252,7 @@
     await node.start();
     this.nodes[place] = node;
     // A stop of all nodes that came meanwhile did not see this one.
-    if (this.#isOver) this.stopNode(place);
+    if (this.#hasEnded()) this.stopNode(place);
   }
 
   async #startServer(isEngine: boolean): Promise<void> {
@@ -291,12 +294,3 @@
     };
   }
 }
-
-/**
- * Names an adapter of a soak.
- * @param number Which one.
- * @returns Its id.
- */
-export function soakAdapter(number: number): AdapterId {
-  return adapterId(`a${number}`);
-}
--- a/packages/bench/src/soak/relay/soak_configuration.ts
+++ b/packages/bench/src/soak/relay/soak_configuration.ts
@@ -1,4 +1,6 @@
 import {
+  type AdapterId,
+  adapterId,
   milliseconds,
   type RelayConfiguration,
   type Route,
@@ -81,3 +83,12 @@
     targets: [{ service: PLAIN, weight: 1 }],
   };
 }
+
+/**
+ * Names an adapter of a soak.
+ * @param number Which one.
+ * @returns Its id.
+ */
+export function soakAdapter(number: number): AdapterId {
+  return adapterId(`a${number}`);
+}
