Test of refused contents in progress waits for what it names, not for 150 ms

Traced: the test took a stream for begun 150 ms after its call.

The test now waits until the caller has read the first event, and until the other request has reached its server. Its bounds are the same, and an end of the stream without its last bytes shows as well.

--- a/packages/node/tests/relay/quarantine_test.ts
+++ b/packages/node/tests/relay/quarantine_test.ts
@@ -14,6 +14,7 @@
 import { err, ok } from "neverthrow";
 import { setTimeout as sleep } from "node:timers/promises";
 import { relayBase } from "./helpers/relay_base.ts";
+import { rawCall } from "./helpers/raw_call.ts";
 import { RelayWorld, succeed } from "./helpers/relay_world.ts";
 
 const BODY = Buffer.from("prompt");
@@ -137,21 +138,29 @@
 test("of requests in progress with a refused content those without an answer end", async (t) => {
   const world = new RelayWorld();
   world.configure();
+  let finish = (): void => undefined;
+  let arrived = (): void => undefined;
+  const isWaiting = new Promise<void>((resolve) => {
+    arrived = resolve;
+  });
   await world.addServer("s1", (request, response) => {
     request.resume();
-    if (request.url === "/stream/waiting") return;
+    if (request.url === "/stream/waiting") {
+      arrived();
+      return;
+    }
     response.writeHead(200, { "x-id": "r1", "x-seal": "s" });
     response.write("id: 1\n\n");
-    setTimeout(() => response.end(), 400);
+    finish = () => response.end();
   });
   await world.start(t);
   const paths = ["/stream/waiting", "/stream/begun"];
-  const calls = paths.map((path) => world.call(path, { body: BODY }));
-  await sleep(150);
+  const [waiting, begun] = paths.map((path) => rawCall(world.port, path));
+  await Promise.all([isWaiting, begun?.heard("id: 1")]);
   for (const path of paths) {
     const headers = { host: "one.example" };
     const head = { method: "POST", url: path, headers };
-    const content = new RequestContent(head, BODY).digest;
+    const content = new RequestContent(head, undefined).digest;
     for (const id of ["a", "b", "c"]) {
       const server = backendServerId(`${path}${id}`);
       const suspicion = { content, server, ranFor: milliseconds(1) };
@@ -160,9 +169,11 @@
   }
   t.is(world.knowledge.suspicions.quarantine.contents.size, 2);
   world.front.endCrashing();
-  const [waiting, begun] = await Promise.all(calls);
-  t.is(waiting?.status, 502);
-  t.is(begun?.status, 200);
+  t.regex((await waiting?.ended)?.bytes ?? "", /^HTTP\/1\.1 502 /);
+  finish();
+  const served = await begun?.ended;
+  t.regex(served?.bytes ?? "", /^HTTP\/1\.1 200 /);
+  t.true(served?.looksWhole);
   t.is(
     world.knowledge.suspicions.quarantine.contents.size,
     1,
