--- a/packages/node/src/relay/request_placer.ts
+++ b/packages/node/src/relay/request_placer.ts
@@ -1,7 +1,6 @@
 import {
   type BackendServerId,
   type Duration,
-  type EngineState,
   type Instant,
   isOlderStart,
   milliseconds,
@@ -21,9 +20,9 @@
 import type { ModelUse } from "./caller_wire.ts";
 import type { EngineOwners } from "./engine_owners.ts";
 import type { Knowledge } from "./knowledge.ts";
+import { type KnownEngine, KnownEngines } from "./known_engines.ts";
 import type { RequestLimits } from "./request_limits.ts";
 import type { ServerLoads } from "./server_loads.ts";
-import { readStart } from "./start_message.ts";
 
 /** Where a request goes, and what to do once it has ended there. */
 export interface Place {
@@ -75,22 +74,18 @@
 
 type Grant = Extract<GrantAnswer, { readonly kind: "granted" }>;
 
-interface KnownEngine extends EngineState {
-  readonly server: RegisteredServer;
-  readonly owner?: NodeId;
-  readonly address?: string;
-}
-
 const nothing = () => undefined;
 
 /** Finds a server for each request, and brings adapters where needed. */
 export class RequestPlacer {
   readonly #parts: RequestPlacerParts;
+  readonly #engines: KnownEngines;
   readonly #refusals = new RefusalMemory();
 
   /** @param parts What it works with. */
   constructor(parts: RequestPlacerParts) {
     this.#parts = parts;
+    this.#engines = new KnownEngines(parts);
   }
 
   /**
@@ -130,7 +125,9 @@
     const engines = servers
       .filter((server) => !this.#parts.loads.of(server).isPaused(now))
       .filter((server) => this.#parts.limits.wait(server) === 0)
-      .map((server) => this.#describe(now, server, use, minimumVersion))
+      .map((server) =>
+        this.#engines.describe(now, server, { ...use, minimumVersion })
+      )
       .filter((engine) => engine !== undefined);
     const byId = new Map(engines.map((engine) => [engine.id, engine]));
     for (const id of orderEngines(use, engines).slice(0, MOST_ASKED)) {
@@ -228,80 +225,4 @@
     const known = this.#parts.knowledge.registry.find(where.engine);
     return isOlderStart(start, known?.start);
   }
-
-  #describe(
-    now: Instant,
-    server: RegisteredServer,
-    use: ModelUse,
-    minimumVersion: number,
-  ): KnownEngine | undefined {
-    const { loads } = this.#parts;
-    const load = loads.of(server);
-    const reading = load.pace.time(use.promptTokens);
-    const heard = this.#heard(now, server);
-    if (heard?.digest.isFull === true) return undefined;
-    if (heard === undefined) {
-      const holds = holdsByRegistry(server, use, minimumVersion);
-      if (!server.models.some((held) => held.model === use.model)) {
-        return undefined;
-      }
-      return {
-        id: server.id,
-        server,
-        wait: load.excess(now),
-        reading,
-        running: 0,
-        isOrderable: false,
-        room: 0,
-        holds,
-        isLoading: false,
-      };
-    }
-    const { digest, owner, address } = heard;
-    const held = digest.adapters.find((one) =>
-      one.adapter === use.adapter && one.model === use.model
-    );
-    const isFresh = held !== undefined && held.version >= minimumVersion;
-    return {
-      id: server.id,
-      server,
-      owner,
-      address,
-      wait: digest.waitMilliseconds + load.excess(now),
-      reading,
-      running: digest.running,
-      isOrderable: digest.isReachable,
-      room: digest.room,
-      holds: digest.isReachable &&
-        (use.adapter === undefined || (isFresh && !held.isLoading)),
-      isLoading: isFresh && held.isLoading,
-    };
-  }
-
-  /** What the owner says of an engine, unless it is of an older start. */
-  #heard(now: Instant, { id, start }: RegisteredServer) {
-    const { knowledge, owners, self } = this.#parts;
-    const own = owners.find(id);
-    if (own !== undefined) {
-      return { digest: own.digest, owner: self, address: "self" };
-    }
-    const owner = knowledge.claims.owner(id);
-    if (owner === undefined) return undefined;
-    const heard = knowledge.peers.engine(now, id, owner);
-    if (heard === undefined) return undefined;
-    const isOver = isOlderStart(readStart(heard.digest.start), start);
-    return isOver ? undefined : heard;
-  }
-}
-
-function holdsByRegistry(
-  server: RegisteredServer,
-  use: ModelUse,
-  minimumVersion: number,
-): boolean {
-  const held = server.models.find((one) => one.model === use.model);
-  if (held === undefined) return false;
-  if (use.adapter === undefined) return true;
-  const version = held.adapters.get(use.adapter);
-  return version !== undefined && version >= minimumVersion;
 }
