Read again: smaller files, a look at an engine that ends with its watch

EngineLook went on asking for up to 10 s after its engine's runner had stopped. The parts of generations stand in a file, a test's servers start in one place.

--- a/packages/edges/tests/after_pending_input_test.ts
+++ b/packages/edges/tests/after_pending_input_test.ts
@@ -1,8 +1,7 @@
 /** Limits of calls in a process that stands still for a moment. */
 import { exchange, inputTimeout } from "@foxtailwind/edges";
 import test, { type ExecutionContext } from "ava";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, createServer, type Socket } from "node:net";
 import { Pool } from "undici";
 
 const ANSWER = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nwell";
@@ -10,8 +9,8 @@
 const STALL = 400;
 
 /** Connections to a server that answers, and then keeps the process busy. */
-async function stallBehindAnswer(t: ExecutionContext): Promise<Pool> {
-  const server = createServer((socket) => {
+function stallBehindAnswer(t: ExecutionContext): Promise<Pool> {
+  return connectTo(t, (socket) => {
     socket.on("error", () => undefined);
     socket.once("data", () => {
       socket.write(ANSWER);
@@ -19,6 +18,14 @@
       while (performance.now() < until);
     });
   });
+}
+
+/** Connections to a server that takes them as a test says. */
+async function connectTo(
+  t: ExecutionContext,
+  take: (socket: Socket) => void,
+): Promise<Pool> {
+  const server = createServer(take);
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const { port } = server.address() as AddressInfo;
   const pool = new Pool(`http://127.0.0.1:${port}`);
@@ -54,14 +61,7 @@
 });
 
 test.serial("a signal at a limit ends a call without an answer", async (t) => {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as AddressInfo;
-  const pool = new Pool(`http://127.0.0.1:${port}`);
-  t.teardown(async () => {
-    await pool.destroy();
-    server.close();
-  });
+  const pool = await connectTo(t, () => undefined);
   const call = pool.request({
     method: "GET",
     path: "/",
--- a/packages/node/src/relay/relay_request.ts
+++ b/packages/node/src/relay/relay_request.ts
@@ -74,11 +74,9 @@
   async run(): Promise<void> {
     const { response } = this.#request;
     const delay = Math.max(0, this.#endsAt - this.#now());
-    this.#timer = setTimeout(() => {
-      afterPendingInput(() => {
-        this.#timeIsUp();
-      });
-    }, delay);
+    this.#timer = setTimeout(afterPendingInput, delay, () => {
+      this.#timeIsUp();
+    });
     response.once("close", () => {
       this.#closed();
     });
--- a/packages/node/src/serving/engine_generations.ts
+++ b/packages/node/src/serving/engine_generations.ts
@@ -3,25 +3,17 @@
   attemptNumber,
   type Duration,
   elapsed,
-  type EngineController,
   type EngineDecision,
-  type EngineId,
   type Failure,
   type Instant,
   type RequestId,
-  type RequestObserver,
 } from "@foxtailwind/core";
-import type {
-  EngineClient,
-  GenerationEnd,
-  GenerationHandle,
-} from "@foxtailwind/edges";
+import type { GenerationEnd, GenerationHandle } from "@foxtailwind/edges";
 import { err, type Result } from "neverthrow";
-import type { SteadyClock } from "../clock/steady_clock.ts";
-import { contentOf, type EngineSuspects } from "../crashes/mod.ts";
+import { contentOf } from "../crashes/mod.ts";
+import type { EngineGenerationsParts } from "./engine_generations_parts.ts";
 import { EngineLook } from "./engine_look.ts";
-import type { EngineStateFollower } from "./engine_state_follower.ts";
-import { type EngineWatch, isRefusal } from "./engine_watch.ts";
+import { isRefusal } from "./engine_watch.ts";
 import { describeGeneration } from "./generation_estimates.ts";
 import {
   callerLeft,
@@ -40,22 +32,6 @@
 
 const MOST_RESYNCS = 3;
 
-/** What the generations of an engine work with. */
-export interface EngineGenerationsParts {
-  readonly engine: EngineId;
-  readonly client: EngineClient;
-  readonly clock: SteadyClock;
-  readonly observer: RequestObserver;
-  /** The controller in charge; a restart of the engine brings another. */
-  readonly controller: () => EngineController;
-  readonly follower: EngineStateFollower;
-  readonly watch: EngineWatch;
-  /** Takes the streams that broke off. */
-  readonly suspects: EngineSuspects;
-  /** Tells that the controller may have something new to decide. */
-  readonly changed: () => void;
-}
-
 /** The requests at one engine, from their queueing to their end. */
 export class EngineGenerations {
   readonly #parts: EngineGenerationsParts;
--- a/packages/node/src/serving/engine_look.ts
+++ b/packages/node/src/serving/engine_look.ts
@@ -32,13 +32,18 @@
     while (this.#isDue) {
       this.#isDue = false;
       await this.#ask();
-      if (!this.#parts.suspects.arePending(this.#parts.clock.now())) continue;
+      if (!this.#isUnknown()) continue;
       this.#isDue = true;
       await sleep(PAUSE_MILLISECONDS);
     }
     this.#isLooking = false;
   }
 
+  #isUnknown(): boolean {
+    const { clock, watch, suspects } = this.#parts;
+    return !watch.isStopped() && suspects.arePending(clock.now());
+  }
+
   async #ask(): Promise<void> {
     const { clock, watch, suspects } = this.#parts;
     const askedAt = clock.now();
--- a/packages/node/src/serving/engine_watch.ts
+++ b/packages/node/src/serving/engine_watch.ts
@@ -57,7 +57,7 @@
     do {
       await this.#poll();
       await sleep(POLL_MILLISECONDS);
-    } while (!this.#isStopped());
+    } while (!this.isStopped());
   }
 
   /** The run of the engine that was seen last. */
@@ -92,7 +92,8 @@
     this.#stopped = true;
   }
 
-  #isStopped(): boolean {
+  /** Tells whether {@link stop} was called. */
+  isStopped(): boolean {
     return this.#stopped;
   }
 
@@ -103,7 +104,7 @@
   async #poll(): Promise<void> {
     const { client, watcher } = this.#parts;
     const report = await client.readLoad();
-    if (this.#isStopped()) return;
+    if (this.isStopped()) return;
     if (report.isErr()) {
       this.#failed(report.error);
       return;
@@ -115,7 +116,7 @@
     watcher.onReport(report.value);
     if (watcher.needsState) await this.readState();
     const events = await client.readCacheEvents(this.#lastSequence);
-    if (events.isErr() || this.#isStopped()) return;
+    if (events.isErr() || this.isStopped()) return;
     this.#lastSequence = events.value.at(-1)?.sequence ?? this.#lastSequence;
     if (events.value.length > 0) watcher.onCacheEvents(events.value);
   }
