--- a/packages/node/src/relay/place_finder.ts
+++ b/packages/node/src/relay/place_finder.ts
@@ -6,7 +6,6 @@
   type RegisteredServer,
   type Route,
 } from "@foxtailwind/core";
-import { inputTimeout } from "@foxtailwind/edges";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { ReadRequest } from "./read_request.ts";
 import type { LimitQueuePlace } from "./request_limits.ts";
@@ -126,7 +125,7 @@
     const left = Math.max(1, Math.ceil(until - this.#now()));
     const signal = AbortSignal.any([
       this.#terms.over,
-      inputTimeout(left),
+      AbortSignal.timeout(left),
     ]);
     return await placer.placeOnEngine(caller.use, servers, {
       signal,
--- a/packages/node/src/relay/request_placer.ts
+++ b/packages/node/src/relay/request_placer.ts
@@ -10,7 +10,6 @@
   RefusalMemory,
   type RegisteredServer,
 } from "@foxtailwind/core";
-import { inputTimeout } from "@foxtailwind/edges";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type {
   AdapterGrants,
@@ -184,7 +183,7 @@
             longestPause,
           ),
       },
-      AbortSignal.any([signal, inputTimeout(patience)]),
+      AbortSignal.any([signal, AbortSignal.timeout(patience)]),
     );
     note({ engine: engine.id, owner, answer: answer.kind });
     if (answer.kind === "no_room") {
