Waits for places end at their limits, whatever is collected as garbage

What callers saw: no answer at all until they left, after 3.2 s of silence, where a place is looked for 1.28 s at most and a refusal with its time follows.

Cause: AbortSignal.any does not keep the timeouts that it follows.

The new test collects the garbage during such a wait and waits for ever on the code before.

Change: BoundedSignal holds its timer. The search for a place makes one instead of one for each look.

--- a/packages/edges/src/http/mod.ts
+++ b/packages/edges/src/http/mod.ts
@@ -3,6 +3,7 @@
  * @module
  */
 export * from "./after_pending_input.ts";
+export * from "./bounded_signal.ts";
 export * from "./client_options.ts";
 export * from "./connection_ends.ts";
 export * from "./dispatcher.ts";
--- a/packages/node/src/relay/place_finder.ts
+++ b/packages/node/src/relay/place_finder.ts
@@ -6,6 +6,7 @@
   type RegisteredServer,
   type Route,
 } from "@foxtailwind/core";
+import { BoundedSignal } from "@foxtailwind/edges";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { ReadRequest } from "./read_request.ts";
 import type { LimitQueuePlace } from "./request_limits.ts";
@@ -77,14 +78,17 @@
     // A stream that goes on elsewhere has used up its first patience long ago.
     const from = this.#terms.sent.sends === 0 ? arrivedAt : this.#now();
     const until = later(from, milliseconds(patience * PLACE_SHARE));
+    const left = Math.max(1, Math.ceil(until - this.#now()));
+    const search = new BoundedSignal(this.#terms.over, left);
     try {
       for (;;) {
-        const place = await this.#look(until);
+        const place = await this.#look(search.signal);
         if (place !== undefined || this.#terms.over.aborted) return place;
         if (this.#now() >= until || this.#isTooFarBack(until)) return undefined;
         await sleep(PLACE_PAUSE_MILLISECONDS);
       }
     } finally {
+      search.release();
       this.#queued?.leave();
       this.#queued = undefined;
     }
@@ -115,18 +119,13 @@
     return untried.length > 0 ? untried : there;
   }
 
-  async #look(until: Instant): Promise<Place | undefined> {
+  async #look(signal: AbortSignal): Promise<Place | undefined> {
     const { service, caller } = this.#request;
     const { placer } = this.#parts;
     const servers = this.#servers();
     if (service.engine === undefined || caller.use === undefined) {
       return placer.choosePlain(this.#now(), servers);
     }
-    const left = Math.max(1, Math.ceil(until - this.#now()));
-    const signal = AbortSignal.any([
-      this.#terms.over,
-      AbortSignal.timeout(left),
-    ]);
     return await placer.placeOnEngine(caller.use, servers, {
       signal,
       wantedBy: this.#terms.wantedBy,
--- a/packages/node/src/relay/request_placer.ts
+++ b/packages/node/src/relay/request_placer.ts
@@ -10,6 +10,7 @@
   RefusalMemory,
   type RegisteredServer,
 } from "@foxtailwind/core";
+import { BoundedSignal } from "@foxtailwind/edges";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type {
   AdapterGrants,
@@ -169,6 +170,7 @@
     if (owner !== this.#parts.self) {
       this.#parts.knowledge.work.count("use_asked");
     }
+    const asking = new BoundedSignal(signal, patience);
     const answer = await this.#parts.grants.ask(
       where,
       {
@@ -183,8 +185,9 @@
             longestPause,
           ),
       },
-      AbortSignal.any([signal, AbortSignal.timeout(patience)]),
+      asking.signal,
     );
+    asking.release();
     note({ engine: engine.id, owner, answer: answer.kind });
     if (answer.kind === "no_room") {
       this.#refusals.refused(this.#parts.clock.now(), engine.id);
--- a/packages/node/tests/relay/request_placer_test.ts
+++ b/packages/node/tests/relay/request_placer_test.ts
@@ -8,12 +8,16 @@
 import {
   AdapterGrants,
   EngineOwners,
+  type GrantAddress,
   type GrantAnswer,
   RequestLimits,
   RequestPlacer,
   ServerLoads,
+  type UseRequest,
 } from "@foxtailwind/node/relay";
 import test from "ava";
+import { setTimeout as sleep } from "node:timers/promises";
+import { collectGarbage } from "./helpers/collect_garbage.ts";
 import { nodeDigest } from "./helpers/node_digest.ts";
 import { knowEngine, registerEngine, relayBase } from "./helpers/relay_base.ts";
 import { ScriptedEngine } from "./helpers/scripted_engine.ts";
@@ -35,8 +39,16 @@
   /** Called before the answer comes. */
   meanwhile: () => void = () => undefined;
 
-  override async ask(): Promise<GrantAnswer> {
+  /** Whether the peer stands still, and answers nothing. */
+  isSilent = false;
+
+  override async ask(
+    _where: GrantAddress,
+    _request: UseRequest,
+    signal: AbortSignal,
+  ): Promise<GrantAnswer> {
     this.asked += 1;
+    if (this.isSilent) return await endOf(signal);
     await Promise.resolve();
     this.meanwhile();
     if (!this.isOwner) return { kind: "not_owner" };
@@ -52,6 +64,14 @@
   }
 }
 
+function endOf(signal: AbortSignal): Promise<GrantAnswer> {
+  return new Promise((resolve) => {
+    signal.addEventListener("abort", () => {
+      resolve({ kind: "unreachable" });
+    }, { once: true });
+  });
+}
+
 /** A node that knows an engine at a start, and a peer that owns it. */
 function setUp(known: number, told: number) {
   const { base, knowledge } = relayBase({ part: "callers" });
@@ -188,3 +208,14 @@
   t.is(await place(before), undefined);
   t.is(grants.asked, 0);
 });
+
+// Guards against requests that wait for a silent owner until their callers
+// leave, since the limit of the wait was collected as garbage.
+test("an owner that says nothing is given up in time", async (t) => {
+  const { grants, place } = setUp(NEW, NEW);
+  grants.isSilent = true;
+  const placed = place();
+  await collectGarbage();
+  const given = await Promise.race([placed, sleep(3_000, "held")]);
+  t.not(given, "held");
+});
