Relay: quotas of client accounts over all nodes

Cause: accounts had no quotas, so the work of one account of 7.5 times its usual load ran in full, and nothing answered 429.

Each node keeps a copy of the account's token bucket, takes from it what it admits and what peers report, and admits at once while that pool is ample and all nodes together are asked for less than the quota. Otherwise it admits its share, which follows its part of the demand as of the last reports. Silent nodes keep their part of the quota by number for 20 s; a node that hears nobody has only its own. Reports ride on the engine states that active nodes exchange anyway: no further call. A request that no server ran is refunded. 429 names the time after which its turn is likely. Logs name the account; a revoked key is told from one that never existed; `explain` follows unknown key, revoked key and quota from a request's id to the cause; metrics by account have 64 labels at most.

RequestPacer and the meter share TokenBucket.

--- a/packages/cli/src/logs/explain_request.ts
+++ b/packages/cli/src/logs/explain_request.ts
@@ -1,4 +1,5 @@
 import { RELAY_SENTENCE } from "@foxtailwind/core";
+import { explainRefusal } from "./explain_refusal.ts";
 import { type LogLine } from "./log_line.ts";
 
 /** The explanation of a request's outcome, based on logs. */
@@ -20,6 +21,12 @@
 /** Requests that a server lost within this time share one cause. */
 const CORRELATION_MILLISECONDS = 2_000;
 
+/** The lines that a request ends with. */
+const END_SENTENCES: ReadonlySet<string> = new Set([
+  RELAY_SENTENCE.requestEnded,
+  RELAY_SENTENCE.requestRefused,
+]);
+
 interface EndedRequest {
   readonly endLine: LogLine;
   /** The lines from some time before the request's arrival until its end. */
@@ -52,7 +59,7 @@
 ): LogExplanation | undefined {
   const isOfRequest = (line: LogLine) => line.fields["request"] === request;
   const endLine = lines.find((line) =>
-    line.sentence === RELAY_SENTENCE.requestEnded && isOfRequest(line)
+    END_SENTENCES.has(line.sentence) && isOfRequest(line)
   );
   if (endLine === undefined) return undefined;
   const took = readNumber(endLine, "took");
@@ -67,7 +74,7 @@
   return {
     request,
     node: endLine.source,
-    outcome: readText(endLine, "outcome"),
+    outcome: readOutcome(endLine),
     status: readNumber(endLine, "status"),
     tookMilliseconds: took,
     cause: finding.cause,
@@ -77,7 +84,10 @@
 
 function findCause(request: EndedRequest): Finding {
   const { endLine } = request;
-  const outcome = readText(endLine, "outcome");
+  const outcome = readOutcome(endLine);
+  if (endLine.sentence === RELAY_SENTENCE.requestRefused) {
+    return { cause: explainRefusal(endLine, outcome), evidence: [] };
+  }
   switch (outcome) {
     case "answered":
       return explainLatency(request);
@@ -87,6 +97,9 @@
       return explainServerFailure(request);
     case "quarantined":
       return explainQuarantine(request);
+    case "unknown_key":
+    case "stale_configuration":
+      return { cause: explainRefusal(endLine, outcome), evidence: [] };
     case "no_engine":
     case "not_run_in_time":
       return explainPlacement(request);
@@ -281,6 +294,14 @@
   });
 }
 
+/** Reads how a request ended, or why it was refused. */
+function readOutcome(line: LogLine): string {
+  return readText(
+    line,
+    line.sentence === RELAY_SENTENCE.requestRefused ? "refusal" : "outcome",
+  );
+}
+
 function readText(line: LogLine, field: string): string {
   return String(line.fields[field] ?? "");
 }
--- a/packages/cli/tests/explain_logs_test.ts
+++ b/packages/cli/tests/explain_logs_test.ts
@@ -1,5 +1,6 @@
 import { COMMANDS, EXIT_CODE, runCommandLine } from "@foxtailwind/cli";
-import { milliseconds } from "@foxtailwind/core";
+import { clientAccountId, milliseconds } from "@foxtailwind/core";
+import { digestApiKey } from "@foxtailwind/node/relay";
 import test, { type ExecutionContext } from "ava";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
@@ -150,3 +151,39 @@
   const { out } = await explain(t, lines, "refused");
   t.true(out.includes("All servers that could run it announce limits"), out);
 });
+
+test("explains refusals by an unknown key, a revoked one and a quota", async (t) => {
+  const { world, lines } = createWorld();
+  await world.addServer("s1", (request, response) => {
+    request.resume();
+    succeed(request, response, "served");
+  });
+  await world.start(t);
+  const one = clientAccountId("one");
+  const quota = {
+    unit: "tokens",
+    rate: 1_000,
+    burst: 1_000,
+    plainTokens: 0,
+  } as const;
+  world.configure([{ id: one, keys: [digestApiKey("old")] }]);
+  world.configure([{ id: one, keys: [digestApiKey("new")], quota }]);
+  const explainCall = async (
+    id: string,
+    key: string,
+    tokens: string,
+    status: number,
+  ) => {
+    const headers = { "x-id": id, "x-key": key, "x-tokens": tokens };
+    const answer = await world.call("/once/a", { headers });
+    t.is(answer.status, status, id);
+    return (await explain(t, lines, id)).out;
+  };
+  const unknown = await explainCall("unknown", "no-key", "1", 401);
+  t.regex(unknown, /no API key of an account in configuration 3/);
+  const revoked = await explainCall("revoked", "old", "1", 401);
+  t.regex(revoked, /one of account one, and configuration 3 revoked it/);
+  await explainCall("large", "new", "900", 200);
+  const over = await explainCall("over", "new", "1000", 429);
+  t.regex(over, /Account one was over its quota.*after \d+ ms/);
+});
--- a/packages/core/src/relay/mod.ts
+++ b/packages/core/src/relay/mod.ts
@@ -29,3 +29,4 @@
 export * from "./server_registry.ts";
 export * from "./serving_set.ts";
 export * from "./start_history.ts";
+export * from "./token_bucket.ts";
--- a/packages/core/src/relay/request_limit.ts
+++ b/packages/core/src/relay/request_limit.ts
@@ -1,11 +1,15 @@
 import {
   type Duration,
-  elapsed,
   type Instant,
   milliseconds,
   type NodeId,
   rendezvousOrder,
 } from "../shared/mod.ts";
+import {
+  accrualMilliseconds,
+  type BucketLimit,
+  TokenBucket,
+} from "./token_bucket.ts";
 
 const MILLISECONDS_PER_SECOND = 1_000;
 /**
@@ -83,16 +87,15 @@
 }
 
 /**
- * A token bucket for one node's requests to a rate-limited server. It holds one
- * token at most and starts empty, so that no request is sent early.
+ * Paces one node's requests to a rate-limited server. It holds one token at
+ * most and starts empty, so that no request is sent early.
  */
 export class RequestPacer {
-  #tokens = 0;
-  #refilledAt: Instant;
+  readonly #bucket: TokenBucket;
 
   /** @param now The present time, from which on tokens accrue. */
   constructor(now: Instant) {
-    this.#refilledAt = now;
+    this.#bucket = new TokenBucket(now, 0);
   }
 
   /**
@@ -102,10 +105,10 @@
    * @returns The time, or `undefined` if no request may be sent at all.
    */
   wait(now: Instant, rate: number): Duration | undefined {
-    this.#refill(now, rate);
-    if (this.#tokens >= 1) return milliseconds(0);
+    const tokens = this.#bucket.level(now, pacerLimit(rate));
+    if (tokens >= 1) return milliseconds(0);
     if (rate <= 0) return undefined;
-    return milliseconds((1 - this.#tokens) * MILLISECONDS_PER_SECOND / rate);
+    return milliseconds(accrualMilliseconds(1 - tokens, rate));
   }
 
   /**
@@ -115,21 +118,18 @@
    * @returns Whether the request may be sent.
    */
   tryTake(now: Instant, rate: number): boolean {
-    this.#refill(now, rate);
-    if (this.#tokens < 1) return false;
-    this.#tokens -= 1;
+    if (this.#bucket.level(now, pacerLimit(rate)) < 1) return false;
+    this.#bucket.take(1);
     return true;
   }
 
   /** Returns the token of a request that was not sent. */
   refund(): void {
-    this.#tokens = 1;
+    this.#bucket.raiseTo(1);
   }
+}
 
-  #refill(now: Instant, rate: number): void {
-    const refill = rate * elapsed(this.#refilledAt, now) /
-      MILLISECONDS_PER_SECOND;
-    this.#tokens = rate <= 0 ? 0 : Math.min(1, this.#tokens + refill);
-    this.#refilledAt = now;
-  }
+/** A node that may send nothing keeps no token either. */
+function pacerLimit(rate: number): BucketLimit {
+  return { rate, capacity: rate <= 0 ? 0 : 1 };
 }
--- a/packages/node/src/relay/front_server.ts
+++ b/packages/node/src/relay/front_server.ts
@@ -1,6 +1,7 @@
 import {
   chooseTarget,
   type ClientAccount,
+  type Duration,
   later,
   milliseconds,
   RELAY_SENTENCE,
@@ -18,7 +19,7 @@
 } from "node:timers/promises";
 import { schemalessFastify } from "../http/schemaless_fastify.ts";
 import type { SocketAddress } from "../settings/settings.ts";
-import { writeRefusal } from "./caller_answer.ts";
+import { type NodeRefusal, writeRefusal } from "./caller_answer.ts";
 import { CallerConnections } from "./caller_connections.ts";
 import type { CallerRequest } from "./caller_wire.ts";
 import { requestTimeLimit } from "./routed_request.ts";
@@ -33,6 +34,7 @@
 const UNAUTHORIZED = 401;
 const NOT_FOUND = 404;
 const TOO_LARGE = 413;
+const TOO_MANY_REQUESTS = 429;
 const HEADERS_TOO_LARGE = 431;
 const UNAVAILABLE = 503;
 /**
@@ -44,6 +46,7 @@
 const MAXIMUM_HEADER_BYTES = 128 * 1_024;
 /** How long a request waits for a starting node's first configuration. */
 const CONFIGURATION_WAIT = milliseconds(400);
+const MILLISECONDS_PER_SECOND = 1_000;
 const CONFIGURATION_POLL_MILLISECONDS = 10;
 /**
  * How long the first request to a standby node waits until the node has read
@@ -226,6 +229,16 @@
       });
       return;
     }
+    const admission = this.#parts.quotas.tryTake(account, caller.value.tokens);
+    if (admission.kind === "refused") {
+      this.#refuse(message, response, TOO_MANY_REQUESTS, {
+        code: "over_quota",
+        caller: caller.value,
+        account,
+        retryAfter: admission.retryAfter,
+      });
+      return;
+    }
     const request = new RequestRelay(this.#parts, {
       message,
       response,
@@ -233,6 +246,7 @@
       route,
       service,
       account,
+      quotaCost: admission.cost,
       body: body.bytes,
       content: new RequestContent(message, body.bytes),
       arrivedAt,
@@ -283,17 +297,20 @@
     message: IncomingMessage,
     response: ServerResponse,
     status: number,
-    { code, caller, account }: EarlyRefusal,
+    { code, caller, account, retryAfter }: EarlyRefusal,
   ): void {
     const { knowledge, logger, recordRefusal } = this.#parts;
     recordRefusal(code, account);
+    const revoked = caller?.key && knowledge.revokedKeys.find(caller.key);
     logger.info(RELAY_SENTENCE.requestRefused, {
       ...(caller === undefined ? {} : { request: caller.id }),
-      account: account?.id,
+      account: account?.id ?? revoked?.account,
+      revoked_in: revoked?.version,
       status,
       refusal: code,
       path: message.url,
       configuration: knowledge.routes?.configuration.version,
+      retry_after: roundOptional(retryAfter),
       configuration_age: roundOptional(knowledge.configurationAge),
     });
     if (!message.complete || this.#shutdown.signal.aborted) {
@@ -301,9 +318,7 @@
     }
     writeRefusal(response, status, {
       code,
-      ...(status === UNAVAILABLE
-        ? { retryAfterSeconds: RETRY_AFTER_SECONDS }
-        : {}),
+      ...retryAfterOf(status, retryAfter),
     });
   }
 }
@@ -313,6 +328,21 @@
   readonly code: string;
   readonly caller?: CallerRequest;
   readonly account?: ClientAccount | undefined;
+  /** When the request is expected to be admitted, if known. */
+  readonly retryAfter?: Duration;
+}
+
+/** Returns when a refused caller may come back, if it may at all. */
+function retryAfterOf(
+  status: number,
+  retryAfter: Duration | undefined,
+): Pick<NodeRefusal, "retryAfterSeconds"> {
+  if (retryAfter !== undefined) {
+    return { retryAfterSeconds: retryAfter / MILLISECONDS_PER_SECOND };
+  }
+  return status === UNAVAILABLE
+    ? { retryAfterSeconds: RETRY_AFTER_SECONDS }
+    : {};
 }
 
 function countHeaderBytes(message: IncomingMessage): number {
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -19,6 +19,7 @@
   type RegistryEntry,
   RELAY_SENTENCE,
   type RelayConfiguration,
+  RevokedKeys,
   RouteTable,
   ServerRegistry,
   type ServiceId,
@@ -93,6 +94,7 @@
   readonly claims: EngineClaims;
   /** The clock by which proofs of the newest configuration age. */
   readonly proofClock: SteadyClock;
+  readonly revokedKeys = new RevokedKeys();
   readonly #freshness = new ConfigurationFreshness();
   readonly #parts: KnowledgeParts;
   #routes: RouteTable | undefined;
@@ -203,6 +205,11 @@
   override configuration(configuration: RelayConfiguration): void {
     const known = this.#routes?.configuration.version ?? -1;
     if (configuration.version <= known) return;
+    this.revokedKeys.recordChange(
+      this.#routes?.configuration.accounts ?? [],
+      configuration.accounts ?? [],
+      configuration.version,
+    );
     this.#routes = new RouteTable(configuration);
     this.#parts.logger.info("A configuration was activated.", {
       version: configuration.version,
--- a/packages/node/src/relay/make_relay_parts.ts
+++ b/packages/node/src/relay/make_relay_parts.ts
@@ -6,6 +6,7 @@
 } from "@foxtailwind/core";
 import type { PeerChannels } from "../peers/peer_channels.ts";
 import { AccountAccess } from "./accounts/account_access.ts";
+import { AccountQuotas } from "./accounts/account_quotas.ts";
 import { AdapterGrants } from "./adapter_grants.ts";
 import type { EngineOwners } from "./engine_owners.ts";
 import type { NodePresence } from "./node_presence.ts";
@@ -83,6 +84,12 @@
       revocationTime: () => revocationTime,
       requestProof: options.requestProof,
     }),
+    quotas: new AccountQuotas({
+      knowledge,
+      clock,
+      slack: accounts.quota_slack,
+      countNodes: nodes,
+    }),
     clock,
     countNodes: nodes,
     pools,
--- a/packages/node/src/relay/mod.ts
+++ b/packages/node/src/relay/mod.ts
@@ -11,6 +11,7 @@
 export { formatSettingsProblem } from "../settings/load_settings.ts";
 export type { SocketAddress } from "../settings/settings.ts";
 export * from "./accounts/account_access.ts";
+export * from "./accounts/account_quotas.ts";
 export * from "./accounts/digest_api_key.ts";
 export * from "./bounded_writer.ts";
 export * from "./caller_answer.ts";
--- a/packages/node/src/relay/node_presence.ts
+++ b/packages/node/src/relay/node_presence.ts
@@ -6,6 +6,7 @@
   nodeId,
 } from "@foxtailwind/core";
 import {
+  type AccountUse,
   type EngineDigest,
   EngineStates,
   NodeDigest,
@@ -32,6 +33,8 @@
   readonly incarnation: string;
   /** Digests of the engines that this node owns. */
   readonly engines: () => readonly EngineDigest[];
+  /** What this node has used of the accounts' quotas. */
+  readonly accounts: () => readonly AccountUse[];
   readonly serving: ServingNodes;
   /** The interval between two exchanges that this node begins. */
   readonly exchangePeriodMilliseconds: () => number;
@@ -95,6 +98,7 @@
     const now = this.#parts.clock.now();
     const unnumbered = this.#createDigest(now);
     const engines = [...this.#parts.engines()];
+    const accounts = [...this.#parts.accounts()];
     return {
       ...unnumbered,
       sequence: this.#nodeSequence.numberOf(
@@ -103,9 +107,10 @@
       ),
       engineStates: {
         engines,
+        accounts,
         sequence: this.#engineSequence.numberOf(
           now,
-          EngineStates.encode({ engines, sequence: 0 }).finish(),
+          EngineStates.encode({ engines, accounts, sequence: 0 }).finish(),
         ),
       },
     };
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -132,6 +132,7 @@
       clock,
       incarnation: this.#incarnation,
       engines: () => this.#owners.digests,
+      accounts: () => this.#parts.quotas.ownUses,
       serving: this.#serving,
       exchangePeriodMilliseconds: () => this.#exchange.periodMilliseconds,
       limits: () => this.#parts.limits.ownLimits,
@@ -307,6 +308,7 @@
     this.#owners.refresh();
     this.#presence.refresh(now);
     this.#parts.limits.refresh(now);
+    this.#parts.quotas.refresh(now);
     if (registry.revision === this.#retainedRevision) return;
     this.#retainedRevision = registry.revision;
     this.#pools.retainOnly(registry.all);
--- a/packages/node/src/relay/relay_parts.ts
+++ b/packages/node/src/relay/relay_parts.ts
@@ -6,6 +6,7 @@
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { ComponentLogger } from "../logging/component_logger.ts";
 import type { AccountAccess } from "./accounts/account_access.ts";
+import type { AccountQuotas } from "./accounts/account_quotas.ts";
 import type { BackendPools } from "./backend_pools.ts";
 import type { RelayWire } from "./caller_wire.ts";
 import type { CrashReports } from "./crash_reports.ts";
@@ -27,6 +28,7 @@
   readonly crashReports: CrashReports;
   readonly limits: RequestLimits;
   readonly access: AccountAccess;
+  readonly quotas: AccountQuotas;
   readonly callerTimeouts: CallerTimeouts;
   readonly wire: RelayWire;
   readonly clock: SteadyClock;
--- a/packages/node/src/relay/relay_settings.ts
+++ b/packages/node/src/relay/relay_settings.ts
@@ -21,6 +21,7 @@
 const MAX_SECONDS = 3_600;
 const MAX_COUNT = 1_000_000;
 const MAX_LINES_PER_SECOND = 100_000;
+const MAX_QUOTA_SLACK = 1_000_000_000;
 const MAX_TRANSFERS = 64;
 const MAX_PROCESSORS = 1_024;
 
@@ -68,7 +69,9 @@
   accounts: z.strictObject({
     /** How long a revoked API key may still be used at any node. */
     revocation_milliseconds: positiveNumber(MAX_MILLISECONDS).optional(),
-  }).default({}),
+    /** What all nodes may admit beyond a quota, in its units. */
+    quota_slack: numberUpTo(MAX_QUOTA_SLACK).default(0),
+  }).default({ quota_slack: 0 }),
   logs: z.strictObject({
     level: z.enum(["error", "warn", "info", "debug"]).default("info"),
     /** The maximum number of lines per second; the rest is counted. */
--- a/packages/node/src/relay/request_relay.ts
+++ b/packages/node/src/relay/request_relay.ts
@@ -93,6 +93,7 @@
     let continues = true;
     while (continues) continues = await this.#attempt();
     clearTimeout(this.#timer);
+    if (!this.#mayHaveRun()) this.#parts.quotas.refund(this.#request);
     this.#logEnd();
   }
 
--- a/packages/node/src/relay/routed_request.ts
+++ b/packages/node/src/relay/routed_request.ts
@@ -22,6 +22,8 @@
   readonly service: RelayService;
   /** The client account that it belongs to, if any. */
   readonly account: ClientAccount | undefined;
+  /** What was taken from the account's quota for it. */
+  readonly quotaCost: number;
   readonly body: Buffer | undefined;
   readonly content: RequestContent;
   readonly arrivedAt: Instant;
--- a/packages/node/tests/relay/helpers/relay_world.ts
+++ b/packages/node/tests/relay/helpers/relay_world.ts
@@ -18,6 +18,7 @@
 import type { Knowledge } from "@foxtailwind/node/relay";
 import {
   AccountAccess,
+  AccountQuotas,
   AdapterGrants,
   BackendPools,
   CrashReports,
@@ -109,6 +110,12 @@
           this.requestProof();
         },
       }),
+      quotas: new AccountQuotas({
+        knowledge,
+        clock,
+        slack: 0,
+        countNodes: () => 1,
+      }),
       crashReports: new CrashReports({
         knowledge,
         log: { changeSuspicions: () => Promise.resolve(ok(undefined)) },
--- a/packages/node/tests/relay/node_presence_test.ts
+++ b/packages/node/tests/relay/node_presence_test.ts
@@ -31,6 +31,7 @@
     knowledge,
     serving,
     engines: () => [],
+    accounts: () => [],
     exchangePeriodMilliseconds: () => 300,
     limits: () => [],
   });
--- a/packages/node/tests/relay/peer_table_test.ts
+++ b/packages/node/tests/relay/peer_table_test.ts
@@ -40,7 +40,9 @@
   };
   peers.applyDigest(
     instant(0),
-    nodeDigest("n1", { engineStates: { engines: [engine], sequence: 1 } }),
+    nodeDigest("n1", {
+      engineStates: { accounts: [], engines: [engine], sequence: 1 },
+    }),
   );
   const find = (now: number, owner: string) =>
     peers.findEngine(instant(now), backendServerId("e1"), nodeId(owner));
@@ -66,7 +68,11 @@
   t.is(peers.alive(instant(1_200))[0]?.incarnation, "run-1");
 });
 
-const engineStates = (sequence: number) => ({ engines: [], sequence });
+const engineStates = (sequence: number) => ({
+  engines: [],
+  accounts: [],
+  sequence,
+});
 
 /** Lists the news after a change count: nodes and their engine sequences. */
 function newsSince(peers: PeerTable, cursor: number, wantsEngines = true) {
--- a/packages/node/tests/relay/request_placer_test.ts
+++ b/packages/node/tests/relay/request_placer_test.ts
@@ -100,6 +100,7 @@
   });
   const digest = nodeDigest(OWNER, {
     engineStates: {
+      accounts: [],
       sequence: 1,
       engines: [{
         engine: ENGINE,
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -52,6 +52,7 @@
   type WishList,
 } from "./generated/loads.ts";
 export {
+  type AccountUse,
   type AdapterGrant,
   type AdapterUse,
   type EngineDigest,
