--- a/packages/node/src/relay/accounts/account_access.ts
+++ b/packages/node/src/relay/accounts/account_access.ts
@@ -19,10 +19,7 @@
 
 /** The dependencies of {@link AccountAccess}. */
 export interface AccountAccessParts {
-  readonly knowledge: Pick<
-    Knowledge,
-    "routes" | "configurationAge" | "proofClock"
-  >;
+  readonly knowledge: Pick<Knowledge, "routes" | "proofs">;
   /** Returns how long a revoked key may be used, if that is limited. */
   readonly revocationTime: () => Duration | undefined;
   /** Asks peers and the log for a proof of the newest configuration. */
@@ -56,15 +53,15 @@
    * @returns The decision.
    */
   async decide(request: AccessRequest): Promise<RequestAccess> {
-    const { knowledge: { proofClock }, requestProof } = this.#parts;
+    const { knowledge: { proofs }, requestProof } = this.#parts;
     const first = this.#decideNow(request);
     if (first.kind !== "stale") return first;
     requestProof();
-    const end = later(proofClock.now(), PROOF_WAIT);
+    const end = later(proofs.now, PROOF_WAIT);
     for (;;) {
       await sleep(PROOF_POLL_MILLISECONDS);
       const access = this.#decideNow(request);
-      if (access.kind !== "stale" || elapsed(proofClock.now(), end) <= 0) {
+      if (access.kind !== "stale" || elapsed(proofs.now, end) <= 0) {
         return access;
       }
     }
@@ -90,7 +87,7 @@
       accounts: knowledge.routes?.accounts,
       isAnonymous: route.isAnonymous ?? false,
       key: caller.key,
-      configurationAge: knowledge.configurationAge,
+      configurationAge: knowledge.proofs.age,
       revocationTime: revocationTime(),
     });
   }
--- a/packages/node/src/relay/front_server.ts
+++ b/packages/node/src/relay/front_server.ts
@@ -1,11 +1,7 @@
 import {
   chooseTarget,
-  type ClientAccount,
-  type Duration,
   later,
   milliseconds,
-  RELAY_SENTENCE,
-  type RequestAccess,
   type Route,
   type RouteTable,
 } from "@foxtailwind/core";
@@ -19,34 +15,24 @@
 } from "node:timers/promises";
 import { schemalessFastify } from "../http/schemaless_fastify.ts";
 import type { SocketAddress } from "../settings/settings.ts";
-import { type NodeRefusal, writeRefusal } from "./caller_answer.ts";
 import { CallerConnections } from "./caller_connections.ts";
 import type { CallerRequest } from "./caller_wire.ts";
+import {
+  type CallerExchange,
+  type EarlyRefusal,
+  EarlyRefusals,
+} from "./early_refusals.ts";
 import { requestTimeLimit } from "./routed_request.ts";
 import type { RelayParts } from "./relay_parts.ts";
 import { RequestRelay } from "./request_relay.ts";
 import { isAcceptedWhileStopping } from "./relay_stop.ts";
 import { readBody } from "./request_body.ts";
 import { RequestContent } from "./request_content.ts";
-import { roundOptional } from "./round_optional.ts";
 
-const BAD_REQUEST = 400;
-const UNAUTHORIZED = 401;
-const NOT_FOUND = 404;
-const TOO_LARGE = 413;
-const TOO_MANY_REQUESTS = 429;
-const HEADERS_TOO_LARGE = 431;
-const UNAVAILABLE = 503;
-/**
- * Sent as `Retry-After` while the node has no configuration or accepts no more
- * requests, in seconds.
- */
-const RETRY_AFTER_SECONDS = 0.5;
 /** Exceeds the largest header limit that a configuration may set. */
 const MAXIMUM_HEADER_BYTES = 128 * 1_024;
 /** How long a request waits for a starting node's first configuration. */
 const CONFIGURATION_WAIT = milliseconds(400);
-const MILLISECONDS_PER_SECOND = 1_000;
 const CONFIGURATION_POLL_MILLISECONDS = 10;
 /**
  * How long the first request to a standby node waits until the node has read
@@ -60,18 +46,26 @@
 const IDLE_MARGIN_MILLISECONDS = 1_000;
 const CONNECTION_CHECK_MILLISECONDS = 1_000;
 
+/** The codes of the refusals of requests whose access is not granted. */
+const REFUSED_ACCESS_CODE = {
+  unknown_key: "unknown_key",
+  stale: "stale_configuration",
+} as const;
+
 /** The HTTP server that accepts callers' requests and relays them. */
 export class FrontServer {
   readonly #parts: RelayParts;
   readonly #fastify: FastifyInstance;
   readonly #connections = new CallerConnections();
   readonly #requests = new Set<RequestRelay>();
+  readonly #refusals: EarlyRefusals;
   /** Aborted once no request is accepted or waited for any more. */
   readonly #shutdown = new AbortController();
 
   /** @param parts The collaborators. */
   constructor(parts: RelayParts) {
     this.#parts = parts;
+    this.#refusals = new EarlyRefusals(parts);
     // Each request that waits for the first configuration adds a listener.
     setMaxListeners(0, this.#shutdown.signal);
     this.#fastify = schemalessFastify({
@@ -163,6 +157,7 @@
     caughtUp: Promise<void> | undefined,
   ): Promise<void> {
     const { knowledge, wire, clock, plannedStop } = this.#parts;
+    const exchange = { message, response };
     const arrivedAt = clock.now();
     if (caughtUp !== undefined) {
       await Promise.race([caughtUp, sleep(CATCH_UP_WAIT_MILLISECONDS)]);
@@ -173,31 +168,24 @@
     const routes = knowledge.routes ?? await this.#awaitConfiguration();
     if (hasLeft(response)) return;
     if (routes === undefined) {
-      this.#refuse(message, response, UNAVAILABLE, {
-        code: "no_configuration",
-      });
+      this.#refuse(exchange, { code: "no_configuration" });
       return;
     }
     const { limits } = routes.configuration;
     if (countHeaderBytes(message) > limits.headerBytes) {
-      this.#refuse(message, response, HEADERS_TOO_LARGE, {
-        code: "headers_too_large",
-      });
+      this.#refuse(exchange, { code: "headers_too_large" });
       return;
     }
     const caller = wire.readRequest(message.headers);
     if (caller.isErr()) {
-      this.#refuse(message, response, BAD_REQUEST, { code: caller.error });
+      this.#refuse(exchange, { code: caller.error });
       return;
     }
     const route = routes.find(message.headers.host ?? "", message.url ?? "/");
     const target = route && chooseTarget(route, Math.random());
     const service = target && routes.service(target);
     if (route === undefined || service === undefined) {
-      this.#refuse(message, response, NOT_FOUND, {
-        code: "no_route",
-        caller: caller.value,
-      });
+      this.#refuse(exchange, { code: "no_route", caller: caller.value });
       return;
     }
     const access = await this.#parts.access.decide({
@@ -206,13 +194,16 @@
     });
     if (hasLeft(response)) return;
     if (access.kind !== "granted") {
-      this.#refuseAccess(message, response, access.kind, caller.value);
+      this.#refuse(exchange, {
+        code: REFUSED_ACCESS_CODE[access.kind],
+        caller: caller.value,
+      });
       return;
     }
     const { account } = access;
     const body = await readBody(message, limits.bodyBytes);
     if (body.kind === "too_large") {
-      this.#refuse(message, response, TOO_LARGE, {
+      this.#refuse(exchange, {
         code: "body_too_large",
         caller: caller.value,
       });
@@ -222,7 +213,7 @@
     if (
       this.#shutdown.signal.aborted || !this.#isAccepted(route, caller.value)
     ) {
-      this.#refuse(message, response, UNAVAILABLE, {
+      this.#refuse(exchange, {
         code: "stopping",
         caller: caller.value,
         account,
@@ -231,7 +222,7 @@
     }
     const admission = this.#parts.quotas.tryTake(account, caller.value.tokens);
     if (admission.kind === "refused") {
-      this.#refuse(message, response, TOO_MANY_REQUESTS, {
+      this.#refuse(exchange, {
         code: "over_quota",
         caller: caller.value,
         account,
@@ -277,72 +268,12 @@
     return knowledge.routes;
   }
 
-  #refuseAccess(
-    message: IncomingMessage,
-    response: ServerResponse,
-    reason: Exclude<RequestAccess["kind"], "granted">,
-    caller: CallerRequest,
-  ): void {
-    if (reason === "unknown_key") {
-      this.#refuse(message, response, UNAUTHORIZED, { code: reason, caller });
-    } else {
-      this.#refuse(message, response, UNAVAILABLE, {
-        code: "stale_configuration",
-        caller,
-      });
-    }
-  }
-
-  #refuse(
-    message: IncomingMessage,
-    response: ServerResponse,
-    status: number,
-    { code, caller, account, retryAfter }: EarlyRefusal,
-  ): void {
-    const { knowledge, logger, recordRefusal } = this.#parts;
-    recordRefusal(code, account);
-    const revoked = caller?.key && knowledge.revokedKeys.find(caller.key);
-    logger.info(RELAY_SENTENCE.requestRefused, {
-      ...(caller === undefined ? {} : { request: caller.id }),
-      account: account?.id ?? revoked?.account,
-      revoked_in: revoked?.version,
-      status,
-      refusal: code,
-      path: message.url,
-      configuration: knowledge.routes?.configuration.version,
-      retry_after: roundOptional(retryAfter),
-      configuration_age: roundOptional(knowledge.configurationAge),
+  #refuse(exchange: CallerExchange, refusal: EarlyRefusal): void {
+    this.#refusals.refuse(exchange, {
+      ...refusal,
+      closesConnection: this.#shutdown.signal.aborted,
     });
-    if (!message.complete || this.#shutdown.signal.aborted) {
-      response.setHeader("connection", "close");
-    }
-    writeRefusal(response, status, {
-      code,
-      ...retryAfterOf(status, retryAfter),
-    });
-  }
-}
-
-/** Why a request is refused before it is relayed, and whose it is. */
-interface EarlyRefusal {
-  readonly code: string;
-  readonly caller?: CallerRequest;
-  readonly account?: ClientAccount | undefined;
-  /** When the request is expected to be admitted, if known. */
-  readonly retryAfter?: Duration;
-}
-
-/** Returns when a refused caller may come back, if it may at all. */
-function retryAfterOf(
-  status: number,
-  retryAfter: Duration | undefined,
-): Pick<NodeRefusal, "retryAfterSeconds"> {
-  if (retryAfter !== undefined) {
-    return { retryAfterSeconds: retryAfter / MILLISECONDS_PER_SECOND };
   }
-  return status === UNAVAILABLE
-    ? { retryAfterSeconds: RETRY_AFTER_SECONDS }
-    : {};
 }
 
 function countHeaderBytes(message: IncomingMessage): number {
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -2,9 +2,7 @@
   type AdapterId,
   AdapterVersions,
   type BackendServerId,
-  ConfigurationFreshness,
   type CrashSuspicion,
-  type Duration,
   EngineClaims,
   type Failure,
   type FencingNumber,
@@ -26,8 +24,11 @@
 } from "@foxtailwind/core";
 import type { NodeDigest } from "@foxtailwind/protocol";
 import type { SteadyClock } from "../clock/steady_clock.ts";
-import { SuspensionAwareClock } from "../clock/suspension_aware_clock.ts";
 import type { ComponentLogger } from "../logging/component_logger.ts";
+import {
+  ConfigurationProofs,
+  type PeerProof,
+} from "./accounts/configuration_proofs.ts";
 import { PeerTable } from "./peer_table.ts";
 import { logRestart, logServerChange } from "./registry_logging.ts";
 import type { RelaySettings } from "./relay_settings.ts";
@@ -62,14 +63,6 @@
   readonly logger: ComponentLogger;
 }
 
-/** A peer's statement of how recently it had the newest configuration. */
-export interface PeerProof {
-  /** The age of its own proof, or undefined if it has none. */
-  readonly age: Duration | undefined;
-  /** The offset up to which it has the operators' records. */
-  readonly end: number;
-}
-
 /** The part of {@link ServingNodes} that {@link Knowledge} uses. */
 export type ServingView = Pick<
   ServingNodes,
@@ -92,10 +85,8 @@
   /** Counts of the calls and checks that keep nodes informed. */
   readonly workCounts = new WorkCounts();
   readonly claims: EngineClaims;
-  /** The clock by which proofs of the newest configuration age. */
-  readonly proofClock: SteadyClock;
+  readonly proofs: ConfigurationProofs;
   readonly revokedKeys = new RevokedKeys();
-  readonly #freshness = new ConfigurationFreshness();
   readonly #parts: KnowledgeParts;
   #routes: RouteTable | undefined;
   #operatorsEnd = logOffset(0);
@@ -114,7 +105,7 @@
   constructor(parts: KnowledgeParts) {
     super();
     this.#parts = parts;
-    this.proofClock = new SuspensionAwareClock(parts.clock);
+    this.proofs = new ConfigurationProofs(parts.clock);
     this.suspicionTracker = new SuspicionTracker(parts);
     const { settings, incarnation } = parts;
     this.claims = new EngineClaims(
@@ -134,22 +125,12 @@
   }
 
   /**
-   * How long ago this node certainly had the newest configuration, or undefined
-   * if it never had.
-   */
-  get configurationAge(): Duration | undefined {
-    return this.#freshness.age(this.proofClock.now());
-  }
-
-  /**
-   * Applies a peer's proof that it has the newest configuration. It proves
-   * nothing about this node if the peer has more of the operators' records.
-   * @param askedAt When this node asked the peer, by the proof clock.
-   * @param proof The age of the peer's proof and the end of its records.
+   * Applies a peer's proof that it has the newest configuration.
+   * @param askedAt When this node asked the peer.
+   * @param proof The proof.
    */
   applyPeerProof(askedAt: Instant, proof: PeerProof): void {
-    if (proof.age === undefined || proof.end > this.#operatorsEnd) return;
-    this.#freshness.recordPeerProof(askedAt, proof.age);
+    this.proofs.recordPeerProof(askedAt, proof, this.#operatorsEnd);
   }
 
   /**
@@ -239,11 +220,11 @@
   }
 
   override beginRead(): Instant {
-    return this.proofClock.now();
+    return this.proofs.now;
   }
 
   override operatorsRead(begunAt: Instant): void {
-    this.#freshness.recordRead(begunAt);
+    this.proofs.recordRead(begunAt);
   }
 
   override registryEntry(entry: RegistryEntry): void {
--- a/packages/node/src/relay/knowledge_fetcher.ts
+++ b/packages/node/src/relay/knowledge_fetcher.ts
@@ -101,7 +101,7 @@
   #fetchFrom(peer: NodeDigest, onEnd: () => void): void {
     const { knowledge, logger, client } = this.#parts;
     knowledge.workCounts.increment("knowledge_asked");
-    const askedAt = knowledge.proofClock.now();
+    const askedAt = knowledge.proofs.now;
     client(peer.address).fetchKnowledge(
       {
         configurationVersion: knowledge.routes?.configuration.version ?? 0,
--- a/packages/node/src/relay/knowledge_message.ts
+++ b/packages/node/src/relay/knowledge_message.ts
@@ -49,7 +49,7 @@
     versions: JSON.stringify(knowledge.versions.entries),
     operatorsEnd: knowledge.operatorsEnd,
     registryEnd: registry.changedAt,
-    ...encodeProofAge(knowledge.configurationAge),
+    ...encodeProofAge(knowledge.proofs.age),
   };
 }
 
--- a/packages/node/src/relay/peer_exchange.ts
+++ b/packages/node/src/relay/peer_exchange.ts
@@ -176,7 +176,7 @@
     this.#pending.add(address);
     this.#parts.knowledge.workCounts.increment("exchange_asked");
     const partner = this.#partnerAt(address);
-    const askedAt = this.#parts.knowledge.proofClock.now();
+    const askedAt = this.#parts.knowledge.proofs.now;
     this.#client(address).exchange(
       partner.nextQuestion(own, scope),
       new Metadata(),
@@ -230,7 +230,7 @@
     }
     return {
       ...answerExchange(now, knowledge.peers, this.#parts.digest(), question),
-      ...encodeProofAge(knowledge.configurationAge),
+      ...encodeProofAge(knowledge.proofs.age),
     };
   }
 
--- a/packages/node/tests/relay/accounts/account_access_test.ts
+++ b/packages/node/tests/relay/accounts/account_access_test.ts
@@ -218,7 +218,7 @@
   const { world } = await startWorld(t);
   world.revocationTime = milliseconds(200);
   world.requestProof = () => {
-    const askedAt = world.knowledge.proofClock.now();
+    const askedAt = world.knowledge.proofs.now;
     setTimeout(() => {
       world.knowledge.applyPeerProof(askedAt, {
         age: milliseconds(1),
@@ -232,13 +232,13 @@
 
 test("a peer that has more records proves nothing about this node", (t) => {
   const { knowledge } = new RelayWorld();
-  const before = knowledge.configurationAge ?? milliseconds(Infinity);
-  const askedAt = knowledge.proofClock.now();
+  const before = knowledge.proofs.age ?? milliseconds(Infinity);
+  const askedAt = knowledge.proofs.now;
   knowledge.applyPeerProof(askedAt, {
     age: milliseconds(0),
     end: knowledge.operatorsEnd + 1,
   });
-  const after = knowledge.configurationAge ?? milliseconds(Infinity);
+  const after = knowledge.proofs.age ?? milliseconds(Infinity);
   t.true(after >= before);
 });
 
