Accounts: requests renew an old proof of the configuration

Change: a request at a node whose proof is older than half of the revocation time asks the hub and the log for a newer one, twice a second at most, and doesn't wait for it. A test names it.

Checks run: tsc, eslint, account_access_test (14).

--- a/packages/node/src/relay/accounts/account_access.ts
+++ b/packages/node/src/relay/accounts/account_access.ts
@@ -3,6 +3,7 @@
   decideAccess,
   type Duration,
   elapsed,
+  type Instant,
   later,
   milliseconds,
   type RequestAccess,
@@ -16,6 +17,14 @@
 /** How long a request waits for a proof of the newest configuration. */
 const PROOF_WAIT = milliseconds(300);
 const PROOF_POLL_MILLISECONDS = 10;
+/**
+ * The age of a proof, as a share of the revocation time, from which on a request
+ * asks for a newer one without waiting for it. Nodes that inform others may have
+ * been turned away by the log, and it takes them a while to be replaced.
+ */
+const RENEWAL_AGE = 0.5;
+/** The interval between two such questions. */
+const RENEWAL_INTERVAL = milliseconds(500);
 
 /** The dependencies of {@link AccountAccess}. */
 export interface AccountAccessParts {
@@ -40,6 +49,7 @@
 /** Checks requests' API keys against the configuration in force. */
 export class AccountAccess {
   readonly #parts: AccountAccessParts;
+  #renewedAt: Instant | undefined;
 
   /** @param parts The dependencies. */
   constructor(parts: AccountAccessParts) {
@@ -55,6 +65,7 @@
   async decide(request: AccessRequest): Promise<RequestAccess> {
     const { knowledge: { proofs }, requestProof } = this.#parts;
     const first = this.#decideNow(request);
+    this.#renewProof();
     if (first.kind !== "stale") return first;
     requestProof();
     const end = later(proofs.now, PROOF_WAIT);
@@ -81,6 +92,20 @@
     return isSameAccount ? undefined : "stale_configuration";
   }
 
+  /** Asks for a newer proof if the present one is old. */
+  #renewProof(): void {
+    const { knowledge: { proofs, routes }, requestProof } = this.#parts;
+    const revocationTime = this.#parts.revocationTime();
+    if (revocationTime === undefined || routes?.accounts === undefined) return;
+    const { age, now } = proofs;
+    if (age !== undefined && age < revocationTime * RENEWAL_AGE) return;
+    const isDue = this.#renewedAt === undefined ||
+      elapsed(this.#renewedAt, now) >= RENEWAL_INTERVAL;
+    if (!isDue) return;
+    this.#renewedAt = now;
+    requestProof();
+  }
+
   #decideNow({ route, caller }: AccessRequest): RequestAccess {
     const { knowledge, revocationTime } = this.#parts;
     return decideAccess({
--- a/packages/node/tests/relay/accounts/account_access_test.ts
+++ b/packages/node/tests/relay/accounts/account_access_test.ts
@@ -211,7 +211,23 @@
   t.true(clock.now() - before < 1_000);
   t.is((await callWith(world, "/once/a", "unknown")).status, 503);
   t.is(received.length, 0);
-  t.is(proofsRequested, 2);
+  t.is(proofsRequested, 3);
+});
+
+test("requests ask for a newer proof before the present one is too old, and are served meanwhile", async (t) => {
+  const { world } = await startWorld(t);
+  world.revocationTime = milliseconds(1_000);
+  let proofsRequested = 0;
+  world.requestProof = () => {
+    proofsRequested += 1;
+  };
+  t.is((await callWith(world, "/once/a", KEY)).status, 200);
+  t.is(proofsRequested, 0);
+  await sleep(550);
+  for (let index = 0; index < 3; index += 1) {
+    t.is((await callWith(world, "/once/a", KEY)).status, 200);
+  }
+  t.is(proofsRequested, 1);
 });
 
 test("a request at a node without a recent proof is served once a peer proves its records", async (t) => {
