Accounts: values that don't fit a message no longer end the node

What callers saw: nothing yet; found by reading. A caller with a valid key that states ten times 1,999,999,998 tokens within two seconds raised the demand that its node reports beyond a uint32, and the encoder throws in the exchange with peers, which ends the process.

A comment in early_refusals says what it meant.

One fixture of account_quotas_test moved into a function, with the same values.

--- a/packages/node/src/relay/accounts/account_quotas.ts
+++ b/packages/node/src/relay/accounts/account_quotas.ts
@@ -20,6 +20,8 @@
 const REFRESH_INTERVAL = milliseconds(250);
 /** The shortest time after which a refused caller is asked to come back. */
 const MINIMUM_RETRY_MILLISECONDS = 100;
+/** The largest demand that the field of a message holds. */
+const MAXIMUM_DEMAND = 2 ** 32 - 1;
 /** Retry times are rounded up to this unit. */
 const RETRY_UNIT_MILLISECONDS = 10;
 
@@ -66,10 +68,10 @@
     const now = this.#parts.clock.now();
     return [...this.#meters].flatMap(([account, meter]) => {
       const { admitted, demand } = meter.use(now);
-      const rounded = Math.round(demand);
+      const rounded = Math.min(MAXIMUM_DEMAND, Math.round(demand));
       return rounded === 0
         ? []
-        : [{ account, admitted: Math.round(admitted), demand: rounded }];
+        : [{ account, admitted: encodeAdmitted(admitted), demand: rounded }];
     });
   }
 
@@ -150,6 +152,14 @@
   }
 }
 
+/**
+ * Fits a count into a message. It is below zero after a refund to an account
+ * that was removed and added again meanwhile.
+ */
+function encodeAdmitted(admitted: number): number {
+  return Math.min(Number.MAX_SAFE_INTEGER, Math.max(0, Math.round(admitted)));
+}
+
 function roundRetry(wait: Duration): Duration {
   const rounded = Math.ceil(wait / RETRY_UNIT_MILLISECONDS) *
     RETRY_UNIT_MILLISECONDS;
--- a/packages/node/src/relay/early_refusals.ts
+++ b/packages/node/src/relay/early_refusals.ts
@@ -11,7 +11,7 @@
 
 const BAD_REQUEST = 400;
 const UNAVAILABLE = 503;
-/** The status of each refusal; headers that can't be read get another one. */
+/** The status of each refusal; the codes of invalid headers are not listed. */
 const STATUS_BY_CODE: ReadonlyMap<string, number> = new Map([
   ["unknown_key", 401],
   ["no_route", 404],
--- a/packages/node/src/relay/mod.ts
+++ b/packages/node/src/relay/mod.ts
@@ -13,6 +13,7 @@
 export * from "./accounts/account_access.ts";
 export * from "./accounts/account_quotas.ts";
 export * from "./accounts/digest_api_key.ts";
+export * from "./accounts/proof_age.ts";
 export * from "./bounded_writer.ts";
 export * from "./caller_answer.ts";
 export * from "./caller_wire.ts";
--- a/packages/node/tests/relay/accounts/account_quotas_test.ts
+++ b/packages/node/tests/relay/accounts/account_quotas_test.ts
@@ -1,9 +1,15 @@
-import { clientAccountId, milliseconds } from "@foxtailwind/core";
+import {
+  type ClientAccount,
+  clientAccountId,
+  milliseconds,
+  type RelayConfiguration,
+} from "@foxtailwind/core";
 import {
   AccountQuotas,
   digestApiKey,
   ProcessClock,
 } from "@foxtailwind/node/relay";
+import { EngineStates } from "@foxtailwind/protocol";
 import test, { type ExecutionContext } from "ava";
 import { createRelayBase } from "../helpers/relay_base.ts";
 import { nodeDigest } from "../helpers/node_digest.ts";
@@ -15,6 +21,21 @@
   quota: { unit: "tokens", rate: 1_000, burst: 1_000, plainTokens: 200 },
 } as const;
 
+function configurationWith(account: ClientAccount): RelayConfiguration {
+  return {
+    version: 1,
+    routes: [],
+    services: [],
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTime: milliseconds(1),
+      idleTime: milliseconds(1),
+    },
+    accounts: [account],
+  };
+}
+
 async function startWorld(t: ExecutionContext) {
   const world = new RelayWorld();
   world.configure([ACCOUNT]);
@@ -55,18 +76,7 @@
 
 test("peers' reports of an account's use count against its quota here", (t) => {
   const { knowledge } = createRelayBase({ part: "callers" });
-  knowledge.configuration({
-    version: 1,
-    routes: [],
-    services: [],
-    limits: {
-      headerBytes: 1,
-      bodyBytes: 1,
-      headerTime: milliseconds(1),
-      idleTime: milliseconds(1),
-    },
-    accounts: [ACCOUNT],
-  });
+  knowledge.configuration(configurationWith(ACCOUNT));
   const clock = new ProcessClock();
   const quotas = new AccountQuotas({
     knowledge,
@@ -97,3 +107,29 @@
   t.is(quotas.tryTake(ACCOUNT, 100).kind, "refused");
   t.is(quotas.ownUses[0]?.admitted, 2);
 });
+
+test("uses of any size, and refunds to an account that was removed meanwhile, fit into a message", (t) => {
+  const { knowledge } = createRelayBase({ part: "callers" });
+  knowledge.configuration(configurationWith(ACCOUNT));
+  const quota = { ...ACCOUNT.quota, rate: 1e15, burst: 1e15 };
+  const account = { ...ACCOUNT, quota };
+  const quotas = new AccountQuotas({
+    knowledge,
+    clock: new ProcessClock(),
+    slack: 0,
+    countNodes: () => 1,
+  });
+  for (let index = 0; index < 10; index += 1) {
+    quotas.tryTake(account, 1_999_999_998);
+  }
+  const encode = () =>
+    EngineStates.encode({
+      engines: [],
+      accounts: [...quotas.ownUses],
+      sequence: 1,
+    }).finish();
+  t.notThrows(encode);
+  quotas.refund({ account, quotaCost: 1e12 });
+  t.notThrows(encode);
+  t.is(quotas.ownUses.length, 1);
+});
