--- a/packages/node/src/relay/backend_call.ts
+++ b/packages/node/src/relay/backend_call.ts
@@ -16,6 +16,15 @@
   /** Abort the connection: the answer doesn't belong to this request. */
   | "cut";
 
+/** How far a call had come when it broke. */
+export type CallStage =
+  /** Nothing of the request was sent. */
+  | "unsent"
+  /** It was sent, and may not have reached the server yet. */
+  | "unanswered"
+  /** The head of the answer had arrived. */
+  | "answering";
+
 /** How a call ended. */
 export type CallEnd =
   /** The complete answer arrived. */
@@ -25,7 +34,7 @@
     readonly kind: "broken";
     /** Whether bytes of the request may have reached the server. */
     readonly wasSent: boolean;
-    readonly hadHead: boolean;
+    readonly stage: CallStage;
     /** Whether the server's side closed or reset the connection. */
     readonly isConnectionLost: boolean;
     readonly detail: string;
@@ -172,11 +181,16 @@
     }
   }
 
+  get #stage(): CallStage {
+    if (!this.#wasSent) return "unsent";
+    return this.#hadHead ? "answering" : "unanswered";
+  }
+
   #endBroken(detail: string, isConnectionLost = false): void {
     this.#resolveEnd({
       kind: "broken",
       wasSent: this.#wasSent,
-      hadHead: this.#hadHead,
+      stage: this.#stage,
       isConnectionLost,
       detail,
     });
--- a/packages/node/src/relay/request_end.ts
+++ b/packages/node/src/relay/request_end.ts
@@ -1,6 +1,7 @@
 import type { BackendServerId, Duration } from "@foxtailwind/core";
 import type { LogFields } from "../logging/component_logger.ts";
 import type { AnswerFraming } from "./answer_framing.ts";
+import type { CallStage } from "./backend_call.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import type { PlacementAnswer } from "./request_placer.ts";
 import { roundOptional } from "./round_optional.ts";
@@ -17,6 +18,8 @@
   readonly framing: AnswerFraming | undefined;
   /** Why the last call to a server broke, if it did. */
   readonly callFailure: string | undefined;
+  /** How far that call had come. */
+  readonly callStage: CallStage | undefined;
   /** Time from the last answer's first bytes to the end of a broken call. */
   readonly bodyDuration: Duration | undefined;
   /** The engines that were asked for a place, and their answers. */
@@ -58,6 +61,7 @@
     runs: end.possibleRuns,
     framing: end.framing,
     broke: end.callFailure,
+    broke_at: end.callStage,
     content: includesDigest(end) ? content.digest : undefined,
     ran_for: roundOptional(end.bodyDuration),
     asked: placeAnswers === "" ? undefined : placeAnswers,
--- a/packages/node/src/relay/request_relay.ts
+++ b/packages/node/src/relay/request_relay.ts
@@ -9,7 +9,7 @@
 } from "@foxtailwind/core";
 import { afterPendingInput } from "@foxtailwind/edges";
 import { AnswerForwarder } from "./answer_forwarder.ts";
-import type { CallEnd } from "./backend_call.ts";
+import type { CallEnd, CallStage } from "./backend_call.ts";
 import { PlacementFinder } from "./placement_finder.ts";
 import {
   mayRunAgain,
@@ -38,6 +38,7 @@
   readonly #sender: RequestSender;
   #outcome = "";
   #callFailure: string | undefined;
+  #callStage: CallStage | undefined;
   #bodyDuration: Duration | undefined;
   #placementTime: Duration | undefined;
   #timer: NodeJS.Timeout | undefined;
@@ -142,6 +143,7 @@
     const end = await this.#sender.send(place);
     place.release();
     this.#callFailure = end.kind === "broken" ? end.detail : undefined;
+    this.#callStage = end.kind === "broken" ? end.stage : undefined;
     this.#bodyDuration = end.kind === "broken"
       ? this.#answer.bodyDuration(this.#now())
       : undefined;
@@ -318,6 +320,7 @@
         possibleRuns: this.#sendRecord.possibleRuns,
         framing: this.#answer.framing,
         callFailure: this.#callFailure,
+        callStage: this.#callStage,
         bodyDuration: this.#bodyDuration,
         placeAnswers: this.#finder.askedEngines,
         limitWait: this.#finder.retryAfter,
