--- a/packages/core/src/relay/mod.ts
+++ b/packages/core/src/relay/mod.ts
@@ -22,6 +22,7 @@
 export * from "./request_urgency.ts";
 export * from "./node_retry_budget.ts";
 export * from "./route_table.ts";
+export * from "./send_obstacle.ts";
 export * from "./server_load.ts";
 export * from "./recent_keys.ts";
 export * from "./recent_refusals.ts";
--- a/packages/node/src/relay/backend_call.ts
+++ b/packages/node/src/relay/backend_call.ts
@@ -34,6 +34,8 @@
     readonly kind: "broken";
     /** Whether bytes of the request may have reached the server. */
     readonly wasSent: boolean;
+    /** Why the request was not written to the connection that it got, if so. */
+    readonly obstacle: string | undefined;
     readonly stage: CallStage;
     /** Whether the server's side closed or reset the connection. */
     readonly isConnectionLost: boolean;
@@ -48,10 +50,10 @@
   readonly headers: string[];
   readonly body: Buffer | undefined;
   /**
-   * Checked when the request is written to a connection, which may be long
-   * after it was queued for one.
+   * Called when the request is written to a connection, which may be long after
+   * it was queued for one. Returns why it must not be sent any longer, if so.
    */
-  readonly isStillAllowed: () => boolean;
+  readonly findObstacle: () => string | undefined;
 }
 
 /** Handles an answer as it arrives. */
@@ -72,7 +74,8 @@
   #hadHead = false;
   #isBodyDropped = false;
   #wasSent = false;
-  #isStillAllowed: () => boolean = () => true;
+  #findObstacle: () => string | undefined = () => undefined;
+  #obstacle: string | undefined;
 
   /** @param handler Handles the answer. */
   constructor(handler: AnswerHandler) {
@@ -94,7 +97,7 @@
    */
   send(dispatcher: Dispatcher, request: OutgoingRequest): void {
     const { method, path, headers, body } = request;
-    this.#isStillAllowed = request.isStillAllowed;
+    this.#findObstacle = request.findObstacle;
     dispatcher.dispatch({
       method: method,
       path,
@@ -121,8 +124,9 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
-    if (!this.#isStillAllowed()) {
-      this.#abortReason ??= "The request is no longer allowed.";
+    if (this.#abortReason === undefined) {
+      this.#obstacle = this.#findObstacle();
+      this.#abortReason = this.#obstacle;
     }
     if (this.#abortReason !== undefined) {
       controller.abort(new Error(this.#abortReason));
@@ -190,6 +194,7 @@
     this.#resolveEnd({
       kind: "broken",
       wasSent: this.#wasSent,
+      obstacle: this.#obstacle,
       stage: this.#stage,
       isConnectionLost,
       detail,
--- a/packages/node/src/relay/request_sender.ts
+++ b/packages/node/src/relay/request_sender.ts
@@ -1,4 +1,5 @@
 import {
+  findSendObstacle,
   type Instant,
   milliseconds,
   type RegisteredServer,
@@ -85,8 +86,7 @@
       path: message.url ?? "/",
       headers,
       body,
-      isStillAllowed: () =>
-        this.#parts.access.findRefusal(this.#request) === undefined,
+      findObstacle: () => this.#findObstacle(),
     });
     const stopWatching = watchCall(call, {
       clock: this.#parts.clock,
@@ -120,6 +120,16 @@
     return end;
   }
 
+  /** Finds why the request must not be written to its connection. */
+  #findObstacle(): string | undefined {
+    const { response } = this.#request;
+    return this.#parts.access.findRefusal(this.#request) ??
+      findSendObstacle(this.#now(), {
+        hasCallerLeft: response.destroyed && !response.writableFinished,
+        deadline: this.#terms.deadline(),
+      });
+  }
+
   #sendHeaders({ server, adapterVersion }: Placement, now: Instant): string[] {
     const resumeAfter = this.#terms.answer.lastEventId;
     const { account } = this.#request;
@@ -148,6 +158,9 @@
   #classifyEnd(end: CallEnd): SendResult {
     const { abandonSignal } = this.#terms;
     const { answerKind, timeToFirstByte } = this.#terms.answer;
+    if (end.kind === "broken" && end.obstacle !== undefined) {
+      return { kind: "neutral" };
+    }
     if (answerKind === "not_run") {
       return { kind: this.#terms.answer.isMisdirected ? "neutral" : "full" };
     }
--- a/packages/node/tests/relay/accounts/account_access_test.ts
+++ b/packages/node/tests/relay/accounts/account_access_test.ts
@@ -155,7 +155,7 @@
     path: "/",
     headers: [],
     body: undefined,
-    isStillAllowed: () => isAllowed,
+    findObstacle: () => isAllowed ? undefined : "unknown_key",
   });
   isAllowed = false;
   let abortError: Error | undefined;
