--- a/packages/bench/src/relay/stand_in_wire.ts
+++ b/packages/bench/src/relay/stand_in_wire.ts
@@ -1,4 +1,10 @@
-import { adapterId, milliseconds, modelId, requestId } from "@foxtailwind/core";
+import {
+  adapterId,
+  milliseconds,
+  modelId,
+  requestId,
+  seconds,
+} from "@foxtailwind/core";
 import {
   type AnswerFacts,
   type CallerAddressQuery,
@@ -9,7 +15,7 @@
   type SendTerms,
 } from "@foxtailwind/node/relay";
 import { err, ok, type Result } from "neverthrow";
-import type { IncomingHttpHeaders } from "node:http";
+import type { IncomingHttpHeaders, ServerResponse } from "node:http";
 
 type Headers = Readonly<Record<string, string | string[] | undefined>>;
 
@@ -19,6 +25,35 @@
 /** Names the requests per second that a server accepts from all nodes. */
 export const REQUEST_LIMIT_HEADER = "x-limit";
 
+/** Present, as "1", in all answers of a server that leaves. */
+export const LEAVING_HEADER = "x-leaving";
+
+/** How long a server wants no requests from the node, in seconds. */
+export const RETRY_AFTER_HEADER = "x-retry-after";
+
+/** What a server states about further requests in all its answers. */
+export interface StandInNotice {
+  /** Whether it announces its departure. */
+  readonly isLeaving?: boolean;
+  /** It refuses requests and asks for this backoff, in seconds. */
+  readonly retryAfterSeconds?: number;
+}
+
+/**
+ * Sets the headers that state what a server wants of further requests.
+ * @param response The response.
+ * @param notice What it states.
+ */
+export function setNoticeHeaders(
+  response: ServerResponse,
+  { isLeaving, retryAfterSeconds }: StandInNotice,
+): void {
+  if (isLeaving === true) response.setHeader(LEAVING_HEADER, "1");
+  if (retryAfterSeconds !== undefined) {
+    response.setHeader(RETRY_AFTER_HEADER, String(retryAfterSeconds));
+  }
+}
+
 /** Headers about the client account, which servers get only from the relay. */
 const ACCOUNT_HEADERS: ReadonlySet<string> = new Set(["x-key", "x-account"]);
 
@@ -76,9 +111,14 @@
   override readAnswer(status: number, headers: Headers): AnswerFacts {
     const id = headers["x-id"];
     const limit = headers[REQUEST_LIMIT_HEADER];
+    const retryAfter = headers[RETRY_AFTER_HEADER];
     return {
       ...(typeof id === "string" ? { requestId: id } : {}),
       ...(typeof limit === "string" ? { requestLimit: Number(limit) } : {}),
+      ...(typeof retryAfter === "string"
+        ? { retryAfter: seconds(Number(retryAfter)) }
+        : {}),
+      isLeaving: headers[LEAVING_HEADER] === "1",
       isNotRun: headers["x-not-run"] !== undefined,
       isMisdirected: status === 421,
       hasSeal: headers["x-seal"] !== undefined,
--- a/packages/bench/src/soak/relay/faulty_wires.ts
+++ b/packages/bench/src/soak/relay/faulty_wires.ts
@@ -20,12 +20,23 @@
 /** Reads no answer's id. */
 export class ReadsNoIds extends SoakWire {
   override readAnswer(status: number, headers: Headers): AnswerFacts {
-    const { isNotRun: notRun, isMisdirected, hasSeal: isAttested } = super
-      .readAnswer(
-        status,
-        headers,
-      );
-    return { isNotRun: notRun, isMisdirected, hasSeal: isAttested };
+    const { requestId: _, ...facts } = super.readAnswer(status, headers);
+    return facts;
+  }
+}
+
+/** Reads no departure of a server. */
+export class ReadsNoDepartures extends SoakWire {
+  override readAnswer(status: number, headers: Headers): AnswerFacts {
+    return { ...super.readAnswer(status, headers), isLeaving: false };
+  }
+}
+
+/** Reads no backoff that a server asks for. */
+export class ReadsNoBackoffs extends SoakWire {
+  override readAnswer(status: number, headers: Headers): AnswerFacts {
+    const { retryAfter: _, ...facts } = super.readAnswer(status, headers);
+    return facts;
   }
 }
 
--- a/packages/node/src/relay/answer_forwarder.ts
+++ b/packages/node/src/relay/answer_forwarder.ts
@@ -144,9 +144,7 @@
       this.#answerKind = "foreign";
       return "cut";
     }
-    if (facts.requestLimit !== undefined || facts.hasSeal) {
-      this.#listener?.onRequestLimit(facts.requestLimit);
-    }
+    this.#listener?.onHead(head.status, facts);
     // Servers name the request that they refuse. A refusal that names none may
     // be a late repeat of an earlier one while this request runs.
     if (facts.isNotRun && facts.requestId !== undefined) {
--- a/packages/node/src/relay/answer_kind.ts
+++ b/packages/node/src/relay/answer_kind.ts
@@ -1,4 +1,5 @@
 import type { Instant } from "@foxtailwind/core";
+import type { AnswerFacts } from "./caller_wire.ts";
 
 /** What kind of answer a server has sent, as far as it has arrived. */
 export type AnswerKind =
@@ -17,9 +18,6 @@
 export interface AnswerListener {
   /** Called when bytes arrive. */
   readonly onBytes: (now: Instant) => void;
-  /**
-   * Called with the requests per second that the server accepts according to
-   * the head, or `undefined` if it states no limit.
-   */
-  readonly onRequestLimit: (limit: number | undefined) => void;
+  /** Called with the status and the facts of a head for this request. */
+  readonly onHead: (status: number, facts: AnswerFacts) => void;
 }
--- a/packages/node/src/relay/caller_wire.ts
+++ b/packages/node/src/relay/caller_wire.ts
@@ -63,6 +63,10 @@
   readonly isMisdirected: boolean;
   /** Requests per second that the server accepts from all nodes together. */
   readonly requestLimit?: number;
+  /** Whether the server announces that it leaves. */
+  readonly isLeaving: boolean;
+  /** How long the server wants no requests from this node, if stated. */
+  readonly retryAfter?: Duration;
   /** Whether it has the header that is required of successes with a body. */
   readonly hasSeal: boolean;
 }
--- a/packages/node/src/relay/request_sender.ts
+++ b/packages/node/src/relay/request_sender.ts
@@ -8,6 +8,7 @@
 } from "@foxtailwind/core";
 import type { AnswerForwarder } from "./answer_forwarder.ts";
 import { BackendCall, type CallEnd } from "./backend_call.ts";
+import type { AnswerFacts } from "./caller_wire.ts";
 import { watchCall } from "./call_watch.ts";
 import type { PlacementTerms } from "./placement_finder.ts";
 import {
@@ -70,8 +71,12 @@
       onBytes: (now) => {
         serverLoad.recordBytes(now);
       },
-      onRequestLimit: (limit) => {
-        this.#parts.limits.applyAnswer(server, sentAt, limit);
+      onHead: (status, facts) => {
+        const { requestLimit, hasSeal } = facts;
+        if (requestLimit !== undefined || hasSeal) {
+          this.#parts.limits.applyAnswer(server, sentAt, requestLimit);
+        }
+        this.#logNotice(server, status, facts);
       },
     });
     const call = new BackendCall(this.#terms.answer);
@@ -120,6 +125,23 @@
     return end;
   }
 
+  /** Logs what an answer states about further requests to its server. */
+  #logNotice(
+    { id, start }: RegisteredServer,
+    status: number,
+    { isLeaving, retryAfter }: AnswerFacts,
+  ): void {
+    if (!isLeaving && retryAfter === undefined) return;
+    this.#parts.logger.info("An answer limits further requests.", {
+      request: this.#request.caller.id,
+      server: id,
+      start,
+      status,
+      leaving: isLeaving,
+      retry_after: retryAfter,
+    });
+  }
+
   /** Finds why the request must not be written to its connection. */
   #findObstacle(): string | undefined {
     const { response } = this.#request;
