--- a/packages/bench/src/relay/stand_in_engine.ts
+++ b/packages/bench/src/relay/stand_in_engine.ts
@@ -20,9 +20,15 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { ScriptedOrderDelivery } from "./scripted_order_delivery.ts";
 import { StandInEngineState } from "./stand_in_engine_state.ts";
-import { REQUEST_LIMIT_HEADER, STAND_IN_MODEL } from "./stand_in_wire.ts";
+import {
+  REQUEST_LIMIT_HEADER,
+  setNoticeHeaders,
+  STAND_IN_MODEL,
+  type StandInNotice,
+} from "./stand_in_wire.ts";
 
 const MISDIRECTED = 421;
+const UNAVAILABLE = 503;
 /** The number of events in each stream. */
 const EVENTS_PER_STREAM = 5;
 /** The pause after each event of a stream. */
@@ -39,6 +45,8 @@
   crashPath: string | undefined;
   /** The requests per second that it allows, if its answers name a limit. */
   requestLimit: number | undefined;
+  /** What its answers state about further requests. */
+  notice: StandInNotice = {};
   /** Called when a request arrives. */
   onRequest: () => void = () => undefined;
   /** Called when a request with {@link crashPath} begins to run. */
@@ -87,6 +95,7 @@
    */
   restart(start: ServerStart): void {
     this.#isDown = false;
+    this.notice = {};
     this.adapters.restart(start);
     this.#server.closeAllConnections();
   }
@@ -109,6 +118,11 @@
     if (this.requestLimit !== undefined) {
       response.setHeader(REQUEST_LIMIT_HEADER, String(this.requestLimit));
     }
+    setNoticeHeaders(response, this.notice);
+    if (this.notice.retryAfterSeconds !== undefined) {
+      response.writeHead(UNAVAILABLE, { "x-not-run": "1" }).end();
+      return;
+    }
     if (!this.adapters.loadedAdapters.has(adapter)) {
       response.writeHead(MISDIRECTED, { "x-not-run": "1" }).end();
       return;
