--- a/packages/bench/src/soak/relay/answer_plan.ts
+++ b/packages/bench/src/soak/relay/answer_plan.ts
@@ -37,6 +37,8 @@
    * they are as soon as the connection's next request has come.
    */
   readonly repeatedAfter?: number | "next_request";
+  /** The backoff that a refusal asks for, in seconds. */
+  readonly retryAfter?: number;
 }
 
 const TROUBLE_SHARE = 0.35;
@@ -59,6 +61,10 @@
 const LATE_MILLISECONDS = 500;
 const LONGEST_REPEAT_MILLISECONDS = 60;
 const PIECES = 4;
+/** The share of refusals that ask for a backoff. */
+const BACKOFF_SHARE = 0.5;
+const BACKOFF_MILLISECONDS = { min: 700, max: 2_500 } as const;
+const MILLISECONDS_PER_SECOND = 1_000;
 
 /**
  * Decides what a server does with a send.
@@ -81,6 +87,7 @@
   const delay = draws.happens(0.05)
     ? draws.between(0, LATE_MILLISECONDS)
     : draws.between(0, 10);
+  const isRefusal = kind === "refuse" || kind === "refuse_unnamed";
   return {
     kind,
     framing: kind === "run" ? draws.pick(FRAMINGS) : "length",
@@ -88,9 +95,21 @@
     delay,
     piecesBefore: draws.between(0, PIECES),
     ...(isRepeated ? { repeatedAfter: drawRepeat(draws) } : {}),
+    ...(isRefusal ? drawBackoff(seed, `${request}/${sends}`) : {}),
   };
 }
 
+/** Drawn by itself, so that what else a seed decides stays as it is. */
+function drawBackoff(
+  seed: number,
+  send: string,
+): Pick<AnswerPlan, "retryAfter"> {
+  const draws = new Draws(seed, `backoff of ${send}`);
+  if (!draws.happens(BACKOFF_SHARE)) return {};
+  const { min, max } = BACKOFF_MILLISECONDS;
+  return { retryAfter: draws.between(min, max) / MILLISECONDS_PER_SECOND };
+}
+
 function drawRepeat(draws: Draws): number | "next_request" {
   return draws.happens(0.5)
     ? "next_request"
--- a/packages/bench/src/soak/relay/answer_writer.ts
+++ b/packages/bench/src/soak/relay/answer_writer.ts
@@ -10,6 +10,8 @@
   readonly pieces: readonly string[];
   /** Between two pieces, in milliseconds. */
   readonly pause: number;
+  /** Called when the head is written. */
+  readonly onHead: () => void;
 }
 
 /** How the writing of an answer ended. */
@@ -38,6 +40,7 @@
   const head = headOf(answer, plan);
   MID_ANSWER.add(socket);
   socket.write(head);
+  answer.onHead();
   const written: string[] = [head];
   const breaksAt = plan.break === "none" ? undefined : plan.piecesBefore;
   for (const [index, piece] of answer.pieces.entries()) {
--- a/packages/bench/src/soak/relay/faulty_wires.ts
+++ b/packages/bench/src/soak/relay/faulty_wires.ts
@@ -1,3 +1,4 @@
+import { milliseconds } from "@foxtailwind/core";
 import type {
   AnswerFacts,
   RelayWire,
@@ -20,8 +21,11 @@
 /** Reads no answer's id. */
 export class ReadsNoIds extends SoakWire {
   override readAnswer(status: number, headers: Headers): AnswerFacts {
-    const { requestId: _, ...facts } = super.readAnswer(status, headers);
-    return facts;
+    const { isNotRun, isMisdirected, isLeaving, hasSeal } = super.readAnswer(
+      status,
+      headers,
+    );
+    return { isNotRun, isMisdirected, isLeaving, hasSeal };
   }
 }
 
@@ -35,8 +39,8 @@
 /** Reads no backoff that a server asks for. */
 export class ReadsNoBackoffs extends SoakWire {
   override readAnswer(status: number, headers: Headers): AnswerFacts {
-    const { retryAfter: _, ...facts } = super.readAnswer(status, headers);
-    return facts;
+    const facts = super.readAnswer(status, headers);
+    return { ...facts, retryAfter: milliseconds(0) };
   }
 }
 
--- /dev/null
+++ b/packages/bench/src/soak/relay/notice_checks.ts
@@ -0,0 +1,110 @@
+import { traceCall } from "./call_trace.ts";
+import type { CallRecord, RelayRecord, SendRecord } from "./relay_record.ts";
+
+/**
+ * A caller's request that is sent this long after its node has received a
+ * server's departure must not reach that server.
+ */
+const DEPARTURE_MILLISECONDS = 1_000;
+/** Requests that are on their way when a backoff is asked for arrive by then. */
+const BACKOFF_GRACE_MILLISECONDS = 500;
+/** The requests that may reach a server during a backoff after the grace. */
+const MOST_IN_BACKOFF = 2;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** An answer that its node has received for sure, and when it was written. */
+interface ReceivedAnswer {
+  readonly send: SendRecord;
+  readonly call: CallRecord;
+  readonly at: number;
+}
+
+/**
+ * Checks that nodes respect what servers state about further requests in their
+ * answers. It holds for the node that received the answer, whatever the store
+ * says, and for the start of the server that gave it.
+ * @param record What callers and servers saw; takes what is broken.
+ */
+export function checkNotices(record: RelayRecord): void {
+  const calls = new Map(record.calls.map((call) => [call.id, call]));
+  const answers = record.sends.flatMap((send) => {
+    const call = calls.get(send.request);
+    return call === undefined ? [] : findReceived(record, send, call);
+  });
+  for (const answer of answers) {
+    const { isLeaving, retryAfter } = answer.send;
+    if (!isLeaving && retryAfter === undefined) continue;
+    const laterSends = record.sends.filter((send) =>
+      isSamePath(answer, send, calls.get(send.request)) && send.at > answer.at
+    );
+    if (isLeaving) checkDeparture(record, answer, laterSends, calls);
+    if (retryAfter !== undefined) checkBackoff(record, answer, laterSends);
+  }
+}
+
+/** A head is received for sure if the request goes on or ends after it. */
+function findReceived(
+  record: RelayRecord,
+  send: SendRecord,
+  call: CallRecord,
+): readonly ReceivedAnswer[] {
+  const at = send.headAt;
+  if (at === undefined || send.end !== "whole" || send.made === "foreign") {
+    return [];
+  }
+  const isReplaced = record.sendsOf(send.request).some((other) =>
+    other !== send && other.at > send.at && other.at < at
+  );
+  const { end } = call;
+  const isWaitedFor = end !== undefined && end.at >= at &&
+    end.isAbandoned !== true && call.node.cutAt === undefined;
+  return isReplaced || !isWaitedFor ? [] : [{ send, call, at }];
+}
+
+function isSamePath(
+  { send, call }: ReceivedAnswer,
+  other: SendRecord,
+  otherCall: CallRecord | undefined,
+): boolean {
+  return other.server === send.server && other.start === send.start &&
+    otherCall?.node === call.node;
+}
+
+function checkDeparture(
+  record: RelayRecord,
+  { send, at }: ReceivedAnswer,
+  laterSends: readonly SendRecord[],
+  calls: ReadonlyMap<string, CallRecord>,
+): void {
+  for (const other of laterSends) {
+    const call = calls.get(other.request);
+    if (call === undefined) continue;
+    const allowed = DEPARTURE_MILLISECONDS +
+      record.stalls.between(at, call.sentAt);
+    if (call.sentAt <= at + allowed) continue;
+    record.breaks(
+      "announced_departure_is_respected",
+      `${send.server} announced it to ${call.node.name} in ${send.request}, ${
+        Math.round(call.sentAt - at)
+      } ms before\n${traceCall(record, call)}`,
+    );
+  }
+}
+
+function checkBackoff(
+  record: RelayRecord,
+  { send, call, at }: ReceivedAnswer,
+  laterSends: readonly SendRecord[],
+): void {
+  const from = at + BACKOFF_GRACE_MILLISECONDS +
+    record.stalls.between(at, at + BACKOFF_GRACE_MILLISECONDS);
+  const to = at + (send.retryAfter ?? 0) * MILLISECONDS_PER_SECOND;
+  const early = laterSends.filter((other) => other.at > from && other.at < to);
+  if (early.length <= MOST_IN_BACKOFF) return;
+  record.breaks(
+    "backoff_is_respected",
+    `${send.server} got ${early.length} requests of ${call.node.name} in a backoff\n${
+      traceCall(record, call)
+    }`,
+  );
+}
--- a/packages/bench/src/soak/relay/relay_mutants.ts
+++ b/packages/bench/src/soak/relay/relay_mutants.ts
@@ -22,6 +22,8 @@
 import {
   BelievesAnyRefusal,
   NeedsNoSeal,
+  ReadsNoBackoffs,
+  ReadsNoDepartures,
   ReadsNoIds,
   ResumesFromTheBeginning,
   TakesFailuresForRefusals,
@@ -235,6 +237,16 @@
     invariants: ["leaving_server_gets_no_new_work"],
     made: new WithListener((next) => new HearsNoDepartures(next)),
   },
+  {
+    name: "disregard departures that answers announce",
+    invariants: ["announced_departure_is_respected"],
+    made: new WithWire(() => new ReadsNoDepartures()),
+  },
+  {
+    name: "disregard backoffs",
+    invariants: ["backoff_is_respected"],
+    made: new WithWire(() => new ReadsNoBackoffs()),
+  },
   {
     name: "repeat beyond the allowance",
     invariants: ["repeats_are_bounded"],
--- a/packages/bench/src/soak/relay/relay_record.ts
+++ b/packages/bench/src/soak/relay/relay_record.ts
@@ -1,3 +1,4 @@
+import type { ServerStart } from "@foxtailwind/core";
 import type { WritingEnd } from "./answer_writer.ts";
 import type { AnswerFraming, AnswerKind } from "./answer_plan.ts";
 import { StallWatch } from "./stall_watch.ts";
@@ -63,6 +64,14 @@
   readonly made: AnswerKind | "misdirected";
   readonly framing: AnswerFraming;
   readonly version?: number;
+  /** The start of the server that it reached. */
+  readonly start: ServerStart;
+  /** Whether the answer announces the server's departure. */
+  readonly isLeaving: boolean;
+  /** The backoff that the answer asks for, in seconds. */
+  readonly retryAfter?: number;
+  /** When the head of the answer was written. */
+  headAt?: number;
   end?: WritingEnd;
   endedAt?: number;
 }
--- a/packages/bench/src/soak/relay/relay_script.ts
+++ b/packages/bench/src/soak/relay/relay_script.ts
@@ -32,6 +32,12 @@
     readonly kind: "server_leaves" | "server_crashes";
     readonly server: number;
   }
+  | {
+    readonly kind: "server_announces";
+    readonly server: number;
+    /** How long the store isn't told, in milliseconds. */
+    readonly untold: number;
+  }
   | {
     readonly kind: "server_restarts";
     readonly server: number;
@@ -79,6 +85,8 @@
 const FEWEST_FAULTS = 9;
 const MOST_FAULTS = 18;
 const MOST_RESTARTS = 4;
+const MOST_ANNOUNCEMENTS = 2;
+const MOST_UNTOLD_MILLISECONDS = 3_000;
 const MOST_UNREAD_MILLISECONDS = 900;
 const FAULT_KINDS = [
   "store_down",
@@ -108,7 +116,11 @@
  * @returns The script.
  */
 export function drawScript(seed: number): RelayScript {
-  const faults = [...drawFaults(seed), ...drawRestarts(seed)];
+  const faults = [
+    ...drawFaults(seed),
+    ...drawRestarts(seed),
+    ...drawAnnouncements(seed),
+  ];
   return {
     calls: drawCalls(seed),
     faults: faults.toSorted((one, other) => one.at - other.at),
@@ -160,6 +172,20 @@
   }));
 }
 
+/** Departures that answers announce before the store does. */
+function drawAnnouncements(seed: number): readonly PlannedFault[] {
+  const draws = new Draws(seed, "announcements");
+  const count = draws.between(1, MOST_ANNOUNCEMENTS + 1);
+  return Array.from({ length: count }, (): PlannedFault => ({
+    at: draws.between(0, FAULT_MILLISECONDS),
+    fault: {
+      kind: "server_announces",
+      server: draws.between(0, WORLD_SIZE.engines + WORLD_SIZE.plainServers),
+      untold: draws.between(0, MOST_UNTOLD_MILLISECONDS),
+    },
+  }));
+}
+
 function drawFault(draws: Draws): RelayFault {
   const kind = draws.pick(FAULT_KINDS);
   const lasts = draws.between(200, 1_200);
--- a/packages/bench/src/soak/relay/relay_soak.ts
+++ b/packages/bench/src/soak/relay/relay_soak.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { SoakRun } from "../ownership_soak.ts";
 import { NodeParts } from "./node_parts.ts";
+import { checkNotices } from "./notice_checks.ts";
 import { checkRecord, mustKnow } from "./relay_checks.ts";
 import type { RelayNode } from "./relay_node.ts";
 import type { CallRecord, RelayRecord } from "./relay_record.ts";
@@ -65,6 +66,7 @@
   }
   record.stalls.stop();
   checkRecord(record, run.world.leftAt);
+  checkNotices(record);
   const answered = record.calls.filter(({ end }) => end?.status === 200).length;
   const [first] = record.broken;
   return {
@@ -199,6 +201,12 @@
         else world.crash(server, 400);
         break;
       }
+      case "server_announces": {
+        const server = world.servers[fault.server % world.servers.length];
+        if (server === undefined) break;
+        world.announceDeparture(server, fault.untold, 500);
+        break;
+      }
       case "server_restarts": {
         const server = world.servers[fault.server % world.servers.length];
         if (server !== undefined) world.restart(server, fault.unread);
--- a/packages/bench/src/soak/relay/relay_world.ts
+++ b/packages/bench/src/soak/relay/relay_world.ts
@@ -112,6 +112,22 @@
     }
   }
 
+  /**
+   * Lets a server announce its departure in its answers, before the store
+   * knows of it.
+   * @param server The server.
+   * @param untold How long the store isn't told, in milliseconds.
+   * @param stays How long it stays afterwards, in milliseconds.
+   */
+  announceDeparture(server: SoakServer, untold: number, stays: number): void {
+    server.isLeaving = true;
+    const { start } = server;
+    setTimeout(() => {
+      const isSame = server.start === start && this.servers.includes(server);
+      if (isSame && !this.#isOver) this.leave(server, stays);
+    }, untold);
+  }
+
   /**
    * Lets a server say that it leaves, and another come; later it ends.
    * @param server The server.
@@ -119,6 +135,7 @@
    */
   leave(server: SoakServer, stays: number): void {
     this.#forget(server);
+    server.isLeaving = true;
     this.leftAt.set(server.id, performance.now());
     this.store.register({ ...this.#entryOf(server), leaving: true });
     setTimeout(() => {
--- a/packages/bench/src/soak/relay/soak_server.ts
+++ b/packages/bench/src/soak/relay/soak_server.ts
@@ -7,6 +7,10 @@
   writeAnswer,
 } from "./answer_writer.ts";
 import { type RawRequest, RawServer } from "./raw_server.ts";
+import {
+  LEAVING_HEADER,
+  RETRY_AFTER_HEADER,
+} from "../../relay/stand_in_wire.ts";
 import { hasRun, type RelayRecord, type SendRecord } from "./relay_record.ts";
 
 /** What a server works with. */
@@ -24,6 +28,8 @@
 export abstract class SoakServer {
   readonly id: string;
   readonly service: string;
+  /** Whether this start announces its departure in all its answers. */
+  isLeaving = false;
   readonly #parts: SoakServerParts;
   #start = serverStart(1);
   readonly #server = new RawServer((request, socket) => {
@@ -62,6 +68,7 @@
   /** Ends at once, and starts again under its id and at its address. */
   restart(): void {
     this.#start = serverStart(this.#start + 1);
+    this.isLeaving = false;
     this.#server.reset();
   }
 
@@ -87,14 +94,26 @@
       made,
       framing: plan.framing,
       ...(run?.version === undefined ? {} : { version: run.version }),
+      start: this.start,
+      isLeaving: this.isLeaving,
+      ...(run === undefined || plan.retryAfter === undefined
+        ? {}
+        : { retryAfter: plan.retryAfter }),
     };
     record.sent(send);
     repeatLastAnswer(socket);
     const answer = run === undefined
       ? refusal(MISDIRECTED, id)
       : answerOf(send, run);
+    const noted = {
+      ...answer,
+      headers: { ...answer.headers, ...noticeHeaders(send) },
+      onHead: () => {
+        send.headAt = performance.now();
+      },
+    };
     try {
-      const end = await writeAnswer(socket, answer, {
+      const end = await writeAnswer(socket, noted, {
         ...plan,
         ...(run === undefined ? { kind: "refuse", break: "none" } : {}),
         ...(hasRun(send) ? {} : { framing: "length" }),
@@ -118,10 +137,24 @@
 
 const PAUSE_MILLISECONDS = 12;
 
+/** An answer, without what the server states about further requests. */
+type BareAnswer = Omit<PlannedAnswer, "onHead">;
+
+function noticeHeaders(
+  { isLeaving, retryAfter }: SendRecord,
+): Readonly<Record<string, string>> {
+  return {
+    ...(isLeaving ? { [LEAVING_HEADER]: "1" } : {}),
+    ...(retryAfter === undefined
+      ? {}
+      : { [RETRY_AFTER_HEADER]: String(retryAfter) }),
+  };
+}
+
 function answerOf(
   { made, request: id, server }: SendRecord,
   run: Run,
-): PlannedAnswer {
+): BareAnswer {
   const type = run.isStream ? "text/event-stream" : "text/plain";
   const headers = { "x-id": id, "x-seal": server, "content-type": type };
   const { pieces } = run;
@@ -156,7 +189,7 @@
   }
 }
 
-function refusal(status: number, id: string | undefined): PlannedAnswer {
+function refusal(status: number, id: string | undefined): BareAnswer {
   const named = id === undefined ? {} : { "x-id": id };
   return {
     status,
--- a/packages/bench/tests/soak/relay_soak_test.ts
+++ b/packages/bench/tests/soak/relay_soak_test.ts
@@ -29,6 +29,8 @@
   "overfill an engine's slots",
   "keep the routes of the first configuration",
   "send to a server that leaves",
+  "disregard departures that answers announce",
+  "disregard backoffs",
 ];
 
 /** Seeds that broke an invariant once, by what the relay did wrong. */
--- a/packages/node/tests/relay/departing_servers_test.ts
+++ b/packages/node/tests/relay/departing_servers_test.ts
@@ -88,7 +88,7 @@
 
 test("a stream in progress at a leaving server continues, and the next one goes elsewhere", async (t) => {
   const world = await startWorld(t);
-  let end = () => undefined as void;
+  let end: () => void = () => undefined;
   const arrivals = await addDepartingServer(world, (_request, response) => {
     response.writeHead(200, {
       "x-seal": "s",
