--- a/packages/bench/src/soak/relay/relay_checks.ts
+++ b/packages/bench/src/soak/relay/relay_checks.ts
@@ -73,8 +73,18 @@
   return told < now - NEWS_MILLISECONDS - stalled && !isOut;
 }
 
-/** The time in which this process did not stand still. */
-function timeBetween(record: RelayRecord, from: number, to: number): number {
+/**
+ * Returns the time in which this process did not stand still.
+ * @param record Knows when it did.
+ * @param from The begin, in milliseconds.
+ * @param to The end, in milliseconds.
+ * @returns The time, in milliseconds.
+ */
+export function timeBetween(
+  record: RelayRecord,
+  from: number,
+  to: number,
+): number {
   return to - from - record.stalls.between(from, to);
 }
 
--- a/packages/bench/tests/relay/departure_test.ts
+++ b/packages/bench/tests/relay/departure_test.ts
@@ -8,6 +8,8 @@
 /** Streams that each node is asked for in one round, with other adapters. */
 const ROUND = 6;
 const BACKOFF_SECONDS = 4;
+/** An answer that came this long before a start was known isn't of that start. */
+const REGISTRATION_MILLISECONDS = 3_100;
 /** The time within which a restarted engine takes part again. */
 const RESTART_MILLISECONDS = 10_000;
 
@@ -139,6 +141,7 @@
   await sendUntilNoticed();
   engine.notice = { retryAfterSeconds: 60 };
   await sendUntilNoticed();
+  await sleep(REGISTRATION_MILLISECONDS);
   cluster.restart(engine.id);
   t.true(await waitUntilUsed(world));
 });
--- a/packages/node/src/relay/request_limits.ts
+++ b/packages/node/src/relay/request_limits.ts
@@ -105,20 +105,16 @@
    * @returns The time; 0 if it wants requests.
    */
   backoff(run: ServerRun): Duration {
-    return this.#backoffs.remaining(
-      this.#parts.clock.now(),
-      startKey(run.id, run.start),
-    );
+    return this.#backoffs.remaining(this.#parts.clock.now(), run);
   }
 
   #applyBackoff(run: ServerRun, status: number, facts: AnswerFacts): void {
     const { retryAfter } = facts;
     const { clock, logger } = this.#parts;
-    const isNew = this.#backoffs.applyAnswer(
-      clock.now(),
-      startKey(run.id, run.start),
-      { status, ...(retryAfter === undefined ? {} : { retryAfter }) },
-    );
+    const isNew = this.#backoffs.applyAnswer(clock.now(), run, {
+      status,
+      ...(retryAfter === undefined ? {} : { retryAfter }),
+    });
     if (!isNew) return;
     logger.info("A server asks this node for a backoff.", {
       server: run.id,
