--- a/packages/bench/src/soak/relay/notice_checks.ts
+++ b/packages/bench/src/soak/relay/notice_checks.ts
@@ -19,7 +19,7 @@
 const UNREAD_MARKS = [
   '"because":"none"',
   '"because":"foreign"',
-  '"broke":"The answer does not belong',
+  '"broke_at":"unanswered"',
 ];
 
 /** An answer that its node has received for sure, and when it was written. */
@@ -102,7 +102,7 @@
     }
     record.breaks(
       "announced_departure_is_respected",
-      `${send.server} announced it to ${call.node.name} in ${send.request}, ${
+      `${send.server}, start ${send.start}, announced it to ${call.node.name} in ${send.request}, ${
         Math.round(call.sentAt - at)
       } ms before\n${traceCall(record, call)}`,
     );
--- a/packages/core/src/relay/registered_server.ts
+++ b/packages/core/src/relay/registered_server.ts
@@ -32,7 +32,7 @@
   readonly orderCount: number;
 }
 
-/** Identifies one start of a server; the newest known one without a start. */
+/** One start of a server; without a start, the newest one that is known. */
 export type ServerRun = Pick<RegisteredServer, "id" | "start">;
 
 /** An entry of the registry's log about a server. */
--- a/packages/edges/src/http/after_pending_input.ts
+++ b/packages/edges/src/http/after_pending_input.ts
@@ -1,3 +1,5 @@
+import { setImmediate as setImmediatePromise } from "node:timers/promises";
+
 /**
  * Runs a callback once all input that arrived before this moment has been read.
  * After the process has stalled, timers run before sockets are read: when a
@@ -8,6 +10,16 @@
   setImmediate(callback);
 }
 
+/**
+ * Waits until the event loop has looked at all connections once. What arrived
+ * together with the input that is being handled has been read by then.
+ */
+export async function pendingInputRead(): Promise<void> {
+  // The first turn ends before connections are looked at again.
+  await setImmediatePromise();
+  await setImmediatePromise();
+}
+
 /**
  * Creates a signal that aborts a call at a time limit, once all input that
  * arrived in time has been read.
--- a/packages/node/src/relay/front_server.ts
+++ b/packages/node/src/relay/front_server.ts
@@ -5,6 +5,7 @@
   type Route,
   type RouteTable,
 } from "@foxtailwind/core";
+import { pendingInputRead } from "@foxtailwind/edges";
 import type { FastifyInstance } from "fastify";
 import { setMaxListeners } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
@@ -16,6 +17,7 @@
 import { schemalessFastify } from "../http/schemaless_fastify.ts";
 import type { SocketAddress } from "../settings/settings.ts";
 import { CallerConnections } from "./caller_connections.ts";
+import { hasCallerLeft } from "./caller_departure.ts";
 import type { CallerRequest } from "./caller_wire.ts";
 import {
   type CallerExchange,
@@ -166,7 +168,7 @@
       response.setHeader("connection", "close");
     }
     const routes = knowledge.routes ?? await this.#awaitConfiguration();
-    if (hasLeft(response)) return;
+    if (hasCallerLeft(message, response)) return;
     if (routes === undefined) {
       this.#refuse(exchange, { code: "no_configuration" });
       return;
@@ -192,7 +194,7 @@
       route,
       caller: caller.value,
     });
-    if (hasLeft(response)) return;
+    if (hasCallerLeft(message, response)) return;
     if (access.kind !== "granted") {
       this.#refuse(exchange, {
         code: REFUSED_ACCESS_CODE[access.kind],
@@ -210,6 +212,10 @@
       return;
     }
     if (body.kind === "broken") return;
+    // A node that is short of processor time may have read the request long
+    // after its caller left.
+    await pendingInputRead();
+    if (hasCallerLeft(message, response)) return;
     if (
       this.#shutdown.signal.aborted || !this.#isAccepted(route, caller.value)
     ) {
@@ -279,8 +285,3 @@
 function countHeaderBytes(message: IncomingMessage): number {
   return message.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 }
-
-/** Whether the caller has closed the connection. */
-function hasLeft(response: ServerResponse): boolean {
-  return response.destroyed;
-}
--- a/packages/node/src/relay/request_sender.ts
+++ b/packages/node/src/relay/request_sender.ts
@@ -9,6 +9,7 @@
 import type { AnswerForwarder } from "./answer_forwarder.ts";
 import { BackendCall, type CallEnd } from "./backend_call.ts";
 import { watchCall } from "./call_watch.ts";
+import { hasCallerLeft } from "./caller_departure.ts";
 import type { PlacementTerms } from "./placement_finder.ts";
 import {
   mayRunAgain,
@@ -124,9 +125,9 @@
   /** Finds why the request must not be written to a server's connection. */
   #findObstacle(server: RegisteredServer): string | undefined {
     const { access, knowledge, limits } = this.#parts;
-    const { response } = this.#request;
+    const { message, response } = this.#request;
     return access.findRefusal(this.#request) ?? findSendObstacle(this.#now(), {
-      hasCallerLeft: response.destroyed && !response.writableFinished,
+      hasCallerLeft: hasCallerLeft(message, response),
       deadline: this.#terms.deadline(),
       isServerPresent: knowledge.registry.takesRequests(server),
       backoff: limits.backoff(server),
