Relay: the line of a retry tells the budget's counts and the nodes that share it

The log said whether a retry was allowed, but neither what the node had counted nor how many nodes it took for sharing the reserve, so that a budget exceeded by parts that don't add up and one shared among too few nodes looked alike.

--- a/packages/core/src/relay/node_retry_budget.ts
+++ b/packages/core/src/relay/node_retry_budget.ts
@@ -63,6 +63,18 @@
     return true;
   }
 
+  /**
+   * Counts what the node has recorded in the window.
+   * @param now The present time.
+   * @returns The requests, and the retries taken.
+   */
+  counts(
+    now: Instant,
+  ): { readonly requests: number; readonly retries: number } {
+    this.#dropExpired(now);
+    return { requests: this.#requests.length, retries: this.#retries.length };
+  }
+
   #dropExpired(now: Instant): void {
     dropUntil(this.#requests, now - this.#limits.window);
     dropUntil(this.#retries, now - this.#limits.window);
--- a/packages/node/src/relay/request_relay.ts
+++ b/packages/node/src/relay/request_relay.ts
@@ -217,6 +217,7 @@
         sends,
         runs: possibleRuns,
         left: Math.round(this.#deadline - this.#now()),
+        budget: this.#parts.retryBudgets.describe(this.#now(), service.id),
       },
     );
     return isAllowed;
--- a/packages/node/src/relay/retry_budgets.ts
+++ b/packages/node/src/relay/retry_budgets.ts
@@ -5,6 +5,13 @@
   type ServiceId,
 } from "@foxtailwind/core";
 
+/** The state of a service's budget, for the log. */
+export interface RetryBudgetState {
+  readonly requests: number;
+  readonly retries: number;
+  readonly nodes: number;
+}
+
 /** The retry budgets of this node, one for each service. */
 export class RetryBudgets {
   readonly #limits: RetryBudgetLimits;
@@ -42,6 +49,20 @@
     );
   }
 
+  /**
+   * Describes a service's budget for the log.
+   * @param now The present time.
+   * @param service The service.
+   * @returns The requests and retries in the window, and the nodes that share
+   * the limits.
+   */
+  describe(now: Instant, service: ServiceId): RetryBudgetState {
+    return {
+      ...this.#budgetOf(service).counts(now),
+      nodes: Math.max(1, this.#countNodes()),
+    };
+  }
+
   #budgetOf(service: ServiceId): NodeRetryBudget {
     const known = this.#budgets.get(service);
     if (known !== undefined) return known;
