--- a/packages/node/src/relay/request_relay.ts
+++ b/packages/node/src/relay/request_relay.ts
@@ -205,6 +205,7 @@
     if (possibleRuns >= route.attempts && possibleRuns > 0) return false;
     if (isSendLimitReached || this.#now() >= this.#deadline) return false;
     const isAllowed = this.#parts.retryBudgets.tryTake(this.#now(), service.id);
+    const budget = this.#parts.retryBudgets.describe(this.#now(), service.id);
     this.#parts.logger.info(
       isAllowed
         ? "A request is retried."
@@ -217,7 +218,9 @@
         sends,
         runs: possibleRuns,
         left: Math.round(this.#deadline - this.#now()),
-        budget: this.#parts.retryBudgets.describe(this.#now(), service.id),
+        budget_requests: budget.requests,
+        budget_retries: budget.retries,
+        budget_nodes: budget.nodes,
       },
     );
     return isAllowed;
