--- a/packages/bench/src/relay/relay_cluster.ts
+++ b/packages/bench/src/relay/relay_cluster.ts
@@ -9,6 +9,7 @@
   parseRelaySettings,
   RelayDaemon,
 } from "@foxtailwind/node/relay";
+import { PartitionableLink } from "@foxtailwind/standins";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -57,6 +58,8 @@
   readonly slots: number;
   /** The time from the begin of a planned stop to a forced stop. */
   readonly grace?: Duration;
+  /** Whether each node reaches the servers over links that can be cut. */
+  readonly hasLinks?: boolean;
 }
 
 /** The answer that a caller receives. */
@@ -65,6 +68,13 @@
   readonly body: string;
 }
 
+/** How one node reaches the servers. */
+interface NodeLinks {
+  /** The link to each server, by the server's address. */
+  readonly links: ReadonlyMap<string, PartitionableLink>;
+  readonly control: StandInControl;
+}
+
 /** Relays in this process, with stand-ins of all their dependencies. */
 export class RelayCluster {
   readonly store = new StandInStore();
@@ -75,6 +85,7 @@
   readonly #size: RelayClusterSize;
   readonly #lookupServer: Server;
   readonly #servers = new Map<string, StandInServer>();
+  readonly #links = new Map<RelayDaemon, NodeLinks>();
   #requestCount = 0;
   /** The requests per second that the lookup server allows, if it names any. */
   lookupLimit: number | undefined;
@@ -122,13 +133,16 @@
     );
     if (settings.isErr()) throw new Error(JSON.stringify(settings.error));
     const log = new StandInLog(this.store);
+    const control = new StandInControl(this.engines);
+    const links = await this.#createLinks(log);
     const daemon = new RelayDaemon(settings.value, {
       log,
       wire: new StandInWire(),
-      control: new StandInControl(this.engines),
+      control,
       operations: new StandInOperations(),
     }, new LoggerFactory("json", 0, () => undefined));
     await daemon.start();
+    this.#links.set(daemon, { links, control });
     this.daemons.push(daemon);
     this.logs.push(log);
     while (!await this.isReady(daemon)) {
@@ -262,14 +276,67 @@
     this.register(id);
   }
 
+  /**
+   * Cuts a node off from all servers. New connections are refused.
+   * @param daemon The node.
+   * @param keepsConnections Whether open connections live on; otherwise, what is
+   * sent over them is held up.
+   */
+  cutFromServers(daemon: RelayDaemon, keepsConnections = false): void {
+    const { links, control } = this.#linksOf(daemon);
+    control.isCut = !keepsConnections;
+    for (const link of links.values()) {
+      link.refuseConnections();
+      if (!keepsConnections) link.partition();
+    }
+  }
+
+  /**
+   * Ends the cut of a node.
+   * @param daemon The node.
+   */
+  heal(daemon: RelayDaemon): void {
+    const { links, control } = this.#linksOf(daemon);
+    control.isCut = false;
+    for (const link of links.values()) link.heal();
+  }
+
   /** Stops the nodes, the engines and the lookup server. */
   async stop(): Promise<void> {
     await Promise.all(this.daemons.map((daemon) => daemon.stop()));
+    for (const { links } of this.#links.values()) {
+      for (const link of links.values()) link.close();
+    }
     for (const engine of this.engines.values()) engine.close();
     this.#lookupServer.close();
     this.#lookupServer.closeAllConnections();
   }
 
+  /** Creates a node's links to all servers, and shows it their addresses. */
+  async #createLinks(
+    log: StandInLog,
+  ): Promise<ReadonlyMap<string, PartitionableLink>> {
+    const links = new Map<string, PartitionableLink>();
+    if (this.#size.hasLinks !== true) return links;
+    const addresses = new Map<string, string>();
+    for (const { address } of this.#servers.values()) {
+      const link = new PartitionableLink(Number(address.split(":").at(-1)));
+      links.set(address, link);
+      addresses.set(address, `127.0.0.1:${await link.listen()}`);
+    }
+    log.viewServer = (server) => ({
+      ...server,
+      address: addresses.get(server.address) ?? server.address,
+    });
+    return links;
+  }
+
+  #linksOf(daemon: RelayDaemon): NodeLinks {
+    const links = this.#links.get(daemon);
+    if (links === undefined) throw new RangeError("There is no such node.");
+    return links;
+  }
+
   async #startServers(): Promise<void> {
     for (let index = 1; index <= this.#size.engines; index += 1) {
       const engine = new StandInEngine(
--- a/packages/bench/src/relay/stand_in_engine.ts
+++ b/packages/bench/src/relay/stand_in_engine.ts
@@ -153,6 +153,8 @@
 /** Sends orders to the stand-in engines of this process. */
 export class StandInControl extends EngineControl {
   readonly #engines: ReadonlyMap<string, StandInEngine>;
+  /** Whether the node reaches no engine. */
+  isCut = false;
 
   /** @param engines The engines by id. */
   constructor(engines: ReadonlyMap<string, StandInEngine>) {
@@ -164,6 +166,7 @@
     { id }: RegisteredServer,
     order: EngineOrder,
   ): Promise<OrderResult> {
+    if (this.isCut) return Promise.resolve({ kind: "unknown" });
     const engine = this.#engines.get(id);
     return Promise.resolve(
       engine === undefined
@@ -176,7 +179,7 @@
     { id }: RegisteredServer,
   ): Promise<Result<EngineReport, Failure>> {
     const engine = this.#engines.get(id);
-    if (engine !== undefined) {
+    if (engine !== undefined && !this.isCut) {
       return Promise.resolve(ok(engine.adapters.report));
     }
     return Promise.resolve(err({
--- a/packages/bench/src/relay/stand_in_log.ts
+++ b/packages/bench/src/relay/stand_in_log.ts
@@ -26,7 +26,7 @@
 };
 
 /** Passes a record of the store to a node's listener. */
-type Notification = (listener: SharedLogListener) => void;
+type Notification = (listener: SharedLogListener, log: StandInLog) => void;
 
 /** The contents of the platform's store, shared by the nodes of a process. */
 export class StandInStore {
@@ -69,8 +69,9 @@
     this.#servers.set(server.id, entry);
     this.#registryOffset += 1;
     const offset = logOffset(this.#registryOffset);
-    this.#publish((listener) => {
-      listener.registryEntry({ kind: "present", offset, server: entry });
+    this.#publish((listener, log) => {
+      const seen = log.viewServer(entry);
+      listener.registryEntry({ kind: "present", offset, server: seen });
     });
   }
 
@@ -148,7 +149,7 @@
     listener.operatorsTold(logOffset(this.#operatorsOffset));
     const offset = logOffset(this.#registryOffset);
     const entries = [...this.#servers.values()].map((server) =>
-      ({ kind: "present", offset, server }) as const
+      ({ kind: "present", offset, server: log.viewServer(server) }) as const
     );
     listener.registryListed(entries, offset);
     for (const [index, claim] of this.#claims.entries()) {
@@ -183,6 +184,9 @@
   #timer: NodeJS.Timeout | undefined;
   /** Whether notifications are held back although calls are answered. */
   isSilent = false;
+  /** Returns a server as this node sees it, which may be over a link. */
+  viewServer: (server: RegisteredServer) => RegisteredServer = (server) =>
+    server;
 
   /** @param store The store. */
   constructor(store: StandInStore) {
@@ -252,11 +256,11 @@
    */
   deliver(notify: Notification): void {
     if (!this.#store.isUp || this.isSilent) this.#heldBack.push(notify);
-    else if (this.#listener !== undefined) notify(this.#listener);
+    else if (this.#listener !== undefined) notify(this.#listener, this);
   }
 
   #deliverHeldBack(listener: SharedLogListener): void {
     if (this.isSilent) return;
-    for (const notify of this.#heldBack.splice(0)) notify(listener);
+    for (const notify of this.#heldBack.splice(0)) notify(listener, this);
   }
 }
--- a/packages/bench/src/soak/relay/soak_store.ts
+++ b/packages/bench/src/soak/relay/soak_store.ts
@@ -17,7 +17,7 @@
   outcome: "not_run",
 };
 
-type News = (listener: SharedLogListener) => void;
+type News = Parameters<StandInLog["deliver"]>[0];
 
 /** A store that also names adapters' versions. */
 export class SoakStore extends StandInStore {
--- /dev/null
+++ b/packages/bench/tests/relay/partitioned_node_test.ts
@@ -0,0 +1,115 @@
+import { RelayCluster } from "@foxtailwind/bench";
+import { ProcessClock, type RelayDaemon } from "@foxtailwind/node/relay";
+import test, { type ExecutionContext } from "ava";
+import { setTimeout as sleep } from "node:timers/promises";
+import { getNode, waitUntil, waitUntilOwned } from "./helpers/cluster.ts";
+
+/** Callers may be served worse for so long after a partition has begun. */
+const DETECTION_MILLISECONDS = 3_000;
+const PAUSE_MILLISECONDS = 100;
+const REQUESTS = 12;
+/** The share of requests that have to be served of those served elsewhere. */
+const REQUIRED_SHARE = 2 / 3;
+
+async function startLinked(
+  t: ExecutionContext,
+  nodes: number,
+): Promise<RelayCluster> {
+  const cluster = await RelayCluster.start({
+    nodes,
+    engines: 3,
+    slots: 8,
+    hasLinks: true,
+  });
+  t.teardown(() => cluster.stop());
+  await waitUntilOwned(cluster);
+  for (const daemon of cluster.daemons) {
+    await waitUntil(async () => (await cluster.lookUp(daemon)).status === 200);
+    await waitUntil(async () =>
+      (await cluster.generate(daemon, "a0")).status === 200
+    );
+  }
+  return cluster;
+}
+
+/** Sends a request of each kind every now and then, until a time has passed. */
+async function callFor(
+  cluster: RelayCluster,
+  daemon: RelayDaemon,
+  duration: number,
+): Promise<void> {
+  const clock = new ProcessClock();
+  const end = clock.now() + duration;
+  const calls: Promise<unknown>[] = [];
+  while (clock.now() < end) {
+    calls.push(cluster.lookUp(daemon, { "x-patience": "1000" }));
+    calls.push(cluster.generate(daemon, "a1"));
+    await sleep(PAUSE_MILLISECONDS);
+  }
+  await Promise.allSettled(calls);
+}
+
+async function countServed(
+  call: (index: number) => Promise<{ readonly status: number }>,
+): Promise<number> {
+  const answers = await Promise.all(
+    Array.from({ length: REQUESTS }, (_, index) => call(index)),
+  );
+  return answers.filter(({ status }) => status === 200).length;
+}
+
+async function assertServes(
+  t: ExecutionContext,
+  cluster: RelayCluster,
+  daemon: RelayDaemon,
+): Promise<void> {
+  const lookups = await countServed(() => cluster.lookUp(daemon));
+  const streams = await countServed((index) =>
+    cluster.generate(daemon, `a${index % 4}`)
+  );
+  t.true(lookups >= REQUESTS * REQUIRED_SHARE, `${lookups} lookups`);
+  t.true(streams >= REQUESTS * REQUIRED_SHARE, `${streams} streams`);
+}
+
+for (const keepsConnections of [false, true]) {
+  const variant = keepsConnections
+    ? "refused new connections"
+    : "cut off from all servers";
+
+  // Guards against callers that fail at a node whose peers could serve them.
+  test.failing(`callers of a node that is ${variant} are served`, async (t) => {
+    const cluster = await startLinked(t, 3);
+    const node = getNode(cluster, 0);
+    cluster.cutFromServers(node, keepsConnections);
+    await callFor(cluster, node, DETECTION_MILLISECONDS);
+    await assertServes(t, cluster, node);
+  });
+}
+
+// Guards against callers that fail while most nodes are cut off.
+test.failing("callers of all nodes but one that are cut off are served", async (t) => {
+  const cluster = await startLinked(t, 4);
+  const cutNodes = [0, 1, 2].map((index) => getNode(cluster, index));
+  for (const node of cutNodes) cluster.cutFromServers(node);
+  await Promise.all(
+    cutNodes.map((node) => callFor(cluster, node, DETECTION_MILLISECONDS)),
+  );
+  for (const node of cutNodes) await assertServes(t, cluster, node);
+});
+
+// Guards against callers that are sent to a node that can't serve them.
+test.failing("callers are not told of a node that is cut off until it reaches servers again", async (t) => {
+  const cluster = await startLinked(t, 3);
+  const node = getNode(cluster, 0);
+  const other = getNode(cluster, 1);
+  const isNamed = async (teller: RelayDaemon) =>
+    (await cluster.addresses(teller)).includes(node.callerAddress);
+  t.true(await isNamed(other));
+  cluster.cutFromServers(node);
+  await callFor(cluster, node, DETECTION_MILLISECONDS);
+  t.false(await isNamed(other));
+  t.false(await isNamed(node));
+  cluster.heal(node);
+  await waitUntil(() => isNamed(other));
+  await assertServes(t, cluster, node);
+});
--- a/packages/standins/src/network/partitionable_link.ts
+++ b/packages/standins/src/network/partitionable_link.ts
@@ -73,6 +73,7 @@
     this.#accept(client);
   });
   #isPartitioned = false;
+  #port = 0;
 
   /** @param serverPort The port of the server on loopback. */
   constructor(serverPort: number) {
@@ -85,9 +86,10 @@
    */
   async listen(): Promise<number> {
     await new Promise<void>((resolve) => {
-      this.#listener.listen(0, "127.0.0.1", resolve);
+      this.#listener.listen(this.#port, "127.0.0.1", resolve);
     });
-    return (this.#listener.address() as AddressInfo).port;
+    this.#port = (this.#listener.address() as AddressInfo).port;
+    return this.#port;
   }
 
   /** Begins a partition. */
@@ -95,9 +97,15 @@
     this.#isPartitioned = true;
   }
 
-  /** Ends the partition. */
+  /** Begins to refuse new connections; those that are open live on. */
+  refuseConnections(): void {
+    this.#listener.close();
+  }
+
+  /** Ends the partition, and accepts connections again. */
   heal(): void {
     this.#isPartitioned = false;
+    if (!this.#listener.listening) void this.listen();
     for (const connection of this.#connections) connection.heal();
   }
 
