--- a/packages/node/tests/relay/retry_budgets_test.ts
+++ b/packages/node/tests/relay/retry_budgets_test.ts
@@ -1,7 +1,7 @@
 import { instant, seconds, serviceId } from "@foxtailwind/core";
+import { RetryBudgets } from "@foxtailwind/node/relay";
 import type { NodeDigest, RetryUse } from "@foxtailwind/protocol";
 import test from "ava";
-import { RetryBudgets } from "../../src/relay/retry_budgets.ts";
 import { nodeDigest } from "./helpers/node_digest.ts";
 
 const SERVICE = serviceId("texts");
