Relay: brittle servers get no more requests than they have places for

What servers saw: nothing read Server-Brittle, by which a server says that it fails once it has to reject more than some requests in a second. Change: the wire decodes the header once; core keeps it for each run, limits the node's requests in progress there to its part of the places, and makes a rejection a backoff, so that all nodes cause half of what the server bears.

--- a/packages/bench/src/relay/stand_in_wire.ts
+++ b/packages/bench/src/relay/stand_in_wire.ts
@@ -29,6 +29,9 @@
 /** Present, as "1", in all answers of a server that leaves. */
 export const LEAVING_HEADER = "x-leaving";
 
+/** The rejections in a second from which on a brittle server fails. */
+export const REJECTION_LIMIT_HEADER = "x-brittle";
+
 /** Present in requests that another node forwards. */
 const FORWARDED_HEADER = "x-forwarded-by-peer";
 
@@ -134,12 +137,16 @@
     const id = headers["x-id"];
     const limit = headers[REQUEST_LIMIT_HEADER];
     const retryAfter = headers[RETRY_AFTER_HEADER];
+    const rejectionLimit = headers[REJECTION_LIMIT_HEADER];
     return {
       ...(typeof id === "string" ? { requestId: id } : {}),
       ...(typeof limit === "string" ? { requestLimit: Number(limit) } : {}),
       ...(typeof retryAfter === "string"
         ? { retryAfter: seconds(Number(retryAfter)) }
         : {}),
+      ...(typeof rejectionLimit === "string"
+        ? { rejectionLimit: Number(rejectionLimit) }
+        : {}),
       isLeaving: headers[LEAVING_HEADER] === "1",
       isNotRun: headers["x-not-run"] !== undefined,
       isMisdirected: status === 421,
--- a/packages/core/src/relay/mod.ts
+++ b/packages/core/src/relay/mod.ts
@@ -1,6 +1,7 @@
 export * from "./accounts/mod.ts";
 export * from "./adapter_slot.ts";
 export * from "./adapter_versions.ts";
+export * from "./brittle_servers.ts";
 export * from "./caller_timeouts.ts";
 export * from "./crash_suspicion.ts";
 export * from "./engine_choice.ts";
--- a/packages/node/src/relay/caller_wire.ts
+++ b/packages/node/src/relay/caller_wire.ts
@@ -69,6 +69,11 @@
   readonly isLeaving: boolean;
   /** How long the server wants no requests from this node, if stated. */
   readonly retryAfter?: Duration;
+  /**
+   * The rejections for want of room in a second from which on the server fails,
+   * if it is brittle.
+   */
+  readonly rejectionLimit?: number;
   /** Whether it has the header that is required of successes with a body. */
   readonly hasSeal: boolean;
 }
--- a/packages/node/src/relay/request_limits.ts
+++ b/packages/node/src/relay/request_limits.ts
@@ -1,12 +1,14 @@
 import {
   type BackendServerId,
   backendServerId,
+  BrittleServers,
   type Duration,
   elapsed,
   estimateQueueWait,
   type Instant,
   milliseconds,
   type NodeId,
+  type RegisteredServer,
   RequestPacer,
   ServerBackoffs,
   type ServerRateLimit,
@@ -63,6 +65,7 @@
   readonly #parts: RequestLimitsParts;
   readonly #rateLimits = new ServerRateLimits();
   readonly #backoffs = new ServerBackoffs();
+  readonly #brittleServers = new BrittleServers();
   readonly #pacers = new Map<string, ServerPacer>();
   readonly #queueLengths = new Map<ServiceId, number>();
   #servingNodes: readonly NodeId[] = [];
@@ -92,7 +95,7 @@
     run: ServerRun,
     { sentAt, status, facts }: LimitingAnswer,
   ): void {
-    this.#applyBackoff(run, status, facts);
+    this.#applyBackoff(run, { sentAt, status, facts });
     const { requestLimit, hasSeal } = facts;
     if (requestLimit !== undefined || hasSeal) {
       this.#applyLimit(run, sentAt, requestLimit);
@@ -108,12 +111,44 @@
     return this.#backoffs.remaining(this.#parts.clock.now(), run);
   }
 
-  #applyBackoff(run: ServerRun, status: number, facts: AnswerFacts): void {
-    const { retryAfter } = facts;
+  /**
+   * Determines whether a server has room for another request of this node, as
+   * far as it limits the requests in progress.
+   * @param server The server.
+   * @param running The requests that this node has in progress there.
+   * @returns Whether it may have another one.
+   */
+  hasRoom({ id, start, slots }: RegisteredServer, running: number): boolean {
+    return running < this.#brittleServers.maximumInProgress(
+      this.#parts.clock.now(),
+      startKey(id, start),
+      slots,
+      this.#nodeCount,
+    );
+  }
+
+  #applyBackoff(
+    run: ServerRun,
+    { sentAt, status, facts }: LimitingAnswer,
+  ): void {
     const { clock, logger } = this.#parts;
-    const isNew = this.#backoffs.applyAnswer(clock.now(), run, {
+    const now = clock.now();
+    const brittleBackoff = this.#brittleServers.applyAnswer(
+      now,
+      startKey(run.id, run.start),
+      {
+        sentAt,
+        isRejection: facts.isNotRun && !facts.isMisdirected,
+        rejectionLimit: facts.rejectionLimit,
+        nodes: this.#nodeCount,
+      },
+    );
+    const retryAfter = milliseconds(
+      Math.max(facts.retryAfter ?? 0, brittleBackoff),
+    );
+    const isNew = this.#backoffs.applyAnswer(now, run, {
       status,
-      ...(retryAfter === undefined ? {} : { retryAfter }),
+      ...(retryAfter === 0 ? {} : { retryAfter }),
     });
     if (!isNew) return;
     logger.info("A server asks this node for a backoff.", {
@@ -258,6 +293,11 @@
     }
   }
 
+  /** The nodes that may send to the same servers, including this one. */
+  get #nodeCount(): number {
+    return Math.max(1, this.#servingNodes.length);
+  }
+
   #findShare(now: Instant, { id, start }: ServerRun) {
     const isDue = this.#refreshedAt === undefined ||
       elapsed(this.#refreshedAt, now) >= REFRESH_INTERVAL;
--- a/packages/node/src/relay/request_placer.ts
+++ b/packages/node/src/relay/request_placer.ts
@@ -100,7 +100,7 @@
     servers: readonly RegisteredServer[],
   ): Placement | undefined {
     const { loads, limits } = this.#parts;
-    const available = servers.filter((server) => limits.waitTime(server) === 0);
+    const available = servers.filter((server) => this.#isAvailable(server));
     const server = loads.choose(now, available, Math.random());
     return server === undefined || !limits.tryTake(server)
       ? undefined
@@ -125,7 +125,7 @@
       : this.#parts.knowledge.versions.newest(use.model, use.adapter);
     const candidates = servers
       .filter((server) => !this.#parts.loads.loadOf(server).isPaused(now))
-      .filter((server) => this.#parts.limits.waitTime(server) === 0)
+      .filter((server) => this.#isAvailable(server))
       .map((server) =>
         this.#candidates.describe(now, server, { ...use, minimumVersion })
       )
@@ -153,6 +153,13 @@
     return undefined;
   }
 
+  /** Whether the limits of a server permit another request now. */
+  #isAvailable(server: RegisteredServer): boolean {
+    const { loads, limits } = this.#parts;
+    return limits.waitTime(server) === 0 &&
+      limits.hasRoom(server, loads.loadOf(server).running);
+  }
+
   /** Whether an engine probably has room for the request. */
   #hasRoom({ id, holdsAdapter, isLoading }: EngineCandidate): boolean {
     const now = this.#parts.clock.now();
--- a/packages/node/tests/relay/forwarded_request_test.ts
+++ b/packages/node/tests/relay/forwarded_request_test.ts
@@ -55,7 +55,8 @@
     const chunks: Buffer[] = [];
     request.on("data", (chunk: Buffer) => chunks.push(chunk));
     request.on("end", () => {
-      succeed(request, response, `${request.url}: ${Buffer.concat(chunks)}`);
+      const body = Buffer.concat(chunks).toString();
+      succeed(request, response, `${request.url}: ${body}`);
     });
   });
   const { status, bytes } = await world.call("/once/a?b=c", {
