Relay: engines whose owners reach no engine are claimed and used by others

What callers saw: requests at nodes that reach the engines were refused, since the owners of most engines were cut off, answered no_room and kept them. Cause: an owner that is alive keeps its engines whatever it reaches. Change: a node that doesn't reach a service counts neither as an owner that is present nor as a candidate for the service's engines; others claim them after the usual tenure and wait the lease. Until then its word about the engines isn't used: the registry says what they hold. Callers' addresses leave a node out only if it reaches no service at all; otherwise too many callers meet too few nodes. Evidence: the fifth test of partitioned_node_test fails without the change.

--- a/packages/bench/tests/relay/partitioned_node_test.ts
+++ b/packages/bench/tests/relay/partitioned_node_test.ts
@@ -6,6 +6,8 @@
 
 /** Callers may be served worse for so long after a partition has begun. */
 const DETECTION_MILLISECONDS = 3_000;
+/** An owner keeps an engine for some seconds at least. */
+const HANDOVER_MILLISECONDS = 12_000;
 const PAUSE_MILLISECONDS = 100;
 const REQUESTS = 12;
 /** The share of requests that have to be served of those served elsewhere. */
@@ -113,3 +115,22 @@
   await waitUntil(() => isNamed(other));
   await assertServes(t, cluster, node);
 });
+
+// Guards against engines that nobody can use because their owner reaches none.
+test("engines whose owner is cut off get an owner that reaches them", async (t) => {
+  const cluster = await startLinked(t, 2);
+  const ownerOf = (engine: string) =>
+    cluster.store.claims.findLast((claim) => claim.engine === engine)?.owner;
+  const engines = [...cluster.engines.keys()];
+  const owner = ownerOf(engines[0] ?? "");
+  const index = owner === "node-1" ? 0 : 1;
+  const node = getNode(cluster, index);
+  cluster.cutFromServers(node);
+  await callFor(cluster, node, DETECTION_MILLISECONDS);
+  const clock = new ProcessClock();
+  const end = clock.now() + HANDOVER_MILLISECONDS;
+  const isHandedOver = () => engines.every((one) => ownerOf(one) !== owner);
+  await waitUntil(() => isHandedOver() || clock.now() > end);
+  t.true(isHandedOver());
+  await assertServes(t, cluster, node);
+});
--- a/packages/node/src/relay/engine_candidates.ts
+++ b/packages/node/src/relay/engine_candidates.ts
@@ -63,7 +63,10 @@
     const prefillTime = load.prefillTimes.estimate(use.promptTokens);
     const found = this.#findDigest(now, server);
     if (found?.digest.isFull === true) return undefined;
-    if (found === undefined) {
+    // An owner that reaches no engine knows nothing of this one.
+    if (
+      found === undefined || found.unreachedServices.includes(server.service)
+    ) {
       const holdsAdapter = isRegisteredAsHolding(server, use);
       if (!server.models.some((held) => held.model === use.model)) {
         return undefined;
@@ -107,7 +110,12 @@
     const { knowledge, owners, self } = this.#parts;
     const ownEngine = owners.find(id);
     if (ownEngine !== undefined) {
-      return { digest: ownEngine.digest, owner: self, address: "self" };
+      return {
+        digest: ownEngine.digest,
+        owner: self,
+        address: "self",
+        unreachedServices: [],
+      };
     }
     const owner = knowledge.claims.owner(id);
     if (owner === undefined) return undefined;
--- a/packages/node/src/relay/engine_owners.ts
+++ b/packages/node/src/relay/engine_owners.ts
@@ -6,6 +6,7 @@
   milliseconds,
   type NodeId,
   nodeId,
+  type ServiceId,
   UnansweredLoads,
 } from "@foxtailwind/core";
 import type { EngineDigest } from "@foxtailwind/protocol";
@@ -21,6 +22,8 @@
   readonly incarnation: string;
   /** Whether this node is stopping and hands its engines over. */
   readonly isLeaving: () => boolean;
+  /** Whether this node reaches no server of a service. */
+  readonly isUnreached: (service: ServiceId) => boolean;
   /** Called when this node has gained an engine, to inform other nodes. */
   readonly onEngineGained: () => void;
 }
@@ -158,16 +161,28 @@
   }
 
   #enginesToClaim(now: Instant): readonly BackendServerId[] {
-    const { knowledge, settings } = this.#parts;
-    const stoppedNodes = knowledge.peers.stoppedNodes(now);
-    const engines = knowledge.engines.map((engine) => engine.id);
+    const { knowledge } = this.#parts;
     if (now - this.#startedAt < INITIAL_LISTENING_MILLISECONDS) {
-      return knowledge.claims.enginesToReclaim(engines);
+      return knowledge.claims.enginesToReclaim(
+        knowledge.engines.map((engine) => engine.id),
+      );
     }
-    const peers = knowledge.peers.alive(now)
-      .filter((peer) => !peer.isLeaving)
-      .map((peer) => nodeId(peer.node));
-    const nodes = [settings.node.id, ...peers];
+    const services = new Set(knowledge.engines.map(({ service }) => service));
+    return [...services].flatMap((service) =>
+      this.#enginesToClaimOf(service, now)
+    );
+  }
+
+  #enginesToClaimOf(
+    service: ServiceId,
+    now: Instant,
+  ): readonly BackendServerId[] {
+    const { knowledge } = this.#parts;
+    const stoppedNodes = knowledge.peers.stoppedNodes(now);
+    const engines = knowledge.engines
+      .filter((engine) => engine.service === service)
+      .map((engine) => engine.id);
+    const nodes = this.#nodesThatReach(service, now);
     const accepting = nodes.filter((node) =>
       knowledge.serving.takesEngines(node)
     );
@@ -179,6 +194,20 @@
     });
   }
 
+  /** Lists the nodes that may own the engines of a service. */
+  #nodesThatReach(service: ServiceId, now: Instant): readonly NodeId[] {
+    const { knowledge, settings, isUnreached } = this.#parts;
+    const self = settings.node.id;
+    const peers = knowledge.peers.alive(now).filter((peer) => !peer.isLeaving);
+    const reaching = peers
+      .filter((peer) => !peer.unreachedServices.includes(service))
+      .map((peer) => nodeId(peer.node));
+    const able = isUnreached(service) ? reaching : [self, ...reaching];
+    return able.length > 0
+      ? able
+      : [self, ...peers.map((peer) => nodeId(peer.node))];
+  }
+
   #createClaim(
     engine: BackendServerId,
     stoppedNodes: ReadonlySet<NodeId>,
--- a/packages/node/src/relay/node_presence.ts
+++ b/packages/node/src/relay/node_presence.ts
@@ -207,6 +207,12 @@
     };
   }
 
+  #reachesAnyService({ unreachedServices }: NodeDigest): boolean {
+    const services = this.#parts.knowledge.routes?.configuration.services ?? [];
+    return services.length === 0 ||
+      services.some(({ id }) => !unreachedServices.includes(id));
+  }
+
   #countHeardWithin(now: Instant, retention: Duration): number {
     this.refresh(now);
     let count = 1;
@@ -218,8 +224,8 @@
 
   /**
    * Lists the addresses that callers may connect to: those of serving nodes, if
-   * there are any. Nodes that don't reach all services are left out as long as
-   * others do.
+   * there are any. Nodes that reach no service are left out as long as others
+   * reach one.
    * @param failureDomain The callers' failure domain; if several of its nodes
    * accept callers, only those are listed.
    * @returns The addresses of nodes that accept callers.
@@ -230,9 +236,7 @@
     const ready = [this.digest, ...peers].filter((digest) =>
       digest.isReady && !digest.isLeaving
     );
-    const connected = ready.filter(({ unreachedServices }) =>
-      unreachedServices.length === 0
-    );
+    const connected = ready.filter((digest) => this.#reachesAnyService(digest));
     const able = connected.length > 0 ? connected : ready;
     const local = able.filter((digest) =>
       digest.failureDomain === failureDomain
--- a/packages/node/src/relay/peer_table.ts
+++ b/packages/node/src/relay/peer_table.ts
@@ -45,6 +45,8 @@
   readonly owner: NodeId;
   readonly address: string;
   readonly digest: EngineDigest;
+  /** The services of which the owner reaches no server. */
+  readonly unreachedServices: readonly string[];
 }
 
 /** The other nodes, as described by the log and by exchanged digests. */
@@ -265,7 +267,8 @@
     const digest = peer.digest.engineStates?.engines
       .find((state) => state.engine === engine);
     if (digest === undefined) return undefined;
-    return { owner, address: peer.record.address, digest };
+    const { unreachedServices } = peer.digest;
+    return { owner, address: peer.record.address, digest, unreachedServices };
   }
 
   #presentPeers(now: Instant): readonly KnownPeer[] {
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -140,6 +140,7 @@
       log: platform.log,
       incarnation: this.#incarnation,
       isLeaving: () => this.#presence.isLeaving,
+      isUnreached: (service) => this.#reach.isUnreached(service),
       onEngineGained: () => {
         this.#exchange.exchangeSoon();
       },
--- a/packages/node/tests/relay/engine_owners_test.ts
+++ b/packages/node/tests/relay/engine_owners_test.ts
@@ -77,6 +77,7 @@
     log,
     control: new ScriptedEngine(2),
     isLeaving: () => false,
+    isUnreached: () => false,
     onEngineGained: () => {
       gained += 1;
     },
--- a/packages/node/tests/relay/helpers/relay_world.ts
+++ b/packages/node/tests/relay/helpers/relay_world.ts
@@ -92,6 +92,7 @@
       control: this.control,
       log: undefined as never,
       isLeaving: () => false,
+      isUnreached: () => false,
       onEngineGained: () => undefined,
     });
     this.limits = new RequestLimits({
--- a/packages/node/tests/relay/peer_grants_test.ts
+++ b/packages/node/tests/relay/peer_grants_test.ts
@@ -39,6 +39,7 @@
     control,
     log: undefined as never,
     isLeaving: () => false,
+    isUnreached: () => false,
     onEngineGained: () => undefined,
   });
   const channels = new PeerChannels();
--- a/packages/node/tests/relay/request_placer_test.ts
+++ b/packages/node/tests/relay/request_placer_test.ts
@@ -127,6 +127,7 @@
     control: new ScriptedEngine(2),
     log: undefined as never,
     isLeaving: () => false,
+    isUnreached: () => false,
     onEngineGained: () => undefined,
   });
   const { id, failure_domain: failureDomain } = settings.node;
