--- a/packages/bench/src/soak/relay/relay_mutants.ts
+++ b/packages/bench/src/soak/relay/relay_mutants.ts
@@ -67,6 +67,17 @@
   }
 }
 
+/** Nodes that learn of departures neither from the log nor from answers. */
+class NeverHearsOfDepartures extends WithListener {
+  constructor() {
+    super((next) => new HearsNoDepartures(next));
+  }
+
+  override wire(): RelayWire {
+    return new ReadsNoDepartures();
+  }
+}
+
 /** Nodes with one other line in their settings. */
 class WithSettings extends NodeParts {
   readonly #lines: readonly (readonly [pattern: RegExp, line: string])[];
@@ -235,7 +246,7 @@
   {
     name: "send to a server that leaves",
     invariants: ["leaving_server_gets_no_new_work"],
-    made: new WithListener((next) => new HearsNoDepartures(next)),
+    made: new NeverHearsOfDepartures(),
   },
   {
     name: "disregard departures that answers announce",
--- a/packages/bench/src/soak/relay/relay_record.ts
+++ b/packages/bench/src/soak/relay/relay_record.ts
@@ -90,6 +90,8 @@
   readonly sends: SendRecord[] = [];
   readonly broken: BrokenInvariant[] = [];
   readonly stalls = new StallWatch();
+  /** The runs of nodes, by name. */
+  readonly nodeRuns = new Map<string, NodeRunRecord>();
   /** Starts of nodes, which count the nodes' shares anew. */
   nodeStarts = 0;
   readonly #sendsOf = new Map<string, SendRecord[]>();
--- a/packages/bench/src/soak/relay/relay_world.ts
+++ b/packages/bench/src/soak/relay/relay_world.ts
@@ -282,6 +282,7 @@
       made: this.#made,
     });
     this.record.nodeStarts += 1;
+    this.record.nodeRuns.set(node.record.name, node.record);
     await node.start();
     this.nodes[place] = node;
     // A stop of all nodes that came meanwhile did not see this one.
