Tests: the wait for a caller's end and the backoff in tryTake each have one

Without the wait of pendingInputRead two of the four tests fail now that a connection to the server is open; without it the time to connect hid the fault. Without the check of the backoff in tryTake the new test fails.

--- a/packages/node/tests/relay/server_backoff_test.ts
+++ b/packages/node/tests/relay/server_backoff_test.ts
@@ -1,3 +1,4 @@
+import { backendServerId, instant, seconds } from "@foxtailwind/core";
 import { ProcessClock } from "@foxtailwind/node/relay";
 import test, { type ExecutionContext } from "ava";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -116,3 +117,25 @@
   await broken;
   t.deepEqual(arrivals, ["stream", "refused"]);
 });
+
+// Guards against a request that is placed while a search waits for an owner, at
+// a server that has asked for a backoff since it was listed.
+test("no request may be taken from the limits of a server in a backoff", async (t) => {
+  const world = await startWorld(t);
+  const run = { id: backendServerId("s1"), start: undefined };
+  t.true(world.limits.tryTake(run));
+  world.limits.applyAnswer(run, {
+    sentAt: instant(0),
+    status: 503,
+    facts: {
+      isNotRun: true,
+      isMisdirected: false,
+      isLeaving: false,
+      hasSeal: false,
+      retryAfter: seconds(1),
+    },
+  });
+  t.false(world.limits.tryTake(run));
+  await sleep(1.1 * MILLISECONDS_PER_SECOND);
+  t.true(world.limits.tryTake(run));
+});
--- a/packages/node/tests/relay/unread_departure_test.ts
+++ b/packages/node/tests/relay/unread_departure_test.ts
@@ -26,6 +26,9 @@
         arrivals += 1;
         succeed(request, response, "served");
       });
+      // A connection that is open leaves no time to read the end meanwhile.
+      t.is((await world.call("/once/first")).status, 200);
+      arrivals = 0;
       const caller = connect(world.port, "127.0.0.1");
       await new Promise((resolve) => caller.once("connect", resolve));
       // The node shares this process, and reads both in its next turn.
