--- a/packages/node/tests/relay/server_backoff_test.ts
+++ b/packages/node/tests/relay/server_backoff_test.ts
@@ -122,7 +122,7 @@
 // a server that has asked for a backoff since it was listed.
 test("no request may be taken from the limits of a server in a backoff", async (t) => {
   const world = await startWorld(t);
-  const run = { id: backendServerId("s1"), start: undefined };
+  const run = { id: backendServerId("s1") };
   t.true(world.limits.tryTake(run));
   world.limits.applyAnswer(run, {
     sentAt: instant(0),
