--- a/packages/core/src/relay/brittle_servers.ts
+++ b/packages/core/src/relay/brittle_servers.ts
@@ -10,6 +10,7 @@
 /** The share of the rejections that a server bears that nodes may cause. */
 const SAFETY_FACTOR = 0.5;
 const MILLISECONDS_PER_SECOND = 1_000;
+/** The longest time that a node leaves a server alone after a rejection. */
 const LONGEST_BACKOFF_MILLISECONDS = 4_000;
 
 /** An answer, as far as it concerns rejections for want of room. */
--- a/packages/core/src/relay/node_retry_budget.ts
+++ b/packages/core/src/relay/node_retry_budget.ts
@@ -69,8 +69,8 @@
  * network partition holds up may reach its server long after it was sent.
  *
  * The parts of nodes that run on add up to the limits. If a run ends, its
- * callers move to other nodes, whose parts grow while its own is spent. For a
- * window after that, all nodes' reported retries count together as well.
+ * callers move to other nodes, whose parts grow while its own is spent. For two
+ * windows after that, all nodes' reported retries count together as well.
  */
 export class NodeRetryBudget {
   readonly #limits: RetryBudgetLimits;
--- a/packages/core/src/relay/peer_retry_ledger.ts
+++ b/packages/core/src/relay/peer_retry_ledger.ts
@@ -28,7 +28,7 @@
 
 /**
  * What the other nodes reported of their retries, including runs that have ended
- * or fallen silent within the window.
+ * or fallen silent lately.
  */
 export class PeerRetryLedger {
   readonly #window: Duration;
--- a/packages/core/src/relay/server_reach.ts
+++ b/packages/core/src/relay/server_reach.ts
@@ -9,7 +9,7 @@
 
 /** A failed connection counts as evidence of a partition for this long. */
 const EVIDENCE_TIME = milliseconds(2_000);
-/** The number of servers that must be out of reach before others are probed. */
+/** The number of servers with a failed connection that leads to a probe. */
 const SUSPICIOUS_SERVERS = 2;
 /** The interval between probes while a partition is suspected. */
 const SUSPECTED_PROBE_INTERVAL = milliseconds(400);
