Relay's soak: what lost servers and requests that don't arrive excuse

Trace: the node that had sent the request lost its connections to servers 23 ms before the last bytes were written; what is written to a connection that is reset need not arrive. The check counted requests that arrived at servers; the users' rule counts those that callers sent, whether they arrived or not, and so do nodes.

--- a/packages/bench/src/soak/relay/relay_checks.ts
+++ b/packages/bench/src/soak/relay/relay_checks.ts
@@ -1,3 +1,4 @@
+import { ENGINES, PLAIN } from "./soak_configuration.ts";
 import { traceCall } from "./call_trace.ts";
 import { checkAnswer } from "./answer_checks.ts";
 import { RETRY_TERMS } from "./node_parts.ts";
@@ -143,8 +144,12 @@
     if (isRead && !isBroken) record.breaks("no_request_is_lost", told);
     return;
   }
+  // What a server has written may not have arrived yet at a reset.
+  const sender = record.nodeRuns.get(last?.sentBy ?? "") ?? call.node;
+  const wasReset = last !== undefined &&
+    sender.lostServersAt.some((at) => at >= last.at && at <= end.at);
   // The end of a connection proves to no node that an answer is whole.
-  const isWhole = last?.end === "whole" && last.made === "run" &&
+  const isWhole = !wasReset && last?.end === "whole" && last.made === "run" &&
     last.framing !== "connection" &&
     timeBetween(record, last.endedAt ?? end.at, end.at) > PASSING_MILLISECONDS;
   if (isWhole) record.breaks("a_whole_answer_is_passed_on", told);
@@ -177,7 +182,8 @@
 
 /**
  * In no window do all nodes repeat more than their retry budget allows, whichever
- * of them start or end. Requests count in the window or in one shortly before.
+ * of them start or end. Callers' requests count whether they arrived or not, in
+ * the window or in one shortly before.
  */
 function checkRepeats(record: RelayRecord): void {
   const { share, reserve, windowMilliseconds: window } = RETRY_TERMS;
@@ -185,17 +191,19 @@
     const sends = record.sends.filter((send) => send.service === service)
       .toSorted((one, other) => one.at - other.at);
     const seen = new Set<string>();
-    const first: number[] = [];
     const repeated: number[] = [];
     for (const { request, at } of sends) {
-      (seen.has(request) ? repeated : first).push(at);
+      if (seen.has(request)) repeated.push(at);
       seen.add(request);
     }
+    const requested = record.calls
+      .filter((call) => call.isRouted !== false && serviceOf(call) === service)
+      .map((call) => call.sentAt);
     for (const begin of repeated) {
       const repeats = countBetween(repeated, begin, begin + window);
       const requests = Math.max(
         ...[0, window / 2, window].map((before) =>
-          countBetween(first, begin - before, begin - before + window)
+          countBetween(requested, begin - before, begin - before + window)
         ),
       );
       if (repeats <= share * requests + reserve) continue;
@@ -208,6 +216,10 @@
   }
 }
 
+function serviceOf({ kind }: CallRecord): string {
+  return kind === "drafts" || kind === "notes" ? ENGINES : PLAIN;
+}
+
 function countBetween(
   instants: readonly number[],
   begin: number,
--- a/packages/bench/src/soak/relay/relay_node.ts
+++ b/packages/bench/src/soak/relay/relay_node.ts
@@ -61,7 +61,12 @@
   constructor(id: string, run: number, parts: RelayNodeParts) {
     const { made, store, engines, seed } = parts;
     this.id = id;
-    this.record = { name: `${id}#${run}`, lines: [], outages: [] };
+    this.record = {
+      name: `${id}#${run}`,
+      lines: [],
+      outages: [],
+      lostServersAt: [],
+    };
     this.log = new NodeLog(store, made);
     const delays = new Draws(seed, `orders of ${this.record.name}`);
     this.#control = made.control(engines, delays);
@@ -114,6 +119,7 @@
    * @param ports The ports of the servers.
    */
   loseServers(ports: ReadonlySet<number>): void {
+    this.record.lostServersAt.push(performance.now());
     this.#control.isCut = true;
     this.#sockets.refuse(ports);
   }
--- a/packages/bench/src/soak/relay/relay_record.ts
+++ b/packages/bench/src/soak/relay/relay_record.ts
@@ -52,6 +52,8 @@
   readonly outages: { readonly from: number; to?: number }[];
   /** Its log, one JSON text a line. */
   readonly lines: string[];
+  /** When its connections to servers were reset. */
+  readonly lostServersAt: number[];
 }
 
 /** One send of a request to a server. */
