Relay: a departure announced by a start that isn't known yet is not forgotten

What callers saw: requests were sent to a server that had announced its departure to this very node up to seconds before, if the server had restarted under its id shortly before the announcement.

Cause: an answer doesn't name the start that gave it. The class is a fact about one run that is filed under another.

Why it works: a start that may have announced the departure gets no requests until it has answered a probe: a request that is meant for no server, which all reject without running it, on a connection that no earlier start can answer on. Its answer says whether the start leaves. A server that restarts healthy is used again after one round trip.

--- a/packages/bench/src/relay/stand_in_wire.ts
+++ b/packages/bench/src/relay/stand_in_wire.ts
@@ -3,6 +3,7 @@
   type Duration,
   milliseconds,
   modelId,
+  type RequestId,
   requestId,
   seconds,
 } from "@foxtailwind/core";
@@ -35,6 +36,9 @@
 /** Present in requests that another node forwards. */
 const FORWARDED_HEADER = "x-forwarded-by-peer";
 
+/** The name of no server, in requests that none of them may run. */
+const NO_SERVER = "none";
+
 /** How long a server wants no requests from the node, in seconds. */
 export const RETRY_AFTER_HEADER = "x-retry-after";
 
@@ -133,6 +137,10 @@
     return headers;
   }
 
+  override probeHeaders(id: RequestId): string[] {
+    return ["x-id", id, "x-server", NO_SERVER];
+  }
+
   override readAnswer(status: number, headers: Headers): AnswerFacts {
     const id = headers["x-id"];
     const limit = headers[REQUEST_LIMIT_HEADER];
--- a/packages/bench/src/soak/relay/sender_wire.ts
+++ b/packages/bench/src/soak/relay/sender_wire.ts
@@ -4,7 +4,7 @@
   RelayWire,
   type SendTerms,
 } from "@foxtailwind/node/relay";
-import type { Duration } from "@foxtailwind/core";
+import type { Duration, RequestId } from "@foxtailwind/core";
 import type { Result } from "neverthrow";
 import type { IncomingHttpHeaders } from "node:http";
 
@@ -43,6 +43,10 @@
     ];
   }
 
+  override probeHeaders(id: RequestId): string[] {
+    return [...this.#wire.probeHeaders(id), SENDER_HEADER, this.#sender];
+  }
+
   override forwardHeaders(
     rawHeaders: readonly string[],
     timeLeft: Duration,
--- a/packages/core/src/relay/mod.ts
+++ b/packages/core/src/relay/mod.ts
@@ -35,3 +35,4 @@
 export * from "./serving_set.ts";
 export * from "./start_history.ts";
 export * from "./token_bucket.ts";
+export * from "./unconfirmed_departures.ts";
--- a/packages/core/src/relay/recent_keys.ts
+++ b/packages/core/src/relay/recent_keys.ts
@@ -17,6 +17,15 @@
     return this.#keys.has(key);
   }
 
+  /**
+   * Removes a key.
+   * @param key The key.
+   * @returns Whether it was remembered.
+   */
+  delete(key: string): boolean {
+    return this.#keys.delete(key);
+  }
+
   /**
    * Adds a key or marks it as the most recent one.
    * @param key The key.
--- a/packages/node/src/relay/caller_wire.ts
+++ b/packages/node/src/relay/caller_wire.ts
@@ -101,6 +101,14 @@
     terms: SendTerms,
   ): string[];
 
+  /**
+   * Writes the headers of a request that no server runs: it is meant for none,
+   * so that each one rejects it as misdirected.
+   * @param id The id of the request.
+   * @returns The headers; names and values alternate.
+   */
+  abstract probeHeaders(id: RequestId): string[];
+
   /**
    * Writes the headers of a request that is forwarded to a peer: the caller's
    * headers, without hop-by-hop headers, and a mark that it is forwarded.
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -32,6 +32,7 @@
 import { PeerTable } from "./peer_table.ts";
 import { logRestart, logServerChange } from "./registry_logging.ts";
 import type { RelaySettings } from "./relay_settings.ts";
+import { ServerDepartures } from "./server_departures.ts";
 import { ServersByService } from "./servers_by_service.ts";
 import type { ServingNodes } from "./serving_nodes.ts";
 import {
@@ -79,6 +80,8 @@
 export class Knowledge extends SharedLogListener {
   readonly versions = new AdapterVersions();
   readonly registry = new ServerRegistry();
+  /** The departures that servers announce to this node in their answers. */
+  readonly departures: ServerDepartures;
   readonly peers = new PeerTable();
   /** Suspicions that requests crash servers. */
   readonly suspicionTracker: SuspicionTracker;
@@ -106,6 +109,7 @@
     super();
     this.#parts = parts;
     this.proofs = new ConfigurationProofs(parts.clock);
+    this.departures = new ServerDepartures(this.registry, parts.logger);
     this.suspicionTracker = new SuspicionTracker(parts);
     const { settings, incarnation } = parts;
     this.claims = new EngineClaims(
@@ -239,6 +243,7 @@
     this.suspicionTracker.recordServerEntry(this.registry, entry);
     const outcome = this.registry.apply(this.#parts.clock.now(), entry);
     logRestart(this.#parts.logger, entry, outcome);
+    this.departures.recordEntry(entry, outcome);
     if (this.registry.revision === before) return;
     logServerChange(this.#parts.logger, entry, known);
     this.onChange();
@@ -249,14 +254,7 @@
    * @param server The server, as known when the request was sent to it.
    */
   recordDeparture(server: RegisteredServer): void {
-    if (!this.registry.recordDeparture(server)) return;
-    this.#parts.logger.info(RELAY_SENTENCE.serverLeaves, {
-      server: server.id,
-      service: server.service,
-      start: server.start,
-      stated_by: "answer",
-    });
-    this.onChange();
+    if (this.departures.recordAnswer(server)) this.onChange();
   }
 
   override registryListed(
@@ -270,6 +268,7 @@
     const outcomes = this.registry.replace(now, entries, end);
     for (const [index, entry] of entries.entries()) {
       logRestart(this.#parts.logger, entry, outcomes[index]);
+      this.departures.recordEntry(entry, outcomes[index]);
     }
     this.onChange();
   }
--- a/packages/node/src/relay/placement_finder.ts
+++ b/packages/node/src/relay/placement_finder.ts
@@ -129,8 +129,9 @@
   /** The servers that can run the request, preferring those not tried yet. */
   #servers(): readonly RegisteredServer[] {
     const { service } = this.#request;
-    const available = this.#parts.knowledge.servers(service.id)
-      .filter((one) => !one.leaving);
+    const { knowledge } = this.#parts;
+    const available = knowledge.servers(service.id)
+      .filter((one) => knowledge.departures.takesRequests(one));
     const untried = available.filter((one) =>
       !this.#terms.sendRecord.hasTried(one.id)
     );
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -17,6 +17,7 @@
 import { BackendPools } from "./backend_pools.ts";
 import type { RelayWire } from "./caller_wire.ts";
 import type { EngineControl } from "./engine_control.ts";
+import { DepartureProber } from "./departure_prober.ts";
 import { EngineOwners } from "./engine_owners.ts";
 import { FrontServer } from "./front_server.ts";
 import { Knowledge } from "./knowledge.ts";
@@ -69,6 +70,7 @@
   readonly #peerServer: PeerServer;
   readonly #pools = new BackendPools();
   readonly #reach: ReachMonitor;
+  readonly #departureProber: DepartureProber;
   readonly #forwarder: PeerForwarder;
   readonly #loads: ServerLoads;
   readonly #parts: RelayParts;
@@ -112,6 +114,12 @@
         this.#exchange.exchangeSoon();
       },
     });
+    this.#departureProber = new DepartureProber({
+      knowledge,
+      pools: this.#pools,
+      wire: platform.wire,
+      clock,
+    });
     this.#forwarder = new PeerForwarder({
       knowledge,
       reach: this.#reach,
@@ -334,6 +342,7 @@
     this.#parts.quotas.refresh(now);
     this.#parts.retryBudgets.refresh(now);
     this.#reach.refresh();
+    this.#departureProber.refresh();
     if (registry.revision === this.#retainedRevision) return;
     this.#retainedRevision = registry.revision;
     this.#pools.retainOnly(registry.all);
--- a/packages/node/src/relay/request_placer.ts
+++ b/packages/node/src/relay/request_placer.ts
@@ -234,7 +234,7 @@
 
   /** Whether an engine takes requests; it may leave while owners are asked. */
   #takesRequests(server: RegisteredServer): boolean {
-    return this.#parts.knowledge.registry.takesRequests(server);
+    return this.#parts.knowledge.departures.takesRequests(server);
   }
 
   /** Whether a use was granted for a start that has ended. */
--- a/packages/node/src/relay/request_sender.ts
+++ b/packages/node/src/relay/request_sender.ts
@@ -137,7 +137,7 @@
     return access.findRefusal(this.#request) ?? findSendObstacle(this.#now(), {
       hasCallerLeft: hasCallerLeft(message, response),
       deadline: this.#terms.deadline(),
-      isServerPresent: knowledge.registry.takesRequests(server),
+      isServerPresent: knowledge.departures.takesRequests(server),
       backoff: limits.backoff(server),
     });
   }
--- a/packages/node/tests/relay/departing_servers_test.ts
+++ b/packages/node/tests/relay/departing_servers_test.ts
@@ -161,3 +161,80 @@
   t.is(arrivals.length, CONNECTIONS);
   t.false(arrivals.includes("queued"));
 });
+
+/** The time in which a server doesn't answer a probe. */
+const PROBE_MILLISECONDS = 150;
+
+/** A server that restarts under its id and announces departures. */
+async function addRestartingServer(world: RelayWorld, options: {
+  /** Whether the present start announces its departure. */
+  isLeaving: boolean;
+}) {
+  const arrivals: string[] = [];
+  await world.addServer("s1", (request, response) => {
+    request.resume();
+    if (options.isLeaving) response.setHeader("x-leaving", "1");
+    if (request.headers["x-server"] !== "s1") {
+      rejectProbe(request, response);
+      return;
+    }
+    arrivals.push(String(request.headers["x-id"]));
+    succeed(request, response, "served");
+  });
+  world.registerStart("s1", 1);
+  return arrivals;
+}
+
+/** Rejects a request that is meant for no server, after a while. */
+function rejectProbe(request: IncomingMessage, response: ServerResponse) {
+  const id = String(request.headers["x-id"]);
+  response.setHeader("x-id", id).setHeader("x-not-run", "1");
+  setTimeout(() => response.writeHead(421).end(), PROBE_MILLISECONDS);
+}
+
+// Guards against a departure that is recorded for the start before the one that
+// announced it, and forgotten when the registry tells of that one.
+test("a restarted server that announces its departure before its start is known gets no further requests", async (t) => {
+  const world = await startWorld(t);
+  const arrivals = await addRestartingServer(world, { isLeaving: true });
+  t.is((await world.call("/once/first")).status, 200);
+  world.registerStart("s1", 2);
+  await sendLaterRequests(t, world);
+  await sleep(2 * PROBE_MILLISECONDS);
+  t.is((await world.call("/once/last")).status, 200);
+  t.is(arrivals.length, 1);
+});
+
+test("a server that restarts after its departure is used again once it answers that it stays", async (t) => {
+  const world = await startWorld(t);
+  const server = { isLeaving: true };
+  const arrivals = await addRestartingServer(world, server);
+  t.is((await world.call("/once/first")).status, 200);
+  server.isLeaving = false;
+  world.registerStart("s1", 2);
+  while (!world.takesRequests("s1")) await sleep(POLL_MILLISECONDS);
+  t.is((await world.call("/once/later")).status, 200);
+  t.is(arrivals.length, 2);
+});
+
+// Guards against an answer of a new start on a connection of the one before,
+// whose departure is recorded for the former one.
+test("a departure in an answer to a request that was sent before the restart became known applies", async (t) => {
+  const world = await startWorld(t);
+  const responses: ServerResponse[] = [];
+  await world.addServer("s1", (request, response) => {
+    request.resume();
+    response.setHeader("x-leaving", "1");
+    response.setHeader("x-id", String(request.headers["x-id"]));
+    if (request.headers["x-server"] === "s1") responses.push(response);
+    else rejectProbe(request, response);
+  });
+  world.registerStart("s1", 1);
+  const first = world.call("/patient/first");
+  while (responses.length === 0) await sleep(POLL_MILLISECONDS);
+  world.registerStart("s1", 2);
+  responses[0]?.setHeader("x-seal", "s").end("served");
+  t.is((await first).status, 200);
+  await sendLaterRequests(t, world);
+  t.is(responses.length, 1);
+});
--- a/packages/node/tests/relay/helpers/relay_world.ts
+++ b/packages/node/tests/relay/helpers/relay_world.ts
@@ -14,6 +14,7 @@
   logOffset,
   milliseconds,
   seconds,
+  serverStart,
 } from "@foxtailwind/core";
 import type { Knowledge } from "@foxtailwind/node/relay";
 import {
@@ -22,6 +23,7 @@
   AdapterGrants,
   BackendPools,
   CrashReports,
+  DepartureProber,
   EngineOwners,
   FrontServer,
   PeerForwarder,
@@ -160,6 +162,12 @@
         this.outcomes.push(outcome);
       },
     };
+    new DepartureProber({
+      knowledge,
+      pools: this.#pools,
+      wire: parts.wire,
+      clock,
+    }).refresh();
     const forwarder = new PeerForwarder({
       knowledge,
       clock,
@@ -244,8 +252,14 @@
    * @param id The server's id.
    * @param address The address.
    * @param service Its service.
+   * @param start Its start, if it tells it.
    */
-  addAddress(id: string, address: string, service = PLAIN_SERVICE): void {
+  addAddress(
+    id: string,
+    address: string,
+    service = PLAIN_SERVICE,
+    start?: number,
+  ): void {
     this.#offset += 1;
     this.#addresses.set(id, address);
     this.knowledge.registryEntry({
@@ -256,10 +270,28 @@
         service,
         address,
         isEngine: service === ENGINE_SERVICE,
+        ...(start === undefined ? {} : { start: serverStart(start) }),
       }),
     });
   }
 
+  /**
+   * Registers another start of a server at its address.
+   * @param id The server's id.
+   * @param start The start.
+   */
+  registerStart(id: string, start: number): void {
+    const address = this.#addresses.get(id) ?? "";
+    this.addAddress(id, address, PLAIN_SERVICE, start);
+  }
+
+  /** Whether the node may send requests to a server. */
+  takesRequests(id: string): boolean {
+    const server = this.knowledge.registry.find(backendServerId(id));
+    return server !== undefined &&
+      this.knowledge.departures.takesRequests(server);
+  }
+
   /**
    * Removes a server from the registry.
    * @param id The server's id.
