Relay's soak: orders are judged by the claim that gives them

No caller saw anything.

Cause: the check is wrong. It placed an order at its sender's newest claim in the log, not at the claim by which the order was given. A node that has lost an engine, has claimed it again and isn't told of that yet still orders by its earlier claim, which the fence allows; the check took this order for one by the newer claim, and the next owner's orders in between for outdated.

The new check is as strict: an order is placed by its fencing number, places must not fall, and the log must hold a claim of just this sender to this engine at that place, so that a forged number is noticed by its first order.

--- a/packages/bench/src/soak/relay/mod.ts
+++ b/packages/bench/src/soak/relay/mod.ts
@@ -6,3 +6,5 @@
 export * from "./relay_mutants.ts";
 export * from "./relay_soak.ts";
 export { RelayWorld as RelaySoakWorld } from "./relay_world.ts";
+export { RelayRecord as RelaySoakRecord } from "./relay_record.ts";
+export { SoakEngine } from "./soak_engine.ts";
--- a/packages/bench/src/soak/relay/relay_mutants.ts
+++ b/packages/bench/src/soak/relay/relay_mutants.ts
@@ -121,6 +121,18 @@
   }
 }
 
+/** Orders by the claim of whoever ordered the engine last. */
+class OrdersByOthersClaims extends SoakControl {
+  protected override deliver(
+    engine: SoakEngine,
+    order: EngineOrder,
+  ): OrderResult {
+    const { highestFence } = engine.adapters;
+    const fence = fencingNumber(Math.max(order.fence, highestFence));
+    return super.deliver(engine, { ...order, fence });
+  }
+}
+
 class ExpectsNoCount extends SoakControl {
   protected override deliver(
     engine: SoakEngine,
@@ -198,6 +210,11 @@
     invariants: ["an_owner_that_was_followed_orders_no_more"],
     made: new WithControl(OrdersWithAnyRight),
   },
+  {
+    name: "order by another owner's claim",
+    invariants: ["an_owner_that_was_followed_orders_no_more"],
+    made: new WithControl(OrdersByOthersClaims),
+  },
   {
     name: "order without expecting a count",
     invariants: ["adapter_slots_are_never_exceeded"],
--- a/packages/bench/src/soak/relay/relay_world.ts
+++ b/packages/bench/src/soak/relay/relay_world.ts
@@ -297,10 +297,7 @@
         ...parts,
         slots: WORLD_SIZE.slots,
         newestVersion: (adapter) => this.store.newestVersion(adapter),
-        claimPlace: (engine, owner) =>
-          this.store.claims.findLastIndex((claim) =>
-            claim.engine === engine && claim.owner === owner
-          ),
+        readClaims: () => this.store.claims,
       })
       : new PlainSoakServer(`plain-${number}`, PLAIN, parts);
     this.#allServers.push(server);
--- a/packages/bench/src/soak/relay/soak_engine.ts
+++ b/packages/bench/src/soak/relay/soak_engine.ts
@@ -1,5 +1,6 @@
 import { type AdapterId, adapterId } from "@foxtailwind/core";
 import type {
+  ClaimRecord,
   EngineOrder,
   EngineReport,
   OrderResult,
@@ -12,14 +13,14 @@
 /** Tells the newest version that operators have named of an adapter. */
 export type NewestVersion = (adapter: AdapterId) => number;
 
-/** Tells the place in the log of an owner's newest claim to an engine. */
-export type ClaimPlace = (engine: string, owner: string) => number;
+/** Returns the log's claims to all engines, in the order of the log. */
+export type ReadClaims = () => readonly ClaimRecord[];
 
 /** What an engine works with. */
 export interface SoakEngineParts extends SoakServerParts {
   readonly slots: number;
   readonly newestVersion: NewestVersion;
-  readonly claimPlace: ClaimPlace;
+  readonly readClaims: ReadClaims;
 }
 
 /** How many events a stream has. */
@@ -115,17 +116,8 @@
   #take(order: EngineOrder): OrderResult {
     const before = this.adapters.orderCount;
     const result = this.adapters.execute(order);
-    const { record, claimPlace } = this.#parts;
-    if (this.adapters.orderCount > before) {
-      const place = claimPlace(this.id, order.owner);
-      if (place < this.#highestClaim) {
-        record.breaks(
-          "an_owner_that_was_followed_orders_no_more",
-          `${this.id} carried out an order of ${order.owner}, claim ${place}`,
-        );
-      }
-      this.#highestClaim = Math.max(this.#highestClaim, place);
-    }
+    const { record } = this.#parts;
+    if (this.adapters.orderCount > before) this.#checkOwner(order);
     if (this.adapters.hasExceededSlots) {
       record.breaks(
         "adapter_slots_are_never_exceeded",
@@ -135,6 +127,25 @@
     return result;
   }
 
+  /**
+   * Each order names the claim by which it is given. An owner that has claimed
+   * the engine again may still carry out orders by its earlier claim.
+   */
+  #checkOwner({ owner, fence }: EngineOrder): void {
+    const place = fence - 1;
+    const claim = this.#parts.readClaims()[place];
+    const isOwn = claim?.owner === owner && claim.engine === this.id;
+    if (!isOwn || place < this.#highestClaim) {
+      this.#parts.record.breaks(
+        "an_owner_that_was_followed_orders_no_more",
+        `${this.id} carried out an order of ${owner} by claim ${place}, which is ${
+          isOwn ? "its own" : `${claim?.owner ?? "nobody"}'s`
+        }, after one by claim ${this.#highestClaim}`,
+      );
+    }
+    this.#highestClaim = Math.max(this.#highestClaim, place);
+  }
+
   #versionOf(adapter: AdapterId): number {
     return this.#versions.get(adapter) ?? 1;
   }
