Relay's soak: what a node sends is judged by when it writes it

No caller saw anything.

Cause: both checks took the time at which a server read a request for the time at which its node sent it. In a busy process, which nodes and servers share, a server reads requests on new connections up to seconds after they were written, although no single stall is long enough for StallWatch to count it. Callers' requests reach nodes as late and are counted there in later windows of the retry budget.

The checks are as strict for what nodes decide. Sends are numbered, and the HTTP client's diagnostics channels tell when each one was written and its answer read. A request that is written during a backoff counts as soon as its node has read the refusal, where 500 ms passed before, or 500 ms after it was written, as before. Answers to forwarded requests are judged now, by the log of the node that sent them. Requests count for a window of the retry budget if they were sent up to the delay before that sends in that window had.

--- a/packages/bench/src/soak/relay/mod.ts
+++ b/packages/bench/src/soak/relay/mod.ts
@@ -3,8 +3,12 @@
  * @module
  */
 export * from "./node_parts.ts";
+export { checkNotices } from "./notice_checks.ts";
 export * from "./relay_mutants.ts";
 export * from "./relay_soak.ts";
 export { RelayWorld as RelaySoakWorld } from "./relay_world.ts";
-export { RelayRecord as RelaySoakRecord } from "./relay_record.ts";
+export {
+  RelayRecord as RelaySoakRecord,
+  type SendRecord,
+} from "./relay_record.ts";
 export { SoakEngine } from "./soak_engine.ts";
--- a/packages/bench/src/soak/relay/notice_checks.ts
+++ b/packages/bench/src/soak/relay/notice_checks.ts
@@ -1,15 +1,20 @@
 import { traceCall } from "./call_trace.ts";
 import { timeBetween } from "./relay_checks.ts";
-import type { CallRecord, RelayRecord, SendRecord } from "./relay_record.ts";
+import type {
+  CallRecord,
+  NodeRunRecord,
+  RelayRecord,
+  SendRecord,
+} from "./relay_record.ts";
 
 /**
  * A caller's request that is sent this long after its node has received a
  * server's departure must not reach that server.
  */
 const DEPARTURE_MILLISECONDS = 1_000;
-/** Requests that are on their way when a backoff is asked for arrive by then. */
-const BACKOFF_GRACE_MILLISECONDS = 500;
-/** The requests that may reach a server during a backoff after the grace. */
+/** A node has read an answer this long after it was written. */
+const READING_MILLISECONDS = 500;
+/** The requests that may be written to a server during a backoff. */
 const MOST_IN_BACKOFF = 2;
 const MILLISECONDS_PER_SECOND = 1_000;
 /**
@@ -22,10 +27,13 @@
   '"broke_at":"unanswered"',
 ];
 
-/** An answer that its node has received for sure, and when it was written. */
+/** An answer that its node has received for sure. */
 interface ReceivedAnswer {
   readonly send: SendRecord;
   readonly call: CallRecord;
+  /** The run of the node that received it. */
+  readonly node: NodeRunRecord;
+  /** When the server wrote it. */
   readonly at: number;
 }
 
@@ -54,8 +62,7 @@
 
 /**
  * A head is received for sure if its caller is answered after it and the node
- * doesn't log that it read no answer. The caller's node can't tell that of a
- * request that it forwarded.
+ * doesn't log that it read no answer.
  */
 function findReceived(
   record: RelayRecord,
@@ -63,24 +70,28 @@
   call: CallRecord,
 ): readonly ReceivedAnswer[] {
   const at = send.headAt;
-  if (at === undefined || send.end !== "whole" || send.made === "foreign") {
+  const node = record.nodeRuns.get(send.sentBy);
+  if (
+    at === undefined || node === undefined || send.end !== "whole" ||
+    send.made === "foreign"
+  ) {
     return [];
   }
   const isReplaced = record.sendsOf(send.request).some((other) =>
     other !== send && other.at > send.at && other.at < at
   );
-  const isUnread = call.node.lines.some((line) =>
+  const isUnread = node.lines.some((line) =>
     line.includes(`"request":"${send.request}"`) &&
     line.includes(`"server":"${send.server}"`) &&
     UNREAD_MARKS.some((mark) => line.includes(mark))
   );
   const { end } = call;
+  const isCut = [call.node, node].some(({ cutAt }) => cutAt !== undefined);
   const isWaitedFor = end !== undefined && end.at >= at &&
-    end.isAbandoned !== true && call.node.cutAt === undefined;
-  const isForwarded = send.sentBy !== call.node.name;
-  return isReplaced || isUnread || isForwarded || !isWaitedFor
+    end.isAbandoned !== true && !isCut;
+  return isReplaced || isUnread || !isWaitedFor
     ? []
-    : [{ send, call, at }];
+    : [{ send, call, node, at }];
 }
 
 function isSamePath(send: SendRecord, other: SendRecord): boolean {
@@ -90,7 +101,7 @@
 
 function checkDeparture(
   record: RelayRecord,
-  { send, at }: ReceivedAnswer,
+  { send, node, at }: ReceivedAnswer,
   laterSends: readonly SendRecord[],
   calls: ReadonlyMap<string, CallRecord>,
 ): void {
@@ -102,7 +113,7 @@
     }
     record.breaks(
       "announced_departure_is_respected",
-      `${send.server}, start ${send.start}, announced it to ${call.node.name} in ${send.request}, ${
+      `${send.server}, start ${send.start}, announced it to ${node.name} in ${send.request}, ${
         Math.round(call.sentAt - at)
       } ms before\n${traceCall(record, call)}`,
     );
@@ -111,21 +122,26 @@
 
 function checkBackoff(
   record: RelayRecord,
-  { send, call, at }: ReceivedAnswer,
+  { send, call, node, at }: ReceivedAnswer,
   laterSends: readonly SendRecord[],
 ): void {
   const to = at + (send.retryAfter ?? 0) * MILLISECONDS_PER_SECOND;
-  const early = laterSends.filter((other) =>
-    other.at < to &&
-    timeBetween(record, at, other.at) > BACKOFF_GRACE_MILLISECONDS
-  );
+  const readAt = send.times.answeredAt ?? Infinity;
+  const early = laterSends.filter((other) => {
+    const writtenAt = other.times.writtenAt ?? other.at;
+    const hasRead = writtenAt > readAt ||
+      timeBetween(record, at, writtenAt) > READING_MILLISECONDS;
+    return hasRead && writtenAt < to;
+  });
   if (early.length <= MOST_IN_BACKOFF) return;
   const arrivals = early.map((other) =>
-    `${other.request} after ${Math.round(other.at - at)} ms`
+    `${other.request} after ${Math.round(other.at - at)} ms, written after ${
+      Math.round((other.times.writtenAt ?? other.at) - at)
+    } ms`
   ).join(", ");
   record.breaks(
     "backoff_is_respected",
-    `${send.server}, in a backoff asked of ${call.node.name}, got ${arrivals}\n${
+    `${send.server}, in a backoff asked of ${node.name}, got ${arrivals}\n${
       traceCall(record, call)
     }`,
   );
--- a/packages/bench/src/soak/relay/relay_checks.ts
+++ b/packages/bench/src/soak/relay/relay_checks.ts
@@ -8,6 +8,7 @@
   hasRun,
   type NodeRunRecord,
   type RelayRecord,
+  type SendRecord,
 } from "./relay_record.ts";
 import { ATTEMPTS } from "./soak_configuration.ts";
 
@@ -183,7 +184,9 @@
 /**
  * In no window do all nodes repeat more than their retry budget allows, whichever
  * of them start or end. Callers' requests count whether they arrived or not, in
- * the window or in one shortly before.
+ * the window or in one shortly before. On a busy machine this process passes
+ * requests on late, to nodes as to servers: what was sent up to that delay before
+ * a window may have been counted in it.
  */
 function checkRepeats(record: RelayRecord): void {
   const { share, reserve, windowMilliseconds: window } = RETRY_TERMS;
@@ -201,9 +204,14 @@
       .map((call) => call.sentAt);
     for (const begin of repeated) {
       const repeats = countBetween(repeated, begin, begin + window);
+      const delay = longestDelay(sends, begin, begin + window);
       const requests = Math.max(
         ...[0, window / 2, window].map((before) =>
-          countBetween(requested, begin - before, begin - before + window)
+          countBetween(
+            requested,
+            begin - before - delay,
+            begin - before + window,
+          )
         ),
       );
       if (repeats <= share * requests + reserve) continue;
@@ -216,6 +224,17 @@
   }
 }
 
+/** The longest time from a send's writing to its reading by its server. */
+function longestDelay(
+  sends: readonly SendRecord[],
+  begin: number,
+  end: number,
+): number {
+  const delays = sends.filter(({ at }) => at >= begin && at < end)
+    .map(({ at, times }) => at - (times.writtenAt ?? at));
+  return Math.max(0, ...delays);
+}
+
 function serviceOf({ kind }: CallRecord): string {
   return kind === "drafts" || kind === "notes" ? ENGINES : PLAIN;
 }
--- a/packages/bench/src/soak/relay/relay_record.ts
+++ b/packages/bench/src/soak/relay/relay_record.ts
@@ -1,6 +1,7 @@
 import type { ServerStart } from "@foxtailwind/core";
 import type { WritingEnd } from "./answer_writer.ts";
 import type { AnswerFraming, AnswerKind } from "./answer_plan.ts";
+import type { SendTimes } from "./send_times.ts";
 import { StallWatch } from "./stall_watch.ts";
 
 /** The kinds of request, by the first part of their paths. */
@@ -63,7 +64,10 @@
   readonly server: string;
   /** The run of the node that sent it; a peer of the caller's if forwarded. */
   readonly sentBy: string;
+  /** When the server read it. */
   readonly at: number;
+  /** When its node wrote it and read an answer. */
+  readonly times: SendTimes;
   /** What the server made of it; "misdirected" where it holds no adapter. */
   readonly made: AnswerKind | "misdirected";
   readonly framing: AnswerFraming;
--- a/packages/bench/src/soak/relay/sender_wire.ts
+++ b/packages/bench/src/soak/relay/sender_wire.ts
@@ -7,6 +7,7 @@
 import type { Duration, RequestId } from "@foxtailwind/core";
 import type { Result } from "neverthrow";
 import type { IncomingHttpHeaders } from "node:http";
+import { numberSend } from "./send_times.ts";
 
 /** Names the run of the node that sends a request. */
 export const SENDER_HEADER = "x-sent-by";
@@ -40,6 +41,7 @@
       ...this.#wire.sendHeaders(rawHeaders, terms),
       SENDER_HEADER,
       this.#sender,
+      ...numberSend(),
     ];
   }
 
--- a/packages/bench/src/soak/relay/soak_server.ts
+++ b/packages/bench/src/soak/relay/soak_server.ts
@@ -11,6 +11,7 @@
   LEAVING_HEADER,
   RETRY_AFTER_HEADER,
 } from "../../relay/stand_in_wire.ts";
+import { SEND_HEADER, takeSendTimes } from "./send_times.ts";
 import { SENDER_HEADER } from "./sender_wire.ts";
 import { hasRun, type RelayRecord, type SendRecord } from "./relay_record.ts";
 
@@ -93,6 +94,7 @@
       server: this.id,
       sentBy: request.headers.get(SENDER_HEADER) ?? "",
       at: performance.now(),
+      times: takeSendTimes(request.headers.get(SEND_HEADER) ?? ""),
       made,
       framing: plan.framing,
       ...(run?.version === undefined ? {} : { version: run.version }),
