--- a/packages/core/tests/relay/server_reach_test.ts
+++ b/packages/core/tests/relay/server_reach_test.ts
@@ -71,6 +71,20 @@
   t.false(reach.isProbeDue(instant(100), PLAIN, 0));
 });
 
+// Guards against a probe, and forwarded requests, for failures long ago.
+test("a failed connection is evidence for a limited time", (t) => {
+  const [first, second] = SERVERS;
+  if (first === undefined || second === undefined) return;
+  const isDueAfter = (pause: number) => {
+    const reach = new ServerReach();
+    reach.recordFailure(instant(0), PLAIN, first);
+    reach.recordFailure(instant(pause), PLAIN, second);
+    return reach.isProbeDue(instant(pause), PLAIN, SERVERS.length);
+  };
+  t.true(isDueAfter(EVIDENCE_MILLISECONDS - 1));
+  t.false(isDueAfter(EVIDENCE_MILLISECONDS));
+});
+
 test("a service that is out of reach has the others probed once", (t) => {
   const reach = new ServerReach();
   t.true(reach.recordUnreached(PLAIN, [ENGINES]));
--- a/packages/node/src/relay/mod.ts
+++ b/packages/node/src/relay/mod.ts
@@ -19,6 +19,7 @@
 export * from "./caller_wire.ts";
 export * from "./crash_reports.ts";
 export * from "./departure_prober.ts";
+export * from "./engine_candidates.ts";
 export * from "./engine_control.ts";
 export * from "./operations_wire.ts";
 export * from "./relay_daemon.ts";
--- a/packages/node/tests/relay/forwarded_request_test.ts
+++ b/packages/node/tests/relay/forwarded_request_test.ts
@@ -1,5 +1,6 @@
 import { instant } from "@foxtailwind/core";
 import { ProcessClock } from "@foxtailwind/node/relay";
+import type { NodeDigest } from "@foxtailwind/protocol";
 import test, { type ExecutionContext } from "ava";
 import { createServer, type RequestListener } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -19,10 +20,14 @@
   return world;
 }
 
-function addPeer(world: RelayWorld, id: string, callerAddress: string): void {
+function addPeer(
+  world: RelayWorld,
+  id: string,
+  state: Partial<NodeDigest>,
+): void {
   world.knowledge.peers.applyDigest(
     instant(new ProcessClock().now()),
-    nodeDigest(id, { callerAddress }),
+    nodeDigest(id, state),
   );
 }
 
@@ -31,7 +36,11 @@
   t: ExecutionContext,
   world: RelayWorld,
   answer: RequestListener,
-  id = "n2",
+  { id = "n2", state = {} }: {
+    readonly id?: string;
+    /** What the peer says of itself. */
+    readonly state?: Partial<NodeDigest>;
+  } = {},
 ): Promise<void> {
   const server = createServer(answer);
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
@@ -40,7 +49,7 @@
     server.close();
   });
   const { port } = server.address() as AddressInfo;
-  addPeer(world, id, `127.0.0.1:${port}`);
+  addPeer(world, id, { ...state, callerAddress: `127.0.0.1:${port}` });
 }
 
 async function waitUntil(condition: () => boolean): Promise<void> {
@@ -86,10 +95,10 @@
 
 test("a request is offered to another peer only if the first one took no connection", async (t) => {
   const world = await startCutWorld(t);
-  addPeer(world, "n2", CLOSED_ADDRESS);
+  addPeer(world, "n2", { callerAddress: CLOSED_ADDRESS });
   await startPeer(t, world, (request, response) => {
     succeed(request, response, "");
-  }, "n3");
+  }, { id: "n3" });
   for (let index = 0; index < 8; index += 1) {
     t.is((await world.call("/once/a")).status, 200);
   }
@@ -103,8 +112,8 @@
     arrivals += 1;
     request.socket.destroy();
   };
-  await startPeer(t, world, breakOff, "n2");
-  await startPeer(t, world, breakOff, "n3");
+  await startPeer(t, world, breakOff, { id: "n2" });
+  await startPeer(t, world, breakOff, { id: "n3" });
   t.is((await world.call("/repeatable/a")).status, 502);
   t.is(arrivals, 1);
 });
@@ -153,7 +162,7 @@
 
 test("a request that no peer takes is relayed by the node itself", async (t) => {
   const world = await startCutWorld(t);
-  addPeer(world, "n2", CLOSED_ADDRESS);
+  addPeer(world, "n2", { callerAddress: CLOSED_ADDRESS });
   await world.addServer("s1", (request, response) => {
     request.resume();
     succeed(request, response, "own");
@@ -163,21 +172,27 @@
   t.is(bytes.toString(), "own");
 });
 
-test("peers that don't reach a service either, or leave, are not asked", async (t) => {
-  const world = await startCutWorld(t);
-  const now = instant(new ProcessClock().now());
-  const callerAddress = CLOSED_ADDRESS;
-  const { peers } = world.knowledge;
-  peers.applyDigest(
-    now,
-    nodeDigest("n2", { callerAddress, unreachedServices: ["plain"] }),
-  );
-  peers.applyDigest(now, nodeDigest("n3", { callerAddress, isLeaving: true }));
-  peers.applyDigest(now, nodeDigest("n4", { callerAddress, isReady: false }));
-  await world.addServer("s1", (request, response) => {
-    request.resume();
-    succeed(request, response, "own");
+const UNSUITABLE_PEERS: Readonly<Record<string, Partial<NodeDigest>>> = {
+  "doesn't reach the service either": { unreachedServices: ["plain"] },
+  "leaves": { isLeaving: true },
+  "isn't ready": { isReady: false },
+};
+
+for (const [why, state] of Object.entries(UNSUITABLE_PEERS)) {
+  // Guards against requests that are forwarded to peers that can't serve them.
+  test(`a peer that ${why} is not asked`, async (t) => {
+    const world = await startCutWorld(t);
+    let arrivals = 0;
+    await startPeer(t, world, (request, response) => {
+      arrivals += 1;
+      succeed(request, response, "peer");
+    }, { state });
+    await world.addServer("s1", (request, response) => {
+      request.resume();
+      succeed(request, response, "own");
+    });
+    t.is((await world.call("/once/a")).bytes.toString(), "own");
+    t.is(arrivals, 0);
+    t.deepEqual(world.outcomes, ["answered"]);
   });
-  t.is((await world.call("/once/a")).status, 200);
-  t.deepEqual(world.outcomes, ["answered"]);
-});
+}
