Tests: a node whose connections to all servers hang

A link can hang now: a blocked listener with a full queue, on which the kernel drops attempts to connect.

--- a/packages/bench/src/relay/relay_cluster.ts
+++ b/packages/bench/src/relay/relay_cluster.ts
@@ -291,14 +291,28 @@
     }
   }
 
+  /**
+   * Cuts a node off from all servers, without a refusal: attempts to connect
+   * hang, and what is sent over open connections is held up.
+   * @param daemon The node.
+   */
+  async hangServers(daemon: RelayDaemon): Promise<void> {
+    const { links, control } = this.#linksOf(daemon);
+    control.isCut = true;
+    for (const link of links.values()) link.partition();
+    await Promise.all(
+      [...links.values()].map((link) => link.hangConnections()),
+    );
+  }
+
   /**
    * Ends the cut of a node.
    * @param daemon The node.
    */
-  heal(daemon: RelayDaemon): void {
+  async heal(daemon: RelayDaemon): Promise<void> {
     const { links, control } = this.#linksOf(daemon);
     control.isCut = false;
-    for (const link of links.values()) link.heal();
+    await Promise.all([...links.values()].map((link) => link.heal()));
   }
 
   /** Stops the nodes, the engines and the lookup server. */
--- a/packages/bench/tests/relay/partitioned_node_test.ts
+++ b/packages/bench/tests/relay/partitioned_node_test.ts
@@ -88,6 +88,17 @@
   });
 }
 
+// Guards against callers that wait for connections that are never answered.
+test("callers of a node whose connections to all servers hang are served", async (t) => {
+  const cluster = await startLinked(t, 3);
+  const node = getNode(cluster, 0);
+  await cluster.hangServers(node);
+  await callFor(cluster, node, DETECTION_MILLISECONDS);
+  await assertServes(t, cluster, node);
+  await cluster.heal(node);
+  await assertServes(t, cluster, node);
+});
+
 // Guards against callers that fail while most nodes are cut off.
 test("callers of all nodes but one that are cut off are served", async (t) => {
   const cluster = await startLinked(t, 4);
@@ -111,7 +122,7 @@
   await callFor(cluster, node, DETECTION_MILLISECONDS);
   t.false(await isNamed(other));
   t.false(await isNamed(node));
-  cluster.heal(node);
+  await cluster.heal(node);
   await waitUntil(() => isNamed(other));
   await assertServes(t, cluster, node);
 });
--- a/packages/node/tests/relay/partition_test.ts
+++ b/packages/node/tests/relay/partition_test.ts
@@ -51,7 +51,7 @@
   caller.abort();
   await t.throwsAsync(call, { any: true });
   await sleep(CLOSE_MILLISECONDS);
-  link.heal();
+  await link.heal();
   await sleep(ARRIVAL_MILLISECONDS);
   t.deepEqual(arrivals, ["/once/before"]);
   t.deepEqual(world.outcomes, ["answered", "caller_left"]);
@@ -64,7 +64,7 @@
   link.partition();
   t.is((await world.call("/short/late")).status, 504);
   await sleep(CLOSE_MILLISECONDS);
-  link.heal();
+  await link.heal();
   await sleep(ARRIVAL_MILLISECONDS);
   t.deepEqual(arrivals, ["/once/before"]);
 });
@@ -82,7 +82,7 @@
   });
   t.is((await call).bytes.toString(), "second");
   await sleep(CLOSE_MILLISECONDS);
-  link.heal();
+  await link.heal();
   await sleep(ARRIVAL_MILLISECONDS);
   t.deepEqual(arrivals, ["/once/before"]);
 });
@@ -93,7 +93,7 @@
   link.partition();
   const call = world.call("/patient/waiting");
   await sleep(CLOSE_MILLISECONDS);
-  link.heal();
+  await link.heal();
   t.is((await call).status, 200);
   t.deepEqual(arrivals, ["/once/before", "/patient/waiting"]);
 });
--- a/packages/standins/src/network/partitionable_link.ts
+++ b/packages/standins/src/network/partitionable_link.ts
@@ -1,4 +1,5 @@
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { HangingListener } from "./hanging_listener.ts";
 
 /** Bytes and the end of one direction that a partition holds up. */
 interface HeldInput {
@@ -74,6 +75,7 @@
   });
   #isPartitioned = false;
   #port = 0;
+  #hangingListener: HangingListener | undefined;
 
   /** @param serverPort The port of the server on loopback. */
   constructor(serverPort: number) {
@@ -102,15 +104,28 @@
     this.#listener.close();
   }
 
+  /** Begins to leave attempts to connect without an answer. */
+  async hangConnections(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.#listener.close();
+      setImmediate(resolve);
+    });
+    this.#hangingListener = new HangingListener(this.#port);
+    await this.#hangingListener.start();
+  }
+
   /** Ends the partition, and accepts connections again. */
-  heal(): void {
+  async heal(): Promise<void> {
     this.#isPartitioned = false;
-    if (!this.#listener.listening) void this.listen();
+    await this.#hangingListener?.stop();
+    this.#hangingListener = undefined;
+    if (!this.#listener.listening) await this.listen();
     for (const connection of this.#connections) connection.heal();
   }
 
   /** Resets all connections and stops listening. */
   close(): void {
+    void this.#hangingListener?.stop();
     this.#listener.close();
     for (const connection of this.#connections) connection.reset();
   }
