--- a/packages/bench/src/relay/relay_cluster.ts
+++ b/packages/bench/src/relay/relay_cluster.ts
@@ -9,11 +9,11 @@
   parseRelaySettings,
   RelayDaemon,
 } from "@foxtailwind/node/relay";
-import { PartitionableLink } from "@foxtailwind/standins";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { request as send } from "undici";
+import { NodeLinks } from "./node_links.ts";
 import {
   STAND_IN_ENGINE_SERVICE as ENGINES,
   STAND_IN_HOST as HOST,
@@ -68,13 +68,6 @@
   readonly body: string;
 }
 
-/** How one node reaches the servers. */
-interface NodeLinks {
-  /** The link to each server, by the server's address. */
-  readonly links: ReadonlyMap<string, PartitionableLink>;
-  readonly control: StandInControl;
-}
-
 /** Relays in this process, with stand-ins of all their dependencies. */
 export class RelayCluster {
   readonly store = new StandInStore();
@@ -134,7 +127,11 @@
     if (settings.isErr()) throw new Error(JSON.stringify(settings.error));
     const log = new StandInLog(this.store);
     const control = new StandInControl(this.engines);
-    const links = await this.#createLinks(log);
+    const links = new NodeLinks(control);
+    if (this.#size.hasLinks === true) {
+      const servers = [...this.#servers.values()];
+      await links.open(log, servers.map(({ address }) => address));
+    }
     const daemon = new RelayDaemon(settings.value, {
       log,
       wire: new StandInWire(),
@@ -142,7 +139,7 @@
       operations: new StandInOperations(),
     }, new LoggerFactory("json", 0, () => undefined));
     await daemon.start();
-    this.#links.set(daemon, { links, control });
+    this.#links.set(daemon, links);
     this.daemons.push(daemon);
     this.logs.push(log);
     while (!await this.isReady(daemon)) {
@@ -277,80 +274,25 @@
   }
 
   /**
-   * Cuts a node off from all servers. New connections are refused.
-   * @param daemon The node.
-   * @param keepsConnections Whether open connections live on; otherwise, what is
-   * sent over them is held up.
-   */
-  cutFromServers(daemon: RelayDaemon, keepsConnections = false): void {
-    const { links, control } = this.#linksOf(daemon);
-    control.isCut = !keepsConnections;
-    for (const link of links.values()) {
-      link.refuseConnections();
-      if (!keepsConnections) link.partition();
-    }
-  }
-
-  /**
-   * Cuts a node off from all servers, without a refusal: attempts to connect
-   * hang, and what is sent over open connections is held up.
-   * @param daemon The node.
-   */
-  async hangServers(daemon: RelayDaemon): Promise<void> {
-    const { links, control } = this.#linksOf(daemon);
-    control.isCut = true;
-    for (const link of links.values()) link.partition();
-    await Promise.all(
-      [...links.values()].map((link) => link.hangConnections()),
-    );
-  }
-
-  /**
-   * Ends the cut of a node.
+   * Returns a node's links to the servers, which can be cut.
    * @param daemon The node.
+   * @returns The links.
    */
-  async heal(daemon: RelayDaemon): Promise<void> {
-    const { links, control } = this.#linksOf(daemon);
-    control.isCut = false;
-    await Promise.all([...links.values()].map((link) => link.heal()));
+  linksOf(daemon: RelayDaemon): NodeLinks {
+    const links = this.#links.get(daemon);
+    if (links === undefined) throw new RangeError("There is no such node.");
+    return links;
   }
 
   /** Stops the nodes, the engines and the lookup server. */
   async stop(): Promise<void> {
     await Promise.all(this.daemons.map((daemon) => daemon.stop()));
-    for (const { links } of this.#links.values()) {
-      for (const link of links.values()) link.close();
-    }
+    for (const links of this.#links.values()) links.close();
     for (const engine of this.engines.values()) engine.close();
     this.#lookupServer.close();
     this.#lookupServer.closeAllConnections();
   }
 
-  /** Creates a node's links to all servers, and shows it their addresses. */
-  async #createLinks(
-    log: StandInLog,
-  ): Promise<ReadonlyMap<string, PartitionableLink>> {
-    const links = new Map<string, PartitionableLink>();
-    if (this.#size.hasLinks !== true) return links;
-    const addresses = new Map<string, string>();
-    for (const { address } of this.#servers.values()) {
-      const link = new PartitionableLink(Number(address.split(":").at(-1)));
-      links.set(address, link);
-      addresses.set(address, `127.0.0.1:${await link.listen()}`);
-    }
-    log.viewServer = (server) => ({
-      ...server,
-      address: addresses.get(server.address) ?? server.address,
-    });
-    return links;
-  }
-
-  #linksOf(daemon: RelayDaemon): NodeLinks {
-    const links = this.#links.get(daemon);
-    if (links === undefined) throw new RangeError("There is no such node.");
-    return links;
-  }
-
   async #startServers(): Promise<void> {
     for (let index = 1; index <= this.#size.engines; index += 1) {
       const engine = new StandInEngine(
--- a/packages/bench/tests/relay/partitioned_node_test.ts
+++ b/packages/bench/tests/relay/partitioned_node_test.ts
@@ -82,7 +82,7 @@
   test(`callers of a node that is ${variant} are served`, async (t) => {
     const cluster = await startLinked(t, 3);
     const node = getNode(cluster, 0);
-    cluster.cutFromServers(node, keepsConnections);
+    cluster.linksOf(node).cut(keepsConnections);
     await callFor(cluster, node, DETECTION_MILLISECONDS);
     await assertServes(t, cluster, node);
   });
@@ -92,10 +92,10 @@
 test("callers of a node whose connections to all servers hang are served", async (t) => {
   const cluster = await startLinked(t, 3);
   const node = getNode(cluster, 0);
-  await cluster.hangServers(node);
+  await cluster.linksOf(node).hang();
   await callFor(cluster, node, DETECTION_MILLISECONDS);
   await assertServes(t, cluster, node);
-  await cluster.heal(node);
+  await cluster.linksOf(node).heal();
   await assertServes(t, cluster, node);
 });
 
@@ -103,7 +103,7 @@
 test("callers of all nodes but one that are cut off are served", async (t) => {
   const cluster = await startLinked(t, 4);
   const cutNodes = [0, 1, 2].map((index) => getNode(cluster, index));
-  for (const node of cutNodes) cluster.cutFromServers(node);
+  for (const node of cutNodes) cluster.linksOf(node).cut();
   await Promise.all(
     cutNodes.map((node) => callFor(cluster, node, DETECTION_MILLISECONDS)),
   );
@@ -118,11 +118,11 @@
   const isNamed = async (teller: RelayDaemon) =>
     (await cluster.addresses(teller)).includes(node.callerAddress);
   t.true(await isNamed(other));
-  cluster.cutFromServers(node);
+  cluster.linksOf(node).cut();
   await callFor(cluster, node, DETECTION_MILLISECONDS);
   t.false(await isNamed(other));
   t.false(await isNamed(node));
-  await cluster.heal(node);
+  await cluster.linksOf(node).heal();
   await waitUntil(() => isNamed(other));
   await assertServes(t, cluster, node);
 });
@@ -136,7 +136,7 @@
   const owner = ownerOf(engines[0] ?? "");
   const index = owner === "node-1" ? 0 : 1;
   const node = getNode(cluster, index);
-  cluster.cutFromServers(node);
+  cluster.linksOf(node).cut();
   await callFor(cluster, node, DETECTION_MILLISECONDS);
   const clock = new ProcessClock();
   const end = clock.now() + HANDOVER_MILLISECONDS;
