--- a/packages/bench/tests/soak/relay_soak_test.ts
+++ b/packages/bench/tests/soak/relay_soak_test.ts
@@ -36,15 +36,6 @@
   "a request was lost, seen once": [11],
 };
 
-/**
- * Invariants with findings that are not traced, listed in KNOWN-RED.txt. Runs
- * print what breaks them; the mutants show that the checks still notice.
- */
-const UNTRACED_INVARIANTS: ReadonlySet<string> = new Set([
-  "announced_departure_is_respected",
-  "backoff_is_respected",
-]);
-
 test.after.always(watchExit);
 
 for (
@@ -59,16 +50,7 @@
         seeds.slice(from, from + AT_ONCE).map((seed) => runRelaySoak({ seed })),
       );
       for (const { record, orders } of runs) {
-        const untraced = record.broken.filter(({ invariant }) =>
-          UNTRACED_INVARIANTS.has(invariant)
-        );
-        for (const { invariant, detail } of untraced) {
-          t.log(`Known to fail: ${invariant}: ${detail}`);
-        }
-        t.deepEqual(
-          record.broken.filter((finding) => !untraced.includes(finding)),
-          [],
-        );
+        t.deepEqual(record.broken, []);
         t.true(orders > 0);
       }
     }
