--- a/packages/bench/src/relay/stand_in_server.ts
+++ b/packages/bench/src/relay/stand_in_server.ts
@@ -5,6 +5,7 @@
   type RelayService,
   type ServerStart,
   type ServiceId,
+  softwareVersion,
 } from "@foxtailwind/core";
 import { STAND_IN_MODEL } from "./stand_in_wire.ts";
 
@@ -13,6 +14,8 @@
   readonly id: string;
   readonly service: ServiceId;
   readonly start?: ServerStart;
+  /** By default, all servers run the same version. */
+  readonly software?: string;
   /** IP literal and port. */
   readonly address: string;
   /** Whether it is an engine, which holds {@link STAND_IN_MODEL}. */
@@ -22,6 +25,8 @@
   readonly isEmpty?: boolean;
 }
 
+/** The software version of servers that state none. */
+export const INITIAL_SOFTWARE = "1";
 /** The number of requests that a server runs concurrently. */
 const REQUEST_SLOTS = 16;
 /** The size of the model and of each adapter, so small that they always fit. */
@@ -39,6 +44,7 @@
     id: backendServerId(server.id),
     ...(server.start === undefined ? {} : { start: server.start }),
     service: server.service,
+    software: softwareVersion(server.software ?? INITIAL_SOFTWARE),
     address: server.address,
     failureDomain: failureDomainId("domain-a"),
     leaving: server.leaving ?? false,
--- a/packages/bench/src/relay/stand_in_wire.ts
+++ b/packages/bench/src/relay/stand_in_wire.ts
@@ -36,6 +36,12 @@
 /** Present in requests that another node forwards. */
 const FORWARDED_HEADER = "x-forwarded-by-peer";
 
+/** The last event that the caller received of a stream. */
+export const LAST_EVENT_HEADER = "x-last-event";
+
+/** The caller's attempt that brought the first event of that stream. */
+export const RESUMES_HEADER = "x-resumes";
+
 /** The name of no server, in requests that none of them may run. */
 const NO_SERVER = "none";
 
@@ -79,6 +85,8 @@
     const adapter = headers["x-adapter"];
     const key = headers["x-key"];
     const tokens = headers["x-tokens"];
+    const lastEventId = headers[LAST_EVENT_HEADER];
+    const resumes = headers[RESUMES_HEADER];
     return ok({
       id: requestId(id),
       ...(typeof patience === "string"
@@ -96,6 +104,8 @@
           },
         }
         : {}),
+      ...(typeof lastEventId === "string" ? { lastEventId } : {}),
+      ...(typeof resumes === "string" ? { resumes: requestId(resumes) } : {}),
       isForwarded: headers[FORWARDED_HEADER] !== undefined,
     });
   }
--- a/packages/core/src/relay/registered_server.ts
+++ b/packages/core/src/relay/registered_server.ts
@@ -6,6 +6,7 @@
   ModelId,
   ServerStart,
   ServiceId,
+  SoftwareVersion,
 } from "../shared/mod.ts";
 
 /** A base model on an engine, and the versions of its adapters there. */
@@ -21,6 +22,8 @@
   /** Omitted if the server does not tell it. */
   readonly start?: ServerStart;
   readonly service: ServiceId;
+  /** Servers of a service may run several versions side by side. */
+  readonly software: SoftwareVersion;
   /** IP literal and port. */
   readonly address: string;
   readonly failureDomain: FailureDomainId;
@@ -68,6 +71,7 @@
   right: RegisteredServer,
 ): boolean {
   return left.start === right.start && left.service === right.service &&
+    left.software === right.software &&
     left.address === right.address && left.leaving === right.leaving &&
     left.slots === right.slots &&
     left.models.length === right.models.length;
--- a/packages/core/src/shared/ids.ts
+++ b/packages/core/src/shared/ids.ts
@@ -120,6 +120,18 @@
   return value as BackendServerId;
 }
 
+/** The version of the software that a backend server runs. */
+export type SoftwareVersion = Brand<string, "SoftwareVersion">;
+
+/**
+ * Brands a validated string as a SoftwareVersion.
+ * @param value The raw value.
+ * @returns The branded value.
+ */
+export function softwareVersion(value: string): SoftwareVersion {
+  return value as SoftwareVersion;
+}
+
 /** Identifies a weight store; load permits are issued per store. */
 export type WeightStoreId = Brand<string, "WeightStoreId">;
 
--- a/packages/core/tests/relay/server_departures_test.ts
+++ b/packages/core/tests/relay/server_departures_test.ts
@@ -8,6 +8,7 @@
   type ServerRun,
   serverStart,
   serviceId,
+  softwareVersion,
 } from "@foxtailwind/core";
 import { SeededRandom } from "@foxtailwind/standins";
 import test from "ava";
@@ -28,6 +29,7 @@
     server: {
       ...runOf(start),
       service: serviceId("service"),
+      software: softwareVersion("1"),
       address: "127.0.0.1:1",
       failureDomain: failureDomainId("domain"),
       leaving: false,
--- a/packages/core/tests/relay/server_registry_test.ts
+++ b/packages/core/tests/relay/server_registry_test.ts
@@ -7,6 +7,7 @@
   ServerRegistry,
   serverStart,
   serviceId,
+  softwareVersion,
 } from "@foxtailwind/core";
 import test from "ava";
 
@@ -23,6 +24,7 @@
       id: backendServerId(id),
       ...(start === undefined ? {} : { start: serverStart(start) }),
       service: serviceId("service"),
+      software: softwareVersion("1"),
       address: "127.0.0.1:1",
       failureDomain: failureDomainId("domain"),
       leaving,
--- a/packages/node/src/relay/caller_wire.ts
+++ b/packages/node/src/relay/caller_wire.ts
@@ -31,6 +31,8 @@
   readonly key?: ApiKeyDigest;
   /** The last event that the caller received of a stream to be resumed. */
   readonly lastEventId?: string;
+  /** The caller's attempt that brought the first event of that stream. */
+  readonly resumes?: RequestId;
   /** Whether another node forwards it, which doesn't reach its service. */
   readonly isForwarded: boolean;
 }
--- a/packages/node/src/relay/registry_logging.ts
+++ b/packages/node/src/relay/registry_logging.ts
@@ -18,9 +18,13 @@
   outcome: EntryOutcome | undefined,
 ): void {
   if (entry.kind === "gone") return;
-  const { id, start } = entry.server;
+  const { id, start, software } = entry.server;
   if (outcome === "restarted") {
-    logger.info("A server has restarted.", { server: id, start });
+    logger.info("A server has restarted.", {
+      server: id,
+      start,
+      software,
+    });
   } else if (outcome === "older_start") {
     logger.warn("An entry of an older start was skipped.", {
       server: id,
@@ -45,9 +49,9 @@
     logger.info(RELAY_SENTENCE.serverLeft, { server: entry.id });
     return;
   }
-  const { id, service, leaving } = entry.server;
+  const { id, service, software, leaving } = entry.server;
   if (known === undefined) {
-    logger.info("A server has registered.", { server: id, service });
+    logger.info("A server has registered.", { server: id, service, software });
   } else if (leaving && !known.leaving) {
     logger.info(RELAY_SENTENCE.serverLeaves, { server: id, service });
   }
--- a/packages/node/src/relay/request_end.ts
+++ b/packages/node/src/relay/request_end.ts
@@ -1,4 +1,4 @@
-import type { BackendServerId, Duration } from "@foxtailwind/core";
+import type { Duration, RegisteredServer } from "@foxtailwind/core";
 import type { LogFields } from "../logging/component_logger.ts";
 import type { AnswerFraming } from "./answer_framing.ts";
 import type { CallStage } from "./backend_call.ts";
@@ -9,8 +9,8 @@
 /** Facts about a request that has ended. */
 export interface RequestEnd {
   readonly outcome: string;
-  /** The last server that it was sent to. */
-  readonly server: BackendServerId | undefined;
+  /** The last server that it was sent to, as registered then. */
+  readonly server: RegisteredServer | undefined;
   readonly sends: number;
   /** The number of sends that may have run the request. */
   readonly possibleRuns: number;
@@ -55,7 +55,10 @@
     account: account?.id,
     outcome: end.outcome,
     status: response.statusCode,
-    server: end.server,
+    server: end.server?.id,
+    software: end.server?.software,
+    resumes: caller.resumes,
+    resumed_after: caller.lastEventId,
     adapter: caller.use?.adapter,
     sends: end.sends,
     runs: end.possibleRuns,
--- a/packages/node/src/relay/request_relay.ts
+++ b/packages/node/src/relay/request_relay.ts
@@ -220,7 +220,8 @@
       {
         request: this.#request.caller.id,
         service: service.id,
-        server: lastServer,
+        server: lastServer?.id,
+        software: lastServer?.software,
         because: this.#answer.answerKind,
         sends,
         runs: possibleRuns,
--- a/packages/node/src/relay/request_sender.ts
+++ b/packages/node/src/relay/request_sender.ts
@@ -69,7 +69,7 @@
     const serverLoad = loads.loadOf(server);
     const isResumed = this.#terms.answer.lastEventId !== undefined;
     const isRepeat = this.#terms.sendRecord.hasTried(server.id);
-    this.#terms.sendRecord.recordSend(server.id);
+    this.#terms.sendRecord.recordSend(server);
     serverLoad.recordSend(sentAt);
     const headers = this.#sendHeaders(place, sentAt);
     this.#terms.answer.beginSend(sentAt, {
--- a/packages/node/src/relay/send_history.ts
+++ b/packages/node/src/relay/send_history.ts
@@ -1,4 +1,4 @@
-import type { BackendServerId } from "@foxtailwind/core";
+import type { BackendServerId, RegisteredServer } from "@foxtailwind/core";
 
 /** The most sends of one request, including those that didn't run it. */
 const MAXIMUM_SENDS = 6;
@@ -11,7 +11,7 @@
   #sends = 0;
   #possibleRuns = 0;
   #connectionFailures = 0;
-  #lastServer: BackendServerId | undefined;
+  #lastServer: RegisteredServer | undefined;
 
   /** The number of sends, without those that found no connection. */
   get sends(): number {
@@ -23,8 +23,8 @@
     return this.#possibleRuns;
   }
 
-  /** The last server that it was sent to. */
-  get lastServer(): BackendServerId | undefined {
+  /** The last server that it was sent to, as registered then. */
+  get lastServer(): RegisteredServer | undefined {
     return this.#lastServer;
   }
 
@@ -51,7 +51,7 @@
    * Records a send, which may run the request until more is known.
    * @param server The server that the request is sent to.
    */
-  recordSend(server: BackendServerId): void {
+  recordSend(server: RegisteredServer): void {
     this.#sends += 1;
     this.#possibleRuns += 1;
     this.#lastServer = server;
--- a/packages/node/tests/relay/helpers/owned_engine.ts
+++ b/packages/node/tests/relay/helpers/owned_engine.ts
@@ -9,6 +9,7 @@
   type RegisteredServer,
   serverStart,
   serviceId,
+  softwareVersion,
   UnansweredLoads,
 } from "@foxtailwind/core";
 import { EngineOwner, type UseAnswer } from "@foxtailwind/node/relay";
@@ -22,6 +23,7 @@
   id: backendServerId("engine"),
   start: serverStart(1_000),
   service: serviceId("engines"),
+  software: softwareVersion("1"),
   address: "127.0.0.1:1",
   failureDomain: failureDomainId("domain-a"),
   leaving: false,
--- a/packages/node/tests/relay/knowledge_message_test.ts
+++ b/packages/node/tests/relay/knowledge_message_test.ts
@@ -10,6 +10,7 @@
   type RegistryEntry,
   serverStart,
   serviceId,
+  softwareVersion,
 } from "@foxtailwind/core";
 import type { Knowledge } from "@foxtailwind/node/relay";
 import {
@@ -52,6 +53,7 @@
       id: backendServerId(id),
       start: serverStart(1_700_000_000_123),
       service: serviceId("s"),
+      software: softwareVersion("1"),
       address: "127.0.0.1:1",
       failureDomain: failureDomainId("d"),
       leaving: false,
--- a/packages/node/tests/relay/server_starts_test.ts
+++ b/packages/node/tests/relay/server_starts_test.ts
@@ -5,6 +5,7 @@
   type RegisteredServer,
   serverStart,
   serviceId,
+  softwareVersion,
 } from "@foxtailwind/core";
 import { BackendPools, ServerLoads } from "@foxtailwind/node/relay";
 import test from "ava";
@@ -14,6 +15,7 @@
     id: backendServerId("a"),
     ...(start === undefined ? {} : { start: serverStart(start) }),
     service: serviceId("s"),
+    software: softwareVersion("1"),
     address: "127.0.0.1:1",
     failureDomain: failureDomainId("d"),
     leaving: false,
