--- a/packages/bench/src/relay/relay_cluster.ts
+++ b/packages/bench/src/relay/relay_cluster.ts
@@ -22,10 +22,13 @@
 } from "./stand_in_configuration.ts";
 import { StandInControl, StandInEngine } from "./stand_in_engine.ts";
 import { StandInLog, StandInStore } from "./stand_in_log.ts";
-import type { StandInServer } from "./stand_in_server.ts";
+import { INITIAL_SOFTWARE, type StandInServer } from "./stand_in_server.ts";
 import { standInSettings } from "./stand_in_settings.ts";
+import { readStream, type StreamPart } from "./stream_reader.ts";
 import {
+  LAST_EVENT_HEADER,
   REQUEST_LIMIT_HEADER,
+  RESUMES_HEADER,
   StandInOperations,
   StandInWire,
 } from "./stand_in_wire.ts";
@@ -46,6 +49,8 @@
 export interface RestartOptions {
   /** The new start; by default one second after the previous one. */
   readonly start?: ServerStart;
+  /** The new version of its software; by default the same as before. */
+  readonly software?: string;
   /** Whether the new registry entry is not published. */
   readonly isUnregistered?: boolean;
 }
@@ -58,10 +63,20 @@
   readonly slots: number;
   /** The time from the begin of a planned stop to a forced stop. */
   readonly grace?: Duration;
+  /** The software versions of the engines, in turn. */
+  readonly software?: readonly string[];
   /** Whether each node reaches the servers over links that can be cut. */
   readonly hasLinks?: boolean;
 }
 
+/** What a caller of a stream does. */
+export interface StreamOptions {
+  /** The attempt that brought the first event, and the last event received. */
+  readonly resumes?: { readonly attempt: string; readonly lastEvent: number };
+  /** The number of events after which the caller leaves. */
+  readonly limit?: number;
+}
+
 /** The answer that a caller receives. */
 export interface RelayAnswer {
   readonly status: number;
@@ -190,6 +205,35 @@
     return this.#postRequest(daemon, path, { "x-adapter": adapter });
   }
 
+  /**
+   * Requests a stream that may be resumed, or the rest of one.
+   * @param daemon The node that receives the request.
+   * @param adapter The adapter.
+   * @param options What the caller does.
+   * @returns What the caller received.
+   */
+  stream(
+    daemon: RelayDaemon,
+    adapter: string,
+    { resumes, limit }: StreamOptions = {},
+  ): Promise<StreamPart> {
+    this.#requestCount += 1;
+    const attempt = `r${this.#requestCount}`;
+    return readStream(attempt, {
+      limit,
+      url: `http://${daemon.callerAddress}/notes/new`,
+      headers: {
+        host: HOST,
+        "x-id": attempt,
+        "x-adapter": adapter,
+        ...(resumes === undefined ? {} : {
+          [RESUMES_HEADER]: resumes.attempt,
+          [LAST_EVENT_HEADER]: String(resumes.lastEvent),
+        }),
+      },
+    });
+  }
+
   /**
    * Makes each engine crash when it begins to run a request with a path. The
    * engine restarts after {@link ENGINE_DOWNTIME_MILLISECONDS}.
@@ -247,9 +291,13 @@
     const start = options.start ??
       serverStart((server.start ?? INITIAL_START) + START_STEP_MILLISECONDS);
     const engine = this.engines.get(id);
+    const software = options.software ?? server.software ?? INITIAL_SOFTWARE;
     if (engine === undefined) this.#lookupServer.closeAllConnections();
-    else engine.restart(start);
-    this.#servers.set(id, { ...server, leaving: false, start });
+    else {
+      engine.software = software;
+      engine.restart(start);
+    }
+    this.#servers.set(id, { ...server, leaving: false, start, software });
     if (options.isUnregistered !== true) this.register(id);
     return start;
   }
@@ -300,10 +348,14 @@
         this.#size.slots,
         INITIAL_START,
       );
+      const versions = this.#size.software ?? [INITIAL_SOFTWARE];
+      engine.software = versions[(index - 1) % versions.length] ??
+        INITIAL_SOFTWARE;
       this.engines.set(engine.id, engine);
       this.#addServer({
         id: engine.id,
         start: INITIAL_START,
+        software: engine.software,
         service: ENGINES,
         address: await engine.listen(),
         isEngine: true,
--- a/packages/bench/src/relay/stand_in_configuration.ts
+++ b/packages/bench/src/relay/stand_in_configuration.ts
@@ -42,6 +42,15 @@
         streams: true,
         targets: [{ service: STAND_IN_ENGINE_SERVICE, weight: 1 }],
       },
+      {
+        ...routeDefaults,
+        name: "notes",
+        pathPrefix: "/notes/",
+        repeatable: false,
+        streams: true,
+        resumable: true,
+        targets: [{ service: STAND_IN_ENGINE_SERVICE, weight: 1 }],
+      },
       {
         ...routeDefaults,
         name: "lookups",
--- a/packages/bench/src/relay/stand_in_engine.ts
+++ b/packages/bench/src/relay/stand_in_engine.ts
@@ -19,8 +19,10 @@
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { ScriptedOrderDelivery } from "./scripted_order_delivery.ts";
+import { INITIAL_SOFTWARE } from "./stand_in_server.ts";
 import { StandInEngineState } from "./stand_in_engine_state.ts";
 import {
+  LAST_EVENT_HEADER,
   REQUEST_LIMIT_HEADER,
   setNoticeHeaders,
   STAND_IN_MODEL,
@@ -45,6 +47,8 @@
   crashPath: string | undefined;
   /** The requests per second that it allows, if its answers name a limit. */
   requestLimit: number | undefined;
+  /** The version of its software, which each of its events states. */
+  software = INITIAL_SOFTWARE;
   /** What its answers state about further requests. */
   notice: StandInNotice = {};
   /** Called with the path of each request that is meant for this engine. */
@@ -142,12 +146,17 @@
       this.onCrash();
       return;
     }
+    const { software } = this;
+    const lastEvent = request.headers["x-after"] ??
+      request.headers[LAST_EVENT_HEADER];
     for (
-      let event = 1;
+      let event = Number(lastEvent ?? 0) + 1;
       event <= EVENTS_PER_STREAM && !response.destroyed;
       event += 1
     ) {
-      response.write(`id: ${event}\ndata: ${adapter}\n\n`);
+      response.write(
+        `id: ${event}\nevent: ${software}\ndata: ${adapter}\n\n`,
+      );
       await sleep(EVENT_INTERVAL_MILLISECONDS);
     }
     response.end();
--- a/packages/node/tests/relay/helpers/relay_world.ts
+++ b/packages/node/tests/relay/helpers/relay_world.ts
@@ -209,11 +209,13 @@
    * @param id Its id.
    * @param answer How it answers.
    * @param service Its service.
+   * @param software The version of its software, if it isn't the usual one.
    */
   async addServer(
     id: string,
     answer: RequestListener,
     service = PLAIN_SERVICE,
+    software?: string,
   ): Promise<void> {
     const server = createServer(answer);
     this.#servers.push(server);
@@ -221,7 +223,7 @@
       server.listen(0, "127.0.0.1", resolve)
     );
     const { port } = server.address() as AddressInfo;
-    this.addAddress(id, `127.0.0.1:${port}`, service);
+    this.addAddress(id, `127.0.0.1:${port}`, service, undefined, software);
   }
 
   /**
@@ -253,12 +255,14 @@
    * @param address The address.
    * @param service Its service.
    * @param start Its start, if it tells it.
+   * @param software The version of its software, if it isn't the usual one.
    */
   addAddress(
     id: string,
     address: string,
     service = PLAIN_SERVICE,
     start?: number,
+    software?: string,
   ): void {
     this.#offset += 1;
     this.#addresses.set(id, address);
@@ -271,6 +275,7 @@
         address,
         isEngine: service === ENGINE_SERVICE,
         ...(start === undefined ? {} : { start: serverStart(start) }),
+        ...(software === undefined ? {} : { software }),
       }),
     });
   }
@@ -279,10 +284,11 @@
    * Registers another start of a server at its address.
    * @param id The server's id.
    * @param start The start.
+   * @param software The version of its software, if it isn't the usual one.
    */
-  registerStart(id: string, start: number): void {
+  registerStart(id: string, start: number, software?: string): void {
     const address = this.#addresses.get(id) ?? "";
-    this.addAddress(id, address, PLAIN_SERVICE, start);
+    this.addAddress(id, address, PLAIN_SERVICE, start, software);
   }
 
   /** Whether the node may send requests to a server. */
