Relay: a stream goes on only at the software that began it

Cause: what is a fact about one run of a server, the software that wrote a stream's first event, was known to nobody. The rest of a stream was sent to any server, within one answer and over a caller's tries.

Change: the node that forwards the first event of a stream that may be resumed keeps its origin: the attempt, the service, the software and the server. It tells six peers, chosen by consistent hashing of the attempt's id over failure domains, without waiting for them. A node that is asked to resume a stream asks these peers, and sends it to servers of that service and software only. If nobody knows the origin, or no server runs its software while others serve, the request is refused at once as not run. If the server has restarted under its id with other software within two seconds after the first event, the origin is uncertain, as an answer doesn't tell which start gave it. A caller that names no attempt is served only if the service is known to run, and to have run lately, a single version.

--- a/packages/bench/tests/relay/software_version_test.ts
+++ b/packages/bench/tests/relay/software_version_test.ts
@@ -75,7 +75,7 @@
 
 // Guards against streams that hold events of two software versions because a
 // caller resumes them at another node than the one that began them.
-test.failing("a stream resumed at another node goes on at the software version that began it", async (t) => {
+test("a stream resumed at another node goes on at the software version that began it", async (t) => {
   const cluster = await startMixed(t);
   for (let index = 0; index < STREAMS; index += 1) {
     const adapter = `a${index}`;
--- a/packages/core/src/relay/mod.ts
+++ b/packages/core/src/relay/mod.ts
@@ -1,4 +1,5 @@
 export * from "./accounts/mod.ts";
+export * from "./streams/mod.ts";
 export * from "./adapter_slot.ts";
 export * from "./adapter_versions.ts";
 export * from "./brittle_servers.ts";
--- /dev/null
+++ b/packages/core/src/relay/streams/stream_origin.ts
@@ -0,0 +1,34 @@
+import type {
+  BackendServerId,
+  Instant,
+  RequestId,
+  ServiceId,
+  SoftwareVersion,
+} from "../../shared/mod.ts";
+import type { RegisteredServer } from "../registered_server.ts";
+
+/** What began a stream, which only servers of the same software continue. */
+export interface StreamOrigin {
+  /** The caller's attempt that brought the first event. */
+  readonly attempt: RequestId;
+  readonly service: ServiceId;
+  readonly software: SoftwareVersion;
+  /** The server that sent the first event. */
+  readonly server: BackendServerId;
+  /** When the first event arrived, by the clock of this node. */
+  readonly begunAt: Instant;
+}
+
+/**
+ * Checks whether a server may continue a stream.
+ * @param origin What began the stream.
+ * @param server The server.
+ * @returns Whether it belongs to the same service and runs the same software.
+ */
+export function mayContinue(
+  origin: Pick<StreamOrigin, "service" | "software">,
+  server: RegisteredServer,
+): boolean {
+  return server.service === origin.service &&
+    server.software === origin.software;
+}
--- a/packages/node/src/relay/answer_forwarder.ts
+++ b/packages/node/src/relay/answer_forwarder.ts
@@ -41,6 +41,7 @@
   /** An answer that isn't forwarded until it is known how it ends. */
   #bufferedAnswer: BufferedAnswer | undefined;
   #lastEventId: string | undefined;
+  #hasForwardedEvent = false;
   #sentAt: Instant;
   #lastBytesAt: Instant;
   #timeToFirstByte: Duration | undefined;
@@ -280,6 +281,10 @@
     if (this.#splitter === undefined) return this.#answer.write(bytes);
     let hasCapacity = true;
     for (const event of this.#splitter.push(bytes)) {
+      if (!this.#hasForwardedEvent) {
+        this.#listener?.onFirstEvent(this.#lastBytesAt);
+      }
+      this.#hasForwardedEvent = true;
       if (event.id !== undefined) this.#lastEventId = event.id;
       hasCapacity = this.#answer.write(event.bytes);
     }
--- a/packages/node/src/relay/answer_kind.ts
+++ b/packages/node/src/relay/answer_kind.ts
@@ -18,6 +18,8 @@
 export interface AnswerListener {
   /** Called when bytes arrive. */
   readonly onBytes: (now: Instant) => void;
+  /** Called before the first event of a stream is forwarded. */
+  readonly onFirstEvent: (now: Instant) => void;
   /** Called with the status and the facts of a head for this request. */
   readonly onHead: (status: number, facts: AnswerFacts) => void;
 }
--- a/packages/node/src/relay/early_refusals.ts
+++ b/packages/node/src/relay/early_refusals.ts
@@ -21,6 +21,8 @@
   ["no_configuration", UNAVAILABLE],
   ["stale_configuration", UNAVAILABLE],
   ["stopping", UNAVAILABLE],
+  ["unknown_stream", UNAVAILABLE],
+  ["moved_stream", UNAVAILABLE],
 ]);
 /**
  * Sent as `Retry-After` while the node has no configuration or accepts no more
@@ -78,6 +80,7 @@
       status,
       refusal: code,
       path: message.url,
+      resumes: caller?.resumes,
       configuration: knowledge.routes?.configuration.version,
       retry_after: roundOptional(retryAfter),
       configuration_age: roundOptional(knowledge.proofs.age),
--- a/packages/node/src/relay/front_server.ts
+++ b/packages/node/src/relay/front_server.ts
@@ -1,5 +1,4 @@
 import {
-  chooseTarget,
   later,
   milliseconds,
   type Route,
@@ -32,6 +31,7 @@
 import { isAcceptedWhileStopping } from "./relay_stop.ts";
 import { readBody } from "./request_body.ts";
 import { RequestContent } from "./request_content.ts";
+import { chooseRequestTarget } from "./streams/resumption.ts";
 
 /** Exceeds the largest header limit that a configuration may set. */
 const MAXIMUM_HEADER_BYTES = 128 * 1_024;
@@ -197,9 +197,7 @@
       return;
     }
     const route = routes.find(message.headers.host ?? "", message.url ?? "/");
-    const target = route && chooseTarget(route, Math.random());
-    const service = target && routes.service(target);
-    if (route === undefined || service === undefined) {
+    if (route === undefined) {
       this.#refuse(exchange, { code: "no_route", caller: caller.value });
       return;
     }
@@ -216,6 +214,20 @@
       return;
     }
     const { account } = access;
+    const target = await chooseRequestTarget(
+      this.#parts,
+      route,
+      caller.value,
+      Math.random(),
+    );
+    const service = target.kind === "chosen"
+      ? routes.service(target.service)
+      : undefined;
+    if (target.kind === "refused" || service === undefined) {
+      const code = target.kind === "refused" ? target.code : "no_route";
+      this.#refuse(exchange, { code, caller: caller.value, account });
+      return;
+    }
     const body = await readBody(message, limits.bodyBytes);
     if (body.kind === "too_large") {
       this.#refuse(exchange, {
@@ -245,6 +257,7 @@
       caller: caller.value,
       route,
       service,
+      ...(target.origin === undefined ? {} : { origin: target.origin }),
       account,
       body: body.bytes,
       content: new RequestContent(message, body.bytes),
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -21,6 +21,7 @@
   RouteTable,
   ServerRegistry,
   type ServiceId,
+  SoftwareHistory,
 } from "@foxtailwind/core";
 import type { NodeDigest } from "@foxtailwind/protocol";
 import type { SteadyClock } from "../clock/steady_clock.ts";
@@ -80,6 +81,7 @@
 export class Knowledge extends SharedLogListener {
   readonly versions = new AdapterVersions();
   readonly registry = new ServerRegistry();
+  readonly softwareHistory = new SoftwareHistory();
   /** The departures that servers announce to this node in their answers. */
   readonly departures: ServerDepartures;
   readonly peers = new PeerTable();
@@ -146,6 +148,17 @@
     return this.#serversByService.serversOf(service);
   }
 
+  /**
+   * Checks whether a service is known to run one software version only.
+   * @param service The service.
+   * @returns Whether it has run no other version lately.
+   */
+  hasSingleVersion(service: ServiceId): boolean {
+    const now = this.#parts.clock.now();
+    const servers = this.servers(service);
+    return this.softwareHistory.hasSingleVersion(now, service, servers);
+  }
+
   /** The registered model engines that are not leaving. */
   get engines(): readonly RegisteredServer[] {
     const services = this.#routes?.configuration.services ?? [];
@@ -245,6 +258,7 @@
     logRestart(this.#parts.logger, entry, outcome);
     this.departures.recordEntry(entry, outcome);
     if (this.registry.revision === before) return;
+    this.#recordSoftware(this.registry.find(id) ?? known);
     logServerChange(this.#parts.logger, entry, known);
     this.onChange();
   }
@@ -269,6 +283,9 @@
     for (const [index, entry] of entries.entries()) {
       logRestart(this.#parts.logger, entry, outcomes[index]);
       this.departures.recordEntry(entry, outcomes[index]);
+      if (entry.kind === "present") {
+        this.#recordSoftware(this.registry.find(entry.server.id));
+      }
     }
     this.onChange();
   }
@@ -336,6 +353,11 @@
     this.onChange();
   }
 
+  #recordSoftware(server: RegisteredServer | undefined): void {
+    if (server === undefined) return;
+    this.softwareHistory.record(this.#parts.clock.now(), server);
+  }
+
   /** Counts the candidates that take precedence over this node as watchers. */
   #countPreferredWatchers(isCandidate: (peer: NodeDigest) => boolean): number {
     const { settings, clock } = this.#parts;
--- a/packages/node/src/relay/make_relay_parts.ts
+++ b/packages/node/src/relay/make_relay_parts.ts
@@ -25,6 +25,7 @@
     | "pools"
     | "recordRefusal"
     | "recordRequest"
+    | "streams"
     | "wire"
   > {
   readonly settings: RelaySettings;
@@ -49,6 +50,7 @@
   const {
     recordRefusal,
     recordRequest: record,
+    streams,
     wire,
     settings,
     owners,
@@ -88,6 +90,7 @@
     countNodes: nodes,
     pools,
     loads,
+    streams,
     wire,
     logger,
     recordRefusal,
--- a/packages/node/src/relay/mod.ts
+++ b/packages/node/src/relay/mod.ts
@@ -49,4 +49,5 @@
 export * from "./reach_monitor.ts";
 export * from "./serving_nodes.ts";
 export * from "./relay_metrics.ts";
+export * from "./streams/stream_directory.ts";
 export * from "./work_counts.ts";
--- a/packages/node/src/relay/peer_exchange.ts
+++ b/packages/node/src/relay/peer_exchange.ts
@@ -39,6 +39,7 @@
 import { KnowledgeFetcher } from "./knowledge_fetcher.ts";
 import { writeKnowledge } from "./knowledge_message.ts";
 import { PartnerSelector } from "./partner_selector.ts";
+import type { StreamDirectory } from "./streams/stream_directory.ts";
 
 /** How long news are collected before they are sent together. */
 const NEWS_BATCH_DELAY_MILLISECONDS = 5;
@@ -50,6 +51,7 @@
   readonly self: Omit<ExchangeNode, "isServing">;
   readonly knowledge: Knowledge;
   readonly owners: EngineOwners;
+  readonly streams: Pick<StreamDirectory, "handlers">;
   readonly channels: PeerChannels;
   readonly clock: SteadyClock;
   readonly logger: ComponentLogger;
@@ -89,10 +91,11 @@
 
   /** The gRPC service that answers the peers. */
   get registration(): PeerRegistration {
-    const { owners } = this.#parts;
+    const { owners, streams } = this.#parts;
     return {
       definition: RelayPeersService,
       implementation: {
+        ...streams.handlers,
         useAdapter: (call: ServerWritableStream<AdapterUse, AdapterGrant>) => {
           this.#parts.knowledge.workCounts.increment("use_answered");
           void serveAdapterUse(owners, call);
--- a/packages/node/src/relay/placement_finder.ts
+++ b/packages/node/src/relay/placement_finder.ts
@@ -2,6 +2,7 @@
   type Duration,
   type Instant,
   later,
+  mayContinue,
   milliseconds,
   type RegisteredServer,
   type Route,
@@ -98,6 +99,7 @@
         if (placement !== undefined || this.#terms.abandonSignal.aborted) {
           return placement;
         }
+        if (!this.isContinuable) return undefined;
         if (this.#now() >= searchEnd || this.#exceedsQueueWait(searchEnd)) {
           return undefined;
         }
@@ -126,18 +128,41 @@
     return !isQueued && later(this.#now(), wait) > searchEnd;
   }
 
+  /**
+   * Whether a server can run the request. None can if it resumes a stream whose
+   * software only servers ran that are gone, while others of the service serve.
+   */
+  get isContinuable(): boolean {
+    if (this.#terms.sendRecord.origin === undefined) return true;
+    const available = this.#availableServers();
+    return available.length === 0 ||
+      available.some((server) => this.#mayContinueAt(server));
+  }
+
   /** The servers that can run the request, preferring those not tried yet. */
   #servers(): readonly RegisteredServer[] {
-    const { service } = this.#request;
-    const { knowledge } = this.#parts;
-    const available = knowledge.servers(service.id)
-      .filter((one) => knowledge.departures.takesRequests(one));
+    const available = this.#availableServers()
+      .filter((server) => this.#mayContinueAt(server));
     const untried = available.filter((one) =>
       !this.#terms.sendRecord.hasTried(one.id)
     );
     return untried.length > 0 ? untried : available;
   }
 
+  #availableServers(): readonly RegisteredServer[] {
+    const { knowledge } = this.#parts;
+    return knowledge.servers(this.#request.service.id)
+      .filter((server) => knowledge.departures.takesRequests(server));
+  }
+
+  /** Whether the stream, if it has begun, may continue at a server. */
+  #mayContinueAt(server: RegisteredServer): boolean {
+    const { origin } = this.#terms.sendRecord;
+    return origin === undefined ||
+      mayContinue(origin, server) &&
+        !this.#parts.knowledge.softwareHistory.isUncertain(origin);
+  }
+
   async #tryPlace(signal: AbortSignal): Promise<Placement | undefined> {
     const { service, caller } = this.#request;
     const { placer } = this.#parts;
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -39,6 +39,7 @@
 import { ServerLoads } from "./server_loads.ts";
 import { ServingNodes } from "./serving_nodes.ts";
 import type { SharedLog } from "./shared_log.ts";
+import { StreamDirectory } from "./streams/stream_directory.ts";
 
 /** The implementations of the relay's interfaces for one platform. */
 export interface RelayPlatform {
@@ -73,6 +74,7 @@
   readonly #departureProber: DepartureProber;
   readonly #forwarder: PeerForwarder;
   readonly #loads: ServerLoads;
+  readonly #streams: StreamDirectory;
   readonly #parts: RelayParts;
   readonly #front: FrontServer;
   readonly #operations: OperationsServer;
@@ -167,9 +169,15 @@
       limits: () => this.#parts.limits.ownLimits,
       unreachedServices: () => this.#reach.unreachedServices,
     });
+    this.#streams = new StreamDirectory({
+      knowledge,
+      channels: this.#channels,
+      clock,
+    });
     this.#exchange = new PeerExchange({
       self: this.#presence.record,
       knowledge,
+      streams: this.#streams,
       owners: this.#owners,
       channels: this.#channels,
       clock,
@@ -276,6 +284,7 @@
   async #close(): Promise<void> {
     clearTimeout(this.#refreshTimer);
     this.#exchange.stop();
+    this.#streams.stop();
     this.#owners.stop();
     this.#parts.crashReports.stop();
     this.#platform.log.stop();
@@ -299,6 +308,7 @@
       channels: this.#channels,
       pools: this.#pools,
       loads: this.#loads,
+      streams: this.#streams,
       log: this.#platform.log,
       onLimitsChanged: () => {
         this.#exchange.exchangeSoon();
--- a/packages/node/src/relay/relay_parts.ts
+++ b/packages/node/src/relay/relay_parts.ts
@@ -17,6 +17,7 @@
 import type { RetryBudgets } from "./retry_budgets.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import type { ServerLoads } from "./server_loads.ts";
+import type { StreamDirectory } from "./streams/stream_directory.ts";
 
 /** The dependencies of request relaying. */
 export interface RelayParts {
@@ -30,6 +31,7 @@
   readonly access: AccountAccess;
   readonly quotas: AccountQuotas;
   readonly callerTimeouts: CallerTimeouts;
+  readonly streams: Pick<StreamDirectory, "find" | "record">;
   readonly wire: RelayWire;
   readonly clock: SteadyClock;
   readonly logger: ComponentLogger;
--- a/packages/node/src/relay/relay_refusal.ts
+++ b/packages/node/src/relay/relay_refusal.ts
@@ -5,6 +5,8 @@
 export type RelayRefusal =
   | "no_server"
   | "no_engine"
+  /** No server runs the software that began the stream. */
+  | "no_same_software"
   | "not_run_in_time"
   | "not_run"
   | "lost"
--- a/packages/node/src/relay/request_end.ts
+++ b/packages/node/src/relay/request_end.ts
@@ -1,4 +1,8 @@
-import type { Duration, RegisteredServer } from "@foxtailwind/core";
+import type {
+  Duration,
+  RegisteredServer,
+  StreamOrigin,
+} from "@foxtailwind/core";
 import type { LogFields } from "../logging/component_logger.ts";
 import type { AnswerFraming } from "./answer_framing.ts";
 import type { CallStage } from "./backend_call.ts";
@@ -11,6 +15,8 @@
   readonly outcome: string;
   /** The last server that it was sent to, as registered then. */
   readonly server: RegisteredServer | undefined;
+  /** What began the stream, if it has begun and may be resumed. */
+  readonly origin: StreamOrigin | undefined;
   readonly sends: number;
   /** The number of sends that may have run the request. */
   readonly possibleRuns: number;
@@ -57,6 +63,7 @@
     status: response.statusCode,
     server: end.server?.id,
     software: end.server?.software,
+    begun_with: end.origin?.software,
     resumes: caller.resumes,
     resumed_after: caller.lastEventId,
     adapter: caller.use?.adapter,
--- a/packages/node/src/relay/request_relay.ts
+++ b/packages/node/src/relay/request_relay.ts
@@ -32,7 +32,7 @@
   readonly #parts: RelayParts;
   readonly #request: RoutedRequest;
   readonly #cancellation = new AbortController();
-  readonly #sendRecord = new SendHistory();
+  readonly #sendRecord: SendHistory;
   readonly #timeSinceStop: Duration | undefined;
   readonly #answer: AnswerForwarder;
   readonly #finder: PlacementFinder;
@@ -53,6 +53,7 @@
   constructor(parts: RelayParts, request: RoutedRequest) {
     this.#parts = parts;
     this.#request = request;
+    this.#sendRecord = new SendHistory(request.origin);
     const stop = parts.plannedStop();
     this.#timeSinceStop = stop && elapsed(stop.begunAt, request.arrivedAt);
     this.#answer = new AnswerForwarder(request, parts);
@@ -137,10 +138,7 @@
       return false;
     }
     if (place === undefined) {
-      this.#refuse(
-        this.#isEngine ? "no_engine" : "no_server",
-        this.#finder.retryAfter,
-      );
+      this.#refuse(this.#placementRefusal, this.#finder.retryAfter);
       return false;
     }
     this.#placementTime ??= elapsed(this.#request.arrivedAt, this.#now());
@@ -306,6 +304,11 @@
     return requestDeadline(this.#request, this.#parts.plannedStop());
   }
 
+  get #placementRefusal(): RelayRefusal {
+    if (!this.#finder.isContinuable) return "no_same_software";
+    return this.#isEngine ? "no_engine" : "no_server";
+  }
+
   get #isEngine(): boolean {
     return this.#request.service.engine !== undefined;
   }
@@ -328,6 +331,7 @@
       formatRequestEnd(this.#request, {
         outcome: this.#outcome,
         server: this.#sendRecord.lastServer,
+        origin: this.#sendRecord.origin,
         sends: this.#sendRecord.sends,
         possibleRuns: this.#sendRecord.possibleRuns,
         framing: this.#answer.framing,
--- a/packages/node/src/relay/request_sender.ts
+++ b/packages/node/src/relay/request_sender.ts
@@ -76,6 +76,9 @@
       onBytes: (now) => {
         serverLoad.recordBytes(now);
       },
+      onFirstEvent: (now) => {
+        this.#recordOrigin(now, server);
+      },
       onHead: (status, facts) => {
         charge?.settle(this.#now());
         this.#parts.limits.applyAnswer(server, { sentAt, status, facts });
@@ -156,6 +159,22 @@
     });
   }
 
+  /** Records which server began a stream that may be resumed. */
+  #recordOrigin(now: Instant, server: RegisteredServer): void {
+    const { sendRecord } = this.#terms;
+    const { caller, route } = this.#request;
+    if (!route.resumable || sendRecord.origin !== undefined) return;
+    const origin = {
+      attempt: caller.id,
+      service: server.service,
+      software: server.software,
+      server: server.id,
+      begunAt: now,
+    };
+    sendRecord.recordOrigin(origin);
+    this.#parts.streams.record(origin);
+  }
+
   #urgency(server: RegisteredServer, now: Instant): number {
     const { route } = this.#request;
     const { prefillTimes } = this.#parts.loads.loadOf(server);
--- a/packages/node/src/relay/routed_request.ts
+++ b/packages/node/src/relay/routed_request.ts
@@ -7,6 +7,7 @@
   milliseconds,
   type RelayService,
   type Route,
+  type StreamOrigin,
 } from "@foxtailwind/core";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { CallerRequest } from "./caller_wire.ts";
@@ -20,6 +21,8 @@
   readonly caller: CallerRequest;
   readonly route: Route;
   readonly service: RelayService;
+  /** What began the stream that it resumes, if it does. */
+  readonly origin?: StreamOrigin;
   /** The client account that it belongs to, if any. */
   readonly account: ClientAccount | undefined;
   /** What was taken from the account's quota for it. */
--- a/packages/node/src/relay/send_history.ts
+++ b/packages/node/src/relay/send_history.ts
@@ -1,4 +1,8 @@
-import type { BackendServerId, RegisteredServer } from "@foxtailwind/core";
+import type {
+  BackendServerId,
+  RegisteredServer,
+  StreamOrigin,
+} from "@foxtailwind/core";
 
 /** The most sends of one request, including those that didn't run it. */
 const MAXIMUM_SENDS = 6;
@@ -12,6 +16,17 @@
   #possibleRuns = 0;
   #connectionFailures = 0;
   #lastServer: RegisteredServer | undefined;
+  #origin: StreamOrigin | undefined;
+
+  /** @param origin What began the stream that the request resumes, if it does. */
+  constructor(origin?: StreamOrigin) {
+    this.#origin = origin;
+  }
+
+  /** What began the stream, if it has begun. */
+  get origin(): StreamOrigin | undefined {
+    return this.#origin;
+  }
 
   /** The number of sends, without those that found no connection. */
   get sends(): number {
@@ -57,6 +72,14 @@
     this.#lastServer = server;
   }
 
+  /**
+   * Records what began the stream.
+   * @param origin The server that sent its first event.
+   */
+  recordOrigin(origin: StreamOrigin): void {
+    this.#origin = origin;
+  }
+
   /**
    * Records the end of a send that may have run the request.
    * @param server The server.
--- /dev/null
+++ b/packages/node/src/relay/streams/stream_directory.ts
@@ -0,0 +1,230 @@
+import {
+  HolderRing,
+  type Instant,
+  milliseconds,
+  type NodeId,
+  type RequestId,
+  type StreamOrigin,
+  StreamOrigins,
+} from "@foxtailwind/core";
+import {
+  RelayPeersClient,
+  type RelayPeersServer,
+  type StreamOriginAnswer,
+} from "@foxtailwind/protocol";
+import { credentials, Metadata } from "@grpc/grpc-js";
+import type { SteadyClock } from "../../clock/steady_clock.ts";
+import type { PeerChannels } from "../../peers/peer_channels.ts";
+import type { Knowledge } from "../knowledge.ts";
+import type { NodeRecord } from "../shared_log.ts";
+import {
+  decodeStreamOrigin,
+  encodeStreamOrigin,
+} from "./stream_origin_message.ts";
+
+/** What is known of the begin of a stream. */
+export type OriginLookup =
+  | { readonly kind: "known"; readonly origin: StreamOrigin }
+  /** No node that could be asked knows what began it. */
+  | { readonly kind: "unknown" }
+  /** Another start of its server, with other software, may have begun it. */
+  | { readonly kind: "uncertain" };
+
+/** The dependencies of {@link StreamDirectory}. */
+export interface StreamDirectoryParts {
+  readonly knowledge: Knowledge;
+  readonly channels: PeerChannels;
+  readonly clock: SteadyClock;
+}
+
+/** The peers that keep what began a stream, beside the node that sent it. */
+const HOLDERS = 6;
+/**
+ * The peers asked, of those that are present and of all that were lately: more
+ * than hold it, since nodes don't always know the same peers.
+ */
+const ASKED_PEERS = 8;
+/** How long origins are collected before they are sent to a peer together. */
+const BATCH_DELAY_MILLISECONDS = 5;
+/** The timeout of calls; a peer answers within a few milliseconds. */
+const CALL_TIMEOUT_MILLISECONDS = 300;
+/** How long the peers that hold origins are not determined anew. */
+const RING_LIFETIME = milliseconds(250);
+
+/** The rings of the peers, and the peers' records. */
+interface PeerRings {
+  readonly madeAt: Instant;
+  readonly present: HolderRing;
+  /** Of peers that were heard of lately, too. */
+  readonly recent: HolderRing;
+  readonly records: ReadonlyMap<NodeId, NodeRecord>;
+}
+
+type StreamHandlers = Pick<
+  RelayPeersServer,
+  "findStreamOrigin" | "keepStreamOrigins"
+>;
+
+/**
+ * Knows what began streams, so that any node can continue them: the node that
+ * forwards the first event of a stream keeps its origin, and so do some peers.
+ */
+export class StreamDirectory {
+  readonly #parts: StreamDirectoryParts;
+  readonly #origins = new StreamOrigins();
+  readonly #unsent = new Map<string, StreamOrigin[]>();
+  #rings: PeerRings | undefined;
+  #sendTimer: NodeJS.Timeout | undefined;
+
+  /** @param parts The dependencies. */
+  constructor(parts: StreamDirectoryParts) {
+    this.#parts = parts;
+  }
+
+  /** The handlers of peers' calls. */
+  get handlers(): StreamHandlers {
+    return {
+      keepStreamOrigins: ({ request }, answer) => {
+        const now = this.#parts.clock.now();
+        this.#parts.knowledge.workCounts.increment("origins_kept");
+        for (const message of request.origins) {
+          this.#origins.add(now, decodeStreamOrigin(now, message));
+        }
+        answer(null, {});
+      },
+      findStreamOrigin: ({ request }, answer) => {
+        this.#parts.knowledge.workCounts.increment("origin_answered");
+        answer(null, this.#answer(request.attempt as RequestId));
+      },
+    };
+  }
+
+  /**
+   * Records what began a stream, here and at peers.
+   * @param origin What began the stream.
+   */
+  record(origin: StreamOrigin): void {
+    const now = this.#parts.clock.now();
+    this.#origins.add(now, origin);
+    const { present, records } = this.#ringsAt(now);
+    for (const id of present.holders(origin.attempt, HOLDERS)) {
+      const address = records.get(id)?.address;
+      if (address === undefined) continue;
+      const unsent = this.#unsent.get(address);
+      if (unsent === undefined) this.#unsent.set(address, [origin]);
+      else unsent.push(origin);
+    }
+    this.#sendTimer ??= setTimeout(() => {
+      this.#sendOrigins();
+    }, BATCH_DELAY_MILLISECONDS);
+  }
+
+  /**
+   * Finds what began a stream.
+   * @param attempt The caller's attempt that brought the first event.
+   * @returns What is known.
+   */
+  async find(attempt: RequestId): Promise<OriginLookup> {
+    const known = this.#origins.find(attempt);
+    if (known !== undefined) return this.#lookupOf(known);
+    const now = this.#parts.clock.now();
+    const { present, recent, records } = this.#ringsAt(now);
+    const asked = new Set([
+      ...present.holders(attempt, ASKED_PEERS),
+      ...recent.holders(attempt, ASKED_PEERS),
+    ]);
+    const answers = [...asked].map(async (id) => {
+      const origin = await this.#ask(records.get(id)?.address, attempt);
+      // Rejected, so that the first peer that knows the origin decides.
+      if (origin === undefined) throw new RangeError("The peer doesn't know.");
+      return origin;
+    });
+    return await Promise.any(answers).catch(() => ({ kind: "unknown" }));
+  }
+
+  /** Discards what is not yet sent. */
+  stop(): void {
+    clearTimeout(this.#sendTimer);
+    this.#unsent.clear();
+  }
+
+  #lookupOf(origin: StreamOrigin): OriginLookup {
+    return this.#parts.knowledge.softwareHistory.isUncertain(origin)
+      ? { kind: "uncertain" }
+      : { kind: "known", origin };
+  }
+
+  #answer(attempt: RequestId): StreamOriginAnswer {
+    const origin = this.#origins.find(attempt);
+    if (origin === undefined) return { origin: undefined, isUncertain: false };
+    return {
+      origin: encodeStreamOrigin(this.#parts.clock.now(), origin),
+      isUncertain: this.#lookupOf(origin).kind === "uncertain",
+    };
+  }
+
+  #ask(
+    address: string | undefined,
+    attempt: RequestId,
+  ): Promise<OriginLookup | undefined> {
+    if (address === undefined) return Promise.resolve(undefined);
+    this.#parts.knowledge.workCounts.increment("origin_asked");
+    return new Promise((resolve) => {
+      this.#client(address).findStreamOrigin(
+        { attempt },
+        new Metadata(),
+        { deadline: Date.now() + CALL_TIMEOUT_MILLISECONDS },
+        (error, answer?: StreamOriginAnswer) => {
+          if (error !== null || answer?.origin === undefined) {
+            resolve(undefined);
+            return;
+          }
+          if (answer.isUncertain) {
+            resolve({ kind: "uncertain" });
+            return;
+          }
+          const now = this.#parts.clock.now();
+          const origin = decodeStreamOrigin(now, answer.origin);
+          this.#origins.add(now, origin);
+          resolve(this.#lookupOf(origin));
+        },
+      );
+    });
+  }
+
+  /** Not repeated if it fails: other peers hold the origins as well. */
+  #sendOrigins(): void {
+    this.#sendTimer = undefined;
+    const now = this.#parts.clock.now();
+    for (const [address, origins] of this.#unsent) {
+      this.#parts.knowledge.workCounts.increment("origins_sent");
+      this.#client(address).keepStreamOrigins(
+        { origins: origins.map((one) => encodeStreamOrigin(now, one)) },
+        new Metadata(),
+        { deadline: Date.now() + CALL_TIMEOUT_MILLISECONDS },
+        () => undefined,
+      );
+    }
+    this.#unsent.clear();
+  }
+
+  #ringsAt(now: Instant): PeerRings {
+    const known = this.#rings;
+    if (known !== undefined && now - known.madeAt < RING_LIFETIME) return known;
+    const { peers } = this.#parts.knowledge;
+    const recent = peers.contacts(now);
+    this.#rings = {
+      madeAt: now,
+      present: new HolderRing(peers.presentNodes(now)),
+      recent: new HolderRing(recent),
+      records: new Map(recent.map((record) => [record.id, record])),
+    };
+    return this.#rings;
+  }
+
+  #client(address: string): RelayPeersClient {
+    return new RelayPeersClient(address, credentials.createInsecure(), {
+      channelOverride: this.#parts.channels.getChannel(address),
+    });
+  }
+}
--- /dev/null
+++ b/packages/node/src/relay/streams/stream_origin_message.ts
@@ -0,0 +1,44 @@
+import {
+  backendServerId,
+  elapsed,
+  type Instant,
+  instant,
+  requestId,
+  serviceId,
+  softwareVersion,
+  type StreamOrigin,
+} from "@foxtailwind/core";
+import type { StreamOrigin as StreamOriginMessage } from "@foxtailwind/protocol";
+
+/**
+ * Encodes what began a stream for a peer.
+ * @param now The present time.
+ * @param origin What began the stream.
+ * @returns The message.
+ */
+export function encodeStreamOrigin(
+  now: Instant,
+  { attempt, service, software, server, begunAt }: StreamOrigin,
+): StreamOriginMessage {
+  const ageMilliseconds = Math.max(0, Math.round(elapsed(begunAt, now)));
+  return { attempt, service, software, server, ageMilliseconds };
+}
+
+/**
+ * Decodes what began a stream from a peer.
+ * @param now The present time.
+ * @param message The message.
+ * @returns What began the stream.
+ */
+export function decodeStreamOrigin(
+  now: Instant,
+  message: StreamOriginMessage,
+): StreamOrigin {
+  return {
+    attempt: requestId(message.attempt),
+    service: serviceId(message.service),
+    software: softwareVersion(message.software),
+    server: backendServerId(message.server),
+    begunAt: instant(now - message.ageMilliseconds),
+  };
+}
--- a/packages/node/src/relay/work_counts.ts
+++ b/packages/node/src/relay/work_counts.ts
@@ -12,6 +12,12 @@
   /** Knowledge fetches sent to a peer, and those answered for a peer. */
   | "knowledge_asked"
   | "knowledge_answered"
+  /** What began streams, sent to peers, and kept for peers. */
+  | "origins_sent"
+  | "origins_kept"
+  /** Questions what began a stream, to peers, and those answered. */
+  | "origin_asked"
+  | "origin_answered"
   /** Log calls that were answered, and those that failed. */
   | "log_answered"
   | "log_failed"
--- a/packages/node/tests/relay/helpers/relay_world.ts
+++ b/packages/node/tests/relay/helpers/relay_world.ts
@@ -34,6 +34,7 @@
   RequestPlacer,
   RetryBudgets,
   ServerLoads,
+  StreamDirectory,
 } from "@foxtailwind/node/relay";
 import type { ExecutionContext } from "ava";
 import {
@@ -57,6 +58,7 @@
   readonly knowledge: Knowledge;
   readonly front: FrontServer;
   readonly limits: RequestLimits;
+  readonly streams: StreamDirectory;
   readonly outcomes: string[] = [];
   /** Why requests were refused before they were relayed. */
   readonly refusals: string[] = [];
@@ -105,6 +107,11 @@
       onChange: () => undefined,
     });
     const { limits } = this;
+    this.streams = new StreamDirectory({
+      knowledge,
+      channels: undefined as never,
+      clock,
+    });
     knowledge.operatorsRead(knowledge.beginRead());
     const parts: RelayParts = {
       knowledge,
@@ -133,6 +140,7 @@
       logger,
       pools: this.#pools,
       wire: new StandInWire(),
+      streams: this.streams,
       countNodes: () => 1,
       onRequest: () => undefined,
       callerTimeouts: new CallerTimeouts(),
@@ -314,9 +322,11 @@
   /**
    * Registers a removed server again.
    * @param id The server's id.
+   * @param software The version of its software, if it isn't the usual one.
    */
-  restoreServer(id: string): void {
-    this.addAddress(id, this.#addresses.get(id) ?? "");
+  restoreServer(id: string, software?: string): void {
+    const address = this.#addresses.get(id) ?? "";
+    this.addAddress(id, address, PLAIN_SERVICE, undefined, software);
   }
 
   /** Starts the front server. */
--- a/packages/node/tests/relay/peer_grants_test.ts
+++ b/packages/node/tests/relay/peer_grants_test.ts
@@ -12,6 +12,7 @@
   AdapterGrants,
   EngineOwners,
   PeerExchange,
+  StreamDirectory,
 } from "@foxtailwind/node/relay";
 import test, { type ExecutionContext } from "ava";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -47,6 +48,7 @@
     knowledge,
     owners,
     channels,
+    streams: new StreamDirectory({ knowledge, channels, clock }),
     clock,
     logger,
     self: { id: nodeId("peer"), failureDomain: failureDomainId("d") },
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -68,7 +68,10 @@
   NodeDigest,
   type NodeNews,
   RelayPeersClient,
+  type RelayPeersServer,
   RelayPeersService,
   type RetryUse,
   type ServerLimit,
+  type StreamOrigin,
+  type StreamOriginAnswer,
 } from "./generated/relay.ts";
