Relay's soak: servers of several software versions, and callers that resume streams

Engines are released with further software under new ids and restarted with it under their own; all nodes but one may be cut off at once. Callers resume broken streams at other nodes.

--- a/packages/bench/src/soak/relay/answer_checks.ts
+++ b/packages/bench/src/soak/relay/answer_checks.ts
@@ -6,9 +6,12 @@
   SendRecord,
 } from "./relay_record.ts";
 import { EVENTS, eventsOf } from "./soak_engine.ts";
+import { SOFTWARE_VERSIONS } from "./relay_script.ts";
 import { plainBody } from "./soak_server.ts";
 
 const OK = 200;
+/** The software and the adapter's version that an event states. */
+const EVENT_SOURCE = /^id: \d+\nevent: (\S+)\ndata: \S+ \S+ (\d+)/;
 
 /**
  * Checks that a success is the request's own, and whole where it is framed as
@@ -47,12 +50,13 @@
 /** Each event may come from another run, of its own version. */
 function afterEvents(call: CallRecord, body: string): BodyState {
   let rest = body;
-  for (let index = 0; index < EVENTS; index += 1) {
+  for (let index = call.resumes?.lastEvent ?? 0; index < EVENTS; index += 1) {
     if (rest === "") return "part";
-    const version = /^id: \d+\ndata: \S+ \S+ (\d+)/.exec(rest)?.[1];
+    const [, software = "", version] = EVENT_SOURCE.exec(rest) ?? [];
     const least = call.leastVersion;
     const isOld = version !== undefined && Number(version) < least;
-    const event = eventsOf(call.id, call.adapter ?? "", Number(version))[index];
+    const source = { version: Number(version), software };
+    const event = eventsOf(call.id, call.adapter ?? "", source)[index];
     if (event === undefined || isOld) return "wrong";
     if (!rest.startsWith(event)) return isPartOf(call, rest, index);
     rest = rest.slice(event.length);
@@ -62,8 +66,11 @@
 
 function isPartOf(call: CallRecord, rest: string, index: number): BodyState {
   const versions = Array.from({ length: 20 }, (_, version) => version + 1);
-  const isPart = versions.some((version) =>
-    eventsOf(call.id, call.adapter ?? "", version)[index]?.startsWith(rest)
+  const sources = versions.flatMap((version) =>
+    SOFTWARE_VERSIONS.map((software) => ({ version, software }))
+  );
+  const isPart = sources.some((source) =>
+    eventsOf(call.id, call.adapter ?? "", source)[index]?.startsWith(rest)
   );
   return isPart ? "part" : "wrong";
 }
--- a/packages/bench/src/soak/relay/relay_node.ts
+++ b/packages/bench/src/soak/relay/relay_node.ts
@@ -63,6 +63,7 @@
     this.id = id;
     this.record = {
       name: `${id}#${run}`,
+      startedAt: performance.now(),
       lines: [],
       outages: [],
       lostServersAt: [],
--- a/packages/bench/src/soak/relay/relay_record.ts
+++ b/packages/bench/src/soak/relay/relay_record.ts
@@ -19,6 +19,8 @@
   readonly leastVersion: number;
   /** Whether the route must be there, or must not; open where it moves. */
   isRouted?: boolean;
+  /** The stream that it resumes, if it does. */
+  readonly resumes?: ResumedStream;
   readonly node: NodeRunRecord;
   readonly sentAt: number;
   /** After which it must have ended, in milliseconds. */
@@ -26,6 +28,24 @@
   end?: CallEndRecord;
 }
 
+/** A stream that a caller resumes. */
+export interface ResumedStream {
+  /** The attempt that brought the first event. */
+  readonly attempt: string;
+  readonly lastEvent: number;
+  /** The software that wrote its events so far. */
+  readonly software: readonly string[];
+}
+
+/** A time in which a server took requests. */
+export interface ServingTime {
+  readonly server: string;
+  readonly service: string;
+  readonly software: string;
+  readonly from: number;
+  to?: number;
+}
+
 /** How a request ended for its caller. */
 export interface CallEndRecord {
   readonly at: number;
@@ -45,6 +65,7 @@
 /** One run of a node's process. */
 export interface NodeRunRecord {
   readonly name: string;
+  readonly startedAt: number;
   /** Set once it was cut off at once. */
   cutAt?: number;
   /** Set once it was told to stop. */
@@ -95,6 +116,8 @@
   readonly calls: CallRecord[] = [];
   readonly sends: SendRecord[] = [];
   readonly broken: BrokenInvariant[] = [];
+  /** When which server took requests, in the order of their begin. */
+  readonly servingTimes: ServingTime[] = [];
   readonly stalls = new StallWatch();
   /** The runs of nodes, by name. */
   readonly nodeRuns = new Map<string, NodeRunRecord>();
--- a/packages/bench/src/soak/relay/relay_script.ts
+++ b/packages/bench/src/soak/relay/relay_script.ts
@@ -12,6 +12,9 @@
   callers: 4,
 } as const;
 
+/** The versions of servers' software, in the order of their releases. */
+export const SOFTWARE_VERSIONS = ["1", "2", "3", "4", "5", "6"] as const;
+
 /** A fault; nodes, engines and servers are numbers to be taken in turn. */
 export type RelayFault =
   | { readonly kind: "store_down"; readonly lasts: number }
@@ -49,6 +52,21 @@
     readonly engine: number;
     readonly lasts: number;
   }
+  | {
+    readonly kind: "release";
+    /** How many engines get the next software. */
+    readonly engines: number;
+    /** Between two of them, in milliseconds. */
+    readonly pause: number;
+  }
+  | {
+    /** An engine restarts under its id with the next software. */
+    readonly kind: "engine_upgrades";
+    readonly engine: number;
+    /** Until its first entry is there, in milliseconds. */
+    readonly unread: number;
+  }
+  | { readonly kind: "all_but_one_cut"; readonly spared: number }
   | { readonly kind: "stop" | "cut"; readonly node: number }
   | {
     readonly kind: "loses_servers";
@@ -93,6 +111,10 @@
 const MOST_ANNOUNCEMENTS = 2;
 const MOST_UNTOLD_MILLISECONDS = 3_000;
 const MOST_UNREAD_MILLISECONDS = 900;
+const MOST_RELEASES = 2;
+const MOST_RELEASE_PAUSE_MILLISECONDS = 400;
+const MOST_UPGRADES = 1;
+const MOST_MASS_CUTS = 1;
 const MOST_LOST_SERVERS = 2;
 const MOST_LOST_MILLISECONDS = 4_000;
 const FAULT_KINDS = [
@@ -128,6 +150,8 @@
     ...drawRestarts(seed),
     ...drawAnnouncements(seed),
     ...drawLostServers(seed),
+    ...drawReleases(seed),
+    ...drawMassCuts(seed),
   ];
   return {
     calls: drawCalls(seed),
@@ -194,6 +218,49 @@
   }));
 }
 
+/** Software of several versions, under new ids and under known ones. */
+function drawReleases(seed: number): readonly PlannedFault[] {
+  const draws = new Draws(seed, "releases");
+  const releases = Array.from(
+    { length: draws.between(1, MOST_RELEASES + 1) },
+    (): PlannedFault => ({
+      at: draws.between(0, FAULT_MILLISECONDS),
+      fault: {
+        kind: "release",
+        engines: draws.between(1, WORLD_SIZE.engines),
+        pause: draws.between(0, MOST_RELEASE_PAUSE_MILLISECONDS),
+      },
+    }),
+  );
+  const upgrades = Array.from(
+    { length: draws.between(0, MOST_UPGRADES + 1) },
+    (): PlannedFault => ({
+      at: draws.between(0, FAULT_MILLISECONDS),
+      fault: {
+        kind: "engine_upgrades",
+        engine: draws.between(0, WORLD_SIZE.engines),
+        unread: draws.between(0, MOST_UNREAD_MILLISECONDS),
+      },
+    }),
+  );
+  return [...releases, ...upgrades];
+}
+
+/** All nodes but one are cut off at the same moment. */
+function drawMassCuts(seed: number): readonly PlannedFault[] {
+  const draws = new Draws(seed, "mass cuts");
+  return Array.from(
+    { length: draws.between(0, MOST_MASS_CUTS + 1) },
+    (): PlannedFault => ({
+      at: draws.between(0, FAULT_MILLISECONDS),
+      fault: {
+        kind: "all_but_one_cut",
+        spared: draws.between(0, WORLD_SIZE.nodes),
+      },
+    }),
+  );
+}
+
 /** Nodes that reach no server, at times several at once. */
 function drawLostServers(seed: number): readonly PlannedFault[] {
   const draws = new Draws(seed, "lost servers");
--- a/packages/bench/src/soak/relay/relay_soak.ts
+++ b/packages/bench/src/soak/relay/relay_soak.ts
@@ -6,7 +6,7 @@
 import { checkNotices } from "./notice_checks.ts";
 import { checkRecord, mustKnow } from "./relay_checks.ts";
 import type { RelayNode } from "./relay_node.ts";
-import type { CallRecord, RelayRecord } from "./relay_record.ts";
+import type { CallRecord, RelayRecord, ResumedStream } from "./relay_record.ts";
 import {
   drawScript,
   type PlannedCall,
@@ -15,6 +15,11 @@
 } from "./relay_script.ts";
 import { RelayWorld } from "./relay_world.ts";
 import { SoakCaller } from "./soak_caller.ts";
+import { checkSoftware, resumedStream } from "./stream_checks.ts";
+import {
+  LAST_EVENT_HEADER,
+  RESUMES_HEADER,
+} from "../../relay/stand_in_wire.ts";
 import { soakAdapter, TIME_LIMIT } from "./soak_configuration.ts";
 import { SoakEngine } from "./soak_engine.ts";
 
@@ -36,6 +41,10 @@
 const FAULTS_END_MILLISECONDS = 4_600;
 /** A caller gives up by itself so long after its limit, in milliseconds. */
 const CALLER_MARGIN_MILLISECONDS = 4_000;
+/** How often a caller resumes a stream, and how long it waits before it does. */
+const MOST_RESUMPTIONS = 3;
+const RESUMPTION_PAUSE_MILLISECONDS = 60;
+const OK = 200;
 /** Callers still open connections to a stopping node, in milliseconds. */
 const ADDRESS_MILLISECONDS = 2_000;
 
@@ -67,6 +76,7 @@
   record.stalls.stop();
   checkRecord(record, run.world.leftAt);
   checkNotices(record);
+  checkSoftware(record);
   const answered = record.calls.filter(({ end }) => end?.status === 200).length;
   const [first] = record.broken;
   return {
@@ -112,11 +122,36 @@
     for (const caller of this.#callers) caller.close();
   }
 
+  /** Calls, and resumes a stream that breaks off at one node after the other. */
   async #call(planned: PlannedCall): Promise<void> {
+    let call = await this.#attempt(planned);
+    let resumes: ResumedStream | undefined;
+    for (let attempt = 1; attempt <= MOST_RESUMPTIONS; attempt += 1) {
+      if (call === undefined || call.kind !== "notes") return;
+      if (call.end?.status === OK && call.end.isComplete) return;
+      resumes = resumedStream(call, resumes);
+      if (resumes === undefined) return;
+      await sleep(RESUMPTION_PAUSE_MILLISECONDS);
+      call = await this.#attempt({
+        ...planned,
+        id: `${planned.id}-${attempt}`,
+        node: planned.node + attempt,
+        isKept: false,
+      }, resumes);
+    }
+  }
+
+  async #attempt(
+    planned: PlannedCall,
+    resumes?: ResumedStream,
+  ): Promise<CallRecord | undefined> {
     const node = this.#nodeFor(planned);
     const caller = this.#callers[planned.caller];
-    if (node === undefined || caller === undefined) return;
-    const call = this.#describe(planned, node);
+    if (node === undefined || caller === undefined) return undefined;
+    const call = {
+      ...this.#describe(planned, node),
+      ...(resumes === undefined ? {} : { resumes }),
+    };
     this.world.record.calls.push(call);
     const { patience } = planned;
     call.end = await caller.call({
@@ -126,11 +161,16 @@
         "x-id": planned.id,
         ...(call.adapter === undefined ? {} : { "x-adapter": call.adapter }),
         ...(patience === undefined ? {} : { "x-patience": String(patience) }),
+        ...(resumes === undefined ? {} : {
+          [RESUMES_HEADER]: resumes.attempt,
+          [LAST_EVENT_HEADER]: String(resumes.lastEvent),
+        }),
       },
       isKept: planned.isKept,
       longest: call.limit + CALLER_MARGIN_MILLISECONDS,
     });
     this.#judgeRoute(call);
+    return call;
   }
 
   #describe(planned: PlannedCall, node: RelayNode): CallRecord {
@@ -212,6 +252,19 @@
         if (server !== undefined) world.restart(server, fault.unread);
         break;
       }
+      case "release":
+        world.release(fault.engines, fault.pause, 500);
+        break;
+      case "engine_upgrades": {
+        const engine = this.#engine(fault.engine);
+        if (engine !== undefined) world.upgrade(engine, fault.unread);
+        break;
+      }
+      case "all_but_one_cut":
+        for (let place = 0; place < WORLD_SIZE.nodes; place += 1) {
+          if (place !== fault.spared) world.cutNode(place);
+        }
+        break;
       case "orders_late":
         this.#delayOrders(fault.engine, fault.lasts);
         break;
--- a/packages/bench/src/soak/relay/relay_world.ts
+++ b/packages/bench/src/soak/relay/relay_world.ts
@@ -10,7 +10,7 @@
 import { GRACE_SECONDS, type NodeParts } from "./node_parts.ts";
 import { RelayNode } from "./relay_node.ts";
 import { RelayRecord } from "./relay_record.ts";
-import { WORLD_SIZE } from "./relay_script.ts";
+import { SOFTWARE_VERSIONS, WORLD_SIZE } from "./relay_script.ts";
 import { ENGINES, PLAIN, soakConfiguration } from "./soak_configuration.ts";
 import { SoakEngine } from "./soak_engine.ts";
 import { PlainSoakServer, type SoakServer } from "./soak_server.ts";
@@ -48,6 +48,7 @@
   readonly #allServers: SoakServer[] = [];
   #isOver = false;
   #version = 1;
+  #releases = 0;
   #runs = 0;
 
   /**
@@ -148,8 +149,9 @@
    * Lets a server say that it leaves, and another come; later it ends.
    * @param server The server.
    * @param stays How long it stays until it ends, in milliseconds.
+   * @param software The software of the one that comes.
    */
-  leave(server: SoakServer, stays: number): void {
+  leave(server: SoakServer, stays: number, software = server.software): void {
     this.#forget(server);
     server.isLeaving = true;
     this.leftAt.set(server.id, performance.now());
@@ -157,7 +159,34 @@
     setTimeout(() => {
       this.store.unregister(server.id);
     }, stays);
-    this.#replace(server);
+    this.#replace(server, software);
+  }
+
+  /**
+   * Releases the next software: some engines leave, and others that run it come
+   * in their place.
+   * @param count How many engines.
+   * @param pause Between two of them, in milliseconds.
+   * @param stays How long an engine stays that leaves, in milliseconds.
+   */
+  release(count: number, pause: number, stays: number): void {
+    const software = this.#nextSoftware();
+    const engines = this.servers.filter((one) => one instanceof SoakEngine);
+    for (const [index, engine] of engines.slice(0, count).entries()) {
+      setTimeout(() => {
+        if (this.#isOver || !this.servers.includes(engine)) return;
+        this.leave(engine, stays, software);
+      }, index * pause);
+    }
+  }
+
+  /**
+   * Starts a server again under its id with the next software.
+   * @param server The server.
+   * @param unread After how long its first entry is there, in milliseconds.
+   */
+  upgrade(server: SoakServer, unread: number): void {
+    this.restart(server, unread, this.#nextSoftware());
   }
 
   /**
@@ -172,19 +201,22 @@
     setTimeout(() => {
       this.store.unregister(server.id);
     }, entryStays);
-    this.#replace(server);
+    this.#replace(server, server.software);
   }
 
   /**
    * Starts a server again under its id.
    * @param server The server.
    * @param unread After how long its first entry is there, in milliseconds.
+   * @param software The new version of its software, if it is another one.
    */
-  restart(server: SoakServer, unread: number): void {
-    server.restart();
+  restart(server: SoakServer, unread: number, software?: string): void {
+    server.restart(software);
+    this.#endServing(server);
     setTimeout(() => {
       if (!this.servers.includes(server)) return;
       this.store.register({ ...this.#entryOf(server), isEmpty: true });
+      this.#beginServing(server);
     }, unread);
   }
 
@@ -289,9 +321,29 @@
     if (this.#hasEnded()) this.stopNode(place);
   }
 
-  async #startServer(isEngine: boolean): Promise<void> {
+  /** The last version is released again if there is no further one. */
+  #nextSoftware(): string {
+    this.#releases += 1;
+    return SOFTWARE_VERSIONS[this.#releases] ?? SOFTWARE_VERSIONS[0];
+  }
+
+  #beginServing({ id, service, software }: SoakServer): void {
+    const from = performance.now();
+    this.record.servingTimes.push({ server: id, service, software, from });
+  }
+
+  #endServing({ id }: SoakServer): void {
+    for (const time of this.record.servingTimes) {
+      if (time.server === id) time.to ??= performance.now();
+    }
+  }
+
+  async #startServer(
+    isEngine: boolean,
+    software: string = SOFTWARE_VERSIONS[0],
+  ): Promise<void> {
     const number = this.#allServers.length + 1;
-    const parts = { seed: this.#seed, record: this.record };
+    const parts = { seed: this.#seed, record: this.record, software };
     const server = isEngine
       ? new SoakEngine(`engine-${number}`, ENGINES, {
         ...parts,
@@ -305,13 +357,17 @@
     if (server instanceof SoakEngine) this.engines.set(server.id, server);
     this.servers.push(server);
     this.store.register(this.#entryOf(server));
+    this.#beginServing(server);
   }
 
-  #replace(server: SoakServer): void {
-    this.#follow(() => this.#startServer(server instanceof SoakEngine));
+  #replace(server: SoakServer, software: string): void {
+    this.#follow(() =>
+      this.#startServer(server instanceof SoakEngine, software)
+    );
   }
 
   #forget(server: SoakServer): void {
+    this.#endServing(server);
     this.servers.splice(this.servers.indexOf(server), 1);
   }
 
@@ -319,6 +375,7 @@
     return {
       id: server.id,
       start: server.start,
+      software: server.software,
       service: serviceId(server.service),
       address: this.#addresses.get(server.id) ?? "",
       isEngine: server instanceof SoakEngine,
--- a/packages/bench/src/soak/relay/soak_engine.ts
+++ b/packages/bench/src/soak/relay/soak_engine.ts
@@ -6,7 +6,10 @@
   OrderResult,
 } from "@foxtailwind/node/relay";
 import { StandInEngineState } from "../../relay/stand_in_engine_state.ts";
-import { STAND_IN_MODEL } from "../../relay/stand_in_wire.ts";
+import {
+  LAST_EVENT_HEADER,
+  STAND_IN_MODEL,
+} from "../../relay/stand_in_wire.ts";
 import type { RawRequest } from "./raw_server.ts";
 import { type Run, SoakServer, type SoakServerParts } from "./soak_server.ts";
 
@@ -50,8 +53,8 @@
   }
 
   /** Holds and knows nothing of before, not even who ordered it. */
-  override restart(): void {
-    super.restart();
+  override restart(software?: string): void {
+    super.restart(software);
     this.adapters.restart(this.start);
     this.#versions.clear();
     this.#runs.clear();
@@ -102,9 +105,11 @@
     }
     this.#use(adapter, 1);
     const { start } = this;
-    const after = Number(request.headers.get("x-after") ?? 0);
+    const after = request.headers.get("x-after") ??
+      request.headers.get(LAST_EVENT_HEADER);
+    const events = eventsOf(id, adapter, { version, software: this.software });
     return {
-      pieces: eventsOf(id, adapter, version).slice(after),
+      pieces: events.slice(Number(after ?? 0)),
       isStream: true,
       version,
       ended: () => {
@@ -158,21 +163,29 @@
   }
 }
 
+/** What a run of a stream is made by. */
+export interface EventSource {
+  /** The adapter's version. */
+  readonly version: number;
+  /** The version of the engine's software. */
+  readonly software: string;
+}
+
 /**
  * Writes the events of a stream.
  * @param id The request's id.
  * @param adapter The adapter that it runs on.
- * @param version The adapter's version.
+ * @param source What makes the events.
  * @returns The events; the last one has the end mark.
  */
 export function eventsOf(
   id: string,
   adapter: string,
-  version: number,
+  { version, software }: EventSource,
 ): readonly string[] {
   return Array.from({ length: EVENTS }, (_, index) => {
     const mark = index + 1 === EVENTS ? " end" : "";
     const data = `${id} ${adapter} ${version}${mark}`;
-    return `id: ${index + 1}\ndata: ${data}\n\n`;
+    return `id: ${index + 1}\nevent: ${software}\ndata: ${data}\n\n`;
   });
 }
--- a/packages/bench/src/soak/relay/soak_server.ts
+++ b/packages/bench/src/soak/relay/soak_server.ts
@@ -19,6 +19,8 @@
 export interface SoakServerParts {
   readonly seed: number;
   readonly record: RelayRecord;
+  /** The version of its software. */
+  readonly software: string;
 }
 
 const OK = 200;
@@ -34,6 +36,7 @@
   isLeaving = false;
   readonly #parts: SoakServerParts;
   #start = serverStart(1);
+  #software: string;
   readonly #server = new RawServer((request, socket) => {
     void this.#take(request, socket);
   });
@@ -47,6 +50,7 @@
     this.id = id;
     this.service = service;
     this.#parts = parts;
+    this.#software = parts.software;
   }
 
   /**
@@ -62,13 +66,22 @@
     return this.#start;
   }
 
+  /** The version of the software that it runs. */
+  get software(): string {
+    return this.#software;
+  }
+
   /** Ends at once. */
   crash(): void {
     this.#server.crash();
   }
 
-  /** Ends at once, and starts again under its id and at its address. */
-  restart(): void {
+  /**
+   * Ends at once, and starts again under its id and at its address.
+   * @param software The new version of its software, if it is another one.
+   */
+  restart(software = this.#software): void {
+    this.#software = software;
     this.#start = serverStart(this.#start + 1);
     this.isLeaving = false;
     this.#server.reset();
--- a/packages/bench/tests/soak/notice_checks_test.ts
+++ b/packages/bench/tests/soak/notice_checks_test.ts
@@ -28,6 +28,7 @@
     lines: [],
     outages: [],
     lostServersAt: [],
+    startedAt: 0,
   };
   record.nodeRuns.set(NODE, node);
   const send = (request: string, rest: Partial<SendRecord>) => {
