Relay's soak: streams that callers resume, as runs of their own; mutants

Mutants that ignore the software, guess it or refuse every stream that is resumed are noticed.

Relay: what began a stream is sent to peers in the same turn of the event loop instead of 5 ms later.

--- a/packages/bench/src/soak/ownership_soak.ts
+++ b/packages/bench/src/soak/ownership_soak.ts
@@ -16,6 +16,8 @@
 /** What a run did, where no invariant broke. */
 export interface SoakRun {
   readonly orders: number;
+  /** What else was counted, by name; summed over runs. */
+  readonly counts?: Readonly<Record<string, number>>;
   readonly finding?: SoakFinding;
 }
 
--- a/packages/bench/src/soak/relay/faulty_listeners.ts
+++ b/packages/bench/src/soak/relay/faulty_listeners.ts
@@ -1,8 +1,12 @@
-import type {
-  RegistryEntry,
-  RelayConfiguration,
-  Route,
+import {
+  type LogOffset,
+  type RegistryEntry,
+  type RelayConfiguration,
+  type Route,
+  type SoftwareVersion,
+  softwareVersion,
 } from "@foxtailwind/core";
+import type { SharedLogListener } from "@foxtailwind/node/relay";
 import { PassingListener } from "./soak_store.ts";
 
 /** Tells that every route may be repeated. */
@@ -60,3 +64,47 @@
     });
   }
 }
+
+/** Tells of one software version only. */
+export class HearsNoSoftware extends PassingListener {
+  override registryEntry(entry: RegistryEntry): void {
+    super.registryEntry(withoutSoftware(entry));
+  }
+
+  override registryListed(
+    entries: readonly RegistryEntry[],
+    end: LogOffset,
+  ): void {
+    super.registryListed(entries.map(withoutSoftware), end);
+  }
+}
+
+function withoutSoftware(entry: RegistryEntry): RegistryEntry {
+  if (entry.kind === "gone") return entry;
+  const server = { ...entry.server, software: softwareVersion("any") };
+  return { ...entry, server };
+}
+
+/** Passes on everything, and tells the software of each entry. */
+export class ListensForSoftware extends PassingListener {
+  readonly #onSoftware: (software: SoftwareVersion) => void;
+
+  /**
+   * @param next Takes what is passed on.
+   * @param onSoftware Called with the software of each registered server.
+   */
+  constructor(
+    next: SharedLogListener,
+    onSoftware: (software: SoftwareVersion) => void,
+  ) {
+    super(next);
+    this.#onSoftware = onSoftware;
+  }
+
+  override registryEntry(entry: RegistryEntry): void {
+    const isEngine = entry.kind === "present" &&
+      entry.server.models.length > 0;
+    if (isEngine) this.#onSoftware(entry.server.software);
+    super.registryEntry(entry);
+  }
+}
--- a/packages/bench/src/soak/relay/faulty_wires.ts
+++ b/packages/bench/src/soak/relay/faulty_wires.ts
@@ -1,9 +1,12 @@
-import { milliseconds } from "@foxtailwind/core";
+import { milliseconds, requestId } from "@foxtailwind/core";
 import type {
   AnswerFacts,
+  CallerRequest,
   RelayWire,
   SendTerms,
 } from "@foxtailwind/node/relay";
+import type { Result } from "neverthrow";
+import type { IncomingHttpHeaders } from "node:http";
 import { SoakWire } from "./node_parts.ts";
 
 type Headers = Parameters<RelayWire["readAnswer"]>[1];
@@ -67,3 +70,15 @@
     return after === -1 ? headers : headers.toSpliced(after, 2);
   }
 }
+
+/** Takes each resumed stream for one that nobody began. */
+export class ReadsNoResumedAttempts extends SoakWire {
+  override readRequest(
+    headers: IncomingHttpHeaders,
+  ): Result<CallerRequest, string> {
+    return super.readRequest(headers).map((request) => ({
+      ...request,
+      resumes: requestId("nobody"),
+    }));
+  }
+}
--- a/packages/bench/src/soak/relay/relay_node.ts
+++ b/packages/bench/src/soak/relay/relay_node.ts
@@ -52,6 +52,8 @@
   readonly record: NodeRunRecord;
   readonly #control: SoakControl;
   readonly #sockets = new NodeSockets();
+  #lostServers: ReadonlySet<number> = new Set();
+  #lostPeers: ReadonlySet<number> = new Set();
 
   /**
    * @param id The node.
@@ -67,6 +69,7 @@
       lines: [],
       outages: [],
       lostServersAt: [],
+      lostPeersAt: [],
     };
     this.log = new NodeLog(store, made);
     const delays = new Draws(seed, `orders of ${this.record.name}`);
@@ -122,14 +125,36 @@
   loseServers(ports: ReadonlySet<number>): void {
     this.record.lostServersAt.push(performance.now());
     this.#control.isCut = true;
-    this.#sockets.refuse(ports);
+    this.#lostServers = ports;
+    this.#refuseLost();
+  }
+
+  /**
+   * Resets the connections to peers, and refuses new ones.
+   * @param ports The ports of the peers.
+   */
+  losePeers(ports: ReadonlySet<number>): void {
+    if (ports.size > 1) this.record.lostPeersAt.push(performance.now());
+    this.#lostPeers = ports;
+    this.#refuseLost();
+  }
+
+  /** Reaches peers again. */
+  regainPeers(): void {
+    this.#lostPeers = new Set();
+    this.#refuseLost();
   }
 
   /** Reaches servers again, unless it is cut off altogether. */
   regainServers(): void {
     if (this.record.cutAt !== undefined) return;
     this.#control.isCut = false;
-    this.#sockets.refuse(new Set());
+    this.#lostServers = new Set();
+    this.#refuseLost();
+  }
+
+  #refuseLost(): void {
+    this.#sockets.refuse(new Set([...this.#lostServers, ...this.#lostPeers]));
   }
 
   #sever(): void {
--- a/packages/bench/src/soak/relay/relay_record.ts
+++ b/packages/bench/src/soak/relay/relay_record.ts
@@ -76,6 +76,8 @@
   readonly lines: string[];
   /** When its connections to servers were reset. */
   readonly lostServersAt: number[];
+  /** When its connections to all peers were reset. */
+  readonly lostPeersAt: number[];
 }
 
 /** One send of a request to a server. */
--- a/packages/bench/src/soak/relay/relay_script.ts
+++ b/packages/bench/src/soak/relay/relay_script.ts
@@ -2,6 +2,13 @@
 import { REQUEST_KINDS, type RequestKind } from "./relay_record.ts";
 
 /** How large a soak's world is. */
+export interface WorldSize {
+  readonly nodes: number;
+  readonly engines: number;
+  readonly plainServers: number;
+}
+
+/** How large the world of the relay's soak is. */
 export const WORLD_SIZE = {
   nodes: 3,
   engines: 3,
@@ -66,7 +73,18 @@
     /** Until its first entry is there, in milliseconds. */
     readonly unread: number;
   }
-  | { readonly kind: "all_but_one_cut"; readonly spared: number }
+  | {
+    readonly kind: "several_cut";
+    /** The first of the nodes, and how many are cut off at the same moment. */
+    readonly node: number;
+    readonly nodes: number;
+  }
+  | {
+    /** A node and its peers don't reach each other. */
+    readonly kind: "loses_peers";
+    readonly node: number;
+    readonly lasts: number;
+  }
   | { readonly kind: "stop" | "cut"; readonly node: number }
   | {
     readonly kind: "loses_servers";
@@ -97,6 +115,7 @@
 
 /** All that a seed decides ahead. */
 export interface RelayScript {
+  readonly size: WorldSize;
   readonly calls: readonly PlannedCall[];
   readonly faults: readonly PlannedFault[];
 }
@@ -154,6 +173,7 @@
     ...drawMassCuts(seed),
   ];
   return {
+    size: WORLD_SIZE,
     calls: drawCalls(seed),
     faults: faults.toSorted((one, other) => one.at - other.at),
   };
@@ -254,8 +274,9 @@
     (): PlannedFault => ({
       at: draws.between(0, FAULT_MILLISECONDS),
       fault: {
-        kind: "all_but_one_cut",
-        spared: draws.between(0, WORLD_SIZE.nodes),
+        kind: "several_cut",
+        node: draws.between(0, WORLD_SIZE.nodes),
+        nodes: WORLD_SIZE.nodes - 1,
       },
     }),
   );
--- a/packages/bench/tests/soak/notice_checks_test.ts
+++ b/packages/bench/tests/soak/notice_checks_test.ts
@@ -28,6 +28,7 @@
     lines: [],
     outages: [],
     lostServersAt: [],
+    lostPeersAt: [],
     startedAt: 0,
   };
   record.nodeRuns.set(NODE, node);
--- a/packages/node/src/relay/early_refusals.ts
+++ b/packages/node/src/relay/early_refusals.ts
@@ -22,6 +22,7 @@
   ["stale_configuration", UNAVAILABLE],
   ["stopping", UNAVAILABLE],
   ["unknown_stream", UNAVAILABLE],
+  ["uncertain_stream", UNAVAILABLE],
   ["moved_stream", UNAVAILABLE],
 ]);
 /**
--- a/packages/node/src/relay/streams/resumption.ts
+++ b/packages/node/src/relay/streams/resumption.ts
@@ -18,7 +18,14 @@
   }
   | {
     readonly kind: "refused";
-    readonly code: "no_route" | "unknown_stream" | "moved_stream";
+    readonly code:
+      | "no_route"
+      /** Nobody that could be asked knows what began the stream. */
+      | "unknown_stream"
+      /** A restarted server may have begun it with other software. */
+      | "uncertain_stream"
+      /** The route no longer leads to the service that began it. */
+      | "moved_stream";
   };
 
 /** What {@link chooseRequestTarget} goes by. */
@@ -53,7 +60,7 @@
   }
   const lookup = await streams.find(caller.resumes);
   if (lookup.kind !== "known") {
-    return { kind: "refused", code: "unknown_stream" };
+    return { kind: "refused", code: `${lookup.kind}_stream` };
   }
   const { origin } = lookup;
   return route.targets.some((target) => target.service === origin.service)
--- a/packages/node/src/relay/streams/stream_directory.ts
+++ b/packages/node/src/relay/streams/stream_directory.ts
@@ -44,8 +44,6 @@
  * than hold it, since nodes don't always know the same peers.
  */
 const ASKED_PEERS = 8;
-/** How long origins are collected before they are sent to a peer together. */
-const BATCH_DELAY_MILLISECONDS = 5;
 /** The timeout of calls; a peer answers within a few milliseconds. */
 const CALL_TIMEOUT_MILLISECONDS = 300;
 /** How long the peers that hold origins are not determined anew. */
@@ -74,7 +72,7 @@
   readonly #origins = new StreamOrigins();
   readonly #unsent = new Map<string, StreamOrigin[]>();
   #rings: PeerRings | undefined;
-  #sendTimer: NodeJS.Timeout | undefined;
+  #sendSoon: NodeJS.Immediate | undefined;
 
   /** @param parts The dependencies. */
   constructor(parts: StreamDirectoryParts) {
@@ -114,9 +112,9 @@
       if (unsent === undefined) this.#unsent.set(address, [origin]);
       else unsent.push(origin);
     }
-    this.#sendTimer ??= setTimeout(() => {
+    this.#sendSoon ??= setImmediate(() => {
       this.#sendOrigins();
-    }, BATCH_DELAY_MILLISECONDS);
+    });
   }
 
   /**
@@ -144,7 +142,7 @@
 
   /** Discards what is not yet sent. */
   stop(): void {
-    clearTimeout(this.#sendTimer);
+    clearImmediate(this.#sendSoon);
     this.#unsent.clear();
   }
 
@@ -194,7 +192,7 @@
 
   /** Not repeated if it fails: other peers hold the origins as well. */
   #sendOrigins(): void {
-    this.#sendTimer = undefined;
+    this.#sendSoon = undefined;
     const now = this.#parts.clock.now();
     for (const [address, origins] of this.#unsent) {
       this.#parts.knowledge.workCounts.increment("origins_sent");
