Tests: a restarted server that may leave is out of use until it was asked

It asks the node at once now whether the server is used, beside what it checked before. A second test notices a probe of the start before the newest one that is taken for the newest's, which none did.

--- a/packages/node/tests/relay/departing_servers_test.ts
+++ b/packages/node/tests/relay/departing_servers_test.ts
@@ -1,6 +1,8 @@
+import { backendServerId } from "@foxtailwind/core";
 import test, { type ExecutionContext } from "ava";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
+import { PLAIN_SERVICE } from "./helpers/relay_routes.ts";
 import { type RelayWorld, startWorld, succeed } from "./helpers/relay_world.ts";
 
 type Answer = (request: IncomingMessage, response: ServerResponse) => void;
@@ -199,6 +201,7 @@
   const arrivals = await addRestartingServer(world, { isLeaving: true });
   t.is((await world.call("/once/first")).status, 200);
   world.registerStart("s1", 2);
+  t.false(world.takesRequests("s1"));
   await sendLaterRequests(t, world);
   await sleep(2 * PROBE_MILLISECONDS);
   t.is((await world.call("/once/last")).status, 200);
@@ -217,6 +220,26 @@
   t.is(arrivals.length, 2);
 });
 
+// Guards against a probe whose answer is taken for that of a later start.
+test("a probe of an earlier start doesn't tell whether the newest one stays", async (t) => {
+  const world = await startWorld(t);
+  world.addAddress("s1", "127.0.0.1:1", PLAIN_SERVICE, 1);
+  const { departures, registry } = world.knowledge;
+  const present = () => {
+    const server = registry.find(backendServerId("s1"));
+    if (server === undefined) throw new RangeError("There is no server.");
+    return server;
+  };
+  world.knowledge.recordDeparture(present());
+  world.registerStart("s1", 2);
+  const second = present();
+  world.registerStart("s1", 3);
+  departures.applyProbe(second, false);
+  t.false(world.takesRequests("s1"));
+  departures.applyProbe(present(), false);
+  t.true(world.takesRequests("s1"));
+});
+
 // Guards against an answer of a new start on a connection of the one before,
 // whose departure is recorded for the former one.
 test("a departure in an answer to a request that was sent before the restart became known applies", async (t) => {
