Tests: what peers know of streams, and restarts with other software

Reversals that went unnoticed and are noticed now: an uncertain origin is taken for certain in a lookup, in a send within one answer, or in a peer's answer; and origins that are sent to no peer.

--- a/packages/bench/tests/relay/software_version_test.ts
+++ b/packages/bench/tests/relay/software_version_test.ts
@@ -88,3 +88,15 @@
     cluster.restart(id);
   }
 });
+
+// Guards against streams that can't go on once the node that began them is gone.
+test("a stream whose node has stopped goes on at another one", async (t) => {
+  const cluster = await startMixed(t);
+  const begun = await beginStream(cluster, 0, "a0");
+  await getNode(cluster, 0).stop();
+  for (const node of [1, 2]) {
+    const resumed = await resumeStream(cluster, node, "a0", begun);
+    t.is(begun.events.length + resumed.events.length, EVENTS_PER_STREAM);
+    t.is(softwareOf(begun, resumed).length, 1);
+  }
+});
--- a/packages/node/tests/relay/streams/software_version_test.ts
+++ b/packages/node/tests/relay/streams/software_version_test.ts
@@ -2,6 +2,7 @@
 import { backendServerId, softwareVersion } from "@foxtailwind/core";
 import test, { type ExecutionContext } from "ava";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import { PLAIN_SERVICE } from "../helpers/relay_routes.ts";
 import { RelayWorld } from "../helpers/relay_world.ts";
 
@@ -209,9 +210,10 @@
   world.registerStart("a", 2_000, "2");
   const { status } = await resume(world, { "x-resumes": "r1" });
   t.is(status, UNAVAILABLE);
+  t.deepEqual(world.refusals, ["uncertain_stream"]);
 });
 
-test("a stream that breaks because its server restarts with other software isn't resumed there", async (t) => {
+test("a stream that breaks because its server restarts with other software isn't resumed", async (t) => {
   const world = new RelayWorld();
   world.configure();
   const arrivals: string[] = [];
@@ -231,6 +233,17 @@
   );
   world.registerStart("a", 1_000, "1");
   await world.start(t);
-  await t.throwsAsync(world.call("/resumable/a"));
+  const stream = world.call("/resumable/a");
+  while (arrivals.length === 0) await sleep(1);
+  await world.addServer(
+    "b",
+    (request, response) => {
+      arrivals.push("at another server");
+      answerBriefly("1", request, response);
+    },
+    PLAIN_SERVICE,
+    "1",
+  );
+  await t.throwsAsync(stream);
   t.deepEqual(arrivals, ["undefined"]);
 });
