--- a/packages/bench/src/policy/mod.ts
+++ b/packages/bench/src/policy/mod.ts
@@ -30,6 +30,8 @@
 export * from "./simulation/simulated_engines.ts";
 export * from "./simulation/simulated_loads.ts";
 export * from "./simulation/weight_store_model.ts";
+export * from "./streams/emulated_cluster.ts";
+export * from "./streams/origin_ways.ts";
 export * from "./workloads/all_workloads.ts";
 export * from "./workloads/engine_profiles.ts";
 export * from "./workloads/kauri_fresh.ts";
