--- a/packages/node/src/relay/mod.ts
+++ b/packages/node/src/relay/mod.ts
@@ -50,5 +50,6 @@
 export * from "./serving_nodes.ts";
 export * from "./relay_metrics.ts";
 export * from "./streams/origin_datagrams.ts";
+export * from "./streams/resumption.ts";
 export * from "./streams/stream_directory.ts";
 export * from "./work_counts.ts";
--- a/packages/node/src/relay/streams/resumption.ts
+++ b/packages/node/src/relay/streams/resumption.ts
@@ -63,7 +63,10 @@
     return { kind: "refused", code: `${lookup.kind}_stream` };
   }
   const { origin } = lookup;
-  return route.targets.some((target) => target.service === origin.service)
+  const isTarget = route.targets.some(({ service, weight }) =>
+    service === origin.service && weight > 0
+  );
+  return isTarget
     ? { kind: "chosen", service: origin.service, origin }
     : { kind: "refused", code: "moved_stream" };
 }
