Streams: one retention for origins and software versions; names

The time for which a stream may be resumed stood twice, as two constants. A lookup was named as if it were an origin, and counts of peers as if they were peers.

--- a/packages/core/src/relay/streams/software_history.ts
+++ b/packages/core/src/relay/streams/software_history.ts
@@ -7,7 +7,7 @@
   type SoftwareVersion,
 } from "../../shared/mod.ts";
 import type { RegisteredServer } from "../registered_server.ts";
-import type { StreamOrigin } from "./stream_origin.ts";
+import { STREAM_RETENTION, type StreamOrigin } from "./stream_origin.ts";
 
 interface KnownSoftware {
   readonly software: SoftwareVersion;
@@ -20,11 +20,6 @@
  * tells of its id, before this node hears that it has restarted.
  */
 const UNNOTICED_RESTART = seconds(2);
-/**
- * A stream that began when the last server of a version was known may still be
- * resumed for so long.
- */
-const VERSION_RETENTION = seconds(120);
 /** The most servers that are remembered. */
 const MAXIMUM_SERVERS = 5_000;
 
@@ -69,7 +64,7 @@
     servers: readonly RegisteredServer[],
   ): boolean {
     const recent = [...this.#versions.get(service) ?? []]
-      .filter(([, seenAt]) => elapsed(seenAt, now) < VERSION_RETENTION)
+      .filter(([, seenAt]) => elapsed(seenAt, now) < STREAM_RETENTION)
       .map(([software]) => software);
     const registered = servers.map(({ software }) => software);
     return new Set([...recent, ...registered]).size <= 1;
@@ -96,7 +91,7 @@
     this.#versions.set(service, versions);
     versions.set(software, now);
     for (const [version, seenAt] of versions) {
-      if (elapsed(seenAt, now) >= VERSION_RETENTION) versions.delete(version);
+      if (elapsed(seenAt, now) >= STREAM_RETENTION) versions.delete(version);
     }
   }
 }
--- a/packages/core/src/relay/streams/stream_origin.ts
+++ b/packages/core/src/relay/streams/stream_origin.ts
@@ -1,12 +1,16 @@
-import type {
-  BackendServerId,
-  Instant,
-  RequestId,
-  ServiceId,
-  SoftwareVersion,
+import {
+  type BackendServerId,
+  type Instant,
+  type RequestId,
+  seconds,
+  type ServiceId,
+  type SoftwareVersion,
 } from "../../shared/mod.ts";
 import type { RegisteredServer } from "../registered_server.ts";
 
+/** A stream may be resumed for so long after it began. */
+export const STREAM_RETENTION = seconds(120);
+
 /** What began a stream, which only servers of the same software continue. */
 export interface StreamOrigin {
   /** The caller's attempt that brought the first event. */
--- a/packages/core/src/relay/streams/stream_origins.ts
+++ b/packages/core/src/relay/streams/stream_origins.ts
@@ -1,13 +1,6 @@
-import {
-  elapsed,
-  type Instant,
-  type RequestId,
-  seconds,
-} from "../../shared/mod.ts";
-import type { StreamOrigin } from "./stream_origin.ts";
+import { elapsed, type Instant, type RequestId } from "../../shared/mod.ts";
+import { STREAM_RETENTION, type StreamOrigin } from "./stream_origin.ts";
 
-/** No caller waits for a stream for longer than this. */
-const RETENTION = seconds(120);
 /** The most streams that are remembered. */
 const MAXIMUM_ORIGINS = 20_000;
 /** Longer ids, which callers choose, are not remembered. */
@@ -48,7 +41,7 @@
   #expire(now: Instant): void {
     for (const [attempt, { begunAt }] of this.#origins) {
       const isKept = this.#origins.size < MAXIMUM_ORIGINS &&
-        elapsed(begunAt, now) < RETENTION;
+        elapsed(begunAt, now) < STREAM_RETENTION;
       if (isKept) break;
       this.#origins.delete(attempt);
     }
--- a/packages/node/src/relay/streams/stream_directory.ts
+++ b/packages/node/src/relay/streams/stream_directory.ts
@@ -41,12 +41,12 @@
 }
 
 /** The peers that keep what began a stream, beside the node that sent it. */
-const HOLDERS = 6;
+const HOLDER_COUNT = 6;
 /**
  * The peers asked, of those that are present and of all that were lately: more
  * than hold it, since nodes don't always know the same peers.
  */
-const ASKED_PEERS = 8;
+const ASKED_PEER_COUNT = 8;
 /** The timeout of calls; a peer answers within a few milliseconds. */
 const CALL_TIMEOUT_MILLISECONDS = 300;
 /** How long the peers that hold origins are not determined anew. */
@@ -108,7 +108,7 @@
     const now = this.#parts.clock.now();
     this.#origins.add(now, origin);
     const { present, records } = this.#ringsAt(now);
-    const addresses = present.holders(origin.attempt, HOLDERS)
+    const addresses = present.holders(origin.attempt, HOLDER_COUNT)
       .flatMap((id) => records.get(id)?.address ?? []);
     this.#parts.knowledge.workCounts.increment("origin_sent");
     this.#datagrams.send(encodeStreamOrigin(now, origin), addresses);
@@ -125,14 +125,14 @@
     const now = this.#parts.clock.now();
     const { present, recent, records } = this.#ringsAt(now);
     const asked = new Set([
-      ...present.holders(attempt, ASKED_PEERS),
-      ...recent.holders(attempt, ASKED_PEERS),
+      ...present.holders(attempt, ASKED_PEER_COUNT),
+      ...recent.holders(attempt, ASKED_PEER_COUNT),
     ]);
     const answers = [...asked].map(async (id) => {
-      const origin = await this.#ask(records.get(id)?.address, attempt);
+      const lookup = await this.#ask(records.get(id)?.address, attempt);
       // Rejected, so that the first peer that knows the origin decides.
-      if (origin === undefined) throw new RangeError("The peer doesn't know.");
-      return origin;
+      if (lookup === undefined) throw new RangeError("The peer doesn't know.");
+      return lookup;
     });
     return await Promise.any(answers).catch(() => ({ kind: "unknown" }));
   }
--- a/packages/node/tests/relay/streams/software_version_test.ts
+++ b/packages/node/tests/relay/streams/software_version_test.ts
@@ -1,5 +1,10 @@
-import { instant, requestId, serviceId } from "@foxtailwind/core";
-import { backendServerId, softwareVersion } from "@foxtailwind/core";
+import {
+  backendServerId,
+  instant,
+  requestId,
+  serviceId,
+  softwareVersion,
+} from "@foxtailwind/core";
 import test, { type ExecutionContext } from "ava";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
