--- a/packages/core/src/relay/crash_suspicion.ts
+++ b/packages/core/src/relay/crashes/crash_suspicion.ts
@@ -4,8 +4,8 @@
   type Duration,
   milliseconds,
   type ServerStart,
-} from "../shared/mod.ts";
-import { startKey } from "./start_history.ts";
+} from "../../shared/mod.ts";
+import { startKey } from "../start_history.ts";
 
 /** A request's content, and the run of a server that it may have ended. */
 export interface SuspicionKey {
--- /dev/null
+++ b/packages/core/src/relay/crashes/mod.ts
@@ -0,0 +1,2 @@
+export * from "./crash_suspicion.ts";
+export * from "./request_quarantine.ts";
--- a/packages/core/src/relay/request_quarantine.ts
+++ b/packages/core/src/relay/crashes/request_quarantine.ts
@@ -6,14 +6,14 @@
   type Instant,
   milliseconds,
   type ServerStart,
-} from "../shared/mod.ts";
+} from "../../shared/mod.ts";
 import {
   type CrashSuspicion,
   findCrashingContents,
   suspectedRunKey,
   type SuspicionKey,
 } from "./crash_suspicion.ts";
-import { startKey } from "./start_history.ts";
+import { startKey } from "../start_history.ts";
 
 /** How long content that crashes servers is refused. */
 const QUARANTINE_TIME = milliseconds(24 * 60 * 60 * 1_000);
--- a/packages/node/src/relay/crash_reports.ts
+++ b/packages/node/src/relay/crashes/crash_reports.ts
@@ -14,11 +14,11 @@
 } from "@foxtailwind/core";
 import { afterPendingInput } from "@foxtailwind/edges";
 import { setTimeout as sleep } from "node:timers/promises";
-import type { SteadyClock } from "../clock/steady_clock.ts";
-import type { ComponentLogger } from "../logging/component_logger.ts";
-import type { Knowledge } from "./knowledge.ts";
+import type { SteadyClock } from "../../clock/steady_clock.ts";
+import type { ComponentLogger } from "../../logging/component_logger.ts";
+import type { Knowledge } from "../knowledge.ts";
 import type { RequestContent } from "./request_content.ts";
-import type { SharedLog, SuspicionChange } from "./shared_log.ts";
+import type { SharedLog, SuspicionChange } from "../shared_log.ts";
 
 /**
  * How long after a broken call a suspicion is settled: within this time, a
--- a/packages/node/src/relay/suspicion_tracker.ts
+++ b/packages/node/src/relay/crashes/suspicion_tracker.ts
@@ -7,9 +7,9 @@
   type ServerRegistry,
   type SuspicionKey,
 } from "@foxtailwind/core";
-import type { SteadyClock } from "../clock/steady_clock.ts";
-import type { ComponentLogger } from "../logging/component_logger.ts";
-import type { SuspicionChange } from "./shared_log.ts";
+import type { SteadyClock } from "../../clock/steady_clock.ts";
+import type { ComponentLogger } from "../../logging/component_logger.ts";
+import type { SuspicionChange } from "../shared_log.ts";
 
 /** The dependencies of {@link SuspicionTracker}. */
 export interface SuspicionTrackerParts {
--- a/packages/node/src/relay/front_server.ts
+++ b/packages/node/src/relay/front_server.ts
@@ -30,7 +30,7 @@
 import { RequestRelay } from "./request_relay.ts";
 import { isAcceptedWhileStopping } from "./relay_stop.ts";
 import { readBody } from "./request_body.ts";
-import { RequestContent } from "./request_content.ts";
+import { RequestContent } from "./crashes/request_content.ts";
 import { chooseRequestTarget } from "./streams/resumption.ts";
 
 /** Exceeds the largest header limit that a configuration may set. */
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -44,7 +44,7 @@
   type SkipReason,
   type SuspicionChange,
 } from "./shared_log.ts";
-import { SuspicionTracker } from "./suspicion_tracker.ts";
+import { SuspicionTracker } from "./crashes/suspicion_tracker.ts";
 import { WorkCounts } from "./work_counts.ts";
 
 /** The log counts as unreachable this long after the last successful call. */
--- a/packages/node/src/relay/make_relay_parts.ts
+++ b/packages/node/src/relay/make_relay_parts.ts
@@ -5,7 +5,7 @@
 import { AdapterGrants } from "./adapter_grants.ts";
 import type { EngineOwners } from "./engine_owners.ts";
 import type { NodePresence } from "./node_presence.ts";
-import { CrashReports } from "./crash_reports.ts";
+import { CrashReports } from "./crashes/crash_reports.ts";
 import type { RelayParts } from "./relay_parts.ts";
 import type { RelaySettings } from "./relay_settings.ts";
 import { RequestLimits } from "./request_limits.ts";
--- a/packages/node/src/relay/relay_parts.ts
+++ b/packages/node/src/relay/relay_parts.ts
@@ -9,7 +9,7 @@
 import type { AccountQuotas } from "./accounts/account_quotas.ts";
 import type { BackendPools } from "./backend_pools.ts";
 import type { RelayWire } from "./caller_wire.ts";
-import type { CrashReports } from "./crash_reports.ts";
+import type { CrashReports } from "./crashes/crash_reports.ts";
 import type { Knowledge } from "./knowledge.ts";
 import type { PlannedStop } from "./relay_stop.ts";
 import type { RequestLimits } from "./request_limits.ts";
--- a/packages/node/src/relay/routed_request.ts
+++ b/packages/node/src/relay/routed_request.ts
@@ -12,7 +12,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { CallerRequest } from "./caller_wire.ts";
 import { type PlannedStop, workDeadline } from "./relay_stop.ts";
-import type { RequestContent } from "./request_content.ts";
+import type { RequestContent } from "./crashes/request_content.ts";
 
 /** A caller's request that has been read completely and has a route. */
 export interface RoutedRequest {
--- a/packages/node/tests/relay/quarantine_test.ts
+++ b/packages/node/tests/relay/crashes/quarantine_test.ts
@@ -13,9 +13,9 @@
 import test from "ava";
 import { err, ok } from "neverthrow";
 import { setTimeout as sleep } from "node:timers/promises";
-import { createRelayBase } from "./helpers/relay_base.ts";
-import { rawCall } from "./helpers/raw_call.ts";
-import { RelayWorld, succeed } from "./helpers/relay_world.ts";
+import { createRelayBase } from "../helpers/relay_base.ts";
+import { rawCall } from "../helpers/raw_call.ts";
+import { RelayWorld, succeed } from "../helpers/relay_world.ts";
 
 const BODY = Buffer.from("prompt");
 /** Longer than the delay after which a suspicion is settled. */
--- a/packages/node/tests/relay/request_content_test.ts
+++ b/packages/node/tests/relay/crashes/request_content_test.ts
@@ -1,6 +1,6 @@
 import { RequestContent } from "@foxtailwind/node/relay";
 import test from "ava";
-import { RelayWorld } from "./helpers/relay_world.ts";
+import { RelayWorld } from "../helpers/relay_world.ts";
 
 const REQUEST_HEAD = {
   method: "POST",
