Relay: lines of broken calls name the shared parts of the prompt

The shared parts of prompts are read from callers' headers; nothing decides by them yet. The line of a request whose call broke names them, and how long after the send the head of its answer came: of a crash's victims, which had begun to be answered could not be told. The stand-in engines can crash on a part.

--- a/packages/bench/src/relay/relay_cluster.ts
+++ b/packages/bench/src/relay/relay_cluster.ts
@@ -27,6 +27,7 @@
 import { readStream, type StreamPart } from "./stream_reader.ts";
 import {
   LAST_EVENT_HEADER,
+  PARTS_HEADER,
   REQUEST_LIMIT_HEADER,
   RESUMES_HEADER,
   StandInOperations,
@@ -216,6 +217,25 @@
     return this.#postRequest(daemon, path, { "x-adapter": adapter });
   }
 
+  /**
+   * Requests a generation from a prompt that no other request has.
+   * @param daemon The node that receives the request.
+   * @param adapter The adapter.
+   * @param sharedParts The parts of the prompt that it shares with others.
+   * @returns The answer.
+   */
+  generateFrom(
+    daemon: RelayDaemon,
+    adapter: string,
+    sharedParts: readonly string[],
+  ): Promise<RelayAnswer> {
+    const own = `own-${this.#requestCount + 1}`;
+    return this.#postRequest(daemon, `/drafts/${own}`, {
+      "x-adapter": adapter,
+      [PARTS_HEADER]: [...sharedParts, own].join(","),
+    });
+  }
+
   /**
    * Requests a stream that may be resumed, or the rest of one.
    * @param daemon The node that receives the request.
@@ -246,14 +266,18 @@
   }
 
   /**
-   * Makes each engine crash when it begins to run a request with a path. The
-   * engine restarts after {@link ENGINE_DOWNTIME_MILLISECONDS}.
-   * @param path The path.
+   * Makes each engine crash when it begins to run certain requests. The engine
+   * restarts after {@link ENGINE_DOWNTIME_MILLISECONDS}.
+   * @param cause The path of the requests, or a part of their prompts.
    * @param onCrash Called at each crash.
    */
-  crashEnginesOn(path: string, onCrash: () => void): void {
+  crashEnginesOn(
+    { path, part }: { readonly path?: string; readonly part?: string },
+    onCrash: () => void,
+  ): void {
     for (const [id, engine] of this.engines) {
       engine.crashPath = path;
+      engine.crashPart = part;
       engine.onCrash = () => {
         engine.crash();
         setTimeout(() => {
--- a/packages/bench/src/relay/stand_in_engine.ts
+++ b/packages/bench/src/relay/stand_in_engine.ts
@@ -23,6 +23,7 @@
 import { StandInEngineState } from "./stand_in_engine_state.ts";
 import {
   LAST_EVENT_HEADER,
+  PARTS_HEADER,
   REQUEST_LIMIT_HEADER,
   setNoticeHeaders,
   STAND_IN_MODEL,
@@ -45,6 +46,8 @@
   readonly runs: string[] = [];
   /** The path of the requests that crash the engine when they begin to run. */
   crashPath: string | undefined;
+  /** A part of prompts that crashes the engine in the same way. */
+  crashPart: string | undefined;
   /** The requests per second that it allows, if its answers name a limit. */
   requestLimit: number | undefined;
   /** The version of its software, which each of its events states. */
@@ -53,7 +56,7 @@
   notice: StandInNotice = {};
   /** Called with the path of each request that is meant for this engine. */
   onRequest: (path: string) => void = () => undefined;
-  /** Called when a request with {@link crashPath} begins to run. */
+  /** Called when a request that crashes the engine begins to run. */
   onCrash: () => void = () => undefined;
   readonly #server = createServer((request, response) => {
     void this.#handleRequest(request, response);
@@ -140,7 +143,7 @@
       "x-seal": "s",
       "content-type": "text/event-stream",
     });
-    if (request.url === this.crashPath) {
+    if (this.#isCrashing(request)) {
       response.flushHeaders();
       await sleep(EVENT_INTERVAL_MILLISECONDS);
       this.onCrash();
@@ -161,6 +164,12 @@
     }
     response.end();
   }
+
+  #isCrashing({ url, headers }: IncomingMessage): boolean {
+    if (url === this.crashPath) return true;
+    const parts = String(headers[PARTS_HEADER] ?? "").split(",");
+    return this.crashPart !== undefined && parts.includes(this.crashPart);
+  }
 }
 
 /** Sends orders to the stand-in engines of this process. */
--- a/packages/bench/src/relay/stand_in_wire.ts
+++ b/packages/bench/src/relay/stand_in_wire.ts
@@ -3,6 +3,7 @@
   type Duration,
   milliseconds,
   modelId,
+  promptPartId,
   type RequestId,
   requestId,
   seconds,
@@ -42,6 +43,9 @@
 /** The caller's attempt that brought the first event of that stream. */
 export const RESUMES_HEADER = "x-resumes";
 
+/** The parts of the prompt in order, separated by commas. */
+export const PARTS_HEADER = "x-parts";
+
 /** The name of no server, in requests that none of them may run. */
 const NO_SERVER = "none";
 
@@ -87,6 +91,7 @@
     const tokens = headers["x-tokens"];
     const lastEventId = headers[LAST_EVENT_HEADER];
     const resumes = headers[RESUMES_HEADER];
+    const parts = headers[PARTS_HEADER];
     return ok({
       id: requestId(id),
       ...(typeof patience === "string"
@@ -104,6 +109,9 @@
           },
         }
         : {}),
+      ...(typeof parts === "string"
+        ? { sharedParts: parts.split(",").slice(0, -1).map(promptPartId) }
+        : {}),
       ...(typeof lastEventId === "string" ? { lastEventId } : {}),
       ...(typeof resumes === "string" ? { resumes: requestId(resumes) } : {}),
       isForwarded: headers[FORWARDED_HEADER] !== undefined,
--- a/packages/core/src/shared/ids.ts
+++ b/packages/core/src/shared/ids.ts
@@ -278,3 +278,15 @@
 export function apiKeyDigest(value: string): ApiKeyDigest {
   return value as ApiKeyDigest;
 }
+
+/** Identifies a part of a prompt that requests may share. */
+export type PromptPartId = Brand<string, "PromptPartId">;
+
+/**
+ * Brands a validated string as a PromptPartId.
+ * @param value The raw value.
+ * @returns The branded value.
+ */
+export function promptPartId(value: string): PromptPartId {
+  return value as PromptPartId;
+}
--- a/packages/node/src/relay/answer_forwarder.ts
+++ b/packages/node/src/relay/answer_forwarder.ts
@@ -44,6 +44,7 @@
   #hasForwardedEvent = false;
   #sentAt: Instant;
   #lastBytesAt: Instant;
+  #timeToHead: Duration | undefined;
   #timeToFirstByte: Duration | undefined;
   #listener: AnswerListener | undefined;
 
@@ -86,6 +87,11 @@
     return this.#framing;
   }
 
+  /** Time from the send to the head of a success. */
+  get timeToHead(): Duration | undefined {
+    return this.#timeToHead;
+  }
+
   /** Time from the send to the first bytes of the body. */
   get timeToFirstByte(): Duration | undefined {
     return this.#timeToFirstByte;
@@ -119,6 +125,7 @@
     this.#bufferedAnswer = undefined;
     this.#sentAt = now;
     this.#lastBytesAt = now;
+    this.#timeToHead = undefined;
     this.#timeToFirstByte = undefined;
     this.#splitter?.reset();
   }
@@ -167,6 +174,7 @@
       return "cut";
     }
     this.#answerKind = "passed";
+    this.#timeToHead = elapsed(this.#sentAt, this.#lastBytesAt);
     this.#beginSuccess(head);
     return "take";
   }
--- a/packages/node/src/relay/caller_wire.ts
+++ b/packages/node/src/relay/caller_wire.ts
@@ -5,6 +5,7 @@
   ClientAccountId,
   Duration,
   ModelId,
+  PromptPartId,
   RequestId,
 } from "@foxtailwind/core";
 import type { Result } from "neverthrow";
@@ -25,6 +26,11 @@
   /** The caller's timeout, from when it sent the request. */
   readonly patience?: Duration;
   readonly use?: ModelUse;
+  /**
+   * The parts of its prompt that other requests may share, in order and without
+   * repeats. The last part belongs to the request itself and is left out.
+   */
+  readonly sharedParts?: readonly PromptPartId[];
   /** The tokens of its prompt and the most that it may generate, if stated. */
   readonly tokens?: number;
   /** The digest of its API key, if it has one. */
--- a/packages/node/src/relay/request_end.ts
+++ b/packages/node/src/relay/request_end.ts
@@ -34,6 +34,8 @@
   readonly limitWait: Duration | undefined;
   /** Time from arrival until a server was found. */
   readonly placementTime: Duration | undefined;
+  /** Time from the last send to the head of the answer. */
+  readonly timeToHead: Duration | undefined;
   /** Time from the last send to the first byte of the answer's body. */
   readonly timeToFirstByte: Duration | undefined;
   readonly duration: Duration;
@@ -72,7 +74,11 @@
     framing: end.framing,
     broke: end.callFailure,
     broke_at: end.callStage,
-    content: includesDigest(end) ? content.digest : undefined,
+    content: includesContent(end) ? content.digest : undefined,
+    parts: includesContent(end) ? caller.sharedParts?.join(" ") : undefined,
+    head_after: includesContent(end)
+      ? roundOptional(end.timeToHead)
+      : undefined,
     ran_for: roundOptional(end.bodyDuration),
     asked: placeAnswers === "" ? undefined : placeAnswers,
     limited_for: roundOptional(end.limitWait),
@@ -89,7 +95,7 @@
  * The digest is computed only for lines that are compared with others by
  * content.
  */
-function includesDigest({ callFailure: broke, outcome }: RequestEnd): boolean {
+function includesContent({ callFailure: broke, outcome }: RequestEnd): boolean {
   return broke !== undefined || outcome === "quarantined";
 }
 
--- a/packages/node/src/relay/request_relay.ts
+++ b/packages/node/src/relay/request_relay.ts
@@ -341,6 +341,7 @@
         placeAnswers: this.#finder.askedEngines,
         limitWait: this.#finder.retryAfter,
         placementTime: this.#placementTime,
+        timeToHead: this.#answer.timeToHead,
         timeToFirstByte: this.#answer.timeToFirstByte,
         duration,
         timeSinceStop: this.#timeSinceStop,
