Relay: a part of prompts that crashes servers is refused

What callers saw: requests that share one part of their prompts, no two alike, ended 25 servers one after the other, each with all that ran there; 17 of them were sent later than 3 s after the fifth end.

Cause: crashes were filed under the digest of the whole content, a name that never comes twice.

Change: each shared part of a prompt is a suspect beside the whole content, by service and id. Of suspects with the most crashes the narrowest is to blame, as the first part of a prompt is among the suspects of nearly every crash. A run that goes on for 0.3 s, or 1 s, after its answer began clears its parts of earlier crashes if they had ended servers in half that time. A part is blamed from its third crash on, 0.5 s after the first of them is known. An answer that ends with its connection clears nothing at once, and one that ends so before its first event is broken. Nothing is written to a connection whose request has been refused meanwhile. The product's own interface tracks messages in the same way.

--- a/packages/bench/src/mod.ts
+++ b/packages/bench/src/mod.ts
@@ -7,6 +7,7 @@
 export * from "./reading/mod.ts";
 export * from "./relay/mod.ts";
 export * from "./soak/adapter_soak.ts";
+export * from "./soak/crashes/mod.ts";
 export * from "./soak/fault.ts";
 export * from "./soak/configuration_mutants.ts";
 export * from "./soak/configuration_soak.ts";
--- /dev/null
+++ b/packages/bench/src/soak/crashes/crash_server.ts
@@ -0,0 +1,67 @@
+import {
+  backendServerId,
+  type CrashSuspicion,
+  milliseconds,
+  suspectRunTime,
+} from "@foxtailwind/core";
+import type { CrashNode } from "./crash_node.ts";
+import type { CrashRequest } from "./crash_request.ts";
+
+interface Occupant {
+  readonly node: CrashNode;
+  readonly request: CrashRequest;
+  /** When its answer began, if it has. */
+  begunAt?: number;
+}
+
+/** A server of the emulation. */
+export class CrashServer {
+  readonly #name: string;
+  readonly #occupants = new Set<Occupant>();
+  /** The number of its run. */
+  run = 0;
+  isUp = true;
+
+  constructor(name: string) {
+    this.#name = name;
+  }
+
+  /** Adds a request that waits for its turn. */
+  admit(node: CrashNode, request: CrashRequest): Occupant {
+    const occupant = { node, request };
+    this.#occupants.add(occupant);
+    return occupant;
+  }
+
+  /** Removes a request. */
+  release(occupant: Occupant): void {
+    this.#occupants.delete(occupant);
+  }
+
+  /** Returns whether a request is still there. */
+  holds(occupant: Occupant): boolean {
+    return this.#occupants.has(occupant);
+  }
+
+  /** Ends the run: the nodes see their calls break. */
+  end(now: number): void {
+    const server = backendServerId(`${this.#name}-${this.run}`);
+    this.isUp = false;
+    this.run += 1;
+    const occupants = [...this.#occupants];
+    this.#occupants.clear();
+    for (const { node, request, begunAt } of occupants) {
+      const ranFor = suspectRunTime(
+        begunAt === undefined ? undefined : milliseconds(now - begunAt),
+      );
+      if (ranFor === undefined || !node.isUp) continue;
+      node.recordBroken(
+        request.suspects.map((suspect): CrashSuspicion => ({
+          ...suspect,
+          server,
+          ranFor,
+        })),
+      );
+    }
+  }
+}
--- a/packages/bench/src/soak/registry.ts
+++ b/packages/bench/src/soak/registry.ts
@@ -1,3 +1,4 @@
+import { CRASH_MUTANTS, runCrashSoak } from "./crashes/mod.ts";
 import { runAdapterSoak } from "./adapter_soak.ts";
 import { configurationMutants } from "./configuration_mutants.ts";
 import { runConfigurationSoak } from "./configuration_soak.ts";
@@ -55,6 +56,7 @@
     name: "streams",
     run: (seed) => runRelaySoak({ seed, draw: drawStreamScript }),
   },
+  { name: "crashes", run: (seed) => runCrashSoak(seed) },
 ];
 
 /** The deliberate faults of all soaks that have some. */
@@ -80,4 +82,9 @@
     name,
     run: (seed) => runRelaySoak({ seed, made, ...(draw && { draw }) }),
   })),
+  ...CRASH_MUTANTS.map(({ name, cause, rules }): SoakMutant => ({
+    soak: "crashes",
+    name,
+    run: (seed) => runCrashSoak(seed, rules, cause),
+  })),
 ];
--- a/packages/core/src/delivery/crash_record.ts
+++ b/packages/core/src/delivery/crash_record.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 import * as z from "zod";
-import type { CrashSuspicion } from "../relay/mod.ts";
+import type { CrashSuspicion, SuspicionKey } from "../relay/mod.ts";
 import {
   type BackendServerId,
   backendServerId,
@@ -18,7 +18,9 @@
   /** An engine may have crashed while it ran the content. */
   | { readonly kind: "suspected"; readonly suspicion: CrashSuspicion }
   /** The content was served to completion. */
-  | { readonly kind: "served"; readonly content: ContentDigest };
+  | { readonly kind: "served"; readonly content: ContentDigest }
+  /** A suspicion was disproved. */
+  | { readonly kind: "cleared"; readonly key: SuspicionKey };
 
 const contentSchema = z.string().min(1).transform(contentDigest);
 
@@ -29,6 +31,14 @@
       content: contentSchema,
       server: z.string().min(1).transform(backendServerId),
       ranFor: z.number().nonnegative().transform(milliseconds),
+      partPosition: z.number().int().nonnegative().exactOptional(),
+    }),
+  }),
+  z.object({
+    kind: z.literal("cleared"),
+    key: z.object({
+      content: contentSchema,
+      server: z.string().min(1).transform(backendServerId),
     }),
   }),
   z.object({ kind: z.literal("served"), content: contentSchema }),
--- a/packages/core/src/relay/crashes/crash_suspicion.ts
+++ b/packages/core/src/relay/crashes/crash_suspicion.ts
@@ -7,7 +7,17 @@
 } from "../../shared/mod.ts";
 import { startKey } from "../start_history.ts";
 
-/** A request's content, and the run of a server that it may have ended. */
+/**
+ * What of a request may crash servers: its whole content, or a part of its
+ * prompt that other requests share.
+ */
+export interface Suspect {
+  readonly content: ContentDigest;
+  /** The position of a part in its prompt; omitted for a whole content. */
+  readonly partPosition?: number;
+}
+
+/** A suspect, and the run of a server that it may have ended. */
 export interface SuspicionKey {
   readonly content: ContentDigest;
   readonly server: BackendServerId;
@@ -15,14 +25,14 @@
   readonly start?: ServerStart;
 }
 
-/** The suspicion that a request ended the server that ran it. */
-export interface CrashSuspicion extends SuspicionKey {
+/** The suspicion that a suspect ended the server that ran its request. */
+export interface CrashSuspicion extends SuspicionKey, Suspect {
   /** From the first bytes of the answer to its end. */
   readonly ranFor: Duration;
 }
 
 /** A request that ran for longer before its server ended did not cause it. */
-const MAXIMUM_SUSPECT_RUN_TIME = milliseconds(1_000);
+export const MAXIMUM_SUSPECT_RUN_TIME = milliseconds(1_000);
 
 /**
  * Determines whether a request may have ended its server.
@@ -48,56 +58,23 @@
   return startKey(server, start);
 }
 
-/** The contents that may have caused one crash, and how long each had run. */
-export type CrashSuspects = ReadonlyMap<ContentDigest, Duration>;
+/** How much longer than its suspects a run has to last to speak for them. */
+const CONTRADICTING_RATIO = 2;
 
-/**
- * The number of crashes from which a content is to blame and not a coincidence.
- */
-const MINIMUM_CRASHES = 3;
-
-interface Tally {
-  crashes: number;
-  ranFor: number;
-}
-
-/**
- * Finds the contents that crash servers. Each crash has one cause, so a crash
- * explained by one content is no evidence against the others that ran on the
- * same server.
- * @param crashes The suspects of each crash.
- * @returns The contents to blame.
- */
-export function findCrashingContents(
-  crashes: readonly CrashSuspects[],
-): ReadonlySet<ContentDigest> {
-  const crashing = new Set<ContentDigest>();
-  let unexplained = crashes;
-  for (;;) {
-    const mostSuspect = findMostSuspect(unexplained);
-    if (mostSuspect === undefined) return crashing;
-    crashing.add(mostSuspect);
-    unexplained = unexplained.filter((suspects) => !suspects.has(mostSuspect));
-  }
-}
+/** How long after its answer began a run is looked at whether it goes on. */
+export const SURVIVAL_CHECKS: readonly Duration[] = [
+  milliseconds(300),
+  MAXIMUM_SUSPECT_RUN_TIME,
+];
 
 /**
- * Finds the content with the most crashes; of equals the one that ran shortest.
+ * Determines whether a run that has not ended its server contradicts a
+ * suspicion against something that it shares with the suspect.
+ * @param ranFor How long the suspect had run as its server ended.
+ * @param lasted How long the run has lasted.
+ * @returns Whether the suspicion is contradicted.
  */
-function findMostSuspect(
-  crashes: readonly CrashSuspects[],
-): ContentDigest | undefined {
-  const tallies = new Map<ContentDigest, Tally>();
-  for (const [content, ranFor] of crashes.flatMap((one) => [...one])) {
-    const tally = tallies.get(content) ?? { crashes: 0, ranFor: 0 };
-    tally.crashes += 1;
-    tally.ranFor += ranFor;
-    tallies.set(content, tally);
-  }
-  const [first] = [...tallies]
-    .filter(([, { crashes: count }]) => count >= MINIMUM_CRASHES)
-    .toSorted(([, left], [, right]) =>
-      right.crashes - left.crashes || left.ranFor - right.ranFor
-    );
-  return first?.[0];
+export function isContradicted(ranFor: Duration, lasted: Duration): boolean {
+  return lasted >= MAXIMUM_SUSPECT_RUN_TIME ||
+    lasted >= CONTRADICTING_RATIO * ranFor;
 }
--- a/packages/core/src/relay/crashes/mod.ts
+++ b/packages/core/src/relay/crashes/mod.ts
@@ -1,2 +1,3 @@
+export * from "./crash_blame.ts";
 export * from "./crash_suspicion.ts";
 export * from "./request_quarantine.ts";
--- a/packages/core/src/relay/crashes/request_quarantine.ts
+++ b/packages/core/src/relay/crashes/request_quarantine.ts
@@ -7,20 +7,25 @@
   milliseconds,
   type ServerStart,
 } from "../../shared/mod.ts";
+import { type CrashBlame, findCrashBlame } from "./crash_blame.ts";
 import {
   type CrashSuspicion,
-  findCrashingContents,
+  isContradicted,
   suspectedRunKey,
   type SuspicionKey,
 } from "./crash_suspicion.ts";
 import { startKey } from "../start_history.ts";
 
 /** How long content that crashes servers is refused. */
-const QUARANTINE_TIME = milliseconds(24 * 60 * 60 * 1_000);
+const CONTENT_QUARANTINE_TIME = milliseconds(24 * 60 * 60 * 1_000);
+/** How long requests with a part that crashes servers are refused. */
+const PART_QUARANTINE_TIME = milliseconds(60 * 60 * 1_000);
 /** How long other suspicions are remembered. */
 const SUSPICION_TIME = milliseconds(10 * 60 * 1_000);
 /** The maximum number of crashes kept. */
 const MAXIMUM_CRASHES = 500;
+/** The maximum number of suspicions kept; those of old crashes go first. */
+const MAXIMUM_SUSPICIONS = 10_000;
 /**
  * A run presumed ended counts as alive if it writes to the registry twice at
  * least this far apart. Anything that it wrote before an end is read sooner
@@ -35,31 +40,48 @@
   firstWriteAt?: Instant;
 }
 
+/** A run that has not ended its server. */
+export interface SurvivedRun {
+  readonly begunAt: Instant;
+  readonly lasted: Duration;
+}
+
 /**
- * Identifies request contents that crash the servers that run them.
+ * Identifies request contents and parts of prompts that crash the servers that
+ * run them.
  *
- * Handles this load: a request that ends each server that starts to run it is
- * repeated every second or so, at any node and under another id, while many
- * others run on the same servers. Each time all work in progress on the server
- * is lost, and the server is unavailable for some seconds.
+ * Handles this load: requests that end each server that starts to run them come
+ * every second or so, at any node and under other ids, while many others run on
+ * the same servers. They repeat one content, or have one part of their prompts
+ * in common. Each time all work in progress on the server is lost, and the
+ * server is unavailable for some seconds.
  */
 export class RequestQuarantine {
   readonly #crashes = new Map<string, Crash>();
-  #quarantined: ReadonlySet<ContentDigest> | undefined = new Set();
+  #suspicionCount = 0;
+  #blame: CrashBlame | undefined;
+  readonly #findBlame: typeof findCrashBlame;
+
+  /** @param findBlame Decides what is to blame. */
+  constructor(findBlame = findCrashBlame) {
+    this.#findBlame = findBlame;
+  }
 
   /** Whether there are no suspicions. */
   get isEmpty(): boolean {
     return this.#crashes.size === 0;
   }
 
-  /** The contents that are refused. */
-  get quarantinedContents(): ReadonlySet<ContentDigest> {
-    this.#quarantined ??= findCrashingContents(
-      [...this.#crashes.values()].map(({ suspects }) =>
-        new Map([...suspects].map(([content, one]) => [content, one.ranFor]))
-      ),
-    );
-    return this.#quarantined;
+  /**
+   * Returns what is refused.
+   * @param now The present time.
+   * @returns The contents and parts.
+   */
+  quarantinedContents(now: Instant): ReadonlySet<ContentDigest> {
+    const changesAt = this.#blame?.changesAt;
+    if (changesAt !== undefined && now >= changesAt) this.#blame = undefined;
+    this.#blame ??= this.#findBlame(now, [...this.#crashes.values()]);
+    return this.#blame.contents;
   }
 
   /**
@@ -73,13 +95,11 @@
       { suspectedAt: now, suspects: new Map<ContentDigest, CrashSuspicion>() };
     const known = crash.suspects.get(suspicion.content);
     if (known !== undefined && known.ranFor <= suspicion.ranFor) return;
+    if (known === undefined) this.#suspicionCount += 1;
     crash.suspects.set(suspicion.content, suspicion);
     this.#crashes.set(run, crash);
-    for (const oldest of this.#crashes.keys()) {
-      if (this.#crashes.size <= MAXIMUM_CRASHES) break;
-      this.#crashes.delete(oldest);
-    }
-    this.#quarantined = undefined;
+    this.#dropOldest();
+    this.#blame = undefined;
   }
 
   /**
@@ -90,8 +110,9 @@
     const run = suspectedRunKey(key);
     const crash = this.#crashes.get(run);
     if (crash?.suspects.delete(key.content) !== true) return;
+    this.#suspicionCount -= 1;
     if (crash.suspects.size === 0) this.#crashes.delete(run);
-    this.#quarantined = undefined;
+    this.#blame = undefined;
   }
 
   /**
@@ -111,13 +132,41 @@
   }
 
   /**
-   * Records that a request ran to completion: its content doesn't crash
-   * servers.
-   * @param content The content.
-   * @returns The suspicions removed as a result.
+   * Records that a run has not ended its server so far. It speaks against the
+   * suspicion that something of its request ended servers sooner.
+   * @param run When its answer began, and how long its server has run since.
+   * @param contents The digests of its content and of its parts.
+   * @returns The suspicions removed as a result, those of earlier crashes.
    */
-  recordServed(content: ContentDigest): readonly CrashSuspicion[] {
-    return this.#dropWhere((one) => one.content === content);
+  recordSurvival(
+    { begunAt, lasted }: SurvivedRun,
+    contents: readonly ContentDigest[],
+  ): readonly CrashSuspicion[] {
+    const dropped = this.#suspicionsBefore(begunAt, contents)
+      .filter(({ ranFor }) => isContradicted(ranFor, lasted));
+    for (const one of dropped) this.dropSuspicion(one);
+    return dropped;
+  }
+
+  /**
+   * Determines whether a run that begins now would clear something if it ended
+   * no server.
+   * @param now The present time.
+   * @param contents The digests of its content and of its parts.
+   * @returns Whether an earlier crash is held against any of them.
+   */
+  hasSuspicions(now: Instant, contents: readonly ContentDigest[]): boolean {
+    return this.#suspicionsBefore(now, contents).length > 0;
+  }
+
+  /**
+   * Determines whether a run of a server is thought to have ended.
+   * @param id The server.
+   * @param start Its start, if known.
+   * @returns Whether any request is suspected of having ended it.
+   */
+  hasCrashed(id: BackendServerId, start: ServerStart | undefined): boolean {
+    return this.#crashes.has(startKey(id, start));
   }
 
   /**
@@ -146,14 +195,14 @@
    * @returns The removed suspicions.
    */
   expire(now: Instant): readonly CrashSuspicion[] {
-    const quarantined = this.quarantinedContents;
+    const quarantined = this.quarantinedContents(now);
     const dropped: CrashSuspicion[] = [];
     for (const { suspectedAt, suspects } of this.#crashes.values()) {
       const age = elapsed(suspectedAt, now);
       if (age < SUSPICION_TIME) continue;
       for (const one of suspects.values()) {
         const isQuarantined = quarantined.has(one.content);
-        if (!isQuarantined || age >= QUARANTINE_TIME) dropped.push(one);
+        if (!isQuarantined || age >= quarantineTime(one)) dropped.push(one);
       }
     }
     for (const one of dropped) this.dropSuspicion(one);
@@ -167,11 +216,36 @@
    * @returns The remaining time, or `undefined` if it isn't refused.
    */
   remainingTime(now: Instant, content: ContentDigest): Duration | undefined {
-    if (!this.quarantinedContents.has(content)) return undefined;
-    const ages = [...this.#crashes.values()]
-      .filter(({ suspects }) => suspects.has(content))
-      .map(({ suspectedAt }) => elapsed(suspectedAt, now));
-    return milliseconds(Math.max(0, QUARANTINE_TIME - Math.max(...ages)));
+    if (!this.quarantinedContents(now).has(content)) return undefined;
+    const remaining = [...this.#crashes.values()].flatMap(
+      ({ suspects, suspectedAt }) => {
+        const one = suspects.get(content);
+        if (one === undefined) return [];
+        return [quarantineTime(one) - elapsed(suspectedAt, now)];
+      },
+    );
+    return milliseconds(Math.max(0, Math.min(...remaining)));
+  }
+
+  #suspicionsBefore(
+    before: Instant,
+    contents: readonly ContentDigest[],
+  ): readonly CrashSuspicion[] {
+    return [...this.#crashes.values()]
+      .filter(({ suspectedAt }) => suspectedAt < before)
+      .flatMap(({ suspects }) =>
+        contents.flatMap((content) => suspects.get(content) ?? [])
+      );
+  }
+
+  #dropOldest(): void {
+    for (const [run, { suspects }] of this.#crashes) {
+      const isFull = this.#crashes.size > MAXIMUM_CRASHES ||
+        this.#suspicionCount > MAXIMUM_SUSPICIONS;
+      if (!isFull || this.#crashes.size === 1) return;
+      this.#crashes.delete(run);
+      this.#suspicionCount -= suspects.size;
+    }
   }
 
   #dropWhere(
@@ -183,3 +257,9 @@
     return dropped;
   }
 }
+
+function quarantineTime({ partPosition }: CrashSuspicion): Duration {
+  return partPosition === undefined
+    ? CONTENT_QUARANTINE_TIME
+    : PART_QUARANTINE_TIME;
+}
--- a/packages/node/src/crashes/crash_memory.ts
+++ b/packages/node/src/crashes/crash_memory.ts
@@ -5,10 +5,14 @@
   type CrashSuspicion,
   type Duration,
   formatCrashRecord,
+  type Instant,
   type LogOffset,
   logOffset,
+  MAXIMUM_SUSPECT_RUN_TIME,
+  milliseconds,
   parseCrashRecord,
   RequestQuarantine,
+  type Suspect,
 } from "@foxtailwind/core";
 import type { LogClient, LogRecord } from "@foxtailwind/edges";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -66,12 +70,16 @@
   }
 
   /**
-   * Returns how long a content stays quarantined.
-   * @param content The content's digest.
+   * Returns how long a request stays quarantined.
+   * @param suspects What of it may crash engines.
    * @returns The time until it may run again; `undefined` if it may run now.
    */
-  remainingQuarantine(content: ContentDigest): Duration | undefined {
-    return this.#quarantine.remainingTime(this.#parts.clock.now(), content);
+  remainingQuarantine(suspects: readonly Suspect[]): Duration | undefined {
+    const now = this.#parts.clock.now();
+    const times = suspects.flatMap(({ content }) =>
+      this.#quarantine.remainingTime(now, content) ?? []
+    );
+    return times.length === 0 ? undefined : milliseconds(Math.max(...times));
   }
 
   /**
@@ -88,12 +96,24 @@
   }
 
   /**
-   * Records that a request was served completely.
-   * @param content The digest of its content.
+   * Records that a request was served completely. The parts of its prompt are
+   * cleared only of crashes before it began: sound ones may come to crash.
+   * @param begunAt When it began to run.
+   * @param suspects What of it might have crashed engines.
    */
-  recordServed(content: ContentDigest): void {
-    const retracted = this.#quarantine.recordServed(content);
-    if (retracted.length > 0) this.#add({ kind: "served", content });
+  recordServed(begunAt: Instant, suspects: readonly Suspect[]): void {
+    const now = this.#parts.clock.now();
+    for (const { content, partPosition } of suspects) {
+      const isPart = partPosition !== undefined;
+      const run = {
+        begunAt: isPart ? begunAt : now,
+        lasted: MAXIMUM_SUSPECT_RUN_TIME,
+      };
+      const cleared = this.#quarantine.recordSurvival(run, [content]);
+      if (cleared.length === 0) continue;
+      if (!isPart) this.#add({ kind: "served", content });
+      else for (const key of cleared) this.#add({ kind: "cleared", key });
+    }
   }
 
   #add(record: CrashRecord): void {
@@ -107,14 +127,27 @@
 
   #apply(record: CrashRecord): void {
     const now = this.#parts.clock.now();
-    if (record.kind === "served") this.#quarantine.recordServed(record.content);
-    else this.#quarantine.addSuspicion(now, record.suspicion);
+    switch (record.kind) {
+      case "served":
+        this.#quarantine.recordSurvival(
+          { begunAt: now, lasted: MAXIMUM_SUSPECT_RUN_TIME },
+          [record.content],
+        );
+        break;
+      case "cleared":
+        this.#quarantine.dropSuspicion(record.key);
+        break;
+      case "suspected":
+        this.#quarantine.addSuspicion(now, record.suspicion);
+    }
     this.#quarantine.expire(now);
     this.#logNewlyQuarantined();
   }
 
   #logNewlyQuarantined(): void {
-    const { quarantinedContents: contents } = this.#quarantine;
+    const contents = this.#quarantine.quarantinedContents(
+      this.#parts.clock.now(),
+    );
     for (const content of contents) {
       if (this.#quarantinedContents.has(content)) continue;
       this.#parts.logger.warn(
--- a/packages/node/src/crashes/engine_suspects.ts
+++ b/packages/node/src/crashes/engine_suspects.ts
@@ -1,11 +1,11 @@
 import {
-  type ContentDigest,
   type Duration,
   elapsed,
   type EngineId,
   engineRun,
   type Instant,
   milliseconds,
+  type Suspect,
   suspectRunTime,
 } from "@foxtailwind/core";
 import type { CrashMemory } from "./crash_memory.ts";
@@ -18,7 +18,7 @@
 
 interface BrokenStream {
   readonly brokeAt: Instant;
-  readonly content: ContentDigest;
+  readonly suspects: readonly Suspect[];
   readonly runTime: Duration;
 }
 
@@ -43,19 +43,19 @@
   /**
    * Records a stream that broke off.
    * @param now The present time.
-   * @param content The digest of the request's content.
+   * @param suspects What of the request may have ended the engine.
    * @param ranFor The time since its first token, if there was one.
    */
   recordBrokenStream(
     now: Instant,
-    content: ContentDigest,
+    suspects: readonly Suspect[],
     ranFor: Duration | undefined,
   ): void {
     const runTime = suspectRunTime(ranFor);
     if (runTime === undefined) return;
     this.#broken = [...this.#broken, {
       brokeAt: now,
-      content,
+      suspects,
       runTime,
     }];
   }
@@ -87,9 +87,11 @@
    */
   recordRunEnd(now: Instant, bootId: string): void {
     const server = engineRun(this.#engine, bootId);
-    for (const { brokeAt, content, runTime } of this.#broken) {
+    for (const { brokeAt, suspects, runTime } of this.#broken) {
       if (elapsed(brokeAt, now) > MAXIMUM_DETECTION_DELAY) continue;
-      this.#memory.recordSuspicion({ server, content, ranFor: runTime });
+      for (const suspect of suspects) {
+        this.#memory.recordSuspicion({ ...suspect, server, ranFor: runTime });
+      }
     }
     this.#broken = [];
   }
--- a/packages/node/src/delivery/generation_attempts.ts
+++ b/packages/node/src/delivery/generation_attempts.ts
@@ -4,6 +4,7 @@
   type DeliveryEvent,
   type DeliveryRules,
   type Failure,
+  type Instant,
   RequestDelivery,
   type RequestObserver,
   type RetryBudget,
@@ -16,7 +17,7 @@
 } from "@foxtailwind/edges";
 import { err, ok, type Result } from "neverthrow";
 import type { SteadyClock } from "../clock/steady_clock.ts";
-import { type CrashMemory, digestGenerationContent } from "../crashes/mod.ts";
+import { type CrashMemory, generationSuspects } from "../crashes/mod.ts";
 import type { GenerationRouter } from "../serving/generation_router.ts";
 import type { DeliveryCounters } from "./delivery_counters.ts";
 import type { GenerationDeliveryRequest } from "./generation_delivery.ts";
@@ -44,6 +45,8 @@
   readonly #delivery: RequestDelivery;
   #handle: GenerationHandle | undefined;
   #paused = false;
+  /** When the last attempt began. */
+  #begunAt: Instant;
   #timer: NodeJS.Timeout | undefined;
 
   /** @param parts The dependencies. */
@@ -51,6 +54,7 @@
     const { deliveryRequest, budget, rules, maximumAttempts } = parts;
     const { request, adapter } = deliveryRequest.generation;
     this.#parts = parts;
+    this.#begunAt = parts.clock.now();
     this.#delivery = new RequestDelivery({
       request,
       adapter,
@@ -128,6 +132,7 @@
 
   #startAttempt(attempt: AttemptNumber, fromSequence: number): void {
     const { router, deliveryRequest, counters } = this.#parts;
+    this.#begunAt = this.#parts.clock.now();
     if (attempt > 1) counters.retried += 1;
     if (fromSequence > 0) counters.resumed += 1;
     const failure = this.#quarantineFailure();
@@ -150,7 +155,7 @@
     const { crashes, deliveryRequest } = this.#parts;
     if (crashes.isEmpty) return undefined;
     const wait = crashes.remainingQuarantine(
-      digestGenerationContent(deliveryRequest.generation),
+      generationSuspects(deliveryRequest.generation),
     );
     if (wait === undefined) return undefined;
     return {
@@ -180,7 +185,10 @@
     const { sink, observer, clock, deliveryRequest, counters, crashes } =
       this.#parts;
     if (result.isOk() && !crashes.isEmpty) {
-      crashes.recordServed(digestGenerationContent(deliveryRequest.generation));
+      crashes.recordServed(
+        this.#begunAt,
+        generationSuspects(deliveryRequest.generation),
+      );
     }
     counters.addDropped(this.#delivery.droppedFrames);
     observer.record(clock.now(), {
--- a/packages/node/src/relay/answer_forwarder.ts
+++ b/packages/node/src/relay/answer_forwarder.ts
@@ -3,6 +3,7 @@
   elapsed,
   EventSplitter,
   type Instant,
+  MAXIMUM_SUSPECT_RUN_TIME,
   milliseconds,
 } from "@foxtailwind/core";
 import {
@@ -107,6 +108,27 @@
     return milliseconds(elapsed(this.#sentAt, now) - this.#timeToFirstByte);
   }
 
+  /**
+   * Returns how long the server has been answering. Before the first bytes of
+   * the body, it may have sent the head long before it began to work.
+   * @param now The present time.
+   * @returns The time, or `undefined` before the head of a success.
+   */
+  runDuration(now: Instant): Duration | undefined {
+    if (this.#timeToHead === undefined) return undefined;
+    return this.bodyDuration(now) ?? milliseconds(
+      Math.min(
+        elapsed(this.#sentAt, now) - this.#timeToHead,
+        MAXIMUM_SUSPECT_RUN_TIME,
+      ),
+    );
+  }
+
+  /** Whether only the end of its connection marks the end of the answer. */
+  get isUnmarked(): boolean {
+    return this.#answerKind === "passed" && this.#isCloseDelimited;
+  }
+
   /** The id of the last forwarded event, for resuming the stream. */
   get lastEventId(): string | undefined {
     return this.#lastEventId;
@@ -181,8 +203,11 @@
 
   override onData(bytes: Buffer): boolean {
     this.#recordBytes();
-    if (this.#answerKind === "passed") {
-      this.#timeToFirstByte ??= elapsed(this.#sentAt, this.#lastBytesAt);
+    const isBegin = this.#answerKind === "passed" &&
+      this.#timeToFirstByte === undefined;
+    if (isBegin) {
+      this.#timeToFirstByte = elapsed(this.#sentAt, this.#lastBytesAt);
+      this.#listener?.onBegun();
     }
     if (this.#bufferedAnswer === undefined) return this.#forward(bytes);
     const isFailure = this.#answerKind === "failure";
@@ -195,11 +220,13 @@
 
   /**
    * Whether an answer whose connection closed without an error is complete. It
-   * isn't if the close cut off an event.
+   * isn't if the close cut off an event, or came before the first one.
    */
   get isComplete(): boolean {
-    const remainderLength = this.#splitter?.remainder.length ?? 0;
-    return !this.#isCloseDelimited || remainderLength === 0;
+    if (!this.#isCloseDelimited || this.#splitter === undefined) return true;
+    if (this.#bufferedAnswer !== undefined) return true;
+    return this.#timeToFirstByte !== undefined &&
+      this.#splitter.remainder.length === 0;
   }
 
   /** Ends a success whose last bytes have arrived. */
--- a/packages/node/src/relay/answer_kind.ts
+++ b/packages/node/src/relay/answer_kind.ts
@@ -18,6 +18,8 @@
 export interface AnswerListener {
   /** Called when bytes arrive. */
   readonly onBytes: (now: Instant) => void;
+  /** Called when the first bytes of a success's body arrive. */
+  readonly onBegun: () => void;
   /** Called before the first event of a stream is forwarded. */
   readonly onFirstEvent: (now: Instant) => void;
   /** Called with the status and the facts of a head for this request. */
--- a/packages/node/src/relay/crashes/crash_reports.ts
+++ b/packages/node/src/relay/crashes/crash_reports.ts
@@ -1,13 +1,16 @@
 import {
-  type ContentDigest,
   type CrashSuspicion,
   type Duration,
+  elapsed,
   type Instant,
   later,
+  MAXIMUM_SUSPECT_RUN_TIME,
   milliseconds,
   type RegisteredServer,
   type RequestQuarantine,
   type ServerLoad,
+  SURVIVAL_CHECKS,
+  type Suspect,
   suspectedRunKey,
   suspectRunTime,
   type SuspicionKey,
@@ -16,6 +19,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { SteadyClock } from "../../clock/steady_clock.ts";
 import type { ComponentLogger } from "../../logging/component_logger.ts";
+import type { CallEnd } from "../backend_call.ts";
 import type { Knowledge } from "../knowledge.ts";
 import type { RequestContent } from "./request_content.ts";
 import type { SharedLog, SuspicionChange } from "../shared_log.ts";
@@ -33,6 +37,8 @@
 const RETRY_DELAY_MILLISECONDS = 500;
 /** The maximum number of unwritten changes; the oldest are dropped. */
 const MAXIMUM_UNWRITTEN_CHANGES = 2_000;
+/** The maximum number of answers remembered that ended with a connection. */
+const MAXIMUM_UNMARKED_ENDS = 500;
 
 /** Dependencies of `CrashReports`. */
 export interface CrashReportsParts {
@@ -52,6 +58,21 @@
   readonly ranFor: Duration | undefined;
 }
 
+/** A call whose answer ended with its connection, as a broken one may. */
+interface UnmarkedEnd {
+  readonly content: RequestContent;
+  readonly server: RegisteredServer;
+  readonly ranFor: Duration;
+  readonly endedAt: Instant;
+}
+
+/** A call whose answer has begun. */
+export interface BegunCall {
+  readonly server: RegisteredServer;
+  /** Resolves with how the call ended. */
+  readonly ended: Promise<CallEnd>;
+}
+
 /**
  * Suspects requests of crashing their servers, and shares the suspicions with
  * all nodes through the platform's log, which outlives the nodes.
@@ -60,6 +81,7 @@
   readonly #parts: CrashReportsParts;
   readonly #quarantine: RequestQuarantine;
   readonly #unwritten = new Map<string, SuspicionChange>();
+  #unmarkedEnds: readonly UnmarkedEnd[] = [];
   #isWriting = false;
   #isStopped = false;
 
@@ -78,7 +100,8 @@
   }
 
   /**
-   * Returns how long requests with a content are still refused.
+   * Returns how long a request is still refused for its content or for a part
+   * of its prompt.
    * @param content The request's content.
    * @returns The time until it may be tried again, or `undefined` if it isn't
    * refused.
@@ -86,7 +109,10 @@
   remainingQuarantine(content: RequestContent): Duration | undefined {
     if (this.#quarantine.isEmpty) return undefined;
     const now = this.#parts.clock.now();
-    return this.#quarantine.remainingTime(now, content.digest);
+    const times = [...content.partDigests, content.digest].flatMap((digest) =>
+      this.#quarantine.remainingTime(now, digest) ?? []
+    );
+    return times.length === 0 ? undefined : milliseconds(Math.max(...times));
   }
 
   /**
@@ -95,7 +121,40 @@
    */
   recordServed(content: RequestContent): void {
     if (this.#quarantine.isEmpty) return;
-    this.#writeDropped(this.#quarantine.recordServed(content.digest));
+    const now = this.#parts.clock.now();
+    const run = { begunAt: now, lasted: MAXIMUM_SUSPECT_RUN_TIME };
+    this.#writeDropped(this.#quarantine.recordSurvival(run, [content.digest]));
+  }
+
+  /**
+   * Records that a request's answer has begun. Its content and the parts of its
+   * prompt are cleared unless the server ends soon. An answer that is complete
+   * before that doesn't clear the parts sooner: the server may yet end.
+   * @param content The request's content.
+   * @param call The call.
+   */
+  recordBegun(
+    content: RequestContent,
+    { server: { id, start }, ended }: BegunCall,
+  ): void {
+    if (this.#quarantine.isEmpty) return;
+    const begunAt = this.#parts.clock.now();
+    const contents = [...content.partDigests, content.digest];
+    if (!this.#quarantine.hasSuspicions(begunAt, contents)) return;
+    let isBroken = false;
+    void ended.then((end) => {
+      isBroken = end.kind === "broken";
+    });
+    for (const lasted of SURVIVAL_CHECKS) {
+      setTimeout(() => {
+        afterPendingInput(() => {
+          if (this.#isStopped || isBroken) return;
+          if (this.#quarantine.hasCrashed(id, start)) return;
+          const run = { begunAt, lasted };
+          this.#writeDropped(this.#quarantine.recordSurvival(run, contents));
+        });
+      }, lasted);
+    }
   }
 
   /**
@@ -107,22 +166,46 @@
     const time = suspectRunTime(call.ranFor);
     if (time === undefined) return;
     const brokeAt = this.#parts.clock.now();
-    const suspicion = createSuspicion(call.server, content.digest, time);
-    this.#quarantine.addSuspicion(brokeAt, suspicion);
+    const suspicions = createSuspicions(call.server, content.suspects, time);
+    for (const one of suspicions) this.#quarantine.addSuspicion(brokeAt, one);
     setTimeout(() => {
       afterPendingInput(() => {
-        this.#settle(suspicion, call, brokeAt);
+        this.#settle(suspicions, call, brokeAt);
       });
     }, SETTLE_DELAY);
   }
 
   /**
-   * Drops expired suspicions. Only the watcher nodes also drop them from the
-   * log.
+   * Records an answer that ended with its connection. It is suspect if another
+   * call shows that the server ended at that time.
+   * @param content The request's content.
+   * @param server The server.
+   * @param ranFor The time from the answer's first bytes to its end.
+   */
+  recordUnmarkedEnd(
+    content: RequestContent,
+    server: RegisteredServer,
+    ranFor: Duration,
+  ): void {
+    if (suspectRunTime(ranFor) === undefined) return;
+    const endedAt = this.#parts.clock.now();
+    this.#unmarkedEnds = [
+      ...this.#unmarkedEnds.filter((one) =>
+        elapsed(one.endedAt, endedAt) <= MAXIMUM_SUSPECT_RUN_TIME
+      ).slice(-MAXIMUM_UNMARKED_ENDS),
+      { content, server, ranFor, endedAt },
+    ];
+  }
+
+  /**
+   * Drops expired suspicions, and applies what is to blame by now. Only the
+   * watcher nodes also drop suspicions from the log.
    * @param now The present time.
    */
-  expire(now: Instant): void {
+  refresh(now: Instant): void {
+    if (this.#quarantine.isEmpty) return;
     const expired = this.#quarantine.expire(now);
+    this.#parts.knowledge.suspicionTracker.reportRefused();
     if (this.#parts.knowledge.isWatcher) this.#writeDropped(expired);
   }
 
@@ -138,8 +221,8 @@
   }
 
   #settle(
-    suspicion: CrashSuspicion,
-    { load, isConnected }: BrokenCall,
+    suspicions: readonly CrashSuspicion[],
+    { server, load, isConnected }: BrokenCall,
     brokeAt: Instant,
   ): void {
     if (this.#isStopped) return;
@@ -147,16 +230,35 @@
     const isAlive = lastBytesAt !== undefined &&
       lastBytesAt > later(brokeAt, LATE_BYTES_ALLOWANCE);
     if (isAlive || isConnected()) {
-      this.#quarantine.dropSuspicion(suspicion);
+      for (const one of suspicions) this.#quarantine.dropSuspicion(one);
       return;
     }
-    this.#parts.logger.info("A request may have crashed a server.", {
-      server: suspicion.server,
-      start: suspicion.start,
-      content: suspicion.content,
-      ran_for: Math.round(suspicion.ranFor),
+    for (const one of [...suspicions, ...this.#suspectEnds(server, brokeAt)]) {
+      this.#parts.logger.info("A request may have crashed a server.", {
+        server: one.server,
+        start: one.start,
+        content: one.content,
+        ran_for: Math.round(one.ranFor),
+      });
+      this.#enqueueChange(one, { kind: "added", suspicion: one });
+    }
+  }
+
+  /** Suspects the answers that ended with their connection as a server did. */
+  #suspectEnds(
+    server: RegisteredServer,
+    brokeAt: Instant,
+  ): readonly CrashSuspicion[] {
+    const isConcerned = (one: UnmarkedEnd): boolean =>
+      one.server.id === server.id && one.server.start === server.start &&
+      Math.abs(elapsed(one.endedAt, brokeAt)) <= SETTLE_DELAY;
+    const ends = this.#unmarkedEnds.filter(isConcerned);
+    this.#unmarkedEnds = this.#unmarkedEnds.filter((one) => !isConcerned(one));
+    return ends.flatMap(({ content, ranFor, endedAt }) => {
+      const suspicions = createSuspicions(server, content.suspects, ranFor);
+      for (const one of suspicions) this.#quarantine.addSuspicion(endedAt, one);
+      return suspicions;
     });
-    this.#enqueueChange(suspicion, { kind: "added", suspicion });
   }
 
   #enqueueChange(key: SuspicionKey, change: SuspicionChange): void {
@@ -188,15 +290,15 @@
   }
 }
 
-function createSuspicion(
+function createSuspicions(
   { id, start }: RegisteredServer,
-  content: ContentDigest,
+  suspects: readonly Suspect[],
   ranFor: Duration,
-): CrashSuspicion {
-  return {
-    content,
+): readonly CrashSuspicion[] {
+  return suspects.map((suspect) => ({
+    ...suspect,
     server: id,
     ...(start === undefined ? {} : { start }),
     ranFor,
-  };
+  }));
 }
--- a/packages/node/src/relay/crashes/suspicion_tracker.ts
+++ b/packages/node/src/relay/crashes/suspicion_tracker.ts
@@ -60,7 +60,9 @@
 
   /** Logs the contents that have become refused since the last call. */
   reportRefused(): void {
-    const { quarantinedContents: contents } = this.quarantine;
+    const contents = this.quarantine.quarantinedContents(
+      this.#parts.clock.now(),
+    );
     if (contents === this.#refusedContents) return;
     const added = [...contents].filter((content) =>
       !this.#refusedContents.has(content)
--- a/packages/node/src/relay/front_server.ts
+++ b/packages/node/src/relay/front_server.ts
@@ -260,7 +260,10 @@
       ...(target.origin === undefined ? {} : { origin: target.origin }),
       account,
       body: body.bytes,
-      content: new RequestContent(message, body.bytes),
+      content: new RequestContent(message, body.bytes, {
+        service: service.id,
+        parts: caller.value.sharedParts ?? [],
+      }),
       arrivedAt,
     };
     if (await this.#forward({ ...received, quotaCost: 0 })) return;
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -195,7 +195,8 @@
       nodesServing: () => this.#serving.count,
       isActive: () => this.#serving.isActive(clock.now()) ? 1 : 0,
       contentsRefused: () =>
-        knowledge.suspicionTracker.quarantine.quarantinedContents.size,
+        knowledge.suspicionTracker.quarantine.quarantinedContents(clock.now())
+          .size,
       serversLimited: () => this.#parts.limits.limitedRunCount,
       work: () => knowledge.workCounts.counts,
     });
@@ -345,7 +346,7 @@
     const now = this.#clock.now();
     const { registry, workCounts: work } = this.#knowledge;
     work.increment("look");
-    this.#parts.crashReports.expire(now);
+    this.#parts.crashReports.refresh(now);
     registry.expire(now);
     this.#serving.refresh(now);
     this.#owners.refresh();
--- a/packages/node/src/relay/request_relay.ts
+++ b/packages/node/src/relay/request_relay.ts
@@ -162,7 +162,9 @@
       this.#answer.isComplete
     ) {
       this.#answer.finish();
-      this.#parts.crashReports.recordServed(this.#request.content);
+      if (!this.#answer.isUnmarked) {
+        this.#parts.crashReports.recordServed(this.#request.content);
+      }
       this.#outcome = "answered";
       return false;
     }
--- a/packages/node/src/relay/request_sender.ts
+++ b/packages/node/src/relay/request_sender.ts
@@ -62,8 +62,8 @@
     place: Placement,
     charge: RetryCharge | undefined,
   ): Promise<CallEnd> {
-    const { pools, loads, countNodes: nodes } = this.#parts;
-    const { message, service, body } = this.#request;
+    const { crashReports, pools, loads, countNodes: nodes } = this.#parts;
+    const { content, message, service, body } = this.#request;
     const { server } = place;
     const sentAt = this.#now();
     const serverLoad = loads.loadOf(server);
@@ -72,10 +72,15 @@
     this.#terms.sendRecord.recordSend(server);
     serverLoad.recordSend(sentAt);
     const headers = this.#sendHeaders(place, sentAt);
+    const call = new BackendCall(this.#terms.answer);
     this.#terms.answer.beginSend(sentAt, {
       onBytes: (now) => {
         serverLoad.recordBytes(now);
       },
+      onBegun: () => {
+        const { ended } = call;
+        crashReports.recordBegun(content, { server, ended });
+      },
       onFirstEvent: (now) => {
         this.#recordOrigin(now, server);
       },
@@ -85,7 +90,6 @@
         if (facts.isLeaving) this.#parts.knowledge.recordDeparture(server);
       },
     });
-    const call = new BackendCall(this.#terms.answer);
     this.#call = call;
     // A repeated send to a server uses a new connection: on an old one, a late
     // repeat of the first answer could arrive, which has the same request id.
@@ -122,21 +126,40 @@
     }
     const { answerKind, isMisdirected } = this.#terms.answer;
     if (answerKind === "not_run" && isMisdirected) place.reportMiss();
-    if (end.kind === "broken" && end.isConnectionLost && end.wasSent) {
-      this.#parts.crashReports.recordBrokenCall(this.#request.content, {
+    this.#reportCrash(server, end);
+    return end;
+  }
+
+  /** Reports a call that the end of its server may have ended. */
+  #reportCrash(server: RegisteredServer, end: CallEnd): void {
+    const { crashReports, loads, pools } = this.#parts;
+    const { content } = this.#request;
+    const { answer } = this.#terms;
+    const ranFor = answer.runDuration(this.#now());
+    const isBroken = end.kind === "complete"
+      ? !answer.isComplete
+      : end.isConnectionLost && end.wasSent;
+    if (isBroken) {
+      crashReports.recordBrokenCall(content, {
         server,
-        load: serverLoad,
+        load: loads.loadOf(server),
         isConnected: () => pools.isConnected(server),
-        ranFor: this.#terms.answer.bodyDuration(this.#now()),
+        ranFor,
       });
+    } else if (
+      end.kind === "complete" && answer.isUnmarked && ranFor !== undefined
+    ) {
+      crashReports.recordUnmarkedEnd(content, server, ranFor);
     }
-    return end;
   }
 
   /** Finds why the request must not be written to a server's connection. */
   #findObstacle(server: RegisteredServer): string | undefined {
-    const { access, knowledge, limits } = this.#parts;
-    const { message, response } = this.#request;
+    const { access, crashReports, knowledge, limits } = this.#parts;
+    const { content, message, response } = this.#request;
+    if (crashReports.remainingQuarantine(content) !== undefined) {
+      return "quarantined";
+    }
     return access.findRefusal(this.#request) ?? findSendObstacle(this.#now(), {
       hasCallerLeft: hasCallerLeft(message, response),
       deadline: this.#terms.deadline(),
--- a/packages/node/src/serving/engine_generations.ts
+++ b/packages/node/src/serving/engine_generations.ts
@@ -10,7 +10,7 @@
 } from "@foxtailwind/core";
 import type { GenerationEnd, GenerationHandle } from "@foxtailwind/edges";
 import { err, type Result } from "neverthrow";
-import { digestGenerationContent } from "../crashes/mod.ts";
+import { generationSuspects } from "../crashes/mod.ts";
 import type { EngineGenerationsParts } from "./engine_generations_parts.ts";
 import { EngineLivenessCheck } from "./engine_liveness_check.ts";
 import { isRefusal } from "./engine_poller.ts";
@@ -172,7 +172,7 @@
           const ranFor = firstTokenAt && elapsed(firstTokenAt, now);
           this.#parts.suspects.recordBrokenStream(
             now,
-            digestGenerationContent(generation),
+            generationSuspects(generation),
             ranFor,
           );
         } else controller.requestEnded(this.#now(), request, generatedTokens);
