Relay: operators see what is refused for crashing servers, and lift it

A refused request's line names the content or part that it was refused for, and explain tells it. Each node lists what it refuses at /quarantines beside its metrics; DELETE lifts one at all nodes, so that a wrong blame, or a part whose servers were mended, needn't wait for its hour to end.

--- a/packages/cli/src/logs/explain_request.ts
+++ b/packages/cli/src/logs/explain_request.ts
@@ -115,9 +115,13 @@
 function explainQuarantine(
   { endLine, nearbyLines }: EndedRequest,
 ): Finding {
-  const content = readText(endLine, "content");
+  const ownContent = readText(endLine, "content");
+  const content = readText(endLine, "quarantined") || ownContent;
+  const shared = content === ownContent
+    ? "of its content"
+    : "with a part of its prompt";
   return {
-    cause: `Requests of its content, ${content}, have crashed servers, ` +
+    cause: `Requests ${shared}, ${content}, have crashed servers, ` +
       "and all nodes refuse them.",
     evidence: nearbyLines.filter((line) =>
       line.sentence === RELAY_SENTENCE.quarantined &&
--- a/packages/node/src/relay/crashes/crash_reports.ts
+++ b/packages/node/src/relay/crashes/crash_reports.ts
@@ -1,4 +1,5 @@
 import {
+  type ContentDigest,
   type CrashSuspicion,
   type Duration,
   elapsed,
@@ -48,6 +49,13 @@
   readonly logger: ComponentLogger;
 }
 
+/** A content or part that is refused. */
+export interface Quarantine {
+  readonly content: ContentDigest;
+  /** The time until it may be tried again. */
+  readonly remaining: Duration;
+}
+
 /** A call that was broken off on the server's side. */
 export interface BrokenCall {
   readonly server: RegisteredServer;
@@ -100,19 +108,45 @@
   }
 
   /**
-   * Returns how long a request is still refused for its content or for a part
-   * of its prompt.
+   * Finds why a request is refused: its content or a part of its prompt.
    * @param content The request's content.
-   * @returns The time until it may be tried again, or `undefined` if it isn't
-   * refused.
+   * @returns What is refused, or `undefined` if the request isn't.
    */
-  remainingQuarantine(content: RequestContent): Duration | undefined {
+  findQuarantine(content: RequestContent): Quarantine | undefined {
     if (this.#quarantine.isEmpty) return undefined;
     const now = this.#parts.clock.now();
-    const times = [...content.partDigests, content.digest].flatMap((digest) =>
-      this.#quarantine.remainingTime(now, digest) ?? []
-    );
-    return times.length === 0 ? undefined : milliseconds(Math.max(...times));
+    for (const digest of [...content.partDigests, content.digest]) {
+      const remaining = this.#quarantine.remainingTime(now, digest);
+      if (remaining !== undefined) return { content: digest, remaining };
+    }
+    return undefined;
+  }
+
+  /** Everything that is refused. */
+  get quarantines(): readonly Quarantine[] {
+    const now = this.#parts.clock.now();
+    return [...this.#quarantine.quarantinedContents(now)].flatMap((content) => {
+      const remaining = this.#quarantine.remainingTime(now, content);
+      return remaining === undefined ? [] : [{ content, remaining }];
+    });
+  }
+
+  /**
+   * Lifts the quarantine of a content or part at all nodes. It is refused again
+   * after further crashes.
+   * @param content Its digest.
+   * @returns Whether it was suspected.
+   */
+  liftQuarantine(content: ContentDigest): boolean {
+    const run = {
+      begunAt: this.#parts.clock.now(),
+      lasted: MAXIMUM_SUSPECT_RUN_TIME,
+    };
+    const dropped = this.#quarantine.recordSurvival(run, [content]);
+    this.#writeDropped(dropped);
+    if (dropped.length === 0) return false;
+    this.#parts.logger.warn("An operator lifts a quarantine.", { content });
+    return true;
   }
 
   /**
--- a/packages/node/src/relay/operations_server.ts
+++ b/packages/node/src/relay/operations_server.ts
@@ -1,8 +1,10 @@
+import { type ContentDigest, contentDigest } from "@foxtailwind/core";
 import type { FastifyInstance } from "fastify";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { schemalessFastify } from "../http/schemaless_fastify.ts";
 import type { SocketAddress } from "../settings/settings.ts";
+import type { Quarantine } from "./crashes/crash_reports.ts";
 import type { OperationsWire } from "./operations_wire.ts";
 
 /** Handlers of the requests that callers and operators send to a node. */
@@ -12,6 +14,10 @@
   readonly addresses: (failureDomain: string | undefined) => readonly string[];
   readonly addressLifetimeSeconds: number;
   readonly metrics: () => Promise<string>;
+  /** The contents and parts that are refused since they crash servers. */
+  readonly quarantines: () => readonly Quarantine[];
+  /** Serves a content or part again; returns whether it was suspected. */
+  readonly liftQuarantine: (content: ContentDigest) => boolean;
 }
 
 /** The addresses on which the operations server listens. */
@@ -23,7 +29,11 @@
 
 const READY = 200;
 const NOT_READY = 503;
+const NO_CONTENT = 204;
+const NOT_FOUND = 404;
 const METRICS_PATH = "/metrics";
+const QUARANTINES_PATH = "/quarantines";
+const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Serves readiness, caller addresses and metrics over HTTP. */
 export class OperationsServer {
@@ -100,6 +110,18 @@
       );
       void reply.header("content-type", "application/json").send(body);
     });
+    fastify.get(QUARANTINES_PATH, (_request, reply) => {
+      const quarantines = this.#handlers.quarantines();
+      void reply.send(quarantines.map(({ content, remaining }) => ({
+        content,
+        remaining_seconds: Math.round(remaining / MILLISECONDS_PER_SECOND),
+      })));
+    });
+    fastify.delete(`${QUARANTINES_PATH}/:content`, (request, reply) => {
+      const { content } = request.params as { readonly content: string };
+      const wasLifted = this.#handlers.liftQuarantine(contentDigest(content));
+      void reply.status(wasLifted ? NO_CONTENT : NOT_FOUND).send("");
+    });
     fastify.get(METRICS_PATH, async (_request, reply) => {
       const text = await this.#handlers.metrics();
       return await reply.header("content-type", "text/plain").send(text);
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -209,6 +209,9 @@
         settings.addresses.longest_lifetime_seconds,
       ),
       metrics: () => this.#metrics.text(),
+      quarantines: () => this.#parts.crashReports.quarantines,
+      liftQuarantine: (content) =>
+        this.#parts.crashReports.liftQuarantine(content),
     });
     knowledge.onRecordSkipped = (topic, reason) => {
       this.#metrics.recordSkipped(topic, reason);
--- a/packages/node/src/relay/request_end.ts
+++ b/packages/node/src/relay/request_end.ts
@@ -1,4 +1,5 @@
 import type {
+  ContentDigest,
   Duration,
   RegisteredServer,
   StreamOrigin,
@@ -22,6 +23,8 @@
   readonly possibleRuns: number;
   /** How the end of the last answer's body was marked. */
   readonly framing: AnswerFraming | undefined;
+  /** The content or part for which it was refused, if so. */
+  readonly quarantined: ContentDigest | undefined;
   /** Why the last call to a server broke, if it did. */
   readonly callFailure: string | undefined;
   /** How far that call had come. */
@@ -74,6 +77,7 @@
     framing: end.framing,
     broke: end.callFailure,
     broke_at: end.callStage,
+    quarantined: end.quarantined,
     content: includesContent(end) ? content.digest : undefined,
     parts: includesContent(end) ? caller.sharedParts?.join(" ") : undefined,
     head_after: includesContent(end)
--- a/packages/node/src/relay/request_relay.ts
+++ b/packages/node/src/relay/request_relay.ts
@@ -1,4 +1,5 @@
 import {
+  type ContentDigest,
   type Duration,
   elapsed,
   type Instant,
@@ -42,6 +43,8 @@
   #callStage: CallStage | undefined;
   #bodyDuration: Duration | undefined;
   #placementTime: Duration | undefined;
+  /** The content or part for which the request was refused. */
+  #quarantined: ContentDigest | undefined;
   #timer: NodeJS.Timeout | undefined;
   /** The retry that the next send uses. */
   #retryCharge: RetryCharge | undefined;
@@ -235,11 +238,12 @@
   }
 
   #endIfQuarantined(): boolean {
-    const quarantineTime = this.#parts.crashReports.remainingQuarantine(
+    const quarantine = this.#parts.crashReports.findQuarantine(
       this.#request.content,
     );
-    if (quarantineTime === undefined) return false;
-    this.#giveUp("quarantined", quarantineTime);
+    if (quarantine === undefined) return false;
+    this.#quarantined = quarantine.content;
+    this.#giveUp("quarantined", quarantine.remaining);
     return true;
   }
 
@@ -337,6 +341,7 @@
         sends: this.#sendRecord.sends,
         possibleRuns: this.#sendRecord.possibleRuns,
         framing: this.#answer.framing,
+        quarantined: this.#quarantined,
         callFailure: this.#callFailure,
         callStage: this.#callStage,
         bodyDuration: this.#bodyDuration,
--- a/packages/node/src/relay/request_sender.ts
+++ b/packages/node/src/relay/request_sender.ts
@@ -157,7 +157,7 @@
   #findObstacle(server: RegisteredServer): string | undefined {
     const { access, crashReports, knowledge, limits } = this.#parts;
     const { content, message, response } = this.#request;
-    if (crashReports.remainingQuarantine(content) !== undefined) {
+    if (crashReports.findQuarantine(content) !== undefined) {
       return "quarantined";
     }
     return access.findRefusal(this.#request) ?? findSendObstacle(this.#now(), {
--- a/packages/node/tests/relay/crashes/crashing_parts_test.ts
+++ b/packages/node/tests/relay/crashes/crashing_parts_test.ts
@@ -12,7 +12,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { rawCall } from "../helpers/raw_call.ts";
 import { PLAIN_SERVICE } from "../helpers/relay_routes.ts";
-import { RelayWorld, startWorld } from "../helpers/relay_world.ts";
+import { type RelayWorld, startWorld } from "../helpers/relay_world.ts";
 import { CLOSE_DELIMITED_HEAD, serveRaw } from "../helpers/serve_raw.ts";
 
 const HEAD = { method: "POST", url: "/", headers: { host: "one.example" } };
