Soak: engines that end on a part of prompts, and callers that share parts

Runs of 11 s with five nodes and eight engines: requests with one part end each engine that begins to run them, sound ones share their first part, while three of five nodes are cut off, the store or peers are lost and engines end by themselves. Checked: at most three are sent 3 s after the fifth end, sound ones with the same first part begin at least half as often, from 6 s on.

--- a/packages/bench/src/soak/registry.ts
+++ b/packages/bench/src/soak/registry.ts
@@ -1,12 +1,17 @@
-import { CRASH_MUTANTS, runCrashSoak } from "./crashes/mod.ts";
 import { runAdapterSoak } from "./adapter_soak.ts";
 import { configurationMutants } from "./configuration_mutants.ts";
 import { runConfigurationSoak } from "./configuration_soak.ts";
+import { CRASH_MUTANTS, runCrashSoak } from "./crashes/mod.ts";
 import { OWNERSHIP_MUTANTS } from "./mutants.ts";
 import { outcomeMutants } from "./outcome_mutants.ts";
 import { runOutcomeSoak } from "./outcome_soak.ts";
 import { runOwnershipSoak, type SoakRun } from "./ownership_soak.ts";
-import { drawStreamScript, relayMutants, runRelaySoak } from "./relay/mod.ts";
+import {
+  drawPartScript,
+  drawStreamScript,
+  relayMutants,
+  runRelaySoak,
+} from "./relay/mod.ts";
 import { runServiceSoak } from "./service_soak.ts";
 
 const ADAPTER_STEPS = 600;
@@ -57,6 +62,10 @@
     run: (seed) => runRelaySoak({ seed, draw: drawStreamScript }),
   },
   { name: "crashes", run: (seed) => runCrashSoak(seed) },
+  {
+    name: "parts",
+    run: (seed) => runRelaySoak({ seed, draw: drawPartScript }),
+  },
 ];
 
 /** The deliberate faults of all soaks that have some. */
@@ -78,7 +87,7 @@
       runConfigurationSoak({ seed, steps: CONFIGURATION_STEPS, rules }),
   })),
   ...relayMutants.map(({ name, made, draw }): SoakMutant => ({
-    soak: draw === undefined ? "relay" : "streams",
+    soak: soakOf(draw),
     name,
     run: (seed) => runRelaySoak({ seed, made, ...(draw && { draw }) }),
   })),
@@ -88,3 +97,9 @@
     run: (seed) => runCrashSoak(seed, rules, cause),
   })),
 ];
+
+/** Returns the soak whose runs a script draws. */
+function soakOf(draw: typeof drawStreamScript | undefined): string {
+  if (draw === undefined) return "relay";
+  return draw === drawPartScript ? "parts" : "streams";
+}
--- /dev/null
+++ b/packages/bench/src/soak/relay/crashes/mod.ts
@@ -0,0 +1,2 @@
+export * from "./part_checks.ts";
+export * from "./part_script.ts";
--- a/packages/bench/src/soak/relay/faulty_wires.ts
+++ b/packages/bench/src/soak/relay/faulty_wires.ts
@@ -71,6 +71,30 @@
   }
 }
 
+/** Reads no parts of prompts. */
+export class ReadsNoParts extends SoakWire {
+  override readRequest(
+    headers: IncomingHttpHeaders,
+  ): Result<CallerRequest, string> {
+    return super.readRequest(headers).map((request) => ({
+      ...request,
+      sharedParts: [],
+    }));
+  }
+}
+
+/** Reads the first part of prompts only. */
+export class ReadsFirstParts extends SoakWire {
+  override readRequest(
+    headers: IncomingHttpHeaders,
+  ): Result<CallerRequest, string> {
+    return super.readRequest(headers).map((request) => ({
+      ...request,
+      sharedParts: request.sharedParts?.slice(0, 1) ?? [],
+    }));
+  }
+}
+
 /** Takes each resumed stream for one that nobody began. */
 export class ReadsNoResumedAttempts extends SoakWire {
   override readRequest(
--- a/packages/bench/src/soak/relay/mod.ts
+++ b/packages/bench/src/soak/relay/mod.ts
@@ -2,6 +2,7 @@
  * A randomised run of relays on stand-ins, in real time.
  * @module
  */
+export * from "./crashes/mod.ts";
 export * from "./node_parts.ts";
 export { checkNotices } from "./notice_checks.ts";
 export * from "./relay_mutants.ts";
--- a/packages/bench/src/soak/relay/relay_mutants.ts
+++ b/packages/bench/src/soak/relay/relay_mutants.ts
@@ -30,9 +30,11 @@
 import {
   BelievesAnyRefusal,
   NeedsNoSeal,
+  ReadsFirstParts,
   ReadsNoBackoffs,
   ReadsNoDepartures,
   ReadsNoIds,
+  ReadsNoParts,
   ReadsNoResumedAttempts,
   ResumesFromTheBeginning,
   TakesFailuresForRefusals,
@@ -41,6 +43,7 @@
 import type { RelayScript } from "./relay_script.ts";
 import { ENGINES } from "./soak_configuration.ts";
 import type { SoakEngine } from "./soak_engine.ts";
+import { drawPartScript } from "./crashes/mod.ts";
 import { drawStreamScript } from "./stream_script.ts";
 
 /** One part of the nodes replaced by a wrong one. */
@@ -308,6 +311,18 @@
     made: new WithWire(() => new ReadsNoResumedAttempts()),
     draw: drawStreamScript,
   },
+  {
+    name: "know no parts of prompts",
+    invariants: ["crashing_parts_are_refused"],
+    made: new WithWire(() => new ReadsNoParts()),
+    draw: drawPartScript,
+  },
+  {
+    name: "know the first parts of prompts only",
+    invariants: ["crashing_parts_are_refused", "sound_parts_are_served"],
+    made: new WithWire(() => new ReadsFirstParts()),
+    draw: drawPartScript,
+  },
   {
     name: "overfill an engine's slots",
     invariants: ["adapter_slots_are_never_exceeded"],
--- a/packages/bench/src/soak/relay/relay_record.ts
+++ b/packages/bench/src/soak/relay/relay_record.ts
@@ -15,6 +15,8 @@
   readonly id: string;
   readonly kind: RequestKind | "extra";
   readonly adapter?: string;
+  /** The parts of its prompt that it shares with others. */
+  readonly sharedParts?: readonly string[];
   /** The oldest version that may serve it. */
   readonly leastVersion: number;
   /** Whether the route must be there, or must not; open where it moves. */
@@ -120,6 +122,8 @@
   readonly broken: BrokenInvariant[] = [];
   /** When which server took requests, in the order of their begin. */
   readonly servingTimes: ServingTime[] = [];
+  /** When engines ended under requests with a part that crashes them. */
+  readonly partCrashes: number[] = [];
   readonly stalls = new StallWatch();
   /** The runs of nodes, by name. */
   readonly nodeRuns = new Map<string, NodeRunRecord>();
--- a/packages/bench/src/soak/relay/relay_script.ts
+++ b/packages/bench/src/soak/relay/relay_script.ts
@@ -109,6 +109,8 @@
   readonly node: number;
   readonly caller: number;
   readonly isKept: boolean;
+  /** The parts of its prompt that it shares with others. */
+  readonly sharedParts?: readonly string[];
   /** How long the caller waits, where it says so, in milliseconds. */
   readonly patience?: number;
 }
@@ -116,6 +118,8 @@
 /** All that a seed decides ahead. */
 export interface RelayScript {
   readonly size: WorldSize;
+  /** Until all nodes stop, in milliseconds, if not the usual time. */
+  readonly lasts?: number;
   readonly calls: readonly PlannedCall[];
   readonly faults: readonly PlannedFault[];
 }
--- a/packages/bench/src/soak/relay/relay_soak.ts
+++ b/packages/bench/src/soak/relay/relay_soak.ts
@@ -2,6 +2,7 @@
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { SoakRun } from "../ownership_soak.ts";
+import { checkParts, countParts } from "./crashes/mod.ts";
 import { NodeParts } from "./node_parts.ts";
 import { checkNotices } from "./notice_checks.ts";
 import { checkRecord, mustKnow } from "./relay_checks.ts";
@@ -19,6 +20,7 @@
 import { checkSoftware, countShares, resumedStream } from "./stream_checks.ts";
 import {
   LAST_EVENT_HEADER,
+  PARTS_HEADER,
   RESUMES_HEADER,
 } from "../../relay/stand_in_wire.ts";
 import { soakAdapter, TIME_LIMIT } from "./soak_configuration.ts";
@@ -80,12 +82,13 @@
   checkRecord(record, run.world.leftAt);
   checkNotices(record);
   checkSoftware(record);
+  checkParts(record);
   const answered = record.calls.filter(({ end }) => end?.status === 200).length;
   const [first] = record.broken;
   return {
     record,
     orders: answered,
-    counts: { ...countShares([record]) },
+    counts: { ...countShares([record]), ...countParts(record) },
     ...(first === undefined ? {} : { finding: { seed, ...first } }),
   };
 }
@@ -117,9 +120,8 @@
       await this.#call(call);
     });
     await Promise.all(faults);
-    await sleep(
-      Math.max(0, begin + FAULTS_END_MILLISECONDS - performance.now()),
-    );
+    const lasts = this.#script.lasts ?? FAULTS_END_MILLISECONDS;
+    await sleep(Math.max(0, begin + lasts - performance.now()));
     const stopped = this.world.stop();
     await Promise.all(calls);
     await stopped;
@@ -157,13 +159,16 @@
       ...(resumes === undefined ? {} : { resumes }),
     };
     this.world.record.calls.push(call);
-    const { patience } = planned;
+    const { patience, sharedParts } = planned;
     call.end = await caller.call({
       address: node.daemon.callerAddress,
       path: `/${planned.kind}/${planned.id}`,
       headers: {
         "x-id": planned.id,
         ...(call.adapter === undefined ? {} : { "x-adapter": call.adapter }),
+        ...(sharedParts === undefined ? {} : {
+          [PARTS_HEADER]: [...sharedParts, planned.id].join(","),
+        }),
         ...(patience === undefined ? {} : { "x-patience": String(patience) }),
         ...(resumes === undefined ? {} : {
           [RESUMES_HEADER]: resumes.attempt,
@@ -190,6 +195,9 @@
       id,
       kind,
       ...(isStream ? { adapter } : {}),
+      ...(planned.sharedParts === undefined
+        ? {}
+        : { sharedParts: planned.sharedParts }),
       leastVersion: isNamed ? world.store.newestVersion(adapter) : 1,
       node: node.record,
       sentAt: now,
--- a/packages/bench/src/soak/relay/relay_world.ts
+++ b/packages/bench/src/soak/relay/relay_world.ts
@@ -20,6 +20,11 @@
 import { PlainSoakServer, type SoakServer } from "./soak_server.ts";
 import { SoakStore } from "./soak_store.ts";
 
+/** An engine ends so long after it began to run what crashes it. */
+const PART_CRASH_MILLISECONDS = 20;
+/** How long the entry of an engine stays that has ended. */
+const ENTRY_STAYS_MILLISECONDS = 400;
+
 /** A store that also tells which nodes have made themselves known. */
 class WorldStore extends SoakStore {
   readonly nodes = new Map<string, NodeRecord>();
@@ -379,6 +384,11 @@
         slots: WORLD_SIZE.slots,
         newestVersion: (adapter) => this.store.newestVersion(adapter),
         readClaims: () => this.store.claims,
+        onCrashingPart: (engine) => {
+          setTimeout(() => {
+            this.#crashByPart(engine);
+          }, PART_CRASH_MILLISECONDS);
+        },
       })
       : new PlainSoakServer(`plain-${number}`, PLAIN, parts);
     this.#allServers.push(server);
@@ -395,6 +405,12 @@
     );
   }
 
+  #crashByPart(engine: SoakEngine): void {
+    if (!this.servers.includes(engine)) return;
+    this.record.partCrashes.push(performance.now());
+    this.crash(engine, ENTRY_STAYS_MILLISECONDS);
+  }
+
   #forget(server: SoakServer): void {
     this.#endServing(server);
     this.servers.splice(this.servers.indexOf(server), 1);
--- a/packages/bench/src/soak/relay/soak_engine.ts
+++ b/packages/bench/src/soak/relay/soak_engine.ts
@@ -8,8 +8,10 @@
 import { StandInEngineState } from "../../relay/stand_in_engine_state.ts";
 import {
   LAST_EVENT_HEADER,
+  PARTS_HEADER,
   STAND_IN_MODEL,
 } from "../../relay/stand_in_wire.ts";
+import { CRASHING_PART } from "./crashes/part_script.ts";
 import type { RawRequest } from "./raw_server.ts";
 import { type Run, SoakServer, type SoakServerParts } from "./soak_server.ts";
 
@@ -24,6 +26,8 @@
   readonly slots: number;
   readonly newestVersion: NewestVersion;
   readonly readClaims: ReadClaims;
+  /** Called when a request with a part that crashes engines begins to run. */
+  readonly onCrashingPart: (engine: SoakEngine) => void;
 }
 
 /** How many events a stream has. */
@@ -118,6 +122,11 @@
     };
   }
 
+  protected override onRun = ({ headers }: RawRequest): void => {
+    const parts = (headers.get(PARTS_HEADER) ?? "").split(",");
+    if (parts.includes(CRASHING_PART)) this.#parts.onCrashingPart(this);
+  };
+
   #take(order: EngineOrder): OrderResult {
     const before = this.adapters.orderCount;
     const result = this.adapters.execute(order);
--- a/packages/bench/src/soak/relay/soak_server.ts
+++ b/packages/bench/src/soak/relay/soak_server.ts
@@ -87,6 +87,9 @@
     this.#server.reset();
   }
 
+  /** Called when a request begins to run. */
+  protected onRun: (request: RawRequest) => void = () => undefined;
+
   /**
    * Begins to run a request.
    * @param request The request.
@@ -118,6 +121,7 @@
         : { retryAfter: plan.retryAfter }),
     };
     record.sent(send);
+    if (hasRun(send)) this.onRun(request);
     repeatLastAnswer(socket);
     const answer = run === undefined
       ? refusal(MISDIRECTED, id)
--- a/packages/bench/tests/soak/soak_engine_test.ts
+++ b/packages/bench/tests/soak/soak_engine_test.ts
@@ -45,6 +45,7 @@
     software: "1",
     newestVersion: () => 1,
     readClaims: () => CLAIMS,
+    onCrashingPart: () => undefined,
   });
   const order = (owner: string, fence: number) =>
     engine.carryOut({
