Relay: a later part is blamed before a first one that has a few crashes more

Cause: of all suspects the one with the most crashes was to blame. A first part is under nearly every crash, also under those of another cause, so that one crash more was enough to blame it beside a later part; it was then refused for its hour, as nothing that is refused can clear it.

Change: a narrower suspect is preferred if it was under 0.6 of the crashes.

The test of messages at the product's own interface fails in some runs (2 of 8, both beside other work): a sound prompt is refused; being traced.

--- a/packages/core/src/relay/crashes/crash_blame.ts
+++ b/packages/core/src/relay/crashes/crash_blame.ts
@@ -29,6 +29,12 @@
  */
 const MINIMUM_CRASHES = 3;
 
+/**
+ * A suspect is preferred to wider ones if it was under this share of their
+ * crashes.
+ */
+const NARROW_SHARE = 0.6;
+
 /**
  * How long a part is not blamed yet after its first crash has become known.
  * Requests with a sound part that many share clear it within this time.
@@ -79,9 +85,10 @@
 }
 
 /**
- * Finds the suspect with the most crashes. Of equals it is the narrowest: the
- * first parts of prompts are among the suspects of nearly every crash. Of those
- * it is the one that ran shortest.
+ * Finds the narrowest suspect that explains most of what the suspect with the
+ * most crashes does: the first parts of prompts are among the suspects of nearly
+ * every crash, also of those that have another cause. Of equally narrow ones it
+ * is the one with the most crashes, and of those the one that ran shortest.
  */
 function findMostSuspect(
   crashes: readonly ObservedCrash[],
@@ -104,11 +111,13 @@
       tallies.set(content, tally);
     }
   }
-  const [first] = [...tallies.values()]
-    .filter((tally) => tally.crashes >= MINIMUM_CRASHES)
+  const all = [...tallies.values()];
+  const most = Math.max(...all.map((tally) => tally.crashes));
+  const required = Math.max(MINIMUM_CRASHES, most * NARROW_SHARE);
+  const [first] = all.filter((tally) => tally.crashes >= required)
     .toSorted((left, right) =>
-      right.crashes - left.crashes ||
       compareWidth(left, right) ||
+      right.crashes - left.crashes ||
       left.ranFor - right.ranFor
     );
   return first;
--- a/packages/core/tests/delivery/crash_record_test.ts
+++ b/packages/core/tests/delivery/crash_record_test.ts
@@ -19,6 +19,22 @@
       ranFor: milliseconds(12),
     },
   },
+  {
+    kind: "suspected",
+    suspicion: {
+      content: CONTENT,
+      partPosition: 1,
+      server: engineRun(engineId("engine-1"), "boot-2"),
+      ranFor: milliseconds(12),
+    },
+  },
+  {
+    kind: "cleared",
+    key: {
+      content: CONTENT,
+      server: engineRun(engineId("engine-1"), "boot-2"),
+    },
+  },
   { kind: "served", content: CONTENT },
 ];
 
--- a/packages/core/tests/relay/crashes/crash_blame_test.ts
+++ b/packages/core/tests/relay/crashes/crash_blame_test.ts
@@ -162,3 +162,14 @@
   t.true(quarantine.expire(instant(2 * 60 * 60 * 1_000)).length <= 10_000);
   t.true(quarantine.isEmpty);
 });
+
+// Guards against a wide part that is refused for a crash of another cause.
+test("a first part is not blamed for one more crash than a later part explains", (t) => {
+  const quarantine = crashedBy([
+    [["first", "second"]],
+    [["first", "second"]],
+    [["first", "second"]],
+    [["first", "a"], ["other", "b"]],
+  ]);
+  t.deepEqual([...quarantine.quarantinedContents(SETTLED)], [SECOND]);
+});
--- a/packages/node/tests/delivery/crashing_content_test.ts
+++ b/packages/node/tests/delivery/crashing_content_test.ts
@@ -50,6 +50,7 @@
   cluster: TestCluster,
   node: number,
   content: string,
+  sharedMessages: readonly string[] = [],
 ): Promise<Answer> {
   const answer = await fetch(`${cluster.url(node)}/v1/chat/completions`, {
     method: "POST",
@@ -59,7 +60,10 @@
     },
     body: JSON.stringify({
       model: ADAPTER,
-      messages: [{ role: "user", content }],
+      messages: [...sharedMessages, content].map((text) => ({
+        role: "user",
+        content: text,
+      })),
       max_tokens: 60,
     }),
   });
@@ -113,6 +117,39 @@
   t.is(countCrashes(cluster), crashes);
 });
 
+// Guards against a message that crashes engine after engine because the prompts
+// that it is in all end differently.
+test.serial("all nodes refuse prompts with a message that crashes engines", async (t) => {
+  const cluster = await startCluster(t);
+  let turn = 0;
+  const askNext = async (sharedMessages: readonly string[]) => {
+    turn += 1;
+    const node = turn % cluster.nodes.length;
+    return await ask(cluster, node, `Text ${turn}.`, sharedMessages);
+  };
+  const crashing = ["Common text.", CRASHING_TEXT];
+  const askDuring = async (time: number) => {
+    const until = performance.now() + time;
+    while (performance.now() < until) {
+      t.not((await askNext(crashing)).status, 200);
+      await askNext(["Common text.", `Sound text ${turn}.`]);
+      await sleep(PAUSE_MILLISECONDS);
+    }
+  };
+  while (countCrashes(cluster) < CRASHES_BEFORE_REFUSAL) {
+    await askDuring(PAUSE_MILLISECONDS);
+  }
+  await askDuring(PROPAGATION_MILLISECONDS);
+  const crashesAtRefusal = countCrashes(cluster);
+  await askDuring(PROPAGATION_MILLISECONDS);
+  t.is(countCrashes(cluster), crashesAtRefusal);
+  for (let request = 0; request < cluster.nodes.length; request += 1) {
+    t.is((await askNext(crashing)).status, 503);
+    const sound = await askNext(["Common text.", "Another text."]);
+    t.is(sound.status, 200, sound.text);
+  }
+});
+
 // Guards against refusing contents because engines ended for other reasons, or
 // because streams broke off at engines that still run.
 test.serial("a content is not refused for unrelated crashes or lost streams", async (t) => {
