Relay: a wide part isn't blamed while a narrower one explains most of its crashes

Cause: a narrower suspect was weighed only once it had three crashes itself.

Change: the narrower one is chosen with any number of crashes, and blamed from three on.

--- a/packages/core/src/relay/crashes/crash_blame.ts
+++ b/packages/core/src/relay/crashes/crash_blame.ts
@@ -68,8 +68,8 @@
     if (mostSuspect === undefined) break;
     const { content } = mostSuspect;
     const blamedFrom = blameTime(mostSuspect);
-    if (now >= blamedFrom) contents.add(content);
-    else laterBlames.push(blamedFrom);
+    if (blamedFrom !== undefined && now >= blamedFrom) contents.add(content);
+    else if (blamedFrom !== undefined) laterBlames.push(blamedFrom);
     unexplained = unexplained.filter(({ suspects }) => !suspects.has(content));
   }
   const changesAt = laterBlames.length === 0
@@ -78,7 +78,11 @@
   return { contents, changesAt };
 }
 
-function blameTime({ partPosition, firstCrashAt }: Tally): Instant {
+/** Returns from when a suspect is to blame, or `undefined` if it isn't yet. */
+function blameTime(
+  { partPosition, firstCrashAt, crashes }: Tally,
+): Instant | undefined {
+  if (crashes < MINIMUM_CRASHES) return undefined;
   return partPosition === undefined
     ? firstCrashAt
     : later(firstCrashAt, PART_CLEARING_TIME);
@@ -87,8 +91,9 @@
 /**
  * Finds the narrowest suspect that explains most of what the suspect with the
  * most crashes does: the first parts of prompts are among the suspects of nearly
- * every crash, also of those that have another cause. Of equally narrow ones it
- * is the one with the most crashes, and of those the one that ran shortest.
+ * every crash, also of those that have another cause. It may have too few crashes
+ * to be blamed yet. Of equally narrow ones it is the one with the most crashes,
+ * and of those the one that ran shortest.
  */
 function findMostSuspect(
   crashes: readonly ObservedCrash[],
@@ -113,8 +118,10 @@
   }
   const all = [...tallies.values()];
   const most = Math.max(...all.map((tally) => tally.crashes));
-  const required = Math.max(MINIMUM_CRASHES, most * NARROW_SHARE);
-  const [first] = all.filter((tally) => tally.crashes >= required)
+  if (most < MINIMUM_CRASHES) return undefined;
+  const [first] = all.filter(({ crashes: count }) =>
+    count >= most * NARROW_SHARE
+  )
     .toSorted((left, right) =>
       compareWidth(left, right) ||
       right.crashes - left.crashes ||
