--- a/packages/bench/tests/relay/crashing_part_test.ts
+++ b/packages/bench/tests/relay/crashing_part_test.ts
@@ -1,4 +1,5 @@
 import { RelayCluster } from "@foxtailwind/bench";
+import { COMMANDS, EXIT_CODE, runCommandLine } from "@foxtailwind/cli";
 import { seconds } from "@foxtailwind/core";
 import type { RelayDaemon } from "@foxtailwind/node/relay";
 import test, { type ExecutionContext } from "ava";
@@ -111,17 +112,24 @@
   cluster.crashEnginesOn({}, () => undefined);
   const [first, , last] = cluster.daemons;
   if (first === undefined || last === undefined) throw new RangeError("nodes");
-  const url = `http://${first.readinessAddress}/quarantines`;
-  const list = async () =>
-    await (await fetch(url)).json() as readonly { readonly content: string }[];
-  await waitUntil(async () => (await list()).length > 0);
-  const [refused] = await list();
-  t.regex(refused?.content ?? "", /^part-crashing-/);
+  const manage = async (...words: readonly string[]) => {
+    let output = "";
+    const code = await runCommandLine(["quarantines", ...words, "--json"], {
+      commands: COMMANDS,
+      context: {
+        environment: { FOXTAILWIND_NODE: first.readinessAddress },
+        writeOut: (text) => void (output += text),
+        writeError: () => undefined,
+      },
+    });
+    return { code, output };
+  };
+  const refused = async () =>
+    /part-crashing-[\w-]+/.exec((await manage("list")).output)?.[0];
+  await waitUntil(async () => await refused() !== undefined);
   t.is(await crashing.sendCrashing(last), SERVICE_UNAVAILABLE);
-  const lift = async (content: string) =>
-    (await fetch(`${url}/${content}`, { method: "DELETE" })).status;
-  t.is(await lift("part-unknown"), 404);
-  t.is(await lift(refused?.content ?? ""), 204);
+  t.is((await manage("lift", "part-unknown")).code, EXIT_CODE.notFound);
+  t.is((await manage("lift", await refused() ?? "")).code, EXIT_CODE.ok);
   await waitUntil(async () => await crashing.sendCrashing(last) === HTTP_OK);
-  t.deepEqual(await list(), []);
+  t.is(await refused(), undefined);
 });
--- a/packages/cli/src/commands/mod.ts
+++ b/packages/cli/src/commands/mod.ts
@@ -7,6 +7,7 @@
 import { EXPLAIN_COMMAND } from "./explain.ts";
 import { HISTOGRAMS_COMMAND } from "./histograms.ts";
 import { NODES_COMMAND } from "./nodes.ts";
+import { QUARANTINES_COMMAND } from "./quarantines.ts";
 import { SERVICES_COMMAND } from "./services.ts";
 import { TENANTS_COMMAND } from "./tenants.ts";
 
@@ -21,5 +22,6 @@
   ENGINES_COMMAND,
   HISTOGRAMS_COMMAND,
   EXPLAIN_COMMAND,
+  QUARANTINES_COMMAND,
   DRAIN_COMMAND,
 ];
--- a/packages/node/src/relay/operations_server.ts
+++ b/packages/node/src/relay/operations_server.ts
@@ -29,10 +29,9 @@
 
 const READY = 200;
 const NOT_READY = 503;
-const NO_CONTENT = 204;
 const NOT_FOUND = 404;
 const METRICS_PATH = "/metrics";
-const QUARANTINES_PATH = "/quarantines";
+const QUARANTINES_PATH = "/v1/operators/quarantines";
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Serves readiness, caller addresses and metrics over HTTP. */
@@ -112,15 +111,24 @@
     });
     fastify.get(QUARANTINES_PATH, (_request, reply) => {
       const quarantines = this.#handlers.quarantines();
-      void reply.send(quarantines.map(({ content, remaining }) => ({
-        content,
-        remaining_seconds: Math.round(remaining / MILLISECONDS_PER_SECOND),
-      })));
+      void reply.send({
+        quarantines: quarantines.map(({ content, remaining }) => ({
+          content,
+          remaining_seconds: Math.round(remaining / MILLISECONDS_PER_SECOND),
+        })),
+      });
     });
     fastify.delete(`${QUARANTINES_PATH}/:content`, (request, reply) => {
       const { content } = request.params as { readonly content: string };
       const wasLifted = this.#handlers.liftQuarantine(contentDigest(content));
-      void reply.status(wasLifted ? NO_CONTENT : NOT_FOUND).send("");
+      if (wasLifted) void reply.send({ content });
+      else {
+        void reply.status(NOT_FOUND).send({
+          title: "not found",
+          status: NOT_FOUND,
+          detail: "Nothing is held against this content.",
+        });
+      }
     });
     fastify.get(METRICS_PATH, async (_request, reply) => {
       const text = await this.#handlers.metrics();
