--- a/packages/node/src/relay/crashes/crash_reports.ts
+++ b/packages/node/src/relay/crashes/crash_reports.ts
@@ -12,18 +12,17 @@
   type ServerLoad,
   SURVIVAL_CHECKS,
   type Suspect,
-  suspectedRunKey,
   suspectRunTime,
   type SuspicionKey,
 } from "@foxtailwind/core";
 import { afterPendingInput } from "@foxtailwind/edges";
-import { setTimeout as sleep } from "node:timers/promises";
 import type { SteadyClock } from "../../clock/steady_clock.ts";
 import type { ComponentLogger } from "../../logging/component_logger.ts";
 import type { CallEnd } from "../backend_call.ts";
 import type { Knowledge } from "../knowledge.ts";
 import type { RequestContent } from "./request_content.ts";
-import type { SharedLog, SuspicionChange } from "../shared_log.ts";
+import { SuspicionWriter } from "./suspicion_writer.ts";
+import type { SharedLog } from "../shared_log.ts";
 
 /**
  * How long after a broken call a suspicion is settled: within this time, a
@@ -32,12 +31,6 @@
 const SETTLE_DELAY = milliseconds(200);
 /** Bytes that a server sent before it ended may be read this long after. */
 const LATE_BYTES_ALLOWANCE = milliseconds(60);
-/** How long changes are collected before they are written together. */
-const BATCH_DELAY_MILLISECONDS = 20;
-/** The delay between two attempts to write. */
-const RETRY_DELAY_MILLISECONDS = 500;
-/** The maximum number of unwritten changes; the oldest are dropped. */
-const MAXIMUM_UNWRITTEN_CHANGES = 2_000;
 /** The maximum number of answers remembered that ended with a connection. */
 const MAXIMUM_UNMARKED_ENDS = 500;
 
@@ -88,9 +81,8 @@
 export class CrashReports {
   readonly #parts: CrashReportsParts;
   readonly #quarantine: RequestQuarantine;
-  readonly #unwritten = new Map<string, SuspicionChange>();
+  readonly #writer: SuspicionWriter;
   #unmarkedEnds: readonly UnmarkedEnd[] = [];
-  #isWriting = false;
   #isStopped = false;
 
   /** @param parts The dependencies. */
@@ -98,10 +90,9 @@
     this.#parts = parts;
     const { knowledge } = parts;
     this.#quarantine = knowledge.suspicionTracker.quarantine;
+    this.#writer = new SuspicionWriter(parts.log);
     knowledge.suspicionTracker.pendingSuspicions = () =>
-      [...this.#unwritten.values()].flatMap((change) =>
-        change.kind === "added" ? [change.suspicion] : []
-      );
+      this.#writer.pendingSuspicions;
     knowledge.suspicionTracker.onSuspicionsDisproved = (dropped) => {
       if (knowledge.isWatcher) this.#writeDropped(dropped);
     };
@@ -246,11 +237,12 @@
   /** Stops writing to the log. */
   stop(): void {
     this.#isStopped = true;
+    this.#writer.stop();
   }
 
   #writeDropped(dropped: readonly SuspicionKey[]): void {
     for (const key of dropped) {
-      this.#enqueueChange(key, { kind: "dropped", key });
+      this.#writer.enqueue({ kind: "dropped", key });
     }
   }
 
@@ -274,7 +266,7 @@
         content: one.content,
         ran_for: Math.round(one.ranFor),
       });
-      this.#enqueueChange(one, { kind: "added", suspicion: one });
+      this.#writer.enqueue({ kind: "added", suspicion: one });
     }
   }
 
@@ -294,34 +286,6 @@
       return suspicions;
     });
   }
-
-  #enqueueChange(key: SuspicionKey, change: SuspicionChange): void {
-    if (this.#unwritten.size >= MAXIMUM_UNWRITTEN_CHANGES) {
-      const [oldest] = this.#unwritten.keys();
-      if (oldest !== undefined) this.#unwritten.delete(oldest);
-    }
-    this.#unwritten.set(`${key.content} ${suspectedRunKey(key)}`, change);
-    if (!this.#isWriting) void this.#writeChanges();
-  }
-
-  async #writeChanges(): Promise<void> {
-    this.#isWriting = true;
-    await sleep(BATCH_DELAY_MILLISECONDS);
-    while (this.#unwritten.size > 0 && !this.#isStopped) {
-      const changes = [...this.#unwritten];
-      const written = await this.#parts.log.changeSuspicions(
-        changes.map(([, change]) => change),
-      );
-      if (written.isErr()) {
-        await sleep(RETRY_DELAY_MILLISECONDS);
-        continue;
-      }
-      for (const [key, change] of changes) {
-        if (this.#unwritten.get(key) === change) this.#unwritten.delete(key);
-      }
-    }
-    this.#isWriting = false;
-  }
 }
 
 function createSuspicions(
