--- a/packages/core/src/relay/crashes/crash_suspicion.ts
+++ b/packages/core/src/relay/crashes/crash_suspicion.ts
@@ -58,10 +58,10 @@
   return startKey(server, start);
 }
 
-/** How much longer than its suspects a run has to last to speak for them. */
+/** A run contradicts suspects whose own runs lasted at most 1/2 of its time. */
 const CONTRADICTING_RATIO = 2;
 
-/** How long after its answer began a run is looked at whether it goes on. */
+/** The ages at which a run that still goes on clears its suspects. */
 export const SURVIVAL_CHECKS: readonly Duration[] = [
   milliseconds(300),
   MAXIMUM_SUSPECT_RUN_TIME,
