Stand-ins: an engine ends only for prompts of the start that runs them

Cause: the engine's stand-in set a timer for each crashing prompt that came in, also for one that it refused (its adapter was not loaded after the restart), and the timer ended whichever start ran 20 ms later. Traced: attempt 4 of the crashing request was refused as not found by engine-3-boot-2, which ended 20 ms later with a sound request on board. 10 engines ended, of which 3 had ever run the message. So the evidence that nodes saw was really against the first one.

Ruled out: the rule of blame (the records in the log are as the engines ended), load (load average 2).

Change: only a prompt that begins to run ends an engine, and only the start that runs it. The test of the nodes is as it was.

--- a/packages/standins/src/engine/fake_engine.ts
+++ b/packages/standins/src/engine/fake_engine.ts
@@ -158,12 +158,14 @@
     this.application.post("/v1/generate", (request, reply) => {
       const call = parseInput(generateCallSchema, request.body);
       if (call.isErr()) return sendRefusal(reply, call.error);
-      if (this.#triggersCrash(call.value)) {
+      const boot = this.#boot;
+      const answer = boot.generate(call.value, reply);
+      if (this.#triggersCrash(call.value, boot)) {
         setTimeout(() => {
-          this.restart();
+          if (this.#boot === boot) this.restart();
         }, CRASH_DELAY_MILLISECONDS);
       }
-      return this.#boot.generate(call.value, reply);
+      return answer;
     });
     this.application.post("/v1/cancel", (request, reply) => {
       const call = parseInput(cancelCallSchema, request.body);
@@ -178,9 +180,13 @@
     });
   }
 
-  #triggersCrash({ messages }: GenerateCall): boolean {
+  #triggersCrash(
+    { request, messages }: GenerateCall,
+    { generationTable }: EngineBoot,
+  ): boolean {
     const { crashOnText } = this.faults;
     return crashOnText !== "" &&
+      generationTable.findLatest(request) !== undefined &&
       messages.some(({ content }) => content.includes(crashOnText));
   }
 
--- a/packages/standins/tests/engine/fake_engine_test.ts
+++ b/packages/standins/tests/engine/fake_engine_test.ts
@@ -5,6 +5,7 @@
   requestId,
 } from "@foxtailwind/core";
 import test from "ava";
+import { setTimeout as sleep } from "node:timers/promises";
 import {
   createAdapterReference,
   createGenerateCall,
@@ -14,6 +15,13 @@
 
 const FIRST_FIVE_TOKENS = "a@1#0 a@1#1 a@1#2 a@1#3 a@1#4 ";
 const LONG_GENERATION = { maximumTokens: 100_000 } as const;
+const CRASHING_TEXT = "A text that ends engines.";
+const CRASHING_CALL = {
+  ...LONG_GENERATION,
+  messages: [{ role: "user", content: CRASHING_TEXT }],
+} as const;
+/** How long an engine may take to end after it began a crashing prompt. */
+const CRASH_ALLOWANCE_MILLISECONDS = 200;
 
 test("each token contains adapter, version and position", async (t) => {
   const { engine, client } = await startEngine(t);
@@ -196,6 +204,32 @@
   t.deepEqual(after.running, []);
 });
 
+// Guards against an engine that ends for a request of an earlier start, and so
+// throws suspicion on the requests that run then.
+test("a prompt that crashes the engine ends only the start that runs it", async (t) => {
+  const { engine, client } = await startEngine(t);
+  engine.setFaults({ crashOnText: CRASHING_TEXT });
+  const sinks = Array.from({ length: 4 }, () => new CollectingSink());
+  for (const [index, sink] of sinks.entries()) {
+    client.generate(createGenerateCall(`r${index}`, CRASHING_CALL), sink);
+  }
+  const ends = await Promise.all(sinks.map(({ ended }) => ended));
+  t.true(ends.every((end) => end.isErr()));
+  await sleep(CRASH_ALLOWANCE_MILLISECONDS);
+  t.is(engine.readCounters().restarts, 1);
+});
+
+test("a refused prompt crashes no engine", async (t) => {
+  const { engine, client } = await startEngine(t);
+  engine.setFaults({ crashOnText: CRASHING_TEXT });
+  const adapter = createAdapterReference("b");
+  const sink = new CollectingSink();
+  client.generate(createGenerateCall("r", { ...CRASHING_CALL, adapter }), sink);
+  t.is((await sink.ended)._unsafeUnwrapErr().outcome, "not_run");
+  await sleep(CRASH_ALLOWANCE_MILLISECONDS);
+  t.is(engine.readCounters().restarts, 0);
+});
+
 test("a hanging engine continues after the outage", async (t) => {
   const { engine, client } = await startEngine(t);
   engine.setFaults({ outage: "hang" });
