Relay: a node counts servers that it loses at once as one crash of a part

Cause: a node that loses its connections to several servers holds each server against the parts of all requests there. Three of them are enough, and their servers disprove it only seconds later, by what they write to the registry.

Ruled out: clearing that comes late. It does come late, but parts that nobody asks for in that time are never cleared, and blame comes after 500 ms.

Change: a node attributes what breaks within 200 ms to one run, for parts only: the request of a whole content is retried at once and may end three servers in that time. Parts count from when a suspicion is settled, not 200 ms before.

--- a/packages/bench/src/soak/crashes/crash_mutants.ts
+++ b/packages/bench/src/soak/crashes/crash_mutants.ts
@@ -62,6 +62,12 @@
     "shortest run of equals, without clearing",
     { findBlame: blameShortest, clearsNothing: true },
   ],
+  [
+    "each server on its own, unsettled",
+    { countsBursts: false, suspectsUnsettled: true },
+  ],
+  ["each server on its own, settled", { countsBursts: false }],
+  ["in bursts, unsettled", { suspectsUnsettled: true }],
   ["sent although named", { sendsLate: true }],
 ]);
 
--- a/packages/bench/src/soak/crashes/crash_node.ts
+++ b/packages/bench/src/soak/crashes/crash_node.ts
@@ -1,5 +1,7 @@
 import {
+  type BackendServerId,
   type ContentDigest,
+  CrashBursts,
   type CrashSuspicion,
   type findCrashBlame,
   instant,
@@ -24,6 +26,10 @@
   readonly tellsNobody?: boolean;
   /** Which suspects are left out. */
   readonly ignores?: "parts" | "second_parts";
+  /** Whether crashes that come at once count as one; `true` if omitted. */
+  readonly countsBursts?: boolean;
+  /** Whether parts are suspected before their server is known to have ended. */
+  readonly suspectsUnsettled?: boolean;
   /** Whether requests are sent although their part was named meanwhile. */
   readonly sendsLate?: boolean;
 }
@@ -50,6 +56,7 @@
   readonly #world: CrashNodeWorld;
   readonly #rules: CrashNodeRules;
   #quarantine: RequestQuarantine;
+  readonly #bursts = new CrashBursts();
   #unwritten: SuspicionRecord[] = [];
   #offset = 0;
   #life = 0;
@@ -113,14 +120,31 @@
 
   /** Records that a server ended under a request of this node. */
   recordBroken(suspicions: readonly CrashSuspicion[]): void {
+    const { countsBursts, suspectsUnsettled } = this.#rules;
     const known = suspicions.filter((one) => this.#isConsidered(one));
-    const now = instant(this.#world.now);
-    for (const one of known) this.#quarantine.addSuspicion(now, one);
+    const brokeAt = instant(this.#world.now);
+    for (const one of known) {
+      const isCounted = one.partPosition === undefined ||
+        suspectsUnsettled === true;
+      if (isCounted) this.#quarantine.addSuspicion(brokeAt, one);
+    }
     this.#after(SETTLE_MILLISECONDS, () => {
-      this.#write(known.map((suspicion) => ({ kind: "added", suspicion })));
+      const settled = countsBursts === false
+        ? known
+        : this.#bursts.attribute(brokeAt, known);
+      for (const one of settled) this.#quarantine.addSuspicion(brokeAt, one);
+      this.#write(settled.map((suspicion) => ({ kind: "added", suspicion })));
     });
   }
 
+  /** Records that a run of a server has written to the registry. */
+  recordServerWrite(run: BackendServerId): void {
+    if (!this.#isLogReached) return;
+    const now = instant(this.#world.now);
+    const dropped = this.#quarantine.recordServerWrite(now, run, undefined);
+    this.#write(dropped.map((key) => ({ kind: "dropped", key })));
+  }
+
   /** Reads what others have written, if the log can be reached. */
   readLog(): void {
     if (!this.#isLogReached) return;
--- a/packages/bench/src/soak/crashes/crash_scenario.ts
+++ b/packages/bench/src/soak/crashes/crash_scenario.ts
@@ -15,6 +15,8 @@
   readonly hasCrashingContent: boolean;
   /** Servers that end by themselves, per second. */
   readonly ownEndRate: number;
+  /** How often a node loses all its connections to servers, per second. */
+  readonly lossRate: number;
   /** When 60 of 100 nodes are killed, in milliseconds. */
   readonly killsAt: readonly number[];
   /** When a third of the nodes loses the log for a while. */
@@ -39,6 +41,7 @@
   "two second parts",
   "second part and content",
   "second part and own ends",
+  "second part and lost connections",
 ] as const;
 /** What crashes servers in a run. */
 export type CrashCause = typeof CRASH_CAUSES[number];
@@ -71,6 +74,7 @@
     crashingParts: crashingPartsOf(chosen),
     hasCrashingContent: chosen === "second part and content",
     ownEndRate: chosen === "second part and own ends" ? 0.5 : 0.05,
+    lossRate: chosen === "second part and lost connections" ? 0.5 : 0,
     killsAt: timesOf(0.5),
     cutsAt: timesOf(0.4),
     outagesAt: timesOf(0.3),
--- a/packages/bench/src/soak/crashes/crash_server.ts
+++ b/packages/bench/src/soak/crashes/crash_server.ts
@@ -1,4 +1,5 @@
 import {
+  type BackendServerId,
   backendServerId,
   type CrashSuspicion,
   milliseconds,
@@ -43,13 +44,29 @@
     return this.#occupants.has(occupant);
   }
 
+  /** The id of its present run. */
+  get runId(): BackendServerId {
+    return backendServerId(`${this.#name}-${this.run}`);
+  }
+
   /** Ends the run: the nodes see their calls break. */
   end(now: number): void {
-    const server = backendServerId(`${this.#name}-${this.run}`);
     this.isUp = false;
+    this.#breakCalls(now, [...this.#occupants]);
     this.run += 1;
-    const occupants = [...this.#occupants];
-    this.#occupants.clear();
+  }
+
+  /** Breaks the calls of one node. */
+  disconnect(now: number, node: CrashNode): void {
+    this.#breakCalls(
+      now,
+      [...this.#occupants].filter((occupant) => occupant.node === node),
+    );
+  }
+
+  #breakCalls(now: number, occupants: readonly Occupant[]): void {
+    const server = this.runId;
+    for (const occupant of occupants) this.#occupants.delete(occupant);
     for (const { node, request, begunAt } of occupants) {
       const ranFor = suspectRunTime(
         begunAt === undefined ? undefined : milliseconds(now - begunAt),
--- a/packages/bench/src/soak/crashes/crash_world.ts
+++ b/packages/bench/src/soak/crashes/crash_world.ts
@@ -13,6 +13,8 @@
 const KNOWN_CRASHES = 5;
 /** The time that nodes have to learn the cause; twice it for sound requests. */
 const LEARNING_MILLISECONDS = 3_000;
+/** How often a server writes to the registry. */
+const REGISTRY_MILLISECONDS = 1_000;
 const SERVER_DOWNTIME_MILLISECONDS = 2_500;
 const NODE_DOWNTIME_MILLISECONDS = 1_000;
 const DISRUPTION_MILLISECONDS = 4_000;
@@ -87,7 +89,7 @@
 
   /** Runs the scenario. */
   run(): CrashOutcome {
-    const { soundRate, crashingRate, ownEndRate } = this.#scenario;
+    const { soundRate, crashingRate, ownEndRate, lossRate } = this.#scenario;
     this.#planFaults();
     this.#repeat(soundRate, () => {
       this.#send(false);
@@ -99,6 +101,13 @@
       const server = this.#pick(this.#servers);
       if (server.isUp) this.#endServer(server);
     });
+    this.#repeat(lossRate, () => {
+      const node = this.#pick(this.#nodes);
+      for (const server of this.#servers) {
+        server.disconnect(this.#timeline.now, node);
+      }
+    });
+    if (lossRate > 0) this.#writeRegistry();
     this.#timeline.runUntil(RUN_MILLISECONDS, () => undefined);
     return {
       crashes: new Map(
@@ -236,6 +245,15 @@
     });
   }
 
+  #writeRegistry(): void {
+    this.#timeline.after(REGISTRY_MILLISECONDS, () => {
+      for (const { runId } of this.#servers.filter(({ isUp }) => isUp)) {
+        for (const node of this.#nodes) node.recordServerWrite(runId);
+      }
+      this.#writeRegistry();
+    });
+  }
+
   #readLogs(): void {
     for (const node of this.#nodes) node.readLog();
   }
--- a/packages/core/src/relay/crashes/mod.ts
+++ b/packages/core/src/relay/crashes/mod.ts
@@ -1,3 +1,4 @@
 export * from "./crash_blame.ts";
+export * from "./crash_burst.ts";
 export * from "./crash_suspicion.ts";
 export * from "./request_quarantine.ts";
--- a/packages/node/src/relay/crashes/crash_reports.ts
+++ b/packages/node/src/relay/crashes/crash_reports.ts
@@ -1,5 +1,6 @@
 import {
   type ContentDigest,
+  CrashBursts,
   type CrashSuspicion,
   type Duration,
   elapsed,
@@ -82,6 +83,7 @@
   readonly #parts: CrashReportsParts;
   readonly #quarantine: RequestQuarantine;
   readonly #writer: SuspicionWriter;
+  readonly #bursts = new CrashBursts();
   #unmarkedEnds: readonly UnmarkedEnd[] = [];
   #isStopped = false;
 
@@ -192,7 +194,10 @@
     if (time === undefined) return;
     const brokeAt = this.#parts.clock.now();
     const suspicions = createSuspicions(call.server, content.suspects, time);
-    for (const one of suspicions) this.#quarantine.addSuspicion(brokeAt, one);
+    for (const one of suspicions) {
+      const isWhole = one.partPosition === undefined;
+      if (isWhole) this.#quarantine.addSuspicion(brokeAt, one);
+    }
     setTimeout(() => {
       afterPendingInput(() => {
         this.#settle(suspicions, call, brokeAt);
@@ -259,7 +264,9 @@
       for (const one of suspicions) this.#quarantine.dropSuspicion(one);
       return;
     }
-    for (const one of [...suspicions, ...this.#suspectEnds(server, brokeAt)]) {
+    const settled = this.#bursts.attribute(brokeAt, suspicions);
+    for (const one of settled) this.#quarantine.addSuspicion(brokeAt, one);
+    for (const one of [...settled, ...this.#suspectEnds(server, brokeAt)]) {
       this.#parts.logger.info("A request may have crashed a server.", {
         server: one.server,
         start: one.start,
@@ -281,7 +288,10 @@
     const ends = this.#unmarkedEnds.filter(isConcerned);
     this.#unmarkedEnds = this.#unmarkedEnds.filter((one) => !isConcerned(one));
     return ends.flatMap(({ content, ranFor, endedAt }) => {
-      const suspicions = createSuspicions(server, content.suspects, ranFor);
+      const suspicions = this.#bursts.attribute(
+        endedAt,
+        createSuspicions(server, content.suspects, ranFor),
+      );
       for (const one of suspicions) this.#quarantine.addSuspicion(endedAt, one);
       return suspicions;
     });
--- a/packages/node/tests/relay/crashes/crashing_parts_test.ts
+++ b/packages/node/tests/relay/crashes/crashing_parts_test.ts
@@ -187,6 +187,39 @@
   t.is(suspected.length, calls.length);
 });
 
+// Guards against a node that blames the parts which its requests share because
+// it lost its connections to several servers.
+test("calls that break at several servers at once are one crash to their parts", async (t) => {
+  const world = await startWorld(t);
+  const answers: (() => void)[] = [];
+  const broken = new Set<string>();
+  const servers = ["s1", "s2", "s3", "s4"];
+  for (const server of servers) {
+    await world.addServer(server, (request, response) => {
+      request.resume();
+      response.writeHead(200, { "x-id": "r1", "x-seal": "s" });
+      response.write("id: 1\n\n");
+      answers.push(() => {
+        broken.add(server);
+        response.destroy();
+      });
+    });
+  }
+  const headers = { "x-parts": "p,own" };
+  const calls = servers.map((server) =>
+    world.call("/stream/a", { headers, body: Buffer.from(server) })
+  );
+  while (answers.length < servers.length) await sleep(POLL_MILLISECONDS);
+  await sleep(POLL_MILLISECONDS);
+  for (const breakOff of answers) breakOff();
+  await Promise.allSettled(calls);
+  t.is(broken.size, servers.length);
+  await sleep(SETTLED_MILLISECONDS + BLAMED_MILLISECONDS);
+  const { quarantine } = world.knowledge.suspicionTracker;
+  t.false(quarantine.isEmpty);
+  t.deepEqual(quarantined(world), []);
+});
+
 test("a run that goes on clears its parts of earlier crashes", async (t) => {
   const world = await startWorld(t);
   await world.addServer("s1", (request, response) => {
