Tests: origins of streams are looked up at peers that were heard of lately

Two of the mutants of the streams' code: StreamDirectory.find without recent.holders was noticed by no test, and origins that stay on their node only by a run that doesn't end.

This is what the second ring buys: a node that was cut off can continue streams before it hears of its peers again.

--- a/packages/node/tests/relay/streams/stream_directory_test.ts
+++ b/packages/node/tests/relay/streams/stream_directory_test.ts
@@ -27,6 +27,10 @@
 const POLL_MILLISECONDS = 5;
 /** Within it, what a node sends has left it. */
 const SENDING_MILLISECONDS = 100;
+/** After it, a peer that nothing was heard of doesn't count as present. */
+const SILENCE_MILLISECONDS = 2_000;
+/** Tries to find what began a stream. */
+const MOST_TRIES = 100;
 
 /** A node with what it knows of streams, and the service that peers call. */
 class StreamNode {
@@ -127,11 +131,12 @@
 
 /** Asks until a peer answers; on a busy machine, the first call may time out. */
 async function findUntilAnswered(node: StreamNode): Promise<OriginLookup> {
-  for (;;) {
+  for (let tries = 1; tries < MOST_TRIES; tries += 1) {
     const lookup = await node.find();
     if (lookup.kind !== "unknown") return lookup;
     await sleep(POLL_MILLISECONDS);
   }
+  return { kind: "unknown" };
 }
 
 // Guards against streams that can't go on because the node that forwarded their
@@ -148,6 +153,19 @@
   t.is(lookup.kind === "known" && lookup.origin.software, software);
 });
 
+// Guards against streams that can't go on at a node that was cut off from its
+// peers until it hears of them again.
+test("a node that has heard of no peer for a while asks those that it knew", async (t) => {
+  const { first, second } = await startNodes(t, 3);
+  const late = new StreamNode("peer-late");
+  await late.listen(t);
+  for (const node of [first, second]) late.meet(node);
+  const { software } = first.begin();
+  await sleep(SILENCE_MILLISECONDS);
+  const lookup = await findUntilAnswered(late);
+  t.is(lookup.kind === "known" && lookup.origin.software, software);
+});
+
 test("a stream that no node knows is unknown, and that is soon known", async (t) => {
   const { first, second } = await startNodes(t, 3);
   second.stop();
