--- a/packages/node/tests/relay/crashes/crashing_parts_test.ts
+++ b/packages/node/tests/relay/crashes/crashing_parts_test.ts
@@ -8,16 +8,14 @@
 } from "@foxtailwind/core";
 import { RequestContent } from "@foxtailwind/node/relay";
 import test from "ava";
-import type { ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
+import { BusyServer } from "../helpers/busy_server.ts";
 import { rawCall } from "../helpers/raw_call.ts";
 import { PLAIN_SERVICE } from "../helpers/relay_routes.ts";
 import { type RelayWorld, startWorld } from "../helpers/relay_world.ts";
 import { CLOSE_DELIMITED_HEAD, serveRaw } from "../helpers/serve_raw.ts";
 
 const HEAD = { method: "POST", url: "/", headers: { host: "one.example" } };
-/** As many requests as the node opens connections to one server. */
-const CONNECTIONS = 85;
 const POLL_MILLISECONDS = 5;
 /** Longer than the delay after which a suspicion is settled. */
 const SETTLED_MILLISECONDS = 400;
@@ -85,32 +83,16 @@
   const world = await startWorld(t);
   suspectPart(world, 2);
   await sleep(BLAMED_MILLISECONDS);
-  const arrivals: string[] = [];
-  const responses: ServerResponse[] = [];
-  await world.addServer("s1", (request, response) => {
-    request.resume();
-    arrivals.push(request.url ?? "");
-    response.setHeader("x-id", String(request.headers["x-id"]));
-    response.setHeader("x-seal", "s");
-    responses.push(response);
-  });
-  const calls = Array.from(
-    { length: CONNECTIONS },
-    () => world.call("/patient/first"),
-  );
-  while (arrivals.length < CONNECTIONS) await sleep(POLL_MILLISECONDS);
+  const server = await BusyServer.start(world);
   const queued = world.call("/patient/queued", {
     headers: { "x-parts": "p,own" },
   });
-  while (world.front.requestsInProgress <= CONNECTIONS) {
-    await sleep(POLL_MILLISECONDS);
-  }
+  await server.waitForQueued(world);
   suspectPart(world, 3);
-  responses.shift()?.end("served");
+  server.answerOne();
   t.is((await queued).status, 503);
-  for (const response of responses) response.end("served");
-  await Promise.all(calls);
-  t.false(arrivals.includes("/patient/queued"));
+  await server.answerAll();
+  t.false(server.hasReceived("/patient/queued"));
 });
 
 // Guards against the end of a server that passes for the end of an answer.
