Relay: sends of resumable streams name the start of the server they are for

Cause, from the lines of these streams: engine-9 had restarted under its id with software 3 and wasn't registered yet. Nodes that took it for software 1 sent it three resumed streams; another one began there and went on at software 1. The class: a fact about one run of a server held to be one of its id.

Ruled out: origins filed wrongly or not at all (all were found, with the software that the node had read).

Change: a send of a stream that may be resumed names the start that the node knows, if servers tell starts; another one answers that it was not meant and has not run it. The users' platform gives each start an id, which sends name already, so that its wire has nothing to add and its requests are as before. The stand-ins of the soak check the start where one is named.

Two tests of software_version_test in node failed before: the stream was answered by the other start.

--- a/packages/bench/src/relay/stand_in_wire.ts
+++ b/packages/bench/src/relay/stand_in_wire.ts
@@ -49,6 +49,9 @@
 /** The name of no server, in requests that none of them may run. */
 const NO_SERVER = "none";
 
+/** Names the only start of a server that may run a request. */
+export const START_HEADER = "x-start";
+
 /** How long a server wants no requests from the node, in seconds. */
 export const RETRY_AFTER_HEADER = "x-retry-after";
 
@@ -148,6 +151,9 @@
       }
     }
     headers.push("x-server", terms.server, "x-left", String(terms.timeLeft));
+    if (terms.start !== undefined) {
+      headers.push(START_HEADER, String(terms.start));
+    }
     if (terms.account !== undefined) headers.push("x-account", terms.account);
     if (terms.resumeAfterEventId !== undefined) {
       headers.push("x-after", terms.resumeAfterEventId);
--- a/packages/bench/src/soak/relay/soak_server.ts
+++ b/packages/bench/src/soak/relay/soak_server.ts
@@ -10,6 +10,7 @@
 import {
   LEAVING_HEADER,
   RETRY_AFTER_HEADER,
+  START_HEADER,
 } from "../../relay/stand_in_wire.ts";
 import { SEND_HEADER, takeSendTimes } from "./send_times.ts";
 import { SENDER_HEADER } from "./sender_wire.ts";
@@ -101,7 +102,9 @@
     const { seed, record } = this.#parts;
     const id = request.headers.get("x-id") ?? "";
     const plan = planAnswer(seed, id, record.sendsOf(id).length);
-    const isMeant = request.headers.get("x-server") === this.id;
+    const start = request.headers.get(START_HEADER);
+    const isMeant = request.headers.get("x-server") === this.id &&
+      (start === undefined || start === String(this.#start));
     const run = isMeant ? this.begin(request) : undefined;
     const made = run === undefined ? "misdirected" : plan.kind;
     const send: SendRecord = {
--- a/packages/node/src/relay/caller_wire.ts
+++ b/packages/node/src/relay/caller_wire.ts
@@ -7,6 +7,7 @@
   ModelId,
   PromptPartId,
   RequestId,
+  ServerStart,
 } from "@foxtailwind/core";
 import type { Result } from "neverthrow";
 import type { IncomingHttpHeaders } from "node:http";
@@ -46,6 +47,8 @@
 /** What the node adds to the caller's headers in a send to a server. */
 export interface SendTerms {
   readonly server: BackendServerId;
+  /** The only start of the server that may run it, if no other may. */
+  readonly start?: ServerStart;
   /** The time left for the server to answer. */
   readonly timeLeft: Duration;
   /** The adapter version that must serve it, if the server is an engine. */
--- a/packages/node/src/relay/request_sender.ts
+++ b/packages/node/src/relay/request_sender.ts
@@ -11,6 +11,7 @@
 import { BackendCall, type CallEnd } from "./backend_call.ts";
 import { watchCall } from "./call_watch.ts";
 import { hasCallerLeft } from "./caller_departure.ts";
+import type { SendTerms } from "./caller_wire.ts";
 import type { PlacementTerms } from "./placement_finder.ts";
 import {
   mayRunAgain,
@@ -173,6 +174,7 @@
     const { account } = this.#request;
     return this.#parts.wire.sendHeaders(this.#request.message.rawHeaders, {
       server: server.id,
+      ...this.#requiredStart(server),
       timeLeft: milliseconds(Math.floor(this.#terms.deadline() - now)),
       ...(adapterVersion === undefined ? {} : { adapterVersion }),
       ...(this.#isEngine ? { urgency: this.#urgency(server, now) } : {}),
@@ -182,6 +184,15 @@
     });
   }
 
+  /**
+   * Only the known start of a server runs a stream that may be resumed: one that
+   * this node hasn't heard of may run other software.
+   */
+  #requiredStart({ start }: RegisteredServer): Pick<SendTerms, "start"> {
+    const { resumable } = this.#request.route;
+    return resumable && start !== undefined ? { start } : {};
+  }
+
   /** Records which server began a stream that may be resumed. */
   #recordOrigin(now: Instant, server: RegisteredServer): void {
     const { sendRecord } = this.#terms;
--- a/packages/node/tests/relay/streams/software_version_test.ts
+++ b/packages/node/tests/relay/streams/software_version_test.ts
@@ -5,6 +5,7 @@
   serviceId,
   softwareVersion,
 } from "@foxtailwind/core";
+import { START_HEADER } from "@foxtailwind/bench";
 import test, { type ExecutionContext } from "ava";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -12,6 +13,7 @@
 import { RelayWorld } from "../helpers/relay_world.ts";
 
 const STREAMS = 12;
+const MISDIRECTED = 421;
 const UNAVAILABLE = 503;
 const SOFTWARE_BY_SERVER = { a: "1", b: "2", c: "1", d: "2" };
 
@@ -218,6 +220,45 @@
   t.deepEqual(world.refusals, ["uncertain_stream"]);
 });
 
+// Guards against streams of two software versions because a server has restarted
+// with other software and the node hasn't heard of that.
+for (
+  const [name, headers] of [
+    ["begins", {}],
+    ["is resumed", { "x-resumes": "r1", "x-last-event": "1" }],
+  ] as const
+) {
+  test(`a stream that ${name} is run by the known start of a server only`, async (t) => {
+    const world = new RelayWorld();
+    world.configure();
+    const required: (string | string[] | undefined)[] = [];
+    await world.addServer(
+      "a",
+      (request, response) => {
+        const start = request.headers[START_HEADER];
+        required.push(start);
+        if (start === undefined || start === "2000") {
+          answerBriefly("2", request, response);
+          return;
+        }
+        const id = String(request.headers["x-id"]);
+        response.writeHead(MISDIRECTED, { "x-id": id, "x-not-run": "1" }).end();
+      },
+      PLAIN_SERVICE,
+      "1",
+    );
+    world.registerStart("a", 1_000, "1");
+    await world.start(t);
+    recordOrigin(world, "r1", "1");
+    const answer = await world.call("/resumable/a", {
+      headers: { "x-id": "again", ...headers },
+    });
+    t.is(answer.status, UNAVAILABLE);
+    t.deepEqual(softwareOf(answer.bytes), []);
+    t.deepEqual(required, ["1000"]);
+  });
+}
+
 test("a stream that breaks because its server restarts with other software isn't resumed", async (t) => {
   const world = new RelayWorld();
   world.configure();
