--- a/packages/bench/src/soak/relay/answer_checks.ts
+++ b/packages/bench/src/soak/relay/answer_checks.ts
@@ -6,7 +6,7 @@
   SendRecord,
 } from "./relay_record.ts";
 import { EVENTS, eventsOf } from "./soak_engine.ts";
-import { SOFTWARE_VERSIONS } from "./relay_script.ts";
+import { SOFTWARE_VERSIONS } from "./world_size.ts";
 import { plainBody } from "./soak_server.ts";
 
 const OK = 200;
--- a/packages/bench/src/soak/relay/crashes/part_script.ts
+++ b/packages/bench/src/soak/relay/crashes/part_script.ts
@@ -1,10 +1,7 @@
 import { Draws } from "../draws.ts";
-import type {
-  PlannedCall,
-  PlannedFault,
-  RelayScript,
-} from "../relay_script.ts";
-import { WORLD_SIZE, type WorldSize } from "../relay_script.ts";
+import type { PlannedFault } from "../relay_fault.ts";
+import type { PlannedCall, RelayScript } from "../relay_script.ts";
+import { WORLD_SIZE, type WorldSize } from "../world_size.ts";
 
 /** The part that crashes engines. */
 export const CRASHING_PART = "crashing";
--- a/packages/bench/src/soak/relay/relay_soak.ts
+++ b/packages/bench/src/soak/relay/relay_soak.ts
@@ -8,13 +8,13 @@
 import { checkRecord, mustKnow } from "./relay_checks.ts";
 import type { RelayNode } from "./relay_node.ts";
 import type { CallRecord, RelayRecord, ResumedStream } from "./relay_record.ts";
+import type { RelayFault } from "./relay_fault.ts";
 import {
   drawScript,
   type PlannedCall,
-  type RelayFault,
   type RelayScript,
-  WORLD_SIZE,
 } from "./relay_script.ts";
+import { WORLD_SIZE } from "./world_size.ts";
 import { RelayWorld } from "./relay_world.ts";
 import { SoakCaller } from "./soak_caller.ts";
 import { checkSoftware, countShares, resumedStream } from "./stream_checks.ts";
--- a/packages/bench/src/soak/relay/relay_world.ts
+++ b/packages/bench/src/soak/relay/relay_world.ts
@@ -10,11 +10,7 @@
 import { GRACE_SECONDS, type NodeParts } from "./node_parts.ts";
 import { RelayNode } from "./relay_node.ts";
 import { RelayRecord } from "./relay_record.ts";
-import {
-  SOFTWARE_VERSIONS,
-  WORLD_SIZE,
-  type WorldSize,
-} from "./relay_script.ts";
+import { SOFTWARE_VERSIONS, WORLD_SIZE, type WorldSize } from "./world_size.ts";
 import { ENGINES, PLAIN, soakConfiguration } from "./soak_configuration.ts";
 import { SoakEngine } from "./soak_engine.ts";
 import { PlainSoakServer, type SoakServer } from "./soak_server.ts";
--- a/packages/bench/src/soak/relay/soak_configuration.ts
+++ b/packages/bench/src/soak/relay/soak_configuration.ts
@@ -8,7 +8,7 @@
   serviceId,
 } from "@foxtailwind/core";
 import { standInEngineService } from "../../relay/stand_in_server.ts";
-import { WORLD_SIZE } from "./relay_script.ts";
+import { WORLD_SIZE } from "./world_size.ts";
 
 /** The service of engines. */
 export const ENGINES = serviceId("engines");
--- a/packages/bench/src/soak/relay/stream_script.ts
+++ b/packages/bench/src/soak/relay/stream_script.ts
@@ -1,12 +1,7 @@
 import { Draws } from "./draws.ts";
-import {
-  type PlannedCall,
-  type PlannedFault,
-  type RelayFault,
-  type RelayScript,
-  WORLD_SIZE,
-  type WorldSize,
-} from "./relay_script.ts";
+import type { PlannedFault, RelayFault } from "./relay_fault.ts";
+import type { PlannedCall, RelayScript } from "./relay_script.ts";
+import { WORLD_SIZE, type WorldSize } from "./world_size.ts";
 
 /** How large the world of the streams' soak is. */
 const STREAM_WORLD_SIZE: WorldSize = { nodes: 5, engines: 6, plainServers: 1 };
