--- a/packages/bench/src/soak/relay/crashes/part_script.ts
+++ b/packages/bench/src/soak/relay/crashes/part_script.ts
@@ -33,8 +33,12 @@
   const node = (): number => draws.between(0, PART_WORLD_SIZE.nodes);
   const faults: PlannedFault[] = [];
   if (draws.happens(0.6)) {
-    const fault = { kind: "several_cut", node: node(), nodes: MASS_CUT_NODES };
-    faults.push({ at: at(), fault: fault as PlannedFault["fault"] });
+    const fault = {
+      kind: "several_cut",
+      node: node(),
+      nodes: MASS_CUT_NODES,
+    } as const;
+    faults.push({ at: at(), fault });
   }
   if (draws.happens(0.4)) {
     const lasts = draws.between(500, 2_000);
