Reading again: drawing faults stood six times, comments, a name

The comments of a send's start say what another start does. A test's number of tries is what its name says.

--- a/packages/bench/src/relay/stand_in_wire.ts
+++ b/packages/bench/src/relay/stand_in_wire.ts
@@ -49,7 +49,7 @@
 /** The name of no server, in requests that none of them may run. */
 const NO_SERVER = "none";
 
-/** Names the only start of a server that may run a request. */
+/** The start of the server that must run a request. */
 export const START_HEADER = "x-start";
 
 /** How long a server wants no requests from the node, in seconds. */
--- a/packages/bench/src/soak/relay/relay_fault.ts
+++ b/packages/bench/src/soak/relay/relay_fault.ts
@@ -132,27 +132,31 @@
   return faults.toSorted((one, other) => one.at - other.at);
 }
 
+function planFaults(
+  draws: Draws,
+  count: number,
+  draw: () => RelayFault,
+): readonly PlannedFault[] {
+  return Array.from({ length: count }, () => ({
+    at: draws.between(0, FAULT_MILLISECONDS),
+    fault: draw(),
+  }));
+}
+
 function drawFaults(seed: number): readonly PlannedFault[] {
   const draws = new Draws(seed, "faults");
   const count = draws.between(FEWEST_FAULTS, MOST_FAULTS + 1);
-  const faults = Array.from({ length: count }, (): PlannedFault => ({
-    at: draws.between(0, FAULT_MILLISECONDS),
-    fault: drawFault(draws),
-  }));
-  return faults;
+  return planFaults(draws, count, () => drawFault(draws));
 }
 
 /** Some begin before the entry of the one before is there. */
 function drawRestarts(seed: number): readonly PlannedFault[] {
   const draws = new Draws(seed, "restarts");
   const count = draws.between(0, MOST_RESTARTS + 1);
-  return Array.from({ length: count }, (): PlannedFault => ({
-    at: draws.between(0, FAULT_MILLISECONDS),
-    fault: {
-      kind: "server_restarts",
-      server: draws.between(0, WORLD_SIZE.engines + WORLD_SIZE.plainServers),
-      unread: draws.between(0, MOST_UNREAD_MILLISECONDS),
-    },
+  return planFaults(draws, count, () => ({
+    kind: "server_restarts",
+    server: draws.between(0, WORLD_SIZE.engines + WORLD_SIZE.plainServers),
+    unread: draws.between(0, MOST_UNREAD_MILLISECONDS),
   }));
 }
 
@@ -160,39 +164,32 @@
 function drawAnnouncements(seed: number): readonly PlannedFault[] {
   const draws = new Draws(seed, "announcements");
   const count = draws.between(1, MOST_ANNOUNCEMENTS + 1);
-  return Array.from({ length: count }, (): PlannedFault => ({
-    at: draws.between(0, FAULT_MILLISECONDS),
-    fault: {
-      kind: "server_announces",
-      server: draws.between(0, WORLD_SIZE.engines + WORLD_SIZE.plainServers),
-      untold: draws.between(0, MOST_UNTOLD_MILLISECONDS),
-    },
+  return planFaults(draws, count, () => ({
+    kind: "server_announces",
+    server: draws.between(0, WORLD_SIZE.engines + WORLD_SIZE.plainServers),
+    untold: draws.between(0, MOST_UNTOLD_MILLISECONDS),
   }));
 }
 
 /** Software of several versions, under new ids and under known ones. */
 function drawReleases(seed: number): readonly PlannedFault[] {
   const draws = new Draws(seed, "releases");
-  const releases = Array.from(
-    { length: draws.between(1, MOST_RELEASES + 1) },
-    (): PlannedFault => ({
-      at: draws.between(0, FAULT_MILLISECONDS),
-      fault: {
-        kind: "release",
-        engines: draws.between(1, WORLD_SIZE.engines),
-        pause: draws.between(0, MOST_RELEASE_PAUSE_MILLISECONDS),
-      },
+  const releases = planFaults(
+    draws,
+    draws.between(1, MOST_RELEASES + 1),
+    () => ({
+      kind: "release",
+      engines: draws.between(1, WORLD_SIZE.engines),
+      pause: draws.between(0, MOST_RELEASE_PAUSE_MILLISECONDS),
     }),
   );
-  const upgrades = Array.from(
-    { length: draws.between(0, MOST_UPGRADES + 1) },
-    (): PlannedFault => ({
-      at: draws.between(0, FAULT_MILLISECONDS),
-      fault: {
-        kind: "engine_upgrades",
-        engine: draws.between(0, WORLD_SIZE.engines),
-        unread: draws.between(0, MOST_UNREAD_MILLISECONDS),
-      },
+  const upgrades = planFaults(
+    draws,
+    draws.between(0, MOST_UPGRADES + 1),
+    () => ({
+      kind: "engine_upgrades",
+      engine: draws.between(0, WORLD_SIZE.engines),
+      unread: draws.between(0, MOST_UNREAD_MILLISECONDS),
     }),
   );
   return [...releases, ...upgrades];
@@ -201,30 +198,21 @@
 /** All nodes but one are cut off at the same moment. */
 function drawMassCuts(seed: number): readonly PlannedFault[] {
   const draws = new Draws(seed, "mass cuts");
-  return Array.from(
-    { length: draws.between(0, MOST_MASS_CUTS + 1) },
-    (): PlannedFault => ({
-      at: draws.between(0, FAULT_MILLISECONDS),
-      fault: {
-        kind: "several_cut",
-        node: draws.between(0, WORLD_SIZE.nodes),
-        nodes: WORLD_SIZE.nodes - 1,
-      },
-    }),
-  );
+  return planFaults(draws, draws.between(0, MOST_MASS_CUTS + 1), () => ({
+    kind: "several_cut",
+    node: draws.between(0, WORLD_SIZE.nodes),
+    nodes: WORLD_SIZE.nodes - 1,
+  }));
 }
 
 /** Nodes that reach no server, at times several at once. */
 function drawLostServers(seed: number): readonly PlannedFault[] {
   const draws = new Draws(seed, "lost servers");
   const count = draws.between(1, MOST_LOST_SERVERS + 1);
-  return Array.from({ length: count }, (): PlannedFault => ({
-    at: draws.between(0, FAULT_MILLISECONDS),
-    fault: {
-      kind: "loses_servers",
-      node: draws.between(0, WORLD_SIZE.nodes),
-      lasts: draws.between(1_500, MOST_LOST_MILLISECONDS),
-    },
+  return planFaults(draws, count, () => ({
+    kind: "loses_servers",
+    node: draws.between(0, WORLD_SIZE.nodes),
+    lasts: draws.between(1_500, MOST_LOST_MILLISECONDS),
   }));
 }
 
--- a/packages/node/src/relay/caller_wire.ts
+++ b/packages/node/src/relay/caller_wire.ts
@@ -47,7 +47,7 @@
 /** What the node adds to the caller's headers in a send to a server. */
 export interface SendTerms {
   readonly server: BackendServerId;
-  /** The only start of the server that may run it, if no other may. */
+  /** The start of the server that must run it; another one rejects it. */
   readonly start?: ServerStart;
   /** The time left for the server to answer. */
   readonly timeLeft: Duration;
--- a/packages/node/src/relay/crashes/crash_reports.ts
+++ b/packages/node/src/relay/crashes/crash_reports.ts
@@ -194,8 +194,8 @@
     if (time === undefined) return;
     const brokeAt = this.#parts.clock.now();
     const suspicions = createSuspicions(call.server, content.suspects, time);
-    // Parts count once the suspicions are settled: a node that loses connections
-    // to servers that still run would else hold that against all parts.
+    // Parts are suspected only once it is known that the server has ended:
+    // lost connections to servers that still run would count against all parts.
     for (const one of suspicions) {
       const isWhole = one.partPosition === undefined;
       if (isWhole) this.#quarantine.addSuspicion(brokeAt, one);
--- a/packages/node/tests/relay/streams/stream_directory_test.ts
+++ b/packages/node/tests/relay/streams/stream_directory_test.ts
@@ -30,7 +30,7 @@
 /** After it, a peer that nothing was heard of doesn't count as present. */
 const SILENCE_MILLISECONDS = 2_000;
 /** Tries to find what began a stream. */
-const MOST_TRIES = 100;
+const MAXIMUM_TRIES = 100;
 
 /** A node with what it knows of streams, and the service that peers call. */
 class StreamNode {
@@ -131,7 +131,7 @@
 
 /** Asks until a peer answers; on a busy machine, the first call may time out. */
 async function findUntilAnswered(node: StreamNode): Promise<OriginLookup> {
-  for (let tries = 1; tries < MOST_TRIES; tries += 1) {
+  for (let tries = 0; tries < MAXIMUM_TRIES; tries += 1) {
     const lookup = await node.find();
     if (lookup.kind !== "unknown") return lookup;
     await sleep(POLL_MILLISECONDS);
