Relay: nodes tell from where they heard of a server's change, and how old their registry is

The record of a late departure can't tell whether a node heard of it late, from whom, or not at all. No decision uses the proof yet.

--- a/packages/bench/src/soak/relay/soak_store.ts
+++ b/packages/bench/src/soak/relay/soak_store.ts
@@ -187,6 +187,12 @@
     this.next.registryListed(...news);
   }
 
+  override registryRead(
+    ...news: Parameters<SharedLogListener["registryRead"]>
+  ): void {
+    this.next.registryRead(...news);
+  }
+
   override claim(...news: Parameters<SharedLogListener["claim"]>): void {
     this.next.claim(...news);
   }
@@ -237,6 +243,10 @@
     if (this.#log.isReachable) super.operatorsRead(begunAt);
   }
 
+  override registryRead(begunAt: Instant): void {
+    if (this.#log.isReachable) super.registryRead(begunAt);
+  }
+
   override caughtUp(): void {
     if (this.#log.isReachable) super.caughtUp();
     else this.next.callFailed(FAILURE);
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -31,7 +31,8 @@
   type PeerProof,
 } from "./accounts/configuration_proofs.ts";
 import { PeerTable } from "./peer_table.ts";
-import { logRestart, logServerChange } from "./registry_logging.ts";
+import { logRestart, logServerChange } from "./registry/registry_logging.ts";
+import { RegistryProofs } from "./registry/registry_proofs.ts";
 import type { RelaySettings } from "./relay_settings.ts";
 import { ServerDepartures } from "./server_departures.ts";
 import { ServersByService } from "./servers_by_service.ts";
@@ -65,6 +66,9 @@
   readonly logger: ComponentLogger;
 }
 
+/** Where a change of the registry came from. */
+export type RegistrySource = "log" | "peer";
+
 /** The part of {@link ServingNodes} that {@link Knowledge} uses. */
 export type ServingView = Pick<
   ServingNodes,
@@ -91,6 +95,8 @@
   readonly workCounts = new WorkCounts();
   readonly claims: EngineClaims;
   readonly proofs: ConfigurationProofs;
+  /** The proofs that this node has the whole registry of servers. */
+  readonly registryProofs: RegistryProofs;
   readonly revokedKeys = new RevokedKeys();
   readonly #parts: KnowledgeParts;
   #routes: RouteTable | undefined;
@@ -111,6 +117,7 @@
     super();
     this.#parts = parts;
     this.proofs = new ConfigurationProofs(parts.clock);
+    this.registryProofs = new RegistryProofs(parts.clock);
     this.departures = new ServerDepartures(this.registry, parts.logger);
     this.suspicionTracker = new SuspicionTracker(parts);
     const { settings, incarnation } = parts;
@@ -250,6 +257,22 @@
   }
 
   override registryEntry(entry: RegistryEntry): void {
+    this.#applyEntry(entry, "log");
+  }
+
+  /**
+   * Applies entries of the registry that a peer has passed on.
+   * @param entries The entries.
+   */
+  applyPeerEntries(entries: readonly RegistryEntry[]): void {
+    for (const entry of entries) this.#applyEntry(entry, "peer");
+  }
+
+  override registryRead(begunAt: Instant): void {
+    this.registryProofs.recordRead(begunAt);
+  }
+
+  #applyEntry(entry: RegistryEntry, source: RegistrySource): void {
     const before = this.registry.revision;
     const id = entry.kind === "gone" ? entry.id : entry.server.id;
     const known = this.registry.find(id);
@@ -259,7 +282,11 @@
     this.departures.recordEntry(entry, outcome);
     if (this.registry.revision === before) return;
     this.#recordSoftware(this.registry.find(id) ?? known);
-    logServerChange(this.#parts.logger, entry, known);
+    logServerChange(this.#parts.logger, entry, {
+      known,
+      source,
+      age: this.registryProofs.age,
+    });
     this.onChange();
   }
 
--- a/packages/node/src/relay/knowledge_message.ts
+++ b/packages/node/src/relay/knowledge_message.ts
@@ -71,7 +71,7 @@
   const entries = message.registry === ""
     ? []
     : JSON.parse(message.registry) as SerializedEntry[];
-  for (const entry of entries) knowledge.registryEntry(deserializeEntry(entry));
+  knowledge.applyPeerEntries(entries.map(deserializeEntry));
   const versions = JSON.parse(message.versions) as [string, number][];
   for (const [key, version] of versions) {
     const [model = "", adapter = ""] = key.split("/");
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -198,6 +198,7 @@
         knowledge.suspicionTracker.quarantine.quarantinedContents(clock.now())
           .size,
       serversLimited: () => this.#parts.limits.limitedRunCount,
+      registryAge: () => knowledge.registryProofs.age,
       work: () => knowledge.workCounts.counts,
     });
     this.#operations = new OperationsServer(platform.operations, {
--- a/packages/node/src/relay/relay_metrics.ts
+++ b/packages/node/src/relay/relay_metrics.ts
@@ -35,6 +35,8 @@
   readonly isActive: () => number;
   readonly contentsRefused: () => number;
   readonly serversLimited: () => number;
+  /** How old the node's registry of servers is, if it ever had the whole. */
+  readonly registryAge: () => Duration | undefined;
   readonly work: () => ReadonlyMap<WorkKind, number>;
 }
 
@@ -123,6 +125,14 @@
       "Servers that name a limit of requests a second.",
       gauges.serversLimited,
     );
+    this.#addGauge(
+      "foxtailwind_registry_age_seconds",
+      "Since the node certainly had the whole registry of servers; -1 if never.",
+      () => {
+        const age = gauges.registryAge();
+        return age === undefined ? -1 : age / MILLISECONDS_PER_SECOND;
+      },
+    );
     this.#addWorkCounter(gauges.work);
   }
 
--- a/packages/node/src/relay/shared_log.ts
+++ b/packages/node/src/relay/shared_log.ts
@@ -79,8 +79,9 @@
    */
   abstract operatorsTold(end: LogOffset): void;
   /**
-   * A read of the operators' records begins.
-   * @returns The present time, to be passed to {@link operatorsRead}.
+   * A read of the operators' records or of the registry begins.
+   * @returns The present time, to be passed to {@link operatorsRead} or
+   * {@link registryRead}.
    */
   abstract beginRead(): Instant;
   /**
@@ -95,6 +96,11 @@
     entries: readonly RegistryEntry[],
     end: LogOffset,
   ): void;
+  /**
+   * All entries of the registry that the log acknowledged before a read began
+   * have been delivered.
+   */
+  abstract registryRead(begunAt: Instant): void;
   /** A claim of an engine's ownership. */
   abstract claim(claim: ClaimRecord, offset: LogOffset): void;
   /** A node that has started. */
--- a/packages/node/tests/relay/relay_metrics_test.ts
+++ b/packages/node/tests/relay/relay_metrics_test.ts
@@ -11,6 +11,7 @@
   isActive: () => 0,
   contentsRefused: () => 0,
   serversLimited: () => 0,
+  registryAge: () => undefined,
 };
 
 test("skipped records are counted by topic and reason", async (t) => {
