Tests: departures while the nodes that watch the registry read nothing, known to fail

A cluster of 16 nodes whose store delivers entries of the registry only to the nodes that read them, as on the platform. No node hears of a departure within 3 s while the two that read often get no answers; all do after 5.5 s, by their own listings.

--- a/packages/bench/src/relay/relay_cluster.ts
+++ b/packages/bench/src/relay/relay_cluster.ts
@@ -41,6 +41,9 @@
 /** How long an engine is down after a request crashed it. */
 const ENGINE_DOWNTIME_MILLISECONDS = 500;
 
+/** The verbosity at which events of normal operation are logged. */
+const INFORMATION_LEVEL = 3;
+
 /** The first start of every server, in Unix milliseconds. */
 const INITIAL_START = serverStart(1_700_000_000_000);
 /** The time between two starts of a server, by its own clock. */
@@ -73,6 +76,13 @@
    * first nodes may claim all engines before the others have started.
    */
   readonly registersServersLast?: boolean;
+  /**
+   * Whether nodes receive registry entries only when they read them, as in a
+   * large cluster.
+   */
+  readonly pacesRegistryReads?: boolean;
+  /** Receives the nodes' log lines. */
+  readonly onLogLine?: (node: string, line: string) => void;
 }
 
 /** What a caller of a stream does. */
@@ -127,6 +137,7 @@
    */
   static async start(size: RelayClusterSize): Promise<RelayCluster> {
     const cluster = new RelayCluster(size);
+    cluster.store.pacesRegistryReads = size.pacesRegistryReads === true;
     cluster.store.configure(standInConfiguration(1, size.slots));
     await cluster.#startServers();
     const isLast = size.registersServersLast === true;
@@ -164,7 +175,7 @@
       wire: new StandInWire(),
       control,
       operations: new StandInOperations(),
-    }, new LoggerFactory("json", 0, () => undefined));
+    }, this.#createLoggers(id));
     await daemon.start();
     this.#links.set(daemon, links);
     this.daemons.push(daemon);
@@ -408,6 +419,15 @@
     });
   }
 
+  #createLoggers(node: string): LoggerFactory {
+    const { onLogLine } = this.#size;
+    return onLogLine === undefined
+      ? new LoggerFactory("json", 0, () => undefined)
+      : new LoggerFactory("json", INFORMATION_LEVEL, (line) => {
+        onLogLine(node, line);
+      });
+  }
+
   #addServer(server: StandInServer): void {
     this.#servers.set(server.id, server);
   }
--- a/packages/bench/src/relay/stand_in_log.ts
+++ b/packages/bench/src/relay/stand_in_log.ts
@@ -1,15 +1,20 @@
 import {
   backendServerId,
   type CrashSuspicion,
+  elapsed,
   type Failure,
+  hasManyReaders,
   logOffset,
+  milliseconds,
   type RegisteredServer,
   type RelayConfiguration,
+  scaledPause,
   suspectedRunKey,
 } from "@foxtailwind/core";
 import {
   type ClaimRecord,
   type NodeRecord,
+  ProcessClock,
   SharedLog,
   type SharedLogListener,
   type SuspicionChange,
@@ -40,6 +45,11 @@
   #operatorsOffset = 0;
   /** Whether calls are answered and changes are delivered. */
   isUp = true;
+  /**
+   * Whether nodes receive registry entries only when they read them, which few
+   * nodes of a large cluster do often.
+   */
+  pacesRegistryReads = false;
 
   /** The claims, in the order of the log. */
   get claims(): readonly ClaimRecord[] {
@@ -69,7 +79,7 @@
     this.#servers.set(server.id, entry);
     this.#registryOffset += 1;
     const offset = logOffset(this.#registryOffset);
-    this.#publish((listener, log) => {
+    this.#publishEntry((listener, log) => {
       const seen = log.viewServer(entry);
       listener.registryEntry({ kind: "present", offset, server: seen });
     });
@@ -83,7 +93,7 @@
     this.#servers.delete(id);
     this.#registryOffset += 1;
     const offset = logOffset(this.#registryOffset);
-    this.#publish((listener) => {
+    this.#publishEntry((listener) => {
       listener.registryEntry({
         kind: "gone",
         offset,
@@ -167,6 +177,10 @@
     this.#logs.delete(log);
   }
 
+  #publishEntry(notify: Notification): void {
+    for (const log of this.#logs) log.deliverEntry(notify);
+  }
+
   #publish(notify: Notification): void {
     for (const log of this.#logs) log.deliver(notify);
   }
@@ -174,12 +188,22 @@
 
 /** The interval between two checks whether the store is up. */
 const POLL_MILLISECONDS = 100;
+/** The interval between two checks whether to read the registry. */
+const REGISTRY_POLL_MILLISECONDS = 20;
+/** The interval between two reads of the registry by a node that watches it. */
+const WATCHER_PAUSE = milliseconds(650);
+/** The same of the other nodes, in a cluster of twelve. */
+const OTHER_READERS_PAUSE = milliseconds(4_000);
 
 /** One node's view of the stand-in store. */
 export class StandInLog extends SharedLog {
   readonly #store: StandInStore;
   /** Notifications held back while the store was down or the log silent. */
   readonly #heldBack: Notification[] = [];
+  readonly #unreadEntries: Notification[] = [];
+  readonly #clock = new ProcessClock();
+  #registryReadAt = this.#clock.now();
+  #registryTimer: NodeJS.Timeout | undefined;
   #listener: SharedLogListener | undefined;
   #timer: NodeJS.Timeout | undefined;
   /** Whether notifications are held back although calls are answered. */
@@ -197,7 +221,9 @@
   override start(listener: SharedLogListener): void {
     this.#listener = listener;
     this.#store.attach(this, listener);
-    listener.operatorsRead(listener.beginRead());
+    const begunAt = listener.beginRead();
+    listener.operatorsRead(begunAt);
+    listener.registryRead(begunAt);
     listener.caughtUp();
     this.#timer = setInterval(() => {
       if (!this.#store.isUp) {
@@ -205,9 +231,12 @@
         return;
       }
       this.#deliverHeldBack(listener);
-      if (!this.isSilent) listener.operatorsRead(listener.beginRead());
+      if (!this.isSilent) this.#reportReads(listener);
       listener.caughtUp();
     }, POLL_MILLISECONDS);
+    this.#registryTimer = setInterval(() => {
+      if (this.#isRegistryReadDue(listener)) this.readRegistry();
+    }, REGISTRY_POLL_MILLISECONDS);
   }
 
   override claim(
@@ -226,6 +255,21 @@
   /** Does nothing, since the log is read often. */
   override readOperators(): void {}
 
+  /** Whether this node reads the registry on behalf of others. */
+  get isWatcher(): boolean {
+    return this.#listener?.isWatcher === true;
+  }
+
+  /** Reads the registry now. */
+  readRegistry(): void {
+    const listener = this.#listener;
+    if (listener === undefined || !this.#store.isUp || this.isSilent) return;
+    this.#registryReadAt = this.#clock.now();
+    const begunAt = listener.beginRead();
+    for (const notify of this.#unreadEntries.splice(0)) notify(listener, this);
+    listener.registryRead(begunAt);
+  }
+
   /** Does nothing, since claims are delivered as they are added. */
   override catchUpSoon(): void {}
 
@@ -245,6 +289,7 @@
 
   override stop(): void {
     clearInterval(this.#timer);
+    clearInterval(this.#registryTimer);
     this.#store.detach(this);
     this.#listener = undefined;
   }
@@ -259,6 +304,31 @@
     else if (this.#listener !== undefined) notify(this.#listener, this);
   }
 
+  /**
+   * Passes an entry of the registry to the listener, or holds it back until the
+   * node reads the registry.
+   * @param notify Calls the listener.
+   */
+  deliverEntry(notify: Notification): void {
+    if (this.#store.pacesRegistryReads) this.#unreadEntries.push(notify);
+    else this.deliver(notify);
+  }
+
+  #reportReads(listener: SharedLogListener): void {
+    const begunAt = listener.beginRead();
+    listener.operatorsRead(begunAt);
+    if (!this.#store.pacesRegistryReads) listener.registryRead(begunAt);
+  }
+
+  #isRegistryReadDue({ isWatcher, readerCount }: SharedLogListener): boolean {
+    if (!this.#store.pacesRegistryReads) return false;
+    const isNotified = !isWatcher && hasManyReaders(readerCount);
+    const pause = isNotified
+      ? scaledPause(OTHER_READERS_PAUSE, readerCount)
+      : WATCHER_PAUSE;
+    return elapsed(this.#registryReadAt, this.#clock.now()) >= pause;
+  }
+
   #deliverHeldBack(listener: SharedLogListener): void {
     if (this.isSilent) return;
     for (const notify of this.#heldBack.splice(0)) notify(listener, this);
