Relay: positions in the log have an era, and what an older copy lacks is written again

What callers saw: requests reached a server 2,206 and 2,298 ms after the store had acknowledged that it leaves; 2,000 ms are allowed.

Cause: after the store had come back from an older copy, reads went on at an offset that it did not have yet. They succeeded and were empty, and the records at the offsets that were given out again were never read. The class: a position that another gives out, used as if it only rose; registry entries, claims, fencing numbers and proofs compared it too.

--- a/packages/bench/src/relay/stand_in_log.ts
+++ b/packages/bench/src/relay/stand_in_log.ts
@@ -4,7 +4,8 @@
   elapsed,
   type Failure,
   hasManyReaders,
-  logOffset,
+  type LogOffset,
+  logPosition,
   milliseconds,
   type RegisteredServer,
   type RelayConfiguration,
@@ -33,16 +34,34 @@
 /** Passes a record of the store to a node's listener. */
 type Notification = (listener: SharedLogListener, log: StandInLog) => void;
 
+/** A server's entry, and its offset. */
+interface StoredServer {
+  readonly server: RegisteredServer;
+  readonly offset: number;
+}
+
+/** A copy of what the store holds, to which it may come back. */
+export interface StoreCopy {
+  readonly servers: readonly (readonly [string, StoredServer])[];
+  readonly claims: readonly ClaimRecord[];
+  readonly nodes: readonly NodeRecord[];
+  readonly suspicions: readonly (readonly [string, CrashSuspicion])[];
+  readonly configuration: RelayConfiguration | undefined;
+  readonly registryOffset: number;
+  readonly operatorsOffset: number;
+}
+
 /** The contents of the platform's store, shared by the nodes of a process. */
 export class StandInStore {
   readonly #logs = new Set<StandInLog>();
-  readonly #servers = new Map<string, RegisteredServer>();
-  readonly #claims: ClaimRecord[] = [];
-  readonly #nodes: NodeRecord[] = [];
-  readonly #suspicions = new Map<string, CrashSuspicion>();
+  #servers = new Map<string, StoredServer>();
+  #claims: ClaimRecord[] = [];
+  #nodes: NodeRecord[] = [];
+  #suspicions = new Map<string, CrashSuspicion>();
   #configuration: RelayConfiguration | undefined;
   #registryOffset = 0;
   #operatorsOffset = 0;
+  #era = 0;
   /** Whether calls are answered and changes are delivered. */
   isUp = true;
   /**
@@ -63,7 +82,7 @@
   configure(configuration: RelayConfiguration): void {
     this.#configuration = configuration;
     this.#operatorsOffset += 1;
-    const end = logOffset(this.#operatorsOffset);
+    const end = this.#position(this.#operatorsOffset);
     this.#publish((listener) => {
       listener.configuration(configuration);
       listener.operatorsTold(end);
@@ -76,9 +95,12 @@
    */
   register(server: StandInServer): void {
     const entry = standInRegistryEntry(server);
-    this.#servers.set(server.id, entry);
     this.#registryOffset += 1;
-    const offset = logOffset(this.#registryOffset);
+    const offset = this.#position(this.#registryOffset);
+    this.#servers.set(server.id, {
+      server: entry,
+      offset: this.#registryOffset,
+    });
     this.#publishEntry((listener, log) => {
       const seen = log.viewServer(entry);
       listener.registryEntry({ kind: "present", offset, server: seen });
@@ -92,7 +114,7 @@
   unregister(id: string): void {
     this.#servers.delete(id);
     this.#registryOffset += 1;
-    const offset = logOffset(this.#registryOffset);
+    const offset = this.#position(this.#registryOffset);
     this.#publishEntry((listener) => {
       listener.registryEntry({
         kind: "gone",
@@ -110,7 +132,7 @@
   appendClaims(claims: readonly ClaimRecord[]): void {
     for (const claim of claims) {
       this.#claims.push(claim);
-      const offset = logOffset(this.#claims.length - 1);
+      const offset = this.#position(this.#claims.length - 1);
       this.#publish((listener) => {
         listener.claim(claim, offset);
       });
@@ -153,20 +175,72 @@
    */
   attach(log: StandInLog, listener: SharedLogListener): void {
     this.#logs.add(log);
+    this.#list(log, listener);
+    listener.suspicionsListed([...this.#suspicions.values()]);
+  }
+
+  /**
+   * Copies what the store holds.
+   * @returns The copy.
+   */
+  copy(): StoreCopy {
+    return {
+      servers: [...this.#servers],
+      claims: [...this.#claims],
+      nodes: [...this.#nodes],
+      suspicions: [...this.#suspicions],
+      configuration: this.#configuration,
+      registryOffset: this.#registryOffset,
+      operatorsOffset: this.#operatorsOffset,
+    };
+  }
+
+  /**
+   * Goes back to an older copy: what was written since is lost, and its offsets
+   * are given out again.
+   * @param copy The copy.
+   */
+  restore(copy: StoreCopy): void {
+    this.#servers = new Map(copy.servers);
+    this.#claims = [...copy.claims];
+    this.#nodes = [...copy.nodes];
+    this.#suspicions = new Map(copy.suspicions);
+    this.#configuration = copy.configuration;
+    this.#registryOffset = copy.registryOffset;
+    this.#operatorsOffset = copy.operatorsOffset;
+    this.#era += 1;
+    const era = this.#era;
+    this.#publish((listener, log) => {
+      this.#list(log, listener);
+      for (const suspicion of this.#suspicions.values()) {
+        listener.suspicion({ kind: "added", suspicion });
+      }
+      listener.logRestored(era);
+    });
+  }
+
+  #list(log: StandInLog, listener: SharedLogListener): void {
     if (this.#configuration !== undefined) {
       listener.configuration(this.#configuration);
     }
-    listener.operatorsTold(logOffset(this.#operatorsOffset));
-    const offset = logOffset(this.#registryOffset);
-    const entries = [...this.#servers.values()].map((server) =>
-      ({ kind: "present", offset, server: log.viewServer(server) }) as const
+    listener.operatorsTold(this.#position(this.#operatorsOffset));
+    const entries = [...this.#servers.values()].map(({ server, offset }) =>
+      ({
+        kind: "present",
+        offset: this.#position(offset),
+        server: log.viewServer(server),
+      }) as const
     );
-    listener.registryListed(entries, offset);
+    // The end is the offset after the last record.
+    listener.registryListed(entries, this.#position(this.#registryOffset + 1));
     for (const [index, claim] of this.#claims.entries()) {
-      listener.claim(claim, logOffset(index));
+      listener.claim(claim, this.#position(index));
     }
     for (const node of this.#nodes) listener.node(node);
-    listener.suspicionsListed([...this.#suspicions.values()]);
+  }
+
+  #position(offset: number): LogOffset {
+    return logPosition(this.#era, offset);
   }
 
   /**
--- a/packages/bench/src/soak/relay/soak_store.ts
+++ b/packages/bench/src/soak/relay/soak_store.ts
@@ -219,6 +219,12 @@
     this.next.recordSkipped(...news);
   }
 
+  override logRestored(
+    ...news: Parameters<SharedLogListener["logRestored"]>
+  ): void {
+    this.next.logRestored(...news);
+  }
+
   override caughtUp(): void {
     this.next.caughtUp();
   }
--- a/packages/core/src/relay/engine_claims.ts
+++ b/packages/core/src/relay/engine_claims.ts
@@ -11,6 +11,7 @@
   type NodeId,
   rendezvousChoice,
 } from "../shared/mod.ts";
+import { eraOf, type LogEra } from "./log_position.ts";
 
 /** The newest claim to one engine in the log. */
 export interface EngineClaim {
@@ -50,6 +51,8 @@
   readonly candidates: readonly NodeId[];
   /** Nodes that have announced that they stop, and send no more orders. */
   readonly stoppedNodes: ReadonlySet<NodeId>;
+  /** The engines that other nodes have lately said they own. */
+  readonly enginesOfPeers: ReadonlySet<BackendServerId>;
 }
 
 /** The identity of a node in claims. */
@@ -83,6 +86,7 @@
   readonly #self: Claimant;
   readonly #takeoverWait: Duration;
   readonly #claims = new Map<BackendServerId, EngineClaim>();
+  #era: LogEra = 0;
   readonly #refusedFences = new Map<BackendServerId, FencingNumber>();
 
   /**
@@ -95,6 +99,15 @@
     this.#takeoverWait = takeoverWait;
   }
 
+  /**
+   * Records that the log has come back from an older copy. Claims stand, but
+   * their owners have to write those again that the copy lacks.
+   * @param era The era of the copy.
+   */
+  recordRestore(era: LogEra): void {
+    this.#era = Math.max(era, this.#era);
+  }
+
   /**
    * Applies a claim from the log.
    * @param claim The claim.
@@ -146,8 +159,9 @@
    */
   enginesToClaim(now: Instant, view: ClusterView): readonly BackendServerId[] {
     return view.engines.filter((engine) =>
+      this.#isLostOwn(engine) ||
       this.#isClaimable(now, engine, view) &&
-      rendezvousChoice(engine, view.candidates) === this.#self.id
+        rendezvousChoice(engine, view.candidates) === this.#self.id
     );
   }
 
@@ -173,28 +187,31 @@
   }
 
   /**
-   * Lists the engines that an earlier run of this node owned and that no other
-   * node has claimed since.
+   * Lists the engines that this node may claim without waiting for news from
+   * others: those that an earlier run of it owned and that no other node has
+   * claimed since, and those whose claim the log may have lost.
    * @param engines The engines that are present.
-   * @returns The engines, which may be claimed without waiting for news from
-   * others.
+   * @returns The engines.
    */
   enginesToReclaim(
     engines: readonly BackendServerId[],
   ): readonly BackendServerId[] {
     return engines.filter((engine) => {
       const claim = this.#claims.get(engine);
-      return claim?.owner === this.#self.id && !this.#isOwn(claim);
+      return claim?.owner === this.#self.id &&
+        (!this.#isOwn(claim) || this.#isLostOwn(engine));
     });
   }
 
   #isClaimable(
     now: Instant,
     engine: BackendServerId,
-    { nodes, stoppedNodes: left }: ClusterView,
+    view: ClusterView,
   ): boolean {
+    const { nodes, stoppedNodes: left } = view;
     const claim = this.#claims.get(engine);
-    if (claim === undefined) return true;
+    // The log may have lost the claim of a node that goes on.
+    if (claim === undefined) return !view.enginesOfPeers.has(engine);
     if (claim.owner === this.#self.id) {
       return !this.#isOwn(claim) || this.orderPermission(engine) === undefined;
     }
@@ -203,6 +220,13 @@
     return elapsed(claim.seenAt, now) >= MINIMUM_TENURE;
   }
 
+  /** Tells whether the log may have lost this node's claim of an engine. */
+  #isLostOwn(engine: BackendServerId): boolean {
+    const claim = this.#claims.get(engine);
+    return claim !== undefined && this.#isOwn(claim) &&
+      eraOf(claim.offset) < this.#era;
+  }
+
   #isOwn(claim: EngineClaim): boolean {
     return claim.owner === this.#self.id &&
       claim.incarnation === this.#self.incarnation;
--- a/packages/core/src/relay/mod.ts
+++ b/packages/core/src/relay/mod.ts
@@ -14,6 +14,7 @@
 export * from "./exchange_partners.ts";
 export * from "./unanswered_loads.ts";
 export * from "./server_rate_limits.ts";
+export * from "./log_position.ts";
 export * from "./log_read_pacing.ts";
 export * from "./prefill_time_model.ts";
 export * from "./prefill_queue.ts";
--- a/packages/core/src/relay/server_registry.ts
+++ b/packages/core/src/relay/server_registry.ts
@@ -7,6 +7,7 @@
   milliseconds,
   type ServerStart,
 } from "../shared/mod.ts";
+import { eraOf, type LogEra } from "./log_position.ts";
 import { RecentKeys } from "./recent_keys.ts";
 import {
   isRoutingEquivalent,
@@ -72,6 +73,12 @@
 export class ServerRegistry {
   readonly #known = new Map<BackendServerId, KnownServer>();
   readonly #gone = new Map<BackendServerId, LogOffset>();
+  /**
+   * Removed servers that the log has named in a later era, and where. An older
+   * copy of the log names servers that have left since.
+   */
+  readonly #renamed = new Map<BackendServerId, LogOffset>();
+  #era: LogEra | undefined;
   readonly #starts = new StartHistory();
   /**
    * Starts of servers that have announced that they leave. Older entries of
@@ -199,7 +206,7 @@
     const { server, offset } = entry;
     const { id } = server;
     const newest = this.#known.get(id)?.offset ?? this.#gone.get(id) ?? -1;
-    if (offset < newest) {
+    if (offset < newest || this.#isOfOlderCopy(id, offset)) {
       this.#starts.recordOlderEntry(id, server.start);
       if (server.leaving) this.#markLeaving(server);
       return "older";
@@ -221,6 +228,7 @@
     entries: readonly RegistryEntry[],
     end: LogOffset,
   ): readonly EntryOutcome[] {
+    this.#enterEra(now, eraOf(end));
     const listed = new Set<BackendServerId>();
     const outcomes = entries.map((entry) => {
       if (entry.kind === "present") listed.add(entry.server.id);
@@ -283,6 +291,32 @@
     }
   }
 
+  /**
+   * Begins an era of the log. Servers that are missing from the older copy may
+   * be alive, and write their entries again soon.
+   */
+  #enterEra(now: Instant, era: LogEra): void {
+    if (this.#era !== undefined && era > this.#era) this.#storeFailedAt = now;
+    this.#era = Math.max(era, this.#era ?? era);
+  }
+
+  /**
+   * Checks whether an entry of a removed server may be that of an older copy of
+   * the log: the server writes on if it is alive.
+   */
+  #isOfOlderCopy(id: BackendServerId, offset: LogOffset): boolean {
+    const removedAt = this.#gone.get(id);
+    if (removedAt === undefined || eraOf(removedAt) >= eraOf(offset)) {
+      return false;
+    }
+    const first = this.#renamed.get(id);
+    if (first !== undefined && eraOf(first) === eraOf(offset)) {
+      return offset <= first;
+    }
+    this.#renamed.set(id, offset);
+    return true;
+  }
+
   #setServer(update: RegisteredServer, offset: LogOffset): void {
     const { id } = update;
     const start = this.#starts.latest(id);
@@ -298,6 +332,7 @@
       this.#recordChange(id);
     }
     this.#gone.delete(id);
+    this.#renamed.delete(id);
     this.#known.set(id, { offset, server });
     this.#revision += 1;
   }
@@ -369,6 +404,7 @@
     for (const oldest of this.#gone.keys()) {
       if (this.#gone.size <= MAXIMUM_GONE_SERVERS) break;
       this.#gone.delete(oldest);
+      this.#renamed.delete(oldest);
       this.#changeCounts.delete(oldest);
     }
     return true;
--- a/packages/core/tests/relay/engine_claims_test.ts
+++ b/packages/core/tests/relay/engine_claims_test.ts
@@ -1,9 +1,11 @@
 import {
+  type BackendServerId,
   backendServerId,
   type ClusterView,
   EngineClaims,
   instant,
   logOffset,
+  logPosition,
   milliseconds,
   type NodeId,
   nodeId,
@@ -38,6 +40,8 @@
   };
 }
 
+const NO_ENGINES: ReadonlySet<BackendServerId> = new Set();
+
 test("exactly one of the present nodes claims an unclaimed engine", (t) => {
   const claiming = NODES.filter((node) =>
     claims(node).enginesToClaim(instant(0), {
@@ -45,6 +49,7 @@
       nodes: NODES,
       candidates: NODES,
       stoppedNodes: NOBODY,
+      enginesOfPeers: NO_ENGINES,
     })
       .length > 0
   );
@@ -82,6 +87,7 @@
     nodes: NODES,
     candidates: NODES,
     stoppedNodes: NOBODY,
+    enginesOfPeers: NO_ENGINES,
   };
   t.deepEqual(restarted.enginesToClaim(instant(0), view), [ENGINE]);
 });
@@ -106,6 +112,7 @@
     nodes: others,
     candidates: others,
     stoppedNodes: NOBODY,
+    enginesOfPeers: NO_ENGINES,
   };
   t.deepEqual(second.enginesToClaim(instant(6_000), view), []);
   t.deepEqual(second.enginesToClaim(instant(7_000), view), [ENGINE]);
@@ -115,6 +122,7 @@
       nodes: NODES,
       candidates: NODES,
       stoppedNodes: NOBODY,
+      enginesOfPeers: NO_ENGINES,
     }),
     [],
   );
@@ -131,6 +139,7 @@
       nodes,
       candidates: nodes,
       stoppedNodes: left,
+      enginesOfPeers: NO_ENGINES,
     }),
     [ENGINE],
   );
@@ -154,6 +163,7 @@
     nodes: NODES,
     candidates: NODES.filter((node) => node !== FIRST),
     stoppedNodes: NOBODY,
+    enginesOfPeers: NO_ENGINES,
   };
   t.deepEqual(claims(FIRST).enginesToClaim(instant(0), unowned), []);
   t.deepEqual(claims(SECOND).enginesToClaim(instant(0), unowned), [ENGINE]);
@@ -161,3 +171,48 @@
   second.apply(claim(FIRST, 7));
   t.deepEqual(second.enginesToClaim(instant(60_000), unowned), []);
 });
+
+/** The view of a node that knows all nodes. */
+function wholeView(enginesOfPeers = NO_ENGINES): ClusterView {
+  return {
+    engines: [ENGINE],
+    nodes: NODES,
+    candidates: NODES,
+    stoppedNodes: NOBODY,
+    enginesOfPeers,
+  };
+}
+
+// Guards against two owners after the log has lost a claim.
+test("an owner claims again at once what the log may have lost, and its fencing number rises", (t) => {
+  const first = claims();
+  first.apply(claim(FIRST, 95));
+  const before = first.orderPermission(ENGINE)?.fence ?? Infinity;
+  first.recordRestore(2);
+  t.not(first.orderPermission(ENGINE), undefined, "It goes on meanwhile.");
+  t.deepEqual(first.enginesToClaim(instant(0), wholeView()), [ENGINE]);
+  t.deepEqual(first.enginesToReclaim([ENGINE]), [ENGINE]);
+  t.is(first.waitAfterClaim(ENGINE, NOBODY), milliseconds(0));
+  first.apply(claim(FIRST, logPosition(2, 80)));
+  t.deepEqual(first.enginesToClaim(instant(0), wholeView()), []);
+  t.true((first.orderPermission(ENGINE)?.fence ?? 0) > before);
+});
+
+test("a claim at an offset that was given out again replaces one of the era before", (t) => {
+  const first = claims();
+  first.apply(claim(FIRST, logPosition(1, 95)));
+  first.apply(claim(SECOND, logPosition(2, 85), LEASE));
+  t.is(first.owner(ENGINE), SECOND);
+  t.is(first.orderPermission(ENGINE), undefined);
+  first.apply(claim(FIRST, logPosition(1, 99)));
+  t.is(first.owner(ENGINE), SECOND);
+});
+
+test("a node that knows no claim leaves an engine to a peer that says it owns it", (t) => {
+  const named = new Set([ENGINE]);
+  t.deepEqual(claims(FIRST).enginesToClaim(instant(0), wholeView(named)), []);
+  t.deepEqual(
+    claims(FIRST).enginesToClaim(instant(0), wholeView()),
+    [ENGINE],
+  );
+});
--- a/packages/core/tests/relay/server_registry_test.ts
+++ b/packages/core/tests/relay/server_registry_test.ts
@@ -3,6 +3,7 @@
   failureDomainId,
   instant,
   logOffset,
+  logPosition,
   type RegistryEntry,
   ServerRegistry,
   serverStart,
@@ -391,3 +392,72 @@
   t.true(registry.isNews(present("a", 6)));
   t.true(registry.isNews(gone("a", 6)));
 });
+
+/** Positions of the era before and after a return from an older copy. */
+const before = (offset: number) => logPosition(1, offset);
+const after = (offset: number) => logPosition(2, offset);
+
+/** Creates a registry that was read up to offset 100 of the first era. */
+function registryAtEnd(...entries: readonly RegistryEntry[]): ServerRegistry {
+  const registry = new ServerRegistry();
+  registry.replace(instant(0), entries, before(100));
+  return registry;
+}
+
+test("a departure at an offset that was given out again counts, and so does a restart", (t) => {
+  const registry = registryAtEnd(
+    present("a", before(95)),
+    present("b", before(96), false, 10),
+  );
+  registry.apply(instant(1), present("a", after(85), true));
+  registry.apply(instant(2), present("b", after(86), false, 20));
+  t.true(registry.find(backendServerId("a"))?.leaving);
+  t.is(registry.find(backendServerId("b"))?.start, serverStart(20));
+});
+
+// Guards against servers that are dropped since an older copy lacks them.
+test("servers that an older copy lacks are kept until they could have written again, and no longer", (t) => {
+  const registry = registryAtEnd(
+    present("a", before(90)),
+    present("b", before(95)),
+  );
+  registry.replace(instant(1_000), [], after(80));
+  registry.expire(instant(3_400));
+  t.deepEqual(ids(registry), ["a", "b"]);
+  registry.apply(instant(3_450), present("a", after(80)));
+  registry.expire(instant(4_000));
+  t.deepEqual(ids(registry), ["a"]);
+});
+
+test("a departure known before the copy outlives it", (t) => {
+  const registry = registryAtEnd(present("a", before(70)));
+  registry.apply(instant(1), present("a", before(101), true));
+  const copy = [present("a", after(70))];
+  registry.replace(instant(2), copy, after(80));
+  t.true(registry.find(backendServerId("a"))?.leaving);
+  registry.replace(instant(3), [], after(90));
+  t.deepEqual(ids(registry), [], "Its absence is not doubted.");
+});
+
+// Guards against a removed server that an older copy brings back.
+test("a removed server that an older copy names stays removed unless it writes on", (t) => {
+  const registry = registryAtEnd(present("a", before(70)));
+  registry.apply(instant(1), gone("a", before(101)));
+  const copy = [present("a", after(70))];
+  registry.replace(instant(2), copy, after(80));
+  registry.replace(instant(600), copy, after(82));
+  t.deepEqual(ids(registry), []);
+  registry.apply(instant(900), present("a", after(83)));
+  t.deepEqual(ids(registry), ["a"]);
+});
+
+test("what a peer knows of the era before doesn't replace what was read since", (t) => {
+  const peer = registryAtEnd(present("a", before(95)));
+  peer.apply(instant(1), gone("a", before(101)));
+  const registry = registryAtEnd(present("a", before(95)));
+  registry.replace(instant(2), [present("a", after(85))], after(90));
+  for (const entry of peer.changesSince(0).entries) {
+    if (registry.isNews(entry)) registry.apply(instant(3), entry);
+  }
+  t.deepEqual(ids(registry), ["a"]);
+});
--- a/packages/node/src/relay/accounts/configuration_proofs.ts
+++ b/packages/node/src/relay/accounts/configuration_proofs.ts
@@ -1,8 +1,10 @@
 import {
   ConfigurationFreshness,
   type Duration,
+  eraOf,
   type Instant,
   type LogOffset,
+  logOffset,
 } from "@foxtailwind/core";
 import type { SteadyClock } from "../../clock/steady_clock.ts";
 import { SuspensionAwareClock } from "../../clock/suspension_aware_clock.ts";
@@ -58,7 +60,10 @@
     { age, end }: PeerProof,
     ownEnd: LogOffset,
   ): void {
-    if (age === undefined || end > ownEnd) return;
+    // In another era, equal offsets are those of other records.
+    const isOtherEra = Number.isFinite(end) &&
+      eraOf(logOffset(end)) !== eraOf(ownEnd);
+    if (age === undefined || end > ownEnd || isOtherEra) return;
     this.#freshness.recordPeerProof(askedAt, age);
   }
 }
--- a/packages/node/src/relay/crashes/crash_reports.ts
+++ b/packages/node/src/relay/crashes/crash_reports.ts
@@ -241,6 +241,11 @@
     if (this.#parts.knowledge.isWatcher) this.#writeDropped(expired);
   }
 
+  /** Writes again what the log may have lost. */
+  rewriteRecent(): void {
+    this.#writer.rewriteRecent(this.#parts.clock.now());
+  }
+
   /** Stops writing to the log. */
   stop(): void {
     this.#isStopped = true;
@@ -248,8 +253,9 @@
   }
 
   #writeDropped(dropped: readonly SuspicionKey[]): void {
+    const now = this.#parts.clock.now();
     for (const key of dropped) {
-      this.#writer.enqueue({ kind: "dropped", key });
+      this.#writer.enqueue(now, { kind: "dropped", key });
     }
   }
 
@@ -268,6 +274,7 @@
     }
     const settled = this.#bursts.attribute(brokeAt, suspicions);
     for (const one of settled) this.#quarantine.addSuspicion(brokeAt, one);
+    const now = this.#parts.clock.now();
     for (const one of [...settled, ...this.#suspectEnds(server, brokeAt)]) {
       this.#parts.logger.info("A request may have crashed a server.", {
         server: one.server,
@@ -275,7 +282,7 @@
         content: one.content,
         ran_for: Math.round(one.ranFor),
       });
-      this.#writer.enqueue({ kind: "added", suspicion: one });
+      this.#writer.enqueue(now, { kind: "added", suspicion: one });
     }
   }
 
--- a/packages/node/src/relay/crashes/suspicion_writer.ts
+++ b/packages/node/src/relay/crashes/suspicion_writer.ts
@@ -1,4 +1,10 @@
-import { suspectedRunKey, type SuspicionKey } from "@foxtailwind/core";
+import {
+  elapsed,
+  type Instant,
+  milliseconds,
+  suspectedRunKey,
+  type SuspicionKey,
+} from "@foxtailwind/core";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { SharedLog, SuspicionChange } from "../shared_log.ts";
 
@@ -9,10 +15,20 @@
 /** The maximum number of unwritten changes; the oldest are dropped. */
 const MAXIMUM_UNWRITTEN_CHANGES = 2_000;
 
+/** How long a change is kept: an older copy of the log may lack it. */
+const CHANGE_RETENTION = milliseconds(60_000);
+
+/** A change, and when it was made. */
+interface RecentChange {
+  readonly change: SuspicionChange;
+  readonly at: Instant;
+}
+
 /** Writes changes of suspicions to the platform's log until it accepts them. */
 export class SuspicionWriter {
   readonly #log: Pick<SharedLog, "changeSuspicions">;
   readonly #unwritten = new Map<string, SuspicionChange>();
+  readonly #recent = new Map<string, RecentChange>();
   #isWriting = false;
   #isStopped = false;
 
@@ -30,15 +46,36 @@
 
   /**
    * Adds a change, which replaces an unwritten one of the same suspicion.
+   * @param now The present time.
    * @param change The change.
    */
-  enqueue(change: SuspicionChange): void {
+  enqueue(now: Instant, change: SuspicionChange): void {
+    for (const [oldest, { at }] of this.#recent) {
+      if (elapsed(at, now) < CHANGE_RETENTION) break;
+      this.#recent.delete(oldest);
+    }
+    const name = nameOf(change);
+    this.#recent.delete(name);
+    this.#recent.set(name, { change, at: now });
+    this.#enqueue(change);
+  }
+
+  /**
+   * Writes the changes of the last minute again.
+   * @param now The present time.
+   */
+  rewriteRecent(now: Instant): void {
+    for (const { change, at } of this.#recent.values()) {
+      if (elapsed(at, now) < CHANGE_RETENTION) this.#enqueue(change);
+    }
+  }
+
+  #enqueue(change: SuspicionChange): void {
     if (this.#unwritten.size >= MAXIMUM_UNWRITTEN_CHANGES) {
       const [oldest] = this.#unwritten.keys();
       if (oldest !== undefined) this.#unwritten.delete(oldest);
     }
-    const key = change.kind === "added" ? change.suspicion : change.key;
-    this.#unwritten.set(`${key.content} ${suspectedRunKey(key)}`, change);
+    this.#unwritten.set(nameOf(change), change);
     if (!this.#isWriting) void this.#writeAll();
   }
 
@@ -66,3 +103,8 @@
     this.#isWriting = false;
   }
 }
+
+function nameOf(change: SuspicionChange): string {
+  const key = change.kind === "added" ? change.suspicion : change.key;
+  return `${key.content} ${suspectedRunKey(key)}`;
+}
--- a/packages/node/src/relay/engine_owners.ts
+++ b/packages/node/src/relay/engine_owners.ts
@@ -1,5 +1,6 @@
 import {
   type BackendServerId,
+  backendServerId,
   type Failure,
   type Instant,
   later,
@@ -191,9 +192,17 @@
       nodes,
       candidates: accepting.length > 0 ? accepting : nodes,
       stoppedNodes,
+      enginesOfPeers: this.#enginesOfPeers(now),
     });
   }
 
+  #enginesOfPeers(now: Instant): ReadonlySet<BackendServerId> {
+    const states = this.#parts.knowledge.peers.alive(now)
+      .filter((peer) => !peer.isLeaving)
+      .flatMap(({ engineStates }) => engineStates?.engines ?? []);
+    return new Set(states.map(({ engine }) => backendServerId(engine)));
+  }
+
   /** Lists the nodes that may own the engines of a service. */
   #nodesThatReach(service: ServiceId, now: Instant): readonly NodeId[] {
     const { knowledge, settings, isUnreached } = this.#parts;
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -8,6 +8,7 @@
   type FencingNumber,
   hasManyReaders,
   type Instant,
+  type LogEra,
   type LogOffset,
   logOffset,
   milliseconds,
@@ -113,6 +114,8 @@
     servers: readonly BackendServerId[],
     source: RegistrySource,
   ) => void = () => undefined;
+  /** Called when the log has come back from an older copy. */
+  onLogRestored: () => void = () => undefined;
   /** Called for each record that was skipped. */
   onRecordSkipped: (topic: RecordTopic, reason: SkipReason) => void = () =>
     undefined;
@@ -368,6 +371,15 @@
     this.suspicionTracker.applyListing(suspicions);
   }
 
+  override logRestored(era: LogEra): void {
+    this.claims.recordRestore(era);
+    this.#parts.logger.warn("The platform's log is back from an older copy.", {
+      era,
+    });
+    this.onLogRestored();
+    this.onChange();
+  }
+
   override recordSkipped(topic: RecordTopic, reason: SkipReason): void {
     this.onRecordSkipped(topic, reason);
   }
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -52,6 +52,11 @@
   readonly operations: OperationsWire;
 }
 
+/**
+ * Nodes announce themselves again within this time, multiplied by their number,
+ * after the log has come back from an older copy.
+ */
+const REANNOUNCEMENT_MILLISECONDS_PER_NODE = 10;
 /** The interval of checks of claims, expired servers and limits. */
 const REFRESH_INTERVAL_MILLISECONDS = 250;
 /** The interval of these checks on a standby node. */
@@ -239,6 +244,14 @@
       liftQuarantine: (content) =>
         this.#parts.crashReports.liftQuarantine(content),
     });
+    knowledge.onLogRestored = () => {
+      this.#parts.crashReports.rewriteRecent();
+      const { readerCount } = knowledge;
+      const delay = REANNOUNCEMENT_MILLISECONDS_PER_NODE * readerCount;
+      setTimeout(() => {
+        void announceNode(platform.log, this.#presence);
+      }, delay * Math.random()).unref();
+    };
     knowledge.onRecordSkipped = (topic, reason) => {
       this.#metrics.recordSkipped(topic, reason);
     };
--- a/packages/node/src/relay/shared_log.ts
+++ b/packages/node/src/relay/shared_log.ts
@@ -6,6 +6,7 @@
   Failure,
   FailureDomainId,
   Instant,
+  LogEra,
   LogOffset,
   ModelId,
   NodeId,
@@ -113,6 +114,12 @@
   abstract recordSkipped(topic: RecordTopic, reason: SkipReason): void;
   /** The log has been read up to its end. */
   abstract caughtUp(): void;
+  /**
+   * The log has come back from an older copy, which was listed: what nodes have
+   * written lately may be missing from it.
+   * @param era Counts how often that has happened.
+   */
+  abstract logRestored(era: LogEra): void;
   /** A call to the log has failed. */
   abstract callFailed(failure: Failure): void;
 }
