Relay: an answer of no use that has no end is given up

Refusals that nothing has run were read to their end, and failures too, whatever their size, until the time of the request was up; other servers weren't asked. Both are given up after 64 KB and 256 KB, a refusal's body also after 500 ms, and a failure whose body goes on counts as silence.

Heads, bytes that are no answer and bytes after a complete answer were bounded before; so are the answers to orders, probes and calls to the store, by bytes and time.

--- a/packages/node/src/relay/answer_forwarder.ts
+++ b/packages/node/src/relay/answer_forwarder.ts
@@ -14,6 +14,7 @@
 import {
   AnswerHandler,
   type AnswerHead,
+  type DataDecision,
   type HeadDecision,
 } from "./backend_call.ts";
 import { CallerAnswer, type NodeRefusal } from "./caller_answer.ts";
@@ -201,7 +202,7 @@
     return "take";
   }
 
-  override onData(bytes: Buffer): boolean {
+  override onData(bytes: Buffer): DataDecision {
     this.#recordBytes();
     const isBegin = this.#answerKind === "passed" &&
       this.#timeToFirstByte === undefined;
@@ -209,13 +210,13 @@
       this.#timeToFirstByte = elapsed(this.#sentAt, this.#lastBytesAt);
       this.#listener?.onBegun();
     }
-    if (this.#bufferedAnswer === undefined) return this.#forward(bytes);
-    const isFailure = this.#answerKind === "failure";
+    const buffered = this.#bufferedAnswer;
+    if (buffered === undefined) return toDecision(this.#forward(bytes));
+    buffered.append(bytes);
+    if (!buffered.isLarge) return "continue";
     // A failure that is too large is not forwarded.
-    if (isFailure && this.#bufferedAnswer.isLarge) return true;
-    this.#bufferedAnswer.append(bytes);
-    return isFailure || !this.#bufferedAnswer.isLarge ||
-      this.#forwardPartial(this.#bufferedAnswer);
+    if (this.#answerKind === "failure") return "cut";
+    return toDecision(this.#forwardPartial(buffered));
   }
 
   /**
@@ -272,8 +273,10 @@
   }
 
   #recordBytes(): void {
-    this.#lastBytesAt = this.#parts.clock.now();
-    this.#listener?.onBytes(this.#lastBytesAt);
+    const now = this.#parts.clock.now();
+    this.#listener?.onBytes(now);
+    // A failure whose body doesn't end counts as silence.
+    if (this.#answerKind !== "failure") this.#lastBytesAt = now;
   }
 
   get #isCloseDelimited(): boolean {
@@ -339,3 +342,7 @@
     return this.#parts.plannedStop() !== undefined;
   }
 }
+
+function toDecision(hasCapacity: boolean): DataDecision {
+  return hasCapacity ? "continue" : "pause";
+}
--- a/packages/node/src/relay/backend_call.ts
+++ b/packages/node/src/relay/backend_call.ts
@@ -56,14 +56,28 @@
   readonly findObstacle: () => string | undefined;
 }
 
+/** What to do after bytes of a body. */
+export type DataDecision =
+  /** Read on. */
+  | "continue"
+  /** Read on once the call is resumed. */
+  | "pause"
+  /** Abort the connection: nothing that follows is of use. */
+  | "cut";
+
 /** Handles an answer as it arrives. */
 export abstract class AnswerHandler {
   /** Handles the head and decides what to do with the answer. */
   abstract onHead(head: AnswerHead): HeadDecision;
-  /** Handles bytes of the body; returns false to pause the answer. */
-  abstract onData(bytes: Buffer): boolean;
+  /** Handles bytes of the body and decides what to do next. */
+  abstract onData(bytes: Buffer): DataDecision;
 }
 
+/** A body that is discarded may be as long as this. */
+const MAXIMUM_DISCARDED_BYTES = 65_536;
+/** A body that is discarded may take as long as this. */
+const DISCARD_TIMEOUT_MILLISECONDS = 500;
+
 /** One call to a backend server. */
 export class BackendCall implements Dispatcher.DispatchHandler {
   readonly #handler: AnswerHandler;
@@ -73,6 +87,8 @@
   #abortReason: string | undefined;
   #hadHead = false;
   #isBodyDropped = false;
+  #discardedBytes = 0;
+  #discardTimer: NodeJS.Timeout | undefined;
   #wasSent = false;
   #findObstacle: () => string | undefined = () => undefined;
   #obstacle: string | undefined;
@@ -144,7 +160,7 @@
     if (status < 200) return;
     this.#hadHead = true;
     const decision = this.#handler.onHead({ status, headers });
-    if (decision === "drop") this.#isBodyDropped = true;
+    if (decision === "drop") this.#discardBody();
     if (decision === "cut") {
       this.#hadHead = false;
       this.#abortReason = "The answer does not belong to this request.";
@@ -156,11 +172,18 @@
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
-    if (this.#isBodyDropped) return;
-    if (!this.#handler.onData(chunk)) controller.pause();
+    if (this.#isBodyDropped) {
+      this.#discardedBytes += chunk.length;
+      if (this.#discardedBytes > MAXIMUM_DISCARDED_BYTES) this.#abortEndless();
+      return;
+    }
+    const decision = this.#handler.onData(chunk);
+    if (decision === "pause") controller.pause();
+    if (decision === "cut") this.#abortEndless();
   }
 
   onResponseEnd(): void {
+    clearTimeout(this.#discardTimer);
     const failure = hasEndingConnectionFailed();
     if (failure === undefined) {
       this.#resolveEnd({ kind: "complete" });
@@ -176,6 +199,7 @@
     _controller: Dispatcher.DispatchController,
     error: Error,
   ): void {
+    clearTimeout(this.#discardTimer);
     if (this.#abortReason !== undefined) this.#endBroken(this.#abortReason);
     else {
       this.#endBroken(
@@ -185,6 +209,18 @@
     }
   }
 
+  /** Reads the rest of the body, so that the connection can be used again. */
+  #discardBody(): void {
+    this.#isBodyDropped = true;
+    this.#discardTimer = setTimeout(() => {
+      this.#abortEndless();
+    }, DISCARD_TIMEOUT_MILLISECONDS);
+  }
+
+  #abortEndless(): void {
+    this.abort("The answer has no end.");
+  }
+
   get #stage(): CallStage {
     if (!this.#wasSent) return "unsent";
     return this.#hadHead ? "answering" : "unanswered";
--- a/packages/node/src/relay/departure_prober.ts
+++ b/packages/node/src/relay/departure_prober.ts
@@ -12,6 +12,7 @@
   AnswerHandler,
   type AnswerHead,
   BackendCall,
+  type DataDecision,
   type HeadDecision,
 } from "./backend_call.ts";
 import type { BackendPools } from "./backend_pools.ts";
@@ -109,7 +110,7 @@
     return "drop";
   }
 
-  override onData(): boolean {
-    return true;
+  override onData(): DataDecision {
+    return "continue";
   }
 }
--- a/packages/node/src/relay/forwarded_request.ts
+++ b/packages/node/src/relay/forwarded_request.ts
@@ -11,6 +11,7 @@
   AnswerHandler,
   type AnswerHead,
   BackendCall,
+  type DataDecision,
   type HeadDecision,
 } from "./backend_call.ts";
 import { CallerAnswer } from "./caller_answer.ts";
@@ -47,8 +48,8 @@
     return "take";
   }
 
-  override onData(bytes: Buffer): boolean {
-    return this.#answer.write(bytes);
+  override onData(bytes: Buffer): DataDecision {
+    return this.#answer.write(bytes) ? "continue" : "pause";
   }
 }
 
--- a/packages/node/tests/relay/accounts/account_access_test.ts
+++ b/packages/node/tests/relay/accounts/account_access_test.ts
@@ -6,6 +6,7 @@
 import {
   AnswerHandler,
   BackendCall,
+  type DataDecision,
   digestApiKey,
   type HeadDecision,
   ProcessClock,
@@ -33,8 +34,8 @@
     return "take";
   }
 
-  override onData(): boolean {
-    return true;
+  override onData(): DataDecision {
+    return "continue";
   }
 }
 
