--- a/packages/core/src/relay/crashes/crash_suspicion.ts
+++ b/packages/core/src/relay/crashes/crash_suspicion.ts
@@ -5,7 +5,7 @@
   milliseconds,
   type ServerStart,
 } from "../../shared/mod.ts";
-import { startKey } from "../start_history.ts";
+import { startKey } from "../registry/start_history.ts";
 
 /**
  * What of a request may crash servers: its whole content, or a part of its
--- a/packages/core/src/relay/crashes/request_quarantine.ts
+++ b/packages/core/src/relay/crashes/request_quarantine.ts
@@ -14,7 +14,7 @@
   suspectedRunKey,
   type SuspicionKey,
 } from "./crash_suspicion.ts";
-import { startKey } from "../start_history.ts";
+import { startKey } from "../registry/start_history.ts";
 
 /** How long content that crashes servers is refused. */
 const CONTENT_QUARANTINE_TIME = milliseconds(24 * 60 * 60 * 1_000);
--- a/packages/core/src/relay/engine_claims.ts
+++ b/packages/core/src/relay/engine_claims.ts
@@ -11,7 +11,7 @@
   type NodeId,
   rendezvousChoice,
 } from "../shared/mod.ts";
-import { eraOf, type LogEra } from "./log_position.ts";
+import { eraOf, type LogEra } from "./log/log_position.ts";
 
 /** The newest claim to one engine in the log. */
 export interface EngineClaim {
--- a/packages/core/src/relay/log_position.ts
+++ b/packages/core/src/relay/log/log_position.ts
@@ -1,4 +1,4 @@
-import { type LogOffset, logOffset } from "../shared/mod.ts";
+import { type LogOffset, logOffset } from "../../shared/mod.ts";
 
 /**
  * The number of offsets of an era. Positions up to era 32,767 are exact as
--- a/packages/core/src/relay/log_read_pacing.ts
+++ b/packages/core/src/relay/log/log_read_pacing.ts
@@ -1,4 +1,4 @@
-import { type Duration, milliseconds } from "../shared/mod.ts";
+import { type Duration, milliseconds } from "../../shared/mod.ts";
 
 /** Up to this many nodes read the log without pacing. */
 const UNPACED_READERS = 12;
--- /dev/null
+++ b/packages/core/src/relay/log/mod.ts
@@ -0,0 +1,2 @@
+export * from "./log_position.ts";
+export * from "./log_read_pacing.ts";
--- a/packages/core/src/relay/registered_server.ts
+++ b/packages/core/src/relay/registry/registered_server.ts
@@ -7,7 +7,7 @@
   ServerStart,
   ServiceId,
   SoftwareVersion,
-} from "../shared/mod.ts";
+} from "../../shared/mod.ts";
 
 /** A base model on an engine, and the versions of its adapters there. */
 export interface HeldModel {
--- a/packages/core/src/relay/registry_renewal.ts
+++ b/packages/core/src/relay/registry/registry_renewal.ts
@@ -3,7 +3,7 @@
   elapsed,
   type Instant,
   milliseconds,
-} from "../shared/mod.ts";
+} from "../../shared/mod.ts";
 
 /** How a node renews its proof that it has the whole registry of servers. */
 export type RegistryRenewal =
--- a/packages/core/src/relay/server_registry.ts
+++ b/packages/core/src/relay/registry/server_registry.ts
@@ -6,9 +6,9 @@
   type LogOffset,
   milliseconds,
   type ServerStart,
-} from "../shared/mod.ts";
-import { eraOf, type LogEra } from "./log_position.ts";
-import { RecentKeys } from "./recent_keys.ts";
+} from "../../shared/mod.ts";
+import { eraOf, type LogEra } from "../log/log_position.ts";
+import { RecentKeys } from "../recent_keys.ts";
 import {
   isRoutingEquivalent,
   type RegisteredServer,
--- a/packages/core/src/relay/start_history.ts
+++ b/packages/core/src/relay/registry/start_history.ts
@@ -1,5 +1,9 @@
-import type { BackendServerId, LogOffset, ServerStart } from "../shared/mod.ts";
-import { RecentKeys } from "./recent_keys.ts";
+import type {
+  BackendServerId,
+  LogOffset,
+  ServerStart,
+} from "../../shared/mod.ts";
+import { RecentKeys } from "../recent_keys.ts";
 
 /**
  * The maximum number of superseded starts remembered: several for each of some
--- a/packages/core/src/relay/unconfirmed_departures.ts
+++ b/packages/core/src/relay/registry/unconfirmed_departures.ts
@@ -2,8 +2,8 @@
   type BackendServerId,
   isDifferentStart,
   type ServerStart,
-} from "../shared/mod.ts";
-import { RecentKeys } from "./recent_keys.ts";
+} from "../../shared/mod.ts";
+import { RecentKeys } from "../recent_keys.ts";
 import type { ServerRun } from "./registered_server.ts";
 
 /** The maximum number of servers whose departures are remembered. */
--- a/packages/core/src/relay/server_backoffs.ts
+++ b/packages/core/src/relay/server_backoffs.ts
@@ -9,7 +9,7 @@
   seconds,
   type ServerStart,
 } from "../shared/mod.ts";
-import type { ServerRun } from "./registered_server.ts";
+import type { ServerRun } from "./registry/registered_server.ts";
 
 const TOO_MANY_REQUESTS = 429;
 const UNAVAILABLE = 503;
--- a/packages/core/src/relay/streams/software_history.ts
+++ b/packages/core/src/relay/streams/software_history.ts
@@ -6,7 +6,7 @@
   type ServiceId,
   type SoftwareVersion,
 } from "../../shared/mod.ts";
-import type { RegisteredServer } from "../registered_server.ts";
+import type { RegisteredServer } from "../registry/registered_server.ts";
 import { STREAM_RETENTION, type StreamOrigin } from "./stream_origin.ts";
 
 interface KnownSoftware {
--- a/packages/core/src/relay/streams/stream_origin.ts
+++ b/packages/core/src/relay/streams/stream_origin.ts
@@ -6,7 +6,7 @@
   type ServiceId,
   type SoftwareVersion,
 } from "../../shared/mod.ts";
-import type { RegisteredServer } from "../registered_server.ts";
+import type { RegisteredServer } from "../registry/registered_server.ts";
 
 /** A stream may be resumed for so long after it began. */
 export const STREAM_RETENTION = seconds(120);
