Soak: the store comes back from older copies

Up to twice in each run of the relay's soak, with a copy of up to 2 s; servers and the operator write again after 300 ms. The engines' check of claims finds a claim by its position, also one that the store has lost.

--- a/packages/bench/src/relay/stand_in_log.ts
+++ b/packages/bench/src/relay/stand_in_log.ts
@@ -56,6 +56,8 @@
   readonly #logs = new Set<StandInLog>();
   #servers = new Map<string, StoredServer>();
   #claims: ClaimRecord[] = [];
+  /** All claims that were ever added, by their positions. */
+  readonly #allClaims = new Map<LogOffset, ClaimRecord>();
   #nodes: NodeRecord[] = [];
   #suspicions = new Map<string, CrashSuspicion>();
   #configuration: RelayConfiguration | undefined;
@@ -75,6 +77,15 @@
     return this.#claims;
   }
 
+  /**
+   * Finds a claim, also one that the store has lost.
+   * @param position The claim's position.
+   * @returns The claim, or `undefined` if there was none.
+   */
+  findClaim(position: LogOffset): ClaimRecord | undefined {
+    return this.#allClaims.get(position);
+  }
+
   /**
    * Publishes a configuration.
    * @param configuration The whole configuration.
@@ -133,6 +144,7 @@
     for (const claim of claims) {
       this.#claims.push(claim);
       const offset = this.#position(this.#claims.length - 1);
+      this.#allClaims.set(offset, claim);
       this.#publish((listener) => {
         listener.claim(claim, offset);
       });
@@ -210,6 +222,9 @@
     this.#operatorsOffset = copy.operatorsOffset;
     this.#era += 1;
     const era = this.#era;
+    for (const [index, claim] of this.#claims.entries()) {
+      this.#allClaims.set(this.#position(index), claim);
+    }
     this.#publish((listener, log) => {
       this.#list(log, listener);
       for (const suspicion of this.#suspicions.values()) {
--- a/packages/bench/src/soak/relay/faulty_listeners.ts
+++ b/packages/bench/src/soak/relay/faulty_listeners.ts
@@ -1,12 +1,15 @@
 import {
+  eraOf,
   type LogOffset,
+  logOffset,
+  logPosition,
   type RegistryEntry,
   type RelayConfiguration,
   type Route,
   type SoftwareVersion,
   softwareVersion,
 } from "@foxtailwind/core";
-import type { SharedLogListener } from "@foxtailwind/node/relay";
+import type { ClaimRecord, SharedLogListener } from "@foxtailwind/node/relay";
 import { PassingListener } from "./soak_store.ts";
 
 /** Tells that every route may be repeated. */
@@ -108,3 +111,36 @@
     super.registryEntry(entry);
   }
 }
+
+/** Tells of offsets alone, which are given out again. */
+export class TellsNoEras extends PassingListener {
+  override operatorsTold(end: LogOffset): void {
+    super.operatorsTold(withoutEra(end));
+  }
+
+  override registryEntry(entry: RegistryEntry): void {
+    super.registryEntry({ ...entry, offset: withoutEra(entry.offset) });
+  }
+
+  override registryListed(
+    entries: readonly RegistryEntry[],
+    end: LogOffset,
+  ): void {
+    super.registryListed(
+      entries.map((entry) => ({ ...entry, offset: withoutEra(entry.offset) })),
+      withoutEra(end),
+    );
+  }
+
+  override claim(claim: ClaimRecord, offset: LogOffset): void {
+    super.claim(claim, withoutEra(offset));
+  }
+
+  override logRestored(): void {
+    // What nodes have written isn't written again.
+  }
+}
+
+function withoutEra(position: LogOffset): LogOffset {
+  return logOffset(position - logPosition(eraOf(position), 0));
+}
--- a/packages/bench/src/soak/relay/mod.ts
+++ b/packages/bench/src/soak/relay/mod.ts
@@ -7,6 +7,7 @@
 export { checkNotices } from "./notice_checks.ts";
 export * from "./relay_mutants.ts";
 export * from "./relay_soak.ts";
+export { drawReturnScript } from "./return_script.ts";
 export * from "./stream_checks.ts";
 export * from "./stream_script.ts";
 export { RelayWorld as RelaySoakWorld } from "./relay_world.ts";
--- a/packages/bench/src/soak/relay/relay_fault.ts
+++ b/packages/bench/src/soak/relay/relay_fault.ts
@@ -10,6 +10,12 @@
     readonly lasts: number;
   }
   | { readonly kind: "store_forgets"; readonly lasts: number }
+  | {
+    /** The store comes back from an older copy. */
+    readonly kind: "store_returns";
+    /** How old the copy is, in milliseconds. */
+    readonly age: number;
+  }
   | {
     readonly kind: "takeover";
     readonly engine: number;
@@ -93,6 +99,8 @@
 const MOST_MASS_CUTS = 1;
 const MOST_LOST_SERVERS = 2;
 const MOST_LOST_MILLISECONDS = 4_000;
+const MOST_RETURNS = 2;
+const MOST_COPY_AGE_MILLISECONDS = 2_000;
 const FAULT_KINDS = [
   "store_down",
   "store_turns_away",
@@ -128,6 +136,7 @@
     ...drawLostServers(seed),
     ...drawReleases(seed),
     ...drawMassCuts(seed),
+    ...drawReturns(seed),
   ];
   return faults.toSorted((one, other) => one.at - other.at);
 }
@@ -205,6 +214,15 @@
   }));
 }
 
+/** The store comes back from an older copy, at times twice in a row. */
+function drawReturns(seed: number): readonly PlannedFault[] {
+  const draws = new Draws(seed, "returns");
+  return planFaults(draws, draws.between(0, MOST_RETURNS + 1), () => ({
+    kind: "store_returns",
+    age: draws.between(0, MOST_COPY_AGE_MILLISECONDS),
+  }));
+}
+
 /** Nodes that reach no server, at times several at once. */
 function drawLostServers(seed: number): readonly PlannedFault[] {
   const draws = new Draws(seed, "lost servers");
--- a/packages/bench/src/soak/relay/relay_mutants.ts
+++ b/packages/bench/src/soak/relay/relay_mutants.ts
@@ -26,6 +26,7 @@
   KeepsItsFirstRoutes,
   ListensForSoftware,
   RepeatsEverything,
+  TellsNoEras,
 } from "./faulty_listeners.ts";
 import {
   BelievesAnyRefusal,
@@ -41,6 +42,7 @@
 } from "./faulty_wires.ts";
 import { GRACE_SECONDS, NodeParts, SoakControl } from "./node_parts.ts";
 import type { RelayScript } from "./relay_script.ts";
+import { drawReturnScript } from "./return_script.ts";
 import { ENGINES } from "./soak_configuration.ts";
 import type { SoakEngine } from "./soak_engine.ts";
 import { drawPartScript } from "./crashes/mod.ts";
@@ -343,6 +345,15 @@
     invariants: ["leaving_server_gets_no_new_work"],
     made: new NeverHearsOfDepartures(),
   },
+  {
+    name: "compare offsets of two eras",
+    invariants: [
+      "leaving_server_gets_no_new_work",
+      "an_owner_that_was_followed_orders_no_more",
+    ],
+    made: new WithListener((next) => new TellsNoEras(next)),
+    draw: drawReturnScript,
+  },
   {
     name: "disregard departures that answers announce",
     invariants: ["announced_departure_is_respected"],
--- a/packages/bench/src/soak/relay/relay_soak.ts
+++ b/packages/bench/src/soak/relay/relay_soak.ts
@@ -242,6 +242,9 @@
       case "store_forgets":
         world.forgetServers(fault.lasts);
         break;
+      case "store_returns":
+        world.returnStore(fault.age);
+        break;
       case "takeover":
         this.#takeOver(fault);
         break;
--- a/packages/bench/src/soak/relay/relay_world.ts
+++ b/packages/bench/src/soak/relay/relay_world.ts
@@ -14,6 +14,7 @@
 import { ENGINES, PLAIN, soakConfiguration } from "./soak_configuration.ts";
 import { SoakEngine } from "./soak_engine.ts";
 import { PlainSoakServer, type SoakServer } from "./soak_server.ts";
+import type { StoreCopy } from "../../relay/stand_in_log.ts";
 import { SoakStore } from "./soak_store.ts";
 
 /** An engine ends so long after it began to run what crashes it. */
@@ -21,6 +22,17 @@
 /** How long the entry of an engine stays that has ended. */
 const ENTRY_STAYS_MILLISECONDS = 400;
 
+/** The interval between two copies of the store. */
+const COPY_INTERVAL_MILLISECONDS = 100;
+/** After this time servers and the operator write again what was lost. */
+const REWRITE_MILLISECONDS = 300;
+
+/** A copy of the store, and its time. */
+interface StoreCopyAt {
+  readonly at: number;
+  readonly copy: StoreCopy;
+}
+
 /** A store that also tells which nodes have made themselves known. */
 class WorldStore extends SoakStore {
   readonly nodes = new Map<string, NodeRecord>();
@@ -52,6 +64,10 @@
   readonly #addresses = new Map<string, string>();
   readonly #ending = new Set<Promise<void>>();
   readonly #allServers: SoakServer[] = [];
+  /** Servers that have said that they leave, and have not ended. */
+  readonly #leavingServers = new Set<SoakServer>();
+  readonly #copies: StoreCopyAt[] = [];
+  #copyTimer: NodeJS.Timeout | undefined;
   #isOver = false;
   #version = 1;
   #releases = 0;
@@ -71,6 +87,9 @@
 
   /** Starts servers and nodes. */
   async start(): Promise<void> {
+    this.#copyTimer = setInterval(() => {
+      this.#copies.push({ at: performance.now(), copy: this.store.copy() });
+    }, COPY_INTERVAL_MILLISECONDS);
     for (let index = 0; index < this.#size.engines; index += 1) {
       await this.#startServer(true);
     }
@@ -181,7 +200,9 @@
     server.isLeaving = true;
     this.leftAt.set(server.id, performance.now());
     this.store.register({ ...this.#entryOf(server), leaving: true });
+    this.#leavingServers.add(server);
     setTimeout(() => {
+      this.#leavingServers.delete(server);
       this.store.unregister(server.id);
     }, stays);
     this.#replace(server, software);
@@ -260,6 +281,22 @@
     }, lasts);
   }
 
+  /**
+   * Returns the store to an older copy. Servers and the operator write again what
+   * they wrote; what nodes wrote is gone.
+   * @param age How old the copy is, in milliseconds.
+   */
+  returnStore(age: number): void {
+    const newest = performance.now() - age;
+    const copy = this.#copies.findLast(({ at }) => at <= newest)?.copy ??
+      this.#copies[0]?.copy;
+    if (copy === undefined) return;
+    this.store.restore(copy);
+    setTimeout(() => {
+      if (!this.#isOver) this.#writeAgain(copy);
+    }, REWRITE_MILLISECONDS);
+  }
+
   /**
    * Puts a claim of a node in the log, ahead of the node itself.
    * @param engine The engine.
@@ -308,6 +345,7 @@
   /** Stops all nodes at once, and ends everything. */
   async stop(): Promise<void> {
     this.#isOver = true;
+    clearInterval(this.#copyTimer);
     for (const node of this.nodes) this.setReachable(node, true);
     for (let place = 0; place < this.nodes.length; place += 1) {
       this.stopNode(place);
@@ -325,6 +363,24 @@
     this.#ending.add(ending);
   }
 
+  #writeAgain({ servers }: StoreCopy): void {
+    this.store.configure(
+      soakConfiguration(this.#version, this.extraRoute.isThere),
+    );
+    for (const server of this.servers) {
+      this.store.register(this.#entryOf(server));
+    }
+    for (const server of this.#leavingServers) {
+      this.store.register({ ...this.#entryOf(server), leaving: true });
+    }
+    const present = new Set(
+      [...this.servers, ...this.#leavingServers].map(({ id }) => id),
+    );
+    for (const [id] of servers) {
+      if (!present.has(id)) this.store.unregister(id);
+    }
+  }
+
   #peerPortOf(node: RelayNode): number {
     const address = this.store.nodes.get(node.id)?.address;
     return Number(address?.split(":").at(-1));
@@ -379,7 +435,7 @@
         ...parts,
         slots: WORLD_SIZE.slots,
         newestVersion: (adapter) => this.store.newestVersion(adapter),
-        readClaims: () => this.store.claims,
+        findClaim: (position) => this.store.findClaim(position),
         onCrashingPart: (engine) => {
           setTimeout(() => {
             this.#crashByPart(engine);
--- a/packages/bench/src/soak/relay/soak_engine.ts
+++ b/packages/bench/src/soak/relay/soak_engine.ts
@@ -1,4 +1,9 @@
-import { type AdapterId, adapterId } from "@foxtailwind/core";
+import {
+  type AdapterId,
+  adapterId,
+  type LogOffset,
+  logOffset,
+} from "@foxtailwind/core";
 import type {
   ClaimRecord,
   EngineOrder,
@@ -18,14 +23,14 @@
 /** Tells the newest version that operators have named of an adapter. */
 export type NewestVersion = (adapter: AdapterId) => number;
 
-/** Returns the log's claims to all engines, in the order of the log. */
-export type ReadClaims = () => readonly ClaimRecord[];
+/** Finds the claim at a position of the log, also one that the log has lost. */
+export type FindClaim = (position: LogOffset) => ClaimRecord | undefined;
 
 /** What an engine works with. */
 export interface SoakEngineParts extends SoakServerParts {
   readonly slots: number;
   readonly newestVersion: NewestVersion;
-  readonly readClaims: ReadClaims;
+  readonly findClaim: FindClaim;
   /** Called when a request with a part that crashes engines begins to run. */
   readonly onCrashingPart: (engine: SoakEngine) => void;
 }
@@ -147,7 +152,7 @@
    */
   #checkOwner({ owner, fence }: EngineOrder): void {
     const place = fence - 1;
-    const claim = this.#parts.readClaims()[place];
+    const claim = this.#parts.findClaim(logOffset(place));
     const isOwn = claim?.owner === owner && claim.engine === this.id;
     if (!isOwn || place < this.#highestClaim) {
       this.#parts.record.breaks(
--- a/packages/bench/tests/soak/relay_mutants_test.ts
+++ b/packages/bench/tests/soak/relay_mutants_test.ts
@@ -20,6 +20,7 @@
   "send to a server that leaves",
   "disregard departures that answers announce",
   "disregard backoffs",
+  "compare offsets of two eras",
 ];
 
 test.after.always(watchExit);
--- a/packages/bench/tests/soak/soak_engine_test.ts
+++ b/packages/bench/tests/soak/soak_engine_test.ts
@@ -44,7 +44,7 @@
     slots: 3,
     software: "1",
     newestVersion: () => 1,
-    readClaims: () => CLAIMS,
+    findClaim: (position) => CLAIMS[position],
     onCrashingPart: () => undefined,
   });
   const order = (owner: string, fence: number) =>
