Relay: a new partner sends what is newer than a node's proof, not the whole registry

A node that turned to another hub got all entries, 40 KB at 95 servers; where a hub is lost, all its members ask at once, over links of 1.25 MB a second, and an answer that takes over 500 ms is asked for again. The question now tells the age of the asker's proof, and the partner sends what it has recorded since, with a margin of a second. An answer has 200 entries at most.

--- a/packages/core/src/relay/registry/server_registry.ts
+++ b/packages/core/src/relay/registry/server_registry.ts
@@ -30,6 +30,12 @@
   readonly count: number;
 }
 
+/** A change of a server, and when it was recorded. */
+interface RecordedChange {
+  readonly count: number;
+  readonly at: Instant;
+}
+
 interface KnownServer {
   readonly offset: LogOffset;
   readonly server: RegisteredServer;
@@ -89,8 +95,8 @@
   #storeFailedAt: Instant | undefined;
   #recentRemovals: Instant[] = [];
   #revision = 0;
-  /** The change count at the last change of each server, oldest first. */
-  readonly #changeCounts = new Map<BackendServerId, number>();
+  /** The last change of each server, oldest first. */
+  readonly #changes = new Map<BackendServerId, RecordedChange>();
   #changeCount = 0;
 
   /** Increases with each change of {@link all}. */
@@ -118,10 +124,10 @@
   changesSince(count: number, limit = Infinity): RegistryChanges {
     const ids: BackendServerId[] = [];
     if (count < this.#changeCount) {
-      for (const [id, changedAt] of this.#changeCounts) {
-        if (changedAt <= count) continue;
+      for (const [id, change] of this.#changes) {
+        if (change.count <= count) continue;
         if (ids.length >= limit) {
-          return { entries: this.entriesOf(ids), count: changedAt - 1 };
+          return { entries: this.entriesOf(ids), count: change.count - 1 };
         }
         ids.push(id);
       }
@@ -129,6 +135,19 @@
     return { entries: this.entriesOf(ids), count: this.#changeCount };
   }
 
+  /**
+   * Returns the change count before the first change that was recorded at a time
+   * or later.
+   * @param at The time.
+   * @returns The count.
+   */
+  changeCountBefore(at: Instant): number {
+    for (const change of this.#changes.values()) {
+      if (change.at >= at) return change.count - 1;
+    }
+    return this.#changeCount;
+  }
+
   /**
    * Lists the newest entries of some servers.
    * @param ids The servers.
@@ -208,11 +227,11 @@
     const newest = this.#known.get(id)?.offset ?? this.#gone.get(id) ?? -1;
     if (offset < newest || this.#isOfOlderCopy(id, offset)) {
       this.#starts.recordOlderEntry(id, server.start);
-      if (server.leaving) this.#markLeaving(server);
+      if (server.leaving) this.#markLeaving(now, server);
       return "older";
     }
     const outcome = this.#starts.recordEntry(id, server.start, offset);
-    if (outcome !== "older_start") this.#setServer(server, offset);
+    if (outcome !== "older_start") this.#setServer(now, server, offset);
     return outcome;
   }
 
@@ -244,12 +263,13 @@
   /**
    * Records that a start of a server announced its departure to this node
    * itself. The registry's log may say so later, or not at all.
+   * @param now The present time.
    * @param server The start that announced it.
    * @returns Whether it was not known to leave.
    */
-  recordDeparture(server: ServerRun): boolean {
+  recordDeparture(now: Instant, server: ServerRun): boolean {
     if (this.#isLeavingStart(server)) return false;
-    this.#markLeaving(server);
+    this.#markLeaving(now, server);
     return true;
   }
 
@@ -286,7 +306,7 @@
     for (const [id, { lapsedAt, offset }] of this.#known) {
       if (lapsedAt === undefined) continue;
       if (elapsed(lapsedAt, now) >= MINIMUM_LAPSE_RETENTION) {
-        this.#removeAndTell(id, offset);
+        this.#removeAndTell(now, id, offset);
       }
     }
   }
@@ -317,7 +337,11 @@
     return true;
   }
 
-  #setServer(update: RegisteredServer, offset: LogOffset): void {
+  #setServer(
+    now: Instant,
+    update: RegisteredServer,
+    offset: LogOffset,
+  ): void {
     const { id } = update;
     const start = this.#starts.latest(id);
     const key = startKey(id, start);
@@ -329,7 +353,7 @@
     };
     const previous = this.#known.get(id)?.server;
     if (previous === undefined || !isRoutingEquivalent(previous, server)) {
-      this.#recordChange(id);
+      this.#recordChange(now, id);
     }
     this.#gone.delete(id);
     this.#renamed.delete(id);
@@ -341,7 +365,7 @@
    * Marks a start as leaving, whatever else is known: a peer's report that its
    * server is gone may arrive first and be doubted.
    */
-  #markLeaving(server: ServerRun): void {
+  #markLeaving(now: Instant, server: ServerRun): void {
     const { id } = server;
     const key = this.#keyOf(server);
     this.#leavingStarts.add(key);
@@ -352,7 +376,7 @@
       ...known,
       server: { ...known.server, leaving: true },
     });
-    this.#recordChange(id);
+    this.#recordChange(now, id);
     this.#revision += 1;
   }
 
@@ -371,7 +395,7 @@
     const known = this.#known.get(id);
     if (known !== undefined && known.offset > offset) return;
     if (known === undefined || known.server.leaving || isCertain === true) {
-      this.#removeAndTell(id, offset);
+      this.#removeAndTell(now, id, offset);
       return;
     }
     this.#recentRemovals = this.#recentRemovals.filter((at) =>
@@ -384,12 +408,12 @@
       this.#known.set(id, { ...known, offset, lapsedAt: now });
       return;
     }
-    this.#removeAndTell(id, offset);
+    this.#removeAndTell(now, id, offset);
   }
 
   /** Removes a server, and counts it as a change for peers. */
-  #removeAndTell(id: BackendServerId, offset: LogOffset): void {
-    if (this.#removeServer(id, offset)) this.#recordChange(id);
+  #removeAndTell(now: Instant, id: BackendServerId, offset: LogOffset): void {
+    if (this.#removeServer(id, offset)) this.#recordChange(now, id);
   }
 
   /** Removes a server, and returns whether that was not known. */
@@ -405,15 +429,15 @@
       if (this.#gone.size <= MAXIMUM_GONE_SERVERS) break;
       this.#gone.delete(oldest);
       this.#renamed.delete(oldest);
-      this.#changeCounts.delete(oldest);
+      this.#changes.delete(oldest);
     }
     return true;
   }
 
-  #recordChange(id: BackendServerId): void {
+  #recordChange(now: Instant, id: BackendServerId): void {
     this.#changeCount += 1;
-    this.#changeCounts.delete(id);
-    this.#changeCounts.set(id, this.#changeCount);
+    this.#changes.delete(id);
+    this.#changes.set(id, { count: this.#changeCount, at: now });
   }
 
   #hasRecentStoreFailure(now: Instant): boolean {
--- a/packages/node/src/relay/departure_prober.ts
+++ b/packages/node/src/relay/departure_prober.ts
@@ -84,7 +84,11 @@
     const { facts } = handler;
     if (facts?.isNotRun !== true) return;
     this.#probedAt.delete(server.id);
-    knowledge.departures.applyProbe(server, facts.isLeaving);
+    knowledge.departures.applyProbe(
+      this.#parts.clock.now(),
+      server,
+      facts.isLeaving,
+    );
   }
 }
 
--- a/packages/node/src/relay/exchange_partner.ts
+++ b/packages/node/src/relay/exchange_partner.ts
@@ -65,6 +65,7 @@
         ? 0
         : this.#peers.knownEngineSequence(this.#id, this.#incarnation),
       registryCursor: this.#registryCursor,
+      registryAgeMilliseconds: undefined,
     };
   }
 
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -306,7 +306,8 @@
    */
   recordDeparture(server: RegisteredServer): void {
     const changes = this.registry.changeCount;
-    if (!this.departures.recordAnswer(server)) return;
+    const now = this.#parts.clock.now();
+    if (!this.departures.recordAnswer(now, server)) return;
     this.#reportChanges(changes, "answer");
     this.onChange();
   }
--- a/packages/node/src/relay/peer_exchange.ts
+++ b/packages/node/src/relay/peer_exchange.ts
@@ -2,6 +2,7 @@
   backendServerId,
   type ExchangeNode,
   type Instant,
+  instant,
 } from "@foxtailwind/core";
 import {
   type AdapterGrant,
@@ -53,10 +54,12 @@
 /** The time after which an exchange counts as unanswered. */
 const EXCHANGE_TIMEOUT_MILLISECONDS = 500;
 /**
- * The maximum number of registry entries in an answer, some 200 KB; the rest
+ * The maximum number of registry entries in an answer, some 80 KB; the rest
  * comes with the next ones.
  */
-const MAXIMUM_ANSWERED_ENTRIES = 500;
+const MAXIMUM_ANSWERED_ENTRIES = 200;
+/** How much later than its proof a node counts as having the registry. */
+const PROOF_MARGIN_MILLISECONDS = 500;
 
 /** The dependencies of {@link PeerExchange}. */
 export interface PeerExchangeParts {
@@ -232,7 +235,10 @@
     const partner = this.#partnerAt(address);
     const askedAt = this.#parts.knowledge.proofs.now;
     this.#client(address).exchange(
-      partner.nextQuestion(own, scope),
+      {
+        ...partner.nextQuestion(own, scope),
+        ...encodeRegistryAge(this.#parts.knowledge.registryProofs.age),
+      },
       new Metadata(),
       { deadline: Date.now() + EXCHANGE_TIMEOUT_MILLISECONDS },
       (error, answer: ExchangeAnswer | undefined) => {
@@ -311,7 +317,7 @@
     const { registry, registryProofs } = this.#parts.knowledge;
     const isSameRun = question.incarnation === incarnation;
     const { entries, count } = registry.changesSince(
-      isSameRun ? question.registryCursor : 0,
+      isSameRun ? question.registryCursor : this.#knownCount(question),
       MAXIMUM_ANSWERED_ENTRIES,
     );
     const isComplete = count === registry.changeCount;
@@ -322,6 +328,19 @@
     };
   }
 
+  /**
+   * The count of changes that a new partner has by the age of its proof: what
+   * was recorded here before it is older than the proof.
+   */
+  #knownCount(question: ExchangeQuestion): number {
+    const age = decodeRegistryAge(question);
+    if (age === undefined) return 0;
+    const since = age + EXCHANGE_TIMEOUT_MILLISECONDS +
+      PROOF_MARGIN_MILLISECONDS;
+    const { knowledge, clock } = this.#parts;
+    return knowledge.registry.changeCountBefore(instant(clock.now() - since));
+  }
+
   #reactToDigest(isStatusChange: boolean): void {
     if (isStatusChange) this.#parts.owners.refresh();
     this.#fetcher.catchUpWithPeers();
--- a/packages/node/src/relay/server_departures.ts
+++ b/packages/node/src/relay/server_departures.ts
@@ -1,5 +1,6 @@
 import {
   type EntryOutcome,
+  type Instant,
   type RegisteredServer,
   type RegistryEntry,
   RELAY_SENTENCE,
@@ -52,15 +53,16 @@
 
   /**
    * Records that an answer announced a departure.
+   * @param now The present time.
    * @param server The server, as known when the request was sent to it.
    * @returns Whether its start was not known to leave.
    */
-  recordAnswer(server: RegisteredServer): boolean {
+  recordAnswer(now: Instant, server: RegisteredServer): boolean {
     const newest = this.#registry.find(server.id)?.start;
     if (this.#unconfirmed.recordAnswer(server, newest)) {
       this.#reportUnconfirmed(server);
     }
-    if (!this.#registry.recordDeparture(server)) return false;
+    if (!this.#registry.recordDeparture(now, server)) return false;
     this.#logger.info(RELAY_SENTENCE.serverLeaves, {
       server: server.id,
       service: server.service,
@@ -83,15 +85,20 @@
 
   /**
    * Records the answer of a server that was asked whether it leaves.
+   * @param now The present time.
    * @param server The server, as known when it was asked.
    * @param isLeaving Whether it leaves.
    */
-  applyProbe(server: RegisteredServer, isLeaving: boolean): void {
+  applyProbe(
+    now: Instant,
+    server: RegisteredServer,
+    isLeaving: boolean,
+  ): void {
     // Another start that has become known meanwhile has to be asked as well.
     const isNewest = this.#registry.find(server.id)?.start === server.start;
     if (!isNewest) return;
     this.#unconfirmed.resolve(server.id);
-    if (isLeaving) this.recordAnswer(server);
+    if (isLeaving) this.recordAnswer(now, server);
     this.#logger.info("A restarted server was asked whether it leaves.", {
       server: server.id,
       start: server.start,
