--- a/packages/bench/src/soak/registry.ts
+++ b/packages/bench/src/soak/registry.ts
@@ -8,6 +8,7 @@
 import { runOwnershipSoak, type SoakRun } from "./ownership_soak.ts";
 import {
   drawPartScript,
+  drawReturnScript,
   drawStreamScript,
   relayMutants,
   runRelaySoak,
@@ -61,6 +62,10 @@
     name: "streams",
     run: (seed) => runRelaySoak({ seed, draw: drawStreamScript }),
   },
+  {
+    name: "returns",
+    run: (seed) => runRelaySoak({ seed, draw: drawReturnScript }),
+  },
   { name: "crashes", run: (seed) => runCrashSoak(seed) },
   {
     name: "parts",
@@ -101,5 +106,6 @@
 /** Returns the soak whose runs a script draws. */
 function soakOf(draw: typeof drawStreamScript | undefined): string {
   if (draw === undefined) return "relay";
+  if (draw === drawReturnScript) return "returns";
   return draw === drawPartScript ? "parts" : "streams";
 }
--- a/packages/bench/src/soak/relay/relay_fault.ts
+++ b/packages/bench/src/soak/relay/relay_fault.ts
@@ -99,8 +99,6 @@
 const MOST_MASS_CUTS = 1;
 const MOST_LOST_SERVERS = 2;
 const MOST_LOST_MILLISECONDS = 4_000;
-const MOST_RETURNS = 2;
-const MOST_COPY_AGE_MILLISECONDS = 2_000;
 const FAULT_KINDS = [
   "store_down",
   "store_turns_away",
@@ -136,7 +134,6 @@
     ...drawLostServers(seed),
     ...drawReleases(seed),
     ...drawMassCuts(seed),
-    ...drawReturns(seed),
   ];
   return faults.toSorted((one, other) => one.at - other.at);
 }
@@ -214,15 +211,6 @@
   }));
 }
 
-/** The store comes back from an older copy, at times twice in a row. */
-function drawReturns(seed: number): readonly PlannedFault[] {
-  const draws = new Draws(seed, "returns");
-  return planFaults(draws, draws.between(0, MOST_RETURNS + 1), () => ({
-    kind: "store_returns",
-    age: draws.between(0, MOST_COPY_AGE_MILLISECONDS),
-  }));
-}
-
 /** Nodes that reach no server, at times several at once. */
 function drawLostServers(seed: number): readonly PlannedFault[] {
   const draws = new Draws(seed, "lost servers");
