--- a/packages/core/src/relay/registry/server_registry.ts
+++ b/packages/core/src/relay/registry/server_registry.ts
@@ -80,10 +80,10 @@
   readonly #known = new Map<BackendServerId, KnownServer>();
   readonly #gone = new Map<BackendServerId, LogOffset>();
   /**
-   * Removed servers that the log has named in a later era, and where. An older
-   * copy of the log names servers that have left since.
+   * The position at which a later era of the log first lists a removed server.
+   * An older copy of the log lists servers that have left since.
    */
-  readonly #renamed = new Map<BackendServerId, LogOffset>();
+  readonly #relistedAt = new Map<BackendServerId, LogOffset>();
   #era: LogEra | undefined;
   readonly #starts = new StartHistory();
   /**
@@ -329,11 +329,11 @@
     if (removedAt === undefined || eraOf(removedAt) >= eraOf(offset)) {
       return false;
     }
-    const first = this.#renamed.get(id);
+    const first = this.#relistedAt.get(id);
     if (first !== undefined && eraOf(first) === eraOf(offset)) {
       return offset <= first;
     }
-    this.#renamed.set(id, offset);
+    this.#relistedAt.set(id, offset);
     return true;
   }
 
@@ -356,7 +356,7 @@
       this.#recordChange(now, id);
     }
     this.#gone.delete(id);
-    this.#renamed.delete(id);
+    this.#relistedAt.delete(id);
     this.#known.set(id, { offset, server });
     this.#revision += 1;
   }
@@ -421,14 +421,14 @@
     const wasKnown = this.#known.delete(id);
     const removedAt = this.#gone.get(id);
     if (wasKnown) this.#revision += 1;
-    // Otherwise nodes would tell one another of the same removal forever.
+    // Otherwise nodes would send one another the same removal forever.
     else if (removedAt !== undefined && removedAt >= offset) return false;
     this.#gone.delete(id);
     this.#gone.set(id, offset);
     for (const oldest of this.#gone.keys()) {
       if (this.#gone.size <= MAXIMUM_GONE_SERVERS) break;
       this.#gone.delete(oldest);
-      this.#renamed.delete(oldest);
+      this.#relistedAt.delete(oldest);
       this.#changes.delete(oldest);
     }
     return true;
--- a/packages/core/tests/relay/registry/server_registry_test.ts
+++ b/packages/core/tests/relay/registry/server_registry_test.ts
@@ -338,6 +338,7 @@
   registry.apply(instant(2), present("a", 4, true));
   t.deepEqual(changedSince(registry, changeCount), [backendServerId("a")]);
   t.deepEqual(changedSince(registry, 0), ["b", "a"].map(backendServerId));
+  t.deepEqual(changedSince(registry, registry.changeCount), []);
 });
 
 // Guards against a removal that peers never hear of: the server's entry may
--- a/packages/node/tests/relay/registry/registry_exchange_test.ts
+++ b/packages/node/tests/relay/registry/registry_exchange_test.ts
@@ -104,6 +104,15 @@
   t.deepEqual(asker.servers, ["a", "b"]);
 });
 
+test("an exchange doesn't bring again what it has brought", async (t) => {
+  const { asker, peer } = await startPair(t);
+  peer.enter("a", 1);
+  await asker.exchange();
+  asker.knowledge.registry.removeReplaced(backendServerId("a"));
+  await asker.exchange();
+  t.deepEqual(asker.servers, []);
+});
+
 // Guards against counts of an earlier run of a peer that are taken for those of
 // its present run.
 test("all servers come again from a peer that has restarted", async (t) => {
