Test of renewed proofs: their age doesn't depend on the machine's load

The proofs of this test age only when it lets time pass: 550 ms of 1,000, as before, for exactly three requests, all of which must be served with one question for a newer proof. That real proofs age by the clock is tested by the tests beside it.

AccountAccess states which members of the proofs it uses, so that a test can give them.

--- a/packages/node/src/relay/accounts/account_access.ts
+++ b/packages/node/src/relay/accounts/account_access.ts
@@ -28,7 +28,9 @@
 
 /** The dependencies of {@link AccountAccess}. */
 export interface AccountAccessParts {
-  readonly knowledge: Pick<Knowledge, "routes" | "proofs">;
+  readonly knowledge: Pick<Knowledge, "routes"> & {
+    readonly proofs: Pick<Knowledge["proofs"], "age" | "now">;
+  };
   /** Returns how long a revoked key may be used, if that is limited. */
   readonly revocationTime: () => Duration | undefined;
   /** Asks peers and the log for a proof of the newest configuration. */
--- a/packages/node/tests/relay/accounts/account_access_test.ts
+++ b/packages/node/tests/relay/accounts/account_access_test.ts
@@ -1,6 +1,11 @@
 import {
   type ClientAccount,
   clientAccountId,
+  type Duration,
+  elapsed,
+  type Instant,
+  instant,
+  later,
   milliseconds,
 } from "@foxtailwind/core";
 import {
@@ -39,6 +44,21 @@
   }
 }
 
+/** Proofs that age only when a test lets time pass. */
+class HeldProofs {
+  now: Instant = instant(0);
+  readonly #provenAt = this.now;
+
+  get age(): Duration {
+    return elapsed(this.#provenAt, this.now);
+  }
+
+  /** Lets time pass. */
+  advance(duration: Duration): void {
+    this.now = later(this.now, duration);
+  }
+}
+
 /** Starts a front server with accounts and a backend server. */
 async function startWorld(t: ExecutionContext) {
   const lines: string[] = [];
@@ -217,6 +237,8 @@
 
 test("requests ask for a newer proof before the present one is too old, and are served meanwhile", async (t) => {
   const { world } = await startWorld(t);
+  const proofs = new HeldProofs();
+  world.proofs = proofs;
   world.revocationTime = milliseconds(1_000);
   let proofsRequested = 0;
   world.requestProof = () => {
@@ -224,7 +246,7 @@
   };
   t.is((await callWith(world, "/once/a", KEY)).status, 200);
   t.is(proofsRequested, 0);
-  await sleep(550);
+  proofs.advance(milliseconds(550));
   for (let index = 0; index < 3; index += 1) {
     t.is((await callWith(world, "/once/a", KEY)).status, 200);
   }
--- a/packages/node/tests/relay/helpers/relay_world.ts
+++ b/packages/node/tests/relay/helpers/relay_world.ts
@@ -19,6 +19,7 @@
 import type { Knowledge } from "@foxtailwind/node/relay";
 import {
   AccountAccess,
+  type AccountAccessParts,
   AccountQuotas,
   AdapterGrants,
   BackendPools,
@@ -57,6 +58,8 @@
 /** A front server with backend servers whose answers a test scripts. */
 export class RelayWorld {
   readonly knowledge: Knowledge;
+  /** What the node's access decisions go by. */
+  proofs: Pick<Knowledge["proofs"], "age" | "now">;
   readonly front: FrontServer;
   readonly limits: RequestLimits;
   readonly streams: StreamDirectory;
@@ -91,6 +94,7 @@
     const { settings, clock, logger } = base;
     const loads = new ServerLoads(settings.node.failure_domain);
     this.knowledge = knowledge;
+    this.proofs = knowledge.proofs;
     this.#owners = new EngineOwners({
       ...base,
       knowledge,
@@ -119,7 +123,7 @@
       knowledge,
       limits,
       access: new AccountAccess({
-        knowledge,
+        knowledge: this.#accessKnowledge(),
         revocationTime: () => this.revocationTime,
         requestProof: () => {
           this.requestProof();
@@ -186,6 +190,19 @@
     this.front = new FrontServer(parts, forwarder);
   }
 
+  #accessKnowledge(): AccountAccessParts["knowledge"] {
+    const { knowledge } = this;
+    const proofs = () => this.proofs;
+    return {
+      get routes() {
+        return knowledge.routes;
+      },
+      get proofs() {
+        return proofs();
+      },
+    };
+  }
+
   /** Returns the time some milliseconds ago. */
   timeBefore(ago: number): Instant {
     return instant(this.#clock.now() - ago);
