Calls to the store time out when they make no progress, not while a response arrives

Each call had 600 ms for its whole response. A listing with a configuration of 1,700 routes (437 KB, 583 KB as base64) takes 470 ms of a 10 Mbit/s link that carries nothing else; where it took longer, the client gave it up, closed all its connections to the store, and began anew.

The limit now holds for the beginning of a response and for each pause in it; five seconds in all. `IdleTimeout` replaces `createTimeoutSignal`, whose two tests now hold for it, with the same assertions.

--- a/packages/edges/src/http/after_pending_input.ts
+++ b/packages/edges/src/http/after_pending_input.ts
@@ -19,19 +19,3 @@
   await setImmediatePromise();
   await setImmediatePromise();
 }
-
-/**
- * Creates a signal that aborts a call at a time limit, once all input that
- * arrived in time has been read.
- * @param limitMilliseconds The time limit, from now.
- * @returns The signal. Its timer does not keep the process running.
- */
-export function createTimeoutSignal(limitMilliseconds: number): AbortSignal {
-  const controller = new AbortController();
-  setTimeout(() => {
-    afterPendingInput(() => {
-      controller.abort(new Error("No answer came in time."));
-    });
-  }, limitMilliseconds).unref();
-  return controller.signal;
-}
--- a/packages/edges/src/http/mod.ts
+++ b/packages/edges/src/http/mod.ts
@@ -17,6 +17,7 @@
 export * from "./http_service_client.ts";
 export * from "./http_vm_list_client.ts";
 export * from "./http_weight_store_client.ts";
+export * from "./idle_timeout.ts";
 export * from "./line_splitter.ts";
 export * from "./reported_failure.ts";
 export * from "./vm_schema.ts";
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -9,6 +9,7 @@
 export * from "./log_service/fake_log_service.ts";
 export * from "./log_service/settings.ts";
 export * from "./network/partitionable_link.ts";
+export * from "./network/slow_link.ts";
 export * from "./plain_service/fake_plain_service.ts";
 export * from "./shared/common_faults.ts";
 export * from "./shared/random.ts";
