Fetches of knowledge survive slow links: compressed, in parts, timed out when idle

A fetch of what a peer knows had 300 ms in all, and each failed one was begun anew with another peer, so that what had arrived was lost. A configuration of 1,700 routes was sent as 444 KB of JSON, which takes 355 ms of a 10 Mbit/s link: no fetch of such a node could succeed.

The answer is now a stream of parts of 8 KB; the asker gives up after 300 ms without a part, or 5 s in all. The configuration is compressed (30 KB) once for all askers. A fetch in progress is the only one, also during an outage of the log, and ends with the node.

knowledge_fetcher_test, 1,800 routes at 1 Mbit/s: before, the fetch was begun again and again and never ended; after, it succeeds at the first attempt. knowledge_message_test compares the length of the configuration that isn't sent, as the field now holds bytes.

--- a/packages/node/src/relay/knowledge_fetcher.ts
+++ b/packages/node/src/relay/knowledge_fetcher.ts
@@ -1,14 +1,10 @@
 import { elapsed, type Instant, milliseconds } from "@foxtailwind/core";
-import type {
-  Knowledge as KnowledgeMessage,
-  NodeDigest,
-  RelayPeersClient,
-} from "@foxtailwind/protocol";
-import { Metadata } from "@grpc/grpc-js";
+import type { NodeDigest, RelayPeersClient } from "@foxtailwind/protocol";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { ComponentLogger } from "../logging/component_logger.ts";
 import { decodeProofAge } from "./accounts/proof_age.ts";
 import type { Knowledge } from "./knowledge.ts";
+import { KnowledgeFetch } from "./knowledge_fetch.ts";
 import { readKnowledge } from "./knowledge_message.ts";
 
 /** How long the log is unreachable before a peer is asked instead. */
@@ -18,11 +14,6 @@
  * read. The store notifies all readers within a few milliseconds.
  */
 const BEHIND_PEERS_DELAY_MILLISECONDS = 100;
-/**
- * The time after which another peer is asked. A peer answers within a few
- * milliseconds, or within about 200 on a link that loses a packet.
- */
-const FETCH_TIMEOUT_MILLISECONDS = 300;
 
 /** The dependencies of {@link KnowledgeFetcher}. */
 export interface KnowledgeFetcherParts {
@@ -39,7 +30,7 @@
   readonly #startedAt: Instant;
   #lastOutageFetchAt: Instant | undefined;
   #behindTimer: NodeJS.Timeout | undefined;
-  #isCatchingUp = false;
+  #fetch: KnowledgeFetch | undefined;
   #isStopped = false;
 
   /** @param parts The dependencies. */
@@ -54,13 +45,13 @@
    */
   fetchDuringLogOutage(now: Instant): void {
     const { knowledge } = this.#parts;
-    if (knowledge.isLogReachable(now)) return;
+    if (this.#fetch !== undefined || knowledge.isLogReachable(now)) return;
     const since = this.#lastOutageFetchAt ?? this.#startedAt;
     if (elapsed(since, now) < LOG_OUTAGE_DELAY) return;
     const peer = pickRandom(knowledge.peers.alive(now));
     if (peer === undefined) return;
     this.#lastOutageFetchAt = now;
-    this.#fetchFrom(peer, () => undefined);
+    this.#fetchFrom(peer);
   }
 
   /**
@@ -69,17 +60,13 @@
    * may reject this node.
    */
   catchUpWithPeers(): void {
-    if (this.#isStopped || this.#isCatchingUp) return;
+    if (this.#isStopped || this.#fetch !== undefined) return;
     if (this.#peersAhead().length === 0) return;
     this.#behindTimer ??= setTimeout(() => {
       this.#behindTimer = undefined;
       const peer = pickRandom(this.#peersAhead());
-      if (peer === undefined) return;
-      this.#isCatchingUp = true;
-      this.#fetchFrom(peer, () => {
-        this.#isCatchingUp = false;
-        this.catchUpWithPeers();
-      });
+      if (peer === undefined || this.#fetch !== undefined) return;
+      this.#fetchFrom(peer);
     }, BEHIND_PEERS_DELAY_MILLISECONDS);
   }
 
@@ -87,6 +74,7 @@
   stop(): void {
     this.#isStopped = true;
     clearTimeout(this.#behindTimer);
+    this.#fetch?.cancel();
   }
 
   /** Lists the peers that know of more records than this node. */
@@ -97,31 +85,36 @@
     );
   }
 
-  #fetchFrom(peer: NodeDigest, onEnd: () => void): void {
+  #fetchFrom(peer: NodeDigest): void {
     const { knowledge, logger, client } = this.#parts;
     knowledge.workCounts.increment("knowledge_asked");
     const askedAt = knowledge.proofs.now;
-    client(peer.address).fetchKnowledge(
-      { configurationVersion: knowledge.routes?.configuration.version ?? 0 },
-      new Metadata(),
-      { deadline: Date.now() + FETCH_TIMEOUT_MILLISECONDS },
-      (error, answer: KnowledgeMessage | undefined) => {
-        if (error !== null || answer === undefined) {
-          logger.warn("Fetching knowledge from a peer failed.", {
-            peer: peer.node,
-            detail: error?.message,
-          });
-        } else {
-          readKnowledge(knowledge, answer);
-          knowledge.applyPeerProof(askedAt, {
-            age: decodeProofAge(answer),
-            end: answer.operatorsEnd,
-          });
-          logger.info("Fetched knowledge from a peer.", { peer: peer.node });
-        }
-        onEnd();
+    const request = {
+      configurationVersion: knowledge.routes?.configuration.version ?? 0,
+    };
+    this.#fetch = new KnowledgeFetch(client(peer.address), request, {
+      onAnswer: (answer) => {
+        readKnowledge(knowledge, answer);
+        knowledge.applyPeerProof(askedAt, {
+          age: decodeProofAge(answer),
+          end: answer.operatorsEnd,
+        });
+        logger.info("Fetched knowledge from a peer.", { peer: peer.node });
+        this.#recordEnd();
       },
-    );
+      onFailure: (detail) => {
+        logger.warn("Fetching knowledge from a peer failed.", {
+          peer: peer.node,
+          detail,
+        });
+        this.#recordEnd();
+      },
+    });
+  }
+
+  #recordEnd(): void {
+    this.#fetch = undefined;
+    this.catchUpWithPeers();
   }
 }
 
--- a/packages/node/src/relay/mod.ts
+++ b/packages/node/src/relay/mod.ts
@@ -40,6 +40,7 @@
 export * from "./request_placer.ts";
 export * from "./retry_budgets.ts";
 export * from "./server_loads.ts";
+export * from "./knowledge_fetcher.ts";
 export * from "./knowledge_message.ts";
 export * from "./peer_table.ts";
 export * from "./exchange_partner.ts";
--- a/packages/node/src/relay/peer_exchange.ts
+++ b/packages/node/src/relay/peer_exchange.ts
@@ -11,7 +11,7 @@
   type EngineMissNoted,
   type ExchangeAnswer,
   type ExchangeQuestion,
-  type Knowledge as KnowledgeMessage,
+  type KnowledgePart,
   type KnowledgeRequest,
   type NodeDigest,
   RelayPeersClient,
@@ -38,7 +38,7 @@
 } from "./exchange_partner.ts";
 import type { Knowledge } from "./knowledge.ts";
 import { KnowledgeFetcher } from "./knowledge_fetcher.ts";
-import { writeKnowledge } from "./knowledge_message.ts";
+import { splitKnowledge, writeKnowledge } from "./knowledge_message.ts";
 import { type PartnerSelection, PartnerSelector } from "./partner_selector.ts";
 import { RecentAskers } from "./registry/recent_askers.ts";
 import {
@@ -153,12 +153,13 @@
           answer(null, this.#answer(call.request));
         },
         fetchKnowledge: (
-          call: ServerUnaryCall<KnowledgeRequest, KnowledgeMessage>,
-          answer: sendUnaryData<KnowledgeMessage>,
+          call: ServerWritableStream<KnowledgeRequest, KnowledgePart>,
         ) => {
           const { knowledge } = this.#parts;
           knowledge.workCounts.increment("knowledge_answered");
-          answer(null, writeKnowledge(knowledge, call.request));
+          const message = writeKnowledge(knowledge, call.request);
+          for (const part of splitKnowledge(message)) call.write(part);
+          call.end();
         },
       },
     };
--- /dev/null
+++ b/packages/node/tests/relay/knowledge_fetcher_test.ts
@@ -0,0 +1,136 @@
+import { standInConfiguration } from "@foxtailwind/bench";
+import {
+  failureDomainId,
+  logOffset,
+  nodeId,
+  type RelayConfiguration,
+} from "@foxtailwind/core";
+import { PeerChannels, PeerServer } from "@foxtailwind/node";
+import {
+  KnowledgeFetcher,
+  PeerDatagrams,
+  PeerExchange,
+  StreamDirectory,
+} from "@foxtailwind/node/relay";
+import { RelayPeersClient } from "@foxtailwind/protocol";
+import { PartitionableLink, SlowLink } from "@foxtailwind/standins";
+import { credentials } from "@grpc/grpc-js";
+import test, { type ExecutionContext } from "ava";
+import { randomBytes } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import { nodeDigest } from "./helpers/node_digest.ts";
+import { createRelayBase } from "./helpers/relay_base.ts";
+
+const VERSION = 7;
+const OPERATORS_END = logOffset(9);
+/** One megabit per second. */
+const SLOW_BYTES_PER_SECOND = 125_000;
+
+/** Creates a configuration of several hundred kilobytes. */
+function largeConfiguration(): RelayConfiguration {
+  const small = standInConfiguration(VERSION, 2);
+  const routes = Array.from({ length: 600 }, () => {
+    const name = randomBytes(6).toString("hex");
+    const pathPrefix = `/${name}/`;
+    return small.routes.map((route) => ({ ...route, name, pathPrefix }));
+  });
+  return { ...small, routes: routes.flat() };
+}
+
+/** Starts a node that has a large configuration, and returns its port. */
+function startInformedNode(t: ExecutionContext): Promise<number> {
+  const { base, knowledge } = createRelayBase({ part: "peers" });
+  knowledge.configuration(largeConfiguration());
+  knowledge.operatorsTold(OPERATORS_END);
+  const channels = new PeerChannels();
+  const { clock, logger } = base;
+  const exchange = new PeerExchange({
+    knowledge,
+    owners: undefined as never,
+    channels,
+    streams: new StreamDirectory({
+      knowledge,
+      channels,
+      datagrams: new PeerDatagrams(),
+      clock,
+    }),
+    clock,
+    logger,
+    self: { id: nodeId("informed"), failureDomain: failureDomainId("d") },
+    digest: () => undefined as never,
+  });
+  const server = new PeerServer([exchange.registration]);
+  t.teardown(() => {
+    channels.close();
+    server.abortConnections();
+  });
+  return server.listen({ host: "127.0.0.1", port: 0 });
+}
+
+/** Creates a node that fetches from peers, and lists those that it asks. */
+function createBehindNode(t: ExecutionContext) {
+  const { base, knowledge } = createRelayBase({ part: "peers" });
+  const channels = new PeerChannels();
+  const asked: string[] = [];
+  const fetcher = new KnowledgeFetcher({
+    ...base,
+    knowledge,
+    client: (address) => {
+      asked.push(address);
+      return new RelayPeersClient(address, credentials.createInsecure(), {
+        channelOverride: channels.getChannel(address),
+      });
+    },
+  });
+  t.teardown(() => {
+    fetcher.stop();
+    channels.close();
+  });
+  const addPeerAhead = (name: string, port: number) => {
+    const address = `127.0.0.1:${port}`;
+    knowledge.peers.applyDigest(
+      base.clock.now(),
+      nodeDigest(name, { address, operatorsEnd: OPERATORS_END }),
+    );
+    return address;
+  };
+  return { knowledge, fetcher, asked, addPeerAhead };
+}
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+  while (!condition()) await sleep(5);
+}
+
+/**
+ * Guards against a node on a narrow link that asks its peers for a large
+ * configuration again and again, and gives each answer up halfway.
+ */
+test("a large configuration arrives over a slow link at the first attempt", async (t) => {
+  const link = new SlowLink(await startInformedNode(t), SLOW_BYTES_PER_SECOND);
+  t.teardown(() => {
+    link.close();
+  });
+  const { knowledge, fetcher, asked, addPeerAhead } = createBehindNode(t);
+  addPeerAhead("informed", await link.listen());
+  fetcher.catchUpWithPeers();
+  await waitUntil(() => knowledge.routes !== undefined || asked.length > 1);
+  t.is(knowledge.routes?.configuration.version, VERSION);
+  t.is(knowledge.operatorsEnd, OPERATORS_END);
+  t.is(asked.length, 1);
+});
+
+test("a peer that becomes silent within its answer is given up, and another one asked", async (t) => {
+  const link = new PartitionableLink(await startInformedNode(t));
+  t.teardown(() => {
+    link.close();
+  });
+  const { knowledge, fetcher, asked, addPeerAhead } = createBehindNode(t);
+  const silent = addPeerAhead("silent", await link.listen());
+  link.partition();
+  fetcher.catchUpWithPeers();
+  await waitUntil(() => asked.length > 0);
+  addPeerAhead("informed", await startInformedNode(t));
+  await waitUntil(() => knowledge.routes !== undefined);
+  t.is(asked[0], silent);
+  t.is(knowledge.routes?.configuration.version, VERSION);
+});
--- a/packages/node/tests/relay/knowledge_message_test.ts
+++ b/packages/node/tests/relay/knowledge_message_test.ts
@@ -99,8 +99,8 @@
   t.is(node.routes?.configuration.version, 9);
   t.is(
     writeKnowledge(peer, { ...EMPTY_REQUEST, configurationVersion: 9 })
-      .configuration,
-    "",
+      .configuration.length,
+    0,
   );
 });
 
