Nodes of a large cluster fetch records from their exchange partners

A node that heard of new records asked any node ahead of it, which at first are the two that read the log.

A node now asks the nodes that it exchanges digests with, over the connections that are open, and others only after 400 ms in which no partner has the records, or where the partner failed. One that peers notify no longer waits 100 ms for a read of its own, which isn't in progress.

--- /dev/null
+++ b/packages/core/src/relay/log/knowledge_sources.ts
@@ -0,0 +1,40 @@
+import { type Duration, milliseconds, type NodeId } from "../../shared/mod.ts";
+
+/**
+ * How long a node waits until one of its exchange partners has the records that
+ * it lacks, before it asks any other node.
+ */
+const PARTNER_PATIENCE = milliseconds(400);
+
+/** A peer that has read more of the operators' records than this node. */
+export interface PeerAhead {
+  readonly id: NodeId;
+  /** Whether this node exchanges digests with it. */
+  readonly isPartner: boolean;
+}
+
+/** How a node's attempts to catch up have gone. */
+export interface CatchUpState {
+  /** How long peers have been ahead of this node. */
+  readonly behindFor: Duration;
+  /** The peer whose answer failed last. */
+  readonly failedPeer: NodeId | undefined;
+}
+
+/**
+ * Selects the peers to fetch records from. Records so spread along the ways of
+ * the digests, rather than from the first few nodes to all others.
+ * @param peersAhead The peers that are ahead of this node.
+ * @param state How the attempts so far have gone.
+ * @returns The peers, any of which may be asked; none to wait for a partner.
+ */
+export function knowledgeSources<T extends PeerAhead>(
+  peersAhead: readonly T[],
+  { behindFor, failedPeer }: CatchUpState,
+): readonly T[] {
+  const others = peersAhead.filter(({ id }) => id !== failedPeer);
+  const candidates = others.length > 0 ? others : peersAhead;
+  const partners = candidates.filter(({ isPartner }) => isPartner);
+  if (partners.length > 0) return partners;
+  return behindFor >= PARTNER_PATIENCE ? candidates : [];
+}
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -191,7 +191,7 @@
     if (this.#lastLogReadAt === undefined) return false;
     // A node that is notified by others calls the log too rarely to use a
     // timeout, so the result of its last call decides.
-    if (hasManyReaders(this.readerCount) && !this.isWatcher) {
+    if (this.isNotifiedByPeers) {
       return this.#lastLogCallSucceeded;
     }
     return now - this.#lastLogReadAt < LOG_CONTACT_TIMEOUT;
@@ -212,6 +212,11 @@
     return this.#countPreferredWatchers(() => true) < WATCHER_COUNT;
   }
 
+  /** Whether peers read the log for this node and send it changes. */
+  get isNotifiedByPeers(): boolean {
+    return hasManyReaders(this.readerCount) && !this.isWatcher;
+  }
+
   override get isActive(): boolean {
     return this.serving.isActive(this.#parts.clock.now());
   }
--- a/packages/node/src/relay/knowledge_fetcher.ts
+++ b/packages/node/src/relay/knowledge_fetcher.ts
@@ -1,4 +1,12 @@
-import { elapsed, type Instant, milliseconds } from "@foxtailwind/core";
+import {
+  elapsed,
+  type Instant,
+  knowledgeSources,
+  milliseconds,
+  type NodeId,
+  nodeId,
+  type PeerAhead,
+} from "@foxtailwind/core";
 import type { NodeDigest, RelayPeersClient } from "@foxtailwind/protocol";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { ComponentLogger } from "../logging/component_logger.ts";
@@ -15,6 +23,11 @@
  */
 const BEHIND_PEERS_DELAY_MILLISECONDS = 100;
 
+/** A peer that is ahead, and its address. */
+interface KnowledgeSource extends PeerAhead {
+  readonly address: string;
+}
+
 /** The dependencies of {@link KnowledgeFetcher}. */
 export interface KnowledgeFetcherParts {
   readonly knowledge: Knowledge;
@@ -22,6 +35,8 @@
   readonly logger: ComponentLogger;
   /** Returns the client of the peer at an address. */
   readonly client: (address: string) => RelayPeersClient;
+  /** Tells whether this node exchanges digests with the peer at an address. */
+  readonly isPartner: (address: string) => boolean;
 }
 
 /** Fetches from peers what this node has not read from the log itself. */
@@ -30,6 +45,10 @@
   readonly #startedAt: Instant;
   #lastOutageFetchAt: Instant | undefined;
   #behindTimer: NodeJS.Timeout | undefined;
+  /** Since when peers have been ahead of this node, if they are. */
+  #behindSince: Instant | undefined;
+  /** The peer whose answer failed last. */
+  #failedPeer: NodeId | undefined;
   #fetch: KnowledgeFetch | undefined;
   #isStopped = false;
 
@@ -51,7 +70,7 @@
     const peer = pickRandom(knowledge.peers.alive(now));
     if (peer === undefined) return;
     this.#lastOutageFetchAt = now;
-    this.#fetchFrom(peer);
+    this.#fetchFrom(this.#toSource(peer));
   }
 
   /**
@@ -61,13 +80,19 @@
    */
   catchUpWithPeers(): void {
     if (this.#isStopped || this.#fetch !== undefined) return;
-    if (this.#peersAhead().length === 0) return;
+    if (this.#peersAhead().length === 0) {
+      this.#behindSince = undefined;
+      return;
+    }
+    const { knowledge, clock } = this.#parts;
+    const isNew = this.#behindSince === undefined;
+    this.#behindSince ??= clock.now();
+    // A node that others notify is not about to read the records itself.
+    const isUrgent = isNew && knowledge.isNotifiedByPeers;
     this.#behindTimer ??= setTimeout(() => {
       this.#behindTimer = undefined;
-      const peer = pickRandom(this.#peersAhead());
-      if (peer === undefined || this.#fetch !== undefined) return;
-      this.#fetchFrom(peer);
-    }, BEHIND_PEERS_DELAY_MILLISECONDS);
+      this.#fetchFromPeerAhead();
+    }, isUrgent ? 0 : BEHIND_PEERS_DELAY_MILLISECONDS);
   }
 
   /** Stops fetching. */
@@ -77,47 +102,66 @@
     this.#fetch?.cancel();
   }
 
+  #fetchFromPeerAhead(): void {
+    if (this.#fetch !== undefined) return;
+    const now = this.#parts.clock.now();
+    const sources = knowledgeSources(this.#peersAhead(), {
+      behindFor: elapsed(this.#behindSince ?? now, now),
+      failedPeer: this.#failedPeer,
+    });
+    const source = pickRandom(sources);
+    if (source === undefined) this.catchUpWithPeers();
+    else this.#fetchFrom(source);
+  }
+
   /** Lists the peers that know of more records than this node. */
-  #peersAhead(): readonly NodeDigest[] {
+  #peersAhead(): readonly KnowledgeSource[] {
     const { knowledge, clock } = this.#parts;
-    return knowledge.peers.alive(clock.now()).filter((peer) =>
-      peer.operatorsEnd > knowledge.operatorsEnd
-    );
+    return knowledge.peers.alive(clock.now())
+      .filter((peer) => peer.operatorsEnd > knowledge.operatorsEnd)
+      .map((peer) => this.#toSource(peer));
+  }
+
+  #toSource({ node, address }: NodeDigest): KnowledgeSource {
+    const isPartner = this.#parts.isPartner(address);
+    return { id: nodeId(node), address, isPartner };
   }
 
-  #fetchFrom(peer: NodeDigest): void {
+  #fetchFrom({ id, address }: KnowledgeSource): void {
     const { knowledge, logger, client } = this.#parts;
     knowledge.workCounts.increment("knowledge_asked");
     const askedAt = knowledge.proofs.now;
     const request = {
       configurationVersion: knowledge.routes?.configuration.version ?? 0,
     };
-    this.#fetch = new KnowledgeFetch(client(peer.address), request, {
+    this.#fetch = new KnowledgeFetch(client(address), request, {
       onAnswer: (answer) => {
         readKnowledge(knowledge, answer);
         knowledge.applyPeerProof(askedAt, {
           age: decodeProofAge(answer),
           end: answer.operatorsEnd,
         });
-        logger.info("Fetched knowledge from a peer.", { peer: peer.node });
-        this.#recordEnd();
+        logger.info("Fetched knowledge from a peer.", { peer: id });
+        this.#behindSince = undefined;
+        this.#recordEnd(undefined);
       },
       onFailure: (detail) => {
         logger.warn("Fetching knowledge from a peer failed.", {
-          peer: peer.node,
+          peer: id,
           detail,
         });
-        this.#recordEnd();
+        this.#recordEnd(id);
       },
     });
   }
 
-  #recordEnd(): void {
+  #recordEnd(failedPeer: NodeId | undefined): void {
     this.#fetch = undefined;
+    this.#failedPeer = failedPeer;
     this.catchUpWithPeers();
   }
 }
 
-function pickRandom(peers: readonly NodeDigest[]): NodeDigest | undefined {
-  return peers[Math.floor(Math.random() * peers.length)];
+function pickRandom<T>(items: readonly T[]): T | undefined {
+  return items[Math.floor(Math.random() * items.length)];
 }
--- a/packages/node/src/relay/peer_exchange.ts
+++ b/packages/node/src/relay/peer_exchange.ts
@@ -96,6 +96,7 @@
     this.#fetcher = new KnowledgeFetcher({
       ...parts,
       client: (address) => this.#client(address),
+      isPartner: (address) => this.#isPartner(address),
     });
   }
 
@@ -347,6 +348,12 @@
     this.#fetcher.catchUpWithPeers();
   }
 
+  /** While few nodes are known, all of them are partners. */
+  #isPartner(address: string): boolean {
+    const { isRelayed, partners } = this.#selection;
+    return !isRelayed || partners.some((node) => node.address === address);
+  }
+
   #client(address: string): RelayPeersClient {
     return new RelayPeersClient(address, credentials.createInsecure(), {
       channelOverride: this.#parts.channels.getChannel(address),
--- a/packages/node/tests/relay/knowledge_fetcher_test.ts
+++ b/packages/node/tests/relay/knowledge_fetcher_test.ts
@@ -72,6 +72,7 @@
   const { base, knowledge } = createRelayBase({ part: "peers" });
   const channels = new PeerChannels();
   const asked: string[] = [];
+  const partners = new Set<string>();
   const fetcher = new KnowledgeFetcher({
     ...base,
     knowledge,
@@ -81,6 +82,7 @@
         channelOverride: channels.getChannel(address),
       });
     },
+    isPartner: (address) => partners.has(address),
   });
   t.teardown(() => {
     fetcher.stop();
@@ -94,7 +96,7 @@
     );
     return address;
   };
-  return { knowledge, fetcher, asked, addPeerAhead };
+  return { knowledge, fetcher, asked, partners, addPeerAhead };
 }
 
 async function waitUntil(condition: () => boolean): Promise<void> {
@@ -134,3 +136,24 @@
   t.is(asked[0], silent);
   t.is(knowledge.routes?.configuration.version, VERSION);
 });
+
+// Guards against all nodes of a large cluster asking the first few that read a
+// new configuration.
+test("an exchange partner is asked rather than any node that is ahead", async (t) => {
+  const { knowledge, fetcher, asked, partners, addPeerAhead } =
+    createBehindNode(t);
+  for (let other = 0; other < 30; other += 1) addPeerAhead(`a${other}`, 1);
+  const partner = addPeerAhead("partner", await startInformedNode(t));
+  partners.add(partner);
+  fetcher.catchUpWithPeers();
+  await waitUntil(() => knowledge.routes !== undefined);
+  t.deepEqual(asked, [partner]);
+});
+
+test("another node is asked if no exchange partner is ahead", async (t) => {
+  const { knowledge, fetcher, asked, addPeerAhead } = createBehindNode(t);
+  const other = addPeerAhead("other", await startInformedNode(t));
+  fetcher.catchUpWithPeers();
+  await waitUntil(() => knowledge.routes !== undefined);
+  t.deepEqual(asked, [other]);
+});
