--- a/packages/node/src/relay/knowledge_fetcher.ts
+++ b/packages/node/src/relay/knowledge_fetcher.ts
@@ -1,14 +1,18 @@
-import { elapsed, type Instant, milliseconds } from "@foxtailwind/core";
-import type {
-  Knowledge as KnowledgeMessage,
-  NodeDigest,
-  RelayPeersClient,
-} from "@foxtailwind/protocol";
-import { Metadata } from "@grpc/grpc-js";
+import {
+  elapsed,
+  type Instant,
+  knowledgeSources,
+  milliseconds,
+  type NodeId,
+  nodeId,
+  type PeerAhead,
+} from "@foxtailwind/core";
+import type { NodeDigest, RelayPeersClient } from "@foxtailwind/protocol";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { ComponentLogger } from "../logging/component_logger.ts";
 import { decodeProofAge } from "./accounts/proof_age.ts";
 import type { Knowledge } from "./knowledge.ts";
+import { KnowledgeFetch } from "./knowledge_fetch.ts";
 import { readKnowledge } from "./knowledge_message.ts";
 
 /** How long the log is unreachable before a peer is asked instead. */
@@ -18,11 +22,11 @@
  * read. The store notifies all readers within a few milliseconds.
  */
 const BEHIND_PEERS_DELAY_MILLISECONDS = 100;
-/**
- * The time after which another peer is asked. A peer answers within a few
- * milliseconds, or within about 200 on a link that loses a packet.
- */
-const FETCH_TIMEOUT_MILLISECONDS = 300;
+
+/** A peer that is ahead, and its address. */
+interface KnowledgeSource extends PeerAhead {
+  readonly address: string;
+}
 
 /** The dependencies of {@link KnowledgeFetcher}. */
 export interface KnowledgeFetcherParts {
@@ -31,6 +35,8 @@
   readonly logger: ComponentLogger;
   /** Returns the client of the peer at an address. */
   readonly client: (address: string) => RelayPeersClient;
+  /** Tells whether this node exchanges digests with the peer at an address. */
+  readonly isPartner: (address: string) => boolean;
 }
 
 /** Fetches from peers what this node has not read from the log itself. */
@@ -39,7 +45,11 @@
   readonly #startedAt: Instant;
   #lastOutageFetchAt: Instant | undefined;
   #behindTimer: NodeJS.Timeout | undefined;
-  #isCatchingUp = false;
+  /** Since when peers have been ahead of this node, if they are. */
+  #behindSince: Instant | undefined;
+  /** The peer whose answer failed last. */
+  #failedPeer: NodeId | undefined;
+  #fetch: KnowledgeFetch | undefined;
   #isStopped = false;
 
   /** @param parts The dependencies. */
@@ -54,13 +64,13 @@
    */
   fetchDuringLogOutage(now: Instant): void {
     const { knowledge } = this.#parts;
-    if (knowledge.isLogReachable(now)) return;
+    if (this.#fetch !== undefined || knowledge.isLogReachable(now)) return;
     const since = this.#lastOutageFetchAt ?? this.#startedAt;
     if (elapsed(since, now) < LOG_OUTAGE_DELAY) return;
     const peer = pickRandom(knowledge.peers.alive(now));
     if (peer === undefined) return;
     this.#lastOutageFetchAt = now;
-    this.#fetchFrom(peer, () => undefined);
+    this.#fetchFrom(this.#toSource(peer));
   }
 
   /**
@@ -69,62 +79,89 @@
    * may reject this node.
    */
   catchUpWithPeers(): void {
-    if (this.#isStopped || this.#isCatchingUp) return;
-    if (this.#peersAhead().length === 0) return;
+    if (this.#isStopped || this.#fetch !== undefined) return;
+    if (this.#peersAhead().length === 0) {
+      this.#behindSince = undefined;
+      return;
+    }
+    const { knowledge, clock } = this.#parts;
+    const isNew = this.#behindSince === undefined;
+    this.#behindSince ??= clock.now();
+    // A node that others notify is not about to read the records itself.
+    const isUrgent = isNew && knowledge.isNotifiedByPeers;
     this.#behindTimer ??= setTimeout(() => {
       this.#behindTimer = undefined;
-      const peer = pickRandom(this.#peersAhead());
-      if (peer === undefined) return;
-      this.#isCatchingUp = true;
-      this.#fetchFrom(peer, () => {
-        this.#isCatchingUp = false;
-        this.catchUpWithPeers();
-      });
-    }, BEHIND_PEERS_DELAY_MILLISECONDS);
+      this.#fetchFromPeerAhead();
+    }, isUrgent ? 0 : BEHIND_PEERS_DELAY_MILLISECONDS);
   }
 
   /** Stops fetching. */
   stop(): void {
     this.#isStopped = true;
     clearTimeout(this.#behindTimer);
+    this.#fetch?.cancel();
+  }
+
+  #fetchFromPeerAhead(): void {
+    if (this.#fetch !== undefined) return;
+    const now = this.#parts.clock.now();
+    const sources = knowledgeSources(this.#peersAhead(), {
+      behindFor: elapsed(this.#behindSince ?? now, now),
+      failedPeer: this.#failedPeer,
+    });
+    const source = pickRandom(sources);
+    if (source === undefined) this.catchUpWithPeers();
+    else this.#fetchFrom(source);
   }
 
   /** Lists the peers that know of more records than this node. */
-  #peersAhead(): readonly NodeDigest[] {
+  #peersAhead(): readonly KnowledgeSource[] {
     const { knowledge, clock } = this.#parts;
-    return knowledge.peers.alive(clock.now()).filter((peer) =>
-      peer.operatorsEnd > knowledge.operatorsEnd
-    );
+    return knowledge.peers.alive(clock.now())
+      .filter((peer) => peer.operatorsEnd > knowledge.operatorsEnd)
+      .map((peer) => this.#toSource(peer));
+  }
+
+  #toSource({ node, address }: NodeDigest): KnowledgeSource {
+    const isPartner = this.#parts.isPartner(address);
+    return { id: nodeId(node), address, isPartner };
   }
 
-  #fetchFrom(peer: NodeDigest, onEnd: () => void): void {
+  #fetchFrom({ id, address }: KnowledgeSource): void {
     const { knowledge, logger, client } = this.#parts;
     knowledge.workCounts.increment("knowledge_asked");
     const askedAt = knowledge.proofs.now;
-    client(peer.address).fetchKnowledge(
-      { configurationVersion: knowledge.routes?.configuration.version ?? 0 },
-      new Metadata(),
-      { deadline: Date.now() + FETCH_TIMEOUT_MILLISECONDS },
-      (error, answer: KnowledgeMessage | undefined) => {
-        if (error !== null || answer === undefined) {
-          logger.warn("Fetching knowledge from a peer failed.", {
-            peer: peer.node,
-            detail: error?.message,
-          });
-        } else {
-          readKnowledge(knowledge, answer);
-          knowledge.applyPeerProof(askedAt, {
-            age: decodeProofAge(answer),
-            end: answer.operatorsEnd,
-          });
-          logger.info("Fetched knowledge from a peer.", { peer: peer.node });
-        }
-        onEnd();
+    const request = {
+      configurationVersion: knowledge.routes?.configuration.version ?? 0,
+    };
+    this.#fetch = new KnowledgeFetch(client(address), request, {
+      onAnswer: (answer) => {
+        readKnowledge(knowledge, answer);
+        knowledge.applyPeerProof(askedAt, {
+          age: decodeProofAge(answer),
+          end: answer.operatorsEnd,
+        });
+        logger.info("Fetched knowledge from a peer.", { peer: id });
+        this.#behindSince = undefined;
+        this.#recordEnd(undefined);
       },
-    );
+      onFailure: (detail) => {
+        logger.warn("Fetching knowledge from a peer failed.", {
+          peer: id,
+          detail,
+        });
+        this.#recordEnd(id);
+      },
+    });
+  }
+
+  #recordEnd(failedPeer: NodeId | undefined): void {
+    this.#fetch = undefined;
+    this.#failedPeer = failedPeer;
+    this.catchUpWithPeers();
   }
 }
 
-function pickRandom(peers: readonly NodeDigest[]): NodeDigest | undefined {
-  return peers[Math.floor(Math.random() * peers.length)];
+function pickRandom<T>(items: readonly T[]): T | undefined {
+  return items[Math.floor(Math.random() * items.length)];
 }
