Relay: exchanges and uses of adapters are messages on open calls

Change: a link is one bidirectional call to a peer that carries numbered questions and their answers; one for exchanges, one for uses.

--- a/packages/node/src/relay/adapter_grants.ts
+++ b/packages/node/src/relay/adapter_grants.ts
@@ -6,20 +6,13 @@
   modelId,
   type NodeId,
 } from "@foxtailwind/core";
-import {
-  type AdapterGrant,
-  type AdapterUse,
-  GrantOutcome,
-  RelayPeersClient,
-} from "@foxtailwind/protocol";
-import {
-  credentials,
-  Metadata,
-  type ServerWritableStream,
-} from "@grpc/grpc-js";
+import { type AdapterGrant, GrantOutcome } from "@foxtailwind/protocol";
+import { Metadata } from "@grpc/grpc-js";
 import type { PeerChannels } from "../peers/peer_channels.ts";
 import type { EngineOwners } from "./engine_owners.ts";
 import type { UseAnswer, UseRequest } from "./engine_use.ts";
+import type { UseCall } from "./links/link_service.ts";
+import { PeerLinks } from "./links/peer_links.ts";
 import { decodeStart, encodeStart } from "./start_message.ts";
 
 /** Timeout of a call that reports a miss to an engine's owner. */
@@ -43,7 +36,7 @@
 export class AdapterGrants {
   readonly #self: NodeId;
   readonly #owners: EngineOwners;
-  readonly #channels: PeerChannels;
+  readonly #links: PeerLinks;
 
   /**
    * @param self The id of this node.
@@ -53,7 +46,7 @@
   constructor(self: NodeId, owners: EngineOwners, channels: PeerChannels) {
     this.#self = self;
     this.#owners = owners;
-    this.#channels = channels;
+    this.#links = new PeerLinks(channels);
   }
 
   /**
@@ -87,7 +80,7 @@
       this.#owners.find(engine)?.recordMiss();
       return;
     }
-    this.#client(address).noteMiss(
+    this.#links.createClient(address).noteMiss(
       { engine },
       new Metadata(),
       { deadline: Date.now() + MISS_REPORT_TIMEOUT_MILLISECONDS },
@@ -95,60 +88,54 @@
     );
   }
 
-  #client(address: string): RelayPeersClient {
-    return new RelayPeersClient(address, credentials.createInsecure(), {
-      channelOverride: this.#channels.getChannel(address),
-    });
-  }
-
   #requestFromPeer(
     { engine, address }: EngineOwnerAddress,
     request: UseRequest,
     signal: AbortSignal,
   ): Promise<GrantAnswer> {
-    const call = this.#client(address).useAdapter({
-      engine,
-      model: request.model,
-      adapter: request.adapter ?? "",
-      minimumVersion: request.minimumVersion,
-      readingMilliseconds: Math.round(request.prefillTime),
-      timeLeftMilliseconds: Math.round(request.timeLeft),
-      needsBreak: request.needsBreak,
-    });
     const useEnd = new AbortController();
-    const release = () => {
-      call.cancel();
-    };
     return new Promise((resolve) => {
       const abandon = () => {
-        release();
+        use.cancel();
         resolve({ kind: "unreachable" });
       };
-      signal.addEventListener("abort", abandon, { once: true });
-      call.on("data", (grant: AdapterGrant) => {
-        signal.removeEventListener("abort", abandon);
-        resolve(toAnswer(grant, useEnd.signal, release));
-      });
-      call.on("error", () => {
-        signal.removeEventListener("abort", abandon);
-        resolve({ kind: "unreachable" });
-      });
-      call.on("end", () => {
-        useEnd.abort();
-        resolve({ kind: "unreachable" });
+      const use = this.#links.getLink(address).requestUse({
+        engine,
+        model: request.model,
+        adapter: request.adapter ?? "",
+        minimumVersion: request.minimumVersion,
+        readingMilliseconds: Math.round(request.prefillTime),
+        timeLeftMilliseconds: Math.round(request.timeLeft),
+        needsBreak: request.needsBreak,
+      }, {
+        onGrant: (grant) => {
+          signal.removeEventListener("abort", abandon);
+          resolve(toAnswer(grant, useEnd.signal, use.cancel));
+        },
+        onEnd: () => {
+          signal.removeEventListener("abort", abandon);
+          useEnd.abort();
+          resolve({ kind: "unreachable" });
+        },
+        onLost: () => {
+          signal.removeEventListener("abort", abandon);
+          resolve({ kind: "unreachable" });
+        },
       });
+      signal.addEventListener("abort", abandon, { once: true });
+      if (signal.aborted) abandon();
     });
   }
 }
 
 /**
- * Serves a peer's request for a use. The use lasts until the call ends.
+ * Serves a peer's request for a use. The use lasts until the peer ends it.
  * @param owners The engines that this node owns.
- * @param call The peer's call.
+ * @param call The peer's request.
  */
 export async function serveAdapterUse(
   owners: EngineOwners,
-  call: ServerWritableStream<AdapterUse, AdapterGrant>,
+  call: UseCall,
 ): Promise<void> {
   const { engine, model, adapter, minimumVersion } = call.request;
   const owner = owners.find(backendServerId(engine));
@@ -156,10 +143,6 @@
     writeRefusal(call, GrantOutcome.NOT_OWNER);
     return;
   }
-  const cancellation = new AbortController();
-  call.once("cancelled", () => {
-    cancellation.abort();
-  });
   const answer = await owner.requestUse({
     model: modelId(model),
     ...(adapter === "" ? {} : { adapter: adapterId(adapter) }),
@@ -167,7 +150,7 @@
     prefillTime: milliseconds(call.request.readingMilliseconds),
     timeLeft: milliseconds(call.request.timeLeftMilliseconds),
     needsBreak: call.request.needsBreak,
-  }, cancellation.signal);
+  }, call.signal);
   if (answer.kind !== "granted") {
     writeRefusal(
       call,
@@ -175,16 +158,13 @@
     );
     return;
   }
-  if (call.cancelled || answer.endSignal.aborted) {
+  if (call.signal.aborted || answer.endSignal.aborted) {
     answer.release();
     call.end();
     return;
   }
-  call.once("cancelled", answer.release);
-  call.once("close", answer.release);
-  answer.endSignal.addEventListener("abort", () => {
-    call.end();
-  }, { once: true });
+  call.signal.addEventListener("abort", answer.release, { once: true });
+  answer.endSignal.addEventListener("abort", call.end, { once: true });
   call.write({
     outcome: GrantOutcome.GRANTED,
     version: answer.version,
@@ -193,10 +173,7 @@
   });
 }
 
-function writeRefusal(
-  call: ServerWritableStream<AdapterUse, AdapterGrant>,
-  outcome: GrantOutcome,
-): void {
+function writeRefusal(call: UseCall, outcome: GrantOutcome): void {
   call.write({ outcome, version: 0, waitMilliseconds: 0, start: 0 });
   call.end();
 }
--- a/packages/node/src/relay/peer_exchange.ts
+++ b/packages/node/src/relay/peer_exchange.ts
@@ -5,24 +5,21 @@
   instant,
 } from "@foxtailwind/core";
 import {
-  type AdapterGrant,
-  type AdapterUse,
   type EngineMiss,
   type EngineMissNoted,
   type ExchangeAnswer,
   type ExchangeQuestion,
   type Knowledge as KnowledgeMessage,
   type KnowledgeRequest,
+  type LinkAnswer,
+  type LinkQuestion,
   type NodeDigest,
-  RelayPeersClient,
   RelayPeersService,
 } from "@foxtailwind/protocol";
-import {
-  credentials,
-  Metadata,
-  type sendUnaryData,
-  type ServerUnaryCall,
-  type ServerWritableStream,
+import type {
+  sendUnaryData,
+  ServerDuplexStream,
+  ServerUnaryCall,
 } from "@grpc/grpc-js";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { ComponentLogger } from "../logging/component_logger.ts";
@@ -39,6 +36,8 @@
 import type { Knowledge } from "./knowledge.ts";
 import { KnowledgeFetcher } from "./knowledge_fetcher.ts";
 import { writeKnowledge } from "./knowledge_message.ts";
+import { serveLink } from "./links/link_service.ts";
+import { PeerLinks } from "./links/peer_links.ts";
 import { type PartnerSelection, PartnerSelector } from "./partner_selector.ts";
 import { RecentAskers } from "./registry/recent_askers.ts";
 import {
@@ -77,6 +76,7 @@
 /** Exchanges digests with the other nodes, in both directions in one call. */
 export class PeerExchange {
   readonly #parts: PeerExchangeParts;
+  readonly #links: PeerLinks;
   readonly #pending = new Set<string>();
   /** The exchange state of each partner, by address. */
   readonly #partnersByAddress = new Map<string, ExchangePartner>();
@@ -91,11 +91,12 @@
   /** @param parts The dependencies. */
   constructor(parts: PeerExchangeParts) {
     this.#parts = parts;
+    this.#links = new PeerLinks(parts.channels);
     this.#selector = new PartnerSelector(parts.self, parts.knowledge);
     this.#selection = this.#selector.select(parts.clock.now());
     this.#fetcher = new KnowledgeFetcher({
       ...parts,
-      client: (address) => this.#client(address),
+      client: (address) => this.#links.createClient(address),
     });
   }
 
@@ -135,9 +136,14 @@
       definition: RelayPeersService,
       implementation: {
         ...streams.handlers,
-        useAdapter: (call: ServerWritableStream<AdapterUse, AdapterGrant>) => {
-          this.#parts.knowledge.workCounts.increment("use_answered");
-          void serveAdapterUse(owners, call);
+        link: (call: ServerDuplexStream<LinkQuestion, LinkAnswer>) => {
+          serveLink(call, {
+            answerExchange: (question) => this.#answer(question),
+            serveUse: (useCall) => {
+              this.#parts.knowledge.workCounts.increment("use_answered");
+              void serveAdapterUse(owners, useCall);
+            },
+          });
         },
         noteMiss: (
           call: ServerUnaryCall<EngineMiss, EngineMissNoted>,
@@ -146,12 +152,6 @@
           owners.find(backendServerId(call.request.engine))?.recordMiss();
           answer(null, {});
         },
-        exchange: (
-          call: ServerUnaryCall<ExchangeQuestion, ExchangeAnswer>,
-          answer: sendUnaryData<ExchangeAnswer>,
-        ) => {
-          answer(null, this.#answer(call.request));
-        },
         fetchKnowledge: (
           call: ServerUnaryCall<KnowledgeRequest, KnowledgeMessage>,
           answer: sendUnaryData<KnowledgeMessage>,
@@ -234,29 +234,31 @@
     this.#parts.knowledge.workCounts.increment("exchange_asked");
     const partner = this.#partnerAt(address);
     const askedAt = this.#parts.knowledge.proofs.now;
-    this.#client(address).exchange(
-      {
-        ...partner.nextQuestion(own, scope),
-        ...encodeRegistryAge(this.#parts.knowledge.registryProofs.age),
-      },
-      new Metadata(),
-      { deadline: Date.now() + EXCHANGE_TIMEOUT_MILLISECONDS },
-      (error, answer: ExchangeAnswer | undefined) => {
-        this.#pending.delete(address);
-        const now = this.#parts.clock.now();
-        if (error !== null || answer === undefined) {
-          this.#recordFailure(now, address, scope);
-          return;
-        }
-        this.#selector.recordAnswer(address);
-        this.#parts.knowledge.applyPeerProof(askedAt, {
-          age: decodeProofAge(answer),
-          end: answer.own?.operatorsEnd ?? Infinity,
-        });
-        this.#applyRegistry(askedAt, answer);
-        this.#reactToDigest(partner.applyAnswer(now, answer, scope));
-      },
-    );
+    const link = this.#links.getLink(address);
+    // A link that doesn't answer may have gone silent: the next question has
+    // another one.
+    const timer = setTimeout(() => {
+      link.close();
+    }, EXCHANGE_TIMEOUT_MILLISECONDS);
+    void link.exchange({
+      ...partner.nextQuestion(own, scope),
+      ...encodeRegistryAge(this.#parts.knowledge.registryProofs.age),
+    }).then((answer) => {
+      clearTimeout(timer);
+      this.#pending.delete(address);
+      const now = this.#parts.clock.now();
+      if (answer === undefined) {
+        this.#recordFailure(now, address, scope);
+        return;
+      }
+      this.#selector.recordAnswer(address);
+      this.#parts.knowledge.applyPeerProof(askedAt, {
+        age: decodeProofAge(answer),
+        end: answer.own?.operatorsEnd ?? Infinity,
+      });
+      this.#applyRegistry(askedAt, answer);
+      this.#reactToDigest(partner.applyAnswer(now, answer, scope));
+    });
   }
 
   #applyRegistry(askedAt: Instant, answer: ExchangeAnswer): void {
@@ -345,10 +347,4 @@
     if (isStatusChange) this.#parts.owners.refresh();
     this.#fetcher.catchUpWithPeers();
   }
-
-  #client(address: string): RelayPeersClient {
-    return new RelayPeersClient(address, credentials.createInsecure(), {
-      channelOverride: this.#parts.channels.getChannel(address),
-    });
-  }
 }
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -65,6 +65,8 @@
   type HeldAdapter,
   type Knowledge,
   type KnowledgeRequest,
+  type LinkAnswer,
+  type LinkQuestion,
   NodeDigest,
   type NodeNews,
   PeerDatagram,
