--- a/packages/node/src/relay/adapter_grants.ts
+++ b/packages/node/src/relay/adapter_grants.ts
@@ -169,12 +169,11 @@
     outcome: GrantOutcome.GRANTED,
     version: answer.version,
     start: encodeStart(answer.start),
-    waitMilliseconds: owner.digest.waitMilliseconds,
   });
 }
 
 function writeRefusal(call: UseCall, outcome: GrantOutcome): void {
-  call.write({ outcome, version: 0, waitMilliseconds: 0, start: 0 });
+  call.write({ outcome, version: 0, start: 0 });
   call.end();
 }
 
--- a/packages/node/src/relay/mod.ts
+++ b/packages/node/src/relay/mod.ts
@@ -30,6 +30,8 @@
 export * from "./engine_use.ts";
 export * from "./front_server.ts";
 export * from "./knowledge.ts";
+export * from "./links/link_service.ts";
+export * from "./links/peer_links.ts";
 export * from "./relay_parts.ts";
 export * from "./relay_stop.ts";
 export * from "./crashes/request_content.ts";
