--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -66,6 +66,8 @@
   Knowledge,
   type KnowledgePart,
   type KnowledgeRequest,
+  type LinkAnswer,
+  type LinkQuestion,
   NodeDigest,
   type NodeNews,
   PeerDatagram,
