--- a/packages/node/tests/relay/helpers/relay_world.ts
+++ b/packages/node/tests/relay/helpers/relay_world.ts
@@ -70,7 +70,10 @@
   readonly #clock = new ProcessClock();
   readonly #pools = new BackendPools();
   readonly #owners: EngineOwners;
-  readonly #servers: ReturnType<typeof createServer>[] = [];
+  readonly #servers: {
+    readonly id: string;
+    readonly server: ReturnType<typeof createServer>;
+  }[] = [];
   readonly #addresses = new Map<string, string>();
   #offset = 0;
   port = 0;
@@ -228,7 +231,7 @@
     software?: string,
   ): Promise<void> {
     const server = createServer(answer);
-    this.#servers.push(server);
+    this.#servers.push({ id, server });
     await new Promise<void>((resolve) =>
       server.listen(0, "127.0.0.1", resolve)
     );
@@ -236,6 +239,30 @@
     this.addAddress(id, `127.0.0.1:${port}`, service, undefined, software);
   }
 
+  /**
+   * Ends a server: its connections break, and its address refuses others.
+   * @param id Its id.
+   */
+  endServer(id: string): void {
+    for (const { server } of this.#serversNamed(id)) {
+      server.close();
+      server.closeAllConnections();
+    }
+  }
+
+  /**
+   * Lets a server reset its connections, and those that follow.
+   * @param id Its id.
+   */
+  resetServer(id: string): void {
+    for (const { server } of this.#serversNamed(id)) {
+      server.on("connection", (socket) => {
+        socket.resetAndDestroy();
+      });
+      server.closeAllConnections();
+    }
+  }
+
   /**
    * Adds an engine that this node owns.
    * @param id Its id.
@@ -331,6 +358,10 @@
     this.addAddress(id, address, PLAIN_SERVICE, undefined, software);
   }
 
+  #serversNamed(id: string) {
+    return this.#servers.filter((one) => one.id === id);
+  }
+
   /** Starts the front server. */
   async start(t: ExecutionContext): Promise<this> {
     this.port = await this.front.listen({ host: "127.0.0.1", port: 0 });
@@ -338,10 +369,7 @@
       this.front.stopListening();
       await this.front.abortAll();
       this.#owners.stop();
-      for (const server of this.#servers) {
-        server.closeAllConnections();
-        server.close();
-      }
+      for (const { id } of this.#servers) this.endServer(id);
       await this.#pools.destroy();
     });
     return this;
