Quarantine: runs of 0.45 s speak for what had sent nothing

Cause: a suspect that had sent nothing when its server ended ranks as if it had run for 1 s, and only runs of 1 s contradicted it. Its part was blamed after 0.5 s, and from then on nothing began that could clear it. Answers last 0.4 s; runs are looked at by age also where their answer is complete.

Change: 0.45 s contradict such a suspect, by when the end of a server that the run caused is known; a look after 0.8 s besides. A complete answer still clears nothing by itself, and nothing if its server ends.

Two tests that mean the end of a server closed one connection of a server that went on listening; they end the server now, with the same assertions.

--- a/packages/core/src/relay/crashes/crash_suspicion.ts
+++ b/packages/core/src/relay/crashes/crash_suspicion.ts
@@ -58,12 +58,25 @@
   return startKey(server, start);
 }
 
-/** A run contradicts suspects whose own runs lasted at most 1/2 of its time. */
+/** A run contradicts suspects that had run for at most 1/2 of its time. */
 const CONTRADICTING_RATIO = 2;
 
-/** The ages at which a run that still goes on clears its suspects. */
+/**
+ * A run that goes on for this long contradicts suspects that had sent nothing.
+ * They had not begun, or had only just: the end of a server that they would have
+ * caused is known to all nodes within this time of their beginning.
+ */
+const UNANSWERED_CONTRADICTION_TIME = milliseconds(450);
+
+/**
+ * The ages at which a run whose server still runs clears its suspects, also
+ * where its answer is complete. All but the last come before a part is blamed,
+ * or soon after.
+ */
 export const SURVIVAL_CHECKS: readonly Duration[] = [
   milliseconds(300),
+  UNANSWERED_CONTRADICTION_TIME,
+  milliseconds(800),
   MAXIMUM_SUSPECT_RUN_TIME,
 ];
 
@@ -75,6 +88,8 @@
  * @returns Whether the suspicion is contradicted.
  */
 export function isContradicted(ranFor: Duration, lasted: Duration): boolean {
-  return lasted >= MAXIMUM_SUSPECT_RUN_TIME ||
-    lasted >= CONTRADICTING_RATIO * ranFor;
+  const needed = ranFor >= MAXIMUM_SUSPECT_RUN_TIME
+    ? UNANSWERED_CONTRADICTION_TIME
+    : Math.min(MAXIMUM_SUSPECT_RUN_TIME, CONTRADICTING_RATIO * ranFor);
+  return lasted >= needed;
 }
--- a/packages/core/tests/relay/crashes/crash_blame_test.ts
+++ b/packages/core/tests/relay/crashes/crash_blame_test.ts
@@ -137,6 +137,24 @@
   t.deepEqual(cleared.map(({ ranFor }) => ranFor), [milliseconds(100)]);
 });
 
+// Guards against a sound part that is blamed before any run with it has lasted
+// long enough to clear it.
+test("runs begun since its crashes clear a part of requests that had no answer, also once it is refused", (t) => {
+  const quarantine = new RequestQuarantine();
+  const unanswered = 1_000;
+  for (const crash of [1, 2, 3]) {
+    for (const one of suspicionsOf(crash, ["first"], unanswered)) {
+      quarantine.addSuspicion(instant(0), one);
+    }
+  }
+  t.not(quarantine.remainingTime(instant(520), FIRST), undefined);
+  const begunAt = instant(80);
+  quarantine.recordSurvival({ begunAt, lasted: milliseconds(300) }, [FIRST]);
+  t.not(quarantine.remainingTime(instant(520), FIRST), undefined);
+  quarantine.recordSurvival({ begunAt, lasted: milliseconds(450) }, [FIRST]);
+  t.is(quarantine.remainingTime(instant(530), FIRST), undefined);
+});
+
 test("a part is refused for an hour, a content for a day", (t) => {
   const quarantine = crashedBy([
     [["first", "second"]],
--- a/packages/node/tests/relay/crashes/crashing_parts_test.ts
+++ b/packages/node/tests/relay/crashes/crashing_parts_test.ts
@@ -12,7 +12,11 @@
 import { BusyServer } from "../helpers/busy_server.ts";
 import { rawCall } from "../helpers/raw_call.ts";
 import { PLAIN_SERVICE } from "../helpers/relay_routes.ts";
-import { type RelayWorld, startWorld } from "../helpers/relay_world.ts";
+import {
+  type RelayWorld,
+  startWorld,
+  succeed,
+} from "../helpers/relay_world.ts";
 import { CLOSE_DELIMITED_HEAD, serveRaw } from "../helpers/serve_raw.ts";
 
 const HEAD = { method: "POST", url: "/", headers: { host: "one.example" } };
@@ -31,7 +35,11 @@
 }
 
 /** Tells a node that a part has ended servers. */
-function suspectPart({ knowledge }: RelayWorld, crashes: number): void {
+function suspectPart(
+  { knowledge }: RelayWorld,
+  crashes: number,
+  ranFor = 80,
+): void {
   const [content = contentDigest("")] = partDigestsOf();
   for (let crash = 0; crash < crashes; crash += 1) {
     knowledge.suspicion({
@@ -40,7 +48,7 @@
         content,
         partPosition: 0,
         server: backendServerId(`gone-${crash}`),
-        ranFor: milliseconds(80),
+        ranFor: milliseconds(ranFor),
       },
     });
   }
@@ -143,7 +151,7 @@
 test("an answer that ends with its connection is suspect if its server ended then", async (t) => {
   const world = await startWorld(t);
   let sockets: (() => void)[] = [];
-  await serveRaw(t, world, "s1", (socket, request) => {
+  const listener = await serveRaw(t, world, "s1", (socket, request) => {
     const isUnmarked = request.includes("/once/unmarked");
     socket.write(
       isUnmarked
@@ -160,6 +168,7 @@
   );
   while (sockets.length < calls.length) await sleep(POLL_MILLISECONDS);
   await sleep(POLL_MILLISECONDS);
+  listener.close();
   for (const end of sockets) end();
   await Promise.all(calls.map(({ ended }) => ended));
   await sleep(SETTLED_MILLISECONDS);
@@ -183,7 +192,7 @@
       response.write("id: 1\n\n");
       answers.push(() => {
         broken.add(server);
-        response.destroy();
+        world.endServer(server);
       });
     });
   }
@@ -219,3 +228,47 @@
   await sleep(BLAMED_MILLISECONDS);
   t.is(quarantined(world).length, 1, "It may come to crash servers later.");
 });
+
+/** Ranks requests that had got no answer as their server ended. */
+const UNANSWERED_MILLISECONDS = 1_000;
+
+// Guards against a sound part that many short answers have, refused for an hour
+// since none of them lasts as long as it takes to clear it.
+test("complete answers clear a part of unanswered requests before it is blamed", async (t) => {
+  const world = await startWorld(t);
+  await world.addServer("s1", (request, response) => {
+    succeed(request.resume(), response, "served");
+  });
+  suspectPart(world, 2, UNANSWERED_MILLISECONDS);
+  const headers = { "x-parts": "p,own" };
+  t.is((await world.call("/once/a", { headers })).status, 200);
+  await sleep(BLAMED_MILLISECONDS);
+  t.true(world.knowledge.suspicionTracker.quarantine.isEmpty);
+});
+
+// Guards against the culprit that is cleared by its own answer.
+test("a complete answer clears nothing if its server ends soon after", async (t) => {
+  const world = await startWorld(t);
+  await world.addServer("s1", (request, response) => {
+    request.resume();
+    if (request.url === "/stream/begun") {
+      response.writeHead(200, { "x-id": "r1", "x-seal": "s" });
+      response.write("id: 1\n\n");
+    } else succeed(request, response, "served");
+  });
+  const begun = rawCall(world.port, "/stream/begun");
+  await begun.received("id: 1");
+  suspectPart(world, 2, UNANSWERED_MILLISECONDS);
+  const headers = { "x-parts": "p,own" };
+  t.is((await world.call("/once/a", { headers })).status, 200);
+  await sleep(100);
+  world.endServer("s1");
+  await begun.ended;
+  await sleep(2 * BLAMED_MILLISECONDS);
+  const { quarantine } = world.knowledge.suspicionTracker;
+  const hour = 60 * 60 * 1_000;
+  const [part] = partDigestsOf();
+  const suspected = quarantine.expire(instant(performance.now() + hour))
+    .filter(({ content }) => content === part);
+  t.is(suspected.length, 2);
+});
