Crash emulation: servers that reset single calls and run on

A cause more (20 resets a second beside a part that ends servers), and nodes that take resets for ends, to compare with.

--- a/packages/bench/src/soak/crashes/crash_mutants.ts
+++ b/packages/bench/src/soak/crashes/crash_mutants.ts
@@ -68,6 +68,7 @@
   ],
   ["each server on its own, settled", { countsBursts: false }],
   ["in bursts, unsettled", { suspectsUnsettled: true }],
+  ["resets taken for ends", { takesResetsForEnds: true }],
   ["sent although named", { sendsLate: true }],
 ]);
 
--- a/packages/bench/src/soak/crashes/crash_node.ts
+++ b/packages/bench/src/soak/crashes/crash_node.ts
@@ -17,6 +17,9 @@
   | { readonly kind: "added"; readonly suspicion: CrashSuspicion }
   | { readonly kind: "dropped"; readonly key: SuspicionKey };
 
+/** Why calls break: their server ended, their node lost it, or only they did. */
+export type BreakCause = "end" | "loss" | "reset";
+
 /** What a node knows and does wrong on purpose. */
 export interface CrashNodeRules {
   readonly findBlame?: typeof findCrashBlame;
@@ -30,6 +33,8 @@
   readonly countsBursts?: boolean;
   /** Whether parts are suspected before their server is known to have ended. */
   readonly suspectsUnsettled?: boolean;
+  /** Whether a call that breaks alone counts as the end of its server. */
+  readonly takesResetsForEnds?: boolean;
   /** Whether requests are sent although their part was named meanwhile. */
   readonly sendsLate?: boolean;
 }
@@ -118,9 +123,16 @@
     }
   }
 
-  /** Records that a server ended under a request of this node. */
-  recordBroken(suspicions: readonly CrashSuspicion[]): void {
-    const { countsBursts, suspectsUnsettled } = this.#rules;
+  /**
+   * Records that a call of this node broke. A server that it can't reach is held
+   * to have ended; one that answers it isn't.
+   */
+  recordBroken(
+    suspicions: readonly CrashSuspicion[],
+    cause: BreakCause,
+  ): void {
+    const { countsBursts, suspectsUnsettled, takesResetsForEnds } = this.#rules;
+    if (cause === "reset" && takesResetsForEnds !== true) return;
     const known = suspicions.filter((one) => this.#isConsidered(one));
     const brokeAt = instant(this.#world.now);
     for (const one of known) {
--- a/packages/bench/src/soak/crashes/crash_scenario.ts
+++ b/packages/bench/src/soak/crashes/crash_scenario.ts
@@ -17,6 +17,8 @@
   readonly ownEndRate: number;
   /** How often a node loses all its connections to servers, per second. */
   readonly lossRate: number;
+  /** How often a server resets one call and runs on, per second. */
+  readonly resetRate: number;
   /** When 60 of 100 nodes are killed, in milliseconds. */
   readonly killsAt: readonly number[];
   /** When a third of the nodes loses the log for a while. */
@@ -42,6 +44,7 @@
   "second part and content",
   "second part and own ends",
   "second part and lost connections",
+  "second part and resets",
 ] as const;
 /** What crashes servers in a run. */
 export type CrashCause = typeof CRASH_CAUSES[number];
@@ -75,6 +78,7 @@
     hasCrashingContent: chosen === "second part and content",
     ownEndRate: chosen === "second part and own ends" ? 0.5 : 0.05,
     lossRate: chosen === "second part and lost connections" ? 0.5 : 0,
+    resetRate: chosen === "second part and resets" ? 20 : 0,
     killsAt: timesOf(0.5),
     cutsAt: timesOf(0.4),
     outagesAt: timesOf(0.3),
--- a/packages/bench/src/soak/crashes/crash_server.ts
+++ b/packages/bench/src/soak/crashes/crash_server.ts
@@ -5,7 +5,7 @@
   milliseconds,
   suspectRunTime,
 } from "@foxtailwind/core";
-import type { CrashNode } from "./crash_node.ts";
+import type { BreakCause, CrashNode } from "./crash_node.ts";
 import type { CrashRequest } from "./crash_request.ts";
 
 interface Occupant {
@@ -52,7 +52,7 @@
   /** Ends the run: the nodes see their calls break. */
   end(now: number): void {
     this.isUp = false;
-    this.#breakCalls(now, [...this.#occupants]);
+    this.#breakCalls(now, [...this.#occupants], "end");
     this.run += 1;
   }
 
@@ -61,10 +61,26 @@
     this.#breakCalls(
       now,
       [...this.#occupants].filter((occupant) => occupant.node === node),
+      "loss",
     );
   }
 
-  #breakCalls(now: number, occupants: readonly Occupant[]): void {
+  /**
+   * Breaks one call, and runs on.
+   * @param now The present time.
+   * @param draw Draws a number from 0 to 1.
+   */
+  resetOne(now: number, draw: () => number): void {
+    const calls = [...this.#occupants];
+    const reset = calls[Math.floor(draw() * calls.length)];
+    if (reset !== undefined) this.#breakCalls(now, [reset], "reset");
+  }
+
+  #breakCalls(
+    now: number,
+    occupants: readonly Occupant[],
+    cause: BreakCause,
+  ): void {
     const server = this.runId;
     for (const occupant of occupants) this.#occupants.delete(occupant);
     for (const { node, request, begunAt } of occupants) {
@@ -78,6 +94,7 @@
           server,
           ranFor,
         })),
+        cause,
       );
     }
   }
--- a/packages/bench/src/soak/crashes/crash_world.ts
+++ b/packages/bench/src/soak/crashes/crash_world.ts
@@ -89,7 +89,8 @@
 
   /** Runs the scenario. */
   run(): CrashOutcome {
-    const { soundRate, crashingRate, ownEndRate, lossRate } = this.#scenario;
+    const { soundRate, crashingRate, ownEndRate, lossRate, resetRate } =
+      this.#scenario;
     this.#planFaults();
     this.#repeat(soundRate, () => {
       this.#send(false);
@@ -107,7 +108,11 @@
         server.disconnect(this.#timeline.now, node);
       }
     });
-    if (lossRate > 0) this.#writeRegistry();
+    this.#repeat(resetRate, () => {
+      const server = this.#pick(this.#servers);
+      server.resetOne(this.#timeline.now, () => this.#random.next());
+    });
+    if (lossRate > 0 || resetRate > 0) this.#writeRegistry();
     this.#timeline.runUntil(RUN_MILLISECONDS, () => undefined);
     return {
       crashes: new Map(
--- a/packages/bench/tests/soak/crash_soak_test.ts
+++ b/packages/bench/tests/soak/crash_soak_test.ts
@@ -33,6 +33,19 @@
   });
 }
 
+// Guards against sound requests that are refused because servers which run on
+// reset single connections.
+test("too few sound requests begin if resets are taken for ends", (t) => {
+  const shareWith = (takesResetsForEnds: boolean): number => {
+    const runs = MUTANT_SEEDS.map((seed) =>
+      runCrashSoak(seed, { takesResetsForEnds }, "second part and resets")
+    );
+    return sumCounts(runs, "sharing_begun") / sumCounts(runs, "sharing");
+  };
+  t.true(shareWith(true) < AIMED_SHARE);
+  t.true(shareWith(false) >= AIMED_SHARE);
+});
+
 function sumCounts(runs: readonly SoakRun[], name: string): number {
   return runs.reduce((total, { counts }) => total + (counts?.[name] ?? 0), 0);
 }
