Quarantine: a server that breaks off a call is asked whether it lives

Cause: a call that broke counted as the end of its server unless the same node saw other bytes or connections of it 200 ms later. With many nodes and few requests of each at a server there are none: three resets by servers that ran on refused a part of a third of all requests for an hour.

Change: suspicions are held until it is known whether the run has ended: a refused connection, several connections that broke at once with none accepted since, another start or a removal in the registry. Servers without another connection are probed at once, so that a content is refused as soon as before. Each probe is logged and counted (foxtailwind_work_total). Calls are attributed to the start that is known at the send.

--- a/packages/core/src/relay/crashes/request_quarantine.ts
+++ b/packages/core/src/relay/crashes/request_quarantine.ts
@@ -15,6 +15,7 @@
   type SuspicionKey,
 } from "./crash_suspicion.ts";
 import { startKey } from "../registry/start_history.ts";
+import { HeldSuspicions } from "./held_suspicions.ts";
 
 /** How long content that crashes servers is refused. */
 const CONTENT_QUARANTINE_TIME = milliseconds(24 * 60 * 60 * 1_000);
@@ -58,6 +59,8 @@
  */
 export class RequestQuarantine {
   readonly #crashes = new Map<string, Crash>();
+  /** Suspicions that count only once their server is known to have ended. */
+  readonly held = new HeldSuspicions();
   #suspicionCount = 0;
   #blame: CrashBlame | undefined;
   readonly #findBlame: typeof findCrashBlame;
@@ -67,9 +70,14 @@
     this.#findBlame = findBlame;
   }
 
-  /** Whether there are no suspicions. */
+  /** Whether there are no suspicions, not even held ones. */
   get isEmpty(): boolean {
-    return this.#crashes.size === 0;
+    return !this.hasCrashes && this.held.isEmpty;
+  }
+
+  /** Whether any suspicions count. */
+  get hasCrashes(): boolean {
+    return this.#crashes.size > 0;
   }
 
   /**
@@ -163,10 +171,11 @@
    * Determines whether a run of a server is thought to have ended.
    * @param id The server.
    * @param start Its start, if known.
-   * @returns Whether any request is suspected of having ended it.
+   * @returns Whether any request is suspected of having ended it, or may be.
    */
   hasCrashed(id: BackendServerId, start: ServerStart | undefined): boolean {
-    return this.#crashes.has(startKey(id, start));
+    return this.#crashes.has(startKey(id, start)) ||
+      this.held.mayHaveEnded({ id, ...(start === undefined ? {} : { start }) });
   }
 
   /**
--- a/packages/node/src/relay/backend_pools.ts
+++ b/packages/node/src/relay/backend_pools.ts
@@ -1,10 +1,15 @@
 import {
   type BackendServerId,
   isDifferentStart,
+  type ProbeOutcome,
   type RegisteredServer,
   type ServerStart,
 } from "@foxtailwind/core";
-import { resetUnanswered, trackConnectionEnds } from "@foxtailwind/edges";
+import {
+  afterPendingInput,
+  resetUnanswered,
+  trackConnectionEnds,
+} from "@foxtailwind/edges";
 import { buildConnector, Client, type Dispatcher, Pool } from "undici";
 
 /** An attempt to connect that takes longer counts as failed. */
@@ -15,6 +20,13 @@
 const KEEP_ALIVE_MARGIN_MILLISECONDS = 600;
 /** The longest stated time that is honoured. */
 const MAXIMUM_KEEP_ALIVE_MILLISECONDS = 60_000;
+/** What failed connections have shown, by error code. */
+const FAILED_PROBES: ReadonlyMap<string | undefined, ProbeOutcome> = new Map([
+  ["ECONNREFUSED", "refused"],
+  ["ECONNRESET", "reset"],
+]);
+/** A connection that stays open for this long was accepted by its server. */
+const ACCEPTED_MILLISECONDS = 50;
 /** Idle time before the first TCP keep-alive probe. */
 const TCP_KEEP_ALIVE_DELAY_MILLISECONDS = 1_000;
 /** The share of a server's connections that all nodes use together. */
@@ -128,6 +140,40 @@
     });
   }
 
+  /**
+   * Opens a connection to a server, and closes it once it has stayed open for a
+   * moment.
+   * @param server The server.
+   * @returns What came of it.
+   */
+  probeEnd(server: RegisteredServer): Promise<ProbeOutcome> {
+    const { hostname, port, protocol } = new URL(`http://${server.address}`);
+    return new Promise((resolve) => {
+      this.#observedConnect(server)(
+        { hostname, port, protocol },
+        (error, socket) => {
+          if (error !== null) {
+            const { code } = error as NodeJS.ErrnoException;
+            resolve(FAILED_PROBES.get(code) ?? "unanswered");
+            return;
+          }
+          const timer = setTimeout(() => {
+            afterPendingInput(() => {
+              resolve("accepted");
+              socket.destroy();
+            });
+          }, ACCEPTED_MILLISECONDS);
+          socket.on("error", () => undefined);
+          socket.once("close", () => {
+            clearTimeout(timer);
+            resolve("reset");
+          });
+          socket.resume();
+        },
+      );
+    });
+  }
+
   /**
    * Removes a server's pool, so that later requests open new connections; the
    * open ones may have stopped responding. They close once the requests that
--- a/packages/node/src/relay/crashes/crash_reports.ts
+++ b/packages/node/src/relay/crashes/crash_reports.ts
@@ -3,14 +3,14 @@
   CrashBursts,
   type CrashSuspicion,
   type Duration,
-  elapsed,
+  type EndedCall,
+  type EndEvidence,
+  type HeldCall,
   type Instant,
-  later,
   MAXIMUM_SUSPECT_RUN_TIME,
-  milliseconds,
   type RegisteredServer,
   type RequestQuarantine,
-  type ServerLoad,
+  type ServerRun,
   SURVIVAL_CHECKS,
   type Suspect,
   suspectRunTime,
@@ -22,19 +22,16 @@
 import type { CallEnd } from "../backend_call.ts";
 import type { Knowledge } from "../knowledge.ts";
 import type { RequestContent } from "./request_content.ts";
+import { type BrokenCall, RunEndFinder } from "./run_end_finder.ts";
 import { SuspicionWriter } from "./suspicion_writer.ts";
+import { UnmarkedEnds } from "./unmarked_ends.ts";
 import type { SharedLog } from "../shared_log.ts";
 
-/**
- * How long after a broken call a suspicion is settled: within this time, a
- * server that still runs has sent bytes of other answers.
- */
-const SETTLE_DELAY = milliseconds(200);
-/** Bytes that a server sent before it ended may be read this long after. */
-const LATE_BYTES_ALLOWANCE = milliseconds(60);
-/** The maximum number of answers remembered that ended with a connection. */
-const MAXIMUM_UNMARKED_ENDS = 500;
-
+/** What tells of the end of a run long after it. */
+const LATE_EVIDENCE: ReadonlySet<EndEvidence> = new Set([
+  "restarted",
+  "removed",
+]);
 /** Dependencies of `CrashReports`. */
 export interface CrashReportsParts {
   readonly knowledge: Knowledge;
@@ -50,24 +47,6 @@
   readonly remaining: Duration;
 }
 
-/** A call that was broken off on the server's side. */
-export interface BrokenCall {
-  readonly server: RegisteredServer;
-  readonly load: ServerLoad;
-  /** Whether other connections to the server are open. */
-  readonly isConnected: () => boolean;
-  /** The time from the answer's first bytes to its end, if any came. */
-  readonly ranFor: Duration | undefined;
-}
-
-/** A call whose answer ended with its connection, as a broken one may. */
-interface UnmarkedEnd {
-  readonly content: RequestContent;
-  readonly server: RegisteredServer;
-  readonly ranFor: Duration;
-  readonly endedAt: Instant;
-}
-
 /** A call whose answer has begun. */
 export interface BegunCall {
   readonly server: RegisteredServer;
@@ -84,7 +63,8 @@
   readonly #quarantine: RequestQuarantine;
   readonly #writer: SuspicionWriter;
   readonly #bursts = new CrashBursts();
-  #unmarkedEnds: readonly UnmarkedEnd[] = [];
+  readonly #runEnds: RunEndFinder;
+  readonly #unmarkedEnds = new UnmarkedEnds();
   #isStopped = false;
 
   /** @param parts The dependencies. */
@@ -93,6 +73,24 @@
     const { knowledge } = parts;
     this.#quarantine = knowledge.suspicionTracker.quarantine;
     this.#writer = new SuspicionWriter(parts.log);
+    this.#runEnds = new RunEndFinder({
+      ...parts,
+      held: this.#quarantine.held,
+      listener: {
+        onRefused: (call) => {
+          this.#suspectContent(call);
+        },
+        onEnded: (ended) => {
+          this.#suspect(ended);
+        },
+        onAlive: ({ suspicions }) => {
+          for (const one of suspicions) this.#quarantine.dropSuspicion(one);
+        },
+      },
+    });
+    knowledge.suspicionTracker.onRegistryChanged = () => {
+      this.#runEnds.applyRegistry();
+    };
     knowledge.suspicionTracker.pendingSuspicions = () =>
       this.#writer.pendingSuspicions;
     knowledge.suspicionTracker.onSuspicionsDisproved = (dropped) => {
@@ -106,8 +104,8 @@
    * @returns What is refused, or `undefined` if the request isn't.
    */
   findQuarantine(content: RequestContent): Quarantine | undefined {
-    if (this.#quarantine.isEmpty) return undefined;
     const now = this.#parts.clock.now();
+    if (this.#quarantine.quarantinedContents(now).size === 0) return undefined;
     for (const digest of [...content.partDigests, content.digest]) {
       const remaining = this.#quarantine.remainingTime(now, digest);
       if (remaining !== undefined) return { content: digest, remaining };
@@ -147,7 +145,7 @@
    * @param content The request's content.
    */
   recordServed(content: RequestContent): void {
-    if (this.#quarantine.isEmpty) return;
+    if (!this.#quarantine.hasCrashes) return;
     const now = this.#parts.clock.now();
     const run = { begunAt: now, lasted: MAXIMUM_SUSPECT_RUN_TIME };
     this.#writeDropped(this.#quarantine.recordSurvival(run, [content.digest]));
@@ -164,7 +162,7 @@
     content: RequestContent,
     { server: { id, start }, ended }: BegunCall,
   ): void {
-    if (this.#quarantine.isEmpty) return;
+    if (!this.#quarantine.hasCrashes) return;
     const begunAt = this.#parts.clock.now();
     const contents = [...content.partDigests, content.digest];
     if (!this.#quarantine.hasSuspicions(begunAt, contents)) return;
@@ -191,20 +189,10 @@
    */
   recordBrokenCall(content: RequestContent, call: BrokenCall): void {
     const time = suspectRunTime(call.ranFor);
-    if (time === undefined) return;
-    const brokeAt = this.#parts.clock.now();
-    const suspicions = createSuspicions(call.server, content.suspects, time);
-    // Parts are suspected only once it is known that the server has ended:
-    // lost connections to servers that still run would count against all parts.
-    for (const one of suspicions) {
-      const isWhole = one.partPosition === undefined;
-      if (isWhole) this.#quarantine.addSuspicion(brokeAt, one);
-    }
-    setTimeout(() => {
-      afterPendingInput(() => {
-        this.#settle(suspicions, call, brokeAt);
-      });
-    }, SETTLE_DELAY);
+    const suspicions = time === undefined
+      ? []
+      : createSuspicions(call.server, content.suspects, time);
+    this.#runEnds.recordBrokenCall(call, suspicions);
   }
 
   /**
@@ -221,12 +209,7 @@
   ): void {
     if (suspectRunTime(ranFor) === undefined) return;
     const endedAt = this.#parts.clock.now();
-    this.#unmarkedEnds = [
-      ...this.#unmarkedEnds.filter((one) =>
-        elapsed(one.endedAt, endedAt) <= MAXIMUM_SUSPECT_RUN_TIME
-      ).slice(-MAXIMUM_UNMARKED_ENDS),
-      { content, server, ranFor, endedAt },
-    ];
+    this.#unmarkedEnds.add({ content, server, ranFor, endedAt });
   }
 
   /**
@@ -235,7 +218,8 @@
    * @param now The present time.
    */
   refresh(now: Instant): void {
-    if (this.#quarantine.isEmpty) return;
+    this.#runEnds.refresh();
+    if (!this.#quarantine.hasCrashes) return;
     const expired = this.#quarantine.expire(now);
     this.#parts.knowledge.suspicionTracker.reportRefused();
     if (this.#parts.knowledge.isWatcher) this.#writeDropped(expired);
@@ -249,6 +233,7 @@
   /** Stops writing to the log. */
   stop(): void {
     this.#isStopped = true;
+    this.#runEnds.stop();
     this.#writer.stop();
   }
 
@@ -259,28 +244,32 @@
     }
   }
 
-  #settle(
-    suspicions: readonly CrashSuspicion[],
-    { server, load, isConnected }: BrokenCall,
-    brokeAt: Instant,
-  ): void {
-    if (this.#isStopped) return;
-    const { lastBytesAt } = load;
-    const isAlive = lastBytesAt !== undefined &&
-      lastBytesAt > later(brokeAt, LATE_BYTES_ALLOWANCE);
-    if (isAlive || isConnected()) {
-      for (const one of suspicions) this.#quarantine.dropSuspicion(one);
-      return;
+  /**
+   * Suspects a content before its server is settled to have ended: its request
+   * is retried at once. A part waits, as a node that loses its connections sees
+   * several servers refuse others.
+   */
+  #suspectContent({ brokeAt, suspicions }: HeldCall): void {
+    for (const one of suspicions) {
+      const isWhole = one.partPosition === undefined;
+      if (isWhole) this.#quarantine.addSuspicion(brokeAt, one);
     }
-    const settled = this.#bursts.attribute(brokeAt, suspicions);
-    for (const one of settled) this.#quarantine.addSuspicion(brokeAt, one);
+  }
+
+  #suspect({ call, evidence }: EndedCall): void {
+    const { server, brokeAt, suspicions } = call;
     const now = this.#parts.clock.now();
+    // Runs that began before the end was known were not watched.
+    const suspectedAt = LATE_EVIDENCE.has(evidence) ? now : brokeAt;
+    const settled = this.#bursts.attribute(brokeAt, suspicions);
+    for (const one of settled) this.#quarantine.addSuspicion(suspectedAt, one);
     for (const one of [...settled, ...this.#suspectEnds(server, brokeAt)]) {
       this.#parts.logger.info("A request may have crashed a server.", {
         server: one.server,
         start: one.start,
         content: one.content,
         ran_for: Math.round(one.ranFor),
+        evidence,
       });
       this.#writer.enqueue(now, { kind: "added", suspicion: one });
     }
@@ -288,14 +277,10 @@
 
   /** Suspects the answers that ended with their connection as a server did. */
   #suspectEnds(
-    server: RegisteredServer,
+    server: ServerRun,
     brokeAt: Instant,
   ): readonly CrashSuspicion[] {
-    const isConcerned = (one: UnmarkedEnd): boolean =>
-      one.server.id === server.id && one.server.start === server.start &&
-      Math.abs(elapsed(one.endedAt, brokeAt)) <= SETTLE_DELAY;
-    const ends = this.#unmarkedEnds.filter(isConcerned);
-    this.#unmarkedEnds = this.#unmarkedEnds.filter((one) => !isConcerned(one));
+    const ends = this.#unmarkedEnds.take(server, brokeAt);
     return ends.flatMap(({ content, ranFor, endedAt }) => {
       const suspicions = this.#bursts.attribute(
         endedAt,
@@ -308,7 +293,7 @@
 }
 
 function createSuspicions(
-  { id, start }: RegisteredServer,
+  { id, start }: ServerRun,
   suspects: readonly Suspect[],
   ranFor: Duration,
 ): readonly CrashSuspicion[] {
--- a/packages/node/src/relay/crashes/suspicion_tracker.ts
+++ b/packages/node/src/relay/crashes/suspicion_tracker.ts
@@ -25,6 +25,8 @@
   /** Called with suspicions dropped because their servers are alive. */
   onSuspicionsDisproved: (dropped: readonly SuspicionKey[]) => void = () =>
     undefined;
+  /** Called when servers were added, removed or restarted. */
+  onRegistryChanged: () => void = () => undefined;
   /** Called when further request contents are refused. */
   onContentsRefused: () => void = () => undefined;
   /** Returns the suspicions of this node that the log may not hold yet. */
@@ -80,7 +82,7 @@
    * @param entry The entry.
    */
   recordServerEntry(registry: ServerRegistry, entry: RegistryEntry): void {
-    if (entry.kind === "gone" || this.quarantine.isEmpty) return;
+    if (entry.kind === "gone" || !this.quarantine.hasCrashes) return;
     const { id, start } = entry.server;
     const known = registry.newestOffset(id);
     if (known === undefined || entry.offset <= known) return;
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -289,6 +289,7 @@
     this.departures.recordEntry(entry, outcome);
     if (this.registry.changeCount !== changes) {
       this.onRegistryChange([id], source);
+      this.suspicionTracker.onRegistryChanged();
     }
     if (this.registry.revision === before) return;
     this.#recordSoftware(this.registry.find(id) ?? known);
@@ -423,6 +424,7 @@
     if (this.registry.changeCount === since) return;
     const { entries } = this.registry.changesSince(since);
     this.onRegistryChange(entries.map(entryId), source);
+    this.suspicionTracker.onRegistryChanged();
   }
 
   #recordSoftware(server: RegisteredServer | undefined): void {
--- a/packages/node/src/relay/mod.ts
+++ b/packages/node/src/relay/mod.ts
@@ -33,6 +33,7 @@
 export * from "./relay_parts.ts";
 export * from "./relay_stop.ts";
 export * from "./crashes/request_content.ts";
+export * from "./crashes/run_end_finder.ts";
 export * from "./adapter_grants.ts";
 export * from "./backend_pools.ts";
 export * from "./engine_owners.ts";
--- a/packages/node/src/relay/request_sender.ts
+++ b/packages/node/src/relay/request_sender.ts
@@ -6,6 +6,7 @@
   requestUrgency,
   type RetryCharge,
   type SendResult,
+  type ServerLoad,
 } from "@foxtailwind/core";
 import type { AnswerForwarder } from "./answer_forwarder.ts";
 import { BackendCall, type CallEnd } from "./backend_call.ts";
@@ -68,6 +69,7 @@
     const { server } = place;
     const sentAt = this.#now();
     const serverLoad = loads.loadOf(server);
+    const run = this.#presentRun(server);
     const isResumed = this.#terms.answer.lastEventId !== undefined;
     const isRepeat = this.#terms.sendRecord.hasTried(server.id);
     this.#terms.sendRecord.recordSend(server);
@@ -80,7 +82,7 @@
       },
       onBegun: () => {
         const { ended } = call;
-        crashReports.recordBegun(content, { server, ended });
+        crashReports.recordBegun(content, { server: run, ended });
       },
       onFirstEvent: (now) => {
         this.#recordOrigin(now, server);
@@ -127,13 +129,27 @@
     }
     const { answerKind, isMisdirected } = this.#terms.answer;
     if (answerKind === "not_run" && isMisdirected) place.reportMiss();
-    this.#reportCrash(server, end);
+    this.#reportCrash(run, end, serverLoad);
     return end;
   }
 
+  /**
+   * Returns the start of a server that a request is sent to now. It may have
+   * started again since it was chosen.
+   */
+  #presentRun(server: RegisteredServer): RegisteredServer {
+    const { registry } = this.#parts.knowledge;
+    const start = registry.find(server.id)?.start;
+    return start === undefined ? server : { ...server, start };
+  }
+
   /** Reports a call that the end of its server may have ended. */
-  #reportCrash(server: RegisteredServer, end: CallEnd): void {
-    const { crashReports, loads, pools } = this.#parts;
+  #reportCrash(
+    server: RegisteredServer,
+    end: CallEnd,
+    load: ServerLoad,
+  ): void {
+    const { crashReports, pools } = this.#parts;
     const { content } = this.#request;
     const { answer } = this.#terms;
     const ranFor = answer.runDuration(this.#now());
@@ -143,8 +159,9 @@
     if (isBroken) {
       crashReports.recordBrokenCall(content, {
         server,
-        load: loads.loadOf(server),
+        load,
         isConnected: () => pools.isConnected(server),
+        probe: () => pools.probeEnd(server),
         ranFor,
       });
     } else if (
--- a/packages/node/src/relay/work_counts.ts
+++ b/packages/node/src/relay/work_counts.ts
@@ -1,3 +1,5 @@
+import type { ProbeOutcome } from "@foxtailwind/core";
+
 /**
  * The kinds of work besides relaying requests. Each one wakes the node's
  * process, and most also wake a peer's process.
@@ -24,6 +26,8 @@
   /** Log calls that were answered, and those that failed. */
   | "log_answered"
   | "log_failed"
+  /** Probes of servers that broke off calls, by what came of them. */
+  | `probe_${ProbeOutcome}`
   /** Periodic checks of claims, expired servers and limits. */
   | "look";
 
--- a/packages/node/tests/relay/crashes/reset_connections_test.ts
+++ b/packages/node/tests/relay/crashes/reset_connections_test.ts
@@ -9,6 +9,8 @@
 const PAUSE_MILLISECONDS = 250;
 /** Longer than it takes to settle a suspicion and to blame a part. */
 const BLAMED_MILLISECONDS = 1_000;
+/** Longer than servers stay known whose entries vanish together. */
+const LAPSE_MILLISECONDS = 1_200;
 /** Longer than servers are expected to take, so that others are preferred. */
 const SLOW_MILLISECONDS = 60;
 const SERVICE_UNAVAILABLE = 503;
@@ -166,7 +168,10 @@
   await servers.breakOff(3);
   await sleep(BLAMED_MILLISECONDS);
   t.deepEqual(servers.refused, []);
+  const { knowledge } = servers.world;
   for (const id of servers.broken) servers.world.removeServer(id);
+  await sleep(LAPSE_MILLISECONDS);
+  knowledge.expireServers(instant(performance.now()));
   await sleep(BLAMED_MILLISECONDS);
   t.is(servers.refused.length, 1);
 });
