Fair queues: shared by tenants and client accounts

ClassQueue and TenantQueue held requests of the heart only, so the relay could not use them. They now hold any work with a tenant, tokens and a deadline. A tenant whose queue ran empty kept no start tag and began again at the virtual time, ahead of its share; its tag is kept until the virtual time has passed it. A slack lets tenants that are within their share go by deadline; without one, which is how the heart uses it, the order is as before.

--- a/packages/core/src/dispatch/class_queue.ts
+++ b/packages/core/src/dispatch/class_queue.ts
@@ -1,50 +1,66 @@
-import type { Instant, TenantId } from "../shared/mod.ts";
+import type { Instant } from "../shared/mod.ts";
 import TinyQueue from "tinyqueue";
+import type { QueuedWork } from "./queued_work.ts";
 import { TenantQueue } from "./tenant_queue.ts";
-import type { EngineRequest } from "./engine_request.ts";
 
 /**
- * The ready requests of one class. Start-time fair queueing (Goyal, Vin and
- * Cheng 1996) over the maximum tokens of requests divides the service between
- * tenants, so that a tenant with many requests does not delay one with few.
+ * The waiting requests of one class. Start-time fair queueing (Goyal, Vin and
+ * Cheng 1996) over the work of requests divides the service between tenants, so
+ * that a tenant with many requests does not delay one with few.
  */
-export class ClassQueue {
-  readonly #tenantQueues = new Map<TenantId, TenantQueue>();
-  readonly #activeQueues = new TinyQueue<TenantQueue>([], byStartTag);
+export class ClassQueue<Request extends QueuedWork> {
+  readonly #tenantQueues = new Map<string, TenantQueue<Request>>();
+  #activeQueues = new TinyQueue<TenantQueue<Request>>([], byStartTag);
+  /** The next start tags of tenants without requests, while they matter. */
+  readonly #idleTags = new Map<string, number>();
+  readonly #slack: number;
   #virtualTime = 0;
 
+  /**
+   * @param slack The work by which a tenant may be ahead of the others while
+   * its deadline is earlier than theirs.
+   */
+  constructor(slack = 0) {
+    this.#slack = slack;
+  }
+
   /**
    * Adds a request.
    * @param request The request.
    */
-  add(request: EngineRequest): void {
-    const { tenant } = request.queued;
+  add(request: Request): void {
+    const { tenant } = request;
     const existing = this.#tenantQueues.get(tenant);
     if (existing !== undefined) {
       existing.add(request);
       return;
     }
-    const queue = new TenantQueue(tenant);
-    queue.startTag = this.#virtualTime;
+    const queue = new TenantQueue<Request>(tenant);
+    queue.startTag = this.startTag(tenant);
+    this.#idleTags.delete(tenant);
     queue.add(request);
     this.#tenantQueues.set(tenant, queue);
     this.#activeQueues.push(queue);
   }
 
+  /**
+   * Returns the start tag of a tenant's next request.
+   * @param tenant The tenant.
+   * @returns The tag; the lowest is served next.
+   */
+  startTag(tenant: string): number {
+    const queue = this.#tenantQueues.get(tenant);
+    if (queue !== undefined) return queue.startTag;
+    return Math.max(this.#virtualTime, this.#idleTags.get(tenant) ?? 0);
+  }
+
   /**
    * Finds the next request.
    * @param now The present time.
    * @returns The request, or nothing if the queue is empty.
    */
-  peek(now: Instant): EngineRequest | undefined {
-    for (;;) {
-      const queue = this.#activeQueues.peek();
-      if (queue === undefined) return undefined;
-      const request = queue.peek(now);
-      if (request !== undefined) return request;
-      this.#activeQueues.pop();
-      this.#tenantQueues.delete(queue.tenant);
-    }
+  peek(now: Instant): Request | undefined {
+    return this.#mostUrgent(now)?.peek(now);
   }
 
   /**
@@ -52,16 +68,69 @@
    * @param now The present time.
    */
   shift(now: Instant): void {
-    const request = this.peek(now);
-    const queue = this.#activeQueues.pop();
-    if (request === undefined || queue === undefined) return;
+    const first = this.#first(now);
+    const queue = this.#mostUrgent(now);
+    const request = queue?.peek(now);
+    if (first === undefined || queue === undefined || request === undefined) {
+      return;
+    }
+    this.#virtualTime = first.startTag;
     queue.shift(now);
-    this.#virtualTime = queue.startTag;
-    queue.startTag += 1 + request.queued.maximumTokens;
-    this.#activeQueues.push(queue);
+    queue.startTag += 1 + request.work;
+    this.#reorder(queue);
+    this.#forgetPassedTags();
+  }
+
+  /** Finds the tenant whose turn it is, and forgets those without requests. */
+  #first(now: Instant): TenantQueue<Request> | undefined {
+    for (;;) {
+      const queue = this.#activeQueues.peek();
+      if (queue === undefined || queue.peek(now) !== undefined) return queue;
+      this.#activeQueues.pop();
+      this.#tenantQueues.delete(queue.tenant);
+      if (queue.startTag > this.#virtualTime) {
+        this.#idleTags.set(queue.tenant, queue.startTag);
+      }
+    }
+  }
+
+  /** Finds the earliest deadline among the tenants within the slack. */
+  #mostUrgent(now: Instant): TenantQueue<Request> | undefined {
+    const first = this.#first(now);
+    if (first === undefined || this.#slack === 0) return first;
+    let mostUrgent = first;
+    let deadline = first.peek(now)?.deadline ?? Infinity;
+    for (const queue of this.#tenantQueues.values()) {
+      if (queue.startTag > first.startTag + this.#slack) continue;
+      const head = queue.peek(now);
+      if (head === undefined || head.deadline >= deadline) continue;
+      mostUrgent = queue;
+      deadline = head.deadline;
+    }
+    return mostUrgent;
+  }
+
+  /** Restores the order of tenants after the start tag of one was raised. */
+  #reorder(queue: TenantQueue<Request>): void {
+    if (this.#activeQueues.peek() === queue) {
+      this.#activeQueues.pop();
+      this.#activeQueues.push(queue);
+      return;
+    }
+    const queues = [...this.#tenantQueues.values()];
+    this.#activeQueues = new TinyQueue(queues, byStartTag);
+  }
+
+  #forgetPassedTags(): void {
+    for (const [tenant, tag] of this.#idleTags) {
+      if (tag <= this.#virtualTime) this.#idleTags.delete(tenant);
+    }
   }
 }
 
-function byStartTag(left: TenantQueue, right: TenantQueue): number {
+function byStartTag(
+  left: { readonly startTag: number },
+  right: { readonly startTag: number },
+): number {
   return left.startTag - right.startTag;
 }
--- a/packages/core/src/dispatch/engine_request.ts
+++ b/packages/core/src/dispatch/engine_request.ts
@@ -9,12 +9,13 @@
   milliseconds,
 } from "../shared/mod.ts";
 import type { QueuedRequest } from "../serving/engine_event.ts";
+import type { QueuedWork } from "./queued_work.ts";
 
 /** The state of a request at its engine. */
 export type RequestState = "blocked" | "ready" | "running" | "over";
 
 /** A request at an engine, with its state and times. */
-export class EngineRequest {
+export class EngineRequest implements QueuedWork {
   readonly queued: QueuedRequest;
   readonly key: AdapterKey;
   readonly submittedAt: Instant;
@@ -40,6 +41,21 @@
     this.#target = queued.firstTokenTarget;
   }
 
+  /** The tenant that the request belongs to. */
+  get tenant(): string {
+    return this.queued.tenant;
+  }
+
+  /** The maximum number of tokens. */
+  get work(): number {
+    return this.queued.maximumTokens;
+  }
+
+  /** Whether the request only waits for a place in the batch. */
+  get isWaiting(): boolean {
+    return this.state === "ready";
+  }
+
   /** The target for the time to the first token. */
   get target(): Duration {
     return this.#target;
--- a/packages/core/src/dispatch/mod.ts
+++ b/packages/core/src/dispatch/mod.ts
@@ -2,6 +2,7 @@
 export * from "./class_counts.ts";
 export * from "./class_queue.ts";
 export * from "./preemption.ts";
+export * from "./queued_work.ts";
 export * from "./engine_timings.ts";
 export * from "./dispatch_history.ts";
 export * from "./ready_queue.ts";
--- a/packages/core/src/dispatch/ready_queue.ts
+++ b/packages/core/src/dispatch/ready_queue.ts
@@ -7,7 +7,7 @@
  * The requests that only wait for a place in the batch, ordered by least slack.
  */
 export class ReadyQueue {
-  readonly #classes = new Map<ClassId, ClassQueue>();
+  readonly #classes = new Map<ClassId, ClassQueue<EngineRequest>>();
   readonly #counts = new ClassCounts();
   #size = 0;
 
@@ -83,10 +83,10 @@
     this.noteRemoved(request);
   }
 
-  #classQueue(id: ClassId): ClassQueue {
+  #classQueue(id: ClassId): ClassQueue<EngineRequest> {
     const existing = this.#classes.get(id);
     if (existing !== undefined) return existing;
-    const created = new ClassQueue();
+    const created = new ClassQueue<EngineRequest>();
     this.#classes.set(id, created);
     return created;
   }
--- a/packages/core/src/dispatch/tenant_queue.ts
+++ b/packages/core/src/dispatch/tenant_queue.ts
@@ -1,9 +1,9 @@
-import type { Instant, TenantId } from "../shared/mod.ts";
+import type { Instant } from "../shared/mod.ts";
 import TinyQueue from "tinyqueue";
-import type { EngineRequest } from "./engine_request.ts";
+import type { QueuedWork } from "./queued_work.ts";
 
-interface Entry {
-  readonly request: EngineRequest;
+interface Entry<Request> {
+  readonly request: Request;
   readonly deadline: Instant;
   readonly order: number;
 }
@@ -12,16 +12,16 @@
  * The ready requests of one tenant in one class, by earliest deadline.
  * Requests past their deadline come after all others.
  */
-export class TenantQueue {
-  readonly tenant: TenantId;
+export class TenantQueue<Request extends QueuedWork> {
+  readonly tenant: string;
   /** The tenant's start tag in the class's fair queue. */
   startTag = 0;
-  readonly #onTime = new TinyQueue<Entry>([], byDeadline);
+  readonly #onTime = new TinyQueue<Entry<Request>>([], byDeadline);
   #nextOrder = 0;
-  readonly #late = new TinyQueue<Entry>([], byDeadline);
+  readonly #late = new TinyQueue<Entry<Request>>([], byDeadline);
 
   /** @param tenant The tenant. */
-  constructor(tenant: TenantId) {
+  constructor(tenant: string) {
     this.tenant = tenant;
   }
 
@@ -29,7 +29,7 @@
    * Adds a request.
    * @param request The request.
    */
-  add(request: EngineRequest): void {
+  add(request: Request): void {
     const { deadline } = request;
     this.#onTime.push({ request, deadline, order: this.#nextOrder });
     this.#nextOrder += 1;
@@ -40,7 +40,7 @@
    * @param now The present time.
    * @returns The request, or nothing if the queue is empty.
    */
-  peek(now: Instant): EngineRequest | undefined {
+  peek(now: Instant): Request | undefined {
     this.#moveLateRequests(now);
     return this.#onTime.peek()?.request ?? peekCurrent(this.#late)?.request;
   }
@@ -66,19 +66,21 @@
 
 /**
  * Finds the first entry that is still valid. Removes entries of requests that
- * are no longer ready or whose deadline has changed.
+ * no longer wait or whose deadline has changed.
  */
-function peekCurrent(queue: TinyQueue<Entry>): Entry | undefined {
+function peekCurrent<Request extends QueuedWork>(
+  queue: TinyQueue<Entry<Request>>,
+): Entry<Request> | undefined {
   for (;;) {
     const entry = queue.peek();
     if (entry === undefined) return undefined;
-    const isCurrent = entry.request.state === "ready" &&
+    const isCurrent = entry.request.isWaiting &&
       entry.deadline === entry.request.deadline;
     if (isCurrent) return entry;
     queue.pop();
   }
 }
 
-function byDeadline(left: Entry, right: Entry): number {
+function byDeadline(left: Entry<unknown>, right: Entry<unknown>): number {
   return left.deadline - right.deadline || left.order - right.order;
 }
