--- a/packages/core/src/relay/adapter_slot.ts
+++ b/packages/core/src/relay/adapter_slot.ts
@@ -20,11 +20,21 @@
   readonly since: Instant;
 }
 
+/** How urgently an adapter is wanted. */
+export interface LoadUrgency {
+  /** When nobody wants it any longer. */
+  readonly neededBy: Instant;
+  /** The priority of the most urgent request for it; 0 is the highest. */
+  readonly priority: number;
+}
+
 /** An adapter that requests wait for. */
 export interface LoadRequest extends AdapterName {
   readonly key: string;
   readonly minimumVersion: number;
   readonly since: Instant;
+  /** Absent if nobody has told it. */
+  readonly urgency: LoadUrgency | undefined;
 }
 
 /** The next order to an engine. */
--- a/packages/core/src/relay/engine_slots.ts
+++ b/packages/core/src/relay/engine_slots.ts
@@ -12,6 +12,7 @@
   createSlot,
   isIdleSlot,
   type LoadRequest,
+  type LoadUrgency,
   type OrderAnswer,
   type SlotLimits,
   type SlotOrder,
@@ -125,9 +126,15 @@
    * @param now The present time.
    * @param name The adapter.
    * @param minimumVersion The oldest version allowed.
+   * @param urgency How urgently it is wanted.
    */
-  requestLoad(now: Instant, name: AdapterName, minimumVersion: number): void {
-    this.#requests.add(now, name, minimumVersion);
+  requestLoad(
+    now: Instant,
+    name: AdapterName,
+    minimumVersion: number,
+    urgency?: LoadUrgency,
+  ): void {
+    this.#requests.add(now, name, minimumVersion, urgency);
   }
 
   /**
--- a/packages/core/src/relay/load_requests.ts
+++ b/packages/core/src/relay/load_requests.ts
@@ -3,6 +3,7 @@
   type AdapterName,
   adapterNameKey,
   type LoadRequest,
+  type LoadUrgency,
 } from "./adapter_slot.ts";
 
 /** The adapters that are requested and not yet ordered, oldest first. */
@@ -33,8 +34,14 @@
    * @param now The present time.
    * @param name The adapter.
    * @param minimumVersion The oldest version allowed.
+   * @param urgency How urgently it is wanted.
    */
-  add(now: Instant, name: AdapterName, minimumVersion: number): void {
+  add(
+    now: Instant,
+    name: AdapterName,
+    minimumVersion: number,
+    urgency: LoadUrgency | undefined,
+  ): void {
     const key = adapterNameKey(name);
     const known = this.#requests.get(key);
     this.#requests.set(key, {
@@ -42,6 +49,7 @@
       key,
       minimumVersion: Math.max(minimumVersion, known?.minimumVersion ?? 0),
       since: known?.since ?? now,
+      urgency: urgency ?? known?.urgency,
     });
   }
 
