Admission: a queue for an engine's places by class and account

Places went to requests in order of arrival, whatever their class, account or target. The queue puts those that can be in time before the others, then the most urgent class, unless another lacks its least share; accounts of a class share by tokens with the heart's fair queues.

The prefill queue's test is moved and asks the new queue for the same.

--- /dev/null
+++ b/packages/bench/src/policy/admission/mod.ts
@@ -0,0 +1,2 @@
+export * from "./admission_emulation.ts";
+export * from "./admission_ways.ts";
--- a/packages/bench/src/policy/mod.ts
+++ b/packages/bench/src/policy/mod.ts
@@ -1,3 +1,4 @@
+export * from "./admission/mod.ts";
 export * from "./baselines/adapter_hash_policy.ts";
 export * from "./baselines/engine_book.ts";
 export * from "./baselines/first_come_policy.ts";
--- a/packages/core/src/relay/engine_occupancy.ts
+++ b/packages/core/src/relay/engine_occupancy.ts
@@ -1,3 +1,5 @@
+import type { EnginePlaces } from "./admission/place_turnover.ts";
+
 /**
  * The share of an engine's concurrent requests from which it counts as full:
  * above it, the engine's own queue begins to hold requests back, and further
@@ -39,6 +41,16 @@
     return this.#running >= places * FULL_OCCUPANCY;
   }
 
+  /**
+   * Returns the places that are given out, and how many of them are free.
+   * @param places The number of requests that the engine runs concurrently.
+   * @returns The places.
+   */
+  places(places: number): EnginePlaces {
+    const total = Math.ceil(places * FULL_OCCUPANCY);
+    return { total, free: total - this.#running };
+  }
+
   /**
    * The delay of a further request due to the running ones, in milliseconds.
    */
--- a/packages/core/src/relay/mod.ts
+++ b/packages/core/src/relay/mod.ts
@@ -1,4 +1,5 @@
 export * from "./accounts/mod.ts";
+export * from "./admission/mod.ts";
 export * from "./crashes/mod.ts";
 export * from "./streams/mod.ts";
 export * from "./adapter_slot.ts";
@@ -16,7 +17,6 @@
 export * from "./server_rate_limits.ts";
 export * from "./log/mod.ts";
 export * from "./prefill_time_model.ts";
-export * from "./prefill_queue.ts";
 export * from "./relay_configuration.ts";
 export * from "./report_trigger.ts";
 export * from "./request_limit.ts";
--- a/packages/core/tests/relay/prefill_queue_test.ts
+++ b/packages/core/tests/relay/admission/prefill_spacing_test.ts
@@ -13,14 +13,16 @@
   SpacedGate,
 } from "@foxtailwind/bench";
 import {
+  AdmissionQueue,
+  type AdmissionTerms,
   instant,
   milliseconds,
   needsBreaks,
-  PrefillQueue,
-  type PrefillTerms,
 } from "@foxtailwind/core";
 import test from "ava";
 
+/** So many places that only prefill makes prompts wait. */
+const PLACES = { total: 1_000, free: 1_000 } as const;
 const SEEDS = Array.from({ length: 20 }, (_, index) => index + 1);
 
 test("bursts of prompts rarely delay streams, and few first events are late", (t) => {
@@ -49,16 +51,19 @@
   reading: number,
   wantedBy: number,
   needsBreak = true,
-): PrefillTerms {
+): AdmissionTerms {
   return {
     prefillTime: milliseconds(reading),
     deadline: instant(wantedBy),
     needsBreak,
+    priority: 0,
+    account: undefined,
+    work: reading,
   };
 }
 
 test("the prompt with the least slack goes first, and late ones last in order of arrival", (t) => {
-  const queue = new PrefillQueue<string>();
+  const queue = new AdmissionQueue<string>();
   const add = (name: string, wantedBy: number) => {
     queue.add(name, prompt(50, wantedBy));
   };
@@ -68,41 +73,41 @@
   add("urgent", 200);
   const order: (string | undefined)[] = [];
   for (let now = 0; order.length < 4; now += 100) {
-    order.push(queue.next(instant(now)));
+    order.push(queue.next(instant(now), PLACES));
   }
   t.deepEqual(order, ["urgent", "patient", "late", "later"]);
 });
 
 test("an idle engine prefills at once, and the next prompt waits for the previous one", (t) => {
-  const queue = new PrefillQueue<string>();
+  const queue = new AdmissionQueue<string>();
   const terms = prompt(100, 2_000);
   queue.add("a", terms);
   queue.add("b", terms);
-  t.is(queue.next(instant(1_000)), "a");
-  t.is(queue.next(instant(1_000)), undefined);
-  t.true(queue.wait(instant(1_000)) >= 200);
+  t.is(queue.next(instant(1_000), PLACES), "a");
+  t.is(queue.next(instant(1_000), PLACES), undefined);
+  t.true(queue.expectedWait(instant(1_000), PLACES) >= 200);
   const at = queue.nextAt ?? instant(0);
   t.true(at > 1_100 && at < 1_150, `${at}`);
-  t.is(queue.next(at), "b");
+  t.is(queue.next(at, PLACES), "b");
   t.is(queue.nextAt, undefined);
 });
 
 test("a removed prompt is not prefilled", (t) => {
-  const queue = new PrefillQueue<string>();
+  const queue = new AdmissionQueue<string>();
   queue.add("a", prompt(9, 9));
   t.true(queue.delete("a"));
-  t.is(queue.next(instant(0)), undefined);
-  t.is(queue.wait(instant(0)), milliseconds(0));
+  t.is(queue.next(instant(0), PLACES), undefined);
+  t.is(queue.expectedWait(instant(0), PLACES), milliseconds(0));
 });
 
 test("prompts that need no break are granted at once, and count towards the wait", (t) => {
-  const queue = new PrefillQueue<string>();
+  const queue = new AdmissionQueue<string>();
   const terms = prompt(100, 2_000, false);
   queue.add("a", terms);
   queue.add("b", terms);
-  t.is(queue.next(instant(0)), "a");
-  t.is(queue.next(instant(0)), "b");
-  t.is(queue.wait(instant(0)), milliseconds(200));
+  t.is(queue.next(instant(0), PLACES), "a");
+  t.is(queue.next(instant(0), PLACES), "b");
+  t.is(queue.expectedWait(instant(0), PLACES), milliseconds(200));
 });
 
 test("breaks are needed if continuous prefill takes longer than a stream may pause", (t) => {
