Relay: requests queue once, at the owner of the engine

A search asked three owners, slept and began again until two fifths of the patience were over, and nobody kept a place. A request now queues at the owner with its class, account, tokens and the time that it waits, and is refused at once, with the time at which there is room, if it can't begin in time. The next best engine is asked then; if none is in time, the first to have room is joined, or the caller is told when to come back.

The head of the answer tells the asker that its request is queued.

--- a/packages/node/src/relay/adapter_grants.ts
+++ b/packages/node/src/relay/adapter_grants.ts
@@ -1,9 +1,6 @@
 import {
-  adapterId,
   type BackendServerId,
   backendServerId,
-  milliseconds,
-  modelId,
   type NodeId,
 } from "@foxtailwind/core";
 import {
@@ -19,8 +16,9 @@
 } from "@grpc/grpc-js";
 import type { PeerChannels } from "../peers/peer_channels.ts";
 import type { EngineOwners } from "./engine_owners.ts";
-import type { UseAnswer, UseRequest } from "./engine_use.ts";
-import { decodeStart, encodeStart } from "./start_message.ts";
+import type { UseAnswer, UseRefusal, UseRequest } from "./engine_use.ts";
+import { encodeStart } from "./start_message.ts";
+import { decodeAnswer, decodeUse, encodeUse } from "./use_message.ts";
 
 /** Timeout of a call that reports a miss to an engine's owner. */
 const MISS_REPORT_TIMEOUT_MILLISECONDS = 500;
@@ -61,16 +59,19 @@
    * @param target The engine and its owner.
    * @param request The requested use.
    * @param signal Cancels the request.
+   * @param onQueued Called when the owner has the request, before its answer.
    * @returns The answer.
    */
   requestUse(
     target: EngineOwnerAddress,
     request: UseRequest,
     signal: AbortSignal,
+    onQueued: () => void = () => undefined,
   ): Promise<GrantAnswer> {
     if (target.owner !== this.#self) {
-      return this.#requestFromPeer(target, request, signal);
+      return this.#requestFromPeer(target, request, signal, onQueued);
     }
+    onQueued();
     const owner = this.#owners.find(target.engine);
     if (owner === undefined) return Promise.resolve({ kind: "not_owner" });
     return owner.requestUse(request, signal);
@@ -105,16 +106,12 @@
     { engine, address }: EngineOwnerAddress,
     request: UseRequest,
     signal: AbortSignal,
+    onQueued: () => void,
   ): Promise<GrantAnswer> {
-    const call = this.#client(address).useAdapter({
-      engine,
-      model: request.model,
-      adapter: request.adapter ?? "",
-      minimumVersion: request.minimumVersion,
-      readingMilliseconds: Math.round(request.prefillTime),
-      timeLeftMilliseconds: Math.round(request.timeLeft),
-      needsBreak: request.needsBreak,
-    });
+    const call = this.#client(address).useAdapter(
+      encodeUse(engine, request),
+    );
+    call.once("metadata", onQueued);
     const useEnd = new AbortController();
     const release = () => {
       call.cancel();
@@ -127,7 +124,7 @@
       signal.addEventListener("abort", abandon, { once: true });
       call.on("data", (grant: AdapterGrant) => {
         signal.removeEventListener("abort", abandon);
-        resolve(toAnswer(grant, useEnd.signal, release));
+        resolve(decodeAnswer(grant, useEnd.signal, release));
       });
       call.on("error", () => {
         signal.removeEventListener("abort", abandon);
@@ -142,7 +139,8 @@
 }
 
 /**
- * Serves a peer's request for a use. The use lasts until the call ends.
+ * Serves a peer's request for a use. The use lasts until the call ends. The
+ * head of the answer tells the peer that its request waits here.
  * @param owners The engines that this node owns.
  * @param call The peer's call.
  */
@@ -150,29 +148,25 @@
   owners: EngineOwners,
   call: ServerWritableStream<AdapterUse, AdapterGrant>,
 ): Promise<void> {
-  const { engine, model, adapter, minimumVersion } = call.request;
-  const owner = owners.find(backendServerId(engine));
+  const owner = owners.find(backendServerId(call.request.engine));
   if (owner === undefined) {
-    writeRefusal(call, GrantOutcome.NOT_OWNER);
+    writeRefusal(call, { kind: "not_owner" });
     return;
   }
   const cancellation = new AbortController();
   call.once("cancelled", () => {
     cancellation.abort();
   });
-  const answer = await owner.requestUse({
-    model: modelId(model),
-    ...(adapter === "" ? {} : { adapter: adapterId(adapter) }),
-    minimumVersion,
-    prefillTime: milliseconds(call.request.readingMilliseconds),
-    timeLeft: milliseconds(call.request.timeLeftMilliseconds),
-    needsBreak: call.request.needsBreak,
-  }, cancellation.signal);
+  const queued = setImmediate(() => {
+    call.sendMetadata(new Metadata());
+  });
+  const answer = await owner.requestUse(
+    decodeUse(call.request),
+    cancellation.signal,
+  );
+  clearImmediate(queued);
   if (answer.kind !== "granted") {
-    writeRefusal(
-      call,
-      answer.kind === "no_room" ? GrantOutcome.NO_ROOM : GrantOutcome.NOT_OWNER,
-    );
+    writeRefusal(call, answer);
     return;
   }
   if (call.cancelled || answer.endSignal.aborted) {
@@ -190,38 +184,23 @@
     version: answer.version,
     start: encodeStart(answer.start),
     waitMilliseconds: owner.digest.waitMilliseconds,
+    retryAfterMilliseconds: 0,
   });
 }
 
 function writeRefusal(
   call: ServerWritableStream<AdapterUse, AdapterGrant>,
-  outcome: GrantOutcome,
+  refusal: UseRefusal,
 ): void {
-  call.write({ outcome, version: 0, waitMilliseconds: 0, start: 0 });
+  const isFull = refusal.kind === "no_room";
+  call.write({
+    outcome: isFull ? GrantOutcome.NO_ROOM : GrantOutcome.NOT_OWNER,
+    version: 0,
+    waitMilliseconds: 0,
+    start: 0,
+    retryAfterMilliseconds: Math.ceil(
+      (isFull ? refusal.retryAfter : undefined) ?? 0,
+    ),
+  });
   call.end();
 }
-
-function toAnswer(
-  grant: AdapterGrant,
-  endSignal: AbortSignal,
-  release: () => void,
-): UseAnswer {
-  switch (grant.outcome) {
-    case GrantOutcome.GRANTED:
-      return {
-        kind: "granted",
-        version: grant.version,
-        start: decodeStart(grant.start),
-        endSignal,
-        release,
-      };
-    case GrantOutcome.NO_ROOM:
-      release();
-      return { kind: "no_room" };
-    case GrantOutcome.NOT_OWNER:
-    case GrantOutcome.GRANT_OUTCOME_UNSPECIFIED:
-    case GrantOutcome.UNRECOGNIZED:
-      release();
-      return { kind: "not_owner" };
-  }
-}
--- a/packages/node/src/relay/adapter_uses.ts
+++ b/packages/node/src/relay/adapter_uses.ts
@@ -1,49 +1,45 @@
 import {
   type AdapterName,
+  type AdmissionTerms,
+  decideAdmission,
   type Duration,
-  EngineOccupancy,
+  type EngineOccupancy,
   type EngineSlots,
   type Instant,
-  later,
   milliseconds,
-  PrefillQueue,
   type ServerStart,
 } from "@foxtailwind/core";
 import type { SteadyClock } from "../clock/steady_clock.ts";
-import { AdapterWaiters } from "./adapter_waiters.ts";
-import type { UseAnswer, UseRequest } from "./engine_use.ts";
+import { type AdapterWaiter, AdapterWaiters } from "./adapter_waiters.ts";
+import type { AdmissionRecord } from "./admission_record.ts";
+import type { UseAnswer, UseRefusal, UseRequest } from "./engine_use.ts";
+import { PlaceQueue } from "./place_queue.ts";
+import { admissionTerms, nameOf, WaitingUse } from "./waiting_use.ts";
 
 /** Dependencies of `AdapterUses`. */
 export interface AdapterUsesParts {
   readonly clock: SteadyClock;
+  readonly record: AdmissionRecord;
   /** Returns the engine's current start, if known. */
   readonly start: () => ServerStart | undefined;
+  /** The number of requests that the engine runs concurrently. */
+  readonly slots: () => number;
   /** Whether orders may be sent to the engine now or soon. */
   readonly canOrderSoon: () => boolean;
   /** Called when another order may have become due. */
   readonly onChange: () => void;
 }
 
-/** A request whose adapter is loaded and whose prompt waits for prefill. */
-interface QueuedPrefill {
-  /** `undefined` for the base model itself. */
-  readonly name: AdapterName | undefined;
-  readonly version: number;
-  readonly answer: (answer: UseAnswer) => void;
-}
-
 /**
  * Grants uses of one engine's adapters. A request waits first until its adapter
- * is loaded, then until the engine may prefill its prompt.
+ * is loaded, then until it has a place and the engine may prefill its prompt.
  */
 export class AdapterUses {
-  readonly occupancy = new EngineOccupancy();
   readonly #slots: EngineSlots;
   readonly #parts: AdapterUsesParts;
   readonly #waiters = new AdapterWaiters();
-  readonly #prefillQueue = new PrefillQueue<QueuedPrefill>();
-  readonly #running = new Set<AbortController>();
-  #prefillTimer: NodeJS.Timeout | undefined;
+  readonly #places: PlaceQueue;
+  #expiryTimer: NodeJS.Timeout | undefined;
 
   /**
    * @param slots The engine's adapter slots.
@@ -52,21 +48,33 @@
   constructor(slots: EngineSlots, parts: AdapterUsesParts) {
     this.#slots = slots;
     this.#parts = parts;
+    this.#places = new PlaceQueue({
+      ...parts,
+      onEnd: ({ name }) => {
+        this.#endUse(name);
+      },
+    });
+  }
+
+  /** The requests that run on the engine. */
+  get occupancy(): EngineOccupancy {
+    return this.#places.occupancy;
   }
 
   /**
-   * Estimates how long a further request would wait for its prefill.
+   * Estimates how long a further request would wait for its place and prefill.
    * @param now The present time.
    * @returns The expected wait.
    */
   expectedWait(now: Instant): Duration {
-    const wait = this.#prefillQueue.wait(now) + this.occupancy.contentionDelay;
+    const wait = this.#places.estimateWait(now) +
+      this.occupancy.contentionDelay;
     return milliseconds(Math.round(wait));
   }
 
   /**
    * Requests a use, and waits while the adapter has to be loaded or other
-   * prompts are prefilled first.
+   * requests go first.
    * @param request The requested use.
    * @param signal Cancels the request.
    * @returns The answer.
@@ -75,37 +83,35 @@
     request: UseRequest,
     signal: AbortSignal,
   ): Promise<UseAnswer> {
-    if (request.adapter === undefined) {
-      return await this.#waitForPrefill(request, undefined, 0, signal);
-    }
-    const name = { model: request.model, adapter: request.adapter };
-    const { minimumVersion } = request;
-    const version = this.#slots.acquire(this.#now(), name, minimumVersion);
-    if (version !== undefined) {
-      return await this.#waitForPrefill(request, name, version, signal);
-    }
-    const isLoadPending = this.#isLoadPending(name);
-    if (!isLoadPending && !this.#slots.canLoad(this.#now(), name)) {
-      return { kind: "no_room" };
-    }
-    if (!this.#parts.canOrderSoon()) return { kind: "no_room" };
-    this.#slots.requestLoad(this.#now(), name, minimumVersion);
-    const answer = this.#waiters.add(name, request, signal, () => {
-      if (!this.#waiters.has(name)) this.#slots.cancelLoadRequest(name);
+    const now = this.#now();
+    const terms = admissionTerms(now, request);
+    this.#places.recordAsked(now, terms.priority);
+    const refusal = this.#findRefusal(now, request, terms);
+    if (refusal !== undefined) return refusal;
+    const use = new WaitingUse(request, signal, (cancelled) => {
+      this.#withdraw(cancelled);
+    }, {
+      arrivedAt: now,
+      record: this.#parts.record,
+      now: () => this.#now(),
     });
-    this.#parts.onChange();
-    return await answer;
+    this.#enqueue(now, use);
+    return await use.answer;
   }
 
-  /** Queues the requests whose adapters are now loaded for prefill. */
+  /** Queues the requests whose adapters are now loaded for a place. */
   grantLoadedAdapters(): void {
     const now = this.#now();
-    for (const { name, request, signal, answer } of this.#waiters.all) {
+    for (const waiter of this.#waiters.all) {
+      const { name, request } = waiter;
       const version = this.#slots.acquire(now, name, request.minimumVersion);
       if (version === undefined) continue;
       this.#slots.cancelLoadRequest(name);
-      answer(this.#waitForPrefill(request, name, version, signal));
+      this.#waiters.delete(waiter);
+      waiter.version = version;
+      this.#places.add(waiter);
     }
+    this.#scheduleExpiry(now);
   }
 
   /** Refuses all waiting requests with `no_room`, and cancels their loads. */
@@ -113,8 +119,7 @@
     for (const { name } of this.#waiters.all) {
       this.#slots.cancelLoadRequest(name);
     }
-    this.#waiters.answerAll({ kind: "no_room" });
-    this.#refuseQueued({ kind: "no_room" });
+    this.#refuseAll({ kind: "no_room" });
   }
 
   /**
@@ -123,92 +128,145 @@
    */
   end(): void {
     this.refuseWaiting();
-    for (const useEnd of this.#running) useEnd.abort();
-    this.#running.clear();
+    this.#places.endUses();
   }
 
   /** Refuses all waiting requests because this node lost the ownership. */
   stop(): void {
-    this.#waiters.answerAll({ kind: "not_owner" });
-    this.#refuseQueued({ kind: "not_owner" });
+    this.#refuseAll({ kind: "not_owner" });
+  }
+
+  #enqueue(now: Instant, use: WaitingUse): void {
+    if (use.isCancelled) {
+      use.end({ kind: "no_room" }, "withdrawn");
+      return;
+    }
+    if (!usesAdapter(use)) {
+      this.#places.add(use);
+      return;
+    }
+    const { minimumVersion } = use.request;
+    const version = this.#slots.acquire(now, use.name, minimumVersion);
+    if (version !== undefined) {
+      use.version = version;
+      this.#places.add(use);
+      return;
+    }
+    this.#waiters.add(use);
+    this.#slots.requestLoad(
+      now,
+      use.name,
+      minimumVersion,
+      this.#waiters.urgencyOf(use.name),
+    );
+    this.#scheduleExpiry(now);
+    this.#parts.onChange();
+  }
+
+  /** Removes a cancelled request, and a load that nobody else waits for. */
+  #withdraw(use: WaitingUse): void {
+    if (this.#places.delete(use)) {
+      this.#places.grantDue();
+      return;
+    }
+    if (!this.#waiters.delete(use) || !usesAdapter(use)) return;
+    this.#cancelUnwantedLoad(use.name);
   }
 
-  /** Waits until the prompt may be prefilled; the adapter stays in use. */
-  #waitForPrefill(
+  /** Refuses a request that can't begin in time, or not at all. */
+  #findRefusal(
+    now: Instant,
     request: UseRequest,
-    name: AdapterName | undefined,
-    version: number,
-    signal: AbortSignal,
-  ): Promise<UseAnswer> {
-    return new Promise((resolve) => {
-      const cancel = () => {
-        if (!this.#prefillQueue.delete(queued)) return;
-        this.#endUse(name);
-        resolve({ kind: "no_room" });
-      };
-      const queued: QueuedPrefill = {
-        name,
-        version,
-        answer: (answer) => {
-          signal.removeEventListener("abort", cancel);
-          resolve(answer);
-        },
-      };
-      const now = this.#now();
-      this.#prefillQueue.add(queued, {
-        prefillTime: request.prefillTime,
-        deadline: later(now, request.timeLeft),
-        needsBreak: request.needsBreak,
-      });
-      signal.addEventListener("abort", cancel, { once: true });
-      if (signal.aborted) cancel();
-      this.#grantDuePrefills();
+    terms: AdmissionTerms,
+  ): UseRefusal | undefined {
+    const { queueing } = request;
+    if (queueing === undefined && this.#places.isFull) {
+      return this.#refuse(terms, "no_place");
+    }
+    const name = nameOf(request);
+    const loadWait = name === undefined
+      ? milliseconds(0)
+      : this.#estimateLoad(now, name, request.minimumVersion);
+    if (loadWait === undefined) return this.#refuse(terms, "no_place");
+    const wait = milliseconds(
+      Math.max(loadWait, this.#places.estimateWait(now, terms)),
+    );
+    const refusal = decideAdmission(now, {
+      terms,
+      onlyInTime: queueing?.onlyInTime ?? false,
+      wait,
     });
+    if (refusal !== undefined) return this.#refuse(terms, refusal, wait);
+    const waitsForSlot = name !== undefined && loadWait > 0 &&
+      !this.#isLoadPending(name) && !this.#slots.canLoad(now, name);
+    return queueing === undefined && waitsForSlot
+      ? this.#refuse(terms, "no_place")
+      : undefined;
   }
 
-  /** Grants the uses that may be prefilled now, and schedules the next one. */
-  #grantDuePrefills(): void {
-    for (;;) {
-      const queued = this.#prefillQueue.next(this.#now());
-      if (queued === undefined) break;
-      queued.answer(this.#grant(queued));
+  #refuse(
+    { priority }: AdmissionTerms,
+    reason: "no_place" | "late",
+    retryAfter?: Duration,
+  ): UseRefusal {
+    this.#parts.record.recordRefusal(priority, reason);
+    return {
+      kind: "no_room",
+      ...(retryAfter === undefined ? {} : { retryAfter }),
+    };
+  }
+
+  /**
+   * Estimates how long an adapter takes to be usable.
+   * @returns The time, or `undefined` if it can't be loaded here.
+   */
+  #estimateLoad(
+    now: Instant,
+    name: AdapterName,
+    minimumVersion: number,
+  ): Duration | undefined {
+    const slot = this.#slots.find(name);
+    if (slot?.state === "resident" && slot.version >= minimumVersion) {
+      return milliseconds(0);
+    }
+    const loadTime = this.#slots.loadTime(name);
+    if (!this.#parts.canOrderSoon()) return undefined;
+    if (this.#isLoadPending(name) || this.#slots.canLoad(now, name)) {
+      return loadTime;
     }
-    clearTimeout(this.#prefillTimer);
-    const at = this.#prefillQueue.nextAt;
+    return milliseconds(this.#places.useTime + loadTime);
+  }
+
+  #scheduleExpiry(now: Instant): void {
+    clearTimeout(this.#expiryTimer);
+    const at = this.#waiters.nextExpiryAt;
     if (at === undefined) return;
-    this.#prefillTimer = setTimeout(() => {
-      this.#grantDuePrefills();
-    }, Math.max(1, at - this.#now()));
+    this.#expiryTimer = setTimeout(() => {
+      this.#refuseExpired();
+    }, Math.max(1, Math.ceil(at - now)));
   }
 
-  #refuseQueued(answer: Exclude<UseAnswer, { kind: "granted" }>): void {
-    clearTimeout(this.#prefillTimer);
-    for (const queued of this.#prefillQueue.waiting) {
-      this.#prefillQueue.delete(queued);
-      this.#endUse(queued.name);
-      queued.answer(answer);
+  #refuseExpired(): void {
+    const now = this.#now();
+    for (const waiter of this.#waiters.takeExpired(now)) {
+      const retryAfter = this.#slots.loadTime(waiter.name);
+      waiter.end({ kind: "no_room", retryAfter }, "expired");
+      this.#cancelUnwantedLoad(waiter.name);
     }
+    this.#scheduleExpiry(now);
   }
 
-  #grant({ name, version }: QueuedPrefill): UseAnswer {
-    this.occupancy.begin();
-    const useEnd = new AbortController();
-    this.#running.add(useEnd);
-    let isReleased = false;
-    const release = () => {
-      if (isReleased) return;
-      isReleased = true;
-      this.#running.delete(useEnd);
-      this.occupancy.end();
-      this.#endUse(name);
-    };
-    return {
-      kind: "granted",
-      version,
-      start: this.#parts.start(),
-      endSignal: useEnd.signal,
-      release,
-    };
+  #cancelUnwantedLoad(name: AdapterName): void {
+    if (!this.#waiters.has(name)) this.#slots.cancelLoadRequest(name);
+  }
+
+  #refuseAll(answer: UseRefusal): void {
+    clearTimeout(this.#expiryTimer);
+    for (const waiter of this.#waiters.all) {
+      this.#waiters.delete(waiter);
+      waiter.end(answer, "withdrawn");
+    }
+    this.#places.refuseAll(answer);
   }
 
   #endUse(name: AdapterName | undefined): void {
@@ -225,3 +283,7 @@
     return this.#parts.clock.now();
   }
 }
+
+function usesAdapter(use: WaitingUse): use is AdapterWaiter {
+  return use.name !== undefined;
+}
--- a/packages/node/src/relay/adapter_waiters.ts
+++ b/packages/node/src/relay/adapter_waiters.ts
@@ -1,57 +1,44 @@
-import type { AdapterName } from "@foxtailwind/core";
-import type { UseAnswer, UseRequest } from "./engine_use.ts";
+import {
+  type AdapterName,
+  type Instant,
+  instant,
+  type LoadUrgency,
+} from "@foxtailwind/core";
+import type { WaitingUse } from "./waiting_use.ts";
 
-/** A request that waits until an adapter is loaded. */
-export interface Waiter {
-  readonly name: AdapterName;
-  readonly request: UseRequest;
-  /** Aborted when the request is cancelled, also after its answer. */
-  readonly signal: AbortSignal;
-  /** Answers the request and removes it. */
-  readonly answer: (answer: UseAnswer | Promise<UseAnswer>) => void;
-}
+/** A request that waits for an adapter. */
+export type AdapterWaiter = WaitingUse & { readonly name: AdapterName };
 
 /** The requests that wait until one engine has loaded their adapters. */
 export class AdapterWaiters {
-  readonly #waiters = new Set<Waiter>();
+  readonly #waiters = new Set<AdapterWaiter>();
 
   /** The waiting requests, in order of arrival. */
-  get all(): readonly Waiter[] {
+  get all(): readonly AdapterWaiter[] {
     return [...this.#waiters];
   }
 
+  /** When the first waiting request gives up, if one says so. */
+  get nextExpiryAt(): Instant | undefined {
+    const times = this.all.flatMap(({ terms }) => terms.waitsUntil ?? []);
+    return times.length === 0 ? undefined : instant(Math.min(...times));
+  }
+
+  /**
+   * Adds a request.
+   * @param waiter The request.
+   */
+  add(waiter: AdapterWaiter): void {
+    this.#waiters.add(waiter);
+  }
+
   /**
-   * Adds a request until it is answered or cancelled.
-   * @param name The adapter that it waits for.
-   * @param request The requested use.
-   * @param signal Cancels the request.
-   * @param onCancel Called after the cancellation.
-   * @returns The answer.
+   * Removes a request.
+   * @param waiter The request.
+   * @returns Whether it waited for its adapter.
    */
-  add(
-    name: AdapterName,
-    request: UseRequest,
-    signal: AbortSignal,
-    onCancel: () => void,
-  ): Promise<UseAnswer> {
-    return new Promise((resolve) => {
-      const waiter: Waiter = {
-        name,
-        request,
-        signal,
-        answer: (answer) => {
-          this.#waiters.delete(waiter);
-          signal.removeEventListener("abort", cancel);
-          resolve(answer);
-        },
-      };
-      const cancel = () => {
-        waiter.answer({ kind: "no_room" });
-        onCancel();
-      };
-      signal.addEventListener("abort", cancel, { once: true });
-      this.#waiters.add(waiter);
-    });
+  delete(waiter: WaitingUse): boolean {
+    return this.#waiters.delete(waiter as AdapterWaiter);
   }
 
   /**
@@ -60,16 +47,40 @@
    * @returns Whether one does.
    */
   has(name: AdapterName): boolean {
-    return this.all.some((waiter) =>
-      waiter.name.adapter === name.adapter && waiter.name.model === name.model
-    );
+    return this.#waitersFor(name).length > 0;
   }
 
   /**
-   * Refuses all waiting requests with the same answer.
-   * @param answer The refusal.
+   * Returns how urgently the waiting requests want an adapter.
+   * @param name The adapter, which at least one request waits for.
+   * @returns The urgency.
    */
-  answerAll(answer: Exclude<UseAnswer, { kind: "granted" }>): void {
-    for (const waiter of this.all) waiter.answer(answer);
+  urgencyOf(name: AdapterName): LoadUrgency {
+    const terms = this.#waitersFor(name).map((waiter) => waiter.terms);
+    return {
+      neededBy: instant(
+        Math.max(...terms.map((one) => one.waitsUntil ?? one.deadline)),
+      ),
+      priority: Math.min(...terms.map(({ priority }) => priority)),
+    };
+  }
+
+  /**
+   * Removes the requests whose senders no longer wait.
+   * @param now The present time.
+   * @returns The requests.
+   */
+  takeExpired(now: Instant): readonly AdapterWaiter[] {
+    const expired = this.all.filter(({ terms: { waitsUntil } }) =>
+      waitsUntil !== undefined && waitsUntil <= now
+    );
+    for (const waiter of expired) this.#waiters.delete(waiter);
+    return expired;
+  }
+
+  #waitersFor({ model, adapter }: AdapterName): readonly AdapterWaiter[] {
+    return this.all.filter(({ name }) =>
+      name.adapter === adapter && name.model === model
+    );
   }
 }
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -31,6 +31,7 @@
   ConfigurationProofs,
   type PeerProof,
 } from "./accounts/configuration_proofs.ts";
+import { AdmissionRecord } from "./admission_record.ts";
 import { PeerTable } from "./peer_table.ts";
 import { logRestart, logServerChange } from "./registry/registry_logging.ts";
 import { RegistryProofs } from "./registry/registry_proofs.ts";
@@ -94,6 +95,8 @@
   readonly suspicionTracker: SuspicionTracker;
   /** Counts of the calls and checks that keep nodes informed. */
   readonly workCounts = new WorkCounts();
+  /** What became of requests for places on this node's engines. */
+  readonly admissions = new AdmissionRecord();
   readonly claims: EngineClaims;
   readonly proofs: ConfigurationProofs;
   /** The proofs that this node has the whole registry of servers. */
--- a/packages/node/src/relay/placement_finder.ts
+++ b/packages/node/src/relay/placement_finder.ts
@@ -6,13 +6,14 @@
   milliseconds,
   type RegisteredServer,
   type Route,
+  spreadRetry,
 } from "@foxtailwind/core";
 import { TimeLimitedSignal } from "@foxtailwind/edges";
 import { setTimeout as sleep } from "node:timers/promises";
-import type { RoutedRequest } from "./routed_request.ts";
+import { requestPriority, type RoutedRequest } from "./routed_request.ts";
 import type { LimitQueuePlace } from "./request_limits.ts";
 import type { RelayParts } from "./relay_parts.ts";
-import type { Placement, PlacementAnswer } from "./request_placer.ts";
+import type { Placement, PlacementAnswer } from "./placement.ts";
 import type { SendHistory } from "./send_history.ts";
 
 /** The delay between two attempts to find a placement. */
@@ -47,6 +48,8 @@
   readonly #asked: PlacementAnswer[] = [];
   #queuePlace: LimitQueuePlace | undefined;
   #comeBackAfter: Duration | undefined;
+  /** When an engine would have room, if none has before the search ends. */
+  #roomAfter: Duration | undefined;
 
   /**
    * @param parts The dependencies.
@@ -68,9 +71,9 @@
     return this.#asked;
   }
 
-  /** When a placement is expected, if the servers' limits leave none now. */
+  /** When a placement is expected, if limits or full engines leave none now. */
   get retryAfter(): Duration | undefined {
-    return this.#comeBackAfter;
+    return this.#comeBackAfter ?? this.#roomAfter;
   }
 
   /**
@@ -95,11 +98,13 @@
     );
     try {
       for (;;) {
-        const placement = await this.#tryPlace(searchSignal.signal);
+        const placement = await this.#tryPlace(searchSignal.signal, searchEnd);
         if (placement !== undefined || this.#terms.abandonSignal.aborted) {
           return placement;
         }
-        if (!this.isContinuable) return undefined;
+        if (!this.isContinuable || this.#roomAfter !== undefined) {
+          return undefined;
+        }
         if (this.#now() >= searchEnd || this.#exceedsQueueWait(searchEnd)) {
           return undefined;
         }
@@ -163,8 +168,12 @@
         !this.#parts.knowledge.softwareHistory.isUncertain(origin);
   }
 
-  async #tryPlace(signal: AbortSignal): Promise<Placement | undefined> {
-    const { service, caller } = this.#request;
+  async #tryPlace(
+    signal: AbortSignal,
+    searchEnd: Instant,
+  ): Promise<Placement | undefined> {
+    const { service, caller, account } = this.#request;
+    this.#roomAfter = undefined;
     const { placer } = this.#parts;
     const servers = this.#servers();
     if (service.engine === undefined || caller.use === undefined) {
@@ -174,6 +183,14 @@
       signal,
       firstEventDeadline: this.#terms.firstEventDeadline,
       longestPause: this.#request.route.longestPause,
+      queueing: {
+        priority: requestPriority(this.#request),
+        account: account?.id,
+        waitsUntil: searchEnd,
+      },
+      onNoRoom: (retryAfter) => {
+        this.#roomAfter = spreadRetry(retryAfter, Math.random());
+      },
       onAnswer: (answer) => {
         if (this.#asked.length < MAXIMUM_LOGGED_ANSWERS) {
           this.#asked.push(answer);
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -230,6 +230,10 @@
       serversLimited: () => this.#parts.limits.limitedRunCount,
       registryAge: () => knowledge.registryProofs.age,
       work: () => knowledge.workCounts.counts,
+      waitingUses: () => knowledge.admissions.waiting,
+    });
+    knowledge.admissions.listen((priority, outcome, waited) => {
+      this.#metrics.recordAdmission(priority, outcome, waited);
     });
     this.#operations = new OperationsServer(platform.operations, {
       isReady: () => this.#presence.isReady,
--- a/packages/node/src/relay/relay_metrics.ts
+++ b/packages/node/src/relay/relay_metrics.ts
@@ -1,5 +1,6 @@
 import type { ClientAccount, Duration } from "@foxtailwind/core";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { AdmissionOutcome } from "./admission_record.ts";
 import { AccountLabels } from "./accounts/account_labels.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import type { RecordTopic, SkipReason } from "./shared_log.ts";
@@ -38,6 +39,8 @@
   /** How old the node's registry of servers is, if it ever had the whole. */
   readonly registryAge: () => Duration | undefined;
   readonly work: () => ReadonlyMap<WorkKind, number>;
+  /** The requests that wait for a place on an engine, by priority. */
+  readonly waitingUses?: () => ReadonlyMap<number, number>;
 }
 
 /** The metrics of a relay in the Prometheus text format. */
@@ -83,6 +86,20 @@
     registers: [this.#registry],
   });
 
+  readonly #admissions = new Counter({
+    name: "foxtailwind_admissions_total",
+    help: "Requests for places on this node's engines, by outcome.",
+    labelNames: ["priority", "outcome"],
+    registers: [this.#registry],
+  });
+  readonly #admissionSeconds = new Histogram({
+    name: "foxtailwind_admission_seconds",
+    help: "How long requests waited for adapters and places.",
+    labelNames: ["priority"],
+    buckets: LATENCY_BUCKETS_SECONDS,
+    registers: [this.#registry],
+  });
+
   /** @param gauges Values read whenever the metrics are collected. */
   constructor(gauges: RelayGauges) {
     this.#addGauge(
@@ -134,6 +151,9 @@
       },
     );
     this.#addWorkCounter(gauges.work);
+    if (gauges.waitingUses !== undefined) {
+      this.#addWaitingGauge(gauges.waitingUses);
+    }
   }
 
   /**
@@ -174,6 +194,23 @@
     this.#countAccount(account, reason);
   }
 
+  /**
+   * Counts a request for a place on one of this node's engines.
+   * @param priority The priority of its class.
+   * @param outcome How it ended.
+   * @param waited How long it waited.
+   */
+  recordAdmission(
+    priority: number,
+    outcome: AdmissionOutcome,
+    waited: Duration,
+  ): void {
+    const labels = { priority: String(priority) };
+    this.#admissions.inc({ ...labels, outcome });
+    if (outcome === "no_place" || outcome === "late") return;
+    this.#admissionSeconds.observe(labels, waited / MILLISECONDS_PER_SECOND);
+  }
+
   /**
    * Counts a record that was skipped.
    * @param topic The topic of the record.
@@ -212,6 +249,23 @@
     });
   }
 
+  #addWaitingGauge(
+    read: NonNullable<RelayGauges["waitingUses"]>,
+  ): void {
+    new Gauge({
+      name: "foxtailwind_admissions_waiting",
+      help: "Requests that wait for places on this node's engines.",
+      labelNames: ["priority"],
+      registers: [this.#registry],
+      collect() {
+        this.reset();
+        for (const [priority, count] of read()) {
+          this.set({ priority: String(priority) }, count);
+        }
+      },
+    });
+  }
+
   #addGauge(name: string, help: string, read: () => number): void {
     new Gauge({
       name,
--- a/packages/node/src/relay/request_end.ts
+++ b/packages/node/src/relay/request_end.ts
@@ -8,7 +8,7 @@
 import type { AnswerFraming } from "./answer_framing.ts";
 import type { CallStage } from "./backend_call.ts";
 import type { RoutedRequest } from "./routed_request.ts";
-import type { PlacementAnswer } from "./request_placer.ts";
+import type { PlacementAnswer } from "./placement.ts";
 import { roundOptional } from "./round_optional.ts";
 
 /** Facts about a request that has ended. */
--- a/packages/node/src/relay/request_sender.ts
+++ b/packages/node/src/relay/request_sender.ts
@@ -19,7 +19,7 @@
   type RoutedRequest,
 } from "./routed_request.ts";
 import type { RelayParts } from "./relay_parts.ts";
-import type { Placement } from "./request_placer.ts";
+import type { Placement } from "./placement.ts";
 
 /** The cancellation reason of requests that a server didn't answer in time. */
 const TIME_LIMIT = "time_limit";
--- /dev/null
+++ b/packages/node/src/relay/use_asker.ts
@@ -0,0 +1,202 @@
+import {
+  isOlderStart,
+  milliseconds,
+  needsBreaks,
+  RecentRefusals,
+  type RegisteredServer,
+} from "@foxtailwind/core";
+import { TimeLimitedSignal } from "@foxtailwind/edges";
+import type { EngineOwnerAddress, GrantAnswer } from "./adapter_grants.ts";
+import type { EngineCandidate } from "./engine_candidates.ts";
+import type { UseRequest } from "./engine_use.ts";
+import type { EngineQuestion } from "./hedged_search.ts";
+import type { Placement, PlacementRound } from "./placement.ts";
+import type { RequestPlacerParts } from "./request_placer.ts";
+
+/** The timeout of an owner's answer if the engine holds the adapter. */
+const HELD_ADAPTER_TIMEOUT_MILLISECONDS = 250;
+/** The timeout of an owner's answer, with a load, before another is asked. */
+const ADAPTER_LOAD_TIMEOUT_MILLISECONDS = 1_000;
+/** How long a load takes, as far as an owner's answer is expected by then. */
+const EXPECTED_LOAD_MILLISECONDS = 300;
+/** How much later than expected the answer of a queued request is overdue. */
+const OVERDUE_MILLISECONDS = 400;
+/** An owner's answer should arrive before the request stops waiting for it. */
+const ANSWER_MARGIN_MILLISECONDS = 20;
+
+type Grant = Extract<GrantAnswer, { readonly kind: "granted" }>;
+
+const noop = () => undefined;
+
+/** Asks the owners of engines for places, one question at a time. */
+export class UseAsker {
+  readonly #parts: RequestPlacerParts;
+  readonly #refusals = new RecentRefusals();
+
+  /** @param parts The dependencies. */
+  constructor(parts: RequestPlacerParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * Asks an engine's owner for a place.
+   * @param engine The engine.
+   * @param round What the request needs.
+   * @param question Cancels the question, and hears that it is queued.
+   * @returns The placement, or `undefined` if there is none.
+   */
+  async ask(
+    engine: EngineCandidate,
+    round: PlacementRound,
+    question: EngineQuestion,
+  ): Promise<Placement | undefined> {
+    const { server } = engine;
+    if (!this.#takesRequests(server)) return undefined;
+    if (!this.#hasRoom(engine) || !this.#parts.limits.tryTake(server)) {
+      return undefined;
+    }
+    const placement = await this.#requestUse(engine, round, question);
+    if (placement === undefined) this.#parts.limits.refund(server);
+    return placement;
+  }
+
+  /** Whether an engine probably has room for the request. */
+  #hasRoom({ id, holdsAdapter, isLoading }: EngineCandidate): boolean {
+    const now = this.#parts.clock.now();
+    return holdsAdapter || isLoading || !this.#refusals.isLikelyFull(now, id);
+  }
+
+  async #requestUse(
+    engine: EngineCandidate,
+    round: PlacementRound,
+    question: EngineQuestion,
+  ): Promise<Placement | undefined> {
+    const { server, owner, address } = engine;
+    const { onAnswer } = round.search;
+    if (owner === undefined || address === undefined) {
+      onAnswer({ engine: engine.id, answer: "no_owner" });
+      return engine.holdsAdapter
+        ? { server, release: noop, reportMiss: noop }
+        : undefined;
+    }
+    const target = { engine: engine.id, owner, address };
+    if (owner !== this.#parts.self) {
+      this.#parts.knowledge.workCounts.increment("use_asked");
+    }
+    const answer = await this.#requestAnswer(
+      target,
+      engine,
+      this.#createRequest(engine, round),
+      question,
+    );
+    onAnswer({ engine: engine.id, owner, answer: answer.kind });
+    if (answer.kind === "no_room") {
+      const { retryAfter } = answer;
+      if (retryAfter === undefined) {
+        this.#refusals.recordRefusal(this.#parts.clock.now(), engine.id);
+      } else {
+        round.refusals.set(engine.id, { engine: engine.id, retryAfter });
+      }
+    }
+    const takesRequests = this.#takesRequests(server) &&
+      this.#parts.limits.backoff(server) === 0;
+    if (answer.kind === "granted") {
+      const { version, release } = answer;
+      if (!takesRequests || this.#hasEnded(target, answer)) {
+        release();
+        return undefined;
+      }
+      return {
+        server,
+        ...(version === 0 ? {} : { adapterVersion: version }),
+        release,
+        reportMiss: () => {
+          this.#parts.grants.reportMiss(target);
+        },
+      };
+    }
+    const runsWithoutGrant = engine.holdsAdapter && !engine.isFull &&
+      answer.kind !== "no_room";
+    return runsWithoutGrant && takesRequests && !question.signal.aborted
+      ? { server, release: noop, reportMiss: noop }
+      : undefined;
+  }
+
+  /** Requests a use; an owner that doesn't take it up is given up. */
+  async #requestAnswer(
+    target: EngineOwnerAddress,
+    { holdsAdapter, expectedWait }: EngineCandidate,
+    request: UseRequest,
+    question: EngineQuestion,
+  ): Promise<GrantAnswer> {
+    const answerTimeout = holdsAdapter
+      ? HELD_ADAPTER_TIMEOUT_MILLISECONDS
+      : ADAPTER_LOAD_TIMEOUT_MILLISECONDS;
+    const cancellation = new AbortController();
+    const cancel = () => {
+      cancellation.abort();
+    };
+    const silence = new TimeLimitedSignal(
+      question.signal,
+      Math.ceil(expectedWait + answerTimeout),
+    );
+    silence.signal.addEventListener("abort", cancel, { once: true });
+    const answer = await this.#parts.grants.requestUse(
+      target,
+      request,
+      cancellation.signal,
+      () => {
+        silence.release();
+        question.signal.addEventListener("abort", cancel, { once: true });
+        const load = holdsAdapter ? 0 : EXPECTED_LOAD_MILLISECONDS;
+        question.onQueued(expectedWait + load + OVERDUE_MILLISECONDS);
+      },
+    );
+    silence.release();
+    question.signal.removeEventListener("abort", cancel);
+    return answer;
+  }
+
+  #createRequest(
+    { server, prefillTime }: EngineCandidate,
+    { use, minimumVersion, search, onlyInTime }: PlacementRound,
+  ): UseRequest {
+    const { firstEventDeadline, longestPause, queueing } = search;
+    const now = this.#parts.clock.now();
+    const { tokenTime } = this.#parts.loads.loadOf(server).prefillTimes;
+    return {
+      model: use.model,
+      ...(use.adapter === undefined ? {} : { adapter: use.adapter }),
+      minimumVersion,
+      prefillTime,
+      timeLeft: milliseconds(firstEventDeadline - now),
+      needsBreak: longestPause !== undefined &&
+        needsBreaks(tokenTime, longestPause),
+      ...(queueing === undefined ? {} : {
+        queueing: {
+          priority: queueing.priority,
+          account: queueing.account,
+          work: use.promptTokens + use.outputTokens,
+          longestWait: milliseconds(
+            Math.max(1, queueing.waitsUntil - now - ANSWER_MARGIN_MILLISECONDS),
+          ),
+          onlyInTime,
+        },
+      }),
+    };
+  }
+
+  /** Whether an engine takes requests; it may leave while owners are asked. */
+  #takesRequests(server: RegisteredServer): boolean {
+    return this.#parts.knowledge.departures.takesRequests(server);
+  }
+
+  /** Whether a use was granted for a start that has ended. */
+  #hasEnded(target: EngineOwnerAddress, { start, endSignal }: Grant): boolean {
+    if (endSignal.aborted) return true;
+    // An owner on this node knows everything that this node's registry knows.
+    if (target.owner === this.#parts.self) return false;
+    const known = this.#parts.knowledge.registry.find(target.engine);
+    return isOlderStart(start, known?.start);
+  }
+}
--- a/packages/node/tests/relay/peer_grants_test.ts
+++ b/packages/node/tests/relay/peer_grants_test.ts
@@ -89,7 +89,38 @@
       timeLeft: milliseconds(1_000),
       needsBreak: true,
     }, AbortSignal.timeout(10_000));
-  return { requestUse, control, grants, owners, register, target };
+  const waitForUse = (adapter: string, onQueued: () => void) =>
+    grants.requestUse(
+      target,
+      {
+        model: STAND_IN_MODEL,
+        adapter: adapterId(adapter),
+        minimumVersion: 0,
+        prefillTime: milliseconds(1),
+        timeLeft: milliseconds(60_000),
+        needsBreak: false,
+        queueing: {
+          priority: 1,
+          work: 100,
+          longestWait: milliseconds(60_000),
+          onlyInTime: false,
+        },
+      },
+      AbortSignal.timeout(20_000),
+      onQueued,
+    );
+  return {
+    requestUse,
+    waitForUse,
+    control,
+    grants,
+    owners,
+    register,
+    target,
+    knowledge,
+    server,
+    channels,
+  };
 }
 
 async function waitUntil(condition: () => boolean): Promise<void> {
@@ -119,3 +150,34 @@
   await waitUntil(() => owners.find(ENGINE)?.digest.start === SECOND_START);
   t.deepEqual(owners.find(ENGINE)?.digest.adapters, []);
 });
+
+/** Fills the engine, so that a further request has to wait for a place. */
+async function setUpFull(t: ExecutionContext) {
+  const node = await setUp(t);
+  const isFull = () => node.owners.find(ENGINE)?.digest.isFull === true;
+  while (!isFull()) {
+    const answer = await node.waitForUse("a", () => undefined);
+    if (answer.kind !== "granted") t.fail(answer.kind);
+  }
+  let isQueued = false;
+  const waiting = node.waitForUse("a", () => {
+    isQueued = true;
+  });
+  await waitUntil(() => isQueued);
+  return { ...node, waiting };
+}
+
+test("a request whose owner dies while it waits may ask elsewhere at once", async (t) => {
+  const { waiting, server } = await setUpFull(t);
+  server.abortConnections();
+  t.is((await waiting).kind, "unreachable");
+});
+
+test("the places and the waiting requests of a node that dies are freed", async (t) => {
+  const { waiting, channels, owners, knowledge } = await setUpFull(t);
+  t.is(knowledge.admissions.waiting.get(1), 1);
+  channels.close();
+  t.is((await waiting).kind, "unreachable");
+  await waitUntil(() => owners.find(ENGINE)?.digest.running === 0);
+  t.is(knowledge.admissions.waiting.get(1), 0);
+});
