Engine owners: fullness is decided by the queue

A full engine may be ranked by its expected wait and queued for; before, it was no candidate, and its owner refused before the queue was asked.

--- a/packages/node/src/relay/engine_candidates.ts
+++ b/packages/node/src/relay/engine_candidates.ts
@@ -18,6 +18,8 @@
   readonly owner?: NodeId;
   /** The owner's IP address and port. */
   readonly address?: string;
+  /** Whether all its places were in use. */
+  readonly isFull: boolean;
 }
 
 /** What a request needs of an engine. */
@@ -62,7 +64,6 @@
     const load = loads.loadOf(server);
     const prefillTime = load.prefillTimes.estimate(use.promptTokens);
     const found = this.#findDigest(now, server);
-    if (found?.digest.isFull === true) return undefined;
     // An owner that reaches no engine knows nothing of this one.
     if (
       found === undefined || found.unreachedServices.includes(server.service)
@@ -81,6 +82,7 @@
         availableSlots: 0,
         holdsAdapter,
         isLoading: false,
+        isFull: found?.digest.isFull ?? false,
       };
     }
     const { digest, owner, address } = found;
@@ -102,6 +104,7 @@
       holdsAdapter: digest.isReachable &&
         (use.adapter === undefined || (isNewEnough && !held.isLoading)),
       isLoading: isNewEnough && held.isLoading,
+      isFull: digest.isFull,
     };
   }
 
--- a/packages/node/src/relay/engine_run.ts
+++ b/packages/node/src/relay/engine_run.ts
@@ -66,7 +66,9 @@
     });
     this.#uses = new AdapterUses(this.#slots, {
       clock: parts.clock,
+      record: parts.knowledge.admissions,
       start: parts.start,
+      slots: () => this.#server.slots,
       canOrderSoon: () => this.#canOrderSoon(),
       onChange: () => void this.runDueSteps(),
     });
@@ -119,7 +121,7 @@
     signal: AbortSignal,
   ): Promise<UseAnswer> {
     if (this.#loop.isStopped) return { kind: "not_owner" };
-    if (this.#isFull() || !this.#orders.isReachable) return { kind: "no_room" };
+    if (!this.#orders.isReachable) return { kind: "no_room" };
     return await this.#uses.requestUse(request, signal);
   }
 
