--- a/packages/node/tests/relay/hedged_search_test.ts
+++ b/packages/node/tests/relay/hedged_search_test.ts
@@ -29,8 +29,10 @@
         case "grants_late":
           await sleep(250);
           return fate;
-        case "silent":
-          { await cancelled; return; }
+        case "silent": {
+          await cancelled;
+          return;
+        }
       }
     },
     release: (fate) => {
