--- a/packages/node/src/relay/adapter_grants.ts
+++ b/packages/node/src/relay/adapter_grants.ts
@@ -1,19 +1,17 @@
 import {
-  adapterId,
   type BackendServerId,
   backendServerId,
-  milliseconds,
-  modelId,
   type NodeId,
 } from "@foxtailwind/core";
-import { type AdapterGrant, GrantOutcome } from "@foxtailwind/protocol";
+import { GrantOutcome } from "@foxtailwind/protocol";
 import { Metadata } from "@grpc/grpc-js";
 import type { PeerChannels } from "../peers/peer_channels.ts";
 import type { EngineOwners } from "./engine_owners.ts";
-import type { UseAnswer, UseRequest } from "./engine_use.ts";
+import type { UseAnswer, UseRefusal, UseRequest } from "./engine_use.ts";
 import type { UseCall } from "./links/link_service.ts";
 import { PeerLinks } from "./links/peer_links.ts";
-import { decodeStart, encodeStart } from "./start_message.ts";
+import { encodeStart } from "./start_message.ts";
+import { decodeAnswer, decodeUse, encodeUse } from "./use_message.ts";
 
 /** Timeout of a call that reports a miss to an engine's owner. */
 const MISS_REPORT_TIMEOUT_MILLISECONDS = 500;
@@ -54,16 +52,19 @@
    * @param target The engine and its owner.
    * @param request The requested use.
    * @param signal Cancels the request.
+   * @param onQueued Called when the owner has the request, before its answer.
    * @returns The answer.
    */
   requestUse(
     target: EngineOwnerAddress,
     request: UseRequest,
     signal: AbortSignal,
+    onQueued: () => void = () => undefined,
   ): Promise<GrantAnswer> {
     if (target.owner !== this.#self) {
-      return this.#requestFromPeer(target, request, signal);
+      return this.#requestFromPeer(target, request, signal, onQueued);
     }
+    onQueued();
     const owner = this.#owners.find(target.engine);
     if (owner === undefined) return Promise.resolve({ kind: "not_owner" });
     return owner.requestUse(request, signal);
@@ -92,6 +93,7 @@
     { engine, address }: EngineOwnerAddress,
     request: UseRequest,
     signal: AbortSignal,
+    onQueued: () => void,
   ): Promise<GrantAnswer> {
     const useEnd = new AbortController();
     return new Promise((resolve) => {
@@ -99,27 +101,22 @@
         use.cancel();
         resolve({ kind: "unreachable" });
       };
-      const use = this.#links.getLink(address).requestUse({
-        engine,
-        model: request.model,
-        adapter: request.adapter ?? "",
-        minimumVersion: request.minimumVersion,
-        readingMilliseconds: Math.round(request.prefillTime),
-        timeLeftMilliseconds: Math.round(request.timeLeft),
-        needsBreak: request.needsBreak,
-      }, {
+      const settle = (answer: GrantAnswer) => {
+        signal.removeEventListener("abort", abandon);
+        resolve(answer);
+      };
+      const message = encodeUse(engine, request);
+      const use = this.#links.getLink(address).requestUse(message, {
+        onQueued,
         onGrant: (grant) => {
-          signal.removeEventListener("abort", abandon);
-          resolve(toAnswer(grant, useEnd.signal, use.cancel));
+          settle(decodeAnswer(grant, useEnd.signal, use.cancel));
         },
         onEnd: () => {
-          signal.removeEventListener("abort", abandon);
           useEnd.abort();
-          resolve({ kind: "unreachable" });
+          settle({ kind: "unreachable" });
         },
         onLost: () => {
-          signal.removeEventListener("abort", abandon);
-          resolve({ kind: "unreachable" });
+          settle({ kind: "unreachable" });
         },
       });
       signal.addEventListener("abort", abandon, { once: true });
@@ -129,7 +126,8 @@
 }
 
 /**
- * Serves a peer's request for a use. The use lasts until the peer ends it.
+ * Serves a peer's request for a use. The use lasts until the peer ends it. A
+ * peer whose request isn't answered at once is told that it waits here.
  * @param owners The engines that this node owns.
  * @param call The peer's request.
  */
@@ -137,25 +135,16 @@
   owners: EngineOwners,
   call: UseCall,
 ): Promise<void> {
-  const { engine, model, adapter, minimumVersion } = call.request;
-  const owner = owners.find(backendServerId(engine));
+  const owner = owners.find(backendServerId(call.request.engine));
   if (owner === undefined) {
-    writeRefusal(call, GrantOutcome.NOT_OWNER);
+    writeRefusal(call, { kind: "not_owner" });
     return;
   }
-  const answer = await owner.requestUse({
-    model: modelId(model),
-    ...(adapter === "" ? {} : { adapter: adapterId(adapter) }),
-    minimumVersion,
-    prefillTime: milliseconds(call.request.readingMilliseconds),
-    timeLeft: milliseconds(call.request.timeLeftMilliseconds),
-    needsBreak: call.request.needsBreak,
-  }, call.signal);
+  const queued = setImmediate(call.queue);
+  const answer = await owner.requestUse(decodeUse(call.request), call.signal);
+  clearImmediate(queued);
   if (answer.kind !== "granted") {
-    writeRefusal(
-      call,
-      answer.kind === "no_room" ? GrantOutcome.NO_ROOM : GrantOutcome.NOT_OWNER,
-    );
+    writeRefusal(call, answer);
     return;
   }
   if (call.signal.aborted || answer.endSignal.aborted) {
@@ -169,35 +158,19 @@
     outcome: GrantOutcome.GRANTED,
     version: answer.version,
     start: encodeStart(answer.start),
+    retryAfterMilliseconds: 0,
   });
 }
 
-function writeRefusal(call: UseCall, outcome: GrantOutcome): void {
-  call.write({ outcome, version: 0, start: 0 });
+function writeRefusal(call: UseCall, refusal: UseRefusal): void {
+  const isFull = refusal.kind === "no_room";
+  call.write({
+    outcome: isFull ? GrantOutcome.NO_ROOM : GrantOutcome.NOT_OWNER,
+    version: 0,
+    start: 0,
+    retryAfterMilliseconds: Math.ceil(
+      (isFull ? refusal.retryAfter : undefined) ?? 0,
+    ),
+  });
   call.end();
 }
-
-function toAnswer(
-  grant: AdapterGrant,
-  endSignal: AbortSignal,
-  release: () => void,
-): UseAnswer {
-  switch (grant.outcome) {
-    case GrantOutcome.GRANTED:
-      return {
-        kind: "granted",
-        version: grant.version,
-        start: decodeStart(grant.start),
-        endSignal,
-        release,
-      };
-    case GrantOutcome.NO_ROOM:
-      release();
-      return { kind: "no_room" };
-    case GrantOutcome.NOT_OWNER:
-    case GrantOutcome.GRANT_OUTCOME_UNSPECIFIED:
-    case GrantOutcome.UNRECOGNIZED:
-      release();
-      return { kind: "not_owner" };
-  }
-}
--- a/packages/node/src/relay/links/link_service.ts
+++ b/packages/node/src/relay/links/link_service.ts
@@ -13,6 +13,8 @@
   readonly request: AdapterUse;
   /** Aborted when the peer ends the use or its link is lost. */
   readonly signal: AbortSignal;
+  /** Tells the peer that the use waits here. */
+  readonly queue: () => void;
   /** Grants or refuses the use. */
   readonly write: (grant: AdapterGrant) => void;
   /** Tells the peer that the use has ended. */
@@ -48,6 +50,9 @@
     handlers.serveUse({
       request,
       signal: use.signal,
+      queue: () => {
+        if (uses.has(number)) write(number, { $case: "queued", value: true });
+      },
       write: (grant) => {
         if (uses.has(number)) write(number, { $case: "grant", value: grant });
       },
--- a/packages/node/src/relay/links/peer_link.ts
+++ b/packages/node/src/relay/links/peer_link.ts
@@ -11,6 +11,8 @@
 
 /** Receives what the owner answers to a use that was asked for. */
 export interface UseHandler {
+  /** Called when the owner has the request, and the use has to wait there. */
+  readonly onQueued: () => void;
   /** Called when the use is granted or refused. */
   readonly onGrant: (grant: AdapterGrant) => void;
   /** Called once when the owner has ended the use. */
@@ -89,6 +91,7 @@
   requestUse(use: AdapterUse, handler: UseHandler): LinkedUse {
     const number = this.#add({
       onAnswer: (content) => {
+        if (content?.$case === "queued") handler.onQueued();
         if (content?.$case === "grant") handler.onGrant(content.value);
         if (content?.$case !== "end") return;
         this.#pending.delete(number);
--- a/packages/node/tests/relay/links/peer_link_test.ts
+++ b/packages/node/tests/relay/links/peer_link_test.ts
@@ -28,6 +28,11 @@
   readingMilliseconds: 1,
   timeLeftMilliseconds: 1_000,
   needsBreak: false,
+  priority: 0,
+  account: "",
+  workTokens: 0,
+  longestWaitMilliseconds: 0,
+  onlyInTime: false,
 };
 
 function question(cursor: number): ExchangeQuestion {
@@ -87,6 +92,7 @@
 function requestUse(links: PeerLinks, address: string) {
   const events: string[] = [];
   const use = links.getLink(address).requestUse(USE, {
+    onQueued: () => events.push("queued"),
     onGrant: ({ outcome }) => events.push(GrantOutcome[outcome]),
     onEnd: () => events.push("end"),
     onLost: () => events.push("lost"),
@@ -112,14 +118,20 @@
   const { links, address, useCalls } = await startPeer(t);
   const { events, use } = requestUse(links, address);
   await waitUntil(() => useCalls.length === 1);
-  useCalls[0]?.write({ outcome: GrantOutcome.GRANTED, version: 1, start: 0 });
-  await waitUntil(() => events.length === 1);
+  useCalls[0]?.queue();
+  useCalls[0]?.write({
+    outcome: GrantOutcome.GRANTED,
+    version: 1,
+    start: 0,
+    retryAfterMilliseconds: 0,
+  });
+  await waitUntil(() => events.length === 2);
   use.cancel();
   await waitUntil(() => useCalls[0]?.signal.aborted === true);
   // Nothing follows: the asker has forgotten the use.
   useCalls[0]?.end();
   await links.getLink(address).exchange(question(1));
-  t.deepEqual(events, ["GRANTED"]);
+  t.deepEqual(events, ["queued", "GRANTED"]);
 });
 
 test("a use that the owner ends tells the asker once", async (t) => {
