Placement knows what an engine still caches, and how long loads take there

Each node ranked engines by constants: a load costs 300 ms everywhere, and 200 ms more for each rank in the adapter's preference order, though an engine reloads what it held recently in a tenth of the time. Nodes now remember for each start of an engine which adapters its owner's digests named, and owners learn the times of loads and the size of the engine's cache from its loads and tell both in the digest. An engine that caches the adapter is preferred to a load from the store; where none does, the preference order decides. Equal holders are chosen with a random part of 20 ms, as the states that nodes decide from are 300 ms old.

Without knowledge of an engine, costs are as before, but ranks beyond the third cost no more than the third.

engine_choice_test computes the expected order by the new scores; its assertions are unchanged. Three tests build digests and name the three new fields.

--- a/packages/core/src/relay/engine_choice.ts
+++ b/packages/core/src/relay/engine_choice.ts
@@ -4,7 +4,8 @@
   Duration,
   ModelId,
 } from "../shared/mod.ts";
-import { rendezvousOrder } from "../shared/mod.ts";
+import { AdapterPreference } from "./residency/adapter_preference.ts";
+import type { LoadSource } from "./residency/learned_load_times.ts";
 
 /** An engine's state as known to the node that places a request. */
 export interface EngineState {
@@ -24,6 +25,19 @@
   readonly availableSlots: number;
   readonly holdsAdapter: boolean;
   readonly isLoading: boolean;
+  /** The load of an absent adapter, if it is known what the engine caches. */
+  readonly load?: ExpectedLoad;
+  /**
+   * A random number in [0, 1) for each choice: nodes that decide from equally
+   * old states then spread their requests over engines that are nearly equal.
+   */
+  readonly draw?: number;
+}
+
+/** An adapter's load as expected on one engine. */
+export interface ExpectedLoad {
+  readonly source: LoadSource;
+  readonly time: Duration;
 }
 
 /** A request to be placed on an engine. */
@@ -33,13 +47,23 @@
   readonly promptTokens: number;
 }
 
-/** Expected time to load an adapter from the store. */
+/** Expected time to load an adapter if nothing is known of the engine. */
 const LOAD_MILLISECONDS = 300;
-/** Average remaining time of a load that is already in progress. */
-const REMAINING_LOAD_MILLISECONDS = 120;
 /**
- * Penalty in milliseconds, beyond the load time, for each rank of a load on an
- * engine other than the adapter's first preference. Engines keep adapters that
+ * The part of a load's time, as expected, that goes to its order, the check
+ * that it is done, and the order to unload another adapter.
+ */
+const LOAD_OVERHEAD_MILLISECONDS = 20;
+/** Average remaining share of a load that is already in progress. */
+const REMAINING_LOAD_SHARE = 0.4;
+/**
+ * Penalty in milliseconds for each rank of a load from the store on an engine
+ * other than the adapter's first preference. Requests at several nodes at once
+ * then join one load.
+ */
+const OFF_PREFERENCE_STORE_PENALTY = 60;
+/**
+ * The same if it isn't known what the engine caches. Engines keep adapters that
  * they held before, so repeated loads on the same engine come from its memory
  * and not from the store.
  */
@@ -49,6 +73,8 @@
  * ties.
  */
 const RANK_PENALTY = 4;
+/** Range in milliseconds over which equal holders are chosen at random. */
+const SPREAD_MILLISECONDS = 20;
 /**
  * Milliseconds by which each running request delays the prefill of each prompt
  * token: engines prefill prompts in chunks between the tokens of running
@@ -82,21 +108,21 @@
     )
       .map((engine) => engine.id);
   }
-  const key = `${placement.model}/${placement.adapter}`;
-  const preference = rendezvousOrder(key, engines.map((engine) => engine.id));
-  const costs = new Map<BackendServerId, number>();
+  const preference = new AdapterPreference(
+    `${placement.model}/${placement.adapter}`,
+    engines,
+  );
+  const costs: { readonly id: BackendServerId; readonly cost: number }[] = [];
   for (const engine of engines) {
-    const rank = preference.indexOf(engine.id);
     const cost = placementCost(
       engine,
       timeToFirstToken(engine, placement),
-      rank,
+      preference.rankOf(engine.id),
     );
-    if (cost !== undefined) costs.set(engine.id, cost);
+    if (cost !== undefined) costs.push({ id: engine.id, cost });
   }
-  return [...costs.keys()].toSorted((left, right) =>
-    (costs.get(left) ?? 0) - (costs.get(right) ?? 0)
-  );
+  return costs.sort((left, right) => left.cost - right.cost)
+    .map((engine) => engine.id);
 }
 
 /** Estimates the time to first token if the adapter is resident. */
@@ -114,10 +140,27 @@
   rank: number,
 ): number | undefined {
   const base = firstTokenTime + rank * RANK_PENALTY;
-  if (engine.holdsAdapter) return base;
+  if (engine.holdsAdapter) {
+    return base + (engine.draw ?? 0) * SPREAD_MILLISECONDS;
+  }
   if (!engine.canOrderLoads) return undefined;
-  if (engine.isLoading) return base + REMAINING_LOAD_MILLISECONDS;
-  const offPreferencePenalty = Math.min(rank, 3) * OFF_PREFERENCE_LOAD_PENALTY;
+  const loadTime = expectedLoadTime(engine.load);
+  if (engine.isLoading) return base + REMAINING_LOAD_SHARE * loadTime;
   const fullPenalty = engine.availableSlots > 0 ? 0 : FULL_ENGINE_PENALTY;
-  return base + LOAD_MILLISECONDS + offPreferencePenalty + fullPenalty;
+  return base + loadTime + offPreferencePenalty(engine.load, rank) +
+    fullPenalty;
+}
+
+function expectedLoadTime(load: ExpectedLoad | undefined): number {
+  return load === undefined
+    ? LOAD_MILLISECONDS
+    : load.time + LOAD_OVERHEAD_MILLISECONDS;
+}
+
+function offPreferencePenalty(
+  load: ExpectedLoad | undefined,
+  rank: number,
+): number {
+  if (load === undefined) return rank * OFF_PREFERENCE_LOAD_PENALTY;
+  return load.source === "cache" ? 0 : rank * OFF_PREFERENCE_STORE_PENALTY;
 }
--- a/packages/core/src/relay/engine_slots.ts
+++ b/packages/core/src/relay/engine_slots.ts
@@ -18,7 +18,13 @@
 } from "./adapter_slot.ts";
 import { LoadRequests } from "./load_requests.ts";
 import { chooseVictim } from "./eviction_victim.ts";
-import { type LoadCheck, LoadTimes } from "./load_times.ts";
+import {
+  type ExpectedLoadTimes,
+  type LoadCheck,
+  LoadTimes,
+} from "./load_times.ts";
+import type { LoadSource } from "./residency/learned_load_times.ts";
+import type { RecentAdapters } from "./residency/recent_adapters.ts";
 import { SlotTable } from "./slot_table.ts";
 
 /**
@@ -38,12 +44,27 @@
   readonly #requests = new LoadRequests();
   readonly #deferredUntil = new Map<string, Instant>();
   readonly #loadTimes: LoadTimes;
+  readonly #loadCounts = new Map<LoadSource, number>();
   #reserved = 0;
 
-  /** @param limits The engine's limits. */
-  constructor(limits: SlotLimits) {
+  /**
+   * @param limits The engine's limits.
+   * @param heldBefore What the engine has held since its start under an earlier
+   * owner, if known.
+   */
+  constructor(limits: SlotLimits, heldBefore?: RecentAdapters) {
     this.#limits = limits;
-    this.#loadTimes = new LoadTimes(limits.cachedAdapters);
+    this.#loadTimes = new LoadTimes(limits.cachedAdapters, heldBefore);
+  }
+
+  /** The expected load times, as learned from the engine's loads. */
+  get loadTimes(): ExpectedLoadTimes {
+    return this.#loadTimes;
+  }
+
+  /** How many loads of the engine have completed, by source. */
+  get loadCounts(): ReadonlyMap<LoadSource, number> {
+    return this.#loadCounts;
   }
 
   /** The adapters that occupy a slot. */
@@ -85,6 +106,7 @@
     loading: readonly AdapterName[],
   ): void {
     this.#table.replace(now, held, loading);
+    this.#loadTimes.forgetLoads();
     for (const slot of this.slots) this.#loadTimes.markHeld(slot);
   }
 
@@ -206,7 +228,11 @@
   markLoaded(now: Instant, name: AdapterName): void {
     const slot = this.find(name);
     if (slot?.state !== "loading") return;
-    this.#loadTimes.markLoaded(name);
+    const source = this.#loadTimes.markLoaded(now, name);
+    if (source !== undefined) {
+      const count = this.#loadCounts.get(source) ?? 0;
+      this.#loadCounts.set(source, count + 1);
+    }
     this.#table.set({
       ...slot,
       state: "resident",
@@ -230,7 +256,7 @@
    * @param delay The time until the next check.
    */
   postponeLoadCheck(now: Instant, name: AdapterName, delay: Duration): void {
-    this.#loadTimes.postponeCheck(name, later(now, delay));
+    this.#loadTimes.postponeCheck(now, name, delay);
   }
 
   /**
@@ -256,6 +282,7 @@
       case "accepted": {
         const uses = this.find(name)?.useCount ?? 0;
         const slot = createSlot(now, name, "loading", version);
+        this.#loadTimes.markOrdered(now, name);
         this.#table.set({ ...slot, useCount: uses });
         this.#requests.delete(name);
         break;
@@ -288,6 +315,7 @@
     switch (answer) {
       case "holds":
         this.#table.delete(name);
+        this.#loadTimes.markHeld(name);
         break;
       case "accepted":
         // It leaves once the requests that use it have ended; until then it is
--- a/packages/core/src/relay/load_times.ts
+++ b/packages/core/src/relay/load_times.ts
@@ -1,5 +1,6 @@
 import {
   type Duration,
+  elapsed,
   type Instant,
   later,
   milliseconds,
@@ -9,15 +10,22 @@
   adapterNameKey,
   type AdapterSlot,
 } from "./adapter_slot.ts";
-import { RecentKeys } from "./recent_keys.ts";
+import {
+  LearnedLoadTimes,
+  type LoadSource,
+} from "./residency/learned_load_times.ts";
+import { adapterHash, RecentAdapters } from "./residency/recent_adapters.ts";
 
 /**
- * Time to load an adapter from the store, according to the users'
- * specifications.
+ * How much the cache is taken to be larger, in adapters, after a load that came
+ * from it. Ten such loads make up for one that was wrongly expected to.
+ */
+const CACHE_GROWTH = 0.1;
+/**
+ * A load from the cache that takes this many times as long as expected is
+ * taken to come from the store.
  */
-const COLD_LOAD_TIME = milliseconds(250);
-/** Time to load an adapter that the engine held recently. */
-const WARM_LOAD_TIME = milliseconds(30);
+const CACHE_LOAD_TOLERANCE = 1.5;
 
 /** A load that should have completed by a given time. */
 export interface LoadCheck {
@@ -25,41 +33,121 @@
   readonly at: Instant;
 }
 
-/** The expected completion times of the loads on one engine. */
-export class LoadTimes {
+/** How long loads on one engine are expected to take. */
+export interface ExpectedLoadTimes {
+  /** How many of the recently held adapters load from the engine's cache. */
+  readonly cacheSize: number;
+  sourceOf(name: AdapterName): LoadSource;
+  estimateFrom(source: LoadSource): Duration;
+}
+
+/** A load that has been ordered. */
+interface OrderedLoad {
+  readonly expectedSource: LoadSource;
+  /** How recently the engine had held the adapter, if it had. */
+  readonly rank: number | undefined;
+  readonly startedAt: Instant;
+  /** When the last check found it unfinished. */
+  readonly unfinishedAt?: Instant;
+}
+
+/**
+ * The expected completion times of the loads on one engine, learned from its
+ * earlier loads, with the adapters that the engine probably caches.
+ */
+export class LoadTimes implements ExpectedLoadTimes {
+  readonly #times = new LearnedLoadTimes();
+  readonly #recentlyHeld: RecentAdapters;
+  readonly #maximumCacheSize: number;
+  readonly #loads = new Map<string, OrderedLoad>();
   readonly #checkAt = new Map<string, Instant>();
-  /** Adapters that the engine held recently and caches in memory. */
-  readonly #recentlyHeld: RecentKeys;
+  #cacheSize: number;
 
-  /** @param cachedAdapters The number of adapters that the engine caches. */
-  constructor(cachedAdapters: number) {
-    this.#recentlyHeld = new RecentKeys(cachedAdapters);
+  /**
+   * @param cachedAdapters The largest number of recently held adapters that the
+   * engine may cache.
+   * @param heldBefore What the engine has held under an earlier owner.
+   */
+  constructor(cachedAdapters: number, heldBefore?: RecentAdapters) {
+    this.#maximumCacheSize = cachedAdapters;
+    this.#cacheSize = cachedAdapters;
+    this.#recentlyHeld = new RecentAdapters(cachedAdapters);
+    if (heldBefore !== undefined) this.#recentlyHeld.append(heldBefore);
+  }
+
+  /** How many of the recently held adapters load quickly. */
+  get cacheSize(): number {
+    return Math.round(this.#cacheSize);
   }
 
   /**
-   * Records that the engine holds an adapter or is about to.
+   * Records that the engine holds an adapter.
    * @param name The adapter.
    */
   markHeld(name: AdapterName): void {
-    this.#recentlyHeld.add(adapterNameKey(name));
+    this.#recentlyHeld.touch(adapterHash(name));
   }
 
   /**
-   * Records that a load has completed.
+   * Records that the engine has accepted the order of a load.
+   * @param now The present time.
    * @param name The adapter.
    */
-  markLoaded(name: AdapterName): void {
+  markOrdered(now: Instant, name: AdapterName): void {
+    const rank = this.#recentlyHeld.rankOf(adapterHash(name));
+    this.#loads.set(adapterNameKey(name), {
+      expectedSource: this.sourceOf(name),
+      rank,
+      startedAt: now,
+    });
+  }
+
+  /**
+   * Records that a load has completed, and learns from it.
+   * @param now The present time.
+   * @param name The adapter.
+   * @returns Where the adapter came from, or `undefined` if its load wasn't
+   * measured.
+   */
+  markLoaded(now: Instant, name: AdapterName): LoadSource | undefined {
     this.markHeld(name);
-    this.#checkAt.delete(adapterNameKey(name));
+    const key = adapterNameKey(name);
+    const load = this.#loads.get(key);
+    this.#loads.delete(key);
+    this.#checkAt.delete(key);
+    return load === undefined ? undefined : this.#learn(now, load);
+  }
+
+  /** Forgets the loads in progress, whose beginnings are no longer certain. */
+  forgetLoads(): void {
+    this.#loads.clear();
   }
 
   /**
    * Postpones the check whether a load has completed.
+   * @param now The present time.
    * @param name The adapter.
-   * @param at When to check.
+   * @param delay The time until the next check.
    */
-  postponeCheck(name: AdapterName, at: Instant): void {
-    this.#checkAt.set(adapterNameKey(name), at);
+  postponeCheck(now: Instant, name: AdapterName, delay: Duration): void {
+    const key = adapterNameKey(name);
+    const load = this.#loads.get(key);
+    let at = later(now, delay);
+    if (load !== undefined) {
+      this.#loads.set(key, { ...load, unfinishedAt: now });
+      at = this.#laterCheck(now, load) ?? at;
+    }
+    this.#checkAt.set(key, at);
+  }
+
+  /**
+   * Tells where an adapter would be loaded from.
+   * @param name The adapter.
+   * @returns The expected source.
+   */
+  sourceOf(name: AdapterName): LoadSource {
+    const rank = this.#recentlyHeld.rankOf(adapterHash(name));
+    return rank !== undefined && rank < this.cacheSize ? "cache" : "store";
   }
 
   /**
@@ -68,9 +156,16 @@
    * @returns The time.
    */
   estimate(name: AdapterName): Duration {
-    return this.#recentlyHeld.has(adapterNameKey(name))
-      ? WARM_LOAD_TIME
-      : COLD_LOAD_TIME;
+    return this.#times.estimate(this.sourceOf(name));
+  }
+
+  /**
+   * Estimates how long a load from a source takes.
+   * @param source The source.
+   * @returns The time.
+   */
+  estimateFrom(source: LoadSource): Duration {
+    return this.#times.estimate(source);
   }
 
   /**
@@ -82,10 +177,41 @@
     let first: LoadCheck | undefined;
     for (const slot of slots) {
       if (slot.state !== "loading") continue;
-      const at = this.#checkAt.get(adapterNameKey(slot)) ??
-        later(slot.since, this.estimate(slot));
+      const key = adapterNameKey(slot);
+      const source = this.#loads.get(key)?.expectedSource ??
+        this.sourceOf(slot);
+      const at = this.#checkAt.get(key) ??
+        later(slot.since, this.#times.estimate(source));
       if (first === undefined || at < first.at) first = { name: slot, at };
     }
     return first;
   }
+
+  /** When to check a load next that turns out to come from the store. */
+  #laterCheck(now: Instant, load: OrderedLoad): Instant | undefined {
+    if (load.expectedSource === "store") return undefined;
+    const tolerated = CACHE_LOAD_TOLERANCE * this.#times.estimate("cache");
+    if (elapsed(load.startedAt, now) < tolerated) return undefined;
+    const at = later(load.startedAt, this.#times.estimate("store"));
+    return at > now ? at : undefined;
+  }
+
+  #learn(now: Instant, load: OrderedLoad): LoadSource {
+    const { startedAt, unfinishedAt, expectedSource } = load;
+    const wasDoneAtFirstCheck = unfinishedAt === undefined;
+    const middle = wasDoneAtFirstCheck ? now : (unfinishedAt + now) / 2;
+    const took = milliseconds(middle - startedAt);
+    const source = wasDoneAtFirstCheck
+      ? expectedSource
+      : this.#times.sourceOf(took);
+    this.#times.record(source, { wasDoneAtFirstCheck, took });
+    if (expectedSource === "cache") this.#adjustCacheSize(source, load.rank);
+    return source;
+  }
+
+  #adjustCacheSize(source: LoadSource, rank: number | undefined): void {
+    this.#cacheSize = source === "cache"
+      ? Math.min(this.#maximumCacheSize, this.#cacheSize + CACHE_GROWTH)
+      : Math.min(this.#cacheSize, Math.max(1, rank ?? this.#cacheSize));
+  }
 }
--- a/packages/core/src/relay/mod.ts
+++ b/packages/core/src/relay/mod.ts
@@ -31,5 +31,6 @@
 export * from "./recent_keys.ts";
 export * from "./recent_refusals.ts";
 export * from "./registry/mod.ts";
+export * from "./residency/mod.ts";
 export * from "./serving_set.ts";
 export * from "./token_bucket.ts";
--- /dev/null
+++ b/packages/core/src/relay/residency/cached_adapters.ts
@@ -0,0 +1,127 @@
+import {
+  type BackendServerId,
+  isOlderStart,
+  type ServerStart,
+} from "../../shared/mod.ts";
+import {
+  type AdapterHash,
+  adapterHash,
+  type NamedAdapter,
+  RecentAdapters,
+} from "./recent_adapters.ts";
+
+/** The maximum number of adapters that are remembered of one engine. */
+const MAXIMUM_ADAPTERS = 256;
+/** The maximum number of engines. */
+const MAXIMUM_ENGINES = 16_384;
+
+/** What an engine's owner says that the engine holds. */
+export interface HeldAdapters {
+  /** The start of the engine, if known. */
+  readonly start: ServerStart | undefined;
+  readonly adapters: readonly NamedAdapter[];
+  /** The number of recent adapters, held ones included, that load quickly. */
+  readonly cacheSize: number;
+}
+
+interface CachedAdaptersOfStart {
+  readonly start: ServerStart | undefined;
+  readonly recent: RecentAdapters;
+  held: readonly NamedAdapter[];
+}
+
+/**
+ * A node's memory of the adapters that engines have held since their start and
+ * probably still cache, as seen in the digests of their owners.
+ */
+export class CachedAdapters {
+  readonly #engines = new Map<BackendServerId, CachedAdaptersOfStart>();
+
+  /** The number of engines of which anything is remembered. */
+  get size(): number {
+    return this.#engines.size;
+  }
+
+  /**
+   * Records what an engine holds. An older start than the known one is ignored,
+   * a newer one replaces what was remembered.
+   * @param engine The engine.
+   * @param state What it holds.
+   */
+  observe(engine: BackendServerId, state: HeldAdapters): void {
+    const known = this.#ofStart(engine, state);
+    if (known === undefined || known.held === state.adapters) return;
+    const isUnchanged = haveSameNames(known.held, state.adapters);
+    known.held = state.adapters;
+    if (isUnchanged) return;
+    for (const name of state.adapters) known.recent.touch(adapterHash(name));
+  }
+
+  /**
+   * Checks whether an engine probably caches an adapter.
+   * @param engine The engine.
+   * @param state The engine's start, and how much it caches.
+   * @param adapter The adapter.
+   * @returns Whether the adapter is among the recent ones of that start.
+   */
+  has(
+    engine: BackendServerId,
+    { start, cacheSize }: Omit<HeldAdapters, "adapters">,
+    adapter: AdapterHash,
+  ): boolean {
+    const rank = this.recentOf(engine, start)?.rankOf(adapter);
+    return rank !== undefined && rank < cacheSize;
+  }
+
+  /**
+   * Lists what an engine has held.
+   * @param engine The engine.
+   * @param start Its start.
+   * @returns The adapters, or `undefined` if none are known of that start.
+   */
+  recentOf(
+    engine: BackendServerId,
+    start: ServerStart | undefined,
+  ): RecentAdapters | undefined {
+    const known = this.#engines.get(engine);
+    return known?.start === start ? known?.recent : undefined;
+  }
+
+  /**
+   * Forgets all other engines.
+   * @param engines The engines to keep.
+   */
+  retain(engines: ReadonlySet<BackendServerId>): void {
+    for (const engine of this.#engines.keys()) {
+      if (!engines.has(engine)) this.#engines.delete(engine);
+    }
+  }
+
+  #ofStart(
+    engine: BackendServerId,
+    { start, cacheSize }: HeldAdapters,
+  ): CachedAdaptersOfStart | undefined {
+    const known = this.#engines.get(engine);
+    if (known?.start === start && known !== undefined) return known;
+    if (isOlderStart(start, known?.start)) return undefined;
+    const capacity = Math.min(cacheSize, MAXIMUM_ADAPTERS);
+    const created = { start, recent: new RecentAdapters(capacity), held: [] };
+    this.#engines.set(engine, created);
+    const [oldest] = this.#engines.keys();
+    if (this.#engines.size > MAXIMUM_ENGINES && oldest !== undefined) {
+      this.#engines.delete(oldest);
+    }
+    return created;
+  }
+}
+
+function haveSameNames(
+  left: readonly NamedAdapter[],
+  right: readonly NamedAdapter[],
+): boolean {
+  return left.length === right.length &&
+    left.every((name, index) =>
+      name.adapter === right[index]?.adapter &&
+      name.model === right[index].model
+    );
+}
--- /dev/null
+++ b/packages/core/src/relay/residency/mod.ts
@@ -0,0 +1,4 @@
+export * from "./adapter_preference.ts";
+export * from "./cached_adapters.ts";
+export * from "./learned_load_times.ts";
+export * from "./recent_adapters.ts";
--- a/packages/core/tests/relay/engine_choice_test.ts
+++ b/packages/core/tests/relay/engine_choice_test.ts
@@ -1,11 +1,11 @@
 import {
   adapterId,
+  AdapterPreference,
   backendServerId,
   type EngineState,
   milliseconds,
   modelId,
   rankEngines,
-  rendezvousOrder,
 } from "@foxtailwind/core";
 import test from "ava";
 
@@ -15,7 +15,11 @@
   promptTokens: 600,
 };
 const IDS = ["e1", "e2", "e3", "e4"].map(backendServerId);
-const ORDER = rendezvousOrder("m/a", IDS);
+const { first: FIRST } = new AdapterPreference(
+  "m/a",
+  IDS.map((id) => ({ id })),
+);
+const ORDER = [...FIRST, ...IDS.filter((id) => !FIRST.includes(id))];
 
 function engines(
   change: (rank: number) => Partial<EngineState> = () => ({}),
@@ -91,3 +95,43 @@
   t.is(choose(600), ORDER[0]);
   t.is(choose(9_000), ORDER[1]);
 });
+
+test("an engine that caches the adapter is preferred to a load from the store", (t) => {
+  const choice = rankEngines(
+    USE,
+    engines((rank) => ({
+      load: rank === 3
+        ? { source: "cache", time: milliseconds(30) }
+        : { source: "store", time: milliseconds(288) },
+    })),
+  );
+  t.is(choice[0], ORDER[3]);
+});
+
+test("a copy is loaded from a cache before the holder's queue takes longer", (t) => {
+  const choose = (expectedWait: number) =>
+    rankEngines(
+      USE,
+      engines((rank) =>
+        rank === 0 ? { holdsAdapter: true, expectedWait } : {
+          load: rank === 2
+            ? { source: "cache", time: milliseconds(30) }
+            : { source: "store", time: milliseconds(288) },
+        }
+      ),
+    )[0];
+  t.is(choose(20), ORDER[0]);
+  t.is(choose(100), ORDER[2]);
+});
+
+test("nodes that see the same old states spread their requests over equal holders", (t) => {
+  const chosen = new Set<string | undefined>();
+  for (let node = 0; node < 20; node += 1) {
+    const states = engines((rank) => ({
+      holdsAdapter: rank < 2,
+      draw: ((node * 7 + rank * 11) % 20) / 20,
+    }));
+    chosen.add(rankEngines(USE, states)[0]);
+  }
+  t.deepEqual(chosen, new Set(ORDER.slice(0, 2)));
+});
--- /dev/null
+++ b/packages/core/tests/relay/residency/load_times_test.ts
@@ -0,0 +1,92 @@
+import {
+  adapterId,
+  type AdapterName,
+  EngineSlots,
+  instant,
+  milliseconds,
+  modelId,
+} from "@foxtailwind/core";
+import test from "ava";
+
+const CHECK_INTERVAL = milliseconds(20);
+
+function name(adapter: string): AdapterName {
+  return { model: modelId("m"), adapter: adapterId(adapter) };
+}
+
+function slots(cachedAdapters = 100): EngineSlots {
+  return new EngineSlots({ slots: 1, concurrentLoads: 4, cachedAdapters });
+}
+
+/**
+ * Loads an adapter on an engine with one slot.
+ * @returns The times of the checks whether it is loaded, after the order.
+ */
+function load(
+  engine: EngineSlots,
+  adapter: string,
+  at: number,
+  took: number,
+): readonly number[] {
+  engine.requestLoad(instant(at), name(adapter), 0);
+  for (;;) {
+    const order = engine.nextOrder(instant(at));
+    if (order === undefined) break;
+    const answer = order.kind === "load" ? "accepted" : "holds";
+    engine.applyAnswer(instant(at), order, answer);
+  }
+  const checks: number[] = [];
+  for (;;) {
+    const check = engine.nextLoadCheck();
+    if (check === undefined) throw new Error("no check");
+    checks.push(check.at - at);
+    if (check.at - at >= took) {
+      engine.markLoaded(check.at, name(adapter));
+      return checks;
+    }
+    engine.postponeLoadCheck(check.at, name(adapter), CHECK_INTERVAL);
+  }
+}
+
+test("loads of the expected length are checked once", (t) => {
+  const engine = slots();
+  t.deepEqual(load(engine, "a", 0, 250), [250]);
+  t.deepEqual(load(engine, "b", 1_000, 250), [250]);
+  t.deepEqual(load(engine, "a", 2_000, 25), [30]);
+  t.deepEqual([...engine.loadCounts], [["store", 2], ["cache", 1]]);
+});
+
+test("the checks of slower loads move to the time that they take", (t) => {
+  const engine = slots();
+  t.deepEqual(load(engine, "a0", 0, 288), [250, 270, 290]);
+  for (let index = 1; index < 40; index += 1) {
+    load(engine, `a${index}`, index * 1_000, 288);
+  }
+  const checks = load(engine, "b", 50_000, 288);
+  t.true(checks.length <= 2);
+  t.true((checks[0] ?? 0) >= 280);
+  t.true(engine.loadTime(name("c")) <= 310);
+});
+
+test("an adapter that the engine no longer caches is not checked every few milliseconds", (t) => {
+  const engine = slots();
+  for (let index = 0; index < 60; index += 1) {
+    load(engine, `a${index}`, index * 1_000, 288);
+  }
+  const checks = load(engine, "a0", 100_000, 288);
+  t.deepEqual(checks.slice(0, 2), [30, 50]);
+  t.true((checks[2] ?? 0) >= 250);
+  t.true(checks.length <= 4);
+});
+
+test("the size of an engine's cache is learned from loads that it doesn't serve", (t) => {
+  const engine = slots();
+  for (let index = 0; index < 80; index += 1) {
+    load(engine, `a${index}`, index * 1_000, 288);
+  }
+  t.is(engine.loadTimes.cacheSize, 100);
+  load(engine, "a20", 100_000, 288);
+  t.is(engine.loadTimes.cacheSize, 59);
+  t.is(engine.loadTimes.sourceOf(name("a5")), "store");
+  t.is(engine.loadTimes.sourceOf(name("a79")), "cache");
+});
--- a/packages/node/src/relay/engine_candidates.ts
+++ b/packages/node/src/relay/engine_candidates.ts
@@ -1,10 +1,16 @@
 import {
+  type AdapterHash,
+  adapterHash,
+  type AdapterName,
   type EngineState,
+  type ExpectedLoad,
   type Instant,
   isOlderStart,
+  milliseconds,
   type NodeId,
   type RegisteredServer,
 } from "@foxtailwind/core";
+import type { EngineDigest } from "@foxtailwind/protocol";
 import type { ModelUse } from "./caller_wire.ts";
 import type { EngineOwners } from "./engine_owners.ts";
 import type { Knowledge } from "./knowledge.ts";
@@ -40,6 +46,9 @@
  */
 export class EngineCandidates {
   readonly #parts: EngineCandidatesParts;
+  #lastHashed:
+    | { readonly name: AdapterName; readonly hash: AdapterHash }
+    | undefined;
 
   /** @param parts The dependencies. */
   constructor(parts: EngineCandidatesParts) {
@@ -84,6 +93,7 @@
       };
     }
     const { digest, owner, address } = found;
+    this.#observe(server, digest);
     const held = digest.adapters.find((one) =>
       one.adapter === use.adapter && one.model === use.model
     );
@@ -102,9 +112,58 @@
       holdsAdapter: digest.isReachable &&
         (use.adapter === undefined || (isNewEnough && !held.isLoading)),
       isLoading: isNewEnough && held.isLoading,
+      ...this.#expectLoad(server, digest, use),
+      draw: Math.random(),
     };
   }
 
+  /** Remembers what an engine holds, also for when it holds it no longer. */
+  #observe({ id }: RegisteredServer, digest: EngineDigest): void {
+    const { start, adapters, cacheSize } = digest;
+    if (cacheSize === 0) return;
+    this.#parts.knowledge.cachedAdapters.observe(id, {
+      start: decodeStart(start),
+      adapters,
+      cacheSize,
+    });
+  }
+
+  /** Estimates how an engine would load the adapter of a request. */
+  #expectLoad(
+    { id }: RegisteredServer,
+    digest: EngineDigest,
+    { model, adapter }: VersionedModelUse,
+  ): { readonly load?: ExpectedLoad } {
+    if (adapter === undefined) return {};
+    const own = this.#parts.owners.find(id);
+    if (own !== undefined) {
+      return { load: own.expectedLoad({ model, adapter }) };
+    }
+    const { start, cacheSize, loadMilliseconds, reloadMilliseconds } = digest;
+    if (loadMilliseconds === 0) return {};
+    const isCached = this.#parts.knowledge.cachedAdapters.has(
+      id,
+      { start: decodeStart(start), cacheSize },
+      this.#hashOf({ model, adapter }),
+    );
+    return {
+      load: isCached
+        ? { source: "cache", time: milliseconds(reloadMilliseconds) }
+        : { source: "store", time: milliseconds(loadMilliseconds) },
+    };
+  }
+
+  /** Hashes an adapter; all engines are described for one after the other. */
+  #hashOf(name: AdapterName): AdapterHash {
+    const { model, adapter } = name;
+    const last = this.#lastHashed;
+    if (last?.name.adapter === adapter && last.name.model === model) {
+      return last.hash;
+    }
+    this.#lastHashed = { name, hash: adapterHash(name) };
+    return this.#lastHashed.hash;
+  }
+
   /** Finds the owner's digest of an engine, unless it is of an older start. */
   #findDigest(now: Instant, { id, start }: RegisteredServer) {
     const { knowledge, owners, self } = this.#parts;
--- a/packages/node/src/relay/engine_owner.ts
+++ b/packages/node/src/relay/engine_owner.ts
@@ -1,6 +1,8 @@
 import {
+  type AdapterName,
   type EngineSpecification,
   EngineStart,
+  type ExpectedLoad,
   type RegisteredServer,
   type ServerStart,
 } from "@foxtailwind/core";
@@ -42,6 +44,15 @@
     return this.#run.digest;
   }
 
+  /**
+   * Returns the load of an adapter as expected from earlier ones.
+   * @param name The adapter.
+   * @returns Its source and time.
+   */
+  expectedLoad(name: AdapterName): ExpectedLoad {
+    return this.#run.expectedLoad(name);
+  }
+
   /**
    * Updates the engine's registry entry.
    * @param server The engine.
--- a/packages/node/src/relay/engine_run.ts
+++ b/packages/node/src/relay/engine_run.ts
@@ -2,6 +2,7 @@
   type AdapterName,
   EngineSlots,
   type EngineSpecification,
+  type ExpectedLoad,
   type Instant,
   later,
   milliseconds,
@@ -59,11 +60,14 @@
     this.#parts = parts;
     this.#loop = new StepLoop(parts.clock, () => this.#step());
     const { engines, node } = parts.settings;
-    this.#slots = new EngineSlots({
-      slots: specification.adapterSlots,
-      concurrentLoads: engines.transfers,
-      cachedAdapters: engines.kept_adapters,
-    });
+    this.#slots = new EngineSlots(
+      {
+        slots: specification.adapterSlots,
+        concurrentLoads: engines.transfers,
+        cachedAdapters: engines.kept_adapters,
+      },
+      parts.knowledge.cachedAdapters.recentOf(server.id, parts.start()),
+    );
     this.#uses = new AdapterUses(this.#slots, {
       clock: parts.clock,
       start: parts.start,
@@ -98,6 +102,7 @@
   /** The digest of the engine that is sent to other nodes. */
   get digest(): EngineDigest {
     const now = this.#now();
+    const { loadTimes } = this.#slots;
     return buildEngineDigest(this.#server, this.#slots.slots, {
       start: encodeStart(this.#parts.start()),
       waitMilliseconds: this.#uses.expectedWait(now),
@@ -105,9 +110,23 @@
       isReachable: this.#orders.isReachable,
       running: this.#uses.occupancy.running,
       isFull: this.#isFull(),
+      cacheSize: loadTimes.cacheSize,
+      loadMilliseconds: loadTimes.estimateFrom("store"),
+      reloadMilliseconds: loadTimes.estimateFrom("cache"),
     });
   }
 
+  /**
+   * Returns the load of an adapter as expected from earlier ones.
+   * @param name The adapter.
+   * @returns Its source and time.
+   */
+  expectedLoad(name: AdapterName): ExpectedLoad {
+    const { loadTimes } = this.#slots;
+    const source = loadTimes.sourceOf(name);
+    return { source, time: loadTimes.estimateFrom(source) };
+  }
+
   /**
    * Requests the use of an adapter or a base model.
    * @param request The requested use.
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -2,6 +2,7 @@
   type AdapterId,
   AdapterVersions,
   type BackendServerId,
+  CachedAdapters,
   type CrashSuspicion,
   EngineClaims,
   type Failure,
@@ -90,6 +91,8 @@
   /** The departures that servers announce to this node in their answers. */
   readonly departures: ServerDepartures;
   readonly peers = new PeerTable();
+  /** The adapters that engines probably cache, from their owners' digests. */
+  readonly cachedAdapters = new CachedAdapters();
   /** Suspicions that requests crash servers. */
   readonly suspicionTracker: SuspicionTracker;
   /** Counts of the calls and checks that keep nodes informed. */
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -404,6 +404,8 @@
     if (registry.revision === this.#retainedRevision) return;
     this.#retainedRevision = registry.revision;
     this.#pools.retainOnly(registry.all);
-    this.#loads.retain(new Set(registry.all.map((server) => server.id)));
+    const ids = new Set(registry.all.map((server) => server.id));
+    this.#loads.retain(ids);
+    this.#knowledge.cachedAdapters.retain(ids);
   }
 }
--- a/packages/node/tests/relay/engine_candidates_test.ts
+++ b/packages/node/tests/relay/engine_candidates_test.ts
@@ -31,6 +31,9 @@
     room: 1,
     isReachable: true,
     isFull: false,
+    cacheSize: 0,
+    loadMilliseconds: 0,
+    reloadMilliseconds: 0,
     running: 0,
     adapters: [{
       model: STAND_IN_MODEL,
--- a/packages/node/tests/relay/peer_table_test.ts
+++ b/packages/node/tests/relay/peer_table_test.ts
@@ -36,6 +36,9 @@
     adapters: [],
     isReachable: true,
     isFull: false,
+    cacheSize: 0,
+    loadMilliseconds: 0,
+    reloadMilliseconds: 0,
     running: 0,
   };
   peers.applyDigest(
--- a/packages/node/tests/relay/request_placer_test.ts
+++ b/packages/node/tests/relay/request_placer_test.ts
@@ -110,6 +110,9 @@
         room: 1,
         isReachable: true,
         isFull: false,
+        cacheSize: 0,
+        loadMilliseconds: 0,
+        reloadMilliseconds: 0,
         running: 0,
         adapters: [{
           model: STAND_IN_MODEL,
