Loads of an engine: most urgent first, and none that would come too late

An owner ordered loads in the order of their requests, and also ones whose waiters would have left before they ended. Loads are now ordered by the earliest deadline among an adapter's waiters, a second later for each priority, and are cancelled, and their waiters refused, when the last waiter would be gone before a load that begins now has ended. Requests without an urgency, which is what all callers send so far, wait as before.

--- a/packages/core/src/relay/adapter_slot.ts
+++ b/packages/core/src/relay/adapter_slot.ts
@@ -25,6 +25,18 @@
   readonly key: string;
   readonly minimumVersion: number;
   readonly since: Instant;
+  /** When it is needed by its most urgent waiter, later for low priorities. */
+  readonly dueAt: Instant;
+  /** When no waiter wants it any longer. */
+  readonly wantedUntil: Instant;
+}
+
+/** How urgently an adapter is needed. */
+export interface LoadUrgency {
+  /** When no waiter wants the adapter any longer. */
+  readonly neededBy: Instant;
+  /** The priority of the most urgent waiter's class, 0 for the first. */
+  readonly priority: number;
 }
 
 /** The next order to an engine. */
--- a/packages/core/src/relay/engine_slots.ts
+++ b/packages/core/src/relay/engine_slots.ts
@@ -12,11 +12,12 @@
   createSlot,
   isIdleSlot,
   type LoadRequest,
+  type LoadUrgency,
   type OrderAnswer,
   type SlotLimits,
   type SlotOrder,
 } from "./adapter_slot.ts";
-import { LoadRequests } from "./load_requests.ts";
+import { LoadRequests, UNLIMITED_WAIT } from "./load_requests.ts";
 import { chooseVictim } from "./eviction_victim.ts";
 import {
   type ExpectedLoadTimes,
@@ -147,9 +148,29 @@
    * @param now The present time.
    * @param name The adapter.
    * @param minimumVersion The oldest version allowed.
+   * @param urgency How urgently it is needed.
    */
-  requestLoad(now: Instant, name: AdapterName, minimumVersion: number): void {
-    this.#requests.add(now, name, minimumVersion);
+  requestLoad(
+    now: Instant,
+    name: AdapterName,
+    minimumVersion: number,
+    urgency: LoadUrgency = UNLIMITED_WAIT,
+  ): void {
+    this.#requests.add(now, name, minimumVersion, urgency);
+  }
+
+  /**
+   * Cancels the requests for adapters that nobody would wait for until they are
+   * loaded, even if their loads began now.
+   * @param now The present time.
+   * @returns The adapters, whose waiters can be refused.
+   */
+  cancelLateLoadRequests(now: Instant): readonly AdapterName[] {
+    const late = this.#requests.all.filter((request) =>
+      later(now, this.loadTime(request)) > request.wantedUntil
+    );
+    for (const request of late) this.#requests.delete(request);
+    return late;
   }
 
   /**
--- a/packages/node/src/relay/adapter_uses.ts
+++ b/packages/node/src/relay/adapter_uses.ts
@@ -108,6 +108,18 @@
     }
   }
 
+  /**
+   * Refuses the requests that wait for an adapter which won't be loaded.
+   * @param name The adapter.
+   */
+  refuseWaitersOf(name: AdapterName): void {
+    for (const waiter of this.#waiters.all) {
+      const isFor = waiter.name.adapter === name.adapter &&
+        waiter.name.model === name.model;
+      if (isFor) waiter.answer({ kind: "no_room" });
+    }
+  }
+
   /** Refuses all waiting requests with `no_room`, and cancels their loads. */
   refuseWaiting(): void {
     for (const { name } of this.#waiters.all) {
--- a/packages/node/src/relay/engine_run.ts
+++ b/packages/node/src/relay/engine_run.ts
@@ -189,6 +189,9 @@
     }
     if (!this.#model.isLoaded) return await this.#loadModel(now, permission);
     if (await this.#checkLoad(now, permission)) return true;
+    for (const name of this.#slots.cancelLateLoadRequests(now)) {
+      this.#uses.refuseWaitersOf(name);
+    }
     const order = this.#slots.nextOrder(now);
     if (order !== undefined) {
       await this.#execute(order, permission);
