What was remembered of an engine's other start is forgotten

A start may have a smaller time than the one before, after a step of the server's clock; comparing times ignored all digests of such a start.

--- a/packages/core/src/relay/residency/cached_adapters.ts
+++ b/packages/core/src/relay/residency/cached_adapters.ts
@@ -1,8 +1,4 @@
-import {
-  type BackendServerId,
-  isOlderStart,
-  type ServerStart,
-} from "../../shared/mod.ts";
+import { type BackendServerId, type ServerStart } from "../../shared/mod.ts";
 import {
   type AdapterHash,
   adapterHash,
@@ -43,14 +39,14 @@
   }
 
   /**
-   * Records what an engine holds. An older start than the known one is ignored,
-   * a newer one replaces what was remembered.
+   * Records what an engine holds. What was remembered of another start is
+   * forgotten.
    * @param engine The engine.
    * @param state What it holds.
    */
   observe(engine: BackendServerId, state: HeldAdapters): void {
     const known = this.#ofStart(engine, state);
-    if (known === undefined || known.held === state.adapters) return;
+    if (known.held === state.adapters) return;
     const isUnchanged = haveSameNames(known.held, state.adapters);
     known.held = state.adapters;
     if (isUnchanged) return;
@@ -100,10 +96,9 @@
   #ofStart(
     engine: BackendServerId,
     { start, cacheSize }: HeldAdapters,
-  ): CachedAdaptersOfStart | undefined {
+  ): CachedAdaptersOfStart {
     const known = this.#engines.get(engine);
     if (known?.start === start && known !== undefined) return known;
-    if (isOlderStart(start, known?.start)) return undefined;
     const capacity = Math.min(cacheSize, MAXIMUM_ADAPTERS);
     const created = { start, recent: new RecentAdapters(capacity), held: [] };
     this.#engines.set(engine, created);
