Requests beyond an engine's places don't wait there for a load

An adapter in sudden demand was asked for by all nodes at its first preference before any digest named it as loading. An owner now refuses at once those beyond its request places; they ask the next engine, which begins a load of its own.

The new test of the owner grants the fourth request without the change.

--- a/packages/core/tests/relay/residency/helpers/residency_world.ts
+++ b/packages/core/tests/relay/residency/helpers/residency_world.ts
@@ -36,6 +36,8 @@
   readonly adapter: (now: number, random: () => number) => string;
   /** Whether nodes use what they know of the engines' caches. */
   readonly knowsCaches: boolean;
+  /** Whether requests beyond an engine's places may not wait for a load. */
+  readonly boundsWaiters: boolean;
 }
 
 /** What the requests of a load met with. */
@@ -84,6 +86,7 @@
   async run(): Promise<ResidencyResult> {
     const end = this.#load.seconds * 1_000;
     for (const [index, engine] of this.#engines.entries()) {
+      engine.boundsWaiters = this.#load.boundsWaiters;
       this.#report(engine, end);
       this.#events.add((index * 37) % DIGEST_INTERVAL, () => {
         this.#report(engine, end);
--- a/packages/core/tests/relay/residency/helpers/simulated_engine.ts
+++ b/packages/core/tests/relay/residency/helpers/simulated_engine.ts
@@ -5,6 +5,7 @@
   type Duration,
   EngineOccupancy,
   EngineSlots,
+  hasPlaceAfterLoad,
   type Instant,
   instant,
   type LoadSource,
@@ -44,6 +45,8 @@
 /** An engine and its owner, in virtual time. */
 export class SimulatedEngine {
   readonly id: BackendServerId;
+  /** Whether requests beyond its places may not wait for a load. */
+  boundsWaiters = true;
   readonly loads: Record<LoadSource, number> = { cache: 0, store: 0 };
   readonly #events: EventQueue;
   readonly #slots = new EngineSlots({
@@ -111,6 +114,7 @@
     const isAwaited = this.#slots.find(name)?.state === "loading" ||
       this.#waiters.some((one) => one.name.adapter === name.adapter);
     if (!isAwaited && !this.#slots.canLoad(now, name)) return false;
+    if (this.boundsWaiters && !this.#hasPlaceAfterLoad()) return false;
     this.#slots.requestLoad(now, name, 0);
     const answer = new Promise<boolean>((resolve) => {
       this.#waiters = [...this.#waiters, { name, until, answer: resolve }];
@@ -146,6 +150,14 @@
     this.#step();
   }
 
+  #hasPlaceAfterLoad(): boolean {
+    return hasPlaceAfterLoad({
+      places: REQUEST_PLACES,
+      running: this.#occupancy.running,
+      waiting: this.#waiters.length,
+    });
+  }
+
   #tryBegin(name: AdapterName): boolean {
     const version = this.#slots.acquire(this.#now(), name, 0);
     if (version === undefined) return false;
--- a/packages/core/tests/relay/residency/residency_load_test.ts
+++ b/packages/core/tests/relay/residency/residency_load_test.ts
@@ -9,6 +9,7 @@
 const ENGINES = 24;
 /** Half the time in which a request should get its first token. */
 const HALF_TARGET = 250;
+const TARGET = 500;
 
 type AdapterDraw = ResidencyLoad["adapter"];
 
@@ -25,20 +26,21 @@
 const HOT_ADAPTER: AdapterDraw = (now, random) =>
   random() < 0.2 ? "hot" : OTHER_ADAPTERS(now, random);
 
-/** Plays a load without and with knowledge of the engines' caches. */
+/** Plays a load without and with what placement and owners know. */
 async function compare(
   adapter: AdapterDraw,
   requestsPerEngine: number,
 ): Promise<readonly ResidencyResult[]> {
   const results: ResidencyResult[] = [];
-  for (const knowsCaches of [false, true]) {
+  for (const isInformed of [false, true]) {
     const world = new ResidencyWorld({
       engines: ENGINES,
       requestsPerSecond: ENGINES * requestsPerEngine,
       seconds: 20,
       patience: 2_000,
       adapter,
-      knowsCaches,
+      knowsCaches: isInformed,
+      boundsWaiters: isInformed,
     });
     results.push(await world.run());
   }
@@ -58,14 +60,28 @@
 test("demand moves to other adapters every few seconds over 10,000 adapters and few places", async (t) => {
   const [before, after] = await compare(MOVING_ADAPTERS, 14);
   if (before === undefined || after === undefined) throw new Error("no result");
+  t.log(summarise(before), summarise(after));
   t.true(after.storeLoads < before.storeLoads);
   t.true(shareOver(after, HALF_TARGET) < shareOver(before, HALF_TARGET));
+  t.true(shareOver(after, TARGET) < 0.5 * shareOver(before, TARGET));
 });
 
 test("one adapter takes a fifth of all requests", async (t) => {
   const [before, after] = await compare(HOT_ADAPTER, 10);
   if (before === undefined || after === undefined) throw new Error("no result");
+  t.log(summarise(before), summarise(after));
   t.true(after.storeLoads < 0.95 * before.storeLoads);
   t.true(shareOver(after, HALF_TARGET) < shareOver(before, HALF_TARGET));
   t.true(meanWait(after) < meanWait(before));
 });
+
+function summarise(result: ResidencyResult): string {
+  const { requests, refused, storeLoads, cacheLoads, mostRunning } = result;
+  const waits = [HALF_TARGET, TARGET].map((wait) =>
+    shareOver(result, wait).toFixed(4)
+  );
+  return `${requests} requests, ${refused} refused, over 250 and 500 ms ${
+    waits.join(", ")
+  }, mean ${meanWait(result).toFixed(0)} ms, ${storeLoads} loads from the ` +
+    `store, ${cacheLoads} from caches, at most ${mostRunning} on an engine`;
+}
--- a/packages/node/src/relay/engine_run.ts
+++ b/packages/node/src/relay/engine_run.ts
@@ -3,6 +3,7 @@
   EngineSlots,
   type EngineSpecification,
   type ExpectedLoad,
+  hasPlaceAfterLoad,
   type Instant,
   later,
   milliseconds,
@@ -45,6 +46,8 @@
   /** Unanswered loads of this start, whose slots are known while it lasts. */
   #unansweredLoads = new UnansweredLoads();
   #server: RegisteredServer;
+  /** The requested uses that are neither granted nor refused yet. */
+  #waiting = 0;
 
   /**
    * @param server The engine.
@@ -139,7 +142,24 @@
   ): Promise<UseAnswer> {
     if (this.#loop.isStopped) return { kind: "not_owner" };
     if (this.#isFull() || !this.#orders.isReachable) return { kind: "no_room" };
-    return await this.#uses.requestUse(request, signal);
+    if (!this.#hasPlaceFor(request)) return { kind: "no_room" };
+    this.#waiting += 1;
+    try {
+      return await this.#uses.requestUse(request, signal);
+    } finally {
+      this.#waiting -= 1;
+    }
+  }
+
+  /** Whether the adapter is loaded, or there is a place once it is. */
+  #hasPlaceFor({ model, adapter }: UseRequest): boolean {
+    if (adapter === undefined) return true;
+    if (this.#slots.find({ model, adapter })?.state === "resident") return true;
+    return hasPlaceAfterLoad({
+      places: this.#server.slots,
+      running: this.#uses.occupancy.running,
+      waiting: this.#waiting,
+    });
   }
 
   /** Records that the engine lacked an adapter or model in a granted use. */
--- a/packages/node/tests/relay/engine_owner_test.ts
+++ b/packages/node/tests/relay/engine_owner_test.ts
@@ -134,3 +134,19 @@
   t.is((await requestUse(owner, "a")).kind, "granted");
   owner.stop();
 });
+
+test("requests beyond an engine's places don't wait for a load, so that another engine loads the adapter", async (t) => {
+  const { createOwner, claim } = setUpOwner();
+  const owner = createOwner({ ...SERVER, slots: 3 });
+  claim("node-1", 4);
+  const answers = ["a", "a", "a", "a"].map((adapter) =>
+    requestUse(owner, adapter)
+  );
+  const refused = await Promise.race(answers);
+  t.is(refused.kind, "no_room");
+  t.is(await answers[3], refused);
+  for (const answer of answers.slice(0, 3)) {
+    t.is((await answer).kind, "granted");
+  }
+  owner.stop();
+});
