--- a/packages/core/src/relay/residency/load_waiters.ts
+++ b/packages/core/src/relay/residency/load_waiters.ts
@@ -1,5 +1,5 @@
 /** The requests on an engine, granted or not. */
-export interface EngineRequests {
+export interface PlaceUse {
   /** The number of requests that the engine runs concurrently. */
   readonly places: number;
   readonly running: number;
@@ -12,11 +12,11 @@
  * for an adapter in sudden demand arrive faster than one engine runs them;
  * those beyond its places would wait in the engine's queue after the load, and
  * another engine loads the adapter sooner.
- * @param requests The requests on the engine.
+ * @param use The requests on the engine.
  * @returns Whether the engine has a place for it once the load is done.
  */
 export function hasPlaceAfterLoad(
-  { places, running, waiting }: EngineRequests,
+  { places, running, waiting }: PlaceUse,
 ): boolean {
   return running + waiting < places;
 }
