Loads by source, avoidable loads and evictions are counted and logged

foxtailwind_work_total has adapter_cache_load, adapter_store_load, adapter_avoidable_load (from the store while another engine probably cached the adapter) and adapter_eviction; with the level debug, an owner logs each load.

--- a/packages/core/src/relay/engine_slots.ts
+++ b/packages/core/src/relay/engine_slots.ts
@@ -45,7 +45,6 @@
   readonly #requests = new LoadRequests();
   readonly #deferredUntil = new Map<string, Instant>();
   readonly #loadTimes: LoadTimes;
-  readonly #loadCounts = new Map<LoadSource, number>();
   #reserved = 0;
 
   /**
@@ -63,11 +62,6 @@
     return this.#loadTimes;
   }
 
-  /** How many loads of the engine have completed, by source. */
-  get loadCounts(): ReadonlyMap<LoadSource, number> {
-    return this.#loadCounts;
-  }
-
   /** The adapters that occupy a slot. */
   get slots(): readonly AdapterSlot[] {
     return this.#table.all;
@@ -245,21 +239,20 @@
    * Records that an ordered adapter is resident.
    * @param now The present time.
    * @param name The adapter.
+   * @returns Where it was loaded from, or `undefined` if its load wasn't
+   * measured.
    */
-  markLoaded(now: Instant, name: AdapterName): void {
+  markLoaded(now: Instant, name: AdapterName): LoadSource | undefined {
     const slot = this.find(name);
-    if (slot?.state !== "loading") return;
+    if (slot?.state !== "loading") return undefined;
     const source = this.#loadTimes.markLoaded(now, name);
-    if (source !== undefined) {
-      const count = this.#loadCounts.get(source) ?? 0;
-      this.#loadCounts.set(source, count + 1);
-    }
     this.#table.set({
       ...slot,
       state: "resident",
       since: now,
       lastUsedAt: now,
     });
+    return source;
   }
 
   /**
--- a/packages/core/src/relay/residency/cached_adapters.ts
+++ b/packages/core/src/relay/residency/cached_adapters.ts
@@ -24,6 +24,7 @@
   readonly start: ServerStart | undefined;
   readonly recent: RecentAdapters;
   held: readonly NamedAdapter[];
+  cacheSize: number;
 }
 
 /**
@@ -46,6 +47,7 @@
    */
   observe(engine: BackendServerId, state: HeldAdapters): void {
     const known = this.#ofStart(engine, state);
+    known.cacheSize = state.cacheSize;
     if (known.held === state.adapters) return;
     const isUnchanged = haveSameNames(known.held, state.adapters);
     known.held = state.adapters;
@@ -69,6 +71,21 @@
     return rank !== undefined && rank < cacheSize;
   }
 
+  /**
+   * Checks whether any other engine probably caches an adapter.
+   * @param engine The engine that is left out.
+   * @param adapter The adapter.
+   * @returns Whether one does.
+   */
+  isCachedElsewhere(engine: BackendServerId, adapter: AdapterHash): boolean {
+    for (const [other, { recent, cacheSize }] of this.#engines) {
+      if (other === engine) continue;
+      const rank = recent.rankOf(adapter);
+      if (rank !== undefined && rank < cacheSize) return true;
+    }
+    return false;
+  }
+
   /**
    * Lists what an engine has held.
    * @param engine The engine.
@@ -100,7 +117,12 @@
     const known = this.#engines.get(engine);
     if (known?.start === start && known !== undefined) return known;
     const capacity = Math.min(cacheSize, MAXIMUM_ADAPTERS);
-    const created = { start, recent: new RecentAdapters(capacity), held: [] };
+    const created = {
+      start,
+      recent: new RecentAdapters(capacity),
+      held: [],
+      cacheSize,
+    };
     this.#engines.set(engine, created);
     const [oldest] = this.#engines.keys();
     if (this.#engines.size > MAXIMUM_ENGINES && oldest !== undefined) {
--- a/packages/core/tests/relay/residency/cached_adapters_test.ts
+++ b/packages/core/tests/relay/residency/cached_adapters_test.ts
@@ -40,6 +40,15 @@
   t.false(has(cached, "b", { cacheSize: 2 }), "The cache is smaller.");
 });
 
+test("an adapter that another engine caches is known, one of this engine isn't meant", (t) => {
+  const cached = new CachedAdapters();
+  const state = { start: START, adapters: names("a"), cacheSize: 4 };
+  cached.observe(ENGINE, state);
+  const hash = adapterHash({ model: "m", adapter: "a" });
+  t.false(cached.isCachedElsewhere(ENGINE, hash));
+  t.true(cached.isCachedElsewhere(backendServerId("e2"), hash));
+});
+
 test("what an engine held before its restart is forgotten", (t) => {
   const cached = new CachedAdapters();
   const held = names("a");
--- a/packages/core/tests/relay/residency/load_times_test.ts
+++ b/packages/core/tests/relay/residency/load_times_test.ts
@@ -3,6 +3,7 @@
   type AdapterName,
   EngineSlots,
   instant,
+  type LoadSource,
   milliseconds,
   modelId,
 } from "@foxtailwind/core";
@@ -20,14 +21,15 @@
 
 /**
  * Loads an adapter on an engine with one slot.
- * @returns The times of the checks whether it is loaded, after the order.
+ * @returns The times of the checks whether it is loaded, after the order, and
+ * where it is taken to come from.
  */
 function load(
   engine: EngineSlots,
   adapter: string,
   at: number,
   took: number,
-): readonly number[] {
+): { readonly checks: readonly number[]; readonly source?: LoadSource } {
   engine.requestLoad(instant(at), name(adapter), 0);
   for (;;) {
     const order = engine.nextOrder(instant(at));
@@ -41,8 +43,8 @@
     if (check === undefined) throw new Error("no check");
     checks.push(check.at - at);
     if (check.at - at >= took) {
-      engine.markLoaded(check.at, name(adapter));
-      return checks;
+      const source = engine.markLoaded(check.at, name(adapter));
+      return { checks, ...(source === undefined ? {} : { source }) };
     }
     engine.postponeLoadCheck(check.at, name(adapter), CHECK_INTERVAL);
   }
@@ -50,19 +52,19 @@
 
 test("loads of the expected length are checked once", (t) => {
   const engine = slots();
-  t.deepEqual(load(engine, "a", 0, 250), [250]);
-  t.deepEqual(load(engine, "b", 1_000, 250), [250]);
-  t.deepEqual(load(engine, "a", 2_000, 25), [30]);
-  t.deepEqual([...engine.loadCounts], [["store", 2], ["cache", 1]]);
+  const fromStore = { checks: [250], source: "store" } as const;
+  t.deepEqual(load(engine, "a", 0, 250), fromStore);
+  t.deepEqual(load(engine, "b", 1_000, 250), fromStore);
+  t.deepEqual(load(engine, "a", 2_000, 25), { checks: [30], source: "cache" });
 });
 
 test("the checks of slower loads move to the time that they take", (t) => {
   const engine = slots();
-  t.deepEqual(load(engine, "a0", 0, 288), [250, 270, 290]);
+  t.deepEqual(load(engine, "a0", 0, 288).checks, [250, 270, 290]);
   for (let index = 1; index < 40; index += 1) {
     load(engine, `a${index}`, index * 1_000, 288);
   }
-  const checks = load(engine, "b", 50_000, 288);
+  const { checks } = load(engine, "b", 50_000, 288);
   t.true(checks.length <= 2);
   t.true((checks[0] ?? 0) >= 280);
   t.true(engine.loadTime(name("c")) <= 310);
@@ -73,7 +75,8 @@
   for (let index = 0; index < 60; index += 1) {
     load(engine, `a${index}`, index * 1_000, 288);
   }
-  const checks = load(engine, "a0", 100_000, 288);
+  const { checks, source } = load(engine, "a0", 100_000, 288);
+  t.is(source, "store");
   t.deepEqual(checks.slice(0, 2), [30, 50]);
   t.true((checks[2] ?? 0) >= 250);
   t.true(checks.length <= 4);
--- a/packages/node/src/relay/engine_digest.ts
+++ b/packages/node/src/relay/engine_digest.ts
@@ -1,4 +1,4 @@
-import type { AdapterSlot, RegisteredServer } from "@foxtailwind/core";
+import type { EngineSlots, RegisteredServer } from "@foxtailwind/core";
 import type { EngineDigest, HeldAdapter } from "@foxtailwind/protocol";
 
 /**
@@ -10,10 +10,17 @@
  */
 export function buildEngineDigest(
   server: RegisteredServer,
-  slots: readonly AdapterSlot[],
-  state: Omit<EngineDigest, "engine" | "adapters">,
+  slots: EngineSlots,
+  state: Omit<
+    EngineDigest,
+    | "engine"
+    | "adapters"
+    | "cacheSize"
+    | "loadMilliseconds"
+    | "reloadMilliseconds"
+  >,
 ): EngineDigest {
-  const adapters = slots
+  const adapters = slots.slots
     .filter((slot) => slot.state !== "leaving")
     .map((slot): HeldAdapter => ({
       model: slot.model,
@@ -21,5 +28,13 @@
       version: slot.version,
       isLoading: slot.state === "loading",
     }));
-  return { engine: server.id, ...state, adapters };
+  const { loadTimes } = slots;
+  return {
+    engine: server.id,
+    ...state,
+    adapters,
+    cacheSize: loadTimes.cacheSize,
+    loadMilliseconds: loadTimes.estimateFrom("store"),
+    reloadMilliseconds: loadTimes.estimateFrom("cache"),
+  };
 }
--- a/packages/node/src/relay/engine_run.ts
+++ b/packages/node/src/relay/engine_run.ts
@@ -18,6 +18,7 @@
 import { AdapterUses } from "./adapter_uses.ts";
 import type { OrderRejection, OrderResult } from "./engine_control.ts";
 import { buildEngineDigest } from "./engine_digest.ts";
+import { EngineLoads } from "./engine_loads.ts";
 import { EngineModel } from "./engine_model.ts";
 import { EngineOrders } from "./engine_orders.ts";
 import type { EngineRunParts } from "./engine_owner_parts.ts";
@@ -38,6 +39,7 @@
 export class EngineRun {
   readonly #parts: EngineRunParts;
   readonly #slots: EngineSlots;
+  readonly #loads: EngineLoads;
   readonly #orders: EngineOrders;
   readonly #model: EngineModel;
   readonly #loop: StepLoop;
@@ -71,6 +73,7 @@
       },
       parts.knowledge.cachedAdapters.recentOf(server.id, parts.start()),
     );
+    this.#loads = new EngineLoads(server.id, this.#slots, parts);
     this.#uses = new AdapterUses(this.#slots, {
       clock: parts.clock,
       start: parts.start,
@@ -105,17 +108,13 @@
   /** The digest of the engine that is sent to other nodes. */
   get digest(): EngineDigest {
     const now = this.#now();
-    const { loadTimes } = this.#slots;
-    return buildEngineDigest(this.#server, this.#slots.slots, {
+    return buildEngineDigest(this.#server, this.#slots, {
       start: encodeStart(this.#parts.start()),
       waitMilliseconds: this.#uses.expectedWait(now),
       room: this.#canOrderSoon() ? this.#slots.availableSlots(now) : 0,
       isReachable: this.#orders.isReachable,
       running: this.#uses.occupancy.running,
       isFull: this.#isFull(),
-      cacheSize: loadTimes.cacheSize,
-      loadMilliseconds: loadTimes.estimateFrom("store"),
-      reloadMilliseconds: loadTimes.estimateFrom("cache"),
     });
   }
 
@@ -286,7 +285,7 @@
     switch (result.kind) {
       case "holds":
         this.#reportTrigger.recordAgreement();
-        this.#slots.markLoaded(now, name);
+        this.#loads.markLoaded(now, name);
         this.#uses.grantLoadedAdapters();
         break;
       case "conflict":
@@ -315,6 +314,7 @@
         this.#reportTrigger.recordAgreement();
         this.#slots.applyAnswer(now, order, result.kind);
         this.#orders.recordAccepted();
+        if (order.kind === "unload") this.#loads.recordEviction();
         break;
       case "conflict":
         this.#slots.applyAnswer(now, order, "conflict");
--- a/packages/node/src/relay/work_counts.ts
+++ b/packages/node/src/relay/work_counts.ts
@@ -21,6 +21,13 @@
   /** Changes of the registry sent to peers, and those received from them. */
   | "registry_sent"
   | "registry_received"
+  /** Adapters that engines loaded from their caches, and from the store. */
+  | "adapter_cache_load"
+  | "adapter_store_load"
+  /** Of the latter, those that another engine probably had in its cache. */
+  | "adapter_avoidable_load"
+  /** Accepted orders to unload an adapter. */
+  | "adapter_eviction"
   /** Log calls that were answered, and those that failed. */
   | "log_answered"
   | "log_failed"
