Owners evict the adapter whose absence costs least, as the heart does

The relay evicted the least recently used adapter, by a rule of its own. It now asks the heart's chooseEvictionCandidate and AdapterValueEstimator, with the demand that the engine's owner sees; chooseEvictionCandidate takes any residence that has a last use, and its caller says which ones are idle.

--- a/packages/core/src/relay/adapter_slot.ts
+++ b/packages/core/src/relay/adapter_slot.ts
@@ -15,7 +15,7 @@
   readonly version: number;
   /** Requests that were granted its use and have not ended. */
   readonly useCount: number;
-  readonly lastUsedAt: Instant;
+  readonly lastUsed: Instant;
   /** When it entered its state. */
   readonly since: Instant;
 }
@@ -107,7 +107,7 @@
     state,
     version,
     useCount: 0,
-    lastUsedAt: now,
+    lastUsed: now,
     since: now,
   };
 }
--- a/packages/core/src/relay/engine_slots.ts
+++ b/packages/core/src/relay/engine_slots.ts
@@ -26,6 +26,7 @@
 } from "./load_times.ts";
 import type { LoadSource } from "./residency/learned_load_times.ts";
 import type { RecentAdapters } from "./residency/recent_adapters.ts";
+import { SlotValues } from "./residency/slot_values.ts";
 import { SlotTable } from "./slot_table.ts";
 
 /**
@@ -45,6 +46,9 @@
   readonly #requests = new LoadRequests();
   readonly #deferredUntil = new Map<string, Instant>();
   readonly #loadTimes: LoadTimes;
+  readonly #values = new SlotValues(() =>
+    this.#loadTimes.estimateFrom("cache")
+  );
   #reserved = 0;
 
   /**
@@ -122,7 +126,8 @@
     const slot = this.find(name);
     if (slot?.state !== "resident") return undefined;
     if (slot.version < minimumVersion) return undefined;
-    this.#table.set({ ...slot, useCount: slot.useCount + 1, lastUsedAt: now });
+    this.#table.set({ ...slot, useCount: slot.useCount + 1, lastUsed: now });
+    this.#values.recordUse(now, slot);
     return slot.version;
   }
 
@@ -134,7 +139,7 @@
   release(now: Instant, name: AdapterName): void {
     const slot = this.find(name);
     if (slot === undefined || slot.useCount === 0) return;
-    this.#table.set({ ...slot, useCount: slot.useCount - 1, lastUsedAt: now });
+    this.#table.set({ ...slot, useCount: slot.useCount - 1, lastUsed: now });
   }
 
   /**
@@ -216,7 +221,10 @@
     }
     const victim = chooseVictim(
       this.slots.filter((slot) => !this.#isDeferred(now, adapterNameKey(slot))),
-      (slot) => this.#requests.has(slot),
+      {
+        isWanted: (slot) => this.#requests.has(slot),
+        costOf: (slot) => this.#values.evictionLoss(now, slot),
+      },
     );
     return victim === undefined ? undefined : { kind: "unload", name: victim };
   }
@@ -250,7 +258,7 @@
       ...slot,
       state: "resident",
       since: now,
-      lastUsedAt: now,
+      lastUsed: now,
     });
     return source;
   }
--- a/packages/core/src/relay/slot_table.ts
+++ b/packages/core/src/relay/slot_table.ts
@@ -64,7 +64,7 @@
       this.set({
         ...createSlot(now, name, state, version),
         useCount: known?.useCount ?? 0,
-        lastUsedAt: known?.lastUsedAt ?? instant(0),
+        lastUsed: known?.lastUsed ?? instant(0),
       });
     };
     for (const name of held) put(name, "resident", name.version);
--- a/packages/core/src/residency/eviction_candidate.ts
+++ b/packages/core/src/residency/eviction_candidate.ts
@@ -1,37 +1,39 @@
-import { isIdle, type Residence } from "./residence.ts";
+import type { Instant } from "../shared/mod.ts";
+
+/** An adapter that is resident and not in use. */
+export interface EvictableAdapter {
+  readonly lastUsed: Instant;
+}
 
 /** An adapter that may be evicted, and the cost of its absence. */
-export interface EvictionCandidate {
+export interface EvictionCandidate<Residence extends EvictableAdapter> {
   readonly residence: Residence;
   /** Waiting time that its absence adds per second, in multiples of targets. */
   readonly cost: number;
 }
 
 /**
- * Finds the idle adapter whose absence costs least. Ties are broken in favor of
+ * Finds the adapter whose absence costs least. Ties are broken in favor of
  * evicting the least recently used one.
- * @param residences The engine's residences.
+ * @param idle The engine's residences that may be evicted.
  * @param costOf Estimates the cost of an adapter's absence.
- * @returns The candidate, or undefined if no adapter is idle.
+ * @returns The candidate, or undefined if no adapter may be evicted.
  */
-export function chooseEvictionCandidate(
-  residences: Iterable<Residence>,
+export function chooseEvictionCandidate<Residence extends EvictableAdapter>(
+  idle: Iterable<Residence>,
   costOf: (residence: Residence) => number,
-): EvictionCandidate | undefined {
-  let best: EvictionCandidate | undefined;
-  for (const residence of residences) {
-    if (!isIdle(residence)) continue;
-    const cost = costOf(residence);
-    if (best === undefined || isCheaper({ residence, cost }, best)) {
-      best = { residence, cost };
-    }
+): EvictionCandidate<Residence> | undefined {
+  let best: EvictionCandidate<Residence> | undefined;
+  for (const residence of idle) {
+    const candidate = { residence, cost: costOf(residence) };
+    if (best === undefined || isCheaper(candidate, best)) best = candidate;
   }
   return best;
 }
 
-function isCheaper(
-  candidate: EvictionCandidate,
-  best: EvictionCandidate,
+function isCheaper<Residence extends EvictableAdapter>(
+  candidate: EvictionCandidate<Residence>,
+  best: EvictionCandidate<Residence>,
 ): boolean {
   if (candidate.cost !== best.cost) return candidate.cost < best.cost;
   return candidate.residence.lastUsed < best.residence.lastUsed;
--- a/packages/core/src/serving/load_planner.ts
+++ b/packages/core/src/serving/load_planner.ts
@@ -5,7 +5,9 @@
   chooseEvictionCandidate,
   type EngineResidency,
   type EvictionCandidate,
+  isIdle,
   LoadBackoff,
+  type Residence,
 } from "../residency/mod.ts";
 import {
   type AdapterKey,
@@ -204,10 +206,10 @@
     return this.#parts.residency.freeSlots;
   }
 
-  #chooseVictim(now: Instant): EvictionCandidate | undefined {
+  #chooseVictim(now: Instant): EvictionCandidate<Residence> | undefined {
     const { residency, engineRequests, value } = this.#parts;
     return chooseEvictionCandidate(
-      residency.all,
+      [...residency.all].filter(isIdle),
       (residence) =>
         value.evictionLoss(
           now,
@@ -259,7 +261,10 @@
   }
 }
 
-function minimumUrgency(wish: LoadWish, victim: EvictionCandidate): number {
+function minimumUrgency(
+  wish: LoadWish,
+  victim: EvictionCandidate<Residence>,
+): number {
   return wish.purpose === "prefetch"
     ? MINIMUM_PREFETCH_RATIO * victim.cost
     : victim.cost;
--- a/packages/core/tests/relay/engine_slots_test.ts
+++ b/packages/core/tests/relay/engine_slots_test.ts
@@ -50,6 +50,34 @@
   t.is(engine.nextOrder(instant(50)), undefined, "Both are in use.");
 });
 
+/** Uses an adapter several times, one after the other. */
+function use(engine: EngineSlots, adapter: string, times: readonly number[]) {
+  for (const at of times) {
+    engine.acquire(instant(at), name(adapter), 0);
+    engine.release(instant(at + 1), name(adapter));
+  }
+}
+
+test("an adapter that is asked for often stays though another was used later", (t) => {
+  const engine = slots();
+  load(engine, "often", 0);
+  load(engine, "once", 10);
+  use(engine, "often", [100, 200, 300, 400, 500, 600]);
+  use(engine, "once", [700]);
+  engine.requestLoad(instant(800), name("c"), 0);
+  t.is(engine.nextOrder(instant(800))?.name.adapter, adapterId("once"));
+});
+
+test("an adapter that demand has left yields to one that is asked for now", (t) => {
+  const engine = slots();
+  load(engine, "before", 0);
+  load(engine, "now", 10);
+  use(engine, "before", [100, 110, 120, 130, 140, 150]);
+  use(engine, "now", [8_000, 9_000, 10_000, 11_000, 12_000, 12_100]);
+  engine.requestLoad(instant(12_200), name("c"), 0);
+  t.is(engine.nextOrder(instant(12_200))?.name.adapter, adapterId("before"));
+});
+
 test("an adapter whose unload is refused keeps its slot and another is evicted", (t) => {
   const engine = slots();
   load(engine, "a", 0);
