Tests of what owners and placers know of an engine's cache

An engine whose owner changes, one that restarts, and one whose earlier digest named the adapter; loads by source.

--- a/packages/node/tests/relay/engine_candidates_test.ts
+++ b/packages/node/tests/relay/engine_candidates_test.ts
@@ -3,6 +3,7 @@
   adapterId,
   backendServerId,
   failureDomainId,
+  milliseconds,
   nodeId,
 } from "@foxtailwind/core";
 import {
@@ -10,6 +11,7 @@
   EngineOwners,
   ServerLoads,
 } from "@foxtailwind/node/relay";
+import type { EngineDigest } from "@foxtailwind/protocol";
 import test from "ava";
 import { nodeDigest } from "./helpers/node_digest.ts";
 import { addOwnedEngine, createRelayBase } from "./helpers/relay_base.ts";
@@ -20,8 +22,16 @@
 const ADAPTER = adapterId("a");
 const START = 1_000;
 
-/** Describes an engine whose owner says what services it doesn't reach. */
-function describe(unreachedServices: readonly string[]) {
+/**
+ * Describes an engine whose owner says what services it doesn't reach.
+ * @param unreachedServices The services.
+ * @param heldBefore Whether only an earlier digest names the adapter, and the
+ * start of that one.
+ */
+function describe(
+  unreachedServices: readonly string[],
+  heldBefore?: { readonly start: number },
+) {
   const { base, knowledge } = createRelayBase({ part: "callers" });
   addOwnedEngine(knowledge, { engine: ENGINE, start: START, owner: OWNER });
   const engine = {
@@ -31,9 +41,9 @@
     room: 1,
     isReachable: true,
     isFull: false,
-    cacheSize: 0,
-    loadMilliseconds: 0,
-    reloadMilliseconds: 0,
+    cacheSize: 50,
+    loadMilliseconds: 288,
+    reloadMilliseconds: 29,
     running: 0,
     adapters: [{
       model: STAND_IN_MODEL,
@@ -43,18 +53,20 @@
     }],
   };
   const now = base.clock.now();
-  knowledge.peers.applyDigest(
-    now,
-    nodeDigest(OWNER, {
-      unreachedServices: [...unreachedServices],
-      engineStates: {
-        accounts: [],
-        retries: [],
-        sequence: 1,
-        engines: [engine],
-      },
-    }),
-  );
+  const applyDigest = (sequence: number, state: EngineDigest) => {
+    knowledge.peers.applyDigest(
+      now,
+      nodeDigest(OWNER, {
+        unreachedServices: [...unreachedServices],
+        engineStates: {
+          accounts: [],
+          retries: [],
+          sequence,
+          engines: [state],
+        },
+      }),
+    );
+  };
   const candidates = new EngineCandidates({
     self: base.settings.node.id,
     knowledge,
@@ -70,13 +82,22 @@
     loads: new ServerLoads(failureDomainId("d")),
   });
   const server = knowledge.registry.find(ENGINE);
-  return server && candidates.describe(now, server, {
-    model: STAND_IN_MODEL,
-    adapter: ADAPTER,
-    promptTokens: 10,
-    outputTokens: 10,
-    minimumVersion: 0,
-  });
+  const describeNow = () =>
+    server && candidates.describe(now, server, {
+      model: STAND_IN_MODEL,
+      adapter: ADAPTER,
+      promptTokens: 10,
+      outputTokens: 10,
+      minimumVersion: 0,
+    });
+  if (heldBefore === undefined) {
+    applyDigest(1, engine);
+    return describeNow();
+  }
+  applyDigest(1, { ...engine, start: heldBefore.start });
+  describeNow();
+  applyDigest(2, { ...engine, adapters: [] });
+  return describeNow();
 }
 
 test("an engine is described by its owner's digest", (t) => {
@@ -95,3 +116,15 @@
   t.false(candidate?.canOrderLoads);
   t.false(candidate?.holdsAdapter);
 });
+
+test("an adapter that an engine held in an earlier digest loads quickly there", (t) => {
+  const candidate = describe([], { start: START });
+  t.false(candidate?.holdsAdapter);
+  t.deepEqual(candidate?.load, { source: "cache", time: milliseconds(29) });
+});
+
+test("an adapter that an engine held before its restart loads from the store", (t) => {
+  const candidate = describe([], { start: START + 1 });
+  t.false(candidate?.holdsAdapter);
+  t.deepEqual(candidate?.load, { source: "store", time: milliseconds(288) });
+});
--- a/packages/node/tests/relay/engine_owner_test.ts
+++ b/packages/node/tests/relay/engine_owner_test.ts
@@ -1,6 +1,7 @@
-import { adapterId } from "@foxtailwind/core";
+import { adapterId, serverStart } from "@foxtailwind/core";
 import test from "ava";
 import {
+  MODEL,
   release,
   requestUse,
   SERVER,
@@ -150,3 +151,40 @@
   }
   owner.stop();
 });
+
+test("a new owner expects what its engine cached under the one before, within its slots and until a restart", async (t) => {
+  const { createOwner, control, claim, knowledge } = setUpOwner(2);
+  const names = ["a", "b", "c", "d"].map((adapter) => ({
+    model: MODEL,
+    adapter: adapterId(adapter),
+  }));
+  knowledge.cachedAdapters.observe(SERVER.id, {
+    start: SERVER.start,
+    adapters: names,
+    cacheSize: 10,
+  });
+  const owner = createOwner(SERVER);
+  claim("node-1", 4);
+  const sources = () => names.map((name) => owner.expectedLoad(name).source);
+  t.deepEqual(sources(), ["cache", "cache", "cache", "cache"]);
+  for (const { adapter } of names) release(await requestUse(owner, adapter));
+  t.false(control.adapters.hasExceededSlots);
+  control.adapters.restart(serverStart(2_000));
+  owner.update({ ...SERVER, start: serverStart(2_000) });
+  t.deepEqual(sources(), ["store", "store", "store", "store"]);
+  owner.stop();
+});
+
+test("loads are counted by where they come from", async (t) => {
+  const { owner, claim, knowledge } = setUpOwner(1);
+  claim("node-1", 4);
+  for (const adapter of ["a", "b", "a"]) {
+    release(await requestUse(owner, adapter));
+  }
+  const { counts } = knowledge.workCounts;
+  t.is(counts.get("adapter_store_load"), 2);
+  t.is(counts.get("adapter_cache_load"), 1);
+  t.is(counts.get("adapter_eviction"), 2);
+  t.is(counts.get("adapter_avoidable_load"), undefined);
+  owner.stop();
+});
