The size of an engine's cache is learned both ways

One slow load of a cached adapter cut the size to its rank, and what lies beyond it was never checked early again: all loads then seemed to come from the store. The size now moves half way to such a rank, and the adapters just beyond it, and those that left the slots last, are checked as early as cached ones.

--- a/packages/core/src/relay/engine_slots.ts
+++ b/packages/core/src/relay/engine_slots.ts
@@ -58,7 +58,7 @@
    */
   constructor(limits: SlotLimits, heldBefore?: RecentAdapters) {
     this.#limits = limits;
-    this.#loadTimes = new LoadTimes(limits.cachedAdapters, heldBefore);
+    this.#loadTimes = new LoadTimes(limits, heldBefore);
   }
 
   /** The expected load times, as learned from the engine's loads. */
--- a/packages/core/src/relay/load_times.ts
+++ b/packages/core/src/relay/load_times.ts
@@ -9,6 +9,7 @@
   type AdapterName,
   adapterNameKey,
   type AdapterSlot,
+  type SlotLimits,
 } from "./adapter_slot.ts";
 import {
   LearnedLoadTimes,
@@ -17,10 +18,17 @@
 import { adapterHash, RecentAdapters } from "./residency/recent_adapters.ts";
 
 /**
- * How much the cache is taken to be larger, in adapters, after a load that came
- * from it. Ten such loads make up for one that was wrongly expected to.
+ * The share of its size by which the cache is probed beyond it: an adapter
+ * there is expected from the cache when its load is checked. The adapters that
+ * left the slots last are always probed.
  */
-const CACHE_GROWTH = 0.1;
+const CACHE_PROBE_SHARE = 0.1;
+const PROBED_BEYOND_SLOTS = 2;
+/**
+ * The part of the way to the rank of an adapter that wasn't in the cache by
+ * which the cache is taken to be smaller. A single slow load has other causes.
+ */
+const CACHE_SHRINKAGE = 0.5;
 /**
  * A load from the cache that takes this many times as long as expected is
  * taken to come from the store.
@@ -58,17 +66,22 @@
 export class LoadTimes implements ExpectedLoadTimes {
   readonly #times = new LearnedLoadTimes();
   readonly #recentlyHeld: RecentAdapters;
+  readonly #slots: number;
   readonly #maximumCacheSize: number;
   readonly #loads = new Map<string, OrderedLoad>();
   readonly #checkAt = new Map<string, Instant>();
   #cacheSize: number;
 
   /**
-   * @param cachedAdapters The largest number of recently held adapters that the
-   * engine may cache.
+   * @param limits The engine's slots, and the largest number of recently held
+   * adapters that it may cache.
    * @param heldBefore What the engine has held under an earlier owner.
    */
-  constructor(cachedAdapters: number, heldBefore?: RecentAdapters) {
+  constructor(
+    { slots, cachedAdapters }: Pick<SlotLimits, "slots" | "cachedAdapters">,
+    heldBefore?: RecentAdapters,
+  ) {
+    this.#slots = slots;
     this.#maximumCacheSize = cachedAdapters;
     this.#cacheSize = cachedAdapters;
     this.#recentlyHeld = new RecentAdapters(cachedAdapters);
@@ -95,8 +108,13 @@
    */
   markOrdered(now: Instant, name: AdapterName): void {
     const rank = this.#recentlyHeld.rankOf(adapterHash(name));
+    const probedSize = Math.max(
+      this.#slots + PROBED_BEYOND_SLOTS,
+      (1 + CACHE_PROBE_SHARE) * this.#cacheSize + 1,
+    );
+    const isProbed = rank !== undefined && rank < probedSize;
     this.#loads.set(adapterNameKey(name), {
-      expectedSource: this.sourceOf(name),
+      expectedSource: isProbed ? "cache" : "store",
       rank,
       startedAt: now,
     });
@@ -210,8 +228,13 @@
   }
 
   #adjustCacheSize(source: LoadSource, rank: number | undefined): void {
-    this.#cacheSize = source === "cache"
-      ? Math.min(this.#maximumCacheSize, this.#cacheSize + CACHE_GROWTH)
-      : Math.min(this.#cacheSize, Math.max(1, rank ?? this.#cacheSize));
+    if (rank === undefined) return;
+    if (source === "cache") {
+      const size = Math.max(this.#cacheSize, rank + 1);
+      this.#cacheSize = Math.min(this.#maximumCacheSize, size);
+    } else if (rank < this.#cacheSize) {
+      const shrinkage = CACHE_SHRINKAGE * (this.#cacheSize - rank);
+      this.#cacheSize = Math.max(1, this.#cacheSize - shrinkage);
+    }
   }
 }
