--- a/packages/core/src/relay/adapter_slot.ts
+++ b/packages/core/src/relay/adapter_slot.ts
@@ -15,26 +15,28 @@
   readonly version: number;
   /** Requests that were granted its use and have not ended. */
   readonly useCount: number;
-  readonly lastUsedAt: Instant;
+  readonly lastUsed: Instant;
   /** When it entered its state. */
   readonly since: Instant;
 }
 
-/** How urgently an adapter is wanted. */
-export interface LoadUrgency {
-  /** When nobody wants it any longer. */
-  readonly neededBy: Instant;
-  /** The priority of the most urgent request for it; 0 is the highest. */
-  readonly priority: number;
-}
-
 /** An adapter that requests wait for. */
 export interface LoadRequest extends AdapterName {
   readonly key: string;
   readonly minimumVersion: number;
   readonly since: Instant;
-  /** Absent if nobody has told it. */
-  readonly urgency: LoadUrgency | undefined;
+  /** When it is needed by its most urgent waiter, later for low priorities. */
+  readonly dueAt: Instant;
+  /** When no waiter wants it any longer. */
+  readonly wantedUntil: Instant;
+}
+
+/** How urgently an adapter is needed. */
+export interface LoadUrgency {
+  /** When no waiter wants the adapter any longer. */
+  readonly neededBy: Instant;
+  /** The priority of the most urgent waiter's class, 0 for the first. */
+  readonly priority: number;
 }
 
 /** The next order to an engine. */
@@ -105,7 +107,7 @@
     state,
     version,
     useCount: 0,
-    lastUsedAt: now,
+    lastUsed: now,
     since: now,
   };
 }
--- a/packages/core/src/relay/engine_slots.ts
+++ b/packages/core/src/relay/engine_slots.ts
@@ -17,9 +17,16 @@
   type SlotLimits,
   type SlotOrder,
 } from "./adapter_slot.ts";
-import { LoadRequests } from "./load_requests.ts";
+import { LoadRequests, UNLIMITED_WAIT } from "./load_requests.ts";
 import { chooseVictim } from "./eviction_victim.ts";
-import { type LoadCheck, LoadTimes } from "./load_times.ts";
+import {
+  type ExpectedLoadTimes,
+  type LoadCheck,
+  LoadTimes,
+} from "./load_times.ts";
+import type { LoadSource } from "./residency/learned_load_times.ts";
+import type { RecentAdapters } from "./residency/recent_adapters.ts";
+import { SlotValues } from "./residency/slot_values.ts";
 import { SlotTable } from "./slot_table.ts";
 
 /**
@@ -39,12 +46,24 @@
   readonly #requests = new LoadRequests();
   readonly #deferredUntil = new Map<string, Instant>();
   readonly #loadTimes: LoadTimes;
+  readonly #values = new SlotValues(() =>
+    this.#loadTimes.estimateFrom("cache")
+  );
   #reserved = 0;
 
-  /** @param limits The engine's limits. */
-  constructor(limits: SlotLimits) {
+  /**
+   * @param limits The engine's limits.
+   * @param heldBefore What the engine has held since its start under an earlier
+   * owner, if known.
+   */
+  constructor(limits: SlotLimits, heldBefore?: RecentAdapters) {
     this.#limits = limits;
-    this.#loadTimes = new LoadTimes(limits.cachedAdapters);
+    this.#loadTimes = new LoadTimes(limits, heldBefore);
+  }
+
+  /** The expected load times, as learned from the engine's loads. */
+  get loadTimes(): ExpectedLoadTimes {
+    return this.#loadTimes;
   }
 
   /** The adapters that occupy a slot. */
@@ -86,6 +105,7 @@
     loading: readonly AdapterName[],
   ): void {
     this.#table.replace(now, held, loading);
+    this.#loadTimes.forgetLoads();
     for (const slot of this.slots) this.#loadTimes.markHeld(slot);
   }
 
@@ -106,7 +126,8 @@
     const slot = this.find(name);
     if (slot?.state !== "resident") return undefined;
     if (slot.version < minimumVersion) return undefined;
-    this.#table.set({ ...slot, useCount: slot.useCount + 1, lastUsedAt: now });
+    this.#table.set({ ...slot, useCount: slot.useCount + 1, lastUsed: now });
+    this.#values.recordUse(now, slot);
     return slot.version;
   }
 
@@ -118,7 +139,7 @@
   release(now: Instant, name: AdapterName): void {
     const slot = this.find(name);
     if (slot === undefined || slot.useCount === 0) return;
-    this.#table.set({ ...slot, useCount: slot.useCount - 1, lastUsedAt: now });
+    this.#table.set({ ...slot, useCount: slot.useCount - 1, lastUsed: now });
   }
 
   /**
@@ -126,17 +147,31 @@
    * @param now The present time.
    * @param name The adapter.
    * @param minimumVersion The oldest version allowed.
-   * @param urgency How urgently it is wanted.
+   * @param urgency How urgently it is needed.
    */
   requestLoad(
     now: Instant,
     name: AdapterName,
     minimumVersion: number,
-    urgency?: LoadUrgency,
+    urgency: LoadUrgency = UNLIMITED_WAIT,
   ): void {
     this.#requests.add(now, name, minimumVersion, urgency);
   }
 
+  /**
+   * Cancels the requests for adapters that nobody would wait for until they are
+   * loaded, even if their loads began now.
+   * @param now The present time.
+   * @returns The adapters, whose waiters can be refused.
+   */
+  cancelLateLoadRequests(now: Instant): readonly AdapterName[] {
+    const late = this.#requests.all.filter((request) =>
+      later(now, this.loadTime(request)) > request.wantedUntil
+    );
+    for (const request of late) this.#requests.delete(request);
+    return late;
+  }
+
   /**
    * Cancels the request for an adapter that nobody waits for any longer.
    * @param name The adapter.
@@ -186,7 +221,10 @@
     }
     const victim = chooseVictim(
       this.slots.filter((slot) => !this.#isDeferred(now, adapterNameKey(slot))),
-      (slot) => this.#requests.has(slot),
+      {
+        isWanted: (slot) => this.#requests.has(slot),
+        costOf: (slot) => this.#values.evictionLoss(now, slot),
+      },
     );
     return victim === undefined ? undefined : { kind: "unload", name: victim };
   }
@@ -209,17 +247,20 @@
    * Records that an ordered adapter is resident.
    * @param now The present time.
    * @param name The adapter.
+   * @returns Where it was loaded from, or `undefined` if its load wasn't
+   * measured.
    */
-  markLoaded(now: Instant, name: AdapterName): void {
+  markLoaded(now: Instant, name: AdapterName): LoadSource | undefined {
     const slot = this.find(name);
-    if (slot?.state !== "loading") return;
-    this.#loadTimes.markLoaded(name);
+    if (slot?.state !== "loading") return undefined;
+    const source = this.#loadTimes.markLoaded(now, name);
     this.#table.set({
       ...slot,
       state: "resident",
       since: now,
-      lastUsedAt: now,
+      lastUsed: now,
     });
+    return source;
   }
 
   /**
@@ -237,7 +278,7 @@
    * @param delay The time until the next check.
    */
   postponeLoadCheck(now: Instant, name: AdapterName, delay: Duration): void {
-    this.#loadTimes.postponeCheck(name, later(now, delay));
+    this.#loadTimes.postponeCheck(now, name, delay);
   }
 
   /**
@@ -263,6 +304,7 @@
       case "accepted": {
         const uses = this.find(name)?.useCount ?? 0;
         const slot = createSlot(now, name, "loading", version);
+        this.#loadTimes.markOrdered(now, name);
         this.#table.set({ ...slot, useCount: uses });
         this.#requests.delete(name);
         break;
@@ -295,6 +337,7 @@
     switch (answer) {
       case "holds":
         this.#table.delete(name);
+        this.#loadTimes.markHeld(name);
         break;
       case "accepted":
         // It leaves once the requests that use it have ended; until then it is
--- a/packages/node/src/relay/adapter_uses.ts
+++ b/packages/node/src/relay/adapter_uses.ts
@@ -114,6 +114,21 @@
     this.#scheduleExpiry(now);
   }
 
+  /**
+   * Refuses the requests that wait for an adapter which won't be loaded.
+   * @param name The adapter.
+   */
+  refuseWaitersOf(name: AdapterName): void {
+    for (const waiter of this.#waiters.all) {
+      const isFor = waiter.name.adapter === name.adapter &&
+        waiter.name.model === name.model;
+      if (!isFor) continue;
+      this.#waiters.delete(waiter);
+      const retryAfter = this.#slots.loadTime(name);
+      waiter.end({ kind: "no_room", retryAfter }, "expired");
+    }
+  }
+
   /** Refuses all waiting requests with `no_room`, and cancels their loads. */
   refuseWaiting(): void {
     for (const { name } of this.#waiters.all) {
--- a/packages/node/src/relay/engine_run.ts
+++ b/packages/node/src/relay/engine_run.ts
@@ -2,6 +2,8 @@
   type AdapterName,
   EngineSlots,
   type EngineSpecification,
+  type ExpectedLoad,
+  hasPlaceAfterLoad,
   type Instant,
   later,
   milliseconds,
@@ -16,6 +18,7 @@
 import { AdapterUses } from "./adapter_uses.ts";
 import type { OrderRejection, OrderResult } from "./engine_control.ts";
 import { buildEngineDigest } from "./engine_digest.ts";
+import { EngineLoads } from "./engine_loads.ts";
 import { EngineModel } from "./engine_model.ts";
 import { EngineOrders } from "./engine_orders.ts";
 import type { EngineRunParts } from "./engine_owner_parts.ts";
@@ -36,6 +39,7 @@
 export class EngineRun {
   readonly #parts: EngineRunParts;
   readonly #slots: EngineSlots;
+  readonly #loads: EngineLoads;
   readonly #orders: EngineOrders;
   readonly #model: EngineModel;
   readonly #loop: StepLoop;
@@ -44,6 +48,8 @@
   /** Unanswered loads of this start, whose slots are known while it lasts. */
   #unansweredLoads = new UnansweredLoads();
   #server: RegisteredServer;
+  /** The requested uses that are neither granted nor refused yet. */
+  #waiting = 0;
 
   /**
    * @param server The engine.
@@ -59,11 +65,15 @@
     this.#parts = parts;
     this.#loop = new StepLoop(parts.clock, () => this.#step());
     const { engines, node } = parts.settings;
-    this.#slots = new EngineSlots({
-      slots: specification.adapterSlots,
-      concurrentLoads: engines.transfers,
-      cachedAdapters: engines.kept_adapters,
-    });
+    this.#slots = new EngineSlots(
+      {
+        slots: specification.adapterSlots,
+        concurrentLoads: engines.transfers,
+        cachedAdapters: engines.kept_adapters,
+      },
+      parts.knowledge.cachedAdapters.recentOf(server.id, parts.start()),
+    );
+    this.#loads = new EngineLoads(server.id, this.#slots, parts);
     this.#uses = new AdapterUses(this.#slots, {
       clock: parts.clock,
       record: parts.knowledge.admissions,
@@ -100,7 +110,7 @@
   /** The digest of the engine that is sent to other nodes. */
   get digest(): EngineDigest {
     const now = this.#now();
-    return buildEngineDigest(this.#server, this.#slots.slots, {
+    return buildEngineDigest(this.#server, this.#slots, {
       start: encodeStart(this.#parts.start()),
       waitMilliseconds: this.#uses.expectedWait(now),
       room: this.#canOrderSoon() ? this.#slots.availableSlots(now) : 0,
@@ -110,6 +120,17 @@
     });
   }
 
+  /**
+   * Returns the load of an adapter as expected from earlier ones.
+   * @param name The adapter.
+   * @returns Its source and time.
+   */
+  expectedLoad(name: AdapterName): ExpectedLoad {
+    const { loadTimes } = this.#slots;
+    const source = loadTimes.sourceOf(name);
+    return { source, time: loadTimes.estimateFrom(source) };
+  }
+
   /**
    * Requests the use of an adapter or a base model.
    * @param request The requested use.
@@ -122,7 +143,31 @@
   ): Promise<UseAnswer> {
     if (this.#loop.isStopped) return { kind: "not_owner" };
     if (!this.#orders.isReachable) return { kind: "no_room" };
-    return await this.#uses.requestUse(request, signal);
+    // A request that waits for any place joins the queue for its adapter.
+    const joinsQueue = request.queueing?.onlyInTime === false;
+    const { model, adapter } = request;
+    if (!joinsQueue && adapter !== undefined) {
+      const name = { model, adapter };
+      if (!this.#hasPlaceFor(name)) {
+        return { kind: "no_room", retryAfter: this.#slots.loadTime(name) };
+      }
+    }
+    this.#waiting += 1;
+    try {
+      return await this.#uses.requestUse(request, signal);
+    } finally {
+      this.#waiting -= 1;
+    }
+  }
+
+  /** Whether the adapter is loaded, or there is a place once it is. */
+  #hasPlaceFor(name: AdapterName): boolean {
+    if (this.#slots.find(name)?.state === "resident") return true;
+    return hasPlaceAfterLoad({
+      places: this.#server.slots,
+      running: this.#uses.occupancy.running,
+      waiting: this.#waiting,
+    });
   }
 
   /** Records that the engine lacked an adapter or model in a granted use. */
@@ -172,6 +217,9 @@
     }
     if (!this.#model.isLoaded) return await this.#loadModel(now, permission);
     if (await this.#checkLoad(now, permission)) return true;
+    for (const name of this.#slots.cancelLateLoadRequests(now)) {
+      this.#uses.refuseWaitersOf(name);
+    }
     const order = this.#slots.nextOrder(now);
     if (order !== undefined) {
       await this.#execute(order, permission);
@@ -246,7 +294,7 @@
     switch (result.kind) {
       case "holds":
         this.#reportTrigger.recordAgreement();
-        this.#slots.markLoaded(now, name);
+        this.#loads.markLoaded(now, name);
         this.#uses.grantLoadedAdapters();
         break;
       case "conflict":
@@ -275,6 +323,7 @@
         this.#reportTrigger.recordAgreement();
         this.#slots.applyAnswer(now, order, result.kind);
         this.#orders.recordAccepted();
+        if (order.kind === "unload") this.#loads.recordEviction();
         break;
       case "conflict":
         this.#slots.applyAnswer(now, order, "conflict");
