An engine's cache holds versions of adapters

After a newer version was named, engines that had held the older one were expected to load it from their caches: requests went there for a load from the store, and the slow load was taken as evidence of a smaller cache, most for the hottest adapters. Versions are remembered beside the adapters; the new tests show both.

--- a/packages/core/src/relay/engine_slots.ts
+++ b/packages/core/src/relay/engine_slots.ts
@@ -106,7 +106,7 @@
   ): void {
     this.#table.replace(now, held, loading);
     this.#loadTimes.forgetLoads();
-    for (const slot of this.slots) this.#loadTimes.markHeld(slot);
+    for (const slot of this.slots) this.#loadTimes.markHeld(slot, slot.version);
   }
 
   /**
@@ -166,7 +166,8 @@
    */
   cancelLateLoadRequests(now: Instant): readonly AdapterName[] {
     const late = this.#requests.all.filter((request) =>
-      later(now, this.loadTime(request)) > request.wantedUntil
+      later(now, this.loadTime(request, request.minimumVersion)) >
+        request.wantedUntil
     );
     for (const request of late) this.#requests.delete(request);
     return late;
@@ -198,10 +199,11 @@
   /**
    * Estimates how long an adapter takes to load.
    * @param name The adapter.
+   * @param minimumVersion The oldest version allowed.
    * @returns The time.
    */
-  loadTime(name: AdapterName): Duration {
-    return this.#loadTimes.estimate(name);
+  loadTime(name: AdapterName, minimumVersion = 0): Duration {
+    return this.#loadTimes.estimate(name, minimumVersion);
   }
 
   /**
@@ -253,7 +255,7 @@
   markLoaded(now: Instant, name: AdapterName): LoadSource | undefined {
     const slot = this.find(name);
     if (slot?.state !== "loading") return undefined;
-    const source = this.#loadTimes.markLoaded(now, name);
+    const source = this.#loadTimes.markLoaded(now, name, slot.version);
     this.#table.set({
       ...slot,
       state: "resident",
@@ -304,7 +306,7 @@
       case "accepted": {
         const uses = this.find(name)?.useCount ?? 0;
         const slot = createSlot(now, name, "loading", version);
-        this.#loadTimes.markOrdered(now, name);
+        this.#loadTimes.markOrdered(now, name, version);
         this.#table.set({ ...slot, useCount: uses });
         this.#requests.delete(name);
         break;
--- a/packages/core/src/relay/load_times.ts
+++ b/packages/core/src/relay/load_times.ts
@@ -45,7 +45,7 @@
 export interface ExpectedLoadTimes {
   /** How many of the recently held adapters load from the engine's cache. */
   readonly cacheSize: number;
-  sourceOf(name: AdapterName): LoadSource;
+  sourceOf(name: AdapterName, minimumVersion: number): LoadSource;
   estimateFrom(source: LoadSource): Duration;
 }
 
@@ -96,18 +96,20 @@
   /**
    * Records that the engine holds an adapter.
    * @param name The adapter.
+   * @param version Its version; the known one by default.
    */
-  markHeld(name: AdapterName): void {
-    this.#recentlyHeld.touch(adapterHash(name));
+  markHeld(name: AdapterName, version?: number): void {
+    this.#recentlyHeld.touch(adapterHash(name), version);
   }
 
   /**
    * Records that the engine has accepted the order of a load.
    * @param now The present time.
    * @param name The adapter.
+   * @param version Its oldest version allowed.
    */
-  markOrdered(now: Instant, name: AdapterName): void {
-    const rank = this.#recentlyHeld.rankOf(adapterHash(name));
+  markOrdered(now: Instant, name: AdapterName, version: number): void {
+    const rank = this.#recentlyHeld.rankOf(adapterHash(name), version);
     const probedSize = Math.max(
       this.#slots + PROBED_BEYOND_SLOTS,
       (1 + CACHE_PROBE_SHARE) * this.#cacheSize + 1,
@@ -124,11 +126,16 @@
    * Records that a load has completed, and learns from it.
    * @param now The present time.
    * @param name The adapter.
+   * @param version Its version.
    * @returns Where the adapter came from, or `undefined` if its load wasn't
    * measured.
    */
-  markLoaded(now: Instant, name: AdapterName): LoadSource | undefined {
-    this.markHeld(name);
+  markLoaded(
+    now: Instant,
+    name: AdapterName,
+    version: number,
+  ): LoadSource | undefined {
+    this.markHeld(name, version);
     const key = adapterNameKey(name);
     const load = this.#loads.get(key);
     this.#loads.delete(key);
@@ -161,20 +168,23 @@
   /**
    * Tells where an adapter would be loaded from.
    * @param name The adapter.
+   * @param minimumVersion The oldest version allowed.
    * @returns The expected source.
    */
-  sourceOf(name: AdapterName): LoadSource {
-    const rank = this.#recentlyHeld.rankOf(adapterHash(name));
+  sourceOf(name: AdapterName, minimumVersion: number): LoadSource {
+    const hash = adapterHash(name);
+    const rank = this.#recentlyHeld.rankOf(hash, minimumVersion);
     return rank !== undefined && rank < this.cacheSize ? "cache" : "store";
   }
 
   /**
    * Estimates how long an adapter takes to load.
    * @param name The adapter.
+   * @param minimumVersion The oldest version allowed.
    * @returns The time.
    */
-  estimate(name: AdapterName): Duration {
-    return this.#times.estimate(this.sourceOf(name));
+  estimate(name: AdapterName, minimumVersion: number): Duration {
+    return this.#times.estimate(this.sourceOf(name, minimumVersion));
   }
 
   /**
@@ -197,7 +207,7 @@
       if (slot.state !== "loading") continue;
       const key = adapterNameKey(slot);
       const source = this.#loads.get(key)?.expectedSource ??
-        this.sourceOf(slot);
+        this.sourceOf(slot, slot.version);
       const at = this.#checkAt.get(key) ??
         later(slot.since, this.#times.estimate(source));
       if (first === undefined || at < first.at) first = { name: slot, at };
--- a/packages/core/src/relay/residency/cached_adapters.ts
+++ b/packages/core/src/relay/residency/cached_adapters.ts
@@ -11,11 +11,23 @@
 /** The maximum number of engines. */
 const MAXIMUM_ENGINES = 16_384;
 
+/** A version of an adapter; 0 if it isn't known. */
+export interface HeldVersion extends NamedAdapter {
+  readonly version: number;
+}
+
+/** An adapter that a request needs. */
+export interface NeededAdapter {
+  readonly hash: AdapterHash;
+  /** The oldest version that may serve it. */
+  readonly minimumVersion: number;
+}
+
 /** What an engine's owner says that the engine holds. */
 export interface HeldAdapters {
   /** The start of the engine, if known. */
   readonly start: ServerStart | undefined;
-  readonly adapters: readonly NamedAdapter[];
+  readonly adapters: readonly HeldVersion[];
   /** The number of recent adapters, held ones included, that load quickly. */
   readonly cacheSize: number;
 }
@@ -23,7 +35,7 @@
 interface CachedAdaptersOfStart {
   readonly start: ServerStart | undefined;
   readonly recent: RecentAdapters;
-  held: readonly NamedAdapter[];
+  held: readonly HeldVersion[];
   cacheSize: number;
 }
 
@@ -49,10 +61,12 @@
     const known = this.#ofStart(engine, state);
     known.cacheSize = state.cacheSize;
     if (known.held === state.adapters) return;
-    const isUnchanged = haveSameNames(known.held, state.adapters);
+    const isUnchanged = areSame(known.held, state.adapters);
     known.held = state.adapters;
     if (isUnchanged) return;
-    for (const name of state.adapters) known.recent.touch(adapterHash(name));
+    for (const name of state.adapters) {
+      known.recent.touch(adapterHash(name), name.version);
+    }
   }
 
   /**
@@ -65,9 +79,9 @@
   has(
     engine: BackendServerId,
     { start, cacheSize }: Omit<HeldAdapters, "adapters">,
-    adapter: AdapterHash,
+    { hash, minimumVersion }: NeededAdapter,
   ): boolean {
-    const rank = this.recentOf(engine, start)?.rankOf(adapter);
+    const rank = this.recentOf(engine, start)?.rankOf(hash, minimumVersion);
     return rank !== undefined && rank < cacheSize;
   }
 
@@ -77,10 +91,13 @@
    * @param adapter The adapter.
    * @returns Whether one does.
    */
-  isCachedElsewhere(engine: BackendServerId, adapter: AdapterHash): boolean {
+  isCachedElsewhere(
+    engine: BackendServerId,
+    { hash, minimumVersion }: NeededAdapter,
+  ): boolean {
     for (const [other, { recent, cacheSize }] of this.#engines) {
       if (other === engine) continue;
-      const rank = recent.rankOf(adapter);
+      const rank = recent.rankOf(hash, minimumVersion);
       if (rank !== undefined && rank < cacheSize) return true;
     }
     return false;
@@ -132,13 +149,14 @@
   }
 }
 
-function haveSameNames(
-  left: readonly NamedAdapter[],
-  right: readonly NamedAdapter[],
+function areSame(
+  left: readonly HeldVersion[],
+  right: readonly HeldVersion[],
 ): boolean {
   return left.length === right.length &&
     left.every((name, index) =>
       name.adapter === right[index]?.adapter &&
-      name.model === right[index].model
+      name.model === right[index].model &&
+      name.version === right[index].version
     );
 }
--- a/packages/core/src/relay/residency/recent_adapters.ts
+++ b/packages/core/src/relay/residency/recent_adapters.ts
@@ -20,16 +20,19 @@
 }
 
 /**
- * A bounded list of adapters, the most recent one first. Takes four bytes for
- * each adapter.
+ * A bounded list of adapters with their versions, the most recent one first.
+ * Takes eight bytes for each adapter.
  */
 export class RecentAdapters {
   readonly #hashes: Uint32Array;
+  readonly #versions: Uint32Array;
   #size = 0;
 
   /** @param capacity The maximum number of adapters. */
   constructor(capacity: number) {
-    this.#hashes = new Uint32Array(Math.max(1, Math.ceil(capacity)));
+    const length = Math.max(1, Math.ceil(capacity));
+    this.#hashes = new Uint32Array(length);
+    this.#versions = new Uint32Array(length);
   }
 
   /** The number of adapters in the list. */
@@ -40,24 +43,31 @@
   /**
    * Finds how recent an adapter is.
    * @param adapter The adapter.
+   * @param minimumVersion The oldest version that counts.
    * @returns The number of more recent ones, or `undefined` if it isn't listed.
    */
-  rankOf(adapter: AdapterHash): number | undefined {
+  rankOf(adapter: AdapterHash, minimumVersion = 0): number | undefined {
     const index = this.#hashes.indexOf(adapter);
-    return index === -1 || index >= this.#size ? undefined : index;
+    if (index === -1 || index >= this.#size) return undefined;
+    return (this.#versions[index] ?? 0) < minimumVersion ? undefined : index;
   }
 
   /**
    * Makes an adapter the most recent one.
    * @param adapter The adapter.
+   * @param version Its version; the known one by default.
    */
-  touch(adapter: AdapterHash): void {
+  touch(adapter: AdapterHash, version?: number): void {
     const known = this.rankOf(adapter);
+    const knownVersion = known === undefined ? 0 : this.#versions[known];
     if (known === undefined) {
       this.#size = Math.min(this.#size + 1, this.#hashes.length);
     }
-    this.#hashes.copyWithin(1, 0, known ?? this.#size - 1);
+    const end = known ?? this.#size - 1;
+    this.#hashes.copyWithin(1, 0, end);
+    this.#versions.copyWithin(1, 0, end);
     this.#hashes[0] = adapter;
+    this.#versions[0] = version ?? knownVersion ?? 0;
   }
 
   /**
@@ -65,10 +75,12 @@
    * @param other The other list.
    */
   append(other: RecentAdapters): void {
-    for (const adapter of other.#hashes.subarray(0, other.#size)) {
+    for (let index = 0; index < other.#size; index += 1) {
+      const adapter = other.#hashes[index] ?? 0;
       if (this.#size === this.#hashes.length) return;
       if (this.rankOf(adapter) !== undefined) continue;
       this.#hashes[this.#size] = adapter;
+      this.#versions[this.#size] = other.#versions[index] ?? 0;
       this.#size += 1;
     }
   }
--- a/packages/core/tests/relay/residency/cached_adapters_test.ts
+++ b/packages/core/tests/relay/residency/cached_adapters_test.ts
@@ -2,7 +2,7 @@
   adapterHash,
   backendServerId,
   CachedAdapters,
-  type NamedAdapter,
+  type HeldVersion,
   RecentAdapters,
   serverStart,
 } from "@foxtailwind/core";
@@ -12,17 +12,17 @@
 const START = serverStart(1_000);
 const NEXT_START = serverStart(2_000);
 
-function names(...adapters: string[]): NamedAdapter[] {
-  return adapters.map((adapter) => ({ model: "m", adapter }));
+function names(...adapters: string[]): HeldVersion[] {
+  return adapters.map((adapter) => ({ model: "m", adapter, version: 2 }));
 }
 
 function has(
   cached: CachedAdapters,
   adapter: string,
-  { start = START, cacheSize = 4 } = {},
+  { start = START, cacheSize = 4, minimumVersion = 0 } = {},
 ): boolean {
   const hash = adapterHash({ model: "m", adapter });
-  return cached.has(ENGINE, { start, cacheSize }, hash);
+  return cached.has(ENGINE, { start, cacheSize }, { hash, minimumVersion });
 }
 
 test("an adapter that a digest no longer names still counts as cached", (t) => {
@@ -45,8 +45,11 @@
   const state = { start: START, adapters: names("a"), cacheSize: 4 };
   cached.observe(ENGINE, state);
   const hash = adapterHash({ model: "m", adapter: "a" });
-  t.false(cached.isCachedElsewhere(ENGINE, hash));
-  t.true(cached.isCachedElsewhere(backendServerId("e2"), hash));
+  const isKnown = (other: string, minimumVersion = 0) =>
+    cached.isCachedElsewhere(backendServerId(other), { hash, minimumVersion });
+  t.false(isKnown(ENGINE));
+  t.true(isKnown("e2"));
+  t.false(isKnown("e2", 3));
 });
 
 test("what an engine held before its restart is forgotten", (t) => {
@@ -60,6 +63,19 @@
   t.false(has(cached, "a", { start: NEXT_START }), "A late digest.");
 });
 
+test("an older version of an adapter doesn't count as cached", (t) => {
+  const cached = new CachedAdapters();
+  const observe = (adapters: readonly HeldVersion[]) => {
+    cached.observe(ENGINE, { start: START, adapters, cacheSize: 4 });
+  };
+  observe(names("a"));
+  t.true(has(cached, "a", { minimumVersion: 2 }));
+  t.false(has(cached, "a", { minimumVersion: 3 }));
+  observe([{ model: "m", adapter: "a", version: 3 }]);
+  observe([]);
+  t.true(has(cached, "a", { minimumVersion: 3 }));
+});
+
 test("engines that are gone are forgotten, and their number is bounded", (t) => {
   const cached = new CachedAdapters();
   for (let index = 0; index < 20_000; index += 1) {
--- a/packages/core/tests/relay/residency/helpers/residency_world.ts
+++ b/packages/core/tests/relay/residency/helpers/residency_world.ts
@@ -163,7 +163,7 @@
     const isCached = this.#cached.has(
       engine.id,
       { start: START, cacheSize },
-      hash,
+      { hash, minimumVersion: 0 },
     );
     return {
       id: engine.id,
--- a/packages/core/tests/relay/residency/helpers/simulated_engine.ts
+++ b/packages/core/tests/relay/residency/helpers/simulated_engine.ts
@@ -27,7 +27,10 @@
 
 /** What an engine's owner tells other nodes. */
 export interface EngineReport {
-  readonly adapters: readonly (AdapterName & { readonly isLoading: boolean })[];
+  readonly adapters: readonly (AdapterName & {
+    readonly version: number;
+    readonly isLoading: boolean;
+  })[];
   readonly running: number;
   readonly room: number;
   readonly isFull: boolean;
@@ -87,9 +90,10 @@
     return {
       adapters: this.#slots.slots
         .filter((slot) => slot.state !== "leaving")
-        .map(({ model, adapter, state }) => ({
+        .map(({ model, adapter, version, state }) => ({
           model,
           adapter,
+          version,
           isLoading: state === "loading",
         })),
       running: this.#occupancy.running,
--- a/packages/core/tests/relay/residency/load_times_test.ts
+++ b/packages/core/tests/relay/residency/load_times_test.ts
@@ -31,8 +31,9 @@
   adapter: string,
   at: number,
   took: number,
+  version = 0,
 ): { readonly checks: readonly number[]; readonly source?: LoadSource } {
-  engine.requestLoad(instant(at), name(adapter), 0);
+  engine.requestLoad(instant(at), name(adapter), version);
   for (;;) {
     const order = engine.nextOrder(instant(at));
     if (order === undefined) break;
@@ -125,3 +126,15 @@
   for (let index = 0; index < 600; index += 1) engine.load(draw(), 51);
   t.true(engine.slots.loadTimes.cacheSize >= 40);
 });
+
+test("a newer version of a cached adapter is loaded from the store, which says nothing of the cache", (t) => {
+  const engine = slots();
+  load(engine, "a", 0, 288);
+  const before = engine.loadTimes.cacheSize;
+  t.is(engine.loadTimes.sourceOf(name("a"), 0), "cache");
+  t.is(engine.loadTimes.sourceOf(name("a"), 1), "store");
+  const { checks } = load(engine, "a", 1_000, 288, 1);
+  t.true((checks[0] ?? 0) >= 250);
+  t.is(engine.loadTimes.cacheSize, before);
+  t.is(engine.loadTimes.sourceOf(name("a"), 1), "cache");
+});
--- a/packages/node/src/relay/engine_candidates.ts
+++ b/packages/node/src/relay/engine_candidates.ts
@@ -132,19 +132,19 @@
   #expectLoad(
     { id }: RegisteredServer,
     digest: EngineDigest,
-    { model, adapter }: VersionedModelUse,
+    { model, adapter, minimumVersion }: VersionedModelUse,
   ): { readonly load?: ExpectedLoad } {
     if (adapter === undefined) return {};
     const own = this.#parts.owners.find(id);
     if (own !== undefined) {
-      return { load: own.expectedLoad({ model, adapter }) };
+      return { load: own.expectedLoad({ model, adapter }, minimumVersion) };
     }
     const { start, cacheSize, loadMilliseconds, reloadMilliseconds } = digest;
     if (loadMilliseconds === 0) return {};
     const isCached = this.#parts.knowledge.cachedAdapters.has(
       id,
       { start: decodeStart(start), cacheSize },
-      this.#hashOf({ model, adapter }),
+      { hash: this.#hashOf({ model, adapter }), minimumVersion },
     );
     return {
       load: isCached
--- a/packages/node/src/relay/engine_loads.ts
+++ b/packages/node/src/relay/engine_loads.ts
@@ -42,10 +42,14 @@
    */
   markLoaded(now: Instant, name: AdapterName): void {
     const source = this.#slots.markLoaded(now, name);
+    const version = this.#slots.find(name)?.version ?? 0;
     if (source === undefined) return;
     const { cachedAdapters, workCounts } = this.#parts.knowledge;
     const isCachedElsewhere = source === "store" &&
-      cachedAdapters.isCachedElsewhere(this.#engine, adapterHash(name));
+      cachedAdapters.isCachedElsewhere(this.#engine, {
+        hash: adapterHash(name),
+        minimumVersion: version,
+      });
     workCounts.increment(
       source === "cache" ? "adapter_cache_load" : "adapter_store_load",
     );
--- a/packages/node/src/relay/engine_owner.ts
+++ b/packages/node/src/relay/engine_owner.ts
@@ -47,10 +47,11 @@
   /**
    * Returns the load of an adapter as expected from earlier ones.
    * @param name The adapter.
+   * @param minimumVersion The oldest version allowed.
    * @returns Its source and time.
    */
-  expectedLoad(name: AdapterName): ExpectedLoad {
-    return this.#run.expectedLoad(name);
+  expectedLoad(name: AdapterName, minimumVersion: number): ExpectedLoad {
+    return this.#run.expectedLoad(name, minimumVersion);
   }
 
   /**
--- a/packages/node/src/relay/engine_run.ts
+++ b/packages/node/src/relay/engine_run.ts
@@ -121,11 +121,12 @@
   /**
    * Returns the load of an adapter as expected from earlier ones.
    * @param name The adapter.
+   * @param minimumVersion The oldest version allowed.
    * @returns Its source and time.
    */
-  expectedLoad(name: AdapterName): ExpectedLoad {
+  expectedLoad(name: AdapterName, minimumVersion: number): ExpectedLoad {
     const { loadTimes } = this.#slots;
-    const source = loadTimes.sourceOf(name);
+    const source = loadTimes.sourceOf(name, minimumVersion);
     return { source, time: loadTimes.estimateFrom(source) };
   }
 
--- a/packages/node/tests/relay/engine_owner_test.ts
+++ b/packages/node/tests/relay/engine_owner_test.ts
@@ -160,12 +160,12 @@
   }));
   knowledge.cachedAdapters.observe(SERVER.id, {
     start: SERVER.start,
-    adapters: names,
+    adapters: names.map((name) => ({ ...name, version: 0 })),
     cacheSize: 10,
   });
   const owner = createOwner(SERVER);
   claim("node-1", 4);
-  const sources = () => names.map((name) => owner.expectedLoad(name).source);
+  const sources = () => names.map((name) => owner.expectedLoad(name, 0).source);
   t.deepEqual(sources(), ["cache", "cache", "cache", "cache"]);
   for (const { adapter } of names) release(await requestUse(owner, adapter));
   t.false(control.adapters.hasExceededSlots);
