A peer that fails to answer is given more time at the next fetches

Peers that are busy, as those that all others ask are, may take longer than 300 ms to begin to answer or to accept a connection; each fetch was given up just before. After a failure the limit is 600 ms, then 1,200 ms, until a fetch succeeds. The log names a silent peer.

knowledge_fetcher_test, "a peer that begins to answer late": with 300 ms always, seven fetches in a row failed; it now succeeds. The tests' peers tell every 300 ms that they are alive.

--- a/packages/core/src/relay/log/knowledge_sources.ts
+++ b/packages/core/src/relay/log/knowledge_sources.ts
@@ -6,6 +6,15 @@
  */
 const PARTNER_PATIENCE = milliseconds(400);
 
+/**
+ * The time without any part of an answer after which a peer counts as silent.
+ * It begins to answer within a few milliseconds, or within about 200 on a link
+ * that loses a packet.
+ */
+const SILENCE_LIMIT = milliseconds(300);
+/** The limit doubles up to this many times. */
+const MAXIMUM_DOUBLINGS = 2;
+
 /** A peer that has read more of the operators' records than this node. */
 export interface PeerAhead {
   readonly id: NodeId;
@@ -38,3 +47,15 @@
   if (partners.length > 0) return partners;
   return behindFor >= PARTNER_PATIENCE ? candidates : [];
 }
+
+/**
+ * Returns how long to wait for each part of a peer's answer. Peers that are
+ * busy, as their many askers are, take longer to accept a connection.
+ * @param failures The number of consecutive failed fetches.
+ * @returns The time without progress after which the fetch is given up.
+ */
+export function peerSilenceLimit(failures: number): Duration {
+  return milliseconds(
+    SILENCE_LIMIT * 2 ** Math.min(failures, MAXIMUM_DOUBLINGS),
+  );
+}
--- a/packages/core/tests/relay/log/knowledge_sources_test.ts
+++ b/packages/core/tests/relay/log/knowledge_sources_test.ts
@@ -4,6 +4,7 @@
   milliseconds,
   nodeId,
   type PeerAhead,
+  peerSilenceLimit,
 } from "@foxtailwind/core";
 import test from "ava";
 
@@ -37,3 +38,12 @@
   t.deepEqual(knowledgeSources([partner, other], failed), [other]);
   t.deepEqual(knowledgeSources([partner], failed), [partner]);
 });
+
+test("after failures, a peer is given more time to answer", (t) => {
+  t.deepEqual([0, 1, 2, 3].map(peerSilenceLimit), [
+    milliseconds(300),
+    milliseconds(600),
+    milliseconds(1_200),
+    milliseconds(1_200),
+  ]);
+});
--- a/packages/node/src/relay/knowledge_fetch.ts
+++ b/packages/node/src/relay/knowledge_fetch.ts
@@ -1,3 +1,4 @@
+import type { Duration } from "@foxtailwind/core";
 import { IdleTimeout } from "@foxtailwind/edges";
 import type {
   Knowledge as KnowledgeMessage,
@@ -8,15 +9,17 @@
 import { type ClientReadableStream, Metadata } from "@grpc/grpc-js";
 import { joinKnowledge } from "./knowledge_message.ts";
 
-/**
- * The time without any part of the answer after which the peer counts as
- * silent. It begins to answer within a few milliseconds, or within about 200 on
- * a link that loses a packet.
- */
-const IDLE_TIMEOUT_MILLISECONDS = 300;
 /** The time after which an answer is given up though it is still arriving. */
 const FETCH_LIMIT_MILLISECONDS = 5_000;
 
+/** Options of a {@link KnowledgeFetch}. */
+export interface KnowledgeFetchOptions {
+  /** States what this node already has. */
+  readonly request: KnowledgeRequest;
+  /** The time without progress after which the fetch is given up. */
+  readonly silenceLimit: Duration;
+}
+
 /** Receives the result of a {@link KnowledgeFetch}. */
 export interface KnowledgeFetchListener {
   /** The peer has answered. */
@@ -34,29 +37,30 @@
 
   /**
    * @param client The client of the peer.
-   * @param request States what this node already has.
+   * @param options What to ask for, and how long to wait.
    * @param listener Receives the result, once.
    */
   constructor(
     client: RelayPeersClient,
-    request: KnowledgeRequest,
+    { request, silenceLimit }: KnowledgeFetchOptions,
     listener: KnowledgeFetchListener,
   ) {
     this.#call = client.fetchKnowledge(request, new Metadata(), {
       deadline: Date.now() + FETCH_LIMIT_MILLISECONDS,
     });
-    this.#idleTimeout = new IdleTimeout(IDLE_TIMEOUT_MILLISECONDS);
+    this.#idleTimeout = new IdleTimeout(silenceLimit);
     this.#idleTimeout.signal.addEventListener("abort", () => {
       this.cancel();
     });
     this.#call.on("data", (part: KnowledgePart) => {
       this.#parts.push(part);
-      this.#idleTimeout.restart(IDLE_TIMEOUT_MILLISECONDS);
+      this.#idleTimeout.restart(silenceLimit);
     });
     this.#call.on("error", (error: Error) => {
       this.#isFailed = true;
       this.#idleTimeout.clear();
-      listener.onFailure(error.message);
+      const { aborted: isSilent } = this.#idleTimeout.signal;
+      listener.onFailure(isSilent ? "The peer is silent." : error.message);
     });
     // A failed call ends, too.
     this.#call.on("end", () => {
--- a/packages/node/src/relay/knowledge_fetcher.ts
+++ b/packages/node/src/relay/knowledge_fetcher.ts
@@ -6,6 +6,7 @@
   type NodeId,
   nodeId,
   type PeerAhead,
+  peerSilenceLimit,
 } from "@foxtailwind/core";
 import type { NodeDigest, RelayPeersClient } from "@foxtailwind/protocol";
 import type { SteadyClock } from "../clock/steady_clock.ts";
@@ -49,6 +50,8 @@
   #behindSince: Instant | undefined;
   /** The peer whose answer failed last. */
   #failedPeer: NodeId | undefined;
+  /** The number of consecutive failed fetches. */
+  #failures = 0;
   #fetch: KnowledgeFetch | undefined;
   #isStopped = false;
 
@@ -134,7 +137,9 @@
     const request = {
       configurationVersion: knowledge.routes?.configuration.version ?? 0,
     };
-    this.#fetch = new KnowledgeFetch(client(address), request, {
+    const silenceLimit = peerSilenceLimit(this.#failures);
+    const options = { request, silenceLimit };
+    this.#fetch = new KnowledgeFetch(client(address), options, {
       onAnswer: (answer) => {
         readKnowledge(knowledge, answer);
         knowledge.applyPeerProof(askedAt, {
@@ -158,6 +163,7 @@
   #recordEnd(failedPeer: NodeId | undefined): void {
     this.#fetch = undefined;
     this.#failedPeer = failedPeer;
+    this.#failures = failedPeer === undefined ? 0 : this.#failures + 1;
     this.catchUpWithPeers();
   }
 }
--- a/packages/node/tests/relay/knowledge_fetcher_test.ts
+++ b/packages/node/tests/relay/knowledge_fetcher_test.ts
@@ -17,6 +17,7 @@
 import { credentials } from "@grpc/grpc-js";
 import test, { type ExecutionContext } from "ava";
 import { randomBytes } from "node:crypto";
+import { type AddressInfo, connect, createServer } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { nodeDigest } from "./helpers/node_digest.ts";
 import { createRelayBase } from "./helpers/relay_base.ts";
@@ -26,6 +27,11 @@
 /** One megabit per second. */
 const SLOW_BYTES_PER_SECOND = 125_000;
 
+/** How often peers tell that they are alive. */
+const DIGEST_PERIOD_MILLISECONDS = 300;
+/** Longer than the time that a peer's first answer has. */
+const LATE_MILLISECONDS = 450;
+
 /** Creates a configuration of several hundred kilobytes. */
 function largeConfiguration(): RelayConfiguration {
   const small = standInConfiguration(VERSION, 2);
@@ -90,15 +96,50 @@
   });
   const addPeerAhead = (name: string, port: number) => {
     const address = `127.0.0.1:${port}`;
-    knowledge.peers.applyDigest(
-      base.clock.now(),
-      nodeDigest(name, { address, operatorsEnd: OPERATORS_END }),
-    );
+    const tell = () => {
+      knowledge.peers.applyDigest(
+        base.clock.now(),
+        nodeDigest(name, { address, operatorsEnd: OPERATORS_END }),
+      );
+    };
+    tell();
+    const timer = setInterval(tell, DIGEST_PERIOD_MILLISECONDS);
+    t.teardown(() => {
+      clearInterval(timer);
+    });
     return address;
   };
   return { knowledge, fetcher, asked, partners, addPeerAhead };
 }
 
+/** Delays all that a server sends; returns the port of the link to it. */
+async function delayAnswers(t: ExecutionContext, port: number) {
+  const link = createServer((client) => {
+    const server = connect(port, "127.0.0.1");
+    let delivered = Promise.resolve();
+    server.on("data", (bytes) => {
+      const due = sleep(LATE_MILLISECONDS);
+      delivered = delivered.then(() => due).then(() => {
+        client.write(bytes);
+      });
+    });
+    for (const socket of [client, server]) {
+      socket.on("error", () => undefined);
+      t.teardown(() => {
+        socket.destroy();
+      });
+    }
+    client.pipe(server);
+  });
+  t.teardown(() => {
+    link.close();
+  });
+  await new Promise<void>((resolve) => {
+    link.listen(0, "127.0.0.1", resolve);
+  });
+  return (link.address() as AddressInfo).port;
+}
+
 async function waitUntil(condition: () => boolean): Promise<void> {
   while (!condition()) await sleep(5);
 }
@@ -157,3 +198,14 @@
   await waitUntil(() => knowledge.routes !== undefined);
   t.deepEqual(asked, [other]);
 });
+
+// Guards against a node that gives up each answer of a busy peer before it
+// begins.
+test("a peer that begins to answer late is given more time after failures", async (t) => {
+  const { knowledge, fetcher, asked, addPeerAhead } = createBehindNode(t);
+  const port = await startInformedNode(t);
+  addPeerAhead("busy", await delayAnswers(t, port));
+  fetcher.catchUpWithPeers();
+  await waitUntil(() => knowledge.routes !== undefined || asked.length > 6);
+  t.is(knowledge.routes?.configuration.version, VERSION);
+});
