--- a/packages/core/src/dispatch/class_queue.ts
+++ b/packages/core/src/dispatch/class_queue.ts
@@ -11,8 +11,6 @@
 export class ClassQueue<Request extends QueuedWork> {
   readonly #tenantQueues = new Map<string, TenantQueue<Request>>();
   #activeQueues = new TinyQueue<TenantQueue<Request>>([], byStartTag);
-  /** The next start tags of tenants without requests, while they matter. */
-  readonly #idleTags = new Map<string, number>();
   readonly #slack: number;
   #virtualTime = 0;
 
@@ -37,7 +35,6 @@
     }
     const queue = new TenantQueue<Request>(tenant);
     queue.startTag = this.startTag(tenant);
-    this.#idleTags.delete(tenant);
     queue.add(request);
     this.#tenantQueues.set(tenant, queue);
     this.#activeQueues.push(queue);
@@ -49,9 +46,7 @@
    * @returns The tag; the lowest is served next.
    */
   startTag(tenant: string): number {
-    const queue = this.#tenantQueues.get(tenant);
-    if (queue !== undefined) return queue.startTag;
-    return Math.max(this.#virtualTime, this.#idleTags.get(tenant) ?? 0);
+    return this.#tenantQueues.get(tenant)?.startTag ?? this.#virtualTime;
   }
 
   /**
@@ -78,7 +73,6 @@
     queue.shift(now);
     queue.startTag += 1 + request.work;
     this.#reorder(queue);
-    this.#forgetPassedTags();
   }
 
   /** Finds the tenant whose turn it is, and forgets those without requests. */
@@ -88,9 +82,6 @@
       if (queue === undefined || queue.peek(now) !== undefined) return queue;
       this.#activeQueues.pop();
       this.#tenantQueues.delete(queue.tenant);
-      if (queue.startTag > this.#virtualTime) {
-        this.#idleTags.set(queue.tenant, queue.startTag);
-      }
     }
   }
 
@@ -120,12 +111,6 @@
     const queues = [...this.#tenantQueues.values()];
     this.#activeQueues = new TinyQueue(queues, byStartTag);
   }
-
-  #forgetPassedTags(): void {
-    for (const [tenant, tag] of this.#idleTags) {
-      if (tag <= this.#virtualTime) this.#idleTags.delete(tenant);
-    }
-  }
 }
 
 function byStartTag(
--- a/packages/node/src/relay/mod.ts
+++ b/packages/node/src/relay/mod.ts
@@ -14,6 +14,7 @@
 export * from "./accounts/account_quotas.ts";
 export * from "./accounts/digest_api_key.ts";
 export * from "./accounts/proof_age.ts";
+export * from "./admission_log.ts";
 export * from "./admission_record.ts";
 export * from "./bounded_writer.ts";
 export * from "./caller_answer.ts";
--- a/packages/node/src/relay/placement.ts
+++ b/packages/node/src/relay/placement.ts
@@ -50,8 +50,11 @@
   readonly onAnswer: (answer: PlacementAnswer) => void;
   /** Absent if the request doesn't wait for a place. */
   readonly queueing?: PlacementQueueing;
-  /** Called if no engine that was asked can begin the request before then. */
-  readonly onNoRoom?: (retryAfter: Duration) => void;
+  /**
+   * Called if engines can't begin the request before it stops waiting, with
+   * the time at which there is room, and whether all that were asked said so.
+   */
+  readonly onNoRoom?: (retryAfter: Duration, isCertain: boolean) => void;
 }
 
 /** One round of questions for a place. */
--- a/packages/node/src/relay/placement_finder.ts
+++ b/packages/node/src/relay/placement_finder.ts
@@ -48,8 +48,10 @@
   readonly #asked: PlacementAnswer[] = [];
   #queuePlace: LimitQueuePlace | undefined;
   #comeBackAfter: Duration | undefined;
-  /** When an engine would have room, if none has before the search ends. */
+  /** When an engine would have room, if one has said so. */
   #roomAfter: Duration | undefined;
+  /** Whether no engine has room before the search ends. */
+  #isRefused = false;
 
   /**
    * @param parts The dependencies.
@@ -102,9 +104,7 @@
         if (placement !== undefined || this.#terms.abandonSignal.aborted) {
           return placement;
         }
-        if (!this.isContinuable || this.#roomAfter !== undefined) {
-          return undefined;
-        }
+        if (!this.isContinuable || this.#isRefused) return undefined;
         if (this.#now() >= searchEnd || this.#exceedsQueueWait(searchEnd)) {
           return undefined;
         }
@@ -174,6 +174,7 @@
   ): Promise<Placement | undefined> {
     const { service, caller, account } = this.#request;
     this.#roomAfter = undefined;
+    this.#isRefused = false;
     const { placer } = this.#parts;
     const servers = this.#servers();
     if (service.engine === undefined || caller.use === undefined) {
@@ -188,8 +189,9 @@
         account: account?.id,
         waitsUntil: searchEnd,
       },
-      onNoRoom: (retryAfter) => {
+      onNoRoom: (retryAfter, isCertain) => {
         this.#roomAfter = spreadRetry(retryAfter, Math.random());
+        this.#isRefused = isCertain;
       },
       onAnswer: (answer) => {
         if (this.#asked.length < MAXIMUM_LOGGED_ANSWERS) {
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -13,6 +13,7 @@
 } from "../logging/component_logger.ts";
 import { PeerChannels } from "../peers/peer_channels.ts";
 import { PeerServer } from "../peers/peer_server.ts";
+import { AdmissionLog } from "./admission_log.ts";
 import { announceNode } from "./announce_node.ts";
 import { BackendPools } from "./backend_pools.ts";
 import type { RelayWire } from "./caller_wire.ts";
@@ -232,9 +233,12 @@
       work: () => knowledge.workCounts.counts,
       waitingUses: () => knowledge.admissions.waiting,
     });
-    knowledge.admissions.listen((priority, outcome, waited) => {
-      this.#metrics.recordAdmission(priority, outcome, waited);
-    });
+    new AdmissionLog({
+      record: knowledge.admissions,
+      metrics: this.#metrics,
+      logger: loggers.forComponent("ownership"),
+      clock,
+    }).listen();
     this.#operations = new OperationsServer(platform.operations, {
       isReady: () => this.#presence.isReady,
       addresses: (failureDomain) =>
--- a/packages/node/src/relay/request_placer.ts
+++ b/packages/node/src/relay/request_placer.ts
@@ -23,7 +23,7 @@
 } from "./placement.ts";
 import type { RequestLimits } from "./request_limits.ts";
 import type { ServerLoads } from "./server_loads.ts";
-import { UseAsker } from "./use_asker.ts";
+import { EXPECTED_LOAD_MILLISECONDS, UseAsker } from "./use_asker.ts";
 
 /** Dependencies of `RequestPlacer`. */
 export interface RequestPlacerParts {
@@ -105,7 +105,7 @@
       use,
       minimumVersion,
       search,
-      onlyInTime: search.firstEventDeadline > now,
+      onlyInTime: search.firstEventDeadline - now >= beginsAfter(ranked),
       refusals: new Map<BackendServerId, PlaceRefusal>(),
     };
     return await this.#ask(ranked, round) ??
@@ -132,8 +132,9 @@
       if (placement !== undefined) return placement;
     }
     const retryAfter = waitForRoom([...refusals.values()]);
-    const hasRefused = refusals.size > 0 && refusals.size === ranked.length;
-    if (hasRefused && retryAfter !== undefined) onNoRoom?.(retryAfter);
+    if (retryAfter !== undefined) {
+      onNoRoom?.(retryAfter, refusals.size === ranked.length);
+    }
     return undefined;
   }
 
@@ -160,3 +161,10 @@
       limits.hasRoom(server, loads.loadOf(server).running);
   }
 }
+
+/** Estimates when the best engine could give its first event, in milliseconds. */
+function beginsAfter([best]: readonly EngineCandidate[]): number {
+  if (best === undefined) return Infinity;
+  const load = best.holdsAdapter ? 0 : EXPECTED_LOAD_MILLISECONDS;
+  return Math.max(load, best.expectedWait) + best.prefillTime;
+}
--- a/packages/node/src/relay/use_asker.ts
+++ b/packages/node/src/relay/use_asker.ts
@@ -17,8 +17,8 @@
 const HELD_ADAPTER_TIMEOUT_MILLISECONDS = 250;
 /** The timeout of an owner's answer, with a load, before another is asked. */
 const ADAPTER_LOAD_TIMEOUT_MILLISECONDS = 1_000;
-/** How long a load takes, as far as an owner's answer is expected by then. */
-const EXPECTED_LOAD_MILLISECONDS = 300;
+/** How long a load takes from the store, as far as an asker can tell. */
+export const EXPECTED_LOAD_MILLISECONDS = 300;
 /** How much later than expected the answer of a queued request is overdue. */
 const OVERDUE_MILLISECONDS = 400;
 /** An owner's answer should arrive before the request stops waiting for it. */
@@ -51,7 +51,7 @@
     question: EngineQuestion,
   ): Promise<Placement | undefined> {
     const { server } = engine;
-    if (!this.#takesRequests(server)) return undefined;
+    if (!this.#takesRequests(server) || this.#isOver(round)) return undefined;
     if (!this.#hasRoom(engine) || !this.#parts.limits.tryTake(server)) {
       return undefined;
     }
@@ -186,6 +186,13 @@
     };
   }
 
+  /** Whether the request stops waiting before an answer could arrive. */
+  #isOver({ search: { queueing } }: PlacementRound): boolean {
+    if (queueing === undefined) return false;
+    const left = queueing.waitsUntil - this.#parts.clock.now();
+    return left <= ANSWER_MARGIN_MILLISECONDS;
+  }
+
   /** Whether an engine takes requests; it may leave while owners are asked. */
   #takesRequests(server: RegisteredServer): boolean {
     return this.#parts.knowledge.departures.takesRequests(server);
