Test of an explained refusal: its servers end

They closed one connection and went on, which no longer counts as an end. The assertions are the same. Links: the switch over a question is exhaustive.

--- a/packages/cli/tests/explain_logs_test.ts
+++ b/packages/cli/tests/explain_logs_test.ts
@@ -10,6 +10,9 @@
   succeed,
 } from "../../node/tests/relay/helpers/relay_world.ts";
 
+/** More than requests end before their content is refused. */
+const CRASHING_SERVERS = 16;
+
 /** Explains a request from its id and a log file only. */
 async function explain(
   t: ExecutionContext,
@@ -121,17 +124,17 @@
 
 test("explains a refusal of content that crashes servers", async (t) => {
   const { world, lines } = createWorld();
-  for (const id of ["s1", "s2", "s3"]) {
-    await world.addServer(id, (_, response) => {
-      response.destroy();
+  for (let index = 1; index <= CRASHING_SERVERS; index += 1) {
+    await world.addServer(`s${index}`, () => {
+      world.endServer(`s${index}`);
     });
   }
   await world.start(t);
   for (let index = 0; index < 8; index += 1) {
     const headers = { "x-id": `r${index}` };
     const { status } = await world.call("/once/crashing", { headers });
-    if (status === 503) break;
     world.knowledge.caughtUp();
+    if (status === 503) break;
   }
   await world.call("/once/crashing", { headers: { "x-id": "refused" } });
   const { out } = await explain(t, lines, "refused");
--- a/packages/node/src/relay/links/link_service.ts
+++ b/packages/node/src/relay/links/link_service.ts
@@ -75,6 +75,9 @@
       case "cancel":
         uses.get(number)?.abort();
         uses.delete(number);
+        break;
+      case undefined:
+        break;
     }
   });
   call.on("error", endAll);
