Loads: a request without a longest wait waits for its adapter

Its target was taken for the time that it waits, so that the load for a request that was already late was cancelled and the request refused, though it may still be served. engine_owner_test "a late request that names no longest wait has its adapter loaded" failed before (no_room) and passes.

--- a/packages/node/src/relay/adapter_waiters.ts
+++ b/packages/node/src/relay/adapter_waiters.ts
@@ -59,7 +59,7 @@
     const terms = this.#waitersFor(name).map((waiter) => waiter.terms);
     return {
       neededBy: instant(
-        Math.max(...terms.map((one) => one.waitsUntil ?? one.deadline)),
+        Math.max(...terms.map(({ waitsUntil }) => waitsUntil ?? Infinity)),
       ),
       priority: Math.min(...terms.map(({ priority }) => priority)),
     };
--- a/packages/node/tests/relay/engine_owner_test.ts
+++ b/packages/node/tests/relay/engine_owner_test.ts
@@ -123,6 +123,14 @@
   owner.stop();
 });
 
+// Guards against taking the target of a request for the time that it waits.
+test("a late request that names no longest wait has its adapter loaded", async (t) => {
+  const { owner, claim } = setUpOwner();
+  claim("node-1", 4);
+  t.is((await requestUse(owner, "a", 5_000, -100)).kind, "granted");
+  owner.stop();
+});
+
 test("a full engine takes no further request until one ends", async (t) => {
   const { owner, claim } = setUpOwner();
   claim("node-1", 4);
--- a/packages/node/tests/relay/helpers/owned_engine.ts
+++ b/packages/node/tests/relay/helpers/owned_engine.ts
@@ -76,19 +76,21 @@
  * @param owner The owner.
  * @param adapter The adapter.
  * @param timeout The timeout in milliseconds.
+ * @param timeLeft The time until the first event is due, in milliseconds.
  * @returns The answer.
  */
 export function requestUse(
   owner: EngineOwner,
   adapter: string,
   timeout = 5_000,
+  timeLeft = 1_000,
 ): Promise<UseAnswer> {
   return owner.requestUse({
     model: MODEL,
     adapter: adapterId(adapter),
     minimumVersion: 0,
     prefillTime: milliseconds(5),
-    timeLeft: milliseconds(1_000),
+    timeLeft: milliseconds(timeLeft),
     needsBreak: true,
   }, AbortSignal.timeout(timeout));
 }
