Placement: one estimate of how long a load takes

The asker took 300 ms for each load, also where it knows that the engine caches the adapter; the owner's estimate disregarded the version that is needed.

--- a/packages/core/src/relay/admission/place_refusals.ts
+++ b/packages/core/src/relay/admission/place_refusals.ts
@@ -20,16 +20,16 @@
 /**
  * Chooses the engine whose queue a request joins although it will be late.
  * @param refusals The engines that can't begin it in time.
- * @param patience How long the request waits for a place.
+ * @param longestWait How long the request waits for a place.
  * @returns The engine that has room first, or `undefined` if none has before
  * the request gives up.
  */
 export function chooseQueue(
   refusals: readonly PlaceRefusal[],
-  patience: Duration,
+  longestWait: Duration,
 ): BackendServerId | undefined {
   const first = firstRoom(refusals);
-  return first !== undefined && first.retryAfter < patience
+  return first !== undefined && first.retryAfter < longestWait
     ? first.engine
     : undefined;
 }
--- a/packages/core/src/relay/engine_choice.ts
+++ b/packages/core/src/relay/engine_choice.ts
@@ -151,7 +151,12 @@
     fullPenalty;
 }
 
-function expectedLoadTime(load: ExpectedLoad | undefined): number {
+/**
+ * Estimates how long an absent adapter takes to be usable, orders included.
+ * @param load Its load as expected on the engine, if anything is known.
+ * @returns The time in milliseconds.
+ */
+export function expectedLoadTime(load: ExpectedLoad | undefined): number {
   return load === undefined
     ? LOAD_MILLISECONDS
     : load.time + LOAD_OVERHEAD_MILLISECONDS;
--- a/packages/node/src/relay/adapter_uses.ts
+++ b/packages/node/src/relay/adapter_uses.ts
@@ -244,7 +244,7 @@
     if (slot?.state === "resident" && slot.version >= minimumVersion) {
       return milliseconds(0);
     }
-    const loadTime = this.#slots.loadTime(name);
+    const loadTime = this.#slots.loadTime(name, minimumVersion);
     if (!this.#parts.canOrderSoon()) return undefined;
     if (this.#isLoadPending(name) || this.#slots.canLoad(now, name)) {
       return loadTime;
--- a/packages/node/src/relay/engine_run.ts
+++ b/packages/node/src/relay/engine_run.ts
@@ -146,11 +146,12 @@
     if (!this.#orders.isReachable) return { kind: "no_room" };
     // A request that waits for any place joins the queue for its adapter.
     const joinsQueue = request.queueing?.onlyInTime === false;
-    const { model, adapter } = request;
+    const { model, adapter, minimumVersion } = request;
     if (!joinsQueue && adapter !== undefined) {
       const name = { model, adapter };
       if (!this.#hasPlaceFor(name)) {
-        return { kind: "no_room", retryAfter: this.#slots.loadTime(name) };
+        const retryAfter = this.#slots.loadTime(name, minimumVersion);
+        return { kind: "no_room", retryAfter };
       }
     }
     this.#waiting += 1;
--- a/packages/node/src/relay/request_placer.ts
+++ b/packages/node/src/relay/request_placer.ts
@@ -1,6 +1,7 @@
 import {
   type BackendServerId,
   chooseQueue,
+  expectedLoadTime,
   type Instant,
   milliseconds,
   type NodeId,
@@ -23,7 +24,7 @@
 } from "./placement.ts";
 import type { RequestLimits } from "./request_limits.ts";
 import type { ServerLoads } from "./server_loads.ts";
-import { EXPECTED_LOAD_MILLISECONDS, UseAsker } from "./use_asker.ts";
+import { UseAsker } from "./use_asker.ts";
 
 /** Dependencies of `RequestPlacer`. */
 export interface RequestPlacerParts {
@@ -121,10 +122,10 @@
     const { queueing, onNoRoom } = search;
     if (queueing === undefined || search.signal.aborted) return undefined;
     if (round.onlyInTime) {
-      const patience = milliseconds(
+      const longestWait = milliseconds(
         queueing.waitsUntil - this.#parts.clock.now(),
       );
-      const queue = chooseQueue([...refusals.values()], patience);
+      const queue = chooseQueue([...refusals.values()], longestWait);
       const placement = await this.#ask(
         ranked.filter(({ id }) => id === queue),
         { ...round, onlyInTime: false },
@@ -165,6 +166,6 @@
 /** Estimates when the best engine could give its first event, in milliseconds. */
 function beginsAfter([best]: readonly EngineCandidate[]): number {
   if (best === undefined) return Infinity;
-  const load = best.holdsAdapter ? 0 : EXPECTED_LOAD_MILLISECONDS;
+  const load = best.holdsAdapter ? 0 : expectedLoadTime(best.load);
   return Math.max(load, best.expectedWait) + best.prefillTime;
 }
--- a/packages/node/src/relay/use_asker.ts
+++ b/packages/node/src/relay/use_asker.ts
@@ -1,4 +1,5 @@
 import {
+  expectedLoadTime,
   isOlderStart,
   milliseconds,
   needsBreaks,
@@ -17,8 +18,6 @@
 const HELD_ADAPTER_TIMEOUT_MILLISECONDS = 250;
 /** The timeout of an owner's answer, with a load, before another is asked. */
 const ADAPTER_LOAD_TIMEOUT_MILLISECONDS = 1_000;
-/** How long a load takes from the store, as far as an asker can tell. */
-export const EXPECTED_LOAD_MILLISECONDS = 300;
 /** How much later than expected the answer of a queued request is overdue. */
 const OVERDUE_MILLISECONDS = 400;
 /** An owner's answer should arrive before the request stops waiting for it. */
@@ -125,7 +124,7 @@
   /** Requests a use; an owner that doesn't take it up is given up. */
   async #requestAnswer(
     target: EngineOwnerAddress,
-    { holdsAdapter, expectedWait }: EngineCandidate,
+    { holdsAdapter, expectedWait, load }: EngineCandidate,
     request: UseRequest,
     question: EngineQuestion,
   ): Promise<GrantAnswer> {
@@ -148,8 +147,8 @@
       () => {
         silence.release();
         question.signal.addEventListener("abort", cancel, { once: true });
-        const load = holdsAdapter ? 0 : EXPECTED_LOAD_MILLISECONDS;
-        question.onQueued(expectedWait + load + OVERDUE_MILLISECONDS);
+        const loadTime = holdsAdapter ? 0 : expectedLoadTime(load);
+        question.onQueued(expectedWait + loadTime + OVERDUE_MILLISECONDS);
       },
     );
     silence.release();
