--- a/packages/core/src/relay/engine_slots.ts
+++ b/packages/core/src/relay/engine_slots.ts
@@ -1,15 +1,7 @@
-import {
-  assertInvariant,
-  type Duration,
-  type Instant,
-  later,
-  milliseconds,
-} from "../shared/mod.ts";
+import { type Duration, type Instant, later } from "../shared/mod.ts";
 import {
   type AdapterName,
-  adapterNameKey,
   type AdapterSlot,
-  createSlot,
   isIdleSlot,
   type LoadRequest,
   type LoadUrgency,
@@ -27,14 +19,10 @@
 import type { LoadSource } from "./residency/learned_load_times.ts";
 import type { RecentAdapters } from "./residency/recent_adapters.ts";
 import { SlotValues } from "./residency/slot_values.ts";
+import { OrderAnswers } from "./order_answers.ts";
+import { OrderDeferrals } from "./order_deferrals.ts";
 import { SlotTable } from "./slot_table.ts";
 
-/**
- * Delay before an adapter is ordered again after a conflict or an unfinished
- * unload.
- */
-const ORDER_RETRY_DELAY = milliseconds(300);
-
 /**
  * The adapter slots of one engine, as tracked by its owner. Each adapter that
  * may be on the engine takes a slot, so that orders never ask for more adapters
@@ -44,8 +32,9 @@
   readonly #limits: SlotLimits;
   readonly #table = new SlotTable();
   readonly #requests = new LoadRequests();
-  readonly #deferredUntil = new Map<string, Instant>();
+  readonly #deferrals = new OrderDeferrals();
   readonly #loadTimes: LoadTimes;
+  readonly #answers: OrderAnswers;
   readonly #values = new SlotValues(() =>
     this.#loadTimes.estimateFrom("cache")
   );
@@ -59,6 +48,13 @@
   constructor(limits: SlotLimits, heldBefore?: RecentAdapters) {
     this.#limits = limits;
     this.#loadTimes = new LoadTimes(limits, heldBefore);
+    this.#answers = new OrderAnswers({
+      limits,
+      table: this.#table,
+      requests: this.#requests,
+      loadTimes: this.#loadTimes,
+      deferrals: this.#deferrals,
+    });
   }
 
   /** The expected load times, as learned from the engine's loads. */
@@ -126,7 +122,7 @@
     const slot = this.find(name);
     if (slot?.state !== "resident") return undefined;
     if (slot.version < minimumVersion) return undefined;
-    this.#table.set({ ...slot, useCount: slot.useCount + 1, lastUsed: now });
+    this.#table.countUses(now, slot, 1);
     this.#values.recordUse(now, slot);
     return slot.version;
   }
@@ -139,7 +135,7 @@
   release(now: Instant, name: AdapterName): void {
     const slot = this.find(name);
     if (slot === undefined || slot.useCount === 0) return;
-    this.#table.set({ ...slot, useCount: slot.useCount - 1, lastUsed: now });
+    this.#table.countUses(now, slot, -1);
   }
 
   /**
@@ -212,7 +208,9 @@
    * @returns The order, or `undefined` if none is useful or possible now.
    */
   nextOrder(now: Instant): SlotOrder | undefined {
-    if (this.#loadingCount() >= this.#limits.concurrentLoads) return undefined;
+    if (this.#table.loadingCount >= this.#limits.concurrentLoads) {
+      return undefined;
+    }
     const request = this.#requests.all.find((one) =>
       this.#canOrderLoad(now, one)
     );
@@ -222,7 +220,7 @@
       return { kind: "load", name: request, version: request.minimumVersion };
     }
     const victim = chooseVictim(
-      this.slots.filter((slot) => !this.#isDeferred(now, adapterNameKey(slot))),
+      this.slots.filter((slot) => !this.#deferrals.has(now, slot)),
       {
         isWanted: (slot) => this.#requests.has(slot),
         costOf: (slot) => this.#values.evictionLoss(now, slot),
@@ -238,11 +236,7 @@
    * @param answer The engine's answer.
    */
   applyAnswer(now: Instant, order: SlotOrder, answer: OrderAnswer): void {
-    if (order.kind === "unload") {
-      this.#applyUnloadAnswer(now, order.name, answer);
-    } else {
-      this.#applyLoadAnswer(now, order, answer);
-    }
+    this.#answers.apply(now, order, answer);
   }
 
   /**
@@ -255,14 +249,8 @@
   markLoaded(now: Instant, name: AdapterName): LoadSource | undefined {
     const slot = this.find(name);
     if (slot?.state !== "loading") return undefined;
-    const source = this.#loadTimes.markLoaded(now, name, slot.version);
-    this.#table.set({
-      ...slot,
-      state: "resident",
-      since: now,
-      lastUsed: now,
-    });
-    return source;
+    this.#table.set({ ...slot, state: "resident", since: now, lastUsed: now });
+    return this.#loadTimes.markLoaded(now, name, slot.version);
   }
 
   /**
@@ -296,90 +284,18 @@
     return Math.max(0, free + evictable - this.#requests.size);
   }
 
-  #applyLoadAnswer(
-    now: Instant,
-    { name, version }: { readonly name: AdapterName; readonly version: number },
-    answer: OrderAnswer,
-  ): void {
-    switch (answer) {
-      case "holds":
-      case "accepted": {
-        const uses = this.find(name)?.useCount ?? 0;
-        const slot = createSlot(now, name, "loading", version);
-        this.#loadTimes.markOrdered(now, name, version);
-        this.#table.set({ ...slot, useCount: uses });
-        this.#requests.delete(name);
-        break;
-      }
-      case "unknown":
-        this.#table.set(
-          this.find(name) ?? createSlot(now, name, "loading", version),
-        );
-        break;
-      case "conflict":
-        this.#deferredUntil.set(
-          adapterNameKey(name),
-          later(now, ORDER_RETRY_DELAY),
-        );
-        break;
-    }
-    assertInvariant(
-      this.#table.size <= this.#limits.slots,
-      "adapter_slots_are_never_exceeded",
-      () => `${this.#table.size} adapters in ${this.#limits.slots} slots.`,
-    );
-  }
-
-  #applyUnloadAnswer(
-    now: Instant,
-    name: AdapterName,
-    answer: OrderAnswer,
-  ): void {
-    const slot = this.find(name);
-    switch (answer) {
-      case "holds":
-        this.#table.delete(name);
-        this.#loadTimes.markHeld(name);
-        break;
-      case "accepted":
-        // It leaves once the requests that use it have ended; until then it is
-        // not ordered again.
-        if (slot !== undefined) this.#table.set({ ...slot, state: "leaving" });
-        this.#deferredUntil.set(
-          adapterNameKey(name),
-          later(now, ORDER_RETRY_DELAY),
-        );
-        break;
-      case "unknown":
-      case "conflict":
-        this.#deferredUntil.set(
-          adapterNameKey(name),
-          later(now, ORDER_RETRY_DELAY),
-        );
-        break;
-    }
-  }
-
   get #usableSlots(): number {
     return this.#limits.slots - this.#reserved;
   }
 
-  #loadingCount(): number {
-    return this.slots.filter((slot) => slot.state === "loading").length;
-  }
-
   #canOrderLoad(now: Instant, request: LoadRequest): boolean {
-    if (this.#isDeferred(now, request.key)) return false;
+    if (this.#deferrals.has(now, request)) return false;
     const slot = this.find(request);
     if (slot === undefined) return true;
     return isIdleSlot(slot);
   }
 
   #isEvictable(now: Instant, slot: AdapterSlot): boolean {
-    return isIdleSlot(slot) && !this.#isDeferred(now, adapterNameKey(slot));
-  }
-
-  #isDeferred(now: Instant, key: string): boolean {
-    return (this.#deferredUntil.get(key) ?? 0) > now;
+    return isIdleSlot(slot) && !this.#deferrals.has(now, slot);
   }
 }
--- a/packages/core/src/relay/slot_table.ts
+++ b/packages/core/src/relay/slot_table.ts
@@ -21,6 +21,11 @@
     return this.#slots.size;
   }
 
+  /** The number of adapters that are being loaded. */
+  get loadingCount(): number {
+    return this.all.filter(({ state }) => state === "loading").length;
+  }
+
   /**
    * Finds the slot of an adapter.
    * @param name The adapter.
@@ -38,6 +43,16 @@
     this.#slots.set(adapterNameKey(slot), slot);
   }
 
+  /**
+   * Records that uses of an adapter have begun or ended.
+   * @param now The present time.
+   * @param slot Its slot.
+   * @param change The change of the number of uses.
+   */
+  countUses(now: Instant, slot: AdapterSlot, change: number): void {
+    this.set({ ...slot, useCount: slot.useCount + change, lastUsed: now });
+  }
+
   /**
    * Frees the slot of an adapter.
    * @param name The adapter.
