--- a/packages/core/src/relay/engine_slots.ts
+++ b/packages/core/src/relay/engine_slots.ts
@@ -291,8 +291,7 @@
   #canOrderLoad(now: Instant, request: LoadRequest): boolean {
     if (this.#deferrals.has(now, request)) return false;
     const slot = this.find(request);
-    if (slot === undefined) return true;
-    return isIdleSlot(slot);
+    return slot === undefined || isIdleSlot(slot);
   }
 
   #isEvictable(now: Instant, slot: AdapterSlot): boolean {
--- a/packages/node/src/relay/engine_run.ts
+++ b/packages/node/src/relay/engine_run.ts
@@ -16,19 +16,17 @@
 } from "@foxtailwind/core";
 import type { EngineDigest } from "@foxtailwind/protocol";
 import { AdapterUses } from "./adapter_uses.ts";
-import type { OrderRejection, OrderResult } from "./engine_control.ts";
 import { buildEngineDigest } from "./engine_digest.ts";
 import { EngineLoads } from "./engine_loads.ts";
 import { EngineModel } from "./engine_model.ts";
 import { EngineOrders } from "./engine_orders.ts";
 import type { EngineRunParts } from "./engine_owner_parts.ts";
 import { handleOrderRejection } from "./order_rejection.ts";
+import { LOAD_CHECK_INTERVAL, OrderResults } from "./order_results.ts";
 import type { UseAnswer, UseRequest } from "./engine_use.ts";
 import { encodeStart } from "./start_message.ts";
 import { StepLoop } from "./step_loop.ts";
 
-/** The interval between checks whether a load has finished. */
-const LOAD_CHECK_INTERVAL = milliseconds(20);
 /**
  * An owner that may send orders within this time, about that of a load, counts
  * as able to order.
@@ -41,6 +39,7 @@
   readonly #slots: EngineSlots;
   readonly #loads: EngineLoads;
   readonly #orders: EngineOrders;
+  readonly #results: OrderResults;
   readonly #model: EngineModel;
   readonly #loop: StepLoop;
   readonly #uses: AdapterUses;
@@ -94,6 +93,19 @@
         this.#uses.refuseWaiting();
       },
     });
+    this.#results = new OrderResults({
+      slots: this.#slots,
+      loads: this.#loads,
+      uses: this.#uses,
+      orders: this.#orders,
+      reportTrigger: this.#reportTrigger,
+      clock: parts.clock,
+      reject: (rejection, permission) =>
+        handleOrderRejection(parts, server.id, rejection, permission),
+      stop: () => {
+        this.stop();
+      },
+    });
     this.#model = new EngineModel(server, parts.knowledge, this.#orders);
   }
 
@@ -175,7 +187,7 @@
   /** Records that the engine lacked an adapter or model in a granted use. */
   recordMiss(): void {
     if (!this.#reportTrigger.recordMiss(this.#now())) return;
-    this.#scheduleReport();
+    this.#results.scheduleReport();
     void this.runDueSteps();
   }
 
@@ -260,7 +272,7 @@
     permission: OrderPermission,
   ): Promise<boolean> {
     const isConfigured = await this.#model.load(now, permission);
-    if (isConfigured) this.#scheduleReport();
+    if (isConfigured) this.#results.scheduleReport();
     return isConfigured;
   }
 
@@ -278,85 +290,18 @@
     const { name } = due;
     const version = this.#slots.find(name)?.version ?? 0;
     const order = { kind: "load", name, version } as const;
-    this.#applyLoadCheck(
-      name,
-      await this.#orders.checkLoad(order, permission),
-      permission,
-    );
-    return true;
-  }
-
-  #applyLoadCheck(
-    name: AdapterName,
-    result: OrderResult,
-    permission: OrderPermission,
-  ): void {
-    if (this.#loop.isStopped) return;
-    const now = this.#now();
-    switch (result.kind) {
-      case "holds":
-        this.#reportTrigger.recordAgreement();
-        this.#loads.markLoaded(now, name);
-        this.#uses.grantLoadedAdapters();
-        break;
-      case "conflict":
-        this.#slots.postponeLoadCheck(now, name, LOAD_CHECK_INTERVAL);
-        if (this.#reportTrigger.recordConflict()) this.#scheduleReport();
-        break;
-      case "accepted":
-      case "unknown":
-        this.#slots.postponeLoadCheck(now, name, LOAD_CHECK_INTERVAL);
-        break;
-      case "fenced":
-      case "misdirected":
-      case "invalid":
-        this.#applyRejection(result, permission);
+    const result = await this.#orders.checkLoad(order, permission);
+    if (!this.#loop.isStopped) {
+      this.#results.applyLoadCheck(name, result, permission);
     }
+    return true;
   }
 
   async #execute(order: SlotOrder, permission: OrderPermission): Promise<void> {
     const result = await this.#orders.execute(order, permission);
     // A late answer doesn't apply to a new start or a new owner.
     if (this.#loop.isStopped) return;
-    const now = this.#now();
-    switch (result.kind) {
-      case "holds":
-      case "accepted":
-        this.#reportTrigger.recordAgreement();
-        this.#slots.applyAnswer(now, order, result.kind);
-        this.#orders.recordAccepted();
-        if (order.kind === "unload") this.#loads.recordEviction();
-        break;
-      case "conflict":
-        this.#slots.applyAnswer(now, order, "conflict");
-        if (this.#reportTrigger.recordConflict()) this.#scheduleReport();
-        break;
-      case "unknown":
-        this.#slots.applyAnswer(now, order, "unknown");
-        this.#scheduleReport();
-        break;
-      case "fenced":
-      case "misdirected":
-      case "invalid":
-        this.#applyRejection(result, permission);
-    }
-  }
-
-  /** Discards the order count and schedules a report of the engine. */
-  #scheduleReport(): void {
-    this.#orders.forgetCount();
-    this.#reportTrigger.schedule(this.#now());
-  }
-
-  #applyRejection(result: OrderRejection, permission: OrderPermission): void {
-    const action = handleOrderRejection(
-      this.#parts,
-      this.#server.id,
-      result,
-      permission,
-    );
-    if (action === "stop") this.stop();
-    if (action === "ask_again") this.#scheduleReport();
+    this.#results.applyOrder(order, result, permission);
   }
 
   #isFull(): boolean {
