--- a/packages/node/src/relay/peer_exchange.ts
+++ b/packages/node/src/relay/peer_exchange.ts
@@ -1,32 +1,13 @@
-import {
-  backendServerId,
-  type ExchangeNode,
-  type Instant,
-  instant,
-} from "@foxtailwind/core";
-import {
-  type EngineMiss,
-  type EngineMissNoted,
-  type ExchangeAnswer,
-  type ExchangeQuestion,
-  type KnowledgePart,
-  type KnowledgeRequest,
-  type LinkAnswer,
-  type LinkQuestion,
-  type NodeDigest,
-  RelayPeersService,
-} from "@foxtailwind/protocol";
+import type { ExchangeNode, Instant } from "@foxtailwind/core";
 import type {
-  sendUnaryData,
-  ServerDuplexStream,
-  ServerUnaryCall,
-  ServerWritableStream,
-} from "@grpc/grpc-js";
+  ExchangeAnswer,
+  ExchangeQuestion,
+  NodeDigest,
+} from "@foxtailwind/protocol";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { ComponentLogger } from "../logging/component_logger.ts";
 import type { PeerChannels } from "../peers/peer_channels.ts";
 import type { PeerRegistration } from "../peers/peer_server.ts";
-import { serveAdapterUse } from "./adapter_grants.ts";
 import { decodeProofAge, encodeProofAge } from "./accounts/proof_age.ts";
 import type { EngineOwners } from "./engine_owners.ts";
 import {
@@ -36,31 +17,23 @@
 } from "./exchange_partner.ts";
 import type { Knowledge } from "./knowledge.ts";
 import { KnowledgeFetcher } from "./knowledge_fetcher.ts";
-import { splitKnowledge, writeKnowledge } from "./knowledge_message.ts";
-import { serveLink } from "./links/link_service.ts";
 import { PeerLinks } from "./links/peer_links.ts";
 import { type PartnerSelection, PartnerSelector } from "./partner_selector.ts";
+import { createPeerService } from "./peer_service.ts";
 import { RecentAskers } from "./registry/recent_askers.ts";
+import {
+  answerRegistry,
+  EXCHANGE_TIMEOUT_MILLISECONDS,
+} from "./registry/registry_answer.ts";
 import {
   decodeRegistryAge,
   decodeRegistryEntries,
   encodeRegistryAge,
-  encodeRegistryEntries,
 } from "./registry/registry_message.ts";
 import type { StreamDirectory } from "./streams/stream_directory.ts";
 
 /** How long news are collected before they are sent together. */
 const NEWS_BATCH_DELAY_MILLISECONDS = 5;
-/** The time after which an exchange counts as unanswered. */
-const EXCHANGE_TIMEOUT_MILLISECONDS = 500;
-/**
- * The maximum number of registry entries in an answer, some 80 KB; the rest
- * comes with the next ones.
- */
-const MAXIMUM_ANSWERED_ENTRIES = 200;
-/** How much later than its proof a node counts as having the registry. */
-const PROOF_MARGIN_MILLISECONDS = 500;
-
 /** The dependencies of {@link PeerExchange}. */
 export interface PeerExchangeParts {
   readonly self: Omit<ExchangeNode, "isServing">;
@@ -133,38 +106,10 @@
 
   /** The gRPC service that answers the peers. */
   get registration(): PeerRegistration {
-    const { owners, streams } = this.#parts;
-    return {
-      definition: RelayPeersService,
-      implementation: {
-        ...streams.handlers,
-        link: (call: ServerDuplexStream<LinkQuestion, LinkAnswer>) => {
-          serveLink(call, {
-            answerExchange: (question) => this.#answer(question),
-            serveUse: (useCall) => {
-              this.#parts.knowledge.workCounts.increment("use_answered");
-              void serveAdapterUse(owners, useCall);
-            },
-          });
-        },
-        noteMiss: (
-          call: ServerUnaryCall<EngineMiss, EngineMissNoted>,
-          answer: sendUnaryData<EngineMissNoted>,
-        ) => {
-          owners.find(backendServerId(call.request.engine))?.recordMiss();
-          answer(null, {});
-        },
-        fetchKnowledge: (
-          call: ServerWritableStream<KnowledgeRequest, KnowledgePart>,
-        ) => {
-          const { knowledge } = this.#parts;
-          knowledge.workCounts.increment("knowledge_answered");
-          const message = writeKnowledge(knowledge, call.request);
-          for (const part of splitKnowledge(message)) call.write(part);
-          call.end();
-        },
-      },
-    };
+    return createPeerService({
+      ...this.#parts,
+      answerExchange: (question) => this.#answer(question),
+    });
   }
 
   /** Schedules the next exchange. */
@@ -308,44 +253,10 @@
     return {
       ...answerExchange(now, knowledge.peers, digest, question),
       ...encodeProofAge(knowledge.proofs.age),
-      ...this.#answerRegistry(question, digest),
+      ...answerRegistry(now, knowledge, question, digest.incarnation),
     };
   }
 
-  #answerRegistry(
-    question: ExchangeQuestion,
-    { incarnation }: NodeDigest,
-  ): Pick<
-    ExchangeAnswer,
-    "registry" | "registryCursor" | "registryAgeMilliseconds"
-  > {
-    const { registry, registryProofs } = this.#parts.knowledge;
-    const isSameRun = question.incarnation === incarnation;
-    const { entries, count } = registry.changesSince(
-      isSameRun ? question.registryCursor : this.#knownCount(question),
-      MAXIMUM_ANSWERED_ENTRIES,
-    );
-    const isComplete = count === registry.changeCount;
-    return {
-      registry: encodeRegistryEntries(entries),
-      registryCursor: count,
-      ...encodeRegistryAge(isComplete ? registryProofs.age : undefined),
-    };
-  }
-
-  /**
-   * The count of changes that a new partner has by the age of its proof: what
-   * was recorded here before it is older than the proof.
-   */
-  #knownCount(question: ExchangeQuestion): number {
-    const age = decodeRegistryAge(question);
-    if (age === undefined) return 0;
-    const since = age + EXCHANGE_TIMEOUT_MILLISECONDS +
-      PROOF_MARGIN_MILLISECONDS;
-    const { knowledge, clock } = this.#parts;
-    return knowledge.registry.changeCountBefore(instant(clock.now() - since));
-  }
-
   #reactToDigest(isStatusChange: boolean): void {
     if (isStatusChange) this.#parts.owners.refresh();
     this.#fetcher.catchUpWithPeers();
