--- a/packages/node/tests/relay/engine_candidates_test.ts
+++ b/packages/node/tests/relay/engine_candidates_test.ts
@@ -13,7 +13,7 @@
 } from "@foxtailwind/node/relay";
 import type { EngineDigest } from "@foxtailwind/protocol";
 import test from "ava";
-import { nodeDigest } from "./helpers/node_digest.ts";
+import { engineDigest, nodeDigest } from "./helpers/node_digest.ts";
 import { addOwnedEngine, createRelayBase } from "./helpers/relay_base.ts";
 import { ScriptedEngine } from "./helpers/scripted_engine.ts";
 
@@ -34,24 +34,18 @@
 ) {
   const { base, knowledge } = createRelayBase({ part: "callers" });
   addOwnedEngine(knowledge, { engine: ENGINE, start: START, owner: OWNER });
-  const engine = {
-    engine: ENGINE,
+  const engine = engineDigest(ENGINE, {
     start: START,
-    waitMilliseconds: 0,
-    room: 1,
-    isReachable: true,
-    isFull: false,
     cacheSize: 50,
     loadMilliseconds: 288,
     reloadMilliseconds: 29,
-    running: 0,
     adapters: [{
       model: STAND_IN_MODEL,
       adapter: ADAPTER,
       version: 1,
       isLoading: false,
     }],
-  };
+  });
   const now = base.clock.now();
   const applyDigest = (sequence: number, state: EngineDigest) => {
     knowledge.peers.applyDigest(
--- a/packages/node/tests/relay/helpers/node_digest.ts
+++ b/packages/node/tests/relay/helpers/node_digest.ts
@@ -1,4 +1,4 @@
-import type { NodeDigest } from "@foxtailwind/protocol";
+import type { EngineDigest, NodeDigest } from "@foxtailwind/protocol";
 
 /**
  * Creates the digest of a node.
@@ -31,3 +31,49 @@
     ...change,
   };
 }
+
+/**
+ * Creates the digest of an engine that is idle and holds no adapter.
+ * @param engine The engine.
+ * @param change Fields that differ.
+ * @returns The digest.
+ */
+export function engineDigest(
+  engine: string,
+  change: Partial<EngineDigest> = {},
+): EngineDigest {
+  return {
+    engine,
+    start: 0,
+    waitMilliseconds: 0,
+    room: 1,
+    adapters: [],
+    isReachable: true,
+    isFull: false,
+    running: 0,
+    cacheSize: 0,
+    loadMilliseconds: 0,
+    reloadMilliseconds: 0,
+    ...change,
+  };
+}
+
+/**
+ * Creates the digest of a node that owns engines.
+ * @param node The node.
+ * @param engines Its engines.
+ * @returns The digest.
+ */
+export function ownerDigest(
+  node: string,
+  engines: readonly EngineDigest[],
+): NodeDigest {
+  return nodeDigest(node, {
+    engineStates: {
+      accounts: [],
+      retries: [],
+      sequence: 1,
+      engines: [...engines],
+    },
+  });
+}
--- a/packages/node/tests/relay/knowledge_fetcher_test.ts
+++ b/packages/node/tests/relay/knowledge_fetcher_test.ts
@@ -1,17 +1,7 @@
 import { standInConfiguration } from "@foxtailwind/bench";
-import {
-  failureDomainId,
-  logOffset,
-  nodeId,
-  type RelayConfiguration,
-} from "@foxtailwind/core";
-import { PeerChannels, PeerServer } from "@foxtailwind/node";
-import {
-  KnowledgeFetcher,
-  PeerDatagrams,
-  PeerExchange,
-  StreamDirectory,
-} from "@foxtailwind/node/relay";
+import { logOffset, type RelayConfiguration } from "@foxtailwind/core";
+import { PeerChannels } from "@foxtailwind/node";
+import { KnowledgeFetcher } from "@foxtailwind/node/relay";
 import { RelayPeersClient } from "@foxtailwind/protocol";
 import { PartitionableLink, SlowLink } from "@foxtailwind/standins";
 import { credentials } from "@grpc/grpc-js";
@@ -20,6 +10,7 @@
 import { type AddressInfo, connect, createServer } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { nodeDigest } from "./helpers/node_digest.ts";
+import { servePeers } from "./helpers/peer_node.ts";
 import { createRelayBase } from "./helpers/relay_base.ts";
 
 const VERSION = 7;
@@ -44,33 +35,12 @@
 }
 
 /** Starts a node that has a large configuration, and returns its port. */
-function startInformedNode(t: ExecutionContext): Promise<number> {
+async function startInformedNode(t: ExecutionContext): Promise<number> {
   const { base, knowledge } = createRelayBase({ part: "peers" });
   knowledge.configuration(largeConfiguration());
   knowledge.operatorsTold(OPERATORS_END);
-  const channels = new PeerChannels();
-  const { clock, logger } = base;
-  const exchange = new PeerExchange({
-    knowledge,
-    owners: undefined as never,
-    channels,
-    streams: new StreamDirectory({
-      knowledge,
-      channels,
-      datagrams: new PeerDatagrams(),
-      clock,
-    }),
-    clock,
-    logger,
-    self: { id: nodeId("informed"), failureDomain: failureDomainId("d") },
-    digest: () => undefined as never,
-  });
-  const server = new PeerServer([exchange.registration]);
-  t.teardown(() => {
-    channels.close();
-    server.abortConnections();
-  });
-  return server.listen({ host: "127.0.0.1", port: 0 });
+  const { port } = await servePeers(t, { base, knowledge, id: "informed" });
+  return port;
 }
 
 /** Creates a node that fetches from peers, and lists those that it asks. */
--- a/packages/node/tests/relay/peer_grants_test.ts
+++ b/packages/node/tests/relay/peer_grants_test.ts
@@ -2,19 +2,11 @@
 import {
   adapterId,
   backendServerId,
-  failureDomainId,
   milliseconds,
   nodeId,
   serverStart,
 } from "@foxtailwind/core";
-import { PeerChannels, PeerServer } from "@foxtailwind/node";
-import {
-  AdapterGrants,
-  EngineOwners,
-  PeerDatagrams,
-  PeerExchange,
-  StreamDirectory,
-} from "@foxtailwind/node/relay";
+import { AdapterGrants, EngineOwners } from "@foxtailwind/node/relay";
 import test, { type ExecutionContext } from "ava";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
@@ -22,6 +14,7 @@
   addRegistryEntry,
   createRelayBase,
 } from "./helpers/relay_base.ts";
+import { servePeers } from "./helpers/peer_node.ts";
 import { ScriptedEngine } from "./helpers/scripted_engine.ts";
 
 const ENGINE = backendServerId("engine");
@@ -31,7 +24,7 @@
 /** Sets up a node that owns an engine, and a peer that requests uses. */
 async function setUp(t: ExecutionContext) {
   const { base, knowledge } = createRelayBase({ part: "peers" });
-  const { settings, clock, logger } = base;
+  const { settings } = base;
   const control = new ScriptedEngine(2);
   control.adapters.restart(FIRST_START);
   control.adapters.models = [STAND_IN_MODEL];
@@ -44,28 +37,10 @@
     isUnreached: () => false,
     onEngineGained: () => undefined,
   });
-  const channels = new PeerChannels();
-  const exchange = new PeerExchange({
-    knowledge,
-    owners,
-    channels,
-    streams: new StreamDirectory({
-      knowledge,
-      channels,
-      datagrams: new PeerDatagrams(),
-      clock,
-    }),
-    clock,
-    logger,
-    self: { id: nodeId("peer"), failureDomain: failureDomainId("d") },
-    digest: () => undefined as never,
-  });
-  const server = new PeerServer([exchange.registration]);
-  const port = await server.listen({ host: "127.0.0.1", port: 0 });
+  const peer = { base, knowledge, id: "peer", owners };
+  const { port, server, channels } = await servePeers(t, peer);
   t.teardown(() => {
     owners.stop();
-    channels.close();
-    server.abortConnections();
   });
   const register = (start: number, offset: number) => {
     addRegistryEntry(knowledge, { engine: ENGINE, start, offset });
--- a/packages/node/tests/relay/peer_table_test.ts
+++ b/packages/node/tests/relay/peer_table_test.ts
@@ -7,7 +7,11 @@
 import { PeerTable } from "@foxtailwind/node/relay";
 import { NodeDigest } from "@foxtailwind/protocol";
 import test from "ava";
-import { nodeDigest } from "./helpers/node_digest.ts";
+import {
+  engineDigest,
+  nodeDigest,
+  ownerDigest,
+} from "./helpers/node_digest.ts";
 
 test("a silent node is no longer alive but is still contacted", (t) => {
   const peers = new PeerTable();
@@ -28,30 +32,8 @@
 
 test("an owner's digest of an engine expires", (t) => {
   const peers = new PeerTable();
-  const engine = {
-    engine: "e1",
-    start: 0,
-    waitMilliseconds: 5,
-    room: 3,
-    adapters: [],
-    isReachable: true,
-    isFull: false,
-    cacheSize: 0,
-    loadMilliseconds: 0,
-    reloadMilliseconds: 0,
-    running: 0,
-  };
-  peers.applyDigest(
-    instant(0),
-    nodeDigest("n1", {
-      engineStates: {
-        accounts: [],
-        retries: [],
-        engines: [engine],
-        sequence: 1,
-      },
-    }),
-  );
+  const engine = engineDigest("e1", { room: 3 });
+  peers.applyDigest(instant(0), ownerDigest("n1", [engine]));
   const find = (now: number, owner: string) =>
     peers.findEngine(instant(now), backendServerId("e1"), nodeId(owner));
   t.is(find(500, "n1")?.digest.room, 3);
--- a/packages/node/tests/relay/request_placer_test.ts
+++ b/packages/node/tests/relay/request_placer_test.ts
@@ -18,7 +18,7 @@
 import test from "ava";
 import { setTimeout as sleep } from "node:timers/promises";
 import { collectGarbage } from "./helpers/collect_garbage.ts";
-import { nodeDigest } from "./helpers/node_digest.ts";
+import { engineDigest, ownerDigest } from "./helpers/node_digest.ts";
 import {
   addOwnedEngine,
   addRegistryEntry,
@@ -98,31 +98,17 @@
     start: registered,
     owner: OWNER,
   });
-  const digest = nodeDigest(OWNER, {
-    engineStates: {
-      accounts: [],
-      retries: [],
-      sequence: 1,
-      engines: [{
-        engine: ENGINE,
-        start: reported,
-        waitMilliseconds: 0,
-        room: 1,
-        isReachable: true,
-        isFull: false,
-        cacheSize: 0,
-        loadMilliseconds: 0,
-        reloadMilliseconds: 0,
-        running: 0,
-        adapters: [{
-          model: STAND_IN_MODEL,
-          adapter: ADAPTER,
-          version: 1,
-          isLoading: false,
-        }],
+  const digest = ownerDigest(OWNER, [
+    engineDigest(ENGINE, {
+      start: reported,
+      adapters: [{
+        model: STAND_IN_MODEL,
+        adapter: ADAPTER,
+        version: 1,
+        isLoading: false,
       }],
-    },
-  });
+    }),
+  ]);
   knowledge.peers.applyDigest(clock.now(), digest);
   const owners = new EngineOwners({
     ...base,
--- a/packages/node/tests/relay/silent_owner_test.ts
+++ b/packages/node/tests/relay/silent_owner_test.ts
@@ -19,7 +19,7 @@
   type UseRequest,
 } from "@foxtailwind/node/relay";
 import test from "ava";
-import { nodeDigest } from "./helpers/node_digest.ts";
+import { engineDigest, ownerDigest } from "./helpers/node_digest.ts";
 import { addOwnedEngine, createRelayBase } from "./helpers/relay_base.ts";
 import { ScriptedEngine } from "./helpers/scripted_engine.ts";
 
@@ -85,26 +85,7 @@
     addOwnedEngine(knowledge, { engine, owner, start: START });
     knowledge.peers.applyDigest(
       clock.now(),
-      nodeDigest(owner, {
-        engineStates: {
-          accounts: [],
-          retries: [],
-          sequence: 1,
-          engines: [{
-            engine,
-            start: START,
-            waitMilliseconds: 0,
-            cacheSize: 0,
-            loadMilliseconds: 0,
-            reloadMilliseconds: 0,
-            room: 1,
-            isReachable: true,
-            isFull: false,
-            running: 0,
-            adapters: [],
-          }],
-        },
-      }),
+      ownerDigest(owner, [engineDigest(engine, { start: START })]),
     );
   }
   const owners = new EngineOwners({
