Reading again: the field's terms, one name for a thing, comments without measurements

Places are no longer called slots where adapters' slots stand beside them; the hedged search counts responsive owners; waiters of an adapter are found in one place; the evidence of an ended run is passed on as it was found.

--- a/packages/bench/src/policy/admission/admission_emulation.ts
+++ b/packages/bench/src/policy/admission/admission_emulation.ts
@@ -18,7 +18,7 @@
   /** Requests in a second, of all accounts together. */
   readonly rate: number;
   readonly target: number;
-  readonly patience: number;
+  readonly longestWait: number;
   /** How many times its usual the first account sends. */
   readonly hotFactor: number;
 }
@@ -121,7 +121,7 @@
 }
 
 function drawUse(
-  { priority, target, patience }: EmulatedClass,
+  { priority, target, longestWait }: EmulatedClass,
   at: number,
   account: string,
   random: SeededRandom,
@@ -138,7 +138,7 @@
       prefillTime: milliseconds(PREFILL_MILLISECONDS),
       needsBreak: false,
       deadline: instant(at + target),
-      waitsUntil: instant(at + patience),
+      waitsUntil: instant(at + longestWait),
     },
   };
 }
--- a/packages/bench/tests/policy/admission/admission_test.ts
+++ b/packages/bench/tests/policy/admission/admission_test.ts
@@ -22,7 +22,7 @@
   accounts: 16,
   rate: 18,
   target: 500,
-  patience: 1_000,
+  longestWait: 1_000,
   hotFactor: 1,
 };
 const BATCH: EmulatedClass = {
@@ -31,7 +31,7 @@
   priority: 2,
   rate: 4.5,
   target: 2_000,
-  patience: 2_400,
+  longestWait: 2_400,
 };
 
 type Way = new () => AdmissionWay;
--- a/packages/core/src/relay/admission/prefill_spacing.ts
+++ b/packages/core/src/relay/admission/prefill_spacing.ts
@@ -9,33 +9,28 @@
 /**
  * The share of an engine's time spent on prefill while prompts are queued.
  * Engines prefill prompts in chunks between the tokens of running requests, so
- * prefill without breaks delays all streams on the engine at once. According to
- * the users' specifications, events of a running stream come 19 to 41 ms apart
- * without prefill, while their routes allow 300 to 400 ms; the rest is a margin
- * for wrong estimates.
+ * prefill without breaks delays all streams on the engine at once. The rest is a
+ * margin for wrong estimates.
  */
 const PREFILL_SHARE = 0.8;
 /**
  * The next prompt is granted this many milliseconds before the previous one is
  * done, so that the engine isn't idle while the grant and the request are in
- * flight: two calls of 1 to 3 ms according to the users' specifications, and
- * processing on two nodes.
+ * flight.
  */
 const HEAD_START_MILLISECONDS = 10;
 
 /**
  * Prompt tokens that an engine without breaks prefills between two events of a
- * stream: according to the users' specifications an event holds 2 to 5 tokens,
- * and their engines prefill 2,048 prompt tokens per output token; this is the
- * geometric mean.
+ * stream, each of which holds several tokens.
  */
 const PREFILL_TOKENS_BETWEEN_EVENTS = 6_500;
 
 /**
  * Checks whether an engine that prefills prompts without breaks delays its
  * running streams too much. Engines that are fast enough, or whose streams
- * allow longer pauses, should get each prompt at once: with unnecessary breaks,
- * the users' fastest engines served 5 to 12 in 100 requests fewer in time.
+ * allow longer pauses, should get each prompt at once: unnecessary breaks delay
+ * first events.
  * @param tokenTime Milliseconds in which the engine prefills a token.
  * @param longestPause The longest pause between two events that isn't late.
  * @returns Whether prompts need to be spaced.
@@ -50,11 +45,8 @@
 /**
  * Spaces the prefills on one engine if they need it, so that running streams
  * make progress in between: under bursts of prompts, streams keep their pace
- * and the prompts wait, in place of all streams being late. When prompts fill
- * half of an engine's time, no event is late by a pause in place of 2.0%, and
- * 0.15% of first events in place of none; on an engine 1.3 times slower 1.1% in
- * place of 9.5%, and 3.5% in place of 2.0% (20 generated half minutes,
- * `npm run bench:reading`).
+ * and the prompts wait, in place of all streams being late. `bench:reading`
+ * compares both.
  */
 export class PrefillSpacing {
   #endsAt = 0;
--- a/packages/core/src/relay/crashes/held_suspicions.ts
+++ b/packages/core/src/relay/crashes/held_suspicions.ts
@@ -228,8 +228,8 @@
         ended.push({ call, evidence: "removed" });
       }
     }
-    for (const { call } of ended) {
-      this.settle(now, call, { kind: "ended", evidence: "restarted" });
+    for (const { call, evidence } of ended) {
+      this.settle(now, call, { kind: "ended", evidence });
     }
     return ended;
   }
--- a/packages/core/src/relay/log/knowledge_sources.ts
+++ b/packages/core/src/relay/log/knowledge_sources.ts
@@ -4,7 +4,7 @@
  * How long a node waits until one of its exchange partners has the records that
  * it lacks, before it asks any other node.
  */
-const PARTNER_PATIENCE = milliseconds(400);
+const PARTNER_TIMEOUT = milliseconds(400);
 
 /**
  * The time without any part of an answer after which a peer counts as silent.
@@ -31,8 +31,8 @@
 }
 
 /**
- * Selects the peers to fetch records from. Records so spread along the ways of
- * the digests, rather than from the first few nodes to all others.
+ * Selects the peers to fetch records from. Records then spread between exchange
+ * partners, rather than from the first few nodes to all others.
  * @param peersAhead The peers that are ahead of this node.
  * @param state How the attempts so far have gone.
  * @returns The peers, any of which may be asked; none to wait for a partner.
@@ -45,7 +45,7 @@
   const candidates = others.length > 0 ? others : peersAhead;
   const partners = candidates.filter(({ isPartner }) => isPartner);
   if (partners.length > 0) return partners;
-  return behindFor >= PARTNER_PATIENCE ? candidates : [];
+  return behindFor >= PARTNER_TIMEOUT ? candidates : [];
 }
 
 /**
--- a/packages/core/src/relay/residency/learned_load_times.ts
+++ b/packages/core/src/relay/residency/learned_load_times.ts
@@ -1,9 +1,6 @@
 import { type Duration, milliseconds } from "../../shared/mod.ts";
 
-/**
- * Time to load an adapter from the store before any was measured, according to
- * the users' specifications.
- */
+/** Time to load an adapter from the store before any was measured. */
 const COLD_LOAD_TIME = milliseconds(250);
 /** The same for an adapter that the engine still caches. */
 const WARM_LOAD_TIME = milliseconds(30);
--- a/packages/node/src/relay/adapter_grants.ts
+++ b/packages/node/src/relay/adapter_grants.ts
@@ -140,7 +140,7 @@
     writeRefusal(call, { kind: "not_owner" });
     return;
   }
-  const queued = setImmediate(call.queue);
+  const queued = setImmediate(call.notifyQueued);
   const answer = await owner.requestUse(decodeUse(call.request), call.signal);
   clearImmediate(queued);
   if (answer.kind !== "granted") {
--- a/packages/node/src/relay/adapter_uses.ts
+++ b/packages/node/src/relay/adapter_uses.ts
@@ -10,7 +10,11 @@
   type ServerStart,
 } from "@foxtailwind/core";
 import type { SteadyClock } from "../clock/steady_clock.ts";
-import { type AdapterWaiter, AdapterWaiters } from "./adapter_waiters.ts";
+import {
+  type AdapterWaiter,
+  AdapterWaiters,
+  usesAdapter,
+} from "./adapter_waiters.ts";
 import type { AdmissionRecord } from "./admission_record.ts";
 import type { UseAnswer, UseRefusal, UseRequest } from "./engine_use.ts";
 import { PlaceQueue } from "./place_queue.ts";
@@ -23,7 +27,7 @@
   /** Returns the engine's current start, if known. */
   readonly start: () => ServerStart | undefined;
   /** The number of requests that the engine runs concurrently. */
-  readonly slots: () => number;
+  readonly places: () => number;
   /** Whether orders may be sent to the engine now or soon. */
   readonly canOrderSoon: () => boolean;
   /** Called when another order may have become due. */
@@ -119,14 +123,7 @@
    * @param name The adapter.
    */
   refuseWaitersOf(name: AdapterName): void {
-    for (const waiter of this.#waiters.all) {
-      const isFor = waiter.name.adapter === name.adapter &&
-        waiter.name.model === name.model;
-      if (!isFor) continue;
-      this.#waiters.delete(waiter);
-      const retryAfter = this.#slots.loadTime(name);
-      waiter.end({ kind: "no_room", retryAfter }, "expired");
-    }
+    this.#refuse(this.#waiters.takeWaitersFor(name));
   }
 
   /** Refuses all waiting requests with `no_room`, and cancels their loads. */
@@ -196,13 +193,13 @@
   ): UseRefusal | undefined {
     const { queueing } = request;
     if (queueing === undefined && this.#places.isFull) {
-      return this.#refuse(terms, "no_place");
+      return this.#recordRefusal(terms, "no_place");
     }
     const name = nameOf(request);
     const loadWait = name === undefined
       ? milliseconds(0)
       : this.#estimateLoad(now, name, request.minimumVersion);
-    if (loadWait === undefined) return this.#refuse(terms, "no_place");
+    if (loadWait === undefined) return this.#recordRefusal(terms, "no_place");
     const wait = milliseconds(
       Math.max(loadWait, this.#places.estimateWait(now, terms)),
     );
@@ -211,15 +208,24 @@
       onlyInTime: queueing?.onlyInTime ?? false,
       wait,
     });
-    if (refusal !== undefined) return this.#refuse(terms, refusal, wait);
+    if (refusal !== undefined) return this.#recordRefusal(terms, refusal, wait);
     const waitsForSlot = name !== undefined && loadWait > 0 &&
       !this.#isLoadPending(name) && !this.#slots.canLoad(now, name);
     return queueing === undefined && waitsForSlot
-      ? this.#refuse(terms, "no_place")
+      ? this.#recordRefusal(terms, "no_place")
       : undefined;
   }
 
-  #refuse(
+  /** Refuses requests that waited for adapters in vain. */
+  #refuse(waiters: readonly AdapterWaiter[]): void {
+    for (const waiter of waiters) {
+      const { name, request } = waiter;
+      const retryAfter = this.#slots.loadTime(name, request.minimumVersion);
+      waiter.end({ kind: "no_room", retryAfter }, "expired");
+    }
+  }
+
+  #recordRefusal(
     { priority }: AdmissionTerms,
     reason: "no_place" | "late",
     retryAfter?: Duration,
@@ -263,11 +269,9 @@
 
   #refuseExpired(): void {
     const now = this.#now();
-    for (const waiter of this.#waiters.takeExpired(now)) {
-      const retryAfter = this.#slots.loadTime(waiter.name);
-      waiter.end({ kind: "no_room", retryAfter }, "expired");
-      this.#cancelUnwantedLoad(waiter.name);
-    }
+    const expired = this.#waiters.takeExpired(now);
+    this.#refuse(expired);
+    for (const { name } of expired) this.#cancelUnwantedLoad(name);
     this.#scheduleExpiry(now);
   }
 
@@ -298,7 +302,3 @@
     return this.#parts.clock.now();
   }
 }
-
-function usesAdapter(use: WaitingUse): use is AdapterWaiter {
-  return use.name !== undefined;
-}
--- a/packages/node/src/relay/adapter_waiters.ts
+++ b/packages/node/src/relay/adapter_waiters.ts
@@ -9,6 +9,15 @@
 /** A request that waits for an adapter. */
 export type AdapterWaiter = WaitingUse & { readonly name: AdapterName };
 
+/**
+ * Checks whether a request uses an adapter.
+ * @param use The request.
+ * @returns Whether it does, rather than the base model itself.
+ */
+export function usesAdapter(use: WaitingUse): use is AdapterWaiter {
+  return use.name !== undefined;
+}
+
 /** The requests that wait until one engine has loaded their adapters. */
 export class AdapterWaiters {
   readonly #waiters = new Set<AdapterWaiter>();
@@ -78,6 +87,17 @@
     return expired;
   }
 
+  /**
+   * Removes the requests that wait for an adapter.
+   * @param name The adapter.
+   * @returns The requests.
+   */
+  takeWaitersFor(name: AdapterName): readonly AdapterWaiter[] {
+    const taken = this.#waitersFor(name);
+    for (const waiter of taken) this.#waiters.delete(waiter);
+    return taken;
+  }
+
   #waitersFor({ model, adapter }: AdapterName): readonly AdapterWaiter[] {
     return this.all.filter(({ name }) =>
       name.adapter === adapter && name.model === model
--- a/packages/node/src/relay/crashes/crash_reports.ts
+++ b/packages/node/src/relay/crashes/crash_reports.ts
@@ -32,6 +32,7 @@
   "restarted",
   "removed",
 ]);
+
 /** Dependencies of `CrashReports`. */
 export interface CrashReportsParts {
   readonly knowledge: Knowledge;
--- a/packages/node/src/relay/engine_run.ts
+++ b/packages/node/src/relay/engine_run.ts
@@ -77,7 +77,7 @@
       clock: parts.clock,
       record: parts.knowledge.admissions,
       start: parts.start,
-      slots: () => this.#server.slots,
+      places: () => this.#server.slots,
       canOrderSoon: () => this.#canOrderSoon(),
       onChange: () => void this.runDueSteps(),
     });
--- a/packages/node/src/relay/hedged_search.ts
+++ b/packages/node/src/relay/hedged_search.ts
@@ -38,9 +38,9 @@
   readonly #finished: Promise<Place | undefined>;
   #finish!: (place: Place | undefined) => void;
   #next = 0;
-  /** Questions without an answer, and those of them that aren't silent. */
+  /** Questions without an answer, and those of them whose owner isn't silent. */
   #open = 0;
-  #promising = 0;
+  #responsive = 0;
   #isOver = false;
 
   /** @param options The engines to ask, and how. */
@@ -69,7 +69,7 @@
   }
 
   #askNext(): void {
-    if (this.#isOver || this.#promising > 0) return;
+    if (this.#isOver || this.#responsive > 0) return;
     const engine = this.#options.signal.aborted
       ? undefined
       : this.#options.engines[this.#next];
@@ -80,15 +80,15 @@
   async #ask(engine: Engine): Promise<void> {
     this.#next += 1;
     this.#open += 1;
-    this.#promising += 1;
-    let isPromising = true;
-    const stopHoping = () => {
-      if (!isPromising) return;
-      isPromising = false;
-      this.#promising -= 1;
+    this.#responsive += 1;
+    let isResponsive = true;
+    const recordSilence = () => {
+      if (!isResponsive) return;
+      isResponsive = false;
+      this.#responsive -= 1;
     };
     const hedge = () => {
-      stopHoping();
+      recordSilence();
       this.#askNext();
     };
     let timer = setTimeout(hedge, SILENCE_MILLISECONDS);
@@ -96,12 +96,12 @@
       signal: this.#cancellation.signal,
       onQueued: (expectedMilliseconds) => {
         clearTimeout(timer);
-        if (isPromising) timer = setTimeout(hedge, expectedMilliseconds);
+        if (isResponsive) timer = setTimeout(hedge, expectedMilliseconds);
       },
     });
     clearTimeout(timer);
     this.#open -= 1;
-    stopHoping();
+    recordSilence();
     if (place === undefined) this.#askNext();
     else if (this.#isOver) this.#options.release(place);
     else this.#end(place);
--- a/packages/node/src/relay/links/link_service.ts
+++ b/packages/node/src/relay/links/link_service.ts
@@ -14,7 +14,7 @@
   /** Aborted when the peer ends the use or its link is lost. */
   readonly signal: AbortSignal;
   /** Tells the peer that the use waits here. */
-  readonly queue: () => void;
+  readonly notifyQueued: () => void;
   /** Grants or refuses the use. */
   readonly write: (grant: AdapterGrant) => void;
   /** Tells the peer that the use has ended. */
@@ -50,7 +50,7 @@
     handlers.serveUse({
       request,
       signal: use.signal,
-      queue: () => {
+      notifyQueued: () => {
         if (uses.has(number)) write(number, { $case: "queued", value: true });
       },
       write: (grant) => {
--- a/packages/node/src/relay/links/peer_link.ts
+++ b/packages/node/src/relay/links/peer_link.ts
@@ -35,7 +35,7 @@
 
 /**
  * Asks one peer for exchanges and for uses of its engines. All questions share
- * one call, as a call for each costs several times the processor time.
+ * one call, which costs less processor time than a call for each.
  */
 export class PeerLink {
   readonly #call: ClientDuplexStream<LinkQuestion, LinkAnswer>;
--- a/packages/node/src/relay/place_queue.ts
+++ b/packages/node/src/relay/place_queue.ts
@@ -19,7 +19,7 @@
   /** Returns the engine's current start, if known. */
   readonly start: () => ServerStart | undefined;
   /** The number of requests that the engine runs concurrently. */
-  readonly slots: () => number;
+  readonly places: () => number;
   /** Called when the adapter of a request is no longer in use by it. */
   readonly onEnd: (use: WaitingUse) => void;
 }
@@ -164,6 +164,6 @@
   }
 
   get #places(): EnginePlaces {
-    return this.occupancy.places(this.#parts.slots());
+    return this.occupancy.places(this.#parts.places());
   }
 }
--- a/packages/node/tests/relay/links/peer_link_test.ts
+++ b/packages/node/tests/relay/links/peer_link_test.ts
@@ -118,7 +118,7 @@
   const { links, address, useCalls } = await startPeer(t);
   const { events, use } = requestUse(links, address);
   await waitUntil(() => useCalls.length === 1);
-  useCalls[0]?.queue();
+  useCalls[0]?.notifyQueued();
   useCalls[0]?.write({
     outcome: GrantOutcome.GRANTED,
     version: 1,
