--- a/packages/node/tests/relay/helpers/peer_node.ts
+++ b/packages/node/tests/relay/helpers/peer_node.ts
@@ -23,14 +23,14 @@
  */
 export async function servePeers(
   t: ExecutionContext,
-  { base, knowledge, id, owners = undefined as never }: PeerNode,
+  { base, knowledge, id, owners }: PeerNode,
 ) {
   const { clock, logger } = base;
   const channels = new PeerChannels();
   const datagrams = new PeerDatagrams();
   const exchange = new PeerExchange({
     knowledge,
-    owners,
+    owners: owners ?? (undefined as never),
     channels,
     streams: new StreamDirectory({ knowledge, channels, datagrams, clock }),
     clock,
