--- a/packages/node/tests/relay/silent_owner_test.ts
+++ b/packages/node/tests/relay/silent_owner_test.ts
@@ -19,6 +19,7 @@
   type UseRequest,
 } from "@foxtailwind/node/relay";
 import test from "ava";
+import { setImmediate } from "node:timers/promises";
 import { engineDigest, ownerDigest } from "./helpers/node_digest.ts";
 import { addOwnedEngine, createRelayBase } from "./helpers/relay_base.ts";
 import { ScriptedEngine } from "./helpers/scripted_engine.ts";
@@ -34,6 +35,7 @@
 type OwnerBehaviour = (
   request: UseRequest,
   signal: AbortSignal,
+  onQueued: () => void,
 ) => Promise<GrantAnswer>;
 
 /** Grants by owners that behave as the test says, in the order of questions. */
@@ -45,10 +47,11 @@
     _target: EngineOwnerAddress,
     request: UseRequest,
     signal: AbortSignal,
+    onQueued: () => void,
   ): Promise<GrantAnswer> {
     const behaviour = this.behaviours[this.requests.length];
     this.requests.push(request);
-    return behaviour?.(request, signal) ??
+    return behaviour?.(request, signal, onQueued) ??
       Promise.resolve({ kind: "not_owner" });
   }
 }
@@ -60,6 +63,11 @@
     }, { once: true });
   });
 
+const queueing: OwnerBehaviour = (request, signal, onQueued) => {
+  onQueued();
+  return silent(request, signal, onQueued);
+};
+
 const granting: OwnerBehaviour = () =>
   Promise.resolve({
     kind: "granted",
@@ -153,6 +161,20 @@
   t.is(placement?.adapterVersion, 1);
 });
 
+// Guards against logs that blame an owner for questions that the node withdrew.
+test("an owner that has queued a request is not unreachable once it is placed elsewhere", async (t) => {
+  const silenced = await place([silent, granting]);
+  const queued = await place([queueing, granting]);
+  t.is(queued.placement?.adapterVersion, 1);
+  await setImmediate();
+  t.deepEqual(
+    [silenced, queued].map(({ answers }) =>
+      answers.map(({ answer }) => answer)
+    ),
+    [["granted", "unreachable"], ["granted", "withdrawn"]],
+  );
+});
+
 test("one owner is asked where it grants, and all if none can begin in time", async (t) => {
   t.is((await place([granting])).requests.length, 1);
   const joined = await place([refusing(700), refusing(500), granting]);
