Placement: a withdrawn question is logged as withdrawn

Cause: a question that ends before its answer resolves as `unreachable`, also when the search withdraws it since another engine has granted a place, or at its end. `explain-logs` then blamed the owner. Change: an owner that had queued the request is logged as `withdrawn`. Nothing is decided by it.

--- a/packages/cli/src/logs/explain_request.ts
+++ b/packages/cli/src/logs/explain_request.ts
@@ -192,8 +192,10 @@
   request: EndedRequest,
   replies: readonly PlacementReply[],
 ): Finding {
-  const refused = replies.filter((reply) => reply.answer !== "granted");
-  const [granted] = replies;
+  const refused = replies.filter(({ answer }) =>
+    answer !== "granted" && answer !== "withdrawn"
+  );
+  const granted = replies.find(({ answer }) => answer === "granted");
   if (refused.length === 0 && granted !== undefined) {
     return {
       cause: `Engine ${granted.engine} had to load its adapter first.`,
@@ -225,7 +227,7 @@
     };
   }
   return {
-    cause: refused.length > 0
+    cause: replies.length > 0
       ? "Everything on the engines that were asked was in use."
       : "No engine was known that could be asked.",
     evidence: [],
--- a/packages/node/src/relay/placement.ts
+++ b/packages/node/src/relay/placement.ts
@@ -26,7 +26,11 @@
   readonly engine: BackendServerId;
   /** The owner that was asked; `undefined` if none is known. */
   readonly owner?: NodeId;
-  readonly answer: GrantAnswer["kind"] | "no_owner";
+  /**
+   * The owner's answer. A question is withdrawn if the owner had queued the
+   * request, and another engine granted a place or nobody waited any longer.
+   */
+  readonly answer: GrantAnswer["kind"] | "no_owner" | "withdrawn";
 }
 
 /** How a request waits for a place, at whichever engine. */
--- a/packages/node/src/relay/use_asker.ts
+++ b/packages/node/src/relay/use_asker.ts
@@ -82,13 +82,26 @@
     if (owner !== this.#parts.self) {
       this.#parts.knowledge.workCounts.increment("use_asked");
     }
+    const progress = { isQueued: false };
     const answer = await this.#requestAnswer(
       target,
       engine,
       this.#createRequest(engine, round),
-      question,
+      {
+        signal: question.signal,
+        onQueued: (expectedMilliseconds) => {
+          progress.isQueued = true;
+          question.onQueued(expectedMilliseconds);
+        },
+      },
     );
-    onAnswer({ engine: engine.id, owner, answer: answer.kind });
+    const isWithdrawn = progress.isQueued && question.signal.aborted &&
+      answer.kind === "unreachable";
+    onAnswer({
+      engine: engine.id,
+      owner,
+      answer: isWithdrawn ? "withdrawn" : answer.kind,
+    });
     if (answer.kind === "no_room") {
       const { retryAfter } = answer;
       if (retryAfter === undefined) {
