Changes of what a node knows are acted on once for each read

Cause: each record of a read is a change, and after each one a node goes over all engines to find those that it should claim. A node that reads 63 claims at once (its first read, or its first request) does that 63 times. Change: the work after a change runs once, in the same turn of the event loop after the records that are at hand, before any other event.

--- a/packages/node/src/relay/mod.ts
+++ b/packages/node/src/relay/mod.ts
@@ -19,6 +19,7 @@
 export * from "./bounded_writer.ts";
 export * from "./caller_answer.ts";
 export * from "./caller_wire.ts";
+export * from "./coalesce_calls.ts";
 export * from "./crashes/crash_reports.ts";
 export * from "./departure_prober.ts";
 export * from "./engine_candidates.ts";
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -17,6 +17,7 @@
 import { announceNode } from "./announce_node.ts";
 import { BackendPools } from "./backend_pools.ts";
 import type { RelayWire } from "./caller_wire.ts";
+import { coalesceCalls } from "./coalesce_calls.ts";
 import type { EngineControl } from "./engine_control.ts";
 import { DepartureProber } from "./departure_prober.ts";
 import { EngineOwners } from "./engine_owners.ts";
@@ -266,10 +267,11 @@
     knowledge.suspicionTracker.onContentsRefused = () => {
       this.#front.applyQuarantine();
     };
-    knowledge.onChange = () => {
+    // A read of the log brings many records, each of which is a change.
+    knowledge.onChange = coalesceCalls(() => {
       this.#front.applyLimits();
       this.#owners.refresh();
-    };
+    });
   }
 
   /** The address at which callers reach this node, once it has started. */
