Registry: whether a known server takes requests needs no key of its start

Cause: each request asks it of all servers of its service twice, and each answer built a text from the id and the start. Change: the entry of a known start says so itself. Other starts are looked up as before. Tests: 58 of the registry, departures and the placer pass.

--- a/packages/core/src/relay/registry/server_registry.ts
+++ b/packages/core/src/relay/registry/server_registry.ts
@@ -279,8 +279,11 @@
    * @returns Whether the server is present and the start doesn't leave.
    */
   takesRequests(server: ServerRun): boolean {
-    return this.find(server.id)?.leaving === false &&
-      !this.#isLeavingStart(server);
+    const known = this.find(server.id);
+    if (known === undefined || known.leaving) return false;
+    // Requests ask this of all servers, mostly of those that are known.
+    const isKnownStart = known === server && server.start !== undefined;
+    return isKnownStart || !this.#isLeavingStart(server);
   }
 
   /**
