--- a/packages/core/tests/relay/registry/server_departures_test.ts
+++ b/packages/core/tests/relay/registry/server_departures_test.ts
@@ -3,6 +3,7 @@
   failureDomainId,
   instant,
   logOffset,
+  type RegisteredServer,
   type RegistryEntry,
   ServerRegistry,
   type ServerRun,
@@ -94,6 +95,7 @@
     const random = new SeededRandom(seed);
     const registry = new ServerRegistry();
     const departed = new Set<number>();
+    const entries: RegisteredServer[] = [];
     let start = 1;
     let offset = 1;
     registry.apply(instant(0), entryOf(start, offset));
@@ -122,6 +124,15 @@
         registry.replace(now, [], logOffset(offset += 1));
       }
       registry.expire(now);
+      const known = registry.find(ID);
+      if (known !== undefined) entries.push(known);
+      for (const entry of entries.slice(-3)) {
+        t.is(
+          registry.takesRequests(entry),
+          registry.takesRequests({ ...entry }),
+          `seed ${seed}, step ${step}, an entry of start ${entry.start}`,
+        );
+      }
       for (let one = 1; one <= start; one += 1) {
         const isAllowed = !departed.has(one);
         t.true(
--- a/packages/node/src/relay/coalesce_calls.ts
+++ b/packages/node/src/relay/coalesce_calls.ts
@@ -1,6 +1,6 @@
 /**
- * Coalesces the calls of one turn of the event loop: the callback runs once,
- * after the code that is running and before any other event is handled.
+ * Coalesces calls: the callback runs once, in a microtask after the code that
+ * is running.
  * @param callback What to run.
  * @returns Requests a run of the callback.
  */
--- a/packages/node/src/relay/hedged_search.ts
+++ b/packages/node/src/relay/hedged_search.ts
@@ -10,6 +10,8 @@
    * @param expectedMilliseconds When its answer is overdue.
    */
   readonly onQueued: (expectedMilliseconds: number) => void;
+  /** Whether the owner is silent, or its answer overdue. */
+  readonly isOverdue: () => boolean;
 }
 
 /** The engines to ask, and how. */
@@ -98,6 +100,7 @@
         clearTimeout(timer);
         if (isResponsive) timer = setTimeout(hedge, expectedMilliseconds);
       },
+      isOverdue: () => !isResponsive,
     });
     clearTimeout(timer);
     this.#open -= 1;
--- a/packages/node/src/relay/placement.ts
+++ b/packages/node/src/relay/placement.ts
@@ -27,8 +27,8 @@
   /** The owner that was asked; `undefined` if none is known. */
   readonly owner?: NodeId;
   /**
-   * The owner's answer. A question is withdrawn if the owner had queued the
-   * request, and another engine granted a place or nobody waited any longer.
+   * The owner's answer. A question is withdrawn if another engine granted a
+   * place, or nobody waited any longer, before this answer was overdue.
    */
   readonly answer: GrantAnswer["kind"] | "no_owner" | "withdrawn";
 }
--- a/packages/node/src/relay/use_asker.ts
+++ b/packages/node/src/relay/use_asker.ts
@@ -82,20 +82,13 @@
     if (owner !== this.#parts.self) {
       this.#parts.knowledge.workCounts.increment("use_asked");
     }
-    const progress = { isQueued: false };
     const answer = await this.#requestAnswer(
       target,
       engine,
       this.#createRequest(engine, round),
-      {
-        signal: question.signal,
-        onQueued: (expectedMilliseconds) => {
-          progress.isQueued = true;
-          question.onQueued(expectedMilliseconds);
-        },
-      },
+      question,
     );
-    const isWithdrawn = progress.isQueued && question.signal.aborted &&
+    const isWithdrawn = question.signal.aborted && !question.isOverdue() &&
       answer.kind === "unreachable";
     onAnswer({
       engine: engine.id,
