--- a/packages/cli/src/logs/explain_request.ts
+++ b/packages/cli/src/logs/explain_request.ts
@@ -1,6 +1,8 @@
 import { RELAY_SENTENCE } from "@foxtailwind/core";
+import type { EndedRequest, Finding } from "./ended_request.ts";
+import { explainLimits, explainPlacement } from "./explain_placement.ts";
 import { explainRefusal } from "./explain_refusal.ts";
-import { type LogLine } from "./log_line.ts";
+import { type LogLine, readNumber, readText } from "./log_line.ts";
 
 /** The explanation of a request's outcome, based on logs. */
 export interface LogExplanation {
@@ -27,25 +29,6 @@
   RELAY_SENTENCE.requestRefused,
 ]);
 
-interface EndedRequest {
-  readonly endLine: LogLine;
-  /** The lines from some time before the request's arrival until its end. */
-  readonly nearbyLines: readonly LogLine[];
-  readonly arrivedAt: number;
-}
-
-interface Finding {
-  readonly cause: string;
-  readonly evidence: readonly LogLine[];
-}
-
-/** The answer of an engine's owner that was asked to place the request. */
-interface PlacementReply {
-  readonly engine: string;
-  readonly owner: string;
-  readonly answer: string;
-}
-
 /**
  * Explains from logs why a request ended with its outcome.
  * @param lines The lines of all nodes, sorted by time.
@@ -130,17 +113,6 @@
   };
 }
 
-function explainLimits({ endLine }: EndedRequest): Finding | undefined {
-  const limitedFor = readNumber(endLine, "limited_for");
-  if (limitedFor === 0) return undefined;
-  return {
-    cause:
-      "All servers that could run it announce limits; its turn was likely " +
-      `after ${limitedFor} ms.`,
-    evidence: [],
-  };
-}
-
 function explainLatency(request: EndedRequest): Finding {
   const { endLine } = request;
   const placedAfter = readNumber(endLine, "placed_after");
@@ -160,89 +132,6 @@
   };
 }
 
-/** Explains why no engine had a free place, or only late. */
-function explainPlacement(request: EndedRequest): Finding {
-  const limits = explainLimits(request);
-  if (limits !== undefined) return limits;
-  const replies = parsePlacementReplies(request.endLine);
-  const engines = new Set(replies.map((reply) => reply.engine));
-  const isOfEngine = (line: LogLine) => engines.has(readText(line, "engine"));
-  const newOwners = request.nearbyLines.filter((line) =>
-    line.sentence === RELAY_SENTENCE.newOwner && isOfEngine(line) &&
-    line.time + readNumber(line, "wait") > request.arrivedAt
-  );
-  const [firstNewOwner] = newOwners;
-  if (firstNewOwner !== undefined) {
-    return { cause: describeNewOwner(firstNewOwner), evidence: newOwners };
-  }
-  const unreachableEngines = request.nearbyLines.filter((line) =>
-    line.sentence === RELAY_SENTENCE.outOfReach && isOfEngine(line)
-  );
-  const [engine] = unreachableEngines;
-  if (engine !== undefined) {
-    return {
-      cause: `Engine ${readText(engine, "engine")} did not answer its owner.`,
-      evidence: unreachableEngines,
-    };
-  }
-  return explainPlacementReplies(request, replies);
-}
-
-function explainPlacementReplies(
-  request: EndedRequest,
-  replies: readonly PlacementReply[],
-): Finding {
-  const refused = replies.filter(({ answer }) =>
-    answer !== "granted" && answer !== "withdrawn"
-  );
-  const granted = replies.find(({ answer }) => answer === "granted");
-  if (refused.length === 0 && granted !== undefined) {
-    return {
-      cause: `Engine ${granted.engine} had to load its adapter first.`,
-      evidence: [],
-    };
-  }
-  const logFailures = request.nearbyLines.filter((line) =>
-    line.sentence === RELAY_SENTENCE.logFailed
-  );
-  const unowned = refused.find((reply) =>
-    reply.answer === "no_owner" || reply.answer === "not_owner"
-  );
-  if (unowned !== undefined) {
-    return {
-      cause: logFailures.length > 0
-        ? `Engine ${unowned.engine} had no owner that could be found while ` +
-          "the platform's log failed."
-        : `Engine ${unowned.engine} had no owner that could be found.`,
-      evidence: logFailures,
-    };
-  }
-  const unreachable = refused.find((reply) => reply.answer === "unreachable");
-  if (unreachable !== undefined) {
-    return {
-      cause:
-        `Node ${unreachable.owner}, the owner of engine ${unreachable.engine}, ` +
-        "did not answer in time.",
-      evidence: logFailures,
-    };
-  }
-  return {
-    cause: replies.length > 0
-      ? "Everything on the engines that were asked was in use."
-      : "No engine was known that could be asked.",
-    evidence: [],
-  };
-}
-
-function describeNewOwner(line: LogLine): string {
-  const wait = readNumber(line, "wait");
-  const head = `Engine ${readText(line, "engine")} had a new owner, node ` +
-    readText(line, "owner");
-  return wait > 0
-    ? `${head}, which may not send it orders for ${wait} ms.`
-    : `${head}.`;
-}
-
 /** Explains why a server's response was incomplete or a failure. */
 function explainServerFailure(request: EndedRequest): Finding {
   const { endLine, nearbyLines } = request;
@@ -291,15 +180,6 @@
   };
 }
 
-function parsePlacementReplies(endLine: LogLine): readonly PlacementReply[] {
-  return readText(endLine, "asked").split(" ").flatMap((text) => {
-    const [, engine, owner, answer] = /^(.+)@(.+):(.+)$/.exec(text) ?? [];
-    return engine === undefined || owner === undefined || answer === undefined
-      ? []
-      : [{ engine, owner, answer }];
-  });
-}
-
 /** Reads how a request ended, or why it was refused. */
 function readOutcome(line: LogLine): string {
   return readText(
@@ -307,11 +187,3 @@
     line.sentence === RELAY_SENTENCE.requestRefused ? "refusal" : "outcome",
   );
 }
-
-function readText(line: LogLine, field: string): string {
-  return String(line.fields[field] ?? "");
-}
-
-function readNumber(line: LogLine, field: string): number {
-  return Number(line.fields[field] ?? 0);
-}
--- a/packages/cli/src/logs/log_line.ts
+++ b/packages/cli/src/logs/log_line.ts
@@ -41,6 +41,26 @@
   };
 }
 
+/**
+ * Reads a field of a line as text.
+ * @param line The line.
+ * @param field The field.
+ * @returns Its text; empty if the line lacks it.
+ */
+export function readText(line: LogLine, field: string): string {
+  return String(line.fields[field] ?? "");
+}
+
+/**
+ * Reads a field of a line as a number.
+ * @param line The line.
+ * @param field The field.
+ * @returns The number; 0 if the line lacks the field.
+ */
+export function readNumber(line: LogLine, field: string): number {
+  return Number(line.fields[field] ?? 0);
+}
+
 function parseJson(text: string): unknown {
   try {
     return JSON.parse(text);
--- a/packages/cli/tests/explain_logs_test.ts
+++ b/packages/cli/tests/explain_logs_test.ts
@@ -69,6 +69,29 @@
   );
 });
 
+test("explains a placement in which questions to owners were withdrawn", async (t) => {
+  const line = (outcome: string, asked: string) =>
+    `${
+      JSON.stringify({
+        time: "2020-01-01T00:00:00.000Z",
+        message: "callers: A request ended.",
+        request: outcome,
+        outcome,
+        placed_after: 300,
+        first_after: 20,
+        asked,
+      })
+    }\n`;
+  const lines = [
+    line("no_engine", "e1@n1:no_room e2@n2:withdrawn"),
+    line("answered", "e1@n1:granted e2@n2:withdrawn"),
+  ];
+  const refused = await explain(t, lines, "no_engine");
+  t.regex(refused.out, /Everything on the engines that were asked was in use/);
+  const late = await explain(t, lines, "answered");
+  t.regex(late.out, /Engine e1 had to load its adapter first/);
+});
+
 test("explains a lost request by other requests lost at the same server", async (t) => {
   const { world, lines } = createWorld();
   await world.addServer("s1", (request) => {
--- a/packages/core/src/relay/registry/server_registry.ts
+++ b/packages/core/src/relay/registry/server_registry.ts
@@ -281,7 +281,7 @@
   takesRequests(server: ServerRun): boolean {
     const known = this.find(server.id);
     if (known === undefined || known.leaving) return false;
-    // Requests ask this of all servers, mostly of those that are known.
+    // Requests ask this of all servers; a known entry needs no lookup by key.
     const isKnownStart = known === server && server.start !== undefined;
     return isKnownStart || !this.#isLeavingStart(server);
   }
--- a/packages/node/src/relay/engine_run.ts
+++ b/packages/node/src/relay/engine_run.ts
@@ -99,7 +99,6 @@
       uses: this.#uses,
       orders: this.#orders,
       reportTrigger: this.#reportTrigger,
-      clock: parts.clock,
       reject: (rejection, permission) =>
         handleOrderRejection(parts, server.id, rejection, permission),
       stop: () => {
@@ -186,8 +185,9 @@
 
   /** Records that the engine lacked an adapter or model in a granted use. */
   recordMiss(): void {
-    if (!this.#reportTrigger.recordMiss(this.#now())) return;
-    this.#results.scheduleReport();
+    const now = this.#now();
+    if (!this.#reportTrigger.recordMiss(now)) return;
+    this.#results.scheduleReport(now);
     void this.runDueSteps();
   }
 
@@ -272,7 +272,7 @@
     permission: OrderPermission,
   ): Promise<boolean> {
     const isConfigured = await this.#model.load(now, permission);
-    if (isConfigured) this.#results.scheduleReport();
+    if (isConfigured) this.#results.scheduleReport(this.#now());
     return isConfigured;
   }
 
@@ -292,7 +292,7 @@
     const order = { kind: "load", name, version } as const;
     const result = await this.#orders.checkLoad(order, permission);
     if (!this.#loop.isStopped) {
-      this.#results.applyLoadCheck(name, result, permission);
+      this.#results.applyLoadCheck(this.#now(), name, result, permission);
     }
     return true;
   }
@@ -301,7 +301,7 @@
     const result = await this.#orders.execute(order, permission);
     // A late answer doesn't apply to a new start or a new owner.
     if (this.#loop.isStopped) return;
-    this.#results.applyOrder(order, result, permission);
+    this.#results.applyOrder(this.#now(), order, result, permission);
   }
 
   #isFull(): boolean {
--- a/packages/node/src/relay/order_results.ts
+++ b/packages/node/src/relay/order_results.ts
@@ -1,12 +1,12 @@
 import {
   type AdapterName,
   type EngineSlots,
+  type Instant,
   milliseconds,
   type OrderPermission,
   type ReportTrigger,
   type SlotOrder,
 } from "@foxtailwind/core";
-import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { AdapterUses } from "./adapter_uses.ts";
 import type { OrderRejection, OrderResult } from "./engine_control.ts";
 import type { EngineLoads } from "./engine_loads.ts";
@@ -23,7 +23,6 @@
   readonly uses: AdapterUses;
   readonly orders: EngineOrders;
   readonly reportTrigger: ReportTrigger;
-  readonly clock: SteadyClock;
   /** Records a rejected order and decides how the owner continues. */
   readonly reject: (
     rejection: OrderRejection,
@@ -44,17 +43,18 @@
 
   /**
    * Applies the result of an order.
+   * @param now The present time.
    * @param order The order.
    * @param result Its result.
    * @param permission The permission that it was sent with.
    */
   applyOrder(
+    now: Instant,
     order: SlotOrder,
     result: OrderResult,
     permission: OrderPermission,
   ): void {
-    const { slots, loads, orders, reportTrigger, clock } = this.#parts;
-    const now = clock.now();
+    const { slots, loads, orders, reportTrigger } = this.#parts;
     switch (result.kind) {
       case "holds":
       case "accepted":
@@ -65,32 +65,33 @@
         break;
       case "conflict":
         slots.applyAnswer(now, order, "conflict");
-        if (reportTrigger.recordConflict()) this.scheduleReport();
+        if (reportTrigger.recordConflict()) this.scheduleReport(now);
         break;
       case "unknown":
         slots.applyAnswer(now, order, "unknown");
-        this.scheduleReport();
+        this.scheduleReport(now);
         break;
       case "fenced":
       case "misdirected":
       case "invalid":
-        this.#applyRejection(result, permission);
+        this.#applyRejection(now, result, permission);
     }
   }
 
   /**
    * Applies the result of a check whether a load has finished.
+   * @param now The present time.
    * @param name The adapter.
    * @param result The result.
    * @param permission The permission that the check was sent with.
    */
   applyLoadCheck(
+    now: Instant,
     name: AdapterName,
     result: OrderResult,
     permission: OrderPermission,
   ): void {
-    const { slots, loads, uses, reportTrigger, clock } = this.#parts;
-    const now = clock.now();
+    const { slots, loads, uses, reportTrigger } = this.#parts;
     switch (result.kind) {
       case "holds":
         reportTrigger.recordAgreement();
@@ -99,7 +100,7 @@
         break;
       case "conflict":
         slots.postponeLoadCheck(now, name, LOAD_CHECK_INTERVAL);
-        if (reportTrigger.recordConflict()) this.scheduleReport();
+        if (reportTrigger.recordConflict()) this.scheduleReport(now);
         break;
       case "accepted":
       case "unknown":
@@ -108,23 +109,27 @@
       case "fenced":
       case "misdirected":
       case "invalid":
-        this.#applyRejection(result, permission);
+        this.#applyRejection(now, result, permission);
     }
   }
 
-  /** Discards the order count and schedules a report of the engine. */
-  scheduleReport(): void {
-    const { orders, reportTrigger, clock } = this.#parts;
+  /**
+   * Discards the order count and schedules a report of the engine.
+   * @param now The present time.
+   */
+  scheduleReport(now: Instant): void {
+    const { orders, reportTrigger } = this.#parts;
     orders.forgetCount();
-    reportTrigger.schedule(clock.now());
+    reportTrigger.schedule(now);
   }
 
   #applyRejection(
+    now: Instant,
     rejection: OrderRejection,
     permission: OrderPermission,
   ): void {
     const action = this.#parts.reject(rejection, permission);
     if (action === "stop") this.#parts.stop();
-    if (action === "ask_again") this.scheduleReport();
+    if (action === "ask_again") this.scheduleReport(now);
   }
 }
