--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -178,7 +178,8 @@
       node.ends.push(node.killedFor ?? `code ${code} signal ${signal}`);
       this.record(`${node.name} ended: ${node.killedFor ?? `code ${code} signal ${signal}`}`);
       node.killedFor = undefined;
-      if (node.isDown !== true) setTimeout(() => {
+      if (node.isDown === true) return;
+      setTimeout(() => {
         if (!this.#isStopping) this.startNode(node);
       }, 300);
     });
