--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -14,6 +14,8 @@
 const ROOT = resolve(HERE, "../..");
 /** `memory_mb` of a machine of the site. */
 export const MEMORY_MB = 350;
+/** A crashed worker's entry goes after three heartbeats. */
+const WORKER_RESTART_MS = 3_600;
 export const HOST = "ficu95.example";
 
 export const sleep = (ms) => new Promise((done) => setTimeout(done, ms));
@@ -91,6 +93,7 @@
       if (message.models !== undefined) Object.assign(worker, message);
       for (const listener of this.#listeners) listener(worker, message);
     });
+    child.on("exit", () => this.#replaceWorker(worker, options));
     this.beat(worker);
     worker.timer = setInterval(() => this.beat(worker), 1200);
     return worker;
@@ -113,6 +116,19 @@
     });
   }
 
+  /** A crashed worker says nothing more, and another one starts in its place. */
+  async #replaceWorker({ id, service, timer }, options) {
+    clearInterval(timer);
+    if (this.#isStopping) return;
+    this.record(`${id} has crashed`);
+    await sleep(WORKER_RESTART_MS);
+    if (this.#isStopping) return;
+    this.put("keyed.servers", id, null);
+    this.workers.delete(id);
+    const [, base, run = "1"] = /^(.*?)(?:-run(\d+))?$/.exec(id);
+    await this.startWorker(`${base}-run${Number(run) + 1}`, service, options);
+  }
+
   /** The operator names a new version of an adapter. */
   nameVersion(adapter, version) {
     for (const { child } of this.workers.values()) child.send({ newest: { adapter, version } });
@@ -234,7 +250,7 @@
 }
 
 /** A configuration like that of the site, with its limits. */
-export function configuration(version, routes) {
+export function configuration(version, routes, { adapterMegabytes = 14 } = {}) {
   return {
     version,
     routes: routes.map((route) => ({ host: HOST, priority: 0, attempts: 1, ...route })),
@@ -248,7 +264,7 @@
         engine: {
           slots: 128,
           kv_cache_tokens: 150260,
-          models: [{ name: "m0", weight_megabytes: 16100, load_s: 0.6, adapters: 3000, adapter_mb: 14 }],
+          models: [{ name: "m0", weight_megabytes: 16100, load_s: 0.6, adapters: 3000, adapter_mb: adapterMegabytes }],
           weight_megabytes: 16700,
           adapter_slots: 18,
           loads_per_s: 5,
--- a/review/standins/worker.mjs
+++ b/review/standins/worker.mjs
@@ -8,8 +8,10 @@
 const id = process.argv[2];
 const options = JSON.parse(process.argv[3] ?? "{}");
 const born = Date.now();
-/** `adapter_slots` and the time that an adapter takes. */
+/** `adapter_slots`, and what is left of `weight_megabytes` beside the model. */
 const ADAPTER_SLOTS = 18;
+const ADAPTER_SPACE_MB = 16_700 - 16_100;
+/** How long an adapter takes. */
 const ADAPTER_LOAD_MS = 250;
 let sequence = 0;
 let highestFence = 0;
@@ -46,9 +48,10 @@
   if (operation !== "load") return 400;
   if (incoming.has(adapter)) return 409;
   const taken = new Set([...held.keys(), ...incoming.keys(), adapter]);
-  if (taken.size > ADAPTER_SLOTS) {
-    process.send({ crash: "more adapters than slots" });
-    process.exit(1);
+  const megabytes = taken.size * (options.adapter_mb ?? 14);
+  if (taken.size > ADAPTER_SLOTS || megabytes > ADAPTER_SPACE_MB) {
+    crash({ adapters: taken.size, megabytes });
+    return 202;
   }
   incoming.set(adapter, wanted);
   sequence += 1;
@@ -60,6 +63,11 @@
   return 202;
 }
 
+/** Falls over, with all that it holds and runs. */
+function crash(over) {
+  process.send({ over }, () => process.exit(1));
+}
+
 function report() {
   return {
     stage: "both",
