--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -52,6 +52,7 @@
   #startedAt = Date.now();
 
   record(line) {
+    if (this.#isStopping) return;
     this.#lines.push(`${((Date.now() - this.#startedAt) / 1000).toFixed(3)} ${line}`);
   }
 
