Review case 5: one large failure of a worker stops a node for tens of seconds

Tried: one of three workers answers one request in fifty with a 500 of 280,000 bytes and Connection: close, for 5.5 s; or with a status of 000. One node alone stood still for 42.9 s and for 7.7 s.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+cd "$(dirname "$0")" && exec node scenario.mjs
--- a/review/standins/worker.mjs
+++ b/review/standins/worker.mjs
@@ -104,6 +104,34 @@
   response.end();
 }
 
+let answers = 0;
+
+/** One in fifty answers: the share x = 0.02 of the site's `garble`. */
+function isSpoiled() {
+  answers += 1;
+  return answers % 50 === 10;
+}
+
+/** Hands out wrong bytes in place of an answer, or a large failure. */
+function spoil(response, attempt) {
+  if (trouble.spoils === "status") {
+    const body = "b".repeat(800);
+    response.socket.write(
+      `HTTP/1.1 000 \r\nAttempt-Id: ${attempt}\r\nResponse-Seal: ${id}.${attempt}\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
+    );
+    return;
+  }
+  const body = Buffer.alloc(280_000, "e");
+  response.writeHead(500, {
+    "content-type": "text/plain",
+    "content-length": body.length,
+    "attempt-id": attempt,
+    "response-seal": `${id}.${attempt}`,
+    connection: "close",
+  });
+  response.end(body);
+}
+
 /** A body that goes on without the end of an event until the caller closes. */
 function endless(request, response, attempt) {
   response.useChunkedEncodingByDefault = false;
@@ -187,6 +215,11 @@
   }
   await sleep(options.work_ms);
   if (response.destroyed) return;
+  if (trouble.spoils !== undefined && isSpoiled()) {
+    process.send({ spoiled: attempt });
+    spoil(response, attempt);
+    return;
+  }
   const body = `${id} ${attempt} ${"b".repeat(800)}`;
   response.writeHead(200, {
     "content-type": "application/octet-stream",
