--- a/review/5/scenario.mjs
+++ b/review/5/scenario.mjs
@@ -13,8 +13,11 @@
 const ADAPTER_MB = 66;
 /** `weight_megabytes` of a worker and of its model, as in the configuration. */
 const SPACE_MB = 16_700 - 16_100;
-const USUAL_ADAPTERS = 4;
-const RARE_ADAPTERS = 30;
+/** Memory holds nine. */
+const USUAL_ADAPTERS = 8;
+const USUAL_CLIENTS = 20;
+/** A burst of 2.4 times the traffic; each further client asks for its own. */
+const BURST = 2.4;
 const CALM_MS = 5_000;
 const BURST_MS = 8_000;
 
@@ -92,17 +95,20 @@
   await deployment.awaitReady();
   await sleep(2_500);
   const clients = [];
-  const addClients = (from, count) => {
-    for (let index = from; index < from + count; index += 1) {
-      const node = deployment.nodes[index % deployment.nodes.length];
-      clients.push(ask(node, `a${index + 1}`));
-    }
+  const addClient = (adapter) => {
+    const node = deployment.nodes[clients.length % deployment.nodes.length];
+    clients.push(ask(node, `a${adapter}`));
   };
-  addClients(0, USUAL_ADAPTERS);
+  for (let index = 0; index < USUAL_CLIENTS; index += 1) {
+    addClient(1 + index % USUAL_ADAPTERS);
+  }
   await sleep(CALM_MS);
   if (hasTrouble) {
     deployment.record("rare adapters are asked for at once");
-    addClients(USUAL_ADAPTERS, RARE_ADAPTERS);
+    const further = Math.round(USUAL_CLIENTS * (BURST - 1));
+    for (let index = 1; index <= further; index += 1) {
+      addClient(USUAL_ADAPTERS + index);
+    }
   }
   await sleep(BURST_MS);
   isOver = true;
--- a/review/standins/wire.mjs
+++ b/review/standins/wire.mjs
@@ -46,6 +46,11 @@
     for (const pair of this.#pairs) pair.isSilent = true;
   }
 
+  /** Open connections go silent for good; new ones work. */
+  silenceOpen() {
+    for (const pair of this.#pairs) pair.isSilent = true;
+  }
+
   restorePower() {
     this.#isDark = false;
   }
