--- a/review/1/scenario.mjs
+++ b/review/1/scenario.mjs
@@ -68,7 +68,9 @@
     const isLost = end.outcome === "closed" && end.status === undefined &&
       end.isKept;
     // The worker's message may arrive a moment later.
-    if (isLost) setTimeout(() => runs.has(end.attempt) && lost.push(end.attempt), 200);
+    if (isLost) {
+      setTimeout(() => runs.has(end.attempt) && lost.push(end.attempt), 200);
+    }
     await sleep(end.outcome === "answered" ? 20 : 200);
   }
   connection.close();
@@ -101,7 +103,14 @@
       deployment.record(`${worker.id} runs ${run.attempt} ${run.path}`);
     }
     if (order !== undefined) {
-      const { operation, adapter, version, holder, fencing_token: fence, status } = order;
+      const {
+        operation,
+        adapter,
+        version,
+        holder,
+        fencing_token: fence,
+        status,
+      } = order;
       deployment.record(
         `${worker.id} is ordered by ${holder} (${fence}) to ${operation} ${adapter} version ${version}: ${status}`,
       );
@@ -110,7 +119,11 @@
   await deployment.startStore();
   deployment.put("keyed.op", "config", configuration(7, ROUTES));
   for (const id of ["i-llm-1", "i-llm-2", "i-llm-3"]) {
-    await deployment.startWorker(id, "draft-llm", { slots: 128, events: 35, pause_ms: 20 });
+    await deployment.startWorker(id, "draft-llm", {
+      slots: 128,
+      events: 35,
+      pause_ms: 20,
+    });
   }
   for (const id of ["i-app-1", "i-app-2", "i-app-3"]) {
     await deployment.startWorker(id, "booking-app", { slots: 6, work_ms: 40 });
@@ -140,11 +153,19 @@
 try {
   await main();
   for (const { name, ends, logs } of deployment.nodes) {
-    deployment.record(`${name} ended by itself ${ends.length} times: ${ends.join("; ")}`);
-    const error = logs.join("").split("\n").find((line) => line.includes("unexpected error"));
-    if (error !== undefined) deployment.record(`${name}: ${JSON.parse(error).detail.split("\n")[0]}`);
+    deployment.record(
+      `${name} ended by itself ${ends.length} times: ${ends.join("; ")}`,
+    );
+    const error = logs.join("").split("\n").find((line) =>
+      line.includes("unexpected error")
+    );
+    if (error !== undefined) {
+      deployment.record(`${name}: ${JSON.parse(error).detail.split("\n")[0]}`);
+    }
+  }
+  for (const [key, count] of [...counts].sort()) {
+    deployment.record(`${key}: ${count}`);
   }
-  for (const [key, count] of [...counts].sort()) deployment.record(`${key}: ${count}`);
   deployment.record(
     `LOST: ${lost.length} requests from kept connections were run by a sound worker and got no answer before their connection was closed (allowed: ${ALLOWED_LOSSES})`,
   );
--- a/review/4/scenario.mjs
+++ b/review/4/scenario.mjs
@@ -50,7 +50,8 @@
 let asked = 0;
 let begun = 0;
 
-const isInTouch = () => backAt === undefined || Date.now() >= backAt + STABLE_WINDOW_MS;
+const isInTouch = () =>
+  backAt === undefined || Date.now() >= backAt + STABLE_WINDOW_MS;
 
 function lastEventOf(bytes) {
   return [...bytes.matchAll(/^id: (\d+)\ndata: .*\n\n/gm)].at(-1)?.[1];
@@ -67,7 +68,9 @@
       model: "m0",
       "token-counts": "491,70",
       "prompt-prefix": "5c1e07a2:155",
-      ...(resumes === undefined ? {} : { resumes, "last-event-id": lastEventId }),
+      ...(resumes === undefined
+        ? {}
+        : { resumes, "last-event-id": lastEventId }),
     },
   }).finally(() => connection.close());
 }
@@ -80,7 +83,9 @@
   const end = await send(first, { deadline: DEADLINE_MS });
   const lastEventId = lastEventOf(end.bytes);
   deployment.record(
-    `stream ${end.attempt}: ${end.outcome}, ${end.status ?? "no answer"}, last event ${lastEventId ?? "none"}, ${end.took} ms`,
+    `stream ${end.attempt}: ${end.outcome}, ${
+      end.status ?? "no answer"
+    }, last event ${lastEventId ?? "none"}, ${end.took} ms`,
   );
   if (counts && lastEventId !== undefined) begun += 1;
   if (end.outcome === "answered" || lastEventId === undefined) return;
@@ -98,8 +103,12 @@
   deployment.record(
     `stream ${end.attempt} is taken up as ${again.attempt} after event ${lastEventId}, ${
       Date.now() - (backAt ?? 0) - again.took
-    } ms after the machines were back: ${again.outcome}, ${again.status ?? "no answer"} ${
-      again.status === 200 ? `up to event ${lastEventOf(again.bytes)}` : again.bytes
+    } ms after the machines were back: ${again.outcome}, ${
+      again.status ?? "no answer"
+    } ${
+      again.status === 200
+        ? `up to event ${lastEventOf(again.bytes)}`
+        : again.bytes
     }`,
   );
 }
@@ -107,12 +116,20 @@
 async function main() {
   deployment.onWorkerMessage((worker, { run }) => {
     if (run === undefined) return;
-    deployment.record(`${worker.id} runs ${run.attempt} after event ${run.lastEventId ?? "none"}`);
+    deployment.record(
+      `${worker.id} runs ${run.attempt} after event ${
+        run.lastEventId ?? "none"
+      }`,
+    );
   });
   await deployment.startStore();
   deployment.put("keyed.op", "config", configuration(7, ROUTES));
   for (const id of ["i-llm-1", "i-llm-2", "i-llm-3"]) {
-    await deployment.startWorker(id, "draft-llm", { slots: 128, events: EVENTS, pause_ms: 45 });
+    await deployment.startWorker(id, "draft-llm", {
+      slots: 128,
+      events: EVENTS,
+      pause_ms: 45,
+    });
   }
   for (const zone of ["akl-hall-a", "akl-hall-b", "ham-hall"]) {
     const node = await deployment.addNode(`front-${zone}-1`, zone);
@@ -157,7 +174,9 @@
   deployment.record(
     `LOST: of ${resumed} streams taken up again at machines in touch, ${wentOn} went on (${
       (100 * shareResumed).toFixed(0)
-    } in 100); of ${asked} new streams ${begun} began (${(100 * shareBegun).toFixed(0)} in 100)`,
+    } in 100); of ${asked} new streams ${begun} began (${
+      (100 * shareBegun).toFixed(0)
+    } in 100)`,
   );
   code = resumed >= MINIMUM_RESUMED && shareResumed < shareBegun / 2 ? 1 : 0;
   if (hasTrouble && resumed < MINIMUM_RESUMED) code = 2;
--- a/review/5/scenario.mjs
+++ b/review/5/scenario.mjs
@@ -65,9 +65,12 @@
 
 async function main() {
   deployment.onWorkerMessage((worker, { run, order, over }) => {
-    if (run !== undefined) deployment.record(`${worker.id} runs ${run.attempt}`);
+    if (run !== undefined) {
+      deployment.record(`${worker.id} runs ${run.attempt}`);
+    }
     if (order !== undefined) {
-      const { operation, adapter, holder, fencing_token: fence, status } = order;
+      const { operation, adapter, holder, fencing_token: fence, status } =
+        order;
       deployment.record(
         `${worker.id} is ordered by ${holder} (${fence}) to ${operation} ${adapter}: ${status}`,
       );
@@ -80,7 +83,11 @@
     }
   });
   await deployment.startStore();
-  deployment.put("keyed.op", "config", configuration(7, ROUTES, { adapterMegabytes: ADAPTER_MB }));
+  deployment.put(
+    "keyed.op",
+    "config",
+    configuration(7, ROUTES, { adapterMegabytes: ADAPTER_MB }),
+  );
   for (const id of ["i-llm-1", "i-llm-2", "i-llm-3"]) {
     await deployment.startWorker(id, "draft-llm", {
       slots: 128,
@@ -118,7 +125,9 @@
 let code = 2;
 try {
   await main();
-  for (const [key, count] of [...counts].sort()) deployment.record(`${key}: ${count}`);
+  for (const [key, count] of [...counts].sort()) {
+    deployment.record(`${key}: ${count}`);
+  }
   deployment.record(
     `LIMIT: workers were ordered ${broken.length} times to load more than weight_megabytes hold`,
   );
--- a/review/standins/client.mjs
+++ b/review/standins/client.mjs
@@ -28,7 +28,15 @@
       const end = (outcome) => {
         clearTimeout(timer);
         clearTimeout(gapTimer);
-        resolve({ attempt, path, outcome, status, bytes, isKept, took: Date.now() - sentAt });
+        resolve({
+          attempt,
+          path,
+          outcome,
+          status,
+          bytes,
+          isKept,
+          took: Date.now() - sentAt,
+        });
       };
       const outgoing = request({
         host: "127.0.0.1",
@@ -41,7 +49,9 @@
           "attempt-id": attempt,
           "deadline-milliseconds": String(deadline),
           ...headers,
-          ...(body === undefined ? {} : { "content-length": String(body.length) }),
+          ...(body === undefined
+            ? {}
+            : { "content-length": String(body.length) }),
         },
       });
       const leave = (why) => {
@@ -51,7 +61,9 @@
       const timer = setTimeout(() => leave("deadline"), deadline);
       const restartGap = () => {
         clearTimeout(gapTimer);
-        if (gapLimit !== undefined) gapTimer = setTimeout(() => leave("abandoned"), gapLimit);
+        if (gapLimit !== undefined) {
+          gapTimer = setTimeout(() => leave("abandoned"), gapLimit);
+        }
       };
       restartGap();
       outgoing.on("socket", (socket) => {
@@ -74,7 +86,10 @@
         response.on("error", () => end("cut"));
         response.on("aborted", () => end("cut"));
       });
-      outgoing.on("error", (error) => end(error.code === "ECONNREFUSED" ? "refused" : "closed"));
+      outgoing.on(
+        "error",
+        (error) => end(error.code === "ECONNREFUSED" ? "refused" : "closed"),
+      );
       outgoing.end(body);
     });
   }
--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -21,16 +21,18 @@
 export const sleep = (ms) => new Promise((done) => setTimeout(done, ms));
 
 async function freePorts(count) {
-  const servers = await Promise.all(Array.from({ length: count }, () =>
-    new Promise((done, fail) => {
-      const server = createServer();
-      server.once("error", fail);
-      server.listen(0, "127.0.0.1", () => done(server));
-    })));
+  const servers = await Promise.all(
+    Array.from({ length: count }, () =>
+      new Promise((done, fail) => {
+        const server = createServer();
+        server.once("error", fail);
+        server.listen(0, "127.0.0.1", () => done(server));
+      })),
+  );
   const ports = servers.map((server) => server.address().port);
-  await Promise.all(servers.map((server) =>
-    new Promise((done) => server.close(done))
-  ));
+  await Promise.all(
+    servers.map((server) => new Promise((done) => server.close(done))),
+  );
   return ports;
 }
 
@@ -53,7 +55,9 @@
 
   record(line) {
     if (this.#isStopping) return;
-    this.#lines.push(`${((Date.now() - this.#startedAt) / 1000).toFixed(3)} ${line}`);
+    this.#lines.push(
+      `${((Date.now() - this.#startedAt) / 1000).toFixed(3)} ${line}`,
+    );
   }
 
   writeRecord(path) {
@@ -66,7 +70,9 @@
   }
 
   #fork(program, args) {
-    const child = fork(join(HERE, program), args, { stdio: ["ignore", "inherit", "inherit", "ipc"] });
+    const child = fork(join(HERE, program), args, {
+      stdio: ["ignore", "inherit", "inherit", "ipc"],
+    });
     this.#children.add(child);
     child.on("exit", () => this.#children.delete(child));
     return child;
@@ -111,7 +117,9 @@
       cold_remaining_ms: 0,
       stage: "both",
       models: models ??
-        (service === "draft-llm" ? [{ name: "m0", version: 1, adapters: [] }] : []),
+        (service === "draft-llm"
+          ? [{ name: "m0", version: 1, adapters: [] }]
+          : []),
       sequence: sequence ?? 0,
       born,
     });
@@ -132,15 +140,23 @@
 
   /** The operator names a new version of an adapter. */
   nameVersion(adapter, version) {
-    for (const { child } of this.workers.values()) child.send({ newest: { adapter, version } });
-    this.put("keyed.op", `version/m0.${adapter}`, { model: "m0", adapter, version });
+    for (const { child } of this.workers.values()) {
+      child.send({ newest: { adapter, version } });
+    }
+    this.put("keyed.op", `version/m0.${adapter}`, {
+      model: "m0",
+      adapter,
+      version,
+    });
   }
 
   async addNode(name, zone) {
     const [callers, readiness, addresses, peers, metrics] = await freePorts(5);
     const path = join(this.#directory, `${name}.ini`);
     // The template deploy/settings.ini with the site's bounds.
-    writeFileSync(path, `
+    writeFileSync(
+      path,
+      `
 [node]
 id = ${name}
 failure_domain = ${zone}
@@ -166,8 +182,17 @@
 [accounts]
 [addresses]
 longest_lifetime_seconds = 5
-`);
-    const node = { name, path, callers, readiness, peakMb: 0, ends: [], logs: [] };
+`,
+    );
+    const node = {
+      name,
+      path,
+      callers,
+      readiness,
+      peakMb: 0,
+      ends: [],
+      logs: [],
+    };
     this.nodes.push(node);
     this.startNode(node);
     return node;
@@ -178,7 +203,11 @@
     const [program, ...args] = runCommand();
     const child = spawn(program, args, {
       cwd: ROOT,
-      env: { PATH: process.env.PATH, HOME: process.env.HOME, FOXTAILWIND_BOOT: node.path },
+      env: {
+        PATH: process.env.PATH,
+        HOME: process.env.HOME,
+        FOXTAILWIND_BOOT: node.path,
+      },
       stdio: ["ignore", "pipe", "pipe"],
     });
     node.child = child;
@@ -193,7 +222,11 @@
       this.#children.delete(child);
       if (this.#isStopping) return;
       node.ends.push(node.killedFor ?? `code ${code} signal ${signal}`);
-      this.record(`${node.name} ended: ${node.killedFor ?? `code ${code} signal ${signal}`}`);
+      this.record(
+        `${node.name} ended: ${
+          node.killedFor ?? `code ${code} signal ${signal}`
+        }`,
+      );
       node.killedFor = undefined;
       if (node.isDown === true) return;
       setTimeout(() => {
@@ -209,7 +242,9 @@
         const megabytes = residentMegabytes(node.child.pid);
         node.peakMb = Math.max(node.peakMb, megabytes);
         if (megabytes > MEMORY_MB && node.killedFor === undefined) {
-          node.killedFor = `over the memory limit: ${megabytes.toFixed(0)} of ${MEMORY_MB} MB`;
+          node.killedFor = `over the memory limit: ${
+            megabytes.toFixed(0)
+          } of ${MEMORY_MB} MB`;
           node.child.kill("SIGKILL");
         }
       }
@@ -218,8 +253,10 @@
 
   async awaitReady() {
     for (const node of this.nodes) {
-      for (let tries = 0; ; tries += 1) {
-        const status = await fetch(`http://127.0.0.1:${node.readiness}/foxtailwind/readiness`)
+      for (let tries = 0;; tries += 1) {
+        const status = await fetch(
+          `http://127.0.0.1:${node.readiness}/foxtailwind/readiness`,
+        )
           .then((response) => response.status, () => 0);
         if (status === 200) break;
         if (tries > 200) throw new Error(`${node.name} isn't ready`);
@@ -254,7 +291,12 @@
 export function configuration(version, routes, { adapterMegabytes = 14 } = {}) {
   return {
     version,
-    routes: routes.map((route) => ({ host: HOST, priority: 0, attempts: 1, ...route })),
+    routes: routes.map((route) => ({
+      host: HOST,
+      priority: 0,
+      attempts: 1,
+      ...route,
+    })),
     services: [
       {
         name: "draft-llm",
@@ -265,7 +307,13 @@
         engine: {
           slots: 128,
           kv_cache_tokens: 150260,
-          models: [{ name: "m0", weight_megabytes: 16100, load_s: 0.6, adapters: 3000, adapter_mb: adapterMegabytes }],
+          models: [{
+            name: "m0",
+            weight_megabytes: 16100,
+            load_s: 0.6,
+            adapters: 3000,
+            adapter_mb: adapterMegabytes,
+          }],
           weight_megabytes: 16700,
           adapter_slots: 18,
           loads_per_s: 5,
@@ -279,6 +327,11 @@
         transport_security: false,
       },
     ],
-    limits: { header_bytes: 16384, body_bytes: 4194304, header_timeout_ms: 3000, idle_timeout_ms: 15000 },
+    limits: {
+      header_bytes: 16384,
+      body_bytes: 4194304,
+      header_timeout_ms: 3000,
+      idle_timeout_ms: 15000,
+    },
   };
 }
--- a/review/standins/worker.mjs
+++ b/review/standins/worker.mjs
@@ -30,7 +30,9 @@
 }
 
 /** Orders an adapter in or out; returns the status. */
-function order({ operation, adapter, version, expected, fencing_token: fence, holder }) {
+function order(
+  { operation, adapter, version, expected, fencing_token: fence, holder },
+) {
   if (typeof fence !== "number" || typeof holder !== "string") return 400;
   if (fence < highestFence) return 412;
   highestFence = fence;
@@ -184,7 +186,9 @@
     const body = JSON.parse(Buffer.concat(chunks).toString());
     const status = order(body);
     process.send({ order: { ...body, status } });
-    response.writeHead(status, { "content-type": "application/json" }).end("{}");
+    response.writeHead(status, { "content-type": "application/json" }).end(
+      "{}",
+    );
     return;
   }
   const attempt = request.headers["attempt-id"];
@@ -193,7 +197,11 @@
   if (options.events !== undefined && adapter !== undefined) {
     const isWrong = named !== undefined && Number(named) !== held.get(adapter);
     if (!held.has(adapter) || isWrong) {
-      response.writeHead(421, { "instance-id": id, "attempt-id": attempt, "not-executed": "1" }).end();
+      response.writeHead(421, {
+        "instance-id": id,
+        "attempt-id": attempt,
+        "not-executed": "1",
+      }).end();
       return;
     }
     running.set(adapter, (running.get(adapter) ?? 0) + 1);
@@ -233,7 +241,9 @@
 
 process.on("message", (message) => {
   if (message.trouble !== undefined) trouble = message.trouble;
-  if (message.newest !== undefined) newest.set(message.newest.adapter, message.newest.version);
+  if (message.newest !== undefined) {
+    newest.set(message.newest.adapter, message.newest.version);
+  }
 });
 process.on("disconnect", () => process.exit(0));
 server.listen(0, "127.0.0.1", () => {
--- a/review/trials/late_departure.mjs
+++ b/review/trials/late_departure.mjs
@@ -22,15 +22,19 @@
 const wire = await new Wire(deployment.storePort).start();
 // Nodes reach the store by the wire.
 deployment.storePort = wire.port;
-deployment.put("keyed.op", "config", configuration(7, [{
-  name: "slot-lookup",
-  path_prefix: "/slots/",
-  kind: "unsafe",
-  timeout_ms: 1_000,
-  target_latency_ms: 150,
-  priority: 2,
-  service: "booking-app",
-}]));
+deployment.put(
+  "keyed.op",
+  "config",
+  configuration(7, [{
+    name: "slot-lookup",
+    path_prefix: "/slots/",
+    kind: "unsafe",
+    timeout_ms: 1_000,
+    target_latency_ms: 150,
+    priority: 2,
+    service: "booking-app",
+  }]),
+);
 for (const id of ["i-app-1", "i-app-2", "i-app-3"]) {
   await deployment.startWorker(id, "booking-app", { slots: 6, work_ms: 40 });
 }
@@ -82,7 +86,9 @@
 );
 const last = Math.max(...arrivals.map(({ at }) => at));
 console.log(
-  `removed ${removedAt - silentAt} ms after the silence; the last request reached the worker ${
+  `removed ${
+    removedAt - silentAt
+  } ms after the silence; the last request reached the worker ${
     last - removedAt
   } ms after its removal; ${late.length} came after ${DRAIN_MS} ms, ${inTouch.length} of them sent by machines in touch`,
 );
