Large adapter versions no longer end the owners of engines

Callers saw: once operators set version of one adapter, the owners of its engines ended with code 70, again after each restart, and so did each node that took the engines over.

Cause: messages between nodes held versions in 32 bits, and a node describes itself from a timer, in which whatever the encoder throws ends the process.

An entry that can't be encoded is left out of the digest with a log line and a counter, since encoding changes no state. Any other unexpected error still ends the process.

Related: one request with token counts of 1e12,70 ended the node that placed it, and a server that listed a version of 16 digits was ignored as a whole.

The stand-ins of engines and the relay's soak have large versions from now on.

--- a/packages/bench/src/relay/relay_cluster.ts
+++ b/packages/bench/src/relay/relay_cluster.ts
@@ -397,6 +397,8 @@
       const versions = this.#size.software ?? [INITIAL_SOFTWARE];
       engine.software = versions[(index - 1) % versions.length] ??
         INITIAL_SOFTWARE;
+      engine.adapters.newestVersion = (adapter) =>
+        this.store.newestVersion(adapter);
       this.engines.set(engine.id, engine);
       this.#addServer({
         id: engine.id,
--- a/packages/bench/src/relay/stand_in_engine_state.ts
+++ b/packages/bench/src/relay/stand_in_engine_state.ts
@@ -5,6 +5,9 @@
   OrderResult,
 } from "@foxtailwind/node/relay";
 
+/** The version of adapters before operators set one. */
+const INITIAL_VERSION = 1;
+
 /** The adapter state of a stand-in engine, with order counts and fencing. */
 export class StandInEngineState {
   /** The number of adapters that fit. */
@@ -21,6 +24,9 @@
   highestFence = 0;
   /** Whether an order ever loaded more adapters than fit. */
   hasExceededSlots = false;
+  /** Returns the version that an order loads that names none. */
+  newestVersion: (adapter: AdapterId) => number = () => INITIAL_VERSION;
+  readonly #versions = new Map<AdapterId, number>();
 
   /** @param slots The number of adapters that fit. */
   constructor(slots: number) {
@@ -43,11 +49,16 @@
       return { kind: "accepted" };
     }
     if (order.kind === "unload") return this.#unload(adapter);
-    if (this.loadedAdapters.has(adapter)) return { kind: "holds" };
-    this.loadedAdapters.add(adapter);
-    this.orderCount += 1;
-    if (this.loadedAdapters.size > this.slots) this.hasExceededSlots = true;
-    return { kind: "accepted" };
+    return this.#load(adapter, order.version ?? this.newestVersion(adapter));
+  }
+
+  /**
+   * Returns the version in which an adapter is loaded.
+   * @param adapter The adapter.
+   * @returns The version.
+   */
+  versionOf(adapter: AdapterId): number {
+    return this.#versions.get(adapter) ?? INITIAL_VERSION;
   }
 
   /**
@@ -58,6 +69,7 @@
     this.start = start;
     this.models = [];
     this.loadedAdapters.clear();
+    this.#versions.clear();
     this.adaptersInUse.clear();
     this.orderCount = 0;
     this.highestFence = 0;
@@ -74,7 +86,7 @@
         : [...this.loadedAdapters].map((adapter) => ({
           model,
           adapter,
-          version: 1,
+          version: this.versionOf(adapter),
         })),
       incoming: [],
       isBusy: false,
@@ -82,6 +94,18 @@
     };
   }
 
+  /** Loads an adapter, or replaces an older version that no request uses. */
+  #load(adapter: AdapterId, version: number): OrderResult {
+    const isHeld = this.loadedAdapters.has(adapter);
+    if (isHeld && this.versionOf(adapter) >= version) return { kind: "holds" };
+    if (isHeld && this.adaptersInUse.has(adapter)) return { kind: "conflict" };
+    this.loadedAdapters.add(adapter);
+    this.#versions.set(adapter, version);
+    this.orderCount += 1;
+    if (this.loadedAdapters.size > this.slots) this.hasExceededSlots = true;
+    return { kind: "accepted" };
+  }
+
   #unload(adapter: AdapterId): OrderResult {
     if (this.adaptersInUse.has(adapter)) return { kind: "conflict" };
     this.loadedAdapters.delete(adapter);
--- a/packages/bench/src/relay/stand_in_log.ts
+++ b/packages/bench/src/relay/stand_in_log.ts
@@ -1,4 +1,5 @@
 import {
+  type AdapterId,
   backendServerId,
   type CrashSuspicion,
   elapsed,
@@ -21,6 +22,7 @@
   type SuspicionChange,
 } from "@foxtailwind/node/relay";
 import { standInRegistryEntry, type StandInServer } from "./stand_in_server.ts";
+import { STAND_IN_MODEL } from "./stand_in_wire.ts";
 import { err, ok, type Result } from "neverthrow";
 
 const STORE_DOWN: Failure = {
@@ -61,6 +63,7 @@
   #nodes: NodeRecord[] = [];
   #suspicions = new Map<string, CrashSuspicion>();
   #configuration: RelayConfiguration | undefined;
+  readonly #versions = new Map<AdapterId, number>();
   #registryOffset = 0;
   #operatorsOffset = 0;
   #era = 0;
@@ -100,6 +103,27 @@
     });
   }
 
+  /**
+   * Returns the newest version of an adapter.
+   * @param adapter The adapter.
+   * @returns The version; 1 before any was set.
+   */
+  newestVersion(adapter: AdapterId): number {
+    return this.#versions.get(adapter) ?? 1;
+  }
+
+  /**
+   * Sets the newest version of an adapter.
+   * @param adapter The adapter.
+   * @param version The version.
+   */
+  setVersion(adapter: AdapterId, version: number): void {
+    this.#versions.set(adapter, version);
+    this.#publish((listener) => {
+      listener.adapterVersion(STAND_IN_MODEL, adapter, version);
+    });
+  }
+
   /**
    * Adds a server to the registry or replaces its entry.
    * @param server The server.
@@ -189,6 +213,9 @@
     this.#logs.add(log);
     this.#list(log, listener);
     listener.suspicionsListed([...this.#suspicions.values()]);
+    for (const [adapter, version] of this.#versions) {
+      listener.adapterVersion(STAND_IN_MODEL, adapter, version);
+    }
   }
 
   /**
--- a/packages/bench/src/soak/relay/relay_node.ts
+++ b/packages/bench/src/soak/relay/relay_node.ts
@@ -1,6 +1,7 @@
 import type { SharedLogListener } from "@foxtailwind/node/relay";
 import { LoggerFactory, type RelayDaemon } from "@foxtailwind/node/relay";
 import { setTimeout as sleep } from "node:timers/promises";
+import type { StandInStore } from "../../relay/stand_in_log.ts";
 import { StandInOperations } from "../../relay/stand_in_wire.ts";
 import { Draws } from "./draws.ts";
 import { type NodeParts, settingsOf, type SoakControl } from "./node_parts.ts";
@@ -8,7 +9,7 @@
 import type { NodeRunRecord } from "./relay_record.ts";
 import type { SoakEngine } from "./soak_engine.ts";
 import { SenderWire } from "./sender_wire.ts";
-import { SoakLog, type SoakStore } from "./soak_store.ts";
+import { SoakLog } from "./soak_store.ts";
 
 /** Beyond its grace, a stopping node is ended by force after these. */
 const LOOKS_BEFORE_FORCE = 4;
@@ -17,7 +18,7 @@
 /** What a node of a soak runs on. */
 export interface RelayNodeParts {
   readonly seed: number;
-  readonly store: SoakStore;
+  readonly store: StandInStore;
   readonly engines: ReadonlyMap<string, SoakEngine>;
   readonly made: NodeParts;
 }
@@ -34,7 +35,7 @@
 class NodeLog extends SoakLog {
   readonly #made: NodeParts;
 
-  constructor(store: SoakStore, made: NodeParts) {
+  constructor(store: StandInStore, made: NodeParts) {
     super(store);
     this.#made = made;
   }
--- a/packages/bench/src/soak/relay/relay_world.ts
+++ b/packages/bench/src/soak/relay/relay_world.ts
@@ -14,14 +14,16 @@
 import { ENGINES, PLAIN, soakConfiguration } from "./soak_configuration.ts";
 import { SoakEngine } from "./soak_engine.ts";
 import { PlainSoakServer, type SoakServer } from "./soak_server.ts";
-import type { StoreCopy } from "../../relay/stand_in_log.ts";
-import { SoakStore } from "./soak_store.ts";
+import { StandInStore, type StoreCopy } from "../../relay/stand_in_log.ts";
 
 /** An engine ends so long after it began to run what crashes it. */
 const PART_CRASH_MILLISECONDS = 20;
 /** How long the entry of an engine stays that has ended. */
 const ENTRY_STAYS_MILLISECONDS = 400;
 
+/** The first version that is set: a time in minutes, above 2^32. */
+const LARGE_VERSION = 202_612_041_630;
+
 /** The interval between two copies of the store. */
 const COPY_INTERVAL_MILLISECONDS = 100;
 /** After this time servers and the operator write again what was lost. */
@@ -34,7 +36,7 @@
 }
 
 /** A store that also tells which nodes have made themselves known. */
-class WorldStore extends SoakStore {
+class WorldStore extends StandInStore {
   readonly nodes = new Map<string, NodeRecord>();
 
   override appendNode(node: NodeRecord): void {
@@ -320,7 +322,8 @@
    * @param adapter The adapter.
    */
   nameVersion(adapter: AdapterId): void {
-    this.store.nameVersion(adapter, this.store.newestVersion(adapter) + 1);
+    const newest = this.store.newestVersion(adapter);
+    this.store.setVersion(adapter, Math.max(LARGE_VERSION, newest + 1));
     this.namedAt.set(adapter, performance.now());
   }
 
--- a/packages/bench/src/soak/relay/soak_engine.ts
+++ b/packages/bench/src/soak/relay/soak_engine.ts
@@ -44,7 +44,6 @@
   /** Whether orders get no answer and are carried out late. */
   isLate = false;
   readonly #parts: SoakEngineParts;
-  readonly #versions = new Map<AdapterId, number>();
   readonly #runs = new Map<AdapterId, number>();
   #highestClaim = -1;
 
@@ -59,25 +58,20 @@
     this.adapters = new StandInEngineState(parts.slots);
     this.adapters.models = [STAND_IN_MODEL];
     this.adapters.start = this.start;
+    this.adapters.newestVersion = parts.newestVersion;
   }
 
   /** Holds and knows nothing of before, not even who ordered it. */
   override restart(software?: string): void {
     super.restart(software);
     this.adapters.restart(this.start);
-    this.#versions.clear();
     this.#runs.clear();
     this.#highestClaim = -1;
   }
 
   /** What the engine says of itself. */
   get report(): EngineReport {
-    const { report } = this.adapters;
-    const adapters = report.adapters.map((held) => ({
-      ...held,
-      version: this.#versionOf(held.adapter),
-    }));
-    return { ...report, adapters };
+    return this.adapters.report;
   }
 
   /**
@@ -86,20 +80,16 @@
    * @returns What came of it.
    */
   carryOut(order: EngineOrder): OrderResult {
-    const { adapter } = order;
-    if (adapter === undefined) return this.#take(order);
-    const wanted = order.version ?? this.#parts.newestVersion(adapter);
-    const isNewer = order.kind === "load" &&
-      this.adapters.loadedAdapters.has(adapter) &&
-      this.#versionOf(adapter) < wanted;
-    if (isNewer && this.adapters.adaptersInUse.has(adapter)) {
-      return { kind: "conflict" };
+    const before = this.adapters.orderCount;
+    const result = this.adapters.execute(order);
+    const { record } = this.#parts;
+    if (this.adapters.orderCount > before) this.#checkOwner(order);
+    if (this.adapters.hasExceededSlots) {
+      record.breaks(
+        "adapter_slots_are_never_exceeded",
+        `${this.id} was ordered to hold ${this.adapters.loadedAdapters.size}`,
+      );
     }
-    if (isNewer) this.adapters.loadedAdapters.delete(adapter);
-    const result = this.#take(order);
-    if (result.kind === "accepted" && order.kind === "load") {
-      this.#versions.set(adapter, wanted);
-    } else if (isNewer) this.adapters.loadedAdapters.add(adapter);
     return result;
   }
 
@@ -107,7 +97,7 @@
     const id = request.headers.get("x-id") ?? "";
     const adapter = adapterId(request.headers.get("x-adapter") ?? "");
     if (!this.adapters.loadedAdapters.has(adapter)) return undefined;
-    const version = this.#versionOf(adapter);
+    const version = this.adapters.versionOf(adapter);
     const expected = request.headers.get("x-version");
     if (expected !== undefined && Number(expected) !== version) {
       return undefined;
@@ -132,20 +122,6 @@
     if (parts.includes(CRASHING_PART)) this.#parts.onCrashingPart(this);
   };
 
-  #take(order: EngineOrder): OrderResult {
-    const before = this.adapters.orderCount;
-    const result = this.adapters.execute(order);
-    const { record } = this.#parts;
-    if (this.adapters.orderCount > before) this.#checkOwner(order);
-    if (this.adapters.hasExceededSlots) {
-      record.breaks(
-        "adapter_slots_are_never_exceeded",
-        `${this.id} was ordered to hold ${this.adapters.loadedAdapters.size}`,
-      );
-    }
-    return result;
-  }
-
   /**
    * Each order names the claim by which it is given. An owner that has claimed
    * the engine again may still carry out orders by its earlier claim.
@@ -165,10 +141,6 @@
     this.#highestClaim = Math.max(this.#highestClaim, place);
   }
 
-  #versionOf(adapter: AdapterId): number {
-    return this.#versions.get(adapter) ?? 1;
-  }
-
   #use(adapter: AdapterId, change: number): void {
     const runs = (this.#runs.get(adapter) ?? 0) + change;
     this.#runs.set(adapter, runs);
--- a/packages/bench/src/soak/relay/soak_store.ts
+++ b/packages/bench/src/soak/relay/soak_store.ts
@@ -1,4 +1,4 @@
-import type { AdapterId, Failure, Instant } from "@foxtailwind/core";
+import type { Failure, Instant } from "@foxtailwind/core";
 import {
   type ClaimRecord,
   type NodeRecord,
@@ -6,8 +6,7 @@
   type SuspicionChange,
 } from "@foxtailwind/node/relay";
 import { err, type Result } from "neverthrow";
-import { StandInLog, StandInStore } from "../../relay/stand_in_log.ts";
-import { STAND_IN_MODEL } from "../../relay/stand_in_wire.ts";
+import { StandInLog } from "../../relay/stand_in_log.ts";
 
 const FAILURE: Failure = {
   reason: "unavailable",
@@ -19,48 +18,6 @@
 
 type News = Parameters<StandInLog["deliver"]>[0];
 
-/** A store that also names adapters' versions. */
-export class SoakStore extends StandInStore {
-  readonly #versions = new Map<AdapterId, number>();
-  readonly #followers = new Set<StandInLog>();
-
-  /**
-   * Tells the newest version of an adapter.
-   * @param adapter The adapter.
-   * @returns The version; 1 before any was named.
-   */
-  newestVersion(adapter: AdapterId): number {
-    return this.#versions.get(adapter) ?? 1;
-  }
-
-  /**
-   * Names a version of an adapter.
-   * @param adapter The adapter.
-   * @param version The version.
-   */
-  nameVersion(adapter: AdapterId, version: number): void {
-    this.#versions.set(adapter, version);
-    for (const log of this.#followers) {
-      log.deliver((listener) => {
-        listener.adapterVersion(STAND_IN_MODEL, adapter, version);
-      });
-    }
-  }
-
-  override attach(log: StandInLog, listener: SharedLogListener): void {
-    super.attach(log, listener);
-    this.#followers.add(log);
-    for (const [adapter, version] of this.#versions) {
-      listener.adapterVersion(STAND_IN_MODEL, adapter, version);
-    }
-  }
-
-  override detach(log: StandInLog): void {
-    super.detach(log);
-    this.#followers.delete(log);
-  }
-}
-
 /** One node's view of the store, which may not answer this node. */
 export class SoakLog extends StandInLog {
   readonly #unread: News[] = [];
--- a/packages/node/src/relay/accounts/proof_age.ts
+++ b/packages/node/src/relay/accounts/proof_age.ts
@@ -15,7 +15,9 @@
  * not fit, as after the time of day was set, counts as no proof.
  */
 export function encodeProofAge(age: Duration | undefined): ProofAgeMessage {
-  if (age === undefined || age > MAXIMUM_AGE_MILLISECONDS) return {};
+  if (age === undefined || !(age >= 0 && age <= MAXIMUM_AGE_MILLISECONDS)) {
+    return {};
+  }
   return { operatorsAgeMilliseconds: Math.ceil(age) };
 }
 
--- a/packages/node/src/relay/adapter_grants.ts
+++ b/packages/node/src/relay/adapter_grants.ts
@@ -1,11 +1,13 @@
 import {
   type BackendServerId,
   backendServerId,
+  milliseconds,
   type NodeId,
 } from "@foxtailwind/core";
 import { GrantOutcome } from "@foxtailwind/protocol";
 import { Metadata } from "@grpc/grpc-js";
 import type { PeerChannels } from "../peers/peer_channels.ts";
+import { encodeDuration } from "./encoded_numbers.ts";
 import type { EngineOwners } from "./engine_owners.ts";
 import type { UseAnswer, UseRefusal, UseRequest } from "./engine_use.ts";
 import type { UseCall } from "./links/link_service.ts";
@@ -168,8 +170,8 @@
     outcome: isFull ? GrantOutcome.NO_ROOM : GrantOutcome.NOT_OWNER,
     version: 0,
     start: 0,
-    retryAfterMilliseconds: Math.ceil(
-      (isFull ? refusal.retryAfter : undefined) ?? 0,
+    retryAfterMilliseconds: encodeDuration(
+      milliseconds(Math.ceil((isFull ? refusal.retryAfter : undefined) ?? 0)),
     ),
   });
   call.end();
--- a/packages/node/src/relay/engine_digest.ts
+++ b/packages/node/src/relay/engine_digest.ts
@@ -1,5 +1,6 @@
 import type { EngineSlots, RegisteredServer } from "@foxtailwind/core";
 import type { EngineDigest, HeldAdapter } from "@foxtailwind/protocol";
+import { encodeDuration } from "./encoded_numbers.ts";
 
 /**
  * Builds the digest of an engine that its owner sends to other nodes.
@@ -34,7 +35,7 @@
     ...state,
     adapters,
     cacheSize: loadTimes.cacheSize,
-    loadMilliseconds: loadTimes.estimateFrom("store"),
-    reloadMilliseconds: loadTimes.estimateFrom("cache"),
+    loadMilliseconds: encodeDuration(loadTimes.estimateFrom("store")),
+    reloadMilliseconds: encodeDuration(loadTimes.estimateFrom("cache")),
   };
 }
--- a/packages/node/src/relay/engine_run.ts
+++ b/packages/node/src/relay/engine_run.ts
@@ -17,6 +17,7 @@
 import type { EngineDigest } from "@foxtailwind/protocol";
 import { AdapterUses } from "./adapter_uses.ts";
 import { buildEngineDigest } from "./engine_digest.ts";
+import { encodeDuration } from "./encoded_numbers.ts";
 import { EngineLoads } from "./engine_loads.ts";
 import { EngineModel } from "./engine_model.ts";
 import { EngineOrders } from "./engine_orders.ts";
@@ -123,7 +124,7 @@
     const now = this.#now();
     return buildEngineDigest(this.#server, this.#slots, {
       start: encodeStart(this.#parts.start()),
-      waitMilliseconds: this.#uses.expectedWait(now),
+      waitMilliseconds: encodeDuration(this.#uses.expectedWait(now)),
       room: this.#canOrderSoon() ? this.#slots.availableSlots(now) : 0,
       isReachable: this.#orders.isReachable,
       running: this.#uses.occupancy.running,
--- a/packages/node/src/relay/node_presence.ts
+++ b/packages/node/src/relay/node_presence.ts
@@ -5,17 +5,19 @@
   isAdvertised,
   milliseconds,
   nodeId,
+  RecentKeys,
   type ServiceId,
 } from "@foxtailwind/core";
 import {
   type AccountUse,
   type EngineDigest,
-  EngineStates,
   NodeDigest,
   type RetryUse,
   type ServerLimit,
 } from "@foxtailwind/protocol";
 import type { SteadyClock } from "../clock/steady_clock.ts";
+import type { ComponentLogger } from "../logging/component_logger.ts";
+import { encodeEngineStates, type RejectedEntry } from "./engine_states.ts";
 import type { Knowledge } from "./knowledge.ts";
 import type { RelaySettings } from "./relay_settings.ts";
 import { decodeCapacity } from "./node_load.ts";
@@ -32,11 +34,15 @@
  */
 const RESERVE_RETENTION = milliseconds(60_000);
 
+/** The maximum number of rejected entries that are logged only once. */
+const MAXIMUM_REJECTED_ENTRIES = 1_000;
+
 /** The dependencies of {@link NodePresence}. */
 export interface NodePresenceParts {
   readonly settings: RelaySettings;
   readonly knowledge: Knowledge;
   readonly clock: SteadyClock;
+  readonly logger: ComponentLogger;
   /** Identifies the run of this process. */
   readonly incarnation: string;
   /** Digests of the engines that this node owns. */
@@ -68,6 +74,7 @@
   readonly #lastHeardAt = new Map<string, Instant>();
   readonly #nodeSequence = new StateSequence();
   readonly #engineSequence = new StateSequence();
+  readonly #rejectedEntries = new RecentKeys(MAXIMUM_REJECTED_ENTRIES);
   #ports: NodePorts | undefined;
   /** The stop in progress, if this node is stopping. */
   plannedStop: PlannedStop | undefined;
@@ -111,9 +118,13 @@
   get digest(): NodeDigest {
     const now = this.#parts.clock.now();
     const unnumbered = this.#createDigest(now);
-    const engines = [...this.#parts.engines()];
-    const accounts = [...this.#parts.accounts()];
-    const retries = [...this.#parts.retries(now)];
+    const { states, bytes } = encodeEngineStates({
+      engines: [...this.#parts.engines()],
+      accounts: [...this.#parts.accounts()],
+      retries: [...this.#parts.retries(now)],
+    }, (entry) => {
+      this.#recordRejected(entry);
+    });
     return {
       ...unnumbered,
       sequence: this.#nodeSequence.numberOf(
@@ -121,18 +132,26 @@
         NodeDigest.encode(unnumbered).finish(),
       ),
       engineStates: {
-        engines,
-        accounts,
-        retries,
-        sequence: this.#engineSequence.numberOf(
-          now,
-          EngineStates.encode({ engines, accounts, retries, sequence: 0 })
-            .finish(),
-        ),
+        ...states,
+        sequence: this.#engineSequence.numberOf(now, bytes),
       },
     };
   }
 
+  /** Logs an entry once, since a digest is created for each exchange. */
+  #recordRejected({ kind, id, detail }: RejectedEntry): void {
+    const { knowledge, logger } = this.#parts;
+    knowledge.workCounts.increment("digest_entry_rejected");
+    const key = `${kind} ${id}`;
+    if (this.#rejectedEntries.has(key)) return;
+    this.#rejectedEntries.add(key);
+    logger.error("An entry of the digest can't be encoded.", {
+      kind,
+      id,
+      detail,
+    });
+  }
+
   #createDigest(now: Instant): NodeDigest {
     const {
       knowledge,
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -172,6 +172,7 @@
       settings,
       knowledge,
       clock,
+      logger: loggers.forComponent("peers"),
       incarnation: this.#incarnation,
       engines: () => this.#owners.digests,
       accounts: () => this.#parts.quotas.ownUses,
--- a/packages/node/src/relay/streams/stream_origin_message.ts
+++ b/packages/node/src/relay/streams/stream_origin_message.ts
@@ -9,6 +9,7 @@
   type StreamOrigin,
 } from "@foxtailwind/core";
 import type { StreamOrigin as StreamOriginMessage } from "@foxtailwind/protocol";
+import { encodeDuration } from "../encoded_numbers.ts";
 
 /**
  * Encodes what began a stream for a peer.
@@ -20,7 +21,7 @@
   now: Instant,
   { attempt, service, software, server, begunAt }: StreamOrigin,
 ): StreamOriginMessage {
-  const ageMilliseconds = Math.max(0, Math.round(elapsed(begunAt, now)));
+  const ageMilliseconds = encodeDuration(elapsed(begunAt, now));
   return { attempt, service, software, server, ageMilliseconds };
 }
 
--- a/packages/node/src/relay/use_message.ts
+++ b/packages/node/src/relay/use_message.ts
@@ -10,6 +10,11 @@
   type AdapterUse,
   GrantOutcome,
 } from "@foxtailwind/protocol";
+import {
+  encodeCount,
+  encodeDuration,
+  encodeSignedDuration,
+} from "./encoded_numbers.ts";
 import type { QueueTerms, UseAnswer, UseRequest } from "./engine_use.ts";
 import { decodeStart } from "./start_message.ts";
 
@@ -29,15 +34,15 @@
     model: request.model,
     adapter: request.adapter ?? "",
     minimumVersion: request.minimumVersion,
-    readingMilliseconds: Math.round(request.prefillTime),
-    timeLeftMilliseconds: Math.round(request.timeLeft),
+    readingMilliseconds: encodeDuration(request.prefillTime),
+    timeLeftMilliseconds: encodeSignedDuration(request.timeLeft),
     needsBreak: request.needsBreak,
     priority: queueing?.priority ?? 0,
     account: queueing?.account ?? "",
-    workTokens: Math.round(queueing?.work ?? 0),
+    workTokens: encodeCount(queueing?.work ?? 0),
     longestWaitMilliseconds: queueing === undefined
       ? 0
-      : Math.max(1, Math.round(queueing.longestWait)),
+      : Math.max(1, encodeDuration(queueing.longestWait)),
     onlyInTime: queueing?.onlyInTime ?? false,
   };
 }
--- a/packages/node/src/relay/work_counts.ts
+++ b/packages/node/src/relay/work_counts.ts
@@ -23,6 +23,8 @@
   /** Changes of the registry sent to peers, and those received from them. */
   | "registry_sent"
   | "registry_received"
+  /** Entries left out of digests because they can't be encoded. */
+  | "digest_entry_rejected"
   /** Adapters that engines loaded from their caches, and from the store. */
   | "adapter_cache_load"
   | "adapter_store_load"
--- a/packages/node/tests/relay/node_presence_test.ts
+++ b/packages/node/tests/relay/node_presence_test.ts
@@ -6,15 +6,19 @@
   ProcessClock,
   ServingNodes,
 } from "@foxtailwind/node/relay";
+import type { EngineDigest } from "@foxtailwind/protocol";
 import test from "ava";
-import { nodeDigest } from "./helpers/node_digest.ts";
+import { engineDigest, nodeDigest } from "./helpers/node_digest.ts";
 import { nodeRecord } from "./helpers/node_record.ts";
 import { createRelayBase } from "./helpers/relay_base.ts";
 
 /** Creates a node that listens and has a configuration. */
-function setUp() {
+function setUp(
+  engines: () => readonly EngineDigest[] = () => [],
+  write?: (line: string) => void,
+) {
   const clock = new ProcessClock();
-  const { base, knowledge } = createRelayBase({ part: "daemon", clock });
+  const { base, knowledge } = createRelayBase({ part: "daemon", clock, write });
   const { settings } = base;
   const serving = new ServingNodes({
     self: settings.node.id,
@@ -30,7 +34,7 @@
     ...base,
     knowledge,
     serving,
-    engines: () => [],
+    engines,
     accounts: () => [],
     retries: () => [],
     isEstablished: () => true,
@@ -103,3 +107,19 @@
   knowledge.operatorsTold(7 as never);
   t.true(presence.digest.sequence > first.sequence);
 });
+
+test("an engine that can't be described is left out, logged once and counted", (t) => {
+  const lines: string[] = [];
+  const { knowledge, presence } = setUp(
+    () => [engineDigest("invalid", { running: -1 }), engineDigest("valid")],
+    (line) => lines.push(line),
+  );
+  for (let exchange = 0; exchange < 3; exchange += 1) {
+    const { engineStates } = presence.digest;
+    t.deepEqual(engineStates?.engines.map(({ engine }) => engine), ["valid"]);
+  }
+  const rejections = lines.filter((line) => line.includes("can't be encoded"));
+  t.is(rejections.length, 1);
+  t.true(rejections[0]?.includes('"id":"invalid"'));
+  t.is(knowledge.workCounts.counts.get("digest_entry_rejected"), 3);
+});
