--- a/packages/bench/src/relay/relay_cluster.ts
+++ b/packages/bench/src/relay/relay_cluster.ts
@@ -87,8 +87,8 @@
 
 /** What a caller of a stream does. */
 export interface StreamOptions {
-  /** The attempt that brought the first event, and the last event received. */
-  readonly resumes?: { readonly attempt: string; readonly lastEvent: number };
+  /** The attempt that brought the first event, if named, and the last event. */
+  readonly resumes?: { readonly attempt?: string; readonly lastEvent: number };
   /** The number of events after which the caller leaves. */
   readonly limit?: number;
 }
@@ -269,7 +269,9 @@
         "x-id": attempt,
         "x-adapter": adapter,
         ...(resumes === undefined ? {} : {
-          [RESUMES_HEADER]: resumes.attempt,
+          ...(resumes.attempt === undefined
+            ? {}
+            : { [RESUMES_HEADER]: resumes.attempt }),
           [LAST_EVENT_HEADER]: String(resumes.lastEvent),
         }),
       },
@@ -378,6 +380,17 @@
     return links;
   }
 
+  /** Stops all nodes, and starts others that know nothing of before. */
+  async replaceNodes(): Promise<void> {
+    const replaced = this.daemons.splice(0);
+    this.logs.splice(0);
+    await Promise.all(replaced.map((daemon) => daemon.stop()));
+    for (const daemon of replaced) this.#links.delete(daemon);
+    for (let index = 1; index <= this.#size.nodes; index += 1) {
+      await this.addNode(`node-${index}`);
+    }
+  }
+
   /** Stops the nodes, the engines and the lookup server. */
   async stop(): Promise<void> {
     await Promise.all(this.daemons.map((daemon) => daemon.stop()));
--- a/packages/bench/src/relay/stand_in_log.ts
+++ b/packages/bench/src/relay/stand_in_log.ts
@@ -5,12 +5,14 @@
   elapsed,
   type Failure,
   hasManyReaders,
+  type LogEra,
   type LogOffset,
   logPosition,
   milliseconds,
   type RegisteredServer,
   type RelayConfiguration,
   scaledPause,
+  type StreamSource,
   suspectedRunKey,
 } from "@foxtailwind/core";
 import {
@@ -19,6 +21,8 @@
   ProcessClock,
   SharedLog,
   type SharedLogListener,
+  type StoredOrigin,
+  type StreamSourceChanges,
   type SuspicionChange,
 } from "@foxtailwind/node/relay";
 import { standInRegistryEntry, type StandInServer } from "./stand_in_server.ts";
@@ -48,6 +52,9 @@
   readonly claims: readonly ClaimRecord[];
   readonly nodes: readonly NodeRecord[];
   readonly suspicions: readonly (readonly [string, CrashSuspicion])[];
+  readonly streamSources: readonly StreamSource[];
+  readonly confirmedEra: LogEra | undefined;
+  readonly origins: readonly StoredOrigin[];
   readonly configuration: RelayConfiguration | undefined;
   readonly registryOffset: number;
   readonly operatorsOffset: number;
@@ -64,9 +71,13 @@
   #suspicions = new Map<string, CrashSuspicion>();
   #configuration: RelayConfiguration | undefined;
   readonly #versions = new Map<AdapterId, number>();
+  #streamSources: StreamSource[] = [];
+  /** The era in which a node has confirmed that no source is missing. */
+  #confirmedEra: LogEra | undefined;
+  #origins: StoredOrigin[] = [];
   #registryOffset = 0;
   #operatorsOffset = 0;
-  #era = 0;
+  #era: LogEra = 0;
   /** Whether calls are answered and changes are delivered. */
   isUp = true;
   /**
@@ -204,6 +215,50 @@
     }
   }
 
+  /** The software that may begin streams. */
+  get streamSources(): readonly StreamSource[] {
+    return this.#streamSources;
+  }
+
+  /** What began streams, as far as nodes have written it. */
+  get origins(): readonly StoredOrigin[] {
+    return this.#origins;
+  }
+
+  /**
+   * Stores and drops software that may begin streams.
+   * @param changes The changes.
+   */
+  changeStreamSources({ added, dropped }: StreamSourceChanges): void {
+    const isSame = (one: StreamSource) => (other: StreamSource) =>
+      JSON.stringify(one) === JSON.stringify(other);
+    for (const source of [...added, ...dropped]) {
+      this.#streamSources = this.#streamSources
+        .filter((known) => !isSame(source)(known));
+    }
+    this.#streamSources.push(...added);
+    this.#publish((listener) => {
+      for (const source of added) listener.streamSourceStored(source);
+      for (const source of dropped) listener.streamSourceDropped(source);
+    });
+  }
+
+  /** Confirms that no software that may begin streams is missing. */
+  confirmStreamSources(): void {
+    this.#confirmedEra = this.#era;
+    this.#publish((listener) => {
+      listener.streamSourcesConfirmed();
+    });
+  }
+
+  /**
+   * Adds what began streams.
+   * @param origins The origins.
+   */
+  appendOrigins(origins: readonly StoredOrigin[]): void {
+    this.#origins.push(...origins);
+  }
+
   /**
    * Delivers the whole contents to a node, and all later changes.
    * @param log The log of the node.
@@ -228,6 +283,9 @@
       claims: [...this.#claims],
       nodes: [...this.#nodes],
       suspicions: [...this.#suspicions],
+      streamSources: [...this.#streamSources],
+      confirmedEra: this.#confirmedEra,
+      origins: [...this.#origins],
       configuration: this.#configuration,
       registryOffset: this.#registryOffset,
       operatorsOffset: this.#operatorsOffset,
@@ -244,6 +302,9 @@
     this.#claims = [...copy.claims];
     this.#nodes = [...copy.nodes];
     this.#suspicions = new Map(copy.suspicions);
+    this.#streamSources = [...copy.streamSources];
+    this.#confirmedEra = copy.confirmedEra;
+    this.#origins = [...copy.origins];
     this.#configuration = copy.configuration;
     this.#registryOffset = copy.registryOffset;
     this.#operatorsOffset = copy.operatorsOffset;
@@ -279,6 +340,10 @@
       listener.claim(claim, this.#position(index));
     }
     for (const node of this.#nodes) listener.node(node);
+    listener.streamSourcesListed(
+      this.#streamSources,
+      this.#confirmedEra === this.#era,
+    );
   }
 
   #position(offset: number): LogOffset {
@@ -402,6 +467,45 @@
     return Promise.resolve(ok(undefined));
   }
 
+  override changeStreamSources(
+    changes: StreamSourceChanges,
+  ): Promise<Result<boolean, Failure>> {
+    if (!this.#store.isUp) return Promise.resolve(err(STORE_DOWN));
+    this.#store.changeStreamSources(changes);
+    return Promise.resolve(ok(true));
+  }
+
+  /** Records are delivered as they are added, unless this log is silent. */
+  override readStreamSources(): Promise<boolean> {
+    if (!this.#store.isUp || this.#listener === undefined || this.isSilent) {
+      return Promise.resolve(false);
+    }
+    this.#deliverHeldBack(this.#listener);
+    return Promise.resolve(true);
+  }
+
+  override confirmStreamSources(): Promise<Result<boolean, Failure>> {
+    if (!this.#store.isUp) return Promise.resolve(err(STORE_DOWN));
+    this.#store.confirmStreamSources();
+    return Promise.resolve(ok(true));
+  }
+
+  override appendStreamOrigins(
+    origins: readonly StoredOrigin[],
+  ): Promise<Result<void, Failure>> {
+    if (!this.#store.isUp) return Promise.resolve(err(STORE_DOWN));
+    this.#store.appendOrigins(origins);
+    return Promise.resolve(ok(undefined));
+  }
+
+  override readStreamOrigins(): Promise<
+    Result<readonly StoredOrigin[], Failure>
+  > {
+    return Promise.resolve(
+      this.#store.isUp ? ok(this.#store.origins) : err(STORE_DOWN),
+    );
+  }
+
   override stop(): void {
     clearInterval(this.#timer);
     clearInterval(this.#registryTimer);
--- a/packages/bench/src/soak/relay/faulty_listeners.ts
+++ b/packages/bench/src/soak/relay/faulty_listeners.ts
@@ -8,8 +8,10 @@
   type Route,
   type SoftwareVersion,
   softwareVersion,
+  type StreamSource,
 } from "@foxtailwind/core";
 import type { ClaimRecord, SharedLogListener } from "@foxtailwind/node/relay";
+import { ENGINES } from "./soak_configuration.ts";
 import { PassingListener } from "./soak_store.ts";
 
 /** Tells that every route may be repeated. */
@@ -88,6 +90,24 @@
   return { ...entry, server };
 }
 
+/** Passes on software that never was, so that streams may have begun there. */
+export class AddsStreamSource extends PassingListener {
+  override streamSourcesListed(
+    sources: readonly StreamSource[],
+    isConfirmed: boolean,
+  ): void {
+    super.streamSourcesListed(sources, isConfirmed);
+    for (const route of ["drafts", "notes"]) {
+      super.streamSourceStored({
+        host: "desk.example",
+        pathPrefix: `/${route}/`,
+        service: ENGINES,
+        software: softwareVersion("never"),
+      });
+    }
+  }
+}
+
 /** Passes on everything, and tells the software of each entry. */
 export class ListensForSoftware extends PassingListener {
   readonly #onSoftware: (software: SoftwareVersion) => void;
--- a/packages/bench/src/soak/relay/relay_mutants.ts
+++ b/packages/bench/src/soak/relay/relay_mutants.ts
@@ -20,6 +20,7 @@
 import type { Draws } from "./draws.ts";
 import {
   AddsSlots,
+  AddsStreamSource,
   HearsNoDepartures,
   HearsNoSoftware,
   HearsNoVersions,
@@ -97,6 +98,17 @@
   }
 }
 
+/** Nodes that can't tell what began any stream that is resumed. */
+class RefusesResumedStreams extends WithListener {
+  constructor() {
+    super((next) => new AddsStreamSource(next));
+  }
+
+  override wire(): RelayWire {
+    return new ReadsNoResumedAttempts();
+  }
+}
+
 /** Nodes with one other line in their settings. */
 class WithSettings extends NodeParts {
   readonly #lines: readonly (readonly [pattern: RegExp, line: string])[];
@@ -310,7 +322,7 @@
   {
     name: "refuse every stream that is resumed",
     invariants: ["resumed_streams_go_on"],
-    made: new WithWire(() => new ReadsNoResumedAttempts()),
+    made: new RefusesResumedStreams(),
     draw: drawStreamScript,
   },
   {
--- a/packages/bench/src/soak/relay/relay_soak.ts
+++ b/packages/bench/src/soak/relay/relay_soak.ts
@@ -49,6 +49,9 @@
 /** How often a caller resumes a stream, and how long it waits before it does. */
 const MOST_RESUMPTIONS = 3;
 const RESUMPTION_PAUSE_MILLISECONDS = 60;
+/** How often a caller looks for a node while there is none. */
+const NODE_LOOKS = 20;
+const NODE_LOOK_MILLISECONDS = 50;
 const OK = 200;
 /** Callers still open connections to a stopping node, in milliseconds. */
 const ADDRESS_MILLISECONDS = 2_000;
@@ -151,7 +154,7 @@
     planned: PlannedCall,
     resumes?: ResumedStream,
   ): Promise<CallRecord | undefined> {
-    const node = this.#nodeFor(planned);
+    const node = await this.#awaitNode(planned);
     const caller = this.#callers[planned.caller];
     if (node === undefined || caller === undefined) return undefined;
     const call = {
@@ -216,6 +219,16 @@
     }
   }
 
+  /** Waits for a node, for a while after all were cut off. */
+  async #awaitNode(planned: PlannedCall): Promise<RelayNode | undefined> {
+    for (let looks = 0; looks < NODE_LOOKS; looks += 1) {
+      const node = this.#nodeFor(planned);
+      if (node !== undefined) return node;
+      await sleep(NODE_LOOK_MILLISECONDS);
+    }
+    return undefined;
+  }
+
   /** Connections to a node that stops are used on until it is gone. */
   #nodeFor({ node, isKept }: PlannedCall): RelayNode | undefined {
     const { nodes } = this.world;
--- a/packages/bench/src/soak/relay/soak_store.ts
+++ b/packages/bench/src/soak/relay/soak_store.ts
@@ -3,6 +3,8 @@
   type ClaimRecord,
   type NodeRecord,
   SharedLogListener,
+  type StoredOrigin,
+  type StreamSourceChanges,
   type SuspicionChange,
 } from "@foxtailwind/node/relay";
 import { err, type Result } from "neverthrow";
@@ -72,6 +74,42 @@
       : Promise.resolve(err(FAILURE));
   }
 
+  override changeStreamSources(
+    changes: StreamSourceChanges,
+  ): Promise<Result<boolean, Failure>> {
+    return this.#isReachable
+      ? super.changeStreamSources(changes)
+      : Promise.resolve(err(FAILURE));
+  }
+
+  override readStreamSources(): Promise<boolean> {
+    return this.#isReachable
+      ? super.readStreamSources()
+      : Promise.resolve(false);
+  }
+
+  override confirmStreamSources(): Promise<Result<boolean, Failure>> {
+    return this.#isReachable
+      ? super.confirmStreamSources()
+      : Promise.resolve(err(FAILURE));
+  }
+
+  override appendStreamOrigins(
+    origins: readonly StoredOrigin[],
+  ): Promise<Result<void, Failure>> {
+    return this.#isReachable
+      ? super.appendStreamOrigins(origins)
+      : Promise.resolve(err(FAILURE));
+  }
+
+  override readStreamOrigins(): Promise<
+    Result<readonly StoredOrigin[], Failure>
+  > {
+    return this.#isReachable
+      ? super.readStreamOrigins()
+      : Promise.resolve(err(FAILURE));
+  }
+
   override deliver(tell: News): void {
     if (this.#isReachable) super.deliver(tell);
     else this.#unread.push(tell);
@@ -170,6 +208,28 @@
     this.next.suspicionsListed(...news);
   }
 
+  override streamSourcesListed(
+    ...news: Parameters<SharedLogListener["streamSourcesListed"]>
+  ): void {
+    this.next.streamSourcesListed(...news);
+  }
+
+  override streamSourceStored(
+    ...news: Parameters<SharedLogListener["streamSourceStored"]>
+  ): void {
+    this.next.streamSourceStored(...news);
+  }
+
+  override streamSourceDropped(
+    ...news: Parameters<SharedLogListener["streamSourceDropped"]>
+  ): void {
+    this.next.streamSourceDropped(...news);
+  }
+
+  override streamSourcesConfirmed(): void {
+    this.next.streamSourcesConfirmed();
+  }
+
   override recordSkipped(
     ...news: Parameters<SharedLogListener["recordSkipped"]>
   ): void {
--- a/packages/bench/src/soak/relay/stream_script.ts
+++ b/packages/bench/src/soak/relay/stream_script.ts
@@ -62,10 +62,29 @@
   return {
     size: STREAM_WORLD_SIZE,
     calls: drawStreams(seed),
-    faults: faults.toSorted((one, other) => one.at - other.at),
+    faults: [...faults, ...drawPowerLosses(seed, faults)]
+      .toSorted((one, other) => one.at - other.at),
   };
 }
 
+/** All nodes are cut off at the same moment, some of the times in a release. */
+function drawPowerLosses(
+  seed: number,
+  faults: readonly PlannedFault[],
+): readonly PlannedFault[] {
+  const draws = new Draws(seed, "power losses");
+  const releases = faults.filter(({ fault }) => fault.kind === "release");
+  return drawTimes(draws, [0, 3], () => ({
+    kind: "several_cut",
+    node: 0,
+    nodes: STREAM_WORLD_SIZE.nodes,
+  })).map((loss) =>
+    draws.happens(0.5)
+      ? { ...loss, at: draws.pick(releases).at + draws.between(0, 600) }
+      : loss
+  );
+}
+
 function drawNode(draws: Draws): number {
   return draws.between(0, STREAM_WORLD_SIZE.nodes);
 }
--- a/packages/core/src/relay/streams/stream_origin.ts
+++ b/packages/core/src/relay/streams/stream_origin.ts
@@ -3,6 +3,7 @@
   type Instant,
   type RequestId,
   seconds,
+  type ServerStart,
   type ServiceId,
   type SoftwareVersion,
 } from "../../shared/mod.ts";
@@ -19,6 +20,8 @@
   readonly software: SoftwareVersion;
   /** The server that sent the first event. */
   readonly server: BackendServerId;
+  /** The start of that server as registered then, if known. */
+  readonly start?: ServerStart;
   /** When the first event arrived, by the clock of this node. */
   readonly begunAt: Instant;
 }
--- a/packages/core/tests/relay/streams/software_history_test.ts
+++ b/packages/core/tests/relay/streams/software_history_test.ts
@@ -67,22 +67,3 @@
   changes.record(instant(10_000), serverWith("2"));
   t.false(changes.isUncertain(begunAt(9_900, "1")));
 });
-
-test("a service has a single version unless another one serves or served lately", (t) => {
-  const history = new SoftwareHistory();
-  const service = serviceId("s");
-  const current = [serverWith("2")];
-  t.true(history.hasSingleVersion(instant(0), service, []));
-  history.record(instant(0), serverWith("1"));
-  history.record(instant(1_000), serverWith("2"));
-  t.false(history.hasSingleVersion(instant(1_000), service, current));
-  t.false(history.hasSingleVersion(instant(119_000), service, current));
-  t.true(history.hasSingleVersion(instant(121_000), service, current));
-  t.false(
-    history.hasSingleVersion(instant(500_000), service, [
-      serverWith("2"),
-      serverWith("3"),
-    ]),
-  );
-  t.true(history.hasSingleVersion(instant(0), serviceId("other"), []));
-});
--- a/packages/node/src/relay/front_server.ts
+++ b/packages/node/src/relay/front_server.ts
@@ -217,8 +217,11 @@
     const target = await chooseRequestTarget(
       this.#parts,
       route,
-      caller.value,
-      Math.random(),
+      {
+        caller: caller.value,
+        path: message.url ?? "/",
+        draw: Math.random(),
+      },
     );
     const service = target.kind === "chosen"
       ? routes.service(target.service)
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -24,6 +24,8 @@
   ServerRegistry,
   type ServiceId,
   SoftwareHistory,
+  type StreamSource,
+  StreamSources,
 } from "@foxtailwind/core";
 import type { NodeDigest } from "@foxtailwind/protocol";
 import type { SteadyClock } from "../clock/steady_clock.ts";
@@ -72,6 +74,16 @@
 /** Where a change of the registry came from. */
 export type RegistrySource = "log" | "peer" | "answer";
 
+/** What a node has learned of the record of software that begins streams. */
+export type StreamRecordState =
+  /** Nothing: it has not read the log. */
+  | "unread"
+  /** The log shows no earlier run of any node. */
+  | "new"
+  /** The log came back from an older copy, which may lack some of it. */
+  | "unconfirmed"
+  | "confirmed";
+
 /** The part of {@link ServingNodes} that {@link Knowledge} uses. */
 export type ServingView = Pick<
   ServingNodes,
@@ -89,6 +101,8 @@
   readonly versions = new AdapterVersions();
   readonly registry = new ServerRegistry();
   readonly softwareHistory = new SoftwareHistory();
+  /** The software that may have begun streams, by routes. */
+  readonly streamSources = new StreamSources();
   /** The departures that servers announce to this node in their answers. */
   readonly departures: ServerDepartures;
   readonly peers = new PeerTable();
@@ -110,6 +124,9 @@
   #operatorsEnd = logOffset(0);
   readonly #serversByService = new ServersByService(this.registry);
   #lastLogReadAt: Instant | undefined;
+  #streamRecordState: StreamRecordState = "unread";
+  #hasNodeRecords = false;
+  #restoredAt: Instant | undefined;
   #lastLogCallSucceeded = false;
   /** The nodes that serve; all of them until the serving set is computed. */
   serving: ServingView = ALL_NODES_SERVE;
@@ -122,6 +139,8 @@
   ) => void = () => undefined;
   /** Called when the log has come back from an older copy. */
   onLogRestored: () => void = () => undefined;
+  /** Called when the software that begins streams was read from the log. */
+  onStreamSourcesRead: () => void = () => undefined;
   /** Called for each record that was skipped. */
   onRecordSkipped: (topic: RecordTopic, reason: SkipReason) => void = () =>
     undefined;
@@ -169,15 +188,14 @@
     return this.#serversByService.serversOf(service);
   }
 
-  /**
-   * Checks whether a service is known to run one software version only.
-   * @param service The service.
-   * @returns Whether it has run no other version lately.
-   */
-  hasSingleVersion(service: ServiceId): boolean {
-    const now = this.#parts.clock.now();
-    const servers = this.servers(service);
-    return this.softwareHistory.hasSingleVersion(now, service, servers);
+  /** What the log says of the software that begins streams. */
+  get streamRecordState(): StreamRecordState {
+    return this.#streamRecordState;
+  }
+
+  /** When the log last came back from an older copy, if this run saw it. */
+  get restoredAt(): Instant | undefined {
+    return this.#restoredAt;
   }
 
   /** The registered model engines that are not leaving. */
@@ -372,6 +390,11 @@
   }
 
   override node(node: NodeRecord): void {
+    this.#hasNodeRecords = true;
+    if (this.#streamRecordState === "new") {
+      this.#streamRecordState = "unconfirmed";
+      this.onStreamSourcesRead();
+    }
     if (node.id === this.#parts.settings.node.id) return;
     this.peers.recordNode(this.#parts.clock.now(), node);
   }
@@ -384,7 +407,53 @@
     this.suspicionTracker.applyListing(suspicions);
   }
 
+  override streamSourcesListed(
+    sources: readonly StreamSource[],
+    isConfirmed: boolean,
+  ): void {
+    this.streamSources.list(this.#parts.clock.now(), sources);
+    if (isConfirmed) {
+      this.streamSourcesConfirmed();
+      return;
+    }
+    const isNew = this.#streamRecordState === "unread" &&
+      sources.length === 0 && !this.#hasNodeRecords;
+    this.#streamRecordState = isNew ? "new" : "unconfirmed";
+    this.onStreamSourcesRead();
+  }
+
+  override streamSourceStored(source: StreamSource): void {
+    this.streamSources.recordStored(this.#parts.clock.now(), source);
+  }
+
+  override streamSourceDropped(source: StreamSource): void {
+    this.streamSources.recordDropped(source);
+  }
+
+  override streamSourcesConfirmed(): void {
+    this.#streamRecordState = "confirmed";
+    this.streamSources.recordComplete();
+    this.onStreamSourcesRead();
+  }
+
+  /**
+   * Applies what a peer has read of the software that begins streams. This
+   * node's own log decides if it answers.
+   * @param sources The software that the log holds.
+   * @param isComplete Whether the peer knows that none is missing.
+   */
+  applyPeerSources(
+    sources: readonly StreamSource[],
+    isComplete: boolean,
+  ): void {
+    const now = this.#parts.clock.now();
+    if (this.isLogReachable(now)) return;
+    for (const source of sources) this.streamSources.recordStored(now, source);
+    if (isComplete) this.streamSources.recordComplete();
+  }
+
   override logRestored(era: LogEra): void {
+    this.#restoredAt = this.#parts.clock.now();
     this.claims.recordRestore(era);
     this.#parts.logger.warn("The platform's log is back from an older copy.", {
       era,
--- a/packages/node/src/relay/knowledge_message.ts
+++ b/packages/node/src/relay/knowledge_message.ts
@@ -3,6 +3,7 @@
   logOffset,
   modelId,
   type RelayConfiguration,
+  type StreamSource,
 } from "@foxtailwind/core";
 import {
   Knowledge as KnowledgeMessage,
@@ -36,6 +37,8 @@
     configuration: isNewer ? compress(configuration) : Buffer.alloc(0),
     versions: JSON.stringify(knowledge.versions.entries),
     operatorsEnd: knowledge.operatorsEnd,
+    streamSources: JSON.stringify(knowledge.streamSources.stored),
+    areStreamSourcesComplete: knowledge.streamSources.isComplete,
     ...encodeProofAge(knowledge.proofs.age),
   };
 }
@@ -59,6 +62,12 @@
     const [model = "", adapter = ""] = key.split("/");
     knowledge.adapterVersion(modelId(model), adapterId(adapter), version);
   }
+  if (message.streamSources !== "") {
+    knowledge.applyPeerSources(
+      JSON.parse(message.streamSources) as StreamSource[],
+      message.areStreamSourcesComplete,
+    );
+  }
   knowledge.operatorsTold(logOffset(message.operatorsEnd));
 }
 
--- a/packages/node/src/relay/make_relay_parts.ts
+++ b/packages/node/src/relay/make_relay_parts.ts
@@ -25,6 +25,7 @@
     | "pools"
     | "recordRefusal"
     | "recordRequest"
+    | "streamRecorder"
     | "streams"
     | "wire"
   > {
@@ -50,6 +51,7 @@
   const {
     recordRefusal,
     recordRequest: record,
+    streamRecorder,
     streams,
     wire,
     settings,
@@ -90,6 +92,7 @@
     countNodes: nodes,
     pools,
     loads,
+    streamRecorder,
     streams,
     wire,
     logger,
--- a/packages/node/src/relay/mod.ts
+++ b/packages/node/src/relay/mod.ts
@@ -65,6 +65,8 @@
 export * from "./registry/registry_spread.ts";
 export * from "./relay_metrics.ts";
 export * from "./streams/resumption.ts";
+export * from "./streams/stream_archive.ts";
 export * from "./streams/stream_directory.ts";
+export * from "./streams/stream_source_recorder.ts";
 export { decodeUse, encodeUse } from "./use_message.ts";
 export * from "./work_counts.ts";
--- a/packages/node/src/relay/placement_finder.ts
+++ b/packages/node/src/relay/placement_finder.ts
@@ -160,12 +160,16 @@
       .filter((server) => knowledge.departures.takesRequests(server));
   }
 
-  /** Whether the stream, if it has begun, may continue at a server. */
+  /** Whether a stream may begin at a server, or continue if it has begun. */
   #mayContinueAt(server: RegisteredServer): boolean {
     const { origin } = this.#terms.sendRecord;
-    return origin === undefined ||
-      mayContinue(origin, server) &&
-        !this.#parts.knowledge.softwareHistory.isUncertain(origin);
+    const { knowledge, streamRecorder } = this.#parts;
+    const { route } = this.#request;
+    if (origin === undefined) {
+      return !route.resumable || streamRecorder.mayBegin(route, server);
+    }
+    return mayContinue(origin, server) &&
+      !knowledge.softwareHistory.isUncertain(origin);
   }
 
   async #tryPlace(
--- a/packages/node/src/relay/registry/registry_spread.ts
+++ b/packages/node/src/relay/registry/registry_spread.ts
@@ -92,6 +92,7 @@
       knowledge.workCounts.increment("registry_sent");
       datagrams.send({
         streamOrigin: undefined,
+        archivedOrigin: undefined,
         registryChange: { entries },
       }, addresses);
     }
--- a/packages/node/src/relay/relay_daemon.ts
+++ b/packages/node/src/relay/relay_daemon.ts
@@ -44,7 +44,9 @@
 import { ServerLoads } from "./server_loads.ts";
 import { ServingNodes } from "./serving_nodes.ts";
 import type { SharedLog } from "./shared_log.ts";
+import { StreamArchive } from "./streams/stream_archive.ts";
 import { StreamDirectory } from "./streams/stream_directory.ts";
+import { StreamSourceRecorder } from "./streams/stream_source_recorder.ts";
 
 /** The implementations of the relay's interfaces for one platform. */
 export interface RelayPlatform {
@@ -86,6 +88,8 @@
   readonly #loads: ServerLoads;
   readonly #datagrams = new PeerDatagrams();
   readonly #streams: StreamDirectory;
+  readonly #streamArchive: StreamArchive;
+  readonly #streamRecorder: StreamSourceRecorder;
   readonly #registrySpread: RegistrySpread;
   readonly #registryRefresher: RegistryRefresher;
   readonly #parts: RelayParts;
@@ -183,11 +187,24 @@
       limits: () => this.#parts.limits.ownLimits,
       unreachedServices: () => this.#reach.unreachedServices,
     });
+    this.#streamRecorder = new StreamSourceRecorder({
+      knowledge,
+      log: platform.log,
+      clock,
+      logger: loggers.forComponent("configuration"),
+    });
+    this.#streamArchive = new StreamArchive({
+      knowledge,
+      log: platform.log,
+      clock,
+    });
     this.#streams = new StreamDirectory({
       knowledge,
       channels: this.#channels,
       datagrams: this.#datagrams,
       clock,
+      self: this.#presence.record,
+      archive: this.#streamArchive,
     });
     this.#exchange = new PeerExchange({
       self: this.#presence.record,
@@ -298,7 +315,9 @@
     });
     this.#exchange.start();
     this.#registryRefresher.start();
-    void announceNode(this.#platform.log, this.#presence);
+    void this.#streamRecorder.prepared.then(() =>
+      announceNode(this.#platform.log, this.#presence)
+    );
     this.#scheduleRefresh();
     this.#operationsPort = await this.#operations.listen({
       readiness,
@@ -343,6 +362,8 @@
     this.#exchange.stop();
     this.#registryRefresher.stop();
     this.#registrySpread.stop();
+    this.#streamRecorder.stop();
+    this.#streamArchive.stop();
     this.#datagrams.close();
     this.#owners.stop();
     this.#parts.crashReports.stop();
@@ -367,6 +388,7 @@
       channels: this.#channels,
       pools: this.#pools,
       loads: this.#loads,
+      streamRecorder: this.#streamRecorder,
       streams: this.#streams,
       log: this.#platform.log,
       onLimitsChanged: () => {
@@ -412,6 +434,7 @@
     this.#parts.retryBudgets.refresh(now);
     this.#reach.refresh();
     this.#departureProber.refresh();
+    this.#streamRecorder.refresh(now);
     if (registry.revision === this.#retainedRevision) return;
     this.#retainedRevision = registry.revision;
     this.#pools.retainOnly(registry.all);
--- a/packages/node/src/relay/relay_parts.ts
+++ b/packages/node/src/relay/relay_parts.ts
@@ -18,6 +18,7 @@
 import type { RoutedRequest } from "./routed_request.ts";
 import type { ServerLoads } from "./server_loads.ts";
 import type { StreamDirectory } from "./streams/stream_directory.ts";
+import type { StreamSourceRecorder } from "./streams/stream_source_recorder.ts";
 
 /** The dependencies of request relaying. */
 export interface RelayParts {
@@ -31,7 +32,14 @@
   readonly access: AccountAccess;
   readonly quotas: AccountQuotas;
   readonly callerTimeouts: CallerTimeouts;
-  readonly streams: Pick<StreamDirectory, "find" | "record">;
+  readonly streams: Pick<
+    StreamDirectory,
+    "archive" | "find" | "findArchived" | "record"
+  >;
+  readonly streamRecorder: Pick<
+    StreamSourceRecorder,
+    "findOnlySource" | "mayBegin"
+  >;
   readonly wire: RelayWire;
   readonly clock: SteadyClock;
   readonly logger: ComponentLogger;
--- a/packages/node/src/relay/request_end.ts
+++ b/packages/node/src/relay/request_end.ts
@@ -2,12 +2,12 @@
   ContentDigest,
   Duration,
   RegisteredServer,
-  StreamOrigin,
 } from "@foxtailwind/core";
 import type { LogFields } from "../logging/component_logger.ts";
 import type { AnswerFraming } from "./answer_framing.ts";
 import type { CallStage } from "./backend_call.ts";
 import type { RoutedRequest } from "./routed_request.ts";
+import type { ResumedOrigin } from "./streams/resumption.ts";
 import type { PlacementAnswer } from "./placement.ts";
 import { roundOptional } from "./round_optional.ts";
 
@@ -17,7 +17,7 @@
   /** The last server that it was sent to, as registered then. */
   readonly server: RegisteredServer | undefined;
   /** What began the stream, if it has begun and may be resumed. */
-  readonly origin: StreamOrigin | undefined;
+  readonly origin: ResumedOrigin | undefined;
   readonly sends: number;
   /** The number of sends that may have run the request. */
   readonly possibleRuns: number;
--- a/packages/node/src/relay/request_sender.ts
+++ b/packages/node/src/relay/request_sender.ts
@@ -210,20 +210,33 @@
     return resumable && start !== undefined ? { start } : {};
   }
 
-  /** Records which server began a stream that may be resumed. */
+  /**
+   * Records which server began a stream that may be resumed. If several may have
+   * begun it for a node that knows no more of it, it is kept in the log, too.
+   */
   #recordOrigin(now: Instant, server: RegisteredServer): void {
     const { sendRecord } = this.#terms;
-    const { caller, route } = this.#request;
-    if (!route.resumable || sendRecord.origin !== undefined) return;
+    const { caller, message, route } = this.#request;
+    const { streams, knowledge } = this.#parts;
+    const { origin: known } = sendRecord;
+    if (!route.resumable || known?.server !== undefined) return;
+    // A resumed stream whose software only was known is known from now on.
+    const attempt = known === undefined ? caller.id : caller.resumes;
+    if (attempt === undefined) return;
     const origin = {
-      attempt: caller.id,
+      attempt,
       service: server.service,
       software: server.software,
       server: server.id,
+      ...(server.start === undefined ? {} : { start: server.start }),
       begunAt: now,
     };
     sendRecord.recordOrigin(origin);
-    this.#parts.streams.record(origin);
+    streams.record(origin);
+    const path = message.url ?? "/";
+    if (knowledge.streamSources.onlySource(route.host, path) === undefined) {
+      streams.archive(origin);
+    }
   }
 
   #urgency(server: RegisteredServer, now: Instant): number {
--- a/packages/node/src/relay/routed_request.ts
+++ b/packages/node/src/relay/routed_request.ts
@@ -7,11 +7,11 @@
   milliseconds,
   type RelayService,
   type Route,
-  type StreamOrigin,
 } from "@foxtailwind/core";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { CallerRequest } from "./caller_wire.ts";
 import { type PlannedStop, workDeadline } from "./relay_stop.ts";
+import type { ResumedOrigin } from "./streams/resumption.ts";
 import type { RequestContent } from "./crashes/request_content.ts";
 
 /** A caller's request that has been read completely and has a route. */
@@ -22,7 +22,7 @@
   readonly route: Route;
   readonly service: RelayService;
   /** What began the stream that it resumes, if it does. */
-  readonly origin?: StreamOrigin;
+  readonly origin?: ResumedOrigin;
   /** The client account that it belongs to, if any. */
   readonly account: ClientAccount | undefined;
   /** What was taken from the account's quota for it. */
--- a/packages/node/src/relay/send_history.ts
+++ b/packages/node/src/relay/send_history.ts
@@ -1,8 +1,5 @@
-import type {
-  BackendServerId,
-  RegisteredServer,
-  StreamOrigin,
-} from "@foxtailwind/core";
+import type { BackendServerId, RegisteredServer } from "@foxtailwind/core";
+import type { ResumedOrigin } from "./streams/resumption.ts";
 
 /** The most sends of one request, including those that didn't run it. */
 const MAXIMUM_SENDS = 6;
@@ -16,15 +13,15 @@
   #possibleRuns = 0;
   #connectionFailures = 0;
   #lastServer: RegisteredServer | undefined;
-  #origin: StreamOrigin | undefined;
+  #origin: ResumedOrigin | undefined;
 
   /** @param origin What began the stream that the request resumes, if it does. */
-  constructor(origin?: StreamOrigin) {
+  constructor(origin?: ResumedOrigin) {
     this.#origin = origin;
   }
 
   /** What began the stream, if it has begun. */
-  get origin(): StreamOrigin | undefined {
+  get origin(): ResumedOrigin | undefined {
     return this.#origin;
   }
 
@@ -76,7 +73,7 @@
    * Records what began the stream.
    * @param origin The server that sent its first event.
    */
-  recordOrigin(origin: StreamOrigin): void {
+  recordOrigin(origin: ResumedOrigin): void {
     this.#origin = origin;
   }
 
--- a/packages/node/src/relay/shared_log.ts
+++ b/packages/node/src/relay/shared_log.ts
@@ -12,6 +12,8 @@
   NodeId,
   RegistryEntry,
   RelayConfiguration,
+  StreamOrigin,
+  StreamSource,
   SuspicionKey,
 } from "@foxtailwind/core";
 import type { Result } from "neverthrow";
@@ -41,6 +43,15 @@
   | { readonly kind: "added"; readonly suspicion: CrashSuspicion }
   | { readonly kind: "dropped"; readonly key: SuspicionKey };
 
+/** What began a stream, as stored in the log. */
+export type StoredOrigin = Omit<StreamOrigin, "begunAt">;
+
+/** Changes of the software that may begin streams. */
+export interface StreamSourceChanges {
+  readonly added: readonly StreamSource[];
+  readonly dropped: readonly StreamSource[];
+}
+
 /** The topic of a record of the log. */
 export type RecordTopic = "operators" | "servers" | "nodes";
 
@@ -110,6 +121,23 @@
   abstract suspicion(change: SuspicionChange): void;
   /** All suspicions that the log holds. */
   abstract suspicionsListed(suspicions: readonly CrashSuspicion[]): void;
+  /**
+   * All software that may begin streams, as the log holds it. Called after the
+   * nodes of the same listing.
+   * @param sources The software.
+   * @param isConfirmed Whether a node has confirmed that none is missing since
+   * the log last came back from an older copy.
+   */
+  abstract streamSourcesListed(
+    sources: readonly StreamSource[],
+    isConfirmed: boolean,
+  ): void;
+  /** Software that may begin streams was stored in the log. */
+  abstract streamSourceStored(source: StreamSource): void;
+  /** Software was dropped, of which no stream can be resumed any more. */
+  abstract streamSourceDropped(source: StreamSource): void;
+  /** A node has confirmed that no software is missing in the log. */
+  abstract streamSourcesConfirmed(): void;
   /** A record can't be read and was skipped; called once for each record. */
   abstract recordSkipped(topic: RecordTopic, reason: SkipReason): void;
   /** The log has been read up to its end. */
@@ -169,6 +197,46 @@
     changes: readonly SuspicionChange[],
   ): Promise<Result<void, Failure>>;
 
+  /**
+   * Stores and drops software that may begin streams. Nothing is dropped if the
+   * log has grown since it was last read.
+   * @param changes The changes.
+   * @returns Whether they were made; after a failure they still may be.
+   */
+  abstract changeStreamSources(
+    changes: StreamSourceChanges,
+  ): Promise<Result<boolean, Failure>>;
+
+  /**
+   * Reads the software that may begin streams.
+   * @returns Whether all that the log held before this call was delivered.
+   */
+  abstract readStreamSources(): Promise<boolean>;
+
+  /**
+   * Confirms that the log holds all software that may have begun streams, unless
+   * the log has grown since it was last read.
+   * @returns Whether it was confirmed.
+   */
+  abstract confirmStreamSources(): Promise<Result<boolean, Failure>>;
+
+  /**
+   * Adds what began streams.
+   * @param origins The origins.
+   * @returns The result; after a failure they may still be added.
+   */
+  abstract appendStreamOrigins(
+    origins: readonly StoredOrigin[],
+  ): Promise<Result<void, Failure>>;
+
+  /**
+   * Reads what began streams, as far as the log still keeps it.
+   * @returns The origins that were added since this node last read them.
+   */
+  abstract readStreamOrigins(): Promise<
+    Result<readonly StoredOrigin[], Failure>
+  >;
+
   /** Stops following the log. */
   abstract stop(): void;
 }
--- a/packages/node/src/relay/streams/stream_directory.ts
+++ b/packages/node/src/relay/streams/stream_directory.ts
@@ -1,8 +1,12 @@
 import {
+  failureDomainId,
+  type HolderCandidate,
   HolderRing,
   type Instant,
   milliseconds,
   type NodeId,
+  nodeId,
+  rendezvousOrder,
   type RequestId,
   requestId,
   type StreamOrigin,
@@ -19,6 +23,7 @@
 import type { Knowledge } from "../knowledge.ts";
 import type { PeerDatagrams } from "../peer_datagrams.ts";
 import type { NodeRecord } from "../shared_log.ts";
+import type { StreamArchive } from "./stream_archive.ts";
 import {
   decodeStreamOrigin,
   encodeStreamOrigin,
@@ -39,6 +44,9 @@
   /** Carries origins; several peers keep each, since some may be lost. */
   readonly datagrams: PeerDatagrams;
   readonly clock: SteadyClock;
+  readonly self: HolderCandidate;
+  /** Writes origins to the log, and reads them from it. */
+  readonly archive: Pick<StreamArchive, "add" | "find">;
 }
 
 /** The peers that keep what began a stream, beside the node that sent it. */
@@ -50,6 +58,10 @@
 const ASKED_PEER_COUNT = 8;
 /** The timeout of calls; a peer answers within a few milliseconds. */
 const CALL_TIMEOUT_MILLISECONDS = 300;
+/** The nodes that write origins to the log on behalf of all. */
+const WRITER_COUNT = 2;
+/** The key by which these nodes are chosen. */
+const WRITERS_KEY = "stream-origins";
 /** How long the peers that hold origins are not determined anew. */
 const RING_LIFETIME = milliseconds(250);
 
@@ -60,6 +72,8 @@
   /** Of peers that were heard of lately, too. */
   readonly recent: HolderRing;
   readonly records: ReadonlyMap<NodeId, NodeRecord>;
+  /** The nodes that write origins to the log. */
+  readonly writers: readonly NodeId[];
 }
 
 type StreamHandlers = Pick<RelayPeersServer, "findStreamOrigin">;
@@ -76,11 +90,15 @@
   /** @param parts The dependencies. */
   constructor(parts: StreamDirectoryParts) {
     this.#parts = parts;
-    parts.datagrams.addListener(({ streamOrigin }) => {
-      if (streamOrigin === undefined) return;
+    parts.datagrams.addListener(({ streamOrigin, archivedOrigin }) => {
       const now = parts.clock.now();
-      parts.knowledge.workCounts.increment("origin_kept");
-      this.#origins.add(now, decodeStreamOrigin(now, streamOrigin));
+      if (streamOrigin !== undefined) {
+        parts.knowledge.workCounts.increment("origin_kept");
+        this.#origins.add(now, decodeStreamOrigin(now, streamOrigin));
+      }
+      if (archivedOrigin !== undefined) {
+        parts.archive.add(decodeStreamOrigin(now, archivedOrigin));
+      }
     });
   }
 
@@ -108,9 +126,40 @@
     this.#parts.datagrams.send({
       streamOrigin: encodeStreamOrigin(now, origin),
       registryChange: undefined,
+      archivedOrigin: undefined,
     }, addresses);
   }
 
+  /**
+   * Has an origin written to the log by one of the nodes that write.
+   * @param origin What began the stream.
+   */
+  archive(origin: StreamOrigin): void {
+    const now = this.#parts.clock.now();
+    const { writers, records } = this.#ringsAt(now);
+    const [writer] = rendezvousOrder(origin.attempt, writers);
+    const address = writer && records.get(writer)?.address;
+    if (address === undefined) {
+      this.#parts.archive.add(origin);
+      return;
+    }
+    this.#parts.datagrams.send({
+      streamOrigin: undefined,
+      registryChange: undefined,
+      archivedOrigin: encodeStreamOrigin(now, origin),
+    }, [address]);
+  }
+
+  /**
+   * Finds what began a stream in the log, where origins are only written while
+   * several may be meant.
+   * @param attempt The caller's attempt that brought the first event.
+   * @returns What is known.
+   */
+  async findArchived(attempt: RequestId): Promise<OriginLookup> {
+    return await this.#parts.archive.find(attempt);
+  }
+
   /**
    * Finds what began a stream.
    * @param attempt The caller's attempt that brought the first event.
@@ -188,10 +237,24 @@
       present: new HolderRing(peers.presentNodes(now)),
       recent: new HolderRing(recent),
       records: new Map(recent.map((record) => [record.id, record])),
+      writers: this.#writersAt(now),
     };
     return this.#rings;
   }
 
+  /** Chooses the nodes that write from those that reach the log. */
+  #writersAt(now: Instant): readonly NodeId[] {
+    const { knowledge, self } = this.#parts;
+    const candidates = knowledge.peers.alive(now)
+      .filter(({ reachesLog }) => reachesLog)
+      .map(({ node, failureDomain }) => ({
+        id: nodeId(node),
+        failureDomain: failureDomainId(failureDomain),
+      }));
+    if (knowledge.isLogReachable(now)) candidates.push(self);
+    return new HolderRing(candidates).holders(WRITERS_KEY, WRITER_COUNT);
+  }
+
   #client(address: string): RelayPeersClient {
     return new RelayPeersClient(address, credentials.createInsecure(), {
       channelOverride: this.#parts.channels.getChannel(address),
--- a/packages/node/src/relay/streams/stream_origin_message.ts
+++ b/packages/node/src/relay/streams/stream_origin_message.ts
@@ -10,6 +10,7 @@
 } from "@foxtailwind/core";
 import type { StreamOrigin as StreamOriginMessage } from "@foxtailwind/protocol";
 import { encodeDuration } from "../encoded_numbers.ts";
+import { decodeStart, encodeStart } from "../start_message.ts";
 
 /**
  * Encodes what began a stream for a peer.
@@ -19,10 +20,17 @@
  */
 export function encodeStreamOrigin(
   now: Instant,
-  { attempt, service, software, server, begunAt }: StreamOrigin,
+  { attempt, service, software, server, start, begunAt }: StreamOrigin,
 ): StreamOriginMessage {
   const ageMilliseconds = encodeDuration(elapsed(begunAt, now));
-  return { attempt, service, software, server, ageMilliseconds };
+  return {
+    attempt,
+    service,
+    software,
+    server,
+    ageMilliseconds,
+    start: encodeStart(start),
+  };
 }
 
 /**
@@ -35,11 +43,13 @@
   now: Instant,
   message: StreamOriginMessage,
 ): StreamOrigin {
+  const start = decodeStart(message.start);
   return {
     attempt: requestId(message.attempt),
     service: serviceId(message.service),
     software: softwareVersion(message.software),
     server: backendServerId(message.server),
+    ...(start === undefined ? {} : { start }),
     begunAt: instant(now - message.ageMilliseconds),
   };
 }
--- a/packages/node/src/relay/work_counts.ts
+++ b/packages/node/src/relay/work_counts.ts
@@ -20,6 +20,9 @@
   /** Questions what began a stream, to peers, and those answered. */
   | "origin_asked"
   | "origin_answered"
+  /** Batches of origins written to the log, and reads of them. */
+  | "origins_written"
+  | "origins_read"
   /** Changes of the registry sent to peers, and those received from them. */
   | "registry_sent"
   | "registry_received"
--- a/packages/node/tests/relay/engine_owners_test.ts
+++ b/packages/node/tests/relay/engine_owners_test.ts
@@ -10,6 +10,7 @@
   type ClaimRecord,
   EngineOwners,
   SharedLog,
+  type StoredOrigin,
 } from "@foxtailwind/node/relay";
 import test, { type ExecutionContext } from "ava";
 import { ok, type Result } from "neverthrow";
@@ -57,6 +58,28 @@
     return Promise.resolve(ok(undefined));
   }
 
+  override changeStreamSources(): Promise<Result<boolean, never>> {
+    return Promise.resolve(ok(true));
+  }
+
+  override readStreamSources(): Promise<boolean> {
+    return Promise.resolve(true);
+  }
+
+  override confirmStreamSources(): Promise<Result<boolean, never>> {
+    return Promise.resolve(ok(true));
+  }
+
+  override appendStreamOrigins(): Promise<Result<void, never>> {
+    return Promise.resolve(ok(undefined));
+  }
+
+  override readStreamOrigins(): Promise<
+    Result<readonly StoredOrigin[], never>
+  > {
+    return Promise.resolve(ok([]));
+  }
+
   override announce(): Promise<Result<boolean, never>> {
     return Promise.resolve(ok(true));
   }
--- a/packages/node/tests/relay/helpers/peer_node.ts
+++ b/packages/node/tests/relay/helpers/peer_node.ts
@@ -8,6 +8,7 @@
 } from "@foxtailwind/node/relay";
 import type { ExecutionContext } from "ava";
 import type { createRelayBase } from "./relay_base.ts";
+import { createStreamParts } from "./stream_parts.ts";
 
 /** A node whose peers are answered, and the engines that it owns, if any. */
 export interface PeerNode extends ReturnType<typeof createRelayBase> {
@@ -32,7 +33,13 @@
     knowledge,
     owners: owners ?? (undefined as never),
     channels,
-    streams: new StreamDirectory({ knowledge, channels, datagrams, clock }),
+    streams: new StreamDirectory({
+      knowledge,
+      channels,
+      datagrams,
+      clock,
+      ...createStreamParts(knowledge, clock),
+    }),
     clock,
     logger,
     self: { id: nodeId(id), failureDomain: failureDomainId("d") },
--- a/packages/node/tests/relay/helpers/relay_world.ts
+++ b/packages/node/tests/relay/helpers/relay_world.ts
@@ -37,6 +37,7 @@
   RetryBudgets,
   ServerLoads,
   StreamDirectory,
+  StreamSourceRecorder,
 } from "@foxtailwind/node/relay";
 import type { ExecutionContext } from "ava";
 import {
@@ -52,6 +53,7 @@
 import { createRelayBase } from "./relay_base.ts";
 import { relaySettings } from "./relay_settings.ts";
 import { ScriptedEngine } from "./scripted_engine.ts";
+import { createStreamParts } from "./stream_parts.ts";
 
 const INCARNATION = "run-1";
 
@@ -73,6 +75,7 @@
   readonly #clock = new ProcessClock();
   readonly #pools = new BackendPools();
   readonly #owners: EngineOwners;
+  readonly #streamRecorder: StreamSourceRecorder;
   readonly #servers: {
     readonly id: string;
     readonly server: ReturnType<typeof createServer>;
@@ -80,14 +83,22 @@
   readonly #addresses = new Map<string, string>();
   #offset = 0;
   port = 0;
+  /** Whether the node reads the log. */
+  reachesLog = true;
   /** Whether the node reaches the servers of all services. */
   reachesServices = true;
   /** The planned stop of the front server's node, if any. */
   plannedStop: PlannedStop | undefined;
   readonly control = new ScriptedEngine(2);
 
-  /** @param write Receives the log lines, if a test reads them. */
-  constructor(write?: (line: string) => void) {
+  /**
+   * @param write Receives the log lines, if a test reads them.
+   * @param options Whether the log holds all software that began streams.
+   */
+  constructor(
+    write?: (line: string) => void,
+    options: { readonly isRecordConfirmed?: boolean } = {},
+  ) {
     const { base, knowledge } = createRelayBase({
       part: "callers",
       incarnation: INCARNATION,
@@ -115,11 +126,25 @@
       onChange: () => undefined,
     });
     const { limits } = this;
+    const streamParts = createStreamParts(knowledge, clock);
     this.streams = new StreamDirectory({
       knowledge,
       channels: undefined as never,
       datagrams: new PeerDatagrams(),
       clock,
+      ...streamParts,
+    });
+    const { isRecordConfirmed = true } = options;
+    knowledge.streamSourcesListed([], isRecordConfirmed);
+    this.#streamRecorder = new StreamSourceRecorder({
+      knowledge,
+      log: {
+        changeStreamSources: () => Promise.resolve(ok(true)),
+        confirmStreamSources: () => Promise.resolve(ok(true)),
+        readStreamSources: () => Promise.resolve(this.reachesLog),
+      },
+      clock,
+      logger,
     });
     knowledge.operatorsRead(knowledge.beginRead());
     const parts: RelayParts = {
@@ -150,6 +175,7 @@
       pools: this.#pools,
       wire: new StandInWire(),
       streams: this.streams,
+      streamRecorder: this.#streamRecorder,
       countNodes: () => 1,
       onRequest: () => undefined,
       callerTimeouts: new CallerTimeouts(),
--- a/packages/node/tests/relay/peer_datagrams_test.ts
+++ b/packages/node/tests/relay/peer_datagrams_test.ts
@@ -13,11 +13,16 @@
   software: "1",
   server: "a",
   ageMilliseconds: 3,
+  start: 7,
 };
 
 /** The datagram of an origin. */
 function originMessage(origin: StreamOrigin) {
-  return { streamOrigin: origin, registryChange: undefined };
+  return {
+    streamOrigin: origin,
+    registryChange: undefined,
+    archivedOrigin: undefined,
+  };
 }
 
 /** Returns a port that nothing listens at. */
--- a/packages/node/tests/relay/registry/registry_exchange_test.ts
+++ b/packages/node/tests/relay/registry/registry_exchange_test.ts
@@ -16,6 +16,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { nodeDigest } from "../helpers/node_digest.ts";
 import { addRegistryEntry, createRelayBase } from "../helpers/relay_base.ts";
+import { createStreamParts } from "../helpers/stream_parts.ts";
 
 const POLL_MILLISECONDS = 5;
 /** Longer than the margin by which a proof is taken to be older. */
@@ -42,6 +43,7 @@
       owners: OWNERS,
       streams: new StreamDirectory({
         ...parts,
+        ...createStreamParts(this.knowledge, parts.clock),
         datagrams: new PeerDatagrams(),
       }),
       self: { id: nodeId(id), failureDomain: failureDomainId("d") },
--- a/packages/node/tests/relay/streams/resumption_test.ts
+++ b/packages/node/tests/relay/streams/resumption_test.ts
@@ -20,6 +20,13 @@
   begunAt: instant(0),
 };
 
+const CALLER = {
+  id: requestId("r2"),
+  resumes: ORIGIN.attempt,
+  lastEventId: "1",
+  isForwarded: false,
+};
+
 /** A route for streams that is split between two services. */
 function splitRoute(oldWeight: number, newWeight: number): Route {
   const route = ROUTES.find(({ name }) => name === "resumable");
@@ -33,22 +40,18 @@
   };
 }
 
+/** Resumes a stream whose origin is known to a node. */
 async function resume(route: Route, draw: number) {
   const target = await chooseRequestTarget(
     {
       streams: {
         find: () => Promise.resolve({ kind: "known", origin: ORIGIN }),
+        findArchived: () => Promise.resolve({ kind: "unknown" }),
       },
-      knowledge: { hasSingleVersion: () => true },
+      streamRecorder: { findOnlySource: () => Promise.resolve(undefined) },
     },
     route,
-    {
-      id: requestId("r2"),
-      resumes: ORIGIN.attempt,
-      lastEventId: "1",
-      isForwarded: false,
-    },
-    draw,
+    { caller: CALLER, path: `${route.pathPrefix}1`, draw },
   );
   return target.kind === "chosen" ? target.service : target.code;
 }
--- a/packages/node/tests/relay/streams/software_version_test.ts
+++ b/packages/node/tests/relay/streams/software_version_test.ts
@@ -43,8 +43,9 @@
 async function startMixed(
   t: ExecutionContext,
   servers: Readonly<Record<string, string>> = SOFTWARE_BY_SERVER,
+  options: ConstructorParameters<typeof RelayWorld>[1] = {},
 ): Promise<RelayWorld> {
-  const world = new RelayWorld();
+  const world = new RelayWorld(undefined, options);
   world.configure();
   for (const [id, software] of Object.entries(servers)) {
     await world.addServer(
@@ -123,22 +124,66 @@
   }
 });
 
-// Guards against a guess: a node that knows one software version only doesn't
-// know that there is no other.
-test("a stream of unknown software is refused at once, as not run", async (t) => {
-  const world = await startMixed(t, { a: "1", c: "1" });
-  const names = {
-    unknown: { "x-resumes": "r1" },
-    overlong: { "x-resumes": "r".repeat(1_000) },
-    repeated: { "x-resumes": "r1, r1" },
-  };
-  for (const [name, headers] of Object.entries(names)) {
+const UNKNOWN_ATTEMPTS = {
+  unknown: { "x-resumes": "r1" },
+  overlong: { "x-resumes": "r".repeat(1_000) },
+  repeated: { "x-resumes": "r1, r1" },
+  missing: {},
+};
+
+/** Resumes streams whose attempts no node knows, which is refused. */
+async function refuseUnknown(
+  t: ExecutionContext,
+  world: RelayWorld,
+): Promise<void> {
+  for (const [name, headers] of Object.entries(UNKNOWN_ATTEMPTS)) {
     const before = performance.now();
     const { status } = await resume(world, headers);
     t.is(status, UNAVAILABLE, name);
     t.true(performance.now() - before < 500, name);
   }
   t.deepEqual(new Set(world.refusals), new Set(["unknown_stream"]));
+}
+
+// Guards against a guess: a node that knows one software version only doesn't
+// know that there is no other, unless the log shows it.
+test("a stream of unknown software is refused at once, as not run, while the log isn't read", async (t) => {
+  const world = await startMixed(t, { a: "1", c: "1" });
+  world.reachesLog = false;
+  await refuseUnknown(t, world);
+});
+
+test("a stream of unknown software is refused at once, as not run, while the log may lack software", async (t) => {
+  const options = { isRecordConfirmed: false };
+  const world = await startMixed(t, { a: "1", c: "1" }, options);
+  await refuseUnknown(t, world);
+});
+
+// Guards against streams joined from two versions, the servers of one of which
+// left before their streams were resumed.
+test("a stream of unknown software is refused at once, as not run, if servers that have left may have begun it", async (t) => {
+  const world = await startMixed(t, { a: "1", c: "1" });
+  const { knowledge } = world;
+  const [route] = (knowledge.routes?.configuration.routes ?? [])
+    .filter(({ resumable }) => resumable);
+  knowledge.streamSourceStored({
+    host: route?.host ?? "",
+    pathPrefix: route?.pathPrefix ?? "",
+    service: PLAIN_SERVICE,
+    software: softwareVersion("2"),
+  });
+  await refuseUnknown(t, world);
+});
+
+// Guards against streams that nobody continues after all nodes were lost, though
+// their software is the only one.
+test("a stream whose attempt no node knows goes on at the only software", async (t) => {
+  const world = await startMixed(t, { a: "1", c: "1" });
+  for (const headers of Object.values(UNKNOWN_ATTEMPTS)) {
+    t.deepEqual((await resume(world, headers)).software, ["1"]);
+  }
+  const lookup = await world.streams.find(requestId("r1"));
+  t.is(lookup.kind === "known" && lookup.origin.software, softwareVersion("1"));
 });
 
 test("a caller that names no attempt is refused while several software versions serve", async (t) => {
--- a/packages/node/tests/relay/streams/stream_directory_test.ts
+++ b/packages/node/tests/relay/streams/stream_directory_test.ts
@@ -11,6 +11,7 @@
 import {
   STAND_IN_ENGINE_SERVICE,
   standInRegistryEntry,
+  StandInStore,
 } from "@foxtailwind/bench";
 import { PeerChannels, PeerServer } from "@foxtailwind/node";
 import {
@@ -23,6 +24,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { nodeRecord } from "../helpers/node_record.ts";
 import { createRelayBase } from "../helpers/relay_base.ts";
+import { createStreamParts } from "../helpers/stream_parts.ts";
 
 const ATTEMPT = requestId("r1");
 const POLL_MILLISECONDS = 5;
@@ -43,7 +45,7 @@
   #address = "";
   #offset = 0;
 
-  constructor(readonly id: string) {
+  constructor(readonly id: string, store = new StandInStore()) {
     const { base, knowledge } = this.#base;
     const parts = {
       ...base,
@@ -51,7 +53,10 @@
       channels: this.#channels,
       datagrams: this.#datagrams,
     };
-    this.streams = new StreamDirectory(parts);
+    this.streams = new StreamDirectory({
+      ...parts,
+      ...createStreamParts(knowledge, base.clock, store),
+    });
     const exchange = new PeerExchange({
       ...parts,
       owners: undefined as never,
