Engines are ordered to hold no more than their memory does

Cause: the configuration's megabytes were decoded and used nowhere; an engine's owner counted slots only.

Fix: EngineMemory knows what an engine's models leave for adapters, SlotCapacity decides by slots and memory: for the next load, what evictions free, the room that other nodes hear of, loads whose end is unknown, and newer versions. What fits on no engine is refused at once and logged; a model that doesn't fit isn't ordered.

Related: the check whether a load has ended is the order itself, which loads a newer version if one was set meanwhile; without room for both the report is read.

--- a/packages/bench/src/relay/relay_cluster.ts
+++ b/packages/bench/src/relay/relay_cluster.ts
@@ -21,6 +21,7 @@
   standInConfiguration,
 } from "./stand_in_configuration.ts";
 import { StandInControl, StandInEngine } from "./stand_in_engine.ts";
+import { StandInEngineState } from "./stand_in_engine_state.ts";
 import { StandInLog, StandInStore } from "./stand_in_log.ts";
 import { INITIAL_SOFTWARE, type StandInServer } from "./stand_in_server.ts";
 import { standInSettings } from "./stand_in_settings.ts";
@@ -63,8 +64,10 @@
 export interface RelayClusterSize {
   readonly nodes: number;
   readonly engines: number;
-  /** The number of adapters that fit on an engine. */
+  /** The number of adapter slots of an engine. */
   readonly slots: number;
+  /** The number of adapters that its memory holds, if that is limited. */
+  readonly memoryAdapters?: number;
   /** The time from the begin of a planned stop to a forced stop. */
   readonly grace?: Duration;
   /** The software versions of the engines, in turn. */
@@ -138,7 +141,8 @@
   static async start(size: RelayClusterSize): Promise<RelayCluster> {
     const cluster = new RelayCluster(size);
     cluster.store.pacesRegistryReads = size.pacesRegistryReads === true;
-    cluster.store.configure(standInConfiguration(1, size.slots));
+    const { slots, memoryAdapters } = size;
+    cluster.store.configure(standInConfiguration(1, slots, memoryAdapters));
     await cluster.#startServers();
     const isLast = size.registersServersLast === true;
     if (!isLast) cluster.#registerAll();
@@ -320,7 +324,12 @@
    * @param hasLookups Whether it has the route of the lookup service.
    */
   configure(version: number, hasLookups: boolean): void {
-    const { routes, ...rest } = standInConfiguration(version, this.#size.slots);
+    const { slots, memoryAdapters } = this.#size;
+    const { routes, ...rest } = standInConfiguration(
+      version,
+      slots,
+      memoryAdapters,
+    );
     this.store.configure({
       ...rest,
       routes: routes.filter((route) => hasLookups || route.name !== "lookups"),
@@ -404,7 +413,7 @@
     for (let index = 1; index <= this.#size.engines; index += 1) {
       const engine = new StandInEngine(
         `engine-${index}`,
-        this.#size.slots,
+        new StandInEngineState(this.#size.slots, this.#size.memoryAdapters),
         INITIAL_START,
       );
       const versions = this.#size.software ?? [INITIAL_SOFTWARE];
--- a/packages/bench/src/relay/stand_in_configuration.ts
+++ b/packages/bench/src/relay/stand_in_configuration.ts
@@ -16,12 +16,15 @@
 /**
  * Builds a configuration with a route to engines and one to lookup servers.
  * @param version The version of the configuration.
- * @param slots The number of adapters that fit on an engine.
+ * @param slots The number of adapter slots of an engine.
+ * @param memoryAdapters The number of adapters that its memory holds, if that
+ * is limited.
  * @returns The configuration.
  */
 export function standInConfiguration(
   version: number,
   slots: number,
+  memoryAdapters?: number,
 ): RelayConfiguration {
   const routeDefaults = {
     host: STAND_IN_HOST,
@@ -62,7 +65,7 @@
     ],
     services: [
       { id: STAND_IN_LOOKUP_SERVICE, connectionLimit: 50 },
-      standInEngineService(STAND_IN_ENGINE_SERVICE, slots),
+      standInEngineService(STAND_IN_ENGINE_SERVICE, slots, memoryAdapters),
     ],
     limits: {
       headerBytes: 8_192,
--- a/packages/bench/src/relay/stand_in_engine.ts
+++ b/packages/bench/src/relay/stand_in_engine.ts
@@ -20,7 +20,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { ScriptedOrderDelivery } from "./scripted_order_delivery.ts";
 import { INITIAL_SOFTWARE } from "./stand_in_server.ts";
-import { StandInEngineState } from "./stand_in_engine_state.ts";
+import type { StandInEngineState } from "./stand_in_engine_state.ts";
 import {
   LAST_EVENT_HEADER,
   PARTS_HEADER,
@@ -65,12 +65,12 @@
 
   /**
    * @param id The id of the engine.
-   * @param slots The number of adapters that fit.
+   * @param adapters The number of adapter slots, and what its memory holds.
    * @param start The first start of the engine.
    */
-  constructor(id: string, slots: number, start: ServerStart) {
+  constructor(id: string, adapters: StandInEngineState, start: ServerStart) {
     this.id = id;
-    this.adapters = new StandInEngineState(slots);
+    this.adapters = adapters;
     this.adapters.models = [STAND_IN_MODEL];
     this.adapters.start = start;
     this.orderDelivery = new ScriptedOrderDelivery(this.adapters);
--- a/packages/bench/src/relay/stand_in_engine_state.ts
+++ b/packages/bench/src/relay/stand_in_engine_state.ts
@@ -10,8 +10,10 @@
 
 /** The adapter state of a stand-in engine, with order counts and fencing. */
 export class StandInEngineState {
-  /** The number of adapters that fit. */
+  /** The number of adapter slots. */
   readonly slots: number;
+  /** The number of adapters that the memory holds. */
+  readonly memoryAdapters: number;
   /** The loaded adapters. */
   readonly loadedAdapters = new Set<AdapterId>();
   /** Adapters used by running requests, which can't be unloaded. */
@@ -22,15 +24,21 @@
   /** The number of orders accepted since the start. */
   orderCount = 0;
   highestFence = 0;
-  /** Whether an order ever loaded more adapters than fit. */
+  /** Whether an order ever loaded more adapters than there are slots. */
   hasExceededSlots = false;
+  /** Whether an order ever loaded more adapters than the memory holds. */
+  hasExceededMemory = false;
   /** Returns the version that an order loads that names none. */
   newestVersion: (adapter: AdapterId) => number = () => INITIAL_VERSION;
   readonly #versions = new Map<AdapterId, number>();
 
-  /** @param slots The number of adapters that fit. */
-  constructor(slots: number) {
+  /**
+   * @param slots The number of adapter slots.
+   * @param memoryAdapters The number of adapters that the memory holds.
+   */
+  constructor(slots: number, memoryAdapters = Infinity) {
     this.slots = slots;
+    this.memoryAdapters = memoryAdapters;
   }
 
   /**
@@ -102,7 +110,9 @@
     this.loadedAdapters.add(adapter);
     this.#versions.set(adapter, version);
     this.orderCount += 1;
-    if (this.loadedAdapters.size > this.slots) this.hasExceededSlots = true;
+    const count = this.loadedAdapters.size;
+    if (count > this.slots) this.hasExceededSlots = true;
+    if (count > this.memoryAdapters) this.hasExceededMemory = true;
     return { kind: "accepted" };
   }
 
--- a/packages/bench/src/relay/stand_in_server.ts
+++ b/packages/bench/src/relay/stand_in_server.ts
@@ -29,9 +29,10 @@
 export const INITIAL_SOFTWARE = "1";
 /** The number of requests that a server runs concurrently. */
 const REQUEST_SLOTS = 16;
-/** The size of the model and of each adapter, so small that they always fit. */
-const MODEL_MEGABYTES = 1;
-const ENGINE_MEGABYTES = 100;
+const MODEL_MEGABYTES = 1_000;
+const ADAPTER_MEGABYTES = 66;
+/** By default, memory holds more adapters than any stand-in has slots. */
+const AMPLE_MEMORY_ADAPTERS = 1_000;
 
 /**
  * Builds the registry entry of a server.
@@ -59,12 +60,14 @@
 /**
  * Builds the configuration of an engine service.
  * @param id The id of the service.
- * @param adapterSlots The number of adapters that fit on an engine.
+ * @param adapterSlots The number of adapter slots of an engine.
+ * @param memoryAdapters The number of adapters that its memory holds.
  * @returns The configuration of the service.
  */
 export function standInEngineService(
   id: ServiceId,
   adapterSlots: number,
+  memoryAdapters = AMPLE_MEMORY_ADAPTERS,
 ): RelayService {
   return {
     id,
@@ -73,9 +76,10 @@
       models: [{
         model: STAND_IN_MODEL,
         megabytes: MODEL_MEGABYTES,
-        adapterMegabytes: MODEL_MEGABYTES,
+        adapterMegabytes: ADAPTER_MEGABYTES,
       }],
-      megabytes: ENGINE_MEGABYTES,
+      // Not quite enough for one adapter more.
+      megabytes: MODEL_MEGABYTES + (memoryAdapters + 1) * ADAPTER_MEGABYTES - 1,
       adapterSlots,
     },
   };
--- a/packages/bench/src/soak/relay/faulty_listeners.ts
+++ b/packages/bench/src/soak/relay/faulty_listeners.ts
@@ -42,6 +42,18 @@
   }
 }
 
+/** Tells that the engines' memory is not limited. */
+export class HearsNoMemory extends PassingListener {
+  override configuration(configuration: RelayConfiguration): void {
+    const services = configuration.services.map((service) =>
+      service.engine === undefined
+        ? service
+        : { ...service, engine: { ...service.engine, megabytes: 0 } }
+    );
+    super.configuration({ ...configuration, services });
+  }
+}
+
 /** Tells of the first routes for ever. */
 export class KeepsItsFirstRoutes extends PassingListener {
   #first: RelayConfiguration | undefined;
--- a/packages/bench/src/soak/relay/relay_mutants.ts
+++ b/packages/bench/src/soak/relay/relay_mutants.ts
@@ -22,6 +22,7 @@
   AddsSlots,
   AddsStreamSource,
   HearsNoDepartures,
+  HearsNoMemory,
   HearsNoSoftware,
   HearsNoVersions,
   KeepsItsFirstRoutes,
@@ -342,6 +343,11 @@
     invariants: ["adapter_slots_are_never_exceeded"],
     made: new WithListener((next) => new AddsSlots(next)),
   },
+  {
+    name: "overfill an engine's memory",
+    invariants: ["engine_memory_is_never_exceeded"],
+    made: new WithListener((next) => new HearsNoMemory(next)),
+  },
   {
     name: "leave out the check of the version",
     invariants: ["own_answer_only"],
--- a/packages/bench/src/soak/relay/relay_world.ts
+++ b/packages/bench/src/soak/relay/relay_world.ts
@@ -3,6 +3,7 @@
   backendServerId,
   milliseconds,
   nodeId,
+  type RelayConfiguration,
   serviceId,
 } from "@foxtailwind/core";
 import type { ClaimRecord, NodeRecord } from "@foxtailwind/node/relay";
@@ -63,6 +64,7 @@
   readonly #seed: number;
   readonly #made: NodeParts;
   readonly #size: WorldSize;
+  readonly #memoryAdapters: number;
   readonly #addresses = new Map<string, string>();
   readonly #ending = new Set<Promise<void>>();
   readonly #allServers: SoakServer[] = [];
@@ -84,7 +86,11 @@
     this.#seed = seed;
     this.#made = made;
     this.#size = size;
-    this.store.configure(soakConfiguration(1, true));
+    // In every other run, memory binds before slots do.
+    this.#memoryAdapters = seed % 2 === 1
+      ? WORLD_SIZE.slots - 1
+      : 2 * WORLD_SIZE.slots;
+    this.store.configure(this.#configuration());
   }
 
   /** Starts servers and nodes. */
@@ -331,8 +337,8 @@
   moveRoute(): void {
     this.#version += 1;
     const isThere = !this.extraRoute.isThere;
-    this.store.configure(soakConfiguration(this.#version, isThere));
     this.extraRoute = { isThere, since: performance.now() };
+    this.store.configure(this.#configuration());
   }
 
   /** Writes a record that names no server to use. */
@@ -367,9 +373,7 @@
   }
 
   #writeAgain({ servers }: StoreCopy): void {
-    this.store.configure(
-      soakConfiguration(this.#version, this.extraRoute.isThere),
-    );
+    this.store.configure(this.#configuration());
     for (const server of this.servers) {
       this.store.register(this.#entryOf(server));
     }
@@ -384,6 +388,14 @@
     }
   }
 
+  #configuration(): RelayConfiguration {
+    return soakConfiguration(
+      this.#version,
+      this.extraRoute.isThere,
+      this.#memoryAdapters,
+    );
+  }
+
   #peerPortOf(node: RelayNode): number {
     const address = this.store.nodes.get(node.id)?.address;
     return Number(address?.split(":").at(-1));
@@ -437,6 +449,7 @@
       ? new SoakEngine(`engine-${number}`, ENGINES, {
         ...parts,
         slots: WORLD_SIZE.slots,
+        memoryAdapters: this.#memoryAdapters,
         newestVersion: (adapter) => this.store.newestVersion(adapter),
         findClaim: (position) => this.store.findClaim(position),
         onCrashingPart: (engine) => {
--- a/packages/bench/src/soak/relay/soak_configuration.ts
+++ b/packages/bench/src/soak/relay/soak_configuration.ts
@@ -23,11 +23,13 @@
  * Describes a configuration of a soak.
  * @param version Its version.
  * @param hasExtra Whether it has the route that moves.
+ * @param memoryAdapters The number of adapters that an engine's memory holds.
  * @returns The configuration.
  */
 export function soakConfiguration(
   version: number,
   hasExtra: boolean,
+  memoryAdapters: number,
 ): RelayConfiguration {
   const extra = plainRoute("extra", true);
   return {
@@ -41,7 +43,7 @@
     ],
     services: [
       { id: PLAIN, connectionLimit: 100 },
-      standInEngineService(ENGINES, WORLD_SIZE.slots),
+      standInEngineService(ENGINES, WORLD_SIZE.slots, memoryAdapters),
     ],
     limits: {
       headerBytes: 8_192,
--- a/packages/bench/src/soak/relay/soak_engine.ts
+++ b/packages/bench/src/soak/relay/soak_engine.ts
@@ -29,6 +29,8 @@
 /** What an engine works with. */
 export interface SoakEngineParts extends SoakServerParts {
   readonly slots: number;
+  /** The number of adapters that its memory holds. */
+  readonly memoryAdapters: number;
   readonly newestVersion: NewestVersion;
   readonly findClaim: FindClaim;
   /** Called when a request with a part that crashes engines begins to run. */
@@ -55,7 +57,7 @@
   constructor(id: string, service: string, parts: SoakEngineParts) {
     super(id, service, parts);
     this.#parts = parts;
-    this.adapters = new StandInEngineState(parts.slots);
+    this.adapters = new StandInEngineState(parts.slots, parts.memoryAdapters);
     this.adapters.models = [STAND_IN_MODEL];
     this.adapters.start = this.start;
     this.adapters.newestVersion = parts.newestVersion;
@@ -90,6 +92,12 @@
         `${this.id} was ordered to hold ${this.adapters.loadedAdapters.size}`,
       );
     }
+    if (this.adapters.hasExceededMemory) {
+      record.breaks(
+        "engine_memory_is_never_exceeded",
+        `${this.id} was ordered to hold ${this.adapters.loadedAdapters.size}`,
+      );
+    }
     return result;
   }
 
--- a/packages/bench/tests/soak/relay_mutants_test.ts
+++ b/packages/bench/tests/soak/relay_mutants_test.ts
@@ -16,6 +16,7 @@
   "retry what may have run",
   "leave out the check of an answer's id",
   "overfill an engine's slots",
+  "overfill an engine's memory",
   "keep the routes of the first configuration",
   "send to a server that leaves",
   "disregard departures that answers announce",
--- a/packages/bench/tests/soak/soak_engine_test.ts
+++ b/packages/bench/tests/soak/soak_engine_test.ts
@@ -42,6 +42,7 @@
     seed: 1,
     record,
     slots: 3,
+    memoryAdapters: 3,
     software: "1",
     newestVersion: () => 1,
     findClaim: (position) => CLAIMS[position],
--- a/packages/core/src/relay/adapter_slot.ts
+++ b/packages/core/src/relay/adapter_slot.ts
@@ -1,4 +1,5 @@
 import type { AdapterId, Instant, ModelId } from "../shared/mod.ts";
+import type { EngineMemory } from "./engine_memory.ts";
 
 /** An adapter of a base model. */
 export interface AdapterName {
@@ -63,6 +64,8 @@
 /** The limits of one engine's slots. */
 export interface SlotLimits {
   readonly slots: number;
+  /** The engine's memory, if that is limited, too. */
+  readonly memory?: EngineMemory;
   /** The maximum number of concurrent loads. */
   readonly concurrentLoads: number;
   /** Adapters that the engine caches beside its slots, quick to load again. */
--- a/packages/core/src/relay/engine_slots.ts
+++ b/packages/core/src/relay/engine_slots.ts
@@ -21,15 +21,17 @@
 import { SlotValues } from "./residency/slot_values.ts";
 import { OrderAnswers } from "./order_answers.ts";
 import { OrderDeferrals } from "./order_deferrals.ts";
+import { SlotCapacity } from "./slot_capacity.ts";
 import { SlotTable } from "./slot_table.ts";
 
 /**
  * The adapter slots of one engine, as tracked by its owner. Each adapter that
- * may be on the engine takes a slot, so that orders never ask for more adapters
- * than fit.
+ * may be on the engine takes a slot and memory, so that orders never ask for
+ * more adapters than fit.
  */
 export class EngineSlots {
   readonly #limits: SlotLimits;
+  readonly #capacity: SlotCapacity;
   readonly #table = new SlotTable();
   readonly #requests = new LoadRequests();
   readonly #deferrals = new OrderDeferrals();
@@ -38,7 +40,6 @@
   readonly #values = new SlotValues(() =>
     this.#loadTimes.estimateFrom("cache")
   );
-  #reserved = 0;
 
   /**
    * @param limits The engine's limits.
@@ -47,6 +48,7 @@
    */
   constructor(limits: SlotLimits, heldBefore?: RecentAdapters) {
     this.#limits = limits;
+    this.#capacity = new SlotCapacity(limits.slots, limits.memory);
     this.#loadTimes = new LoadTimes(limits, heldBefore);
     this.#answers = new OrderAnswers({
       limits,
@@ -68,11 +70,30 @@
   }
 
   /**
-   * Reserves slots for adapters that may still be loaded by earlier orders.
+   * Reserves room for adapters that may still be loaded by earlier orders.
    * @param slots The number of slots to keep free.
    */
   reserve(slots: number): void {
-    this.#reserved = slots;
+    this.#capacity.reserve(slots);
+  }
+
+  /**
+   * Checks whether an adapter fits on the engine at all.
+   * @param name The adapter.
+   * @returns Whether it does while no other is loaded.
+   */
+  canHold(name: AdapterName): boolean {
+    return this.#capacity.canHold(name);
+  }
+
+  /**
+   * Checks whether memory has room for another version of an adapter beside the
+   * present one.
+   * @param name The adapter.
+   * @returns Whether it does.
+   */
+  canReplace(name: AdapterName): boolean {
+    return this.#capacity.hasRoom(this.slots, name, true);
   }
 
   /** The number of adapters that are requested and not yet ordered. */
@@ -186,10 +207,11 @@
    */
   canLoad(now: Instant, name: AdapterName): boolean {
     const slot = this.find(name);
+    if (!this.canHold(name)) return false;
     if (slot !== undefined) {
       return slot.state !== "leaving" && slot.useCount === 0;
     }
-    return this.availableSlots(now) > 0;
+    return this.availableSlots(now, name) > 0;
   }
 
   /**
@@ -215,17 +237,15 @@
       this.#canOrderLoad(now, one)
     );
     if (request === undefined) return undefined;
-    const isReplacement = this.find(request) !== undefined;
-    if (isReplacement || this.#table.size < this.#usableSlots) {
+    const replaced = this.find(request);
+    const hasRoom = replaced === undefined
+      ? this.#capacity.hasRoom(this.slots, request, false)
+      : this.canReplace(request);
+    if (hasRoom) {
       return { kind: "load", name: request, version: request.minimumVersion };
     }
-    const victim = chooseVictim(
-      this.slots.filter((slot) => !this.#deferrals.has(now, slot)),
-      {
-        isWanted: (slot) => this.#requests.has(slot),
-        costOf: (slot) => this.#values.evictionLoss(now, slot),
-      },
-    );
+    // Without memory for both versions, the older one is unloaded first.
+    const victim = this.#chooseVictim(now) ?? replaced;
     return victim === undefined ? undefined : { kind: "unload", name: victim };
   }
 
@@ -275,21 +295,33 @@
    * Counts the adapters that could be loaded without waiting for a request to
    * end.
    * @param now The present time.
+   * @param name One of them; by default, they are of the largest size.
    * @returns The count.
    */
-  availableSlots(now: Instant): number {
-    const evictable =
-      this.slots.filter((one) => this.#isEvictable(now, one)).length;
-    const free = this.#usableSlots - this.#table.size;
-    return Math.max(0, free + evictable - this.#requests.size);
+  availableSlots(now: Instant, name?: AdapterName): number {
+    const occupancy = {
+      held: this.slots,
+      evictable: this.slots.filter((one) => this.#isEvictable(now, one)),
+      requested: this.#requests.all,
+    };
+    return this.#capacity.countAvailable(occupancy, name);
   }
 
-  get #usableSlots(): number {
-    return this.#limits.slots - this.#reserved;
+  /** Chooses the adapter to unload next. */
+  #chooseVictim(now: Instant): AdapterSlot | undefined {
+    return chooseVictim(
+      this.slots.filter((slot) => !this.#deferrals.has(now, slot)),
+      {
+        isWanted: (slot) => this.#requests.has(slot),
+        costOf: (slot) => this.#values.evictionLoss(now, slot),
+      },
+    );
   }
 
   #canOrderLoad(now: Instant, request: LoadRequest): boolean {
-    if (this.#deferrals.has(now, request)) return false;
+    if (!this.canHold(request) || this.#deferrals.has(now, request)) {
+      return false;
+    }
     const slot = this.find(request);
     return slot === undefined || isIdleSlot(slot);
   }
--- a/packages/core/src/relay/relay_configuration.ts
+++ b/packages/core/src/relay/relay_configuration.ts
@@ -45,7 +45,7 @@
 /** The capacity of a service's engines. */
 export interface EngineSpecification {
   readonly models: readonly EngineModel[];
-  /** Memory for base models and adapters together. */
+  /** Memory for base models and adapters together; 0 if it isn't limited. */
   readonly megabytes: number;
   readonly adapterSlots: number;
 }
--- a/packages/node/src/relay/adapter_uses.ts
+++ b/packages/node/src/relay/adapter_uses.ts
@@ -251,7 +251,9 @@
       return milliseconds(0);
     }
     const loadTime = this.#slots.loadTime(name, minimumVersion);
-    if (!this.#parts.canOrderSoon()) return undefined;
+    if (!this.#parts.canOrderSoon() || !this.#slots.canHold(name)) {
+      return undefined;
+    }
     if (this.#isLoadPending(name) || this.#slots.canLoad(now, name)) {
       return loadTime;
     }
--- a/packages/node/src/relay/engine_model.ts
+++ b/packages/node/src/relay/engine_model.ts
@@ -1,4 +1,5 @@
 import {
+  type EngineMemory,
   type Instant,
   later,
   milliseconds,
@@ -6,34 +7,42 @@
   type OrderPermission,
   type RegisteredServer,
 } from "@foxtailwind/core";
+import type { ComponentLogger } from "../logging/component_logger.ts";
 import type { EngineOrders } from "./engine_orders.ts";
-import type { Knowledge } from "./knowledge.ts";
 
 /** Time between two orders to load a base model; longer than a load takes. */
 const MODEL_LOAD_INTERVAL = milliseconds(2_500);
 
+/** The dependencies of {@link EngineModel}. */
+export interface EngineModelParts {
+  /** The engine's memory, which is told of the models in it. */
+  readonly memory: EngineMemory;
+  readonly logger: ComponentLogger;
+}
+
 /** The base model of one engine, which its adapters need. */
 export class EngineModel {
   readonly #server: RegisteredServer;
-  readonly #knowledge: Knowledge;
   readonly #orders: EngineOrders;
-  #loadedModels: readonly ModelId[];
+  readonly #parts: EngineModelParts;
+  #loadedModels: readonly ModelId[] = [];
   #lastOrderedAt: Instant | undefined;
+  #isUnfitLogged = false;
 
   /**
    * @param server The engine, with the models that it is known to hold.
-   * @param knowledge The configuration, which names the model to load.
    * @param orders Sends orders to the engine.
+   * @param parts The dependencies.
    */
   constructor(
     server: RegisteredServer,
-    knowledge: Knowledge,
     orders: EngineOrders,
+    parts: EngineModelParts,
   ) {
     this.#server = server;
-    this.#knowledge = knowledge;
     this.#orders = orders;
-    this.#loadedModels = server.models.map((held) => held.model);
+    this.#parts = parts;
+    this.applyReport(server.models.map((held) => held.model));
   }
 
   /** Whether the engine has loaded a model. */
@@ -47,18 +56,21 @@
    */
   applyReport(models: readonly ModelId[]): void {
     this.#loadedModels = models;
+    this.#parts.memory.recordModels(models);
   }
 
   /**
    * Orders the model to be loaded, unless that was ordered a short time ago.
    * @param now The present time.
    * @param permission The permission to send orders.
-   * @returns Whether a model is configured for the engine.
+   * @returns Whether a model that fits is configured for the engine.
    */
   async load(now: Instant, permission: OrderPermission): Promise<boolean> {
-    const service = this.#knowledge.routes?.service(this.#server.service);
-    const model = service?.engine?.models[0]?.model;
-    if (model === undefined) return false;
+    const model = this.#parts.memory.loadableModel();
+    if (model === undefined) {
+      this.#logUnfit();
+      return false;
+    }
     const isDue = this.#lastOrderedAt === undefined ||
       later(this.#lastOrderedAt, MODEL_LOAD_INTERVAL) <= now;
     if (isDue) {
@@ -67,4 +79,13 @@
     }
     return true;
   }
+
+  #logUnfit(): void {
+    if (this.#isUnfitLogged) return;
+    this.#isUnfitLogged = true;
+    this.#parts.logger.error("No configured model fits on an engine.", {
+      engine: this.#server.id,
+      service: this.#server.service,
+    });
+  }
 }
--- a/packages/node/src/relay/engine_run.ts
+++ b/packages/node/src/relay/engine_run.ts
@@ -1,5 +1,6 @@
 import {
   type AdapterName,
+  EngineMemory,
   EngineSlots,
   type EngineSpecification,
   type ExpectedLoad,
@@ -50,6 +51,7 @@
   #server: RegisteredServer;
   /** The requested uses that are neither granted nor refused yet. */
   #waiting = 0;
+  #isUnfitLogged = false;
 
   /**
    * @param server The engine.
@@ -65,9 +67,13 @@
     this.#parts = parts;
     this.#loop = new StepLoop(parts.clock, () => this.#step());
     const { engines, node } = parts.settings;
+    const memory = new EngineMemory(() =>
+      parts.knowledge.routes?.service(server.service)?.engine ?? specification
+    );
     this.#slots = new EngineSlots(
       {
         slots: specification.adapterSlots,
+        memory,
         concurrentLoads: engines.transfers,
         cachedAdapters: engines.kept_adapters,
       },
@@ -106,7 +112,10 @@
         this.stop();
       },
     });
-    this.#model = new EngineModel(server, parts.knowledge, this.#orders);
+    this.#model = new EngineModel(server, this.#orders, {
+      memory,
+      logger: parts.logger,
+    });
   }
 
   /**
@@ -159,6 +168,7 @@
     // A request that waits for any place joins the queue for its adapter.
     const joinsQueue = request.queueing?.onlyInTime === false;
     const { model, adapter, minimumVersion } = request;
+    if (adapter !== undefined) this.#logUnfit({ model, adapter });
     if (!joinsQueue && adapter !== undefined) {
       const name = { model, adapter };
       if (!this.#hasPlaceFor(name)) {
@@ -174,6 +184,16 @@
     }
   }
 
+  /** Logs once that the engine has no memory for an adapter. */
+  #logUnfit(name: AdapterName): void {
+    if (this.#isUnfitLogged || this.#slots.canHold(name)) return;
+    this.#isUnfitLogged = true;
+    this.#parts.logger.error("An adapter doesn't fit on an engine.", {
+      engine: this.#server.id,
+      ...name,
+    });
+  }
+
   /** Whether the adapter is loaded, or there is a place once it is. */
   #hasPlaceFor(name: AdapterName): boolean {
     if (this.#slots.find(name)?.state === "resident") return true;
@@ -290,6 +310,13 @@
     }
     const { name } = due;
     const version = this.#slots.find(name)?.version ?? 0;
+    // The check of a load that named no version would load a newer one.
+    const { versions } = this.#parts.knowledge;
+    const newest = versions.newest(name.model, name.adapter);
+    if (version < newest && !this.#slots.canReplace(name)) {
+      this.#results.scheduleReport(now);
+      return true;
+    }
     const order = { kind: "load", name, version } as const;
     const result = await this.#orders.checkLoad(order, permission);
     if (!this.#loop.isStopped) {
--- a/packages/node/tests/relay/engine_owner_test.ts
+++ b/packages/node/tests/relay/engine_owner_test.ts
@@ -26,6 +26,54 @@
   owner.stop();
 });
 
+// Guards against an engine that is ordered to hold more than its memory does.
+test("an adapter for which memory has no room is loaded once another is unloaded", async (t) => {
+  const { owner, control, claim } = setUpOwner(3, undefined, 2);
+  claim("node-1", 4);
+  const first = await requestUse(owner, "a");
+  t.is(owner.digest.room, 0);
+  t.is((await requestUse(owner, "b")).kind, "no_room", "The first is in use.");
+  release(first);
+  t.is((await requestUse(owner, "b")).kind, "granted");
+  t.deepEqual([...control.adapters.loadedAdapters], ["b"]);
+  owner.stop();
+});
+
+test("an adapter is refused at once, and logged once, if memory never has room for it", async (t) => {
+  const lines: string[] = [];
+  const { owner, control, claim } = setUpOwner(
+    3,
+    (line) => lines.push(line),
+    1,
+  );
+  claim("node-1", 4);
+  for (const adapter of ["a", "b"]) {
+    t.deepEqual(await requestUse(owner, adapter), { kind: "no_room" });
+  }
+  t.deepEqual(control.orders, []);
+  const unfit = lines.filter((line) => line.includes("doesn't fit"));
+  t.is(unfit.length, 1);
+  owner.stop();
+});
+
+// Guards against a check whether a load has ended, which an engine takes for the
+// order to load a newer version beside the present one.
+test("a load isn't checked by an order that would load a newer version than memory has room for", async (t) => {
+  const { owner, control, claim, knowledge } = setUpOwner(3, undefined, 2);
+  control.adapters.newestVersion = () =>
+    Math.max(1, knowledge.versions.newest(MODEL, adapterId("a")));
+  claim("node-1", 4);
+  const answer = requestUse(owner, "a");
+  while (control.adapters.loadedAdapters.size === 0) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  knowledge.adapterVersion(MODEL, adapterId("a"), 7);
+  t.is((await answer).kind, "granted");
+  t.is(control.orders.length, 1);
+  t.is(control.adapters.versionOf(adapterId("a")), 1);
+  owner.stop();
+});
+
 test("without an order permission nothing is ordered", async (t) => {
   const { owner, control, claim } = setUpOwner();
   claim("node-2", 4);
--- a/packages/node/tests/relay/helpers/owned_engine.ts
+++ b/packages/node/tests/relay/helpers/owned_engine.ts
@@ -36,9 +36,14 @@
  * Sets up an owner of a scripted engine.
  * @param slots The number of adapter slots.
  * @param write Receives the log lines, if a test reads them.
+ * @param megabytes The engine's memory; the model and each adapter take one.
  * @returns The owner and its collaborators.
  */
-export function setUpOwner(slots = 2, write?: (line: string) => void) {
+export function setUpOwner(
+  slots = 2,
+  write?: (line: string) => void,
+  megabytes = 10,
+) {
   const { base, knowledge } = createRelayBase({ part: "ownership", write });
   const { settings, clock, logger } = base;
   const control = new ScriptedEngine(slots);
@@ -46,7 +51,7 @@
   control.adapters.start = SERVER.start;
   const specification = {
     models: [{ model: MODEL, megabytes: 1, adapterMegabytes: 1 }],
-    megabytes: 10,
+    megabytes,
     adapterSlots: slots,
   };
   const earlierUnansweredLoads = new UnansweredLoads();
