--- a/packages/bench/src/relay/mod.ts
+++ b/packages/bench/src/relay/mod.ts
@@ -10,5 +10,6 @@
 export * from "./stand_in_log.ts";
 export * from "./stand_in_server.ts";
 export * from "./stand_in_settings.ts";
+export * from "./stand_in_store.ts";
 export * from "./stand_in_wire.ts";
 export * from "./stream_reader.ts";
--- a/packages/bench/src/relay/relay_cluster.ts
+++ b/packages/bench/src/relay/relay_cluster.ts
@@ -22,9 +22,10 @@
 } from "./stand_in_configuration.ts";
 import { StandInControl, StandInEngine } from "./stand_in_engine.ts";
 import { StandInEngineState } from "./stand_in_engine_state.ts";
-import { StandInLog, StandInStore } from "./stand_in_log.ts";
+import { StandInLog } from "./stand_in_log.ts";
 import { INITIAL_SOFTWARE, type StandInServer } from "./stand_in_server.ts";
 import { standInSettings } from "./stand_in_settings.ts";
+import { StandInStore } from "./stand_in_store.ts";
 import { readStream, type StreamPart } from "./stream_reader.ts";
 import {
   LAST_EVENT_HEADER,
--- a/packages/bench/src/soak/relay/relay_node.ts
+++ b/packages/bench/src/soak/relay/relay_node.ts
@@ -1,7 +1,7 @@
 import type { SharedLogListener } from "@foxtailwind/node/relay";
 import { LoggerFactory, type RelayDaemon } from "@foxtailwind/node/relay";
 import { setTimeout as sleep } from "node:timers/promises";
-import type { StandInStore } from "../../relay/stand_in_log.ts";
+import type { StandInStore } from "../../relay/stand_in_store.ts";
 import { StandInOperations } from "../../relay/stand_in_wire.ts";
 import { Draws } from "./draws.ts";
 import { type NodeParts, settingsOf, type SoakControl } from "./node_parts.ts";
--- a/packages/bench/src/soak/relay/relay_world.ts
+++ b/packages/bench/src/soak/relay/relay_world.ts
@@ -15,7 +15,7 @@
 import { ENGINES, PLAIN, soakConfiguration } from "./soak_configuration.ts";
 import { SoakEngine } from "./soak_engine.ts";
 import { PlainSoakServer, type SoakServer } from "./soak_server.ts";
-import { StandInStore, type StoreCopy } from "../../relay/stand_in_log.ts";
+import { StandInStore, type StoreCopy } from "../../relay/stand_in_store.ts";
 
 /** An engine ends so long after it began to run what crashes it. */
 const PART_CRASH_MILLISECONDS = 20;
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -25,7 +25,6 @@
   type ServiceId,
   SoftwareHistory,
   type StreamSource,
-  StreamSources,
 } from "@foxtailwind/core";
 import type { NodeDigest } from "@foxtailwind/protocol";
 import type { SteadyClock } from "../clock/steady_clock.ts";
@@ -50,6 +49,7 @@
   type SkipReason,
   type SuspicionChange,
 } from "./shared_log.ts";
+import { StreamRecord } from "./streams/stream_record.ts";
 import { SuspicionTracker } from "./crashes/suspicion_tracker.ts";
 import { WorkCounts } from "./work_counts.ts";
 
@@ -74,16 +74,6 @@
 /** Where a change of the registry came from. */
 export type RegistrySource = "log" | "peer" | "answer";
 
-/** What a node has learned of the record of software that begins streams. */
-export type StreamRecordState =
-  /** Nothing: it has not read the log. */
-  | "unread"
-  /** The log shows no earlier run of any node. */
-  | "new"
-  /** The log came back from an older copy, which may lack some of it. */
-  | "unconfirmed"
-  | "confirmed";
-
 /** The part of {@link ServingNodes} that {@link Knowledge} uses. */
 export type ServingView = Pick<
   ServingNodes,
@@ -102,7 +92,7 @@
   readonly registry = new ServerRegistry();
   readonly softwareHistory = new SoftwareHistory();
   /** The software that may have begun streams, by routes. */
-  readonly streamSources = new StreamSources();
+  readonly streamRecord = new StreamRecord();
   /** The departures that servers announce to this node in their answers. */
   readonly departures: ServerDepartures;
   readonly peers = new PeerTable();
@@ -124,9 +114,6 @@
   #operatorsEnd = logOffset(0);
   readonly #serversByService = new ServersByService(this.registry);
   #lastLogReadAt: Instant | undefined;
-  #streamRecordState: StreamRecordState = "unread";
-  #hasNodeRecords = false;
-  #restoredAt: Instant | undefined;
   #lastLogCallSucceeded = false;
   /** The nodes that serve; all of them until the serving set is computed. */
   serving: ServingView = ALL_NODES_SERVE;
@@ -139,8 +126,6 @@
   ) => void = () => undefined;
   /** Called when the log has come back from an older copy. */
   onLogRestored: () => void = () => undefined;
-  /** Called when the software that begins streams was read from the log. */
-  onStreamSourcesRead: () => void = () => undefined;
   /** Called for each record that was skipped. */
   onRecordSkipped: (topic: RecordTopic, reason: SkipReason) => void = () =>
     undefined;
@@ -188,16 +173,6 @@
     return this.#serversByService.serversOf(service);
   }
 
-  /** What the log says of the software that begins streams. */
-  get streamRecordState(): StreamRecordState {
-    return this.#streamRecordState;
-  }
-
-  /** When the log last came back from an older copy, if this run saw it. */
-  get restoredAt(): Instant | undefined {
-    return this.#restoredAt;
-  }
-
   /** The registered model engines that are not leaving. */
   get engines(): readonly RegisteredServer[] {
     const services = this.#routes?.configuration.services ?? [];
@@ -390,11 +365,7 @@
   }
 
   override node(node: NodeRecord): void {
-    this.#hasNodeRecords = true;
-    if (this.#streamRecordState === "new") {
-      this.#streamRecordState = "unconfirmed";
-      this.onStreamSourcesRead();
-    }
+    this.streamRecord.recordNode();
     if (node.id === this.#parts.settings.node.id) return;
     this.peers.recordNode(this.#parts.clock.now(), node);
   }
@@ -411,29 +382,19 @@
     sources: readonly StreamSource[],
     isConfirmed: boolean,
   ): void {
-    this.streamSources.list(this.#parts.clock.now(), sources);
-    if (isConfirmed) {
-      this.streamSourcesConfirmed();
-      return;
-    }
-    const isNew = this.#streamRecordState === "unread" &&
-      sources.length === 0 && !this.#hasNodeRecords;
-    this.#streamRecordState = isNew ? "new" : "unconfirmed";
-    this.onStreamSourcesRead();
+    this.streamRecord.list(this.#parts.clock.now(), sources, isConfirmed);
   }
 
   override streamSourceStored(source: StreamSource): void {
-    this.streamSources.recordStored(this.#parts.clock.now(), source);
+    this.streamRecord.sources.recordStored(this.#parts.clock.now(), source);
   }
 
   override streamSourceDropped(source: StreamSource): void {
-    this.streamSources.recordDropped(source);
+    this.streamRecord.sources.recordDropped(source);
   }
 
   override streamSourcesConfirmed(): void {
-    this.#streamRecordState = "confirmed";
-    this.streamSources.recordComplete();
-    this.onStreamSourcesRead();
+    this.streamRecord.confirm();
   }
 
   /**
@@ -448,12 +409,13 @@
   ): void {
     const now = this.#parts.clock.now();
     if (this.isLogReachable(now)) return;
-    for (const source of sources) this.streamSources.recordStored(now, source);
-    if (isComplete) this.streamSources.recordComplete();
+    const known = this.streamRecord.sources;
+    for (const source of sources) known.recordStored(now, source);
+    if (isComplete) known.recordComplete();
   }
 
   override logRestored(era: LogEra): void {
-    this.#restoredAt = this.#parts.clock.now();
+    this.streamRecord.recordRestore(this.#parts.clock.now());
     this.claims.recordRestore(era);
     this.#parts.logger.warn("The platform's log is back from an older copy.", {
       era,
--- a/packages/node/src/relay/knowledge_message.ts
+++ b/packages/node/src/relay/knowledge_message.ts
@@ -37,8 +37,8 @@
     configuration: isNewer ? compress(configuration) : Buffer.alloc(0),
     versions: JSON.stringify(knowledge.versions.entries),
     operatorsEnd: knowledge.operatorsEnd,
-    streamSources: JSON.stringify(knowledge.streamSources.stored),
-    areStreamSourcesComplete: knowledge.streamSources.isComplete,
+    streamSources: JSON.stringify(knowledge.streamRecord.sources.stored),
+    areStreamSourcesComplete: knowledge.streamRecord.sources.isComplete,
     ...encodeProofAge(knowledge.proofs.age),
   };
 }
--- a/packages/node/src/relay/mod.ts
+++ b/packages/node/src/relay/mod.ts
@@ -67,6 +67,7 @@
 export * from "./streams/resumption.ts";
 export * from "./streams/stream_archive.ts";
 export * from "./streams/stream_directory.ts";
+export * from "./streams/stream_record.ts";
 export * from "./streams/stream_source_recorder.ts";
 export { decodeUse, encodeUse } from "./use_message.ts";
 export * from "./work_counts.ts";
--- a/packages/node/src/relay/request_sender.ts
+++ b/packages/node/src/relay/request_sender.ts
@@ -234,7 +234,9 @@
     sendRecord.recordOrigin(origin);
     streams.record(origin);
     const path = message.url ?? "/";
-    if (knowledge.streamSources.onlySource(route.host, path) === undefined) {
+    if (
+      knowledge.streamRecord.sources.onlySource(route.host, path) === undefined
+    ) {
       streams.archive(origin);
     }
   }
--- a/packages/node/src/relay/streams/stream_source_recorder.ts
+++ b/packages/node/src/relay/streams/stream_source_recorder.ts
@@ -64,7 +64,7 @@
   constructor(parts: StreamSourceRecorderParts) {
     this.#parts = parts;
     this.#startedAt = parts.clock.now();
-    parts.knowledge.onStreamSourcesRead = () => {
+    parts.knowledge.streamRecord.onRead = () => {
       // Where the log ends is known only once its listing has been applied.
       setImmediate(() => {
         void this.#prepare();
@@ -82,8 +82,8 @@
   mayBegin(route: Route, server: RegisteredServer): boolean {
     const { knowledge, clock } = this.#parts;
     const source = toSource(route, server);
-    knowledge.streamSources.observe(clock.now(), [source]);
-    if (knowledge.streamSources.isStored(source)) return true;
+    knowledge.streamRecord.sources.observe(clock.now(), [source]);
+    if (knowledge.streamRecord.sources.isStored(source)) return true;
     void this.#store();
     return false;
   }
@@ -101,14 +101,14 @@
     path: string,
   ): Promise<StreamSource | undefined> {
     const { knowledge, clock, logger } = this.#parts;
-    const { streamSources } = knowledge;
+    const { sources: streamSources } = knowledge.streamRecord;
     const isRead = await this.#readSources();
     streamSources.observe(clock.now(), this.#liveSources());
     const source = isRead ? streamSources.onlySource(host, path) : undefined;
     if (source === undefined) {
       logger.info("It is not certain which software began a stream.", {
         log_was_read: isRead,
-        record: knowledge.streamRecordState,
+        record: knowledge.streamRecord.state,
         possible: streamSources.possibleSources(host, path)
           .map(({ service, software }) => `${service} ${software}`).join(),
       });
@@ -122,10 +122,10 @@
    */
   refresh(now: Instant): void {
     const { knowledge } = this.#parts;
-    knowledge.streamSources.observe(now, this.#liveSources());
+    knowledge.streamRecord.sources.observe(now, this.#liveSources());
     void this.#prepare();
     if (!knowledge.isWatcher || !knowledge.isLogReachable(now)) return;
-    if (knowledge.streamSources.missing().length > 0) this.#storeSoon();
+    if (knowledge.streamRecord.sources.missing().length > 0) this.#storeSoon();
     else if (this.#isConfirmationDue(now)) void this.#confirm();
     this.#dropExpired(now);
   }
@@ -180,33 +180,33 @@
 
   async #store(): Promise<void> {
     const { knowledge, log, clock, logger } = this.#parts;
-    const added = knowledge.streamSources.missing();
+    const added = knowledge.streamRecord.sources.missing();
     if (this.#isWriting || added.length === 0) return;
     this.#isWriting = true;
     const result = await log.changeStreamSources({ added, dropped: [] });
     this.#isWriting = false;
     if (result.isErr()) return;
     for (const source of added) {
-      knowledge.streamSources.recordStored(clock.now(), source);
+      knowledge.streamRecord.sources.recordStored(clock.now(), source);
       logger.info("Software may begin streams.", toFields(source));
     }
   }
 
   #dropExpired(now: Instant): void {
     const { knowledge, log, logger } = this.#parts;
-    const { streamSources, registryProofs } = knowledge;
+    const { streamRecord, registryProofs } = knowledge;
     const { age } = registryProofs;
     if (this.#isWriting || age === undefined || age > REGISTRY_AGE_LIMIT) {
       return;
     }
-    const dropped = streamSources.expired(now);
+    const dropped = streamRecord.sources.expired(now);
     if (dropped.length === 0) return;
     this.#isWriting = true;
     void log.changeStreamSources({ added: [], dropped }).then((result) => {
       this.#isWriting = false;
       if (result.isErr() || !result.value) return;
       for (const source of dropped) {
-        streamSources.recordDropped(source);
+        streamRecord.sources.recordDropped(source);
         logger.info("Software begins no more streams.", toFields(source));
       }
     });
@@ -215,9 +215,9 @@
   /** Confirms the record of a log that no node has used before. */
   async #prepare(): Promise<void> {
     const { knowledge } = this.#parts;
-    if (knowledge.streamRecordState === "unread") return;
-    if (knowledge.streamRecordState === "new") await this.#confirm();
-    if (knowledge.streamRecordState !== "new") this.#onPrepared();
+    if (knowledge.streamRecord.state === "unread") return;
+    if (knowledge.streamRecord.state === "new") await this.#confirm();
+    if (knowledge.streamRecord.state !== "new") this.#onPrepared();
   }
 
   /**
@@ -226,11 +226,10 @@
    * can't be resumed any more.
    */
   #isConfirmationDue(now: Instant): boolean {
-    const { streamRecordState, streamSources, restoredAt } =
-      this.#parts.knowledge;
-    if (streamRecordState !== "unconfirmed") return false;
+    const { state, sources, restoredAt } = this.#parts.knowledge.streamRecord;
+    if (state !== "unconfirmed") return false;
     if (elapsed(this.#startedAt, now) >= STREAM_RETENTION) return true;
-    return streamSources.isComplete && restoredAt !== undefined &&
+    return sources.isComplete && restoredAt !== undefined &&
       elapsed(restoredAt, now) >= RESTORE_TIME;
   }
 
--- a/packages/node/tests/relay/knowledge_message_test.ts
+++ b/packages/node/tests/relay/knowledge_message_test.ts
@@ -216,3 +216,25 @@
   t.true(node.isWatcher, "It relies on no other node.");
   t.false(node.retriesAtFullRate);
 });
+
+// Guards against new servers that a node can't begin streams at because the
+// store turns it away, and against what a peer knows of an earlier era.
+test("software that begins streams is learnt from a peer only while the log doesn't answer", (t) => {
+  const source = {
+    host: "one.example",
+    pathPrefix: "/notes/",
+    service: serviceId("s"),
+    software: softwareVersion("1"),
+  };
+  const peer = knowledge();
+  peer.streamSourcesListed([source], true);
+  const [turnedAway, reaching] = [knowledge(), knowledge()];
+  reaching.caughtUp();
+  for (const node of [turnedAway, reaching]) {
+    readKnowledge(node, writeKnowledge(peer, EMPTY_REQUEST));
+  }
+  t.true(turnedAway.streamRecord.sources.isStored(source));
+  t.true(turnedAway.streamRecord.sources.isComplete);
+  t.false(reaching.streamRecord.sources.isStored(source));
+  t.false(reaching.streamRecord.sources.isComplete);
+});
--- a/packages/node/tests/relay/streams/stream_source_recorder_test.ts
+++ b/packages/node/tests/relay/streams/stream_source_recorder_test.ts
@@ -105,7 +105,8 @@
   /** Whether it continues streams of unknown origin, at which software. */
   get onlySoftware(): string | undefined {
     const { host, pathPrefix } = this.route;
-    return this.knowledge.streamSources.onlySource(host, pathPrefix)?.software;
+    return this.knowledge.streamRecord.sources.onlySource(host, pathPrefix)
+      ?.software;
   }
 }
 
@@ -175,10 +176,10 @@
   const store = startStore();
   const first = new RecordingNode(t, store);
   await waitUntil(() => first.isPrepared);
-  t.is(first.knowledge.streamRecordState, "confirmed");
+  t.is(first.knowledge.streamRecord.state, "confirmed");
   const second = new RecordingNode(t, store);
   await waitUntil(() => second.isPrepared);
-  t.is(second.knowledge.streamRecordState, "confirmed");
+  t.is(second.knowledge.streamRecord.state, "confirmed");
 });
 
 // Guards against nodes that take the streams of an earlier program, which keeps
@@ -189,7 +190,7 @@
   const node = new RecordingNode(t, store);
   await waitUntil(() => node.isPrepared);
   await waitUntil(() => node.mayBegin("1"));
-  t.is(node.knowledge.streamRecordState, "unconfirmed");
+  t.is(node.knowledge.streamRecord.state, "unconfirmed");
   t.is(node.onlySoftware, undefined);
 });
 
@@ -220,14 +221,14 @@
     node.refresh();
     return store.streamSources.length === 2;
   });
-  t.is(node.knowledge.streamRecordState, "unconfirmed");
+  t.is(node.knowledge.streamRecord.state, "unconfirmed");
   node.clock.shiftMilliseconds = 11 * SECOND;
   await waitUntil(() => {
     node.refresh();
-    return node.knowledge.streamRecordState === "confirmed";
+    return node.knowledge.streamRecord.state === "confirmed";
   });
   const later = new RecordingNode(t, store);
-  t.true(later.knowledge.streamSources.isComplete);
+  t.true(later.knowledge.streamRecord.sources.isComplete);
   t.is(later.onlySoftware, undefined);
 });
 
