--- a/review/standins-2/store.mjs
+++ b/review/standins-2/store.mjs
@@ -14,7 +14,23 @@
     this.port = this.server.address().port;
     return this;
   }
+  /**
+   * Listens at another port, where the entries of servers are read with other addresses: those of
+   * proxies between one node and the servers.
+   */
+  async addView(addressOf) {
+    const server = createServer((request, response) => this.#handle(request, response, (record) => {
+      if (record.value.length === 0) return record;
+      const entry = JSON.parse(record.value);
+      return { ...record, value: Buffer.from(JSON.stringify({ ...entry, address: addressOf(entry.address) })) };
+    }));
+    server.keepAliveTimeout = 60_000;
+    await new Promise((resolve) => server.listen(0, "127.0.0.1", resolve));
+    (this.viewServers ??= []).push(server);
+    return server.address().port;
+  }
   stop() {
+    for (const server of this.viewServers ?? []) { server.closeAllConnections(); server.close(); }
     this.server.closeAllConnections();
     this.server.close();
   }
@@ -40,13 +56,14 @@
     this.topics.set(topic, records);
     for (const wake of this.waiting.splice(0)) wake();
   }
-  async #handle(request, response) {
+  async #handle(request, response, view = (record) => record) {
     const url = new URL(request.url, "http://store");
     const chunks = [];
     for await (const chunk of request) chunks.push(chunk);
     const body = Buffer.concat(chunks);
     const query = url.searchParams;
     const topic = query.get("topic") ?? "";
+    const seen = topic === "keyed.servers" ? view : (record) => record;
     const act = this.behaviour(url.pathname, topic);
     if (act === "silent") return;
     response.setHeader("Store-Era", String(this.era));
@@ -59,7 +76,7 @@
       const page = keys.slice(0, 500);
       response.setHeader("content-type", "application/json");
       return void response.end(JSON.stringify({
-        items: page.map((key) => ({ key, value: newest.get(key).value.toString("base64"), offset: newest.get(key).offset })),
+        items: page.map((key) => ({ key, value: seen(newest.get(key)).value.toString("base64"), offset: newest.get(key).offset })),
         has_more: keys.length > page.length,
         end: this.end(topic),
       }));
@@ -79,7 +96,7 @@
       }
       const head = Buffer.alloc(16);
       head.writeBigUInt64BE(BigInt(this.end(topic)), 0);
-      const records = (this.topics.get(topic) ?? []).slice(from).map(topic.startsWith("keyed.") ? encodeKeyed : encodeRaw);
+      const records = (this.topics.get(topic) ?? []).slice(from).map(seen).map(topic.startsWith("keyed.") ? encodeKeyed : encodeRaw);
       return void response.end(Buffer.concat([head, ...records]));
     }
     if (url.pathname === "/foxtailwind/log-append") {
