--- a/review/standins-2/deployment.mjs
+++ b/review/standins-2/deployment.mjs
@@ -66,10 +66,10 @@
     this.record(`worker ${worker.id} of ${worker.service}, software ${worker.version}, at 127.0.0.1:${worker.port}`);
     return worker;
   }
-  async startNodes(count) {
+  async startNodes(count, storePort = this.store.port) {
     const places = ["akl-hall-a", "akl-hall-b", "ham-hall"];
     for (let n = 0; n < count; n += 1) {
-      const node = new NodeProcess({ id: `front-${places[n % 3]}-${n + 1}`, zone: places[n % 3], store: `127.0.0.1:${this.store.port}` });
+      const node = new NodeProcess({ id: `front-${places[n % 3]}-${n + 1}`, zone: places[n % 3], store: `127.0.0.1:${storePort}` });
       this.nodes.push(node);
       await node.start();
     }
