--- a/review/standins-2/node.mjs
+++ b/review/standins-2/node.mjs
@@ -8,12 +8,19 @@
 export const REPOSITORY = path.resolve(import.meta.dirname, "../..");
 const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
+/** Finds a free port below those that outgoing connections take. */
 export async function freePort(host) {
-  const server = createServer();
-  await new Promise((resolve, reject) => { server.once("error", reject); server.listen(0, host, resolve); });
-  const { port } = server.address();
-  await new Promise((resolve) => server.close(resolve));
-  return port;
+  for (;;) {
+    const port = 11_000 + Math.floor(Math.random() * 20_000);
+    const server = createServer();
+    const isFree = await new Promise((resolve) => {
+      server.once("error", () => resolve(false));
+      server.listen(port, host, () => resolve(true));
+    });
+    if (!isFree) continue;
+    await new Promise((resolve) => server.close(resolve));
+    return port;
+  }
 }
 
 function render(template, fields) {
