--- a/review/standins-2/deployment.mjs
+++ b/review/standins-2/deployment.mjs
@@ -83,7 +83,10 @@
       if (node.exited !== undefined) this.record(`node ${node.id} ended: code ${node.exited.code}, signal ${node.exited.signal}, peak ${Math.round(node.peakMegabytes)} MB`);
       await node.stop();
     }
-    for (const worker of this.workers) worker.stop();
+    for (const worker of this.workers) {
+      for (const run of worker.runs ?? []) this.record(`worker ${worker.id} (${worker.version}) ran ${run.id} from ${((run.at - this.#begun) / 1000).toFixed(3)}${run.complete === true ? ", answer written" : ""}`);
+      worker.stop();
+    }
     this.store?.stop();
     this.record(`exit ${code}`);
     await new Promise((resolve) => this.file.end(resolve));
