Streams that end inside an event are broken, whatever frames them

Callers saw: a stream that its server ended in the middle of an event, without its last empty line, or before its first event, came with an ordinary end, and was not resumed where its route allows it.

Cause: AnswerForwarder asked whether an answer ends inside an event only where the connection's end marks that of the answer. Chunks and a length were taken for proof that it is whole.

Change: each success on a streaming route that is a stream of events by its content type is tracked by EventBoundary. An incomplete one is resumed within the retry budget, or aborted; its length is not passed on, since an answer that is as long as announced can't be aborted. An answer of another kind doesn't continue a stream. Line ends may be CR, LF or both. A server that ends an answer in order isn't suspected of having crashed.

It works since the end of the last event is in the bytes themselves: no framing can hide that it is missing.

--- a/packages/core/src/relay/event_splitter.ts
+++ b/packages/core/src/relay/event_splitter.ts
@@ -1,3 +1,5 @@
+import { EmptyLineFinder } from "./line_ends.ts";
+
 /** A complete event of a stream. */
 export interface StreamEvent {
   readonly bytes: Buffer;
@@ -5,8 +7,8 @@
   readonly id?: string;
 }
 
-const NEWLINE = 0x0a;
-const ID_FIELD = /^id: ?(.*)$/m;
+/** A byte order mark may precede the first field; it is read as Latin-1. */
+const ID_FIELD = /^(?:\u00ef\u00bb\u00bf)?id: ?(.*)$/m;
 
 /**
  * Splits a stream of server-sent events into complete events, so that an event
@@ -30,11 +32,12 @@
       ? bytes
       : Buffer.concat([this.#remainder, bytes]);
     const events: StreamEvent[] = [];
+    const emptyLines = new EmptyLineFinder(buffer);
     let start = 0;
     for (
-      let end = eventEnd(buffer, start);
-      end > 0;
-      end = eventEnd(buffer, start)
+      let end = emptyLines.find(start);
+      end !== undefined;
+      end = emptyLines.find(start)
     ) {
       events.push(toEvent(buffer.subarray(start, end)));
       start = end;
@@ -49,21 +52,6 @@
   }
 }
 
-/** Finds the end of the event that begins at `start`: after an empty line. */
-function eventEnd(buffer: Buffer, start: number): number {
-  for (
-    let newline = buffer.indexOf(NEWLINE, start);
-    newline >= 0;
-    newline = buffer.indexOf(NEWLINE, newline + 1)
-  ) {
-    if (buffer[newline + 1] === NEWLINE) return newline + 2;
-    if (buffer[newline + 1] === 0x0d && buffer[newline + 2] === NEWLINE) {
-      return newline + 3;
-    }
-  }
-  return -1;
-}
-
 function toEvent(bytes: Buffer): StreamEvent {
   const id = ID_FIELD.exec(bytes.toString("latin1"))?.[1]?.trim();
   return id === undefined ? { bytes } : { bytes, id };
--- a/packages/core/src/relay/mod.ts
+++ b/packages/core/src/relay/mod.ts
@@ -14,6 +14,7 @@
 export * from "./engine_slots.ts";
 export * from "./slot_capacity.ts";
 export * from "./engine_start.ts";
+export * from "./event_boundary.ts";
 export * from "./event_splitter.ts";
 export * from "./exchange_partners.ts";
 export * from "./unanswered_loads.ts";
--- a/packages/node/src/relay/answer_forwarder.ts
+++ b/packages/node/src/relay/answer_forwarder.ts
@@ -1,7 +1,6 @@
 import {
   type Duration,
   elapsed,
-  EventSplitter,
   type Instant,
   MAXIMUM_SUSPECT_RUN_TIME,
   milliseconds,
@@ -9,7 +8,7 @@
 import {
   type AnswerFraming,
   detectFraming,
-  mayBeEventStream,
+  isEventStream,
 } from "./answer_framing.ts";
 import {
   AnswerHandler,
@@ -22,6 +21,7 @@
 import type { AnswerKind, AnswerListener } from "./answer_kind.ts";
 import type { RelayParts } from "./relay_parts.ts";
 import type { RoutedRequest } from "./routed_request.ts";
+import { EventStreamBody } from "./streams/event_stream_body.ts";
 
 const BAD_GATEWAY = 502;
 const FIRST_SUCCESS_STATUS = 200;
@@ -34,8 +34,12 @@
   readonly #request: RoutedRequest;
   readonly #parts: RelayParts;
   readonly #answer: CallerAnswer;
-  /** Set if incomplete events must not be forwarded. */
-  #splitter: EventSplitter | undefined;
+  /** The answer's events, if it is a stream of them. */
+  #events: EventStreamBody | undefined;
+  /** Whether the answer that the caller receives is a stream of events. */
+  #isBegunAsStream = false;
+  /** Whether bytes were forwarded that need not end a complete event. */
+  #hasForwardedPart = false;
   #answerKind: AnswerKind = "none";
   #isMisdirected = false;
   /** How the server marks the end of the answer's body. */
@@ -62,7 +66,6 @@
       request.response,
       parts.clients.unreadAnswers,
     );
-    this.#splitter = request.route.resumable ? new EventSplitter() : undefined;
     this.#sentAt = request.arrivedAt;
     this.#lastBytesAt = request.arrivedAt;
   }
@@ -133,6 +136,11 @@
     return this.#answerKind === "passed" && this.#isCloseDelimited;
   }
 
+  /** Whether another server may continue the answer. */
+  get isResumable(): boolean {
+    return this.#request.route.resumable && !this.#hasForwardedPart;
+  }
+
   /** The id of the last forwarded event, for resuming the stream. */
   get lastEventId(): string | undefined {
     return this.#lastEventId;
@@ -153,7 +161,7 @@
     this.#lastBytesAt = now;
     this.#timeToHead = undefined;
     this.#timeToFirstByte = undefined;
-    this.#splitter?.reset();
+    this.#events = undefined;
   }
 
   /**
@@ -204,7 +212,8 @@
       return "take";
     }
     const isForwardable = facts.hasSeal &&
-      head.headers["content-encoding"] === undefined;
+      head.headers["content-encoding"] === undefined &&
+      this.#mayContinue(head);
     if (!isForwardable) {
       this.#answerKind = "foreign";
       return "cut";
@@ -233,14 +242,18 @@
   }
 
   /**
-   * Whether an answer whose connection closed without an error is complete. It
-   * isn't if the close cut off an event, or came before the first one.
+   * Why an answer that ended without an error is incomplete, if it is. A stream
+   * may end in order inside an event, or before its first one. Only the rest of
+   * a resumed stream may be empty.
    */
-  get isComplete(): boolean {
-    if (!this.#isCloseDelimited || this.#splitter === undefined) return true;
-    if (this.#bufferedAnswer !== undefined) return true;
-    return this.#timeToFirstByte !== undefined &&
-      this.#splitter.remainder.length === 0;
+  get defect(): string | undefined {
+    const events = this.#events;
+    if (events === undefined) return undefined;
+    if (!events.isBetweenEvents) return "The stream ended inside an event.";
+    const mayBeEmpty = this.#isResumed && !this.#isCloseDelimited;
+    return events.hasEvent || mayBeEmpty
+      ? undefined
+      : "The stream ended before its first event.";
   }
 
   /** Ends a success whose last bytes have arrived. */
@@ -249,7 +262,7 @@
     if (this.#bufferedAnswer !== undefined) {
       this.#forwardComplete(this.#bufferedAnswer);
     }
-    const remainder = this.#splitter?.remainder;
+    const remainder = this.#events?.remainder;
     if (remainder !== undefined && remainder.length > 0) {
       this.#answer.write(remainder);
     }
@@ -302,18 +315,33 @@
    * a broken one could not be requested from another server. Events can't wait.
    */
   #beginSuccess(head: AnswerHead): void {
-    if (!this.#isCloseDelimited) {
+    if (this.#hasEvents(head)) {
+      const { resumable } = this.#request.route;
+      this.#events = new EventStreamBody(resumable || this.#isCloseDelimited);
       this.#beginAnswer(head);
-      return;
-    }
-    if (this.#request.route.streams && mayBeEventStream(head)) {
-      this.#splitter ??= new EventSplitter();
+    } else if (!this.#isCloseDelimited) {
       this.#beginAnswer(head);
     } else if (!this.hasBegun) {
       this.#bufferedAnswer = new BufferedAnswer(head);
     }
   }
 
+  #hasEvents(head: AnswerHead): boolean {
+    const { route, message } = this.#request;
+    return route.streams && isEventStream(message.method, head);
+  }
+
+  /** Only an answer of the same kind continues one that has begun. */
+  #mayContinue(head: AnswerHead): boolean {
+    return !this.hasBegun || this.#hasEvents(head) === this.#isBegunAsStream;
+  }
+
+  /** Whether the server was asked to go on after an earlier event. */
+  get #isResumed(): boolean {
+    return this.#request.caller.lastEventId !== undefined ||
+      this.#lastEventId !== undefined;
+  }
+
   /** Forwards what has arrived of a buffered answer, and stops buffering. */
   #forwardPartial({ head, body }: BufferedAnswer): boolean {
     this.#bufferedAnswer = undefined;
@@ -329,9 +357,10 @@
   }
 
   #forward(bytes: Buffer): boolean {
-    if (this.#splitter === undefined) return this.#answer.write(bytes);
+    this.#hasForwardedPart ||= this.#events?.remainder === undefined;
+    if (this.#events === undefined) return this.#answer.write(bytes);
     let hasCapacity = true;
-    for (const event of this.#splitter.push(bytes)) {
+    for (const event of this.#events.push(bytes)) {
       if (!this.#hasForwardedEvent) {
         this.#listener?.onFirstEvent(this.#lastBytesAt);
       }
@@ -344,9 +373,10 @@
 
   #beginAnswer(head: AnswerHead, length?: number): void {
     if (this.hasBegun) return;
+    this.#isBegunAsStream = this.#events !== undefined;
     this.#answer.begin(head, {
       ...(length === undefined ? {} : { length }),
-      isResumable: this.#request.route.resumable,
+      dropsLength: this.#isBegunAsStream || this.#request.route.resumable,
       closesConnection: this.#isStopping,
     });
   }
--- a/packages/node/src/relay/answer_framing.ts
+++ b/packages/node/src/relay/answer_framing.ts
@@ -19,17 +19,26 @@
 ): AnswerFraming {
   if (headers["transfer-encoding"] !== undefined) return "chunks";
   const hasLength = headers["content-length"] !== undefined ||
-    method === "HEAD" || STATUSES_WITHOUT_BODY.has(status);
+    !mayHaveBody(method, status);
   return hasLength ? "length" : "connection";
 }
 
 /**
- * Checks whether an answer on a streaming route may be an event stream: it is
- * one unless its content type says otherwise.
+ * Checks whether a success on a streaming route is a stream of events: it is one
+ * unless its content type says otherwise.
+ * @param method The request's method.
  * @param head The answer's head.
- * @returns Whether it may be one.
+ * @returns Whether it is one.
  */
-export function mayBeEventStream({ headers }: AnswerHead): boolean {
+export function isEventStream(
+  method: string | undefined,
+  { status, headers }: AnswerHead,
+): boolean {
+  if (!mayHaveBody(method, status)) return false;
   const type = headers["content-type"];
   return type === undefined || String(type).startsWith(EVENT_STREAM_TYPE);
 }
+
+function mayHaveBody(method: string | undefined, status: number): boolean {
+  return method !== "HEAD" && !STATUSES_WITHOUT_BODY.has(status);
+}
--- a/packages/node/src/relay/caller_answer.ts
+++ b/packages/node/src/relay/caller_answer.ts
@@ -17,8 +17,8 @@
 export interface AnswerTerms {
   /** Its length in bytes, if it is known but the server didn't state it. */
   readonly length?: number;
-  /** Whether another server may continue it, which changes its length. */
-  readonly isResumable: boolean;
+  /** Whether the server's length is left out, since it may end otherwise. */
+  readonly dropsLength: boolean;
   /** Whether the caller must use another connection afterwards. */
   readonly closesConnection: boolean;
 }
@@ -61,7 +61,7 @@
     );
     for (const [name, value] of Object.entries(headers)) {
       if (value === undefined || droppedNames.has(name)) continue;
-      if (terms.isResumable && name === "content-length") continue;
+      if (terms.dropsLength && name === "content-length") continue;
       response.setHeader(name, value);
     }
     if (terms.length !== undefined) {
--- a/packages/node/src/relay/forwarded_request.ts
+++ b/packages/node/src/relay/forwarded_request.ts
@@ -42,7 +42,7 @@
 
   override onHead(head: AnswerHead): HeadDecision {
     this.#answer.begin(head, {
-      isResumable: false,
+      dropsLength: false,
       closesConnection: this.#closesConnection(),
     });
     return "take";
--- a/packages/node/src/relay/request_relay.ts
+++ b/packages/node/src/relay/request_relay.ts
@@ -149,7 +149,9 @@
     const end = await this.#sender.send(place, this.#retryCharge);
     place.release();
     if (end.kind === "complete" || end.wasSent) this.#retryCharge = undefined;
-    this.#callFailure = end.kind === "broken" ? end.detail : undefined;
+    this.#callFailure = end.kind === "broken"
+      ? end.detail
+      : this.#answer.defect;
     this.#callStage = end.kind === "broken" ? end.stage : undefined;
     this.#bodyDuration = end.kind === "broken"
       ? this.#answer.bodyDuration(this.#now())
@@ -163,7 +165,7 @@
     const { answerKind } = this.#answer;
     if (
       end.kind === "complete" && answerKind === "passed" &&
-      this.#answer.isComplete
+      this.#answer.defect === undefined
     ) {
       this.#answer.finish();
       if (!this.#answer.isUnmarked) {
@@ -184,7 +186,8 @@
     }
     this.#sendRecord.recordEnd(server.id);
     if (this.#answer.hasBegun) {
-      return this.#mayResume() && this.#takeRetry() || this.#abortAnswer();
+      return this.#answer.isResumable && this.#takeRetry() ||
+        this.#abortAnswer();
     }
     if (mayRunAgain(this.#request) && this.#takeRetry()) return true;
     if (end.kind === "complete" && this.#answer.hasFailure) {
@@ -202,10 +205,6 @@
     }
   }
 
-  #mayResume(): boolean {
-    return this.#request.route.resumable;
-  }
-
   /** Takes a retry if attempts, time and the retry budget permit one. */
   #takeRetry(): boolean {
     const { route, service } = this.#request;
--- a/packages/node/src/relay/request_sender.ts
+++ b/packages/node/src/relay/request_sender.ts
@@ -153,8 +153,10 @@
     const { content } = this.#request;
     const { answer } = this.#terms;
     const ranFor = answer.runDuration(this.#now());
+    // A server that ends its answer in order has not crashed, even if the answer
+    // is incomplete.
     const isBroken = end.kind === "complete"
-      ? !answer.isComplete
+      ? answer.isUnmarked && answer.defect !== undefined
       : end.isConnectionLost && end.wasSent;
     if (isBroken) {
       crashReports.recordBrokenCall(content, {
--- a/packages/node/tests/relay/caller_answer_test.ts
+++ b/packages/node/tests/relay/caller_answer_test.ts
@@ -27,7 +27,7 @@
   if (socket === null) throw new TypeError("The response has no socket.");
   const answer = new CallerAnswer(response, { record: () => undefined });
   answer.begin({ status: 200, headers: {} }, {
-    isResumable: false,
+    dropsLength: false,
     closesConnection: true,
   });
   answer.write(Buffer.from("half a bo"));
