Answers with a status outside of HTTP's range are no answers

Callers saw: statuses from 600 to 999 as a server in trouble had sent them.

Cause: BackendCall only asked whether a status is final. A status below 100 passed for an interim one and then failed an assertion of the HTTP client.

Change: a head with a status below 100 or above 599 ends its call. The request is sent elsewhere where its route allows that, or answered with 502.

Evidence: invalid_status_test, statuses 000, 020, 099, 600, 799, 999: the three above 599 were passed on before, none is now. 000, 020 and 099 were answered with 502 before, too, by way of the assertion.

--- a/packages/node/src/relay/backend_call.ts
+++ b/packages/node/src/relay/backend_call.ts
@@ -73,6 +73,9 @@
   abstract onData(bytes: Buffer): DataDecision;
 }
 
+/** The least and the greatest status that HTTP defines. */
+const STATUS_RANGE = { least: 100, greatest: 599 } as const;
+const FIRST_FINAL_STATUS = 200;
 /** A body that is discarded may be as long as this. */
 const MAXIMUM_DISCARDED_BYTES = 65_536;
 /** A body that is discarded may take as long as this. */
@@ -156,15 +159,20 @@
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ): void {
+    if (status < STATUS_RANGE.least || status > STATUS_RANGE.greatest) {
+      this.#rejectHead(controller, "The status of the answer is invalid.");
+      return;
+    }
     // Skips interim responses, such as 100, before the final one.
-    if (status < 200) return;
+    if (status < FIRST_FINAL_STATUS) return;
     this.#hadHead = true;
     const decision = this.#handler.onHead({ status, headers });
     if (decision === "drop") this.#discardBody();
     if (decision === "cut") {
-      this.#hadHead = false;
-      this.#abortReason = "The answer does not belong to this request.";
-      controller.abort(new Error(this.#abortReason));
+      this.#rejectHead(
+        controller,
+        "The answer does not belong to this request.",
+      );
     }
   }
 
@@ -209,6 +217,15 @@
     }
   }
 
+  #rejectHead(
+    controller: Dispatcher.DispatchController,
+    reason: string,
+  ): void {
+    this.#hadHead = false;
+    this.#abortReason = reason;
+    controller.abort(new Error(reason));
+  }
+
   /** Reads the rest of the body, so that the connection can be used again. */
   #discardBody(): void {
     this.#isBodyDropped = true;
