A failed assertion of the HTTP client no longer stops a node

Callers saw: no answers at all for up to 43 s after one failure of 280,000 bytes with "connection: close".

Causes: the call was aborted while the parser reported bytes of its body, and the parser then completed an aborted call, which asserts that this never happens. To word the assertion's message Node reads the line of the source, with work that grows with the square of the column; the bundle's lines had up to 305,762 characters.

Change: a call is aborted once the parser has returned.

--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -23,6 +23,8 @@
   entryPoints: { "foxtailwind-node": "platform/src/main.ts" },
   outdir: "target",
   bundle: true,
+  // An assertion that fails reads its line of the source to word its message.
+  lineLimit: 200,
   // What is loaded after the start stands in files of its own.
   splitting: true,
   // Less to read at each start; names stay, for stack traces.
--- a/packages/node/src/relay/backend_call.ts
+++ b/packages/node/src/relay/backend_call.ts
@@ -76,6 +76,8 @@
 /** The least and the greatest status that HTTP defines. */
 const STATUS_RANGE = { least: 100, greatest: 599 } as const;
 const FIRST_FINAL_STATUS = 200;
+/** The reason of calls whose body is longer or takes longer than allowed. */
+const ENDLESS_BODY = "The answer has no end.";
 /** A body that is discarded may be as long as this. */
 const MAXIMUM_DISCARDED_BYTES = 65_536;
 /** A body that is discarded may take as long as this. */
@@ -180,18 +182,23 @@
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    if (this.#abortReason !== undefined) return;
     if (this.#isBodyDropped) {
       this.#discardedBytes += chunk.length;
-      if (this.#discardedBytes > MAXIMUM_DISCARDED_BYTES) this.#abortEndless();
+      if (this.#discardedBytes > MAXIMUM_DISCARDED_BYTES) this.#cutBody();
       return;
     }
     const decision = this.#handler.onData(chunk);
     if (decision === "pause") controller.pause();
-    if (decision === "cut") this.#abortEndless();
+    if (decision === "cut") this.#cutBody();
   }
 
   onResponseEnd(): void {
     clearTimeout(this.#discardTimer);
+    if (this.#abortReason !== undefined) {
+      this.#endBroken(this.#abortReason);
+      return;
+    }
     const failure = hasEndingConnectionFailed();
     if (failure === undefined) {
       this.#resolveEnd({ kind: "complete" });
@@ -230,12 +237,19 @@
   #discardBody(): void {
     this.#isBodyDropped = true;
     this.#discardTimer = setTimeout(() => {
-      this.#abortEndless();
+      this.abort(ENDLESS_BODY);
     }, DISCARD_TIMEOUT_MILLISECONDS);
   }
 
-  #abortEndless(): void {
-    this.abort("The answer has no end.");
+  /**
+   * Aborts the call once the HTTP parser has returned. The parser may still
+   * report the end of the body, which it must not for an aborted call.
+   */
+  #cutBody(): void {
+    this.#abortReason = ENDLESS_BODY;
+    queueMicrotask(() => {
+      this.#controller?.abort(new Error(ENDLESS_BODY));
+    });
   }
 
   get #stage(): CallStage {
