Answers in small pieces use memory in proportion to their bytes

Callers saw: requests on kept connections that ended without an answer, as the node ran out of heap: a server's failures without end, in chunks of one byte, were kept as one buffer a chunk.

Change: ByteCollector copies pieces into one storage, which doubles as it grows.

--- a/packages/core/src/shared/mod.ts
+++ b/packages/core/src/shared/mod.ts
@@ -1,5 +1,6 @@
 export * from "./adapter_reference.ts";
 export * from "./brand.ts";
+export * from "./byte_collector.ts";
 export * from "./failure.ts";
 export * from "./ids.ts";
 export * from "./invariant.ts";
--- a/packages/edges/src/http/exchange.ts
+++ b/packages/edges/src/http/exchange.ts
@@ -1,4 +1,8 @@
-import type { Failure, FailureStep } from "@foxtailwind/core";
+import {
+  ByteCollector,
+  type Failure,
+  type FailureStep,
+} from "@foxtailwind/core";
 import type { IncomingHttpHeaders } from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import type { Dispatcher } from "undici";
@@ -53,7 +57,7 @@
 class ExchangeHandler implements Dispatcher.DispatchHandler {
   readonly #options: ExchangeOptions;
   readonly #resolve: (result: Result<ExchangeResponse, Failure>) => void;
-  readonly #chunks: Buffer[] = [];
+  readonly #body = new ByteCollector();
   readonly #onAbort = (): void => {
     this.#abandon(
       createErrorWithCode("The call was cancelled", "UND_ERR_ABORTED"),
@@ -64,7 +68,6 @@
   /** Whether the response has ended and only its validity is still unknown. */
   #hasReceivedEnd = false;
   #isSettled = false;
-  #receivedBytes = 0;
   #status = 0;
   #headers: IncomingHttpHeaders = {};
 
@@ -128,17 +131,16 @@
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
-    this.#receivedBytes += chunk.length;
     const {
       maximumResponseBytes = DEFAULT_MAXIMUM_RESPONSE_BYTES,
     } = this.#options;
-    if (this.#receivedBytes > maximumResponseBytes) {
+    if (this.#body.length + chunk.length > maximumResponseBytes) {
       controller.abort(
         createErrorWithCode("The answer is too large", "TOO_LARGE"),
       );
       return;
     }
-    this.#chunks.push(chunk);
+    this.#body.append(chunk);
   }
 
   onResponseEnd(): void {
@@ -175,7 +177,7 @@
     this.#settle(ok({
       status: this.#status,
       headers: this.#headers,
-      body: Buffer.concat(this.#chunks),
+      body: this.#body.bytes,
     }));
   }
 
--- a/packages/edges/src/http/line_splitter.ts
+++ b/packages/edges/src/http/line_splitter.ts
@@ -1,3 +1,5 @@
+import { ByteCollector } from "@foxtailwind/core";
+
 const LINE_FEED_BYTE = 10;
 
 /** Thrown when a line exceeds the limit; the stream cannot be read further. */
@@ -15,8 +17,7 @@
 export class LineSplitter {
   readonly #onLine: (line: string) => void;
   readonly #maximumBytes: number;
-  #pendingChunks: Buffer[] = [];
-  #pendingBytes = 0;
+  readonly #pending = new ByteCollector();
 
   /**
    * @param onLine Receives each non-empty line, without its line feed.
@@ -29,7 +30,7 @@
 
   /**
    * Adds the next chunk and emits each line that it completes.
-   * @param chunk The bytes. They are kept by reference, not copied.
+   * @param chunk The bytes.
    */
   push(chunk: Buffer): void {
     const lastLineFeed = chunk.lastIndexOf(LINE_FEED_BYTE);
@@ -46,26 +47,22 @@
 
   /** The number of buffered bytes of the incomplete line. */
   get pendingBytes(): number {
-    return this.#pendingBytes;
+    return this.#pending.length;
   }
 
   #keepPending(chunk: Buffer): void {
-    this.#pendingBytes += chunk.length;
-    if (this.#pendingBytes > this.#maximumBytes) {
+    if (this.#pending.length + chunk.length > this.#maximumBytes) {
       throw new LineTooLongError(this.#maximumBytes);
     }
-    this.#pendingChunks.push(chunk);
+    this.#pending.append(chunk);
   }
 
   #takePendingText(chunk: Buffer, end: number): string {
-    if (this.#pendingBytes === 0) return chunk.toString("utf8", 0, end);
-    const bytes = Buffer.concat([
-      ...this.#pendingChunks,
-      chunk.subarray(0, end),
-    ]);
-    this.#pendingChunks = [];
-    this.#pendingBytes = 0;
-    return bytes.toString("utf8");
+    if (this.#pending.length === 0) return chunk.toString("utf8", 0, end);
+    this.#pending.append(chunk.subarray(0, end));
+    const text = this.#pending.bytes.toString("utf8");
+    this.#pending.clear();
+    return text;
   }
 
   #emitLines(text: string): void {
--- a/packages/node/src/relay/buffered_answer.ts
+++ b/packages/node/src/relay/buffered_answer.ts
@@ -1,3 +1,4 @@
+import { ByteCollector } from "@foxtailwind/core";
 import type { AnswerHead } from "./backend_call.ts";
 
 /**
@@ -9,8 +10,7 @@
 /** An answer that is buffered until it is decided whether to pass it on. */
 export class BufferedAnswer {
   readonly head: AnswerHead;
-  readonly #chunks: Buffer[] = [];
-  #length = 0;
+  readonly #body = new ByteCollector();
 
   /** @param head The status and headers. */
   constructor(head: AnswerHead) {
@@ -19,12 +19,17 @@
 
   /** The body received so far. */
   get body(): Buffer {
-    return Buffer.concat(this.#chunks);
+    return this.#body.bytes;
+  }
+
+  /** The length of the body received so far, in bytes. */
+  get length(): number {
+    return this.#body.length;
   }
 
   /** Whether the body is too large to buffer any more of it. */
   get isLarge(): boolean {
-    return this.#length > LARGE_ANSWER_BYTES;
+    return this.#body.length > LARGE_ANSWER_BYTES;
   }
 
   /**
@@ -32,7 +37,6 @@
    * @param bytes The next bytes.
    */
   append(bytes: Buffer): void {
-    this.#chunks.push(Buffer.from(bytes));
-    this.#length += bytes.length;
+    this.#body.append(bytes);
   }
 }
