Events without end are given up, and held answers have a limit together

Callers saw: requests to sound servers up to 3 s late, while a server wrote events without end; a node's memory grew with each of them.

Cause: an incomplete event was held back without a bound, copied and searched again for each piece. Its bytes counted as progress, so that a stream that may be resumed was not. Failures and answers of unknown end were limited each, but not together.

Change: bytes are searched once; an event above 1 MiB is given up; only a whole event counts as progress of a stream whose events are held back. AnswerMemory limits what a node holds back of all servers' answers to a sixteenth of the VM's memory.

--- a/packages/core/src/relay/event_splitter.ts
+++ b/packages/core/src/relay/event_splitter.ts
@@ -1,3 +1,4 @@
+import { ByteCollector } from "../shared/mod.ts";
 import { EmptyLineFinder } from "./line_ends.ts";
 
 /** A complete event of a stream. */
@@ -9,17 +10,19 @@
 
 /** A byte order mark may precede the first field; it is read as Latin-1. */
 const ID_FIELD = /^(?:\u00ef\u00bb\u00bf)?id: ?(.*)$/m;
+/** An empty line may begin in the last bytes before those that follow. */
+const LINE_END_BYTES = 3;
 
 /**
  * Splits a stream of server-sent events into complete events, so that an event
  * that a server broke off is never forwarded.
  */
 export class EventSplitter {
-  #remainder: Buffer = Buffer.alloc(0);
+  readonly #incomplete = new ByteCollector();
 
   /** The bytes of an incomplete event. */
   get remainder(): Buffer {
-    return this.#remainder;
+    return this.#incomplete.bytes;
   }
 
   /**
@@ -28,27 +31,27 @@
    * @returns The events that they complete.
    */
   push(bytes: Buffer): readonly StreamEvent[] {
-    const buffer = this.#remainder.length === 0
-      ? bytes
-      : Buffer.concat([this.#remainder, bytes]);
-    const events: StreamEvent[] = [];
+    const known = this.#incomplete.length;
+    if (known > 0) this.#incomplete.append(bytes);
+    const buffer = known > 0 ? this.#incomplete.bytes : bytes;
     const emptyLines = new EmptyLineFinder(buffer);
+    const events: StreamEvent[] = [];
     let start = 0;
-    for (
-      let end = emptyLines.find(start);
-      end !== undefined;
-      end = emptyLines.find(start)
-    ) {
+    let end = emptyLines.find(Math.max(0, known - LINE_END_BYTES));
+    while (end !== undefined) {
       events.push(toEvent(buffer.subarray(start, end)));
       start = end;
+      end = emptyLines.find(start);
     }
-    this.#remainder = buffer.subarray(start);
+    if (known > 0 && start === 0) return events;
+    this.#incomplete.clear();
+    if (start < buffer.length) this.#incomplete.append(buffer.subarray(start));
     return events;
   }
 
   /** Discards the bytes of an incomplete event. */
   reset(): void {
-    this.#remainder = Buffer.alloc(0);
+    this.#incomplete.clear();
   }
 }
 
--- a/packages/node/src/relay/answer_forwarder.ts
+++ b/packages/node/src/relay/answer_forwarder.ts
@@ -17,6 +17,7 @@
   type HeadDecision,
 } from "./backend_call.ts";
 import { CallerAnswer, type NodeRefusal } from "./caller_answer.ts";
+import { HeldBytes } from "./answer_memory.ts";
 import { BufferedAnswer } from "./buffered_answer.ts";
 import type { AnswerKind, AnswerListener } from "./answer_kind.ts";
 import type { RelayParts } from "./relay_parts.ts";
@@ -46,10 +47,13 @@
   #framing: AnswerFraming | undefined;
   /** An answer that isn't forwarded until it is known how it ends. */
   #bufferedAnswer: BufferedAnswer | undefined;
+  readonly #heldBytes: HeldBytes;
   #lastEventId: string | undefined;
   #hasForwardedEvent = false;
   #sentAt: Instant;
   #lastBytesAt: Instant;
+  /** When bytes last arrived that the caller can use. */
+  #progressedAt: Instant;
   #timeToHead: Duration | undefined;
   #timeToFirstByte: Duration | undefined;
   #listener: AnswerListener | undefined;
@@ -66,8 +70,10 @@
       request.response,
       parts.clients.unreadAnswers,
     );
+    this.#heldBytes = new HeldBytes(parts.answerMemory);
     this.#sentAt = request.arrivedAt;
     this.#lastBytesAt = request.arrivedAt;
+    this.#progressedAt = request.arrivedAt;
   }
 
   /** What kind of answer has arrived so far. */
@@ -159,20 +165,23 @@
     this.#bufferedAnswer = undefined;
     this.#sentAt = now;
     this.#lastBytesAt = now;
+    this.#progressedAt = now;
     this.#timeToHead = undefined;
     this.#timeToFirstByte = undefined;
     this.#events = undefined;
+    this.#heldBytes.update(0);
   }
 
   /**
-   * Returns how long the server has been silent.
+   * Returns how long the server has been silent. The bytes of a failure, or of
+   * an event that doesn't end, count as silence.
    * @param now The present time.
-   * @returns The time since its last bytes, or since the send.
+   * @returns The time since its last bytes of use, or since the send.
    */
   silenceDuration(now: Instant): Duration {
     // Nothing is read of the server's answer until the caller catches up.
     if (this.#answer.isUnread) return milliseconds(0);
-    return elapsed(this.#lastBytesAt, now);
+    return elapsed(this.#progressedAt, now);
   }
 
   /**
@@ -180,7 +189,7 @@
    * @param now The present time.
    */
   recordCaughtUp(now: Instant): void {
-    this.#lastBytesAt = now;
+    this.#progressedAt = now;
   }
 
   override onHead(head: AnswerHead): HeadDecision {
@@ -233,12 +242,12 @@
       this.#listener?.onBegun();
     }
     const buffered = this.#bufferedAnswer;
-    if (buffered === undefined) return toDecision(this.#forward(bytes));
-    buffered.append(bytes);
-    if (!buffered.isLarge) return "continue";
-    // A failure that is too large is not forwarded.
-    if (this.#answerKind === "failure") return "cut";
-    return toDecision(this.#forwardPartial(buffered));
+    if (buffered !== undefined) return this.#buffer(buffered, bytes);
+    const hasCapacity = this.#forward(bytes);
+    this.#heldBytes.update(this.#events?.remainder.length ?? 0);
+    const isTooLarge = this.#heldBytes.isExceeded ||
+      this.#events?.isEventTooLarge === true;
+    return isTooLarge ? "cut" : toDecision(hasCapacity);
   }
 
   /**
@@ -263,9 +272,7 @@
       this.#forwardComplete(this.#bufferedAnswer);
     }
     const remainder = this.#events?.remainder;
-    if (remainder !== undefined && remainder.length > 0) {
-      this.#answer.write(remainder);
-    }
+    if (remainder?.length) this.#answer.write(remainder);
     this.#answer.end();
   }
 
@@ -298,11 +305,27 @@
     this.#answer.abort();
   }
 
+  /** Returns the memory of what is held back, once the request has ended. */
+  release(): void {
+    this.#heldBytes.update(0);
+  }
+
   #recordBytes(): void {
     const now = this.#parts.clock.now();
     this.#listener?.onBytes(now);
-    // A failure whose body doesn't end counts as silence.
-    if (this.#answerKind !== "failure") this.#lastBytesAt = now;
+    this.#lastBytesAt = now;
+    const mayBeEndless = this.#answerKind === "failure" ||
+      this.#events?.holdsIncompleteEvents === true;
+    if (!mayBeEndless) this.#progressedAt = now;
+  }
+
+  #buffer(buffered: BufferedAnswer, bytes: Buffer): DataDecision {
+    buffered.append(bytes);
+    this.#heldBytes.update(buffered.length);
+    if (!buffered.isLarge && !this.#heldBytes.isExceeded) return "continue";
+    // A failure that is too large is not forwarded.
+    if (this.#answerKind === "failure") return "cut";
+    return toDecision(this.#forwardPartial(buffered));
   }
 
   get #isCloseDelimited(): boolean {
@@ -345,6 +368,7 @@
   /** Forwards what has arrived of a buffered answer, and stops buffering. */
   #forwardPartial({ head, body }: BufferedAnswer): boolean {
     this.#bufferedAnswer = undefined;
+    this.#heldBytes.update(0);
     this.#beginAnswer(head);
     return this.#forward(body);
   }
@@ -357,7 +381,7 @@
   }
 
   #forward(bytes: Buffer): boolean {
-    this.#hasForwardedPart ||= this.#events?.remainder === undefined;
+    this.#hasForwardedPart ||= this.#events?.holdsIncompleteEvents !== true;
     if (this.#events === undefined) return this.#answer.write(bytes);
     let hasCapacity = true;
     for (const event of this.#events.push(bytes)) {
@@ -365,6 +389,7 @@
         this.#listener?.onFirstEvent(this.#lastBytesAt);
       }
       this.#hasForwardedEvent = true;
+      this.#progressedAt = this.#lastBytesAt;
       if (event.id !== undefined) this.#lastEventId = event.id;
       hasCapacity = this.#answer.write(event.bytes);
     }
--- a/packages/node/src/relay/make_relay_parts.ts
+++ b/packages/node/src/relay/make_relay_parts.ts
@@ -8,6 +8,7 @@
 import { AccountAccess } from "./accounts/account_access.ts";
 import { AccountQuotas } from "./accounts/account_quotas.ts";
 import { AdapterGrants } from "./adapter_grants.ts";
+import { AnswerMemory } from "./answer_memory.ts";
 import type { EngineOwners } from "./engine_owners.ts";
 import type { NodePresence } from "./node_presence.ts";
 import {
@@ -123,6 +124,7 @@
       logger,
       recordLimit: options.recordClientLimit,
     }),
+    answerMemory: new AnswerMemory(vm.memory_megabytes),
     recordRefusal,
     recordRequest: record,
     callerTimeouts: new CallerTimeouts(),
--- a/packages/node/src/relay/mod.ts
+++ b/packages/node/src/relay/mod.ts
@@ -34,6 +34,7 @@
 export * from "./relay_daemon.ts";
 export * from "./relay_settings.ts";
 export * from "./shared_log.ts";
+export * from "./answer_memory.ts";
 export * from "./backend_call.ts";
 export * from "./engine_owner.ts";
 export * from "./engine_use.ts";
--- a/packages/node/src/relay/relay_parts.ts
+++ b/packages/node/src/relay/relay_parts.ts
@@ -7,6 +7,7 @@
 import type { ComponentLogger } from "../logging/component_logger.ts";
 import type { AccountAccess } from "./accounts/account_access.ts";
 import type { AccountQuotas } from "./accounts/account_quotas.ts";
+import type { AnswerMemory } from "./answer_memory.ts";
 import type { BackendPools } from "./backend_pools.ts";
 import type { RelayWire } from "./caller_wire.ts";
 import type { ClientResources } from "./clients/client_resources.ts";
@@ -54,6 +55,8 @@
   /** The stop in progress, if this node is stopping. */
   readonly plannedStop: () => PlannedStop | undefined;
   readonly clients: ClientResources;
+  /** Limits what is held back of servers' answers. */
+  readonly answerMemory: AnswerMemory;
   /** Counts a request that was refused before it was relayed. */
   readonly recordRefusal: (
     reason: string,
--- a/packages/node/src/relay/request_relay.ts
+++ b/packages/node/src/relay/request_relay.ts
@@ -102,6 +102,7 @@
     let continues = true;
     while (continues) continues = await this.#attempt();
     clearTimeout(this.#timer);
+    this.#answer.release();
     this.#retryCharge?.refund();
     if (!this.#mayHaveRun()) this.#parts.quotas.refund(this.#request);
     this.#logEnd();
--- a/packages/node/src/relay/streams/event_stream_body.ts
+++ b/packages/node/src/relay/streams/event_stream_body.ts
@@ -4,6 +4,10 @@
   type StreamEvent,
 } from "@foxtailwind/core";
 
+const EMPTY = Buffer.alloc(0);
+/** An incomplete event above this size is not held back any longer. */
+const MAXIMUM_EVENT_BYTES = 1_024 * 1_024;
+
 /** The body of one answer that is a stream of server-sent events. */
 export class EventStreamBody {
   readonly #boundary = new EventBoundary();
@@ -25,9 +29,19 @@
     return this.#boundary.isBetweenEvents;
   }
 
+  /** Whether events are forwarded only whole. */
+  get holdsIncompleteEvents(): boolean {
+    return this.#splitter !== undefined;
+  }
+
   /** The bytes held back. */
-  get remainder(): Buffer | undefined {
-    return this.#splitter?.remainder;
+  get remainder(): Buffer {
+    return this.#splitter?.remainder ?? EMPTY;
+  }
+
+  /** Whether an event is too large to be held back. */
+  get isEventTooLarge(): boolean {
+    return this.remainder.length > MAXIMUM_EVENT_BYTES;
   }
 
   /**
--- a/packages/node/tests/relay/endless_answer_test.ts
+++ b/packages/node/tests/relay/endless_answer_test.ts
@@ -4,9 +4,10 @@
  * close its connection, and try another server where that is allowed.
  */
 import test, { type ExecutionContext } from "ava";
-import type { Socket } from "node:net";
+import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { rawCall } from "./helpers/raw_call.ts";
+import { relaySettings } from "./helpers/relay_settings.ts";
 import { type RelayWorld, startWorld } from "./helpers/relay_world.ts";
 import { serveRaw } from "./helpers/serve_raw.ts";
 
@@ -150,3 +151,123 @@
     await assertGivenUp(t, endless());
   });
 }
+
+const EVENT_HEAD =
+  "HTTP/1.1 200 OK\r\nx-id: r1\r\nx-seal: s\r\ncontent-type: text/event-stream\r\n";
+const EVENT = "id: 1\ndata: a\n\n";
+const REST = "id: 2\ndata: b\n\n";
+
+function inChunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+const ENDLESS_EVENTS: Readonly<
+  Record<string, (socket: Socket, isFast: boolean) => void>
+> = {
+  "in chunks": (socket, isFast) => {
+    socket.write(
+      `${EVENT_HEAD}transfer-encoding: chunked\r\n\r\n${inChunk(EVENT)}`,
+    );
+    writeChunks(socket, isFast);
+  },
+  "until its connection ends": (socket, isFast) => {
+    socket.write(`${EVENT_HEAD}\r\n${EVENT}`);
+    writeEndlessly(socket, FAST_CHUNK, isFast);
+  },
+};
+
+for (const [framing, answer] of Object.entries(ENDLESS_EVENTS)) {
+  for (const isFast of [true, false]) {
+    const speed = isFast ? "at full speed" : "now and then";
+    // Guards against events that are kept, copied and searched without a bound.
+    test(`an event without end ${framing}, ${speed}, is given up and the stream resumed elsewhere`, async (t) => {
+      const world = await startWorld(t);
+      const sockets: Socket[] = [];
+      const requests: string[] = [];
+      for (const id of ["s1", "s2"]) {
+        await serveRaw(t, world, id, (socket, request) => {
+          requests.push(request);
+          sockets.push(socket);
+          if (sockets.length === 1) answer(socket, isFast);
+          else {
+            socket.write(
+              `${EVENT_HEAD}transfer-encoding: chunked\r\n\r\n${
+                inChunk(REST)
+              }0\r\n\r\n`,
+            );
+          }
+        });
+      }
+      const { body, looksComplete } = await rawCall(
+        world.port,
+        "/long_resumable/a",
+      ).ended;
+      t.is(body, `${EVENT}${REST}`);
+      t.true(looksComplete);
+      t.regex(requests[1] ?? "", /^x-after: 1\r$/m);
+      const [endless] = sockets;
+      if (endless !== undefined) await assertGivenUp(t, endless);
+      t.is(world.answerMemory.usedBytes, 0);
+    });
+  }
+}
+
+test("an event without end that may not be resumed is read no faster than its caller reads it", async (t) => {
+  const { world, endless } = await startServers(t, (socket) => {
+    socket.write(`${EVENT_HEAD}transfer-encoding: chunked\r\n\r\n`);
+    writeChunks(socket, true);
+  });
+  const caller = connect(world.port, "127.0.0.1");
+  t.teardown(() => caller.destroy());
+  caller.pause();
+  caller.write(
+    "POST /patient_stream/a HTTP/1.1\r\nhost: one.example\r\nx-id: r1\r\ncontent-length: 0\r\n\r\n",
+  );
+  await sleep(1_000);
+  t.true(
+    endless().bytesWritten - endless().writableLength < MAXIMUM_READ_BYTES,
+  );
+  t.is(world.answerMemory.usedBytes, 0);
+});
+
+test("an event without end that may not be resumed is given up if only its connection ends it", async (t) => {
+  const { world, endless } = await startServers(t, (socket) => {
+    socket.write(`${EVENT_HEAD}\r\n${EVENT}`);
+    writeEndlessly(socket, FAST_CHUNK, true);
+  });
+  const { body, looksComplete } = await rawCall(world.port, "/patient_stream/a")
+    .ended;
+  t.is(body, EVENT);
+  t.false(looksComplete);
+  t.deepEqual(world.outcomes, ["broken_stream"]);
+  await assertGivenUp(t, endless());
+  t.is(world.answerMemory.usedBytes, 0);
+});
+
+// Guards against heaps that are full of the answers of servers in trouble.
+test("failures without end of many requests stay within the memory for answers", async (t) => {
+  const world = await startWorld(t);
+  const length = 200 * 1_024;
+  const { vm } = relaySettings();
+  const limit = vm.memory_megabytes * 1_048_576 / 16;
+  const count = Math.ceil(1.5 * limit / length);
+  for (const id of ["s1", "s2", "s3"]) {
+    await serveRaw(t, world, id, (socket) => {
+      socket.write(`${FAILURE}${"x".repeat(length)}`);
+    });
+  }
+  const calls = Array.from(
+    { length: count },
+    () => rawCall(world.port, "/once/a"),
+  );
+  let highest = 0;
+  const sampling = setInterval(() => {
+    highest = Math.max(highest, world.answerMemory.usedBytes);
+  }, 1);
+  const answers = await Promise.all(calls.map((call) => call.ended));
+  clearInterval(sampling);
+  t.true(answers.every(({ bytes }) => /^HTTP\/1\.1 50[24] /.test(bytes)));
+  t.true(highest > limit / 2, `${highest}`);
+  t.true(highest <= limit + length, `${highest}`);
+  t.is(world.answerMemory.usedBytes, 0);
+});
--- a/packages/node/tests/relay/helpers/relay_routes.ts
+++ b/packages/node/tests/relay/helpers/relay_routes.ts
@@ -41,6 +41,15 @@
     resumable: true,
     attempts: 2,
   },
+  {
+    ...BASE_ROUTE,
+    name: "long_resumable",
+    pathPrefix: "/long_resumable/",
+    streams: true,
+    resumable: true,
+    attempts: 2,
+    timeLimit: seconds(8),
+  },
   {
     ...BASE_ROUTE,
     name: "anonymous",
--- a/packages/node/tests/relay/helpers/relay_world.ts
+++ b/packages/node/tests/relay/helpers/relay_world.ts
@@ -24,6 +24,7 @@
   type AccountAccessParts,
   AccountQuotas,
   AdapterGrants,
+  AnswerMemory,
   BackendPools,
   ClientResources,
   CrashReports,
@@ -95,6 +96,8 @@
   /** The planned stop of the front server's node, if any. */
   plannedStop: PlannedStop | undefined;
   readonly control = new ScriptedEngine(2);
+  /** What is held back of servers' answers. */
+  readonly answerMemory = new AnswerMemory(relaySettings().vm.memory_megabytes);
 
   /**
    * @param write Receives the log lines, if a test reads them.
@@ -227,6 +230,7 @@
           this.limitsReached.push(limit);
         },
       }),
+      answerMemory: this.answerMemory,
       recordRefusal: (reason) => {
         this.refusals.push(reason);
       },
