Tests: parts of answers to uploads that are not written yet

A server that answers a long upload at once, without a length, and then resets or ends its connection in order while the upload is being written: the caller gets 502 (it did before).

--- a/packages/node/tests/relay/truncated_answer_test.ts
+++ b/packages/node/tests/relay/truncated_answer_test.ts
@@ -124,3 +124,43 @@
   t.deepEqual(runs, ["r2"], "It should run once.");
   t.regex(bytes, /^HTTP\/1\.1 502 /, "A 503 would state that it has not run.");
 });
+
+/** More than the kernels of both sides buffer of a connection. */
+const LONG_UPLOAD_BYTES = 24 * 1_024 * 1_024;
+
+/** How a server ends an answer to a request that it has not read. */
+const EARLY_ENDS: Readonly<Record<string, (socket: Socket) => void>> = {
+  "is reset": (socket) => {
+    socket.write(`${CLOSE_DELIMITED_HEAD}half a bo`, () => {
+      socket.resetAndDestroy();
+    });
+  },
+  "ends in order": (socket) => {
+    socket.end(`${CLOSE_DELIMITED_HEAD}half a bo`);
+  },
+};
+
+for (const [end, answer] of Object.entries(EARLY_ENDS)) {
+  // Guards against a part of an answer that comes while the request is written:
+  // nothing but the end of the connection shows whether it is complete.
+  test(`a close-delimited answer to an upload that is not written yet is not forwarded if it ${end}`, async (t) => {
+    const world = await startWorld(t);
+    const { routes } = world.knowledge;
+    if (routes === undefined) throw new RangeError("No configuration.");
+    const { configuration } = routes;
+    world.knowledge.configuration({
+      ...configuration,
+      version: configuration.version + 1,
+      limits: { ...configuration.limits, bodyBytes: LONG_UPLOAD_BYTES },
+    });
+    await serveRaw(t, world, "s1", (socket) => {
+      socket.removeAllListeners("data");
+      socket.pause();
+      answer(socket);
+    });
+    const body = Buffer.alloc(LONG_UPLOAD_BYTES, "x");
+    const { status } = await world.call("/once/a", { body });
+    t.is(status, 502);
+    t.deepEqual(world.outcomes, ["lost"]);
+  });
+}
