A stopping node passes on only what is expected to end in time

Callers saw: streams cut at the end of a planned stop, and requests that may run once ended with 504 after they were passed on, though another node was free.

Cause: everything that came in the first 2.8 s of a stop was accepted, whatever it may take. After that the time limit decided alone, and sends after a retry or a search were not checked at all.

Change: RequestDurations estimates from the route's last answered requests how long one takes, by the tokens that it asks for. A stopping node refuses what is expected to outlast it, as not run, on arrival and before each send. Without knowledge the time limit decides.

Changed tests: "accepted only if it ends in time" asserted that a request of 30 s is accepted 2.7 s after the signal, which is the fault; it now asserts the opposite, and all its other cases. Two tests of a server's time in a stop first make the route's requests known as short, since their limit outlasts the stop.

--- a/packages/core/src/relay/mod.ts
+++ b/packages/core/src/relay/mod.ts
@@ -23,6 +23,7 @@
 export * from "./prefill_time_model.ts";
 export * from "./relay_configuration.ts";
 export * from "./report_trigger.ts";
+export * from "./request_durations.ts";
 export * from "./request_limit.ts";
 export * from "./request_urgency.ts";
 export * from "./node_retry_budget.ts";
--- a/packages/node/src/relay/answer_forwarder.ts
+++ b/packages/node/src/relay/answer_forwarder.ts
@@ -111,6 +111,15 @@
     return this.#timeToFirstByte;
   }
 
+  /**
+   * Returns how long ago the request was last sent.
+   * @param now The present time.
+   * @returns The time.
+   */
+  timeSinceSend(now: Instant): Duration {
+    return elapsed(this.#sentAt, now);
+  }
+
   /**
    * Returns how long the body of the server's answer has been arriving.
    * @param now The present time.
--- a/packages/node/src/relay/front_server.ts
+++ b/packages/node/src/relay/front_server.ts
@@ -25,10 +25,14 @@
 } from "./early_refusals.ts";
 import { ForwardedRequest } from "./forwarded_request.ts";
 import type { PeerForwarder } from "./peer_forwarder.ts";
-import { requestTimeLimit, type RoutedRequest } from "./routed_request.ts";
+import {
+  estimatedRequest,
+  requestTimeLimit,
+  type RoutedRequest,
+} from "./routed_request.ts";
 import type { RelayParts } from "./relay_parts.ts";
 import { RequestRelay } from "./request_relay.ts";
-import { isAcceptedWhileStopping } from "./relay_stop.ts";
+import { endsBeforeStop } from "./relay_stop.ts";
 import type { ClientResources } from "./clients/client_resources.ts";
 import type { RequestBody } from "./clients/request_body.ts";
 import { RequestContent } from "./crashes/request_content.ts";
@@ -356,11 +360,15 @@
     return hasEnded;
   }
 
+  /** A stopping node accepts only requests that are expected to end in time. */
   #isAccepted(route: Route, caller: CallerRequest): boolean {
-    const stop = this.#parts.plannedStop();
+    const { clock, durations, plannedStop } = this.#parts;
+    const stop = plannedStop();
     if (stop === undefined) return true;
-    const timeLimit = requestTimeLimit({ route, caller });
-    return isAcceptedWhileStopping(this.#parts.clock.now(), stop, timeLimit);
+    const duration = durations.estimateTotal(
+      estimatedRequest({ route, caller }),
+    );
+    return endsBeforeStop(clock.now(), stop, duration);
   }
 
   /** Waits briefly for the first configuration after the start. */
--- a/packages/node/src/relay/make_relay_parts.ts
+++ b/packages/node/src/relay/make_relay_parts.ts
@@ -2,6 +2,7 @@
   CallerTimeouts,
   computeClientLimits,
   milliseconds,
+  RequestDurations,
   seconds,
 } from "@foxtailwind/core";
 import type { PeerChannels } from "../peers/peer_channels.ts";
@@ -128,6 +129,7 @@
     recordRefusal,
     recordRequest: record,
     callerTimeouts: new CallerTimeouts(),
+    durations: new RequestDurations(),
     plannedStop: () => presence.plannedStop,
     onRequest: () =>
       serving.recordRequest(clock.now()) ? log.catchUp() : undefined,
--- a/packages/node/src/relay/relay_parts.ts
+++ b/packages/node/src/relay/relay_parts.ts
@@ -2,6 +2,7 @@
   CallerTimeouts,
   ClientAccount,
   Duration,
+  RequestDurations,
 } from "@foxtailwind/core";
 import type { SteadyClock } from "../clock/steady_clock.ts";
 import type { ComponentLogger } from "../logging/component_logger.ts";
@@ -34,6 +35,8 @@
   readonly access: AccountAccess;
   readonly quotas: AccountQuotas;
   readonly callerTimeouts: CallerTimeouts;
+  /** How long requests take, for what a stopping node still accepts. */
+  readonly durations: RequestDurations;
   readonly streams: Pick<
     StreamDirectory,
     "archive" | "find" | "findArchived" | "record"
--- a/packages/node/src/relay/relay_stop.ts
+++ b/packages/node/src/relay/relay_stop.ts
@@ -20,12 +20,6 @@
 /** The time before the forced end from which no connections are accepted. */
 const LISTENER_CLOSE_TIME = milliseconds(2_000);
 
-/**
- * The time from the beginning of a stop during which every request is accepted.
- * By its end callers have received other addresses and can connect to them.
- */
-const UNCONDITIONAL_ACCEPT_TIME = milliseconds(2_800);
-
 /** A requested stop. */
 export interface PlannedStop {
   readonly begunAt: Instant;
@@ -43,21 +37,18 @@
 }
 
 /**
- * Decides whether a stopping node accepts a request. Late requests are accepted
- * only if their maximum duration ends in time.
+ * Decides whether work that begins now ends before a stopping node abandons it.
  * @param now The present time.
  * @param stop The stop.
- * @param maximumDuration How long the request may take.
- * @returns Whether it is accepted.
+ * @param duration How long the work takes.
+ * @returns Whether it ends in time.
  */
-export function isAcceptedWhileStopping(
+export function endsBeforeStop(
   now: Instant,
-  { begunAt, grace }: PlannedStop,
-  maximumDuration: Duration,
+  stop: PlannedStop,
+  duration: Duration,
 ): boolean {
-  const age = elapsed(begunAt, now);
-  return age <= UNCONDITIONAL_ACCEPT_TIME ||
-    age + maximumDuration <= grace - FINAL_ANSWER_TIME;
+  return later(now, duration) <= workDeadline(stop);
 }
 
 /** The next action of a stopping node. */
--- a/packages/node/src/relay/request_relay.ts
+++ b/packages/node/src/relay/request_relay.ts
@@ -13,7 +13,9 @@
 import { AnswerForwarder } from "./answer_forwarder.ts";
 import type { CallEnd, CallStage } from "./backend_call.ts";
 import { PlacementFinder } from "./placement_finder.ts";
+import { endsBeforeStop } from "./relay_stop.ts";
 import {
+  estimatedRequest,
   mayRunAgain,
   requestDeadline,
   requestTimeLimit,
@@ -128,11 +130,13 @@
   /** Sends the request once; returns whether another send is to follow. */
   async #attempt(): Promise<boolean> {
     if (this.#endIfQuarantined() || this.#endIfBarred()) return false;
+    if (this.#endIfTooLate()) return false;
     const place = await this.#finder.find();
     // Another node may have quarantined the content during the search, and an
     // operator may have revoked the key.
     if (
-      this.#isCancelled() || this.#endIfQuarantined() || this.#endIfBarred()
+      this.#isCancelled() || this.#endIfQuarantined() || this.#endIfBarred() ||
+      place !== undefined && this.#endIfTooLate()
     ) {
       place?.release();
       return false;
@@ -256,6 +260,17 @@
     return true;
   }
 
+  /** Ends the request if it would outlast a stopping node. */
+  #endIfTooLate(): boolean {
+    const { durations, plannedStop } = this.#parts;
+    const stop = plannedStop();
+    if (stop === undefined) return false;
+    const run = durations.estimateRun(estimatedRequest(this.#request));
+    if (endsBeforeStop(this.#now(), stop, run)) return false;
+    this.#giveUp("node_stops");
+    return true;
+  }
+
   #handleTimeout(): void {
     if (this.#isCancelled() || this.#outcome !== "") return;
     this.#giveUp(this.#mayHaveRun() ? "time_limit" : "not_run_in_time");
@@ -324,9 +339,23 @@
     return this.#parts.clock.now();
   }
 
+  /** Records how long the request took, if one send has answered it whole. */
+  #recordDuration(total: Duration): void {
+    const { caller, route } = this.#request;
+    const isWhole = this.#outcome === "answered" &&
+      caller.lastEventId === undefined && this.#sendRecord.sends === 1;
+    if (!isWhole) return;
+    this.#parts.durations.record(route.name, {
+      outputTokens: caller.use?.outputTokens ?? 0,
+      total,
+      run: this.#answer.timeSinceSend(this.#now()),
+    });
+  }
+
   #logEnd(): void {
     const { arrivedAt } = this.#request;
     const duration = elapsed(arrivedAt, this.#now());
+    this.#recordDuration(duration);
     this.#parts.recordRequest(
       this.#request,
       this.#outcome,
--- a/packages/node/src/relay/routed_request.ts
+++ b/packages/node/src/relay/routed_request.ts
@@ -1,6 +1,7 @@
 import {
   type ClientAccount,
   type Duration,
+  type EstimatedRequest,
   type Instant,
   instant,
   later,
@@ -45,6 +46,21 @@
   return milliseconds(Math.min(timeLimit, caller.patience ?? timeLimit));
 }
 
+/**
+ * Returns what a request's duration is estimated from.
+ * @param request The route and caller of the request.
+ * @returns The facts.
+ */
+export function estimatedRequest(
+  { route, caller }: Pick<RoutedRequest, "route" | "caller">,
+): EstimatedRequest {
+  return {
+    route: route.name,
+    outputTokens: caller.use?.outputTokens ?? 0,
+    timeLimit: requestTimeLimit({ route, caller }),
+  };
+}
+
 /**
  * Returns when a request must have its final answer.
  * @param request The request.
--- a/packages/node/tests/relay/helpers/relay_world.ts
+++ b/packages/node/tests/relay/helpers/relay_world.ts
@@ -15,6 +15,7 @@
   instant,
   logOffset,
   milliseconds,
+  RequestDurations,
   seconds,
   serverStart,
 } from "@foxtailwind/core";
@@ -194,6 +195,7 @@
       countNodes: () => 1,
       onRequest: () => undefined,
       callerTimeouts: new CallerTimeouts(),
+      durations: new RequestDurations(),
       plannedStop: () => this.plannedStop,
       retryBudgets: new RetryBudgets({
         limits: { retriesPerRequest: 0.2, reserve: 58, window: seconds(10) },
--- a/packages/node/tests/relay/relay_stop_test.ts
+++ b/packages/node/tests/relay/relay_stop_test.ts
@@ -1,5 +1,5 @@
 import { instant, milliseconds, seconds } from "@foxtailwind/core";
-import { isAcceptedWhileStopping, nextStopStep } from "@foxtailwind/node/relay";
+import { endsBeforeStop, nextStopStep } from "@foxtailwind/node/relay";
 import test from "ava";
 
 function step(now: number, running: number, lastRequestAt = 0): string {
@@ -25,17 +25,18 @@
   t.is(step(7_800, 1, 6_000), "end");
 });
 
-test("a late request to a stopping node is accepted only if it ends in time", (t) => {
-  const isTaken = (now: number, longest: number) =>
-    isAcceptedWhileStopping(
+test("work of a stopping node ends in time only before its final answers", (t) => {
+  const endsInTime = (now: number, duration: number) =>
+    endsBeforeStop(
       instant(now),
       { begunAt: instant(0), grace: seconds(8) },
-      milliseconds(longest),
+      milliseconds(duration),
     );
-  t.true(isTaken(2_700, 30_000), "Callers may not know of the stop yet.");
-  t.false(isTaken(2_900, 30_000));
-  t.false(isTaken(3_270, 5_000), "The stream would be cut off.");
-  t.true(isTaken(3_270, 4_000));
-  t.true(isTaken(6_700, 1_000));
-  t.false(isTaken(7_000, 1_000));
+  t.false(endsInTime(2_700, 30_000), "It would be cut off.");
+  t.false(endsInTime(2_900, 30_000));
+  t.false(endsInTime(3_270, 5_000), "The stream would be cut off.");
+  t.true(endsInTime(2_700, 5_000));
+  t.true(endsInTime(3_270, 4_000));
+  t.true(endsInTime(6_700, 1_000));
+  t.false(endsInTime(7_000, 1_000));
 });
--- a/packages/node/tests/relay/stop_end_test.ts
+++ b/packages/node/tests/relay/stop_end_test.ts
@@ -11,7 +11,7 @@
 import test from "ava";
 import { setTimeout as sleep } from "node:timers/promises";
 import { rawCall } from "./helpers/raw_call.ts";
-import { RelayWorld } from "./helpers/relay_world.ts";
+import { RelayWorld, succeed } from "./helpers/relay_world.ts";
 
 test("a request that a stopping node can't finish gets a final answer", async (t) => {
   const world = new RelayWorld();
@@ -45,10 +45,13 @@
   const world = new RelayWorld();
   world.configure();
   const left: number[] = [];
-  await world.addServer("s1", (request) => {
-    left.push(Number(request.headers["x-left"]));
+  await world.addServer("s1", (request, response) => {
+    if (world.plannedStop === undefined) succeed(request, response, "well");
+    else left.push(Number(request.headers["x-left"]));
   });
   await world.start(t);
+  // The node knows the route's requests as short ones.
+  for (let call = 0; call < 5; call += 1) await world.call("/once/a");
   world.plannedStop = { begunAt: world.timeBefore(2_500), grace: seconds(3.5) };
   const { bytes } = await rawCall(world.port, "/once/a").ended;
   t.regex(bytes, /^HTTP\/1\.1 504 /);
--- a/packages/node/tests/relay/stop_work_test.ts
+++ b/packages/node/tests/relay/stop_work_test.ts
@@ -99,10 +99,11 @@
   const world = await startWorld(t);
   world.configure();
   const left: number[] = [];
+  let isKnown = false;
   for (const id of ["s1", "s2"]) {
     await world.addServer(id, (request, response) => {
-      left.push(Number(request.headers["x-left"]));
-      if (left.length > 1) succeed(request, response, "well");
+      if (isKnown) left.push(Number(request.headers["x-left"]));
+      if (!isKnown || left.length > 1) succeed(request, response, "well");
       else {
         world.plannedStop = {
           begunAt: world.timeBefore(2_000),
@@ -112,6 +113,9 @@
       }
     });
   }
+  // The node knows the route's requests as short ones.
+  for (let call = 0; call < 5; call += 1) await world.call("/repeatable/a");
+  isKnown = true;
   await rawCall(world.port, "/repeatable/a").ended;
   const [, second = Number.NaN] = left;
   t.true(second <= 1_000, `${second}`);
