Streams go on only at engines whose software is certain

Callers saw: streams with events of two software versions, after a server had started again under its id with newer software while the store was down.

Cause: servers for resumed streams were chosen by the software in the registry. The owner of an engine hears of a new start from the engine itself, but the start that it grants was not compared with the registered one. A node that didn't reach the owner sent without a grant, however old its registry was; that is the report of a node that is out of step during a release.

Change: a stream that may be resumed is sent only if the granted start is the registered one, or, without a grant, if the registry is at most 500 ms old. It isn't written to a connection if another start is registered meanwhile.

--- a/packages/node/src/relay/placement.ts
+++ b/packages/node/src/relay/placement.ts
@@ -48,6 +48,11 @@
   readonly firstEventDeadline: Instant;
   /** The longest pause between two events that isn't late, if limited. */
   readonly longestPause: Duration | undefined;
+  /**
+   * Whether only servers are chosen whose software is known for certain: what a
+   * stream that may be resumed holds must come from one version of it.
+   */
+  readonly needsKnownSoftware: boolean;
   /** Cancels the search. */
   readonly signal: AbortSignal;
   /** Called with the answer of each engine that was asked. */
--- a/packages/node/src/relay/placement_finder.ts
+++ b/packages/node/src/relay/placement_finder.ts
@@ -188,6 +188,7 @@
       signal,
       firstEventDeadline: this.#terms.firstEventDeadline,
       longestPause: this.#request.route.longestPause,
+      needsKnownSoftware: this.#request.route.resumable,
       queueing: {
         priority: requestPriority(this.#request),
         account: account?.id,
--- a/packages/node/src/relay/request_sender.ts
+++ b/packages/node/src/relay/request_sender.ts
@@ -1,6 +1,7 @@
 import {
   findSendObstacle,
   type Instant,
+  isDifferentStart,
   milliseconds,
   type RegisteredServer,
   requestUrgency,
@@ -180,6 +181,9 @@
     if (crashReports.findQuarantine(content) !== undefined) {
       return "quarantined";
     }
+    const known = knowledge.registry.find(server.id)?.start;
+    const hasRestarted = isDifferentStart(server.start, known);
+    if (this.#request.route.resumable && hasRestarted) return "restarted";
     return access.findRefusal(this.#request) ?? findSendObstacle(this.#now(), {
       hasCallerLeft: hasCallerLeft(message, response),
       deadline: this.#terms.deadline(),
--- a/packages/node/src/relay/use_asker.ts
+++ b/packages/node/src/relay/use_asker.ts
@@ -1,10 +1,12 @@
 import {
   expectedLoadTime,
+  isDifferentStart,
   isOlderStart,
   milliseconds,
   needsBreaks,
   RecentRefusals,
   type RegisteredServer,
+  type ServerStart,
 } from "@foxtailwind/core";
 import { TimeLimitedSignal } from "@foxtailwind/edges";
 import type { EngineOwnerAddress, GrantAnswer } from "./adapter_grants.ts";
@@ -20,6 +22,11 @@
 const ADAPTER_LOAD_TIMEOUT_MILLISECONDS = 1_000;
 /** How much later than expected the answer of a queued request is overdue. */
 const OVERDUE_MILLISECONDS = 400;
+/**
+ * Without its owner's word, an engine's software is known only by a registry that
+ * is at most this old: a restarted engine needs longer to load a model.
+ */
+const REGISTRY_AGE_LIMIT_MILLISECONDS = 500;
 /** An owner's answer should arrive before the request stops waiting for it. */
 const ANSWER_MARGIN_MILLISECONDS = 20;
 
@@ -74,7 +81,7 @@
     const { onAnswer } = round.search;
     if (owner === undefined || address === undefined) {
       onAnswer({ engine: engine.id, answer: "no_owner" });
-      return engine.holdsAdapter
+      return engine.holdsAdapter && this.#runsKnownSoftware(server, round)
         ? { server, release: noop, reportMiss: noop }
         : undefined;
     }
@@ -106,8 +113,10 @@
     const takesRequests = this.#takesRequests(server) &&
       this.#parts.limits.backoff(server) === 0;
     if (answer.kind === "granted") {
-      const { version, release } = answer;
-      if (!takesRequests || this.#hasEnded(target, answer)) {
+      const { version, release, start } = answer;
+      const isUsable = takesRequests && !this.#hasEnded(target, answer) &&
+        this.#runsKnownSoftware(server, round, start);
+      if (!isUsable) {
         release();
         return undefined;
       }
@@ -122,7 +131,8 @@
     }
     const runsWithoutGrant = engine.holdsAdapter && !engine.isFull &&
       answer.kind !== "no_room";
-    return runsWithoutGrant && takesRequests && !question.signal.aborted
+    return runsWithoutGrant && takesRequests && !question.signal.aborted &&
+        this.#runsKnownSoftware(server, round)
       ? { server, release: noop, reportMiss: noop }
       : undefined;
   }
@@ -203,6 +213,27 @@
     return this.#parts.knowledge.departures.takesRequests(server);
   }
 
+  /**
+   * Whether an engine runs the software that was registered when it was chosen,
+   * if that matters. Its owner hears of another start before it is registered,
+   * and a node that is cut off may not hear of it at all.
+   * @param server The engine, as registered when it was chosen.
+   * @param round What the request needs.
+   * @param granted The start that its owner has granted a use for, if known.
+   */
+  #runsKnownSoftware(
+    { id, start }: RegisteredServer,
+    { search }: PlacementRound,
+    granted?: ServerStart,
+  ): boolean {
+    if (!search.needsKnownSoftware || start === undefined) return true;
+    const { registry, registryProofs } = this.#parts.knowledge;
+    if (granted !== undefined) return granted === start;
+    const { age } = registryProofs;
+    return !isDifferentStart(start, registry.find(id)?.start) &&
+      age !== undefined && age <= REGISTRY_AGE_LIMIT_MILLISECONDS;
+  }
+
   /** Whether a use was granted for a start that has ended. */
   #hasEnded(target: EngineOwnerAddress, { start, endSignal }: Grant): boolean {
     if (endSignal.aborted) return true;
--- a/packages/node/tests/relay/request_placer_test.ts
+++ b/packages/node/tests/relay/request_placer_test.ts
@@ -2,6 +2,7 @@
 import {
   adapterId,
   backendServerId,
+  instant,
   nodeId,
   serverStart,
 } from "@foxtailwind/core";
@@ -136,7 +137,10 @@
     }),
     clock,
   });
-  const place = (servers = knowledge.registry.all) =>
+  const place = (
+    servers = knowledge.registry.all,
+    needsKnownSoftware = false,
+  ) =>
     placer.placeOnEngine(
       {
         model: STAND_IN_MODEL,
@@ -148,11 +152,13 @@
       {
         firstEventDeadline: clock.now(),
         longestPause: undefined,
+        needsKnownSoftware,
         signal: new AbortController().signal,
         onAnswer: () => undefined,
       },
     );
-  return { grants, knowledge, place, register };
+  const placeResumable = () => place(knowledge.registry.all, true);
+  return { clock, grants, knowledge, place, placeResumable, register };
 }
 
 test("an owner's digest of an older start of its engine is ignored", async (t) => {
@@ -224,3 +230,45 @@
   const outcome = await Promise.race([placed, sleep(3_000, "pending")]);
   t.not(outcome, "pending");
 });
+
+// Guards against streams that go on at other software, since their engine has
+// started again with it and the registry doesn't tell yet.
+test("a stream that may be resumed isn't sent to a start that isn't registered", async (t) => {
+  const { grants, place, placeResumable } = setUp(OLD_START, OLD_START);
+  grants.start = NEW_START;
+  t.is(await placeResumable(), undefined);
+  t.is(grants.releases, 1);
+  t.is((await place())?.adapterVersion, 1, "Other requests are.");
+});
+
+test("a stream that may be resumed is sent to the start that is registered", async (t) => {
+  const { placeResumable } = setUp(NEW_START, NEW_START);
+  t.is((await placeResumable())?.adapterVersion, 1);
+});
+
+test("a start that is registered while its owner is asked runs no stream for the one before", async (t) => {
+  const { grants, placeResumable, register } = setUp(OLD_START, OLD_START);
+  grants.start = NEW_START;
+  grants.beforeAnswer = () => {
+    register(NEW_START, 2);
+  };
+  t.is(await placeResumable(), undefined);
+  t.is(grants.releases, 1);
+});
+
+// Guards against nodes that are out of step: they know neither the engine's
+// owner nor that it has started again.
+test("without its owner's grant, a stream that may be resumed needs a registry that is up to date", async (t) => {
+  const { clock, grants, knowledge, place, placeResumable } = setUp(
+    NEW_START,
+    NEW_START,
+  );
+  grants.isOwner = false;
+  t.is(await placeResumable(), undefined, "Nothing was ever read.");
+  const now = clock.now();
+  knowledge.registryProofs.recordRead(instant(now - 3_000));
+  t.is(await placeResumable(), undefined, "What was read is old.");
+  t.not(await place(), undefined, "Other requests need no proof.");
+  knowledge.registryProofs.recordRead(clock.now());
+  t.not(await placeResumable(), undefined);
+});
--- a/packages/node/tests/relay/silent_owner_test.ts
+++ b/packages/node/tests/relay/silent_owner_test.ts
@@ -149,6 +149,7 @@
     {
       firstEventDeadline: instant(now + 900),
       longestPause: undefined,
+      needsKnownSoftware: false,
       signal: AbortSignal.timeout(longestWait),
       onAnswer: (answer) => {
         answers.push(answer);
