Dead connections to the store are no outage of it

Callers saw: requests at a server for 2.6 s after its entry had been removed, while the nodes' open connections to the store were silent and new ones worked.

Cause: an entry that vanishes within 2.5 s after a failed call is kept, as entries of live servers lapse while the store is down. A call that timed out on a dead connection counted like a failure of the store, from its timeout on.

After a timeout alone, an entry that vanishes is kept for 1 s.

--- a/packages/core/src/relay/registry/server_registry.ts
+++ b/packages/core/src/relay/registry/server_registry.ts
@@ -93,6 +93,7 @@
    */
   readonly #leavingStarts = new RecentKeys(MAXIMUM_LEAVING_STARTS);
   #storeFailedAt: Instant | undefined;
+  #callTimedOutAt: Instant | undefined;
   #recentRemovals: Instant[] = [];
   #revision = 0;
   /** The last change of each server, oldest first. */
@@ -210,6 +211,15 @@
     this.#storeFailedAt = now;
   }
 
+  /**
+   * Records that a store call got no response on a connection that had worked
+   * before. The connection is dead, or the store is: a call on another one tells.
+   * @param now The present time.
+   */
+  recordCallTimeout(now: Instant): void {
+    this.#callTimedOutAt = now;
+  }
+
   /**
    * Applies an entry, unless a newer one of the same server is known. The
    * removal of a server applies to its id, whatever its start.
@@ -407,7 +417,9 @@
     if (known.lapsedAt === undefined) this.#recentRemovals.push(now);
     const isMassLapse = this.#recentRemovals.length >=
       Math.max(2, this.#known.size * MASS_LAPSE_SHARE);
-    if (isMassLapse || this.#hasRecentStoreFailure(now)) {
+    const isInDoubt = isMassLapse || this.#hasRecentStoreFailure(now) ||
+      isRecent(this.#callTimedOutAt, now);
+    if (isInDoubt) {
       this.#known.set(id, { ...known, offset, lapsedAt: now });
       return;
     }
@@ -444,7 +456,11 @@
   }
 
   #hasRecentStoreFailure(now: Instant): boolean {
-    return this.#storeFailedAt !== undefined &&
-      elapsed(this.#storeFailedAt, now) < LAPSE_RETENTION;
+    return isRecent(this.#storeFailedAt, now);
   }
 }
+
+/** Whether entries may still be missing because of a failed store call. */
+function isRecent(failedAt: Instant | undefined, now: Instant): boolean {
+  return failedAt !== undefined && elapsed(failedAt, now) < LAPSE_RETENTION;
+}
--- a/packages/core/tests/relay/registry/server_registry_test.ts
+++ b/packages/core/tests/relay/registry/server_registry_test.ts
@@ -158,6 +158,42 @@
   t.deepEqual(ids(registry), ["c"], "1 s after it vanished");
 });
 
+// Guards against requests to a server that left, while the node's connections to
+// the store went silent: the silence was taken for an outage of the store.
+test("an entry that vanishes after a call without a response is kept for less time than a departure may take", (t) => {
+  const registry = new ServerRegistry();
+  for (const id of ["a", "b", "c"]) registry.apply(instant(0), present(id, 1));
+  registry.recordCallTimeout(instant(1_250));
+  registry.apply(instant(1_300), gone("a", 2));
+  t.deepEqual(ids(registry), ["a", "b", "c"], "The store may have failed.");
+  registry.expire(instant(2_250));
+  t.deepEqual(ids(registry), ["a", "b", "c"]);
+  registry.expire(instant(2_300));
+  t.deepEqual(ids(registry), ["b", "c"], "1 s after it vanished");
+});
+
+test("an entry that vanishes after a call without a response may come back", (t) => {
+  const registry = new ServerRegistry();
+  for (const id of ["a", "b", "c"]) registry.apply(instant(0), present(id, 1));
+  registry.recordCallTimeout(instant(1_250));
+  registry.apply(instant(1_300), gone("a", 2));
+  registry.apply(instant(1_900), present("a", 3));
+  registry.expire(instant(4_000));
+  t.deepEqual(ids(registry), ["a", "b", "c"]);
+});
+
+test("a call without a response is a failure of the store if the next one fails, too", (t) => {
+  const registry = new ServerRegistry();
+  for (const id of ["a", "b", "c"]) registry.apply(instant(0), present(id, 1));
+  registry.recordCallTimeout(instant(1_000));
+  registry.recordStoreFailure(instant(1_600));
+  registry.apply(instant(1_700), gone("a", 2));
+  registry.expire(instant(4_000));
+  t.deepEqual(ids(registry), ["a", "b", "c"]);
+  registry.expire(instant(4_200));
+  t.deepEqual(ids(registry), ["b", "c"], "2.6 s after the failure");
+});
+
 /** Applies entries of one server in order and returns its resulting start. */
 function startAfter(
   ...entries: readonly (readonly [offset: number, start: number])[]
--- a/packages/node/src/relay/knowledge.ts
+++ b/packages/node/src/relay/knowledge.ts
@@ -440,7 +440,8 @@
   override callFailed(failure: Failure): void {
     this.workCounts.increment("log_failed");
     const now = this.#parts.clock.now();
-    this.registry.recordStoreFailure(now);
+    if (failure.reason === "timeout") this.registry.recordCallTimeout(now);
+    else this.registry.recordStoreFailure(now);
     if (!this.#lastLogCallSucceeded) return;
     this.#lastLogCallSucceeded = false;
     this.#parts.logger.warn(RELAY_SENTENCE.logFailed, {
