Heads of many fields count for what they use of callers' memory

Callers saw: requests that ended without an answer, as the node ran out of heap while some 1,400 clients held requests of 1,990 fields with trailers that don't end.

Cause: a request counted as 8 KiB, whatever its head holds.

Change: fields beyond the first 64 count with 160 bytes each. A head that counts as a large body doesn't make the bodies of others give way; if there is no memory for it, its connection is closed.

--- a/packages/core/src/relay/clients/client_limits.ts
+++ b/packages/core/src/relay/clients/client_limits.ts
@@ -15,8 +15,15 @@
  * and the head of a request that has not ended.
  */
 export const CONNECTION_BYTES = 24 * 1_024;
-/** What a request costs besides its body. */
+/** What a request with few header fields costs besides its body. */
 export const REQUEST_BYTES = 8 * 1_024;
+/** The number of header fields that are part of that. */
+const USUAL_FIELDS = 64;
+/**
+ * What each further field costs: its name, its value and its places in the
+ * parser's lists, and as much again for a field of the trailers.
+ */
+const FIELD_BYTES = 160;
 /** Bodies up to this length count as small. */
 export const SMALL_BODY_BYTES = 64 * 1_024;
 
@@ -42,6 +49,15 @@
   readonly connections: number;
 }
 
+/**
+ * Computes what a request costs besides its body.
+ * @param fields The number of its header fields.
+ * @returns The memory, in bytes.
+ */
+export function requestBytes(fields: number): number {
+  return REQUEST_BYTES + Math.max(0, fields - USUAL_FIELDS) * FIELD_BYTES;
+}
+
 /**
  * Computes how much of a node its callers may use.
  * @param settings The VM, and the settings of the operators.
--- a/packages/node/src/relay/clients/client_resources.ts
+++ b/packages/node/src/relay/clients/client_resources.ts
@@ -6,9 +6,10 @@
   elapsed,
   type Instant,
   milliseconds,
-  REQUEST_BYTES,
+  requestBytes,
+  SMALL_BODY_BYTES,
 } from "@foxtailwind/core";
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { SteadyClock } from "../../clock/steady_clock.ts";
 import type { ComponentLogger } from "../../logging/component_logger.ts";
 import { CallerConnections } from "../caller_connections.ts";
@@ -25,6 +26,7 @@
 export type ClientLimit =
   | "body_memory"
   | "connections"
+  | "header_memory"
   | "operations_connections"
   | "requests_ahead"
   | "stalled_body"
@@ -109,15 +111,20 @@
 
   /**
    * Takes the memory that a request needs besides its body, until its response
-   * closes.
+   * closes. Bodies of others may have to give way, but not to a large head.
+   * @param message The request.
    * @param response The response.
    * @returns Whether it was available.
    */
-  tryTakeRequest(response: ServerResponse): boolean {
+  tryTakeRequest(message: IncomingMessage, response: ServerResponse): boolean {
+    const bytes = requestBytes(countFields(message));
     const asker = { usedBytes: 0, progressedAt: this.#parts.clock.now() };
-    if (!this.bodies.tryTake(REQUEST_BYTES, asker)) return false;
+    const isTaken = isLargeHead(message)
+      ? this.#memory.tryTake(bytes, "large")
+      : this.bodies.tryTake(bytes, asker);
+    if (!isTaken) return false;
     response.once("close", () => {
-      this.#memory.release(REQUEST_BYTES);
+      this.#memory.release(bytes);
     });
     return true;
   }
@@ -150,3 +157,16 @@
     return this.#parts.knowledge.routes?.configuration.limits;
   }
 }
+
+/**
+ * Checks whether a request's head needs as much memory as a large body.
+ * @param message The request.
+ * @returns Whether it does.
+ */
+export function isLargeHead(message: IncomingMessage): boolean {
+  return requestBytes(countFields(message)) > SMALL_BODY_BYTES;
+}
+
+function countFields({ rawHeaders }: IncomingMessage): number {
+  return rawHeaders.length / 2;
+}
--- a/packages/node/src/relay/front_server.ts
+++ b/packages/node/src/relay/front_server.ts
@@ -33,7 +33,10 @@
 import type { RelayParts } from "./relay_parts.ts";
 import { RequestRelay } from "./request_relay.ts";
 import { endsBeforeStop } from "./relay_stop.ts";
-import type { ClientResources } from "./clients/client_resources.ts";
+import {
+  type ClientResources,
+  isLargeHead,
+} from "./clients/client_resources.ts";
 import type { RequestBody } from "./clients/request_body.ts";
 import { RequestContent } from "./crashes/request_content.ts";
 import { chooseRequestTarget } from "./streams/resumption.ts";
@@ -204,9 +207,8 @@
       );
       if (turn.kind === "closed") return;
       const caughtUp = this.#parts.onRequest();
-      if (!this.#clients.tryTakeRequest(exchange.response)) {
-        exchange.message.resume();
-        this.#refuse(exchange, { code: "overloaded" });
+      if (!this.#clients.tryTakeRequest(request.raw, reply.raw)) {
+        this.#refuseForMemory(exchange);
         return;
       }
       // Until a body is read, each of its chunks is kept as a separate object.
@@ -371,6 +373,20 @@
     return endsBeforeStop(clock.now(), stop, duration);
   }
 
+  /**
+   * Refuses a request for which there is no memory. A large head is kept while
+   * its connection is open, so the connection is closed without an answer.
+   */
+  #refuseForMemory(exchange: CallerExchange): void {
+    if (isLargeHead(exchange.message)) {
+      this.#clients.recordLimit("header_memory");
+      exchange.message.socket.destroy();
+      return;
+    }
+    exchange.message.resume();
+    this.#refuse(exchange, { code: "overloaded" });
+  }
+
   /** Waits briefly for the first configuration after the start. */
   async #awaitConfiguration(): Promise<RouteTable | undefined> {
     const { knowledge, clock } = this.#parts;
