--- a/packages/node/src/relay/answer_forwarder.ts
+++ b/packages/node/src/relay/answer_forwarder.ts
@@ -1,10 +1,4 @@
-import {
-  type Duration,
-  elapsed,
-  type Instant,
-  MAXIMUM_SUSPECT_RUN_TIME,
-  milliseconds,
-} from "@foxtailwind/core";
+import { type Duration, type Instant, milliseconds } from "@foxtailwind/core";
 import {
   type AnswerFraming,
   detectFraming,
@@ -20,6 +14,7 @@
 import { HeldBytes } from "./answer_memory.ts";
 import { BufferedAnswer } from "./buffered_answer.ts";
 import type { AnswerKind, AnswerListener } from "./answer_kind.ts";
+import { AnswerTimes } from "./answer_times.ts";
 import type { RelayParts } from "./relay_parts.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import { EventStreamBody } from "./streams/event_stream_body.ts";
@@ -32,6 +27,8 @@
 
 /** Forwards the answers of servers to one caller. */
 export class AnswerForwarder extends AnswerHandler {
+  /** When the parts of the last send's answer arrived. */
+  readonly times: AnswerTimes;
   readonly #request: RoutedRequest;
   readonly #parts: RelayParts;
   readonly #answer: CallerAnswer;
@@ -50,12 +47,6 @@
   readonly #heldBytes: HeldBytes;
   #lastEventId: string | undefined;
   #hasForwardedEvent = false;
-  #sentAt: Instant;
-  #lastBytesAt: Instant;
-  /** When bytes last arrived that the caller can use. */
-  #progressedAt: Instant;
-  #timeToHead: Duration | undefined;
-  #timeToFirstByte: Duration | undefined;
   #listener: AnswerListener | undefined;
 
   /**
@@ -71,9 +62,7 @@
       parts.clients.unreadAnswers,
     );
     this.#heldBytes = new HeldBytes(parts.answerMemory);
-    this.#sentAt = request.arrivedAt;
-    this.#lastBytesAt = request.arrivedAt;
-    this.#progressedAt = request.arrivedAt;
+    this.times = new AnswerTimes(request.arrivedAt);
   }
 
   /** What kind of answer has arrived so far. */
@@ -101,51 +90,6 @@
     return this.#framing;
   }
 
-  /** Time from the send to the head of a success. */
-  get timeToHead(): Duration | undefined {
-    return this.#timeToHead;
-  }
-
-  /** Time from the send to the first bytes of the body. */
-  get timeToFirstByte(): Duration | undefined {
-    return this.#timeToFirstByte;
-  }
-
-  /**
-   * Returns how long ago the request was last sent.
-   * @param now The present time.
-   * @returns The time.
-   */
-  timeSinceSend(now: Instant): Duration {
-    return elapsed(this.#sentAt, now);
-  }
-
-  /**
-   * Returns how long the body of the server's answer has been arriving.
-   * @param now The present time.
-   * @returns The time since its first bytes, or `undefined` before them.
-   */
-  bodyDuration(now: Instant): Duration | undefined {
-    if (this.#timeToFirstByte === undefined) return undefined;
-    return milliseconds(elapsed(this.#sentAt, now) - this.#timeToFirstByte);
-  }
-
-  /**
-   * Returns how long the server has been answering. Before the first bytes of
-   * the body, it may have sent the head long before it began to work.
-   * @param now The present time.
-   * @returns The time, or `undefined` before the head of a success.
-   */
-  runDuration(now: Instant): Duration | undefined {
-    if (this.#timeToHead === undefined) return undefined;
-    return this.bodyDuration(now) ?? milliseconds(
-      Math.min(
-        elapsed(this.#sentAt, now) - this.#timeToHead,
-        MAXIMUM_SUSPECT_RUN_TIME,
-      ),
-    );
-  }
-
   /** Whether only the end of its connection marks the end of the answer. */
   get isUnmarked(): boolean {
     return this.#answerKind === "passed" && this.#isCloseDelimited;
@@ -172,11 +116,7 @@
     this.#framing = undefined;
     this.#isMisdirected = false;
     this.#bufferedAnswer = undefined;
-    this.#sentAt = now;
-    this.#lastBytesAt = now;
-    this.#progressedAt = now;
-    this.#timeToHead = undefined;
-    this.#timeToFirstByte = undefined;
+    this.times.beginSend(now);
     this.#events = undefined;
     this.#heldBytes.update(0);
   }
@@ -190,15 +130,7 @@
   silenceDuration(now: Instant): Duration {
     // Nothing is read of the server's answer until the caller catches up.
     if (this.#answer.isUnread) return milliseconds(0);
-    return elapsed(this.#progressedAt, now);
-  }
-
-  /**
-   * Records that the caller has caught up, so that the server is read again.
-   * @param now The present time.
-   */
-  recordCaughtUp(now: Instant): void {
-    this.#progressedAt = now;
+    return this.times.sinceProgress(now);
   }
 
   override onHead(head: AnswerHead): HeadDecision {
@@ -237,7 +169,7 @@
       return "cut";
     }
     this.#answerKind = "passed";
-    this.#timeToHead = elapsed(this.#sentAt, this.#lastBytesAt);
+    this.times.recordHead();
     this.#beginSuccess(head);
     return "take";
   }
@@ -245,9 +177,9 @@
   override onData(bytes: Buffer): DataDecision {
     this.#recordBytes();
     const isBegin = this.#answerKind === "passed" &&
-      this.#timeToFirstByte === undefined;
+      this.times.toFirstByte === undefined;
     if (isBegin) {
-      this.#timeToFirstByte = elapsed(this.#sentAt, this.#lastBytesAt);
+      this.times.recordFirstByte();
       this.#listener?.onBegun();
     }
     const buffered = this.#bufferedAnswer;
@@ -276,7 +208,7 @@
 
   /** Ends a success whose last bytes have arrived. */
   finish(): void {
-    this.#timeToFirstByte ??= elapsed(this.#sentAt, this.#lastBytesAt);
+    this.times.recordFirstByte();
     if (this.#bufferedAnswer !== undefined) {
       this.#forwardComplete(this.#bufferedAnswer);
     }
@@ -322,10 +254,10 @@
   #recordBytes(): void {
     const now = this.#parts.clock.now();
     this.#listener?.onBytes(now);
-    this.#lastBytesAt = now;
+    this.times.recordBytes(now);
     const mayBeEndless = this.#answerKind === "failure" ||
       this.#events?.holdsIncompleteEvents === true;
-    if (!mayBeEndless) this.#progressedAt = now;
+    if (!mayBeEndless) this.times.recordProgress();
   }
 
   #buffer(buffered: BufferedAnswer, bytes: Buffer): DataDecision {
@@ -395,10 +327,10 @@
     let hasCapacity = true;
     for (const event of this.#events.push(bytes)) {
       if (!this.#hasForwardedEvent) {
-        this.#listener?.onFirstEvent(this.#lastBytesAt);
+        this.#listener?.onFirstEvent(this.times.lastBytesAt);
       }
       this.#hasForwardedEvent = true;
-      this.#progressedAt = this.#lastBytesAt;
+      this.times.recordProgress();
       if (event.id !== undefined) this.#lastEventId = event.id;
       hasCapacity = this.#answer.write(event.bytes);
     }
--- a/packages/node/src/relay/request_relay.ts
+++ b/packages/node/src/relay/request_relay.ts
@@ -94,7 +94,7 @@
       this.#handleClose();
     });
     response.on("drain", () => {
-      this.#answer.recordCaughtUp(this.#now());
+      this.#answer.times.recordCaughtUp(this.#now());
       this.#sender.call?.resume();
     });
     this.#parts.retryBudgets.recordRequest(
@@ -159,7 +159,7 @@
       : this.#answer.defect;
     this.#callStage = end.kind === "broken" ? end.stage : undefined;
     this.#bodyDuration = end.kind === "broken"
-      ? this.#answer.bodyDuration(this.#now())
+      ? this.#answer.times.bodyDuration(this.#now())
       : undefined;
     if (this.#isCancelled()) return false;
     return this.#handleCallEnd(place.server, end);
@@ -348,7 +348,7 @@
     this.#parts.durations.record(route.name, {
       outputTokens: caller.use?.outputTokens ?? 0,
       total,
-      run: this.#answer.timeSinceSend(this.#now()),
+      run: this.#answer.times.sinceSend(this.#now()),
     });
   }
 
@@ -360,7 +360,7 @@
       this.#request,
       this.#outcome,
       duration,
-      this.#answer.timeToFirstByte,
+      this.#answer.times.toFirstByte,
     );
     this.#parts.logger.info(
       RELAY_SENTENCE.requestEnded,
@@ -378,8 +378,8 @@
         placeAnswers: this.#finder.askedEngines,
         limitWait: this.#finder.retryAfter,
         placementTime: this.#placementTime,
-        timeToHead: this.#answer.timeToHead,
-        timeToFirstByte: this.#answer.timeToFirstByte,
+        timeToHead: this.#answer.times.toHead,
+        timeToFirstByte: this.#answer.times.toFirstByte,
         duration,
         timeSinceStop: this.#timeSinceStop,
         configuration: this.#parts.knowledge.routes?.configuration.version,
--- a/packages/node/src/relay/request_sender.ts
+++ b/packages/node/src/relay/request_sender.ts
@@ -153,7 +153,7 @@
     const { crashReports, pools } = this.#parts;
     const { content } = this.#request;
     const { answer } = this.#terms;
-    const ranFor = answer.runDuration(this.#now());
+    const ranFor = answer.times.runDuration(this.#now());
     // A server that ends its answer in order has not crashed, even if the answer
     // is incomplete.
     const isBroken = end.kind === "complete"
@@ -260,15 +260,15 @@
 
   #classifyEnd(end: CallEnd): SendResult {
     const { abandonSignal } = this.#terms;
-    const { answerKind, timeToFirstByte } = this.#terms.answer;
+    const { answerKind, times } = this.#terms.answer;
     if (end.kind === "broken" && end.obstacle !== undefined) {
       return { kind: "neutral" };
     }
     if (answerKind === "not_run") {
       return { kind: this.#terms.answer.isMisdirected ? "neutral" : "full" };
     }
-    if (answerKind === "passed" && timeToFirstByte !== undefined) {
-      return { kind: "answered", took: timeToFirstByte };
+    if (answerKind === "passed" && times.toFirstByte !== undefined) {
+      return { kind: "answered", took: times.toFirstByte };
     }
     if (abandonSignal.aborted) {
       return { kind: abandonSignal.reason === TIME_LIMIT ? "dead" : "neutral" };
