--- a/packages/node/src/relay/use_asker.ts
+++ b/packages/node/src/relay/use_asker.ts
@@ -23,8 +23,8 @@
 /** How much later than expected the answer of a queued request is overdue. */
 const OVERDUE_MILLISECONDS = 400;
 /**
- * Without its owner's word, an engine's software is known only by a registry that
- * is at most this old: a restarted engine needs longer to load a model.
+ * Without a grant, an engine's software is certain only if the registry is at
+ * most this old: a restarted engine needs longer to load a model.
  */
 const REGISTRY_AGE_LIMIT_MILLISECONDS = 500;
 /** An owner's answer should arrive before the request stops waiting for it. */
