A stopping node accepts late only what certainly ends in time

Cause: the estimate by the requests before had replaced the time limit during the whole stop.

Change: from 2.8 s on the time limit decides again; before that the estimate does.

Evidence: late_request_test, "once callers use other nodes", where known short requests of a long limit were accepted before.

--- a/packages/node/src/relay/front_server.ts
+++ b/packages/node/src/relay/front_server.ts
@@ -32,7 +32,7 @@
 } from "./routed_request.ts";
 import type { RelayParts } from "./relay_parts.ts";
 import { RequestRelay } from "./request_relay.ts";
-import { endsBeforeStop } from "./relay_stop.ts";
+import { isAcceptedWhileStopping } from "./relay_stop.ts";
 import {
   type ClientResources,
   isLargeHead,
@@ -362,15 +362,15 @@
     return hasEnded;
   }
 
-  /** A stopping node accepts only requests that are expected to end in time. */
   #isAccepted(route: Route, caller: CallerRequest): boolean {
     const { clock, durations, plannedStop } = this.#parts;
     const stop = plannedStop();
     if (stop === undefined) return true;
-    const duration = durations.estimateTotal(
-      estimatedRequest({ route, caller }),
-    );
-    return endsBeforeStop(clock.now(), stop, duration);
+    const request = estimatedRequest({ route, caller });
+    return isAcceptedWhileStopping(clock.now(), stop, {
+      expected: durations.estimateTotal(request),
+      longest: request.timeLimit,
+    });
   }
 
   /**
--- a/packages/node/src/relay/relay_stop.ts
+++ b/packages/node/src/relay/relay_stop.ts
@@ -20,6 +20,12 @@
 /** The time before the forced end from which no connections are accepted. */
 const LISTENER_CLOSE_TIME = milliseconds(2_000);
 
+/**
+ * The time from the beginning of a stop within which callers receive other
+ * addresses, and connect to them.
+ */
+const CALLER_NOTICE_TIME = milliseconds(2_800);
+
 /** A requested stop. */
 export interface PlannedStop {
   readonly begunAt: Instant;
@@ -51,6 +57,31 @@
   return later(now, duration) <= workDeadline(stop);
 }
 
+/** How long a request takes. */
+export interface ExpectedDuration {
+  /** What it hardly exceeds, by the requests before. */
+  readonly expected: Duration;
+  /** What it never exceeds. */
+  readonly longest: Duration;
+}
+
+/**
+ * Decides whether a stopping node accepts a request: what is expected to end in
+ * time, and once callers use other nodes, only what certainly does.
+ * @param now The present time.
+ * @param stop The stop.
+ * @param duration How long the request takes.
+ * @returns Whether it is accepted.
+ */
+export function isAcceptedWhileStopping(
+  now: Instant,
+  stop: PlannedStop,
+  { expected, longest }: ExpectedDuration,
+): boolean {
+  const isNoticed = elapsed(stop.begunAt, now) > CALLER_NOTICE_TIME;
+  return endsBeforeStop(now, stop, isNoticed ? longest : expected);
+}
+
 /** The next action of a stopping node. */
 export type StopStep = "serve" | "close_door" | "end";
 
--- a/packages/node/tests/relay/late_request_test.ts
+++ b/packages/node/tests/relay/late_request_test.ts
@@ -94,3 +94,20 @@
   t.is(status, 504);
   t.is(arrivals, 1);
 });
+
+// Guards against streams that take longer than all before and are cut, although
+// their callers could have used another node.
+test("once callers use other nodes, only what certainly ends in time is accepted", async (t) => {
+  for (const path of ["/patient/a", "/patient_stream/a"]) {
+    const { world, late } = await startStopping(t, {
+      path,
+      duration: 10,
+      knownCalls: KNOWN_CALLS,
+    });
+    const begunAt = world.timeBefore(3_000);
+    world.plannedStop = { begunAt, grace: seconds(8) };
+    t.is((await world.call(path)).status, 503);
+    t.is((await world.call("/once/a")).status, 200);
+    t.deepEqual(late, ["/once/a"]);
+  }
+});
--- a/packages/node/tests/relay/relay_stop_test.ts
+++ b/packages/node/tests/relay/relay_stop_test.ts
@@ -1,5 +1,9 @@
 import { instant, milliseconds, seconds } from "@foxtailwind/core";
-import { endsBeforeStop, nextStopStep } from "@foxtailwind/node/relay";
+import {
+  endsBeforeStop,
+  isAcceptedWhileStopping,
+  nextStopStep,
+} from "@foxtailwind/node/relay";
 import test from "ava";
 
 function step(now: number, running: number, lastRequestAt = 0): string {
@@ -40,3 +44,19 @@
   t.true(endsInTime(6_700, 1_000));
   t.false(endsInTime(7_000, 1_000));
 });
+
+test("a late request to a stopping node is accepted only if it ends in time", (t) => {
+  const isTaken = (now: number, longest: number, expected = 1_000) =>
+    isAcceptedWhileStopping(
+      instant(now),
+      { begunAt: instant(0), grace: seconds(8) },
+      { expected: milliseconds(expected), longest: milliseconds(longest) },
+    );
+  t.true(isTaken(2_700, 30_000), "Callers may not know of the stop yet.");
+  t.false(isTaken(2_700, 30_000, 5_100), "It is expected to be cut off.");
+  t.false(isTaken(2_900, 30_000));
+  t.false(isTaken(3_270, 5_000), "The stream could be cut off.");
+  t.true(isTaken(3_270, 4_000));
+  t.true(isTaken(6_700, 1_000));
+  t.false(isTaken(7_000, 1_000));
+});
